--- /dev/null
+++ b/internal/answer/answer.go
@@ -0,0 +1,194 @@
+// Package answer holds the answer of one request while it is made and for as
+// long as its caller may come back for it.
+//
+// A [Stream] is a list of events that only grows and ends with exactly one
+// final event: the end of a whole answer or one refusal. Any number of
+// readers follow it from any point, so a caller who lost the connection goes
+// on where the stream broke, and the same key asked twice gets one answer.
+//
+// # Usage
+//
+//	st := answer.NewStream()
+//	st.Token([]byte("text"))
+//	st.End([]byte(`{"Tokens":1}`))
+//
+//	rd := st.Attach(0)
+//	defer rd.Detach()
+//	for {
+//		ev, err := rd.Next(ctx)
+//		...
+//	}
+package answer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"alderdyke/pkg/refusal"
+)
+
+// Kinds of events.
+const (
+	Token   Kind = "Token"   // a piece of a model's answer
+	Whole   Kind = "Whole"   // final: a plain service's answer, whole
+	End     Kind = "End"     // final: a model's answer is complete
+	Refused Kind = "Refused" // final: there is no answer
+)
+
+type (
+	// Kind of an event.
+	Kind string
+
+	// Event is one step of an answer. IDs count from 0 without gaps.
+	Event struct {
+		ID      int
+		Kind    Kind
+		Data    []byte
+		Refusal refusal.Refusal // of a Refused event
+	}
+
+	// Stream is the answer of one request. Make it with NewStream.
+	Stream struct {
+		mu       sync.Mutex
+		events   []Event
+		final    bool
+		watchers int
+		changed  chan struct{} // closed and replaced at every change
+		moved    func(watchers int)
+	}
+
+	// Reader follows a stream.
+	Reader struct {
+		st   *Stream
+		next int
+		once sync.Once
+	}
+
+	// FinishedError tells that a second final event, or an event after the
+	// final one, was dropped.
+	FinishedError struct {
+		Kind Kind
+	}
+)
+
+// Error says what was dropped.
+func (fe FinishedError) Error() string {
+	return fmt.Sprintf("answer already has its end; %s event dropped", fe.Kind)
+}
+
+// Final tells whether no event follows one of this kind.
+func (kd Kind) Final() bool { return kd == Whole || kd == End || kd == Refused }
+
+// NewStream makes an empty stream.
+func NewStream() *Stream { return &Stream{changed: make(chan struct{})} }
+
+// OnWatchers sets a function that is called, without locks held, whenever
+// the number of attached readers changed. Set it before the stream is shared.
+func (st *Stream) OnWatchers(fn func(watchers int)) { st.moved = fn }
+
+// Token adds a piece of the answer.
+func (st *Stream) Token(data []byte) error { return st.add(Event{Kind: Token, Data: data}) }
+
+// End adds the final event of a whole model answer.
+func (st *Stream) End(data []byte) error { return st.add(Event{Kind: End, Data: data}) }
+
+// Whole adds a plain service's whole answer.
+func (st *Stream) Whole(data []byte) error { return st.add(Event{Kind: Whole, Data: data}) }
+
+// Refuse adds the final event of a request without an answer.
+func (st *Stream) Refuse(rf refusal.Refusal) error {
+	return st.add(Event{Kind: Refused, Refusal: rf})
+}
+
+// Add appends an event that another VM made; its ID must be the next one.
+func (st *Stream) Add(ev Event) error {
+	st.mu.Lock()
+	want := len(st.events)
+	st.mu.Unlock()
+	if ev.ID != want {
+		return fmt.Errorf("answer event %d came where %d was due", ev.ID, want)
+	}
+	return st.add(ev)
+}
+
+func (st *Stream) add(ev Event) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.final {
+		return FinishedError{Kind: ev.Kind}
+	}
+	ev.ID = len(st.events)
+	st.events = append(st.events, ev)
+	st.final = ev.Kind.Final()
+	st.wake()
+	return nil
+}
+
+func (st *Stream) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// Len tells how many events the stream holds, and whether the last is final.
+func (st *Stream) Len() (events int, final bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.events), st.final
+}
+
+// Last returns the final event, if the stream has ended.
+func (st *Stream) Last() (Event, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.final {
+		return Event{}, false
+	}
+	return st.events[len(st.events)-1], true
+}
+
+// Attach starts to follow the stream at the event with the given ID. Every
+// reader must be detached.
+func (st *Stream) Attach(from int) *Reader {
+	st.watch(1)
+	return &Reader{st: st, next: from}
+}
+
+func (st *Stream) watch(by int) {
+	st.mu.Lock()
+	st.watchers += by
+	now := st.watchers
+	st.mu.Unlock()
+	if st.moved != nil {
+		st.moved(now)
+	}
+}
+
+// Detach ends the reader. More than one call does no harm.
+func (rd *Reader) Detach() { rd.once.Do(func() { rd.st.watch(-1) }) }
+
+// Next waits for the next event. It returns the context's error if that ends
+// first.
+func (rd *Reader) Next(ctx context.Context) (Event, error) {
+	for {
+		ev, ok, changed := rd.st.at(rd.next)
+		if ok {
+			rd.next++
+			return ev, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Event{}, fmt.Errorf("wait for answer event %d: %w", rd.next, ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+func (st *Stream) at(ix int) (Event, bool, <-chan struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if ix < len(st.events) {
+		return st.events[ix], true, nil
+	}
+	return Event{}, false, st.changed
+}
--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,201 @@
+// Package board is the blackboard of one VM: the shared facts that
+// controllers read and write.
+//
+// Every section is an immutable snapshot behind an atomic pointer. A
+// controller loads the snapshots that it needs, decides, and stores a new
+// snapshot of the section that it owns; each section has one writer. The
+// board itself does no I/O and decides nothing.
+//
+// # Usage
+//
+//	var bd board.Board
+//	bd.SetFleet(bd.Fleet().WithVM(vm))
+//	for _, srv := range bd.Backends().Servers { ... }
+//
+// The zero Board is empty and ready to use.
+package board
+
+import (
+	"sync/atomic"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+// Health of a VM as this VM sees it.
+const (
+	Alive   Health = iota // answers, or has not been doubted
+	Suspect               // does not answer; may still be alive
+	Dead                  // held dead after its suspicion ran out
+	Left                  // said itself that it stopped
+)
+
+// Roles and kinds of backend servers.
+const (
+	Prefill Role = "Prefill" // model engine that computes prompts
+	Decode  Role = "Decode"  // model engine that generates tokens
+	Plain   Role = "Plain"   // plain service
+)
+
+type (
+	// Board holds the shared facts of one VM.
+	Board struct {
+		fleet     atomic.Pointer[Fleet]
+		backends  atomic.Pointer[Backends]
+		templates atomic.Pointer[Templates]
+	}
+
+	// Health of a VM.
+	Health int
+
+	// Role of a backend server.
+	Role string
+
+	// VMRef names one run of one VM: a VM that was replaced or restarted has
+	// a higher incarnation.
+	VMRef struct {
+		ID          string
+		Incarnation uint64
+	}
+
+	// VM is an entry VM of the fleet.
+	VM struct {
+		VMRef
+		FailureDomain string
+		Region        string
+		Caller        string // "IP:port" where callers connect
+		Peer          string // "IP:port" for TCP and UDP between VMs
+		Health        Health
+		Leaving       bool // announced its stop, or the VM list says so
+		Listed        bool // the platform's VM list holds it
+	}
+
+	// Fleet is the entry VMs as this VM sees them, itself included.
+	Fleet struct {
+		Self VMRef
+		VMs  []VM // sorted by ID
+		// Epoch grows by one with every change of VMs.
+		Epoch uint64
+		// Quorate is false while this VM reaches only a minority of the
+		// fleet: it then starts nothing that may run at most once.
+		Quorate bool
+	}
+
+	// BackendServer is a model engine or a server of a plain service.
+	BackendServer struct {
+		ID            string
+		Service       string
+		Role          Role
+		Address       string // "IP:port"
+		FailureDomain string
+		ChecksFencing bool // refuses orders with an old fencing number
+		Leaving       bool // from the VM list or from its own load report
+	}
+
+	// LoadReport is what a backend server last said of itself.
+	LoadReport struct {
+		Server    string
+		At        clock.Millis // when this VM received it
+		Running   int          // requests in its memory
+		Slots     int          // requests that fit its memory
+		Queued    int
+		LinkBytes int64 // bytes still to send on its link
+		Leaving   bool
+	}
+
+	// Backends is the backend servers and their last reports.
+	Backends struct {
+		Servers []BackendServer // sorted by ID
+		Reports map[string]LoadReport
+		Epoch   uint64
+	}
+
+	// InForce is a template with the revision that put it in force.
+	InForce struct {
+		Template template.Template
+		Revision uint64
+	}
+
+	// Templates is the customers' configuration in force.
+	Templates struct {
+		ByCustomer map[string]InForce
+		ByKeyHash  map[string]string // API key hash to customer
+		Ready      bool              // false until the configuration was learned
+		Applied    uint64            // log offset up to which it was learned
+	}
+)
+
+// Fleet returns the current snapshot of the entry VMs; never nil.
+func (bd *Board) Fleet() *Fleet {
+	if fl := bd.fleet.Load(); fl != nil {
+		return fl
+	}
+	return &Fleet{}
+}
+
+// SetFleet stores a new snapshot of the entry VMs.
+func (bd *Board) SetFleet(fl *Fleet) { bd.fleet.Store(fl) }
+
+// Backends returns the current snapshot of the backend servers; never nil.
+func (bd *Board) Backends() *Backends {
+	if bk := bd.backends.Load(); bk != nil {
+		return bk
+	}
+	return &Backends{}
+}
+
+// SetBackends stores a new snapshot of the backend servers.
+func (bd *Board) SetBackends(bk *Backends) { bd.backends.Store(bk) }
+
+// Templates returns the configuration in force; never nil.
+func (bd *Board) Templates() *Templates {
+	if tp := bd.templates.Load(); tp != nil {
+		return tp
+	}
+	return &Templates{}
+}
+
+// SetTemplates stores a new snapshot of the configuration in force.
+func (bd *Board) SetTemplates(tp *Templates) { bd.templates.Store(tp) }
+
+// Serving lists the VMs that may be given work: not dead, not left.
+func (fl *Fleet) Serving() []VM {
+	var out []VM
+	for _, vm := range fl.VMs {
+		if vm.Health == Alive || vm.Health == Suspect {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// VM finds a VM by its ID.
+func (fl *Fleet) VM(id string) (VM, bool) {
+	for _, vm := range fl.VMs {
+		if vm.ID == id {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
+// Server finds a backend server by its ID.
+func (bk *Backends) Server(id string) (BackendServer, bool) {
+	for _, srv := range bk.Servers {
+		if srv.ID == id {
+			return srv, true
+		}
+	}
+	return BackendServer{}, false
+}
+
+// OfService lists the backend servers of a service that take new work.
+func (bk *Backends) OfService(service string) []BackendServer {
+	var out []BackendServer
+	for _, srv := range bk.Servers {
+		if srv.Service == service && !srv.Leaving {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,97 @@
+// Package event is the catalogue of numbered log events and counters.
+//
+// Every line that alderdyke logs is one of the events below, so that an
+// operator can look its number up in docs/EVENTS.md. Each package keeps its
+// events in a file of this package named after it, within its own range of
+// numbers, and registers them in [Catalogue]. A test holds docs/EVENTS.md
+// against the catalogue.
+//
+// Fields never hold a prompt, an answer or a secret.
+//
+// # Usage
+//
+//	lg.Log(event.VMDead, event.F("VM", "aarhus-a-1"), event.F("Incarnation", 3))
+package event
+
+import (
+	"slices"
+
+	"github.com/phuslu/log"
+)
+
+// Levels of an event.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+var catalogue []Event
+
+type (
+	// Level tells how much an event wants an operator's attention.
+	Level int
+
+	// Event is one entry of the catalogue.
+	Event struct {
+		Number  int
+		Name    string // Pascal case
+		Level   Level
+		Meaning string // what happened
+		Action  string // what the operator does; "none" if the system mends it
+	}
+
+	// Field is one named value of a log line.
+	Field struct {
+		Name  string
+		Value any
+	}
+
+	// Logger writes events. The zero value drops them.
+	Logger struct {
+		Out *log.Logger
+		VM  string // written with every line
+	}
+)
+
+// F makes a field.
+func F(name string, value any) Field { return Field{Name: name, Value: value} }
+
+// Log writes one event.
+func (lg Logger) Log(ev Event, fields ...Field) {
+	if lg.Out == nil {
+		return
+	}
+	en := lg.entry(ev.Level).Int("Event", ev.Number).Str("Name", ev.Name)
+	if lg.VM != "" {
+		en = en.Str("VM", lg.VM)
+	}
+	for _, fd := range fields {
+		en = en.Any(fd.Name, fd.Value)
+	}
+	en.Msg(ev.Meaning)
+}
+
+func (lg Logger) entry(lv Level) *log.Entry {
+	switch lv {
+	case Error:
+		return lg.Out.Error()
+	case Warn:
+		return lg.Out.Warn()
+	default:
+		return lg.Out.Info()
+	}
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Event {
+	all := slices.Clone(catalogue)
+	slices.SortFunc(all, func(ea, eb Event) int { return ea.Number - eb.Number })
+	return all
+}
+
+func register(number int, name string, lv Level, meaning, action string) Event {
+	ev := Event{Number: number, Name: name, Level: lv, Meaning: meaning, Action: action}
+	catalogue = append(catalogue, ev)
+	return ev
+}
--- /dev/null
+++ b/pkg/template/template.go
@@ -0,0 +1,95 @@
+// Package template holds what an operator says about one customer: which
+// requests may wait, which must be quick, which are not idempotent, and how
+// much capacity each may claim.
+//
+// A [Template] is an immutable value: the With methods return changed copies
+// and slices must not be written to once the value is shared.
+//
+// # Usage
+//
+//	tpl, err := template.Parse("kedelsyn.toml", text)
+//	cls, ok := tpl.Class("findings")
+package template
+
+import (
+	"slices"
+
+	"alderdyke/pkg/clock"
+)
+
+// Urgency of a class.
+const (
+	// Patient requests may wait in a queue up to their target.
+	Patient Urgency = "Patient"
+	// Quick requests are answered at once or refused at once.
+	Quick Urgency = "Quick"
+)
+
+type (
+	// Urgency tells whether requests of a class may wait.
+	Urgency string
+
+	// Template is all that an operator has set for one customer.
+	Template struct {
+		Customer  string
+		KeyHashes []string // hex SHA-256 of each API key that speaks for the customer
+
+		// PrefillWeight weighs wasted prefill against goodput, from 0 (only
+		// goodput counts) to 1 (only wasted prefill counts).
+		PrefillWeight float64
+
+		Classes []Class
+	}
+
+	// Class sets how one kind of the customer's requests is handled.
+	Class struct {
+		Name    string
+		Service string  // the model service or plain service that serves it
+		Urgency Urgency // Patient or Quick
+
+		// Paths are the path prefixes of a plain service that belong to the
+		// class; empty for a model service, whose requests name their class
+		// or get the first class of their service.
+		Paths []string
+
+		Idempotent bool // false: runs at most once, never repeated
+
+		TTFT     clock.Millis // target: time to first token, or to the whole answer of a plain service
+		TPOT     clock.Millis // target: time per output token; zero for a plain service
+		Deadline clock.Millis // from arrival to the end, after which the request is refused
+
+		// StreamWait is how long a running request waits for a caller who
+		// lost the connection, before it is cancelled.
+		StreamWait clock.Millis
+
+		// Share is the part of the service's capacity that the class may
+		// claim while others want theirs, above 0 and up to 1. What others
+		// leave unused is lent.
+		Share float64
+
+		MaxTokens int // bound of output tokens for one request
+	}
+)
+
+// Class returns the class with the given name.
+func (tp Template) Class(name string) (Class, bool) {
+	ix := slices.IndexFunc(tp.Classes, func(cl Class) bool { return cl.Name == name })
+	if ix < 0 {
+		return Class{}, false
+	}
+	return tp.Classes[ix], true
+}
+
+// WithClass returns the template with the class added, or put in place of the
+// one with the same name.
+func (tp Template) WithClass(cl Class) Template {
+	classes := slices.Clone(tp.Classes)
+	ix := slices.IndexFunc(classes, func(old Class) bool { return old.Name == cl.Name })
+	if ix < 0 {
+		tp.Classes = append(classes, cl)
+		return tp
+	}
+	classes[ix] = cl
+	tp.Classes = classes
+	return tp
+}
