--- /dev/null
+++ b/internal/entry/cells.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/rendezvous"
+)
+
+// cellServers is the number of model engines that one cell holds at most.
+// One VM can account for that many with a few messages per request, and the
+// cost of a cell does not grow with the fleet.
+const cellServers = 16
+
+type (
+	// cell is a group of model engines of one service that one VM accounts
+	// for at a time.
+	cell struct {
+		Name    string
+		Service string
+		Servers []board.BackendServer
+	}
+)
+
+// cellsOf divides the model engines of each service into cells. Engines of
+// each role are dealt in the order of their IDs, so that every cell has both
+// roles and VMs with the same list agree without a message.
+func cellsOf(bk *board.Backends) []cell {
+	byService := make(map[string][]board.BackendServer)
+	var services []string
+	for _, srv := range bk.Servers {
+		if srv.Role == board.Plain {
+			continue
+		}
+		if _, ok := byService[srv.Service]; !ok {
+			services = append(services, srv.Service)
+		}
+		byService[srv.Service] = append(byService[srv.Service], srv)
+	}
+	slices.Sort(services)
+	var out []cell
+	for _, service := range services {
+		out = append(out, deal(service, byService[service])...)
+	}
+	return out
+}
+
+func deal(service string, servers []board.BackendServer) []cell {
+	count := (len(servers) + cellServers - 1) / cellServers
+	cells := make([]cell, count)
+	for ix := range cells {
+		cells[ix] = cell{Name: fmt.Sprintf("%s/%d", service, ix), Service: service}
+	}
+	next := make(map[board.Role]int)
+	for _, srv := range servers {
+		ix := next[srv.Role] % count
+		next[srv.Role]++
+		cells[ix].Servers = append(cells[ix].Servers, srv)
+	}
+	return cells
+}
+
+// accountantOf names the VM that accounts for a cell in this VM's view.
+func accountantOf(cellName string, fl *board.Fleet) (board.VM, bool) {
+	var fit []board.VM
+	for _, vm := range fl.Serving() {
+		if !vm.Leaving {
+			fit = append(fit, vm)
+		}
+	}
+	ranked := rendezvous.Rank("cell/"+cellName, fit)
+	if len(ranked) == 0 {
+		return board.VM{}, false
+	}
+	return ranked[0], true
+}
--- /dev/null
+++ b/internal/entry/conn.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"alderdyke/internal/peer/peerpb"
+)
+
+// pipeDepth is the number of frames that one end of a pipe may be ahead.
+const pipeDepth = 16
+
+var errPipeClosed = errors.New("the other end of the stream is closed")
+
+type (
+	// frames is a stream of messages with another VM, or with this VM itself.
+	frames interface {
+		Send(fr *peerpb.Frame) error
+		Recv() (*peerpb.Frame, error)
+		Close() error
+	}
+
+	// pipe is one end of a stream within this VM, so that a VM that accounts
+	// for its own requests needs no connection.
+	pipe struct {
+		out    chan<- *peerpb.Frame
+		in     <-chan *peerpb.Frame
+		mine   *closer
+		theirs *closer
+	}
+
+	closer struct {
+		once sync.Once
+		done chan struct{}
+	}
+)
+
+func newPipe() (near, far *pipe) {
+	there := make(chan *peerpb.Frame, pipeDepth)
+	back := make(chan *peerpb.Frame, pipeDepth)
+	cla := &closer{done: make(chan struct{})}
+	clb := &closer{done: make(chan struct{})}
+	near = &pipe{out: there, in: back, mine: cla, theirs: clb}
+	far = &pipe{out: back, in: there, mine: clb, theirs: cla}
+	return near, far
+}
+
+// Send hands a frame to the other end.
+func (pp *pipe) Send(fr *peerpb.Frame) error {
+	select {
+	case pp.out <- fr:
+		return nil
+	case <-pp.theirs.done:
+		return errPipeClosed
+	case <-pp.mine.done:
+		return errPipeClosed
+	}
+}
+
+// Recv waits for a frame. Frames sent before the other end was closed are
+// still received.
+func (pp *pipe) Recv() (*peerpb.Frame, error) {
+	select {
+	case fr := <-pp.in:
+		return fr, nil
+	case <-pp.mine.done:
+		return nil, errPipeClosed
+	case <-pp.theirs.done:
+	}
+	select {
+	case fr := <-pp.in:
+		return fr, nil
+	default:
+		return nil, io.EOF
+	}
+}
+
+// Close ends the stream for both ends.
+func (pp *pipe) Close() error {
+	pp.mine.once.Do(func() { close(pp.mine.done) })
+	return nil
+}
+
+// recvWithin waits for one frame, and closes the stream if the context ends
+// first.
+func recvWithin(ctx context.Context, cn frames) (*peerpb.Frame, error) {
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	defer stop()
+	fr, err := cn.Recv()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("wait for a frame: %w", context.Cause(ctx))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("receive a frame: %w", err)
+	}
+	return fr, nil
+}
--- /dev/null
+++ b/internal/entry/trace.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"sync"
+
+	"alderdyke/internal/event"
+	"alderdyke/pkg/clock"
+)
+
+// Bounds of what a VM remembers for "explain".
+const (
+	traceRequests = 2048
+	traceLines    = 48
+)
+
+type (
+	// requestID names a request across the fleet.
+	requestID struct {
+		Customer string
+		Key      string
+	}
+
+	// traceLine is one step in a request's life at this VM.
+	traceLine struct {
+		Since clock.Millis
+		Event event.Event
+		Text  string
+	}
+
+	// trace is what one VM did for one request.
+	trace struct {
+		mu    sync.Mutex
+		start clock.Millis
+		clk   clock.Source
+		lines []traceLine
+	}
+
+	// traces remembers the newest requests, oldest out first.
+	traces struct {
+		clk clock.Source
+
+		mu    sync.Mutex
+		byID  map[requestID]*trace
+		order []requestID
+	}
+)
+
+// of returns the trace of the request and starts one if there is none.
+func (ts *traces) of(id requestID) *trace {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if tr, ok := ts.byID[id]; ok {
+		return tr
+	}
+	if ts.byID == nil {
+		ts.byID = make(map[requestID]*trace)
+	}
+	if len(ts.order) >= traceRequests {
+		delete(ts.byID, ts.order[0])
+		ts.order = ts.order[1:]
+	}
+	tr := &trace{start: ts.clk.Now(), clk: ts.clk}
+	ts.byID[id] = tr
+	ts.order = append(ts.order, id)
+	return tr
+}
+
+// find returns the lines of a request, or none.
+func (ts *traces) find(id requestID) []traceLine {
+	ts.mu.Lock()
+	tr := ts.byID[id]
+	ts.mu.Unlock()
+	if tr == nil {
+		return nil
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return append([]traceLine(nil), tr.lines...)
+}
+
+// add notes a step. Steps past the bound are dropped from the middle, so that
+// the beginning and the end stay.
+func (tr *trace) add(ev event.Event, text string) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if len(tr.lines) >= traceLines {
+		tr.lines = append(tr.lines[:traceLines/2], tr.lines[traceLines/2+1:]...)
+	}
+	tr.lines = append(tr.lines, traceLine{Since: tr.clk.Now() - tr.start, Event: ev, Text: text})
+}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -28,4 +28,34 @@
 		"the caller's connection broke; the request waits for it", "none")
 	CallerReturned = register(1106, "CallerReturned", Info,
 		"the caller came back for its answer", "none")
+	CancelUnconfirmed = register(1107, "CancelUnconfirmed", Warn,
+		"a backend server did not confirm that it cancelled a request; tried again", "look at the backend server if it goes on")
+	GrantWaits = register(1108, "GrantWaits", Info,
+		"the request waits at the VM that accounts for the model engines", "none")
+	Granted = register(1109, "Granted", Info,
+		"model engines were reserved for the request", "none")
+	PrefillDone = register(1110, "PrefillDone", Info,
+		"the prompt was computed", "none")
+	DecodeStarted = register(1111, "DecodeStarted", Info,
+		"the KV cache arrived and the decode began", "none")
+	AttemptFailed = register(1112, "AttemptFailed", Warn,
+		"an attempt at backend servers failed", "look at the backend server if it goes on")
+	Following = register(1113, "Following", Info,
+		"another VM runs the request; its answer is passed on", "none")
+	AccountantAway = register(1114, "AccountantAway", Warn,
+		"the VM that accounts for the model engines can't be asked; this VM chooses by load reports", "none")
+)
+
+// Events 1150 to 1199: accounting for cells of model engines.
+var (
+	CellTaken = register(1150, "CellTaken", Info,
+		"this VM accounts for a cell of model engines from now on", "none")
+	CellGiven = register(1151, "CellGiven", Info,
+		"another VM accounts for the cell from now on", "none")
+	OrphanCancelled = register(1152, "OrphanCancelled", Warn,
+		"a model engine held a request of a lost VM; it was cancelled", "none")
+	BackendUnreachable = register(1153, "BackendUnreachable", Warn,
+		"a backend server does not report its load", "look at the backend server")
+	ListUnreachable = register(1154, "ListUnreachable", Warn,
+		"the platform's VM list does not answer; the last one stays in use", "look at the platform")
 )
