engine, service: add the clients of backend servers

Cause: the entry VM has to say truthfully whether a call ran. Change: package backend sends one call and sorts its end into done, not sent, declined or in doubt; engine and service are clients on top of it. Conclusion: the API stands for others to code against.

--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,272 @@
+// Package backend carries one HTTP call to a backend server and says
+// truthfully how it ended.
+//
+// A call ends in one of four ways: the server answered; [NotSentError], no
+// byte left this VM; [DeclinedError], the server said that it did not begin;
+// [InDoubtError], everything else. The first two errors are promises that
+// the call did not run. To keep them, a call is never repeated behind its
+// caller's back: its body can't be rewound, redirects are not followed, and
+// calls with an effect get a connection of their own, so that a server which
+// closes an idle connection can't leave a call in doubt.
+//
+// # Usage
+//
+//	hc := backend.NewHTTP(backend.Limits{})
+//	rsp, err := backend.Send(ctx, hc, backend.Call{Server: "e1", Name: "Prefill", Request: req, Once: true})
+//	if backend.NotRun(err) { ... }
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"time"
+
+	"alderdyke/pkg/clock"
+)
+
+// Limits that hold where a field of Limits is zero.
+const (
+	DefaultConnections = 256
+	DefaultDialWait    = 2 * clock.Second
+	idleConnections    = 4
+	idleWait           = 30 * clock.Second
+	headerBytes        = 64 << 10
+)
+
+// Causes of the errors of a call.
+var (
+	// ErrTooLarge tells that a response is larger than its bound.
+	ErrTooLarge = errors.New("response is larger than its bound")
+	// ErrBadCall tells that a call can't be sent as it is written.
+	ErrBadCall = errors.New("call can't be sent as it is written")
+)
+
+type (
+	// Limits bounds what the calls of one client may use.
+	Limits struct {
+		Connections int          // to one backend server at a time, for each kind of call
+		DialWait    clock.Millis // until a connection stands
+		// Dial replaces the dialer of TCP connections, such as in a test
+		// with connections in memory.
+		Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
+	// Call is one call to a backend server.
+	Call struct {
+		Server  string // ID for errors
+		Name    string // for errors
+		Request *http.Request
+		// Once asks for a connection of its own. It is set on every call
+		// that has an effect.
+		Once bool
+	}
+
+	onceKey struct{}
+
+	// transport sends calls with an effect on fresh connections and all
+	// others on kept ones.
+	transport struct {
+		once *http.Transport
+		kept *http.Transport
+	}
+
+	// gatedConn counts the writes of a connection and can be sealed against
+	// further ones.
+	gatedConn struct {
+		net.Conn
+		mu     sync.Mutex
+		writes uint64
+		sealed bool
+	}
+
+	// carrier remembers the connections that a call was given.
+	carrier struct {
+		mu     sync.Mutex
+		marks  map[*gatedConn]uint64 // writes before the call
+		opaque bool                  // a connection that can't be asked
+	}
+
+	// singleBody hides everything of a body but its reading, so that
+	// net/http can't rewind it.
+	singleBody struct{ io.Reader }
+)
+
+// NewHTTP makes a client for [Send]. It uses no proxy, follows no redirect
+// and speaks HTTP/1.1 only.
+func NewHTTP(lm Limits) *http.Client {
+	if lm.Connections == 0 {
+		lm.Connections = DefaultConnections
+	}
+	if lm.DialWait == 0 {
+		lm.DialWait = DefaultDialWait
+	}
+	if lm.Dial == nil {
+		lm.Dial = (&net.Dialer{Timeout: lm.DialWait.Std(), KeepAlive: 15 * time.Second}).DialContext
+	}
+	return &http.Client{
+		Transport:     transport{once: lm.transport(true), kept: lm.transport(false)},
+		CheckRedirect: noRedirect,
+	}
+}
+
+func (lm Limits) transport(once bool) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			cn, err := lm.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &gatedConn{Conn: cn}, nil
+		},
+		DisableKeepAlives:      once,
+		DisableCompression:     true,
+		MaxConnsPerHost:        lm.Connections,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleWait.Std(),
+		MaxResponseHeaderBytes: headerBytes,
+	}
+}
+
+// RoundTrip implements [http.RoundTripper].
+func (tr transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.Context().Value(onceKey{}) != nil {
+		return tr.once.RoundTrip(req)
+	}
+	return tr.kept.RoundTrip(req)
+}
+
+// CloseIdleConnections closes connections that carry no call.
+func (tr transport) CloseIdleConnections() {
+	tr.once.CloseIdleConnections()
+	tr.kept.CloseIdleConnections()
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Write hands bytes to the connection unless it is sealed.
+func (gc *gatedConn) Write(data []byte) (int, error) {
+	gc.mu.Lock()
+	if gc.sealed {
+		gc.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	gc.writes++
+	gc.mu.Unlock()
+	return gc.Conn.Write(data)
+}
+
+func (gc *gatedConn) mark() uint64 {
+	gc.mu.Lock()
+	defer gc.mu.Unlock()
+	return gc.writes
+}
+
+// seal forbids all further writes if there was none since the mark, and
+// tells whether it did.
+func (gc *gatedConn) seal(mark uint64) bool {
+	gc.mu.Lock()
+	defer gc.mu.Unlock()
+	if gc.writes != mark {
+		return false
+	}
+	gc.sealed = true
+	return true
+}
+
+func (cr *carrier) got(info httptrace.GotConnInfo) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	gc, ok := info.Conn.(*gatedConn)
+	if !ok {
+		cr.opaque = true
+		return
+	}
+	if _, seen := cr.marks[gc]; !seen {
+		cr.marks[gc] = gc.mark()
+	}
+}
+
+// untouched seals every connection of the call and tells whether none of
+// them was ever written to for it.
+func (cr *carrier) untouched() bool {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.opaque {
+		return false
+	}
+	clean := true
+	for gc, mark := range cr.marks {
+		clean = gc.seal(mark) && clean
+	}
+	return clean
+}
+
+// Send carries the call and returns the response, whose body the caller must
+// close. A response that declines the call is returned as an error. The
+// context bounds the call and the reading of the body.
+//
+// Errors are NotSentError, DeclinedError and InDoubtError.
+func Send(ctx context.Context, hc *http.Client, cl Call) (*http.Response, error) {
+	cr := &carrier{marks: map[*gatedConn]uint64{}}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: cr.got})
+	if cl.Once {
+		ctx = context.WithValue(ctx, onceKey{}, true)
+	}
+	own := *hc
+	own.CheckRedirect = noRedirect
+	rsp, err := own.Do(single(cl.Request.WithContext(ctx)))
+	if err != nil {
+		err = bare(err)
+		if cr.untouched() {
+			return nil, NotSentError{Server: cl.Server, Call: cl.Name, Err: err}
+		}
+		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: err}
+	}
+	if err := DeclinedBy(cl.Server, cl.Name, rsp); err != nil {
+		_ = rsp.Body.Close() // the headers say all
+		return nil, err
+	}
+	return rsp, nil
+}
+
+// ReadAll reads a body up to a bound in bytes.
+func ReadAll(body io.Reader, bound int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, bound+1))
+	if err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	if int64(len(data)) > bound {
+		return nil, fmt.Errorf("read response: %w", ErrTooLarge)
+	}
+	return data, nil
+}
+
+// Close implements [io.Closer].
+func (singleBody) Close() error { return nil }
+
+// single makes net/http unable to send the request a second time: it repeats
+// only requests without a body, or with one that it can rewind.
+func single(req *http.Request) *http.Request {
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = singleBody{http.NoBody}
+		req.ContentLength = 0
+	}
+	return req
+}
+
+// bare drops the URL that net/http adds to errors: its path may hold what
+// must not be logged.
+func bare(err error) error {
+	if ue, ok := errors.AsType[*url.Error](err); ok {
+		return ue.Err
+	}
+	return err
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,178 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/event"
+)
+
+// readAhead is how many tokens a stream reads before they are asked for.
+const readAhead = 16
+
+// Errors of a token stream, found with errors.Is inside an InDoubtError.
+var (
+	// ErrTorn tells that a token is missing, doubled or not a token.
+	ErrTorn = errors.New("token stream is torn")
+	// ErrEnded tells that the engine ended the stream early, such as after a
+	// cancel order.
+	ErrEnded = errors.New("engine ended the stream early")
+	// ErrStreamClosed tells that Close was called.
+	ErrStreamClosed = errors.New("token stream is closed")
+)
+
+type (
+	// Stream is the token stream of one decode. Next is called by one
+	// goroutine at a time; Close may be called from any.
+	Stream struct {
+		Attempt int // whose tokens these are
+
+		cl     call
+		log    event.Logger
+		items  chan item
+		gone   chan struct{}
+		cancel context.CancelFunc
+		once   sync.Once
+		failed error
+	}
+
+	item struct {
+		tok Token
+		err error
+	}
+)
+
+// open opens a token stream. The context bounds only the time until the
+// engine has answered.
+func (ec *Client) open(ctx context.Context, cl call, from int) (*Stream, error) {
+	st, err := ec.opened(ctx, cl, from)
+	ec.count(cl, err)
+	return st, err
+}
+
+func (ec *Client) opened(ctx context.Context, cl call, from int) (*Stream, error) {
+	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	rsp, err := ec.send(life, cl)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if !stop() { // the context ended just now, so the body is lost
+		_ = rsp.Body.Close()
+		return nil, cl.inDoubt(ctx.Err())
+	}
+	att, err := strconv.Atoi(rsp.Header.Get(AttemptHeader))
+	if err != nil {
+		cancel()
+		_ = rsp.Body.Close()
+		return nil, cl.inDoubt(fmt.Errorf("parse header %s: %w", AttemptHeader, err))
+	}
+	st := &Stream{
+		Attempt: att, cl: cl, log: ec.Log, cancel: cancel,
+		items: make(chan item, readAhead), gone: make(chan struct{}),
+	}
+	go st.read(rsp, from)
+	return st, nil
+}
+
+// Next waits for the next token. When the context ends first, its error is
+// returned and the stream stays usable. Any other error is an InDoubtError
+// and ends the stream; [Client.Resume] may go on from there. After the last
+// token Next returns io.EOF.
+func (st *Stream) Next(ctx context.Context) (Token, error) {
+	if st.failed != nil {
+		return Token{}, st.failed
+	}
+	select {
+	case <-ctx.Done():
+		return Token{}, fmt.Errorf("wait for token: %w", ctx.Err())
+	case <-st.gone:
+		return Token{}, ErrStreamClosed
+	case it := <-st.items:
+		if it.err != nil {
+			st.failed = it.err
+		} else if it.tok.Last {
+			st.failed = io.EOF
+		}
+		return it.tok, it.err
+	}
+}
+
+// Close drops the connection. The decode goes on at the engine.
+func (st *Stream) Close() {
+	st.once.Do(func() {
+		close(st.gone)
+		st.cancel()
+	})
+}
+
+// read parses lines into items until the answer is complete or broken.
+func (st *Stream) read(rsp *http.Response, from int) {
+	defer st.cancel()
+	defer rsp.Body.Close()
+	sc := bufio.NewScanner(rsp.Body)
+	sc.Buffer(make([]byte, 0, 512), lineBytes)
+	for want := from; ; want++ {
+		tok, err := next(sc, want)
+		if err != nil {
+			if errors.Is(err, ErrTorn) {
+				st.log.Log(event.EngineStreamTorn, event.F("Server", st.cl.srv.ID), event.F("Index", want))
+			}
+			err = st.cl.inDoubt(err)
+		}
+		select {
+		case st.items <- item{tok, err}:
+		case <-st.gone:
+			return
+		}
+		if err != nil || tok.Last {
+			return
+		}
+	}
+}
+
+func next(sc *bufio.Scanner, want int) (Token, error) {
+	if !sc.Scan() {
+		if err := sc.Err(); err != nil {
+			return Token{}, fmt.Errorf("read token %d: %w", want, err)
+		}
+		return Token{}, fmt.Errorf("read token %d: %w", want, io.ErrUnexpectedEOF)
+	}
+	return ParseToken(sc.Bytes(), want)
+}
+
+// ParseToken reads one line of a token stream and holds its index against
+// the one that is due.
+func ParseToken(line []byte, want int) (Token, error) {
+	var tok Token
+	if err := json.Unmarshal(line, &tok); err != nil {
+		// The cause would quote the answer.
+		return Token{}, fmt.Errorf("token %d is no JSON document: %w", want, ErrTorn)
+	}
+	if tok.Ended != "" {
+		return Token{}, fmt.Errorf("before token %d: %w: %s", want, ErrEnded, known(tok.Ended))
+	}
+	if tok.Index != want {
+		return Token{}, fmt.Errorf("token %d came where %d was due: %w", tok.Index, want, ErrTorn)
+	}
+	return tok, nil
+}
+
+// known keeps free text of an engine out of errors.
+func known(said string) backend.Reason {
+	switch rs := backend.Reason(said); rs {
+	case backend.Cancelled, backend.Leaving:
+		return rs
+	default:
+		return backend.Other
+	}
+}
