--- /dev/null
+++ b/internal/entry/accountant.go
@@ -0,0 +1,379 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Spans of accounting.
+const (
+	cellTick     = 50 * clock.Millis(1)
+	reportEvery  = 500 * clock.Millis(1)
+	reportWithin = 1 * clock.Second
+	outboxDepth  = 16
+)
+
+type (
+	// accountant accounts for the cells that fall to this VM.
+	accountant struct {
+		vm *VM
+
+		mu    sync.Mutex
+		cells map[string]*heldCell
+	}
+
+	// heldCell is one cell that this VM accounts for.
+	heldCell struct {
+		vm   *VM
+		ctx  context.Context // ends when another VM accounts for the cell
+		stop context.CancelFunc
+		ac   *actor[sched.Event, sched.Intent]
+		rec  reconciler
+
+		mu   sync.Mutex
+		cell cell
+		held map[string]*heldRequest
+	}
+
+	// heldRequest is a request that waits or was granted.
+	heldRequest struct {
+		runner  board.VMRef
+		out     chan *peerpb.Frame // closed by nobody; the writer ends with done
+		done    chan struct{}
+		granted bool
+		orphan  bool
+		prefill string
+		decode  string
+	}
+)
+
+// follow takes over the cells that now fall to this VM and gives up the
+// others.
+func (ac *accountant) follow(ctx context.Context) {
+	fl := ac.vm.Board.Fleet()
+	mine := make(map[string]cell)
+	for _, ce := range cellsOf(ac.vm.Board.Backends()) {
+		if vm, ok := accountantOf(ce.Name, fl); ok && vm.ID == fl.Self.ID {
+			mine[ce.Name] = ce
+		}
+	}
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	for name, hc := range ac.cells {
+		if _, ok := mine[name]; !ok {
+			hc.stop()
+			delete(ac.cells, name)
+			ac.vm.lg.Log(event.CellGiven, event.F("Cell", name))
+		}
+	}
+	for name, ce := range mine {
+		hc, ok := ac.cells[name]
+		if !ok {
+			hc = ac.take(ctx, ce)
+		}
+		hc.set(ctx, ce)
+	}
+}
+
+func (ac *accountant) take(ctx context.Context, ce cell) *heldCell {
+	ctx, stop := context.WithCancel(ctx)
+	hc := &heldCell{vm: ac.vm, ctx: ctx, stop: stop, held: make(map[string]*heldRequest)}
+	hc.rec = reconciler{hc: hc, misses: make(map[string]int), leaves: make(map[string]bool)}
+	dc := &sched.Cell{Name: ce.Name}
+	hc.ac = newActor[sched.Event, sched.Intent](ac.vm.Clock, sched.Tick{}, cellTick)
+	hc.ac.step = dc.Step
+	hc.ac.do = hc.carryOut
+	hc.ac.wakeAt = func(in sched.Intent) (clock.Millis, bool) {
+		wk, ok := in.(sched.Wake)
+		return wk.At, ok
+	}
+	ac.vm.wg.Go(func() { hc.ac.run(ctx) })
+	ac.vm.wg.Go(func() { hc.rec.run(ctx) })
+	if ac.cells == nil {
+		ac.cells = make(map[string]*heldCell)
+	}
+	ac.cells[ce.Name] = hc
+	ac.vm.lg.Log(event.CellTaken, event.F("Cell", ce.Name), event.F("Servers", len(ce.Servers)))
+	return hc
+}
+
+// find returns a cell that this VM accounts for.
+func (ac *accountant) find(name string) (*heldCell, bool) {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	hc, ok := ac.cells[name]
+	return hc, ok
+}
+
+// names lists the cells that this VM accounts for.
+func (ac *accountant) names() []string {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	var out []string
+	for name := range ac.cells {
+		out = append(out, name)
+	}
+	return out
+}
+
+// serve answers one reservation for as long as its stream lives.
+func (ac *accountant) serve(ctx context.Context, from board.VMRef, ask *peerpb.ReserveAsk, cn frames) {
+	defer cn.Close()
+	hc, ok := ac.find(ask.GetCell())
+	if !ok {
+		cn.Send(refusalFrame(refusal.Refusal{
+			Ran:        refusal.NotRun,
+			Reason:     refusal.SchedulerAway,
+			RetryAfter: clock.Second,
+			Detail:     "the asked VM does not account for the cell",
+		}))
+		return
+	}
+	hc.serve(ctx, from, ask, cn)
+}
+
+// set gives the cell its engines; engines that say of themselves that they
+// leave, or that do not answer, take no new work.
+func (hc *heldCell) set(ctx context.Context, ce cell) {
+	hc.mu.Lock()
+	hc.cell = ce
+	hc.mu.Unlock()
+	hc.ac.tell(ctx, sched.Servers{Servers: hc.rec.fit(ce.Servers)})
+}
+
+func (hc *heldCell) servers() []board.BackendServer {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	return hc.cell.Servers
+}
+
+func (hc *heldCell) serve(ctx context.Context, from board.VMRef, ask *peerpb.ReserveAsk, cn frames) {
+	hr := hc.hold(from, ask)
+	go hr.write(cn)
+	defer close(hr.done)
+	stop := context.AfterFunc(hc.ctx, func() { cn.Close() })
+	defer stop()
+	hr.send(doneFrame())
+	if !hc.ac.tell(ctx, hc.opening(from, ask)) {
+		return
+	}
+	for {
+		fr, err := cn.Recv()
+		if err != nil {
+			hc.streamLost(ctx, ask.GetRequest(), hr)
+			return
+		}
+		pg := fr.GetProgress()
+		if pg == nil {
+			continue
+		}
+		stage := sched.Stage(pg.GetStage())
+		if stage == withdrawn {
+			hc.forget(ask.GetRequest(), hr)
+			hc.ac.tell(ctx, sched.Withdraw{Request: ask.GetRequest()})
+			return
+		}
+		if pg.GetServer() != "" {
+			hc.moved(hr, stage, pg.GetServer())
+		}
+		hc.ac.tell(ctx, sched.Progress{
+			Request: ask.GetRequest(),
+			Stage:   stage,
+			Tokens:  int(pg.GetTokens()),
+			Took:    clock.Millis(pg.GetTook()),
+		})
+		if stage == sched.Ended || stage == sched.Cancelled {
+			hc.forget(ask.GetRequest(), hr)
+			return
+		}
+	}
+}
+
+// opening is the event that the first frame of a reservation stands for.
+func (hc *heldCell) opening(from board.VMRef, ask *peerpb.ReserveAsk) sched.Event {
+	as := askOf(from, ask, hc.vm.Clock.Now())
+	if ask.GetStage() == "" {
+		return sched.Submit{Ask: as}
+	}
+	return sched.Adopt{
+		Ask:     as,
+		Stage:   sched.Stage(ask.GetStage()),
+		Prefill: ask.GetPrefillServer(),
+		Decode:  ask.GetDecodeServer(),
+		Tokens:  int(ask.GetTokens()),
+		Since:   clock.Millis(ask.GetSince()),
+	}
+}
+
+func (hc *heldCell) hold(from board.VMRef, ask *peerpb.ReserveAsk) *heldRequest {
+	hr := &heldRequest{
+		runner:  from,
+		out:     make(chan *peerpb.Frame, outboxDepth),
+		done:    make(chan struct{}),
+		granted: ask.GetStage() != "",
+		prefill: ask.GetPrefillServer(),
+		decode:  ask.GetDecodeServer(),
+	}
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	hc.held[ask.GetRequest()] = hr
+	return hr
+}
+
+// streamLost decides what the end of a stream without a last word means: a
+// request that was not granted is taken back; one that was stays as an orphan
+// until its engines are known to be free of it.
+func (hc *heldCell) streamLost(ctx context.Context, request string, hr *heldRequest) {
+	hc.mu.Lock()
+	if hc.held[request] != hr {
+		hc.mu.Unlock()
+		return // announced again over another stream
+	}
+	granted := hr.granted
+	if granted {
+		hr.orphan = true
+	} else {
+		delete(hc.held, request)
+	}
+	hc.mu.Unlock()
+	if granted {
+		hc.ac.tell(ctx, sched.Orphan{Request: request})
+		return
+	}
+	hc.ac.tell(ctx, sched.Withdraw{Request: request})
+}
+
+func (hc *heldCell) forget(request string, hr *heldRequest) {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	if hc.held[request] == hr {
+		delete(hc.held, request)
+	}
+}
+
+func (hc *heldCell) moved(hr *heldRequest, stage sched.Stage, server string) {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	if stage == sched.Prefilling || stage == sched.Prefilled {
+		hr.prefill = server
+		return
+	}
+	hr.decode = server
+}
+
+// carryOut sends a decision to the VM that runs the request.
+func (hc *heldCell) carryOut(in sched.Intent) {
+	switch in := in.(type) {
+	case sched.Grant:
+		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
+			PrefillServer: in.Prefill, DecodeServer: in.Decode, SkipPrefill: in.SkipPrefill,
+		}}}, func(hr *heldRequest) { hr.granted, hr.prefill, hr.decode = true, in.Prefill, in.Decode })
+	case sched.Transfer:
+		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
+			PrefillServer: in.Prefill, DecodeServer: in.Decode,
+		}}}, func(hr *heldRequest) { hr.decode = in.Decode })
+	case sched.Preempt:
+		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
+			Reason: string(in.Reason),
+		}}}, func(*heldRequest) {})
+	case sched.Refuse:
+		hc.tellRunner(in.Request, refusalFrame(in.Refusal), func(*heldRequest) {})
+		hc.mu.Lock()
+		delete(hc.held, in.Request)
+		hc.mu.Unlock()
+	}
+}
+
+func (hc *heldCell) tellRunner(request string, fr *peerpb.Frame, note func(*heldRequest)) {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	hr, ok := hc.held[request]
+	if !ok {
+		return
+	}
+	note(hr)
+	hr.send(fr)
+}
+
+// send queues a frame. A runner that lets its outbox fill up loses frames,
+// which is the same as a lost stream to it.
+func (hr *heldRequest) send(fr *peerpb.Frame) {
+	select {
+	case hr.out <- fr:
+	default:
+	}
+}
+
+func (hr *heldRequest) write(cn frames) {
+	for {
+		select {
+		case fr := <-hr.out:
+			if cn.Send(fr) != nil {
+				return
+			}
+		case <-hr.done:
+			return
+		}
+	}
+}
+
+// free tells the decisions that the engines hold nothing of an orphan.
+func (hc *heldCell) free(ctx context.Context, request string) {
+	hc.mu.Lock()
+	delete(hc.held, request)
+	hc.mu.Unlock()
+	hc.ac.tell(ctx, sched.Progress{Request: request, Stage: sched.Cancelled})
+}
+
+// orphans lists the granted requests whose streams were lost.
+func (hc *heldCell) orphans() map[string]heldRequest {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	out := make(map[string]heldRequest)
+	for request, hr := range hc.held {
+		if hr.orphan {
+			out[request] = heldRequest{runner: hr.runner, prefill: hr.prefill, decode: hr.decode}
+		}
+	}
+	return out
+}
+
+// askOf reads a reservation from the wire; spans become points on this VM's
+// clock.
+func askOf(from board.VMRef, ask *peerpb.ReserveAsk, now clock.Millis) sched.Ask {
+	return sched.Ask{
+		Request:       ask.GetRequest(),
+		Customer:      ask.GetCustomer(),
+		Class:         ask.GetClass(),
+		VM:            from,
+		Quick:         ask.GetQuick(),
+		PromptTokens:  int(ask.GetPromptTokens()),
+		PrefixHash:    ask.GetPrefixHash(),
+		PrefixTokens:  int(ask.GetPrefixTokens()),
+		MaxTokens:     int(ask.GetMaxTokens()),
+		TTFT:          clock.Millis(ask.GetTTFT()),
+		TPOT:          clock.Millis(ask.GetTPOT()),
+		Deadline:      now + clock.Millis(ask.GetDeadline()),
+		Share:         ask.GetShare(),
+		PrefillWeight: ask.GetPrefillWeight(),
+		Attempt:       int(ask.GetAttempt()),
+		HeldPrefill:   ask.GetHeldPrefill(),
+	}
+}
+
+func sleep(ctx context.Context, span clock.Millis) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(span.Std()):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/refusal"
+)
+
+var errUnknownKey = errors.New("the VM does not know the request")
+
+// follow passes on the answer that another VM makes. It returns nil when the
+// answer has its end.
+func (rn *run) follow(ctx context.Context, runner board.VMRef) error {
+	if rn.vm.self(runner) {
+		return errUnknownKey // this VM gave the run up; the claim moves on
+	}
+	vm, ok := rn.vm.Board.Fleet().VM(runner.ID)
+	if !ok {
+		return errUnknownKey
+	}
+	rn.tr.add(event.Following, runner.ID)
+	cn, err := rn.vm.Peers.Open(ctx, vm)
+	if err != nil {
+		return fmt.Errorf("open a stream to %s: %w", runner.ID, err)
+	}
+	defer cn.Close()
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	defer stop()
+	ask := &peerpb.AttachAsk{Customer: rn.id.Customer, Key: rn.id.Key, From: int64(rn.tokens())}
+	if err := cn.Send(&peerpb.Frame{Body: &peerpb.Frame_AttachAsk{AttachAsk: ask}}); err != nil {
+		return fmt.Errorf("ask %s for the answer: %w", runner.ID, err)
+	}
+	return rn.copyAnswer(cn, runner)
+}
+
+func (rn *run) copyAnswer(cn frames, runner board.VMRef) error {
+	for {
+		fr, err := cn.Recv()
+		if err != nil {
+			return fmt.Errorf("follow %s: %w", runner.ID, err)
+		}
+		ae := fr.GetAnswerEvent()
+		if ae == nil {
+			return errUnknownKey
+		}
+		ev := eventFromWire(ae)
+		if err := rn.st.Add(ev); err != nil {
+			return fmt.Errorf("follow %s: %w", runner.ID, err)
+		}
+		if ev.Kind.Final() {
+			return nil
+		}
+	}
+}
+
+// serveAttach sends the answer of a request that this VM runs to another VM,
+// for as long as that VM follows it.
+func (vm *VM) serveAttach(ctx context.Context, ask *peerpb.AttachAsk, cn frames) {
+	rn, ok := vm.runs.find(requestID{Customer: ask.GetCustomer(), Key: ask.GetKey()})
+	if !ok || !rn.runner.Load() {
+		cn.Send(doneFrame())
+		return
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() { // the follower sends nothing; the end of its stream is the end of its interest
+		cn.Recv()
+		stop()
+	}()
+	rd := rn.st.Attach(int(ask.GetFrom()))
+	defer rd.Detach()
+	for {
+		ev, err := rd.Next(ctx)
+		if err != nil {
+			return
+		}
+		if cn.Send(&peerpb.Frame{Body: &peerpb.Frame_AnswerEvent{AnswerEvent: eventToWire(ev)}}) != nil {
+			return
+		}
+		if ev.Kind.Final() {
+			<-ctx.Done() // let the follower read the end before the stream closes
+			return
+		}
+	}
+}
+
+func eventToWire(ev answer.Event) *peerpb.AnswerEvent {
+	ae := &peerpb.AnswerEvent{ID: int64(ev.ID), Kind: string(ev.Kind), Data: ev.Data}
+	if ev.Kind == answer.Refused {
+		ae.Refusal = refusalToWire(ev.Refusal)
+	}
+	return ae
+}
+
+func eventFromWire(ae *peerpb.AnswerEvent) answer.Event {
+	ev := answer.Event{ID: int(ae.GetID()), Kind: answer.Kind(ae.GetKind()), Data: ae.GetData()}
+	if ev.Kind == answer.Refused {
+		ev.Refusal = refusalFromWire(ae.GetRefusal())
+	}
+	return ev
+}
+
+// knownAnswer tells whether the end of an answer may be told to those who ask
+// for it again. A refusal that promises NotRun frees the key instead.
+func knownAnswer(ev answer.Event) bool {
+	return ev.Kind != answer.Refused || ev.Refusal.Ran != refusal.NotRun
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,413 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/retry"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Spans of model requests.
+const (
+	// tokenStall is the longest span between two tokens, and before the
+	// first, after which a decode engine counts as lost.
+	tokenStall = 10 * clock.Second
+	// importStall bounds one transfer of a KV cache.
+	importStall = 8 * clock.Second
+	// resumeTries bounds how often a broken token stream is opened again.
+	resumeTries = 3
+)
+
+var (
+	errPreempted = errors.New("the accountant took the grant back")
+	errUnknown   = errors.New("the backend server is not in the VM list")
+)
+
+type (
+	// modelAttempt is one try to prefill and decode a request.
+	modelAttempt struct {
+		rn      *run
+		name    string // of the request at the engines, new for each attempt
+		rs      *reservation
+		prefill board.BackendServer
+		decode  board.BackendServer
+		kv      engine.PrefillResult
+		touched map[string]struct{} // engines that may hold something
+	}
+
+	// modelEnd is the data of the final event of a whole model answer.
+	modelEnd struct {
+		Tokens int
+	}
+)
+
+// model runs a request on the model engines, with retries, to its end.
+func (rn *run) model(ctx context.Context) error {
+	for try := 0; ; try++ {
+		err := rn.tryModel(ctx, try)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		rn.tr.add(event.AttemptFailed, err.Error())
+		wait, ok := rn.again(try, err)
+		if !ok {
+			return err
+		}
+		if !sleep(ctx, wait) {
+			return context.Cause(ctx)
+		}
+		rn.tr.add(event.RequestRetried, "")
+	}
+}
+
+// again asks the retry policy whether another attempt may follow.
+func (rn *run) again(try int, err error) (clock.Millis, bool) {
+	var rf refusal.Refusal
+	if errors.As(err, &rf) {
+		return 0, false // decided by the accountant, which has its own queue
+	}
+	return rn.vm.retryAfter(retry.Attempt{
+		Customer:   rn.id.Customer,
+		Service:    rn.req.Class.Service,
+		Number:     try + 1,
+		Idempotent: rn.req.Class.Idempotent,
+		MayHaveRun: rn.sent.Load(),
+		Deadline:   rn.deadline,
+	})
+}
+
+func (rn *run) tryModel(ctx context.Context, try int) (err error) {
+	ma := &modelAttempt{
+		rn:      rn,
+		name:    fmt.Sprintf("%s/%s/%d.%d", rn.id.Customer, rn.id.Key, rn.attempt, try),
+		touched: make(map[string]struct{}),
+	}
+	ma.rs = rn.vm.reserve(ctx, ma.ask(try), rn.tr)
+	defer func() {
+		if err != nil {
+			ma.clear()
+			ma.rs.end(sched.Cancelled)
+			return
+		}
+		ma.rs.end(sched.Ended)
+	}()
+	for {
+		if err = ma.place(ctx); err != nil {
+			return err
+		}
+		if err = ma.compute(ctx); err != nil {
+			return err
+		}
+		err = ma.transfer(ctx)
+		if !errors.Is(err, errPreempted) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return ma.generate(ctx, rn.tokens())
+}
+
+// tokens counts the tokens that the answer holds already.
+func (rn *run) tokens() int {
+	events, _ := rn.st.Len()
+	return events
+}
+
+func (ma *modelAttempt) ask(try int) *peerpb.ReserveAsk {
+	req := ma.rn.req
+	return &peerpb.ReserveAsk{
+		Cell:          ma.rn.vm.cellFor(req.Chat.Model, req.Chat.PrefixHash),
+		Request:       ma.name,
+		Customer:      req.Customer,
+		Class:         req.Class.Name,
+		Quick:         ma.rn.quick(),
+		PromptTokens:  int64(req.Chat.PromptTokens),
+		PrefixHash:    req.Chat.PrefixHash,
+		MaxTokens:     int64(req.Chat.MaxTokens),
+		TTFT:          int64(req.Class.TTFT),
+		TPOT:          int64(req.Class.TPOT),
+		Deadline:      int64(ma.rn.deadline - ma.rn.vm.Clock.Now()),
+		Share:         req.Class.Share,
+		PrefillWeight: req.Template.PrefillWeight,
+		Attempt:       uint32(try),
+	}
+}
+
+// place waits for a grant, or chooses by load reports if no accountant can be
+// asked.
+func (ma *modelAttempt) place(ctx context.Context) error {
+	gr, err := ma.rs.grant(ctx)
+	if errors.Is(err, errAccountantAway) {
+		gr, err = ma.rn.vm.chooseAlone(ctx, ma.rn)
+	}
+	if err != nil {
+		return failure{"wait for a place", err}
+	}
+	ma.rn.tr.add(event.Granted, gr.GetPrefillServer()+" to "+gr.GetDecodeServer())
+	bk := ma.rn.vm.Board.Backends()
+	var okPrefill, okDecode bool
+	ma.prefill, okPrefill = bk.Server(gr.GetPrefillServer())
+	ma.decode, okDecode = bk.Server(gr.GetDecodeServer())
+	if !okPrefill || !okDecode {
+		return failure{"use the grant", errUnknown}
+	}
+	return nil
+}
+
+// compute has the prompt computed.
+func (ma *modelAttempt) compute(ctx context.Context) error {
+	rn := ma.rn
+	ma.rs.progress(sched.Prefilling, ma.prefill.ID, 0, 0)
+	began := rn.vm.Clock.Now()
+	ma.touched[ma.prefill.ID] = struct{}{}
+	kv, err := rn.vm.Engines.Prefill(ctx, ma.prefill, engine.PrefillOrder{
+		Request:      ma.name,
+		Customer:     rn.id.Customer,
+		Attempt:      1,
+		Quick:        rn.quick(),
+		Prompt:       rn.req.Chat.Prompt,
+		PromptTokens: rn.req.Chat.PromptTokens,
+	})
+	if !backend.NotRun(err) {
+		rn.sent.Store(true)
+	}
+	if err != nil {
+		return failure{"prefill", err}
+	}
+	ma.kv = kv
+	took := rn.vm.Clock.Now() - began
+	ma.rs.progress(sched.Prefilled, ma.prefill.ID, 0, took)
+	rn.tr.add(event.PrefillDone, ma.prefill.ID)
+	return nil
+}
+
+// transfer brings the KV cache to the decode engine that the accountant
+// chooses, and to another one if that one refuses it or the transfer stalls.
+func (ma *modelAttempt) transfer(ctx context.Context) error {
+	decode, preempted, err := ma.rs.transfer(ctx, ma.kv.KeptFor/4)
+	if err != nil {
+		return failure{"wait for the transfer", err}
+	}
+	if preempted {
+		return errPreempted
+	}
+	if err := ma.useDecode(decode); err != nil {
+		return err
+	}
+	for {
+		err := ma.importKV(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if !errors.Is(err, errMoved) {
+			ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+			next, preempted, nextErr := ma.rs.transfer(ctx, ma.kv.KeptFor/2)
+			switch {
+			case nextErr != nil:
+				return failure{"wait for the transfer", nextErr}
+			case preempted:
+				return errPreempted
+			case next == "":
+				return err
+			}
+			decode = next
+			if err := ma.useDecode(decode); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+var errMoved = errors.New("the accountant chose another decode engine")
+
+func (ma *modelAttempt) useDecode(id string) error {
+	if id == "" {
+		return nil
+	}
+	srv, ok := ma.rn.vm.Board.Backends().Server(id)
+	if !ok {
+		return failure{"use the transfer", errUnknown}
+	}
+	ma.decode = srv
+	return nil
+}
+
+// importKV has the decode engine fetch the KV cache, and leaves off when the
+// accountant chooses another engine meanwhile.
+func (ma *modelAttempt) importKV(ctx context.Context) error {
+	ma.rs.progress(sched.Transferring, ma.decode.ID, 0, 0)
+	ma.touched[ma.decode.ID] = struct{}{}
+	ctx, stop := context.WithTimeout(ctx, importStall.Std())
+	defer stop()
+	done := make(chan error, 1)
+	srv := ma.decode
+	go func() {
+		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
+			Request:  ma.name,
+			Customer: ma.rn.id.Customer,
+			Attempt:  1,
+			Quick:    ma.rn.quick(),
+			KV:       ma.kv.KV,
+			From:     ma.prefill.Address,
+		})
+	}()
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				ma.letGo(srv.ID)
+				return failure{"import", err}
+			}
+			return nil
+		case fr, ok := <-ma.rs.said:
+			if !ok {
+				ma.rs.said = nil
+				continue
+			}
+			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
+				ma.letGo(srv.ID)
+				if err := ma.useDecode(next.GetDecodeServer()); err != nil {
+					return err
+				}
+				return errMoved
+			}
+		}
+	}
+}
+
+// letGo frees one decode engine of this attempt.
+func (ma *modelAttempt) letGo(server string) {
+	delete(ma.touched, server)
+	ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name)
+}
+
+// clear frees whatever engines may hold of this attempt.
+func (ma *modelAttempt) clear() {
+	for server := range ma.touched {
+		ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name)
+	}
+}
+
+// generate starts the decode and follows it to the last token.
+func (ma *modelAttempt) generate(ctx context.Context, have int) error {
+	rn := ma.rn
+	st, err := rn.vm.Engines.Decode(ctx, ma.decode, engine.DecodeOrder{
+		Request:   ma.name,
+		Attempt:   1,
+		MaxTokens: rn.req.Chat.MaxTokens,
+	})
+	if err != nil {
+		return failure{"decode", err}
+	}
+	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
+	rn.vm.claimDecoding(rn, ma.decode.ID, ma.name)
+	rn.tr.add(event.DecodeStarted, ma.decode.ID)
+	return rn.stream(ctx, st, ma.decode, ma.name, have)
+}
+
+// resume goes on with a decode that a lost VM started, if the engine still
+// has it.
+func (rn *run) resume(ctx context.Context, dec claim.Decided) bool {
+	if dec.DecodeServer == "" {
+		return false
+	}
+	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
+	if !ok {
+		return false
+	}
+	rn.sent.Store(true)
+	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, rn.tokens())
+	if err != nil {
+		return false
+	}
+	rn.vm.claimDecoding(rn, srv.ID, dec.EngineRequest)
+	if err := rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens()); err != nil {
+		rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
+		return false
+	}
+	return true
+}
+
+// stream passes tokens on until the last one, and opens a broken stream again
+// where it broke. Tokens below have are in the answer already.
+func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, have int) error {
+	for tries := 0; ; {
+		got, err := rn.pass(ctx, st, have)
+		st.Close()
+		have += got
+		if err == nil {
+			return rn.whole(have)
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if got > 0 {
+			tries = 0
+		}
+		if tries++; tries > resumeTries || errors.Is(err, engine.ErrEnded) {
+			return failure{"stream", err}
+		}
+		if !sleep(ctx, clock.Millis(tries)*reopenPause) {
+			return context.Cause(ctx)
+		}
+		if st, err = rn.vm.Engines.Resume(ctx, srv, name, have); err != nil {
+			return failure{"resume", err}
+		}
+	}
+}
+
+// pass copies tokens into the answer and returns how many new ones came. A
+// nil error means that the last one did.
+func (rn *run) pass(ctx context.Context, st *engine.Stream, have int) (int, error) {
+	got := 0
+	for {
+		tok, err := rn.nextToken(ctx, st)
+		if errors.Is(err, io.EOF) {
+			return got, nil
+		}
+		if err != nil {
+			return got, err
+		}
+		if tok.Index >= have+got {
+			if err := rn.st.Token([]byte(tok.Text)); err != nil {
+				return got, fmt.Errorf("add a token: %w", err)
+			}
+			got++
+		}
+		if tok.Last {
+			return got, nil
+		}
+	}
+}
+
+func (rn *run) nextToken(ctx context.Context, st *engine.Stream) (engine.Token, error) {
+	ctx, stop := context.WithTimeout(ctx, tokenStall.Std())
+	defer stop()
+	return st.Next(ctx)
+}
+
+func (rn *run) whole(tokens int) error {
+	data, err := json.Marshal(modelEnd{Tokens: tokens})
+	if err != nil {
+		return fmt.Errorf("write the end of the answer: %w", err)
+	}
+	if err := rn.st.End(data); err != nil {
+		return fmt.Errorf("end the answer: %w", err)
+	}
+	rn.tr.add(event.RequestEnded, fmt.Sprintf("%d tokens", tokens))
+	return nil
+}
--- /dev/null
+++ b/internal/entry/reconcile.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+)
+
+// Spans of reconciling a cell with what its engines report.
+const (
+	// runningEvery is how often an engine is asked what it runs, and for
+	// whom, when nothing is in doubt.
+	runningEvery = 10 * clock.Second
+	// runningInDoubt is how often while a VM was lost or a stream broke.
+	runningInDoubt = 1 * clock.Second
+	// orphanHold is how long a request of a lost VM is kept for another VM
+	// to take it over, if its customer's template names no longer wait.
+	orphanHold = 10 * clock.Second
+	// reportMisses in a row make an engine take no new work.
+	reportMisses = 3
+)
+
+type (
+	// reconciler compares the accounting of one cell with its engines: it
+	// passes on load reports, sees which engines are fit for new work, frees
+	// orphans that engines no longer hold, and cancels what lost VMs left.
+	reconciler struct {
+		hc *heldCell
+
+		mu     sync.Mutex
+		misses map[string]int
+		leaves map[string]bool
+
+		asked  clock.Millis           // when the engines were last asked what they run
+		absent map[string]int         // orphan to the polls in a row that did not find it
+		strays map[stray]clock.Millis // since when a lost VM's request is known
+	}
+
+	// stray is a request at an engine whose VM is gone.
+	stray struct {
+		Server  string
+		Request string
+	}
+)
+
+func (rc *reconciler) run(ctx context.Context) {
+	rc.absent = make(map[string]int)
+	rc.strays = make(map[stray]clock.Millis)
+	for {
+		rc.poll(ctx)
+		if rc.due() {
+			rc.compare(ctx)
+		}
+		if !sleep(ctx, reportEvery) {
+			return
+		}
+	}
+}
+
+// fit marks the engines that take no new work as leaving.
+func (rc *reconciler) fit(servers []board.BackendServer) []board.BackendServer {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	out := make([]board.BackendServer, 0, len(servers))
+	for _, srv := range servers {
+		if rc.misses[srv.ID] >= reportMisses || rc.leaves[srv.ID] {
+			srv.Leaving = true
+		}
+		out = append(out, srv)
+	}
+	return out
+}
+
+// poll asks all engines of the cell for their load at once.
+func (rc *reconciler) poll(ctx context.Context) {
+	servers := rc.hc.servers()
+	var gr errgroup.Group
+	changed := make([]bool, len(servers))
+	for ix, srv := range servers {
+		gr.Go(func() error {
+			changed[ix] = rc.load(ctx, srv)
+			return nil
+		})
+	}
+	gr.Wait()
+	for _, ch := range changed {
+		if ch {
+			rc.hc.ac.tell(ctx, sched.Servers{Servers: rc.fit(servers)})
+			return
+		}
+	}
+}
+
+// load asks one engine and tells whether its fitness changed.
+func (rc *reconciler) load(ctx context.Context, srv board.BackendServer) bool {
+	within, stop := context.WithTimeout(ctx, reportWithin.Std())
+	defer stop()
+	rp, err := rc.hc.vm.Engines.Load(within, srv)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		return rc.missed(srv, err)
+	}
+	rp.Server = srv.ID
+	rp.At = rc.hc.vm.Clock.Now()
+	rc.hc.ac.tell(ctx, sched.Report{Load: rp})
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	before := rc.misses[srv.ID] >= reportMisses || rc.leaves[srv.ID]
+	rc.misses[srv.ID] = 0
+	rc.leaves[srv.ID] = rp.Leaving
+	return before != rp.Leaving
+}
+
+func (rc *reconciler) missed(srv board.BackendServer, err error) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.misses[srv.ID]++
+	if rc.misses[srv.ID] != reportMisses {
+		return false
+	}
+	rc.hc.vm.lg.Log(event.BackendUnreachable, event.F("Server", srv.ID), event.F("Error", err.Error()))
+	return true
+}
+
+// due tells whether it is time to ask the engines what they run.
+func (rc *reconciler) due() bool {
+	now := rc.hc.vm.Clock.Now()
+	every := runningEvery
+	if len(rc.strays) > 0 || len(rc.hc.orphans()) > 0 {
+		every = runningInDoubt
+	}
+	if rc.asked != 0 && now-rc.asked < every {
+		return false
+	}
+	rc.asked = now
+	return true
+}
+
+// compare holds what the engines run against what is accounted for.
+func (rc *reconciler) compare(ctx context.Context) {
+	held := make(map[string]bool) // requests that some engine runs
+	unknown := make(map[string]bool)
+	seen := make(map[stray]bool)
+	for _, srv := range rc.hc.servers() {
+		runs, err := rc.running(ctx, srv)
+		if err != nil {
+			unknown[srv.ID] = true
+			continue
+		}
+		for _, rn := range runs {
+			held[rn.Request] = true
+			if rc.gone(rn.VM) {
+				st := stray{Server: srv.ID, Request: rn.Request}
+				seen[st] = true
+				rc.stray(ctx, srv, st, rn)
+			}
+		}
+	}
+	for st := range rc.strays {
+		if !seen[st] {
+			delete(rc.strays, st)
+		}
+	}
+	rc.settleOrphans(ctx, held, unknown)
+}
+
+func (rc *reconciler) running(ctx context.Context, srv board.BackendServer) ([]engine.Running, error) {
+	ctx, stop := context.WithTimeout(ctx, reportWithin.Std())
+	defer stop()
+	return rc.hc.vm.Engines.Running(ctx, srv)
+}
+
+// gone tells whether a VM is known not to serve any more: held dead, stopped,
+// or replaced by a newer run of the same VM.
+func (rc *reconciler) gone(ref board.VMRef) bool {
+	vm, ok := rc.hc.vm.Board.Fleet().VM(ref.ID)
+	if !ok {
+		return false // not known yet, as after the start of this VM
+	}
+	return vm.Incarnation > ref.Incarnation || vm.Health == board.Dead || vm.Health == board.Left
+}
+
+// stray cancels a lost VM's request once nobody took it over in time.
+func (rc *reconciler) stray(ctx context.Context, srv board.BackendServer, st stray, rn engine.Running) {
+	now := rc.hc.vm.Clock.Now()
+	since, ok := rc.strays[st]
+	if !ok {
+		rc.strays[st] = now
+		return
+	}
+	if now-since < rc.holdFor(rn.Customer) {
+		return
+	}
+	rc.hc.vm.lg.Log(event.OrphanCancelled,
+		event.F("Server", srv.ID), event.F("Customer", rn.Customer), event.F("VM", rn.VM.ID))
+	rc.hc.vm.janitor.free(rc.hc.vm.runCtx, srv.ID, rn.Request)
+}
+
+// holdFor is the longest span that the customer's streams wait for a caller.
+func (rc *reconciler) holdFor(customer string) clock.Millis {
+	hold := orphanHold
+	for _, cl := range rc.hc.vm.Board.Templates().ByCustomer[customer].Template.Classes {
+		hold = max(hold, cl.StreamWait)
+	}
+	return hold
+}
+
+// settleOrphans frees the places of requests whose streams were lost, once
+// two polls in a row found them at none of their engines.
+func (rc *reconciler) settleOrphans(ctx context.Context, held, unknown map[string]bool) {
+	orphans := rc.hc.orphans()
+	for request, hr := range orphans {
+		if held[request] || unknown[hr.prefill] || unknown[hr.decode] {
+			rc.absent[request] = 0
+			continue
+		}
+		rc.absent[request]++
+		if rc.absent[request] >= 2 {
+			delete(rc.absent, request)
+			rc.hc.free(ctx, request)
+		}
+	}
+	for request := range rc.absent {
+		if _, ok := orphans[request]; !ok {
+			delete(rc.absent, request)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/reservation.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Spans of reservations.
+const (
+	// answerWithin bounds the wait for the accountant's first sign of life.
+	answerWithin = 400 * clock.Millis(1)
+	// accountantPatience is how long a request that may wait looks for its
+	// accountant before it chooses by load reports.
+	accountantPatience = 2 * clock.Second
+	reopenPause        = 100 * clock.Millis(1)
+)
+
+var errAccountantAway = errors.New("the accountant can't be asked")
+
+type (
+	// reservation is the runner's side of a place in a cell. One goroutine
+	// keeps its stream to whichever VM accounts for the cell; the runner
+	// reads what the accountant decided.
+	reservation struct {
+		vm  *VM
+		ask *peerpb.ReserveAsk
+		tr  *trace
+
+		ctx  context.Context
+		stop context.CancelFunc
+		said chan *peerpb.Frame // decisions, in order
+
+		mu      sync.Mutex
+		cn      frames
+		granted bool
+		stage   sched.Stage
+		prefill string
+		decode  string
+		tokens  int
+		since   clock.Millis
+		closed  bool
+	}
+)
+
+// reserve opens a reservation and keeps it open. The runner must end it.
+func (vm *VM) reserve(ctx context.Context, ask *peerpb.ReserveAsk, tr *trace) *reservation {
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	rs := &reservation{
+		vm:   vm,
+		ask:  ask,
+		tr:   tr,
+		ctx:  ctx,
+		stop: stop,
+		said: make(chan *peerpb.Frame, outboxDepth),
+	}
+	vm.wg.Go(rs.keep)
+	return rs
+}
+
+// next waits for the accountant's next decision.
+func (rs *reservation) next(ctx context.Context) (*peerpb.Frame, error) {
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the accountant: %w", context.Cause(ctx))
+	case fr, ok := <-rs.said:
+		if !ok {
+			return nil, errAccountantAway
+		}
+		return fr, nil
+	}
+}
+
+// grant waits for a place. A refusal comes back as an error.
+func (rs *reservation) grant(ctx context.Context) (*peerpb.Grant, error) {
+	for {
+		fr, err := rs.next(ctx)
+		if err != nil {
+			return nil, err
+		}
+		switch body := fr.GetBody().(type) {
+		case *peerpb.Frame_Grant:
+			rs.note(sched.Prefilling, body.Grant.GetPrefillServer(), body.Grant.GetDecodeServer())
+			return body.Grant, nil
+		case *peerpb.Frame_Refusal:
+			return nil, refusalFromWire(body.Refusal)
+		}
+	}
+}
+
+// transfer waits for the binding choice of the decode engine, and goes on
+// with the one of the grant if none comes within the span.
+func (rs *reservation) transfer(ctx context.Context, within clock.Millis) (decode string, preempted bool, err error) {
+	wait, stop := context.WithTimeout(ctx, within.Std())
+	defer stop()
+	for {
+		fr, err := rs.next(wait)
+		if err != nil {
+			if ctx.Err() != nil {
+				return "", false, err
+			}
+			return "", false, nil
+		}
+		switch body := fr.GetBody().(type) {
+		case *peerpb.Frame_Transfer:
+			return body.Transfer.GetDecodeServer(), false, nil
+		case *peerpb.Frame_Preempt:
+			return "", true, nil
+		}
+	}
+}
+
+// progress tells the accountant how far the request is.
+func (rs *reservation) progress(stage sched.Stage, server string, tokens int, took clock.Millis) {
+	rs.mu.Lock()
+	rs.stage = stage
+	rs.since = rs.vm.Clock.Now()
+	rs.tokens = tokens
+	switch stage {
+	case sched.Prefilling, sched.Prefilled:
+		rs.prefill = server
+	default:
+		rs.decode = server
+	}
+	cn := rs.cn
+	rs.mu.Unlock()
+	if cn != nil {
+		cn.Send(progressFrame(stage, server, tokens, took))
+	}
+}
+
+// end gives the place back with the last word on what the engines hold.
+func (rs *reservation) end(stage sched.Stage) {
+	rs.mu.Lock()
+	cn := rs.cn
+	closed := rs.closed
+	rs.closed = true
+	rs.mu.Unlock()
+	if closed {
+		return
+	}
+	if cn != nil {
+		cn.Send(progressFrame(stage, "", rs.tokens, 0))
+		cn.Close()
+	}
+	rs.stop()
+}
+
+func (rs *reservation) note(stage sched.Stage, prefill, decode string) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.granted = true
+	rs.stage, rs.prefill, rs.decode = stage, prefill, decode
+	rs.since = rs.vm.Clock.Now()
+}
+
+// keep holds a stream to the accountant until the reservation ends, and opens
+// another when it breaks or when another VM accounts for the cell. It gives
+// up, by closing said, if no grant came and no accountant answers.
+func (rs *reservation) keep() {
+	defer close(rs.said)
+	var awaySince clock.Millis
+	for rs.ctx.Err() == nil {
+		err := rs.stream()
+		if rs.ctx.Err() != nil {
+			return
+		}
+		now := rs.vm.Clock.Now()
+		if err == nil || awaySince == 0 {
+			awaySince = now
+		}
+		if rs.waiting() && now-awaySince >= rs.patience() {
+			rs.tr.add(event.AccountantAway, "")
+			return
+		}
+		if !sleep(rs.ctx, reopenPause) {
+			return
+		}
+	}
+}
+
+func (rs *reservation) patience() clock.Millis {
+	if rs.ask.GetQuick() {
+		return 0
+	}
+	return accountantPatience
+}
+
+func (rs *reservation) waiting() bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return !rs.granted
+}
+
+// stream opens one stream and reads it to its end. It returns an error if the
+// accountant never answered.
+func (rs *reservation) stream() error {
+	cn, err := rs.vm.openAccountant(rs.ctx, rs.ask.GetCell())
+	if err != nil {
+		return err
+	}
+	defer cn.Close()
+	stop := context.AfterFunc(rs.ctx, func() { cn.Close() })
+	defer stop()
+	if err := rs.announce(cn); err != nil {
+		return err
+	}
+	for {
+		fr, err := cn.Recv()
+		if err != nil {
+			rs.drop(cn)
+			return nil
+		}
+		if rf := fr.GetRefusal(); rf != nil && refusal.Reason(rf.GetReason()) == refusal.SchedulerAway {
+			rs.drop(cn)
+			return errAccountantAway
+		}
+		select {
+		case rs.said <- fr:
+		case <-rs.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// announce sends the first frame and waits for the accountant's sign of life.
+func (rs *reservation) announce(cn frames) error {
+	if err := cn.Send(&peerpb.Frame{Body: &peerpb.Frame_ReserveAsk{ReserveAsk: rs.opening()}}); err != nil {
+		return fmt.Errorf("ask for a place: %w", err)
+	}
+	ctx, stop := context.WithTimeout(rs.ctx, answerWithin.Std())
+	defer stop()
+	fr, err := recvWithin(ctx, cn)
+	if err != nil {
+		return fmt.Errorf("ask for a place: %w", err)
+	}
+	if fr.GetDone() == nil {
+		return errAccountantAway
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.closed {
+		return errAccountantAway
+	}
+	rs.cn = cn
+	return nil
+}
+
+// opening is the first frame: a question, or the announcement of a grant that
+// is in use.
+func (rs *reservation) opening() *peerpb.ReserveAsk {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ask := cloneAsk(rs.ask)
+	if !rs.granted {
+		return ask
+	}
+	ask.Stage = string(rs.stage)
+	ask.PrefillServer = rs.prefill
+	ask.DecodeServer = rs.decode
+	ask.Tokens = int64(rs.tokens)
+	ask.Since = int64(rs.vm.Clock.Now() - rs.since)
+	return ask
+}
+
+func (rs *reservation) drop(cn frames) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.cn == cn {
+		rs.cn = nil
+	}
+}
