logsvc, vmlist: speak to the platform's log service and VM list

Cause: templates and leases go through the platform's log; VMs and backend servers come from its list. Nothing spoke to either. Change: one HTTP adapter and one in-memory stand-in for each. An append's error says NotAppended or MayBeAppended; the list refuses an entry that is not an IP literal by name. Conclusion: an append is in doubt as soon as a connection was there, and a 503 leaves it in doubt too.

--- /dev/null
+++ b/internal/logsvc/client.go
@@ -0,0 +1,213 @@
+package logsvc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/samber/oops"
+
+	"alderdyke/pkg/clock"
+)
+
+// Bounds that apply where a Client sets none.
+const (
+	DefaultMaxRecord = 1 << 20
+	DefaultMaxBatch  = 8 << 20
+	DefaultGrace     = 700 * clock.Millis(1)
+)
+
+// Client is the HTTP adapter. Set the fields before the first call; it may
+// then be used from several goroutines.
+type Client struct {
+	URL   string       // such as "http://10.0.0.9:7000"
+	Token string       // bearer token; never logged
+	HTTP  *http.Client // nil: a client with connections of its own
+
+	MaxRecord int          // bytes of one record; zero means DefaultMaxRecord
+	MaxBatch  int64        // bytes of one answer; zero means DefaultMaxBatch
+	Grace     clock.Millis // how much later than Wait an answer may come; zero means DefaultGrace
+
+	once sync.Once
+}
+
+type appendAnswer struct {
+	Offset *uint64
+}
+
+var _ Log = (*Client)(nil)
+
+// Append adds a record to the stream.
+func (cl *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if limit := cl.maxRecord(); len(data) > limit {
+		err := &TooLargeError{What: "record", Bytes: int64(len(data)), Limit: int64(limit)}
+		return 0, &AppendError{Stream: stream, Effect: NotAppended, Err: err}
+	}
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := cl.request(httptrace.WithClientTrace(ctx, trace), http.MethodPost, stream, nil, bytes.NewReader(data))
+	if err != nil {
+		return 0, &AppendError{Stream: stream, Effect: NotAppended, Err: err}
+	}
+	offset, err := cl.append(req)
+	if err == nil {
+		return offset, nil
+	}
+	effect := MayBeAppended
+	if !sent.Load() || refused(err) {
+		effect = NotAppended
+	}
+	ae := &AppendError{Stream: stream, Effect: effect, Err: err}
+	return 0, oops.In("logsvc").With("Stream", stream, "Effect", effect).Wrap(ae)
+}
+
+func (cl *Client) append(req *http.Request) (uint64, error) {
+	body, err := cl.do(req)
+	if err != nil {
+		return 0, err
+	}
+	var ans appendAnswer
+	if err := json.Unmarshal(body, &ans); err != nil {
+		return 0, fmt.Errorf("parse the answer: %w", err)
+	}
+	if ans.Offset == nil {
+		return 0, errors.New("the answer holds no Offset")
+	}
+	return *ans.Offset, nil
+}
+
+// refused tells whether the service itself said that it took nothing. A
+// timeout that it states is none: the record may be on its way.
+func refused(err error) bool {
+	var se *StatusError
+	return errors.As(err, &se) && se.Status >= 400 && se.Status < 500 &&
+		se.Status != http.StatusRequestTimeout
+}
+
+// Read reads from the stream. An answer beyond MaxBatch is asked for again
+// with fewer records.
+func (cl *Client) Read(ctx context.Context, stream string, from uint64, most int, wait clock.Millis) (Batch, error) {
+	for {
+		ba, err := cl.read(ctx, stream, from, most, wait)
+		var te *TooLargeError
+		if errors.As(err, &te) && most > 1 {
+			most /= 2
+			continue
+		}
+		if err != nil {
+			return Batch{}, oops.In("logsvc").With("Stream", stream, "From", from).Wrapf(err, "read stream %s", stream)
+		}
+		return ba, nil
+	}
+}
+
+func (cl *Client) read(ctx context.Context, stream string, from uint64, most int, wait clock.Millis) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, (wait + cl.grace()).Std())
+	defer cancel()
+	query := url.Values{"From": {strconv.FormatUint(from, 10)}, "Max": {strconv.Itoa(most)}}
+	if wait > 0 {
+		query.Set("Wait", wait.String())
+	}
+	req, err := cl.request(ctx, http.MethodGet, stream, query, nil)
+	if err != nil {
+		return Batch{}, err
+	}
+	body, err := cl.do(req)
+	if err != nil {
+		return Batch{}, err
+	}
+	return ParseBatch(stream, from, body)
+}
+
+// ParseBatch reads the answer to a read from the given offset and checks it.
+func ParseBatch(stream string, from uint64, body []byte) (Batch, error) {
+	var ba Batch
+	if err := json.Unmarshal(body, &ba); err != nil {
+		return Batch{}, fmt.Errorf("parse the answer: %w", err)
+	}
+	if err := ba.Check(stream, from); err != nil {
+		return Batch{}, err
+	}
+	return ba, nil
+}
+
+func (cl *Client) request(
+	ctx context.Context, method, stream string, query url.Values, body io.Reader,
+) (*http.Request, error) {
+	target := strings.TrimSuffix(cl.URL, "/") + "/streams/" + url.PathEscape(stream) + "/records"
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return nil, fmt.Errorf("make the request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+cl.Token)
+	req.Header.Set("User-Agent", "alderdyke")
+	return req, nil
+}
+
+func (cl *Client) do(req *http.Request) ([]byte, error) {
+	rsp, err := cl.client().Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("call the log service: %w", err)
+	}
+	defer rsp.Body.Close()
+	limit := cl.maxBatch()
+	body, err := io.ReadAll(io.LimitReader(rsp.Body, limit+1))
+	if rsp.StatusCode != http.StatusOK {
+		return nil, &StatusError{Method: req.Method, Status: rsp.StatusCode}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read the answer: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, &TooLargeError{What: "answer", Bytes: int64(len(body)), Limit: limit}
+	}
+	return body, nil
+}
+
+func (cl *Client) client() *http.Client {
+	cl.once.Do(func() {
+		if cl.HTTP == nil {
+			cl.HTTP = &http.Client{
+				Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4},
+				CheckRedirect: func(*http.Request, []*http.Request) error {
+					return http.ErrUseLastResponse
+				},
+			}
+		}
+	})
+	return cl.HTTP
+}
+
+func (cl *Client) maxRecord() int {
+	if cl.MaxRecord > 0 {
+		return cl.MaxRecord
+	}
+	return DefaultMaxRecord
+}
+
+func (cl *Client) maxBatch() int64 {
+	if cl.MaxBatch > 0 {
+		return cl.MaxBatch
+	}
+	return DefaultMaxBatch
+}
+
+func (cl *Client) grace() clock.Millis {
+	if cl.Grace > 0 {
+		return cl.Grace
+	}
+	return DefaultGrace
+}
--- /dev/null
+++ b/internal/standin/logsvc/logsvc.go
@@ -0,0 +1,303 @@
+// Package logsvc is a small in-memory stand-in for the platform's log
+// service, with faults that a test sets. It records what it did.
+//
+// # Usage
+//
+//	srv := &logsvc.Server{Token: "secret"}
+//	ts := httptest.NewServer(srv)
+//	srv.Set(logsvc.Faults{LoseReplies: 1})
+//
+// The zero Server has no token and no faults and is ready to use.
+package logsvc
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	wire "alderdyke/internal/logsvc"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	maxRecord = 1 << 20
+	maxWait   = clock.Minute
+)
+
+type (
+	// Faults is what goes wrong. The zero value is a healthy service.
+	Faults struct {
+		Outage      bool         // every call breaks off without an effect
+		Refuse      bool         // every call is answered with 503, without an effect
+		Slow        clock.Millis // passes before each call takes effect
+		LoseReplies int          // so many appends take effect and break off
+		Lag         int          // reads don't see so many of the newest records
+		KeepRecords int          // retention by count; zero keeps all
+		KeepFor     clock.Millis // retention by age; zero keeps all
+	}
+
+	// Done counts what the service did.
+	Done struct {
+		Appends   int
+		Lost      int // appends whose reply was lost
+		Reads     int
+		Refused   int // calls that found an outage or a wrong token
+		BytesIn   int64
+		BytesOut  int64 // bodies only
+		Trimmed   int
+		MaxRecord int // bytes of the largest record
+	}
+
+	// Server is the stand-in. Set Token and Clock before the first call.
+	Server struct {
+		Token string       // expected bearer token; empty accepts all
+		Clock clock.Source // for retention by age; nil means the process's clock
+
+		mu      sync.Mutex
+		faults  Faults
+		done    Done
+		streams map[string]*stream
+	}
+
+	stream struct {
+		first   uint64
+		records []kept
+		changed chan struct{}
+	}
+
+	kept struct {
+		data []byte
+		at   clock.Millis
+	}
+
+	offsetAnswer struct{ Offset uint64 }
+)
+
+// Set replaces the faults.
+func (srv *Server) Set(fl Faults) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.faults = fl
+	for _, st := range srv.streams {
+		st.wake()
+	}
+}
+
+// Done returns the counts so far.
+func (srv *Server) Done() Done {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return srv.done
+}
+
+// Trim drops all records of the stream below the offset.
+func (srv *Server) Trim(name string, below uint64) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	st := srv.stream(name)
+	for st.first < below && len(st.records) > 0 {
+		srv.drop(st)
+	}
+}
+
+// Records returns all kept records of the stream.
+func (srv *Server) Records(name string) []wire.Record {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	st := srv.stream(name)
+	return st.from(st.first, len(st.records))
+}
+
+// ServeHTTP serves the protocol of the log service.
+func (srv *Server) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", srv.serveAppend)
+	mux.HandleFunc("GET /streams/{stream}/records", srv.serveRead)
+	if !srv.admit(rw, req) {
+		return
+	}
+	mux.ServeHTTP(rw, req)
+}
+
+func (srv *Server) admit(rw http.ResponseWriter, req *http.Request) bool {
+	srv.mu.Lock()
+	fl := srv.faults
+	allowed := srv.Token == "" || req.Header.Get("Authorization") == "Bearer "+srv.Token
+	if fl.Outage || fl.Refuse || !allowed {
+		srv.done.Refused++
+	}
+	srv.mu.Unlock()
+	switch {
+	case fl.Outage:
+		panic(http.ErrAbortHandler)
+	case fl.Refuse:
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	case !allowed:
+		rw.WriteHeader(http.StatusUnauthorized)
+		return false
+	}
+	if fl.Slow > 0 {
+		tm := time.NewTimer(fl.Slow.Std())
+		defer tm.Stop()
+		select {
+		case <-tm.C:
+		case <-req.Context().Done():
+			return false
+		}
+	}
+	return true
+}
+
+func (srv *Server) serveAppend(rw http.ResponseWriter, req *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(req.Body, maxRecord+1))
+	if err != nil {
+		return
+	}
+	if len(data) > maxRecord {
+		rw.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, lost := srv.append(req.PathValue("stream"), data)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	srv.answer(rw, offsetAnswer{Offset: offset})
+}
+
+func (srv *Server) append(name string, data []byte) (offset uint64, lost bool) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	st := srv.stream(name)
+	offset = st.end()
+	st.records = append(st.records, kept{data: data, at: srv.now()})
+	srv.done.Appends++
+	srv.done.BytesIn += int64(len(data))
+	srv.done.MaxRecord = max(srv.done.MaxRecord, len(data))
+	srv.retain(st)
+	st.wake()
+	if srv.faults.LoseReplies > 0 {
+		srv.faults.LoseReplies--
+		srv.done.Lost++
+		lost = true
+	}
+	return offset, lost
+}
+
+func (srv *Server) serveRead(rw http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	from, errFrom := strconv.ParseUint(query.Get("From"), 10, 64)
+	most, errMax := strconv.Atoi(query.Get("Max"))
+	var wait clock.Millis
+	var errWait error
+	if text := query.Get("Wait"); text != "" {
+		errWait = wait.UnmarshalText([]byte(text))
+	}
+	if errFrom != nil || errMax != nil || errWait != nil || most < 1 || wait < 0 {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	tm := time.NewTimer(min(wait, maxWait).Std())
+	defer tm.Stop()
+	for {
+		ba, changed := srv.read(req.PathValue("stream"), from, most)
+		if len(ba.Records) > 0 || ba.First > from {
+			srv.answer(rw, ba)
+			return
+		}
+		select {
+		case <-changed:
+		case <-tm.C:
+			srv.answer(rw, ba)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (srv *Server) read(name string, from uint64, most int) (wire.Batch, <-chan struct{}) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	st := srv.stream(name)
+	srv.retain(st)
+	end := st.end() - min(uint64(srv.faults.Lag), st.end()-st.first)
+	ba := wire.Batch{First: st.first, End: end}
+	from = max(from, st.first)
+	if from < end {
+		ba.Records = st.from(from, min(most, int(end-from)))
+	}
+	ba.Next = min(from, end) + uint64(len(ba.Records))
+	return ba, st.changed
+}
+
+func (srv *Server) answer(rw http.ResponseWriter, what any) {
+	body, err := json.Marshal(what)
+	if err != nil {
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	srv.mu.Lock()
+	if _, ok := what.(wire.Batch); ok {
+		srv.done.Reads++
+	}
+	srv.done.BytesOut += int64(len(body))
+	srv.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	// A caller that is gone needs no answer.
+	_, _ = rw.Write(body)
+}
+
+func (srv *Server) stream(name string) *stream {
+	st := srv.streams[name]
+	if st == nil {
+		st = &stream{changed: make(chan struct{})}
+		if srv.streams == nil {
+			srv.streams = map[string]*stream{}
+		}
+		srv.streams[name] = st
+	}
+	return st
+}
+
+func (srv *Server) retain(st *stream) {
+	fl := srv.faults
+	for fl.KeepRecords > 0 && len(st.records) > fl.KeepRecords {
+		srv.drop(st)
+	}
+	for fl.KeepFor > 0 && len(st.records) > 0 && srv.now()-st.records[0].at >= fl.KeepFor {
+		srv.drop(st)
+	}
+}
+
+func (srv *Server) drop(st *stream) {
+	st.records = st.records[1:]
+	st.first++
+	srv.done.Trimmed++
+}
+
+func (srv *Server) now() clock.Millis {
+	if srv.Clock == nil {
+		return clock.Monotonic{}.Now()
+	}
+	return srv.Clock.Now()
+}
+
+func (st *stream) end() uint64 { return st.first + uint64(len(st.records)) }
+
+func (st *stream) from(from uint64, most int) []wire.Record {
+	out := make([]wire.Record, most)
+	for ix := range out {
+		offset := from + uint64(ix)
+		out[ix] = wire.Record{Offset: offset, Data: st.records[offset-st.first].data}
+	}
+	return out
+}
+
+func (st *stream) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/vmlist/vmlist.go
@@ -0,0 +1,117 @@
+// Package vmlist is a small stand-in for the platform's VM list, with faults
+// that a test sets.
+//
+// # Usage
+//
+//	srv := &vmlist.Server{}
+//	srv.Put(wire.Document{VMs: ...})
+//	srv.Set(vmlist.Faults{Lag: 10 * clock.Second})
+//	ts := httptest.NewServer(srv)
+//
+// The zero Server holds an empty list and is ready to use.
+package vmlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	wire "alderdyke/internal/vmlist"
+	"alderdyke/pkg/clock"
+)
+
+type (
+	// Faults is what goes wrong. The zero value is a healthy service.
+	Faults struct {
+		Outage bool         // every call breaks off
+		Lag    clock.Millis // the list is as old as this
+	}
+
+	// Done counts what the service did.
+	Done struct {
+		Fetches int
+		Refused int // calls that found an outage or a wrong token
+	}
+
+	// Server is the stand-in. Set Token and Clock before the first call.
+	Server struct {
+		Token string       // expected bearer token; empty accepts all
+		Clock clock.Source // nil means the process's clock
+
+		mu     sync.Mutex
+		faults Faults
+		done   Done
+		states []state // oldest first
+	}
+
+	state struct {
+		at  clock.Millis
+		doc wire.Document
+	}
+)
+
+// Set replaces the faults.
+func (srv *Server) Set(fl Faults) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.faults = fl
+}
+
+// Done returns the counts so far.
+func (srv *Server) Done() Done {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return srv.done
+}
+
+// Put replaces the list from now on. The document must not be written to
+// afterwards.
+func (srv *Server) Put(doc wire.Document) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.states = append(srv.states, state{at: srv.now(), doc: doc})
+}
+
+// ServeHTTP serves the list as of Lag ago; the first list that was put counts
+// as having stood always.
+func (srv *Server) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	doc, outage, allowed := srv.look(req)
+	switch {
+	case outage:
+		panic(http.ErrAbortHandler)
+	case !allowed:
+		rw.WriteHeader(http.StatusUnauthorized)
+		return
+	case req.Method != http.MethodGet || req.URL.Path != "/vms":
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	// A caller that is gone needs no answer.
+	_ = json.NewEncoder(rw).Encode(doc)
+}
+
+func (srv *Server) look(req *http.Request) (doc wire.Document, outage, allowed bool) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	allowed = srv.Token == "" || req.Header.Get("Authorization") == "Bearer "+srv.Token
+	if srv.faults.Outage || !allowed {
+		srv.done.Refused++
+		return doc, srv.faults.Outage, allowed
+	}
+	srv.done.Fetches++
+	asOf := srv.now() - srv.faults.Lag
+	for ix, st := range srv.states {
+		if ix == 0 || st.at <= asOf {
+			doc = st.doc
+		}
+	}
+	return doc, false, true
+}
+
+func (srv *Server) now() clock.Millis {
+	if srv.Clock == nil {
+		return clock.Monotonic{}.Now()
+	}
+	return srv.Clock.Now()
+}
--- /dev/null
+++ b/internal/vmlist/vmlist_test.go
@@ -0,0 +1,134 @@
+package vmlist_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	standin "alderdyke/internal/standin/vmlist"
+	"alderdyke/internal/vmlist"
+	"alderdyke/pkg/clock"
+)
+
+func entryVM() vmlist.VMEntry {
+	return vmlist.VMEntry{
+		ID: "aarhus-a-1", FailureDomain: "aarhus-a", Region: "dk-jylland",
+		Caller: "127.0.0.1:8080", Peer: "127.0.0.1:8081", State: vmlist.Live,
+	}
+}
+
+func entryServer() vmlist.ServerEntry {
+	return vmlist.ServerEntry{
+		ID: "w1", Service: "rapportmodel", Role: board.Decode, Address: "[::1]:9000",
+		FailureDomain: "aarhus-a", State: vmlist.Leaving,
+	}
+}
+
+func newPair(tt *testing.T, clk clock.Source) (*standin.Server, *vmlist.Client) {
+	tt.Helper()
+	srv := &standin.Server{Token: "secret", Clock: clk}
+	ts := httptest.NewServer(srv)
+	tt.Cleanup(ts.Close)
+	return srv, &vmlist.Client{URL: ts.URL, Token: "secret"}
+}
+
+func TestFetch(tt *testing.T) {
+	srv, cl := newPair(tt, nil)
+	second := entryVM()
+	second.ID, second.State = "aarhus-a-0", vmlist.Leaving
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{entryVM(), second}, Servers: []vmlist.ServerEntry{entryServer()}})
+	list, err := cl.Fetch(context.Background())
+	assert.NilError(tt, err)
+	assert.Equal(tt, len(list.VMs), 2)
+	assert.Equal(tt, list.VMs[0].ID, "aarhus-a-0")
+	assert.Assert(tt, list.VMs[0].Leaving && !list.VMs[1].Leaving && list.VMs[1].Listed)
+	assert.DeepEqual(tt, list.Servers, []board.BackendServer{{
+		ID: "w1", Service: "rapportmodel", Role: board.Decode, Address: "[::1]:9000",
+		FailureDomain: "aarhus-a", Leaving: true,
+	}})
+}
+
+func TestListLags(tt *testing.T) {
+	clk := &clock.Manual{}
+	srv, cl := newPair(tt, clk)
+	srv.Put(vmlist.Document{})
+	clk.Advance(5 * clock.Second)
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{entryVM()}})
+	srv.Set(standin.Faults{Lag: 10 * clock.Second})
+	for _, want := range []int{0, 0, 1} {
+		list, err := cl.Fetch(context.Background())
+		assert.NilError(tt, err)
+		assert.Equal(tt, len(list.VMs), want)
+		clk.Advance(5 * clock.Second)
+	}
+}
+
+func TestFetchFails(tt *testing.T) {
+	srv, cl := newPair(tt, nil)
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{entryVM()}})
+	srv.Set(standin.Faults{Outage: true})
+	_, err := cl.Fetch(context.Background())
+	assert.Assert(tt, err != nil)
+	srv.Set(standin.Faults{})
+
+	cl.Token = "other"
+	_, err = cl.Fetch(context.Background())
+	var se *vmlist.StatusError
+	assert.Assert(tt, errors.As(err, &se))
+	assert.Assert(tt, !strings.Contains(err.Error(), "other"))
+
+	cl.Token, cl.MaxBody = "secret", 10
+	_, err = cl.Fetch(context.Background())
+	var te *vmlist.TooLargeError
+	assert.Assert(tt, errors.As(err, &te))
+	assert.DeepEqual(tt, srv.Done(), standin.Done{Fetches: 1, Refused: 2})
+}
+
+func TestBadEntries(tt *testing.T) {
+	cases := []struct {
+		field string
+		body  string
+	}{
+		{"Caller", `{"VMs":[{"ID":"a","FailureDomain":"d","Caller":"host:80","Peer":"127.0.0.1:1","State":"Live"}]}`},
+		{"Peer", `{"VMs":[{"ID":"a","FailureDomain":"d","Caller":"127.0.0.1:1","Peer":"0.0.0.0:1","State":"Live"}]}`},
+		{"State", `{"VMs":[{"ID":"a","FailureDomain":"d","Caller":"127.0.0.1:1","Peer":"127.0.0.1:1"}]}`},
+		{"Address", `{"Servers":[{"ID":"a","Service":"s","Role":"Plain","FailureDomain":"d","Address":"127.0.0.1:0","State":"Live"}]}`},
+		{"Role", `{"Servers":[{"ID":"a","Service":"s","Role":"x","FailureDomain":"d","Address":"127.0.0.1:1","State":"Live"}]}`},
+		{"ID", `{"Servers":[{"ID":"","Service":"s","Role":"Plain","FailureDomain":"d","Address":"127.0.0.1:1","State":"Live"}]}`},
+		{"ID", `{"Servers":[` + `{"ID":"a","Service":"s","Role":"Plain","FailureDomain":"d","Address":"127.0.0.1:1","State":"Live"},` +
+			`{"ID":"a","Service":"s","Role":"Plain","FailureDomain":"d","Address":"127.0.0.1:1","State":"Live"}]}`},
+	}
+	for _, tc := range cases {
+		_, err := vmlist.Parse([]byte(tc.body))
+		var ee *vmlist.EntryError
+		assert.Assert(tt, errors.As(err, &ee), "%s: %v", tc.field, err)
+		assert.Equal(tt, ee.Field, tc.field)
+	}
+}
+
+func FuzzParse(ff *testing.F) {
+	ff.Add([]byte(`{"VMs":[{"ID":"a","FailureDomain":"d","Caller":"127.0.0.1:2","Peer":"127.0.0.1:1","State":"Live"}]}`))
+	ff.Fuzz(func(tt *testing.T, body []byte) {
+		list, err := vmlist.Parse(body)
+		if err != nil {
+			return
+		}
+		for ix, vm := range list.VMs {
+			if vm.ID == "" || ix > 0 && vm.ID <= list.VMs[ix-1].ID {
+				tt.Fatalf("VMs without order or name: %+v", list.VMs)
+			}
+		}
+	})
+}
+
+func ExampleParse() {
+	_, err := vmlist.Parse([]byte(`{"VMs":[{"ID":"a","FailureDomain":"d","Caller":"example.org:80"}]}`))
+	fmt.Println(err)
+	// Output: VM list: VMs[0] "a": Caller "example.org:80": write an IP literal and a port, such as 10.0.0.7:8080
+}
