template: parse, validate and write templates

Cause: operators write templates by hand, and every problem has to name its place and its mend before anything takes effect.

--- /dev/null
+++ b/pkg/place/decode.go
@@ -0,0 +1,100 @@
+package place
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Decode reads TOML into the struct that target points to, then calls check,
+// which returns the problems of the decoded value by their keys. The error is
+// nil or an [Errors] that holds all problems, in the order of their lines.
+//
+// Parts of the text that are wrong in themselves are left out of the decoded
+// value; a problem that check finds at such a key, or below it, is not
+// reported a second time. A nil check finds nothing.
+func Decode(file string, text []byte, target any, check func() Errors) error {
+	sc := newScan(text, reflect.TypeOf(target).Elem())
+	if sc.run() {
+		sc.decode(target)
+	}
+	if check != nil && !sc.broken {
+		for _, pe := range check() {
+			sc.found(pe)
+		}
+	}
+	for ix, pe := range sc.problems {
+		sc.problems[ix] = pe.WithPlace(file, pe.Line)
+	}
+	slices.SortStableFunc(sc.problems, func(ea, eb Error) int { return cmp.Compare(ea.Line, eb.Line) })
+	return sc.problems.Err()
+}
+
+// decode reads the sound expressions of the text.
+func (sc *scan) decode(target any) {
+	dec := toml.NewDecoder(bytes.NewReader(sc.sound())).DisallowUnknownFields()
+	err := dec.Decode(target)
+	if err == nil {
+		return
+	}
+	sc.broken = true
+	var de *toml.DecodeError
+	if !errors.As(err, &de) {
+		sc.problems = append(sc.problems, Error{Mend: err.Error()})
+		return
+	}
+	row, _ := de.Position()
+	sc.problems = append(sc.problems, Error{
+		Line: row,
+		Key:  strings.Join(de.Key(), "."),
+		Mend: strings.TrimPrefix(de.Error(), "toml: "),
+	})
+}
+
+// sound returns the text with the lines of unsound expressions emptied.
+func (sc *scan) sound() []byte {
+	lines := bytes.Split(sc.text, []byte("\n"))
+	for _, ex := range sc.expressions {
+		if ex.sound {
+			continue
+		}
+		for row := ex.first; row <= ex.last && row <= len(lines); row++ {
+			lines[row-1] = nil
+		}
+	}
+	return bytes.Join(lines, []byte("\n"))
+}
+
+// found adds a problem of the decoded value, unless its key or one above it
+// has one already.
+func (sc *scan) found(pe Error) {
+	if pe.Line == 0 {
+		pe.Line = sc.lineOf(pe.Key)
+	}
+	for key := pe.Key; key != ""; key = parent(key) {
+		if sc.bad[key] {
+			return
+		}
+	}
+	sc.problems = append(sc.problems, pe)
+}
+
+// lineOf finds the line of a key, or of the nearest key above it.
+func (sc *scan) lineOf(key string) int {
+	for ; key != ""; key = parent(key) {
+		if line, ok := sc.lines[key]; ok {
+			return line
+		}
+	}
+	return 0
+}
+
+// parent returns the key above, or the empty string.
+func parent(key string) string {
+	return key[:max(0, strings.LastIndexAny(key, ".["))]
+}
--- /dev/null
+++ b/pkg/place/scan.go
@@ -0,0 +1,280 @@
+package place
+
+import (
+	"bytes"
+	"encoding"
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+var (
+	textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+	addrType = reflect.TypeFor[netip.AddrPort]()
+	hideType = reflect.TypeFor[Concealed]()
+)
+
+type (
+	// Concealed is implemented by types whose values must never be shown.
+	Concealed interface{ Concealed() }
+
+	// scan compares the expressions of a TOML text with a Go type.
+	scan struct {
+		text        []byte
+		root        reflect.Type
+		parser      unstable.Parser
+		expressions []expression
+		lines       map[string]int  // line of each key path
+		bad         map[string]bool // key paths with a problem
+		counts      map[string]int  // elements of each array of tables
+		problems    Errors
+		broken      bool // no value could be decoded
+
+		at  string       // path of the current table
+		typ reflect.Type // of the current table; nil if it is unknown
+	}
+
+	// expression is the lines of one key-value pair or table header.
+	expression struct {
+		first, last int
+		sound       bool
+	}
+)
+
+func newScan(text []byte, root reflect.Type) *scan {
+	return &scan{
+		text: text, root: root, typ: root,
+		lines: map[string]int{}, bad: map[string]bool{}, counts: map[string]int{},
+	}
+}
+
+// run goes through all expressions. It returns false if the text is no TOML.
+func (sc *scan) run() bool {
+	sc.parser.Reset(sc.text)
+	for sc.parser.NextExpression() {
+		sc.expression(sc.parser.Expression())
+	}
+	for ix := range sc.expressions {
+		sc.expressions[ix].last = bytes.Count(sc.text, []byte("\n")) + 1
+		if ix+1 < len(sc.expressions) {
+			sc.expressions[ix].last = sc.expressions[ix+1].first - 1
+		}
+	}
+	err := sc.parser.Error()
+	if err == nil {
+		return true
+	}
+	sc.broken = true
+	pe := Error{Mend: "write valid TOML: " + err.Error()}
+	var se *unstable.ParserError
+	if errors.As(err, &se) {
+		pe.Line = sc.line(sc.parser.Range(se.Highlight))
+		pe.Mend = "write valid TOML: " + se.Message
+	}
+	sc.problems = append(sc.problems, pe)
+	return false
+}
+
+// line returns the line of a range of the text.
+func (sc *scan) line(rg unstable.Range) int {
+	return bytes.Count(sc.text[:min(int(rg.Offset), len(sc.text))], []byte("\n")) + 1
+}
+
+func (sc *scan) expression(nd *unstable.Node) {
+	if nd.Kind == unstable.Comment {
+		return
+	}
+	names, line := sc.key(nd)
+	before := len(sc.problems)
+	inside := sc.typ == nil && nd.Kind == unstable.KeyValue
+	if !inside {
+		sc.typed(nd, names, line)
+	}
+	sc.expressions = append(sc.expressions, expression{
+		first: line,
+		sound: !inside && before == len(sc.problems),
+	})
+}
+
+func (sc *scan) typed(nd *unstable.Node, names []string, line int) {
+	switch nd.Kind {
+	case unstable.Table:
+		sc.at, sc.typ = sc.resolve("", sc.root, names, line)
+		if sc.typ != nil && sc.typ.Kind() != reflect.Struct {
+			sc.refuse(sc.at, line, "", "write a value, not a table")
+			sc.typ = nil
+		}
+	case unstable.ArrayTable:
+		sc.arrayTable(names, line)
+	case unstable.KeyValue:
+		path, typ := sc.resolve(sc.at, sc.typ, names, line)
+		if typ != nil {
+			sc.value(path, typ, nd.Value(), line)
+		}
+	default:
+	}
+}
+
+func (sc *scan) arrayTable(names []string, line int) {
+	last := len(names) - 1
+	above, typ := sc.resolve("", sc.root, names[:last], line)
+	if typ != nil {
+		above, typ = sc.field(above, typ, names[last], line)
+	}
+	sc.at, sc.typ = above, nil
+	if typ == nil {
+		return
+	}
+	if typ.Kind() != reflect.Slice || typ.Elem().Kind() != reflect.Struct {
+		sc.refuse(above, line, "", "write it once; it is no list of tables")
+		return
+	}
+	sc.at, sc.typ = element(above, sc.counts[above]), typ.Elem()
+	sc.counts[above]++
+	sc.lines[sc.at] = line
+}
+
+// key returns the parts of an expression's key and its line.
+func (sc *scan) key(nd *unstable.Node) (names []string, line int) {
+	for it := nd.Key(); it.Next(); {
+		if line == 0 {
+			line = sc.line(it.Node().Raw)
+		}
+		names = append(names, string(it.Node().Data))
+	}
+	return names, line
+}
+
+// resolve follows a dotted key from a struct type. The type is nil if a part
+// is unknown, which has then been reported.
+func (sc *scan) resolve(path string, typ reflect.Type, names []string, line int) (string, reflect.Type) {
+	for _, name := range names {
+		if path, typ = sc.field(path, typ, name, line); typ == nil {
+			return path, nil
+		}
+		if count := sc.counts[path]; count > 0 {
+			path, typ = element(path, count-1), typ.Elem()
+		}
+	}
+	return path, typ
+}
+
+// field follows one part of a key.
+func (sc *scan) field(path string, typ reflect.Type, name string, line int) (string, reflect.Type) {
+	path = join(path, name)
+	if typ.Kind() != reflect.Struct || reflect.PointerTo(typ).Implements(textType) {
+		sc.refuse(path, line, "", "remove this key; the one above it holds a plain value")
+		return path, nil
+	}
+	fd, ok := typ.FieldByName(name)
+	if !ok || !fd.IsExported() {
+		sc.refuse(path, line, "", "remove this unknown key, or correct its spelling and letter case")
+		return path, nil
+	}
+	if _, known := sc.lines[path]; !known {
+		sc.lines[path] = line
+	}
+	return path, fd.Type
+}
+
+// value compares a value with the type that it is for.
+func (sc *scan) value(path string, typ reflect.Type, nd *unstable.Node, line int) {
+	if reflect.PointerTo(typ).Implements(textType) {
+		sc.textual(path, typ, nd, line)
+		return
+	}
+	switch typ.Kind() {
+	case reflect.Struct:
+		sc.inline(path, typ, nd, line)
+	case reflect.Slice:
+		sc.array(path, typ, nd, line)
+	case reflect.String:
+		sc.want(nd.Kind == unstable.String, path, nd, line, "a string in quotes")
+	case reflect.Bool:
+		sc.want(nd.Kind == unstable.Bool, path, nd, line, "true or false")
+	case reflect.Float64:
+		sc.want(nd.Kind == unstable.Float || nd.Kind == unstable.Integer, path, nd, line, "a number")
+	default:
+		sc.want(nd.Kind == unstable.Integer, path, nd, line, "a whole number")
+	}
+}
+
+func (sc *scan) textual(path string, typ reflect.Type, nd *unstable.Node, line int) {
+	if !sc.want(nd.Kind == unstable.String, path, nd, line, "a string in quotes, with its unit if it has one") {
+		return
+	}
+	err := reflect.New(typ).Interface().(encoding.TextUnmarshaler).UnmarshalText(nd.Data)
+	if err == nil {
+		return
+	}
+	value, mend := strconv.Quote(string(nd.Data)), err.Error()
+	if typ == addrType {
+		mend = "write an IP number and a port, such as 10.0.0.1:8443; host names are not looked up"
+	}
+	if typ.Implements(hideType) {
+		value = ""
+	}
+	sc.refuse(path, line, value, mend)
+}
+
+func (sc *scan) inline(path string, typ reflect.Type, nd *unstable.Node, line int) {
+	if !sc.want(nd.Kind == unstable.InlineTable, path, nd, line, "a table") {
+		return
+	}
+	for it := nd.Children(); it.Next(); {
+		if it.Node().Kind != unstable.KeyValue {
+			continue
+		}
+		names, row := sc.key(it.Node())
+		if below, elem := sc.resolve(path, typ, names, row); elem != nil {
+			sc.value(below, elem, it.Node().Value(), row)
+		}
+	}
+}
+
+func (sc *scan) array(path string, typ reflect.Type, nd *unstable.Node, line int) {
+	if !sc.want(nd.Kind == unstable.Array, path, nd, line, "a list in brackets") {
+		return
+	}
+	ix := 0
+	for it := nd.Children(); it.Next(); {
+		if it.Node().Kind == unstable.Comment {
+			continue
+		}
+		row := line
+		if it.Node().Raw.Length > 0 {
+			row = sc.line(it.Node().Raw)
+		}
+		below := element(path, ix)
+		sc.lines[below] = row
+		sc.value(below, typ.Elem(), it.Node(), row)
+		ix++
+	}
+}
+
+// want reports a value of another kind than the one wanted. It shows the kind
+// and not the value, which may be a secret at the wrong key.
+func (sc *scan) want(ok bool, path string, nd *unstable.Node, line int, kind string) bool {
+	if !ok {
+		sc.refuse(path, line, "", fmt.Sprintf("write %s instead of this %s", kind, nd.Kind))
+	}
+	return ok
+}
+
+func (sc *scan) refuse(path string, line int, value, mend string) {
+	sc.bad[path] = true
+	sc.problems = append(sc.problems, Error{Line: line, Key: path, Value: value, Mend: mend})
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func element(path string, ix int) string { return fmt.Sprintf("%s[%d]", path, ix) }
--- a/pkg/template/template.go
+++ b/pkg/template/template.go
@@ -50,12 +50,12 @@
 		// Paths are the path prefixes of a plain service that belong to the
 		// class; empty for a model service, whose requests name their class
 		// or get the first class of their service.
-		Paths []string
+		Paths []string `toml:",omitempty" json:",omitempty"`
 
 		Idempotent bool // false: runs at most once, never repeated
 
 		TTFT     clock.Millis // target: time to first token, or to the whole answer of a plain service
-		TPOT     clock.Millis // target: time per output token; zero for a plain service
+		TPOT     clock.Millis `toml:",omitempty" json:",omitempty"` // target: time per output token; zero for a plain service
 		Deadline clock.Millis // from arrival to the end, after which the request is refused
 
 		// StreamWait is how long a running request waits for a caller who
@@ -67,7 +67,7 @@
 		// leave unused is lent.
 		Share float64
 
-		MaxTokens int // bound of output tokens for one request
+		MaxTokens int `toml:",omitempty" json:",omitempty"` // bound of output tokens for one request; zero for a plain service
 	}
 )
 
@@ -80,6 +80,34 @@
 	return tp.Classes[ix], true
 }
 
+// WithCustomer returns the template for another customer.
+func (tp Template) WithCustomer(name string) Template {
+	tp.Customer = name
+	return tp
+}
+
+// WithKeyHash returns the template with one more API key, given by its hash;
+// see [HashKey].
+func (tp Template) WithKeyHash(hash string) Template {
+	if !slices.Contains(tp.KeyHashes, hash) {
+		tp.KeyHashes = append(slices.Clone(tp.KeyHashes), hash)
+	}
+	return tp
+}
+
+// WithoutKeyHash returns the template without an API key.
+func (tp Template) WithoutKeyHash(hash string) Template {
+	tp.KeyHashes = slices.DeleteFunc(slices.Clone(tp.KeyHashes), func(old string) bool { return old == hash })
+	return tp
+}
+
+// WithPrefillWeight returns the template with another weight of wasted
+// prefill, from 0 to 1.
+func (tp Template) WithPrefillWeight(weight float64) Template {
+	tp.PrefillWeight = weight
+	return tp
+}
+
 // WithClass returns the template with the class added, or put in place of the
 // one with the same name.
 func (tp Template) WithClass(cl Class) Template {
@@ -93,3 +121,28 @@
 	tp.Classes = classes
 	return tp
 }
+
+// WithoutClass returns the template without the class of the given name.
+func (tp Template) WithoutClass(name string) Template {
+	tp.Classes = slices.DeleteFunc(slices.Clone(tp.Classes), func(old Class) bool { return old.Name == name })
+	return tp
+}
+
+// WithTargets returns the class with other latency targets.
+func (cl Class) WithTargets(ttft, tpot clock.Millis) Class {
+	cl.TTFT = ttft
+	cl.TPOT = tpot
+	return cl
+}
+
+// WithDeadline returns the class with another deadline.
+func (cl Class) WithDeadline(deadline clock.Millis) Class {
+	cl.Deadline = deadline
+	return cl
+}
+
+// WithShare returns the class with another share of its service's capacity.
+func (cl Class) WithShare(share float64) Class {
+	cl.Share = share
+	return cl
+}
--- /dev/null
+++ b/pkg/template/validate.go
@@ -0,0 +1,185 @@
+package template
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/place"
+)
+
+// Bounds of what a template may set.
+const (
+	MaxClasses   = 64
+	MaxKeyHashes = 64
+	MaxPaths     = 64
+	MaxSpan      = 24 * clock.Hour // of any target, deadline or wait
+	MaxTokens    = 1 << 20         // output tokens of one request
+
+	// shareSlack forgives the rounding of shares that are meant to add up to 1.
+	shareSlack = 1e-9
+
+	nameMend = "write 1 to 63 lower-case letters, digits, dots, dashes or underscores, with a letter or digit first"
+)
+
+var (
+	nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	hashForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	pathForm = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,254}$`)
+)
+
+// usage is what the classes of one service add up to.
+type usage struct {
+	share float64
+	plain bool           // the first class of the service has paths
+	paths map[string]int // path to the class that claims it
+}
+
+// Validate tells what is wrong with the template. The error is nil or a
+// [place.Errors] with all problems, by their keys.
+func (tp Template) Validate() error { return tp.problems().Err() }
+
+func (tp Template) problems() place.Errors {
+	var es place.Errors
+	if !nameForm.MatchString(tp.Customer) {
+		es.Add("Customer", quoteName(tp.Customer), nameMend)
+	}
+	tp.checkKeyHashes(&es)
+	if !between(tp.PrefillWeight, 0, 1) {
+		es.Add("PrefillWeight", number(tp.PrefillWeight), "write a number from 0 to 1")
+	}
+	if len(tp.Classes) == 0 || len(tp.Classes) > MaxClasses {
+		es.Add("Classes", fmt.Sprintf("%d classes", len(tp.Classes)), fmt.Sprintf("write 1 to %d classes", MaxClasses))
+		return es
+	}
+	seen := map[string]bool{}
+	services := map[string]*usage{}
+	for ix, cl := range tp.Classes {
+		at := fmt.Sprintf("Classes[%d].", ix)
+		if seen[cl.Name] {
+			es.Add(at+"Name", quoteName(cl.Name), "choose another name; a class has it already")
+		}
+		seen[cl.Name] = true
+		cl.check(at, &es)
+		if services[cl.Service] == nil {
+			services[cl.Service] = &usage{plain: len(cl.Paths) > 0, paths: map[string]int{}}
+		}
+		services[cl.Service].add(at, ix, cl, &es)
+	}
+	return es
+}
+
+// checkKeyHashes never shows a value: it may be the key itself, not its hash.
+func (tp Template) checkKeyHashes(es *place.Errors) {
+	if len(tp.KeyHashes) == 0 || len(tp.KeyHashes) > MaxKeyHashes {
+		es.Add("KeyHashes", fmt.Sprintf("%d hashes", len(tp.KeyHashes)),
+			fmt.Sprintf("write 1 to %d SHA-256 hashes of the customer's API keys", MaxKeyHashes))
+	}
+	for ix, hash := range tp.KeyHashes {
+		key := fmt.Sprintf("KeyHashes[%d]", ix)
+		if !hashForm.MatchString(hash) {
+			es.Add(key, "", "write the SHA-256 of the API key as 64 lower-case hexadecimal digits")
+		}
+		if slices.Contains(tp.KeyHashes[:ix], hash) {
+			es.Add(key, "", "remove this hash; the list holds it already")
+		}
+	}
+}
+
+// check looks at one class by itself.
+func (cl Class) check(at string, es *place.Errors) {
+	if !nameForm.MatchString(cl.Name) {
+		es.Add(at+"Name", quoteName(cl.Name), nameMend)
+	}
+	if !nameForm.MatchString(cl.Service) {
+		es.Add(at+"Service", quoteName(cl.Service), nameMend)
+	}
+	if cl.Urgency != Patient && cl.Urgency != Quick {
+		es.Add(at+"Urgency", quoteName(string(cl.Urgency)), `write "Patient" or "Quick"`)
+	}
+	if !between(cl.Share, math.SmallestNonzeroFloat64, 1) {
+		es.Add(at+"Share", number(cl.Share), "write a number above 0 and up to 1")
+	}
+	cl.checkTimes(at, es)
+	cl.checkPaths(at, es)
+	cl.checkTokens(at, es)
+}
+
+func (cl Class) checkTimes(at string, es *place.Errors) {
+	positive(at+"TTFT", cl.TTFT, es)
+	positive(at+"Deadline", cl.Deadline, es)
+	if cl.TTFT > cl.Deadline && cl.Deadline > 0 {
+		es.Add(at+"TTFT", cl.TTFT.String(), fmt.Sprintf("write at most the Deadline of %v", cl.Deadline))
+	}
+	if cl.StreamWait < 0 {
+		es.Add(at+"StreamWait", cl.StreamWait.String(), "write zero or a positive span")
+	}
+	if cl.StreamWait > cl.Deadline && cl.Deadline > 0 {
+		es.Add(at+"StreamWait", cl.StreamWait.String(), fmt.Sprintf("write at most the Deadline of %v", cl.Deadline))
+	}
+}
+
+func (cl Class) checkPaths(at string, es *place.Errors) {
+	if len(cl.Paths) > MaxPaths {
+		es.Add(at+"Paths", fmt.Sprintf("%d paths", len(cl.Paths)), fmt.Sprintf("write at most %d paths", MaxPaths))
+	}
+	for ix, path := range cl.Paths {
+		if !pathForm.MatchString(path) || strings.Contains(path, "//") || strings.Contains(path, "/.") {
+			es.Add(fmt.Sprintf("%sPaths[%d]", at, ix), quoteName(path),
+				"write a path prefix such as /records, without a query or dot segments")
+		}
+	}
+}
+
+// checkTokens holds the settings that only a model's classes have.
+func (cl Class) checkTokens(at string, es *place.Errors) {
+	if len(cl.Paths) > 0 {
+		if cl.TPOT != 0 {
+			es.Add(at+"TPOT", cl.TPOT.String(), "remove it; a plain service generates no tokens")
+		}
+		if cl.MaxTokens != 0 {
+			es.Add(at+"MaxTokens", fmt.Sprint(cl.MaxTokens), "remove it; a plain service generates no tokens")
+		}
+		return
+	}
+	positive(at+"TPOT", cl.TPOT, es)
+	if cl.MaxTokens < 1 || cl.MaxTokens > MaxTokens {
+		es.Add(at+"MaxTokens", fmt.Sprint(cl.MaxTokens), fmt.Sprintf("write a whole number from 1 to %d", MaxTokens))
+	}
+}
+
+// add adds a class to what its service is used for.
+func (us *usage) add(at string, ix int, cl Class, es *place.Errors) {
+	if us.plain != (len(cl.Paths) > 0) {
+		es.Add(at+"Paths", "", fmt.Sprintf("give all classes of service %s paths, or none", quoteName(cl.Service)))
+	}
+	for px, path := range cl.Paths {
+		if other, taken := us.paths[path]; taken {
+			es.Add(fmt.Sprintf("%sPaths[%d]", at, px), quoteName(path), fmt.Sprintf("choose another path; Classes[%d] has it already", other))
+		}
+		us.paths[path] = ix
+	}
+	before := us.share
+	us.share += cl.Share
+	if cl.Share <= 1 && before <= 1+shareSlack && us.share > 1+shareSlack {
+		es.Add(at+"Share", number(cl.Share),
+			fmt.Sprintf("lower the shares of service %s, which add up to more than 1", quoteName(cl.Service)))
+	}
+}
+
+func positive(key string, span clock.Millis, es *place.Errors) {
+	if span <= 0 || span > MaxSpan {
+		es.Add(key, span.String(), fmt.Sprintf("write a span above zero and up to %v, such as 400ms", MaxSpan))
+	}
+}
+
+// between is false for a value that is no number.
+func between(value, low, high float64) bool { return value >= low && value <= high }
+
+func number(value float64) string { return fmt.Sprintf("%g", value) }
+
+// quoteName shows a short part of a name only.
+func quoteName(name string) string { return fmt.Sprintf("%.40q", name) }
