--- /dev/null
+++ b/internal/caller/refuse.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Headers of this protocol's own.
+const (
+	headerClass    = "Alderdyke-Class"    // request: class by name
+	headerDeadline = "Alderdyke-Deadline" // request: span such as "2s"
+	headerRefusal  = "Alderdyke-Refusal"  // response: reason; set on every refusal and on nothing else
+	headerKey      = "Idempotency-Key"
+	headerLastID   = "Last-Event-ID"
+	ownPrefix      = "Alderdyke-"
+)
+
+var statusOf = map[refusal.Reason]int{
+	refusal.BadRequest:         http.StatusBadRequest,
+	refusal.TooLarge:           http.StatusRequestEntityTooLarge,
+	refusal.UnknownCustomer:    http.StatusUnauthorized,
+	refusal.UnknownClass:       http.StatusBadRequest,
+	refusal.UnknownService:     http.StatusNotFound,
+	refusal.KeyReused:          http.StatusConflict,
+	refusal.KeyInDoubt:         http.StatusConflict,
+	refusal.HomeUnreachable:    http.StatusServiceUnavailable,
+	refusal.SchedulerAway:      http.StatusServiceUnavailable,
+	refusal.QueueFull:          http.StatusTooManyRequests,
+	refusal.TargetUnreachable:  http.StatusTooManyRequests,
+	refusal.ShareExceeded:      http.StatusTooManyRequests,
+	refusal.NoBackend:          http.StatusServiceUnavailable,
+	refusal.DeadlinePassed:     http.StatusGatewayTimeout,
+	refusal.Draining:           http.StatusServiceUnavailable,
+	refusal.Starting:           http.StatusServiceUnavailable,
+	refusal.RetriesExhausted:   http.StatusServiceUnavailable,
+	refusal.BackendFailed:      http.StatusBadGateway,
+	refusal.CallerGone:         http.StatusGone,
+	refusal.AnswerExpired:      http.StatusGone,
+	refusal.VMLost:             http.StatusBadGateway,
+	refusal.TooManyConnections: http.StatusServiceUnavailable,
+}
+
+// errorBody is the JSON of a refusal that has a status of its own.
+type errorBody struct {
+	Error refusal.Refusal `json:"error"`
+}
+
+// refusalOf finds the refusal that an error wraps. An error that wraps none
+// says nothing about whether the request ran.
+func refusalOf(err error) refusal.Refusal {
+	var rf refusal.Refusal
+	if errors.As(err, &rf) {
+		return rf
+	}
+	return refusal.Refusal{
+		Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed,
+		Detail: "internal fault; ask again with the same key",
+	}
+}
+
+// Status is the HTTP status of a refusal.
+func Status(rf refusal.Refusal) int {
+	if code, ok := statusOf[rf.Reason]; ok {
+		return code
+	}
+	return http.StatusInternalServerError
+}
+
+// refuse answers with a refusal as the whole response.
+func (srv *Server) refuse(wr http.ResponseWriter, class string, err error) {
+	rf := refusalOf(err)
+	srv.countRefusal(rf, class)
+	code := Status(rf)
+	var slow slowBodyError
+	if errors.As(err, &slow) {
+		code = http.StatusRequestTimeout
+	}
+	body, err := json.Marshal(errorBody{Error: rf})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	hd := wr.Header()
+	hd.Set("Content-Type", "application/json")
+	hd.Set("Cache-Control", "no-store")
+	hd.Set(headerRefusal, string(rf.Reason))
+	if code == http.StatusUnauthorized {
+		hd.Set("WWW-Authenticate", `Bearer realm="alderdyke"`)
+	}
+	if rf.RetryAfter > 0 {
+		hd.Set("Retry-After", strconv.FormatInt(wholeSeconds(rf.RetryAfter), 10))
+	}
+	if rf.Reason == refusal.TooLarge || code == http.StatusRequestTimeout {
+		hd.Set("Connection", "close")
+	}
+	// What is left of the body is read by net/http, before or after the
+	// response; that must end, too.
+	_ = http.NewResponseController(wr).SetReadDeadline(time.Now().Add(srv.limits.BodyGrace.Std()))
+	srv.writeWhole(wr, code, body)
+}
+
+func wholeSeconds(span clock.Millis) int64 {
+	return int64((span + clock.Second - 1) / clock.Second)
+}
--- /dev/null
+++ b/internal/caller/stream.go
@@ -0,0 +1,396 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/event"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	kindChunk  = "chat.completion.chunk"
+	kindWhole  = "chat.completion"
+	finishStop = "stop"
+	fromStart  = -1 // last event ID of a caller that has seen none
+)
+
+type (
+	// ChatEnd is the data of an answer.End event. The zero value is an end
+	// with the finish reason "stop" and an unknown count of tokens.
+	ChatEnd struct {
+		Tokens       int    // output tokens
+		PromptTokens int    // as the engine counted them
+		FinishReason string // "stop" or "length"
+	}
+
+	// delivery is one caller following one answer.
+	delivery struct {
+		srv    *Server
+		wr     http.ResponseWriter
+		rc     *http.ResponseController
+		ctx    context.Context
+		class  string
+		key    string
+		model  string
+		after  int    // ID of the last event that the caller has
+		began  bool   // the status was sent
+		held   []byte // bytes of a character that is not complete yet
+		text   strings.Builder
+		tokens int
+	}
+
+	chatAnswer struct {
+		ID      string       `json:"id"`
+		Object  string       `json:"object"`
+		Created int64        `json:"created"` // seconds since 1970, when it was sent
+		Model   string       `json:"model"`
+		Choices []chatChoice `json:"choices"`
+		Usage   *chatUsage   `json:"usage,omitempty"`
+	}
+
+	chatChoice struct {
+		Index        int        `json:"index"`
+		Delta        *chatDelta `json:"delta,omitempty"`
+		Message      *chatDelta `json:"message,omitempty"`
+		FinishReason *string    `json:"finish_reason"`
+	}
+
+	chatDelta struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}
+
+	chatUsage struct {
+		PromptTokens     int `json:"prompt_tokens"`
+		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
+	}
+)
+
+// lastEventID reads the header of a caller that comes back.
+func lastEventID(hd http.Header) (int, error) {
+	text := hd.Get(headerLastID)
+	if text == "" {
+		return fromStart, nil
+	}
+	id, err := strconv.Atoi(text)
+	if err != nil || id < 0 || strconv.Itoa(id) != text {
+		return 0, badRequest(headerLastID + " must be an event ID of this answer: 0 or above")
+	}
+	return id, nil
+}
+
+// abort breaks the connection, so that the caller can't take what it has for
+// a whole answer.
+func abort() { panic(http.ErrAbortHandler) }
+
+// stream sends the answer as server-sent events, from the event after the
+// last one that the caller has. It reads the answer from its start, because
+// a character may be spread over events and because the final event is sent
+// again to a caller that has it already.
+func (dl *delivery) stream(st *answer.Stream) {
+	rd := st.Attach(0)
+	defer rd.Detach()
+	for {
+		ev, err := dl.next(rd)
+		if err != nil {
+			abort()
+		}
+		dl.event(ev)
+		if ev.Kind.Final() {
+			return
+		}
+	}
+}
+
+// next waits for the next event and keeps the connection alive meanwhile.
+func (dl *delivery) next(rd *answer.Reader) (answer.Event, error) {
+	lm := dl.srv.limits
+	for {
+		wait := lm.KeepAlive
+		if !dl.began {
+			wait = lm.HeaderWait
+		}
+		ctx, cancel := context.WithTimeout(dl.ctx, wait.Std())
+		ev, err := rd.Next(ctx)
+		cancel()
+		if err == nil || dl.ctx.Err() != nil {
+			return ev, err
+		}
+		dl.send(": keep-alive\n\n")
+	}
+}
+
+func (dl *delivery) event(ev answer.Event) {
+	switch ev.Kind {
+	case answer.Token:
+		dl.token(ev)
+	case answer.End:
+		end, err := parseEnd(ev.Data)
+		if err != nil {
+			dl.refused(ev.ID, brokenAnswer())
+			return
+		}
+		dl.end(ev, end)
+	case answer.Whole:
+		dl.whole(ev)
+	case answer.Refused:
+		dl.refused(ev.ID, ev.Refusal)
+	default:
+		dl.refused(ev.ID, brokenAnswer())
+	}
+}
+
+func (dl *delivery) token(ev answer.Event) {
+	dl.tokens++
+	text := dl.complete(ev.Data)
+	if ev.ID <= dl.after {
+		return
+	}
+	delta := &chatDelta{Content: text}
+	if ev.ID == 0 {
+		delta.Role = "assistant"
+	}
+	dl.sendEvent(ev.ID, "", dl.chunk(chatChoice{Delta: delta}, nil))
+}
+
+func (dl *delivery) end(ev answer.Event, end ChatEnd) {
+	choice := chatChoice{
+		Delta:        &chatDelta{Content: strings.ToValidUTF8(string(dl.held), "\uFFFD")},
+		FinishReason: &end.FinishReason,
+	}
+	chunk := dl.chunk(choice, dl.usage(end))
+	dl.sendEvent(ev.ID, "", chunk)
+	dl.send("data: [DONE]\n\n")
+	dl.srv.count("AnswersDelivered")
+}
+
+// whole sends a plain service's answer: as the response itself, unless the
+// status of a stream went out already.
+func (dl *delivery) whole(ev answer.Event) {
+	pa, err := DecodePlain(ev.Data)
+	switch {
+	case err != nil:
+		dl.refused(ev.ID, brokenAnswer())
+	case dl.began:
+		dl.sendEvent(ev.ID, "whole", pa)
+	default:
+		dl.plain(pa)
+	}
+}
+
+func (dl *delivery) refused(id int, rf refusal.Refusal) {
+	if !dl.began {
+		dl.wr.Header().Set(headerKey, dl.key)
+		dl.srv.refuse(dl.wr, dl.class, rf)
+		return
+	}
+	dl.srv.countRefusal(rf, dl.class)
+	dl.sendEvent(id, "refusal", rf)
+}
+
+// complete returns the text so far that is made of whole characters and
+// holds back the rest.
+func (dl *delivery) complete(data []byte) string {
+	all := append(dl.held, data...)
+	cut := len(all)
+	for back := 1; back < utf8.UTFMax && back <= len(all); back++ {
+		if first := all[len(all)-back]; utf8.RuneStart(first) {
+			if !utf8.FullRune(all[len(all)-back:]) {
+				cut = len(all) - back
+			}
+			break
+		}
+	}
+	dl.held = append([]byte(nil), all[cut:]...)
+	return strings.ToValidUTF8(string(all[:cut]), "\uFFFD")
+}
+
+func (dl *delivery) chunk(choice chatChoice, use *chatUsage) chatAnswer {
+	ca := dl.answer(kindChunk, choice)
+	ca.Usage = use
+	return ca
+}
+
+func (dl *delivery) answer(object string, choice chatChoice) chatAnswer {
+	return chatAnswer{
+		ID: "chatcmpl-" + dl.key, Object: object, Created: time.Now().Unix(),
+		Model: dl.model, Choices: []chatChoice{choice},
+	}
+}
+
+func (dl *delivery) usage(end ChatEnd) *chatUsage {
+	tokens := end.Tokens
+	if tokens <= 0 {
+		tokens = dl.tokens
+	}
+	return &chatUsage{
+		PromptTokens: end.PromptTokens, CompletionTokens: tokens, TotalTokens: end.PromptTokens + tokens,
+	}
+}
+
+// sendEvent sends one server-sent event.
+func (dl *delivery) sendEvent(id int, name string, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		abort()
+	}
+	text := fmt.Sprintf("id: %d\n", id)
+	if name != "" {
+		text += "event: " + name + "\n"
+	}
+	dl.send(text + "data: " + string(data) + "\n\n")
+}
+
+// send writes and flushes within the write timeout, or detaches the caller.
+func (dl *delivery) send(text string) {
+	if !dl.began {
+		dl.begin()
+	}
+	lm := dl.srv.limits
+	err := dl.rc.SetWriteDeadline(time.Now().Add(lm.WriteTimeout.Std()))
+	if err == nil {
+		_, err = dl.wr.Write([]byte(text))
+	}
+	if err == nil {
+		err = dl.rc.Flush()
+	}
+	if err != nil {
+		dl.srv.broken(err, dl.key)
+		abort()
+	}
+}
+
+func (dl *delivery) begin() {
+	dl.began = true
+	hd := dl.wr.Header()
+	hd.Set("Content-Type", "text/event-stream; charset=utf-8")
+	hd.Set("Cache-Control", "no-store")
+	hd.Set(headerKey, dl.key)
+	dl.wr.WriteHeader(http.StatusOK)
+}
+
+// collect waits for the end and sends the whole answer at once.
+func (dl *delivery) collect(st *answer.Stream) {
+	rd := st.Attach(0)
+	defer rd.Detach()
+	for {
+		ev, err := rd.Next(dl.ctx)
+		if err != nil {
+			abort()
+		}
+		if dl.gather(ev); ev.Kind.Final() {
+			return
+		}
+	}
+}
+
+func (dl *delivery) gather(ev answer.Event) {
+	if ev.Kind == answer.Token {
+		dl.tokens++
+		_, _ = dl.text.Write(ev.Data)
+		return
+	}
+	if ev.Kind != answer.End {
+		dl.event(ev)
+		return
+	}
+	end, err := parseEnd(ev.Data)
+	if err != nil {
+		dl.refused(ev.ID, brokenAnswer())
+		return
+	}
+	ca := dl.answer(kindWhole, chatChoice{
+		Message:      &chatDelta{Role: "assistant", Content: strings.ToValidUTF8(dl.text.String(), "\uFFFD")},
+		FinishReason: &end.FinishReason,
+	})
+	ca.Usage = dl.usage(end)
+	body, err := json.Marshal(ca)
+	if err != nil {
+		abort()
+	}
+	hd := dl.wr.Header()
+	hd.Set("Content-Type", "application/json")
+	hd.Set("Cache-Control", "no-store")
+	hd.Set(headerKey, dl.key)
+	dl.srv.writeWhole(dl.wr, http.StatusOK, body)
+	dl.srv.count("AnswersDelivered")
+}
+
+func (dl *delivery) plain(pa PlainAnswer) {
+	hd := dl.wr.Header()
+	for name, values := range forwarded(pa.Header) {
+		hd[name] = values
+	}
+	hd.Set(headerKey, dl.key)
+	dl.srv.writeWhole(dl.wr, pa.Status, pa.Body)
+	dl.srv.count("AnswersDelivered")
+}
+
+// writeWhole writes a response in one piece, within a time that grows with
+// its size.
+func (srv *Server) writeWhole(wr http.ResponseWriter, code int, body []byte) {
+	lm := srv.limits
+	span := lm.WriteTimeout + clock.Millis(int64(len(body))*int64(clock.Second)/lm.BodyRate)
+	rc := http.NewResponseController(wr)
+	err := rc.SetWriteDeadline(time.Now().Add(span.Std()))
+	if len(body) == 0 {
+		wr.WriteHeader(code)
+		return
+	}
+	wr.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	wr.WriteHeader(code)
+	if err == nil {
+		_, err = wr.Write(body)
+	}
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		return
+	}
+	if err == nil {
+		err = rc.Flush()
+	}
+	if err != nil {
+		srv.broken(err, "")
+		abort()
+	}
+}
+
+// broken counts a caller's connection that failed under a write.
+func (srv *Server) broken(err error, key string) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		srv.count("BrokenConnections")
+		return
+	}
+	srv.count("StalledReaders")
+	srv.Logger.Log(event.CallerStalled, event.F("Request", key))
+}
+
+func parseEnd(data []byte) (ChatEnd, error) {
+	var end ChatEnd
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &end); err != nil {
+			return ChatEnd{}, fmt.Errorf("decode the end of an answer: %s", jsonFault(err))
+		}
+	}
+	if end.FinishReason == "" {
+		end.FinishReason = finishStop
+	}
+	return end, nil
+}
+
+func brokenAnswer() refusal.Refusal {
+	return refusal.Refusal{
+		Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed, Detail: "the answer can't be read",
+	}
+}
--- /dev/null
+++ b/internal/caller/visit.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"net/http"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+	"alderdyke/pkg/template"
+)
+
+// visit is one authenticated request and what it holds of this VM until it
+// leaves.
+type visit struct {
+	srv  *Server
+	tpl  template.Template
+	body int64 // bytes counted into Server.bodies
+}
+
+// enter authenticates a request and takes its customer's place at this VM.
+func (srv *Server) enter(req *http.Request) (*visit, error) {
+	tpl, err := srv.authenticate(req)
+	if err != nil {
+		return nil, err
+	}
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	if srv.streams[tpl.Customer] >= srv.limits.StreamsPerCustomer {
+		return nil, refusal.Refusal{
+			Ran: refusal.NotRun, Reason: refusal.ShareExceeded, RetryAfter: clock.Second,
+			Detail: "the customer has too many requests open at this VM",
+		}
+	}
+	if srv.streams == nil {
+		srv.streams = make(map[string]int)
+	}
+	srv.moveLocked(tpl.Customer, 1)
+	return &visit{srv: srv, tpl: tpl}, nil
+}
+
+// leave gives back all that the visit holds.
+func (vs *visit) leave() {
+	vs.srv.bodies.Add(-vs.body)
+	vs.srv.mu.Lock()
+	defer vs.srv.mu.Unlock()
+	vs.srv.moveLocked(vs.tpl.Customer, -1)
+}
+
+// hold counts bytes of the body. A small body is always let in, so that long
+// documents can't keep quick requests out.
+func (vs *visit) hold(bytes int64) error {
+	vs.body += bytes
+	if vs.srv.bodies.Add(bytes) <= vs.srv.limits.BodiesHeld || vs.body <= smallBody {
+		return nil
+	}
+	return refusal.Refusal{
+		Ran: refusal.NotRun, Reason: refusal.QueueFull, RetryAfter: clock.Second,
+		Detail: "this VM holds too many long requests",
+	}
+}
+
+func (srv *Server) moveLocked(customer string, by int) {
+	srv.streams[customer] += by
+	if srv.streams[customer] == 0 {
+		delete(srv.streams, customer)
+	}
+	srv.open += by
+	srv.scope.Gauge("StreamsOpen").Update(float64(srv.open))
+}
+
+func (srv *Server) openStreams() int {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return srv.open
+}
