--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -147,6 +147,17 @@
 	return st.events[len(st.events)-1], true
 }
 
+// Size returns the bytes that the events hold.
+func (st *Stream) Size() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	size := 0
+	for _, ev := range st.events {
+		size += len(ev.Data)
+	}
+	return size
+}
+
 // Attach starts to follow the stream at the event with the given ID. Every
 // reader must be detached.
 func (st *Stream) Attach(from int) *Reader {
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -20,7 +20,7 @@
 	frames interface {
 		Send(fr *peerpb.Frame) error
 		Recv() (*peerpb.Frame, error)
-		Close() error
+		Close()
 	}
 
 	// pipe is one end of a stream within this VM, so that a VM that accounts
@@ -79,9 +79,8 @@
 }
 
 // Close ends the stream for both ends.
-func (pp *pipe) Close() error {
+func (pp *pipe) Close() {
 	pp.mine.once.Do(func() { close(pp.mine.done) })
-	return nil
 }
 
 // recvWithin waits for one frame, and closes the stream if the context ends
--- /dev/null
+++ b/internal/entry/runs.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/caller"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// What is kept of answers that have their end, so that a caller can come back
+// for them.
+const (
+	answerKeep  = 2 * clock.Minute
+	answerBytes = 16 << 20
+)
+
+type (
+	// runs is the requests of this VM, in progress and lately ended. The
+	// zero value is ready to use.
+	runs struct {
+		mu    sync.Mutex
+		byID  map[requestID]*run
+		ended []keptRun // oldest first
+		bytes int
+	}
+
+	// keptRun is a run that has its end.
+	keptRun struct {
+		rn    *run
+		since clock.Millis
+		bytes int
+	}
+)
+
+// find returns the run of a key.
+func (rs *runs) find(id requestID) (*run, bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rn, ok := rs.byID[id]
+	return rn, ok
+}
+
+// enter returns the run that the key has already, or adds the one that make
+// makes.
+func (rs *runs) enter(id requestID, fresh func() *run) (rn *run, added bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rn, ok := rs.byID[id]; ok {
+		return rn, false
+	}
+	if rs.byID == nil {
+		rs.byID = make(map[requestID]*run)
+	}
+	rn = fresh()
+	rs.byID[id] = rn
+	return rn, true
+}
+
+// end keeps a run that has its end for a while, if its answer may be told
+// again; otherwise the key is free for another run.
+func (rs *runs) end(rn *run, now clock.Millis) {
+	last, _ := rn.st.Last()
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if !knownAnswer(last) || (!rn.runner.Load() && last.Kind == answer.Refused) {
+		rs.remove(rn)
+		return
+	}
+	size := rn.st.Size()
+	rs.ended = append(rs.ended, keptRun{rn: rn, since: now, bytes: size})
+	rs.bytes += size
+	rs.trim(now)
+}
+
+// trim drops ended runs that are too old or too much.
+func (rs *runs) trim(now clock.Millis) {
+	for len(rs.ended) > 0 {
+		old := rs.ended[0]
+		if now-old.since < answerKeep && rs.bytes <= answerBytes {
+			return
+		}
+		rs.bytes -= old.bytes
+		rs.ended = rs.ended[1:]
+		rs.remove(old.rn)
+	}
+}
+
+func (rs *runs) remove(rn *run) {
+	if rs.byID[rn.id] == rn {
+		delete(rs.byID, rn.id)
+	}
+}
+
+// inProgress counts the runs that have no end yet.
+func (rs *runs) inProgress() int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return len(rs.byID) - len(rs.ended)
+}
+
+// Start implements caller.Runner.
+func (vm *VM) Start(_ context.Context, req caller.Request) (*answer.Stream, error) {
+	id := requestID{Customer: req.Customer, Key: req.Key}
+	if rn, ok := vm.runs.find(id); ok {
+		return rn.answerFor(req)
+	}
+	if err := vm.Accepting(); err != nil {
+		return nil, err
+	}
+	rn, added := vm.runs.enter(id, func() *run { return vm.newRun(req) })
+	if !added {
+		return rn.answerFor(req)
+	}
+	vm.wg.Go(rn.live)
+	return rn.st, nil
+}
+
+// answerFor returns the answer of a run to the same request asked again.
+func (rn *run) answerFor(req caller.Request) (*answer.Stream, error) {
+	if !bytes.Equal(rn.req.Fingerprint, req.Fingerprint) {
+		return nil, refusal.Refusal{
+			Ran:    refusal.NotRun,
+			Reason: refusal.KeyReused,
+			Detail: "the key belongs to another request",
+		}
+	}
+	return rn.st, nil
+}
+
+// Find implements caller.Runner.
+func (vm *VM) Find(ctx context.Context, customer, key string) (*answer.Stream, error) {
+	id := requestID{Customer: customer, Key: key}
+	if rn, ok := vm.runs.find(id); ok {
+		return rn.st, nil
+	}
+	st, err := vm.findElsewhere(ctx, id)
+	if err != nil {
+		return nil, fmt.Errorf("find the answer: %w", err)
+	}
+	return st, nil
+}
+
+// Accepting implements caller.Runner.
+func (vm *VM) Accepting() error {
+	switch {
+	case vm.draining.Load():
+		return refusal.Refusal{
+			Ran:        refusal.NotRun,
+			Reason:     refusal.Draining,
+			RetryAfter: 1 * clock.Millis(1),
+			Detail:     "this VM is leaving; use another of the addresses",
+		}
+	case !vm.Board.Templates().Ready:
+		return refusal.Refusal{
+			Ran:        refusal.NotRun,
+			Reason:     refusal.Starting,
+			RetryAfter: clock.Second,
+			Detail:     "this VM has not learned the configuration yet",
+		}
+	}
+	return nil
+}
+
+// Addresses implements caller.Runner.
+func (vm *VM) Addresses() ([]caller.Address, clock.Millis) {
+	return caller.Candidates(vm.Board.Fleet()), vm.KeepAddresses
+}
+
+func (vm *VM) ended(rn *run) {
+	vm.runs.end(rn, vm.Clock.Now())
+	vm.runEnded.raise()
+}
