standin: add stand-ins for model engines and plain services

Cause: the clients and the decisions need backend servers to be tested with. Change: stand-ins with queues, links, slots, caches, lags, faults that a test sets, and a history of what ran.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -46,6 +46,8 @@
 	ErrTooLarge = errors.New("response is larger than its bound")
 	// ErrBadCall tells that a call can't be sent as it is written.
 	ErrBadCall = errors.New("call can't be sent as it is written")
+	// ErrBadAnswer tells that what came back can't be read.
+	ErrBadAnswer = errors.New("answer can't be read")
 )
 
 type (
@@ -262,11 +264,19 @@
 	return req
 }
 
-// bare drops the URL that net/http adds to errors: its path may hold what
-// must not be logged.
+// bare drops everything of an error that could quote the request's path or
+// the answer, which must not be logged.
 func bare(err error) error {
 	if ue, ok := errors.AsType[*url.Error](err); ok {
-		return ue.Err
+		err = ue.Err
 	}
-	return err
+	if _, ok := errors.AsType[net.Error](err); ok {
+		return err
+	}
+	for _, known := range []error{context.Canceled, context.DeadlineExceeded, io.ErrUnexpectedEOF, io.EOF, net.ErrClosed} {
+		if errors.Is(err, known) {
+			return known
+		}
+	}
+	return ErrBadAnswer
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -219,7 +219,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return cl.inDoubt(fmt.Errorf("parse answer: %w", err))
+		return cl.inDoubt(fmt.Errorf("parse document: %w", backend.ErrBadAnswer))
 	}
 	return nil
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -140,7 +140,7 @@
 	}
 	var doc LoadDoc
 	if err := json.Unmarshal(rsp.Body, &doc); err != nil || rsp.Status != http.StatusOK {
-		return LoadDoc{}, InDoubtError{Server: srv.ID, Call: "Load", Status: rsp.Status, Err: err}
+		return LoadDoc{}, InDoubtError{Server: srv.ID, Call: "Load", Status: rsp.Status, Err: backend.ErrBadAnswer}
 	}
 	return doc, nil
 }
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"alderdyke/internal/backend"
+	wire "alderdyke/internal/engine"
+	"alderdyke/internal/standin"
+)
+
+const maxCacheEvents = 4096 // that are kept
+
+type (
+	// prefixCache holds the newest blocks of prompts, least recently used
+	// out first. It is guarded by the engine's mutex.
+	prefixCache struct {
+		limit  int
+		lag    time.Duration
+		loss   float64
+		rng    *rand.Rand
+		blocks map[uint64]*block
+		uses   uint64
+		number uint64
+		events []stampedEvent
+	}
+
+	block struct {
+		used   uint64
+		tokens int
+	}
+
+	stampedEvent struct {
+		at time.Time // when it is shown
+		ev wire.CacheEvent
+	}
+)
+
+// match tells how many blocks from the start are cached, and uses them.
+func (pc *prefixCache) match(prefixes []uint64) int {
+	pc.uses++
+	for ix, prefix := range prefixes {
+		bl, ok := pc.blocks[prefix]
+		if !ok {
+			return ix
+		}
+		bl.used = pc.uses
+	}
+	return len(prefixes)
+}
+
+// store adds the blocks of a prompt, each of which saves as many tokens.
+func (pc *prefixCache) store(prefixes []uint64, tokens int, now time.Time) {
+	if pc.blocks == nil {
+		pc.blocks = map[uint64]*block{}
+	}
+	pc.uses++
+	for ix, prefix := range prefixes[:min(len(prefixes), pc.limit)] {
+		if bl, ok := pc.blocks[prefix]; ok {
+			bl.used = pc.uses
+			continue
+		}
+		if len(pc.blocks) >= pc.limit {
+			pc.evict(now)
+		}
+		pc.blocks[prefix] = &block{used: pc.uses, tokens: (ix + 1) * tokens}
+		pc.announce(wire.Stored, prefix, now)
+	}
+}
+
+func (pc *prefixCache) evict(now time.Time) {
+	var oldest uint64
+	least := pc.uses + 1
+	for prefix, bl := range pc.blocks {
+		if bl.used < least || bl.used == least && prefix < oldest {
+			oldest, least = prefix, bl.used
+		}
+	}
+	pc.announce(wire.Evicted, oldest, now)
+	delete(pc.blocks, oldest)
+}
+
+func (pc *prefixCache) announce(kind wire.CacheKind, prefix uint64, now time.Time) {
+	pc.number++
+	if pc.loss > 0 && pc.rng.Float64() < pc.loss {
+		return
+	}
+	ev := wire.CacheEvent{Number: pc.number, Kind: kind, Prefix: prefix, Tokens: pc.blocks[prefix].tokens}
+	pc.events = append(pc.events, stampedEvent{at: now.Add(pc.lag), ev: ev})
+	if over := len(pc.events) - maxCacheEvents; over > 0 {
+		pc.events = pc.events[over:]
+	}
+}
+
+// shown lists the events from a number on that are old enough.
+func (pc *prefixCache) shown(from uint64, now time.Time) wire.CacheEvents {
+	out := wire.CacheEvents{Next: from}
+	for _, se := range pc.events {
+		if se.at.After(now) {
+			break
+		}
+		if se.ev.Number >= from {
+			out.Events = append(out.Events, se.ev)
+			out.Next = se.ev.Number + 1
+		}
+	}
+	return out
+}
+
+func (en *Engine) serveCacheEvents(rw http.ResponseWriter, req *http.Request) {
+	from, err := strconv.ParseUint(req.URL.Query().Get("From"), 10, 64)
+	if err != nil {
+		en.decline(rw, backend.BadOrder, 0)
+		return
+	}
+	en.mu.Lock()
+	doc := en.cache.shown(from, time.Now())
+	en.mu.Unlock()
+	standin.WriteJSON(rw, doc)
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,393 @@
+// Package engine is a stand-in for a model engine, for tests, benchmarks and
+// demonstrations.
+//
+// It serves the calls of package internal/engine as a prefill or a decode
+// engine: a prefill queue with priorities and a prefix cache of limited
+// memory, KV caches that are kept for a short time, transfers that share a
+// link of limited rate, a few memory slots, tokens that come at a pace that
+// falls with the size of the batch, load reports and cache events that lag.
+// Its answers follow from the whole prompt, as [standin.Answer] says. It runs
+// on real time, and so on virtual time inside a testing/synctest bubble.
+//
+// Work goes on when the connection that ordered it breaks: memory stays held
+// until the run ends, expires or is cancelled. [Engine.History] records every
+// run for checkers of invariants.
+//
+// # Usage
+//
+//	en := &engine.Engine{ID: "d1", Role: board.Decode, Settings: engine.Settings{Slots: 20}}
+//	defer en.Close()
+//	srv := httptest.NewServer(en.Handler())
+//	en.Control.Set(standin.Faults{StallTransfer: true})
+//	...
+//	hist := en.History()
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	wire "alderdyke/internal/engine"
+	"alderdyke/internal/sched"
+	"alderdyke/internal/standin"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	maxOrder      = 16 << 20 // bytes of one order
+	maxTombstones = 1 << 16
+)
+
+type (
+	// Settings paces an engine. Zero fields hold the defaults of
+	// DefaultSettings, except where a comment says otherwise.
+	Settings struct {
+		PrefillTokensPerSecond float64
+		PrefillQueue           int          // prefills that wait or run
+		KeepPrefill            clock.Millis // how long a KV cache is kept for its transfer
+		KVBytesPerToken        int64
+		LinkBytesPerSecond     float64      // in each direction, shared by all transfers
+		Slots                  int          // requests that fit a decode engine's memory
+		TPOT                   clock.Millis // of a decode that is alone in its batch
+		BatchSlowdown          float64      // added part of TPOT for each other decode; zero adds nothing
+		VaryLength             bool         // answers end early, at standin.Length
+		KeepEnded              clock.Millis // how long a finished answer can be resumed
+		KeepCancelled          clock.Millis // how long a cancelled request's orders are declined
+		CacheBlocks            int          // prefix cache, in blocks of engine.BlockBytes
+		CacheEventLag          clock.Millis // zero is none
+		CacheEventLoss         float64      // part of cache events that never come; zero is none
+		LoadLag                clock.Millis // zero is none
+		LoadTime               clock.Millis // to load a model, adapter or version; zero is none
+		ChecksFencing          bool         // declines an old fencing number
+		Token                  string       // bearer token asked of every call; empty asks for none
+	}
+
+	// Engine is one stand-in. Set the exported fields before the first call.
+	Engine struct {
+		ID       string
+		Role     board.Role // at the start; an order may change it
+		Settings Settings
+		HTTP     *http.Client    // fetches KV caches; nil makes one
+		Control  standin.Control // faults
+		Seed     uint64          // of the gaps in cache events
+
+		once      sync.Once
+		started   time.Time
+		life      context.Context
+		end       context.CancelFunc
+		work      sync.WaitGroup
+		prefills  lane
+		egress    lane
+		ingress   lane
+		mu        sync.Mutex
+		role      board.Role
+		runs      map[runKey]*run
+		seq       uint64
+		buried    map[string]tombstone
+		cache     prefixCache
+		loads     []stampedLoad
+		linkBytes int64
+		state     wire.OrderResult
+		fences    map[string]uint64
+		history   History
+	}
+
+	runKey struct {
+		request string
+		attempt int
+		role    board.Role
+	}
+
+	// run is what the engine holds of one request and attempt. Its fields
+	// are guarded by the engine's mutex.
+	run struct {
+		key     runKey
+		seq     uint64
+		quick   bool
+		rec     *Run
+		stage   sched.Stage
+		since   time.Time
+		life    context.Context
+		cancel  context.CancelFunc
+		done    chan struct{} // closed when the stage that an order waits for is over
+		slotAt  time.Time     // zero while it holds no memory slot
+		kv      kvCache
+		result  wire.PrefillResult
+		failure backend.Reason
+		tokens  []string
+		whole   bool
+		changed chan struct{}
+	}
+
+	kvCache struct {
+		name   string
+		hash   uint64
+		tokens int
+		bytes  int64
+		until  time.Time
+		pins   int // transfers in progress
+	}
+
+	tombstone struct {
+		attempt int
+		until   time.Time
+	}
+
+	stampedLoad struct {
+		at  time.Time
+		doc wire.LoadDoc
+	}
+)
+
+// DefaultSettings are those of an engine with twenty memory slots.
+func DefaultSettings() Settings {
+	return Settings{
+		PrefillTokensPerSecond: 8000,
+		PrefillQueue:           256,
+		KeepPrefill:            800,
+		KVBytesPerToken:        128 << 10,
+		LinkBytesPerSecond:     4 << 30,
+		Slots:                  20,
+		TPOT:                   20,
+		KeepEnded:              10 * clock.Second,
+		KeepCancelled:          2 * clock.Minute,
+		CacheBlocks:            4096,
+	}
+}
+
+// Handler serves the engine's calls, its faults and its history.
+func (en *Engine) Handler() http.Handler {
+	en.start()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PrefillPath, en.servePrefill)
+	mux.HandleFunc("POST "+wire.ImportPath, en.serveImport)
+	mux.HandleFunc("POST "+wire.DecodePath, en.serveDecode)
+	mux.HandleFunc("GET "+wire.ResumePath, en.serveResume)
+	mux.HandleFunc("POST "+wire.CancelPath, en.serveCancel)
+	mux.HandleFunc("POST "+wire.OrderPath, en.serveOrder)
+	mux.HandleFunc("GET "+wire.LoadPath, en.serveLoad)
+	mux.HandleFunc("GET "+wire.RunningPath, en.serveRunning)
+	mux.HandleFunc("GET "+wire.CacheEventsPath, en.serveCacheEvents)
+	mux.HandleFunc("GET "+wire.KVPath, en.serveKV)
+	mux.HandleFunc("GET "+standin.HistoryPath, func(rw http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(rw, en.History())
+	})
+	return en.Control.Wrap(en.authorized(mux))
+}
+
+// Close ends all work and waits for it.
+func (en *Engine) Close() {
+	en.start()
+	en.mu.Lock()
+	en.end()
+	en.mu.Unlock()
+	en.work.Wait()
+}
+
+func (en *Engine) start() {
+	en.once.Do(func() {
+		en.Settings = en.Settings.withDefaults()
+		en.started = time.Now()
+		en.life, en.end = context.WithCancel(context.Background())
+		en.role = en.Role
+		en.runs = map[runKey]*run{}
+		en.buried = map[string]tombstone{}
+		en.fences = map[string]uint64{}
+		en.cache = prefixCache{
+			limit: en.Settings.CacheBlocks, lag: en.Settings.CacheEventLag.Std(),
+			loss: en.Settings.CacheEventLoss, rng: rand.New(rand.NewPCG(en.Seed, 1)),
+		}
+		en.history = History{Server: en.ID, Started: en.started, Declined: map[backend.Reason]int{}}
+		en.Control.OnSet = en.faultsChanged
+		if en.HTTP == nil {
+			en.HTTP = backend.NewHTTP(backend.Limits{})
+		}
+		en.report()
+	})
+}
+
+func (st Settings) withDefaults() Settings {
+	df := DefaultSettings()
+	fill(&st.PrefillTokensPerSecond, df.PrefillTokensPerSecond)
+	fill(&st.PrefillQueue, df.PrefillQueue)
+	fill(&st.KeepPrefill, df.KeepPrefill)
+	fill(&st.KVBytesPerToken, df.KVBytesPerToken)
+	fill(&st.LinkBytesPerSecond, df.LinkBytesPerSecond)
+	fill(&st.Slots, df.Slots)
+	fill(&st.TPOT, df.TPOT)
+	fill(&st.KeepEnded, df.KeepEnded)
+	fill(&st.KeepCancelled, df.KeepCancelled)
+	fill(&st.CacheBlocks, df.CacheBlocks)
+	return st
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (en *Engine) authorized(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		open := req.URL.Path == standin.HistoryPath || req.URL.Path == wire.KVPath
+		if want := en.Settings.Token; want != "" && !open && req.Header.Get("Authorization") != "Bearer "+want {
+			en.decline(rw, backend.Unauthorized, 0)
+			return
+		}
+		next.ServeHTTP(rw, req)
+	})
+}
+
+// decline counts and says that an order did not begin. The mutex is not held.
+func (en *Engine) decline(rw http.ResponseWriter, reason backend.Reason, after clock.Millis) {
+	en.mu.Lock()
+	en.history.Declined[reason]++
+	en.mu.Unlock()
+	standin.Decline(rw, statusOf(reason), reason, after)
+}
+
+func statusOf(reason backend.Reason) int {
+	switch reason {
+	case backend.Unauthorized:
+		return http.StatusUnauthorized
+	case backend.BadOrder:
+		return http.StatusBadRequest
+	case backend.NoKV, backend.Unknown:
+		return http.StatusNotFound
+	case backend.Full, backend.Leaving, backend.Refused:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusConflict
+	}
+}
+
+// admit tells why an order that begins work is declined, or "".
+// The mutex is held.
+func (en *Engine) admit(role board.Role, request string, attempt int) backend.Reason {
+	switch {
+	case en.life.Err() != nil:
+		return backend.Refused
+	case en.role != role:
+		return backend.WrongRole
+	case en.Control.Faults().Leaving:
+		return backend.Leaving
+	case en.isBuried(request, attempt):
+		return backend.Cancelled
+	case en.runs[runKey{request, attempt, role}] != nil:
+		return backend.Duplicate
+	default:
+		return ""
+	}
+}
+
+// begin makes a run. The mutex is held.
+func (en *Engine) begin(key runKey, customer string, quick bool, vm board.VMRef) *run {
+	en.seq++
+	rn := &run{key: key, seq: en.seq, quick: quick, done: make(chan struct{}), changed: make(chan struct{})}
+	rn.life, rn.cancel = context.WithCancel(en.life)
+	rn.rec = &Run{
+		Request: key.request, Attempt: key.attempt, Role: key.role,
+		Customer: customer, VM: vm, Quick: quick,
+	}
+	en.history.Runs = append(en.history.Runs, rn.rec)
+	en.runs[key] = rn
+	return rn
+}
+
+// enter moves a run to a stage. The mutex is held.
+func (en *Engine) enter(rn *run, stage sched.Stage) {
+	rn.stage, rn.since = stage, time.Now()
+	rn.rec.Stages = append(rn.rec.Stages, StageTime{Stage: stage, At: en.now()})
+	en.report()
+}
+
+// finish ends a run with an outcome, frees what it holds and forgets it. The
+// mutex is held.
+func (en *Engine) finish(rn *run, oc Outcome) {
+	if en.runs[rn.key] != rn {
+		return
+	}
+	en.settle(rn, oc)
+	delete(en.runs, rn.key)
+	rn.cancel()
+	en.report()
+}
+
+// settle records the outcome of a run and frees its memory slot, but keeps
+// its answer. The mutex is held.
+func (en *Engine) settle(rn *run, oc Outcome) {
+	if rn.rec.Outcome == "" {
+		rn.rec.Outcome = oc
+		rn.rec.EndedAt = en.now()
+	}
+	if !rn.slotAt.IsZero() {
+		rn.rec.SlotTime += clock.Of(time.Since(rn.slotAt))
+		rn.slotAt = time.Time{}
+	}
+	close(rn.changed)
+	rn.changed = make(chan struct{})
+	select {
+	case <-rn.done:
+	default:
+		close(rn.done)
+	}
+}
+
+func (en *Engine) slotsHeld() int {
+	held := 0
+	for _, rn := range en.runs {
+		if !rn.slotAt.IsZero() {
+			held++
+		}
+	}
+	return held
+}
+
+func (en *Engine) faultsChanged(ft standin.Faults) {
+	en.start()
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if ft.Dead {
+		for _, rn := range en.runs {
+			en.finish(rn, Lost)
+		}
+		clear(en.buried)
+		clear(en.fences)
+	}
+	en.report()
+}
+
+// cutIfDead drops the connection of a call that the engine died under.
+func (en *Engine) cutIfDead() {
+	if en.Control.Faults().Dead {
+		standin.Cut()
+	}
+}
+
+// later runs a function after a span, unless the run or the engine ends.
+func (en *Engine) later(rn *run, dur time.Duration, fn func()) {
+	en.work.Go(func() {
+		if standin.Sleep(rn.life, dur) == nil {
+			fn()
+		}
+	})
+}
+
+func (en *Engine) now() clock.Millis { return clock.Of(time.Since(en.started)) }
+
+func (en *Engine) isBuried(request string, attempt int) bool {
+	tb, ok := en.buried[request]
+	return ok && attempt <= tb.attempt && time.Now().Before(tb.until)
+}
+
+func vmOf(req *http.Request) board.VMRef {
+	inc, _ := strconv.ParseUint(req.Header.Get(wire.IncarnationHeader), 10, 64) // zero if absent
+	return board.VMRef{ID: req.Header.Get(wire.VMHeader), Incarnation: inc}
+}
--- /dev/null
+++ b/internal/standin/engine/order.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	wire "alderdyke/internal/engine"
+	"alderdyke/internal/standin"
+	"alderdyke/pkg/clock"
+)
+
+func (en *Engine) serveCancel(rw http.ResponseWriter, req *http.Request) {
+	var od wire.CancelOrder
+	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || od.Request == "" {
+		en.decline(rw, backend.BadOrder, 0)
+		return
+	}
+	standin.WriteJSON(rw, wire.CancelResult{Ended: en.cancel(od)})
+}
+
+// cancel ends the runs of a request and buries its attempts.
+func (en *Engine) cancel(od wire.CancelOrder) int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.bury(od)
+	ended := 0
+	for key, rn := range en.runs {
+		if key.request == od.Request && key.attempt <= od.Attempt {
+			en.finish(rn, Cancelled)
+			ended++
+		}
+	}
+	return ended
+}
+
+func (en *Engine) bury(od wire.CancelOrder) {
+	now := time.Now()
+	if len(en.buried) >= maxTombstones {
+		for request, tb := range en.buried {
+			if now.After(tb.until) {
+				delete(en.buried, request)
+			}
+		}
+	}
+	en.buried[od.Request] = tombstone{
+		attempt: max(od.Attempt, en.buried[od.Request].attempt),
+		until:   now.Add(en.Settings.KeepCancelled.Std()),
+	}
+}
+
+func (en *Engine) serveRunning(rw http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(rw, en.running())
+}
+
+// running lists the runs in the order of their beginning.
+func (en *Engine) running() wire.RunningReport {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	held := slices.SortedFunc(maps.Values(en.runs), func(ra, rb *run) int { return cmp.Compare(ra.seq, rb.seq) })
+	doc := wire.RunningReport{Runs: []wire.Running{}}
+	for _, rn := range held {
+		doc.Runs = append(doc.Runs, wire.Running{
+			Request: rn.key.request, Customer: rn.rec.Customer, Attempt: rn.key.attempt, VM: rn.rec.VM,
+			Stage: rn.stage, Since: clock.Of(time.Since(rn.since)), Slot: !rn.slotAt.IsZero(), Tokens: len(rn.tokens),
+		})
+	}
+	return doc
+}
+
+func (en *Engine) serveOrder(rw http.ResponseWriter, req *http.Request) {
+	var od wire.Order
+	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || !sound(od) {
+		en.decline(rw, backend.BadOrder, 0)
+		return
+	}
+	res, ok := en.carryOut(od, vmOf(req))
+	if !ok {
+		en.decline(rw, backend.StaleFence, 0)
+		return
+	}
+	if od.Kind != wire.ChangeRole && !res.Repeated && standin.Sleep(req.Context(), en.Settings.LoadTime.Std()) != nil {
+		return
+	}
+	standin.WriteJSON(rw, res)
+}
+
+func sound(od wire.Order) bool {
+	switch od.Kind {
+	case wire.ChangeRole:
+		return od.Role == board.Prefill || od.Role == board.Decode
+	case wire.LoadModel, wire.LoadAdapter, wire.LoadVersion:
+		return od.Name != ""
+	default:
+		return false
+	}
+}
+
+// carryOut checks the fencing number, records the order and changes the
+// engine.
+func (en *Engine) carryOut(od wire.Order, vm board.VMRef) (wire.OrderResult, bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	ok := en.fence("Order", od.Fence) && (od.Fence != 0 || !en.Settings.ChecksFencing)
+	en.history.Orders = append(en.history.Orders, OrderRecord{Order: od, VM: vm, At: en.now(), Accepted: ok})
+	if !ok {
+		return wire.OrderResult{}, false
+	}
+	en.state.Role = en.role
+	before := en.state
+	before.Repeated = true
+	switch od.Kind {
+	case wire.ChangeRole:
+		if en.role == od.Role {
+			return before, true
+		}
+		en.role, en.state.Role = od.Role, od.Role
+	case wire.LoadModel:
+		if en.state.Model == od.Name {
+			return before, true
+		}
+		en.state.Model = od.Name
+	case wire.LoadVersion:
+		if en.state.Version == od.Name {
+			return before, true
+		}
+		en.state.Version = od.Name
+	case wire.LoadAdapter:
+		if slices.Contains(en.state.Adapters, od.Name) {
+			return before, true
+		}
+		en.state.Adapters = append(slices.Clone(en.state.Adapters), od.Name)
+	}
+	en.report()
+	return en.state, true
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"alderdyke/internal/backend"
+	"alderdyke/pkg/clock"
+)
+
+// Paths that faults never touch.
+const (
+	FaultsPath  = "/faults"  // GET reads the faults, POST replaces them
+	HistoryPath = "/history" // GET reads what ran
+)
+
+const maxFaults = 64 << 10 // bytes of a faults document
+
+type (
+	// Faults is what is wrong with a stand-in. The zero value is a healthy
+	// one.
+	Faults struct {
+		// Paths limits Refuse, Reset, LoseReply and Slow to these paths;
+		// empty is all.
+		Paths []string
+		// Count limits Refuse, Reset, LoseReply, Slow and ResetAtToken to
+		// this many calls; zero is all.
+		Count int
+
+		Pause         bool         // nothing moves, as if the process were frozen
+		Dead          bool         // all connections are cut and what was held is lost
+		Refuse        bool         // declines calls, truthfully
+		Reset         bool         // cuts the connection before the call has an effect
+		LoseReply     bool         // cuts the connection after the call had its effect
+		Slow          clock.Millis // before the call is handled
+		Slowdown      float64      // all work takes this many times as long; 0 is 1
+		StallTransfer bool         // KV transfers stand still
+		ResetAtToken  int          // cuts a token stream before this token; 0 does not
+		Leaving       bool         // takes no new work and reports so
+	}
+
+	// Control sets the faults of one stand-in while it runs. The zero value
+	// is a healthy stand-in's.
+	Control struct {
+		// OnSet is called, without locks held, whenever the faults changed.
+		// Set it before the first call.
+		OnSet func(Faults)
+
+		mu      sync.Mutex
+		faults  Faults
+		hits    int
+		changed chan struct{}
+	}
+
+	// lostWriter cuts the connection as soon as there is a reply.
+	lostWriter struct{ http.ResponseWriter }
+)
+
+// Set replaces the faults and begins to count anew.
+func (ct *Control) Set(ft Faults) {
+	ct.mu.Lock()
+	ct.faults, ct.hits = ft, 0
+	ct.wake()
+	ct.mu.Unlock()
+	if ct.OnSet != nil {
+		ct.OnSet(ft)
+	}
+}
+
+// Faults returns the faults that are set.
+func (ct *Control) Faults() Faults {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return ct.faults
+}
+
+// Running waits while the stand-in is paused.
+func (ct *Control) Running(ctx context.Context) error {
+	return ct.while(ctx, func(ft Faults) bool { return ft.Pause })
+}
+
+// Moving waits while transfers stall or the stand-in is paused.
+func (ct *Control) Moving(ctx context.Context) error {
+	return ct.while(ctx, func(ft Faults) bool { return ft.Pause || ft.StallTransfer })
+}
+
+// Stretch returns how long work of the given length takes now.
+func (ct *Control) Stretch(dur time.Duration) time.Duration {
+	if by := ct.Faults().Slowdown; by > 0 {
+		return time.Duration(float64(dur) * by)
+	}
+	return dur
+}
+
+// CutsAt tells whether a token stream is to be cut before the token with the
+// given index, and counts it.
+func (ct *Control) CutsAt(index int) bool {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if ct.faults.ResetAtToken == 0 || index != ct.faults.ResetAtToken || !ct.left() {
+		return false
+	}
+	ct.hits++
+	return true
+}
+
+// Wrap puts the faults before a handler and serves FaultsPath.
+func (ct *Control) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		switch req.URL.Path {
+		case FaultsPath:
+			ct.serve(rw, req)
+		case HistoryPath:
+			next.ServeHTTP(rw, req)
+		default:
+			ct.fault(rw, req, next)
+		}
+	})
+}
+
+// Decline answers that the call did not begin. A span of zero names no time
+// to try again.
+func Decline(rw http.ResponseWriter, status int, reason backend.Reason, after clock.Millis) {
+	rw.Header().Set(backend.DeclinedHeader, string(reason))
+	if after > 0 {
+		rw.Header().Set(backend.RetryAfterHeader, after.String())
+	}
+	rw.WriteHeader(status)
+}
+
+// WriteJSON answers with a JSON document.
+func WriteJSON(rw http.ResponseWriter, doc any) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(doc) // the caller may be gone
+}
+
+// ReadJSON reads a JSON document up to a bound in bytes.
+func ReadJSON(req *http.Request, bound int64, doc any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(nil, req.Body, bound))
+	if err := dec.Decode(doc); err != nil {
+		return fmt.Errorf("parse document: %w", backend.ErrBadCall)
+	}
+	return nil
+}
+
+// Cut drops the connection of the call that is being handled.
+func Cut() { panic(http.ErrAbortHandler) }
+
+func (ct *Control) fault(rw http.ResponseWriter, req *http.Request, next http.Handler) {
+	if err := ct.Running(req.Context()); err != nil {
+		Cut()
+	}
+	ft, hit := ct.hit(req.URL.Path)
+	if ft.Dead {
+		Cut()
+	}
+	if !hit {
+		next.ServeHTTP(rw, req)
+		return
+	}
+	if ft.Slow > 0 && Sleep(req.Context(), ft.Slow.Std()) != nil {
+		Cut()
+	}
+	switch {
+	case ft.Reset:
+		Cut()
+	case ft.Refuse:
+		Decline(rw, http.StatusServiceUnavailable, backend.Refused, 0)
+	case ft.LoseReply:
+		next.ServeHTTP(lostWriter{rw}, req)
+		Cut()
+	default:
+		next.ServeHTTP(rw, req)
+	}
+}
+
+// hit tells the faults and whether those with Paths and Count strike a call.
+func (ct *Control) hit(path string) (Faults, bool) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	ft := ct.faults
+	some := ft.Refuse || ft.Reset || ft.LoseReply || ft.Slow > 0
+	if !some || !ct.left() || len(ft.Paths) > 0 && !slices.Contains(ft.Paths, path) {
+		return ft, false
+	}
+	ct.hits++
+	return ft, true
+}
+
+func (ct *Control) left() bool { return ct.faults.Count == 0 || ct.hits < ct.faults.Count }
+
+func (ct *Control) serve(rw http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodPost {
+		var ft Faults
+		if err := ReadJSON(req, maxFaults, &ft); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ct.Set(ft)
+	}
+	WriteJSON(rw, ct.Faults())
+}
+
+func (ct *Control) while(ctx context.Context, held func(Faults) bool) error {
+	for {
+		ct.mu.Lock()
+		ft := ct.faults
+		if ct.changed == nil {
+			ct.changed = make(chan struct{})
+		}
+		changed := ct.changed
+		ct.mu.Unlock()
+		if !held(ft) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the stand-in: %w", ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+func (ct *Control) wake() {
+	if ct.changed != nil {
+		close(ct.changed)
+	}
+	ct.changed = make(chan struct{})
+}
+
+// Sleep waits for a span or the end of the context.
+func Sleep(ctx context.Context, dur time.Duration) error {
+	if dur <= 0 {
+		return nil
+	}
+	tm := time.NewTimer(dur)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("sleep: %w", ctx.Err())
+	case <-tm.C:
+		return nil
+	}
+}
+
+// WriteHeader cuts the connection.
+func (lostWriter) WriteHeader(int) { Cut() }
+
+// Write cuts the connection.
+func (lostWriter) Write([]byte) (int, error) {
+	Cut()
+	return 0, nil
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,287 @@
+// Package service is a stand-in for the server of a plain service, for tests,
+// benchmarks and demonstrations.
+//
+// It answers every call, on any path, with [standin.Reply], after a time that
+// can be set, with a few calls at once. It never suppresses a repeated call:
+// its history shows how often each key ran. Work goes on when the connection
+// of its call breaks.
+//
+// # Usage
+//
+//	sv := &service.Server{ID: "k1", Settings: service.Settings{Latency: 5, Slots: 8}}
+//	defer sv.Close()
+//	srv := httptest.NewServer(sv.Handler())
+//	...
+//	runs := sv.History().RunsOf(key)
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	wire "alderdyke/internal/service"
+	"alderdyke/internal/standin"
+	"alderdyke/pkg/clock"
+)
+
+const maxBody = 4 << 20 // bytes
+
+type (
+	// Settings paces a server. Slots and Queue of zero hold the defaults of
+	// DefaultSettings.
+	Settings struct {
+		Latency clock.Millis // of one run
+		Slots   int          // runs at once
+		Queue   int          // calls that wait for a slot
+		LoadLag clock.Millis
+		Token   string // bearer token asked of every call; empty asks for none
+	}
+
+	// Server is one stand-in. Set the exported fields before the first call.
+	Server struct {
+		ID       string
+		Settings Settings
+		Control  standin.Control // faults
+
+		once     sync.Once
+		started  time.Time
+		life     context.Context
+		end      context.CancelFunc
+		slots    chan struct{}
+		mu       sync.Mutex
+		running  int
+		queued   int
+		runs     []*Run
+		loads    []stampedLoad
+		declined map[backend.Reason]int
+	}
+
+	// Run is the record of one run of a call.
+	Run struct {
+		Key      string
+		Method   string
+		Path     string
+		BodyHash uint64
+		VM       board.VMRef  // for whom
+		At       clock.Millis // since the server started
+		EndedAt  clock.Millis // zero while it goes on
+	}
+
+	// History is the record of all that a server did.
+	History struct {
+		Server   string
+		Started  time.Time
+		Now      clock.Millis // since the server started
+		Runs     []Run
+		Running  int
+		Queued   int
+		Declined map[backend.Reason]int
+	}
+
+	stampedLoad struct {
+		at  time.Time
+		doc wire.LoadDoc
+	}
+)
+
+// DefaultSettings are those of a server with eight slots.
+func DefaultSettings() Settings { return Settings{Slots: 8, Queue: 64} }
+
+// RunsOf lists the runs of a key.
+func (hs History) RunsOf(key string) []Run {
+	var out []Run
+	for _, rec := range hs.Runs {
+		if rec.Key == key {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// Handler serves calls, the load report, faults and the history.
+func (sv *Server) Handler() http.Handler {
+	sv.start()
+	return sv.Control.Wrap(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		switch {
+		case req.URL.Path == standin.HistoryPath:
+			standin.WriteJSON(rw, sv.History())
+		case sv.Settings.Token != "" && req.Header.Get("Authorization") != "Bearer "+sv.Settings.Token:
+			sv.decline(rw, http.StatusUnauthorized, backend.Unauthorized)
+		case req.URL.Path == wire.LoadPath:
+			standin.WriteJSON(rw, sv.load())
+		default:
+			sv.serve(rw, req)
+		}
+	}))
+}
+
+// Close ends all runs.
+func (sv *Server) Close() {
+	sv.start()
+	sv.end()
+}
+
+// History returns a copy of the record.
+func (sv *Server) History() History {
+	sv.start()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	out := History{
+		Server: sv.ID, Started: sv.started, Now: sv.now(), Running: sv.running, Queued: sv.queued,
+		Declined: map[backend.Reason]int{},
+	}
+	for _, rec := range sv.runs {
+		out.Runs = append(out.Runs, *rec)
+	}
+	for reason, count := range sv.declined {
+		out.Declined[reason] = count
+	}
+	return out
+}
+
+func (sv *Server) start() {
+	sv.once.Do(func() {
+		df := DefaultSettings()
+		if sv.Settings.Slots == 0 {
+			sv.Settings.Slots = df.Slots
+		}
+		if sv.Settings.Queue == 0 {
+			sv.Settings.Queue = df.Queue
+		}
+		sv.started = time.Now()
+		sv.life, sv.end = context.WithCancel(context.Background())
+		sv.slots = make(chan struct{}, sv.Settings.Slots)
+		sv.declined = map[backend.Reason]int{}
+		sv.Control.OnSet = func(standin.Faults) {
+			sv.mu.Lock()
+			defer sv.mu.Unlock()
+			sv.report()
+		}
+		sv.report()
+	})
+}
+
+func (sv *Server) serve(rw http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, maxBody))
+	if err != nil {
+		sv.decline(rw, http.StatusBadRequest, backend.BadOrder)
+		return
+	}
+	if sv.Control.Faults().Leaving {
+		sv.decline(rw, http.StatusServiceUnavailable, backend.Leaving)
+		return
+	}
+	if !sv.enter(req.Context()) {
+		sv.decline(rw, http.StatusServiceUnavailable, backend.Full)
+		return
+	}
+	defer func() { <-sv.slots }()
+	text := standin.Reply(req.Method, req.URL.RequestURI(), body)
+	rec := sv.begin(req, standin.Hash(string(body)))
+	whole := sv.run(rec)
+	if !whole || sv.Control.Faults().Dead {
+		standin.Cut()
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(rw, text) // the caller may be gone
+}
+
+// enter waits for a slot. It returns false if the queue is full or the caller
+// went before the call began.
+func (sv *Server) enter(ctx context.Context) bool {
+	sv.mu.Lock()
+	if sv.queued >= sv.Settings.Queue {
+		sv.mu.Unlock()
+		return false
+	}
+	sv.queued++
+	sv.report()
+	sv.mu.Unlock()
+	ok := false
+	select {
+	case sv.slots <- struct{}{}:
+		ok = true
+	case <-ctx.Done():
+	case <-sv.life.Done():
+	}
+	sv.mu.Lock()
+	sv.queued--
+	sv.report()
+	sv.mu.Unlock()
+	return ok
+}
+
+func (sv *Server) begin(req *http.Request, hash uint64) *Run {
+	inc, _ := strconv.ParseUint(req.Header.Get("Alderdyke-Incarnation"), 10, 64) // zero if absent
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	rec := &Run{
+		Key: req.Header.Get(wire.KeyHeader), Method: req.Method, Path: req.URL.RequestURI(), BodyHash: hash,
+		VM: board.VMRef{ID: req.Header.Get("Alderdyke-VM"), Incarnation: inc}, At: sv.now(),
+	}
+	sv.runs = append(sv.runs, rec)
+	sv.running++
+	sv.report()
+	return rec
+}
+
+// run does the work, whether the caller is there or not. It returns false if
+// the server was closed first.
+func (sv *Server) run(rec *Run) bool {
+	err := standin.Sleep(sv.life, sv.Control.Stretch(sv.Settings.Latency.Std()))
+	if err == nil {
+		err = sv.Control.Running(sv.life)
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.running--
+	rec.EndedAt = max(1, sv.now())
+	sv.report()
+	return err == nil
+}
+
+func (sv *Server) decline(rw http.ResponseWriter, status int, reason backend.Reason) {
+	sv.mu.Lock()
+	sv.declined[reason]++
+	sv.mu.Unlock()
+	standin.Decline(rw, status, reason, sv.Settings.Latency)
+}
+
+func (sv *Server) load() wire.LoadDoc {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.report()
+	seen := sv.lagged()
+	seen.doc.Age = clock.Of(time.Since(seen.at))
+	return seen.doc
+}
+
+// report remembers the load of this moment. The mutex is held.
+func (sv *Server) report() {
+	doc := wire.LoadDoc{
+		Running: sv.running, Slots: sv.Settings.Slots, Queued: sv.queued, Leaving: sv.Control.Faults().Leaving,
+	}
+	sv.loads = append(sv.loads, stampedLoad{at: time.Now(), doc: doc})
+	sv.lagged()
+}
+
+// lagged returns the load as it was LoadLag ago and forgets what was before.
+// The mutex is held.
+func (sv *Server) lagged() stampedLoad {
+	at := time.Now().Add(-sv.Settings.LoadLag.Std())
+	next := slices.IndexFunc(sv.loads, func(sl stampedLoad) bool { return sl.at.After(at) })
+	if next < 0 {
+		next = len(sv.loads)
+	}
+	sv.loads = sv.loads[max(0, next-1):]
+	return sv.loads[0]
+}
+
+func (sv *Server) now() clock.Millis { return clock.Of(time.Since(sv.started)) }
