sched: account for a cell's engines and decide admission and placement

A cell of model engines needs one place that reserves prefill, link and decode together; lagging reports alone let all VMs choose the same engine. Not yet measured.

--- /dev/null
+++ b/internal/sched/engine.go
@@ -0,0 +1,153 @@
+package sched
+
+import (
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// Bounds of what is kept for one engine.
+const (
+	prefixesKept    = 64  // recent prompt prefixes of one prefill engine
+	learnRate       = 0.2 // weight of a new measurement of an engine's rate
+	outstandingMost = 2   // patient prefills sent to one engine and not complete
+	reportsKept     = 6   // reports back that a lagging one may tell of
+)
+
+type (
+	// engine is what a cell accounts for one engine.
+	engine struct {
+		id      string
+		role    board.Role
+		gone    bool // no longer listed
+		leaving bool
+		known   bool         // a report came, or the time to wait for one passed
+		listed  clock.Millis // when it was first listed
+
+		// Of a prefill engine.
+		base        clock.Millis // point from which pending counts
+		pending     float64      // milliseconds of prefill sent and not complete
+		quickMS     float64      // the quick part of pending
+		outstanding int          // patient prefills among pending
+		rate        float64      // prompt tokens per millisecond, learned
+		linkRate    float64      // KV cache of prompt tokens per millisecond, learned
+		sending     int          // patient transfers on its link
+		prefixes    []uint64     // recent prefixes, latest last
+
+		// Of a decode engine.
+		slots        int
+		held         int // places that this cell gave out
+		foreign      int // places that others hold, from reports
+		heldMax      [reportsKept]int
+		orphans      int
+		counted      int // free places that the cell's total includes
+		countedSlots int // places that the cell's total includes
+	}
+)
+
+// free is how many places of a decode engine this cell may give out.
+func (eng *engine) free() int {
+	if !eng.usable() {
+		return 0
+	}
+	return max(0, eng.slots-eng.held-eng.foreign)
+}
+
+func (eng *engine) usable() bool { return eng.known && !eng.gone && !eng.leaving }
+
+// readyAt is when a prefill engine will have done all that was sent to it.
+func (eng *engine) readyAt() float64 { return float64(eng.base) + eng.pending }
+
+// quickReadyAt is when it would begin a quick prefill, which passes patient
+// ones at the end of the chunk that runs.
+func (eng *engine) quickReadyAt(chunk int) float64 {
+	return float64(eng.base) + eng.quickMS + min(eng.pending-eng.quickMS, float64(chunk)/eng.rate)
+}
+
+func (eng *engine) sent(now clock.Millis, jb *job) {
+	if eng.pending <= 0 || eng.base > now {
+		eng.base = now
+	}
+	eng.pending += jb.prefillMS
+	if jb.ask.Quick {
+		eng.quickMS += jb.prefillMS
+	} else {
+		eng.outstanding++
+	}
+}
+
+// done takes a prefill off the engine, complete or not.
+func (eng *engine) done(now clock.Millis, jb *job) {
+	eng.base = now
+	eng.pending = max(0, eng.pending-jb.prefillMS)
+	if jb.ask.Quick {
+		eng.quickMS = max(0, eng.quickMS-jb.prefillMS)
+	} else {
+		eng.outstanding--
+	}
+	if eng.outstanding == 0 && eng.quickMS == 0 {
+		eng.pending = 0
+	}
+}
+
+// learnPrefill takes a measured prefill into the engine's rate.
+func (eng *engine) learnPrefill(tokens int, took clock.Millis) {
+	if took > 0 && tokens >= 256 {
+		eng.rate += learnRate * (float64(tokens)/float64(took) - eng.rate)
+	}
+}
+
+// learnLink takes a measured transfer into the link's rate.
+func (eng *engine) learnLink(tokens int, took clock.Millis) {
+	if took > 0 && tokens >= 256 {
+		eng.linkRate += learnRate * (float64(tokens)/float64(took) - eng.linkRate)
+	}
+}
+
+func (eng *engine) hasPrefix(hash uint64) bool {
+	for _, px := range eng.prefixes {
+		if px == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// keepPrefix notes that the engine computed the prefix and tells which one
+// it pushed out, if any.
+func (eng *engine) keepPrefix(hash uint64) (dropped uint64) {
+	for ix, px := range eng.prefixes {
+		if px == hash {
+			eng.prefixes = append(append(eng.prefixes[:ix:ix], eng.prefixes[ix+1:]...), hash)
+			return 0
+		}
+	}
+	eng.prefixes = append(eng.prefixes, hash)
+	if len(eng.prefixes) > prefixesKept {
+		dropped = eng.prefixes[0]
+		eng.prefixes = append([]uint64(nil), eng.prefixes[1:]...)
+	}
+	return dropped
+}
+
+// reconcile compares a report with the engine's own accounting. A report
+// lags: only what exceeds the most that this cell held during the last few
+// reports is held by others.
+func (eng *engine) reconcile(ld board.LoadReport) {
+	eng.known = true
+	eng.leaving = eng.leaving || ld.Leaving
+	if ld.Slots > 0 {
+		eng.slots = ld.Slots
+	}
+	eng.foreign = max(0, ld.Running-max(eng.held, slices.Max(eng.heldMax[:])))
+	copy(eng.heldMax[:], eng.heldMax[1:])
+	eng.heldMax[reportsKept-1] = eng.held
+}
+
+// hold changes the count of places given out.
+func (eng *engine) hold(by int) {
+	eng.held += by
+	last := &eng.heldMax[reportsKept-1]
+	*last = max(*last, eng.held)
+}
--- /dev/null
+++ b/internal/sched/group.go
@@ -0,0 +1,158 @@
+package sched
+
+import (
+	"math"
+
+	"alderdyke/pkg/clock"
+)
+
+// How a group's habits are learned.
+const (
+	holdLearnRate  = 0.03             // weight of one request's decode time
+	rateMemory     = 2 * clock.Second // time constant of a decaying rate
+	unknownTPOT    = 35 * clock.Millis(1)
+	lateServedEach = 4 // one of so many starts goes to a late request if both wait
+)
+
+type (
+	groupKey struct{ customer, class string }
+
+	// group is the requests of one class of one customer.
+	group struct {
+		key    groupKey
+		quick  bool
+		share  float64
+		weight float64 // of wasted prefill against goodput
+
+		waiting []*job // by due point
+		late    []*job // past their target, by deadline
+		turn    int    // starts, to serve late ones now and then
+		listed  bool   // in the order of the cell
+
+		held        int     // places in decode engines, promised ones included
+		holdMS      float64 // learned time in decode
+		backlogHold float64 // decode milliseconds of those that wait
+		backlogFill float64 // prefill milliseconds of those that wait
+
+		arrivals rate
+		prefill  rate // prefill milliseconds used per millisecond
+	}
+
+	// rate is an exponentially decaying sum, as events per millisecond.
+	rate struct {
+		value float64
+		at    clock.Millis
+	}
+
+	// job is one request in a cell.
+	job struct {
+		ask   Ask
+		grp   *group
+		stage Stage // empty while it waits
+		since clock.Millis
+
+		due       clock.Millis // latest first token that meets the target
+		arrived   clock.Millis
+		lapse     clock.Millis // when the KV cache at the prefill engine lapses
+		tokens    int          // prompt tokens that the prefill computes
+		prefillMS float64
+		holdMS    float64 // expected decode time when it was queued
+		linkMS    float64
+		hazard    float64 // expected ends per millisecond while it decodes
+		alone     bool    // its prefill had the engine to itself
+		orphan    bool
+		moved     bool // its transfer was sent another way once
+		began     bool // it was granted at least once
+
+		prefill *engine
+		decode  *engine
+	}
+)
+
+// wants tells whether the group has requests that wait.
+func (gp *group) wants() bool { return len(gp.waiting)+len(gp.late) > 0 }
+
+func (gp *group) queued() int { return len(gp.waiting) + len(gp.late) }
+
+// enqueue puts a request in its place by due point.
+func (gp *group) enqueue(jb *job) {
+	gp.waiting = insertBy(gp.waiting, jb, func(ja *job) clock.Millis { return ja.due })
+	gp.backlogHold += jb.holdMS
+	gp.backlogFill += jb.prefillMS
+}
+
+// dequeue takes a request out of the queues.
+func (gp *group) dequeue(jb *job) {
+	if len(gp.waiting) > 0 && gp.waiting[0] == jb {
+		gp.waiting[0] = nil
+		gp.waiting = gp.waiting[1:]
+	} else {
+		gp.waiting = without(gp.waiting, jb)
+		gp.late = without(gp.late, jb)
+	}
+	gp.backlogHold = max(0, gp.backlogHold-jb.holdMS)
+	gp.backlogFill = max(0, gp.backlogFill-jb.prefillMS)
+}
+
+// next is the request of the group that starts next.
+func (gp *group) next() *job {
+	switch {
+	case len(gp.waiting) == 0 && len(gp.late) == 0:
+		return nil
+	case len(gp.waiting) == 0, len(gp.late) > 0 && gp.turn%lateServedEach == lateServedEach-1:
+		return gp.late[0]
+	default:
+		return gp.waiting[0]
+	}
+}
+
+// add takes an event of some size into the rate.
+func (rt *rate) add(now clock.Millis, size float64) {
+	rt.value = rt.now(now) + size/float64(rateMemory)
+	rt.at = now
+}
+
+func (rt *rate) now(now clock.Millis) float64 {
+	return rt.value * math.Exp(-float64(now-rt.at)/float64(rateMemory))
+}
+
+// usage is the part of the cell that the group uses: of the decode places or
+// of the prefill engines, whichever is more.
+func (gp *group) usage(now clock.Millis, slots, prefills int) float64 {
+	ofSlots := float64(gp.held) / float64(max(1, slots))
+	ofPrefill := gp.prefill.now(now) / float64(max(1, prefills))
+	return max(ofSlots, ofPrefill)
+}
+
+// learnHold takes a measured decode into the expected one.
+func (gp *group) learnHold(took clock.Millis) {
+	gp.holdMS += holdLearnRate * (float64(took) - gp.holdMS)
+	gp.holdMS = max(gp.holdMS, 1)
+}
+
+// expectHold is the first guess of a group's decode time: half of what its
+// bound of output tokens allows.
+func expectHold(ask Ask) float64 {
+	tpot := ask.TPOT
+	if tpot <= 0 {
+		tpot = unknownTPOT
+	}
+	return max(1, float64(ask.MaxTokens)*float64(tpot)/2)
+}
+
+func insertBy(jobs []*job, jb *job, key func(*job) clock.Millis) []*job {
+	jobs = append(jobs, jb)
+	for ix := len(jobs) - 1; ix > 0 && key(jobs[ix-1]) > key(jobs[ix]); ix-- {
+		jobs[ix-1], jobs[ix] = jobs[ix], jobs[ix-1]
+	}
+	return jobs
+}
+
+func without(jobs []*job, jb *job) []*job {
+	for ix, ja := range jobs {
+		if ja == jb {
+			return append(jobs[:ix], jobs[ix+1:]...)
+		}
+	}
+	return jobs
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -33,6 +33,7 @@
 	Ended        Stage = "Ended"        // the last token came
 	Cancelled    Stage = "Cancelled"    // cancelled, and the engines confirmed that nothing is held
 	Lost         Stage = "Lost"         // an engine failed; what it held is unknown
+	Rejected     Stage = "Rejected"     // the decode engine refused the import as full; the KV cache is still kept
 )
 
 type (
@@ -48,6 +49,7 @@
 		Quick         bool
 		PromptTokens  int
 		PrefixHash    uint64 // of the shared prompt prefix; zero if there is none
+		PrefixTokens  int    // length of that prefix; zero if it is not known
 		MaxTokens     int
 		TTFT          clock.Millis
 		TPOT          clock.Millis
@@ -58,20 +60,35 @@
 		HeldPrefill   string // prefill engine that still holds the KV cache, if any
 	}
 
-	// Event is what a cell is told: Submit, Progress, Withdraw, Report,
-	// Servers, Orphan or Tick.
+	// Event is what a cell is told: Submit, Adopt, Progress, Withdraw,
+	// Report, Servers, Orphan or Tick.
 	Event interface{ event() }
 
-	// Intent is what a cell wants done: Grant, Refuse, Preempt or
+	// Intent is what a cell wants done: Grant, Transfer, Refuse, Preempt or
 	// Wake.
 	Intent interface{ intent() }
 
-	// Submit asks for a place for a request.
+	// Submit asks for a place for a request. A request that the cell already
+	// knows is asked for anew: what was reserved for it is released first.
 	Submit struct{ Ask Ask }
 
+	// Adopt tells a cell, after the accounting VM changed, of a grant that
+	// the VM before it made and that its runner still uses. It never starts
+	// anything; the request counts from then on as granted by this cell.
+	Adopt struct {
+		Ask     Ask
+		Stage   Stage // Prefilling, Prefilled, Transferring or Decoding
+		Prefill string
+		Decode  string
+		Tokens  int          // output tokens so far
+		Since   clock.Millis // span since the stage began
+	}
+
 	// Progress tells how far a granted request is.
+	// Attempt is that of the Grant; Progress of an earlier one is dropped.
 	Progress struct {
 		Request string
+		Attempt int
 		Stage   Stage
 		Tokens  int          // output tokens so far
 		Took    clock.Millis // how long the stage before took
@@ -94,23 +111,41 @@
 	// Tick passes the time.
 	Tick struct{}
 
-	// Grant places a request. The engines are reserved for it.
+	// Grant places a request: its prefill may be sent now. Decode is the
+	// engine that would be taken at this moment; the binding choice comes
+	// with Transfer once Progress says Prefilled. A runner that hears no
+	// Transfer for a quarter of the time that the KV cache is kept goes on
+	// with Decode by itself. SkipPrefill says that the held KV cache is used.
 	Grant struct {
 		Request     string
+		Attempt     int // first that of the Ask, one more with every further Grant
 		Prefill     string
 		Decode      string
-		SkipPrefill bool // the held KV cache is used
+		SkipPrefill bool
+	}
+
+	// Transfer orders the import of the KV cache into the decode engine,
+	// whose place is reserved. A second Transfer for the same request
+	// replaces the first, which stalled or was rejected.
+	Transfer struct {
+		Request string
+		Attempt int
+		Prefill string
+		Decode  string
 	}
 
-	// Refuse ends a waiting request as not run.
+	// Refuse ends a waiting request.
 	Refuse struct {
 		Request string
-		Refusal refusal.Refusal
+		Refusal refusal.Refusal // MayHaveRun if the request was granted before
 	}
 
-	// Preempt takes a grant back before costly work began.
+	// Preempt takes a grant back, before costly work began or after the KV
+	// cache lapsed. The runner cancels what it sent; the request waits on in
+	// the cell and gets another Grant or a Refuse.
 	Preempt struct {
 		Request string
+		Attempt int
 		Reason  refusal.Reason
 	}
 
@@ -119,6 +154,7 @@
 )
 
 func (Submit) event()   {}
+func (Adopt) event()    {}
 func (Progress) event() {}
 func (Withdraw) event() {}
 func (Report) event()   {}
@@ -126,7 +162,8 @@
 func (Orphan) event()   {}
 func (Tick) event()     {}
 
-func (Grant) intent()   {}
-func (Refuse) intent()  {}
-func (Preempt) intent() {}
-func (Wake) intent()    {}
+func (Grant) intent()    {}
+func (Transfer) intent() {}
+func (Refuse) intent()   {}
+func (Preempt) intent()  {}
+func (Wake) intent()     {}
--- /dev/null
+++ b/internal/sched/transfer.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// forecastEach is how often a waiting queue looks again at a forecast that
+// grows with time.
+const forecastEach = 25 * clock.Millis(1)
+
+// prefilled notes that a KV cache is ready and queues its transfer.
+func (ce *Cell) prefilled(now clock.Millis, jb *job, took clock.Millis) {
+	if jb.stage != Prefilling {
+		return
+	}
+	eng := jb.prefill
+	eng.done(now, jb)
+	if jb.alone && eng.pending == 0 {
+		eng.learnPrefill(jb.tokens, took)
+	}
+	ce.changed(eng)
+	jb.stage, jb.since = Prefilled, now
+	jb.lapse = now + ce.Keep - lapseMargin
+	ce.ready = append(ce.ready, jb)
+}
+
+// transfer orders the imports that have a link and a place: quick requests
+// first, then those whose KV cache lapses soonest.
+func (ce *Cell) transfer(now clock.Millis) {
+	if len(ce.ready) == 0 {
+		return
+	}
+	slices.SortStableFunc(ce.ready, func(ja, jb *job) int {
+		ce.steps++
+		return cmp.Or(class(jb)-class(ja), cmp.Compare(ja.lapse, jb.lapse), compareIDs(ja, jb))
+	})
+	rest := ce.ready[:0]
+	for ix, jb := range ce.ready {
+		dec := ce.decodes.best()
+		if dec == nil {
+			rest = append(rest, ce.ready[ix:]...)
+			break
+		}
+		if !ce.linkFree(now, jb) || (!jb.ask.Quick && ce.free <= ce.quickArriving()) {
+			rest = append(rest, jb)
+			continue
+		}
+		ce.startTransfer(now, jb, dec)
+	}
+	clear(ce.ready[len(rest):])
+	ce.ready = rest
+}
+
+// quickArriving is how many places quick requests under way will take.
+func (ce *Cell) quickArriving() int { return ce.promised[1] }
+
+// linkFree tells whether a transfer may go on its prefill engine's link.
+// Quick requests always may; patient ones go one after another unless the KV
+// cache would lapse meanwhile.
+func (ce *Cell) linkFree(now clock.Millis, jb *job) bool {
+	if jb.ask.Quick || jb.prefill.sending < sendingMost {
+		return true
+	}
+	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)
+}
+
+func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine) {
+	ce.promised[class(jb)]--
+	jb.stage, jb.since, jb.decode = Transferring, now, dec
+	if !jb.ask.Quick {
+		jb.prefill.sending++
+	}
+	dec.hold(1)
+	ce.changed(dec)
+	ce.moving = append(ce.moving, jb)
+	ce.emit(Transfer{Request: jb.ask.Request, Attempt: jb.ask.Attempt, Prefill: jb.prefill.id, Decode: dec.id})
+}
+
+// decoding notes that the KV cache has arrived.
+func (ce *Cell) decoding(now clock.Millis, jb *job, took clock.Millis) {
+	if jb.stage != Transferring {
+		return
+	}
+	ce.sent(jb)
+	jb.prefill.learnLink(jb.ask.PromptTokens, took)
+	ce.moving = without(ce.moving, jb)
+	jb.stage, jb.since = Decoding, now
+	jb.hazard = 1 / jb.grp.holdMS
+	ce.hazard += jb.hazard
+}
+
+// rejected notes that a decode engine was full after all: others use it.
+// It gets nothing more before its next report, and the transfer goes to
+// another engine.
+func (ce *Cell) rejected(now clock.Millis, jb *job) {
+	if jb.stage != Transferring {
+		return
+	}
+	dec := jb.decode
+	dec.foreign = max(dec.foreign, dec.slots-dec.held+1)
+	ce.unplace(jb)
+	jb.stage, jb.since = Prefilled, now
+	ce.ready = append(ce.ready, jb)
+}
+
+// unplace gives the place of a transfer back without dropping the request.
+func (ce *Cell) unplace(jb *job) {
+	ce.sent(jb)
+	ce.moving = without(ce.moving, jb)
+	dec := jb.decode
+	dec.hold(-1)
+	ce.changed(dec)
+	jb.decode = nil
+	ce.promised[class(jb)]++
+}
+
+// lapse takes back requests whose KV cache can't reach a decode engine any
+// more, and sends stalled transfers another way while theirs still can.
+func (ce *Cell) lapse(now clock.Millis) {
+	for _, jb := range slices.Clone(ce.ready) {
+		ce.steps++
+		if float64(jb.lapse-now) < jb.linkMS {
+			ce.requeue(now, jb, refusal.TargetUnreachable)
+		}
+	}
+	for _, jb := range slices.Clone(ce.moving) {
+		ce.steps++
+		if ce.stalled(now, jb) {
+			ce.redirect(now, jb)
+		}
+	}
+}
+
+func (ce *Cell) stalled(now clock.Millis, jb *job) bool {
+	spent := float64(now - jb.since)
+	return !jb.moved && spent > stallFactor*jb.linkMS+float64(stallLeast) &&
+		float64(jb.lapse-now) > jb.linkMS
+}
+
+// redirect sends a stalled transfer to another decode engine. The place at
+// the first one counts as taken until that engine's next report.
+func (ce *Cell) redirect(now clock.Millis, jb *job) {
+	first := jb.decode
+	ce.decodes.remove(first)
+	dec := ce.decodes.best()
+	if dec == nil {
+		ce.changed(first)
+		return
+	}
+	ce.unplace(jb)
+	first.foreign++
+	ce.changed(first)
+	jb.moved = true
+	ce.startTransfer(now, jb, dec)
+}
+
+// adopt takes over a grant that the accounting VM before this one made.
+func (ce *Cell) adopt(now clock.Millis, ad Adopt) {
+	if old, ok := ce.jobs[ad.Ask.Request]; ok {
+		ce.forget(now, old)
+	}
+	gp := ce.group(ad.Ask)
+	jb := ce.newJob(now, ad.Ask, gp)
+	jb.since, jb.began = now-ad.Since, true
+	jb.prefill = ce.ensure(now, ad.Prefill, board.Prefill)
+	jb.stage = ad.Stage
+	gp.held++
+	ce.jobs[ad.Ask.Request] = jb
+	switch ad.Stage {
+	case Prefilling:
+		jb.prefill.sent(now, jb)
+		ce.changed(jb.prefill)
+		ce.promised[class(jb)]++
+	case Prefilled:
+		jb.lapse = jb.since + ce.Keep - lapseMargin
+		ce.promised[class(jb)]++
+		ce.ready = append(ce.ready, jb)
+	default:
+		ce.adoptDecode(now, jb, ad)
+	}
+}
+
+func (ce *Cell) adoptDecode(now clock.Millis, jb *job, ad Adopt) {
+	jb.decode = ce.ensure(now, ad.Decode, board.Decode)
+	jb.decode.hold(1)
+	jb.decode.foreign = max(0, jb.decode.foreign-1)
+	ce.changed(jb.decode)
+	if ad.Stage == Transferring {
+		jb.lapse = now
+		if !jb.ask.Quick {
+			jb.prefill.sending++
+		}
+		ce.moving = append(ce.moving, jb)
+		return
+	}
+	jb.stage = Decoding
+	jb.hazard = 1 / jb.grp.holdMS
+	ce.hazard += jb.hazard
+}
+
+// ensure finds an engine, or makes an entry for one that is no longer listed
+// but still used.
+func (ce *Cell) ensure(now clock.Millis, id string, role board.Role) *engine {
+	if eng, ok := ce.engines[id]; ok {
+		return eng
+	}
+	eng := &engine{id: id, role: role, gone: true, slots: ce.Slots, listed: now,
+		rate: ce.PrefillRate, linkRate: ce.LinkRate}
+	ce.engines[id] = eng
+	return eng
+}
+
+func compareIDs(ja, jb *job) int { return cmp.Compare(ja.ask.Request, jb.ask.Request) }
