--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -16,6 +16,7 @@
 package board
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"alderdyke/pkg/clock"
@@ -179,6 +180,28 @@
 	return VM{}, false
 }
 
+// WithServers returns the snapshot with another list of servers, sorted by ID.
+// Reports of servers that are no longer listed are dropped.
+func (bk *Backends) WithServers(servers []BackendServer) *Backends {
+	out := &Backends{Servers: servers, Epoch: bk.Epoch + 1, Reports: make(map[string]LoadReport, len(servers))}
+	for _, srv := range servers {
+		if rp, ok := bk.Reports[srv.ID]; ok {
+			out.Reports[srv.ID] = rp
+		}
+	}
+	return out
+}
+
+// WithReport returns the snapshot with a newer report of one server.
+func (bk *Backends) WithReport(rp LoadReport) *Backends {
+	out := &Backends{Servers: bk.Servers, Epoch: bk.Epoch, Reports: maps.Clone(bk.Reports)}
+	if out.Reports == nil {
+		out.Reports = make(map[string]LoadReport)
+	}
+	out.Reports[rp.Server] = rp
+	return out
+}
+
 // Server finds a backend server by its ID.
 func (bk *Backends) Server(id string) (BackendServer, bool) {
 	for _, srv := range bk.Servers {
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/event"
+	"alderdyke/internal/membership"
+	"alderdyke/internal/register"
+	"alderdyke/internal/vmlist"
+	"alderdyke/pkg/clock"
+)
+
+// Spans of the loops that read the platform.
+const (
+	listEvery  = 1 * clock.Second
+	memberTick = 100 * clock.Millis(1)
+	listMisses = 5 // in a row are logged
+)
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+func (vm *VM) initMembers() {
+	set := vm.Settings
+	dt := &membership.Detector{
+		Self: board.VM{
+			VMRef:         vm.Self,
+			FailureDomain: set.FailureDomain,
+			Region:        set.Region,
+			Caller:        set.Caller.Advertise.String(),
+			Peer:          set.Peer.Advertise.String(),
+		},
+		Rand: vm.rand(3),
+	}
+	vm.members = newActor[membership.Event, membership.Intent](vm.Clock, membership.Tick{}, memberTick)
+	vm.members.step = dt.Step
+	vm.members.do = vm.moveFleet
+	vm.members.wakeAt = func(in membership.Intent) (clock.Millis, bool) {
+		wk, ok := in.(membership.Wake)
+		return wk.At, ok
+	}
+}
+
+// moveFleet carries out what membership intends.
+func (vm *VM) moveFleet(in membership.Intent) {
+	switch in := in.(type) {
+	case membership.Send:
+		vm.Peers.Datagram(in.To, in.Datagram) // lost datagrams are membership's daily bread
+	case membership.Fresh:
+		vm.fresh.Store(int64(in.Until))
+	case membership.Refuted:
+		vm.Log.Log(event.HeldDead)
+		vm.refuted.raise()
+	case membership.Changed:
+		vm.Board.SetFleet(in.Fleet)
+		vm.fleetMove.raise()
+	}
+}
+
+// startLoops starts the decisions and the loops that feed them.
+func (vm *VM) startLoops(ctx context.Context) {
+	for _, run := range []func(context.Context){
+		vm.members.run, vm.follower.run, vm.book.run,
+		vm.followFleet, vm.readList, vm.readSeats, vm.watchPlain,
+	} {
+		vm.wg.Go(func() { run(ctx) })
+	}
+	if seeds := vm.seedVMs(); len(seeds) > 0 {
+		vm.members.tell(ctx, membership.Listed{VMs: seeds})
+	}
+}
+
+// seedVMs are the VMs that the settings name, known by their address alone
+// until they answer.
+func (vm *VM) seedVMs() []board.VM {
+	var out []board.VM
+	for _, addr := range vm.Settings.Peer.Seeds {
+		if addr != vm.Settings.Peer.Advertise {
+			out = append(out, board.VM{VMRef: board.VMRef{ID: seedID(addr)}, Peer: addr.String()})
+		}
+	}
+	return out
+}
+
+func seedID(addr netip.AddrPort) string { return fmt.Sprintf("seed-%s", addr) }
+
+// followFleet passes each change of the fleet to the decisions that need it.
+func (vm *VM) followFleet(ctx context.Context) {
+	for {
+		moved := vm.fleetMove.wait()
+		fl := vm.Board.Fleet()
+		vm.follower.tell(ctx, register.Fleet{Fleet: fl})
+		vm.book.tell(ctx, claim.Fleet{Fleet: fl})
+		vm.accountant.follow(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-moved:
+		}
+	}
+}
+
+// readList reads the platform's VM list. A list that can't be had changes
+// nothing: the last one stays in use.
+func (vm *VM) readList(ctx context.Context) {
+	misses := 0
+	for {
+		list, err := vm.List.Fetch(ctx)
+		if err == nil {
+			misses = 0
+			vm.useList(ctx, list)
+		} else if misses++; misses == listMisses {
+			vm.Log.Log(event.ListUnreachable, event.F("Error", err.Error()))
+		}
+		if !sleep(ctx, listEvery) {
+			return
+		}
+	}
+}
+
+func (vm *VM) useList(ctx context.Context, list vmlist.List) {
+	vm.members.tell(ctx, membership.Listed{VMs: list.VMs})
+	vm.backendsMu.Lock()
+	old := vm.Board.Backends()
+	if !sameServers(old.Servers, list.Servers) {
+		vm.Board.SetBackends(old.WithServers(list.Servers))
+	}
+	vm.backendsMu.Unlock()
+	vm.accountant.follow(ctx)
+}
+
+func sameServers(la, lb []board.BackendServer) bool {
+	if len(la) != len(lb) {
+		return false
+	}
+	for ix := range la {
+		if la[ix] != lb[ix] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/membership"
+	"alderdyke/internal/peer"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+// callWithin bounds one call to another VM.
+const callWithin = 1 * clock.Second
+
+// peerHandler serves the streams that other VMs open.
+type peerHandler struct{ vm *VM }
+
+// Serve implements peer.Handler: the first frame decides what the stream is.
+func (ph peerHandler) Serve(ctx context.Context, from board.VMRef, cn *peer.Conn) {
+	fr, err := cn.Recv()
+	if err != nil {
+		return
+	}
+	switch body := fr.GetBody().(type) {
+	case *peerpb.Frame_ReserveAsk:
+		ph.vm.accountant.serve(ctx, from, body.ReserveAsk, cn)
+	case *peerpb.Frame_AttachAsk:
+		ph.vm.serveAttach(ctx, body.AttachAsk, cn)
+	default:
+		reply, err := ph.vm.answerPeer(ctx, fr)
+		if err != nil || reply == nil {
+			return
+		}
+		cn.Send(reply)
+	}
+}
+
+// answerPeer answers the asks that have one reply.
+func (vm *VM) answerPeer(ctx context.Context, fr *peerpb.Frame) (*peerpb.Frame, error) {
+	switch body := fr.GetBody().(type) {
+	case *peerpb.Frame_ClaimAsk:
+		return vm.answerClaim(ctx, body.ClaimAsk)
+	case *peerpb.Frame_ClaimUpdate:
+		vm.tellBook(ctx, body.ClaimUpdate)
+		return doneFrame(), nil
+	case *peerpb.Frame_ClaimHandoff:
+		vm.takeHandoff(ctx, body.ClaimHandoff)
+		return doneFrame(), nil
+	case *peerpb.Frame_LogAsk:
+		return vm.answerLog(body.LogAsk), nil
+	case *peerpb.Frame_SnapshotAsk:
+		return vm.answerSnapshot(ctx, body.SnapshotAsk)
+	case *peerpb.Frame_ExplainAsk:
+		return vm.answerExplain(body.ExplainAsk), nil
+	default:
+		return nil, fmt.Errorf("frame %T opens no stream", fr.GetBody())
+	}
+}
+
+// heard passes an authentic datagram to membership. A full backlog drops it,
+// as the network may.
+func (vm *VM) heard(dg *peerpb.Datagram, _ netip.AddrPort) {
+	select {
+	case vm.members.events <- membership.Received{Datagram: dg}:
+	default:
+	}
+}
+
+// callPeer asks another VM for one reply; this VM answers itself without a
+// connection.
+func (vm *VM) callPeer(ctx context.Context, to board.VM, ask *peerpb.Frame) (*peerpb.Frame, error) {
+	if to.ID == vm.Self.ID {
+		return vm.answerPeer(ctx, ask)
+	}
+	ctx, stop := context.WithTimeout(ctx, callWithin.Std())
+	defer stop()
+	reply, err := vm.Peers.Call(ctx, to, ask)
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", to.ID, err)
+	}
+	return reply, nil
+}
+
+// openAccountant opens a stream to the VM that accounts for the cell.
+func (vm *VM) openAccountant(ctx context.Context, cellName string) (frames, error) {
+	to, ok := accountantOf(cellName, vm.Board.Fleet())
+	if !ok {
+		return nil, errAccountantAway
+	}
+	if to.ID == vm.Self.ID {
+		near, far := newPipe()
+		vm.wg.Go(func() { vm.serveLocal(far) })
+		return near, nil
+	}
+	dial, stop := context.WithTimeout(ctx, answerWithin.Std())
+	defer stop()
+	cn, err := vm.Peers.Open(dial, to)
+	if err != nil {
+		return nil, fmt.Errorf("open a stream to the accountant %s: %w", to.ID, err)
+	}
+	return cn, nil
+}
+
+func (vm *VM) serveLocal(cn frames) {
+	fr, err := cn.Recv()
+	if err != nil || fr.GetReserveAsk() == nil {
+		cn.Close()
+		return
+	}
+	vm.accountant.serve(vm.runCtx, vm.Self, fr.GetReserveAsk(), cn)
+}
--- /dev/null
+++ b/internal/entry/vm.go
@@ -0,0 +1,270 @@
+// Package entry is one entry VM: it runs each request's life and wires the
+// decisions to the peers that carry them out.
+//
+// Callers, operators and other VMs come in through their adapters; the
+// decision packages each run in one goroutine and never do I/O; what they
+// intend is carried out here. What the VM knows lies on a board.Board, whose
+// snapshots each have one writer: membership writes the fleet, the reader of
+// the VM list the backend servers, the follower of the log the templates.
+//
+// # Usage
+//
+//	vm := &entry.VM{Settings: set, Incarnation: uint64(time.Now().UnixMilli()), Log: logger}
+//	err := vm.Run(ctx) // until ctx ends and the planned stop is complete
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
+	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
+	"alderdyke/internal/logsvc"
+	"alderdyke/internal/membership"
+	"alderdyke/internal/operator"
+	"alderdyke/internal/peer"
+	"alderdyke/internal/register"
+	"alderdyke/internal/retry"
+	"alderdyke/internal/service"
+	"alderdyke/internal/settings"
+	"alderdyke/internal/vmlist"
+	"alderdyke/pkg/clock"
+)
+
+type (
+	// VM is one entry VM. Set the exported fields before Run; Settings and
+	// Incarnation are required.
+	VM struct {
+		Settings    settings.Settings
+		Incarnation uint64 // higher than at any earlier start under the same ID
+		Clock       clock.Source
+		Log         event.Logger
+		Scope       tally.Scope
+
+		// Board is what this VM knows. It is made by Run if nil.
+		Board *board.Board
+
+		// Self names this run of this VM. It is set by Run.
+		Self board.VMRef
+
+		// Peers, Engines, Services, Logs and List are the adapters. They are
+		// made by Run from the settings.
+		Peers    *peer.Transport
+		Engines  *engine.Client
+		Services *service.Client
+		Logs     logsvc.Log
+		List     *vmlist.Client
+
+		callers   *caller.Server
+		operators *operator.Server
+
+		// runCtx ends when the last request has its end.
+		runCtx   context.Context
+		stopRuns context.CancelFunc
+		wg       sync.WaitGroup
+		draining atomic.Bool
+		drainNow chan struct{}
+		drain    sync.Once
+
+		runs       runs
+		traces     traces
+		janitor    janitor
+		accountant accountant
+		chooser    chooser
+		retries    retries
+
+		members  *actor[membership.Event, membership.Intent]
+		follower *actor[register.Event, register.Intent]
+		book     *actor[claim.Event, claim.Intent]
+
+		fresh     atomic.Int64 // clock.Millis up to which this VM is quorate
+		seats     atomic.Pointer[claim.Seats]
+		refuted   signal // this VM was held dead and goes on
+		fleetMove signal // the fleet or the seats changed
+		runEnded  signal
+		replies   pending[*claimReply]
+		verdicts  pending[register.Verdict]
+	}
+
+	chooser struct {
+		mu sync.Mutex
+		*balance.Chooser
+	}
+
+	retries struct {
+		mu sync.Mutex
+		*retry.Policy
+	}
+)
+
+var errNoIncarnation = errors.New("the VM has no incarnation")
+
+// Run serves until the context ends, and then makes a planned stop: it takes
+// no new requests, tells callers to go elsewhere for as long as they may keep
+// its address, and returns when the last request in progress has its end.
+func (vm *VM) Run(ctx context.Context) error {
+	if err := vm.init(); err != nil {
+		return fmt.Errorf("start the VM: %w", err)
+	}
+	core, stopCore := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopCore()
+	vm.runCtx, vm.stopRuns = context.WithCancel(core)
+	defer vm.stopRuns()
+
+	gr, grCtx := errgroup.WithContext(core)
+	gr.Go(func() error { return vm.Peers.Run(grCtx) })
+	select {
+	case <-vm.Peers.Ready():
+	case <-grCtx.Done():
+		return gr.Wait()
+	}
+	vm.startLoops(core)
+	callCtx, stopCallers := context.WithCancel(core)
+	defer stopCallers()
+	gr.Go(func() error { return vm.operators.Run(grCtx) })
+	callersDone := make(chan error, 1)
+	go func() { callersDone <- vm.callers.Run(callCtx) }()
+	vm.Log.Log(event.Started, event.F("Caller", vm.Settings.Caller.Listen.String()),
+		event.F("FailureDomain", vm.Settings.FailureDomain))
+
+	err := vm.waitForStop(ctx, grCtx, callersDone)
+	if err == nil {
+		err = vm.stop(stopCallers, callersDone)
+	}
+	stopCore()
+	err = errors.Join(err, gr.Wait())
+	vm.wg.Wait()
+	vm.janitor.wg.Wait()
+	vm.Log.Log(event.Stopped)
+	return err
+}
+
+func (vm *VM) waitForStop(ctx, failed context.Context, callersDone <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-vm.drainNow:
+		return nil
+	case <-failed.Done():
+		return context.Cause(failed)
+	case err := <-callersDone:
+		return fmt.Errorf("serve callers: %w", err)
+	}
+}
+
+// stop is the planned stop.
+func (vm *VM) stop(stopCallers context.CancelFunc, callersDone <-chan error) error {
+	vm.Log.Log(event.Stopping, event.F("InProgress", vm.runs.inProgress()))
+	vm.draining.Store(true)
+	vm.members.tell(vm.runCtx, membership.Leave{})
+	stopCallers()
+	err := <-callersDone
+	vm.awaitRuns()
+	vm.members.tell(vm.runCtx, membership.Leave{Final: true})
+	sleep(vm.runCtx, leaveGossip)
+	if err != nil {
+		return fmt.Errorf("stop serving callers: %w", err)
+	}
+	return nil
+}
+
+// awaitRuns waits until no run is in progress, whoever follows it.
+func (vm *VM) awaitRuns() {
+	for {
+		ended := vm.runEnded.wait()
+		if vm.runs.inProgress() == 0 {
+			return
+		}
+		<-ended
+	}
+}
+
+// leaveGossip is the time for the others to hear that this VM has left.
+const leaveGossip = 600 * clock.Millis(1)
+
+func (vm *VM) init() error {
+	if vm.Incarnation == 0 {
+		return errNoIncarnation
+	}
+	if vm.Clock == nil {
+		vm.Clock = clock.Monotonic{}
+	}
+	if vm.Board == nil {
+		vm.Board = &board.Board{}
+	}
+	if vm.Scope == nil {
+		vm.Scope = tally.NoopScope
+	}
+	vm.Log.VM = vm.Settings.ID
+	vm.Self = board.VMRef{ID: vm.Settings.ID, Incarnation: vm.Incarnation}
+	vm.drainNow = make(chan struct{})
+	vm.traces.clk = vm.Clock
+	vm.initAdapters()
+	vm.initDecisions()
+	return nil
+}
+
+func (vm *VM) initAdapters() {
+	set := vm.Settings
+	hc := backend.NewHTTP(backend.Limits{})
+	token := set.Backends.Token.Reveal()
+	vm.Engines = &engine.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock}
+	vm.Services = &service.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock}
+	vm.Logs = &logsvc.Client{URL: "http://" + set.Log.Address.String(), Token: set.Log.Token.Reveal()}
+	vm.List = &vmlist.Client{URL: "http://" + set.VMList.Address.String(), Token: set.VMList.Token.Reveal()}
+	vm.Peers = &peer.Transport{
+		Self:      vm.Self,
+		Listen:    set.Peer.Listen.String(),
+		Secret:    []byte(set.Peer.Secret.Reveal()),
+		Handler:   peerHandler{vm},
+		Datagrams: vm.heard,
+		Scope:     vm.Scope,
+		Log:       vm.Log,
+		Clock:     vm.Clock,
+	}
+	vm.callers = &caller.Server{
+		Listen: set.Caller.Listen.String(),
+		Runner: vm,
+		Board:  vm.Board,
+		Limits: callerLimits(set),
+		Scope:  vm.Scope,
+		Logger: vm.Log,
+	}
+	vm.operators = &operator.Server{
+		Listen:  set.Operator.Listen.String(),
+		Token:   set.Operator.Token,
+		Backend: operatorSide{vm},
+		Scope:   vm.Scope,
+		Log:     vm.Log,
+	}
+}
+
+// initDecisions makes the decision packages and their loops.
+func (vm *VM) initDecisions() {
+	vm.accountant = accountant{vm: vm}
+	vm.janitor = janitor{cancel: vm.Engines.Cancel, find: vm.server, lg: vm.Log}
+	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
+	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
+	vm.initMembers()
+	vm.initFollower()
+	vm.initBook()
+}
+
+// rand seeds one decision package, differently on each VM and at each start.
+func (vm *VM) rand(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(vm.Self.Incarnation, hashID(vm.Self.ID)+part))
+}
+
+func (vm *VM) server(id string) (board.BackendServer, bool) { return vm.Board.Backends().Server(id) }
--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,266 @@
+// Package deployment starts the stand-ins of one deployment on loopback: the
+// platform's log service and VM list, model engines and plain services. Entry
+// VMs then run against it, in this process or in their own.
+//
+// # Usage
+//
+//	dp := &deployment.Deployment{Model: "rapportmodel", Prefill: 3, Decode: 5, PlainService: "feltapp", Plain: 4}
+//	err := dp.Start()
+//	defer dp.Close()
+//	set, err := dp.VM("aarhus-a-1", "aarhus-a")
+//	err = dp.Publish() // the VM list with the VMs so far
+package deployment
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/settings"
+	enginesim "alderdyke/internal/standin/engine"
+	logsim "alderdyke/internal/standin/logsvc"
+	servicesim "alderdyke/internal/standin/service"
+	listsim "alderdyke/internal/standin/vmlist"
+	"alderdyke/internal/vmlist"
+	"alderdyke/pkg/clock"
+)
+
+// Tokens and secrets of a deployment on loopback.
+const (
+	BackendToken  = "backend-token-of-the-stand-ins"
+	LogToken      = "log-token-of-the-stand-ins"
+	ListToken     = "list-token-of-the-stand-ins"
+	OperatorToken = "operator-token-of-the-stand-ins"
+	PeerSecret    = "a-secret-that-all-stand-in-vms-share"
+)
+
+type (
+	// Deployment is the stand-ins around some entry VMs. Set the exported
+	// fields before Start.
+	Deployment struct {
+		Model        string // name of the model service
+		Prefill      int    // prefill engines
+		Decode       int    // decode engines
+		PlainService string
+		Plain        int // servers of the plain service
+
+		FailureDomains []string // dealt to backend servers in turn
+		Region         string
+		Engine         enginesim.Settings
+		Service        servicesim.Settings
+
+		Logs     *logsim.Server
+		List     *listsim.Server
+		Engines  []*enginesim.Engine
+		Services []*servicesim.Server
+
+		mu      sync.Mutex
+		doc     vmlist.Document
+		logAddr netip.AddrPort
+		lstAddr netip.AddrPort
+		servers []*http.Server
+	}
+)
+
+// Start opens all stand-ins.
+func (dp *Deployment) Start() error {
+	if len(dp.FailureDomains) == 0 {
+		dp.FailureDomains = []string{"domain-a"}
+	}
+	dp.Engine.Token = BackendToken
+	dp.Service.Token = BackendToken
+	dp.Logs = &logsim.Server{Token: LogToken}
+	dp.List = &listsim.Server{Token: ListToken}
+	var err error
+	if dp.logAddr, err = dp.serve(dp.Logs); err != nil {
+		return fmt.Errorf("start the log service: %w", err)
+	}
+	if dp.lstAddr, err = dp.serve(dp.List); err != nil {
+		return fmt.Errorf("start the VM list: %w", err)
+	}
+	for ix := range dp.Prefill {
+		if err := dp.engine(fmt.Sprintf("%s-prefill-%d", dp.Model, ix+1), board.Prefill); err != nil {
+			return err
+		}
+	}
+	for ix := range dp.Decode {
+		if err := dp.engine(fmt.Sprintf("%s-decode-%d", dp.Model, ix+1), board.Decode); err != nil {
+			return err
+		}
+	}
+	for ix := range dp.Plain {
+		if err := dp.plain(fmt.Sprintf("%s-%d", dp.PlainService, ix+1)); err != nil {
+			return err
+		}
+	}
+	dp.Publish()
+	return nil
+}
+
+func (dp *Deployment) engine(id string, role board.Role) error {
+	en := &enginesim.Engine{ID: id, Role: role, Settings: dp.Engine, Seed: uint64(len(dp.Engines))}
+	addr, err := dp.serve(en.Handler())
+	if err != nil {
+		return fmt.Errorf("start engine %s: %w", id, err)
+	}
+	dp.Engines = append(dp.Engines, en)
+	dp.list(id, dp.Model, role, addr)
+	return nil
+}
+
+func (dp *Deployment) plain(id string) error {
+	sv := &servicesim.Server{ID: id, Settings: dp.Service}
+	addr, err := dp.serve(sv.Handler())
+	if err != nil {
+		return fmt.Errorf("start server %s: %w", id, err)
+	}
+	dp.Services = append(dp.Services, sv)
+	dp.list(id, dp.PlainService, board.Plain, addr)
+	return nil
+}
+
+func (dp *Deployment) list(id, service string, role board.Role, addr netip.AddrPort) {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	dp.doc.Servers = append(dp.doc.Servers, vmlist.ServerEntry{
+		ID:            id,
+		Service:       service,
+		Role:          role,
+		Address:       addr.String(),
+		FailureDomain: dp.FailureDomains[len(dp.doc.Servers)%len(dp.FailureDomains)],
+		ChecksFencing: dp.Engine.ChecksFencing,
+		State:         vmlist.Live,
+	})
+}
+
+func (dp *Deployment) serve(handler http.Handler) (netip.AddrPort, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	dp.servers = append(dp.servers, srv)
+	go srv.Serve(ln)
+	return netip.MustParseAddrPort(ln.Addr().String()), nil
+}
+
+// VM returns the settings of one more entry VM and lists it. Publish makes
+// the VM list say so.
+func (dp *Deployment) VM(id, failureDomain string) (settings.Settings, error) {
+	set := settings.Default()
+	set.ID, set.FailureDomain, set.Region = id, failureDomain, dp.Region
+	ports, err := freePorts(3)
+	if err != nil {
+		return set, fmt.Errorf("find ports for VM %s: %w", id, err)
+	}
+	set.Caller.Listen, set.Caller.Advertise = ports[0], ports[0]
+	set.Peer.Listen, set.Peer.Advertise = ports[1], ports[1]
+	set.Operator.Listen = ports[2]
+	set.Peer.Secret = settings.NewSecret(PeerSecret)
+	set.Operator.Token = settings.NewSecret(OperatorToken)
+	set.Log.Address, set.Log.Token = dp.logAddr, settings.NewSecret(LogToken)
+	set.VMList.Address, set.VMList.Token = dp.lstAddr, settings.NewSecret(ListToken)
+	set.Backends.Token = settings.NewSecret(BackendToken)
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	dp.doc.VMs = append(dp.doc.VMs, vmlist.VMEntry{
+		ID:            id,
+		FailureDomain: failureDomain,
+		Region:        dp.Region,
+		Caller:        ports[0].String(),
+		Peer:          ports[1].String(),
+		State:         vmlist.Live,
+	})
+	return set, nil
+}
+
+// Leave marks an entry VM or a backend server as leaving in the VM list.
+func (dp *Deployment) Leave(id string) {
+	dp.mu.Lock()
+	for ix := range dp.doc.VMs {
+		if dp.doc.VMs[ix].ID == id {
+			dp.doc.VMs[ix].State = vmlist.Leaving
+		}
+	}
+	for ix := range dp.doc.Servers {
+		if dp.doc.Servers[ix].ID == id {
+			dp.doc.Servers[ix].State = vmlist.Leaving
+		}
+	}
+	dp.mu.Unlock()
+	dp.Publish()
+}
+
+// Remove takes an entry VM off the VM list.
+func (dp *Deployment) Remove(id string) {
+	dp.mu.Lock()
+	var kept []vmlist.VMEntry
+	for _, vm := range dp.doc.VMs {
+		if vm.ID != id {
+			kept = append(kept, vm)
+		}
+	}
+	dp.doc.VMs = kept
+	dp.mu.Unlock()
+	dp.Publish()
+}
+
+// Publish makes the VM list hold what was added and changed.
+func (dp *Deployment) Publish() {
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	doc := vmlist.Document{
+		VMs:     append([]vmlist.VMEntry(nil), dp.doc.VMs...),
+		Servers: append([]vmlist.ServerEntry(nil), dp.doc.Servers...),
+	}
+	dp.List.Put(doc)
+}
+
+// Close ends all stand-ins.
+func (dp *Deployment) Close() error {
+	var err error
+	for _, srv := range dp.servers {
+		err = errors.Join(err, srv.Close())
+	}
+	for _, en := range dp.Engines {
+		en.Close()
+	}
+	for _, sv := range dp.Services {
+		sv.Close()
+	}
+	return err
+}
+
+// freePorts finds loopback ports that are free for TCP and UDP.
+func freePorts(count int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for len(out) < count {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		defer ln.Close()
+		uc, err := net.ListenPacket("udp", ln.Addr().String())
+		if err != nil {
+			continue // the port is taken for UDP
+		}
+		defer uc.Close()
+		out = append(out, netip.MustParseAddrPort(ln.Addr().String()))
+	}
+	return out, nil
+}
+
+// Speed scales the paces of engines, so that a test need not wait for real
+// ones.
+func Speed(factor float64) enginesim.Settings {
+	set := enginesim.DefaultSettings()
+	set.PrefillTokensPerSecond *= factor
+	set.LinkBytesPerSecond *= factor
+	set.TPOT = max(1, clock.Millis(float64(set.TPOT)/factor))
+	return set
+}
