--- /dev/null
+++ b/internal/membership/event.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+type (
+	// Event is what a Detector is told: Received, Listed, Tick or Leave.
+	Event interface{ event() }
+
+	// Intent is what a Detector wants done: Send, Changed, Fresh, Refuted or
+	// Wake.
+	Intent interface{ intent() }
+
+	// Received is a datagram that the transport has authenticated. The
+	// detector keeps no reference to it.
+	Received struct{ Datagram *peerpb.Datagram }
+
+	// Listed is the whole VM list of the platform, or the seeds of the
+	// settings. It may lag and be wrong.
+	Listed struct{ VMs []board.VM }
+
+	// Tick passes the time.
+	Tick struct{}
+
+	// Leave announces a planned stop; with Final, that the process exits.
+	Leave struct{ Final bool }
+
+	// Send wants a datagram sent. All is filled but the Sequence, which the
+	// transport sets. It may share parts with other datagrams and must not
+	// be changed otherwise.
+	Send struct {
+		To       board.VM
+		Datagram *peerpb.Datagram
+	}
+
+	// Changed is a new snapshot of the fleet.
+	Changed struct{ Fleet *board.Fleet }
+
+	// Fresh tells up to which point this VM is quorate without further acks.
+	// Who is about to start something that may run at most once compares it
+	// with the clock at the last moment, because a process that was paused
+	// still sees the snapshot of before.
+	Fresh struct{ Until clock.Millis }
+
+	// Refuted tells that others held this VM dead. It goes on under a new
+	// incarnation, and must check which of its work others took over.
+	Refuted struct{ Incarnation uint64 }
+
+	// Wake asks for a Tick at the given point. A Tick that comes later than
+	// Settings.PauseLimit is taken for a pause of this process.
+	Wake struct{ At clock.Millis }
+)
+
+func (Received) event() {}
+func (Listed) event()   {}
+func (Tick) event()     {}
+func (Leave) event()    {}
+
+func (Send) intent()    {}
+func (Changed) intent() {}
+func (Fresh) intent()   {}
+func (Refuted) intent() {}
+func (Wake) intent()    {}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,344 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+// headBytes is what IPv4 and UDP add to a datagram.
+const headBytes = 28
+
+type (
+	// testFleet exchanges datagrams between real detectors under virtual
+	// time, with loss, delay, pauses, deaths and cuts.
+	testFleet struct {
+		now    clock.Millis
+		rnd    *rand.Rand
+		vms    []*testVM
+		byID   map[string]*testVM
+		queue  delivery
+		seq    int
+		loss   float64
+		cut    func(from, to *testVM) bool
+		settle clock.Millis // nothing is counted before
+		// pauseEvery is the mean span between pauses of a VM; zero is none.
+		pauseEvery clock.Millis
+
+		suspects, deaths map[string]int // views of live VMs, by ID
+		falseSuspicions  int
+		falseDeaths      int
+		unfenced         int // VMs quorate while a quorate VM held them dead
+		largest          int
+		killed           map[string]clock.Millis
+		suspected        map[string][]clock.Millis
+		detected         map[string][]clock.Millis
+	}
+
+	testVM struct {
+		dt          *Detector
+		self        board.VM
+		up          bool
+		pausedUntil clock.Millis
+		tickAt      clock.Millis
+		fleet       *board.Fleet
+		until       clock.Millis
+		refuted     int
+		sent, got   traffic
+	}
+
+	traffic struct{ messages, bytes int }
+
+	event struct {
+		at  clock.Millis
+		seq int
+		vm  *testVM
+		ev  Event // nil pauses the VM
+	}
+
+	delivery []event
+)
+
+func (dl delivery) Len() int { return len(dl) }
+func (dl delivery) Less(ia, ib int) bool {
+	if dl[ia].at != dl[ib].at {
+		return dl[ia].at < dl[ib].at
+	}
+	return dl[ia].seq < dl[ib].seq
+}
+func (dl delivery) Swap(ia, ib int) { dl[ia], dl[ib] = dl[ib], dl[ia] }
+func (dl *delivery) Push(ev any)    { *dl = append(*dl, ev.(event)) }
+func (dl *delivery) Pop() any {
+	old := *dl
+	last := old[len(old)-1]
+	*dl = old[:len(old)-1]
+	return last
+}
+
+// newFleet makes VMs spread over failure domains in three regions and starts
+// them all with the whole list.
+func newFleet(size, domains int, seed uint64, wo without) *testFleet {
+	tf := &testFleet{
+		rnd:       rand.New(rand.NewPCG(seed, 1)),
+		byID:      make(map[string]*testVM),
+		suspects:  make(map[string]int),
+		deaths:    make(map[string]int),
+		killed:    make(map[string]clock.Millis),
+		suspected: make(map[string][]clock.Millis),
+		detected:  make(map[string][]clock.Millis),
+	}
+	for ix := range size {
+		domain := ix % domains
+		tf.addVM(board.VM{
+			VMRef:         board.VMRef{ID: fmt.Sprintf("domain-%d-%03d", domain, ix), Incarnation: 1764691200000},
+			FailureDomain: fmt.Sprintf("domain-%d", domain),
+			Region:        fmt.Sprintf("region-%d", domain%3),
+			Caller:        fmt.Sprintf("10.%d.0.%d:8443", domain, ix%250),
+			Peer:          fmt.Sprintf("10.%d.0.%d:7400", domain, ix%250),
+		}, seed, wo)
+	}
+	for _, vm := range tf.vms {
+		tf.step(vm, Listed{VMs: tf.list()})
+	}
+	return tf
+}
+
+func (tf *testFleet) addVM(self board.VM, seed uint64, wo without) *testVM {
+	vm := &testVM{self: self, up: true}
+	vm.dt = &Detector{Self: self, Rand: rand.New(rand.NewPCG(seed, uint64(len(tf.vms))+2)), without: wo}
+	tf.vms = append(tf.vms, vm)
+	tf.byID[self.ID] = vm
+	return vm
+}
+
+// restart replaces the process of a VM by a new one under the same ID.
+func (tf *testFleet) restart(vm *testVM, seed uint64) {
+	self := vm.self
+	self.Incarnation += uint64(tf.now) + 1
+	*vm = testVM{self: self, up: true}
+	vm.dt = &Detector{Self: self, Rand: rand.New(rand.NewPCG(seed, uint64(tf.now)))}
+	delete(tf.killed, self.ID)
+	tf.step(vm, Listed{VMs: tf.list()})
+}
+
+func (tf *testFleet) list() []board.VM {
+	var out []board.VM
+	for _, vm := range tf.vms {
+		out = append(out, vm.self)
+	}
+	return out
+}
+
+func (tf *testFleet) kill(vm *testVM) {
+	vm.up = false
+	vm.fleet = nil
+	tf.killed[vm.self.ID] = tf.now
+}
+
+func (tf *testFleet) push(at clock.Millis, vm *testVM, ev Event) {
+	tf.seq++
+	heap.Push(&tf.queue, event{at: at, seq: tf.seq, vm: vm, ev: ev})
+}
+
+// run passes the time up to a span from now.
+func (tf *testFleet) run(span clock.Millis) {
+	end := tf.now + span
+	for len(tf.queue) > 0 && tf.queue[0].at <= end {
+		ev := heap.Pop(&tf.queue).(event)
+		tf.now = max(tf.now, ev.at)
+		switch {
+		case !ev.vm.up:
+		case ev.ev == nil:
+			ev.vm.pausedUntil = tf.now + 200 + clock.Millis(tf.rnd.Int64N(601))
+			tf.planPause(ev.vm)
+		case tf.now < ev.vm.pausedUntil:
+			tf.push(ev.vm.pausedUntil, ev.vm, ev.ev)
+		default:
+			tf.handle(ev)
+		}
+	}
+	tf.now = end
+}
+
+func (tf *testFleet) handle(ev event) {
+	if _, ok := ev.ev.(Tick); ok {
+		if ev.at < ev.vm.tickAt {
+			return // replaced by a later wish
+		}
+		ev.vm.tickAt = 0
+	}
+	if rc, ok := ev.ev.(Received); ok {
+		ev.vm.got.add(rc.Datagram)
+	}
+	tf.step(ev.vm, ev.ev)
+}
+
+func (tf *testFleet) startPauses(every clock.Millis) {
+	tf.pauseEvery = every
+	for _, vm := range tf.vms {
+		tf.planPause(vm)
+	}
+}
+
+func (tf *testFleet) planPause(vm *testVM) {
+	if tf.pauseEvery > 0 {
+		tf.push(tf.now+1000+clock.Millis(tf.rnd.ExpFloat64()*float64(tf.pauseEvery)), vm, nil)
+	}
+}
+
+func (tr *traffic) add(dg *peerpb.Datagram) {
+	tr.messages++
+	tr.bytes += proto.Size(dg) + headBytes
+}
+
+func (tf *testFleet) step(vm *testVM, ev Event) {
+	for _, in := range vm.dt.Step(tf.now, ev) {
+		switch in := in.(type) {
+		case Send:
+			in.Datagram.Sequence = uint64(1000 + vm.sent.messages)
+			tf.largest = max(tf.largest, proto.Size(in.Datagram))
+			vm.sent.add(in.Datagram)
+			tf.transmit(vm, in)
+		case Changed:
+			tf.compare(vm, in.Fleet)
+		case Fresh:
+			vm.until = in.Until
+		case Refuted:
+			vm.refuted++
+		case Wake:
+			if vm.tickAt == 0 || in.At != vm.tickAt {
+				vm.tickAt = in.At
+				tf.push(in.At, vm, Tick{})
+			}
+		}
+	}
+}
+
+func (tf *testFleet) transmit(from *testVM, in Send) {
+	to := tf.byID[in.To.ID]
+	if to == nil || tf.rnd.Float64() < tf.loss || (tf.cut != nil && tf.cut(from, to)) {
+		return
+	}
+	delay := 1 + clock.Millis(tf.rnd.ExpFloat64()*1.5)
+	if from.self.Region != to.self.Region {
+		delay += 15 + clock.Millis(tf.rnd.Int64N(20))
+	}
+	tf.push(tf.now+delay, to, Received{Datagram: in.Datagram})
+}
+
+// compare counts what a new snapshot changed in the view of one VM.
+func (tf *testFleet) compare(vm *testVM, fl *board.Fleet) {
+	old := vm.fleet
+	vm.fleet = fl
+	if old == nil || tf.now < tf.settle {
+		return
+	}
+	at := 0
+	for _, now := range fl.VMs {
+		for at < len(old.VMs) && old.VMs[at].ID < now.ID {
+			at++
+		}
+		if at == len(old.VMs) || old.VMs[at].ID != now.ID || old.VMs[at].Health == now.Health {
+			continue
+		}
+		tf.moved(vm, now, old.VMs[at].Health)
+	}
+}
+
+func (tf *testFleet) moved(vm *testVM, now board.VM, before board.Health) {
+	if at, ok := tf.killed[now.ID]; ok {
+		switch now.Health {
+		case board.Suspect:
+			tf.suspected[now.ID] = append(tf.suspected[now.ID], tf.now-at)
+		case board.Dead:
+			tf.detected[now.ID] = append(tf.detected[now.ID], tf.now-at)
+		}
+		return
+	}
+	switch before {
+	case board.Suspect:
+		tf.suspects[now.ID]--
+	case board.Dead:
+		tf.deaths[now.ID]--
+	}
+	switch now.Health {
+	case board.Suspect:
+		if tf.suspects[now.ID]++; tf.suspects[now.ID] == 1 {
+			tf.falseSuspicions++
+		}
+	case board.Dead:
+		if tf.deaths[now.ID]++; tf.deaths[now.ID] == 1 {
+			tf.falseDeaths++
+		}
+		target := tf.byID[now.ID]
+		if vm.fleet.Quorate && target.until > tf.now {
+			tf.unfenced++
+		}
+	}
+}
+
+// views counts in how many pairs of live VMs the first holds the second so.
+func (tf *testFleet) views(hl board.Health) int {
+	count := 0
+	for _, vm := range tf.vms {
+		if !vm.up {
+			continue
+		}
+		for _, other := range vm.fleet.VMs {
+			if tf.byID[other.ID].up && other.Health == hl {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (tf *testFleet) live() []*testVM {
+	return slices.DeleteFunc(slices.Clone(tf.vms), func(vm *testVM) bool { return !vm.up })
+}
+
+func (tf *testFleet) quorate() int {
+	count := 0
+	for _, vm := range tf.live() {
+		if vm.until > tf.now {
+			count++
+		}
+	}
+	return count
+}
+
+// resetTraffic begins the count of traffic anew.
+func (tf *testFleet) resetTraffic() {
+	for _, vm := range tf.vms {
+		vm.sent, vm.got = traffic{}, traffic{}
+	}
+}
+
+// perVM returns bytes and messages a second, sent and received together, for
+// the mean live VM and for the busiest.
+func (tf *testFleet) perVM(span clock.Millis) (bytes, messages, most float64) {
+	sec := float64(span) / float64(clock.Second)
+	for _, vm := range tf.live() {
+		all := float64(vm.sent.bytes+vm.got.bytes) / sec
+		bytes += all
+		messages += float64(vm.sent.messages+vm.got.messages) / sec
+		most = max(most, all)
+	}
+	count := float64(len(tf.live()))
+	return bytes / count, messages / count, most
+}
+
+func quantile(values []clock.Millis, part float64) clock.Millis {
+	if len(values) == 0 {
+		return -1
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
+}
--- /dev/null
+++ b/internal/membership/quorum.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+type (
+	// quorum is the evidence that this VM reaches a majority of the roster.
+	quorum struct {
+		samples []sample // sorted by when the probe was sent
+		quorate bool
+		until   clock.Millis // when the evidence runs out without new acks
+	}
+
+	// sample is the last verdict about one VM. It dates from when its probe
+	// was sent: an ack proves that the VM was reached after that point.
+	sample struct {
+		mb   *member
+		sent clock.Millis
+		ok   bool
+	}
+
+	// tally counts one failure domain.
+	tally struct{ serving, acked, missed int }
+)
+
+// observe records the verdict of a probe.
+func (dt *Detector) observe(mb *member, sent clock.Millis, ok bool) {
+	qr := &dt.qr
+	newer := slices.ContainsFunc(qr.samples, func(sm sample) bool { return sm.mb == mb && sm.sent > sent })
+	if newer {
+		return
+	}
+	qr.samples = slices.DeleteFunc(qr.samples, func(sm sample) bool { return sm.mb == mb })
+	at, _ := slices.BinarySearchFunc(qr.samples, sent, func(sm sample, sent clock.Millis) int {
+		return cmp.Compare(sm.sent, sent)
+	})
+	qr.samples = slices.Insert(qr.samples, at, sample{mb: mb, sent: sent, ok: ok})
+}
+
+// measureQuorum estimates how many VMs of the roster are reached. In each
+// failure domain the share of acked probes among the fresh ones stands for
+// all VMs that may be alive there; a domain without a fresh ack counts as not
+// reached.
+func (dt *Detector) measureQuorum() {
+	qr := &dt.qr
+	oldest := dt.now - dt.Settings.Fresh
+	qr.samples = slices.DeleteFunc(qr.samples, func(sm sample) bool {
+		return sm.sent <= oldest || !sm.mb.serving()
+	})
+	before, until := qr.quorate, qr.until
+	roster, domains := dt.countDomains()
+	for _, sm := range qr.samples {
+		domains[sm.mb.vm.FailureDomain].add(sm.ok, 1)
+	}
+	qr.quorate = dt.listed && !dt.left && majority(roster, domains)
+	qr.until = 0
+	if qr.quorate {
+		qr.until = dt.runsOut(roster, domains)
+	}
+	if qr.until != until {
+		dt.out = append(dt.out, Fresh{Until: qr.until})
+	}
+	if qr.quorate != before {
+		dt.dirty = true
+	}
+}
+
+func (ta *tally) add(ok bool, by int) {
+	if ok {
+		ta.acked += by
+		return
+	}
+	ta.missed += by
+}
+
+// countDomains counts the roster with Self, and the VMs of each failure
+// domain that may be alive, without Self.
+func (dt *Detector) countDomains() (int, map[string]*tally) {
+	roster := 1
+	domains := make(map[string]*tally)
+	for _, mb := range dt.tb.members {
+		if mb.inRoster() {
+			roster++
+		}
+		if !mb.serving() {
+			continue
+		}
+		ta := domains[mb.vm.FailureDomain]
+		if ta == nil {
+			ta = &tally{}
+			domains[mb.vm.FailureDomain] = ta
+		}
+		ta.serving++
+	}
+	return roster, domains
+}
+
+// majority tells whether more than half of the roster is reached.
+func majority(roster int, domains map[string]*tally) bool {
+	// Whole numbers would need a common denominator; the slack is far below
+	// the share of one VM and keeps exactly half from counting as more.
+	const slack = 1e-9
+	reached := 1.0
+	for _, ta := range domains {
+		if ta.acked > 0 {
+			reached += float64(ta.serving*ta.acked) / float64(ta.acked+ta.missed)
+		}
+	}
+	return 2*reached > float64(roster)+slack
+}
+
+// runsOut tells when the majority is lost if no further ack comes.
+func (dt *Detector) runsOut(roster int, domains map[string]*tally) clock.Millis {
+	for _, sm := range dt.qr.samples {
+		domains[sm.mb.vm.FailureDomain].add(sm.ok, -1)
+		if !majority(roster, domains) {
+			return sm.sent + dt.Settings.Fresh
+		}
+	}
+	return dt.now + dt.Settings.Fresh // a roster of this VM alone
+}
+
+// staleDomain picks a VM of the failure domain that was without an ack for
+// longest, if that is so long that its evidence will run out.
+func (dt *Detector) staleDomain() *member {
+	last := make(map[string]clock.Millis)
+	for _, sm := range dt.qr.samples {
+		last[sm.mb.vm.FailureDomain] = max(last[sm.mb.vm.FailureDomain], sm.sent)
+	}
+	for _, pr := range dt.pb.open {
+		last[pr.target.vm.FailureDomain] = max(last[pr.target.vm.FailureDomain], pr.sent)
+	}
+	var stale []*member
+	oldest := dt.now - dt.Settings.Fresh*staleNumerator/staleDenominator
+	for _, mb := range dt.tb.members {
+		at := last[mb.vm.FailureDomain]
+		if mb.vm.Health != board.Alive || at > oldest {
+			continue
+		}
+		if len(stale) > 0 && at > last[stale[0].vm.FailureDomain] {
+			continue
+		}
+		if len(stale) > 0 && at < last[stale[0].vm.FailureDomain] {
+			stale = stale[:0]
+		}
+		stale = append(stale, mb)
+	}
+	if len(stale) == 0 {
+		return nil
+	}
+	return stale[dt.Rand.IntN(len(stale))]
+}
--- /dev/null
+++ b/internal/membership/rumour.go
@@ -0,0 +1,247 @@
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// resends is how often a rumour is sent for each doubling of the fleet.
+	resends = 2
+	// rumourHead is the tag and length that a rumour costs in a datagram.
+	rumourHead = 3
+	// introduceFor is how long this VM adds its address to what it sends to
+	// a VM that is new or came back, and that may not know it yet.
+	introduceFor = 10 * clock.Second
+)
+
+type (
+	// rumours waits to be told, the least told first.
+	rumours struct{ queue []rumour }
+
+	// rumour names the VM that it is about; what is told is the state of
+	// that VM at the time of sending. By is the VM that suspects it.
+	rumour struct {
+		id, by string
+		sent   int
+	}
+)
+
+// push queues a rumour, or starts it again. A rumour about a VM itself
+// replaces the suspicions about it.
+func (rm *rumours) push(id, by string) {
+	rm.queue = slices.DeleteFunc(rm.queue, func(ru rumour) bool {
+		return ru.id == id && (by == "" || ru.by == by || ru.by == "")
+	})
+	rm.queue = append(rm.queue, rumour{id: id, by: by})
+}
+
+func (rm *rumours) drop(id string) {
+	rm.queue = slices.DeleteFunc(rm.queue, func(ru rumour) bool { return ru.id == id })
+}
+
+// attach fills a datagram with rumours up to its limit. What this VM doubts
+// about the addressee goes first, so that the addressee can refute it.
+func (dt *Detector) attach(to *member, dg *peerpb.Datagram) {
+	room := dt.Settings.MaxDatagram - proto.Size(dg) - sequenceRoom
+	if !to.heard || dt.now-to.since < introduceFor {
+		room = dt.put(dg, room, dt.aboutSelf())
+	}
+	if to.vm.Health == board.Suspect || (to.vm.Health == board.Dead && to.heard && !to.private) {
+		room = dt.put(dg, room, dt.about(to, dt.Self.ID, false))
+	}
+	limit := resends * bits.Len(uint(len(dt.tb.members)+1))
+	queue := dt.rm.queue
+	for ix := range queue {
+		rr := dt.describe(queue[ix])
+		if rr == nil {
+			queue[ix].sent = limit
+			continue
+		}
+		left := dt.put(dg, room, rr)
+		if left == room {
+			break
+		}
+		room = left
+		queue[ix].sent++
+	}
+	queue = slices.DeleteFunc(queue, func(ru rumour) bool { return ru.sent >= limit })
+	slices.SortStableFunc(queue, func(ra, rb rumour) int { return cmp.Compare(ra.sent, rb.sent) })
+	dt.rm.queue = queue
+}
+
+// put adds a rumour if there is room for it, and returns the room left.
+func (dt *Detector) put(dg *peerpb.Datagram, room int, rr *peerpb.Rumour) int {
+	need := proto.Size(rr) + rumourHead
+	if need > room {
+		return room
+	}
+	dg.Rumours = append(dg.Rumours, rr)
+	return room - need
+}
+
+// describe makes the message of a queued rumour; nil if it no longer holds.
+func (dt *Detector) describe(ru rumour) *peerpb.Rumour {
+	if ru.id == dt.Self.ID {
+		return dt.aboutSelf()
+	}
+	mb := dt.tb.byID[ru.id]
+	switch {
+	case mb == nil || !mb.heard || mb.private:
+		return nil
+	case ru.by != "" && mb.vm.Health != board.Suspect:
+		return nil
+	}
+	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && mb.refutation == 0)
+}
+
+func (dt *Detector) aboutSelf() *peerpb.Rumour {
+	rr := places(dt.Self)
+	rr.Refutation = dt.refutation
+	return rr
+}
+
+// about tells the state of a member, with its places if whole.
+func (dt *Detector) about(mb *member, by string, whole bool) *peerpb.Rumour {
+	rr := &peerpb.Rumour{VM: mb.vm.ID, Incarnation: mb.vm.Incarnation, Health: uint32(mb.vm.Health)}
+	if whole {
+		rr = places(mb.vm)
+	}
+	rr.Refutation = mb.refutation
+	rr.Leaving = mb.leaving
+	if mb.vm.Health == board.Suspect {
+		rr.By = by
+		if by == "" && len(mb.suspicion.by) > 0 {
+			rr.By = mb.suspicion.by[0]
+		}
+	}
+	return rr
+}
+
+func places(vm board.VM) *peerpb.Rumour {
+	return &peerpb.Rumour{
+		VM:            vm.ID,
+		Incarnation:   vm.Incarnation,
+		Health:        uint32(vm.Health),
+		FailureDomain: vm.FailureDomain,
+		Region:        vm.Region,
+		Caller:        vm.Caller,
+		Peer:          vm.Peer,
+		Leaving:       vm.Leaving,
+	}
+}
+
+// hear takes in one rumour. It tells whether the rumour was news.
+func (dt *Detector) hear(rr *peerpb.Rumour) bool {
+	hl := board.Health(rr.GetHealth())
+	if rr.GetVM() == "" || rr.GetIncarnation() == 0 || hl > board.Left {
+		dt.Counters.Ignored++
+		return false
+	}
+	if rr.GetVM() == dt.Self.ID {
+		if hl != board.Alive || rr.GetIncarnation() > dt.Self.Incarnation {
+			dt.refute(rr.GetIncarnation(), rr.GetRefutation(), hl)
+		}
+		return false
+	}
+	mb := dt.tb.byID[rr.GetVM()]
+	if mb == nil {
+		return dt.meet(rr, hl)
+	}
+	switch ord := mb.compareRun(rr.GetIncarnation(), rr.GetRefutation()); {
+	case ord > 0:
+		return false
+	case ord < 0:
+		return dt.supersede(mb, rr, hl)
+	default:
+		return dt.hearSame(mb, rr, hl)
+	}
+}
+
+// meet takes in a VM that was not known. Without its address there is
+// nothing to be done with it.
+func (dt *Detector) meet(rr *peerpb.Rumour, hl board.Health) bool {
+	gv, gone := dt.tb.gone[rr.GetVM()]
+	if rr.GetPeer() == "" || hl == board.Left || (gone && rr.GetIncarnation() <= gv.incarnation) {
+		return false
+	}
+	mb := &member{vm: board.VM{VMRef: board.VMRef{ID: rr.GetVM()}}, since: dt.now}
+	dt.tb.add(mb)
+	dt.pb.enrol(mb, dt.Rand)
+	return dt.supersede(mb, rr, hl)
+}
+
+// supersede takes in a rumour about a later run or refutation.
+func (dt *Detector) supersede(mb *member, rr *peerpb.Rumour, hl board.Health) bool {
+	if rr.GetIncarnation() != mb.vm.Incarnation {
+		mb.leaving = false
+		mb.since = dt.now
+	}
+	wasProbed := mb.heard && mb.serving()
+	mb.heard = true
+	mb.vm.Incarnation = rr.GetIncarnation()
+	mb.refutation = rr.GetRefutation()
+	mb.leaving = mb.leaving || rr.GetLeaving()
+	mb.vm.Leaving = mb.leaving || mb.listLeaves
+	mb.takePlaces(rr)
+	if hl == board.Suspect {
+		dt.setHealth(mb, board.Alive)
+		dt.suspect(mb, rr.GetBy())
+	} else {
+		dt.setHealth(mb, hl)
+		dt.rm.push(mb.vm.ID, "")
+	}
+	if !wasProbed && mb.serving() {
+		dt.pb.enrol(mb, dt.Rand)
+	}
+	return true
+}
+
+func (mb *member) takePlaces(rr *peerpb.Rumour) {
+	if rr.GetPeer() == "" {
+		return
+	}
+	mb.vm.Peer = rr.GetPeer()
+	mb.vm.Caller = rr.GetCaller()
+	mb.vm.FailureDomain = rr.GetFailureDomain()
+	mb.vm.Region = rr.GetRegion()
+}
+
+// hearSame takes in a rumour about the run and refutation that is known.
+func (dt *Detector) hearSame(mb *member, rr *peerpb.Rumour, hl board.Health) bool {
+	news := false
+	if rr.GetLeaving() && !mb.leaving {
+		mb.leaving = true
+		mb.vm.Leaving = true
+		dt.dirty, dt.sy.stale = true, true
+		dt.rm.push(mb.vm.ID, "")
+		news = true
+	}
+	switch {
+	case hl == board.Alive && mb.private:
+		dt.revive(mb)
+		return true
+	case hl == board.Suspect && mb.serving():
+		before := len(mb.suspicion.by)
+		dt.suspect(mb, rr.GetBy())
+		return news || len(mb.suspicion.by) != before
+	case hl == board.Dead && (mb.serving() || mb.private), hl == board.Left && mb.vm.Health != board.Left:
+		dt.setHealth(mb, hl)
+		dt.rm.push(mb.vm.ID, "")
+		return true
+	}
+	return news
+}
+
+// revive takes back this VM's own judgement that a member is Dead.
+func (dt *Detector) revive(mb *member) {
+	dt.setHealth(mb, board.Alive)
+	dt.pb.enrol(mb, dt.Rand)
+}
--- /dev/null
+++ b/internal/membership/suspect.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"math"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// recheckEvery is how often a VM probes again what it suspects itself.
+const recheckEvery = clock.Second
+
+// suspicion is the state of a member between the first doubt and its death.
+type suspicion struct {
+	started  clock.Millis
+	deadline clock.Millis // when the member counts as Dead
+	by       []string     // VMs that found it suspect, each on its own
+	recheck  clock.Millis // when this VM probes it again; zero if it has no doubt of its own
+}
+
+// next is when the suspicion wants attention.
+func (su *suspicion) next() clock.Millis {
+	if su.recheck != 0 {
+		return min(su.deadline, su.recheck)
+	}
+	return su.deadline
+}
+
+// suspect begins or confirms a suspicion that the VM by has of a member.
+func (dt *Detector) suspect(mb *member, by string) {
+	if mb.vm.Health != board.Suspect {
+		dt.setHealth(mb, board.Suspect)
+		mb.suspicion = suspicion{started: dt.now}
+		dt.tb.suspects = append(dt.tb.suspects, mb)
+	}
+	su := &mb.suspicion
+	if by == dt.Self.ID && su.recheck == 0 {
+		su.recheck = dt.now
+	}
+	if len(su.by) > confirmations || slices.Contains(su.by, by) {
+		return
+	}
+	su.by = append(su.by, by)
+	su.deadline = su.started + dt.suspicionSpan(len(su.by)-1) + dt.Settings.DeadHold
+	dt.rm.push(mb.vm.ID, by)
+}
+
+// suspicionSpan shrinks from the maximum to the minimum with the number of
+// independent confirmations.
+func (dt *Detector) suspicionSpan(confirmed int) clock.Millis {
+	low, high := dt.Settings.SuspicionMin, dt.Settings.SuspicionMax
+	wanted := min(confirmations, len(dt.tb.members)-1)
+	if wanted < 1 || dt.without.decay {
+		return low
+	}
+	part := math.Log(float64(confirmed)+1) / math.Log(float64(wanted)+1)
+	return max(low, high-clock.Millis(part*float64(high-low)))
+}
+
+func (dt *Detector) expireSuspicions() {
+	for _, mb := range slices.Clone(dt.tb.suspects) {
+		su := &mb.suspicion
+		if dt.now >= su.deadline {
+			dt.die(mb)
+			continue
+		}
+		if su.recheck != 0 && dt.now >= su.recheck {
+			su.recheck = dt.now + recheckEvery
+			dt.launch(mb)
+		}
+	}
+}
+
+// die marks a member as Dead after its suspicion. Others are told only by a
+// VM that reaches a majority: else it may be the one that is cut off.
+func (dt *Detector) die(mb *member) {
+	dt.setHealth(mb, board.Dead)
+	if dt.measureQuorum(); dt.qr.quorate {
+		dt.rm.push(mb.vm.ID, "")
+		return
+	}
+	mb.private = true
+	dt.rm.drop(mb.vm.ID)
+}
+
+// refute answers a rumour that doubts Self. A doubt is answered within the
+// incarnation; if others already held this VM dead, it needs a new one.
+func (dt *Detector) refute(incarnation uint64, refutation uint32, hl board.Health) {
+	if dt.left || incarnation < dt.Self.Incarnation {
+		return
+	}
+	if hl == board.Suspect && incarnation == dt.Self.Incarnation && refutation < dt.refutation {
+		dt.rm.push(dt.Self.ID, "") // refuted already; who told it missed that
+		return
+	}
+	dt.Counters.Refutations++
+	dt.ail(1)
+	if hl == board.Suspect && incarnation == dt.Self.Incarnation {
+		dt.refutation = refutation + 1
+	} else {
+		dt.Self.Incarnation = incarnation + 1
+		dt.refutation = 0
+		dt.dirty, dt.sy.stale = true, true
+		dt.out = append(dt.out, Refuted{Incarnation: dt.Self.Incarnation})
+	}
+	dt.rm.push(dt.Self.ID, "")
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,236 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// joinTries is how many probes a listed VM gets that never answered; after
+// that it is probed no more often than a dead one.
+const joinTries = 3
+
+type (
+	// table is all VMs but Self that this VM knows of.
+	table struct {
+		members  []*member // sorted by ID
+		byID     map[string]*member
+		suspects []*member // in the order in which suspicion began
+		gone     map[string]goneVM
+	}
+
+	// member is one VM of the table.
+	member struct {
+		vm         board.VM // as the snapshot shows it
+		refutation uint32
+		heard      bool         // it sent something, or a VM that knows it said so
+		tries      int          // probes it missed while not heard
+		leaving    bool         // announced by itself
+		listLeaves bool         // the VM list says that it leaves
+		private    bool         // Dead by this VM's judgement only
+		since      clock.Millis // when its Health began
+		unlisted   clock.Millis // when the VM list dropped it
+		suspicion  suspicion    // while it is Suspect
+	}
+
+	// goneVM remembers a removed VM, so that late rumours do not bring it
+	// back.
+	goneVM struct {
+		incarnation uint64
+		at          clock.Millis
+	}
+)
+
+func (tb *table) add(mb *member) {
+	at, _ := slices.BinarySearchFunc(tb.members, mb.vm.ID, func(mb *member, id string) int {
+		return cmp.Compare(mb.vm.ID, id)
+	})
+	tb.members = slices.Insert(tb.members, at, mb)
+	tb.byID[mb.vm.ID] = mb
+}
+
+func (tb *table) remove(mb *member) {
+	tb.members = slices.DeleteFunc(tb.members, func(other *member) bool { return other == mb })
+	tb.unsuspect(mb)
+	delete(tb.byID, mb.vm.ID)
+}
+
+func (tb *table) unsuspect(mb *member) {
+	tb.suspects = slices.DeleteFunc(tb.suspects, func(other *member) bool { return other == mb })
+}
+
+// compareRun orders the facts about one VM: by incarnation, then by
+// refutation within it.
+func (mb *member) compareRun(incarnation uint64, refutation uint32) int {
+	return cmp.Or(
+		cmp.Compare(mb.vm.Incarnation, incarnation),
+		cmp.Compare(mb.refutation, refutation))
+}
+
+// serving tells whether the member is alive or may be.
+func (mb *member) serving() bool {
+	return mb.vm.Health == board.Alive || mb.vm.Health == board.Suspect
+}
+
+// probed tells whether the member belongs into the round of regular probes.
+func (mb *member) probed() bool {
+	return mb.serving() || (!mb.heard && mb.tries < joinTries)
+}
+
+// inRoster tells whether a majority is counted over the member.
+func (mb *member) inRoster() bool { return mb.vm.Health != board.Left }
+
+// sum hashes what two tables must agree on. What changes with every
+// suspicion is left out.
+func sum(vm board.VM) uint64 {
+	var buf [9]byte
+	binary.LittleEndian.PutUint64(buf[:], vm.Incarnation)
+	if vm.Leaving {
+		buf[8] = 1
+	}
+	var dg xxhash.Digest
+	dg.Reset()
+	_, _ = dg.WriteString(vm.ID)
+	_, _ = dg.Write(buf[:])
+	return dg.Sum64()
+}
+
+// setHealth moves a member to another health and has the change told.
+func (dt *Detector) setHealth(mb *member, hl board.Health) {
+	if mb.vm.Health == board.Suspect && hl != board.Suspect {
+		dt.tb.unsuspect(mb)
+		mb.suspicion = suspicion{}
+	}
+	if hl == board.Dead && mb.vm.Health != board.Dead {
+		dt.Counters.Died++
+	}
+	if mb.vm.Health != hl {
+		mb.since = dt.now
+	}
+	mb.vm.Health = hl
+	mb.private = false
+	dt.dirty = true
+	dt.sy.stale = true
+}
+
+func (dt *Detector) list(vms []board.VM) {
+	if len(vms) == 0 {
+		return // an empty list tells nothing: at least Self is there
+	}
+	first := !dt.listed
+	dt.listed = true
+	named := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		named[vm.ID] = true
+		dt.listOne(vm)
+	}
+	for _, mb := range slices.Clone(dt.tb.members) {
+		if named[mb.vm.ID] || !mb.vm.Listed {
+			continue
+		}
+		dt.dirty = true
+		mb.vm.Listed = false
+		mb.unlisted = dt.now
+		if !mb.heard {
+			dt.tb.remove(mb)
+		}
+	}
+	if first {
+		dt.join()
+	}
+}
+
+func (dt *Detector) listOne(vm board.VM) {
+	if vm.ID == dt.Self.ID {
+		dt.dirty = dt.dirty || !dt.Self.Listed
+		dt.Self.Listed = true
+		return
+	}
+	mb := dt.tb.byID[vm.ID]
+	if mb == nil {
+		if vm.ID == "" || vm.Peer == "" {
+			return
+		}
+		mb = &member{vm: vm, since: dt.now}
+		mb.vm.Incarnation = 0
+		mb.vm.Health = board.Dead
+		mb.vm.Listed = false
+		dt.tb.add(mb)
+		dt.pb.enrol(mb, dt.Rand)
+	}
+	leaves := mb.leaving || vm.Leaving
+	if mb.vm.Listed && mb.vm.Leaving == leaves {
+		return
+	}
+	mb.vm.Listed = true
+	mb.listLeaves = vm.Leaving
+	mb.vm.Leaving = leaves
+	dt.dirty = true
+}
+
+// join asks a few VMs at once, so that a new VM needs not wait for its round.
+func (dt *Detector) join() {
+	asked := 0
+	for _, mb := range dt.shuffled(dt.tb.members) {
+		if mb.heard {
+			continue
+		}
+		dt.launch(mb)
+		if asked++; asked == dt.Settings.Helpers {
+			return
+		}
+	}
+}
+
+// housekeep removes VMs that are confirmed gone from the roster.
+func (dt *Detector) housekeep() {
+	for _, mb := range slices.Clone(dt.tb.members) {
+		if mb.serving() || mb.vm.Listed || !mb.heard {
+			continue
+		}
+		if dt.now-max(mb.since, mb.unlisted) < dt.Settings.RemoveAfter {
+			continue
+		}
+		dt.tb.gone[mb.vm.ID] = goneVM{incarnation: mb.vm.Incarnation, at: dt.now}
+		dt.tb.remove(mb)
+		dt.dirty = true
+	}
+	for id, gv := range dt.tb.gone {
+		if dt.now-gv.at >= goneFor {
+			delete(dt.tb.gone, id)
+		}
+	}
+}
+
+// snapshot makes the section of the board.
+func (dt *Detector) snapshot() *board.Fleet {
+	fl := &board.Fleet{
+		Self:    dt.Self.VMRef,
+		VMs:     make([]board.VM, 0, len(dt.tb.members)+1),
+		Epoch:   1,
+		Quorate: dt.qr.quorate,
+	}
+	if dt.fleet != nil {
+		fl.Epoch = dt.fleet.Epoch + 1
+	}
+	at := 0
+	for ; at < len(dt.tb.members) && dt.tb.members[at].vm.ID < dt.Self.ID; at++ {
+		fl.VMs = append(fl.VMs, dt.tb.members[at].vm)
+	}
+	fl.VMs = append(fl.VMs, dt.Self)
+	for ; at < len(dt.tb.members); at++ {
+		fl.VMs = append(fl.VMs, dt.tb.members[at].vm)
+	}
+	return fl
+}
+
+func (dt *Detector) shuffled(members []*member) []*member {
+	out := slices.Clone(members)
+	dt.Rand.Shuffle(len(out), func(ia, ib int) { out[ia], out[ib] = out[ib], out[ia] })
+	return out
+}
