--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -90,12 +90,6 @@
 	}
 }
 
-func (ln *listener) count() int {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	return ln.open
-}
-
 // Close closes the connection and gives its place back once.
 func (cc *countedConn) Close() error {
 	err := cc.Conn.Close()
--- /dev/null
+++ b/pkg/client/addresses.go
@@ -0,0 +1,160 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	askTimeout   = 5 * time.Second
+	maxAddresses = 64 << 10 // bytes of an answer about addresses
+)
+
+type (
+	// book is the addresses that the client uses, best first.
+	book struct {
+		mu    sync.Mutex
+		addrs []string
+		until clock.Millis
+	}
+
+	addressesBody struct {
+		Addresses []struct{ Address string }
+		KeepFor   clock.Millis
+	}
+)
+
+// pick returns the address to try next. It asks the fleet for addresses when
+// it has none or has kept them for long enough. While nobody answers it goes
+// on with those that it has.
+func (cl *Client) pick(ctx context.Context) (string, error) {
+	if addr, ok := cl.book.first(cl.now()); ok {
+		return addr, nil
+	}
+	known := slices.Concat(cl.book.all(), cl.Bootstrap)
+	tried := map[string]bool{}
+	for _, addr := range known {
+		if tried[addr] {
+			continue
+		}
+		tried[addr] = true
+		got, err := cl.ask(ctx, addr)
+		var rf refusal.Refusal
+		switch {
+		case err == nil:
+			cl.book.store(got, cl.now())
+			return got.Addresses[0].Address, nil
+		case errors.As(err, &rf) && !local(rf.Reason):
+			return "", err
+		case ctx.Err() != nil:
+			return "", fmt.Errorf("ask for addresses: %w", ctx.Err())
+		}
+	}
+	cl.book.fallBack(cl.Bootstrap)
+	return cl.book.all()[0], nil
+}
+
+// ask asks one VM which addresses to use.
+func (cl *Client) ask(ctx context.Context, addr string) (addressesBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/addresses", nil)
+	if err != nil {
+		return addressesBody{}, fmt.Errorf("ask %s for addresses: %w", addr, err)
+	}
+	cl.header(req)
+	resp, err := cl.hc.Do(req)
+	if err != nil {
+		return addressesBody{}, fmt.Errorf("ask %s for addresses: %w", addr, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if rf, ok := refusalOf(resp); ok {
+		return addressesBody{}, fmt.Errorf("ask %s for addresses: %w", addr, rf)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAddresses))
+	if err != nil {
+		return addressesBody{}, fmt.Errorf("read the addresses of %s: %w", addr, err)
+	}
+	return parseAddresses(data)
+}
+
+func parseAddresses(data []byte) (addressesBody, error) {
+	var body addressesBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return addressesBody{}, fmt.Errorf("parse addresses: %w", err)
+	}
+	if len(body.Addresses) == 0 || body.KeepFor <= 0 {
+		return addressesBody{}, errors.New("parse addresses: none, or kept for no time")
+	}
+	for _, addr := range body.Addresses {
+		if _, err := netip.ParseAddrPort(addr.Address); err != nil {
+			return addressesBody{}, fmt.Errorf("parse addresses: %w", err)
+		}
+	}
+	return body, nil
+}
+
+func (bk *book) first(now clock.Millis) (string, bool) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	if len(bk.addrs) == 0 || now >= bk.until {
+		return "", false
+	}
+	return bk.addrs[0], true
+}
+
+func (bk *book) all() []string {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	return slices.Clone(bk.addrs)
+}
+
+func (bk *book) store(body addressesBody, now clock.Millis) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	bk.addrs = bk.addrs[:0]
+	for _, addr := range body.Addresses {
+		bk.addrs = append(bk.addrs, addr.Address)
+	}
+	bk.until = now + body.KeepFor
+}
+
+// fallBack adds addresses that are not known yet at the end.
+func (bk *book) fallBack(addrs []string) {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	for _, addr := range addrs {
+		if !slices.Contains(bk.addrs, addr) {
+			bk.addrs = append(bk.addrs, addr)
+		}
+	}
+}
+
+// demote puts an address that failed at the end and returns how many there
+// are.
+func (bk *book) demote(addr string) int {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	if ix := slices.Index(bk.addrs, addr); ix >= 0 {
+		bk.addrs = append(slices.Delete(bk.addrs, ix, ix+1), addr)
+	}
+	return len(bk.addrs)
+}
+
+// expire makes the next pick ask again.
+func (bk *book) expire() {
+	bk.mu.Lock()
+	defer bk.mu.Unlock()
+	bk.until = 0
+}
--- /dev/null
+++ b/pkg/client/chat.go
@@ -0,0 +1,229 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"alderdyke/pkg/clock"
+)
+
+const (
+	maxLine = 4 << 20 // bytes of one line of a stream
+	noEvent = -1      // last event ID before the first event
+)
+
+type (
+	// Message is one message of a conversation.
+	Message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+
+	// ChatRequest is a request to a model service.
+	ChatRequest struct {
+		Model     string
+		Messages  []Message
+		MaxTokens int // zero stands for the class's bound
+
+		Class    string       // name of the class; empty stands for the model's first
+		Deadline clock.Millis // zero stands for the class's, and is never above it
+
+		// Key names the request. An application that may itself start
+		// again sets one and sends the same; otherwise each call makes its
+		// own.
+		Key string
+
+		// Idempotent lets the call start anew after a refusal that says
+		// MayHaveRun, as long as no text came.
+		Idempotent bool
+
+		// OnText, if set, is called with each piece of the answer, in order
+		// and once.
+		OnText func(text string)
+	}
+
+	// ChatAnswer is a model's whole answer.
+	ChatAnswer struct {
+		Text         string
+		FinishReason string
+		Tokens       int // output tokens
+		Key          string
+	}
+
+	chatCall struct {
+		cs   *course
+		req  ChatRequest
+		body []byte
+		last int // ID of the last event
+		text strings.Builder
+		ans  ChatAnswer
+	}
+
+	// sseEvent is one server-sent event.
+	sseEvent struct {
+		id   int // noEvent if it has none
+		name string
+		data string
+	}
+
+	chatChunk struct {
+		Choices []struct {
+			Delta        struct{ Content string } `json:"delta"`
+			FinishReason *string                  `json:"finish_reason"`
+		} `json:"choices"`
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+)
+
+// Chat sends a request to a model service and returns its whole answer, or an
+// error that wraps a refusal.Refusal.
+func (cl *Client) Chat(ctx context.Context, req ChatRequest) (ChatAnswer, error) {
+	body, err := json.Marshal(struct {
+		Model     string    `json:"model"`
+		Messages  []Message `json:"messages"`
+		MaxTokens int       `json:"max_tokens,omitempty"`
+		Stream    bool      `json:"stream"`
+	}{req.Model, req.Messages, req.MaxTokens, true})
+	if err != nil {
+		return ChatAnswer{}, fmt.Errorf("%w: %w", errNotRun("the request can't be encoded"), err)
+	}
+	cc := &chatCall{cs: &course{key: req.Key}, req: req, body: body, last: noEvent}
+	if err := cl.run(ctx, cc.cs, cc); err != nil {
+		return ChatAnswer{}, fmt.Errorf("chat completion: %w", err)
+	}
+	cc.ans.Text, cc.ans.Key = cc.text.String(), cc.cs.key
+	return cc.ans, nil
+}
+
+func (cc *chatCall) begun() bool      { return cc.last != noEvent }
+func (cc *chatCall) idempotent() bool { return cc.req.Idempotent }
+
+func (cc *chatCall) request(ctx context.Context, addr string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+addr+"/v1/chat/completions", bytes.NewReader(cc.body))
+	if err != nil {
+		return nil, fmt.Errorf("make the request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerKey, cc.cs.key)
+	if cc.last != noEvent {
+		req.Header.Set(headerLastID, strconv.Itoa(cc.last))
+	}
+	if cc.req.Class != "" {
+		req.Header.Set(headerClass, cc.req.Class)
+	}
+	if cc.req.Deadline > 0 {
+		req.Header.Set(headerDeadline, cc.req.Deadline.String())
+	}
+	return req, nil
+}
+
+func (cc *chatCall) read(resp *http.Response) outcome {
+	kind := resp.Header.Get("Content-Type")
+	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(kind, "text/event-stream") {
+		return broken{err: fmt.Errorf("status %d without a stream or a refusal", resp.StatusCode)}
+	}
+	sc := bufio.NewScanner(resp.Body)
+	sc.Buffer(nil, maxLine)
+	for {
+		ev, err := nextEvent(sc)
+		if err != nil {
+			return broken{err: err}
+		}
+		oc, err := cc.take(ev)
+		if err != nil {
+			return broken{err: err}
+		}
+		if oc != nil {
+			return oc
+		}
+	}
+}
+
+// take takes one event in; the outcome is nil while the answer goes on.
+func (cc *chatCall) take(ev sseEvent) (outcome, error) {
+	switch {
+	case ev.name == "refusal":
+		rf, err := parseRefusal([]byte(ev.data))
+		if err != nil {
+			return nil, err
+		}
+		return refused{rf}, nil
+	case ev.name != "" || ev.data == "":
+		return nil, nil
+	case ev.id == noEvent:
+		return nil, errors.New("a chunk has no event ID")
+	case ev.id > cc.last+1:
+		return nil, fmt.Errorf("event %d came where %d was due", ev.id, cc.last+1)
+	}
+	var ck chatChunk
+	if err := json.Unmarshal([]byte(ev.data), &ck); err != nil {
+		return nil, fmt.Errorf("parse chunk %d: %w", ev.id, err)
+	}
+	if len(ck.Choices) != 1 {
+		return nil, fmt.Errorf("chunk %d has %d choices", ev.id, len(ck.Choices))
+	}
+	if ev.id > cc.last {
+		cc.last = ev.id
+		cc.add(ck.Choices[0].Delta.Content)
+	}
+	if end := ck.Choices[0].FinishReason; end != nil {
+		cc.ans.FinishReason, cc.ans.Tokens = *end, ck.Usage.CompletionTokens
+		return whole{}, nil
+	}
+	return nil, nil
+}
+
+func (cc *chatCall) add(text string) {
+	if text == "" {
+		return
+	}
+	cc.text.WriteString(text)
+	if cc.req.OnText != nil {
+		cc.req.OnText(text)
+	}
+}
+
+// nextEvent reads one event. The end of the stream is an error: an answer
+// ends with an event of its own.
+func nextEvent(sc *bufio.Scanner) (sseEvent, error) {
+	ev := sseEvent{id: noEvent}
+	var data []string
+	for sc.Scan() {
+		line := sc.Text()
+		if line == "" {
+			if ev.id != noEvent || ev.name != "" || data != nil {
+				ev.data = strings.Join(data, "\n")
+				return ev, nil
+			}
+			continue
+		}
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case "id":
+			id, err := strconv.Atoi(value)
+			if err != nil || id < 0 {
+				return sseEvent{}, errors.New("an event ID is not a number")
+			}
+			ev.id = id
+		case "event":
+			ev.name = value
+		case "data":
+			data = append(data, value)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return sseEvent{}, fmt.Errorf("read the stream: %w", err)
+	}
+	return sseEvent{}, errors.New("the stream broke off before its final event")
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,283 @@
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	mrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Presets of a Client's fields.
+const (
+	presetAttempts = 24
+	presetIdle     = 45 * clock.Second
+	presetPause    = clock.Millis(200)
+	maxPause       = 10 * clock.Second
+	maxDoublings   = 10
+	dialTimeout    = 3 * time.Second
+)
+
+type (
+	// Client calls the fleet on behalf of one customer. Set the exported
+	// fields before the first call; any number of goroutines may call.
+	Client struct {
+		Bootstrap []string // "IP:port" of some VMs, asked while no others are known
+		APIKey    string
+
+		// HTTP sends the requests. Nil stands for a client of its own that
+		// uses no proxy. It must neither follow redirects nor have a Timeout.
+		HTTP *http.Client
+
+		Attempts int          // tries of one call; zero stands for 24
+		Idle     clock.Millis // silence after which a connection counts as broken; zero stands for 45s
+		Pause    clock.Millis // wait after every address failed, doubled each time up to 10s; zero stands for 200ms
+		Clock    clock.Source // nil stands for the process's clock
+
+		// Wait waits for a span or until the context ends. Nil stands for a
+		// timer.
+		Wait func(ctx context.Context, span clock.Millis) error
+
+		once sync.Once
+		hc   *http.Client
+		book book
+	}
+
+	// call is one request to the fleet: *chatCall or *plainCall.
+	call interface {
+		// request makes the HTTP request for one try.
+		request(ctx context.Context, addr string) (*http.Request, error)
+		// read reads the response to its end.
+		read(resp *http.Response) outcome
+		// begun tells whether a part of the answer was handed on already.
+		begun() bool
+		// idempotent tells whether the request may run more than once.
+		idempotent() bool
+	}
+
+	// outcome of one try: whole, refused or broken.
+	outcome interface{ outcome() }
+
+	whole   struct{}
+	refused struct{ rf refusal.Refusal }
+	broken  struct {
+		sent bool // the request may have reached the VM
+		err  error
+	}
+
+	// course is the state of one call over its tries.
+	course struct {
+		key     string
+		own     bool // the key is the application's
+		inDoubt bool // a try broke that may have reached a VM
+		failed  int  // tries in a row that got no further
+		rounds  int  // times that every address had failed
+	}
+)
+
+func (whole) outcome()   {}
+func (refused) outcome() {}
+func (broken) outcome()  {}
+
+// header sets what all requests to the fleet carry.
+func (cl *Client) header(req *http.Request) {
+	req.Header.Set("Authorization", "Bearer "+cl.APIKey)
+}
+
+func (cl *Client) init() {
+	cl.once.Do(func() {
+		cl.hc = cl.HTTP
+		if cl.hc == nil {
+			dialer := &net.Dialer{Timeout: dialTimeout}
+			cl.hc = &http.Client{
+				Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second},
+				CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			}
+		}
+	})
+}
+
+// Close closes idle connections. Calls in progress go on.
+func (cl *Client) Close() {
+	cl.init()
+	cl.hc.CloseIdleConnections()
+}
+
+// run tries the call until it has its one end. The error wraps a
+// refusal.Refusal.
+func (cl *Client) run(ctx context.Context, cs *course, cc call) error {
+	cl.init()
+	if err := checkBootstrap(cl.Bootstrap); err != nil {
+		return err
+	}
+	if cs.own = cs.key != ""; !cs.own {
+		cs.key = rand.Text()
+	}
+	var last error
+	for range orPreset(cl.Attempts, presetAttempts) {
+		addr, err := cl.pick(ctx)
+		if err != nil {
+			return cs.end(err)
+		}
+		switch oc := cl.try(ctx, addr, cc).(type) {
+		case whole:
+			return nil
+		case refused:
+			last = fmt.Errorf("answer of %s: %w", addr, cs.truth(oc.rf))
+			if !cs.again(oc.rf, cc) {
+				return last
+			}
+			cs.rekey(cc)
+			err = cl.afterRefusal(ctx, cs, addr, oc.rf)
+		case broken:
+			cs.inDoubt = cs.inDoubt || oc.sent
+			last = fmt.Errorf("try at %s: %w", addr, oc.err)
+			err = cl.afterBreak(ctx, cs, addr)
+		}
+		if err != nil {
+			return cs.end(errors.Join(err, last))
+		}
+	}
+	return cs.end(last)
+}
+
+// truth is what a refusal of one try says about the whole call.
+func (cs *course) truth(rf refusal.Refusal) refusal.Refusal {
+	if rf.Ran != refusal.NotRun || cs.inDoubt {
+		return rf.WithRan(refusal.MayHaveRun)
+	}
+	return rf
+}
+
+// again tells whether the call goes on after what a VM said. After "not run"
+// it may: with a fresh key, or in doubt with the same one, which the fleet
+// runs once at most. After "may have run" only an idempotent request starts
+// anew, and not with the application's key, which stands for that end.
+func (cs *course) again(said refusal.Refusal, cc call) bool {
+	switch {
+	case said.RetryAfter <= 0:
+		return false
+	case said.Ran == refusal.NotRun:
+		return cs.inDoubt || !cc.begun()
+	default:
+		return cc.idempotent() && !cs.own && !cc.begun()
+	}
+}
+
+// rekey takes a fresh key where the old one may stand for a refusal and a
+// second run is either impossible or allowed.
+func (cs *course) rekey(cc call) {
+	if !cs.own && !cc.begun() && (!cs.inDoubt || cc.idempotent()) {
+		cs.key = rand.Text()
+	}
+}
+
+// local tells whether the reason lies with the one VM and comes before
+// anything runs, so that another VM may know better.
+func local(reason refusal.Reason) bool {
+	switch reason {
+	case refusal.Draining, refusal.Starting, refusal.TooManyConnections:
+		return true
+	default:
+		return false
+	}
+}
+
+// end is the refusal of a call that got neither an answer nor a final
+// refusal.
+func (cs *course) end(err error) error {
+	var rf refusal.Refusal
+	if errors.As(err, &rf) {
+		if truth := cs.truth(rf); truth != rf {
+			return fmt.Errorf("%w: %v", truth, err)
+		}
+		return err
+	}
+	rf = refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.HomeUnreachable, Detail: "no VM could be asked"}
+	if errors.Is(err, context.DeadlineExceeded) {
+		rf.Reason = refusal.DeadlinePassed
+	}
+	return fmt.Errorf("%w: %w", cs.truth(rf), err)
+}
+
+func (cl *Client) afterRefusal(ctx context.Context, cs *course, addr string, rf refusal.Refusal) error {
+	if local(rf.Reason) && cl.book.demote(addr) > cs.failed+1 {
+		cs.failed++
+		return nil // another VM can be asked at once
+	}
+	cs.failed = 0
+	return cl.wait(ctx, rf.RetryAfter)
+}
+
+func (cl *Client) afterBreak(ctx context.Context, cs *course, addr string) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	cs.failed++
+	if known := cl.book.demote(addr); cs.failed < known {
+		return nil
+	}
+	cs.failed = 0
+	cl.book.expire()
+	pause := min(orPreset(cl.Pause, presetPause)<<min(cs.rounds, maxDoublings), maxPause)
+	cs.rounds++
+	return cl.wait(ctx, pause)
+}
+
+// wait waits for the span and up to a quarter more, so that callers who were
+// refused together do not come back together.
+func (cl *Client) wait(ctx context.Context, span clock.Millis) error {
+	span += clock.Millis(mrand.Int64N(int64(span)/4 + 1))
+	if cl.Wait != nil {
+		return cl.Wait(ctx, span)
+	}
+	if due, ok := ctx.Deadline(); ok && time.Until(due) < span.Std() {
+		return context.DeadlineExceeded
+	}
+	tm := time.NewTimer(span.Std())
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-tm.C:
+		return nil
+	}
+}
+
+func (cl *Client) now() clock.Millis {
+	if cl.Clock != nil {
+		return cl.Clock.Now()
+	}
+	return clock.Monotonic{}.Now()
+}
+
+func orPreset[Number ~int | ~int64](value, preset Number) Number {
+	if value <= 0 {
+		return preset
+	}
+	return value
+}
+
+func checkBootstrap(addrs []string) error {
+	if len(addrs) == 0 {
+		return errNotRun("Bootstrap names no address")
+	}
+	for _, addr := range addrs {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return errNotRun(fmt.Sprintf("Bootstrap: %q is not IP:port", addr))
+		}
+	}
+	return nil
+}
+
+func errNotRun(detail string) error {
+	return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.BadRequest, Detail: detail}
+}
