peer: carry calls, streams and datagrams between entry VMs

Cause: the entry VMs need mutually authenticated streams and datagrams that tell a frame which never left from one that may have arrived.

Change: yamux over TLS 1.3 with one public key derived from the shared secret and pinned on both sides; a hello in each direction; lazily dialled sessions, one for each pair and direction; pings from the dialling side only and only while streams are open; limits; datagrams with a truncated HMAC and a sliding window.

Conclusion: usable by the packages that call other VMs.

--- /dev/null
+++ b/internal/peer/accept.go
@@ -0,0 +1,265 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/refusal"
+)
+
+// acceptPause is how long nothing is accepted after a failure.
+const acceptPause = 100 * time.Millisecond
+
+// handshakes holds the connections that have not proved the secret yet, the
+// oldest first. The oldest gives way to a new one: a VM needs a few
+// milliseconds for its handshake, a slow stranger all that it can get.
+type handshakes struct {
+	conns []net.Conn
+}
+
+// add takes a connection and returns the one that gives way, if any.
+func (hs *handshakes) add(cn net.Conn, limit int) net.Conn {
+	hs.conns = append(hs.conns, cn)
+	if len(hs.conns) <= limit {
+		return nil
+	}
+	oldest := hs.conns[0]
+	hs.remove(oldest)
+	return oldest
+}
+
+func (hs *handshakes) remove(cn net.Conn) {
+	for ix, have := range hs.conns {
+		if have == cn {
+			hs.conns = append(hs.conns[:ix], hs.conns[ix+1:]...)
+			return
+		}
+	}
+}
+
+func (hs *handshakes) closeAll() {
+	for _, cn := range hs.conns {
+		_ = cn.Close()
+	}
+	hs.conns = nil
+}
+
+// acceptLoop takes connections until the listener is closed. Other failures,
+// such as too many open files, pass.
+func (tr *Transport) acceptLoop(ln net.Listener) error {
+	for {
+		raw, err := ln.Accept()
+		switch {
+		case err == nil:
+			tr.admit(raw)
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("accept: %w", err)
+		default:
+			tr.pause()
+		}
+	}
+}
+
+// pause waits before the next try of what just failed.
+func (tr *Transport) pause() {
+	tm := time.NewTimer(acceptPause)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-tr.runCtx.Done():
+	}
+}
+
+// admit starts the handshake and makes room for it.
+func (tr *Transport) admit(raw net.Conn) {
+	tr.mu.Lock()
+	if tr.stopped {
+		tr.mu.Unlock()
+		_ = raw.Close()
+		return
+	}
+	gives := tr.pending.add(raw, tr.Limits.MaxHandshakes)
+	tr.group.Go(func() { tr.serveConn(raw) })
+	tr.mu.Unlock()
+	if gives != nil {
+		tr.count.refused[refusedCrowded].Inc(1)
+		_ = gives.Close()
+	}
+}
+
+// serveConn serves one connection for as long as it lasts.
+func (tr *Transport) serveConn(raw net.Conn) {
+	ss, reason, err := tr.accept(raw)
+	tr.mu.Lock()
+	tr.pending.remove(raw)
+	tr.mu.Unlock()
+	if err != nil {
+		_ = raw.Close()
+		tr.refused(reason, raw, err)
+		return
+	}
+	tr.serveSession(ss)
+}
+
+func (tr *Transport) refused(reason string, raw net.Conn, err error) {
+	tr.count.refused[reason].Inc(1)
+	address := event.F("Address", raw.RemoteAddr().String())
+	switch reason {
+	case refusedUntrusted:
+		tr.warnSome(event.PeerUntrusted, address)
+	case refusedWrongVM, refusedStale:
+		tr.warnSome(event.PeerWrongVM, address, event.F("Error", err.Error()))
+	case refusedManySessions:
+		tr.warnSome(event.PeerLimit, address, event.F("Limit", tr.Limits.MaxSessions))
+	}
+}
+
+// accept makes a session of a connection, or tells why not.
+func (tr *Transport) accept(raw net.Conn) (*session, string, error) {
+	if err := tr.bound(raw); err != nil {
+		return nil, refusedHandshake, err
+	}
+	wr := tr.newWire(raw)
+	tc := tls.Server(wr, tr.id.server)
+	if err := tc.HandshakeContext(tr.runCtx); err != nil {
+		reason := refusedHandshake
+		if isUntrusted(err) {
+			reason = refusedUntrusted
+		}
+		return nil, reason, fmt.Errorf("TLS handshake: %w", err)
+	}
+	hl, err := readHello(tc)
+	if err != nil {
+		return nil, refusedHello, err
+	}
+	from := board.VMRef{ID: hl.GetID(), Incarnation: hl.GetIncarnation()}
+	if hl.GetTo() != tr.Self.ID {
+		// The hello tells the other side whom it reached.
+		err := errors.Join(WrongVMError{Want: board.VMRef{ID: hl.GetTo()}, Got: tr.Self}, tr.sendHello(tc, from.ID))
+		return nil, refusedWrongVM, err
+	}
+	return tr.enter(tc, wr, from)
+}
+
+// isUntrusted tells a wrong key on either side from other failures.
+func isUntrusted(err error) bool {
+	var ue UntrustedError
+	var alert tls.AlertError
+	var remote *net.OpError
+	if errors.As(err, &ue) || errors.As(err, &alert) {
+		return true
+	}
+	return errors.As(err, &remote) && remote.Op == "remote error"
+}
+
+// enter checks the limits, answers the hello and enters the session into the
+// list.
+func (tr *Transport) enter(tc *tls.Conn, wr *wire, from board.VMRef) (*session, string, error) {
+	if reason, err := tr.mayEnter(from); err != nil {
+		return nil, reason, err
+	}
+	if err := tr.sendHello(tc, from.ID); err != nil {
+		return nil, refusedHello, err
+	}
+	if err := unbound(wr.Conn); err != nil {
+		return nil, refusedHandshake, err
+	}
+	mux, err := yamux.Server(tc, tr.muxConfig())
+	if err != nil {
+		return nil, refusedHandshake, fmt.Errorf("start session: %w", err)
+	}
+	ss := &session{mux: mux, wire: wr, peer: from}
+	ss.ctx, ss.cancel = context.WithCancelCause(tr.runCtx)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.stopped {
+		tr.group.Go(ss.kill)
+		return nil, refusedHandshake, net.ErrClosed
+	}
+	tr.all[ss] = struct{}{}
+	return ss, "", nil
+}
+
+// mayEnter refuses sessions over the limit and those of a VM's older run, and
+// gives up the sessions of the runs before this one.
+func (tr *Transport) mayEnter(from board.VMRef) (string, error) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var older []*session
+	var accepted int
+	for ss := range tr.all {
+		if ss.dialed != "" || ss.mux.IsClosed() {
+			continue
+		}
+		accepted++
+		if ss.peer.ID != from.ID {
+			continue
+		}
+		if ss.peer.Incarnation > from.Incarnation {
+			return refusedStale, WrongVMError{Want: ss.peer, Got: from}
+		}
+		if ss.peer.Incarnation < from.Incarnation {
+			older = append(older, ss)
+		}
+	}
+	if accepted-len(older) >= tr.Limits.MaxSessions {
+		return refusedManySessions, fmt.Errorf("limit of %d sessions reached", tr.Limits.MaxSessions)
+	}
+	for _, ss := range older {
+		tr.lose(ss)
+	}
+	return "", nil
+}
+
+// serveSession hands the session's streams to the handler until it ends.
+func (tr *Transport) serveSession(ss *session) {
+	defer func() {
+		ss.close()
+		tr.mu.Lock()
+		tr.ended(ss)
+		tr.mu.Unlock()
+	}()
+	for {
+		st, err := ss.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		cn := newConn(ss.ctx, tr, ss, st)
+		if tr.Handler == nil || ss.mux.NumStreams() > tr.Limits.MaxStreams {
+			tr.refuseStream(ss, cn)
+			continue
+		}
+		tr.count.streamsServed.Inc(1)
+		if !tr.spawn(func() { tr.serveStream(ss, cn) }) {
+			return
+		}
+	}
+}
+
+func (tr *Transport) serveStream(ss *session, cn *Conn) {
+	defer cn.Close()
+	cn.expectFirst()
+	tr.Handler.Serve(ss.ctx, ss.peer, cn)
+}
+
+// refuseStream tells the peer that the stream was not looked at.
+func (tr *Transport) refuseStream(ss *session, cn *Conn) {
+	tr.count.refused[refusedManyStreams].Inc(1)
+	tr.warnSome(event.PeerLimit, event.F("Peer", ss.peer.ID), event.F("Limit", tr.Limits.MaxStreams))
+	_ = cn.Send(&peerpb.Frame{Body: &peerpb.Frame_Refusal{Refusal: &peerpb.Refusal{
+		Ran:        string(refusal.NotRun),
+		Reason:     string(refusal.TooManyConnections),
+		RetryAfter: int64(tr.KeepAlive),
+		Detail:     "too many streams from this VM",
+	}}})
+	cn.Close()
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+)
+
+// longPast as a deadline ends all waiting at once.
+var longPast = time.Unix(1, 0)
+
+// Conn is one stream of frames. Send may be called from several goroutines,
+// Recv from one at a time, and both beside each other. After an error of
+// either nothing is left but Close.
+type Conn struct {
+	ss      *session
+	st      *yamux.Stream
+	ctx     context.Context
+	detach  func() bool
+	limit   int
+	timeout time.Duration
+
+	mu    sync.Mutex
+	ended bool // the context ended or Close was called
+}
+
+func newConn(ctx context.Context, tr *Transport, ss *session, st *yamux.Stream) *Conn {
+	cn := &Conn{ss: ss, st: st, ctx: ctx, limit: tr.Limits.MaxFrame, timeout: tr.FrameTimeout.Std()}
+	cn.detach = context.AfterFunc(ctx, cn.end)
+	return cn
+}
+
+// Peer is the VM at the other end, in the run that it is in.
+func (cn *Conn) Peer() board.VMRef { return cn.ss.peer }
+
+// Send writes one frame. Only a frame that is too large is known not to have
+// left ([NotSentError] around a [SizeError]); any other error is a
+// [BrokenError].
+func (cn *Conn) Send(fr *peerpb.Frame) error {
+	raw, err := encode(fr, cn.limit)
+	if err != nil {
+		return NotSentError{VM: cn.ss.peer.ID, Step: StepEncode, Err: err}
+	}
+	if _, err := cn.st.Write(raw); err != nil {
+		return cn.broken(err)
+	}
+	return nil
+}
+
+// Recv waits for the next frame. Its errors are a [BrokenError].
+func (cn *Conn) Recv() (*peerpb.Frame, error) {
+	rd := &byteReader{Reader: cn.st, onBody: func() { cn.await(time.Now().Add(cn.timeout)) }}
+	var fr peerpb.Frame
+	if err := decode(rd, &fr, cn.limit); err != nil {
+		return nil, cn.broken(err)
+	}
+	cn.await(time.Time{})
+	cn.st.Shrink() // a stream at rest holds no buffer
+	return &fr, nil
+}
+
+// Close ends the stream in both directions; the peer's Recv returns io.EOF
+// after the frames that were sent. More than one call does no harm.
+func (cn *Conn) Close() {
+	cn.detach()
+	cn.end()
+	_ = cn.st.Close()
+}
+
+// Watch returns a context that ends when the peer closes the stream or is
+// lost. It is for a side that expects no more frames, and reads the stream
+// until then: a frame that comes ends the context too.
+func (cn *Conn) Watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	watched, cancel := context.WithCancelCause(ctx)
+	go func() {
+		_, err := cn.Recv()
+		if err == nil {
+			err = errors.New("frame where none was due")
+		}
+		cancel(err)
+	}()
+	return watched, func() { cancel(context.Canceled) }
+}
+
+// expectFirst bounds the wait for the first frame.
+func (cn *Conn) expectFirst() { cn.await(time.Now().Add(cn.timeout)) }
+
+// await sets when reading gives up, unless everything has ended already.
+func (cn *Conn) await(until time.Time) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !cn.ended {
+		_ = cn.st.SetReadDeadline(until)
+	}
+}
+
+// end wakes whoever reads or writes.
+func (cn *Conn) end() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.ended = true
+	_ = cn.st.SetDeadline(longPast)
+}
+
+func (cn *Conn) hasEnded() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.ended
+}
+
+// broken names the cause of a failed read or write. A session that is lost
+// looks to a reader like the end of the stream; it must not be told as that.
+func (cn *Conn) broken(err error) error {
+	switch {
+	case cn.ss.mux.IsClosed():
+		err = ErrSessionLost
+	case cn.ctx.Err() != nil:
+		err = context.Cause(cn.ctx)
+	case errors.Is(err, yamux.ErrTimeout) && cn.hasEnded():
+		err = net.ErrClosed
+	case errors.Is(err, yamux.ErrTimeout):
+		err = ErrSlowFrame
+	case errors.Is(err, yamux.ErrSessionShutdown), errors.Is(err, yamux.ErrConnectionWriteTimeout):
+		err = ErrSessionLost
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		err = io.ErrUnexpectedEOF
+	}
+	return BrokenError{VM: cn.ss.peer, Err: err}
+}
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,80 @@
+package peer
+
+import "github.com/uber-go/tally/v4"
+
+// Reasons for which a connection or stream of another VM is refused; each has
+// a counter.
+const (
+	refusedHandshake    = "Handshake"         // broke off, too slow or not TLS
+	refusedUntrusted    = "Untrusted"         // does not hold the secret
+	refusedCrowded      = "TooManyHandshakes" // pushed out by later connections
+	refusedHello        = "BadHello"
+	refusedWrongVM      = "WrongVM"
+	refusedStale        = "StaleIncarnation" // a newer run of the VM is connected
+	refusedManySessions = "TooManySessions"
+	refusedManyStreams  = "TooManyStreams"
+)
+
+// Reasons for which a datagram is dropped; each has a counter.
+const (
+	accepted         verdict = ""
+	droppedBadMAC    verdict = "BadMAC"
+	droppedReplayed  verdict = "Replayed"
+	droppedStale     verdict = "StaleIncarnation"
+	droppedMalformed verdict = "Malformed"
+	droppedWrongVM   verdict = "WrongTarget"
+
+	reasonTag         = "Reason"
+	counterRefused    = "PeerRefused"
+	counterDropped    = "PeerDatagramsDropped"
+	counterSessions   = "PeerSessions"
+	counterDialed     = "PeerDialed"
+	counterDialFailed = "PeerDialFailed"
+	counterLost       = "PeerSessionsLost"
+	counterIdle       = "PeerSessionsIdle"
+)
+
+type (
+	// verdict on a datagram.
+	verdict string
+
+	counters struct {
+		refused, dropped                     map[string]tally.Counter
+		dialed, dialFailed, lost, idle       tally.Counter
+		sessions                             tally.Gauge
+		bytesIn, bytesOut                    tally.Counter // on the wire of TCP, TLS included
+		datagramsIn, datagramsOut            tally.Counter
+		datagramBytesIn, datagramBytesOut    tally.Counter
+		streamsOpened, streamsServed, pinged tally.Counter
+	}
+)
+
+func newCounters(sc tally.Scope) *counters {
+	byReason := func(name string, reasons ...string) map[string]tally.Counter {
+		out := make(map[string]tally.Counter, len(reasons))
+		for _, rs := range reasons {
+			out[rs] = sc.Tagged(map[string]string{reasonTag: rs}).Counter(name)
+		}
+		return out
+	}
+	return &counters{
+		refused: byReason(counterRefused, refusedHandshake, refusedUntrusted, refusedCrowded, refusedHello,
+			refusedWrongVM, refusedStale, refusedManySessions, refusedManyStreams),
+		dropped: byReason(counterDropped, string(droppedBadMAC), string(droppedReplayed), string(droppedStale),
+			string(droppedMalformed), string(droppedWrongVM)),
+		dialed:           sc.Counter(counterDialed),
+		dialFailed:       sc.Counter(counterDialFailed),
+		lost:             sc.Counter(counterLost),
+		idle:             sc.Counter(counterIdle),
+		sessions:         sc.Gauge(counterSessions),
+		bytesIn:          sc.Counter("PeerBytesReceived"),
+		bytesOut:         sc.Counter("PeerBytesSent"),
+		datagramsIn:      sc.Counter("PeerDatagramsReceived"),
+		datagramsOut:     sc.Counter("PeerDatagramsSent"),
+		datagramBytesIn:  sc.Counter("PeerDatagramBytesReceived"),
+		datagramBytesOut: sc.Counter("PeerDatagramBytesSent"),
+		streamsOpened:    sc.Counter("PeerStreamsOpened"),
+		streamsServed:    sc.Counter("PeerStreamsServed"),
+		pinged:           sc.Counter("PeerPings"),
+	}
+}
--- /dev/null
+++ b/internal/peer/hello.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+)
+
+// helloLimit bounds the hello, in bytes.
+const helloLimit = 1 << 10
+
+// greetDialed proves the secret to the VM that was dialled, learns whom it
+// reached, and returns that. The deadline on the connection bounds it.
+func (tr *Transport) greetDialed(ctx context.Context, tc *tls.Conn, to string) (board.VMRef, Step, error) {
+	if err := tc.HandshakeContext(ctx); err != nil {
+		return board.VMRef{}, StepHandshake, fmt.Errorf("TLS handshake: %w", err)
+	}
+	if err := tr.sendHello(tc, to); err != nil {
+		return board.VMRef{}, StepHello, err
+	}
+	got, err := readHello(tc)
+	if err != nil {
+		return board.VMRef{}, StepHello, err
+	}
+	return board.VMRef{ID: got.GetID(), Incarnation: got.GetIncarnation()}, "", nil
+}
+
+func (tr *Transport) sendHello(tc *tls.Conn, to string) error {
+	raw, err := encode(&peerpb.Hello{ID: tr.Self.ID, Incarnation: tr.Self.Incarnation, To: to}, helloLimit)
+	if err != nil {
+		return fmt.Errorf("hello: %w", err)
+	}
+	if _, err := tc.Write(raw); err != nil {
+		return fmt.Errorf("send hello: %w", err)
+	}
+	return nil
+}
+
+func readHello(tc *tls.Conn) (*peerpb.Hello, error) {
+	var hl peerpb.Hello
+	if err := decode(&byteReader{Reader: tc}, &hl, helloLimit); err != nil {
+		return nil, fmt.Errorf("read hello: %w", err)
+	}
+	if hl.GetID() == "" {
+		return nil, errors.New("read hello: no VM named")
+	}
+	return &hl, nil
+}
+
+// bound sets the time by which handshake and hello must be over.
+func (tr *Transport) bound(cn net.Conn) error {
+	if err := cn.SetDeadline(time.Now().Add(tr.HandshakeTimeout.Std())); err != nil {
+		return fmt.Errorf("bound handshake: %w", err)
+	}
+	return nil
+}
+
+// unbound lifts what bound set.
+func unbound(cn net.Conn) error {
+	if err := cn.SetDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("end handshake: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/window.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// windowBits is how far behind the highest sequence number a datagram
+	// may come. A VM numbers its datagrams to all others in one row, so the
+	// window has to span what it sends elsewhere in the meantime.
+	windowBits = 256
+	wordBits   = 64
+)
+
+type (
+	// windows remembers which datagrams were seen, as RFC 4303 section 3.4.3
+	// does, for each VM in its latest run. It is used by one goroutine.
+	windows struct {
+		max  int // VMs; the one not heard for longest gives way
+		byVM map[string]*window
+	}
+
+	// window of one VM's latest run.
+	window struct {
+		incarnation uint64
+		highest     uint64
+		heard       clock.Millis
+		bits        [windowBits / wordBits]uint64 // ring, indexed by sequence number
+	}
+)
+
+// take notes a datagram and tells whether it is the first of its number.
+func (ws *windows) take(from board.VMRef, sequence uint64, now clock.Millis) verdict {
+	wd := ws.byVM[from.ID]
+	switch {
+	case wd == nil:
+		wd = ws.add(from)
+	case from.Incarnation < wd.incarnation:
+		return droppedStale
+	case from.Incarnation > wd.incarnation:
+		*wd = window{incarnation: from.Incarnation}
+	}
+	if !wd.take(sequence) {
+		return droppedReplayed
+	}
+	wd.heard = now
+	return accepted
+}
+
+func (ws *windows) add(from board.VMRef) *window {
+	if ws.byVM == nil {
+		ws.byVM = make(map[string]*window)
+	}
+	if len(ws.byVM) >= ws.max {
+		ws.evict()
+	}
+	wd := &window{incarnation: from.Incarnation}
+	ws.byVM[from.ID] = wd
+	return wd
+}
+
+func (ws *windows) evict() {
+	var oldest string
+	for id, wd := range ws.byVM {
+		if oldest == "" || wd.heard < ws.byVM[oldest].heard {
+			oldest = id
+		}
+	}
+	delete(ws.byVM, oldest)
+}
+
+func (wd *window) take(sequence uint64) bool {
+	if sequence > wd.highest {
+		wd.slide(sequence)
+	} else if wd.highest-sequence >= windowBits {
+		return false
+	}
+	word, bit := sequence/wordBits%uint64(len(wd.bits)), uint64(1)<<(sequence%wordBits)
+	if wd.bits[word]&bit != 0 {
+		return false
+	}
+	wd.bits[word] |= bit
+	return true
+}
+
+// slide moves the window up to the new highest number and clears the numbers
+// that it newly spans.
+func (wd *window) slide(sequence uint64) {
+	if sequence-wd.highest >= windowBits {
+		clear(wd.bits[:])
+	} else {
+		for num := wd.highest + 1; num <= sequence; num++ {
+			wd.bits[num/wordBits%uint64(len(wd.bits))] &^= 1 << (num % wordBits)
+		}
+	}
+	wd.highest = sequence
+}
