claim: decide which VM runs a key by two grants of three seats

Cause: a pair of VMs taken from each VM's own view can split. With P1 and H' each holding the other dead, {P1, R} and {H', Q} need not share a VM. Change: three seats a key, taken from a seat table whose changes the log orders; any two majorities share a seat, whoever seems alive.

--- /dev/null
+++ b/internal/claim/book.go
@@ -0,0 +1,405 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/rendezvous"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	defaultCap    = 100_000
+	defaultLife   = 30 * clock.Minute
+	defaultSettle = clock.Second
+	defaultBury   = 30 * clock.Second
+	resendAfter   = clock.Second
+)
+
+type (
+	// Settings of a Book. Each zero field stands for its default.
+	Settings struct {
+		// Cap bounds the number of records; 100,000 by default.
+		Cap int
+		// Life is how long a claim without an end is kept after it was last
+		// heard of; 30 minutes by default. It must exceed the longest
+		// request and the longest Keep together.
+		Life clock.Millis
+		// Settle is how long the fleet must look the same before a table is
+		// proposed; one second by default.
+		Settle clock.Millis
+		// Bury is how long a VM is held dead before it loses its seat; 30
+		// seconds by default. Until then its groups work with the two
+		// others.
+		Bury clock.Millis
+	}
+
+	// Counts of what a Book did.
+	Counts struct {
+		Records     int // held now
+		Granted     uint64
+		Held        uint64
+		Refused     map[Answer]uint64 // by answer
+		Conflicts   uint64            // records handed over that did not agree
+		HandoffsIn  uint64            // parts
+		HandoffsOut uint64            // parts
+		BadMessages uint64
+	}
+
+	// Book is the memory of one VM as a seat. Set the exported fields before
+	// the first Step. The zero Settings are usable.
+	Book struct {
+		Self     board.VMRef
+		Settings Settings
+		// FromStart says that the log stream of seat tables is read from its
+		// very first record. A book without it waits for Restored, so that
+		// it never mistakes a later table for the first.
+		FromStart bool
+
+		recs     records
+		seats    *Seats
+		learned  map[uint64]clock.Millis // when each table was learned
+		received map[uint64]map[board.VMRef]bool
+		partial  map[source]*arriving
+		sent     map[uint64]bool // tables whose records were handed on
+		resend   []resending
+		sending  uint64
+		fleet    fleetWatch
+		counts   Counts
+		without  guard // only tests take guards away
+	}
+
+	// source is one seat's records for one table.
+	source struct {
+		from  board.VMRef
+		epoch uint64
+	}
+
+	// arriving is a sending of which parts are missing.
+	arriving struct {
+		sending uint64
+		parts   map[uint32]bool
+	}
+
+	resending struct {
+		to    board.VMRef
+		epoch uint64
+		at    clock.Millis
+	}
+
+	// fleetWatch waits until the fleet has looked the same for some time.
+	fleetWatch struct {
+		last     *board.Fleet
+		deadFrom map[board.VMRef]clock.Millis
+		cutFrom  clock.Millis // since when in a minority, if it is
+		wanted   []board.VM
+		since    clock.Millis
+		proposed clock.Millis // when the last table was proposed
+	}
+)
+
+// Seats returns the seat table in force with those before it; nil before the
+// first one.
+func (bk *Book) Seats() *Seats { return bk.seats }
+
+// Counts returns what the book did so far.
+func (bk *Book) Counts() Counts {
+	out := bk.counts
+	out.Records = len(bk.recs.byName)
+	return out
+}
+
+// Step takes one event. Times must not go back.
+func (bk *Book) Step(now clock.Millis, ev Event) []Intent {
+	bk.recs.sweep(now)
+	switch ev := ev.(type) {
+	case Asked:
+		return []Intent{Reply{ev.Token, bk.ask(now, ev.Ask)}}
+	case Updated:
+		bk.update(now, ev.Update)
+	case HandedOff:
+		bk.receive(now, ev.Handoff)
+		return bk.handOn(now)
+	case HandoffFailed:
+		bk.resend = append(bk.resend, resending{ev.To, ev.Epoch, now + resendAfter})
+		return []Intent{Wake{now + resendAfter}}
+	case Seated:
+		return bk.seated(now, ev)
+	case Restored:
+		return bk.restore(now, ev.Seats)
+	case Fleet:
+		bk.fleet.see(now, ev.Fleet)
+		return bk.propose(now)
+	case Tick:
+		return slices.Concat(bk.resendDue(now), bk.handOn(now), bk.propose(now))
+	}
+	return nil
+}
+
+// ask answers one ask. What a grant records is what later askers are told.
+func (bk *Book) ask(now clock.Millis, ask *peerpb.ClaimAsk) *peerpb.ClaimReply {
+	nm := name{ask.GetCustomer(), ask.GetKey()}
+	rc := bk.recs.find(nm, now)
+	ans := bk.judge(now, nm, rc, ask)
+	if ans != Granted {
+		if ans == Held {
+			bk.counts.Held++
+		} else {
+			bk.count(ans)
+		}
+		return replyOf(ans, rc)
+	}
+	bk.counts.Granted++
+	if rc == nil || rc.claim != ask.GetClaim() {
+		rc = bk.record(now, nm, rc, ask)
+	}
+	return replyOf(Granted, rc)
+}
+
+func (bk *Book) judge(now clock.Millis, nm name, rc *record, ask *peerpb.ClaimAsk) Answer {
+	if !sound(nm, ask.GetRunnerID()) || ask.GetClaim() == 0 || len(ask.GetFingerprint()) > maxPrintBytes {
+		return Malformed
+	}
+	gr := bk.seats.Group(nm.customer, nm.key)
+	known := slices.Contains(gr, bk.Self) && gr.digest() == ask.GetGroup()
+	if !known && bk.without&guardGroup == 0 {
+		return OtherGroup
+	}
+	if rc != nil && !rc.state.over() {
+		return bk.judgeHeld(now, nm, rc, ask)
+	}
+	switch {
+	case rc != nil && rc.claim == ask.GetClaim(), ask.GetConfirm():
+		return Absent
+	case !ask.GetIdempotent() && bk.fleet.cutOff(now, bk.life()/2):
+		return Minority
+	case !ask.GetIdempotent() && !bk.covers(now, nm, bk.seats):
+		return Settling
+	case rc == nil && len(bk.recs.byName) >= cmp.Or(bk.Settings.Cap, defaultCap):
+		return Full
+	}
+	return Granted
+}
+
+// judgeHeld judges an ask for a key that is on record.
+func (bk *Book) judgeHeld(now clock.Millis, nm name, rc *record, ask *peerpb.ClaimAsk) Answer {
+	switch {
+	case rc.fingerprint != printOf(ask.GetFingerprint()):
+		return OtherPrint
+	case rc.claim == ask.GetClaim():
+		if rc.state == Doubtful {
+			return Held
+		}
+		if !rc.idempotent && !rc.state.dispatched() && !bk.covers(now, nm, bk.seats) {
+			return Settling
+		}
+		return Granted
+	case ask.GetSupersedes() == rc.claim && (rc.idempotent || rc.resumable()):
+		return Granted
+	}
+	return Held
+}
+
+// resumable tells whether a dead runner's decode can be read on.
+func (rc *record) resumable() bool { return rc.state == Decoding && rc.decode != nil }
+
+func (bk *Book) record(now clock.Millis, nm name, old *record, ask *peerpb.ClaimAsk) *record {
+	rc := &record{
+		claim:       ask.GetClaim(),
+		fingerprint: printOf(ask.GetFingerprint()),
+		runner:      board.VMRef{ID: ask.GetRunnerID(), Incarnation: ask.GetRunnerIncarnation()},
+		expires:     now + bk.life(),
+		keep:        min(max(clock.Millis(ask.GetKeep()), 0), bk.life()),
+		attempt:     1,
+		state:       Claimed,
+		idempotent:  ask.GetIdempotent(),
+	}
+	if old != nil {
+		rc.attempt = old.attempt + 1
+	}
+	if old != nil && !old.state.over() {
+		rc.was, rc.decode, rc.idempotent = old, old.decode, old.idempotent
+		old.was = nil
+		if !rc.idempotent {
+			rc.state = Decoding
+		}
+	}
+	bk.recs.put(now, nm, rc)
+	return rc
+}
+
+// update takes in what a runner says of its claim.
+func (bk *Book) update(now clock.Millis, up *peerpb.ClaimUpdate) {
+	nm := name{up.GetCustomer(), up.GetKey()}
+	state := State(up.GetState())
+	if !sound(nm, up.GetRunnerID()) || up.GetClaim() == 0 || state.rank() == 0 || state == Doubtful ||
+		len(up.GetDecodeServer()) > maxNameBytes || len(up.GetEngineRequest()) > maxNameBytes {
+		bk.counts.BadMessages++
+		return
+	}
+	rc := bk.recs.find(nm, now)
+	switch {
+	case state == Released:
+		bk.release(now, nm, rc, up)
+	case rc == nil:
+	case rc.claim == up.GetClaim():
+		bk.advance(now, rc, state, up)
+	case rc.fingerprint == 0:
+	case state.dispatched() && !rc.state.dispatched() && up.GetAttempt() >= rc.attempt:
+		rc.claim, rc.attempt = up.GetClaim(), up.GetAttempt()
+		rc.runner = board.VMRef{ID: up.GetRunnerID(), Incarnation: up.GetRunnerIncarnation()}
+		rc.was, rc.decode, rc.state = nil, nil, Claimed
+		bk.advance(now, rc, state, up)
+	}
+}
+
+func (bk *Book) advance(now clock.Millis, rc *record, state State, up *peerpb.ClaimUpdate) {
+	if state.rank() < rc.state.rank() {
+		return
+	}
+	rc.state = state
+	if rd := resumableOf(up.GetDecodeServer(), up.GetEngineRequest()); rd != nil {
+		rc.decode = rd
+	}
+	rc.expires = now + bk.life()
+	if state == Complete || state.over() {
+		rc.expires = now + rc.keep
+		rc.was = nil
+	}
+}
+
+// release takes back a claim that its runner never used. Without a record it
+// leaves one, so that an ask which comes late is not granted.
+func (bk *Book) release(now clock.Millis, nm name, rc *record, up *peerpb.ClaimUpdate) {
+	switch {
+	case rc == nil:
+		if len(bk.recs.byName) >= cmp.Or(bk.Settings.Cap, defaultCap) {
+			return
+		}
+		bk.recs.put(now, nm, &record{
+			claim:   up.GetClaim(),
+			runner:  board.VMRef{ID: up.GetRunnerID(), Incarnation: up.GetRunnerIncarnation()},
+			expires: now + bk.life(), state: Released,
+		})
+	case rc.claim != up.GetClaim():
+	case rc.was != nil:
+		*rc = *rc.was
+	case rc.state == Claimed:
+		rc.state = Released
+	}
+}
+
+func (bk *Book) life() clock.Millis { return cmp.Or(bk.Settings.Life, defaultLife) }
+
+func (bk *Book) count(ans Answer) {
+	if bk.counts.Refused == nil {
+		bk.counts.Refused = map[Answer]uint64{}
+	}
+	bk.counts.Refused[ans]++
+}
+
+func replyOf(ans Answer, rc *record) *peerpb.ClaimReply {
+	out := &peerpb.ClaimReply{Verdict: string(ans)}
+	if rc == nil || ans == OtherPrint || ans == Malformed {
+		return out
+	}
+	out.RunnerID, out.RunnerIncarnation = rc.runner.ID, rc.runner.Incarnation
+	out.Attempt, out.State, out.Claim = rc.attempt, string(rc.state), rc.claim
+	if rc.decode != nil {
+		out.DecodeServer, out.EngineRequest = rc.decode.server, rc.decode.request
+	}
+	return out
+}
+
+// see notes what the fleet looks like.
+func (fw *fleetWatch) see(now clock.Millis, fl *board.Fleet) {
+	if fw.last == nil || fw.last.Quorate {
+		fw.cutFrom = now
+	}
+	fw.last = fl
+	dead := map[board.VMRef]clock.Millis{}
+	for _, vm := range fl.VMs {
+		if vm.Health != board.Dead {
+			continue
+		}
+		dead[vm.VMRef] = now
+		if from, ok := fw.deadFrom[vm.VMRef]; ok {
+			dead[vm.VMRef] = from
+		}
+	}
+	fw.deadFrom = dead
+}
+
+// cutOff tells whether this VM has been in a minority for longer than the
+// span. The majority may by then have stopped to wait for its records.
+func (fw *fleetWatch) cutOff(now, span clock.Millis) bool {
+	return fw.last != nil && !fw.last.Quorate && now-fw.cutFrom > span
+}
+
+// want is the VMs that should have seats: those that serve and do not leave,
+// and those that are held dead but keep their seat for a while yet.
+func (fw *fleetWatch) want(now, bury clock.Millis, st *Seats) []board.VM {
+	var out []board.VM
+	for _, vm := range fw.last.VMs {
+		serving := (vm.Health == board.Alive || vm.Health == board.Suspect) && !vm.Leaving
+		mourned := vm.Health == board.Dead && !vm.Leaving && st.holds(vm.VMRef) && now < fw.deadFrom[vm.VMRef]+bury
+		if (serving || mourned) && vm.FailureDomain != "" {
+			out = append(out, board.VM{VMRef: vm.VMRef, FailureDomain: vm.FailureDomain})
+		}
+	}
+	slices.SortFunc(out, func(va, vb board.VM) int { return cmp.Compare(va.ID, vb.ID) })
+	return out
+}
+
+// propose proposes a table once the fleet has looked different from the one
+// in force for the settle span. VMs do so one after the other, in an order
+// that all know, so that as a rule one of them proposes.
+func (bk *Book) propose(now clock.Millis) []Intent {
+	fw := &bk.fleet
+	if fw.last == nil || !fw.last.Quorate || (bk.seats == nil && !bk.FromStart) {
+		return nil
+	}
+	want := fw.want(now, cmp.Or(bk.Settings.Bury, defaultBury), bk.seats)
+	if len(want) == 0 || (bk.seats != nil && slices.Equal(want, bk.seats.VMs)) {
+		fw.wanted = nil
+		return bk.wakeForBurial(now)
+	}
+	if !slices.Equal(want, fw.wanted) {
+		fw.wanted, fw.since = want, now
+	}
+	settle := cmp.Or(bk.Settings.Settle, defaultSettle)
+	place := slices.IndexFunc(rendezvous.Rank("seats", want), func(vm board.VM) bool { return vm.VMRef == bk.Self })
+	if place < 0 {
+		place = len(want)
+	}
+	due := max(fw.since, fw.proposed) + settle*clock.Millis(1+min(place, 8))
+	if now < due {
+		return []Intent{Wake{due}}
+	}
+	fw.proposed = now
+	tb := &peerpb.SeatTable{Base: bk.seats.epoch()}
+	for _, vm := range want {
+		tb.Seats = append(tb.Seats, &peerpb.ClaimSeat{
+			ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain,
+		})
+	}
+	return []Intent{Propose{tb}, Wake{now + settle*9}}
+}
+
+// wakeForBurial wakes when the next VM held dead loses its seat.
+func (bk *Book) wakeForBurial(now clock.Millis) []Intent {
+	next := clock.Millis(0)
+	for _, vm := range bk.fleet.last.VMs {
+		from, ok := bk.fleet.deadFrom[vm.VMRef]
+		at := from + cmp.Or(bk.Settings.Bury, defaultBury)
+		if ok && at > now && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	if next == 0 {
+		return nil
+	}
+	return []Intent{Wake{next}}
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,190 @@
+package claim
+
+import (
+	"cmp"
+
+	"github.com/cespare/xxhash/v2"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// expiryBucket is the width of the spans in which records expire together.
+	expiryBucket = 4 * clock.Second
+	// lookAgain bounds how long a record outstays an end that was moved
+	// forward.
+	lookAgain = clock.Minute
+)
+
+type (
+	// name is a request key within its customer.
+	name struct{ customer, key string }
+
+	// record is one claim as a seat holds it.
+	record struct {
+		claim       uint64
+		fingerprint uint64
+		runner      board.VMRef
+		decode      *resumable
+		was         *record // what this claim superseded here
+		expires     clock.Millis
+		keep        clock.Millis
+		attempt     uint32
+		state       State
+		idempotent  bool
+	}
+
+	// resumable is where a decode may still run.
+	resumable struct{ server, request string }
+
+	// records holds a bounded number of records and forgets them in time.
+	records struct {
+		byName  map[name]*record
+		buckets map[clock.Millis][]name
+		swept   clock.Millis // buckets below were emptied
+	}
+)
+
+func (rs *records) find(nm name, now clock.Millis) *record {
+	rc := rs.byName[nm]
+	if rc == nil || rc.expires <= now {
+		return nil
+	}
+	return rc
+}
+
+// put stores the record and plans its end.
+func (rs *records) put(now clock.Millis, nm name, rc *record) {
+	if rs.byName == nil {
+		rs.byName = map[name]*record{}
+		rs.buckets = map[clock.Millis][]name{}
+	}
+	old := rs.byName[nm]
+	rs.byName[nm] = rc
+	if old == nil {
+		rs.plan(nm, min(rc.expires, now+lookAgain))
+	}
+}
+
+func (rs *records) plan(nm name, at clock.Millis) {
+	bucket := at/expiryBucket + 1
+	rs.buckets[bucket] = append(rs.buckets[bucket], nm)
+}
+
+// sweep forgets what has expired. Each record is planned once at a time and
+// looked at about once a minute.
+func (rs *records) sweep(now clock.Millis) {
+	due := now / expiryBucket
+	if rs.swept == 0 {
+		rs.swept = due
+	}
+	if len(rs.buckets) == 0 {
+		rs.swept = due
+		return
+	}
+	for ; rs.swept <= due; rs.swept++ {
+		for _, nm := range rs.buckets[rs.swept] {
+			rc := rs.byName[nm]
+			if rc.expires <= now {
+				delete(rs.byName, nm)
+				continue
+			}
+			rs.plan(nm, min(rc.expires, now+lookAgain))
+		}
+		delete(rs.buckets, rs.swept)
+	}
+}
+
+func printOf(fingerprint []byte) uint64 { return xxhash.Sum64(fingerprint) }
+
+// merge combines two records of one key. The order does not matter.
+func merge(ra, rb record) record {
+	if ra.claim == rb.claim {
+		return mergeSame(ra, rb)
+	}
+	if beats(rb, ra) {
+		ra, rb = rb, ra
+	}
+	doubt := !ra.state.dispatched() && !ra.state.over() && !rb.state.over() && !ra.idempotent
+	if doubt {
+		ra.state = Doubtful
+	}
+	ra.expires = max(ra.expires, rb.expires)
+	return ra
+}
+
+func mergeSame(ra, rb record) record {
+	if ra.state.rank() < rb.state.rank() {
+		ra, rb = rb, ra
+	}
+	if ra.decode == nil {
+		ra.decode = rb.decode
+	}
+	ra.attempt = max(ra.attempt, rb.attempt)
+	ra.expires = max(ra.expires, rb.expires)
+	return ra
+}
+
+// beats orders the records of different claims: what is known to have had a
+// majority, then what may have, then the later attempt.
+func beats(ra, rb record) bool {
+	weight := func(rc record) int {
+		switch {
+		case rc.state.dispatched():
+			return 2
+		case rc.state.over():
+			return 0
+		default:
+			return 1
+		}
+	}
+	return cmp.Or(
+		cmp.Compare(weight(ra), weight(rb)),
+		cmp.Compare(ra.attempt, rb.attempt),
+		cmp.Compare(ra.state.rank(), rb.state.rank()),
+		cmp.Compare(ra.claim, rb.claim),
+	) > 0
+}
+
+func (rc *record) wire(nm name, now clock.Millis) *peerpb.ClaimRecord {
+	out := &peerpb.ClaimRecord{
+		Key: nm.key, Customer: nm.customer, Fingerprint: rc.fingerprint,
+		RunnerID: rc.runner.ID, RunnerIncarnation: rc.runner.Incarnation,
+		Attempt: rc.attempt, State: string(rc.state), Idempotent: rc.idempotent,
+		Left: int64(rc.expires - now), Claim: rc.claim, Keep: int64(rc.keep),
+	}
+	if rc.decode != nil {
+		out.DecodeServer, out.EngineRequest = rc.decode.server, rc.decode.request
+	}
+	return out
+}
+
+// recordOf reads a record off the wire; false if it can't be one.
+func recordOf(cr *peerpb.ClaimRecord, now, life clock.Millis) (name, record, bool) {
+	nm := name{cr.GetCustomer(), cr.GetKey()}
+	rc := record{
+		claim: cr.GetClaim(), fingerprint: cr.GetFingerprint(),
+		runner:  board.VMRef{ID: cr.GetRunnerID(), Incarnation: cr.GetRunnerIncarnation()},
+		keep:    min(max(clock.Millis(cr.GetKeep()), 0), life),
+		attempt: cr.GetAttempt(), state: State(cr.GetState()), idempotent: cr.GetIdempotent(),
+		expires: now + min(max(clock.Millis(cr.GetLeft()), 0), 2*life),
+	}
+	rc.decode = resumableOf(cr.GetDecodeServer(), cr.GetEngineRequest())
+	ok := sound(nm, rc.runner.ID) && rc.claim != 0 && rc.state.rank() > 0 &&
+		len(cr.GetDecodeServer()) <= maxNameBytes && len(cr.GetEngineRequest()) <= maxNameBytes
+	return nm, rc, ok
+}
+
+func resumableOf(server, request string) *resumable {
+	if server == "" || request == "" {
+		return nil
+	}
+	return &resumable{server, request}
+}
+
+func sound(nm name, runner string) bool {
+	return nm.key != "" && len(nm.key) <= maxKeyBytes && len(nm.customer) <= maxNameBytes &&
+		runner != "" && len(runner) <= maxNameBytes
+}
