settings: read one VM's settings, all problems at once

Cause: bad settings have to be refused before anything listens, by file, line, key, value and mend; secrets must never show. Conclusion: settings and templates share one decoder.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"alderdyke/pkg/place"
+)
+
+// Bounds of files, in bytes.
+const (
+	maxFile       = 256 << 10
+	maxSecretFile = 4 << 10
+)
+
+type (
+	// reader reads a whole file of at most the given length.
+	reader func(path string, most int64) ([]byte, error)
+
+	// source is a secret with the two keys that may set it.
+	source struct {
+		key      string // such as Peer.Secret
+		secret   *Secret
+		file     string
+		required bool
+	}
+)
+
+// Load reads the settings of one VM, and the files that hold its secrets.
+// Paths of those files are relative to the settings file. The error is a
+// [place.Errors] with all problems.
+func Load(path string) (Settings, error) { return load(path, readFile) }
+
+func load(path string, read reader) (Settings, error) {
+	text, err := read(path, maxFile)
+	if err != nil {
+		return Settings{}, place.Errors{{File: path, Mend: "give a file that can be read: " + err.Error()}}
+	}
+	set := Default()
+	check := func() place.Errors {
+		set = set.withAdvertised()
+		es := set.readSecrets(filepath.Dir(path), read)
+		return append(es, set.problems()...)
+	}
+	if err := place.Decode(path, text, &set, check); err != nil {
+		return Settings{}, err
+	}
+	return set, nil
+}
+
+func (set *Settings) sources() []source {
+	return []source{
+		{"Peer.Secret", &set.Peer.Secret, set.Peer.SecretFile, true},
+		{"Operator.Token", &set.Operator.Token, set.Operator.TokenFile, true},
+		{"Log.Token", &set.Log.Token, set.Log.TokenFile, false},
+		{"VMList.Token", &set.VMList.Token, set.VMList.TokenFile, false},
+		{"Backends.Token", &set.Backends.Token, set.Backends.TokenFile, false},
+	}
+}
+
+// readSecrets puts the secrets that are in files of their own in place.
+func (set *Settings) readSecrets(dir string, read reader) place.Errors {
+	var es place.Errors
+	for _, src := range set.sources() {
+		if src.file == "" {
+			continue
+		}
+		if !src.secret.IsZero() {
+			es.Add(src.key+"File", src.file, "remove it, or remove "+src.key+"; only one may be set")
+			continue
+		}
+		if err := src.read(dir, read); err != nil {
+			es.Add(src.key+"File", src.file, err.Error())
+		}
+	}
+	return es
+}
+
+func (src source) read(dir string, read reader) error {
+	path := src.file
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
+	}
+	text, err := read(path, maxSecretFile)
+	if err != nil {
+		return fmt.Errorf("name a file that can be read: %w", err)
+	}
+	if err := src.secret.UnmarshalText([]byte(strings.TrimSpace(string(text)))); err != nil {
+		return fmt.Errorf("put another secret into this file: %w", err)
+	}
+	return nil
+}
+
+func readFile(path string, most int64) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("open: %w", err)
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, most+1))
+	if err != nil {
+		return nil, fmt.Errorf("read: %w", err)
+	}
+	if int64(len(text)) > most {
+		return nil, fmt.Errorf("the file holds more than %d bytes", most)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/settings/secret.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// hidden is what a secret shows of itself.
+const hidden = "***"
+
+// MinSecret is the least length of a secret, in bytes.
+const MinSecret = 16
+
+// Secret is a token or key. It shows itself as "***" in every format verb, in
+// JSON and in TOML; only [Secret.Reveal] gives the text. The zero Secret is
+// not set, and shows itself as empty in JSON and TOML.
+type Secret struct {
+	text *string // behind a pointer, so that fmt can't print it from within an unexported field
+}
+
+// NewSecret makes a secret. An empty text gives the zero Secret.
+func NewSecret(text string) Secret {
+	if text == "" {
+		return Secret{}
+	}
+	return Secret{text: &text}
+}
+
+// Reveal returns the text, for a header or a key derivation.
+func (sc Secret) Reveal() string {
+	if sc.text == nil {
+		return ""
+	}
+	return *sc.text
+}
+
+// IsZero tells whether no secret is set.
+func (sc Secret) IsZero() bool { return sc.text == nil }
+
+// Equal compares with what a peer presented, in a time that depends on
+// neither. A secret that is not set equals nothing.
+func (sc Secret) Equal(presented string) bool {
+	want, got := sha256.Sum256([]byte(sc.Reveal())), sha256.Sum256([]byte(presented))
+	return subtle.ConstantTimeCompare(want[:], got[:]) == 1 && !sc.IsZero()
+}
+
+// Format writes "***" whatever the verb.
+func (Secret) Format(state fmt.State, _ rune) {
+	_, _ = state.Write([]byte(hidden)) // fmt gives no way to report it
+}
+
+// String returns "***".
+func (Secret) String() string { return hidden }
+
+// MarshalText returns "***", or nothing if the secret is not set.
+func (sc Secret) MarshalText() ([]byte, error) {
+	if sc.IsZero() {
+		return nil, nil
+	}
+	return []byte(hidden), nil
+}
+
+// UnmarshalText sets the secret. The error never shows the text.
+func (sc *Secret) UnmarshalText(text []byte) error {
+	word := string(text)
+	if len(word) < MinSecret {
+		return fmt.Errorf("write at least %d characters, made at random", MinSecret)
+	}
+	if strings.ContainsFunc(word, func(ch rune) bool { return ch <= ' ' || ch > '~' }) {
+		return errors.New("write printable ASCII characters without spaces")
+	}
+	*sc = NewSecret(word)
+	return nil
+}
+
+// Concealed keeps the value out of reports of problems.
+func (Secret) Concealed() {}
--- a/pkg/place/decode.go
+++ b/pkg/place/decode.go
@@ -51,11 +51,21 @@
 	row, _ := de.Position()
 	sc.problems = append(sc.problems, Error{
 		Line: row,
-		Key:  strings.Join(de.Key(), "."),
+		Key:  sc.pathAt(row),
 		Mend: strings.TrimPrefix(de.Error(), "toml: "),
 	})
 }
 
+// pathAt returns the path of the key-value pair or table that holds a line.
+func (sc *scan) pathAt(row int) string {
+	for _, ex := range sc.expressions {
+		if ex.first <= row && row <= ex.last {
+			return ex.path
+		}
+	}
+	return ""
+}
+
 // sound returns the text with the lines of unsound expressions emptied.
 func (sc *scan) sound() []byte {
 	lines := bytes.Split(sc.text, []byte("\n"))
--- a/pkg/place/scan.go
+++ b/pkg/place/scan.go
@@ -1,13 +1,14 @@
 package place
 
 import (
-	"bytes"
 	"encoding"
 	"errors"
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -27,6 +28,7 @@
 		text        []byte
 		root        reflect.Type
 		parser      unstable.Parser
+		breaks      []int // offsets of the line breaks
 		expressions []expression
 		lines       map[string]int  // line of each key path
 		bad         map[string]bool // key paths with a problem
@@ -40,16 +42,23 @@
 
 	// expression is the lines of one key-value pair or table header.
 	expression struct {
+		path        string
 		first, last int
 		sound       bool
 	}
 )
 
 func newScan(text []byte, root reflect.Type) *scan {
-	return &scan{
+	sc := &scan{
 		text: text, root: root, typ: root,
 		lines: map[string]int{}, bad: map[string]bool{}, counts: map[string]int{},
 	}
+	for ix, ch := range text {
+		if ch == '\n' {
+			sc.breaks = append(sc.breaks, ix)
+		}
+	}
+	return sc
 }
 
 // run goes through all expressions. It returns false if the text is no TOML.
@@ -59,7 +68,7 @@
 		sc.expression(sc.parser.Expression())
 	}
 	for ix := range sc.expressions {
-		sc.expressions[ix].last = bytes.Count(sc.text, []byte("\n")) + 1
+		sc.expressions[ix].last = len(sc.breaks) + 1
 		if ix+1 < len(sc.expressions) {
 			sc.expressions[ix].last = sc.expressions[ix+1].first - 1
 		}
@@ -81,7 +90,8 @@
 
 // line returns the line of a range of the text.
 func (sc *scan) line(rg unstable.Range) int {
-	return bytes.Count(sc.text[:min(int(rg.Offset), len(sc.text))], []byte("\n")) + 1
+	ix, _ := slices.BinarySearch(sc.breaks, int(rg.Offset))
+	return ix + 1
 }
 
 func (sc *scan) expression(nd *unstable.Node) {
@@ -94,7 +104,12 @@
 	if !inside {
 		sc.typed(nd, names, line)
 	}
+	path := sc.at
+	if nd.Kind == unstable.KeyValue {
+		path = join(path, strings.Join(names, "."))
+	}
 	sc.expressions = append(sc.expressions, expression{
+		path:  path,
 		first: line,
 		sound: !inside && before == len(sc.problems),
 	})
@@ -104,7 +119,7 @@
 	switch nd.Kind {
 	case unstable.Table:
 		sc.at, sc.typ = sc.resolve("", sc.root, names, line)
-		if sc.typ != nil && sc.typ.Kind() != reflect.Struct {
+		if sc.typ != nil && !isTable(sc.typ) {
 			sc.refuse(sc.at, line, "", "write a value, not a table")
 			sc.typ = nil
 		}
@@ -129,7 +144,7 @@
 	if typ == nil {
 		return
 	}
-	if typ.Kind() != reflect.Slice || typ.Elem().Kind() != reflect.Struct {
+	if typ.Kind() != reflect.Slice || !isTable(typ.Elem()) {
 		sc.refuse(above, line, "", "write it once; it is no list of tables")
 		return
 	}
@@ -166,7 +181,7 @@
 // field follows one part of a key.
 func (sc *scan) field(path string, typ reflect.Type, name string, line int) (string, reflect.Type) {
 	path = join(path, name)
-	if typ.Kind() != reflect.Struct || reflect.PointerTo(typ).Implements(textType) {
+	if !isTable(typ) {
 		sc.refuse(path, line, "", "remove this key; the one above it holds a plain value")
 		return path, nil
 	}
@@ -270,6 +285,11 @@
 	sc.problems = append(sc.problems, Error{Line: line, Key: path, Value: value, Mend: mend})
 }
 
+// isTable tells whether a type is written as a table.
+func isTable(typ reflect.Type) bool {
+	return typ.Kind() == reflect.Struct && !reflect.PointerTo(typ).Implements(textType)
+}
+
 func join(path, name string) string {
 	if path == "" {
 		return name
