sched/bench: run the decisions against stand-ins under virtual time

Ways to share engines between VMs can only be chosen by figures. Adds seeded stand-ins for prefill, links and decode, three ways to share, three baselines and an oracle, and the fallback decision.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -38,7 +38,7 @@
 }
 
 func (ce *Cell) newJob(now clock.Millis, ask Ask, gp *group) *job {
-	jb := &job{ask: ask, grp: gp, arrived: now, since: now, due: now + ask.TTFT, tokens: ask.PromptTokens}
+	jb := &job{ask: ask, grp: gp, arrived: now, since: now, due: now + ask.TTFT - ask.TPOT - ce.Ways, tokens: ask.PromptTokens}
 	if ask.Deadline > 0 {
 		jb.due = min(jb.due, ask.Deadline)
 	}
--- /dev/null
+++ b/internal/sched/bench/load.go
@@ -0,0 +1,201 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Kinds of work.
+const (
+	QuickWork   Work = "Quick"
+	PatientWork Work = "Patient"
+)
+
+const (
+	prefixTokens  = 2000 // length of a shared prompt prefix
+	prefixKinds   = 8    // different shared prefixes of a class
+	prefixPart    = 0.3  // part of the long documents that have one
+	decodeSlots   = 20
+	slotsInUse    = 1.0  // load 1.0 fills the scarcer of places and prefill
+	fullTPOT      = 30.0 // milliseconds between tokens of a full decode engine
+	idleTPOT      = 24.0 // and of one that decodes a single request
+	prefillRate   = 10.0 // prompt tokens per millisecond
+	linkRate      = 50.0 // KV cache of prompt tokens per millisecond
+	prefillChunk  = 1024 // prompt tokens between looks at the queue
+	keepKV        = 800.0
+	callerDelay   = 1.0 // milliseconds one way
+	localDelay    = 0.2 // milliseconds one way inside a failure domain
+	cachedMost    = 200_000
+	reportEach    = 500.0
+	reportLag     = 300.0
+	spreadPrompt  = 0.7 // of the logarithm
+	spreadOutput  = 0.6
+	lengthBiggest = 4.0 // times the mean, where lengths are cut off
+)
+
+type (
+	// Work is the kind of a class: quick or patient.
+	Work string
+
+	// Class is one kind of requests that the load generator makes.
+	Class struct {
+		Customer string
+		Name     string
+		Work     Work
+		Prompt   float64 // mean prompt tokens
+		Output   float64 // mean output tokens
+		Max      int     // bound of output tokens
+		Mix      float64 // part of the decode capacity that it wants at load 1.0
+		Share    float64
+		TTFT     clock.Millis
+		TPOT     clock.Millis
+		Deadline clock.Millis // span
+		Weight   float64      // of wasted prefill
+	}
+
+	// Deployment is the size and the load of one user.
+	Deployment struct {
+		Name     string
+		Service  string
+		Domains  []string
+		OneWay   float64 // milliseconds between failure domains
+		VMs      int
+		Prefills int
+		Decodes  int
+		Classes  []Class
+	}
+
+	// request is one request and all that became of it.
+	request struct {
+		id     string
+		vm     int
+		cls    *Class
+		arrive float64
+		prompt int
+		prefix uint64
+		output int
+
+		att      int // attempts begun
+		prefill  *prefillEngine
+		decode   *decodeEngine
+		stage    int
+		computed float64 // prompt tokens that engines computed for it
+		last     float64 // of them, those of the latest attempt
+		useful   float64 // of them, those that became an answer
+		ran      bool    // an engine was sent it
+		first    float64
+		firstSet bool
+		tpot     float64
+		end      float64
+		ends     int
+		refused  *refusal.Refusal
+	}
+)
+
+// Kedelsyn is the rapportmodel service: long field notes and small lookups,
+// and wasted prefill weighs more.
+func Kedelsyn() Deployment {
+	return Deployment{
+		Name: "Kedelsyn", Service: "rapportmodel",
+		Domains: []string{"aarhus-a", "aarhus-b", "vejle-1", "herning-1"}, OneWay: 1.5,
+		VMs: 6, Prefills: 4, Decodes: 4,
+		Classes: []Class{
+			{Customer: "kedelsyn", Name: "findings", Work: PatientWork, Prompt: 8000, Output: 500, Max: 2000,
+				Mix: 0.5, Share: 0.4, TTFT: 60_000, TPOT: 45, Deadline: 300_000, Weight: 0.9},
+			{Customer: "kedelsyn", Name: "lookup", Work: QuickWork, Prompt: 180, Output: 40, Max: 160,
+				Mix: 0.12, Share: 0.25, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
+			{Customer: "fjernvarme", Name: "findings", Work: PatientWork, Prompt: 6000, Output: 400, Max: 1600,
+				Mix: 0.3, Share: 0.25, TTFT: 45_000, TPOT: 45, Deadline: 240_000, Weight: 0.9},
+			{Customer: "fjernvarme", Name: "lookup", Work: QuickWork, Prompt: 150, Output: 40, Max: 160,
+				Mix: 0.08, Share: 0.1, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
+		},
+	}
+}
+
+// HoaLua is the summary-llm service: loan files and many status checks, and
+// goodput weighs more.
+func HoaLua() Deployment {
+	return Deployment{
+		Name: "Hoa Lua", Service: "summary-llm",
+		Domains: []string{"cantho-a", "cantho-b", "longxuyen", "soctrang"}, OneWay: 0.5,
+		VMs: 7, Prefills: 4, Decodes: 5,
+		Classes: []Class{
+			{Customer: "hoalua", Name: "summary", Work: PatientWork, Prompt: 6000, Output: 350, Max: 1400,
+				Mix: 0.45, Share: 0.4, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
+			{Customer: "hoalua", Name: "status", Work: QuickWork, Prompt: 120, Output: 30, Max: 120,
+				Mix: 0.15, Share: 0.3, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
+			{Customer: "lender", Name: "summary", Work: PatientWork, Prompt: 5000, Output: 300, Max: 1200,
+				Mix: 0.3, Share: 0.2, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
+			{Customer: "lender", Name: "status", Work: QuickWork, Prompt: 120, Output: 30, Max: 120,
+				Mix: 0.1, Share: 0.1, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
+		},
+	}
+}
+
+// WithWeight returns the deployment with one weight of wasted prefill for
+// all its classes.
+func (dp Deployment) WithWeight(weight float64) Deployment {
+	classes := append([]Class(nil), dp.Classes...)
+	for ix := range classes {
+		classes[ix].Weight = weight
+	}
+	dp.Classes = classes
+	return dp
+}
+
+// rates are the requests per millisecond of each class at load 1.0: the mix
+// of the classes, scaled so that the scarcer of decode places and prefill is
+// used to the full.
+func (dp Deployment) rates() []float64 {
+	out := make([]float64, len(dp.Classes))
+	places := float64(dp.Decodes * decodeSlots)
+	fill, hold := 0.0, 0.0
+	for ix, cl := range dp.Classes {
+		span := cl.Output*fullTPOT + cl.Prompt/linkRate
+		out[ix] = cl.Mix * places / span
+		hold += cl.Mix
+		prompt := cl.Prompt
+		if cl.Work == PatientWork {
+			prompt -= prefixPart * prefixTokens
+		}
+		fill += out[ix] * prompt / (prefillRate * float64(dp.Prefills))
+	}
+	for ix := range out {
+		out[ix] *= slotsInUse / max(fill, hold)
+	}
+	return out
+}
+
+// generate makes the arrivals of a run: a Poisson process for each class.
+// flood multiplies the arrivals of the first customer's patient class.
+func (dp Deployment) generate(rng *rand.Rand, load, span, flood float64) []*request {
+	var all []*request
+	for ix, rate := range dp.rates() {
+		cls := &dp.Classes[ix]
+		if flood > 0 && ix < 2 {
+			rate *= flood
+		}
+		at := rng.ExpFloat64() / (rate * load)
+		for at < span {
+			rq := &request{id: fmt.Sprintf("%d-%d", ix, len(all)), vm: rng.IntN(dp.VMs), cls: cls, arrive: at}
+			rq.prompt = length(rng, cls.Prompt, spreadPrompt)
+			rq.output = min(cls.Max, length(rng, cls.Output, spreadOutput))
+			if cls.Work == PatientWork && rng.Float64() < prefixPart && rq.prompt > prefixTokens {
+				rq.prefix = uint64(ix*prefixKinds + rng.IntN(prefixKinds) + 1)
+			}
+			all = append(all, rq)
+			at += rng.ExpFloat64() / (rate * load)
+		}
+	}
+	return all
+}
+
+// length draws a log-normal number of tokens with the mean and the spread.
+func length(rng *rand.Rand, mean, spread float64) int {
+	val := mean * math.Exp(spread*rng.NormFloat64()-spread*spread/2)
+	return int(max(8, min(val, lengthBiggest*mean)))
+}
--- /dev/null
+++ b/internal/sched/bench/oracle.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+
+	"alderdyke/internal/board"
+)
+
+// oraclePolicy decides in one place with no lag and with the true state of
+// all engines, the end of every running decode included.
+type oraclePolicy struct {
+	sm       *sim
+	queue    []*request
+	ready    []*request
+	starting map[*request]float64 // when the KV cache will be ready
+	ends     map[*request]float64
+}
+
+func (op *oraclePolicy) begin() {
+	op.starting = make(map[*request]float64)
+	op.ends = make(map[*request]float64)
+	var tick func()
+	tick = func() {
+		op.pump()
+		if op.sm.now < op.sm.span+drainFor/2 {
+			op.sm.after(10, tick)
+		}
+	}
+	op.sm.after(0, tick)
+}
+
+func (op *oraclePolicy) arrive(rq *request) {
+	op.queue = append(op.queue, rq)
+	sortByUrgency(op.queue)
+	op.pump()
+}
+
+func (op *oraclePolicy) pump() {
+	op.place()
+	rest := op.queue[:0]
+	blocked := false
+	for _, rq := range op.queue {
+		switch {
+		case rq.hopeless(op.sm.now):
+			op.sm.refuse(rq, rq.tooLate())
+		case blocked && rq.cls.Work == PatientWork:
+			rest = append(rest, rq)
+		case op.start(rq):
+		default:
+			blocked = blocked || rq.cls.Work == PatientWork
+			rest = append(rest, rq)
+		}
+	}
+	clear(op.queue[len(rest):])
+	op.queue = rest
+}
+
+// start sends the prefill if a place will be free when the KV cache arrives.
+func (op *oraclePolicy) start(rq *request) bool {
+	en, wait := op.bestPrefill(rq)
+	if en == nil || (rq.cls.Work == PatientWork && wait > 1) {
+		return false
+	}
+	at := op.sm.now + wait + en.span(rq)
+	if op.freeAt(at, rq) < 1 {
+		return false
+	}
+	op.starting[rq] = at
+	op.sm.sendPrefill(rq, en)
+	return true
+}
+
+// span is the true time that the engine computes for the request.
+func (en *prefillEngine) span(rq *request) float64 {
+	tokens := float64(rq.prompt)
+	if rq.prefix != 0 && slices.Contains(en.cache, rq.prefix) {
+		tokens -= prefixTokens
+	}
+	return max(1, tokens) / prefillRate
+}
+
+// backlog is the true time until the engine begins a request.
+func (en *prefillEngine) backlog(rq *request) float64 {
+	sum := 0.0
+	for _, fl := range en.queue {
+		if rq.cls.Work == PatientWork || fl.rq.cls.Work == QuickWork {
+			sum += fl.left / prefillRate
+		}
+	}
+	if fl := en.running; fl != nil {
+		left := fl.left
+		if rq.cls.Work == QuickWork {
+			left = min(left, prefillChunk)
+		}
+		sum += left / prefillRate
+	}
+	return sum
+}
+
+func (op *oraclePolicy) bestPrefill(rq *request) (best *prefillEngine, wait float64) {
+	least := 0.0
+	for _, en := range op.sm.prefills {
+		if en.dead {
+			continue
+		}
+		back := en.backlog(rq)
+		if total := back + en.span(rq); best == nil || total < least {
+			best, wait, least = en, back, total
+		}
+	}
+	return best, wait
+}
+
+// freeAt is the number of places that will be free for the request at a
+// point, when what was started before took its own.
+func (op *oraclePolicy) freeAt(at float64, rq *request) int {
+	free := 0
+	for _, de := range op.sm.decodes {
+		if de.dead {
+			continue
+		}
+		free += decodeSlots
+		for other := range de.running {
+			if end, ok := op.ends[other]; !ok || end > at {
+				free--
+			}
+		}
+	}
+	for other := range op.starting {
+		if urgency(other) <= urgency(rq) {
+			free--
+		}
+	}
+	return free - len(op.ready)
+}
+
+func (op *oraclePolicy) prefilled(rq *request) {
+	delete(op.starting, rq)
+	op.ready = append(op.ready, rq)
+	slices.SortStableFunc(op.ready, func(ra, rb *request) int { return cmp.Compare(urgency(ra), urgency(rb)) })
+	op.pump()
+}
+
+// place imports what is ready into the emptiest engines.
+func (op *oraclePolicy) place() {
+	for len(op.ready) > 0 {
+		var best *decodeEngine
+		for _, de := range op.sm.decodes {
+			if !de.dead && len(de.running) < decodeSlots && (best == nil || len(de.running) < len(best.running)) {
+				best = de
+			}
+		}
+		if best == nil {
+			return
+		}
+		rq := op.ready[0]
+		op.ready = op.ready[1:]
+		op.sm.sendImport(rq, best)
+		op.sm.after(0, op.place)
+		return
+	}
+}
+
+func (op *oraclePolicy) rejected(rq *request) {
+	op.ready = append(op.ready, rq)
+}
+
+func (op *oraclePolicy) decoding(rq *request) {
+	op.ends[rq] = op.sm.now + rq.tpot*float64(rq.output)
+	op.pump()
+}
+
+func (op *oraclePolicy) ended(rq *request) {
+	delete(op.ends, rq)
+	op.sm.after(0, op.pump)
+}
+
+func (op *oraclePolicy) lost(rq *request) {
+	delete(op.starting, rq)
+	delete(op.ends, rq)
+	op.ready = slices.DeleteFunc(op.ready, func(other *request) bool { return other == rq })
+	op.sm.cancel(rq)
+	if rq.hopeless(op.sm.now) {
+		op.sm.refuse(rq, rq.tooLate())
+		return
+	}
+	op.queue = append(op.queue, rq)
+	sortByUrgency(op.queue)
+}
+
+func (op *oraclePolicy) servers() {}
+
+func (op *oraclePolicy) report(int, board.LoadReport) {}
--- /dev/null
+++ b/internal/sched/bench/result.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	histogramMost   = 600_000 // milliseconds
+	histogramDigits = 3
+)
+
+type (
+	// Result is what a run measured, of the requests that arrived after the
+	// warm-up.
+	Result struct {
+		Setup     Setup
+		Offered   map[Work]int
+		Met       map[Work]int // both targets met and the answer whole
+		Answered  map[Work]int
+		Refused   map[refusal.Reason]int
+		Customers map[string]Ratio // goodput of each customer
+		TTFT      map[Work]*hdrhistogram.Histogram
+		TPOT      map[Work]*hdrhistogram.Histogram
+		Computed  float64 // prompt tokens
+		Wasted    float64 // of them, those that became no answer
+		Occupancy float64 // of the decode places
+		Unended   int     // requests without an end
+		Untrue    int     // NotRun refusals of requests that an engine was sent
+		Retried   int     // attempts after the first
+		Steps     int     // counted steps of the decisions
+		Decisions int
+	}
+
+	// Ratio is a part of a whole.
+	Ratio struct{ Part, Whole int }
+)
+
+// Value is the ratio as a number; 1 if nothing was offered.
+func (ra Ratio) Value() float64 {
+	if ra.Whole == 0 {
+		return 1
+	}
+	return float64(ra.Part) / float64(ra.Whole)
+}
+
+// Goodput is the share of the offered requests of a kind that met their
+// targets.
+func (rs Result) Goodput(wk Work) float64 { return Ratio{rs.Met[wk], rs.Offered[wk]}.Value() }
+
+// GoodputAll is that share over both kinds together.
+func (rs Result) GoodputAll() float64 {
+	return Ratio{rs.Met[QuickWork] + rs.Met[PatientWork], rs.Offered[QuickWork] + rs.Offered[PatientWork]}.Value()
+}
+
+// WastedShare is the part of the computed prompt tokens that was wasted.
+func (rs Result) WastedShare() float64 {
+	if rs.Computed == 0 {
+		return 0
+	}
+	return rs.Wasted / rs.Computed
+}
+
+func (sm *sim) result() Result {
+	rs := Result{
+		Setup: sm.Setup, Offered: map[Work]int{}, Met: map[Work]int{}, Answered: map[Work]int{},
+		Refused: map[refusal.Reason]int{}, Customers: map[string]Ratio{},
+		TTFT: map[Work]*hdrhistogram.Histogram{}, TPOT: map[Work]*hdrhistogram.Histogram{},
+	}
+	for _, wk := range []Work{QuickWork, PatientWork} {
+		rs.TTFT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
+		rs.TPOT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
+	}
+	for _, rq := range sm.requests {
+		rs.check(rq)
+		if rq.arrive >= warmUp {
+			rs.count(rq)
+		}
+	}
+	if sm.counted > 0 {
+		rs.Occupancy = sm.occupied / sm.counted
+	}
+	if cp, ok := sm.policy.(*cellPolicy); ok {
+		rs.Steps, rs.Decisions = cp.steps, cp.decided
+	}
+	return rs
+}
+
+// check counts what must never happen, over all requests.
+func (rs *Result) check(rq *request) {
+	if rq.ends != 1 {
+		rs.Unended++
+	}
+	if rq.refused != nil && rq.refused.Ran == refusal.NotRun && rq.ran {
+		rs.Untrue++
+	}
+}
+
+func (rs *Result) count(rq *request) {
+	wk := rq.cls.Work
+	rs.Offered[wk]++
+	rs.Computed += rq.computed
+	rs.Wasted += rq.computed - rq.useful
+	rs.Retried += max(0, rq.att-1)
+	good := Ratio{0, 1}
+	switch {
+	case rq.refused != nil:
+		rs.Refused[rq.refused.Reason]++
+	case rq.ends == 1:
+		rs.Answered[wk]++
+		ttft := rq.first - rq.arrive + callerDelay
+		tpot := (rq.end - rq.first) / float64(max(1, rq.output-1))
+		record(rs.TTFT[wk], ttft)
+		record(rs.TPOT[wk], tpot)
+		if ttft <= float64(rq.cls.TTFT) && tpot <= float64(rq.cls.TPOT) {
+			rs.Met[wk]++
+			good.Part = 1
+		}
+	}
+	sum := rs.Customers[rq.cls.Customer]
+	rs.Customers[rq.cls.Customer] = Ratio{sum.Part + good.Part, sum.Whole + 1}
+}
+
+func record(hs *hdrhistogram.Histogram, val float64) {
+	// Beyond the greatest value the histogram refuses; that value stands for
+	// all such.
+	if err := hs.RecordValue(int64(min(val, histogramMost-1))); err != nil {
+		panic("bench: " + err.Error())
+	}
+}
--- /dev/null
+++ b/internal/sched/bench/sim.go
@@ -0,0 +1,417 @@
+package bench
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Faults that a run can have.
+const (
+	NoFault       Fault = ""
+	LostWorker    Fault = "LostWorker"    // one decode and later one prefill engine die
+	SlowLink      Fault = "SlowLink"      // one link falls to a fifth of its rate
+	LaggingReport Fault = "LaggingReport" // reports come 5 s late
+	PausedOwner   Fault = "PausedOwner"   // the accounting VM stands still for 3 s
+	DeadOwner     Fault = "DeadOwner"     // the accounting VM dies; another takes over
+)
+
+// Policies.
+const (
+	Cell       Policy = "Cell"       // the decisions of package sched at one accounting VM
+	Shares     Policy = "Shares"     // a part of the places for each VM, with borrowing
+	Optimistic Policy = "Optimistic" // two choices from lagging reports, held back while none is free
+	RoundRobin Policy = "RoundRobin" // baseline
+	LeastLoad  Policy = "LeastLoad"  // baseline: least reported load
+	TwoChoices Policy = "TwoChoices" // baseline: the less loaded of two at random
+	Oracle     Policy = "Oracle"     // sees everything at once, output lengths included
+)
+
+const (
+	defaultSpan  = 120_000.0 // milliseconds of arrivals
+	warmUp       = 20_000.0  // of them, not measured
+	drainFor     = 400_000.0 // until all must have ended
+	faultAt      = 60_000.0
+	faultSecond  = 75_000.0
+	slowFactor   = 0.2
+	laggingBy    = 5000.0
+	pauseFor     = 3000.0
+	takeoverIn   = 3000.0 // from the death of the accounting VM to its successor's first step
+	detectIn     = 250.0  // until VMs notice that it does not answer
+	lossNoticed  = 30.0   // milliseconds until a broken connection to an engine is noticed
+	listUpdateIn = 1000.0
+)
+
+type (
+	// Fault is what goes wrong during a run.
+	Fault string
+
+	// Policy is a way to decide.
+	Policy string
+
+	// Setup is one run.
+	Setup struct {
+		Deployment Deployment
+		Load       float64 // offered load as a part of capacity
+		Policy     Policy
+		Fault      Fault
+		Seed       uint64
+		Span       clock.Millis // of arrivals; zero means 120 s
+		Flood      float64      // multiplies the first customer's arrivals; zero means 1
+
+		// Surge is the load after the first half of the span; zero means
+		// that it stays the same.
+		Surge float64
+	}
+
+	// decider is what the policies implement. All but arrive are called at
+	// the VM that runs the request.
+	decider interface {
+		begin()
+		arrive(rq *request)
+		prefilled(rq *request)
+		rejected(rq *request)
+		decoding(rq *request)
+		ended(rq *request)
+		lost(rq *request) // an engine failed, or the KV cache lapsed
+		report(vm int, ld board.LoadReport)
+		servers()
+	}
+
+	timer struct {
+		at  float64
+		seq int
+		fn  func()
+	}
+
+	timers []timer
+
+	sim struct {
+		Setup
+		now      float64
+		seq      int
+		queue    timers
+		rng      *rand.Rand
+		prefills []*prefillEngine
+		decodes  []*decodeEngine
+		byID     map[string]any
+		fills    map[*request]*fill
+		policy   decider
+		requests []*request
+		lag      float64
+		span     float64
+		cellLost bool
+		occupied float64 // place-milliseconds during the measured time
+		counted  float64
+	}
+)
+
+// Len, Less, Swap, Push and Pop are those of heap.Interface.
+func (ts timers) Len() int { return len(ts) }
+
+// Less orders by point and then by order of planning.
+func (ts timers) Less(ia, ib int) bool {
+	if ts[ia].at != ts[ib].at {
+		return ts[ia].at < ts[ib].at
+	}
+	return ts[ia].seq < ts[ib].seq
+}
+
+// Swap is that of heap.Interface.
+func (ts timers) Swap(ia, ib int) { ts[ia], ts[ib] = ts[ib], ts[ia] }
+
+// Push is that of heap.Interface.
+func (ts *timers) Push(val any) { *ts = append(*ts, val.(timer)) }
+
+// Pop is that of heap.Interface.
+func (ts *timers) Pop() any {
+	last := (*ts)[len(*ts)-1]
+	*ts = (*ts)[:len(*ts)-1]
+	return last
+}
+
+// Run plays one setup and measures it.
+func Run(su Setup) Result {
+	sm := newSim(su)
+	sm.policy.begin()
+	for _, rq := range sm.requests {
+		sm.after(rq.arrive, func() { sm.policy.arrive(rq) })
+	}
+	sm.planReports()
+	sm.planFault()
+	for len(sm.queue) > 0 && sm.queue[0].at < sm.span+drainFor {
+		tm := heap.Pop(&sm.queue).(timer)
+		sm.now = tm.at
+		tm.fn()
+	}
+	return sm.result()
+}
+
+func newSim(su Setup) *sim {
+	sm := &sim{Setup: su, rng: rand.New(rand.NewPCG(su.Seed, 77)), byID: make(map[string]any),
+		fills: make(map[*request]*fill), lag: reportLag, span: defaultSpan}
+	if su.Span > 0 {
+		sm.span = float64(su.Span)
+	}
+	dp := su.Deployment
+	for ix := range dp.Prefills {
+		en := &prefillEngine{sm: sm, id: fmt.Sprintf("prefill-%d", ix), domain: ix % len(dp.Domains)}
+		en.link = link{sm: sm, rate: linkRate}
+		sm.prefills = append(sm.prefills, en)
+		sm.byID[en.id] = en
+	}
+	for ix := range dp.Decodes {
+		de := &decodeEngine{sm: sm, id: fmt.Sprintf("decode-%d", ix), domain: (ix + 2) % len(dp.Domains),
+			running: make(map[*request]int)}
+		sm.decodes = append(sm.decodes, de)
+		sm.byID[de.id] = de
+	}
+	loads := rand.New(rand.NewPCG(su.Seed, 5))
+	if su.Surge > 0 {
+		first := dp.generate(loads, su.Load, sm.span/2, su.Flood)
+		for _, rq := range dp.generate(loads, su.Surge, sm.span/2, su.Flood) {
+			rq.arrive += sm.span / 2
+			rq.id += "s"
+			first = append(first, rq)
+		}
+		sm.requests = first
+	} else {
+		sm.requests = dp.generate(loads, su.Load, sm.span, su.Flood)
+	}
+	sm.policy = newPolicy(sm)
+	return sm
+}
+
+func newPolicy(sm *sim) decider {
+	switch sm.Policy {
+	case Cell:
+		return &cellPolicy{sm: sm}
+	case Oracle:
+		return &oraclePolicy{sm: sm}
+	case Shares:
+		return &sharesPolicy{sm: sm}
+	case Optimistic, RoundRobin, LeastLoad, TwoChoices:
+		return &localPolicy{sm: sm}
+	default:
+		panic("bench: no policy named " + string(sm.Policy))
+	}
+}
+
+func (sm *sim) after(span float64, fn func()) {
+	sm.seq++
+	heap.Push(&sm.queue, timer{at: sm.now + span, seq: sm.seq, fn: fn})
+}
+
+// vmDomain is the failure domain of a VM.
+func (sm *sim) vmDomain(vm int) int { return vm % len(sm.Deployment.Domains) }
+
+// delay is one way between two failure domains.
+func (sm *sim) delay(da, db int) float64 {
+	if sm.Policy == Oracle {
+		return 0
+	}
+	if da == db {
+		return localDelay
+	}
+	return sm.Deployment.OneWay
+}
+
+// planReports lets each engine report to each VM again and again.
+func (sm *sim) planReports() {
+	each := func(ix int, domain int, load func() board.LoadReport, alive func() bool) {
+		var tick func()
+		tick = func() {
+			if !alive() || sm.now > sm.span+drainFor/2 {
+				return
+			}
+			ld := load()
+			for vm := range sm.Deployment.VMs {
+				sm.after(sm.lag+sm.delay(domain, sm.vmDomain(vm)), func() {
+					ld.At = clock.Millis(sm.now)
+					sm.policy.report(vm, ld)
+				})
+			}
+			sm.after(reportEach, tick)
+		}
+		sm.after(float64(ix)*17, tick)
+	}
+	for ix, en := range sm.prefills {
+		each(ix, en.domain, en.load, func() bool { return !en.dead })
+	}
+	for ix, de := range sm.decodes {
+		each(ix+len(sm.prefills), de.domain, de.load, func() bool { return !de.dead })
+		sm.sample(de)
+	}
+}
+
+// sample measures the occupancy of a decode engine during the measured time.
+func (sm *sim) sample(de *decodeEngine) {
+	sm.after(100, func() {
+		if sm.now >= warmUp && sm.now < sm.span && !de.dead {
+			sm.occupied += float64(len(de.running))
+			sm.counted += decodeSlots
+		}
+		if sm.now < sm.span {
+			sm.sample(de)
+		}
+	})
+}
+
+func (sm *sim) planFault() {
+	switch sm.Fault {
+	case LostWorker:
+		sm.after(faultAt, func() { sm.killDecode(sm.decodes[0]) })
+		sm.after(faultSecond, func() { sm.killPrefill(sm.prefills[0]) })
+	case SlowLink:
+		sm.after(faultAt, func() { sm.prefills[1].link.setRate(linkRate * slowFactor) })
+	case LaggingReport:
+		sm.after(faultAt, func() { sm.lag = laggingBy })
+	case PausedOwner, DeadOwner:
+		if cp, ok := sm.policy.(*cellPolicy); ok {
+			sm.after(faultAt, cp.fail)
+		}
+		if sp, ok := sm.policy.(*sharesPolicy); ok {
+			sm.after(faultAt, sp.fail)
+		}
+	}
+}
+
+func (sm *sim) killDecode(de *decodeEngine) {
+	de.dead = true
+	lost := make([]*request, 0, len(de.running))
+	for _, rq := range sm.requests {
+		if att, ok := de.running[rq]; ok && att == rq.att {
+			lost = append(lost, rq)
+		}
+	}
+	clear(de.running)
+	for _, rq := range lost {
+		sm.tell(rq, de.domain, func() { sm.policy.lost(rq) }, lossNoticed)
+	}
+	sm.after(listUpdateIn, sm.policy.servers)
+}
+
+func (sm *sim) killPrefill(en *prefillEngine) {
+	en.kill()
+	sm.after(listUpdateIn, sm.policy.servers)
+}
+
+// tell brings news of an attempt to its VM; news of an older attempt and of
+// an ended request is dropped.
+func (sm *sim) tell(rq *request, domain int, news func(), extra float64) {
+	att := rq.att
+	sm.after(sm.delay(domain, sm.vmDomain(rq.vm))+extra, func() {
+		if rq.att == att && rq.ends == 0 {
+			news()
+		}
+	})
+}
+
+// sendPrefill begins a new attempt at a prefill engine.
+func (sm *sim) sendPrefill(rq *request, en *prefillEngine) {
+	rq.att++
+	rq.last = 0
+	rq.prefill, rq.decode = en, nil
+	att := rq.att
+	sm.after(sm.delay(sm.vmDomain(rq.vm), en.domain), func() {
+		if rq.att != att || rq.ends > 0 {
+			return
+		}
+		sm.fills[rq] = en.start(rq, att, func(ok bool) {
+			if rq.att != att {
+				return
+			}
+			if ok {
+				sm.tell(rq, en.domain, func() { sm.policy.prefilled(rq) }, 0)
+			} else {
+				sm.tell(rq, en.domain, func() { sm.policy.lost(rq) }, lossNoticed)
+			}
+		}, func() {
+			if rq.decode != nil {
+				rq.decode.release(rq, att)
+			}
+			sm.tell(rq, en.domain, func() { sm.policy.lost(rq) }, 0)
+		})
+	})
+}
+
+// cancel gives up the present attempt: its prefill and its KV cache.
+func (sm *sim) cancel(rq *request) {
+	att, fl := rq.att, sm.fills[rq]
+	rq.att++
+	if fl != nil && fl.att == att {
+		fl.gone = true
+	}
+	if rq.decode != nil {
+		rq.decode.release(rq, att)
+	}
+}
+
+// sendImport lets a decode engine import the KV cache.
+func (sm *sim) sendImport(rq *request, de *decodeEngine) {
+	att, fl, en := rq.att, sm.fills[rq], rq.prefill
+	sm.after(sm.delay(sm.vmDomain(rq.vm), de.domain), func() {
+		switch {
+		case rq.att != att || rq.ends > 0:
+			return
+		case fl == nil || fl.gone || en.dead:
+			sm.tell(rq, de.domain, func() { sm.policy.lost(rq) }, 0)
+			return
+		case !de.take(rq, att):
+			sm.tell(rq, de.domain, func() { sm.policy.rejected(rq) }, 0)
+			return
+		}
+		rq.decode = de
+		en.link.send(float64(rq.prompt), func() { sm.imported(rq, att, fl, de) })
+	})
+}
+
+func (sm *sim) imported(rq *request, att int, fl *fill, de *decodeEngine) {
+	if fl.gone || de.dead || rq.att != att {
+		de.release(rq, att)
+		return
+	}
+	fl.gone = true
+	rq.tpot = de.tpot()
+	sm.tell(rq, de.domain, func() { sm.policy.decoding(rq) }, 0)
+	sm.after(rq.tpot, func() {
+		if de.holds(rq, att) {
+			sm.tell(rq, de.domain, func() {
+				if !rq.firstSet {
+					rq.first, rq.firstSet = sm.now+callerDelay, true
+				}
+			}, 0)
+		}
+	})
+	sm.after(rq.tpot*float64(rq.output), func() {
+		if !de.holds(rq, att) {
+			return
+		}
+		de.release(rq, att)
+		rq.useful = rq.last
+		sm.tell(rq, de.domain, func() { sm.finish(rq) }, 0)
+	})
+}
+
+func (sm *sim) finish(rq *request) {
+	sm.policy.ended(rq)
+	rq.ends++
+	rq.end = sm.now
+	delete(sm.fills, rq)
+}
+
+// refuse ends a request without an answer.
+func (sm *sim) refuse(rq *request, rf refusal.Refusal) {
+	if rq.ends > 0 {
+		panic("bench: a second end for " + rq.id)
+	}
+	sm.cancel(rq)
+	rq.ends++
+	rq.end = sm.now
+	rq.refused = &rf
+	delete(sm.fills, rq)
+}
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -17,6 +17,7 @@
 	defaultPrefillRate = 10
 	defaultLinkRate    = 40
 	defaultChunk       = 2048
+	defaultWays        = 15 * clock.Millis(1)
 
 	reportGrace = 2 * clock.Second // an engine without a report is held empty after this
 	orphanGrace = 30 * clock.Second
@@ -32,6 +33,8 @@
 		Keep       clock.Millis // how long a prefill engine keeps a KV cache; 800 ms
 		QueueBound int          // requests that may wait; 512
 
+		Ways clock.Millis // what the messages of one request take until its first token; 15 ms
+
 		PrefillRate float64 // prompt tokens per millisecond until learned; 10
 		LinkRate    float64 // KV cache of prompt tokens per millisecond until learned; 40
 		Chunk       int     // prompt tokens after which a quick prefill may pass; 2048
@@ -106,6 +109,7 @@
 	ce.Slots = cmp.Or(ce.Slots, defaultSlots)
 	ce.Keep = cmp.Or(ce.Keep, defaultKeep)
 	ce.QueueBound = cmp.Or(ce.QueueBound, defaultQueueBound)
+	ce.Ways = cmp.Or(ce.Ways, defaultWays)
 	ce.PrefillRate = cmp.Or(ce.PrefillRate, defaultPrefillRate)
 	ce.LinkRate = cmp.Or(ce.LinkRate, defaultLinkRate)
 	ce.Chunk = cmp.Or(ce.Chunk, defaultChunk)
--- /dev/null
+++ b/internal/sched/fallback.go
@@ -0,0 +1,100 @@
+package sched
+
+import (
+	"math/rand/v2"
+
+	"alderdyke/internal/board"
+)
+
+const (
+	defaultPart    = 0.1  // of an engine's places that one VM uses on its own
+	patientFreeMin = 0.25 // of an engine's places that must be reported free for patient work
+)
+
+type (
+	// Fallback decides for one VM that can't reach the accounting VM of a
+	// cell. It trusts lagging reports, so it takes the better of two engines
+	// at random and only a small part of their places; an engine that is
+	// full after all refuses, and the VM asks again. Rand must be set; the
+	// zero Part means a tenth.
+	Fallback struct {
+		Rand *rand.Rand
+		Part float64
+	}
+
+	// View is what a VM knows of a cell's engines by itself.
+	View struct {
+		Servers []board.BackendServer
+		Reports map[string]board.LoadReport
+		Own     map[string]int // requests that this VM has at each engine
+	}
+)
+
+// Decide places a request, or tells that the VM should not: then it refuses
+// quick work with SchedulerAway and lets patient work wait.
+func (fb *Fallback) Decide(ask Ask, vw View) (Grant, bool) {
+	dec, ok := fb.decode(ask, vw)
+	if !ok {
+		return Grant{}, false
+	}
+	fill, ok := fb.pick(vw, board.Prefill, func(srv board.BackendServer) float64 {
+		return float64(vw.Reports[srv.ID].Queued + vw.Own[srv.ID])
+	})
+	if !ok {
+		return Grant{}, false
+	}
+	return Grant{Request: ask.Request, Attempt: ask.Attempt, Prefill: fill.ID, Decode: dec}, true
+}
+
+// Redirect picks a decode engine for a KV cache that another one refused.
+func (fb *Fallback) Redirect(ask Ask, vw View) (string, bool) { return fb.decode(ask, vw) }
+
+func (fb *Fallback) decode(ask Ask, vw View) (string, bool) {
+	part := fb.Part
+	if part <= 0 {
+		part = defaultPart
+	}
+	free := func(srv board.BackendServer) float64 {
+		rep, ok := vw.Reports[srv.ID]
+		if !ok || rep.Leaving {
+			return 0
+		}
+		if vw.Own[srv.ID] >= max(1, int(part*float64(rep.Slots))) {
+			return 0
+		}
+		return float64(rep.Slots - rep.Running)
+	}
+	dec, ok := fb.pick(vw, board.Decode, func(srv board.BackendServer) float64 { return -free(srv) })
+	if !ok {
+		return "", false
+	}
+	need := 1.0
+	if !ask.Quick {
+		need = max(1, patientFreeMin*float64(vw.Reports[dec.ID].Slots))
+	}
+	return dec.ID, free(dec) >= need
+}
+
+// pick takes the better of two engines of a role drawn at random; a lower
+// score is better. It takes a fixed number of draws however many engines
+// there are.
+func (fb *Fallback) pick(vw View, role board.Role, score func(board.BackendServer) float64) (board.BackendServer, bool) {
+	var best board.BackendServer
+	found := 0
+	for range 16 {
+		if len(vw.Servers) == 0 {
+			break
+		}
+		srv := vw.Servers[fb.Rand.IntN(len(vw.Servers))]
+		if srv.Role != role || srv.Leaving || srv.ID == best.ID {
+			continue
+		}
+		if found == 0 || score(srv) < score(best) {
+			best = srv
+		}
+		if found++; found == 2 {
+			break
+		}
+	}
+	return best, found > 0
+}
