--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -71,7 +71,7 @@
 		if _, ok := mine[name]; !ok {
 			hc.stop()
 			delete(ac.cells, name)
-			ac.vm.lg.Log(event.CellGiven, event.F("Cell", name))
+			ac.vm.Log.Log(event.CellGiven, event.F("Cell", name))
 		}
 	}
 	for name, ce := range mine {
@@ -101,7 +101,7 @@
 		ac.cells = make(map[string]*heldCell)
 	}
 	ac.cells[ce.Name] = hc
-	ac.vm.lg.Log(event.CellTaken, event.F("Cell", ce.Name), event.F("Servers", len(ce.Servers)))
+	ac.vm.Log.Log(event.CellTaken, event.F("Cell", ce.Name), event.F("Servers", len(ce.Servers)))
 	return hc
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -65,7 +65,7 @@
 // startLoops starts the decisions and the loops that feed them.
 func (vm *VM) startLoops(ctx context.Context) {
 	for _, run := range []func(context.Context){
-		vm.members.run, vm.follower.run, vm.book.run,
+		vm.members.run, vm.follower.run,
 		vm.followFleet, vm.readList, vm.readSeats, vm.watchPlain,
 	} {
 		vm.wg.Go(func() { run(ctx) })
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -314,7 +314,7 @@
 		return failure{"decode", err}
 	}
 	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
-	rn.vm.claimDecoding(rn, ma.decode.ID, ma.name)
+	rn.claimed.became(claim.Decoding, ma.decode.ID, ma.name)
 	rn.tr.add(event.DecodeStarted, ma.decode.ID)
 	return rn.stream(ctx, st, ma.decode, ma.name, have)
 }
@@ -334,7 +334,7 @@
 	if err != nil {
 		return false
 	}
-	rn.vm.claimDecoding(rn, srv.ID, dec.EngineRequest)
+	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
 	if err := rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens()); err != nil {
 		rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
 		return false
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -127,7 +127,7 @@
 	if rc.misses[srv.ID] != reportMisses {
 		return false
 	}
-	rc.hc.vm.lg.Log(event.BackendUnreachable, event.F("Server", srv.ID), event.F("Error", err.Error()))
+	rc.hc.vm.Log.Log(event.BackendUnreachable, event.F("Server", srv.ID), event.F("Error", err.Error()))
 	return true
 }
 
@@ -200,7 +200,7 @@
 	if now-since < rc.holdFor(rn.Customer) {
 		return
 	}
-	rc.hc.vm.lg.Log(event.OrphanCancelled,
+	rc.hc.vm.Log.Log(event.OrphanCancelled,
 		event.F("Server", srv.ID), event.F("Customer", rn.Customer), event.F("VM", rn.VM.ID))
 	rc.hc.vm.janitor.free(rc.hc.vm.runCtx, srv.ID, rn.Request)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -19,6 +19,11 @@
 // claimPatience bounds the search for the VMs that account for a key.
 const claimPatience = 3 * clock.Second
 
+var (
+	errAgain = errors.New("the key must be claimed anew")
+	errLost  = errors.New("another VM took the request over")
+)
+
 type (
 	// run is one request that this VM answers, by running it or by following
 	// the VM that does.
@@ -35,10 +40,12 @@
 		arrived  clock.Millis
 		deadline clock.Millis
 
-		attempt int         // number of the claim that this VM runs under
-		sent    atomic.Bool // a backend server may have begun
-		runner  atomic.Bool // this VM runs the request, it does not follow another
-		away    *time.Timer // ends the run when no caller came back
+		claimed *claimant    // link to the seats of the key
+		attempt int          // number of the claim that this VM runs under
+		until   clock.Millis // up to when the claim stands unconfirmed
+		sent    atomic.Bool  // a backend server may have begun
+		runner  atomic.Bool  // this VM runs the request, it does not follow another
+		away    *time.Timer  // ends the run when no caller came back
 	}
 
 	// failure is the end of one attempt at backend servers.
@@ -110,51 +117,93 @@
 }
 
 // execute claims the key and does what the claim says, until the answer has
-// its end.
+// its end. A runner that lost its key to another VM, as after a long pause,
+// starts over and follows that VM.
 func (rn *run) execute(ctx context.Context) error {
+	var givenUp board.VMRef
 	for {
-		dec := rn.vm.claimKey(ctx, rn)
-		if ctx.Err() != nil {
+		err := rn.once(ctx, &givenUp)
+		if err == nil || !errors.Is(err, errAgain) {
+			return err
+		}
+		if !sleep(ctx, reopenPause) {
 			return context.Cause(ctx)
 		}
-		switch dec.Verdict {
-		case claim.Run, claim.TakeOver:
-			rn.attempt = int(dec.Attempt)
-			rn.runner.Store(true)
-			return rn.serve(ctx, dec)
-		case claim.Follow:
-			if err := rn.follow(ctx, dec.Runner); err == nil {
-				return nil
-			}
-			if !sleep(ctx, reopenPause) {
-				return context.Cause(ctx)
-			}
-		case claim.Unavailable:
-			if !rn.req.Class.Idempotent {
-				return claimRefusal(dec)
-			}
-			rn.runner.Store(true)
-			return rn.serve(ctx, dec)
-		default:
+	}
+}
+
+// once makes one claim and acts on it. It returns errAgain if the request
+// must be claimed anew.
+func (rn *run) once(ctx context.Context, givenUp *board.VMRef) error {
+	mine, lose := context.WithCancelCause(ctx)
+	defer lose(nil)
+	rn.claimed = rn.claim(mine, *givenUp, func() { lose(errLost) })
+	dec, err := rn.claimed.verdict(mine, 0)
+	if err != nil {
+		return err
+	}
+	switch dec.Verdict {
+	case claim.Run, claim.TakeOver:
+		rn.attempt, rn.until = int(dec.Attempt), dec.Until
+		rn.runner.Store(true)
+		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
+			rn.report(err)
+			return err
+		}
+		rn.runner.Store(false)
+		return errAgain
+	case claim.Follow:
+		return rn.followOnce(mine, dec.Runner, givenUp)
+	case claim.Unavailable:
+		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
 		}
+		rn.runner.Store(true)
+		return rn.serve(mine, dec)
+	default:
+		return claimRefusal(dec)
 	}
 }
 
+func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
+	err := rn.follow(ctx, runner)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, errUnknownKey) {
+		*givenUp = runner
+	}
+	return errAgain
+}
+
 func (rn *run) serve(ctx context.Context, dec claim.Decided) error {
 	if rn.req.Plain != nil {
 		return rn.plain(ctx)
 	}
 	if dec.Verdict == claim.TakeOver {
-		rn.vm.lg.Log(event.RequestTakenOver, event.F("Customer", rn.id.Customer), event.F("Attempt", dec.Attempt))
+		rn.vm.Log.Log(event.RequestTakenOver, event.F("Customer", rn.id.Customer), event.F("Attempt", dec.Attempt))
 		rn.tr.add(event.RequestTakenOver, dec.DecodeServer)
 		if rn.resume(ctx, dec) {
 			return nil
 		}
+		if !rn.req.Class.Idempotent {
+			rn.sent.Store(true)
+			return refusal.Refusal{Reason: refusal.VMLost, Detail: "the VM that ran the request is lost"}
+		}
 	}
 	return rn.model(ctx)
 }
 
+// report tells the seats how the key ended.
+func (rn *run) report(err error) {
+	switch {
+	case err == nil:
+		rn.claimed.became(claim.Complete, "", "")
+	case !rn.sent.Load():
+		rn.claimed.became(claim.RefusedNotRun, "", "")
+	}
+}
+
 // refuse ends the answer with the truth about an error.
 func (rn *run) refuse(ctx context.Context, err error) {
 	rf := rn.refusalOf(ctx, err)
@@ -162,7 +211,7 @@
 		return // the answer was whole before the error
 	}
 	rn.tr.add(event.RequestRefused, string(rf.Reason))
-	rn.vm.lg.Log(event.RequestRefused,
+	rn.vm.Log.Log(event.RequestRefused,
 		event.F("Customer", rn.id.Customer),
 		event.F("Class", rn.req.Class.Name),
 		event.F("Reason", rf.Reason),
@@ -189,18 +238,16 @@
 	return rf.WithRan(refusal.NotRun)
 }
 
+// claimRefusal is the refusal that a verdict other than to run stands for.
 func claimRefusal(dec claim.Decided) refusal.Refusal {
-	rf := refusal.Refusal{Ran: refusal.MayHaveRun, Reason: dec.Reason, Detail: "the request key can't be run"}
+	rf := refusal.Refusal{Ran: dec.Ran, Reason: dec.Reason}
 	switch dec.Verdict {
 	case claim.Unavailable:
-		return rf.WithRan(refusal.NotRun).WithRetryAfter(2 * clock.Second).
-			WithDetail("the VMs that account for the key can't be asked")
+		return rf.WithRetryAfter(2 * clock.Second).WithDetail("the VMs that account for the key can't be asked")
 	case claim.Reused:
-		return rf.WithRan(refusal.NotRun).WithDetail("the key belongs to another request")
-	case claim.InDoubt:
-		return rf.WithDetail("the key may have run at a VM that is lost")
+		return rf.WithDetail("the key belongs to another request")
 	default:
-		return rf
+		return rf.WithDetail("the key may have run at a VM that is lost")
 	}
 }
 
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -89,6 +89,13 @@
 		follower *actor[register.Event, register.Intent]
 		book     *actor[claim.Event, claim.Intent]
 
+		bookState *claim.Book  // owned by the loop of book once it runs
+		restored  *claim.Seats // learned from a peer before the book ran
+		claimSeed atomic.Uint64
+		loopCtx   context.Context // ends after the last request
+
+		backendsMu sync.Mutex // orders the writers of the board's backend servers
+
 		fresh     atomic.Int64 // clock.Millis up to which this VM is quorate
 		seats     atomic.Pointer[claim.Seats]
 		refuted   signal // this VM was held dead and goes on
@@ -130,6 +137,7 @@
 	case <-grCtx.Done():
 		return gr.Wait()
 	}
+	vm.loopCtx = core
 	vm.startLoops(core)
 	callCtx, stopCallers := context.WithCancel(core)
 	defer stopCallers()
