--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -36,15 +36,17 @@
 	Errors []Error
 )
 
-// Error writes the problem as "file:line: Key = value: mend".
+// Error writes the problem as "file:line: Key = value: mend", without the
+// parts that are not known.
 func (pe Error) Error() string {
 	var sb strings.Builder
-	if pe.File != "" {
-		sb.WriteString(pe.File)
-		if pe.Line > 0 {
-			fmt.Fprintf(&sb, ":%d", pe.Line)
-		}
-		sb.WriteString(": ")
+	switch {
+	case pe.File != "" && pe.Line > 0:
+		fmt.Fprintf(&sb, "%s:%d: ", pe.File, pe.Line)
+	case pe.File != "":
+		sb.WriteString(pe.File + ": ")
+	case pe.Line > 0:
+		fmt.Fprintf(&sb, "line %d: ", pe.Line)
 	}
 	sb.WriteString(pe.Key)
 	if pe.Value != "" {
