--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -54,7 +54,7 @@
 	defaultProbeEvery    = 500 * clock.Millis(1)
 	defaultProbeTimeout  = 300 * clock.Millis(1)
 	defaultStagger       = 150 * clock.Millis(1)
-	defaultProbeDeadline = clock.Second
+	defaultProbeDeadline = 1500 * clock.Millis(1)
 	defaultSuspicionMin  = 2 * clock.Second
 	defaultSuspicionMax  = 6 * clock.Second
 	defaultFresh         = 5 * clock.Second
@@ -90,6 +90,7 @@
 		Counters Counters
 
 		now     clock.Millis
+		self    uint32 // hash of the ID of Self
 		started bool
 		listed  bool // the VM list or the seeds were given once
 		leaving bool
@@ -192,6 +193,7 @@
 	}
 	dt.started = true
 	dt.now = now
+	dt.self = hashOf(dt.Self.ID)
 	dt.Settings = dt.Settings.withDefaults()
 	dt.tb.byID = make(map[string]*member)
 	dt.tb.gone = make(map[string]goneVM)
@@ -200,7 +202,7 @@
 	dt.pb.next = now + clock.Millis(dt.Rand.Int64N(int64(dt.Settings.ProbeEvery)))
 	dt.nextHousekeep = now + housekeepEvery
 	dt.Self.Health = board.Alive
-	dt.rm.push(dt.Self.ID, "")
+	dt.rm.push(dt.Self.ID, 0)
 	dt.dirty = true
 }
 
@@ -262,7 +264,7 @@
 		dt.left = true
 		dt.Self.Health = board.Left
 	}
-	dt.rm.push(dt.Self.ID, "")
+	dt.rm.push(dt.Self.ID, 0)
 	dt.dirty, dt.sy.stale = true, true
 	if final {
 		dt.announce()
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -28,6 +28,7 @@
 		seq    int
 		loss   float64
 		cut    func(from, to *testVM) bool
+		hook   func(in Send)
 		settle clock.Millis // nothing is counted before
 		// pauseEvery is the mean span between pauses of a VM; zero is none.
 		pauseEvery clock.Millis
@@ -205,6 +206,9 @@
 			in.Datagram.Sequence = uint64(1000 + vm.sent.messages)
 			tf.largest = max(tf.largest, proto.Size(in.Datagram))
 			vm.sent.add(in.Datagram)
+			if tf.hook != nil {
+				tf.hook(in)
+			}
 			tf.transmit(vm, in)
 		case Changed:
 			tf.compare(vm, in.Fleet)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -17,9 +17,9 @@
 	// deadShare is the largest share of periods in which a dead VM is
 	// probed too, to find out when a partition ends.
 	deadShare = 0.25
-	// staleShare of Fresh without an ack from a failure domain makes this
-	// VM probe one more VM there.
-	staleNumerator, staleDenominator = 2, 3
+	// A failure domain without an ack for this share of Fresh makes this VM
+	// probe one more VM there.
+	staleNumerator, staleDenominator = 9, 10
 )
 
 type (
@@ -49,7 +49,8 @@
 		asker    string
 		number   uint64
 		target   *member
-		deadline clock.Millis
+		deadline clock.Millis // when the asker is told that no ack came
+		expires  clock.Millis // a later ack is still forwarded until then
 	}
 )
 
@@ -123,7 +124,7 @@
 	}
 	for ix, pl := range order {
 		size := float64(byDomain[pl.mb.vm.FailureDomain])
-		order[ix].at = (pl.at - dt.Rand.Float64()*0.2) / size
+		order[ix].at = (pl.at - dt.phase(pl.mb.vm.FailureDomain)) / size
 	}
 	slices.SortFunc(order, func(pa, pc placed) int {
 		return cmp.Or(cmp.Compare(pa.at, pc.at), cmp.Compare(pa.mb.vm.ID, pc.mb.vm.ID))
@@ -135,6 +136,12 @@
 	return ring
 }
 
+// phase of a failure domain within the round, the same in every round, so
+// that the span between two probes there stays the same too.
+func (dt *Detector) phase(domain string) float64 {
+	return float64(hashOf(dt.Self.ID+"\x00"+domain)&(1<<31-1)) / (1 << 31)
+}
+
 // deadMembers lists the VMs that may come back.
 func (dt *Detector) deadMembers() []*member {
 	var dead []*member
@@ -183,9 +190,14 @@
 		}
 	}
 	for _, number := range sortedKeys(dt.pb.relays) {
-		if rl := dt.pb.relays[number]; dt.now >= rl.deadline {
-			delete(dt.pb.relays, number)
+		rl := dt.pb.relays[number]
+		if dt.now >= rl.deadline {
 			dt.reply(rl, &peerpb.Ack{Number: rl.number, Target: rl.target.vm.ID, Missed: true})
+			rl.deadline = rl.expires
+			dt.pb.relays[number] = rl
+		}
+		if dt.now >= rl.expires {
+			delete(dt.pb.relays, number)
 		}
 	}
 }
@@ -210,6 +222,7 @@
 	pr.at += dt.scaled(dt.Settings.HelperStagger)
 	if pr.asked == len(pr.helpers) {
 		pr.at = pr.deadline
+		dt.send(pr.target, askAck(pr.number, pr.target)) // the first may have been lost
 	}
 }
 
@@ -263,7 +276,7 @@
 	if mb.vm.Health == board.Alive {
 		dt.Counters.Suspected++
 	}
-	dt.suspect(mb, dt.Self.ID)
+	dt.suspect(mb, dt.self)
 }
 
 // receive takes in a datagram.
@@ -273,10 +286,7 @@
 		dt.Counters.Ignored++
 		return
 	}
-	news := false
-	for _, rr := range dg.GetRumours() {
-		news = dt.hear(rr) || news
-	}
+	news := dt.hearAll(dg)
 	from := dt.tb.byID[dg.GetFrom()]
 	if from == nil || !from.heard || dg.GetIncarnation() < from.vm.Incarnation {
 		dt.Counters.Strangers++
@@ -298,7 +308,7 @@
 		return
 	}
 	dg := notice()
-	dg.Rumours = append(dg.Rumours, dt.about(from, dt.Self.ID, false))
+	dg.Rumours = append(dg.Rumours, dt.about(from, dt.self, false))
 	dt.send(from, dg)
 }
 
@@ -319,7 +329,7 @@
 
 func (dt *Detector) ackProbe(from *member, pb *peerpb.Probe) {
 	if pb.GetSuspected() {
-		dt.rm.push(dt.Self.ID, "")
+		dt.rm.push(dt.Self.ID, 0)
 	}
 	dt.send(from, &peerpb.Datagram{Body: &peerpb.Datagram_Ack{Ack: &peerpb.Ack{
 		Number: pb.GetNumber(),
@@ -339,6 +349,7 @@
 		number:   ip.GetNumber(),
 		target:   target,
 		deadline: dt.now + dt.Settings.ProbeTimeout,
+		expires:  dt.now + dt.Settings.ProbeDeadline,
 	}
 	dt.send(target, askAck(dt.pb.number, target))
 }
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -27,22 +27,33 @@
 	rumours struct{ queue []rumour }
 
 	// rumour names the VM that it is about; what is told is the state of
-	// that VM at the time of sending. By is the VM that suspects it.
+	// that VM at the time of sending. by is the hash of the VM that suspects it.
 	rumour struct {
-		id, by string
-		sent   int
+		id   string
+		by   uint32
+		sent int
 	}
 )
 
 // push queues a rumour, or starts it again. A rumour about a VM itself
 // replaces the suspicions about it.
-func (rm *rumours) push(id, by string) {
+func (rm *rumours) push(id string, by uint32) {
 	rm.queue = slices.DeleteFunc(rm.queue, func(ru rumour) bool {
-		return ru.id == id && (by == "" || ru.by == by || ru.by == "")
+		return ru.id == id && (by == 0 || ru.by == by || ru.by == 0)
 	})
 	rm.queue = append(rm.queue, rumour{id: id, by: by})
 }
 
+// heard counts a rumour that another VM told as told: the more know it, the
+// less it needs to be spread.
+func (rm *rumours) heard(id string, by uint32) {
+	for ix := range rm.queue {
+		if ru := &rm.queue[ix]; ru.id == id && (ru.by == by || ru.by == 0) {
+			ru.sent++
+		}
+	}
+}
+
 func (rm *rumours) drop(id string) {
 	rm.queue = slices.DeleteFunc(rm.queue, func(ru rumour) bool { return ru.id == id })
 }
@@ -55,7 +66,7 @@
 		room = dt.put(dg, room, dt.aboutSelf())
 	}
 	if to.vm.Health == board.Suspect || (to.vm.Health == board.Dead && to.heard && !to.private) {
-		room = dt.put(dg, room, dt.about(to, dt.Self.ID, false))
+		room = dt.put(dg, room, dt.about(to, dt.self, false))
 	}
 	limit := resends * bits.Len(uint(len(dt.tb.members)+1))
 	queue := dt.rm.queue
@@ -96,7 +107,7 @@
 	switch {
 	case mb == nil || !mb.heard || mb.private:
 		return nil
-	case ru.by != "" && mb.vm.Health != board.Suspect:
+	case ru.by != 0 && mb.vm.Health != board.Suspect:
 		return nil
 	}
 	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && mb.refutation == 0)
@@ -109,7 +120,7 @@
 }
 
 // about tells the state of a member, with its places if whole.
-func (dt *Detector) about(mb *member, by string, whole bool) *peerpb.Rumour {
+func (dt *Detector) about(mb *member, by uint32, whole bool) *peerpb.Rumour {
 	rr := &peerpb.Rumour{VM: mb.vm.ID, Incarnation: mb.vm.Incarnation, Health: uint32(mb.vm.Health)}
 	if whole {
 		rr = places(mb.vm)
@@ -118,7 +129,7 @@
 	rr.Leaving = mb.leaving
 	if mb.vm.Health == board.Suspect {
 		rr.By = by
-		if by == "" && len(mb.suspicion.by) > 0 {
+		if by == 0 && len(mb.suspicion.by) > 0 {
 			rr.By = mb.suspicion.by[0]
 		}
 	}
@@ -138,6 +149,22 @@
 	}
 }
 
+// hearAll takes in the rumours of a datagram. It tells whether any was news.
+func (dt *Detector) hearAll(dg *peerpb.Datagram) bool {
+	_, bySync := dg.GetBody().(*peerpb.Datagram_SyncReply)
+	news := false
+	for _, rr := range dg.GetRumours() {
+		if !dt.hear(rr) {
+			continue
+		}
+		news = true
+		if bySync {
+			dt.rm.drop(rr.GetVM()) // others know it for long
+		}
+	}
+	return news
+}
+
 // hear takes in one rumour. It tells whether the rumour was news.
 func (dt *Detector) hear(rr *peerpb.Rumour) bool {
 	hl := board.Health(rr.GetHealth())
@@ -157,7 +184,7 @@
 	}
 	switch ord := mb.compareRun(rr.GetIncarnation(), rr.GetRefutation()); {
 	case ord > 0:
-		return false
+		return false // older than what is known
 	case ord < 0:
 		return dt.supersede(mb, rr, hl)
 	default:
@@ -196,7 +223,7 @@
 		dt.suspect(mb, rr.GetBy())
 	} else {
 		dt.setHealth(mb, hl)
-		dt.rm.push(mb.vm.ID, "")
+		dt.rm.push(mb.vm.ID, 0)
 	}
 	if !wasProbed && mb.serving() {
 		dt.pb.enrol(mb, dt.Rand)
@@ -217,11 +244,14 @@
 // hearSame takes in a rumour about the run and refutation that is known.
 func (dt *Detector) hearSame(mb *member, rr *peerpb.Rumour, hl board.Health) bool {
 	news := false
+	if rr.GetLeaving() == mb.leaving && hl == mb.vm.Health {
+		dt.rm.heard(mb.vm.ID, rr.GetBy())
+	}
 	if rr.GetLeaving() && !mb.leaving {
 		mb.leaving = true
 		mb.vm.Leaving = true
 		dt.dirty, dt.sy.stale = true, true
-		dt.rm.push(mb.vm.ID, "")
+		dt.rm.push(mb.vm.ID, 0)
 		news = true
 	}
 	switch {
@@ -234,7 +264,7 @@
 		return news || len(mb.suspicion.by) != before
 	case hl == board.Dead && (mb.serving() || mb.private), hl == board.Left && mb.vm.Health != board.Left:
 		dt.setHealth(mb, hl)
-		dt.rm.push(mb.vm.ID, "")
+		dt.rm.push(mb.vm.ID, 0)
 		return true
 	}
 	return news
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -15,7 +15,7 @@
 type suspicion struct {
 	started  clock.Millis
 	deadline clock.Millis // when the member counts as Dead
-	by       []string     // VMs that found it suspect, each on its own
+	by       []uint32     // hashes of the VMs that found it suspect, each on its own
 	recheck  clock.Millis // when this VM probes it again; zero if it has no doubt of its own
 }
 
@@ -27,15 +27,16 @@
 	return su.deadline
 }
 
-// suspect begins or confirms a suspicion that the VM by has of a member.
-func (dt *Detector) suspect(mb *member, by string) {
+// suspect begins or confirms a suspicion that the VM with the hash by has of
+// a member.
+func (dt *Detector) suspect(mb *member, by uint32) {
 	if mb.vm.Health != board.Suspect {
 		dt.setHealth(mb, board.Suspect)
 		mb.suspicion = suspicion{started: dt.now}
 		dt.tb.suspects = append(dt.tb.suspects, mb)
 	}
 	su := &mb.suspicion
-	if by == dt.Self.ID && su.recheck == 0 {
+	if by == dt.self && su.recheck == 0 {
 		su.recheck = dt.now
 	}
 	if len(su.by) > confirmations || slices.Contains(su.by, by) {
@@ -77,7 +78,7 @@
 func (dt *Detector) die(mb *member) {
 	dt.setHealth(mb, board.Dead)
 	if dt.measureQuorum(); dt.qr.quorate {
-		dt.rm.push(mb.vm.ID, "")
+		dt.rm.push(mb.vm.ID, 0)
 		return
 	}
 	mb.private = true
@@ -91,7 +92,7 @@
 		return
 	}
 	if hl == board.Suspect && incarnation == dt.Self.Incarnation && refutation < dt.refutation {
-		dt.rm.push(dt.Self.ID, "") // refuted already; who told it missed that
+		dt.rm.push(dt.Self.ID, 0) // refuted already; who told it missed that
 		return
 	}
 	dt.Counters.Refutations++
@@ -104,5 +105,5 @@
 		dt.dirty, dt.sy.stale = true, true
 		dt.out = append(dt.out, Refuted{Incarnation: dt.Self.Incarnation})
 	}
-	dt.rm.push(dt.Self.ID, "")
+	dt.rm.push(dt.Self.ID, 0)
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -1,6 +1,9 @@
 package membership
 
 import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"alderdyke/internal/board"
@@ -56,7 +59,10 @@
 	}
 }
 
-func bucketOf(id string) int { return int(sum(board.VM{VMRef: board.VMRef{ID: id}}) % buckets) }
+func bucketOf(id string) int { return int(hashOf(id) % buckets) }
+
+// hashOf is never zero, which stands for no VM.
+func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) | 1<<31 }
 
 // trySync begins a comparison with a VM whose digest differs.
 func (dt *Detector) trySync(mb *member) {
@@ -66,9 +72,19 @@
 	dt.sy.pages = 0
 	half := dt.Settings.SyncEvery / 2
 	dt.sy.next = dt.now + half + clock.Millis(dt.Rand.Int64N(int64(half)+1))
+	if dt.joining() {
+		dt.sy.next = dt.now + syncTimeout
+	}
 	dt.askSync(mb)
 }
 
+// joining tells whether listed VMs have not been met yet.
+func (dt *Detector) joining() bool {
+	return slices.ContainsFunc(dt.tb.members, func(mb *member) bool {
+		return !mb.heard && mb.tries < joinTries
+	})
+}
+
 func (dt *Detector) askSync(mb *member) {
 	dt.computeDigests()
 	dt.Counters.Syncs++
@@ -120,7 +136,7 @@
 	all := []*peerpb.Rumour{dt.aboutSelf()}
 	for _, mb := range dt.tb.members {
 		if mb.heard && !mb.private && mb.vm.Health != board.Left {
-			all = append(all, dt.about(mb, "", true))
+			all = append(all, dt.about(mb, 0, true))
 		}
 	}
 	return all
