--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -9,6 +9,7 @@
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
 	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
@@ -17,6 +18,7 @@
 	"alderdyke/internal/sched"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
+	"alderdyke/pkg/template"
 )
 
 // Spans of model requests.
@@ -46,11 +48,6 @@
 		kv      engine.PrefillResult
 		touched map[string]struct{} // engines that may hold something
 	}
-
-	// modelEnd is the data of the final event of a whole model answer.
-	modelEnd struct {
-		Tokens int
-	}
 )
 
 // model runs a request on the model engines, with retries, to its end.
@@ -171,6 +168,9 @@
 // compute has the prompt computed.
 func (ma *modelAttempt) compute(ctx context.Context) error {
 	rn := ma.rn
+	if err := rn.mayDispatch(ctx); err != nil {
+		return err
+	}
 	ma.rs.progress(sched.Prefilling, ma.prefill.ID, 0, 0)
 	began := rn.vm.Clock.Now()
 	ma.touched[ma.prefill.ID] = struct{}{}
@@ -401,7 +401,11 @@
 }
 
 func (rn *run) whole(tokens int) error {
-	data, err := json.Marshal(modelEnd{Tokens: tokens})
+	data, err := json.Marshal(caller.ChatEnd{
+		Tokens:       tokens,
+		PromptTokens: rn.req.Chat.PromptTokens,
+		FinishReason: rn.finishReason(tokens),
+	})
 	if err != nil {
 		return fmt.Errorf("write the end of the answer: %w", err)
 	}
@@ -411,3 +415,14 @@
 	rn.tr.add(event.RequestEnded, fmt.Sprintf("%d tokens", tokens))
 	return nil
 }
+
+// finishReason says, in the words of the callers' protocol, why the answer
+// ended.
+func (rn *run) finishReason(tokens int) string {
+	if tokens >= rn.req.Chat.MaxTokens {
+		return "length"
+	}
+	return "stop"
+}
+
+func (rn *run) quick() bool { return rn.req.Class.Urgency == template.Quick }
--- /dev/null
+++ b/internal/entry/operatorside.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/operator"
+	"alderdyke/pkg/clock"
+)
+
+var healthNames = map[board.Health]string{
+	board.Alive:   "Alive",
+	board.Suspect: "Suspect",
+	board.Dead:    "Dead",
+	board.Left:    "Left",
+}
+
+// operatorSide is the VM as operators see it.
+type operatorSide struct{ vm *VM }
+
+// Templates implements operator.Backend.
+func (os operatorSide) Templates() *board.Templates { return os.vm.Board.Templates() }
+
+// Drain implements operator.Backend.
+func (os operatorSide) Drain(context.Context) error {
+	os.vm.drain.Do(func() { close(os.vm.drainNow) })
+	return nil
+}
+
+// Publish implements operator.Backend.
+func (os operatorSide) Publish(ctx context.Context, pub operator.Publication) (operator.Verdict, error) {
+	return os.vm.publish(ctx, pub)
+}
+
+// Explain implements operator.Backend: it asks every VM that may know.
+func (os operatorSide) Explain(ctx context.Context, customer, key string) ([]operator.ExplainLine, error) {
+	return os.vm.explain(ctx, requestID{Customer: customer, Key: key})
+}
+
+// Status implements operator.Backend.
+func (os operatorSide) Status(context.Context) operator.Status {
+	vm := os.vm
+	fl := vm.Board.Fleet()
+	now := vm.Clock.Now()
+	st := operator.Status{
+		VM:            vm.Self.ID,
+		Incarnation:   vm.Self.Incarnation,
+		FailureDomain: vm.Settings.FailureDomain,
+		Region:        vm.Settings.Region,
+		Uptime:        now - vm.startedAt,
+		Draining:      vm.draining.Load(),
+		Quorate:       fl.Quorate,
+		InProgress:    vm.runs.inProgress(),
+		Kept:          vm.runs.kept(),
+		Log:           vm.logStatus(now),
+		Cells:         vm.accountant.status(),
+	}
+	for _, other := range fl.VMs {
+		st.Fleet = append(st.Fleet, operator.VMStatus{
+			ID:            other.ID,
+			Incarnation:   other.Incarnation,
+			FailureDomain: other.FailureDomain,
+			Region:        other.Region,
+			Caller:        other.Caller,
+			Health:        healthNames[other.Health],
+			Leaving:       other.Leaving,
+			Listed:        other.Listed,
+		})
+	}
+	st.Backends = serverStatus(vm.Board.Backends(), now)
+	return st
+}
+
+func serverStatus(bk *board.Backends, now clock.Millis) []operator.ServerStatus {
+	var out []operator.ServerStatus
+	for _, srv := range bk.Servers {
+		rp, reported := bk.Reports[srv.ID]
+		ss := operator.ServerStatus{
+			ID:            srv.ID,
+			Service:       srv.Service,
+			Role:          string(srv.Role),
+			Address:       srv.Address,
+			FailureDomain: srv.FailureDomain,
+			ChecksFencing: srv.ChecksFencing,
+			Leaving:       srv.Leaving || rp.Leaving,
+			Reported:      reported,
+		}
+		if reported {
+			ss.Running, ss.Slots, ss.Queued = rp.Running, rp.Slots, rp.Queued
+			ss.ReportAge = now - rp.At
+		}
+		out = append(out, ss)
+	}
+	return out
+}
+
+// status lists the cells that this VM accounts for.
+func (ac *accountant) status() []operator.CellStatus {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	var out []operator.CellStatus
+	for name, hc := range ac.cells {
+		waiting, granted := hc.counts()
+		out = append(out, operator.CellStatus{Name: name, Waiting: waiting, Granted: granted})
+	}
+	slices.SortFunc(out, func(ca, cb operator.CellStatus) int { return cmp.Compare(ca.Name, cb.Name) })
+	return out
+}
+
+func (hc *heldCell) counts() (waiting, granted int) {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	for _, hr := range hc.held {
+		if hr.granted {
+			granted++
+		} else {
+			waiting++
+		}
+	}
+	return waiting, granted
+}
+
+// kept counts the answers that are kept for callers who come back.
+func (rs *runs) kept() int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return len(rs.ended)
+}
+
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
+	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/event"
+	"alderdyke/internal/rendezvous"
+	"alderdyke/internal/retry"
+	"alderdyke/internal/service"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// plainPoll is the span between two load reports of a server.
+	plainPoll = 1 * clock.Second
+	// plainSubset bounds how many servers of one plain service this VM uses,
+	// so that what it asks for does not grow with the fleet.
+	plainSubset = 8
+)
+
+// plain runs a request at the servers of a plain service, with retries, to
+// its end.
+func (rn *run) plain(ctx context.Context) error {
+	var tried []string
+	for try := 0; ; try++ {
+		server, err := rn.tryPlain(ctx, tried)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if server != "" {
+			tried = append(tried, server)
+		}
+		rn.tr.add(event.AttemptFailed, err.Error())
+		wait, ok := rn.again(try, err)
+		if !ok {
+			return err
+		}
+		if !sleep(ctx, wait) {
+			return context.Cause(ctx)
+		}
+		rn.tr.add(event.RequestRetried, "")
+	}
+}
+
+// tryPlain makes one attempt and names the server that it was made at.
+func (rn *run) tryPlain(ctx context.Context, tried []string) (string, error) {
+	vm := rn.vm
+	id, err := vm.pick(balance.Ask{
+		Service:  rn.req.Class.Service,
+		Customer: rn.id.Customer,
+		Share:    rn.req.Class.Share,
+		Exclude:  tried,
+	})
+	if err != nil {
+		return "", fmt.Errorf("choose a server: %w", err)
+	}
+	outcome := balance.Failed
+	defer func() { vm.picked(id, rn.id.Customer, outcome) }()
+	srv, ok := vm.server(id)
+	if !ok {
+		return id, failure{"use the server", errUnknown}
+	}
+	if err := rn.mayDispatch(ctx); err != nil {
+		outcome = balance.Unused
+		return id, err
+	}
+	rn.tr.add(event.Granted, id)
+	rsp, err := vm.Services.Call(ctx, srv, rn.plainCall())
+	if !backend.NotRun(err) {
+		rn.sent.Store(true)
+	}
+	outcome = plainOutcome(ctx, err)
+	if err != nil {
+		return id, failure{"call", err}
+	}
+	return id, rn.wholePlain(rsp)
+}
+
+func plainOutcome(ctx context.Context, err error) balance.Outcome {
+	var declined backend.DeclinedError
+	switch {
+	case err == nil:
+		return balance.Succeeded
+	case errors.As(err, &declined):
+		return balance.Declined
+	case ctx.Err() != nil:
+		return balance.Unused
+	default:
+		return balance.Failed
+	}
+}
+
+func (rn *run) plainCall() service.Request {
+	pl := rn.req.Plain
+	path := pl.Path
+	if pl.Query != "" {
+		path += "?" + pl.Query
+	}
+	return service.Request{
+		Method:     pl.Method,
+		Path:       path,
+		Header:     pl.Header,
+		Body:       pl.Body,
+		Key:        rn.id.Customer + "/" + rn.id.Key,
+		Idempotent: rn.req.Class.Idempotent,
+	}
+}
+
+func (rn *run) wholePlain(rsp service.Response) error {
+	data, err := caller.PlainAnswer{Status: rsp.Status, Header: rsp.Header, Body: rsp.Body}.Encode()
+	if err != nil {
+		return fmt.Errorf("keep the answer: %w", err)
+	}
+	if err := rn.st.Whole(data); err != nil {
+		return fmt.Errorf("end the answer: %w", err)
+	}
+	rn.tr.add(event.RequestEnded, "")
+	return nil
+}
+
+// pick chooses a server of a plain service.
+func (vm *VM) pick(ask balance.Ask) (string, error) {
+	vm.chooser.mu.Lock()
+	defer vm.chooser.mu.Unlock()
+	return vm.chooser.Pick(vm.Clock.Now(), ask)
+}
+
+// picked tells how a choice went.
+func (vm *VM) picked(server, customer string, out balance.Outcome) {
+	vm.chooser.mu.Lock()
+	defer vm.chooser.mu.Unlock()
+	vm.chooser.Done(vm.Clock.Now(), server, customer, out)
+}
+
+// retryAfter asks the retry policy whether and when another attempt follows.
+func (vm *VM) retryAfter(at retry.Attempt) (clock.Millis, bool) {
+	vm.retries.mu.Lock()
+	defer vm.retries.mu.Unlock()
+	vd := vm.retries.Decide(vm.Clock.Now(), at)
+	return vd.After, vd.Retry
+}
+
+// watchPlain reads the load of the plain servers that this VM uses.
+func (vm *VM) watchPlain(ctx context.Context) {
+	for {
+		servers := vm.plainServers()
+		reports := make([]*board.LoadReport, len(servers))
+		var gr errgroup.Group
+		for ix, srv := range servers {
+			gr.Go(func() error {
+				reports[ix] = vm.plainLoad(ctx, srv)
+				return nil
+			})
+		}
+		gr.Wait()
+		vm.usePlain(servers, reports)
+		if !sleep(ctx, plainPoll) {
+			return
+		}
+	}
+}
+
+func (vm *VM) plainLoad(ctx context.Context, srv board.BackendServer) *board.LoadReport {
+	ctx, stop := context.WithTimeout(ctx, reportWithin.Std())
+	defer stop()
+	rp, err := vm.Services.Load(ctx, srv)
+	if err != nil {
+		return nil
+	}
+	rp.Server, rp.At = srv.ID, vm.Clock.Now()
+	return &rp
+}
+
+// usePlain puts the reports on the board and tells the chooser.
+func (vm *VM) usePlain(servers []board.BackendServer, reports []*board.LoadReport) {
+	vm.backendsMu.Lock()
+	bk := vm.Board.Backends()
+	for _, rp := range reports {
+		if rp != nil {
+			bk = bk.WithReport(*rp)
+		}
+	}
+	vm.Board.SetBackends(bk)
+	vm.backendsMu.Unlock()
+	own := &board.Backends{Servers: servers, Reports: bk.Reports, Epoch: bk.Epoch}
+	vm.chooser.mu.Lock()
+	defer vm.chooser.mu.Unlock()
+	vm.chooser.Update(vm.Clock.Now(), own)
+}
+
+// plainServers lists the plain servers that this VM uses: all of a small
+// service, a subset of a large one that differs from VM to VM.
+func (vm *VM) plainServers() []board.BackendServer {
+	bySvc := make(map[string][]board.BackendServer)
+	var out []board.BackendServer
+	for _, srv := range vm.Board.Backends().Servers {
+		if srv.Role == board.Plain {
+			bySvc[srv.Service] = append(bySvc[srv.Service], srv)
+		}
+	}
+	for _, servers := range bySvc {
+		out = append(out, rendezvous.Subset(vm.Self.ID, servers, plainSubset)...)
+	}
+	return out
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -26,7 +26,7 @@
 	}
 	all := make([]scored, len(vms))
 	for ix, vm := range vms {
-		all[ix] = scored{vm, xxhash.Sum64String(vm.ID + "\x00" + key)}
+		all[ix] = scored{vm, weight(vm.ID, key)}
 	}
 	slices.SortFunc(all, func(sa, sb scored) int {
 		return cmp.Or(cmp.Compare(sb.score, sa.score), cmp.Compare(sa.vm.ID, sb.vm.ID))
@@ -55,3 +55,18 @@
 	}
 	return home, board.VM{}
 }
+
+// Subset picks up to most of the servers for the VM with the given ID, so that
+// VMs spread over all of them and each keeps its own when others come and go.
+func Subset(vmID string, servers []board.BackendServer, most int) []board.BackendServer {
+	if len(servers) <= most {
+		return servers
+	}
+	out := slices.Clone(servers)
+	slices.SortFunc(out, func(sa, sb board.BackendServer) int {
+		return cmp.Or(cmp.Compare(weight(sb.ID, vmID), weight(sa.ID, vmID)), cmp.Compare(sa.ID, sb.ID))
+	})
+	return out[:most]
+}
+
+func weight(id, key string) uint64 { return xxhash.Sum64String(id + "\x00" + key) }
