--- /dev/null
+++ b/internal/caller/limits_test.go
@@ -0,0 +1,148 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/answer"
+	"alderdyke/pkg/refusal"
+)
+
+func TestChunkedBodyIsBounded(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{MaxBody: 100} })
+	req, err := http.NewRequest(http.MethodPost, rg.base+"/services/feltapp/x", io.LimitReader(zeros{}, 1000))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := rg.http.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
+
+type zeros struct{}
+
+func (zeros) Read(buf []byte) (int, error) { return len(buf), nil }
+
+func TestLongBodiesAreBoundedTogether(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{BodiesHeld: 100 << 10} })
+	long := strings.Repeat("x", 90<<10)
+	first := make(chan struct{})
+	rg.rn.begin = func(req Request, _ *answer.Stream) error {
+		if req.Key == "first" {
+			close(first)
+		}
+		return nil
+	}
+	got := make(chan string, 1)
+	go func() {
+		got <- text(t, rg.do(t, http.MethodPost, "/services/feltapp/x", long, headerKey, "first"))
+	}()
+	<-first
+	rf := refusalIn(t, rg.do(t, http.MethodPost, "/services/feltapp/x", long))
+	assert.Equal(t, rf.Reason, refusal.QueueFull)
+	rg.rn.begin = func(_ Request, st *answer.Stream) error {
+		return st.Whole([]byte(`{"Status":200}`))
+	}
+	assert.Equal(t, rg.do(t, http.MethodPost, "/services/feltapp/x", "quick").StatusCode, http.StatusOK)
+	data, err := PlainAnswer{Status: 200, Body: []byte("done")}.Encode()
+	assert.NilError(t, err)
+	assert.NilError(t, rg.rn.streams["first"].Whole(data))
+	assert.Equal(t, <-got, "done")
+	rg.halt(t)
+	assert.Equal(t, rg.bodies.Load(), int64(0))
+	assert.Equal(t, rg.openStreams(), 0)
+}
+
+func dialRaw(t *testing.T, rg *rig, sent string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", rg.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = conn.Write([]byte(sent))
+	assert.NilError(t, err)
+	return conn
+}
+
+func TestSlowCallersAreCutOff(t *testing.T) {
+	slow := serve(t, func(rg *rig) { rg.Limits = Limits{HeaderTimeout: 20} })
+	data, err := io.ReadAll(dialRaw(t, slow, "POST /v1/chat/completions HTTP/1.1\r\nHo")) // ends when the server closes
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(data), "200 OK"))
+	assert.Equal(t, len(slow.rn.started), 0)
+
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{BodyGrace: 20} })
+	auth := "Authorization: Bearer " + testKey + "\r\n"
+	for name, tc := range map[string]struct{ sent, want string }{
+		"body":           {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + auth + "Content-Length: 9\r\n\r\n{", "HTTP/1.1 408"},
+		"unread body":    {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 401"},
+		"unrouted paths": {"POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{", "HTTP/1.1 404"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := io.ReadAll(dialRaw(t, rg, tc.sent))
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(string(data), tc.want), "%q", data)
+		})
+	}
+	assert.Equal(t, rg.counted("SlowBodies", ""), int64(1))
+}
+
+func TestConnectionsAreLimited(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{ConnectionsPerIP: 1} })
+	held := dialRaw(t, rg, "GET /v1/addresses HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err := bufio.NewReader(held).ReadString('\n')
+	assert.NilError(t, err)
+	data, err := io.ReadAll(dialRaw(t, rg, ""))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(data), turnedAwayBody))
+	assert.Equal(t, rg.counted("ConnectionsTurnedAway", ""), int64(1))
+	var body errorBody
+	assert.NilError(t, json.Unmarshal([]byte(turnedAwayBody), &body))
+	assert.Equal(t, body.Error.Reason, refusal.TooManyConnections)
+
+	ln := &listener{most: 2, mostPerIP: 2}
+	one, two := addrOf(held), netip.Addr{}
+	assert.Assert(t, ln.take(one) && ln.take(two) && !ln.take(one))
+	ln.free(two)
+	assert.Assert(t, ln.take(one) && !ln.take(two))
+}
+
+func TestGoneAndStalledCallersAreDetached(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Limits = Limits{WriteTimeout: 50}
+		rg.rn.moved = make(chan int, 16)
+	})
+	request := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testKey +
+		"\r\nIdempotency-Key: %\r\nContent-Length: " + strconv.Itoa(len(chatText)) + "\r\n\r\n" + chatText
+	gone := dialRaw(t, rg, strings.Replace(request, "%", "gone", 1))
+	assert.Equal(t, <-rg.rn.moved, 1)
+	assert.NilError(t, gone.Close())
+	assert.Equal(t, <-rg.rn.moved, 0)
+
+	dialRaw(t, rg, strings.Replace(request, "%", "stalled", 1))
+	assert.Equal(t, <-rg.rn.moved, 1)
+	piece := []byte(strings.Repeat("x", 1<<20))
+	for range 64 { // far above what the buffers of a socket take
+		assert.NilError(t, rg.rn.streams["stalled"].Token(piece))
+	}
+	assert.Equal(t, <-rg.rn.moved, 0)
+	assert.Equal(t, rg.counted("StalledReaders", "")+rg.counted("BrokenConnections", ""), int64(1))
+}
+
+func TestStreamsOfACustomerAreLimited(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Limits = Limits{StreamsPerCustomer: 1, HeaderWait: 1}
+	})
+	open := rg.chat(t, headerKey, "k")
+	assert.Equal(t, refusalIn(t, rg.chat(t)).Reason, refusal.ShareExceeded)
+	assert.NilError(t, rg.rn.streams["k"].End(nil))
+	assert.Assert(t, strings.Contains(text(t, open), "[DONE]"))
+}
--- /dev/null
+++ b/internal/caller/stream_test.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/answer"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+func TestStreamedAnswer(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.rn.begin = tell("pit", "ting ", "found") })
+	resp := rg.chat(t, headerDeadline, "2s")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	body := text(t, resp)
+	content, ids := pieces(t, body)
+	assert.Equal(t, content, "pitting found")
+	assert.DeepEqual(t, ids, []string{"0", "1", "2", "3"})
+	assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+	assert.Assert(t, strings.Contains(body, `"finish_reason":"length"`))
+
+	req := rg.rn.started[0]
+	assert.Equal(t, req.Key, resp.Header.Get(headerKey))
+	assert.Assert(t, !req.KeyGiven && len(req.Key) >= 26)
+	assert.Equal(t, req.Class.Name, "findings")
+	assert.Equal(t, req.Deadline, 2*clock.Second)
+	assert.Equal(t, req.Chat.MaxTokens, 100)
+	assert.Equal(t, req.Chat.Prompt, `[{"role":"user","content":"weld 7"}]`)
+}
+
+func TestWholeAnswer(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.rn.begin = tell("å", "ben") })
+	resp := rg.do(t, http.MethodPost, "/v1/chat/completions", strings.Replace(chatText, "true", "false", 1))
+	var ca chatAnswer
+	assert.NilError(t, json.Unmarshal([]byte(text(t, resp)), &ca))
+	assert.Equal(t, ca.Choices[0].Message.Content, "åben")
+	assert.Equal(t, ca.Usage.TotalTokens, 5)
+}
+
+func TestResumeContinuesWhereItBroke(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.rn.begin = tell("a", "\xc3", "\xa5", "b") // one character over two events
+	})
+	first, _ := pieces(t, text(t, rg.chat(t, headerKey, "k1")))
+	assert.Equal(t, first, "aåb")
+	want := []string{"åb", "åb", "b", "", ""} // after events 0 to 4
+	for last, rest := range want {
+		resp := rg.chat(t, headerKey, "k1", headerLastID, string(rune('0'+last)))
+		content, ids := pieces(t, text(t, resp))
+		assert.Equal(t, content, rest, "after %d", last)
+		assert.Equal(t, ids[len(ids)-1], "4", "the final event comes to every caller")
+	}
+	resp := rg.do(t, http.MethodGet, "/v1/answers/k1", "", headerLastID, "2", "Accept", "text/event-stream")
+	content, _ := pieces(t, text(t, resp))
+	assert.Equal(t, content, "b")
+	resp = rg.do(t, http.MethodGet, "/v1/answers/none", "")
+	assert.DeepEqual(t, refusalIn(t, resp).Ran, refusal.MayHaveRun)
+}
+
+func TestRefusalsHaveTheirStatus(t *testing.T) {
+	for reason, code := range statusOf {
+		rf := refusal.Refusal{Ran: refusal.NotRun, Reason: reason, RetryAfter: 1001, Detail: "why"}
+		for _, asEvent := range []bool{true, false} {
+			rg := serve(t, func(rg *rig) {
+				rg.rn.begin = func(_ Request, st *answer.Stream) error {
+					if asEvent {
+						return st.Refuse(rf)
+					}
+					return rf
+				}
+			})
+			resp := rg.chat(t)
+			assert.Equal(t, resp.StatusCode, code, reason)
+			assert.Equal(t, resp.Header.Get("Retry-After"), "2")
+			assert.DeepEqual(t, refusalIn(t, resp), rf)
+			assert.Equal(t, rg.counted("Refusals", string(reason)), int64(1))
+			assert.Assert(t, resp.Header.Get(headerKey) != "")
+		}
+	}
+}
+
+func TestRefusalInTheStream(t *testing.T) {
+	rf := refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.VMLost, RetryAfter: 1500}
+	rg := serve(t, func(rg *rig) {
+		rg.rn.begin = func(_ Request, st *answer.Stream) error {
+			_ = st.Token([]byte("half"))
+			return st.Refuse(rf)
+		}
+	})
+	body := text(t, rg.chat(t))
+	assert.Assert(t, !strings.Contains(body, "[DONE]"))
+	_, event, ok := strings.Cut(body, "id: 1\nevent: refusal\ndata: ")
+	assert.Assert(t, ok, body)
+	assert.Equal(t, event, `{"Ran":"MayHaveRun","Reason":"VMLost","RetryAfter":"1.5s","Detail":""}`+"\n\n")
+}
+
+func TestSilentStreamBeginsAndRefusesLater(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Limits = Limits{HeaderWait: 1, KeepAlive: 1}
+	})
+	resp := rg.chat(t, headerKey, "quiet") // returns once the status was sent without any event
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.NilError(t, rg.rn.streams["quiet"].Refuse(refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QueueFull}))
+	body := text(t, resp)
+	assert.Assert(t, strings.HasPrefix(body, ": keep-alive\n\n"))
+	assert.Assert(t, strings.Contains(body, "event: refusal\n"))
+}
