engine, service: test outcomes against the stand-ins' own records

Cause: an error that promises NotRun has to be true under every fault. Change: tests of each call under each fault, held against what the stand-in recorded; net/http is shown to repeat a request that the package did not shape, and not to repeat one that it did. Jobs keep a link between turns unless somebody comes first, so that quick work is not halved.

--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,293 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+const secret = "prompt-and-answer"
+
+// rawServer hands each connection to fn with its number, counting from 1.
+func rawServer(t *testing.T, fn func(num int, cn net.Conn)) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for num := 1; ; num++ {
+			cn, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			fn(num, cn)
+			_ = cn.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = ls.Close()
+		<-done
+	})
+	return ls.Addr().String()
+}
+
+func readRequest(cn net.Conn) (*http.Request, error) {
+	req, err := http.ReadRequest(bufio.NewReader(cn))
+	if err == nil {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, err
+}
+
+func post(t *testing.T, addr string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+secret, strings.NewReader(secret))
+	assert.NilError(t, err)
+	return req
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ls.Close()
+	return ls.Addr().String()
+}
+
+func TestOutcomes(t *testing.T) {
+	answer := func(text string) func(*testing.T) string {
+		return func(t *testing.T) string {
+			return rawServer(t, func(_ int, cn net.Conn) {
+				if _, err := readRequest(cn); err == nil {
+					_, _ = io.WriteString(cn, text)
+				}
+			})
+		}
+	}
+	head := func(status, headers string) func(*testing.T) string {
+		return answer("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\n\r\n")
+	}
+	cases := []struct {
+		name   string
+		server func(*testing.T) string
+		want   Outcome
+		reason Reason
+		after  clock.Millis
+	}{
+		{"dial refused", closedAddress, NotSent, "", 0},
+		{"answered", head("200 OK", ""), Done, "", 0},
+		{"reset before response", answer(""), InDoubt, "", 0},
+		{"response header cut", answer("HTTP/1.1 200 OK\r\nContent-"), InDoubt, "", 0},
+		{"no HTTP", answer(secret + "\r\n\r\n"), InDoubt, "", 0},
+		{"declined", head("503 No", "Alderdyke-Declined: Full\r\nAlderdyke-Retry-After: 250ms\r\n"), Declined, Full, 250},
+		{"declined, bad span", head("503 No", "Alderdyke-Declined: Leaving\r\nAlderdyke-Retry-After: -3s\r\n"), Declined, Leaving, 0},
+		{"declined, new reason", head("409 No", "Alderdyke-Declined: "+secret+"\r\n"), Declined, Other, 0},
+		{"duplicate", head("409 No", "Alderdyke-Declined: Duplicate\r\n"), InDoubt, Duplicate, 0},
+		{"success is no decline", head("200 OK", "Alderdyke-Declined: Full\r\n"), Done, "", 0},
+		{"failure is no decline", head("503 No", ""), Done, "", 0},
+		{"redirect is an answer", head("307 Go", "Location: http://127.0.0.1:1/\r\n"), Done, "", 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			rsp, err := Send(t.Context(), NewHTTP(Limits{}), Call{Server: "e1", Name: "Prefill", Request: post(t, tc.server(t)), Once: true})
+			if err == nil {
+				assert.NilError(t, rsp.Body.Close())
+			}
+			oc, rs := OutcomeOf(err)
+			assert.Equal(t, oc, tc.want, "%v", err)
+			assert.Equal(t, rs, tc.reason)
+			assert.Equal(t, NotRun(err), tc.want == NotSent || tc.want == Declined)
+			if de, ok := errors.AsType[DeclinedError](err); ok {
+				assert.Equal(t, de.RetryAfter, tc.after)
+			}
+			if err != nil {
+				assert.Assert(t, !strings.Contains(err.Error(), secret), "%v", err)
+			}
+		})
+	}
+}
+
+func TestContextEndsBeforeAndAfterSending(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	addr := rawServer(t, func(_ int, cn net.Conn) {
+		_, _ = readRequest(cn)
+	})
+	_, err := Send(ended, NewHTTP(Limits{}), Call{Request: post(t, addr), Once: true})
+	assert.Assert(t, NotRun(err), "%v", err)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	slow := rawServer(t, func(_ int, cn net.Conn) {
+		_, _ = readRequest(cn)
+		cancel()
+		_, _ = cn.Read(make([]byte, 1)) // until the client hangs up
+	})
+	_, err = Send(ctx, NewHTTP(Limits{}), Call{Request: post(t, slow), Once: true})
+	oc, _ := OutcomeOf(err)
+	assert.Equal(t, oc, InDoubt, "%v", err)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+// A connection that was given but never written to carried nothing.
+func TestNothingWrittenIsNotSent(t *testing.T) {
+	got := make(chan int64, 1)
+	addr := rawServer(t, func(_ int, cn net.Conn) {
+		count, _ := io.Copy(io.Discard, cn)
+		got <- count
+	})
+	req := post(t, addr)
+	req.ContentLength-- // net/http notices before it flushes
+	_, err := Send(t.Context(), NewHTTP(Limits{}), Call{Request: req, Once: true})
+	oc, _ := OutcomeOf(err)
+	assert.Equal(t, oc, NotSent, "%v", err)
+	assert.Equal(t, <-got, int64(0))
+}
+
+func TestSealedConnectionTakesNoWrite(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	gc := &gatedConn{Conn: near}
+	mark := gc.mark()
+	_, err := gc.Write([]byte("x"))
+	assert.NilError(t, err)
+	assert.Assert(t, !gc.seal(mark))
+	assert.Assert(t, gc.seal(gc.mark()))
+	_, err = gc.Write([]byte("x"))
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
+
+// cutSecond answers the first request of its first connection and cuts that
+// connection on the second, which is what makes net/http repeat requests. It
+// answers everything on later connections.
+func cutSecond(t *testing.T, orders *atomic.Int64) string {
+	t.Helper()
+	return rawServer(t, func(num int, cn net.Conn) {
+		for nth := 1; ; nth++ {
+			req, err := readRequest(cn)
+			if err != nil {
+				return
+			}
+			if req.URL.Path != "/warm" {
+				orders.Add(1)
+			}
+			if num == 1 && nth == 2 {
+				return
+			}
+			_, _ = io.WriteString(cn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+}
+
+func TestNeverRepeated(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+		for _, body := range []string{"", "x"} {
+			t.Run(fmt.Sprintf("%s with %d bytes", method, len(body)), func(t *testing.T) {
+				var orders atomic.Int64
+				addr := cutSecond(t, &orders)
+				hc := &http.Client{Transport: &http.Transport{}} // keeps connections
+				defer hc.CloseIdleConnections()
+				warm(t, hc, addr)
+				req, err := http.NewRequest(method, "http://"+addr+"/order", strings.NewReader(body))
+				assert.NilError(t, err)
+				req.Header.Set("Idempotency-Key", "k1") // asks net/http to repeat
+				_, err = Send(t.Context(), hc, Call{Request: req})
+				oc, _ := OutcomeOf(err)
+				assert.Equal(t, oc, InDoubt, "%v", err)
+				assert.Equal(t, orders.Load(), int64(1))
+			})
+		}
+	}
+}
+
+// The server above does make net/http repeat a request that Send did not
+// shape, so that the test before it can fail.
+func TestServerProvokesRepetition(t *testing.T) {
+	var orders atomic.Int64
+	addr := cutSecond(t, &orders)
+	hc := &http.Client{Transport: &http.Transport{}}
+	defer hc.CloseIdleConnections()
+	warm(t, hc, addr)
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/order", strings.NewReader("x"))
+	assert.NilError(t, err)
+	req.Header.Set("Idempotency-Key", "k1")
+	rsp, err := hc.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, rsp.Body.Close())
+	assert.Equal(t, orders.Load(), int64(2))
+}
+
+func warm(t *testing.T, hc *http.Client, addr string) {
+	t.Helper()
+	rsp, err := hc.Get("http://" + addr + "/warm")
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, rsp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, rsp.Body.Close())
+}
+
+func TestOnceUsesFreshConnections(t *testing.T) {
+	var conns atomic.Int64
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	srv.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	hc := NewHTTP(Limits{})
+	defer hc.CloseIdleConnections()
+	send := func(once bool) {
+		rsp, err := Send(t.Context(), hc, Call{Request: post(t, srv.Listener.Addr().String()), Once: once})
+		assert.NilError(t, err)
+		_, err = ReadAll(rsp.Body, 10)
+		assert.NilError(t, err)
+		assert.NilError(t, rsp.Body.Close())
+	}
+	for range 3 {
+		send(false)
+	}
+	assert.Equal(t, conns.Load(), int64(1))
+	for range 3 {
+		send(true)
+	}
+	assert.Equal(t, conns.Load(), int64(4))
+}
+
+func TestReadAllIsBounded(t *testing.T) {
+	data, err := ReadAll(strings.NewReader("12345"), 5)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "12345")
+	_, err = ReadAll(strings.NewReader("123456"), 5)
+	assert.ErrorIs(t, err, ErrTooLarge)
+}
+
+func FuzzDeclinedBy(f *testing.F) {
+	f.Add("Full", "250ms", 503)
+	f.Add("Duplicate", "x", 409)
+	f.Add("", "", 200)
+	f.Fuzz(func(t *testing.T, said, after string, status int) {
+		rsp := &http.Response{StatusCode: status, Header: http.Header{DeclinedHeader: {said}, RetryAfterHeader: {after}}}
+		err := DeclinedBy("e1", "Import", rsp)
+		if (status < 400 || said == "") != (err == nil) {
+			t.Fatalf("status %d, reason %q: %v", status, said, err)
+		}
+		if de, ok := errors.AsType[DeclinedError](err); ok && (de.RetryAfter < 0 || !reasons[de.Reason] && de.Reason != Other) {
+			t.Fatalf("untrusted text went through: %+v", de)
+		}
+	})
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/textproto"
 	"net/url"
@@ -210,19 +211,17 @@
 // endToEnd copies the headers that do not end at one connection, by their
 // canonical names.
 func endToEnd(hd http.Header) http.Header {
-	drop := map[string]bool{}
-	for _, line := range hd.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
 	out := http.Header{}
 	for name, values := range hd {
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		if !hop[name] && !drop[name] {
-			out[name] = append(out[name], values...)
+		out[name] = append(out[name], values...)
+	}
+	for _, line := range out.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
 		}
 	}
+	maps.DeleteFunc(out, func(name string, _ []string) bool { return hop[name] })
 	return out
 }
 
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -16,7 +16,7 @@
 
 func (en *Engine) serveDecode(rw http.ResponseWriter, req *http.Request) {
 	var od wire.DecodeOrder
-	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || od.Request == "" || od.MaxTokens < 1 {
+	if err := standin.ReadJSON(req, standin.MaxBody, &od); err != nil || od.Request == "" || od.MaxTokens < 1 {
 		en.decline(rw, backend.BadOrder, 0)
 		return
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,10 +39,7 @@
 	"alderdyke/pkg/clock"
 )
 
-const (
-	maxOrder      = 16 << 20 // bytes of one order
-	maxTombstones = 1 << 16
-)
+const maxTombstones = 1 << 16
 
 type (
 	// Settings paces an engine. Zero fields hold the defaults of
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,578 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	wire "alderdyke/internal/engine"
+	"alderdyke/internal/sched"
+	"alderdyke/internal/standin"
+	"alderdyke/internal/standin/engine"
+)
+
+// bench is one prefill and one decode engine in memory, with a client.
+type bench struct {
+	t       *testing.T
+	nw      *standin.Network
+	hc      *http.Client
+	ec      *wire.Client
+	pre     *engine.Engine
+	dec     *engine.Engine
+	preSrv  board.BackendServer
+	decSrv  board.BackendServer
+	baseCtx context.Context
+}
+
+// settings makes round figures: 1000 prompt tokens a second, 10 bytes a
+// token, 1000 bytes a second on the link, 10 ms a token.
+func settings() engine.Settings {
+	return engine.Settings{
+		PrefillTokensPerSecond: 1000, KeepPrefill: 800, KVBytesPerToken: 10,
+		LinkBytesPerSecond: 1000, Slots: 3, TPOT: 10,
+	}
+}
+
+func run(t *testing.T, set engine.Settings, fn func(t *testing.T, bn *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		bn := &bench{t: t, nw: &standin.Network{}, baseCtx: t.Context()}
+		bn.hc = backend.NewHTTP(backend.Limits{Dial: bn.nw.Dial})
+		bn.ec = &wire.Client{HTTP: bn.hc, Self: board.VMRef{ID: "vm-1", Incarnation: 7}}
+		bn.pre = &engine.Engine{ID: "p1", Role: board.Prefill, Settings: set, HTTP: bn.hc}
+		bn.dec = &engine.Engine{ID: "d1", Role: board.Decode, Settings: set, HTTP: bn.hc}
+		bn.preSrv = bn.serve(bn.pre, "10.0.0.1:80")
+		bn.decSrv = bn.serve(bn.dec, "10.0.0.2:80")
+		t.Cleanup(bn.hc.CloseIdleConnections)
+		fn(t, bn)
+	})
+}
+
+func (bn *bench) serve(en *engine.Engine, addr string) board.BackendServer {
+	hs := &http.Server{Handler: en.Handler()}
+	ls := bn.nw.Listen(addr)
+	go func() { _ = hs.Serve(ls) }()
+	bn.t.Cleanup(func() {
+		en.Control.Set(standin.Faults{}) // nothing may wait for ever
+		_ = hs.Close()
+		en.Close()
+	})
+	return board.BackendServer{ID: en.ID, Role: en.Role, Address: addr}
+}
+
+func (bn *bench) prefill(request, prompt string, tokens int) wire.PrefillResult {
+	bn.t.Helper()
+	res, err := bn.ec.Prefill(bn.baseCtx, bn.preSrv, wire.PrefillOrder{
+		Request: request, Customer: "c1", Attempt: 1, Prompt: prompt, PromptTokens: tokens,
+	})
+	assert.NilError(bn.t, err)
+	return res
+}
+
+func (bn *bench) importOrder(request, kv string) wire.ImportOrder {
+	return wire.ImportOrder{Request: request, Customer: "c1", Attempt: 1, KV: kv, From: bn.preSrv.Address}
+}
+
+// place prefills and imports a request.
+func (bn *bench) place(request, prompt string, tokens int) {
+	bn.t.Helper()
+	kv := bn.prefill(request, prompt, tokens).KV
+	assert.NilError(bn.t, bn.ec.Import(bn.baseCtx, bn.decSrv, bn.importOrder(request, kv)))
+}
+
+func (bn *bench) decode(request string, tokens int) *wire.Stream {
+	bn.t.Helper()
+	st, err := bn.ec.Decode(bn.baseCtx, bn.decSrv, wire.DecodeOrder{Request: request, Attempt: 1, MaxTokens: tokens})
+	assert.NilError(bn.t, err)
+	bn.t.Cleanup(st.Close)
+	return st
+}
+
+func (bn *bench) stages(srv board.BackendServer) map[string]sched.Stage {
+	bn.t.Helper()
+	runs, err := bn.ec.Running(bn.baseCtx, srv)
+	assert.NilError(bn.t, err)
+	out := map[string]sched.Stage{}
+	for _, rn := range runs {
+		assert.Equal(bn.t, rn.VM, bn.ec.Self)
+		out[rn.Request] = rn.Stage
+	}
+	return out
+}
+
+func collect(ctx context.Context, st *wire.Stream) ([]string, error) {
+	var out []string
+	for {
+		tok, err := st.Next(ctx)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+		out = append(out, tok.Text)
+	}
+}
+
+func reasonOf(err error) backend.Reason {
+	_, rs := backend.OutcomeOf(err)
+	return rs
+}
+
+func TestWholePathUnderVirtualTime(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		begin := time.Now()
+		bn.place("r1", "a prompt", 100)
+		// 100 ms of prefill, then 1000 bytes at 1000 bytes a second; the two
+		// links work at the same time, one part apart.
+		took := time.Since(begin)
+		assert.Assert(t, took >= 1100*time.Millisecond && took <= 1120*time.Millisecond, "%v", took)
+		begin = time.Now()
+		got, err := collect(t.Context(), bn.decode("r1", 30))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, standin.Answer("a prompt", 30))
+		assert.Equal(t, time.Since(begin), 300*time.Millisecond)
+
+		hist := bn.dec.History()
+		assert.Equal(t, hist.SlotsHeld, 0)
+		assert.Equal(t, hist.Runs[0].Outcome, engine.Complete)
+		assert.Assert(t, hist.Runs[0].SlotTime >= 1300, "%v", hist.Runs[0].SlotTime)
+		assert.Equal(t, engine.WasteOf(bn.pre.History(), hist), engine.Waste{Computed: 100})
+	})
+}
+
+func TestKVExpires(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		kv := bn.prefill("r1", "p", 100).KV
+		assert.Equal(t, bn.pre.History().KVKept, 1)
+		time.Sleep(810 * time.Millisecond)
+		assert.Equal(t, bn.pre.History().KVKept, 0)
+		err := bn.ec.Import(t.Context(), bn.decSrv, bn.importOrder("r1", kv))
+		assert.Equal(t, reasonOf(err), backend.NoKV)
+		assert.Assert(t, backend.NotRun(err))
+		assert.Equal(t, bn.dec.History().SlotsHeld, 0)
+		assert.Equal(t, engine.WasteOf(bn.pre.History(), bn.dec.History()), engine.Waste{Computed: 100, Wasted: 100})
+	})
+}
+
+// A transfer that began in time ends, even if it takes longer than the KV
+// cache is kept for.
+func TestTransferKeepsItsKV(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		bn.place("r1", "p", 200) // 2 s on the link
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, bn.pre.History().KVKept, 0)
+	})
+}
+
+func TestCancelFreesEveryStage(t *testing.T) {
+	start := map[sched.Stage]func(bn *bench) board.BackendServer{
+		wire.Queued: func(bn *bench) board.BackendServer {
+			go bn.order("other", 1000)
+			synctest.Wait()
+			go bn.order("r1", 100)
+			return bn.preSrv
+		},
+		sched.Prefilling: func(bn *bench) board.BackendServer {
+			go bn.order("r1", 1000)
+			time.Sleep(100 * time.Millisecond)
+			return bn.preSrv
+		},
+		sched.Prefilled: func(bn *bench) board.BackendServer {
+			bn.prefill("r1", "p", 100)
+			return bn.preSrv
+		},
+		sched.Transferring: func(bn *bench) board.BackendServer {
+			kv := bn.prefill("r1", "p", 100).KV
+			go func() { _ = bn.ec.Import(bn.baseCtx, bn.decSrv, bn.importOrder("r1", kv)) }()
+			time.Sleep(100 * time.Millisecond)
+			return bn.decSrv
+		},
+		wire.Imported: func(bn *bench) board.BackendServer {
+			bn.place("r1", "p", 100)
+			return bn.decSrv
+		},
+		sched.Decoding: func(bn *bench) board.BackendServer {
+			bn.place("r1", "p", 100)
+			bn.decode("r1", 100)
+			return bn.decSrv
+		},
+		sched.Ended: func(bn *bench) board.BackendServer {
+			bn.place("r1", "p", 100)
+			_, err := collect(bn.baseCtx, bn.decode("r1", 3))
+			assert.NilError(bn.t, err)
+			return bn.decSrv
+		},
+	}
+	for stage, fn := range start {
+		t.Run(string(stage), func(t *testing.T) {
+			run(t, settings(), func(t *testing.T, bn *bench) {
+				srv := fn(bn)
+				synctest.Wait()
+				assert.Equal(t, bn.stages(srv)["r1"], stage)
+				for range 2 { // idempotent
+					assert.NilError(t, bn.ec.Cancel(t.Context(), srv, "r1"))
+				}
+				_, held := bn.stages(srv)["r1"]
+				assert.Assert(t, !held)
+				assert.Equal(t, bn.dec.History().SlotsHeld, 0)
+				bn.declinesLateOrders(srv)
+			})
+		})
+	}
+}
+
+func (bn *bench) order(request string, tokens int) {
+	_, _ = bn.ec.Prefill(bn.baseCtx, bn.preSrv, wire.PrefillOrder{Request: request, Attempt: 1, PromptTokens: tokens})
+}
+
+func (bn *bench) declinesLateOrders(srv board.BackendServer) {
+	bn.t.Helper()
+	var err error
+	if srv.ID == bn.preSrv.ID {
+		_, err = bn.ec.Prefill(bn.baseCtx, srv, wire.PrefillOrder{Request: "r1", Attempt: 2, PromptTokens: 1})
+	} else {
+		err = bn.ec.Import(bn.baseCtx, srv, bn.importOrder("r1", "kv"))
+	}
+	assert.Equal(bn.t, reasonOf(err), backend.Cancelled)
+}
+
+func TestCancelOfAnAttemptLeavesLaterOnes(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		// The cancel order overtakes the order that it cancels.
+		assert.NilError(t, bn.ec.CancelAttempt(t.Context(), bn.preSrv, "r1", 1))
+		od := wire.PrefillOrder{Request: "r1", Attempt: 1, PromptTokens: 1}
+		_, err := bn.ec.Prefill(t.Context(), bn.preSrv, od)
+		assert.Equal(t, reasonOf(err), backend.Cancelled)
+		od.Attempt = 2
+		_, err = bn.ec.Prefill(t.Context(), bn.preSrv, od)
+		assert.NilError(t, err)
+	})
+}
+
+// A decode whose reader is gone goes on and holds its slot; a resumed stream
+// has no seam.
+func TestDecodeGoesOnWithoutReader(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		bn.place("r1", "p", 10)
+		st := bn.decode("r1", 50)
+		tok, err := st.Next(t.Context())
+		assert.NilError(t, err)
+		st.Close()
+		_, err = st.Next(t.Context())
+		assert.ErrorIs(t, err, wire.ErrStreamClosed)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, bn.dec.History().SlotsHeld, 1)
+
+		st, err = bn.ec.Resume(t.Context(), bn.decSrv, "r1", 1)
+		assert.NilError(t, err)
+		defer st.Close()
+		assert.Equal(t, st.Attempt, 1)
+		rest, err := collect(t.Context(), st)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, append([]string{tok.Text}, rest...), standin.Answer("p", 50))
+		assert.Equal(t, bn.dec.History().SlotsHeld, 0)
+
+		time.Sleep(11 * time.Second) // the answer is kept for 10 s
+		_, err = bn.ec.Resume(t.Context(), bn.decSrv, "r1", 1)
+		assert.Equal(t, reasonOf(err), backend.Unknown)
+	})
+}
+
+func TestQuickPassesPatient(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		long, short := make(chan struct{}), make(chan struct{})
+		order := func(request string, quick bool, tokens int, done chan struct{}) {
+			defer close(done)
+			res, err := bn.ec.Prefill(bn.baseCtx, bn.preSrv, wire.PrefillOrder{Request: request, Attempt: 1, Quick: quick, PromptTokens: tokens})
+			assert.Check(t, err)
+			od := bn.importOrder(request, res.KV)
+			od.Quick = quick
+			assert.Check(t, bn.ec.Import(bn.baseCtx, bn.decSrv, od))
+		}
+		go order("long", false, 1000, long) // 1 s of prefill, 10 s on the link
+		time.Sleep(500 * time.Millisecond)
+		begin := time.Now()
+		go order("short", true, 10, short) // 10 ms of prefill, 100 ms on the link
+		<-short
+		// Each of the three lanes lets a part of the long one end first.
+		took := time.Since(begin)
+		assert.Assert(t, took <= 150*time.Millisecond, "%v", took)
+		time.Sleep(2 * time.Second) // now the long one is on the link
+
+		again := make(chan struct{})
+		begin = time.Now()
+		go order("again", true, 10, again)
+		<-again
+		took = time.Since(begin)
+		assert.Assert(t, took <= 150*time.Millisecond, "%v", took)
+		assert.Equal(t, bn.stages(bn.decSrv)["long"], sched.Transferring)
+		<-long
+	})
+}
+
+func TestStalledTransferHoldsOnlyItsSlot(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		kv := bn.prefill("r1", "p", 10).KV
+		bn.place("r2", "q", 10)
+		bn.dec.Control.Set(standin.Faults{StallTransfer: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := bn.ec.Import(ctx, bn.decSrv, bn.importOrder("r1", kv))
+		oc, _ := backend.OutcomeOf(err)
+		assert.Equal(t, oc, backend.InDoubt)
+		assert.Equal(t, bn.dec.History().SlotsHeld, 2)
+		_, err = collect(t.Context(), bn.decode("r2", 5)) // goes on meanwhile
+		assert.NilError(t, err)
+		err = bn.ec.Import(t.Context(), bn.decSrv, bn.importOrder("r1", kv))
+		assert.Equal(t, reasonOf(err), backend.Duplicate)
+		assert.Assert(t, !backend.NotRun(err))
+
+		bn.dec.Control.Set(standin.Faults{})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, bn.stages(bn.decSrv)["r1"], wire.Imported)
+		assert.NilError(t, bn.ec.Cancel(t.Context(), bn.decSrv, "r1"))
+		assert.Equal(t, bn.dec.History().SlotsHeld, 0)
+		waste := engine.WasteOf(bn.pre.History(), bn.dec.History())
+		assert.Equal(t, waste, engine.Waste{Computed: 20, Wasted: 10})
+	})
+}
+
+func TestSlotsAreLimitedAndBatchesSlowDown(t *testing.T) {
+	set := settings()
+	set.BatchSlowdown = 0.5
+	run(t, set, func(t *testing.T, bn *bench) {
+		for _, request := range []string{"r1", "r2", "r3"} {
+			bn.place(request, request, 1)
+		}
+		kv := bn.prefill("r4", "p", 1).KV
+		err := bn.ec.Import(t.Context(), bn.decSrv, bn.importOrder("r4", kv))
+		assert.Equal(t, reasonOf(err), backend.Full)
+		bn.decode("r1", 100)
+		bn.decode("r2", 100)
+		begin := time.Now()
+		_, err = collect(t.Context(), bn.decode("r3", 10))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begin), 200*time.Millisecond) // twice the pace of one
+	})
+}
+
+func TestPrefixCacheAndItsEvents(t *testing.T) {
+	set := settings()
+	set.CacheBlocks, set.CacheEventLag, set.CacheEventLoss = 5, 1000, 0.4
+	run(t, set, func(t *testing.T, bn *bench) {
+		shared := strings.Repeat("s", 2*wire.BlockBytes)
+		assert.Equal(t, bn.prefill("r1", shared+strings.Repeat("a", 2*wire.BlockBytes), 400).CachedTokens, 0)
+		assert.Equal(t, bn.prefill("r2", shared+strings.Repeat("b", 2*wire.BlockBytes), 400).CachedTokens, 200)
+		page, err := bn.ec.CacheEvents(t.Context(), bn.preSrv, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Events), 0) // late
+		time.Sleep(1100 * time.Millisecond)
+		page, err = bn.ec.CacheEvents(t.Context(), bn.preSrv, 0)
+		assert.NilError(t, err)
+		// Seven happened: six stored, one evicted. Some never come.
+		assert.Assert(t, len(page.Events) > 0 && len(page.Events) < 7, "%v", page)
+		again, err := bn.ec.CacheEvents(t.Context(), bn.preSrv, page.Next)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again.Events), 0)
+		assert.Equal(t, bn.prefill("r3", shared, 200).CachedTokens, 200)
+	})
+}
+
+func TestLoadReportsLag(t *testing.T) {
+	set := settings()
+	set.LoadLag = 500
+	run(t, set, func(t *testing.T, bn *bench) {
+		time.Sleep(time.Second)
+		bn.place("r1", "p", 1)
+		bn.dec.Control.Set(standin.Faults{Leaving: true})
+		load, err := bn.ec.Load(t.Context(), bn.decSrv)
+		assert.NilError(t, err)
+		assert.Equal(t, load.Running, 0)
+		assert.Assert(t, !load.Leaving)
+		time.Sleep(500 * time.Millisecond)
+		load, err = bn.ec.Load(t.Context(), bn.decSrv)
+		assert.NilError(t, err)
+		assert.Equal(t, load.Running, 1)
+		assert.Equal(t, load.Slots, 3)
+		assert.Assert(t, load.Leaving)
+		// Leaving cuts nothing off, but takes nothing new.
+		err = bn.ec.Import(t.Context(), bn.decSrv, bn.importOrder("r2", "kv"))
+		assert.Equal(t, reasonOf(err), backend.Leaving)
+		_, err = collect(t.Context(), bn.decode("r1", 5))
+		assert.NilError(t, err)
+	})
+}
+
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		set := settings()
+		set.ChecksFencing = checks
+		run(t, set, func(t *testing.T, bn *bench) {
+			give := func(name string, fence uint64) (wire.OrderResult, error) {
+				return bn.ec.Order(t.Context(), bn.decSrv, wire.Order{Kind: wire.LoadModel, Name: name, Fence: fence})
+			}
+			_, err := give("m1", 9)
+			assert.NilError(t, err)
+			res, err := give("m1", 9)
+			assert.NilError(t, err)
+			assert.Assert(t, res.Repeated)
+			_, err = give("m0", 8)
+			orders := bn.dec.History().Orders
+			assert.Equal(t, orders[2].Accepted, !checks)
+			assert.Equal(t, orders[2].VM, bn.ec.Self)
+			if checks {
+				assert.Equal(t, reasonOf(err), backend.StaleFence)
+				_, err = give("m0", 0)
+				assert.Equal(t, reasonOf(err), backend.StaleFence)
+			} else {
+				assert.NilError(t, err)
+			}
+		})
+	}
+}
+
+func TestChangeRole(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		bn.place("r1", "p", 1)
+		st := bn.decode("r1", 5)
+		_, err := bn.ec.Order(t.Context(), bn.decSrv, wire.Order{Kind: wire.ChangeRole, Role: board.Prefill, Fence: 1})
+		assert.NilError(t, err)
+		err = bn.ec.Import(t.Context(), bn.decSrv, bn.importOrder("r2", "kv"))
+		assert.Equal(t, reasonOf(err), backend.WrongRole)
+		got, err := collect(t.Context(), st) // what runs is not cut off
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), 5)
+	})
+}
+
+func TestPauseAndDeath(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		bn.place("r1", "p", 1)
+		st := bn.decode("r1", 100)
+		_, err := st.Next(t.Context())
+		assert.NilError(t, err)
+		bn.dec.Control.Set(standin.Faults{Pause: true})
+		time.Sleep(time.Minute)
+		before := bn.dec.History().Runs[0].Tokens
+		time.Sleep(time.Minute)
+		assert.Equal(t, bn.dec.History().Runs[0].Tokens, before)
+		assert.Assert(t, before < 5, "%d", before)
+
+		bn.dec.Control.Set(standin.Faults{})
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, bn.dec.History().Runs[0].Tokens > before)
+		bn.dec.Control.Set(standin.Faults{Dead: true})
+		_, err = collect(t.Context(), st)
+		ie, ok := errors.AsType[wire.InDoubtError](err)
+		assert.Assert(t, ok && !errors.Is(ie, wire.ErrEnded), "%v", err)
+		hist := bn.dec.History()
+		assert.Equal(t, hist.SlotsHeld+hist.Unfinished, 0)
+		assert.Equal(t, hist.Runs[0].Outcome, engine.Lost)
+		_, err = bn.ec.Running(t.Context(), bn.decSrv)
+		assert.Assert(t, !backend.NotRun(err))
+	})
+}
+
+// A KV cache whose prefill engine dies in the transfer frees the slot.
+func TestTransferFromDyingEngineFreesSlot(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		kv := bn.prefill("r1", "p", 100).KV
+		done := make(chan error, 1)
+		go func() { done <- bn.ec.Import(bn.baseCtx, bn.decSrv, bn.importOrder("r1", kv)) }()
+		time.Sleep(300 * time.Millisecond)
+		bn.pre.Control.Set(standin.Faults{Dead: true})
+		err := <-done
+		assert.Equal(t, reasonOf(err), backend.TransferFailed)
+		assert.Equal(t, bn.dec.History().SlotsHeld, 0)
+	})
+}
+
+func TestPrefillQueueIsBounded(t *testing.T) {
+	set := settings()
+	set.PrefillQueue = 2
+	run(t, set, func(t *testing.T, bn *bench) {
+		go bn.order("r1", 1000)
+		go bn.order("r2", 1000)
+		synctest.Wait()
+		_, err := bn.ec.Prefill(t.Context(), bn.preSrv, wire.PrefillOrder{Request: "r3", PromptTokens: 1})
+		assert.Equal(t, reasonOf(err), backend.Full)
+		load, err := bn.ec.Load(t.Context(), bn.preSrv)
+		assert.NilError(t, err)
+		assert.Equal(t, load.Running+load.Queued, 2)
+		assert.Equal(t, len(bn.pre.History().Runs), 2)
+	})
+}
+
+func TestWasteOf(t *testing.T) {
+	rec := func(role board.Role, kv string, decodes int, oc engine.Outcome) *engine.Run {
+		return &engine.Run{Role: role, KV: kv, Decodes: decodes, Outcome: oc, ComputedTokens: 10}
+	}
+	hist := func(recs ...*engine.Run) engine.History { return engine.History{Runs: recs} }
+	cases := []struct {
+		name string
+		pre  *engine.Run
+		dec  *engine.Run
+		want engine.Waste
+	}{
+		{"decoded", rec(board.Prefill, "a", 0, engine.Complete), rec(board.Decode, "a", 1, engine.Cancelled), engine.Waste{Computed: 10}},
+		{"imported only", rec(board.Prefill, "a", 0, engine.Complete), rec(board.Decode, "a", 0, engine.Cancelled), engine.Waste{Computed: 10, Wasted: 10}},
+		{"still imported", rec(board.Prefill, "a", 0, engine.Complete), rec(board.Decode, "a", 0, ""), engine.Waste{Computed: 10, Pending: 10}},
+		{"another's KV", rec(board.Prefill, "a", 0, engine.Expired), rec(board.Decode, "b", 1, engine.Complete), engine.Waste{Computed: 10, Wasted: 10}},
+		{"still kept", rec(board.Prefill, "a", 0, ""), rec(board.Decode, "b", 0, ""), engine.Waste{Computed: 10, Pending: 10}},
+		{"cancelled half way", rec(board.Prefill, "a", 0, engine.Cancelled), rec(board.Decode, "b", 0, ""), engine.Waste{Computed: 10, Wasted: 10}},
+	}
+	for _, tc := range cases {
+		assert.Equal(t, engine.WasteOf(hist(tc.pre), hist(tc.dec)), tc.want, tc.name)
+	}
+}
+
+func TestTokenIsAskedOfEveryCall(t *testing.T) {
+	set := settings()
+	set.Token = "s3cret"
+	run(t, set, func(t *testing.T, bn *bench) {
+		_, err := bn.ec.Load(t.Context(), bn.decSrv)
+		assert.Equal(t, reasonOf(err), backend.Unauthorized)
+		bn.ec.Token = "s3cret"
+		bn.place("r1", "p", 1)
+	})
+}
+
+func FuzzOrders(f *testing.F) {
+	paths := []string{wire.PrefillPath, wire.ImportPath, wire.DecodePath, wire.CancelPath, wire.OrderPath, standin.FaultsPath}
+	f.Add(0, `{"Request":"r","Attempt":1,"PromptTokens":-1}`)
+	f.Add(2, `{"Request":"r","MaxTokens":0}`)
+	f.Add(4, `{"Kind":"ChangeRole","Role":"Plain"}`)
+	f.Add(5, `{"Slow":"1h"`)
+	f.Fuzz(func(t *testing.T, path int, body string) {
+		en := &engine.Engine{ID: "e", Role: board.Prefill, Settings: engine.Settings{PrefillTokensPerSecond: 1e12}}
+		defer en.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // no handler may wait
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, paths[uint(path)%uint(len(paths))], strings.NewReader(body))
+		assert.NilError(t, err)
+		rec := &recorder{header: http.Header{}}
+		en.Handler().ServeHTTP(rec, req)
+		if rec.status >= 500 && rec.header.Get(backend.DeclinedHeader) == "" {
+			t.Fatalf("status %d for %q", rec.status, body)
+		}
+	})
+}
+
+type recorder struct {
+	header http.Header
+	status int
+}
+
+func (rc *recorder) Header() http.Header            { return rc.header }
+func (rc *recorder) WriteHeader(status int)         { rc.status = status }
+func (rc *recorder) Write(data []byte) (int, error) { return len(data), nil }
--- a/internal/standin/engine/lane.go
+++ b/internal/standin/engine/lane.go
@@ -29,30 +29,55 @@
 		seq   uint64
 		ready chan struct{}
 	}
+
+	// job is a piece of work that takes as many turns as it needs.
+	job struct {
+		rn      *run
+		length  time.Duration                         // at the engine's usual pace
+		stretch func(dur time.Duration) time.Duration // how long a turn takes now
+		held    func() bool                           // tells whether the job must not go on now
+		await   func(ctx context.Context) error       // waits until it may
+		step    func(done time.Duration)              // is told of every turn; must not wait
+	}
 )
 
-// use takes turns until work of the given length is done. Between turns it
-// calls gate, which may hold it up without holding the lane.
-func (ln *lane) use(rn *run, dur time.Duration, gate func(context.Context) error) error {
-	for dur > 0 {
-		if err := gate(rn.life); err != nil {
-			return err
+// use does a whole job. While the job is held up it leaves the lane to
+// others.
+func (ln *lane) use(jb job) error {
+	holds := false
+	for done := time.Duration(0); done < jb.length; {
+		if !holds {
+			if err := ln.enter(jb); err != nil {
+				return err
+			}
 		}
-		part := min(dur, quantum)
-		if err := ln.one(rn, part); err != nil {
+		part := min(jb.length-done, quantum)
+		if err := standin.Sleep(jb.rn.life, time.Until(ln.due(jb.stretch(part)))); err != nil {
+			ln.release()
 			return err
 		}
-		dur -= part
+		done += part
+		jb.step(done)
+		holds = done < jb.length && !jb.held() && ln.first(jb.rn)
+		if !holds {
+			ln.release()
+		}
 	}
 	return nil
 }
 
-func (ln *lane) one(rn *run, dur time.Duration) error {
-	if err := ln.take(rn); err != nil {
+func (ln *lane) enter(jb job) error {
+	if err := jb.await(jb.rn.life); err != nil {
 		return err
 	}
-	defer ln.release()
-	return standin.Sleep(rn.life, time.Until(ln.due(dur)))
+	return ln.take(jb.rn)
+}
+
+// first tells whether a run that holds the lane comes before all that wait.
+func (ln *lane) first(rn *run) bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return len(ln.waiting) == 0 || compare(&turn{quick: rn.quick, seq: rn.seq}, ln.waiting[0]) < 0
 }
 
 // due tells when a turn ends. A turn that begins right after another is
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -16,7 +16,7 @@
 
 func (en *Engine) serveCancel(rw http.ResponseWriter, req *http.Request) {
 	var od wire.CancelOrder
-	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || od.Request == "" {
+	if err := standin.ReadJSON(req, standin.MaxBody, &od); err != nil || od.Request == "" {
 		en.decline(rw, backend.BadOrder, 0)
 		return
 	}
@@ -74,7 +74,7 @@
 
 func (en *Engine) serveOrder(rw http.ResponseWriter, req *http.Request) {
 	var od wire.Order
-	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || !sound(od) {
+	if err := standin.ReadJSON(req, standin.MaxBody, &od); err != nil || !sound(od) {
 		en.decline(rw, backend.BadOrder, 0)
 		return
 	}
--- a/internal/standin/engine/prefill.go
+++ b/internal/standin/engine/prefill.go
@@ -15,7 +15,7 @@
 
 func (en *Engine) servePrefill(rw http.ResponseWriter, req *http.Request) {
 	var od wire.PrefillOrder
-	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || od.Request == "" || od.PromptTokens < 0 {
+	if err := standin.ReadJSON(req, standin.MaxBody, &od); err != nil || od.Request == "" || od.PromptTokens < 0 {
 		en.decline(rw, backend.BadOrder, 0)
 		return
 	}
@@ -70,7 +70,8 @@
 // compute waits for its turn, computes what the prefix cache does not hold
 // and keeps the KV cache for a while.
 func (en *Engine) compute(rn *run, od wire.PrefillOrder) {
-	if en.prefills.use(rn, time.Nanosecond, en.Control.Running) != nil {
+	jb := en.job(rn, time.Nanosecond) // its turn has come once this is over
+	if en.prefills.use(jb) != nil {
 		return
 	}
 	prefixes := wire.Prefixes(od.Prompt)
@@ -84,22 +85,24 @@
 	en.mu.Unlock()
 
 	todo := od.PromptTokens - cached
-	for todo > 0 {
-		part := min(todo, en.chunkTokens())
-		if en.prefills.use(rn, en.Control.Stretch(span(float64(part), en.Settings.PrefillTokensPerSecond)), en.Control.Running) != nil {
-			return
-		}
-		todo -= part
+	jb = en.job(rn, span(float64(todo), en.Settings.PrefillTokensPerSecond))
+	jb.step = func(done time.Duration) {
 		en.mu.Lock()
-		rn.rec.ComputedTokens += part
+		rn.rec.ComputedTokens = int(float64(todo) * float64(done) / float64(jb.length))
 		en.mu.Unlock()
 	}
+	if en.prefills.use(jb) != nil {
+		return
+	}
 	en.keep(rn, prefixes, cached)
 }
 
-// chunkTokens is how much of a prompt is computed in one turn.
-func (en *Engine) chunkTokens() int {
-	return max(1, int(en.Settings.PrefillTokensPerSecond*quantum.Seconds()))
+// job makes a job of a run that stands still while the engine is paused.
+func (en *Engine) job(rn *run, length time.Duration) job {
+	return job{
+		rn: rn, length: length, stretch: en.Control.Stretch, await: en.Control.Running,
+		held: func() bool { return en.Control.Faults().Pause }, step: func(time.Duration) {},
+	}
 }
 
 // keep makes a computed KV cache ready for its transfer.
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -71,52 +71,81 @@
 	en.expire(rn)
 }
 
-// send writes a KV cache part by part as it passes the egress link.
+// send writes a KV cache part by part as it passes the egress link. The
+// connection is written to without holding the link.
 func (en *Engine) send(rw http.ResponseWriter, rn, tr *run) {
 	enc, flush := json.NewEncoder(rw), http.NewResponseController(rw)
-	left := rn.kv.bytes
-	en.addLink(left)
-	defer func() { en.addLink(-left) }()
-	if enc.Encode(kvHead{Hash: rn.kv.hash, Tokens: rn.kv.tokens, Bytes: left}) != nil {
+	if enc.Encode(kvHead{Hash: rn.kv.hash, Tokens: rn.kv.tokens, Bytes: rn.kv.bytes}) != nil {
 		return
 	}
-	for left > 0 {
-		part := min(left, en.partBytes())
-		if en.egress.use(tr, en.linkSpan(part), en.Control.Moving) != nil {
-			standin.Cut()
+	for part := range en.export(rn, tr) {
+		if enc.Encode(part) != nil || flush.Flush() != nil {
+			return
 		}
-		left -= part
-		en.addLink(-part)
-		if enc.Encode(kvPart{Bytes: part}) != nil || flush.Flush() != nil {
+		if part.Done {
+			en.mu.Lock()
+			rn.rec.Exports++
+			en.mu.Unlock()
 			return
 		}
 	}
-	if enc.Encode(kvPart{Done: true}) == nil {
-		en.mu.Lock()
-		rn.rec.Exports++
-		en.mu.Unlock()
-	}
+	standin.Cut()
 }
 
-func (en *Engine) addLink(by int64) {
+// export passes a KV cache over the egress link and tells of every part. The
+// channel is closed early if the transfer was given up.
+func (en *Engine) export(rn, tr *run) <-chan kvPart {
+	jb := en.transfer(tr, rn.kv.bytes)
+	parts := make(chan kvPart, int(jb.length/quantum)+2) // has room for all
+	var sent int64
+	jb.step = func(done time.Duration) {
+		now := min(rn.kv.bytes, int64(float64(rn.kv.bytes)*float64(done)/float64(jb.length)))
+		if now > sent {
+			parts <- kvPart{Bytes: now - sent}
+			en.addLink(sent - now)
+			sent = now
+		}
+	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	en.linkBytes += by
+	if en.life.Err() != nil {
+		close(parts)
+		return parts
+	}
+	en.linkBytes += rn.kv.bytes
 	en.report()
+	en.work.Go(func() {
+		defer close(parts)
+		defer func() { en.addLink(sent - rn.kv.bytes) }()
+		if en.egress.use(jb) == nil {
+			parts <- kvPart{Done: true}
+		}
+	})
+	return parts
 }
 
-// partBytes is how much of a KV cache passes a link in one turn.
-func (en *Engine) partBytes() int64 {
-	return max(1, int64(en.Settings.LinkBytesPerSecond*quantum.Seconds()))
+// transfer makes a job that takes the link for a number of bytes and stands
+// still while transfers stall.
+func (en *Engine) transfer(rn *run, bytes int64) job {
+	jb := en.job(rn, span(float64(bytes), en.Settings.LinkBytesPerSecond))
+	jb.await = en.Control.Moving
+	jb.held = func() bool {
+		ft := en.Control.Faults()
+		return ft.Pause || ft.StallTransfer
+	}
+	return jb
 }
 
-func (en *Engine) linkSpan(bytes int64) time.Duration {
-	return en.Control.Stretch(span(float64(bytes), en.Settings.LinkBytesPerSecond))
+func (en *Engine) addLink(by int64) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.linkBytes += by
+	en.report()
 }
 
 func (en *Engine) serveImport(rw http.ResponseWriter, req *http.Request) {
 	var od wire.ImportOrder
-	if err := standin.ReadJSON(req, maxOrder, &od); err != nil || od.Request == "" || od.From == "" {
+	if err := standin.ReadJSON(req, standin.MaxBody, &od); err != nil || od.Request == "" || od.From == "" {
 		en.decline(rw, backend.BadOrder, 0)
 		return
 	}
@@ -200,7 +229,9 @@
 	return en.receiveParts(rn, bufio.NewReader(rsp.Body))
 }
 
-// receiveParts takes the parts of a KV cache off the ingress link.
+// receiveParts takes the parts of a KV cache off the ingress link. The link
+// is free between two parts, so that quick work gets at least every other
+// turn there.
 func (en *Engine) receiveParts(rn *run, body io.Reader) (kvHead, error) {
 	dec := json.NewDecoder(body)
 	var head kvHead
@@ -218,7 +249,7 @@
 		if part.Done || part.Bytes <= 0 || part.Bytes > left {
 			return kvHead{}, fmt.Errorf("count parts: %w", errTransfer)
 		}
-		if err := en.ingress.use(rn, en.linkSpan(part.Bytes), en.Control.Moving); err != nil {
+		if err := en.ingress.use(en.transfer(rn, part.Bytes)); err != nil {
 			return kvHead{}, err
 		}
 		left -= part.Bytes
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -19,6 +21,9 @@
 	HistoryPath = "/history" // GET reads what ran
 )
 
+// MaxBody bounds the body of one call to a stand-in, in bytes.
+const MaxBody = 16 << 20
+
 const maxFaults = 64 << 10 // bytes of a faults document
 
 type (
@@ -32,12 +37,12 @@
 		// this many calls; zero is all.
 		Count int
 
-		Pause         bool         // nothing moves, as if the process were frozen
+		Pause         bool         // nothing moves, as if the process were frozen; calls are handled afterwards
 		Dead          bool         // all connections are cut and what was held is lost
 		Refuse        bool         // declines calls, truthfully
 		Reset         bool         // cuts the connection before the call has an effect
 		LoseReply     bool         // cuts the connection after the call had its effect
-		Slow          clock.Millis // before the call is handled
+		Slow          clock.Millis // before the call is handled, or until the faults are set again
 		Slowdown      float64      // all work takes this many times as long; 0 is 1
 		StallTransfer bool         // KV transfers stand still
 		ResetAtToken  int          // cuts a token stream before this token; 0 does not
@@ -151,10 +156,16 @@
 // Cut drops the connection of the call that is being handled.
 func Cut() { panic(http.ErrAbortHandler) }
 
+// fault handles a call as the faults say. A call that was received is handled
+// even if its caller has gone meanwhile.
 func (ct *Control) fault(rw http.ResponseWriter, req *http.Request, next http.Handler) {
-	if err := ct.Running(req.Context()); err != nil {
-		Cut()
+	body, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, MaxBody))
+	if err != nil {
+		Decline(rw, http.StatusBadRequest, backend.BadOrder, 0)
+		return
 	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	_ = ct.Running(context.Background()) // fails only if the context ends
 	ft, hit := ct.hit(req.URL.Path)
 	if ft.Dead {
 		Cut()
@@ -163,9 +174,7 @@
 		next.ServeHTTP(rw, req)
 		return
 	}
-	if ft.Slow > 0 && Sleep(req.Context(), ft.Slow.Std()) != nil {
-		Cut()
-	}
+	ct.delay(ft.Slow.Std())
 	switch {
 	case ft.Reset:
 		Cut()
@@ -179,6 +188,19 @@
 	}
 }
 
+// delay waits for a span or until the faults are changed.
+func (ct *Control) delay(dur time.Duration) {
+	if dur <= 0 {
+		return
+	}
+	tm := time.NewTimer(dur)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-ct.next():
+	}
+}
+
 // hit tells the faults and whether those with Paths and Count strike a call.
 func (ct *Control) hit(path string) (Faults, bool) {
 	ct.mu.Lock()
@@ -208,14 +230,8 @@
 
 func (ct *Control) while(ctx context.Context, held func(Faults) bool) error {
 	for {
-		ct.mu.Lock()
-		ft := ct.faults
-		if ct.changed == nil {
-			ct.changed = make(chan struct{})
-		}
-		changed := ct.changed
-		ct.mu.Unlock()
-		if !held(ft) {
+		changed := ct.next()
+		if !held(ct.Faults()) {
 			return nil
 		}
 		select {
@@ -226,6 +242,16 @@
 	}
 }
 
+// next returns a channel that is closed when the faults are set again.
+func (ct *Control) next() <-chan struct{} {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if ct.changed == nil {
+		ct.changed = make(chan struct{})
+	}
+	return ct.changed
+}
+
 func (ct *Control) wake() {
 	if ct.changed != nil {
 		close(ct.changed)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -31,8 +31,6 @@
 	"alderdyke/pkg/clock"
 )
 
-const maxBody = 4 << 20 // bytes
-
 type (
 	// Settings paces a server. Slots and Queue of zero hold the defaults of
 	// DefaultSettings.
@@ -169,7 +167,7 @@
 }
 
 func (sv *Server) serve(rw http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, maxBody))
+	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		sv.decline(rw, http.StatusBadRequest, backend.BadOrder)
 		return
