--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -203,7 +203,7 @@
 	dt.nextHousekeep = now + housekeepEvery
 	dt.Self.Health = board.Alive
 	dt.rm.push(dt.Self.ID, 0)
-	dt.dirty = true
+	dt.touch()
 }
 
 // notePause notices that this process did not run when it wanted to. What
@@ -265,7 +265,7 @@
 		dt.Self.Health = board.Left
 	}
 	dt.rm.push(dt.Self.ID, 0)
-	dt.dirty, dt.sy.stale = true, true
+	dt.touch()
 	if final {
 		dt.announce()
 	}
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -14,6 +14,10 @@
 		samples []sample // sorted by when the probe was sent
 		quorate bool
 		until   clock.Millis // when the evidence runs out without new acks
+
+		stale   bool // the counts below need to be made again
+		roster  int  // VMs over which a majority is counted, with Self
+		domains map[string]*tally
 	}
 
 	// sample is the last verdict about one VM. It dates from when its probe
@@ -53,14 +57,14 @@
 		return sm.sent <= oldest || !sm.mb.serving()
 	})
 	before, until := qr.quorate, qr.until
-	roster, domains := dt.countDomains()
+	dt.countDomains()
 	for _, sm := range qr.samples {
-		domains[sm.mb.vm.FailureDomain].add(sm.ok, 1)
+		qr.domains[sm.mb.vm.FailureDomain].add(sm.ok, 1)
 	}
-	qr.quorate = dt.listed && !dt.left && majority(roster, domains)
+	qr.quorate = dt.listed && !dt.left && qr.majority()
 	qr.until = 0
 	if qr.quorate {
-		qr.until = dt.runsOut(roster, domains)
+		qr.until = dt.runsOut()
 	}
 	if qr.until != until {
 		dt.out = append(dt.out, Fresh{Until: qr.until})
@@ -79,46 +83,55 @@
 }
 
 // countDomains counts the roster with Self, and the VMs of each failure
-// domain that may be alive, without Self.
-func (dt *Detector) countDomains() (int, map[string]*tally) {
-	roster := 1
-	domains := make(map[string]*tally)
+// domain that may be alive, without Self. The verdicts start at zero.
+func (dt *Detector) countDomains() {
+	qr := &dt.qr
+	if !qr.stale {
+		for _, ta := range qr.domains {
+			ta.acked, ta.missed = 0, 0
+		}
+		return
+	}
+	qr.stale = false
+	qr.roster = 1
+	qr.domains = make(map[string]*tally)
 	for _, mb := range dt.tb.members {
 		if mb.inRoster() {
-			roster++
+			qr.roster++
 		}
 		if !mb.serving() {
 			continue
 		}
-		ta := domains[mb.vm.FailureDomain]
+		ta := qr.domains[mb.vm.FailureDomain]
 		if ta == nil {
 			ta = &tally{}
-			domains[mb.vm.FailureDomain] = ta
+			qr.domains[mb.vm.FailureDomain] = ta
 		}
 		ta.serving++
 	}
-	return roster, domains
 }
 
 // majority tells whether more than half of the roster is reached.
-func majority(roster int, domains map[string]*tally) bool {
-	// Whole numbers would need a common denominator; the slack is far below
-	// the share of one VM and keeps exactly half from counting as more.
-	const slack = 1e-9
+func (qr *quorum) majority() bool {
+	// The sum of shares is not exact; the slack is far below the share of
+	// one VM and keeps exactly half from counting as more. It also covers
+	// that maps are walked, and so summed, in any order.
+	const slack = 1e-6
 	reached := 1.0
-	for _, ta := range domains {
+	for _, ta := range qr.domains {
 		if ta.acked > 0 {
 			reached += float64(ta.serving*ta.acked) / float64(ta.acked+ta.missed)
 		}
 	}
-	return 2*reached > float64(roster)+slack
+	return 2*reached > float64(qr.roster)+slack
 }
 
 // runsOut tells when the majority is lost if no further ack comes.
-func (dt *Detector) runsOut(roster int, domains map[string]*tally) clock.Millis {
-	for _, sm := range dt.qr.samples {
-		domains[sm.mb.vm.FailureDomain].add(sm.ok, -1)
-		if !majority(roster, domains) {
+func (dt *Detector) runsOut() clock.Millis {
+	qr := &dt.qr
+	for _, sm := range qr.samples {
+		qr.domains[sm.mb.vm.FailureDomain].add(sm.ok, -1)
+		if !qr.majority() {
 			return sm.sent + dt.Settings.Fresh
 		}
 	}
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -250,7 +250,7 @@
 	if rr.GetLeaving() && !mb.leaving {
 		mb.leaving = true
 		mb.vm.Leaving = true
-		dt.dirty, dt.sy.stale = true, true
+		dt.touch()
 		dt.rm.push(mb.vm.ID, 0)
 		news = true
 	}
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -102,7 +102,7 @@
 	} else {
 		dt.Self.Incarnation = incarnation + 1
 		dt.refutation = 0
-		dt.dirty, dt.sy.stale = true, true
+		dt.touch()
 		dt.out = append(dt.out, Refuted{Incarnation: dt.Self.Incarnation})
 	}
 	dt.rm.push(dt.Self.ID, 0)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -100,6 +100,13 @@
 	return dg.Sum64()
 }
 
+// touch marks all that is derived from the table as outdated.
+func (dt *Detector) touch() {
+	dt.dirty = true
+	dt.sy.stale = true
+	dt.qr.stale = true
+}
+
 // setHealth moves a member to another health and has the change told.
 func (dt *Detector) setHealth(mb *member, hl board.Health) {
 	if mb.vm.Health == board.Suspect && hl != board.Suspect {
@@ -114,8 +121,7 @@
 	}
 	mb.vm.Health = hl
 	mb.private = false
-	dt.dirty = true
-	dt.sy.stale = true
+	dt.touch()
 }
 
 func (dt *Detector) list(vms []board.VM) {
@@ -133,7 +139,7 @@
 		if named[mb.vm.ID] || !mb.vm.Listed {
 			continue
 		}
-		dt.dirty = true
+		dt.touch()
 		mb.vm.Listed = false
 		mb.unlisted = dt.now
 		if !mb.heard {
@@ -170,7 +176,7 @@
 	mb.vm.Listed = true
 	mb.listLeaves = vm.Leaving
 	mb.vm.Leaving = leaves
-	dt.dirty = true
+	dt.touch()
 }
 
 // join asks a few VMs at once, so that a new VM needs not wait for its round.
@@ -198,7 +204,7 @@
 		}
 		dt.tb.gone[mb.vm.ID] = goneVM{incarnation: mb.vm.Incarnation, at: dt.now}
 		dt.tb.remove(mb)
-		dt.dirty = true
+		dt.touch()
 	}
 	for id, gv := range dt.tb.gone {
 		if dt.now-gv.at >= goneFor {
--- a/internal/membership/x_test.go
+++ b/internal/membership/x_test.go
@@ -1,44 +1,97 @@
 package membership
 
 import (
+	"alderdyke/internal/board"
 	"fmt"
-	"google.golang.org/protobuf/proto"
 	"testing"
-	"time"
 )
 
-func TestX(t *testing.T) {
-	for _, c := range []struct {
-		loss  float64
-		pause int
-	}{{0, 0}, {0.05, 0}, {0, 30000}, {.05, 30000}} {
-		size := 128
-		st := time.Now()
-		tf := newFleet(size, 8, 1, without{})
+func (tf *testFleet) show(what string) {
+	fmt.Println(what, tf.now, "quorate", tf.quorate(), "of", len(tf.live()), "alive", tf.views(board.Alive), "susp", tf.views(board.Suspect), "dead", tf.views(board.Dead), "falsedead", tf.falseDeaths, "unfenced", tf.unfenced, "refuted", func() int {
+		n := 0
+		for _, vm := range tf.vms {
+			n += vm.refuted
+		}
+		return n
+	}())
+}
+func TestIso(t *testing.T) {
+	for _, c := range []struct{ size, dom int }{{7, 4}, {48, 8}, {200, 8}} {
+		tf := newFleet(c.size, c.dom, 1, without{})
 		tf.run(20000)
-		tf.loss = c.loss
+		tf.loss = .05
 		tf.settle = tf.now
-		tf.resetTraffic()
-		base := map[string]int{}
-		tf.cut = func(a, b *testVM) bool { return false }
-		if c.pause > 0 {
-			tf.startPauses(30000)
+		tf.show("start")
+		x := tf.vms[2]
+		tf.cut = func(a, b *testVM) bool { return (a == x) != (b == x) }
+		for range 15 {
+			tf.run(2000)
+			tf.show("isolated")
+			fmt.Println(x.fleet.Quorate)
 		}
-		tf.hook = func(in Send) {
-			k := fmt.Sprintf("%T", in.Datagram.Body)
-			base[k]++
-			base["r "+k] += len(in.Datagram.Rumours)
+		tf.cut = nil
+		for range 10 {
+			tf.run(2000)
+			tf.show("healed")
+		}
+	}
+}
+func TestPart(t *testing.T) {
+	for _, c := range []struct{ size, dom int }{{7, 4}, {200, 8}} {
+		tf := newFleet(c.size, c.dom, 1, without{})
+		tf.run(20000)
+		tf.loss = .05
+		tf.settle = tf.now
+		tf.show("start")
+		tf.resetTraffic()
+		tf.cut = func(a, b *testVM) bool { return (a.self.Region == "region-2") != (b.self.Region == "region-2") }
+		for range 15 {
+			tf.run(2000)
+			tf.show("partition")
 			n := 0
-			for _, r := range in.Datagram.Rumours {
-				n += proto.Size(r) + 3
-				base[fmt.Sprint("health ", r.Health, r.Peer != "")]++
+			for _, v := range tf.vms {
+				if v.self.Region == "region-2" && v.until > tf.now {
+					n++
+				}
 			}
-			base["rb "+k] += n
-			base["b "+k] += proto.Size(in.Datagram) + 28
+			fmt.Println("minority quorate", n)
 		}
-		tf.run(120000)
-		b, m, mx := tf.perVM(120000)
-		fmt.Println(c, "bytes", b, m, mx, "false susp", tf.falseSuspicions, "deaths", tf.falseDeaths, "quorate", tf.quorate(), tf.vms[0].dt.Counters, "largest", tf.largest, time.Since(st))
-		fmt.Println(base)
+		fmt.Println(tf.perVM(30000))
+		tf.resetTraffic()
+		tf.cut = nil
+		for range 20 {
+			tf.run(2000)
+			tf.show("healed")
+		}
+		fmt.Println(tf.perVM(40000))
+	}
+}
+func TestDomain(t *testing.T) {
+	tf := newFleet(200, 8, 1, without{})
+	tf.run(20000)
+	tf.loss = .05
+	tf.settle = tf.now
+	for _, v := range tf.vms {
+		if v.self.FailureDomain == "domain-3" {
+			tf.kill(v)
+		}
+	}
+	tf.resetTraffic()
+	for range 15 {
+		tf.run(2000)
+		tf.show("lost")
+	}
+	fmt.Println(tf.perVM(30000))
+	for id := range tf.killed {
+		fmt.Println(id, len(tf.detected[id]), quantile(tf.suspected[id], .5), quantile(tf.detected[id], .5), quantile(tf.detected[id], .99))
+	}
+	for _, v := range tf.vms {
+		if v.self.FailureDomain == "domain-3" {
+			tf.restart(v, 5)
+		}
+	}
+	for range 15 {
+		tf.run(2000)
+		tf.show("restarted")
 	}
 }
