--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,178 @@
+// Package demo runs a small deployment in one process: three entry VMs, the
+// stand-ins of the platform and of the backend servers, and callers of two
+// customers. It prints what became of their requests and then stays up, so
+// that it can be tried by hand.
+//
+// # Usage
+//
+//	err := demo.Run(ctx, os.Stdout) // until ctx ends
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/phuslu/log"
+
+	"alderdyke/examples"
+	"alderdyke/internal/entry"
+	"alderdyke/internal/event"
+	"alderdyke/internal/operator"
+	"alderdyke/internal/settings"
+	"alderdyke/internal/standin/deployment"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+// What the demonstration is made of.
+const (
+	Model   = "rapportmodel"
+	Plain   = "feltapp"
+	APIKey  = "kedelsyn-demo-key" // of the customer kedelsyn in examples
+	vmCount = 3
+
+	readyWithin = 20 * clock.Second
+	readyPoll   = 50 * clock.Millis(1)
+)
+
+var errNotReady = errors.New("the VMs did not learn the configuration in time")
+
+type (
+	// fleet is the entry VMs of the demonstration.
+	fleet struct {
+		dp   *deployment.Deployment
+		sets []settings.Settings
+	}
+)
+
+// Run starts the deployment, lets callers at it, prints what became of them
+// and serves on until the context ends.
+func Run(ctx context.Context, out io.Writer) error {
+	dp := &deployment.Deployment{
+		Model:          Model,
+		Prefill:        2,
+		Decode:         2,
+		PlainService:   Plain,
+		Plain:          2,
+		Region:         "loopback",
+		FailureDomains: []string{"a", "b", "c"},
+		Engine:         deployment.Speed(4),
+	}
+	if err := dp.Start(); err != nil {
+		return fmt.Errorf("start the stand-ins: %w", err)
+	}
+	defer dp.Close()
+	fl := &fleet{dp: dp}
+	gr, ctx := errgroup.WithContext(ctx)
+	if err := fl.start(ctx, gr); err != nil {
+		return errors.Join(err, gr.Wait())
+	}
+	gr.Go(func() error { return fl.play(ctx, out) })
+	return gr.Wait()
+}
+
+func (fl *fleet) start(ctx context.Context, gr *errgroup.Group) error {
+	for ix := range vmCount {
+		set, err := fl.dp.VM(fmt.Sprintf("vm-%d", ix+1), fl.dp.FailureDomains[ix])
+		if err != nil {
+			return fmt.Errorf("set up a VM: %w", err)
+		}
+		set.Addresses.KeepFor = 2 * clock.Second
+		set.Drain.Linger = clock.Second
+		fl.sets = append(fl.sets, set)
+	}
+	fl.dp.Publish()
+	for _, set := range fl.sets {
+		vm := &entry.VM{
+			Settings:    set,
+			Incarnation: uint64(time.Now().UnixMilli()),
+			Log:         event.Logger{Out: &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: os.Stderr}}},
+		}
+		gr.Go(func() error { return vm.Run(ctx) })
+	}
+	return nil
+}
+
+// play publishes the template, runs the callers and prints the outcome.
+func (fl *fleet) play(ctx context.Context, out io.Writer) error {
+	if err := fl.publish(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "three VMs serve; customers' template is in force\n\n")
+	outcome := fl.callers(ctx)
+	outcome.print(out, fl.dp)
+	fl.invite(out)
+	<-ctx.Done()
+	return nil
+}
+
+// publish puts the template in force and waits until every VM has it.
+func (fl *fleet) publish(ctx context.Context) error {
+	tpl, err := template.Parse("kedelsyn.toml", examples.Kedelsyn)
+	if err != nil {
+		return fmt.Errorf("read the template: %w", err)
+	}
+	ctx, stop := context.WithTimeoutCause(ctx, readyWithin.Std(), errNotReady)
+	defer stop()
+	for {
+		reply, err := fl.operator(0).Publish(ctx, operator.Publication{ID: "demo", Customer: tpl.Customer, Template: tpl})
+		if err == nil && reply.Accepted {
+			return fl.awaitRevision(ctx, tpl.Customer, reply.Revision)
+		}
+		if !pause(ctx) {
+			return fmt.Errorf("publish the template: %w", errors.Join(context.Cause(ctx), err))
+		}
+	}
+}
+
+func (fl *fleet) awaitRevision(ctx context.Context, customer string, revision uint64) error {
+	for ix := range fl.sets {
+		for {
+			reply, err := fl.operator(ix).Template(ctx, customer)
+			if err == nil && reply.Revision >= revision {
+				break
+			}
+			if !pause(ctx) {
+				return fmt.Errorf("wait for the template at %s: %w", fl.sets[ix].ID, context.Cause(ctx))
+			}
+		}
+	}
+	return nil
+}
+
+func (fl *fleet) operator(ix int) operator.Client {
+	set := fl.sets[ix]
+	return operator.Client{Address: set.Operator.Listen.String(), Token: set.Operator.Token}
+}
+
+// invite tells how to try the deployment by hand.
+func (fl *fleet) invite(out io.Writer) {
+	caller, op := fl.sets[0].Caller.Listen, fl.sets[0].Operator.Listen
+	fmt.Fprintf(out, `
+Try it by hand (Ctrl-C stops):
+
+  curl -H 'Authorization: Bearer %s' http://%s/v1/addresses
+  curl -N -H 'Authorization: Bearer %s' -H 'Idempotency-Key: note-1' \
+    -d '{"model":"%s","stream":true,"max_tokens":24,"messages":[{"role":"user","content":"Boiler 7, field notes ..."}]}' \
+    http://%s/v1/chat/completions
+  curl -H 'Authorization: Bearer %s' http://%s/services/%s/records/boiler-7
+  alderdyke status --operator %s
+  alderdyke explain --operator %s kedelsyn note-1
+  (operator token: %s)
+`, APIKey, caller, APIKey, Model, caller, APIKey, caller, Plain, op, op, deployment.OperatorToken)
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(readyPoll.Std()):
+		return true
+	}
+}
