peer: count a failed dial before its callers learn of it

Change: the counter of failed dials moves before the waiting callers are released; tests wait for counters of the other side to reach their value.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -170,7 +170,7 @@
 		step, err = StepStart, net.ErrClosed
 	}
 	dl.step, dl.err, dl.failedAt = step, err, tr.Clock.Now()
-	close(dl.done)
+	defer close(dl.done)
 	if err != nil {
 		tr.count.dialFailed.Inc(1)
 		return
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -100,6 +100,12 @@
 	return snap.Value()
 }
 
+// awaitCount waits until a counter that another goroutine moves has a value.
+func (st *started) awaitCount(t *testing.T, name, reason string, want int64) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%s %s = %d", name, reason, want), func() bool { return st.counted(name, reason) == want })
+}
+
 // eventually waits for a condition that other goroutines bring about. The
 // bound only ends a test that has failed.
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -221,8 +227,8 @@
 		})
 	}
 	assert.Equal(t, sb.counted("PeerStreamsServed", ""), int64(0))
-	assert.Equal(t, other.counted("PeerRefused", "Untrusted"), int64(1))
-	assert.Equal(t, sb.counted("PeerRefused", "WrongVM"), int64(1))
+	other.awaitCount(t, "PeerRefused", "Untrusted", 1)
+	sb.awaitCount(t, "PeerRefused", "WrongVM", 1)
 }
 
 func TestOpenBeforeRunWaitsForContext(t *testing.T) {
@@ -355,8 +361,8 @@
 	_, err = cn.Recv()
 	assert.ErrorIs(t, err, peer.ErrSessionLost)
 	assert.ErrorIs(t, <-ended, peer.ErrSessionLost)
-	assert.Equal(t, sa.counted("PeerSessionsLost", ""), int64(1))
-	assert.Equal(t, sb.counted("PeerSessionsLost", ""), int64(1))
+	sa.awaitCount(t, "PeerSessionsLost", "", 1)
+	sb.awaitCount(t, "PeerSessionsLost", "", 1)
 }
 
 // A session that went silent while idle is found out before a frame is put
@@ -427,7 +433,7 @@
 	older := start(t, &peer.Transport{Self: ref("a", 1)})
 	_, err = older.Call(t.Context(), second.vm(), explain("key"))
 	assert.Assert(t, is[peer.NotSentError](err))
-	assert.Equal(t, second.counted("PeerRefused", "StaleIncarnation"), int64(1))
+	second.awaitCount(t, "PeerRefused", "StaleIncarnation", 1)
 }
 
 func TestContextEndsRecv(t *testing.T) {
@@ -493,7 +499,7 @@
 	reply, err := sa.Call(t.Context(), sb.vm(), explain("third"))
 	assert.NilError(t, err)
 	assert.Equal(t, reply.GetRefusal().GetRan(), "NotRun")
-	assert.Equal(t, sb.counted("PeerRefused", "TooManyStreams"), int64(1))
+	sb.awaitCount(t, "PeerRefused", "TooManyStreams", 1)
 }
 
 func TestSessionLimit(t *testing.T) {
@@ -504,7 +510,7 @@
 	sc := start(t, &peer.Transport{Self: ref("c", 1)})
 	_, err = sc.Call(t.Context(), sb.vm(), explain("key"))
 	assert.Assert(t, is[peer.NotSentError](err))
-	assert.Equal(t, sb.counted("PeerRefused", "TooManySessions"), int64(1))
+	sb.awaitCount(t, "PeerRefused", "TooManySessions", 1)
 }
 
 // Strangers who connect and say nothing can't keep a VM out, and are closed.
