cli: parse the command line and ask a VM

Cause: operators need run, check, publish, templates, status, explain, drain and demo with clear errors and exit codes. Change: flaggy parses; our own checks refuse unknown flags and missing or surplus arguments, since flaggy would print and exit by itself; the parsed commands are a sealed interface. A publication in doubt prints the command that repeats it with its ID.

--- /dev/null
+++ b/internal/cli/do.go
@@ -0,0 +1,186 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/uuid"
+
+	"alderdyke/internal/operator"
+	"alderdyke/internal/settings"
+	"alderdyke/pkg/place"
+	"alderdyke/pkg/template"
+)
+
+// do carries out a command.
+func (pg Program) do(ctx context.Context, cm command, st streams) error {
+	switch cm := cm.(type) {
+	case helpCommand:
+		_, err := fmt.Fprintln(st.out, cm.text)
+		return err
+	case versionCommand:
+		_, err := fmt.Fprintln(st.out, "alderdyke", pg.Version)
+		return err
+	case runCommand:
+		return pg.run(ctx, cm)
+	case demoCommand:
+		if err := pg.Demo(ctx, st.out); err != nil {
+			return fmt.Errorf("run the demonstration: %w", err)
+		}
+		return nil
+	case checkCommand:
+		return check(cm, st)
+	case publishCommand:
+		return publish(ctx, cm, st)
+	case templatesCommand:
+		return templates(ctx, cm, st)
+	case statusCommand:
+		return status(ctx, cm, st)
+	case explainCommand:
+		return explain(ctx, cm, st)
+	case drainCommand:
+		return drain(ctx, cm, st)
+	default:
+		return fmt.Errorf("command %T is not known", cm)
+	}
+}
+
+func (pg Program) run(ctx context.Context, cm runCommand) error {
+	set, err := settings.Load(cm.file)
+	if err != nil {
+		return err // its lines name the file already
+	}
+	if err := pg.Run(ctx, set); err != nil {
+		return fmt.Errorf("run VM %s: %w", set.ID, err)
+	}
+	return nil
+}
+
+// check looks at all files and reports all their problems together.
+func check(cm checkCommand, st streams) error {
+	var all place.Errors
+	if _, err := settings.Load(cm.file); err != nil {
+		all = append(all, problemsOf(cm.file, err)...)
+	} else {
+		fmt.Fprintf(st.out, "%s: valid settings\n", cm.file)
+	}
+	byCustomer, byHash := map[string]string{}, map[string]string{}
+	for _, file := range cm.templates {
+		tpl, err := readTemplate(file)
+		if err != nil {
+			all = append(all, problemsOf(file, err)...)
+			continue
+		}
+		found := clashes(file, tpl, byCustomer, byHash)
+		if len(found) == 0 {
+			fmt.Fprintf(st.out, "%s: valid template of customer %s\n", file, tpl.Customer)
+		}
+		all = append(all, found...)
+	}
+	return all.Err()
+}
+
+// clashes finds what a template has in common with those before it and must
+// not have.
+func clashes(file string, tpl template.Template, byCustomer, byHash map[string]string) place.Errors {
+	var found place.Errors
+	if other, taken := byCustomer[tpl.Customer]; taken {
+		found = append(found, place.Error{File: file, Key: "Customer", Value: tpl.Customer, Mend: "keep one template for each customer; " + other + " is one already"})
+	}
+	byCustomer[tpl.Customer] = file
+	for ix, hash := range tpl.KeyHashes {
+		if other, taken := byHash[hash]; taken {
+			found = append(found, place.Error{File: file, Key: fmt.Sprintf("KeyHashes[%d]", ix), Mend: "give each customer API keys of its own; " + other + " has this one already"})
+		}
+		byHash[hash] = file
+	}
+	return found
+}
+
+func problemsOf(file string, err error) place.Errors {
+	var es place.Errors
+	if errors.As(err, &es) {
+		return es
+	}
+	return place.Errors{{File: file, Mend: err.Error()}}
+}
+
+// readTemplate reads one template; one byte more than is allowed tells one
+// that is too long.
+func readTemplate(file string) (template.Template, error) {
+	fl, err := os.Open(file)
+	if err != nil {
+		return template.Template{}, place.Errors{{File: file, Mend: "give a file that can be read: " + err.Error()}}
+	}
+	defer fl.Close()
+	text, err := io.ReadAll(io.LimitReader(fl, template.MaxText+1))
+	if err != nil {
+		return template.Template{}, place.Errors{{File: file, Mend: "give a file that can be read: " + err.Error()}}
+	}
+	return template.Parse(file, text)
+}
+
+func publish(ctx context.Context, cm publishCommand, st streams) error {
+	tpl, err := readTemplate(cm.file)
+	if err != nil {
+		return err // its lines name the file already
+	}
+	if cm.id == "" {
+		cm.id = uuid.NewString()
+	}
+	rep, err := cm.client.Publish(ctx, operator.Publication{ID: cm.id, Customer: tpl.Customer, Base: cm.base, Template: tpl})
+	var fa operator.Fault
+	if errors.As(err, &fa) && fa.Reason == operator.InDoubt {
+		return fmt.Errorf("publish %s: %w\nrepeat it so: alderdyke publish %s --base %d --id %s", cm.file, err, cm.file, cm.base, cm.id)
+	}
+	if err != nil {
+		return fmt.Errorf("publish %s: %w", cm.file, err)
+	}
+	if !rep.Accepted {
+		return refusedError{reply: rep}
+	}
+	fmt.Fprintf(st.out, "accepted: revision %d of customer %s\n", rep.Revision, tpl.Customer)
+	return nil
+}
+
+func templates(ctx context.Context, cm templatesCommand, st streams) error {
+	if cm.customer != "" {
+		rep, err := cm.client.Template(ctx, cm.customer)
+		if err != nil {
+			return fmt.Errorf("get the template of %s: %w", cm.customer, err)
+		}
+		return show(st.out, cm.json, rep, showTemplate)
+	}
+	list, err := cm.client.Templates(ctx)
+	if err != nil {
+		return fmt.Errorf("list the templates: %w", err)
+	}
+	return show(st.out, cm.json, list, showTemplates)
+}
+
+func status(ctx context.Context, cm statusCommand, st streams) error {
+	rep, err := cm.client.Status(ctx)
+	if err != nil {
+		return fmt.Errorf("ask for the status: %w", err)
+	}
+	return show(st.out, cm.json, rep, showStatus)
+}
+
+func explain(ctx context.Context, cm explainCommand, st streams) error {
+	rep, err := cm.client.Explain(ctx, cm.customer, cm.key)
+	if err != nil {
+		return fmt.Errorf("ask for request %q: %w", cm.key, err)
+	}
+	return show(st.out, cm.json, rep, showExplain)
+}
+
+func drain(ctx context.Context, cm drainCommand, st streams) error {
+	if err := cm.client.Drain(ctx); err != nil {
+		return fmt.Errorf("begin the planned stop: %w", err)
+	}
+	fmt.Fprintln(st.out, "the planned stop has begun; alderdyke status shows how many requests are in progress")
+	return nil
+}
--- /dev/null
+++ b/internal/cli/parse.go
@@ -0,0 +1,296 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"alderdyke/internal/operator"
+	"alderdyke/internal/settings"
+)
+
+type (
+	// command is one parsed command line: help, version, run, check, demo,
+	// publish, templates, status, explain or drain.
+	command interface{ command() }
+
+	helpCommand    struct{ text string }
+	versionCommand struct{}
+	runCommand     struct{ file string }
+	checkCommand   struct {
+		file      string
+		templates []string
+	}
+	demoCommand    struct{}
+	publishCommand struct {
+		client operator.Client
+		file   string
+		base   uint64
+		id     string
+	}
+	templatesCommand struct {
+		client   operator.Client
+		customer string // empty: list all
+		json     bool
+	}
+	statusCommand struct {
+		client operator.Client
+		json   bool
+	}
+	explainCommand struct {
+		client        operator.Client
+		customer, key string
+		json          bool
+	}
+	drainCommand struct{ client operator.Client }
+
+	// options are all that flags and positional arguments can set.
+	options struct {
+		help, version, json bool
+		first, second       string // positional arguments
+		address, tokenFile  string
+		base                uint64
+		id                  string
+	}
+
+	// subcommand is one subcommand as the command line shows it.
+	subcommand struct {
+		name, help string
+		positional []string // names; one in brackets is optional
+		more       bool     // any number of arguments may follow
+		flags      func(sc *flaggy.Subcommand, op *options)
+	}
+)
+
+func (helpCommand) command()      {}
+func (versionCommand) command()   {}
+func (runCommand) command()       {}
+func (checkCommand) command()     {}
+func (demoCommand) command()      {}
+func (publishCommand) command()   {}
+func (templatesCommand) command() {}
+func (statusCommand) command()    {}
+func (explainCommand) command()   {}
+func (drainCommand) command()     {}
+
+var subcommands = []subcommand{
+	{name: "run", help: "Run one entry VM until it is told to stop (SIGINT or SIGTERM begins a planned stop).", positional: []string{"SETTINGS"}},
+	{name: "check", help: "Check a settings file and any number of templates, without starting anything.", positional: []string{"SETTINGS", "[TEMPLATE...]"}, more: true},
+	{name: "publish", help: "Publish a customer's template.", positional: []string{"TEMPLATE"}, flags: publishFlags},
+	{name: "templates", help: "List the templates in force, or print one of them as TOML.", positional: []string{"[CUSTOMER]"}, flags: readFlags},
+	{name: "status", help: "Show how a VM is and what it sees.", flags: readFlags},
+	{name: "explain", help: "Tell what became of a request, from any VM.", positional: []string{"CUSTOMER", "KEY"}, flags: readFlags},
+	{name: "drain", help: "Begin a planned stop of a VM; no request in progress is cut off.", flags: clientFlags},
+	{name: "demo", help: "Run three entry VMs, stand-ins for all they speak to, and some callers, in this process."},
+}
+
+func clientFlags(sc *flaggy.Subcommand, op *options) {
+	sc.String(&op.address, "a", "address", "The VM's address for operators, as IP:port. Or set "+AddressVariable+".")
+	sc.String(&op.tokenFile, "t", "token-file", "File that holds the operators' token. Or set "+TokenVariable+".")
+}
+
+func readFlags(sc *flaggy.Subcommand, op *options) {
+	clientFlags(sc, op)
+	sc.Bool(&op.json, "j", "json", "Print the VM's reply as JSON.")
+}
+
+func publishFlags(sc *flaggy.Subcommand, op *options) {
+	clientFlags(sc, op)
+	sc.UInt64(&op.base, "b", "base", "Revision that the template was revised from; 0 for a new customer.")
+	sc.String(&op.id, "i", "id", "ID of the publication, to repeat one that is in doubt; made up if not given.")
+}
+
+// parse understands a command line.
+func (pg Program) parse(args []string) (command, error) {
+	op := &options{}
+	pr, byName := newParser(op)
+	name := ""
+	if len(args) > 0 {
+		name = args[0]
+	}
+	sub, known := byName[name]
+	if !known && name != "" && !strings.HasPrefix(name, "-") {
+		return nil, usageError{fmt.Sprintf("there is no command %.40q", name)}
+	}
+	if !known {
+		sub = &pr.Subcommand
+	}
+	if err := checkFlags(sub, args); err != nil {
+		return nil, err
+	}
+	if err := pr.ParseArgs(args); err != nil {
+		return nil, usageError{err.Error()}
+	}
+	if op.help || (name == "" && !op.version) {
+		return help(pr)
+	}
+	if op.version || !known {
+		return versionCommand{}, nil
+	}
+	if err := checkPositional(name, op, pr.TrailingArguments); err != nil {
+		return nil, err
+	}
+	return pg.build(name, op, pr.TrailingArguments)
+}
+
+// newParser makes a parser that never prints or exits by itself.
+func newParser(op *options) (*flaggy.Parser, map[string]*flaggy.Subcommand) {
+	pr := flaggy.NewParser("alderdyke")
+	pr.Description = "Routes requests between callers and separate prefill and decode pools of language-model engines."
+	pr.ShowHelpOnUnexpected = false
+	pr.ShowHelpWithHFlag = false
+	pr.ShowVersionWithVersionFlag = false
+	pr.ShowCompletion = false
+	pr.Bool(&op.help, "h", "help", "Show this help.")
+	pr.Bool(&op.version, "", "version", "Show the version.")
+	byName := map[string]*flaggy.Subcommand{}
+	for _, sub := range subcommands {
+		sc := flaggy.NewSubcommand(sub.name)
+		sc.Description = sub.help
+		sc.Bool(&op.help, "h", "help", "Show this help.")
+		for ix, name := range sub.positional {
+			sc.AddPositionalValue([]*string{&op.first, &op.second}[ix], name, ix+1, false, "")
+		}
+		if sub.flags != nil {
+			sub.flags(sc, op)
+		}
+		pr.AttachSubcommand(sc, 1)
+		byName[sub.name] = sc
+	}
+	return pr, byName
+}
+
+// checkFlags refuses flags that the subcommand does not have, and a last flag
+// without its value.
+func checkFlags(sub *flaggy.Subcommand, args []string) error {
+	for ix, arg := range args {
+		if arg == "--" {
+			return nil
+		}
+		if !strings.HasPrefix(arg, "-") || arg == "-" {
+			continue
+		}
+		name, _, valued := strings.Cut(strings.TrimLeft(arg, "-"), "=")
+		fl := findFlag(sub, name)
+		if fl == nil {
+			return usageError{fmt.Sprintf("there is no flag %.40q here", arg)}
+		}
+		_, isBool := fl.AssignmentVar.(*bool)
+		if !isBool && !valued && ix+1 == len(args) {
+			return usageError{fmt.Sprintf("the flag %q needs a value", arg)}
+		}
+	}
+	return nil
+}
+
+func findFlag(sub *flaggy.Subcommand, name string) *flaggy.Flag {
+	for _, fl := range sub.Flags {
+		if fl.HasName(name) {
+			return fl
+		}
+	}
+	return nil
+}
+
+// checkPositional refuses missing and surplus arguments.
+func checkPositional(name string, op *options, more []string) error {
+	for _, sub := range subcommands {
+		if sub.name != name {
+			continue
+		}
+		for ix, want := range sub.positional {
+			if *[]*string{&op.first, &op.second}[ix] == "" && !strings.HasPrefix(want, "[") {
+				return usageError{fmt.Sprintf("%s needs %s", name, want)}
+			}
+		}
+		if len(more) > 0 && !sub.more {
+			return usageError{fmt.Sprintf("%s takes no argument %.40q", name, more[0])}
+		}
+	}
+	return nil
+}
+
+// build makes the command that the options describe.
+func (pg Program) build(name string, op *options, more []string) (command, error) {
+	switch name {
+	case "run":
+		return runCommand{file: op.first}, nil
+	case "demo":
+		return demoCommand{}, nil
+	case "check":
+		if op.second != "" {
+			more = append([]string{op.second}, more...)
+		}
+		return checkCommand{file: op.first, templates: more}, nil
+	}
+	cl, err := pg.client(op)
+	if err != nil {
+		return nil, err
+	}
+	switch name {
+	case "publish":
+		return publishCommand{client: cl, file: op.first, base: op.base, id: op.id}, nil
+	case "templates":
+		return templatesCommand{client: cl, customer: op.first, json: op.json}, nil
+	case "explain":
+		return explainCommand{client: cl, customer: op.first, key: op.second, json: op.json}, nil
+	case "drain":
+		return drainCommand{client: cl}, nil
+	default:
+		return statusCommand{client: cl, json: op.json}, nil
+	}
+}
+
+// client makes the client from flags and environment.
+func (pg Program) client(op *options) (operator.Client, error) {
+	address := op.address
+	if address == "" {
+		address = pg.Getenv(AddressVariable)
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return operator.Client{}, usageError{fmt.Sprintf(
+			"the address for operators is %.60q; give --address or set %s to an IP number and a port, such as 10.0.0.1:9090", address, AddressVariable)}
+	}
+	token, err := pg.token(op.tokenFile)
+	if err != nil {
+		return operator.Client{}, err
+	}
+	return operator.Client{Address: address, Token: token}, nil
+}
+
+// token reads the operators' token. An error never shows it.
+func (pg Program) token(file string) (settings.Secret, error) {
+	word, from := pg.Getenv(TokenVariable), TokenVariable
+	if file != "" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return settings.Secret{}, fmt.Errorf("read the operators' token: %w", err)
+		}
+		word, from = string(text), file
+	}
+	if word == "" {
+		return settings.Secret{}, usageError{"give the operators' token with --token-file FILE or in " + TokenVariable}
+	}
+	var token settings.Secret
+	if err := token.UnmarshalText([]byte(strings.TrimSpace(word))); err != nil {
+		return settings.Secret{}, usageError{fmt.Sprintf("the token in %s can't be one: %v", from, err)}
+	}
+	return token, nil
+}
+
+// help renders the help of the subcommand in use.
+func help(pr *flaggy.Parser) (command, error) {
+	var (
+		page flaggy.Help
+		text bytes.Buffer
+	)
+	page.ExtractValues(pr, "")
+	if err := pr.HelpTemplate.Execute(&text, page); err != nil {
+		return nil, fmt.Errorf("write help: %w", err)
+	}
+	return helpCommand{text: strings.TrimSpace(text.String())}, nil
+}
