--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -294,6 +294,15 @@
 	assert.Equal(t, reasonOf(err), operator.BadRequest)
 }
 
+// What Run returns still unwraps to the cause.
+func TestRunFails(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ln.Close())
+	srv := &operator.Server{Listener: ln, Token: settings.NewSecret(token), Backend: &fakeVM{}}
+	assert.ErrorIs(t, srv.Run(t.Context()), net.ErrClosed)
+}
+
 func TestNoToken(t *testing.T) {
 	_, err := (&operator.Server{}).Handler()
 	assert.ErrorContains(t, err, "token")
