place: bound the problems of one text; metrics: tell fewer names apart

Cause: a trial with a hostile template of 260 KB gave an error of 5 MB; a trial with 2560 counters cost 2.7 KB of heap each, so 256 names with all reasons could fill a third of the 64 MB that control may take. Change: at most 100 problems are reported one by one; 64 names. Measured: go test -race ./... passes three times in a row. Conclusion: both bounds are constants with their reason.

--- a/internal/metrics/reasons.go
+++ b/internal/metrics/reasons.go
@@ -10,8 +10,8 @@
 
 const (
 	// MaxNames bounds the names that one kind of counter tells apart, since
-	// each costs memory for as long as the process lives.
-	MaxNames = 256
+	// each counter costs about 3 KB for as long as the process lives.
+	MaxNames = 64
 
 	// Other stands for all names beyond MaxNames.
 	Other = "Other"
--- a/pkg/place/decode.go
+++ b/pkg/place/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"errors"
+	"fmt"
 	"reflect"
 	"slices"
 	"strings"
@@ -11,9 +12,13 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
+// MaxProblems bounds the problems of one text that are reported one by one.
+const MaxProblems = 100
+
 // Decode reads TOML into the struct that target points to, then calls check,
 // which returns the problems of the decoded value by their keys. The error is
-// nil or an [Errors] that holds all problems, in the order of their lines.
+// nil or an [Errors] that holds all problems, in the order of their lines; of
+// more than [MaxProblems], the last entry tells how many were left out.
 //
 // Parts of the text that are wrong in themselves are left out of the decoded
 // value; a problem that check finds at such a key, or below it, is not
@@ -32,7 +37,16 @@
 		sc.problems[ix] = pe.WithPlace(file, pe.Line)
 	}
 	slices.SortStableFunc(sc.problems, func(ea, eb Error) int { return cmp.Compare(ea.Line, eb.Line) })
-	return sc.problems.Err()
+	return sc.problems.bounded(file).Err()
+}
+
+// bounded cuts a list that is longer than a person reads.
+func (es Errors) bounded(file string) Errors {
+	if len(es) <= MaxProblems {
+		return es
+	}
+	more := Error{File: file, Mend: fmt.Sprintf("mend these first; there are %d more", len(es)-MaxProblems)}
+	return append(es[:MaxProblems:MaxProblems], more)
 }
 
 // decode reads the sound expressions of the text.
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -127,6 +128,15 @@
 	assert.Equal(t, pe.Line, 1)
 }
 
+func TestDecodeBoundsProblems(t *testing.T) {
+	text := strings.Repeat("X = 1\n", place.MaxProblems+7)
+	err := place.Decode("some.toml", []byte(text), &outer{}, nil)
+	var es place.Errors
+	assert.Assert(t, errors.As(err, &es))
+	assert.Equal(t, len(es), place.MaxProblems+1)
+	assert.Equal(t, es[place.MaxProblems].Error(), "some.toml: mend these first; there are 7 more")
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add("Share = 1\n[[List]]\nName = 'a'\n[List.X]\n[Inner]\nSpan = '1s'")
 	f.Add("Inner = {Name = 'x', Parts = ['a', 1]}\nSeeds = ['1.2.3.4:5']")
