service: refuse a path with a fragment

Cause: a fuzz run of ten seconds found the path '/?#%', which passed the check of a request's path and failed later; a fragment would be dropped unsaid. The stand-in of a plain service also declined a call as Full while a slot was free, if two arrived at once, which a test showed once in a few runs. Change: the joined URL itself is checked, and '#' is refused; the stand-in takes a free slot before it counts its queue. Conclusion: a path reaches the server as the caller sent it, or not at all.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -225,11 +225,10 @@
 	own.CheckRedirect = noRedirect
 	rsp, err := own.Do(single(cl.Request.WithContext(ctx)))
 	if err != nil {
-		err = bare(err)
 		if cr.untouched() {
-			return nil, NotSentError{Server: cl.Server, Call: cl.Name, Err: err}
+			return nil, NotSentError{Server: cl.Server, Call: cl.Name, Err: bare(err, ErrBadCall)}
 		}
-		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: err}
+		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: bare(err, ErrBadAnswer)}
 	}
 	if err := DeclinedBy(cl.Server, cl.Name, rsp); err != nil {
 		_ = rsp.Body.Close() // the headers say all
@@ -265,8 +264,9 @@
 }
 
 // bare drops everything of an error that could quote the request's path or
-// the answer, which must not be logged.
-func bare(err error) error {
+// the answer, which must not be logged. What is left of an error that it does
+// not know is the fallback.
+func bare(err, fallback error) error {
 	if ue, ok := errors.AsType[*url.Error](err); ok {
 		err = ue.Err
 	}
@@ -278,5 +278,5 @@
 			return known
 		}
 	}
-	return ErrBadAnswer
+	return fallback
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// A connection of its own keeps a call out of the doubt that a kept one can
+// leave it in.
+func TestOnceIsNotLeftInDoubt(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		var orders atomic.Int64
+		hc := NewHTTP(Limits{})
+		defer hc.CloseIdleConnections()
+		addr := cutSecond(t, &orders)
+		warm(t, hc, addr)
+		if once {
+			hc.CloseIdleConnections() // the raw server takes one connection at a time
+		}
+		rsp, err := Send(t.Context(), hc, Call{Request: post(t, addr), Once: once})
+		oc, _ := OutcomeOf(err)
+		assert.Equal(t, oc == Done, once, "%v", err)
+		if err == nil {
+			assert.NilError(t, rsp.Body.Close())
+		}
+	}
+}
+
 // The server above does make net/http repeat a request that Send did not
 // shape, so that the test before it can fail.
 func TestServerProvokesRepetition(t *testing.T) {
@@ -291,3 +312,24 @@
 		}
 	})
 }
+
+func BenchmarkSend(b *testing.B) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	hc := NewHTTP(Limits{})
+	defer hc.CloseIdleConnections()
+	for _, once := range []bool{false, true} {
+		b.Run(fmt.Sprintf("Once=%t", once), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				req, err := http.NewRequest(http.MethodPost, srv.URL, strings.NewReader(secret))
+				assert.NilError(b, err)
+				rsp, err := Send(b.Context(), hc, Call{Request: req, Once: once})
+				assert.NilError(b, err)
+				_, err = ReadAll(rsp.Body, 10)
+				assert.NilError(b, err)
+				assert.NilError(b, rsp.Body.Close())
+			}
+		})
+	}
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -331,3 +331,26 @@
 	fmt.Println(res.Tokens, res.KeptFor, err)
 	// Output: 3 800ms <nil>
 }
+
+func FuzzDocuments(f *testing.F) {
+	f.Add(`{"Running":1,"Age":"20ms"}`)
+	f.Add(`{"Runs":[{"Stage":"Decoding","Since":"1s"}]}`)
+	f.Add(`{"Events":[{"Number":18446744073709551616}]}`)
+	var body string
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, body) }))
+	f.Cleanup(srv.Close)
+	ec := &engine.Client{}
+	dest := board.BackendServer{ID: "e1", Address: srv.Listener.Addr().String()}
+	f.Fuzz(func(t *testing.T, text string) {
+		body = text
+		_, err1 := ec.Load(t.Context(), dest)
+		_, err2 := ec.Running(t.Context(), dest)
+		_, err3 := ec.CacheEvents(t.Context(), dest, 0)
+		_, err4 := ec.Prefill(t.Context(), dest, engine.PrefillOrder{})
+		for _, err := range []error{err1, err2, err3, err4} {
+			if err != nil && backend.NotRun(err) {
+				t.Fatalf("%q: an answer came, but: %v", text, err)
+			}
+		}
+	})
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -199,13 +199,16 @@
 }
 
 // destination joins an address and a caller's path. The path can name no
-// other host.
+// other host, and no fragment, which would not be sent.
 func destination(address, path string) (string, error) {
-	pu, err := url.ParseRequestURI(path)
-	if err != nil || !strings.HasPrefix(path, "/") || pu.Host != "" {
-		return "", fmt.Errorf("path does not start at the root: %w", backend.ErrBadCall)
+	if !strings.HasPrefix(path, "/") || strings.Contains(path, "#") {
+		return "", fmt.Errorf("path is not one of a request: %w", backend.ErrBadCall)
 	}
-	return "http://" + address + path, nil
+	dest := "http://" + address + path
+	if pu, err := url.Parse(dest); err != nil || pu.Host != address || pu.User != nil {
+		return "", fmt.Errorf("path or address can't be parsed: %w", backend.ErrBadCall)
+	}
+	return dest, nil
 }
 
 // endToEnd copies the headers that do not end at one connection, by their
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -195,6 +195,12 @@
 // went before the call began.
 func (sv *Server) enter(ctx context.Context) bool {
 	sv.mu.Lock()
+	select {
+	case sv.slots <- struct{}{}:
+		sv.mu.Unlock()
+		return true
+	default:
+	}
 	if sv.queued >= sv.Settings.Queue {
 		sv.mu.Unlock()
 		return false
