sched: forecast places by kind and order transfers by what lapses first

Quick work is now a number that returns to its mean within a second, patient work a number that decays.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -24,11 +24,12 @@
 	}
 	gp := ce.group(ask)
 	gp.arrivals.add(now, 1)
-	if ask.Quick {
-		ce.quickIn.add(now, 1)
-	}
 	jb := ce.newJob(now, ask, gp)
+	jb.began = ask.Attempt > 0
 	if rf, refused := ce.inadmissible(now, jb); refused {
+		if jb.began {
+			rf = rf.WithRan(refusal.MayHaveRun)
+		}
 		ce.emit(Refuse{Request: ask.Request, Refusal: rf})
 		return
 	}
@@ -105,7 +106,7 @@
 		return notRun(refusal.TargetUnreachable, clock.Millis(over), "prefill engines are busy"), true
 	}
 	ahead := float64(ce.promised[1] + jb.grp.queued() + 1 - ce.free)
-	if wait := ahead / max(ce.hazard, 1e-6); ahead > 0 && wait > float64(jb.due-now) {
+	if wait := ahead / max(ce.hazard[0]+ce.hazard[1], 1e-6); ahead > 0 && wait > float64(jb.due-now) {
 		return notRun(refusal.TargetUnreachable, clock.Millis(wait), "decode engines are full"), true
 	}
 	return refusal.Refusal{}, false
--- a/internal/sched/bench/load.go
+++ b/internal/sched/bench/load.go
@@ -105,13 +105,13 @@
 		VMs: 6, Prefills: 4, Decodes: 4,
 		Classes: []Class{
 			{Customer: "kedelsyn", Name: "findings", Work: PatientWork, Prompt: 8000, Output: 500, Max: 2000,
-				Mix: 0.5, Share: 0.4, TTFT: 60_000, TPOT: 45, Deadline: 300_000, Weight: 0.9},
+				Mix: 0.5, Share: 0.35, TTFT: 60_000, TPOT: 45, Deadline: 300_000, Weight: 0.9},
 			{Customer: "kedelsyn", Name: "lookup", Work: QuickWork, Prompt: 180, Output: 40, Max: 160,
-				Mix: 0.12, Share: 0.25, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
+				Mix: 0.12, Share: 0.3, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
 			{Customer: "fjernvarme", Name: "findings", Work: PatientWork, Prompt: 6000, Output: 400, Max: 1600,
-				Mix: 0.3, Share: 0.25, TTFT: 45_000, TPOT: 45, Deadline: 240_000, Weight: 0.9},
+				Mix: 0.3, Share: 0.15, TTFT: 45_000, TPOT: 45, Deadline: 240_000, Weight: 0.9},
 			{Customer: "fjernvarme", Name: "lookup", Work: QuickWork, Prompt: 150, Output: 40, Max: 160,
-				Mix: 0.08, Share: 0.1, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
+				Mix: 0.08, Share: 0.2, TTFT: 410, TPOT: 45, Deadline: 15_000, Weight: 0.9},
 		},
 	}
 }
@@ -125,13 +125,13 @@
 		VMs: 7, Prefills: 4, Decodes: 5,
 		Classes: []Class{
 			{Customer: "hoalua", Name: "summary", Work: PatientWork, Prompt: 6000, Output: 350, Max: 1400,
-				Mix: 0.45, Share: 0.4, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
+				Mix: 0.45, Share: 0.25, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
 			{Customer: "hoalua", Name: "status", Work: QuickWork, Prompt: 120, Output: 30, Max: 120,
-				Mix: 0.15, Share: 0.3, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
+				Mix: 0.15, Share: 0.35, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
 			{Customer: "lender", Name: "summary", Work: PatientWork, Prompt: 5000, Output: 300, Max: 1200,
-				Mix: 0.3, Share: 0.2, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
+				Mix: 0.3, Share: 0.15, TTFT: 30_000, TPOT: 45, Deadline: 180_000, Weight: 0.1},
 			{Customer: "lender", Name: "status", Work: QuickWork, Prompt: 120, Output: 30, Max: 120,
-				Mix: 0.1, Share: 0.1, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
+				Mix: 0.1, Share: 0.25, TTFT: 410, TPOT: 45, Deadline: 10_000, Weight: 0.1},
 		},
 	}
 }
--- a/internal/sched/bench/oracle.go
+++ b/internal/sched/bench/oracle.go
@@ -7,15 +7,33 @@
 	"alderdyke/internal/board"
 )
 
-// oraclePolicy decides in one place with no lag and with the true state of
-// all engines, the end of every running decode included.
-type oraclePolicy struct {
-	sm       *sim
-	queue    []*request
-	ready    []*request
-	starting map[*request]float64 // when the KV cache will be ready
-	ends     map[*request]float64
-}
+// oracleSlack is how long before its target an oracle gives up a patient
+// request, as quick work may still delay its prefill.
+const oracleSlack = 1000.0
+
+// oracleVariants are what an oracle tries.
+var oracleVariants = []oracleVariant{{0, false}, {6, false}, {12, false}, {18, false}, {6, true}, {12, true}}
+
+type (
+	// oracleVariant is one way in which an oracle orders its work.
+	oracleVariant struct {
+		reserve  int  // places kept for quick work
+		shortest bool // patient requests by expected work instead of by target
+	}
+
+	// oraclePolicy decides in one place with no lag and with the true state
+	// of all engines, the end of every running decode included. Its variant
+	// is chosen in hindsight, as the best for the run.
+	oraclePolicy struct {
+		oracleVariant
+		sm       *sim
+		queue    []*request
+		ready    []*request
+		starting map[*request]float64 // when the KV cache will be ready
+		ends     map[*request]float64
+		sorted   []float64 // ends in order
+	}
+)
 
 func (op *oraclePolicy) begin() {
 	op.starting = make(map[*request]float64)
@@ -31,9 +49,33 @@
 }
 
 func (op *oraclePolicy) arrive(rq *request) {
+	op.enqueue(rq)
+	op.pump()
+}
+
+func (op *oraclePolicy) enqueue(rq *request) {
 	op.queue = append(op.queue, rq)
 	sortByUrgency(op.queue)
-	op.pump()
+	if !op.shortest {
+		return
+	}
+	slices.SortStableFunc(op.queue, func(ra, rb *request) int {
+		return cmp.Or(cmp.Compare(urgency(ra), urgency(rb)), cmp.Compare(ra.work(), rb.work()))
+	})
+}
+
+// work is the true time that a request keeps an engine busy, of whichever
+// kind is scarcer.
+func (rq *request) work() float64 {
+	return max(float64(rq.output)*fullTPOT/decodeSlots, float64(rq.prompt)/prefillRate)
+}
+
+func (op *oraclePolicy) givesUp(rq *request) bool {
+	slack := 0.0
+	if rq.cls.Work == PatientWork {
+		slack = oracleSlack
+	}
+	return rq.hopeless(op.sm.now + slack)
 }
 
 func (op *oraclePolicy) pump() {
@@ -42,7 +84,7 @@
 	blocked := false
 	for _, rq := range op.queue {
 		switch {
-		case rq.hopeless(op.sm.now):
+		case op.givesUp(rq):
 			op.sm.refuse(rq, rq.tooLate())
 		case blocked && rq.cls.Work == PatientWork:
 			rest = append(rest, rq)
@@ -63,7 +105,11 @@
 		return false
 	}
 	at := op.sm.now + wait + en.span(rq)
-	if op.freeAt(at, rq) < 1 {
+	need := 1
+	if rq.cls.Work == PatientWork {
+		need += op.reserve
+	}
+	if op.freeAt(at, rq) < need {
 		return false
 	}
 	op.starting[rq] = at
@@ -115,16 +161,10 @@
 // freeAt is the number of places that will be free for the request at a
 // point, when what was started before took its own.
 func (op *oraclePolicy) freeAt(at float64, rq *request) int {
-	free := 0
+	free, _ := slices.BinarySearch(op.sorted, at)
 	for _, de := range op.sm.decodes {
-		if de.dead {
-			continue
-		}
-		free += decodeSlots
-		for other := range de.running {
-			if end, ok := op.ends[other]; !ok || end > at {
-				free--
-			}
+		if !de.dead {
+			free += decodeSlots - len(de.running)
 		}
 	}
 	for other := range op.starting {
@@ -167,26 +207,37 @@
 }
 
 func (op *oraclePolicy) decoding(rq *request) {
-	op.ends[rq] = op.sm.now + rq.tpot*float64(rq.output)
+	end := op.sm.now + rq.tpot*float64(rq.output)
+	op.ends[rq] = end
+	at, _ := slices.BinarySearch(op.sorted, end)
+	op.sorted = slices.Insert(op.sorted, at, end)
 	op.pump()
 }
 
+// forget takes a running decode out of the account.
+func (op *oraclePolicy) forget(rq *request) {
+	if end, ok := op.ends[rq]; ok {
+		at, _ := slices.BinarySearch(op.sorted, end)
+		op.sorted = slices.Delete(op.sorted, at, at+1)
+		delete(op.ends, rq)
+	}
+}
+
 func (op *oraclePolicy) ended(rq *request) {
-	delete(op.ends, rq)
+	op.forget(rq)
 	op.sm.after(0, op.pump)
 }
 
 func (op *oraclePolicy) lost(rq *request) {
 	delete(op.starting, rq)
-	delete(op.ends, rq)
+	op.forget(rq)
 	op.ready = slices.DeleteFunc(op.ready, func(other *request) bool { return other == rq })
 	op.sm.cancel(rq)
 	if rq.hopeless(op.sm.now) {
 		op.sm.refuse(rq, rq.tooLate())
 		return
 	}
-	op.queue = append(op.queue, rq)
-	sortByUrgency(op.queue)
+	op.enqueue(rq)
 }
 
 func (op *oraclePolicy) servers() {}
--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -134,9 +134,26 @@
 	return last
 }
 
-// Run plays one setup and measures it.
+// Run plays one setup and measures it. An oracle's result is the best of its
+// variants.
 func Run(su Setup) Result {
+	if su.Policy != Oracle {
+		return play(su, oracleVariant{})
+	}
+	var best Result
+	for ix, va := range oracleVariants {
+		if rs := play(su, va); ix == 0 || rs.GoodputAll() > best.GoodputAll() {
+			best = rs
+		}
+	}
+	return best
+}
+
+func play(su Setup, va oracleVariant) Result {
 	sm := newSim(su)
+	if op, ok := sm.policy.(*oraclePolicy); ok {
+		op.oracleVariant = va
+	}
 	sm.policy.begin()
 	for _, rq := range sm.requests {
 		sm.after(rq.arrive, func() { sm.policy.arrive(rq) })
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -55,10 +55,9 @@
 
 		slots    int // places of usable decode engines, less those of others
 		free     int
-		promised [2]int  // prefilling or prefilled: patient, quick
-		hazard   float64 // expected ends of decodes per millisecond
+		promised [2]int     // prefilling or prefilled: patient, quick
+		hazard   [2]float64 // expected ends of decodes per millisecond: patient, quick
 		queued   int
-		quickIn  rate // arrivals of quick requests
 
 		out   []Intent
 		steps int
@@ -292,7 +291,7 @@
 		ce.sent(jb)
 		ce.moving = without(ce.moving, jb)
 	case Decoding:
-		ce.hazard = max(0, ce.hazard-jb.hazard)
+		ce.hazard[class(jb)] = max(0, ce.hazard[class(jb)]-jb.hazard)
 	}
 	jb.grp.held--
 	if jb.decode != nil {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -100,7 +100,7 @@
 
 // learnLink takes a measured transfer into the link's rate.
 func (eng *engine) learnLink(tokens int, took clock.Millis) {
-	if took > 0 && tokens >= 256 {
+	if took > 0 && tokens >= 2048 {
 		eng.linkRate += learnRate * (float64(tokens)/float64(took) - eng.linkRate)
 	}
 }
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -6,37 +6,74 @@
 	"alderdyke/pkg/clock"
 )
 
-// How sure a place must be before a prefill starts.
+// How sure a place must be before a prefill starts, in standard deviations
+// of the number of places in use by then.
 const (
-	boldest  = -0.5 // standard deviations at a weight of 0
-	surest   = 2.5  // standard deviations at a weight of 1
-	burstSD  = 1.5  // standard deviations of quick arrivals kept free
-	burstFor = 400 * clock.Millis(1)
+	boldest = 0.0 // at a weight of 0
+	surest  = 1.5 // at a weight of 1
+	quickSD = 2.0 // for places that quick work finds free while patient work holds the rest
 )
 
-// reserve is how many places patient work leaves free for a burst of quick
-// requests.
-func reserve(quickRate float64) float64 {
-	return burstSD * math.Sqrt(quickRate*float64(burstFor))
+// outlook is what a cell expects of its decode places. Quick requests come
+// and go within about a second, so their number returns to its mean; patient
+// ones leave at the rate that their groups' lengths tell.
+type outlook struct {
+	patient  float64 // places that patient requests hold or are promised
+	ends     float64 // ends of patient decodes per millisecond
+	quick    float64 // places that quick requests hold or are promised
+	mean     float64 // expected number of quick requests at the present arrivals
+	quickFor float64 // milliseconds that a quick request holds its place
 }
 
 // sureAt tells how many standard deviations a forecast is cut by, for a
 // weight of wasted prefill.
 func sureAt(weight float64) float64 { return boldest + weight*(surest-boldest) }
 
+func (ce *Cell) look(now clock.Millis) outlook {
+	var ol outlook
+	arrivals := 0.0
+	for _, gp := range ce.order {
+		ce.steps++
+		if !gp.quick {
+			ol.patient += float64(gp.held)
+			continue
+		}
+		ol.quick += float64(gp.held)
+		in := gp.arrivals.now(now)
+		arrivals += in
+		ol.mean += min(in*gp.holdMS, gp.share*float64(ce.slots))
+	}
+	ol.ends = ce.hazard[0]
+	ol.quickFor = 1
+	if arrivals > 0 {
+		ol.quickFor = max(1, ol.mean/arrivals)
+	}
+	return ol
+}
+
+// inUse forecasts the places in use after a span: the mean and the variance.
+func (ol outlook) inUse(span float64) (mean, variance float64) {
+	kept := math.Exp(-span / ol.quickFor)
+	quick := ol.mean + (ol.quick-ol.mean)*kept
+	ends := min(ol.patient, ol.ends*span)
+	return ol.patient - ends + quick, ends + ol.mean*(1-kept*kept)
+}
+
 // placeInSight tells whether a patient request whose KV cache is ready after
 // a span will find a free place within the time that the cache is kept. The
 // more wasted prefill weighs, the surer it must be and the less of that time
-// is counted on.
+// is counted on. Beside that, patient work leaves enough places for the
+// usual swings of quick work.
 func (ce *Cell) placeInSight(now clock.Millis, jb *job, after float64) bool {
-	weight := jb.grp.weight
-	quick := ce.quickIn.now(now)
+	weight, slots := jb.grp.weight, float64(ce.slots)
+	ol := ce.look(now)
 	span := after + (1-weight)*0.5*float64(ce.Keep)
-	ends := min(ce.hazard*span, float64(ce.slots))
-	comes := quick * span
-	margin := sureAt(weight) * math.Sqrt(ends+comes)
-	have := float64(ce.free) + ends - comes - margin
-	return have >= float64(ce.promised[0]+ce.promised[1]+1)+reserve(quick)
+	mean, variance := ol.inUse(span)
+	if mean+1+sureAt(weight)*math.Sqrt(variance) > slots {
+		return false
+	}
+	stay := ol.patient - min(ol.patient, ol.ends*(after+ol.quickFor))
+	return stay+1+ol.mean+quickSD*math.Sqrt(ol.mean) <= slots
 }
 
 // quickPlaceInSight tells whether a quick request whose KV cache is ready
@@ -47,7 +84,7 @@
 	if slack < 0 {
 		return false
 	}
-	have := float64(ce.free) + 0.5*ce.hazard*(after+slack)
+	have := float64(ce.free) + 0.5*(ce.hazard[0]+ce.hazard[1])*(after+slack)
 	return have >= float64(ce.promised[1]+1)
 }
 
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -59,7 +59,7 @@
 		holdMS    float64 // expected decode time when it was queued
 		linkMS    float64
 		hazard    float64 // expected ends per millisecond while it decodes
-		alone     bool    // its prefill had the engine to itself
+		alone     bool    // its prefill, or its transfer, had the engine to itself
 		orphan    bool
 		moved     bool // its transfer was sent another way once
 		began     bool // it was granted at least once
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -16,6 +16,7 @@
 	stallLeast    = 100 * clock.Millis(1)
 	sendingMost   = 1                    // patient transfers on one link at a time
 	lapseMargin   = 15 * clock.Millis(1) // for the way of a Transfer to the engine
+	lapseCertain  = 0.9                  // part of the keep that a learned transfer time may claim
 	preemptMargin = 50 * clock.Millis(1) // a prefill that begins sooner is not taken back
 )
 
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -9,9 +9,15 @@
 	"alderdyke/pkg/refusal"
 )
 
-// forecastEach is how often a waiting queue looks again at a forecast that
-// grows with time.
-const forecastEach = 25 * clock.Millis(1)
+const (
+	// forecastEach is how often a waiting queue looks again at a forecast
+	// that grows with time.
+	forecastEach = 25 * clock.Millis(1)
+
+	quickAhead = 200.0 // milliseconds that quick transfers count as sooner
+	lapseAhead = 300.0 // the same for patient ones, at a weight of 1
+	lapseNear  = 100.0 // milliseconds before the lapse of a KV cache that nothing weighs on
+)
 
 // prefilled notes that a KV cache is ready and queues its transfer.
 func (ce *Cell) prefilled(now clock.Millis, jb *job, took clock.Millis) {
@@ -29,15 +35,15 @@
 	ce.ready = append(ce.ready, jb)
 }
 
-// transfer orders the imports that have a link and a place: quick requests
-// first, then those whose KV cache lapses soonest.
+// transfer orders the imports that have a link and a place, the one that
+// must begin soonest first.
 func (ce *Cell) transfer(now clock.Millis) {
 	if len(ce.ready) == 0 {
 		return
 	}
 	slices.SortStableFunc(ce.ready, func(ja, jb *job) int {
 		ce.steps++
-		return cmp.Or(class(jb)-class(ja), cmp.Compare(ja.lapse, jb.lapse), compareIDs(ja, jb))
+		return cmp.Or(cmp.Compare(ja.beginBy(), jb.beginBy()), compareIDs(ja, jb))
 	})
 	rest := ce.ready[:0]
 	for ix, jb := range ce.ready {
@@ -46,7 +52,7 @@
 			rest = append(rest, ce.ready[ix:]...)
 			break
 		}
-		if !ce.linkFree(now, jb) || (!jb.ask.Quick && ce.free <= ce.quickArriving()) {
+		if !ce.linkFree(now, jb) || ce.leavesToQuick(now, jb) {
 			rest = append(rest, jb)
 			continue
 		}
@@ -56,8 +62,23 @@
 	ce.ready = rest
 }
 
-// quickArriving is how many places quick requests under way will take.
-func (ce *Cell) quickArriving() int { return ce.promised[1] }
+// beginBy is the point by which a transfer should begin: a quick one's first
+// token is due, a patient one's KV cache lapses, which counts as sooner the
+// more its loss weighs.
+func (jb *job) beginBy() float64 {
+	if jb.ask.Quick {
+		return float64(jb.due) - jb.linkMS - quickAhead
+	}
+	return float64(jb.lapse) - jb.linkMS - lapseAhead*jb.grp.weight
+}
+
+// leavesToQuick tells whether a patient transfer leaves the last places to
+// the quick requests whose prefills are under way. It does not once its KV
+// cache is about to lapse.
+func (ce *Cell) leavesToQuick(now clock.Millis, jb *job) bool {
+	return !jb.ask.Quick && ce.free <= ce.promised[1] &&
+		float64(jb.lapse-now)-jb.linkMS > lapseNear+lapseAhead*jb.grp.weight
+}
 
 // linkFree tells whether a transfer may go on its prefill engine's link.
 // Quick requests always may; patient ones go one after another unless the KV
@@ -72,6 +93,7 @@
 func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine) {
 	ce.promised[class(jb)]--
 	jb.stage, jb.since, jb.decode = Transferring, now, dec
+	jb.alone = !jb.ask.Quick && jb.prefill.sending == 0
 	if !jb.ask.Quick {
 		jb.prefill.sending++
 	}
@@ -86,12 +108,14 @@
 	if jb.stage != Transferring {
 		return
 	}
+	if jb.alone && jb.prefill.sending == 1 {
+		jb.prefill.learnLink(jb.ask.PromptTokens, took-ce.Ways/2)
+	}
 	ce.sent(jb)
-	jb.prefill.learnLink(jb.ask.PromptTokens, took)
 	ce.moving = without(ce.moving, jb)
 	jb.stage, jb.since = Decoding, now
 	jb.hazard = 1 / jb.grp.holdMS
-	ce.hazard += jb.hazard
+	ce.hazard[class(jb)] += jb.hazard
 }
 
 // rejected notes that a decode engine was full after all: others use it.
@@ -124,7 +148,7 @@
 func (ce *Cell) lapse(now clock.Millis) {
 	for _, jb := range slices.Clone(ce.ready) {
 		ce.steps++
-		if float64(jb.lapse-now) < jb.linkMS {
+		if float64(jb.lapse-now) < min(jb.linkMS, lapseCertain*float64(ce.Keep)) {
 			ce.requeue(now, jb, refusal.TargetUnreachable)
 		}
 	}
@@ -200,7 +224,7 @@
 	}
 	jb.stage = Decoding
 	jb.hazard = 1 / jb.grp.holdMS
-	ce.hazard += jb.hazard
+	ce.hazard[class(jb)] += jb.hazard
 }
 
 // ensure finds an engine, or makes an entry for one that is no longer listed
