client: test the ends of a call; caller: write whole answers in bounded pieces

A whole answer had one deadline that grew with its size, up to hours; now every 16 KiB has the write timeout.

--- a/internal/caller/doc.go
+++ b/internal/caller/doc.go
@@ -13,9 +13,13 @@
 //	GET  /v1/answers/{key}       the answer of a key, without the request
 //	any  /services/{name}/{path} a call of a plain service
 //
-// Every call carries the customer's API key as "Authorization: Bearer". The
-// headers Idempotency-Key, Alderdyke-Class, Alderdyke-Deadline and
-// Last-Event-ID are the caller's to set; docs/design/callers.md has them all.
+// Every call carries the customer's API key as "Authorization: Bearer". These
+// headers are the caller's to set:
+//
+//	Idempotency-Key     names the request; the response names it in any case
+//	Alderdyke-Class     class by name; otherwise the first class of the model
+//	Alderdyke-Deadline  span such as "2s"; can only shorten the class's
+//	Last-Event-ID       go on after this event of the answer of the key
 //
 // # Ends
 //
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -28,8 +28,9 @@
 		BodyRate      int64        // least bytes a second of a body, on average (1 KiB)
 		IdleTimeout   clock.Millis // of a connection between requests (60s)
 
-		// WriteTimeout is how long one event may take to reach the caller's
-		// connection, and how long sent data may stay unacknowledged (20s).
+		// WriteTimeout is how long one event, or 16 KiB of a whole answer,
+		// may take to reach the caller's connection, and how long sent data
+		// may stay unacknowledged (20s).
 		WriteTimeout clock.Millis
 
 		// HeaderWait is how long the status of a streamed answer is held
@@ -37,7 +38,9 @@
 		// own (15s). After that the stream begins with status 200.
 		HeaderWait clock.Millis
 
-		KeepAlive clock.Millis // between comments on a silent stream (10s)
+		// KeepAlive is the time between comments on a silent stream, and
+		// before the first TCP probe of a silent connection (10s).
+		KeepAlive clock.Millis
 
 		Connections        int // open connections (4096)
 		ConnectionsPerIP   int // of them from one IP address (512)
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -158,17 +158,18 @@
 
 // forwarded copies the headers that are meant for the other end.
 func forwarded(hd http.Header) http.Header {
-	out := hd.Clone()
+	out := make(http.Header, len(hd))
+	for name, values := range hd {
+		name = http.CanonicalHeaderKey(name)
+		if !slices.Contains(dropped, name) && !strings.HasPrefix(name, ownPrefix) {
+			out[name] = slices.Clone(values)
+		}
+	}
 	for _, list := range hd.Values("Connection") {
 		for name := range strings.SplitSeq(list, ",") {
 			out.Del(strings.TrimSpace(name))
 		}
 	}
-	for name := range out {
-		if slices.Contains(dropped, name) || strings.HasPrefix(name, ownPrefix) {
-			delete(out, name)
-		}
-	}
 	return out
 }
 
--- a/internal/caller/rig_test.go
+++ b/internal/caller/rig_test.go
@@ -40,6 +40,7 @@
 		begin   func(req Request, st *answer.Stream) error
 		refuse  error
 		moved   chan int
+		list    []Address
 	}
 
 	rig struct {
@@ -78,6 +79,11 @@
 }
 
 func (fr *fakeRunner) Addresses() ([]Address, clock.Millis) {
+	fr.mu.Lock()
+	defer fr.mu.Unlock()
+	if fr.list != nil {
+		return fr.list, 30 * clock.Second
+	}
 	return []Address{{Address: "10.0.0.1:80", FailureDomain: "aarhus-a"}}, 30 * clock.Second
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -27,7 +27,10 @@
 	"alderdyke/pkg/refusal"
 )
 
-const answersRoot = "/v1/answers/"
+const (
+	answersRoot = "/v1/answers/"
+	probes      = 3 // unanswered TCP keep-alive probes after which a connection is broken
+)
 
 type (
 	// Server is the callers' side of one VM. Set the exported fields before
@@ -118,7 +121,9 @@
 }
 
 func (srv *Server) listen(ctx context.Context) (*listener, error) {
-	cfg := net.ListenConfig{KeepAlive: srv.limits.WriteTimeout.Std()}
+	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: srv.limits.KeepAlive.Std(), Interval: srv.limits.KeepAlive.Std() / 2, Count: probes,
+	}}
 	base, err := cfg.Listen(ctx, "tcp", srv.Listen)
 	if err != nil {
 		return nil, oops.In("caller").With("Address", srv.Listen).Wrapf(err, "listen for callers")
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +15,6 @@
 
 	"alderdyke/internal/answer"
 	"alderdyke/internal/event"
-	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
@@ -22,7 +22,8 @@
 	kindChunk  = "chat.completion.chunk"
 	kindWhole  = "chat.completion"
 	finishStop = "stop"
-	fromStart  = -1 // last event ID of a caller that has seen none
+	fromStart  = -1       // last event ID of a caller that has seen none
+	writePiece = 16 << 10 // bytes of a whole answer for each write timeout
 )
 
 type (
@@ -258,15 +259,7 @@
 	if !dl.began {
 		dl.begin()
 	}
-	lm := dl.srv.limits
-	err := dl.rc.SetWriteDeadline(time.Now().Add(lm.WriteTimeout.Std()))
-	if err == nil {
-		_, err = dl.wr.Write([]byte(text))
-	}
-	if err == nil {
-		err = dl.rc.Flush()
-	}
-	if err != nil {
+	if err := dl.srv.write(dl.wr, dl.rc, []byte(text)); err != nil {
 		dl.srv.broken(err, dl.key)
 		abort()
 	}
@@ -338,32 +331,40 @@
 	dl.srv.count("AnswersDelivered")
 }
 
-// writeWhole writes a response in one piece, within a time that grows with
-// its size.
+// writeWhole writes a response that is complete. Each piece of it has the
+// write timeout.
 func (srv *Server) writeWhole(wr http.ResponseWriter, code int, body []byte) {
-	lm := srv.limits
-	span := lm.WriteTimeout + clock.Millis(int64(len(body))*int64(clock.Second)/lm.BodyRate)
-	rc := http.NewResponseController(wr)
-	err := rc.SetWriteDeadline(time.Now().Add(span.Std()))
 	if len(body) == 0 {
 		wr.WriteHeader(code)
 		return
 	}
 	wr.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	wr.WriteHeader(code)
-	if err == nil {
-		_, err = wr.Write(body)
+	rc := http.NewResponseController(wr)
+	for piece := range slices.Chunk(body, writePiece) {
+		err := srv.write(wr, rc, piece)
+		if errors.Is(err, http.ErrBodyNotAllowed) {
+			return
+		}
+		if err != nil {
+			srv.broken(err, "")
+			abort()
+		}
 	}
-	if errors.Is(err, http.ErrBodyNotAllowed) {
-		return
+}
+
+// write writes and flushes within the write timeout.
+func (srv *Server) write(wr http.ResponseWriter, rc *http.ResponseController, data []byte) error {
+	if err := rc.SetWriteDeadline(time.Now().Add(srv.limits.WriteTimeout.Std())); err != nil {
+		return fmt.Errorf("set the deadline of a write: %w", err)
 	}
-	if err == nil {
-		err = rc.Flush()
+	if _, err := wr.Write(data); err != nil {
+		return fmt.Errorf("write to the caller: %w", err)
 	}
-	if err != nil {
-		srv.broken(err, "")
-		abort()
+	if err := rc.Flush(); err != nil {
+		return fmt.Errorf("flush to the caller: %w", err)
 	}
+	return nil
 }
 
 // broken counts a caller's connection that failed under a write.
--- a/internal/caller/stream_test.go
+++ b/internal/caller/stream_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"bufio"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -110,3 +112,30 @@
 	assert.Assert(t, strings.HasPrefix(body, ": keep-alive\n\n"))
 	assert.Assert(t, strings.Contains(body, "event: refusal\n"))
 }
+
+// BenchmarkStream measures one event of a streamed answer over loopback.
+func BenchmarkStream(b *testing.B) {
+	srv := &Server{Runner: &fakeRunner{streams: map[string]*answer.Stream{}}, Board: testBoard()}
+	_, err := srv.handler()
+	assert.NilError(b, err)
+	st := answer.NewStream()
+	hs := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		srv.delivery(wr, req, "", "k", fromStart).deliver(st, true)
+	}))
+	defer hs.Close()
+	assert.NilError(b, st.Token([]byte("tok")))
+	resp, err := http.Get(hs.URL)
+	assert.NilError(b, err)
+	defer func() { _ = resp.Body.Close() }()
+	sc := bufio.NewScanner(resp.Body)
+	b.ReportAllocs()
+	for b.Loop() {
+		for sc.Scan() && sc.Text() != "" {
+			continue
+		}
+		if err := st.Token([]byte("tok")); err != nil {
+			b.Fatal(err)
+		}
+	}
+	assert.NilError(b, st.End(nil))
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -122,7 +122,7 @@
 		cs.key = rand.Text()
 	}
 	var last error
-	for range orPreset(cl.Attempts, presetAttempts) {
+	for left := orPreset(cl.Attempts, presetAttempts) - 1; left >= 0; left-- {
 		addr, err := cl.pick(ctx)
 		if err != nil {
 			return cs.end(err)
@@ -132,7 +132,7 @@
 			return nil
 		case refused:
 			last = fmt.Errorf("answer of %s: %w", addr, cs.truth(oc.rf))
-			if !cs.again(oc.rf, cc) {
+			if left == 0 || !cs.again(oc.rf, cc) {
 				return last
 			}
 			cs.rekey(cc)
@@ -140,7 +140,9 @@
 		case broken:
 			cs.inDoubt = cs.inDoubt || oc.sent
 			last = fmt.Errorf("try at %s: %w", addr, oc.err)
-			err = cl.afterBreak(ctx, cs, addr)
+			if left > 0 {
+				err = cl.afterBreak(ctx, cs, addr)
+			}
 		}
 		if err != nil {
 			return cs.end(errors.Join(err, last))
--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,310 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type (
+	// step is what a VM does with one request of the call.
+	step func(wr http.ResponseWriter, req *http.Request)
+
+	// fleet is VMs on loopback that take the steps in turn, whichever is
+	// asked, and then the last one for ever.
+	fleet struct {
+		*Client
+		mu     sync.Mutex
+		steps  []step
+		asks   int      // for addresses
+		vms    []string // asked, by request
+		keys   []string
+		lasts  []string
+		waits  []clock.Millis
+		list   []string
+		manual clock.Manual
+	}
+)
+
+func newFleet(t *testing.T, vms int, steps ...step) *fleet {
+	t.Helper()
+	fl := &fleet{steps: steps}
+	for range vms {
+		srv := httptest.NewServer(http.HandlerFunc(fl.serve))
+		t.Cleanup(srv.Close)
+		fl.list = append(fl.list, srv.Listener.Addr().String())
+	}
+	fl.Client = &Client{Bootstrap: fl.list[:1], APIKey: "secret", Clock: &fl.manual, Attempts: 6}
+	fl.Wait = func(ctx context.Context, span clock.Millis) error {
+		fl.waits = append(fl.waits, span)
+		return ctx.Err()
+	}
+	t.Cleanup(fl.Close)
+	return fl
+}
+
+func (fl *fleet) serve(wr http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	fl.mu.Lock()
+	if req.URL.Path == "/v1/addresses" {
+		defer fl.mu.Unlock()
+		fl.asks++
+		var body addressesBody
+		for _, addr := range fl.list {
+			body.Addresses = append(body.Addresses, struct{ Address string }{addr})
+		}
+		body.KeepFor = 30 * clock.Second
+		_ = json.NewEncoder(wr).Encode(body)
+		return
+	}
+	do := fl.steps[min(len(fl.vms), len(fl.steps)-1)]
+	fl.vms = append(fl.vms, req.Host)
+	fl.keys = append(fl.keys, req.Header.Get(headerKey))
+	fl.lasts = append(fl.lasts, req.Header.Get(headerLastID))
+	fl.mu.Unlock()
+	do(wr, req)
+}
+
+// stream sends token events from an ID on; "." is the final event and "!"
+// breaks the connection.
+func stream(from int, parts ...string) step {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "text/event-stream")
+		for ix, part := range parts {
+			choice := fmt.Sprintf(`{"delta":{"content":%q},"finish_reason":null}`, part)
+			switch part {
+			case "!":
+				_ = http.NewResponseController(wr).Flush()
+				panic(http.ErrAbortHandler)
+			case ".":
+				choice = `{"delta":{"content":""},"finish_reason":"stop"}`
+			}
+			_, _ = fmt.Fprintf(wr, ": comment\n\nid: %d\ndata: {\"choices\":[%s],\"usage\":{\"completion_tokens\":7}}\n\n", from+ix, choice)
+		}
+	}
+}
+
+func refuse(ran refusal.Ran, reason refusal.Reason, after clock.Millis) step {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set(headerRefusal, string(reason))
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(wr).Encode(map[string]any{"error": refusal.Refusal{Ran: ran, Reason: reason, RetryAfter: after}})
+	}
+}
+
+var (
+	breaks = stream(0, "!")
+	done   = stream(0, "ok", ".")
+)
+
+func TestResumesAtAnotherVM(t *testing.T) {
+	fl := newFleet(t, 3, stream(0, "weld ", "7 ", "!"), stream(2, "has ", "!"), stream(3, "pits", "."))
+	var pieces []string
+	ans, err := fl.Chat(t.Context(), ChatRequest{Model: "m", OnText: func(text string) { pieces = append(pieces, text) }})
+	assert.NilError(t, err)
+	assert.Equal(t, ans.Text, "weld 7 has pits")
+	assert.Equal(t, strings.Join(pieces, ""), ans.Text)
+	assert.Equal(t, ans.Tokens, 7)
+	assert.DeepEqual(t, fl.lasts, []string{"", "1", "2"})
+	assert.DeepEqual(t, fl.keys, []string{ans.Key, ans.Key, ans.Key})
+	assert.DeepEqual(t, fl.vms, fl.list)
+	assert.Equal(t, len(fl.waits), 0)
+}
+
+func TestOneTruthfulEnd(t *testing.T) {
+	no, may := refusal.NotRun, refusal.MayHaveRun
+	for name, tc := range map[string]struct {
+		steps    []step
+		own      bool
+		idem     bool
+		ran      refusal.Ran // "" is an answer
+		tries    int
+		sameKeys bool
+		waits    int
+	}{
+		"answer":                         {steps: []step{done}, tries: 1, sameKeys: true},
+		"not run, then answer":           {steps: []step{refuse(no, refusal.QueueFull, 100), done}, tries: 2, waits: 1},
+		"not run, own key":               {steps: []step{refuse(no, refusal.QueueFull, 100), done}, own: true, tries: 2, sameKeys: true, waits: 1},
+		"not run, of no use":             {steps: []step{refuse(no, refusal.BadRequest, 0)}, ran: no, tries: 1, sameKeys: true},
+		"not run for ever":               {steps: []step{refuse(no, refusal.QueueFull, 100)}, ran: no, tries: 6, waits: 5},
+		"may have run":                   {steps: []step{refuse(may, refusal.VMLost, 100)}, ran: may, tries: 1, sameKeys: true},
+		"may have run, idempotent":       {steps: []step{refuse(may, refusal.VMLost, 100), done}, idem: true, tries: 2, waits: 1},
+		"may have run, idempotent, own":  {steps: []step{refuse(may, refusal.VMLost, 100)}, idem: true, own: true, ran: may, tries: 1, sameKeys: true},
+		"break, then not run":            {steps: []step{breaks, refuse(no, refusal.BadRequest, 0)}, ran: may, tries: 2, sameKeys: true},
+		"break, then not run, then done": {steps: []step{breaks, refuse(no, refusal.HomeUnreachable, 100), done}, tries: 3, sameKeys: true, waits: 1},
+		"break, then may have run":       {steps: []step{breaks, refuse(may, refusal.KeyInDoubt, 100)}, ran: may, tries: 2, sameKeys: true},
+		"breaks for ever":                {steps: []step{breaks}, ran: may, tries: 6, sameKeys: true, waits: 1},
+		"leaving VM":                     {steps: []step{refuse(no, refusal.Draining, 100), done}, tries: 2},
+		"all leaving":                    {steps: []step{refuse(no, refusal.Draining, 100)}, ran: no, tries: 6, waits: 1},
+		"text, then refusal":             {steps: []step{stream(0, "a", "!"), refuse(may, refusal.VMLost, 100)}, idem: true, ran: may, tries: 2, sameKeys: true},
+		"gap in the events":              {steps: []step{stream(1, "b", "."), done}, tries: 2, sameKeys: true},
+		"end without final event":        {steps: []step{stream(0, "ok"), stream(1, ".")}, tries: 2, sameKeys: true},
+		"not of the protocol":            {steps: []step{func(http.ResponseWriter, *http.Request) {}, done}, tries: 2, sameKeys: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fl := newFleet(t, 3, tc.steps...)
+			req := ChatRequest{Model: "m", Idempotent: tc.idem}
+			if tc.own {
+				req.Key = "own"
+			}
+			ans, err := fl.Chat(t.Context(), req)
+			var rf refusal.Refusal
+			assert.Equal(t, errors.As(err, &rf), err != nil, "%v", err)
+			assert.Equal(t, rf.Ran, tc.ran, "%v", err)
+			assert.Assert(t, err != nil || ans.Text == "ok")
+			assert.Equal(t, len(fl.vms), tc.tries)
+			distinct := map[string]bool{}
+			for _, key := range fl.keys {
+				distinct[key] = true
+			}
+			assert.Equal(t, len(distinct) == 1, tc.sameKeys, "%v", fl.keys)
+			assert.Equal(t, len(fl.waits), tc.waits)
+			if tc.waits > 0 && rf.Reason == refusal.QueueFull {
+				assert.Assert(t, fl.waits[0] >= 100 && fl.waits[0] <= 125)
+			}
+		})
+	}
+}
+
+func TestNobodyThere(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ln.Close())
+	cl := &Client{Bootstrap: []string{ln.Addr().String()}, Attempts: 3, Pause: 1}
+	_, err = cl.Chat(t.Context(), ChatRequest{})
+	var rf refusal.Refusal
+	assert.Assert(t, errors.As(err, &rf))
+	assert.Equal(t, rf.Ran, refusal.NotRun)
+	assert.Equal(t, rf.Reason, refusal.HomeUnreachable)
+	for _, bad := range [][]string{nil, {"localhost:80"}, {"10.0.0.1"}} {
+		cl := &Client{Bootstrap: bad}
+		_, err = cl.Call(t.Context(), PlainRequest{Method: http.MethodGet, Path: "/"})
+		assert.Assert(t, errors.As(err, &rf))
+		assert.Equal(t, rf.Reason, refusal.BadRequest)
+	}
+}
+
+func TestSilentConnectionIsBroken(t *testing.T) {
+	silent := func(wr http.ResponseWriter, req *http.Request) {
+		stream(0, "ok")(wr, req)
+		_ = http.NewResponseController(wr).Flush()
+		<-req.Context().Done()
+	}
+	fl := newFleet(t, 2, silent, stream(1, "."))
+	fl.Idle = 50
+	ans, err := fl.Chat(t.Context(), ChatRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, ans.Text, "ok")
+}
+
+func TestCancelledCall(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	fl := newFleet(t, 2, func(_ http.ResponseWriter, req *http.Request) {
+		cancel()
+		<-req.Context().Done()
+	})
+	_, err := fl.Chat(ctx, ChatRequest{})
+	var rf refusal.Refusal
+	assert.Assert(t, errors.As(err, &rf) && errors.Is(err, context.Canceled))
+	assert.Equal(t, rf.Ran, refusal.MayHaveRun)
+}
+
+func TestPlainCall(t *testing.T) {
+	answered := func(wr http.ResponseWriter, req *http.Request) {
+		wr.WriteHeader(http.StatusConflict)
+		_, _ = io.WriteString(wr, req.Method+" "+req.URL.RequestURI()+" "+req.Header.Get("X-In"))
+	}
+	fl := newFleet(t, 2, breaks, answered)
+	req := PlainRequest{Service: "kiosk api", Method: http.MethodPut, Path: "/status?x=1", Header: http.Header{"x-in": {"1"}}}
+	ans, err := fl.Call(t.Context(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, ans.Status, http.StatusConflict)
+	assert.Equal(t, string(ans.Body), "PUT /services/kiosk%20api/status?x=1 1")
+	assert.DeepEqual(t, fl.keys, []string{ans.Key, ans.Key})
+
+	fl.steps = []step{refuse(refusal.MayHaveRun, refusal.BackendFailed, 100)}
+	_, err = fl.Call(t.Context(), req)
+	var rf refusal.Refusal
+	assert.Assert(t, errors.As(err, &rf))
+	assert.Equal(t, len(fl.vms), 3, "never repeated")
+}
+
+func TestAddressesAreKept(t *testing.T) {
+	fl := newFleet(t, 2, done)
+	for range 3 {
+		_, err := fl.Chat(t.Context(), ChatRequest{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, fl.asks, 1)
+	fl.manual.Advance(30 * clock.Second)
+	_, err := fl.Chat(t.Context(), ChatRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, fl.asks, 2)
+}
+
+func ExampleClient_Chat() {
+	vm := httptest.NewServer((&fleet{list: []string{"127.0.0.1:1"}}).example())
+	defer vm.Close()
+	cl := &Client{Bootstrap: []string{vm.Listener.Addr().String()}, APIKey: "secret"}
+	defer cl.Close()
+	ans, err := cl.Chat(context.Background(), ChatRequest{
+		Model:    "summary-llm",
+		Messages: []Message{{Role: "user", Content: "land title 12"}},
+	})
+	var rf refusal.Refusal
+	if errors.As(err, &rf) {
+		fmt.Println("refused:", rf.Reason, rf.Ran)
+		return
+	}
+	fmt.Println(ans.Text)
+	// Output: ok
+}
+
+// example serves one whole answer at its own address.
+func (fl *fleet) example() http.HandlerFunc {
+	return func(wr http.ResponseWriter, req *http.Request) {
+		fl.list[0], fl.steps = req.Host, []step{done}
+		fl.serve(wr, req)
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add("id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}\n\n")
+	f.Add("event: refusal\ndata: {\"Ran\":\"NotRun\",\"Reason\":\"QueueFull\",\"RetryAfter\":\"1s\"}\n\n")
+	f.Add(`{"Addresses":[{"Address":"10.0.0.1:80"}],"KeepFor":"30s"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		if body, err := parseAddresses([]byte(text)); err == nil {
+			assert.Assert(t, len(body.Addresses) > 0 && body.KeepFor > 0)
+		}
+		cc := &chatCall{cs: &course{}, last: noEvent}
+		resp := &http.Response{
+			StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}},
+			Body: io.NopCloser(strings.NewReader(text)),
+		}
+		switch oc := cc.read(resp).(type) {
+		case whole:
+			assert.Assert(t, cc.begun())
+		case refused:
+			assert.Assert(t, oc.rf.Ran == refusal.NotRun || oc.rf.Ran == refusal.MayHaveRun)
+			assert.Assert(t, oc.rf.Reason != "" && oc.rf.RetryAfter >= 0)
+		case broken:
+			assert.Assert(t, oc.err != nil)
+		}
+	})
+}
