caller: tell callers above a limit why before the connection closes

A close with unread data resets the connection and takes the refusal back; the caller then has to assume that its request may have run.

--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -100,7 +100,7 @@
 	held := dialRaw(t, rg, "GET /v1/addresses HTTP/1.1\r\nHost: a\r\n\r\n")
 	_, err := bufio.NewReader(held).ReadString('\n')
 	assert.NilError(t, err)
-	data, err := io.ReadAll(dialRaw(t, rg, ""))
+	data, err := io.ReadAll(dialRaw(t, rg, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"))
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasSuffix(string(data), turnedAwayBody))
 	assert.Equal(t, rg.counted("ConnectionsTurnedAway", ""), int64(1))
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -10,6 +11,13 @@
 	"alderdyke/pkg/clock"
 )
 
+// Bounds on telling callers above a limit why.
+const (
+	turnAtOnce  = 64
+	turnTimeout = time.Second
+	turnBytes   = 64 << 10
+)
+
 // turnedAwayBody is the refusal on a connection above a limit.
 const turnedAwayBody = `{"error":{"Ran":"NotRun","Reason":"TooManyConnections","RetryAfter":"1s",` +
 	`"Detail":"connection limit of this VM"}}`
@@ -30,6 +38,8 @@
 		mostPerIP int
 		unacked   clock.Millis // how long sent data may stay unacknowledged
 		rejected  func(remote string)
+		turning   chan struct{} // one entry for each caller that is being turned away
+		closed    sync.Once
 
 		mu   sync.Mutex
 		open int
@@ -54,7 +64,7 @@
 		addr := addrOf(conn)
 		if !ln.take(addr) {
 			ln.rejected(addr.String())
-			turnAway(conn)
+			ln.turnAway(conn)
 			continue
 		}
 		if err := setUserTimeout(conn, ln.unacked); err != nil {
@@ -97,12 +107,38 @@
 	return err
 }
 
-// turnAway tells the caller why, as far as the new connection's send buffer
-// takes it at once, and closes.
-func turnAway(conn net.Conn) {
-	_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-	_, _ = conn.Write(turnedAway)
-	_ = conn.Close()
+// turnAway tells the caller why and closes. It reads what the caller sends
+// meanwhile, since a close with unread data would take the answer back.
+func (ln *listener) turnAway(conn net.Conn) {
+	select {
+	case ln.turning <- struct{}{}:
+	default:
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer func() { <-ln.turning }()
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetDeadline(time.Now().Add(turnTimeout))
+		if _, err := conn.Write(turnedAway); err != nil {
+			return
+		}
+		if tc, ok := conn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+			_, _ = io.CopyN(io.Discard, conn, turnBytes)
+		}
+	}()
+}
+
+// Close closes the listener and waits for the callers that are being turned
+// away, for about a second at most.
+func (ln *listener) Close() error {
+	err := ln.Listener.Close()
+	ln.closed.Do(func() {
+		for range cap(ln.turning) {
+			ln.turning <- struct{}{}
+		}
+	})
+	return err
 }
 
 // addrOf is the IP address of the other side, without its port.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -131,6 +131,7 @@
 	return &listener{
 		Listener: base, most: srv.limits.Connections, mostPerIP: srv.limits.ConnectionsPerIP,
 		unacked: srv.limits.WriteTimeout, rejected: srv.turnedAway,
+		turning: make(chan struct{}, turnAtOnce),
 	}, nil
 }
 
