--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -16,6 +16,9 @@
 // headBytes is what IPv4 and UDP add to a datagram.
 const headBytes = 28
 
+// unknown is the health of a VM that was listed but never heard of.
+const unknown board.Health = -1
+
 type (
 	// testFleet exchanges datagrams between real detectors under virtual
 	// time, with loss, delay, pauses, deaths and cuts.
@@ -28,7 +31,6 @@
 		seq    int
 		loss   float64
 		cut    func(from, to *testVM) bool
-		hook   func(in Send)
 		settle clock.Millis // nothing is counted before
 		// pauseEvery is the mean span between pauses of a VM; zero is none.
 		pauseEvery clock.Millis
@@ -206,9 +208,6 @@
 			in.Datagram.Sequence = uint64(1000 + vm.sent.messages)
 			tf.largest = max(tf.largest, proto.Size(in.Datagram))
 			vm.sent.add(in.Datagram)
-			if tf.hook != nil {
-				tf.hook(in)
-			}
 			tf.transmit(vm, in)
 		case Changed:
 			tf.compare(vm, in.Fleet)
@@ -241,50 +240,70 @@
 func (tf *testFleet) compare(vm *testVM, fl *board.Fleet) {
 	old := vm.fleet
 	vm.fleet = fl
-	if old == nil || tf.now < tf.settle {
-		return
+	if old == nil {
+		old = &board.Fleet{}
 	}
 	at := 0
 	for _, now := range fl.VMs {
 		for at < len(old.VMs) && old.VMs[at].ID < now.ID {
 			at++
 		}
-		if at == len(old.VMs) || old.VMs[at].ID != now.ID || old.VMs[at].Health == now.Health {
-			continue
+		before := unknown
+		if at < len(old.VMs) && old.VMs[at].ID == now.ID {
+			before = healthOf(old.VMs[at])
+		}
+		hl := healthOf(now)
+		if hl != before {
+			tf.moved(now.ID, before, hl)
+		}
+		if hl == board.Dead && fl.Quorate && (hl != before || !old.Quorate) {
+			tf.checkFence(now)
 		}
-		tf.moved(vm, now, old.VMs[at].Health)
 	}
 }
 
-func (tf *testFleet) moved(vm *testVM, now board.VM, before board.Health) {
-	if at, ok := tf.killed[now.ID]; ok {
-		switch now.Health {
+// checkFence counts a VM that a quorate one holds dead while it may still
+// start work under the same incarnation.
+func (tf *testFleet) checkFence(held board.VM) {
+	target := tf.byID[held.ID]
+	if target.up && target.until > tf.now && target.dt.Self.Incarnation == held.Incarnation {
+		tf.unfenced++
+	}
+}
+
+// healthOf tells a VM that was never heard of from a dead one.
+func healthOf(vm board.VM) board.Health {
+	if vm.Incarnation == 0 {
+		return unknown
+	}
+	return vm.Health
+}
+
+func (tf *testFleet) moved(id string, before, now board.Health) {
+	if at, ok := tf.killed[id]; ok {
+		switch now {
 		case board.Suspect:
-			tf.suspected[now.ID] = append(tf.suspected[now.ID], tf.now-at)
+			tf.suspected[id] = append(tf.suspected[id], tf.now-at)
 		case board.Dead:
-			tf.detected[now.ID] = append(tf.detected[now.ID], tf.now-at)
+			tf.detected[id] = append(tf.detected[id], tf.now-at)
 		}
 		return
 	}
 	switch before {
 	case board.Suspect:
-		tf.suspects[now.ID]--
+		tf.suspects[id]--
 	case board.Dead:
-		tf.deaths[now.ID]--
+		tf.deaths[id]--
 	}
-	switch now.Health {
+	switch now {
 	case board.Suspect:
-		if tf.suspects[now.ID]++; tf.suspects[now.ID] == 1 {
+		if tf.suspects[id]++; tf.suspects[id] == 1 && tf.now >= tf.settle {
 			tf.falseSuspicions++
 		}
 	case board.Dead:
-		if tf.deaths[now.ID]++; tf.deaths[now.ID] == 1 {
+		if tf.deaths[id]++; tf.deaths[id] == 1 && tf.now >= tf.settle {
 			tf.falseDeaths++
 		}
-		target := tf.byID[now.ID]
-		if vm.fleet.Quorate && target.until > tf.now {
-			tf.unfenced++
-		}
 	}
 }
 
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -69,8 +69,12 @@
 	if qr.until != until {
 		dt.out = append(dt.out, Fresh{Until: qr.until})
 	}
-	if qr.quorate != before {
-		dt.dirty = true
+	if qr.quorate == before {
+		return
+	}
+	dt.dirty = true
+	if qr.quorate {
+		dt.regain()
 	}
 }
 
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -35,6 +35,7 @@
 		mb.suspicion = suspicion{started: dt.now}
 		dt.tb.suspects = append(dt.tb.suspects, mb)
 	}
+	mb.private = false
 	su := &mb.suspicion
 	if by == dt.self && su.recheck == 0 {
 		su.recheck = dt.now
@@ -85,6 +86,29 @@
 	dt.rm.drop(mb.vm.ID)
 }
 
+// regain begins all doubts again when this VM reaches a majority again: while
+// it did not, the others may have answered without its hearing it.
+func (dt *Detector) regain() {
+	for _, mb := range dt.tb.suspects {
+		mb.suspicion.started = dt.now
+		mb.suspicion.deadline = dt.now + dt.suspicionSpan(len(mb.suspicion.by)-1) + dt.Settings.DeadHold
+	}
+	for _, mb := range dt.tb.members {
+		if mb.vm.Health != board.Dead || !mb.private {
+			continue
+		}
+		dt.setHealth(mb, board.Suspect)
+		mb.private = true
+		mb.suspicion = suspicion{
+			started:  dt.now,
+			deadline: dt.now + dt.Settings.SuspicionMax + dt.Settings.DeadHold,
+			recheck:  dt.now + clock.Millis(dt.Rand.Int64N(int64(dt.Settings.SuspicionMax))),
+		}
+		dt.tb.suspects = append(dt.tb.suspects, mb)
+		dt.pb.enrol(mb, dt.Rand)
+	}
+}
+
 // refute answers a rumour that doubts Self. A doubt is answered within the
 // incarnation; if others already held this VM dead, it needs a new one.
 func (dt *Detector) refute(incarnation uint64, refutation uint32, hl board.Health) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -32,7 +32,7 @@
 		tries      int          // probes it missed while not heard
 		leaving    bool         // announced by itself
 		listLeaves bool         // the VM list says that it leaves
-		private    bool         // Dead by this VM's judgement only
+		private    bool         // doubted by this VM alone, from when it was not quorate
 		since      clock.Millis // when its Health began
 		unlisted   clock.Millis // when the VM list dropped it
 		suspicion  suspicion    // while it is Suspect
