entry, demo: run the whole path, thin

Cause: the parts are there; a request has to pass through all of them. Change: wire membership, claims, cells, engines, plain services, callers and operators into one VM; demo runs three VMs and the stand-ins in one process. balance, retry and the follower of the log are provisional.

--- a/cmd/alderdyke/main.go
+++ b/cmd/alderdyke/main.go
@@ -2,4 +2,24 @@
 // decode pools of language-model engines. See "alderdyke --help".
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"alderdyke/internal/cli"
+	"alderdyke/internal/demo"
+	"alderdyke/internal/entry"
+)
+
+// version of the program, as CHANGELOG.md names it.
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	pg := cli.Program{Run: entry.Run, Demo: demo.Run, Version: version}
+	code := pg.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -61,6 +61,25 @@
 	return cells
 }
 
+// cellFor picks the cell of a model service for a request. Requests with the
+// same prefix go to the same cell, where its KV cache may be kept; the others
+// spread evenly.
+func (vm *VM) cellFor(service string, prefix uint64) string {
+	var names []string
+	for _, ce := range cellsOf(vm.Board.Backends()) {
+		if ce.Service == service {
+			names = append(names, ce.Name)
+		}
+	}
+	if len(names) == 0 {
+		return service + "/0"
+	}
+	if prefix == 0 {
+		prefix = vm.nextCell.Add(1)
+	}
+	return names[prefix%uint64(len(names))]
+}
+
 // accountantOf names the VM that accounts for a cell in this VM's view.
 func accountantOf(cellName string, fl *board.Fleet) (board.VM, bool) {
 	var fit []board.VM
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -47,6 +47,7 @@
 		decode  board.BackendServer
 		kv      engine.PrefillResult
 		touched map[string]struct{} // engines that may hold something
+		undo    func()              // takes back a placement that no accountant knows
 	}
 )
 
@@ -90,9 +91,11 @@
 		rn:      rn,
 		name:    fmt.Sprintf("%s/%s/%d.%d", rn.id.Customer, rn.id.Key, rn.attempt, try),
 		touched: make(map[string]struct{}),
+		undo:    func() {},
 	}
 	ma.rs = rn.vm.reserve(ctx, ma.ask(try), rn.tr)
 	defer func() {
+		ma.undo()
 		if err != nil {
 			ma.clear()
 			ma.rs.end(sched.Cancelled)
@@ -149,7 +152,9 @@
 func (ma *modelAttempt) place(ctx context.Context) error {
 	gr, err := ma.rs.grant(ctx)
 	if errors.Is(err, errAccountantAway) {
-		gr, err = ma.rn.vm.chooseAlone(ctx, ma.rn)
+		if gr, err = ma.rn.vm.chooseAlone(ctx, ma.rs.ask); err == nil {
+			ma.undo = func() { ma.rn.vm.alone.ended(gr) }
+		}
 	}
 	if err != nil {
 		return failure{"wait for a place", err}
--- a/internal/entry/operatorside.go
+++ b/internal/entry/operatorside.go
@@ -128,4 +128,3 @@
 	defer rs.mu.Unlock()
 	return len(rs.ended)
 }
-
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"alderdyke/internal/event"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/sched"
@@ -258,7 +260,7 @@
 func (rs *reservation) opening() *peerpb.ReserveAsk {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	ask := cloneAsk(rs.ask)
+	ask := proto.CloneOf(rs.ask)
 	if !rs.granted {
 		return ask
 	}
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -168,7 +168,7 @@
 
 // Addresses implements caller.Runner.
 func (vm *VM) Addresses() ([]caller.Address, clock.Millis) {
-	return caller.Candidates(vm.Board.Fleet()), vm.KeepAddresses
+	return caller.Candidates(vm.Board.Fleet()), vm.Settings.Addresses.KeepFor
 }
 
 func (vm *VM) ended(rn *run) {
--- /dev/null
+++ b/internal/entry/start.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"alderdyke/internal/event"
+	"alderdyke/internal/metrics"
+	"alderdyke/internal/settings"
+	"alderdyke/pkg/clock"
+)
+
+var levels = map[settings.Level]log.Level{
+	settings.LevelInfo:  log.InfoLevel,
+	settings.LevelWarn:  log.WarnLevel,
+	settings.LevelError: log.ErrorLevel,
+}
+
+// Run runs one entry VM as a process of its own: log lines go to standard
+// error, and the incarnation is the wall clock at the start.
+func Run(ctx context.Context, set settings.Settings) error {
+	mt := metrics.New(set.ID)
+	defer mt.Close()
+	vm := &VM{
+		Settings:    set,
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Clock:       clock.Monotonic{},
+		Scope:       mt.Scope,
+		Metrics:     mt.Handler(),
+		Log: event.Logger{Out: &log.Logger{
+			Level:      levels[set.Logging.Level],
+			TimeFormat: time.RFC3339Nano,
+			Writer:     &log.IOWriter{Writer: os.Stderr},
+		}},
+	}
+	if err := vm.Run(ctx); err != nil {
+		return fmt.Errorf("run VM %s: %w", set.ID, err)
+	}
+	return nil
+}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -18,6 +18,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -37,6 +39,7 @@
 	"alderdyke/internal/peer"
 	"alderdyke/internal/register"
 	"alderdyke/internal/retry"
+	"alderdyke/internal/sched"
 	"alderdyke/internal/service"
 	"alderdyke/internal/settings"
 	"alderdyke/internal/vmlist"
@@ -67,8 +70,11 @@
 		Logs     logsvc.Log
 		List     *vmlist.Client
 
+		// Metrics is the page of the counters; nil shows none.
+		Metrics http.Handler
+
 		callers   *caller.Server
-		operators *operator.Server
+		startedAt clock.Millis
 
 		// runCtx ends when the last request has its end.
 		runCtx   context.Context
@@ -82,6 +88,7 @@
 		traces     traces
 		janitor    janitor
 		accountant accountant
+		alone      alone
 		chooser    chooser
 		retries    retries
 
@@ -92,6 +99,7 @@
 		bookState *claim.Book  // owned by the loop of book once it runs
 		restored  *claim.Seats // learned from a peer before the book ran
 		claimSeed atomic.Uint64
+		nextCell  atomic.Uint64
 		loopCtx   context.Context // ends after the last request
 
 		backendsMu sync.Mutex // orders the writers of the board's backend servers
@@ -138,10 +146,11 @@
 		return gr.Wait()
 	}
 	vm.loopCtx = core
+	vm.wg.Go(func() { vm.tmpRead(core) })
 	vm.startLoops(core)
 	callCtx, stopCallers := context.WithCancel(core)
 	defer stopCallers()
-	gr.Go(func() error { return vm.operators.Run(grCtx) })
+	gr.Go(func() error { return vm.serveOperators(grCtx) })
 	callersDone := make(chan error, 1)
 	go func() { callersDone <- vm.callers.Run(callCtx) }()
 	vm.Log.Log(event.Started, event.F("Caller", vm.Settings.Caller.Listen.String()),
@@ -217,6 +226,7 @@
 	}
 	vm.Log.VM = vm.Settings.ID
 	vm.Self = board.VMRef{ID: vm.Settings.ID, Incarnation: vm.Incarnation}
+	vm.startedAt = vm.Clock.Now()
 	vm.drainNow = make(chan struct{})
 	vm.traces.clk = vm.Clock
 	vm.initAdapters()
@@ -250,18 +260,45 @@
 		Scope:  vm.Scope,
 		Logger: vm.Log,
 	}
-	vm.operators = &operator.Server{
-		Listen:  set.Operator.Listen.String(),
-		Token:   set.Operator.Token,
-		Backend: operatorSide{vm},
-		Scope:   vm.Scope,
-		Log:     vm.Log,
+}
+
+// serveOperators serves the operators' address.
+func (vm *VM) serveOperators(ctx context.Context) error {
+	ln, err := net.Listen("tcp", vm.Settings.Operator.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	srv := &operator.Server{
+		Listener: ln,
+		Token:    vm.Settings.Operator.Token,
+		Backend:  operatorSide{vm},
+		Metrics:  vm.Metrics,
+		Scope:    vm.Scope.SubScope("Operator"),
+		Log:      vm.Log,
+	}
+	if err := srv.Run(ctx); err != nil {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+// callerLimits are the limits that the settings hold for callers.
+func callerLimits(set settings.Settings) caller.Limits {
+	return caller.Limits{
+		MaxBody:       int64(set.Limits.MaxBody),
+		HeaderBytes:   int(set.Limits.MaxHeader),
+		HeaderTimeout: set.Limits.HeaderTimeout,
+		IdleTimeout:   set.Limits.IdleTimeout,
+		Connections:   set.Limits.MaxConnections,
+		Addresses:     set.Addresses.Count,
+		ListLag:       set.Drain.Linger,
 	}
 }
 
 // initDecisions makes the decision packages and their loops.
 func (vm *VM) initDecisions() {
 	vm.accountant = accountant{vm: vm}
+	vm.alone = alone{vm: vm, fb: sched.Fallback{Rand: vm.rand(4)}, own: make(map[string]int)}
 	vm.janitor = janitor{cancel: vm.Engines.Cancel, find: vm.server, lg: vm.Log}
 	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
