--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -50,6 +50,7 @@
 		done    chan struct{}
 		granted bool
 		orphan  bool
+		attempt int // of the grant
 		prefill string
 		decode  string
 	}
@@ -186,6 +187,7 @@
 		}
 		hc.ac.tell(ctx, sched.Progress{
 			Request: ask.GetRequest(),
+			Attempt: int(pg.GetAttempt()),
 			Stage:   stage,
 			Tokens:  int(pg.GetTokens()),
 			Took:    clock.Millis(pg.GetTook()),
@@ -219,6 +221,7 @@
 		out:     make(chan *peerpb.Frame, outboxDepth),
 		done:    make(chan struct{}),
 		granted: ask.GetStage() != "",
+		attempt: int(ask.GetAttempt()),
 		prefill: ask.GetPrefillServer(),
 		decode:  ask.GetDecodeServer(),
 	}
@@ -274,15 +277,17 @@
 	switch in := in.(type) {
 	case sched.Grant:
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
-			PrefillServer: in.Prefill, DecodeServer: in.Decode, SkipPrefill: in.SkipPrefill,
-		}}}, func(hr *heldRequest) { hr.granted, hr.prefill, hr.decode = true, in.Prefill, in.Decode })
+			PrefillServer: in.Prefill, DecodeServer: in.Decode, SkipPrefill: in.SkipPrefill, Attempt: uint32(in.Attempt),
+		}}}, func(hr *heldRequest) {
+			hr.granted, hr.attempt, hr.prefill, hr.decode = true, in.Attempt, in.Prefill, in.Decode
+		})
 	case sched.Transfer:
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
-			PrefillServer: in.Prefill, DecodeServer: in.Decode,
+			PrefillServer: in.Prefill, DecodeServer: in.Decode, Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) { hr.decode = in.Decode })
 	case sched.Preempt:
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
-			Reason: string(in.Reason),
+			Reason: string(in.Reason), Attempt: uint32(in.Attempt),
 		}}}, func(*heldRequest) {})
 	case sched.Refuse:
 		hc.tellRunner(in.Request, refusalFrame(in.Refusal), func(*heldRequest) {})
@@ -328,9 +333,13 @@
 // free tells the decisions that the engines hold nothing of an orphan.
 func (hc *heldCell) free(ctx context.Context, request string) {
 	hc.mu.Lock()
+	hr, ok := hc.held[request]
 	delete(hc.held, request)
 	hc.mu.Unlock()
-	hc.ac.tell(ctx, sched.Progress{Request: request, Stage: sched.Cancelled})
+	if !ok {
+		return
+	}
+	hc.ac.tell(ctx, sched.Progress{Request: request, Attempt: hr.attempt, Stage: sched.Cancelled})
 }
 
 // orphans lists the granted requests whose streams were lost.
--- a/internal/entry/janitor.go
+++ b/internal/entry/janitor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
 	"alderdyke/pkg/clock"
 )
@@ -24,13 +25,14 @@
 	debt struct {
 		Server  string
 		Request string
+		Attempt int // up to which all are cancelled
 	}
 
 	// janitor cancels what this VM no longer wants, again and again until
 	// the backend server confirms or is gone: an order to cancel, or its
 	// reply, may be lost.
 	janitor struct {
-		cancel func(ctx context.Context, srv board.BackendServer, request string) error
+		cancel func(ctx context.Context, srv board.BackendServer, request string, attempt int) error
 		find   func(id string) (board.BackendServer, bool)
 		lg     event.Logger
 
@@ -40,13 +42,19 @@
 	}
 )
 
-// free starts to cancel the request at the backend server. Asking twice does
-// no harm.
+// free starts to cancel the request for good at the backend server. Asking
+// twice does no harm.
 func (ja *janitor) free(ctx context.Context, server, request string) {
+	ja.freeAttempt(ctx, server, request, engine.AllAttempts)
+}
+
+// freeAttempt cancels the attempts up to the given one, so that a later one
+// may use the same backend server.
+func (ja *janitor) freeAttempt(ctx context.Context, server, request string, attempt int) {
 	if server == "" {
 		return
 	}
-	db := debt{Server: server, Request: request}
+	db := debt{Server: server, Request: request, Attempt: attempt}
 	ja.mu.Lock()
 	defer ja.mu.Unlock()
 	if _, ok := ja.open[db]; ok {
@@ -97,7 +105,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout.Std())
 	defer stop()
-	if err := ja.cancel(ctx, srv, db.Request); err != nil {
+	if err := ja.cancel(ctx, srv, db.Request, db.Attempt); err != nil {
 		return fmt.Errorf("cancel at %s: %w", db.Server, err)
 	}
 	return nil
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -42,6 +42,7 @@
 	modelAttempt struct {
 		rn      *run
 		name    string // of the request at the engines, new for each attempt
+		number  int    // of the grant in use, which is the attempt at the engines
 		rs      *reservation
 		prefill board.BackendServer
 		decode  board.BackendServer
@@ -114,6 +115,7 @@
 		if !errors.Is(err, errPreempted) {
 			break
 		}
+		ma.giveBack()
 	}
 	if err != nil {
 		return err
@@ -159,6 +161,7 @@
 	if err != nil {
 		return failure{"wait for a place", err}
 	}
+	ma.number++
 	ma.rn.tr.add(event.Granted, gr.GetPrefillServer()+" to "+gr.GetDecodeServer())
 	bk := ma.rn.vm.Board.Backends()
 	var okPrefill, okDecode bool
@@ -182,7 +185,7 @@
 	kv, err := rn.vm.Engines.Prefill(ctx, ma.prefill, engine.PrefillOrder{
 		Request:      ma.name,
 		Customer:     rn.id.Customer,
-		Attempt:      1,
+		Attempt:      ma.number,
 		Quick:        rn.quick(),
 		Prompt:       rn.req.Chat.Prompt,
 		PromptTokens: rn.req.Chat.PromptTokens,
@@ -264,7 +267,7 @@
 		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
 			Request:  ma.name,
 			Customer: ma.rn.id.Customer,
-			Attempt:  1,
+			Attempt:  ma.number,
 			Quick:    ma.rn.quick(),
 			KV:       ma.kv.KV,
 			From:     ma.prefill.Address,
@@ -297,7 +300,14 @@
 // letGo frees one decode engine of this attempt.
 func (ma *modelAttempt) letGo(server string) {
 	delete(ma.touched, server)
-	ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name)
+	ma.rn.vm.janitor.freeAttempt(ma.rn.vm.runCtx, server, ma.name, ma.number)
+}
+
+// giveBack frees what a grant that was taken back left at the engines.
+func (ma *modelAttempt) giveBack() {
+	for server := range ma.touched {
+		ma.letGo(server)
+	}
 }
 
 // clear frees whatever engines may hold of this attempt.
@@ -312,7 +322,7 @@
 	rn := ma.rn
 	st, err := rn.vm.Engines.Decode(ctx, ma.decode, engine.DecodeOrder{
 		Request:   ma.name,
-		Attempt:   1,
+		Attempt:   ma.number,
 		MaxTokens: rn.req.Chat.MaxTokens,
 	})
 	if err != nil {
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -43,6 +43,7 @@
 		mu      sync.Mutex
 		cn      frames
 		granted bool
+		attempt uint32 // of the newest grant
 		stage   sched.Stage
 		prefill string
 		decode  string
@@ -89,7 +90,7 @@
 		}
 		switch body := fr.GetBody().(type) {
 		case *peerpb.Frame_Grant:
-			rs.note(sched.Prefilling, body.Grant.GetPrefillServer(), body.Grant.GetDecodeServer())
+			rs.note(body.Grant)
 			return body.Grant, nil
 		case *peerpb.Frame_Refusal:
 			return nil, refusalFromWire(body.Refusal)
@@ -112,9 +113,13 @@
 		}
 		switch body := fr.GetBody().(type) {
 		case *peerpb.Frame_Transfer:
-			return body.Transfer.GetDecodeServer(), false, nil
+			if body.Transfer.GetAttempt() == rs.attempt {
+				return body.Transfer.GetDecodeServer(), false, nil
+			}
 		case *peerpb.Frame_Preempt:
-			return "", true, nil
+			if body.Preempt.GetAttempt() == rs.attempt {
+				return "", true, nil
+			}
 		}
 	}
 }
@@ -131,10 +136,10 @@
 	default:
 		rs.decode = server
 	}
-	cn := rs.cn
+	cn, attempt := rs.cn, rs.attempt
 	rs.mu.Unlock()
 	if cn != nil {
-		cn.Send(progressFrame(stage, server, tokens, took))
+		cn.Send(progressFrame(attempt, stage, server, tokens, took))
 	}
 }
 
@@ -143,23 +148,25 @@
 	rs.mu.Lock()
 	cn := rs.cn
 	closed := rs.closed
+	attempt, tokens := rs.attempt, rs.tokens
 	rs.closed = true
 	rs.mu.Unlock()
 	if closed {
 		return
 	}
 	if cn != nil {
-		cn.Send(progressFrame(stage, "", rs.tokens, 0))
+		cn.Send(progressFrame(attempt, stage, "", tokens, 0))
 		cn.Close()
 	}
 	rs.stop()
 }
 
-func (rs *reservation) note(stage sched.Stage, prefill, decode string) {
+func (rs *reservation) note(gr *peerpb.Grant) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	rs.granted = true
-	rs.stage, rs.prefill, rs.decode = stage, prefill, decode
+	rs.attempt = gr.GetAttempt()
+	rs.stage, rs.prefill, rs.decode = sched.Prefilling, gr.GetPrefillServer(), gr.GetDecodeServer()
 	rs.since = rs.vm.Clock.Now()
 }
 
@@ -264,6 +271,7 @@
 	if !rs.granted {
 		return ask
 	}
+	ask.Attempt = rs.attempt
 	ask.Stage = string(rs.stage)
 	ask.PrefillServer = rs.prefill
 	ask.DecodeServer = rs.decode
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -299,7 +299,7 @@
 func (vm *VM) initDecisions() {
 	vm.accountant = accountant{vm: vm}
 	vm.alone = alone{vm: vm, fb: sched.Fallback{Rand: vm.rand(4)}, own: make(map[string]int)}
-	vm.janitor = janitor{cancel: vm.Engines.Cancel, find: vm.server, lg: vm.Log}
+	vm.janitor = janitor{cancel: vm.Engines.CancelAttempt, find: vm.server, lg: vm.Log}
 	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
 	vm.initMembers()
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -42,11 +42,12 @@
 	}
 }
 
-func progressFrame(stage sched.Stage, server string, tokens int, took clock.Millis) *peerpb.Frame {
+func progressFrame(attempt uint32, stage sched.Stage, server string, tokens int, took clock.Millis) *peerpb.Frame {
 	return &peerpb.Frame{Body: &peerpb.Frame_Progress{Progress: &peerpb.Progress{
-		Stage:  string(stage),
-		Server: server,
-		Tokens: int64(tokens),
-		Took:   int64(took),
+		Stage:   string(stage),
+		Server:  server,
+		Tokens:  int64(tokens),
+		Took:    int64(took),
+		Attempt: attempt,
 	}}}
 }
