backend: hold redirects and fresh connections by tests

Cause: trial mutations of the clients left two alive: following redirects with a plain http.Client, and kept connections for calls that are not idempotent.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -333,3 +333,19 @@
 		})
 	}
 }
+
+// A redirect would carry an order to a server that nobody chose.
+func TestRedirectIsNotFollowedWithAnyClient(t *testing.T) {
+	var asked atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		srv := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		rsp, err := Send(t.Context(), &http.Client{}, Call{Request: post(t, srv.Listener.Addr().String())})
+		assert.NilError(t, err)
+		assert.Equal(t, rsp.StatusCode, status)
+		assert.NilError(t, rsp.Body.Close())
+		srv.Close()
+	}
+	assert.Equal(t, asked.Load(), int64(0))
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -79,6 +79,22 @@
 	assert.Equal(t, count, int64(2))
 }
 
+// Only idempotent calls share a connection, on which a call could be left in
+// doubt.
+func TestConnectionsOfCalls(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		ports := map[string]bool{}
+		srv := serve(t, func(_ http.ResponseWriter, req *http.Request) { ports[req.RemoteAddr] = true })
+		sc := &Client{}
+		for range 3 {
+			_, err := sc.Call(t.Context(), srv, Request{Method: http.MethodGet, Path: "/", Idempotent: idempotent})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, len(ports) == 1, idempotent)
+		sc.client().CloseIdleConnections()
+	}
+}
+
 func TestBadCallIsNotSent(t *testing.T) {
 	asked := false
 	srv := serve(t, func(http.ResponseWriter, *http.Request) { asked = true })
