--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -366,6 +366,21 @@
 	})
 }
 
+func TestSlowedEngineAndVariedLength(t *testing.T) {
+	set := settings()
+	set.VaryLength = true
+	run(t, set, func(t *testing.T, bn *bench) {
+		bn.place("r1", "p", 1)
+		bn.dec.Control.Set(standin.Faults{Slowdown: 3})
+		begin := time.Now()
+		got, err := collect(t.Context(), bn.decode("r1", 50))
+		assert.NilError(t, err)
+		want := standin.Length(standin.Hash("p"), 50)
+		assert.DeepEqual(t, got, standin.Answer("p", want))
+		assert.Equal(t, time.Since(begin), time.Duration(want)*30*time.Millisecond)
+	})
+}
+
 func TestPrefixCacheAndItsEvents(t *testing.T) {
 	set := settings()
 	set.CacheBlocks, set.CacheEventLag, set.CacheEventLoss = 5, 1000, 0.4
