engine: say what a closed stream returns

Cause: the contract of Stream.Next left out ErrStreamClosed. Change: a comment. Measured: go test -race -count=10 of the packages passes. Conclusion: the contract is whole.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -85,9 +85,9 @@
 }
 
 // Next waits for the next token. When the context ends first, its error is
-// returned and the stream stays usable. Any other error is an InDoubtError
-// and ends the stream; [Client.Resume] may go on from there. After the last
-// token Next returns io.EOF.
+// returned and the stream stays usable. After the last token Next returns
+// io.EOF, and after Close it may return ErrStreamClosed. Any other error is an
+// InDoubtError and ends the stream; [Client.Resume] may go on from there.
 func (st *Stream) Next(ctx context.Context) (Token, error) {
 	if st.failed != nil {
 		return Token{}, st.failed
