entry: run idempotent requests before the seats are known; demo: wait for the fleet

Cause: claims of the first seconds found no seats and used up their deadline. Change: without a seat table idempotent requests run at once, others are told to come back; the demonstration waits until all VMs are seated.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -104,6 +104,9 @@
 	if err := fl.publish(ctx); err != nil {
 		return err
 	}
+	if err := fl.awaitSeats(ctx); err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "three VMs serve; customers' template is in force\n\n")
 	outcome := fl.callers(ctx)
 	outcome.print(out, fl.dp)
@@ -146,6 +149,24 @@
 	return nil
 }
 
+// awaitSeats waits until every VM knows that all keep request keys.
+func (fl *fleet) awaitSeats(ctx context.Context) error {
+	ctx, stop := context.WithTimeoutCause(ctx, readyWithin.Std(), errNotReady)
+	defer stop()
+	for ix := range fl.sets {
+		for {
+			st, err := fl.operator(ix).Status(ctx)
+			if err == nil && st.Seats == vmCount {
+				break
+			}
+			if !pause(ctx) {
+				return fmt.Errorf("wait for the seats at %s: %w", fl.sets[ix].ID, context.Cause(ctx))
+			}
+		}
+	}
+	return nil
+}
+
 func (fl *fleet) operator(ix int) operator.Client {
 	set := fl.sets[ix]
 	return operator.Client{Address: set.Operator.Listen.String(), Token: set.Operator.Token}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -25,6 +26,7 @@
 	askerTick     = 1 * clock.Minute
 	handoffWithin = 5 * clock.Second
 	claimKeep     = 10 * clock.Minute
+	claimLinger   = 1 * clock.Second
 )
 
 type (
@@ -35,6 +37,7 @@
 	claimant struct {
 		vm      *VM
 		ctx     context.Context
+		stop    context.CancelFunc
 		ac      *actor[claim.AskerEvent, claim.AskerIntent]
 		onLost  func() // called when the key is no longer this VM's
 		changed signal
@@ -195,10 +198,10 @@
 	return nil
 }
 
-// claim starts the search for the seats' grants; the claimant ends with the
-// context.
-func (rn *run) claim(ctx context.Context, givenUp board.VMRef, onLost func()) *claimant {
+// claim starts the search for the seats' grants. The claimant must be ended.
+func (rn *run) claim(givenUp board.VMRef, onLost func()) *claimant {
 	vm := rn.vm
+	ctx, stop := context.WithCancel(vm.loopCtx)
 	ak := &claim.Asker{
 		Self:        vm.Self,
 		Customer:    rn.id.Customer,
@@ -211,7 +214,7 @@
 		Patience:    claimPatience,
 		Rand:        vm.rand(vm.claimSeed.Add(1)),
 	}
-	cm := &claimant{vm: vm, ctx: ctx, onLost: onLost}
+	cm := &claimant{vm: vm, ctx: ctx, stop: stop, onLost: onLost}
 	cm.ac = newActor[claim.AskerEvent, claim.AskerIntent](vm.Clock, claim.Elapsed{}, askerTick)
 	cm.ac.step = ak.Step
 	cm.ac.do = cm.carryOut
@@ -225,6 +228,13 @@
 	return cm
 }
 
+// noClaim is the link of a run that claimed nothing.
+func (vm *VM) noClaim() *claimant {
+	ctx, stop := context.WithCancel(vm.loopCtx)
+	stop()
+	return &claimant{vm: vm, ctx: ctx, ac: newActor[claim.AskerEvent, claim.AskerIntent](vm.Clock, claim.Elapsed{}, askerTick)}
+}
+
 // watch passes on changes of the seats and the fleet.
 func (cm *claimant) watch() {
 	for {
@@ -311,6 +321,9 @@
 	}
 }
 
+// end lets the last word leave and then ends the link.
+func (cm *claimant) end() { time.AfterFunc(claimLinger.Std(), cm.stop) }
+
 // became tells the seats what became of the key.
 func (cm *claimant) became(state claim.State, server, engineRequest string) {
 	cm.ac.tell(cm.ctx, claim.Became{State: state, DecodeServer: server, EngineRequest: engineRequest})
--- a/internal/entry/operatorside.go
+++ b/internal/entry/operatorside.go
@@ -57,6 +57,9 @@
 		Log:           vm.logStatus(now),
 		Cells:         vm.accountant.status(),
 	}
+	if seats := vm.seats.Load(); seats != nil {
+		st.Seats = len(seats.VMs)
+	}
 	for _, other := range fl.VMs {
 		st.Fleet = append(st.Fleet, operator.VMStatus{
 			ID:            other.ID,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -135,9 +135,13 @@
 // once makes one claim and acts on it. It returns errAgain if the request
 // must be claimed anew.
 func (rn *run) once(ctx context.Context, givenUp *board.VMRef) error {
+	if rn.vm.seats.Load() == nil {
+		return rn.withoutSeats(ctx)
+	}
 	mine, lose := context.WithCancelCause(ctx)
 	defer lose(nil)
-	rn.claimed = rn.claim(mine, *givenUp, func() { lose(errLost) })
+	rn.claimed = rn.claim(*givenUp, func() { lose(errLost) })
+	defer rn.claimed.end()
 	dec, err := rn.claimed.verdict(mine, 0)
 	if err != nil {
 		return err
@@ -165,6 +169,22 @@
 	}
 }
 
+// withoutSeats runs a request while this VM does not know yet which VMs keep
+// request keys. What may run at most once has to wait for that.
+func (rn *run) withoutSeats(ctx context.Context) error {
+	if !rn.req.Class.Idempotent {
+		return refusal.Refusal{
+			Ran:        refusal.NotRun,
+			Reason:     refusal.Starting,
+			RetryAfter: clock.Second,
+			Detail:     "this VM does not know yet which VMs keep request keys",
+		}
+	}
+	rn.claimed = rn.vm.noClaim()
+	rn.runner.Store(true)
+	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
+}
+
 func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
 	err := rn.follow(ctx, runner)
 	if err == nil {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -12,6 +12,7 @@
 		Uptime        clock.Millis
 		Draining      bool
 		Quorate       bool // false while the VM reaches only a minority of the fleet
+		Seats         int  // VMs that keep request keys; 0 until this VM knows them
 		InProgress    int  // requests that have no end yet
 		Kept          int  // answers that are kept for callers who come back
 		Log           LogStatus
