engine, entry: go on with an answer elsewhere after the tokens it has

Cause: a decode that died mid-answer began again from the prompt alone, so that an engine which samples would have torn the answer. Change: a prefill order carries the tokens already answered, the decode goes on after them; a resume by another VM changes for whom the engine runs. Measured: the stand-in continues token by token only if the tokens given are those of the prompt, and makes another answer otherwise (test with both).

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -147,6 +147,19 @@
 	return st.events[len(st.events)-1], true
 }
 
+// Tokens returns the pieces of a model's answer so far.
+func (st *Stream) Tokens() []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var out []string
+	for _, ev := range st.events {
+		if ev.Kind == Token {
+			out = append(out, string(ev.Data))
+		}
+	}
+	return out
+}
+
 // Size returns the bytes that the events hold.
 func (st *Stream) Size() int {
 	st.mu.Lock()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -112,7 +112,7 @@
 // cancelled.
 func (ec *Client) Decode(ctx context.Context, srv board.BackendServer, od DecodeOrder) (*Stream, error) {
 	cl := call{srv: srv, name: "Decode", method: http.MethodPost, path: DecodePath, body: od}
-	st, err := ec.open(ctx, cl, 0)
+	st, err := ec.open(ctx, cl, od.From)
 	if err != nil {
 		return nil, fmt.Errorf("decode request %s: %w", od.Request, err)
 	}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -66,7 +66,10 @@
 		Quick        bool // passes patient work in the queue
 		Prompt       string
 		PromptTokens int
-		Fence        uint64 // fencing number; zero if the sender holds no lease
+		// Answered is the output tokens that an attempt before made. They
+		// are part of the context, and the decode goes on after them.
+		Answered []string `json:",omitempty"`
+		Fence    uint64   // fencing number; zero if the sender holds no lease
 	}
 
 	// PrefillResult tells what was computed.
@@ -95,7 +98,8 @@
 	DecodeOrder struct {
 		Request   string
 		Attempt   int
-		MaxTokens int
+		MaxTokens int // of the whole answer
+		From      int // index of the first token: how many were Answered
 	}
 
 	// CancelOrder frees whatever an engine holds of a request, in any stage,
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -188,7 +188,8 @@
 		Attempt:      ma.number,
 		Quick:        rn.quick(),
 		Prompt:       rn.req.Chat.Prompt,
-		PromptTokens: rn.req.Chat.PromptTokens,
+		PromptTokens: rn.req.Chat.PromptTokens + rn.tokens(),
+		Answered:     rn.st.Tokens(),
 	})
 	if !backend.NotRun(err) {
 		rn.sent.Store(true)
@@ -324,6 +325,7 @@
 		Request:   ma.name,
 		Attempt:   ma.number,
 		MaxTokens: rn.req.Chat.MaxTokens,
+		From:      have,
 	})
 	if err != nil {
 		return failure{"decode", err}
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -25,7 +25,7 @@
 		en.decline(rw, reason, 0)
 		return
 	}
-	en.stream(rw, req, rn, 0)
+	en.stream(rw, req, rn, rn.kv.base)
 }
 
 func (en *Engine) admitDecode(od wire.DecodeOrder) (*run, backend.Reason) {
@@ -43,10 +43,12 @@
 		return nil, backend.NoKV
 	case rn.stage != wire.Imported:
 		return nil, backend.Duplicate
+	case od.From != rn.kv.base:
+		return nil, backend.BadOrder
 	}
-	want := od.MaxTokens
+	want := max(od.MaxTokens, rn.kv.base+1)
 	if en.Settings.VaryLength {
-		want = standin.Length(rn.kv.hash, od.MaxTokens)
+		want = max(standin.Length(rn.kv.hash, od.MaxTokens), rn.kv.base+1)
 	}
 	rn.rec.Decodes++
 	en.enter(rn, sched.Decoding)
@@ -58,7 +60,7 @@
 // complete, whether somebody reads them or not.
 func (en *Engine) generate(rn *run, want int) {
 	due := time.Now()
-	for ix := range want {
+	for ix := rn.kv.base; ix < want; ix++ {
 		due = due.Add(en.Control.Stretch(en.pace()))
 		if standin.Sleep(rn.life, time.Until(due)) != nil {
 			return
@@ -119,13 +121,21 @@
 		return
 	}
 	rn := en.newest(qy.Get("Request"))
-	if rn == nil {
+	if rn == nil || from < rn.kv.base {
 		en.decline(rw, backend.Unknown, 0)
 		return
 	}
+	en.handOver(rn, vmOf(req))
 	en.stream(rw, req, rn, from)
 }
 
+// handOver notes for whom the run goes on.
+func (en *Engine) handOver(rn *run, vm board.VMRef) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	rn.rec.VM = vm
+}
+
 // newest finds the decode of a request's highest attempt.
 func (en *Engine) newest(request string) *run {
 	en.mu.Lock()
@@ -188,9 +198,12 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	switch {
-	case index < len(rn.tokens):
+	case index < rn.kv.base: // made by an attempt before
+		return wire.Token{Ended: string(backend.Unknown)}, over, nil
+	case index < rn.kv.base+len(rn.tokens):
+		index -= rn.kv.base
 		last := rn.whole && index == len(rn.tokens)-1
-		return wire.Token{Index: index, Text: rn.tokens[index], Last: last}, has, nil
+		return wire.Token{Index: rn.kv.base + index, Text: rn.tokens[index], Last: last}, has, nil
 	case rn.whole:
 		return wire.Token{}, over, nil
 	case en.runs[rn.key] != rn:
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -117,7 +117,7 @@
 		kv      kvCache
 		result  wire.PrefillResult
 		failure backend.Reason
-		tokens  []string
+		tokens  []string // from the index kv.base on
 		whole   bool
 		changed chan struct{}
 	}
@@ -126,6 +126,7 @@
 		name   string
 		hash   uint64
 		tokens int
+		base   int // output tokens that were answered before
 		bytes  int64
 		until  time.Time
 		pins   int // transfers in progress
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -591,3 +592,39 @@
 func (rc *recorder) Header() http.Header            { return rc.header }
 func (rc *recorder) WriteHeader(status int)         { rc.status = status }
 func (rc *recorder) Write(data []byte) (int, error) { return len(data), nil }
+
+func TestDecodeGoesOnAfterTokensOfAnAttemptBefore(t *testing.T) {
+	const prompt, had, total = "field notes", 3, 7
+	tests := []struct {
+		name     string
+		answered []string
+		seamless bool
+	}{
+		{"its own tokens", standin.Answer(prompt, had), true},
+		{"tokens of another answer", standin.Answer("other notes", had), false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, settings(), func(t *testing.T, bn *bench) {
+				res, err := bn.ec.Prefill(bn.baseCtx, bn.preSrv, wire.PrefillOrder{
+					Request: "r1", Attempt: 1, Prompt: prompt, PromptTokens: 10, Answered: tc.answered,
+				})
+				assert.NilError(t, err)
+				assert.NilError(t, bn.ec.Import(bn.baseCtx, bn.decSrv, bn.importOrder("r1", res.KV)))
+				st, err := bn.ec.Decode(bn.baseCtx, bn.decSrv, wire.DecodeOrder{
+					Request: "r1", Attempt: 1, MaxTokens: total, From: had,
+				})
+				assert.NilError(t, err)
+				t.Cleanup(st.Close)
+				got := slices.Clone(tc.answered)
+				for len(got) < total {
+					tok, err := st.Next(bn.baseCtx)
+					assert.NilError(t, err)
+					assert.Equal(t, tok.Index, len(got))
+					got = append(got, tok.Text)
+				}
+				assert.Equal(t, slices.Equal(got, standin.Answer(prompt, total)), tc.seamless)
+			})
+		})
+	}
+}
--- a/internal/standin/engine/prefill.go
+++ b/internal/standin/engine/prefill.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"alderdyke/internal/backend"
@@ -47,7 +49,7 @@
 	rn := en.begin(runKey{od.Request, od.Attempt, board.Prefill}, od.Customer, od.Quick, vm)
 	rn.kv = kvCache{
 		name: fmt.Sprintf("%s/%s/%d/%d", en.ID, od.Request, od.Attempt, rn.seq),
-		hash: standin.Hash(od.Prompt), tokens: od.PromptTokens,
+		hash: contextHash(od), tokens: od.PromptTokens, base: len(od.Answered),
 		bytes: int64(od.PromptTokens) * en.Settings.KVBytesPerToken,
 	}
 	rn.rec.KV, rn.rec.PromptHash, rn.rec.PromptTokens = rn.kv.name, rn.kv.hash, rn.kv.tokens
@@ -56,6 +58,15 @@
 	return rn, ""
 }
 
+// contextHash is the hash that the answer follows from. Tokens that were
+// answered before and are not those of this prompt lead to another answer.
+func contextHash(od wire.PrefillOrder) uint64 {
+	if slices.Equal(od.Answered, standin.Answer(od.Prompt, len(od.Answered))) {
+		return standin.Hash(od.Prompt)
+	}
+	return standin.Hash(od.Prompt + strings.Join(od.Answered, ""))
+}
+
 // computing counts the prefills that wait or run. The mutex is held.
 func (en *Engine) computing() int {
 	count := 0
