--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,207 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+// Headers of one TCP segment over IPv4 with timestamps, in bytes.
+const segmentHeaders = 52
+
+func benchStart(tb testing.TB, tr *peer.Transport) *peer.Transport {
+	tb.Helper()
+	tr.Listen, tr.Secret = "127.0.0.1:0", secret
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- tr.Run(ctx) }()
+	<-tr.Ready()
+	tb.Cleanup(func() {
+		cancel()
+		assert.Check(tb, <-done)
+	})
+	return tr
+}
+
+func benchVM(tr *peer.Transport) board.VM {
+	return board.VM{VMRef: tr.Self, Peer: tr.Address().String()}
+}
+
+func value(scope tally.TestScope, name string) int64 {
+	if cs := scope.Snapshot().Counters()[name+"+"]; cs != nil {
+		return cs.Value()
+	}
+	return 0
+}
+
+// inUse is the memory of heap and stacks after garbage collection.
+func inUse() (bytes float64, goroutines int) {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapAlloc + ms.StackInuse), runtime.NumGoroutine()
+}
+
+// benchHub serves the other VMs of a benchmark and dials none.
+func benchHub(tb testing.TB, clk clock.Source) *peer.Transport {
+	return benchStart(tb, &peer.Transport{Self: ref("hub", 1), Handler: echo, Clock: clk,
+		Limits: peer.Limits{MaxSessions: 1 << 12, MaxStreams: 1 << 12}})
+}
+
+// BenchmarkIdleSession reports the memory of one session without streams,
+// both sides together, and its goroutines.
+func BenchmarkIdleSession(b *testing.B) {
+	const spokes = 300
+	for b.Loop() {
+		hub := benchHub(b, nil)
+		var from []*peer.Transport
+		for ix := range spokes {
+			from = append(from, benchStart(b, &peer.Transport{Self: ref(fmt.Sprint("spoke", ix), 1)}))
+		}
+		bytes, routines := inUse()
+		began := time.Now()
+		for _, tr := range from {
+			_, err := tr.Call(context.Background(), benchVM(hub), explain("key"))
+			assert.NilError(b, err)
+		}
+		took := time.Since(began)
+		awaitRest()
+		after, routinesAfter := inUse()
+		b.ReportMetric((after-bytes)/spokes, "B/session-pair")
+		b.ReportMetric(float64(routinesAfter-routines)/spokes, "goroutines/session-pair")
+		b.ReportMetric(float64(took.Microseconds())/spokes, "us/dial-and-call")
+	}
+}
+
+// awaitRest waits until goroutines that end by themselves have ended.
+func awaitRest() {
+	for last := -1; last != runtime.NumGoroutine(); {
+		last = runtime.NumGoroutine()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// BenchmarkOpenStream reports the memory of one stream at rest, both sides
+// together, its handler's goroutine included.
+func BenchmarkOpenStream(b *testing.B) {
+	const streams = 1000
+	for b.Loop() {
+		hub := benchHub(b, nil)
+		tr := benchStart(b, &peer.Transport{Self: ref("spoke", 1)})
+		_, err := tr.Call(context.Background(), benchVM(hub), explain("key"))
+		assert.NilError(b, err)
+		awaitRest()
+		bytes, routines := inUse()
+		open := make([]*peer.Conn, streams)
+		for ix := range open {
+			cn, err := tr.Open(context.Background(), benchVM(hub))
+			assert.NilError(b, err)
+			assert.NilError(b, cn.Send(explain("key")))
+			_, err = cn.Recv()
+			assert.NilError(b, err)
+			open[ix] = cn
+		}
+		awaitRest()
+		after, routinesAfter := inUse()
+		b.ReportMetric((after-bytes)/streams, "B/stream-pair")
+		b.ReportMetric(float64(routinesAfter-routines)/streams, "goroutines/stream-pair")
+		for _, cn := range open {
+			cn.Close()
+		}
+	}
+}
+
+// BenchmarkCall reports time, allocations and bytes of one small call on a
+// session that exists.
+func BenchmarkCall(b *testing.B) {
+	scope := tally.NewTestScope("", nil)
+	hub := benchHub(b, nil)
+	tr := benchStart(b, &peer.Transport{Self: ref("spoke", 1), Scope: scope})
+	_, err := tr.Call(context.Background(), benchVM(hub), explain("key"))
+	assert.NilError(b, err)
+	sent := value(scope, "PeerBytesSent") + value(scope, "PeerBytesReceived")
+	b.ReportAllocs()
+	calls := 0
+	for b.Loop() {
+		_, err := tr.Call(context.Background(), benchVM(hub), explain("key"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	sent = value(scope, "PeerBytesSent") + value(scope, "PeerBytesReceived") - sent
+	b.ReportMetric(float64(sent)/float64(calls), "TCP-B/call")
+}
+
+// BenchmarkDatagram reports the cost of one probe, sent and checked.
+func BenchmarkDatagram(b *testing.B) {
+	scope := tally.NewTestScope("", nil)
+	hub := benchHub(b, nil)
+	tr := benchStart(b, &peer.Transport{Self: ref("spoke", 1), Scope: scope})
+	b.ReportAllocs()
+	sends := 0
+	for b.Loop() {
+		dg := &peerpb.Datagram{Body: &peerpb.Datagram_Probe{Probe: &peerpb.Probe{Number: 5}}}
+		if err := tr.Datagram(benchVM(hub), dg); err != nil {
+			b.Fatal(err)
+		}
+		sends++
+	}
+	b.ReportMetric(float64(value(scope, "PeerDatagramBytesSent"))/float64(sends), "UDP-B/datagram")
+}
+
+// A session sends nothing without streams, and one ping for each span of
+// silence with streams, from the side that dialled only.
+func TestBytesAtRest(t *testing.T) {
+	clk := new(clock.Manual)
+	sb := start(t, &peer.Transport{Self: ref("b", 1), Handler: echo, Clock: clk})
+	sa := start(t, &peer.Transport{Self: ref("a", 1), Clock: clk, IdleClose: clock.Hour})
+	wire := func() int64 { return sa.counted("PeerBytesSent", "") + sa.counted("PeerBytesReceived", "") }
+	_, err := sa.Call(t.Context(), sb.vm(), explain("key"))
+	assert.NilError(t, err)
+	setup := wire()
+	t.Logf("session with one call: %d bytes of TCP payload, both directions", setup)
+
+	cn, err := sa.Open(t.Context(), sb.vm())
+	assert.NilError(t, err)
+	assert.NilError(t, cn.Send(explain("key")))
+	_, err = cn.Recv()
+	assert.NilError(t, err)
+	const pings = 4
+	var before int64
+	for ix := range int64(pings + 1) {
+		clk.Advance(peer.DefaultKeepAlive)
+		eventually(t, "ping and reply", func() bool {
+			return sa.counted("PeerPings", "") == ix+1 && !sa.Waiting()
+		})
+		if ix == 0 {
+			before = wire()
+		}
+	}
+	perPing := (wire() - before) / pings
+	t.Logf("ping and reply: %d bytes of TCP payload, %d with headers and acknowledgements", perPing, perPing+4*segmentHeaders)
+	assert.Assert(t, perPing > 0 && perPing <= 80, "%d bytes for a ping", perPing)
+	assert.Equal(t, sb.counted("PeerPings", ""), int64(0))
+
+	cn.Close()
+	eventually(t, "no streams", func() bool { return sa.Streams() == 0 })
+	rest, pinged := wire(), sa.counted("PeerPings", "")
+	for range 10 {
+		clk.Advance(peer.DefaultKeepAlive)
+		sa.Sweep()
+		sb.Sweep()
+	}
+	assert.Equal(t, wire(), rest)
+	assert.Equal(t, sa.counted("PeerPings", ""), pinged)
+}
--- /dev/null
+++ b/internal/peer/export_test.go
@@ -0,0 +1,27 @@
+package peer
+
+// Waiting tells whether a ping has no reply yet.
+func (tr *Transport) Waiting() bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for ss := range tr.all {
+		if ss.pinging.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// Streams counts the open streams of all sessions.
+func (tr *Transport) Streams() int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var sum int
+	for ss := range tr.all {
+		sum += ss.mux.NumStreams()
+	}
+	return sum
+}
+
+// Sweep looks after all sessions once, as the transport does by itself.
+func (tr *Transport) Sweep() { tr.sweep() }
