retry: decide on retries and hedges within a budget

Cause: retries multiply under overload, and a request that is not idempotent must not run twice.

Change: a token bucket for each customer and service, full jitter, no attempt past the deadline, none after MayHaveRun unless idempotent, hedges after the 95th percentile from the same budget.

--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,59 @@
+package retry
+
+import "alderdyke/pkg/clock"
+
+// mostIdle is the number of budgets after which those that are full again
+// are dropped, for a full one is the same as a new one.
+const mostIdle = 4096
+
+type (
+	// account names a budget.
+	account struct{ customer, service string }
+
+	// bucket holds retries that were earned and not spent.
+	bucket struct {
+		tokens float64
+		at     clock.Millis // up to when the trickle was added
+	}
+)
+
+// bucket returns the budget with its trickle up to now. A new one is full.
+func (po *Policy) bucket(now clock.Millis, ac account) *bucket {
+	bk := po.budgets[ac]
+	if bk == nil {
+		if len(po.budgets) >= mostIdle {
+			po.dropFull(now)
+		}
+		bk = &bucket{tokens: po.Settings.Burst, at: now}
+		po.budgets[ac] = bk
+	}
+	bk.trickle(now, po.Settings)
+	return bk
+}
+
+func (po *Policy) dropFull(now clock.Millis) {
+	for ac, bk := range po.budgets {
+		bk.trickle(now, po.Settings)
+		if bk.tokens >= po.Settings.Burst {
+			delete(po.budgets, ac)
+		}
+	}
+}
+
+func (bk *bucket) trickle(now clock.Millis, st Settings) {
+	if now <= bk.at {
+		return
+	}
+	bk.earn(st.Floor*float64(now-bk.at)/float64(clock.Second), st.Burst)
+	bk.at = now
+}
+
+func (bk *bucket) earn(part, most float64) { bk.tokens = min(bk.tokens+part, most) }
+
+func (bk *bucket) spend() bool {
+	if bk.tokens < 1 {
+		return false
+	}
+	bk.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/retry/hedge.go
@@ -0,0 +1,126 @@
+package retry
+
+import (
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// hedgeQuantile of the latest latencies is where an attempt counts as
+	// slow.
+	hedgeQuantile = 0.95
+	// latest is how many answers the quantile is taken from, and known how
+	// many there must be before it says anything.
+	latest = 256
+	known  = 32
+	// refresh is the number of answers after which the quantile is taken
+	// anew.
+	refresh = 16
+)
+
+type (
+	// HedgeAsk is a request whose first attempt was just sent.
+	HedgeAsk struct {
+		Customer, Service string
+		Idempotent, Quick bool
+		Deadline          clock.Millis // point
+	}
+
+	// Hedging tells when to hedge a request: Hedge or NoHedge.
+	Hedging interface{ hedging() }
+
+	// Hedge tells to ask TakeHedge after a span, if there is no answer yet.
+	Hedge struct{ After clock.Millis }
+
+	// NoHedge tells to wait for the attempt.
+	NoHedge struct{ Reason Reason }
+
+	// latencies are the latest ones of a service, as a ring.
+	latencies struct {
+		ring  []float64 // milliseconds
+		next  int
+		fresh int // answers since slow was taken
+		slow  clock.Millis
+	}
+)
+
+func (Hedge) hedging()   {}
+func (NoHedge) hedging() {}
+
+// Observe notes how long a whole answer of the service took.
+func (po *Policy) Observe(service string, took clock.Millis) {
+	po.prepare()
+	lt := po.latency[service]
+	if lt == nil {
+		lt = &latencies{}
+		po.latency[service] = lt
+	}
+	lt.add(float64(took))
+}
+
+// Hedge tells whether and when a second attempt may be sent beside the first.
+// Nothing is paid yet.
+func (po *Policy) Hedge(now clock.Millis, ask HedgeAsk) Hedging {
+	po.prepare()
+	slow, why := po.slow(ask)
+	switch {
+	case why != "":
+		return NoHedge{why}
+	case now+2*slow >= ask.Deadline:
+		return NoHedge{NoHedgeDeadline}
+	default:
+		return Hedge{After: slow}
+	}
+}
+
+// TakeHedge pays for a hedge when its time has come. The reason is Hedged, or
+// why it must not be sent.
+func (po *Policy) TakeHedge(now clock.Millis, ask HedgeAsk) (Reason, bool) {
+	po.prepare()
+	slow, why := po.slow(ask)
+	switch {
+	case why != "":
+		return why, false
+	case now+slow >= ask.Deadline:
+		return NoHedgeDeadline, false
+	case !po.bucket(now, account{ask.Customer, ask.Service}).spend():
+		return NoHedgeBudget, false
+	default:
+		return Hedged, true
+	}
+}
+
+// slow returns the latency from which an attempt of the request counts as
+// slow, or why the request is never hedged.
+func (po *Policy) slow(ask HedgeAsk) (clock.Millis, Reason) {
+	lt := po.latency[ask.Service]
+	switch {
+	case !ask.Idempotent:
+		return 0, NoHedgeNotIdempotent
+	case !ask.Quick:
+		return 0, NoHedgePatient
+	case lt == nil || len(lt.ring) < known:
+		return 0, NoHedgeUnknown
+	default:
+		return lt.slow, ""
+	}
+}
+
+func (lt *latencies) add(took float64) {
+	if len(lt.ring) < latest {
+		lt.ring = append(lt.ring, took)
+	} else {
+		lt.ring[lt.next] = took
+	}
+	lt.next = (lt.next + 1) % latest
+	lt.fresh++
+	if lt.fresh >= refresh || len(lt.ring) == known {
+		lt.fresh = 0
+		sorted := slices.Clone(lt.ring)
+		slices.Sort(sorted)
+		lt.slow = max(1, clock.Millis(stat.Quantile(hedgeQuantile, stat.Empirical, sorted, nil)))
+	}
+}
--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,212 @@
+// Package retry decides whether a failed attempt of a request is followed by
+// another, and whether a slow one is hedged.
+//
+// Retries multiply under overload, so each customer has a budget for each
+// service: requests earn a small part of a retry each, and a slow trickle
+// keeps a quiet customer from going without. A hedge is paid from the same
+// budget. Backoff is drawn with full jitter, so that those who failed
+// together don't come back together. Nothing is tried past the request's
+// deadline, and a request that is not idempotent is never tried again once it
+// may have run.
+//
+// # Usage
+//
+//	po := &retry.Policy{Rand: rand.New(rand.NewPCG(1, 2))}
+//	po.Request(now, customer, service)
+//	switch vd := po.Decide(now, attempt).(type) {
+//	case retry.Again:
+//		... // wait vd.After, count vd.Reason
+//	case retry.GiveUp:
+//		... // answer vd.Refusal, count vd.Reason
+//	}
+//
+// A Policy does no I/O and is not safe for concurrent use.
+package retry
+
+import (
+	"math/rand/v2"
+
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Reasons of verdicts; each has a counter of its own, named after it.
+const (
+	RetriedNotRun     Reason = "RetriedNotRun"     // the attempt did not run
+	RetriedIdempotent Reason = "RetriedIdempotent" // the attempt may have run; running twice does no harm
+	Hedged            Reason = "Hedged"            // the attempt is slower than usual
+
+	GaveUpMayHaveRun Reason = "GaveUpMayHaveRun" // not idempotent, and may have run
+	GaveUpFinal      Reason = "GaveUpFinal"      // the failure would be the same again
+	GaveUpAttempts   Reason = "GaveUpAttempts"   // as many attempts as allowed
+	GaveUpDeadline   Reason = "GaveUpDeadline"   // another attempt would pass the deadline
+	GaveUpBudget     Reason = "GaveUpBudget"     // the budget is used up
+
+	NoHedgeNotIdempotent Reason = "NoHedgeNotIdempotent" // two runs are not allowed
+	NoHedgePatient       Reason = "NoHedgePatient"       // only quick requests are hedged
+	NoHedgeUnknown       Reason = "NoHedgeUnknown"       // too few answers to know what is slow
+	NoHedgeDeadline      Reason = "NoHedgeDeadline"      // a hedge would pass the deadline
+	NoHedgeBudget        Reason = "NoHedgeBudget"        // the budget is used up
+)
+
+// What the zero value of a field of [Settings] stands for.
+const (
+	DefaultRatio     = 0.1
+	DefaultFloor     = 0.2
+	DefaultBurst     = 5
+	DefaultAttempts  = 3
+	DefaultBase      = 25 * clock.Millis(1)
+	DefaultMost      = clock.Second
+	DefaultRefuseFor = clock.Second
+)
+
+type (
+	// Reason of a verdict.
+	Reason string
+
+	// Settings of a Policy. A zero field stands for its default.
+	Settings struct {
+		Ratio     float64      // retries earned by one request
+		Floor     float64      // retries earned in a second without requests
+		Burst     float64      // most retries that are kept
+		Attempts  int          // most attempts of one request, the first included
+		Base      clock.Millis // bound of the first backoff; the next ones double
+		Most      clock.Millis // largest bound of a backoff
+		RefuseFor clock.Millis // told to a caller who was given up
+	}
+
+	// Attempt is a failed attempt of a request.
+	Attempt struct {
+		Customer, Service string
+		Idempotent        bool
+		Number            int // of this attempt, from 1
+		// Last is how the attempt failed. Its RetryAfter is heeded.
+		Last refusal.Refusal
+		// EarlierMayHaveRun tells that an attempt before this one may have
+		// run, whatever became of the last.
+		EarlierMayHaveRun bool
+		Deadline          clock.Millis // point
+		Need              clock.Millis // the least span in which another attempt can be of use
+	}
+
+	// Verdict on a failed attempt: Again or GiveUp.
+	Verdict interface{ verdict() }
+
+	// Again tells to try again after a span.
+	Again struct {
+		After  clock.Millis
+		Reason Reason
+	}
+
+	// GiveUp ends the request with a refusal, whose Ran speaks for all of
+	// its attempts.
+	GiveUp struct {
+		Refusal refusal.Refusal
+		Reason  Reason
+	}
+
+	// Policy decides for one VM. Set the exported fields before use.
+	Policy struct {
+		Rand     *rand.Rand // must be set
+		Settings Settings
+
+		ready   bool
+		budgets map[account]*bucket
+		latency map[string]*latencies
+	}
+)
+
+func (Again) verdict()  {}
+func (GiveUp) verdict() {}
+
+// Request earns the customer a part of a retry. Call it once for each
+// request, not for its retries.
+func (po *Policy) Request(now clock.Millis, customer, service string) {
+	po.prepare()
+	po.bucket(now, account{customer, service}).earn(po.Settings.Ratio, po.Settings.Burst)
+}
+
+// Decide tells what follows a failed attempt. An Again has been paid for.
+func (po *Policy) Decide(now clock.Millis, at Attempt) Verdict {
+	po.prepare()
+	ran := refusal.NotRun
+	if at.EarlierMayHaveRun || at.Last.Ran != refusal.NotRun {
+		ran = refusal.MayHaveRun
+	}
+	last := at.Last.WithRan(ran)
+	if ran == refusal.MayHaveRun && !at.Idempotent {
+		return GiveUp{Refusal: last, Reason: GaveUpMayHaveRun}
+	}
+	if !passes(at.Last.Reason) {
+		return GiveUp{Refusal: last, Reason: GaveUpFinal}
+	}
+	if at.Number >= po.Settings.Attempts {
+		return GiveUp{Refusal: po.exhausted(last, "all attempts failed"), Reason: GaveUpAttempts}
+	}
+	after := at.Last.RetryAfter + po.backoff(at.Number)
+	if now+after+at.Need >= at.Deadline {
+		return GiveUp{Refusal: late(last), Reason: GaveUpDeadline}
+	}
+	if !po.bucket(now, account{at.Customer, at.Service}).spend() {
+		return GiveUp{Refusal: po.exhausted(last, "the budget for retries is used up"), Reason: GaveUpBudget}
+	}
+	if ran == refusal.NotRun {
+		return Again{After: after, Reason: RetriedNotRun}
+	}
+	return Again{After: after, Reason: RetriedIdempotent}
+}
+
+// passes tells whether a failure may be gone at the next attempt. All other
+// reasons lie with the request, or are told to the caller at once because
+// more load is what must not come.
+func passes(rs refusal.Reason) bool {
+	switch rs {
+	case refusal.BackendFailed, refusal.NoBackend, refusal.SchedulerAway, refusal.HomeUnreachable, refusal.VMLost:
+		return true
+	default:
+		return false
+	}
+}
+
+// backoff is drawn evenly from nothing up to a bound that doubles.
+func (po *Policy) backoff(number int) clock.Millis {
+	bound := po.Settings.Base
+	for range number - 1 {
+		bound = min(2*bound, po.Settings.Most)
+	}
+	return clock.Millis(po.Rand.Int64N(int64(bound) + 1))
+}
+
+func (po *Policy) exhausted(last refusal.Refusal, detail string) refusal.Refusal {
+	last.Reason = refusal.RetriesExhausted
+	return last.WithDetail(detail).WithRetryAfter(max(last.RetryAfter, po.Settings.RefuseFor))
+}
+
+func late(last refusal.Refusal) refusal.Refusal {
+	last.Reason = refusal.DeadlinePassed
+	return last.WithDetail("another attempt would end after the deadline").WithRetryAfter(0)
+}
+
+func (po *Policy) prepare() {
+	if po.ready {
+		return
+	}
+	po.ready = true
+	po.budgets = make(map[account]*bucket)
+	po.latency = make(map[string]*latencies)
+	st := &po.Settings
+	st.Ratio = orDefault(st.Ratio, DefaultRatio)
+	st.Floor = orDefault(st.Floor, DefaultFloor)
+	st.Burst = orDefault(st.Burst, DefaultBurst)
+	st.Attempts = orDefault(st.Attempts, DefaultAttempts)
+	st.Base = orDefault(st.Base, DefaultBase)
+	st.Most = orDefault(st.Most, DefaultMost)
+	st.RefuseFor = orDefault(st.RefuseFor, DefaultRefuseFor)
+}
+
+func orDefault[T int | float64 | clock.Millis](val, def T) T {
+	if val <= 0 {
+		return def
+	}
+	return val
+}
