sched: learn slow links and keep long prompts off them

With a link at a fifth of its rate a fifth to a third of all prefill was lost, as stalled transfers were sent again over the same link. A stall now lowers the learned rate, and a prompt whose KV cache the link can't carry in time goes to another prefill engine.

--- a/internal/sched/bench/load.go
+++ b/internal/sched/bench/load.go
@@ -80,6 +80,8 @@
 		output int
 
 		att      int // attempts begun
+		imports  int // imports ordered
+		moving   *transfer
 		prefill  *prefillEngine
 		decode   *decodeEngine
 		stage    int
--- a/internal/sched/bench/standin.go
+++ b/internal/sched/bench/standin.go
@@ -192,9 +192,21 @@
 }
 
 // send moves a KV cache of some prompt tokens.
-func (lk *link) send(tokens float64, done func()) {
+func (lk *link) send(tokens float64, done func()) *transfer {
 	lk.advance()
-	lk.active = append(lk.active, &transfer{left: tokens, done: done})
+	tr := &transfer{left: tokens, done: done}
+	lk.active = append(lk.active, tr)
+	lk.plan()
+	return tr
+}
+
+// abort takes a transfer off the link, if it is still on it.
+func (lk *link) abort(tr *transfer) {
+	if tr == nil {
+		return
+	}
+	lk.advance()
+	lk.active = slices.DeleteFunc(lk.active, func(other *transfer) bool { return other == tr })
 	lk.plan()
 }
 
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -170,6 +170,7 @@
 	}
 	left := eng.leaving
 	eng.reconcile(ld)
+	eng.mendLink(ce.LinkRate)
 	ce.changed(eng)
 	if eng.leaving && !left {
 		ce.preemptUnfit(now)
@@ -224,7 +225,12 @@
 			jb.grp.learnHold(now - jb.since)
 		}
 		ce.forget(now, jb)
-	case Cancelled, Lost:
+	case Lost:
+		if jb.stage == Transferring && now >= jb.lapse {
+			jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
+		}
+		ce.forget(now, jb)
+	case Cancelled:
 		ce.forget(now, jb)
 	}
 }
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -9,10 +9,12 @@
 
 // Bounds of what is kept for one engine.
 const (
-	prefixesKept    = 64  // recent prompt prefixes of one prefill engine
-	learnRate       = 0.2 // weight of a new measurement of an engine's rate
-	outstandingMost = 2   // patient prefills sent to one engine and not complete
-	reportsKept     = 6   // reports back that a lagging one may tell of
+	prefixesKept    = 64   // recent prompt prefixes of one prefill engine
+	learnRate       = 0.2  // weight of a new measurement of an engine's rate
+	outstandingMost = 2    // patient prefills sent to one engine and not complete
+	linkPart        = 0.85 // part of the keep that a transfer may take
+	mendRate        = 0.01 // of the way back to the usual rate, each report
+	reportsKept     = 6    // reports back that a lagging one may tell of
 )
 
 type (
@@ -105,6 +107,26 @@
 	}
 }
 
+// slowLink notes that a transfer is not complete after a span.
+func (eng *engine) slowLink(tokens int, spent clock.Millis) {
+	if spent > 0 && tokens >= 2048 {
+		eng.linkRate = min(eng.linkRate, float64(tokens)/float64(spent))
+	}
+}
+
+// carries tells whether the link moves a prompt's KV cache well before it
+// lapses.
+func (eng *engine) carries(tokens int, keep clock.Millis) bool {
+	return float64(tokens)/eng.linkRate <= linkPart*float64(keep)
+}
+
+// mendLink lets a slow link be tried again after a while.
+func (eng *engine) mendLink(usual float64) {
+	if eng.linkRate < usual {
+		eng.linkRate += mendRate * (usual - eng.linkRate)
+	}
+}
+
 func (eng *engine) hasPrefix(hash uint64) bool {
 	for _, px := range eng.prefixes {
 		if px == hash {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -16,6 +16,7 @@
 	stallLeast    = 100 * clock.Millis(1)
 	sendingMost   = 1                    // patient transfers on one link at a time
 	lapseMargin   = 15 * clock.Millis(1) // for the way of a Transfer to the engine
+	carriersSeen  = 16                   // engines looked at for one whose link is fast enough
 	lapseCertain  = 0.9                  // part of the keep that a learned transfer time may claim
 	preemptMargin = 50 * clock.Millis(1) // a prefill that begins sooner is not taken back
 )
@@ -121,12 +122,12 @@
 // prefill first, the cached prefix counted, or nil if it is too early to
 // send one.
 func (ce *Cell) choosePrefill(now clock.Millis, jb *job) *engine {
-	eng := ce.prefills.best()
+	eng := ce.carrier(jb)
 	if eng == nil {
 		return nil
 	}
 	ready := max(float64(now), eng.readyAt())
-	if hit := ce.cached(jb); hit != nil && hit != eng {
+	if hit := ce.cached(jb); hit != nil && hit != eng && hit.carries(jb.ask.PromptTokens, ce.Keep) {
 		saved := min(jb.ask.PrefixTokens, jb.ask.PromptTokens)
 		hitReady := max(float64(now), hit.readyAt())
 		if hitReady <= ready+float64(saved)/hit.rate && hitReady-float64(now) <= float64(prefixWait) {
@@ -139,6 +140,26 @@
 	return eng
 }
 
+// carrier is the prefill engine that is ready first, among the few foremost
+// ones whose link carries the request's KV cache; the foremost if none does.
+func (ce *Cell) carrier(jb *job) *engine {
+	first := ce.prefills.best()
+	if first == nil || first.carries(jb.ask.PromptTokens, ce.Keep) {
+		return first
+	}
+	var best *engine
+	for _, it := range ce.prefills.items[:min(carriersSeen, ce.prefills.Len())] {
+		ce.steps++
+		if it.eng.carries(jb.ask.PromptTokens, ce.Keep) && (best == nil || it.eng.readyAt() < best.readyAt()) {
+			best = it.eng
+		}
+	}
+	if best == nil {
+		return first
+	}
+	return best
+}
+
 // cached is the least loaded engine that lately computed the request's
 // prefix, or nil.
 func (ce *Cell) cached(jb *job) *engine {
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -160,10 +160,16 @@
 	}
 }
 
+// stalled tells whether a transfer takes so much longer than expected that
+// another decode engine is worth a try. It is not when, at the pace that the
+// link has shown, another would not arrive before the KV cache lapses.
 func (ce *Cell) stalled(now clock.Millis, jb *job) bool {
 	spent := float64(now - jb.since)
-	return !jb.moved && spent > stallFactor*jb.linkMS+float64(stallLeast) &&
-		float64(jb.lapse-now) > jb.linkMS
+	if jb.moved || spent <= stallFactor*jb.linkMS+float64(stallLeast) {
+		return false
+	}
+	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
+	return float64(jb.lapse-now) > float64(jb.ask.PromptTokens)/jb.prefill.linkRate
 }
 
 // redirect sends a stalled transfer to another decode engine. The place at
