--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -107,6 +107,7 @@
 
 		nextHousekeep clock.Millis
 		wakeAt        clock.Millis
+		owed          []*member // of which the sender of this step's datagram holds an old doubt
 		fleet         *board.Fleet
 		dirty         bool
 		out           []Intent
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -34,6 +34,9 @@
 		settle clock.Millis // nothing is counted before
 		// pauseEvery is the mean span between pauses of a VM; zero is none.
 		pauseEvery clock.Millis
+		// ill VMs pause 2 to 4 s again and again; what is thought of them is
+		// not counted as false.
+		ill map[string]bool
 
 		suspects, deaths map[string]int // views of live VMs, by ID
 		falseSuspicions  int
@@ -45,6 +48,13 @@
 		detected         map[string][]clock.Millis
 	}
 
+	// variant is a detector to compare.
+	variant struct {
+		name     string
+		settings Settings
+		without  without
+	}
+
 	testVM struct {
 		dt          *Detector
 		self        board.VM
@@ -87,11 +97,12 @@
 
 // newFleet makes VMs spread over failure domains in three regions and starts
 // them all with the whole list.
-func newFleet(size, domains int, seed uint64, wo without) *testFleet {
+func newFleet(size, domains int, seed uint64, vr variant) *testFleet {
 	tf := &testFleet{
 		rnd:       rand.New(rand.NewPCG(seed, 1)),
 		byID:      make(map[string]*testVM),
 		suspects:  make(map[string]int),
+		ill:       make(map[string]bool),
 		deaths:    make(map[string]int),
 		killed:    make(map[string]clock.Millis),
 		suspected: make(map[string][]clock.Millis),
@@ -105,7 +116,7 @@
 			Region:        fmt.Sprintf("region-%d", domain%3),
 			Caller:        fmt.Sprintf("10.%d.0.%d:8443", domain, ix%250),
 			Peer:          fmt.Sprintf("10.%d.0.%d:7400", domain, ix%250),
-		}, seed, wo)
+		}, seed, vr)
 	}
 	for _, vm := range tf.vms {
 		tf.step(vm, Listed{VMs: tf.list()})
@@ -113,9 +124,14 @@
 	return tf
 }
 
-func (tf *testFleet) addVM(self board.VM, seed uint64, wo without) *testVM {
+func (tf *testFleet) addVM(self board.VM, seed uint64, vr variant) *testVM {
 	vm := &testVM{self: self, up: true}
-	vm.dt = &Detector{Self: self, Rand: rand.New(rand.NewPCG(seed, uint64(len(tf.vms))+2)), without: wo}
+	vm.dt = &Detector{
+		Self:     self,
+		Rand:     rand.New(rand.NewPCG(seed, uint64(len(tf.vms))+2)),
+		Settings: vr.settings,
+		without:  vr.without,
+	}
 	tf.vms = append(tf.vms, vm)
 	tf.byID[self.ID] = vm
 	return vm
@@ -159,7 +175,7 @@
 		switch {
 		case !ev.vm.up:
 		case ev.ev == nil:
-			ev.vm.pausedUntil = tf.now + 200 + clock.Millis(tf.rnd.Int64N(601))
+			ev.vm.pausedUntil = tf.now + tf.pauseSpan(ev.vm)
 			tf.planPause(ev.vm)
 		case tf.now < ev.vm.pausedUntil:
 			tf.push(ev.vm.pausedUntil, ev.vm, ev.ev)
@@ -190,12 +206,23 @@
 	}
 }
 
+// planPause sets when a VM pauses next: an ill one every 5 s.
 func (tf *testFleet) planPause(vm *testVM) {
-	if tf.pauseEvery > 0 {
-		tf.push(tf.now+1000+clock.Millis(tf.rnd.ExpFloat64()*float64(tf.pauseEvery)), vm, nil)
+	switch {
+	case tf.ill[vm.self.ID]:
+		tf.push(max(tf.now, vm.pausedUntil)+2*clock.Second+clock.Millis(tf.rnd.Int64N(2000)), vm, nil)
+	case tf.pauseEvery > 0:
+		tf.push(tf.now+clock.Second+clock.Millis(tf.rnd.ExpFloat64()*float64(tf.pauseEvery)), vm, nil)
 	}
 }
 
+func (tf *testFleet) pauseSpan(vm *testVM) clock.Millis {
+	if tf.ill[vm.self.ID] {
+		return 2*clock.Second + clock.Millis(tf.rnd.Int64N(2001))
+	}
+	return 200 + clock.Millis(tf.rnd.Int64N(601))
+}
+
 func (tr *traffic) add(dg *peerpb.Datagram) {
 	tr.messages++
 	tr.bytes += proto.Size(dg) + headBytes
@@ -289,6 +316,9 @@
 		}
 		return
 	}
+	if tf.ill[id] {
+		return
+	}
 	switch before {
 	case board.Suspect:
 		tf.suspects[id]--
@@ -365,3 +395,26 @@
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
 }
+
+// regionCut separates region-2 from the others.
+func regionCut(from, to *testVM) bool {
+	return (from.self.Region == "region-2") != (to.self.Region == "region-2")
+}
+
+func (tf *testFleet) regionVMs() []*testVM {
+	return slices.DeleteFunc(slices.Clone(tf.vms), func(vm *testVM) bool {
+		return vm.self.Region != "region-2"
+	})
+}
+
+func (tf *testFleet) noneQuorate(vms []*testVM) bool {
+	return !slices.ContainsFunc(vms, func(vm *testVM) bool { return vm.until > tf.now })
+}
+
+func (tf *testFleet) sentBytes() int {
+	total := 0
+	for _, vm := range tf.vms {
+		total += vm.sent.bytes
+	}
+	return total
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	maxOpen   = 64 // own probes that wait for an ack
-	maxRelays = 64 // probes on behalf of others that wait for one
+	maxOpen   = 256 // own probes that wait for an ack
+	maxAlone  = 192 // of them, those that no helper is asked for
+	maxRelays = 64  // probes on behalf of others that wait for one
 
 	// deadShare is the largest share of periods in which a dead VM is
 	// probed too, to find out when a partition ends.
@@ -36,6 +37,7 @@
 	probe struct {
 		number   uint64
 		target   *member
+		alone    bool // no helper is asked, and it is no fair sample of the fleet
 		sent     clock.Millis
 		at       clock.Millis // when the next helper is asked, or the verdict falls
 		deadline clock.Millis
@@ -79,17 +81,17 @@
 func (dt *Detector) probeRound() {
 	target := dt.nextInRing()
 	if target != nil {
-		dt.launch(target)
+		dt.launch(target, false)
 	}
 	dead := dt.deadMembers()
 	if len(dead) > 0 {
 		share := min(deadShare, float64(len(dead))/float64(len(dt.tb.members)+1))
 		if target == nil || dt.Rand.Float64() < share {
-			dt.launch(dead[dt.Rand.IntN(len(dead))])
+			dt.launch(dead[dt.Rand.IntN(len(dead))], true)
 		}
 	}
 	if mb := dt.staleDomain(); mb != nil {
-		dt.launch(mb)
+		dt.launch(mb, false)
 	}
 }
 
@@ -153,17 +155,17 @@
 	return dead
 }
 
-// launch probes a member.
-func (dt *Detector) launch(mb *member) {
-	if len(dt.pb.open) >= maxOpen {
+// launch probes a member, alone or with the help of others.
+func (dt *Detector) launch(mb *member, alone bool) {
+	if len(dt.pb.open) >= maxOpen || (alone && len(dt.pb.open) >= maxAlone) {
 		return
 	}
 	dt.Counters.Probes++
 	dt.pb.number++
-	pr := &probe{number: dt.pb.number, target: mb, sent: dt.now}
+	pr := &probe{number: dt.pb.number, target: mb, sent: dt.now, alone: alone}
 	pr.at = dt.now + dt.scaled(dt.Settings.ProbeTimeout)
 	pr.deadline = dt.now + dt.scaled(dt.Settings.ProbeDeadline)
-	if dt.without.helpers || !mb.serving() {
+	if alone || dt.without.helpers || !mb.serving() {
 		pr.at = pr.deadline
 	}
 	dt.pb.open[pr.number] = pr
@@ -253,7 +255,7 @@
 func (dt *Detector) missedProbe(pr *probe) {
 	dt.Counters.Missed++
 	mb := pr.target
-	if pr.missed == 0 && mb.serving() {
+	if pr.asked > 0 && pr.missed == 0 {
 		dt.ail(1)
 	}
 	if dt.tb.byID[mb.vm.ID] != mb {
@@ -262,8 +264,8 @@
 	switch {
 	case !mb.heard:
 		mb.tries++
-	case mb.serving():
-		dt.observe(mb, pr.sent, false)
+	case mb.serving() && !pr.alone: // alone, one lost datagram would do
+		dt.observe(pr, false)
 		dt.doubt(mb)
 	}
 }
@@ -300,6 +302,7 @@
 		return
 	}
 	dt.takeBody(from, dg, news)
+	dt.owed = nil
 }
 
 // correct tells a VM that it uses an incarnation that it had before.
@@ -389,7 +392,7 @@
 	delete(dt.pb.open, pr.number)
 	dt.Counters.Acked++
 	dt.ail(-1)
-	dt.observe(pr.target, pr.sent, true)
+	dt.observe(pr, true)
 	if direct && ack.GetDigest() != dt.digest() {
 		dt.trySync(from)
 	}
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -32,18 +32,31 @@
 	tally struct{ serving, acked, missed int }
 )
 
-// observe records the verdict of a probe.
-func (dt *Detector) observe(mb *member, sent clock.Millis, ok bool) {
-	qr := &dt.qr
-	newer := slices.ContainsFunc(qr.samples, func(sm sample) bool { return sm.mb == mb && sm.sent > sent })
-	if newer {
+// observe records the verdict of a probe. Probes of VMs that are doubted
+// already are left out: they would weigh more than their share.
+func (dt *Detector) observe(pr *probe, ok bool) {
+	if pr.alone {
 		return
 	}
-	qr.samples = slices.DeleteFunc(qr.samples, func(sm sample) bool { return sm.mb == mb })
-	at, _ := slices.BinarySearchFunc(qr.samples, sent, func(sm sample, sent clock.Millis) int {
+	qr := &dt.qr
+	at, _ := slices.BinarySearchFunc(qr.samples, pr.sent, func(sm sample, sent clock.Millis) int {
 		return cmp.Compare(sm.sent, sent)
 	})
-	qr.samples = slices.Insert(qr.samples, at, sample{mb: mb, sent: sent, ok: ok})
+	qr.samples = slices.Insert(qr.samples, at, sample{mb: pr.target, sent: pr.sent, ok: ok})
+	last := lastOf(qr.samples, pr.target)
+	qr.samples = slices.DeleteFunc(qr.samples, func(sm sample) bool {
+		return sm.mb == pr.target && sm.sent < last
+	})
+}
+
+func lastOf(samples []sample, mb *member) clock.Millis {
+	var last clock.Millis
+	for _, sm := range samples {
+		if sm.mb == mb {
+			last = max(last, sm.sent)
+		}
+	}
+	return last
 }
 
 // measureQuorum estimates how many VMs of the roster are reached. In each
@@ -150,6 +163,9 @@
 		last[sm.mb.vm.FailureDomain] = max(last[sm.mb.vm.FailureDomain], sm.sent)
 	}
 	for _, pr := range dt.pb.open {
+		if pr.alone {
+			continue
+		}
 		last[pr.target.vm.FailureDomain] = max(last[pr.target.vm.FailureDomain], pr.sent)
 	}
 	var stale []*member
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -68,6 +68,9 @@
 	if to.vm.Health == board.Suspect || (to.vm.Health == board.Dead && to.heard && !to.private) {
 		room = dt.put(dg, room, dt.about(to, dt.self, false))
 	}
+	for _, mb := range dt.owed {
+		room = dt.put(dg, room, dt.about(mb, 0, false))
+	}
 	limit := resends * bits.Len(uint(len(dt.tb.members)+1))
 	queue := dt.rm.queue
 	for ix := range queue {
@@ -153,6 +156,7 @@
 func (dt *Detector) hearAll(dg *peerpb.Datagram) bool {
 	_, bySync := dg.GetBody().(*peerpb.Datagram_SyncReply)
 	news := false
+	dt.owed = nil
 	for _, rr := range dg.GetRumours() {
 		if !dt.hear(rr) {
 			continue
@@ -184,7 +188,10 @@
 	}
 	switch ord := mb.compareRun(rr.GetIncarnation(), rr.GetRefutation()); {
 	case ord > 0:
-		return false // older than what is known
+		if hl == board.Suspect || hl == board.Dead {
+			dt.owed = append(dt.owed, mb)
+		}
+		return false
 	case ord < 0:
 		return dt.supersede(mb, rr, hl)
 	default:
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -9,14 +9,15 @@
 )
 
 // recheckEvery is how often a VM probes again what it suspects itself.
-const recheckEvery = clock.Second
+const recheckEvery = 2 * clock.Second
 
 // suspicion is the state of a member between the first doubt and its death.
 type suspicion struct {
 	started  clock.Millis
 	deadline clock.Millis // when the member counts as Dead
 	by       []uint32     // hashes of the VMs that found it suspect, each on its own
-	recheck  clock.Millis // when this VM probes it again; zero if it has no doubt of its own
+	recheck  clock.Millis // when this VM probes it again; zero is never
+	own      bool         // this VM itself found it suspect
 }
 
 // next is when the suspicion wants attention.
@@ -37,17 +38,28 @@
 	}
 	mb.private = false
 	su := &mb.suspicion
-	if by == dt.self && su.recheck == 0 {
+	if by == dt.self && !su.own {
+		su.own = true
 		su.recheck = dt.now
 	}
 	if len(su.by) > confirmations || slices.Contains(su.by, by) {
 		return
 	}
 	su.by = append(su.by, by)
-	su.deadline = su.started + dt.suspicionSpan(len(su.by)-1) + dt.Settings.DeadHold
+	dt.schedule(su)
 	dt.rm.push(mb.vm.ID, by)
 }
 
+// schedule sets when a suspicion ends. A VM that only heard of it probes once
+// itself while DeadHold passes, in case that it missed the refutation.
+func (dt *Detector) schedule(su *suspicion) {
+	ranOut := su.started + dt.suspicionSpan(len(su.by)-1)
+	su.deadline = ranOut + dt.Settings.DeadHold
+	if !su.own {
+		su.recheck = ranOut + clock.Millis(dt.Rand.Int64N(int64(dt.Settings.DeadHold)/2+1))
+	}
+}
+
 // suspicionSpan shrinks from the maximum to the minimum with the number of
 // independent confirmations.
 func (dt *Detector) suspicionSpan(confirmed int) clock.Millis {
@@ -69,7 +81,10 @@
 		}
 		if su.recheck != 0 && dt.now >= su.recheck {
 			su.recheck = dt.now + recheckEvery
-			dt.launch(mb)
+			if !su.own {
+				su.recheck = dt.now + dt.Settings.DeadHold/2
+			}
+			dt.launch(mb, true)
 		}
 	}
 }
@@ -91,7 +106,7 @@
 func (dt *Detector) regain() {
 	for _, mb := range dt.tb.suspects {
 		mb.suspicion.started = dt.now
-		mb.suspicion.deadline = dt.now + dt.suspicionSpan(len(mb.suspicion.by)-1) + dt.Settings.DeadHold
+		dt.schedule(&mb.suspicion)
 	}
 	for _, mb := range dt.tb.members {
 		if mb.vm.Health != board.Dead || !mb.private {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -186,7 +186,7 @@
 		if mb.heard {
 			continue
 		}
-		dt.launch(mb)
+		dt.launch(mb, true)
 		if asked++; asked == dt.Settings.Helpers {
 			return
 		}
