entry: ask the retry policy and count its reasons

Cause: retries were provisional, without budgets or counters. Measured: go test ./internal/entry passes; the demonstration runs.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -14,10 +14,8 @@
 	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
 	"alderdyke/internal/peer/peerpb"
-	"alderdyke/internal/retry"
 	"alderdyke/internal/sched"
 	"alderdyke/pkg/clock"
-	"alderdyke/pkg/refusal"
 	"alderdyke/pkg/template"
 )
 
@@ -60,31 +58,10 @@
 			return err
 		}
 		rn.tr.add(event.AttemptFailed, err.Error())
-		wait, ok := rn.again(try, err)
-		if !ok {
+		if err := rn.again(ctx, try, err); err != nil {
 			return err
 		}
-		if !sleep(ctx, wait) {
-			return context.Cause(ctx)
-		}
-		rn.tr.add(event.RequestRetried, "")
-	}
-}
-
-// again asks the retry policy whether another attempt may follow.
-func (rn *run) again(try int, err error) (clock.Millis, bool) {
-	var rf refusal.Refusal
-	if errors.As(err, &rf) {
-		return 0, false // decided by the accountant, which has its own queue
 	}
-	return rn.vm.retryAfter(retry.Attempt{
-		Customer:   rn.id.Customer,
-		Service:    rn.req.Class.Service,
-		Number:     try + 1,
-		Idempotent: rn.req.Class.Idempotent,
-		MayHaveRun: rn.sent.Load(),
-		Deadline:   rn.deadline,
-	})
 }
 
 func (rn *run) tryModel(ctx context.Context, try int) (err error) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,7 +13,6 @@
 	"alderdyke/internal/caller"
 	"alderdyke/internal/event"
 	"alderdyke/internal/rendezvous"
-	"alderdyke/internal/retry"
 	"alderdyke/internal/service"
 	"alderdyke/pkg/clock"
 )
@@ -39,14 +38,9 @@
 			tried = append(tried, server)
 		}
 		rn.tr.add(event.AttemptFailed, err.Error())
-		wait, ok := rn.again(try, err)
-		if !ok {
+		if err := rn.again(ctx, try, err); err != nil {
 			return err
 		}
-		if !sleep(ctx, wait) {
-			return context.Cause(ctx)
-		}
-		rn.tr.add(event.RequestRetried, "")
 	}
 }
 
@@ -140,14 +134,6 @@
 	vm.chooser.Done(vm.Clock.Now(), server, customer, out)
 }
 
-// retryAfter asks the retry policy whether and when another attempt follows.
-func (vm *VM) retryAfter(at retry.Attempt) (clock.Millis, bool) {
-	vm.retries.mu.Lock()
-	defer vm.retries.mu.Unlock()
-	vd := vm.retries.Decide(vm.Clock.Now(), at)
-	return vd.After, vd.Retry
-}
-
 // watchPlain reads the load of the plain servers that this VM uses.
 func (vm *VM) watchPlain(ctx context.Context) {
 	for {
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -22,7 +22,7 @@
 	// accountantPatience is how long a request that may wait looks for its
 	// accountant before it chooses by load reports.
 	accountantPatience = 2 * clock.Second
-	reopenPause        = 100 * clock.Millis(1)
+	reopenPause        = 50 * clock.Millis(1)
 )
 
 var errAccountantAway = errors.New("the accountant can't be asked")
@@ -197,7 +197,7 @@
 
 func (rs *reservation) patience() clock.Millis {
 	if rs.ask.GetQuick() {
-		return 0
+		return quickPatience(clock.Millis(rs.ask.GetTTFT()))
 	}
 	return accountantPatience
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -110,6 +110,7 @@
 	})
 	defer stop()
 	rn.tr.add(event.RequestAccepted, rn.req.Class.Name)
+	rn.vm.earnRetry(rn.id.Customer, rn.req.Class.Service)
 	if err := rn.execute(ctx); err != nil {
 		rn.refuse(ctx, err)
 	}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -35,6 +35,7 @@
 	"alderdyke/internal/event"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/membership"
+	"alderdyke/internal/metrics"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/register"
@@ -121,6 +122,7 @@
 	retries struct {
 		mu sync.Mutex
 		*retry.Policy
+		count metrics.Retries
 	}
 )
 
@@ -302,6 +304,7 @@
 	vm.janitor = janitor{cancel: vm.Engines.CancelAttempt, find: vm.server, lg: vm.Log}
 	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
+	vm.retries.count.Scope = vm.Scope
 	vm.initMembers()
 	vm.initFollower()
 	vm.initBook()
