caller: never continue an answer with another run's; test the turning away

A caller that comes back with a last event ID and a key that is no longer kept got the rest of a fresh run: a torn answer. It is now refused with MayHaveRun. A stalled reader is told apart from a broken connection, since the write deadline comes before the user timeout.

--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -29,8 +29,8 @@
 		IdleTimeout   clock.Millis // of a connection between requests (60s)
 
 		// WriteTimeout is how long one event, or 16 KiB of a whole answer,
-		// may take to reach the caller's connection, and how long sent data
-		// may stay unacknowledged (20s).
+		// may take to reach the caller's connection (20s). Sent data may
+		// stay unacknowledged for twice as long.
 		WriteTimeout clock.Millis
 
 		// HeaderWait is how long the status of a streamed answer is held
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -115,9 +115,32 @@
 	assert.Assert(t, ln.take(one) && !ln.take(two))
 }
 
+// halfPipe is a pipe end that passes for a connection with two directions.
+type halfPipe struct{ net.Conn }
+
+func (halfPipe) CloseWrite() error { return nil }
+
+func TestTurnedAwayCallersAreReadToTheEnd(t *testing.T) {
+	ln := &listener{turning: make(chan struct{}, 1)}
+	there, here := net.Pipe()
+	ln.turnAway(halfPipe{there})
+	got := make([]byte, len(turnedAway))
+	_, err := io.ReadFull(here, got)
+	assert.NilError(t, err)
+	_, err = here.Write([]byte("late")) // succeeds only if it is read
+	assert.NilError(t, err)
+
+	above, other := net.Pipe()
+	ln.turnAway(halfPipe{above}) // one more than may be told at once
+	_, err = other.Read(got)
+	assert.ErrorIs(t, err, io.EOF)
+	assert.NilError(t, here.Close())
+	ln.turning <- struct{}{} // the first has ended
+}
+
 func TestGoneAndStalledCallersAreDetached(t *testing.T) {
 	rg := serve(t, func(rg *rig) {
-		rg.Limits = Limits{WriteTimeout: 50}
+		rg.Limits = Limits{WriteTimeout: 500}
 		rg.rn.moved = make(chan int, 16)
 	})
 	request := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testKey +
@@ -134,7 +157,7 @@
 		assert.NilError(t, rg.rn.streams["stalled"].Token(piece))
 	}
 	assert.Equal(t, <-rg.rn.moved, 0)
-	assert.Equal(t, rg.counted("StalledReaders", "")+rg.counted("BrokenConnections", ""), int64(1))
+	assert.Equal(t, rg.counted("StalledReaders", ""), int64(1))
 }
 
 func TestStreamsOfACustomerAreLimited(t *testing.T) {
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -46,6 +46,10 @@
 		byIP map[netip.Addr]int
 	}
 
+	// halfCloser is a connection whose two directions close apart, such as
+	// *net.TCPConn.
+	halfCloser interface{ CloseWrite() error }
+
 	// countedConn gives its place back when it is closed.
 	countedConn struct {
 		net.Conn
@@ -123,7 +127,7 @@
 		if _, err := conn.Write(turnedAway); err != nil {
 			return
 		}
-		if tc, ok := conn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+		if hc, ok := conn.(halfCloser); ok && hc.CloseWrite() == nil {
 			_, _ = io.CopyN(io.Discard, conn, turnBytes)
 		}
 	}()
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -80,7 +80,10 @@
 		// the answer of a key that is known and refuses all others.
 		Start(ctx context.Context, req Request) (*answer.Stream, error)
 
-		// Find returns the answer of a key without running anything.
+		// Find returns the answer of a key, wherever it runs, without running
+		// anything; nil if none is kept. It is also asked before Start for a
+		// caller that has a part of the answer already, so that no new run
+		// is taken for the rest of it.
 		Find(ctx context.Context, customer, key string) (*answer.Stream, error)
 
 		// Addresses lists the VMs that callers should use, in any order, and
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -130,7 +130,7 @@
 	}
 	return &listener{
 		Listener: base, most: srv.limits.Connections, mostPerIP: srv.limits.ConnectionsPerIP,
-		unacked: srv.limits.WriteTimeout, rejected: srv.turnedAway,
+		unacked: 2 * srv.limits.WriteTimeout, rejected: srv.turnedAway,
 		turning: make(chan struct{}, turnAtOnce),
 	}, nil
 }
@@ -314,6 +314,13 @@
 	if after != fromStart && !run.KeyGiven {
 		return nil, badRequest(headerLastID + " needs the " + headerKey + " of the answer")
 	}
+	if after != fromStart {
+		// A caller that has a part of an answer must never get the rest of
+		// another run's.
+		if _, err := srv.lookUp(req.Context(), run.Customer, run.Key); err != nil {
+			return nil, err
+		}
+	}
 	if !run.KeyGiven {
 		if err := srv.Runner.Accepting(); err != nil {
 			return nil, fmt.Errorf("new request: %w", err)
@@ -344,12 +351,7 @@
 		srv.refuse(wr, "", err)
 		return
 	}
-	st, err := srv.Runner.Find(req.Context(), vs.tpl.Customer, key)
-	if err == nil && st == nil {
-		err = refusal.Refusal{
-			Ran: refusal.MayHaveRun, Reason: refusal.AnswerExpired, Detail: "no answer is kept for this key",
-		}
-	}
+	st, err := srv.lookUp(req.Context(), vs.tpl.Customer, key)
 	if err != nil {
 		srv.refuse(wr, "", err)
 		return
@@ -358,6 +360,20 @@
 	srv.delivery(wr, req, "", key, after).deliver(st, streamed)
 }
 
+// lookUp finds the answer of a key, or the refusal that says it is not kept.
+func (srv *Server) lookUp(ctx context.Context, customer, key string) (*answer.Stream, error) {
+	st, err := srv.Runner.Find(ctx, customer, key)
+	if err != nil {
+		return nil, fmt.Errorf("find the answer of a key: %w", err)
+	}
+	if st == nil {
+		return nil, refusal.Refusal{
+			Ran: refusal.MayHaveRun, Reason: refusal.AnswerExpired, Detail: "no answer is kept for this key",
+		}
+	}
+	return st, nil
+}
+
 func (srv *Server) delivery(wr http.ResponseWriter, req *http.Request, class, key string, after int) *delivery {
 	return &delivery{
 		srv: srv, wr: wr, rc: http.NewResponseController(wr), ctx: req.Context(),
--- a/internal/caller/stream_test.go
+++ b/internal/caller/stream_test.go
@@ -61,7 +61,12 @@
 	content, _ := pieces(t, text(t, resp))
 	assert.Equal(t, content, "b")
 	resp = rg.do(t, http.MethodGet, "/v1/answers/none", "")
-	assert.DeepEqual(t, refusalIn(t, resp).Ran, refusal.MayHaveRun)
+	assert.Equal(t, refusalIn(t, resp).Ran, refusal.MayHaveRun)
+
+	runs := len(rg.rn.started)
+	resp = rg.chat(t, headerKey, "forgotten", headerLastID, "2")
+	assert.Equal(t, refusalIn(t, resp).Reason, refusal.AnswerExpired)
+	assert.Equal(t, len(rg.rn.started), runs, "a new run is not the rest of an old one")
 }
 
 func TestRefusalsHaveTheirStatus(t *testing.T) {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -206,7 +206,8 @@
 		_ = http.NewResponseController(wr).Flush()
 		<-req.Context().Done()
 	}
-	fl := newFleet(t, 2, silent, stream(1, "."))
+	mute := func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }
+	fl := newFleet(t, 2, mute, silent, stream(1, "."))
 	fl.Idle = 50
 	ans, err := fl.Chat(t.Context(), ChatRequest{})
 	assert.NilError(t, err)
