--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -59,7 +59,8 @@
 	key := groupKey{ask.Customer, ask.Class}
 	gp, ok := ce.groups[key]
 	if !ok {
-		gp = &group{key: key, holdMS: expectHold(ask)}
+		gp = &group{key: key, holdMS: expectHold(ask),
+			arrivals: rate{memory: arrivalMemory}, prefill: rate{memory: prefillMemory}}
 		ce.groups[key] = gp
 	}
 	if !gp.listed {
--- /dev/null
+++ b/internal/sched/bench/bench_test.go
@@ -0,0 +1,203 @@
+package bench
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+// Two sets of seeds, neither used for trials of constants.
+var seedSets = map[string][]uint64{
+	"SeedsA": {1, 2, 3},
+	"SeedsB": {1001, 1002, 1003},
+}
+
+func deployments() []Deployment { return []Deployment{Kedelsyn(), HoaLua()} }
+
+// sum runs a setup on all seeds of a set.
+func sum(su Setup, seeds []uint64) Result {
+	var runs []Result
+	for _, seed := range seeds {
+		su.Seed = seed
+		runs = append(runs, Run(su))
+	}
+	return Sum(runs...)
+}
+
+// each runs a check for both deployments on both sets of seeds.
+func each(t *testing.T, check func(t *testing.T, dp Deployment, seeds []uint64)) {
+	t.Helper()
+	for name, seeds := range seedSets {
+		for _, dp := range deployments() {
+			t.Run(name+"/"+dp.Name, func(t *testing.T) {
+				t.Parallel()
+				check(t, dp, seeds)
+			})
+		}
+	}
+}
+
+// sound checks what must hold in every run.
+func sound(t *testing.T, rs Result) {
+	t.Helper()
+	assert.Equal(t, rs.Unended, 0, "requests without exactly one end")
+	assert.Equal(t, rs.Untrue, 0, "NotRun refusals of requests that an engine was sent")
+}
+
+func TestBoundsAtCapacity(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		rs := sum(Setup{Deployment: dp, Load: 1.0, Policy: Cell}, seeds)
+		t.Logf("quick %.4f, both %.4f, wasted %.4f", rs.Goodput(QuickWork), rs.GoodputAll(), rs.WastedShare())
+		sound(t, rs)
+		assert.Assert(t, rs.Goodput(QuickWork) >= 0.99, "quick goodput %.4f", rs.Goodput(QuickWork))
+		assert.Assert(t, rs.WastedShare() < 0.01, "wasted prefill %.4f", rs.WastedShare())
+		for _, po := range []Policy{Shares, Optimistic, TwoChoices, LeastLoad, RoundRobin} {
+			other := sum(Setup{Deployment: dp, Load: 1.0, Policy: po}, seeds[:1])
+			assert.Assert(t, rs.GoodputAll() > other.GoodputAll(), "%s %.4f", po, other.GoodputAll())
+		}
+	})
+}
+
+func TestBoundsAtTwiceCapacity(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		rs := sum(Setup{Deployment: dp, Load: 2.0, Policy: Cell}, seeds)
+		t.Logf("quick %.4f, patient %.4f, wasted %.4f, places in use %.3f",
+			rs.Goodput(QuickWork), rs.Goodput(PatientWork), rs.WastedShare(), rs.Occupancy)
+		sound(t, rs)
+		assert.Assert(t, rs.Goodput(QuickWork) >= 0.97, "quick goodput %.4f", rs.Goodput(QuickWork))
+		assert.Assert(t, rs.WastedShare() < 0.03, "wasted prefill %.4f", rs.WastedShare())
+		assert.Assert(t, rs.Occupancy >= 0.8, "patient work fills the rest: %.3f in use", rs.Occupancy)
+	})
+}
+
+func TestBoundsAgainstOracle(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		for _, load := range []float64{1.0, 1.2} {
+			su := Setup{Deployment: dp, Load: load, Span: 100 * clock.Second}
+			su.Policy = Oracle
+			best := sum(su, seeds[:2])
+			su.Policy = Cell
+			rs := sum(su, seeds[:2])
+			t.Logf("load %.1f: %.4f, oracle %.4f", load, rs.GoodputAll(), best.GoodputAll())
+			sound(t, rs)
+			assert.Assert(t, rs.GoodputAll() >= 0.95*best.GoodputAll(),
+				"load %.1f: %.4f, oracle %.4f", load, rs.GoodputAll(), best.GoodputAll())
+		}
+	})
+}
+
+func TestFaults(t *testing.T) {
+	for _, fault := range []Fault{LostWorker, SlowLink, LaggingReport, PausedOwner, DeadOwner} {
+		t.Run(string(fault), func(t *testing.T) {
+			each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+				rs := sum(Setup{Deployment: dp, Load: 1.0, Policy: Cell, Fault: fault}, seeds[:2])
+				t.Logf("quick %.4f, both %.4f, wasted %.4f", rs.Goodput(QuickWork), rs.GoodputAll(), rs.WastedShare())
+				sound(t, rs)
+				assert.Assert(t, rs.Goodput(QuickWork) >= 0.95, "quick goodput %.4f", rs.Goodput(QuickWork))
+				assert.Assert(t, rs.WastedShare() < 0.06, "wasted prefill %.4f", rs.WastedShare())
+			})
+		})
+	}
+}
+
+// TestRecovery offers twice the capacity and then eight tenths of it: 25 s
+// after the surge the goodput is back.
+func TestRecovery(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		su := Setup{Deployment: dp, Load: 2.0, Surge: 0.8, Policy: Cell, From: 85 * clock.Second}
+		rs := sum(su, seeds[:2])
+		sound(t, rs)
+		assert.Assert(t, rs.Goodput(QuickWork) >= 0.99, "quick goodput %.4f", rs.Goodput(QuickWork))
+		assert.Assert(t, rs.Goodput(PatientWork) >= 0.95, "patient goodput %.4f", rs.Goodput(PatientWork))
+	})
+}
+
+// TestNoCollapse holds the answers that met their targets at twice the
+// capacity against those at capacity.
+func TestNoCollapse(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		full := sum(Setup{Deployment: dp, Load: 1.0, Policy: Cell}, seeds[:1])
+		twice := sum(Setup{Deployment: dp, Load: 2.0, Policy: Cell}, seeds[:1])
+		assert.Assert(t, float64(twice.Met[QuickWork]) >= 1.7*float64(full.Met[QuickWork]),
+			"quick: %d, then %d", full.Met[QuickWork], twice.Met[QuickWork])
+		assert.Assert(t, float64(twice.Met[PatientWork]) >= 0.5*float64(full.Met[PatientWork]),
+			"patient: %d, then %d", full.Met[PatientWork], twice.Met[PatientWork])
+	})
+}
+
+// TestFlood lets one customer offer three times its load; the other one
+// keeps its goodput.
+func TestFlood(t *testing.T) {
+	each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
+		dp = withinShare(dp)
+		other := dp.Classes[2].Customer
+		calm := sum(Setup{Deployment: dp, Load: 0.9, Policy: Cell}, seeds[:2])
+		flood := sum(Setup{Deployment: dp, Load: 0.9, Policy: Cell, Flood: 3}, seeds[:2])
+		before, after := calm.Customers[other].Value(), flood.Customers[other].Value()
+		t.Logf("%s: %.4f, under the flood %.4f", other, before, after)
+		sound(t, flood)
+		assert.Assert(t, after >= before-0.03, "%s: %.4f, under the flood %.4f", other, before, after)
+	})
+}
+
+// withinShare gives the second customer's patient class a share above what
+// it asks for, so that none of what it uses is lent.
+func withinShare(dp Deployment) Deployment {
+	classes := append([]Class(nil), dp.Classes...)
+	classes[0].Share, classes[2].Share = classes[2].Share, classes[0].Share
+	dp.Classes = classes
+	return dp
+}
+
+// TestWeights runs both deployments with each other's weight of wasted
+// prefill: each setting is the better one by its own measure.
+func TestWeights(t *testing.T) {
+	for name, seeds := range seedSets {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, dp := range deployments() {
+				thrift := sum(Setup{Deployment: dp.WithWeight(0.9), Load: 1.2, Policy: Cell}, seeds)
+				goods := sum(Setup{Deployment: dp.WithWeight(0.1), Load: 1.2, Policy: Cell}, seeds)
+				t.Logf("%s: weight 0.9 wasted %.4f met %d; weight 0.1 wasted %.4f met %d", dp.Name,
+					thrift.WastedShare(), thrift.Met[PatientWork], goods.WastedShare(), goods.Met[PatientWork])
+				assert.Assert(t, thrift.WastedShare() < goods.WastedShare(), dp.Name)
+				assert.Assert(t, thrift.Met[PatientWork] < goods.Met[PatientWork], dp.Name)
+			}
+		})
+	}
+}
+
+func TestSameFigureAtEveryRun(t *testing.T) {
+	for _, po := range []Policy{Cell, Shares, Optimistic, TwoChoices} {
+		su := Setup{Deployment: HoaLua(), Load: 1.2, Policy: po, Fault: DeadOwner, Seed: 3, Span: 80 * clock.Second}
+		first, second := Run(su), Run(su)
+		assert.Assert(t, reflect.DeepEqual(first, second), string(po))
+	}
+}
+
+// TestMeasureSeesFaults breaks the record of a run and checks that the
+// result counts it.
+func TestMeasureSeesFaults(t *testing.T) {
+	sm := newSim(Setup{Deployment: HoaLua(), Load: 0.5, Policy: TwoChoices, Seed: 1, Span: 30 * clock.Second})
+	for _, rq := range sm.requests {
+		rq.ends, rq.first, rq.end = 1, rq.arrive+50, rq.arrive+900
+	}
+	assert.Equal(t, sm.result().Unended, 0)
+	sm.requests[0].ends, sm.requests[1].ends = 0, 2
+	rf := sm.requests[2].tooLate()
+	sm.requests[2].refused, sm.requests[2].ran = &rf, true
+	rs := sm.result()
+	assert.Equal(t, rs.Unended, 2)
+	assert.Equal(t, rs.Untrue, 1)
+}
+
+func ExampleRun() {
+	rs := Run(Setup{Deployment: Kedelsyn(), Load: 0.5, Policy: Cell, Seed: 1, Span: 30 * clock.Second})
+	fmt.Printf("quick %.2f, patient %.2f, wasted %.2f\n",
+		rs.Goodput(QuickWork), rs.Goodput(PatientWork), rs.WastedShare())
+	// Output: quick 1.00, patient 1.00, wasted 0.00
+}
--- a/internal/sched/bench/result.go
+++ b/internal/sched/bench/result.go
@@ -37,6 +37,49 @@
 	Ratio struct{ Part, Whole int }
 )
 
+// Sum adds up runs of one setup on several seeds.
+func Sum(runs ...Result) Result {
+	all := runs[0].empty()
+	for _, rs := range runs {
+		for _, wk := range []Work{QuickWork, PatientWork} {
+			all.Offered[wk] += rs.Offered[wk]
+			all.Met[wk] += rs.Met[wk]
+			all.Answered[wk] += rs.Answered[wk]
+			all.TTFT[wk].Merge(rs.TTFT[wk])
+			all.TPOT[wk].Merge(rs.TPOT[wk])
+		}
+		for why, num := range rs.Refused {
+			all.Refused[why] += num
+		}
+		for name, ra := range rs.Customers {
+			sum := all.Customers[name]
+			all.Customers[name] = Ratio{sum.Part + ra.Part, sum.Whole + ra.Whole}
+		}
+		all.Computed += rs.Computed
+		all.Wasted += rs.Wasted
+		all.Occupancy += rs.Occupancy / float64(len(runs))
+		all.Unended += rs.Unended
+		all.Untrue += rs.Untrue
+		all.Retried += rs.Retried
+		all.Steps += rs.Steps
+		all.Decisions += rs.Decisions
+	}
+	return all
+}
+
+func (rs Result) empty() Result {
+	fresh := Result{
+		Setup: rs.Setup, Offered: map[Work]int{}, Met: map[Work]int{}, Answered: map[Work]int{},
+		Refused: map[refusal.Reason]int{}, Customers: map[string]Ratio{},
+		TTFT: map[Work]*hdrhistogram.Histogram{}, TPOT: map[Work]*hdrhistogram.Histogram{},
+	}
+	for _, wk := range []Work{QuickWork, PatientWork} {
+		fresh.TTFT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
+		fresh.TPOT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
+	}
+	return fresh
+}
+
 // Value is the ratio as a number; 1 if nothing was offered.
 func (ra Ratio) Value() float64 {
 	if ra.Whole == 0 {
@@ -63,18 +106,10 @@
 }
 
 func (sm *sim) result() Result {
-	rs := Result{
-		Setup: sm.Setup, Offered: map[Work]int{}, Met: map[Work]int{}, Answered: map[Work]int{},
-		Refused: map[refusal.Reason]int{}, Customers: map[string]Ratio{},
-		TTFT: map[Work]*hdrhistogram.Histogram{}, TPOT: map[Work]*hdrhistogram.Histogram{},
-	}
-	for _, wk := range []Work{QuickWork, PatientWork} {
-		rs.TTFT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
-		rs.TPOT[wk] = hdrhistogram.New(1, histogramMost, histogramDigits)
-	}
+	rs := Result{Setup: sm.Setup}.empty()
 	for _, rq := range sm.requests {
 		rs.check(rq)
-		if rq.arrive >= warmUp {
+		if rq.arrive >= sm.from {
 			rs.count(rq)
 		}
 	}
--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -61,6 +61,7 @@
 		Fault      Fault
 		Seed       uint64
 		Span       clock.Millis // of arrivals; zero means 120 s
+		From       clock.Millis // arrivals before are not measured; zero means 20 s
 		Flood      float64      // multiplies the first customer's arrivals; zero means 1
 
 		// Surge is the load after the first half of the span; zero means
@@ -104,7 +105,7 @@
 		requests []*request
 		lag      float64
 		span     float64
-		cellLost bool
+		from     float64
 		occupied float64 // place-milliseconds during the measured time
 		counted  float64
 	}
@@ -174,6 +175,10 @@
 	if su.Span > 0 {
 		sm.span = float64(su.Span)
 	}
+	sm.from = warmUp
+	if su.From > 0 {
+		sm.from = float64(su.From)
+	}
 	dp := su.Deployment
 	for ix := range dp.Prefills {
 		en := &prefillEngine{sm: sm, id: fmt.Sprintf("prefill-%d", ix), domain: ix % len(dp.Domains)}
@@ -268,7 +273,7 @@
 // sample measures the occupancy of a decode engine during the measured time.
 func (sm *sim) sample(de *decodeEngine) {
 	sm.after(100, func() {
-		if sm.now >= warmUp && sm.now < sm.span && !de.dead {
+		if sm.now >= sm.from && sm.now < sm.span && !de.dead {
 			sm.occupied += float64(len(de.running))
 			sm.counted += decodeSlots
 		}
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -9,7 +9,8 @@
 // How a group's habits are learned.
 const (
 	holdLearnRate  = 0.03             // weight of one request's decode time
-	rateMemory     = 2 * clock.Second // time constant of a decaying rate
+	arrivalMemory  = 6 * clock.Second // time constant of the rate of arrivals
+	prefillMemory  = 2 * clock.Second // time constant of the use of prefill engines
 	unknownTPOT    = 35 * clock.Millis(1)
 	lateServedEach = 4 // one of so many starts goes to a late request if both wait
 )
@@ -40,8 +41,9 @@
 
 	// rate is an exponentially decaying sum, as events per millisecond.
 	rate struct {
-		value float64
-		at    clock.Millis
+		memory clock.Millis // time constant
+		value  float64
+		at     clock.Millis
 	}
 
 	// job is one request in a cell.
@@ -108,12 +110,12 @@
 
 // add takes an event of some size into the rate.
 func (rt *rate) add(now clock.Millis, size float64) {
-	rt.value = rt.now(now) + size/float64(rateMemory)
+	rt.value = rt.now(now) + size/float64(rt.memory)
 	rt.at = now
 }
 
 func (rt *rate) now(now clock.Millis) float64 {
-	return rt.value * math.Exp(-float64(now-rt.at)/float64(rateMemory))
+	return rt.value * math.Exp(-float64(now-rt.at)/float64(rt.memory))
 }
 
 // usage is the part of the cell that the group uses: of the decode places or
