--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -17,6 +17,9 @@
 	resends = 2
 	// rumourHead is the tag and length that a rumour costs in a datagram.
 	rumourHead = 3
+	// rumourRoom is for the rumours of one datagram, in bytes. When much
+	// changes at once, it trades the speed of rumours for a bounded rate.
+	rumourRoom = 400
 	// introduceFor is how long this VM adds its address to what it sends to
 	// a VM that is new or came back, and that may not know it yet.
 	introduceFor = 10 * clock.Second
@@ -29,9 +32,10 @@
 	// rumour names the VM that it is about; what is told is the state of
 	// that VM at the time of sending. by is the hash of the VM that suspects it.
 	rumour struct {
-		id   string
-		by   uint32
-		sent int
+		id    string
+		by    uint32
+		sent  int
+		brief bool // others say the same about now: a quarter of the sends will do
 	}
 )
 
@@ -44,6 +48,20 @@
 	rm.queue = append(rm.queue, rumour{id: id, by: by})
 }
 
+// pushBrief queues a rumour that others find out by themselves too.
+func (rm *rumours) pushBrief(id string, by uint32) {
+	rm.push(id, by)
+	rm.queue[len(rm.queue)-1].brief = true
+}
+
+// done tells whether a rumour was told often enough.
+func (ru rumour) done(limit int) bool {
+	if ru.brief {
+		limit = (limit + 3) / 4
+	}
+	return ru.sent >= limit
+}
+
 // heard counts a rumour that another VM told as told: the more know it, the
 // less it needs to be spread.
 func (rm *rumours) heard(id string, by uint32) {
@@ -71,6 +89,7 @@
 	for _, mb := range dt.owed {
 		room = dt.put(dg, room, dt.about(mb, 0, false))
 	}
+	room = min(room, rumourRoom)
 	limit := resends * bits.Len(uint(len(dt.tb.members)+1))
 	queue := dt.rm.queue
 	for ix := range queue {
@@ -86,7 +105,7 @@
 		room = left
 		queue[ix].sent++
 	}
-	queue = slices.DeleteFunc(queue, func(ru rumour) bool { return ru.sent >= limit })
+	queue = slices.DeleteFunc(queue, func(ru rumour) bool { return ru.done(limit) })
 	slices.SortStableFunc(queue, func(ra, rb rumour) int { return cmp.Compare(ra.sent, rb.sent) })
 	dt.rm.queue = queue
 }
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -47,6 +47,10 @@
 	}
 	su.by = append(su.by, by)
 	dt.schedule(su)
+	if len(su.by) > 1 {
+		dt.rm.pushBrief(mb.vm.ID, by)
+		return
+	}
 	dt.rm.push(mb.vm.ID, by)
 }
 
@@ -94,7 +98,7 @@
 func (dt *Detector) die(mb *member) {
 	dt.setHealth(mb, board.Dead)
 	if dt.measureQuorum(); dt.qr.quorate {
-		dt.rm.push(mb.vm.ID, 0)
+		dt.rm.pushBrief(mb.vm.ID, 0)
 		return
 	}
 	mb.private = true
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -16,6 +16,7 @@
 	syncTimeout  = 500 * clock.Millis(1) // for one reply
 	sequenceRoom = 10                    // bytes that the transport's Sequence may take
 	maxPages     = 80                    // replies in a row from one VM
+	syncSettle   = 5 * clock.Second      // without a change before tables are compared: gossip first
 )
 
 // syncer compares tables with other VMs, to learn the whole fleet at the
@@ -25,7 +26,8 @@
 	fresh    bool // they were computed once
 	total    uint64
 	bucket   [buckets]uint32
-	asked    string // VM whose reply is awaited
+	changed  clock.Millis // when the digests last changed
+	asked    string       // VM whose reply is awaited
 	deadline clock.Millis
 	next     clock.Millis // no comparison begins before
 	pages    int
@@ -43,6 +45,7 @@
 		return
 	}
 	sy.stale, sy.fresh = false, true
+	before := sy.total
 	sy.total = 0
 	sy.bucket = [buckets]uint32{}
 	fold := func(vm board.VM, leaving bool) {
@@ -57,6 +60,9 @@
 			fold(mb.vm, mb.leaving)
 		}
 	}
+	if sy.total != before {
+		sy.changed = dt.now
+	}
 }
 
 func bucketOf(id string) int { return int(hashOf(id) % buckets) }
@@ -66,13 +72,17 @@
 
 // trySync begins a comparison with a VM whose digest differs.
 func (dt *Detector) trySync(mb *member) {
+	joining := dt.joining()
 	if dt.sy.asked != "" || dt.now < dt.sy.next {
 		return
 	}
+	if !joining && dt.now-dt.sy.changed < syncSettle {
+		return
+	}
 	dt.sy.pages = 0
 	half := dt.Settings.SyncEvery / 2
 	dt.sy.next = dt.now + half + clock.Millis(dt.Rand.Int64N(int64(half)+1))
-	if dt.joining() {
+	if joining {
 		dt.sy.next = dt.now + syncTimeout
 	}
 	dt.askSync(mb)
