peer: dial from the address that the VM listens at

A VM with several IP numbers dialled from whichever the system chose, so that its peers, and relays between them, saw another number than the one in its settings. Sessions now leave from the number of Listen; the test saw 127.0.0.1 for a VM at 127.0.0.2 before.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -185,7 +185,12 @@
 	if _, err := netip.ParseAddrPort(vm.Peer); err != nil {
 		return nil, StepDial, fmt.Errorf("address of the VM: %w", err)
 	}
-	dr := net.Dialer{Timeout: tr.DialTimeout.Std(), KeepAlive: -1, Control: userTimeout(tr.PingTimeout)}
+	dr := net.Dialer{
+		LocalAddr: tr.dialFrom(),
+		Timeout:   tr.DialTimeout.Std(),
+		KeepAlive: -1,
+		Control:   userTimeout(tr.PingTimeout),
+	}
 	raw, err := dr.DialContext(ctx, "tcp", vm.Peer)
 	if err != nil {
 		return nil, StepDial, fmt.Errorf("dial: %w", err)
@@ -197,6 +202,16 @@
 	return ss, "", nil
 }
 
+// dialFrom is the IP number that the VM listens at, so that a VM with several
+// is known to the others by one. Nil leaves the choice to the system.
+func (tr *Transport) dialFrom() net.Addr {
+	listen, err := netip.ParseAddrPort(tr.Listen)
+	if err != nil || listen.Addr().IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: listen.Addr().AsSlice(), Zone: listen.Addr().Zone()}
+}
+
 func (tr *Transport) upgrade(ctx context.Context, raw net.Conn, vm board.VM) (*session, Step, error) {
 	if err := tr.bound(raw); err != nil {
 		return nil, StepHandshake, err
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -569,3 +569,25 @@
 	}
 	assert.Assert(t, is[peer.SizeError](sa.Datagram(sb.vm(), &peerpb.Datagram{Rumours: rumours})))
 }
+
+// A VM with several IP numbers speaks from the one that it listens at.
+func TestDialsFromTheAddressThatItListensAt(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	tr := start(t, &peer.Transport{Self: ref("a", 1), Handler: echo, Listen: "127.0.0.2:0"})
+	ctx, cancel := context.WithCancel(t.Context())
+	opened := make(chan error, 1)
+	go func() {
+		_, err := tr.Open(ctx, board.VM{VMRef: ref("b", 1), Peer: ln.Addr().String()})
+		opened <- err
+	}()
+	raw, err := ln.Accept()
+	assert.NilError(t, err)
+	defer raw.Close()
+	from, err := netip.ParseAddrPort(raw.RemoteAddr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, from.Addr(), netip.MustParseAddr("127.0.0.2"))
+	cancel()
+	assert.Assert(t, <-opened != nil)
+}
