standin/deployment: let tests stand between the parts

Fault injection needs something before each address, and VMs that are told apart by their IP numbers. Front returns the address that others are told; Hosts gives each entry VM a loopback number of its own with the usual ports.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -39,7 +39,32 @@
 	PeerSecret    = "a-secret-that-all-stand-in-vms-share"
 )
 
+// Ports of an entry VM that has an IP number of its own.
+const (
+	callerPort   = 8080
+	peerPort     = 7946
+	operatorPort = 9090
+)
+
+// Kinds of links.
+const (
+	CallerLink  Kind = "Caller"  // callers to a VM
+	PeerLink    Kind = "Peer"    // other VMs to a VM, by TCP and UDP
+	LogLink     Kind = "Log"     // a VM to the log service
+	ListLink    Kind = "List"    // a VM to the VM list
+	BackendLink Kind = "Backend" // VMs and other engines to a backend server
+)
+
 type (
+	// Kind of a link.
+	Kind string
+
+	// Link is one way by which a deployment's parts speak.
+	Link struct {
+		Kind Kind
+		ID   string // of the VM, or of the backend server
+	}
+
 	// Deployment is the stand-ins around some entry VMs. Set the exported
 	// fields before Start.
 	Deployment struct {
@@ -54,6 +79,15 @@
 		Engine         enginesim.Settings
 		Service        servicesim.Settings
 
+		// Hosts are IP numbers of loopback, dealt to entry VMs in turn, each
+		// of which then listens at the usual ports of its own. Without any,
+		// VMs share 127.0.0.1 and take free ports.
+		Hosts []netip.Addr
+		// Front puts something before an address that others connect to,
+		// such as a proxy that injects faults, and returns its address. Nil
+		// leaves all addresses as they are.
+		Front func(lk Link, addr netip.AddrPort) (netip.AddrPort, error)
+
 		Logs     *logsim.Server
 		List     *listsim.Server
 		Engines  []*enginesim.Engine
@@ -67,6 +101,8 @@
 	}
 )
 
+var errNoHost = errors.New("no IP number is left in Hosts")
+
 // Start opens all stand-ins.
 func (dp *Deployment) Start() error {
 	if len(dp.FailureDomains) == 0 {
@@ -109,8 +145,7 @@
 		return fmt.Errorf("start engine %s: %w", id, err)
 	}
 	dp.Engines = append(dp.Engines, en)
-	dp.list(id, dp.Model, role, addr)
-	return nil
+	return dp.list(id, dp.Model, role, addr)
 }
 
 func (dp *Deployment) plain(id string) error {
@@ -120,11 +155,25 @@
 		return fmt.Errorf("start server %s: %w", id, err)
 	}
 	dp.Services = append(dp.Services, sv)
-	dp.list(id, dp.PlainService, board.Plain, addr)
-	return nil
+	return dp.list(id, dp.PlainService, board.Plain, addr)
+}
+
+func (dp *Deployment) front(kind Kind, id string, addr netip.AddrPort) (netip.AddrPort, error) {
+	if dp.Front == nil {
+		return addr, nil
+	}
+	out, err := dp.Front(Link{Kind: kind, ID: id}, addr)
+	if err != nil {
+		return addr, fmt.Errorf("front %s of %s: %w", kind, id, err)
+	}
+	return out, nil
 }
 
-func (dp *Deployment) list(id, service string, role board.Role, addr netip.AddrPort) {
+func (dp *Deployment) list(id, service string, role board.Role, addr netip.AddrPort) error {
+	addr, err := dp.front(BackendLink, id, addr)
+	if err != nil {
+		return err
+	}
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	dp.doc.Servers = append(dp.doc.Servers, vmlist.ServerEntry{
@@ -136,6 +185,7 @@
 		ChecksFencing: dp.Engine.ChecksFencing,
 		State:         vmlist.Live,
 	})
+	return nil
 }
 
 func (dp *Deployment) serve(handler http.Handler) (netip.AddrPort, error) {
@@ -154,31 +204,70 @@
 func (dp *Deployment) VM(id, failureDomain string) (settings.Settings, error) {
 	set := settings.Default()
 	set.ID, set.FailureDomain, set.Region = id, failureDomain, dp.Region
-	ports, err := freePorts(3)
-	if err != nil {
-		return set, fmt.Errorf("find ports for VM %s: %w", id, err)
-	}
-	set.Caller.Listen, set.Caller.Advertise = ports[0], ports[0]
-	set.Peer.Listen, set.Peer.Advertise = ports[1], ports[1]
-	set.Operator.Listen = ports[2]
 	set.Peer.Secret = settings.NewSecret(PeerSecret)
 	set.Operator.Token = settings.NewSecret(OperatorToken)
-	set.Log.Address, set.Log.Token = dp.logAddr, settings.NewSecret(LogToken)
-	set.VMList.Address, set.VMList.Token = dp.lstAddr, settings.NewSecret(ListToken)
+	set.Log.Token = settings.NewSecret(LogToken)
+	set.VMList.Token = settings.NewSecret(ListToken)
 	set.Backends.Token = settings.NewSecret(BackendToken)
+	if err := dp.place(&set); err != nil {
+		return set, fmt.Errorf("place VM %s: %w", id, err)
+	}
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	dp.doc.VMs = append(dp.doc.VMs, vmlist.VMEntry{
 		ID:            id,
 		FailureDomain: failureDomain,
 		Region:        dp.Region,
-		Caller:        ports[0].String(),
-		Peer:          ports[1].String(),
+		Caller:        set.Caller.Advertise.String(),
+		Peer:          set.Peer.Advertise.String(),
 		State:         vmlist.Live,
 	})
 	return set, nil
 }
 
+// place sets all addresses of an entry VM.
+func (dp *Deployment) place(set *settings.Settings) error {
+	ports, err := dp.ports()
+	if err != nil {
+		return fmt.Errorf("find ports: %w", err)
+	}
+	set.Caller.Listen, set.Peer.Listen, set.Operator.Listen = ports[0], ports[1], ports[2]
+	for _, ad := range []struct {
+		kind Kind
+		addr netip.AddrPort
+		to   *netip.AddrPort
+	}{
+		{CallerLink, ports[0], &set.Caller.Advertise},
+		{PeerLink, ports[1], &set.Peer.Advertise},
+		{LogLink, dp.logAddr, &set.Log.Address},
+		{ListLink, dp.lstAddr, &set.VMList.Address},
+	} {
+		if *ad.to, err = dp.front(ad.kind, set.ID, ad.addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ports returns the addresses for callers, peers and operators of one more
+// entry VM.
+func (dp *Deployment) ports() ([]netip.AddrPort, error) {
+	if len(dp.Hosts) == 0 {
+		return freePorts(3)
+	}
+	dp.mu.Lock()
+	defer dp.mu.Unlock()
+	if len(dp.doc.VMs) >= len(dp.Hosts) {
+		return nil, errNoHost
+	}
+	host := dp.Hosts[len(dp.doc.VMs)]
+	return []netip.AddrPort{
+		netip.AddrPortFrom(host, callerPort),
+		netip.AddrPortFrom(host, peerPort),
+		netip.AddrPortFrom(host, operatorPort),
+	}, nil
+}
+
 // Leave marks an entry VM or a backend server as leaving in the VM list.
 func (dp *Deployment) Leave(id string) {
 	dp.mu.Lock()
