--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"time"
 
@@ -37,8 +38,6 @@
 	APIKey  = "kedelsyn-demo-key" // of the customer kedelsyn in examples
 	vmCount = 3
 
-	firstPort = 7080 // callers of the first VM; others see deployment.FirstPort
-
 	addressesKeep = 2 * clock.Second
 	drainLinger   = 1 * clock.Second
 
@@ -68,7 +67,7 @@
 		Plain:          2,
 		Region:         "loopback",
 		FailureDomains: []string{"a", "b", "c"},
-		FirstPort:      firstPort,
+		Hosts:          hosts(),
 		Engine:         deployment.Speed(4),
 	}
 	if err := dp.Start(); err != nil {
@@ -211,3 +210,12 @@
 		return true
 	}
 }
+
+// hosts are the VMs' IP numbers, so that each has the usual ports.
+func hosts() []netip.Addr {
+	var out []netip.Addr
+	for ix := range vmCount {
+		out = append(out, netip.AddrFrom4([4]byte{127, 0, 0, byte(ix + 1)}))
+	}
+	return out
+}
