vmlist, entry: ask for the VM list with its tag and make cells once a list

Cause: each VM fetched the whole list each second, about 150 B an entry; a fleet of 380 VMs before 600 workers would read about 150 KB/s a VM against a control budget of 2 KB/s. Each request divided all backend servers into cells. Change: the list is asked for with If-None-Match; the span between two fetches grows with the list from 1 s to 5 s and is spread; cells are kept for each list of servers. A platform without ETags still sends the whole list.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -61,7 +61,7 @@
 func (ac *accountant) follow(ctx context.Context) {
 	fl := ac.vm.Board.Fleet()
 	mine := make(map[string]cell)
-	for _, ce := range cellsOf(ac.vm.Board.Backends()) {
+	for _, ce := range ac.vm.cellList().cells {
 		if vm, ok := accountantOf(ce.Name, fl); ok && vm.ID == fl.Self.ID {
 			mine[ce.Name] = ce
 		}
--- a/internal/entry/alone.go
+++ b/internal/entry/alone.go
@@ -27,7 +27,7 @@
 // chooseAlone places a request without its accountant.
 func (vm *VM) chooseAlone(ctx context.Context, ask *peerpb.ReserveAsk) (*peerpb.Grant, error) {
 	vw := sched.View{Reports: make(map[string]board.LoadReport)}
-	for _, ce := range cellsOf(vm.Board.Backends()) {
+	for _, ce := range vm.cellList().cells {
 		if ce.Name == ask.GetCell() {
 			vw.Servers = ce.Servers
 		}
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -21,8 +21,39 @@
 		Service string
 		Servers []board.BackendServer
 	}
+
+	// cellList is the cells of one list of backend servers.
+	cellList struct {
+		servers   []board.BackendServer // that the cells are made of
+		cells     []cell
+		byService map[string][]string // names of the cells
+	}
 )
 
+// of tells whether the cells were made of this very list.
+func (cl *cellList) of(servers []board.BackendServer) bool {
+	if cl == nil || len(cl.servers) != len(servers) {
+		return false
+	}
+	return len(servers) == 0 || &cl.servers[0] == &servers[0]
+}
+
+// cellList returns the cells of the backend servers on the board. They are
+// made once for each list and not for each request: the lists of snapshots
+// are never written to.
+func (vm *VM) cellList() *cellList {
+	bk := vm.Board.Backends()
+	if cl := vm.cells.Load(); cl.of(bk.Servers) {
+		return cl
+	}
+	cl := &cellList{servers: bk.Servers, cells: cellsOf(bk), byService: make(map[string][]string)}
+	for _, ce := range cl.cells {
+		cl.byService[ce.Service] = append(cl.byService[ce.Service], ce.Name)
+	}
+	vm.cells.Store(cl)
+	return cl
+}
+
 // cellsOf divides the model engines of each service into cells. Engines of
 // each role are dealt in the order of their IDs, so that every cell has both
 // roles and VMs with the same list agree without a message.
@@ -65,12 +96,7 @@
 // same prefix go to the same cell, where its KV cache may be kept; the others
 // spread evenly.
 func (vm *VM) cellFor(service string, prefix uint64) string {
-	var names []string
-	for _, ce := range cellsOf(vm.Board.Backends()) {
-		if ce.Service == service {
-			names = append(names, ce.Name)
-		}
-	}
+	names := vm.cellList().byService[service]
 	if len(names) == 0 {
 		return service + "/0"
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,9 +19,14 @@
 
 // Spans of the loops that read the platform.
 const (
-	listEvery  = 1 * clock.Second
-	memberTick = 100 * clock.Millis(1)
-	listMisses = 5 // in a row are logged
+	listEvery = 1 * clock.Second
+	// listPerEntry is added to the span between two fetches for each entry of
+	// the list, up to listMost: a long list that changes often is not
+	// read whole each second, and the VMs of a large fleet ask less often.
+	listPerEntry = 5 * clock.Millis(1)
+	listMost     = 5 * clock.Second
+	memberTick   = 100 * clock.Millis(1)
+	listMisses   = 5 // in a row are logged
 )
 
 func hashID(id string) uint64 { return xxhash.Sum64String(id) }
@@ -109,29 +115,42 @@
 // nothing: the last one stays in use.
 func (vm *VM) readList(ctx context.Context) {
 	misses := 0
+	rnd := vm.rand(5)
+	pause := listEvery
 	for {
 		list, err := vm.List.Fetch(ctx)
 		if err == nil {
 			misses = 0
 			vm.useList(ctx, list)
+			pause = listPause(len(list.VMs)+len(list.Servers), rnd)
 		} else if misses++; misses == listMisses {
 			vm.Log.Log(event.ListUnreachable, event.F("Error", err.Error()))
 		}
-		if !sleep(ctx, listEvery) {
+		if !sleep(ctx, pause) {
 			return
 		}
 	}
 }
 
+// listPause is the span until the next fetch, spread so that the VMs do not
+// all ask at once.
+func listPause(entries int, rnd *rand.Rand) clock.Millis {
+	span := min(listMost, max(listEvery, clock.Millis(entries)*listPerEntry))
+	return span - clock.Millis(rnd.Int64N(int64(span)/4))
+}
+
 func (vm *VM) useList(ctx context.Context, list vmlist.List) {
 	vm.members.tell(ctx, membership.Listed{VMs: list.VMs})
 	vm.backendsMu.Lock()
 	old := vm.Board.Backends()
-	if !sameServers(old.Servers, list.Servers) {
+	same := sameServers(old.Servers, list.Servers)
+	if !same {
 		vm.Board.SetBackends(old.WithServers(list.Servers))
 	}
 	vm.backendsMu.Unlock()
-	vm.accountant.follow(ctx)
+	if !same {
+		vm.accountant.follow(ctx)
+	}
 }
 
 func sameServers(la, lb []board.BackendServer) bool {
--- /dev/null
+++ b/internal/entry/scale_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// A deployment of today reads the list each second; a fleet of 380 VMs and
+// 600 workers every few seconds, spread over a quarter of the span.
+func TestListIsReadLessOftenTheLongerItIs(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	tests := []struct {
+		name        string
+		entries     int
+		least, most clock.Millis
+	}{
+		{"none", 0, 750, listEvery},
+		{"today", 20, 750, listEvery},
+		{"large", 980, 3675, 4900},
+		{"beyond", 100_000, 3750, listMost},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			seen := make(map[clock.Millis]bool)
+			for range 200 {
+				span := listPause(tc.entries, rnd)
+				seen[span] = true
+				assert.Assert(t, span > tc.least && span <= tc.most, "%v", span)
+			}
+			assert.Assert(t, len(seen) > 50, "%d different spans", len(seen))
+		})
+	}
+}
+
+// The cells are divided once for each list of backend servers: a load report
+// does not divide them again, a new list does.
+func TestCellsAreDividedOnceForEachList(t *testing.T) {
+	vm := &VM{Board: &board.Board{}}
+	assert.Equal(t, len(vm.cellList().cells), 0)
+	vm.Board.SetBackends(vm.Board.Backends().WithServers(engines("svc", 6, 11)))
+	first := vm.cellList()
+	assert.Equal(t, len(first.cells), 2)
+	vm.Board.SetBackends(vm.Board.Backends().WithReport(board.LoadReport{Server: "svc-p000"}))
+	assert.Equal(t, vm.cellList(), first)
+	vm.Board.SetBackends(vm.Board.Backends().WithServers(engines("svc", 6, 10)))
+	assert.Equal(t, len(vm.cellList().cells), 1)
+	assert.DeepEqual(t, vm.cellList().byService, map[string][]string{"svc": {"svc/0"}})
+}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -100,7 +100,8 @@
 		restored  *claim.Seats // learned from a peer before the book ran
 		claimSeed atomic.Uint64
 		nextCell  atomic.Uint64
-		loopCtx   context.Context // ends after the last request
+		cells     atomic.Pointer[cellList] // made last
+		loopCtx   context.Context          // ends after the last request
 
 		backendsMu sync.Mutex // orders the writers of the board's backend servers
 
--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/standin/vmlist/vmlist.go
@@ -13,7 +13,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 
 	wire "alderdyke/internal/vmlist"
@@ -25,11 +27,13 @@
 	Faults struct {
 		Outage bool         // every call breaks off
 		Lag    clock.Millis // the list is as old as this
+		NoTag  bool         // the list is always sent whole
 	}
 
 	// Done counts what the service did.
 	Done struct {
-		Fetches int
+		Fetches int // lists sent whole
+		Same    int // answers that only said that the list did not change
 		Refused int // calls that found an outage or a wrong token
 	}
 
@@ -75,7 +79,7 @@
 // ServeHTTP serves the list as of Lag ago; the first list that was put counts
 // as having stood always.
 func (srv *Server) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
-	doc, outage, allowed := srv.look(req)
+	doc, tag, outage, allowed := srv.look(req)
 	switch {
 	case outage:
 		panic(http.ErrAbortHandler)
@@ -86,27 +90,42 @@
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if tag != "" {
+		rw.Header().Set("ETag", tag)
+		if req.Header.Get("If-None-Match") == tag {
+			rw.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	// A caller that is gone needs no answer.
 	_ = json.NewEncoder(rw).Encode(doc)
 }
 
-func (srv *Server) look(req *http.Request) (doc wire.Document, outage, allowed bool) {
+// look finds the list to send and its tag, the number of its state.
+func (srv *Server) look(req *http.Request) (doc wire.Document, tag string, outage, allowed bool) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	allowed = srv.Token == "" || req.Header.Get("Authorization") == "Bearer "+srv.Token
 	if srv.faults.Outage || !allowed {
 		srv.done.Refused++
-		return doc, srv.faults.Outage, allowed
+		return doc, "", srv.faults.Outage, allowed
 	}
-	srv.done.Fetches++
 	asOf := srv.now() - srv.faults.Lag
 	for ix, st := range srv.states {
 		if ix == 0 || st.at <= asOf {
-			doc = st.doc
+			doc, tag = st.doc, fmt.Sprintf("%q", strconv.Itoa(ix))
 		}
 	}
-	return doc, false, true
+	if srv.faults.NoTag {
+		tag = ""
+	}
+	if tag != "" && req.Header.Get("If-None-Match") == tag {
+		srv.done.Same++
+	} else {
+		srv.done.Fetches++
+	}
+	return doc, tag, false, true
 }
 
 func (srv *Server) now() clock.Millis {
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -13,6 +13,10 @@
 //
 //	GET /vms    answers {"VMs": [...], "Servers": [...]}
 //
+// An answer with an ETag is asked for again with If-None-Match: a list that
+// did not change then costs a status 304 without a body, whatever its length.
+// A platform that sends no ETag sends the whole list each time.
+//
 // An entry that is wrong refuses the whole list with an [EntryError], so a
 // half-read list never looks like servers that have gone.
 package vmlist
@@ -94,6 +98,17 @@
 		Timeout clock.Millis // of one fetch; zero means DefaultTimeout
 
 		once sync.Once
+
+		mu   sync.Mutex
+		tag  string // ETag of last; empty if it had none
+		last List
+	}
+
+	// answer is what one fetch brought.
+	answer struct {
+		same bool // nothing changed since the tag that was sent
+		body []byte
+		tag  string
 	}
 
 	// EntryError names an entry of the list that can't be used.
@@ -128,44 +143,61 @@
 	return fmt.Sprintf("VM list is longer than the limit of %d bytes", te.Limit)
 }
 
-// Fetch reads the list.
+// Fetch reads the list. While the platform says that it did not change, the
+// list of before is returned again; it must not be written to.
 func (cl *Client) Fetch(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(cl.Timeout, DefaultTimeout).Std())
 	defer cancel()
-	body, err := cl.get(ctx)
+	cl.mu.Lock()
+	tag, last := cl.tag, cl.last
+	cl.mu.Unlock()
+	got, err := cl.get(ctx, tag)
 	if err != nil {
 		return List{}, oops.In("vmlist").Wrapf(err, "fetch the VM list")
 	}
-	list, err := Parse(body)
+	if got.same {
+		return last, nil
+	}
+	list, err := Parse(got.body)
 	if err != nil {
 		return List{}, oops.In("vmlist").Wrapf(err, "parse the VM list")
 	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.tag, cl.last = got.tag, list
 	return list, nil
 }
 
-func (cl *Client) get(ctx context.Context) ([]byte, error) {
+// get asks for the list unless it is still the one with the tag.
+func (cl *Client) get(ctx context.Context, tag string) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(cl.URL, "/")+"/vms", nil)
 	if err != nil {
-		return nil, fmt.Errorf("make the request: %w", err)
+		return answer{}, fmt.Errorf("make the request: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+cl.Token)
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	rsp, err := cl.client().Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("call the VM list: %w", err)
+		return answer{}, fmt.Errorf("call the VM list: %w", err)
 	}
 	defer rsp.Body.Close()
-	if rsp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: rsp.StatusCode}
+	switch {
+	case rsp.StatusCode == http.StatusNotModified && tag != "":
+		return answer{same: true}, nil
+	case rsp.StatusCode != http.StatusOK:
+		return answer{}, &StatusError{Status: rsp.StatusCode}
 	}
 	limit := cmp.Or(cl.MaxBody, DefaultMaxBody)
 	body, err := io.ReadAll(io.LimitReader(rsp.Body, limit+1))
 	if err != nil {
-		return nil, fmt.Errorf("read the answer: %w", err)
+		return answer{}, fmt.Errorf("read the answer: %w", err)
 	}
 	if int64(len(body)) > limit {
-		return nil, &TooLargeError{Limit: limit}
+		return answer{}, &TooLargeError{Limit: limit}
 	}
-	return body, nil
+	return answer{body: body, tag: rsp.Header.Get("ETag")}, nil
 }
 
 func (cl *Client) client() *http.Client {
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -132,3 +132,42 @@
 	fmt.Println(err)
 	// Output: VM list: VMs[0] "a": Caller "example.org:80": write an IP literal and a port, such as 10.0.0.7:8080
 }
+
+// A list that did not change is asked for with its tag and costs no body; a
+// change, and a platform without tags, bring the whole list.
+func TestUnchangedListIsNotSentAgain(tt *testing.T) {
+	srv, cl := newPair(tt, nil)
+	fetch := func() vmlist.List {
+		list, err := cl.Fetch(context.Background())
+		assert.NilError(tt, err)
+		return list
+	}
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{entryVM()}})
+	assert.DeepEqual(tt, fetch(), fetch())
+	assert.DeepEqual(tt, srv.Done(), standin.Done{Fetches: 1, Same: 1})
+
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{entryVM()}, Servers: []vmlist.ServerEntry{entryServer()}})
+	assert.Equal(tt, len(fetch().Servers), 1)
+	assert.Equal(tt, len(fetch().Servers), 1)
+	assert.DeepEqual(tt, srv.Done(), standin.Done{Fetches: 2, Same: 2})
+
+	srv.Set(standin.Faults{NoTag: true})
+	fetch()
+	fetch()
+	assert.DeepEqual(tt, srv.Done(), standin.Done{Fetches: 4, Same: 2})
+}
+
+// A list that can't be used leaves no tag behind, so that it is read whole
+// and refused again.
+func TestBrokenListIsNotRemembered(tt *testing.T) {
+	srv, cl := newPair(tt, nil)
+	bad := entryVM()
+	bad.Peer = "vm.example:1"
+	srv.Put(vmlist.Document{VMs: []vmlist.VMEntry{bad}})
+	for range 2 {
+		_, err := cl.Fetch(context.Background())
+		var ee *vmlist.EntryError
+		assert.Assert(tt, errors.As(err, &ee))
+	}
+	assert.DeepEqual(tt, srv.Done(), standin.Done{Fetches: 2})
+}
