entry: say NotRun only of keys that are known not to have run

Cause: a leaving VM refused a key of the caller's own as NotRun without asking whether it ran elsewhere; runs without a claim and takeovers did the same. Change: such keys are claimed first and followed if another VM runs them; a takeover, or a run without grants, is never refused as NotRun. Conclusion: needs the fault tests' proof.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -43,6 +43,7 @@
 		claimed *claimant    // link to the seats of the key
 		attempt int          // number of the claim that this VM runs under
 		until   clock.Millis // up to when the claim stands unconfirmed
+		late    bool         // came while this VM was leaving; it may only be followed
 		sent    atomic.Bool  // a backend server may have begun
 		runner  atomic.Bool  // this VM runs the request, it does not follow another
 		away    *time.Timer  // ends the run when no caller came back
@@ -151,6 +152,9 @@
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
 		rn.runner.Store(true)
+		if dec.Verdict == claim.TakeOver {
+			rn.sent.Store(true) // by the VM before this one
+		}
 		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
 			rn.report(err)
 			return err
@@ -163,8 +167,7 @@
 		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
 		}
-		rn.runner.Store(true)
-		return rn.serve(mine, dec)
+		return rn.unclaimed(mine)
 	default:
 		return claimRefusal(dec)
 	}
@@ -182,7 +185,17 @@
 		}
 	}
 	rn.claimed = rn.vm.noClaim()
+	return rn.unclaimed(ctx)
+}
+
+// unclaimed runs an idempotent request without the grants of its key's seats.
+// A key of the caller's own may have run elsewhere, so that nothing can be
+// promised about it any more.
+func (rn *run) unclaimed(ctx context.Context) error {
 	rn.runner.Store(true)
+	if rn.req.KeyGiven {
+		rn.sent.Store(true)
+	}
 	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
@@ -198,6 +211,9 @@
 }
 
 func (rn *run) serve(ctx context.Context, dec claim.Decided) error {
+	if rn.late {
+		return drainingRefusal()
+	}
 	if rn.req.Plain != nil {
 		return rn.plain(ctx)
 	}
@@ -208,7 +224,6 @@
 			return nil
 		}
 		if !rn.req.Class.Idempotent {
-			rn.sent.Store(true)
 			return refusal.Refusal{Reason: refusal.VMLost, Detail: "the VM that ran the request is lost"}
 		}
 	}
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -109,13 +109,15 @@
 	if rn, ok := vm.runs.find(id); ok {
 		return rn.answerFor(req)
 	}
-	if err := vm.Accepting(); err != nil {
+	err := vm.Accepting()
+	if err != nil && !(vm.draining.Load() && req.KeyGiven) {
 		return nil, err
 	}
 	rn, added := vm.runs.enter(id, func() *run { return vm.newRun(req) })
 	if !added {
 		return rn.answerFor(req)
 	}
+	rn.late = err != nil // whether the key ran elsewhere is known once it is claimed
 	vm.wg.Go(rn.live)
 	return rn.st, nil
 }
@@ -149,12 +151,7 @@
 func (vm *VM) Accepting() error {
 	switch {
 	case vm.draining.Load():
-		return refusal.Refusal{
-			Ran:        refusal.NotRun,
-			Reason:     refusal.Draining,
-			RetryAfter: 1 * clock.Millis(1),
-			Detail:     "this VM is leaving; use another of the addresses",
-		}
+		return drainingRefusal()
 	case !vm.Board.Templates().Ready:
 		return refusal.Refusal{
 			Ran:        refusal.NotRun,
@@ -166,6 +163,15 @@
 	return nil
 }
 
+func drainingRefusal() refusal.Refusal {
+	return refusal.Refusal{
+		Ran:        refusal.NotRun,
+		Reason:     refusal.Draining,
+		RetryAfter: 1 * clock.Millis(1),
+		Detail:     "this VM is leaving; use another of the addresses",
+	}
+}
+
 // Addresses implements caller.Runner.
 func (vm *VM) Addresses() ([]caller.Address, clock.Millis) {
 	return caller.Candidates(vm.Board.Fleet()), vm.Settings.Addresses.KeepFor
