claim: explore every order of small scenarios

Change: a world of books, askers and messages; every order of deliveries, crashes, given-up asks and table changes of small scenarios, and random walks that find what each guard is for.

--- /dev/null
+++ b/internal/claim/explore_test.go
@@ -0,0 +1,213 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+)
+
+var (
+	maxStates = flag.Int("claim.states", 60_000, "bound on the states explored in each scenario; 0 for all")
+
+	vmA  = vm("a", "A", 1)
+	vmA2 = vm("a", "A", 2)
+	vmB2 = vm("b", "B", 2)
+	vmB  = vm("b", "B", 1)
+	vmC  = vm("c", "C", 1)
+	vmC2 = vm("c", "C", 2)
+	vmD  = vm("d", "C", 1)
+)
+
+type (
+	// explorer walks all states that a scenario can reach.
+	explorer struct {
+		seen  map[[2]uint64]bool
+		limit int
+		path  []move
+		found string // the first violation with its path
+		ends  int
+	}
+)
+
+// explore visits every state once and returns the number of states and the
+// first violation.
+func explore(sc *scenario, limit int) (*explorer, int) {
+	ex := &explorer{seen: map[[2]uint64]bool{}, limit: limit}
+	ex.visit(newWorld(sc))
+	return ex, len(ex.seen)
+}
+
+func (ex *explorer) visit(wd *world) {
+	if ex.found != "" || (ex.limit > 0 && len(ex.seen) >= ex.limit) {
+		return
+	}
+	key := wd.digest()
+	if ex.seen[key] {
+		return
+	}
+	ex.seen[key] = true
+	moves := wd.moves()
+	if bad := violation(wd, len(moves) == 0); bad != "" {
+		ex.found = fmt.Sprintf("%s after %v", bad, ex.path)
+		return
+	}
+	if len(moves) == 0 {
+		ex.ends++
+	}
+	for _, mv := range moves {
+		if mv.kind == "deliver" && repeated(wd, mv.index) {
+			continue
+		}
+		next := wd.clone()
+		next.take(mv)
+		ex.path = append(ex.path, mv)
+		ex.visit(next)
+		ex.path = ex.path[:len(ex.path)-1]
+	}
+}
+
+// repeated tells whether an equal message is delivered by another move.
+func repeated(wd *world, index int) bool {
+	return slices.ContainsFunc(wd.packets[:index], func(pk packet) bool { return pk.line == wd.packets[index].line })
+}
+
+// hunt walks at random until it finds a violation.
+func hunt(sc *scenario, walks int) (int, string) {
+	for ix := range walks {
+		rnd := rand.New(rand.NewPCG(uint64(ix), 11))
+		if found := walk(newWorld(sc), rnd); found != "" {
+			return ix, found
+		}
+	}
+	return walks, ""
+}
+
+func walk(wd *world, rnd *rand.Rand) string {
+	var path []move
+	for {
+		moves := wd.moves()
+		if bad := violation(wd, len(moves) == 0); bad != "" {
+			return fmt.Sprintf("%s after %v", bad, path)
+		}
+		if len(moves) == 0 {
+			return ""
+		}
+		mv := moves[rnd.IntN(len(moves))]
+		path = append(path, mv)
+		wd.take(mv)
+	}
+}
+
+// violation names the invariant that the state breaks.
+func violation(wd *world, end bool) string {
+	switch {
+	case wd.runs > 1 && !wd.sc.idempotent:
+		return fmt.Sprintf("%d dispatches", wd.runs)
+	case wd.lies > 0 && !wd.sc.idempotent:
+		return "refused as NotRun after a dispatch"
+	case end && wd.undecided() > 0:
+		return fmt.Sprintf("%d askers without a verdict", wd.undecided())
+	}
+	return ""
+}
+
+// keyWith finds a key whose seats have the wanted order.
+func keyWith(tb *peerpb.SeatTable, want ...string) string {
+	st, err := (*Seats)(nil).With(1, tb)
+	if err != nil {
+		panic(err)
+	}
+	for ix := 0; ; ix++ {
+		key := fmt.Sprintf("key-%d", ix)
+		ids := []string{}
+		for _, ref := range st.Group(testCustomer, key) {
+			ids = append(ids, ref.ID)
+		}
+		if slices.Equal(ids, want) {
+			return key
+		}
+	}
+}
+
+func scenarios() map[string]*scenario {
+	abc := []board.VM{vmA, vmB, vmC}
+	key := keyWith(table(0, abc...), "a", "b", "c")
+	return map[string]*scenario{
+		"TwoAskersTimeoutCrash": {
+			key: key, start: abc, askers: []string{"a", "b"}, timeouts: 1, crashes: 1, patience: 45,
+		},
+		"TwoAskersFalseDeath": {
+			key: key, start: abc, askers: []string{"a", "c"}, timeouts: 1, doubts: 1, patience: 45,
+		},
+		"ThreeAskers": {
+			key: key, start: abc, askers: []string{"a", "b", "c"}, timeouts: 1, patience: 10,
+		},
+		"Replaced": {
+			key: key, start: abc, joiners: []board.VM{vmD}, tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmD)},
+			askers: []string{"a", "d"}, timeouts: 1, crashes: 1, victims: []string{"a"}, patience: 10,
+		},
+		"Restarted": {
+			key: key, start: abc, joiners: []board.VM{vmC2}, tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmC2)},
+			askers: []string{"b", "a"}, timeouts: 1, crashes: 1, victims: []string{"c"}, patience: 10,
+		},
+		"ReplacedBehind": {
+			key: key, start: abc, joiners: []board.VM{vmD}, tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmD)},
+			askers: []string{"a", "d"}, timeouts: 1, crashes: 1, victims: []string{"a"}, stale: []board.VMRef{vmA.VMRef}, patience: 10,
+		},
+		"ReplacedNoFault": {
+			key: key, start: abc, joiners: []board.VM{vmD}, tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmD)},
+			askers: []string{"a", "d"}, patience: 10,
+		},
+		"RestartedNoTimeout": {
+			key: key, start: abc, joiners: []board.VM{vmC2}, tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmC2)},
+			askers: []string{"b", "a"}, crashes: 1, victims: []string{"c"}, patience: 10,
+		},
+		"ReplacedTwice": {
+			key: key, start: abc, joiners: []board.VM{vmA2, vmB2, vmD},
+			tables: []*peerpb.SeatTable{table(1, vmA, vmB, vmD), table(2, vmA2, vmB2, vmD)},
+			askers: []string{"a", "d"}, timeouts: 1, crashes: 1, victims: []string{"a"}, stale: []board.VMRef{vmA.VMRef, vmC.VMRef}, patience: 10,
+		},
+	}
+}
+
+func TestEveryOrderRunsOnce(t *testing.T) {
+	for nm, sc := range scenarios() {
+		t.Run(nm, func(t *testing.T) {
+			ex, states := explore(sc, *maxStates)
+			assert.Equal(t, ex.found, "")
+			assert.Assert(t, ex.ends > 0)
+			t.Logf("%d states, %d ends, cut short %v", states, ex.ends, states == *maxStates)
+		})
+	}
+}
+
+// Each guard, taken away, is missed in some order of some scenario.
+func TestEveryGuardIsNeeded(t *testing.T) {
+	guards := map[string]struct {
+		without  guard
+		scenario string
+	}{
+		"Majority": {guardMajority, "TwoAskersTimeoutCrash"},
+		"Group":    {guardGroup, "ReplacedBehind"},
+		"Covers":   {guardCovers, "Replaced"},
+		"Handoffs": {guardHandoffs, "Replaced"},
+		"Whole":    {guardWhole, "ReplacedTwice"},
+		"Doubt":    {guardDoubt, "Replaced"},
+	}
+	for nm, gd := range guards {
+		t.Run(nm, func(t *testing.T) {
+			sc := *scenarios()[gd.scenario]
+			sc.without = gd.without
+			walks, found := hunt(&sc, 300_000)
+			assert.Assert(t, found != "", "not missed in %d walks", walks)
+			t.Logf("missed in walk %d: %s", walks, found)
+		})
+	}
+}
--- /dev/null
+++ b/internal/claim/world_test.go
@@ -0,0 +1,402 @@
+package claim
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const testCustomer = "kedelsyn"
+
+type (
+	// scenario is what may happen in a world.
+	scenario struct {
+		key        string
+		start      []board.VM          // VMs of the first table
+		joiners    []board.VM          // VMs that run from the start without a seat
+		tables     []*peerpb.SeatTable // records of the log after the first
+		askers     []string            // IDs of the VMs that ask for the key
+		idempotent bool                // the request
+		timeouts   int                 // asks that are given up while their messages are still on the way
+		crashes    int                 // VMs that die
+		doubts     int                 // times that an asker holds a runner dead that may live
+		victims    []string            // who may crash; all if empty
+		stale      []board.VMRef       // who never learns a later table
+		patience   clock.Millis        // of the askers
+		without    guard               // guards that are taken away
+	}
+
+	// member is one VM of a world.
+	member struct {
+		vm   board.VM
+		bk   *Book
+		dead bool
+		read int    // tables read
+		line string // what the digest holds of bk
+	}
+
+	// search is one asker with the clock that only it sees.
+	search struct {
+		ak       *Asker
+		rnd      *rand.PCG
+		at       int // index of its member
+		now      clock.Millis
+		doubted  bool // holds all other runners dead
+		verdicts []Decided
+		line     string // what the digest holds
+	}
+
+	// packet is one message on the way.
+	packet struct {
+		to     board.VMRef
+		asker  int // of an ask or a reply
+		number uint64
+		body   proto.Message
+		line   string // what the digest holds
+	}
+
+	// world is one state of a scenario.
+	world struct {
+		sc       *scenario
+		members  []member
+		searches []search
+		packets  []packet
+		runs     int // dispatches of a request to backend servers
+		lies     int // refusals that said NotRun after a dispatch
+		timeouts int
+		crashes  int
+		doubts   int
+	}
+
+	// move is one step that a world may take.
+	move struct {
+		kind  string
+		index int
+	}
+)
+
+func vm(id, domain string, incarnation uint64) board.VM {
+	return board.VM{VMRef: board.VMRef{ID: id, Incarnation: incarnation}, FailureDomain: domain}
+}
+
+func table(base uint64, vms ...board.VM) *peerpb.SeatTable {
+	tb := &peerpb.SeatTable{Base: base}
+	for _, vm := range vms {
+		tb.Seats = append(tb.Seats, &peerpb.ClaimSeat{
+			ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain,
+		})
+	}
+	return tb
+}
+
+func newWorld(sc *scenario) *world {
+	wd := &world{sc: sc, timeouts: sc.timeouts, crashes: sc.crashes, doubts: sc.doubts}
+	for _, vm := range slices.Concat(sc.start, sc.joiners) {
+		bk := &Book{Self: vm.VMRef, FromStart: true, without: sc.without}
+		bk.Step(0, Seated{Epoch: 1, Table: table(0, sc.start...)})
+		wd.members = append(wd.members, member{vm: vm, bk: bk})
+	}
+	for ix, id := range sc.askers {
+		at := slices.IndexFunc(wd.members, func(mb member) bool { return mb.vm.ID == id })
+		pcg := rand.NewPCG(uint64(ix), 7)
+		ak := &Asker{
+			Self: wd.members[at].vm.VMRef, Customer: testCustomer, Key: sc.key, Fingerprint: []byte("print"),
+			Idempotent: sc.idempotent, Keep: clock.Minute, Patience: sc.patience, Rand: rand.New(pcg),
+			without: sc.without,
+		}
+		wd.searches = append(wd.searches, search{ak: ak, rnd: pcg, at: at})
+		wd.asker(ix, Begin{Seats: wd.members[at].bk.Seats(), Fleet: wd.fleet(false, at)})
+	}
+	return wd
+}
+
+// fleet is what a VM sees: everyone alive, or all others dead.
+func (wd *world) fleet(doubted bool, at int) *board.Fleet {
+	fl := &board.Fleet{Quorate: true}
+	for ix, mb := range wd.members {
+		vm := mb.vm
+		if doubted && ix != at {
+			vm.Health = board.Dead
+		}
+		fl.VMs = append(fl.VMs, vm)
+	}
+	return fl
+}
+
+func (wd *world) asker(ix int, ev AskerEvent) {
+	sr := &wd.searches[ix]
+	sr.copy()
+	defer sr.note()
+	for _, in := range sr.ak.Step(sr.now, ev) {
+		switch in := in.(type) {
+		case SendAsk:
+			wd.send(packet{to: in.To, asker: ix, number: in.Number, body: in.Ask})
+		case SendUpdate:
+			wd.send(packet{to: in.To, body: in.Update})
+		case Decided:
+			wd.decided(sr, in)
+		case Wake:
+		}
+	}
+}
+
+func (wd *world) decided(sr *search, dc Decided) {
+	sr.verdicts = append(sr.verdicts, dc)
+	if dc.Verdict == Run || (dc.Verdict == TakeOver && wd.sc.idempotent) {
+		wd.runs++
+	}
+	if dc.Ran == refusal.NotRun && dc.Verdict != Reused && wd.runs > 0 {
+		wd.lies++
+	}
+}
+
+func (wd *world) book(at int, ev Event, from packet) {
+	mb := &wd.members[at]
+	mb.bk = cloneBook(mb.bk)
+	defer mb.note()
+	for _, in := range mb.bk.Step(0, ev) {
+		switch in := in.(type) {
+		case Reply:
+			wd.send(packet{to: wd.members[wd.searches[from.asker].at].vm.VMRef, asker: from.asker, number: from.number, body: in.Reply})
+		case SendHandoff:
+			wd.send(packet{to: in.To, body: in.Handoff})
+		case Propose, Wake:
+		}
+	}
+}
+
+func (wd *world) send(pk packet) {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(pk.body)
+	if err != nil {
+		panic(err)
+	}
+	pk.line = fmt.Sprint(pk.to, pk.asker, pk.number, string(raw))
+	wd.packets = append(wd.packets, pk)
+}
+
+func (wd *world) memberOf(ref board.VMRef) int {
+	return slices.IndexFunc(wd.members, func(mb member) bool { return mb.vm.VMRef == ref && !mb.dead })
+}
+
+// moves lists all that may happen next.
+func (wd *world) moves() []move {
+	var out []move
+	for ix := range wd.packets {
+		out = append(out, move{"deliver", ix})
+	}
+	for ix, mb := range wd.members {
+		if mb.dead {
+			continue
+		}
+		if mb.read < len(wd.sc.tables) && !slices.Contains(wd.sc.stale, mb.vm.VMRef) {
+			out = append(out, move{"table", ix})
+		}
+		if wd.crashes > 0 && (len(wd.sc.victims) == 0 || slices.Contains(wd.sc.victims, mb.vm.ID)) {
+			out = append(out, move{"crash", ix})
+		}
+	}
+	for ix := range wd.searches {
+		out = append(out, wd.askerMoves(ix)...)
+	}
+	return out
+}
+
+func (wd *world) askerMoves(ix int) []move {
+	var out []move
+	sr := &wd.searches[ix]
+	if wd.members[sr.at].dead {
+		return nil
+	}
+	if sr.ak.phase == backingOff {
+		out = append(out, move{"retry", ix})
+	}
+	if sr.ak.phase != asking {
+		return out
+	}
+	if wd.timeouts > 0 && sr.ak.count().waiting > 0 {
+		out = append(out, move{"timeout", ix})
+	}
+	if wd.doubts > 0 && !sr.doubted {
+		out = append(out, move{"doubt", ix})
+	}
+	return out
+}
+
+func (wd *world) take(mv move) {
+	switch mv.kind {
+	case "deliver":
+		pk := wd.packets[mv.index]
+		wd.packets = slices.Delete(wd.packets, mv.index, mv.index+1)
+		wd.deliver(pk)
+	case "table":
+		mb := &wd.members[mv.index]
+		mb.read++
+		wd.book(mv.index, Seated{Epoch: uint64(mb.read) + 1, Table: wd.sc.tables[mb.read-1]}, packet{})
+		for ix := range wd.searches {
+			if wd.searches[ix].at == mv.index {
+				wd.asker(ix, Changed{Seats: mb.bk.Seats()})
+			}
+		}
+	case "crash":
+		wd.crashes--
+		wd.members[mv.index].dead = true
+	case "retry":
+		wd.searches[mv.index].now = wd.searches[mv.index].ak.retryAt
+		wd.asker(mv.index, Elapsed{})
+	case "timeout":
+		wd.timeouts--
+		asks := wd.searches[mv.index].ak.asks
+		wd.asker(mv.index, Failed{asks[len(asks)-1].number})
+	case "doubt":
+		wd.doubts--
+		sr := &wd.searches[mv.index]
+		sr.doubted = true
+		wd.asker(mv.index, Changed{Fleet: wd.fleet(true, sr.at)})
+	}
+}
+
+func (wd *world) deliver(pk packet) {
+	at := wd.memberOf(pk.to)
+	ask, isAsk := pk.body.(*peerpb.ClaimAsk)
+	if at < 0 {
+		if isAsk && !wd.members[wd.searches[pk.asker].at].dead {
+			wd.asker(pk.asker, Failed{pk.number})
+		}
+		return
+	}
+	switch body := pk.body.(type) {
+	case *peerpb.ClaimAsk:
+		wd.book(at, Asked{Ask: ask}, pk)
+	case *peerpb.ClaimReply:
+		wd.asker(pk.asker, Replied{Number: pk.number, Reply: body})
+	case *peerpb.ClaimUpdate:
+		wd.book(at, Updated{body}, pk)
+	case *peerpb.ClaimHandoff:
+		wd.book(at, HandedOff{body}, pk)
+	}
+}
+
+// undecided counts the askers at live VMs without a verdict.
+func (wd *world) undecided() int {
+	count := 0
+	for _, sr := range wd.searches {
+		if !wd.members[sr.at].dead && len(sr.verdicts) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// clone copies the world. Books and askers are copied when they step.
+func (wd *world) clone() *world {
+	out := *wd
+	out.members = slices.Clone(wd.members)
+	out.searches = slices.Clone(wd.searches)
+	out.packets = slices.Clone(wd.packets)
+	return &out
+}
+
+func (sr *search) copy() {
+	ak, pcg := *sr.ak, *sr.rnd
+	ak.asks = slices.Clone(ak.asks)
+	ak.Rand = rand.New(&pcg)
+	sr.ak, sr.rnd, sr.verdicts = &ak, &pcg, slices.Clone(sr.verdicts)
+}
+
+func cloneBook(bk *Book) *Book {
+	out := *bk
+	out.recs = records{byName: map[name]*record{}, buckets: map[clock.Millis][]name{}, swept: bk.recs.swept}
+	for nm, rc := range bk.recs.byName {
+		cp := *rc
+		if rc.was != nil {
+			was := *rc.was
+			cp.was = &was
+		}
+		out.recs.byName[nm] = &cp
+	}
+	for at, names := range bk.recs.buckets {
+		out.recs.buckets[at] = slices.Clone(names)
+	}
+	out.learned = maps.Clone(bk.learned)
+	out.sent = maps.Clone(bk.sent)
+	out.received = map[uint64]map[board.VMRef]bool{}
+	for epoch, refs := range bk.received {
+		out.received[epoch] = maps.Clone(refs)
+	}
+	out.partial = map[source]*arriving{}
+	for src, ar := range bk.partial {
+		out.partial[src] = &arriving{ar.sending, maps.Clone(ar.parts)}
+	}
+	out.counts = Counts{}
+	return &out
+}
+
+// note writes down what tells this book's state from others.
+func (mb *member) note() {
+	var buf bytes.Buffer
+	for _, nm := range slices.SortedFunc(maps.Keys(mb.bk.recs.byName), compareNames) {
+		writeRecord(&buf, mb.bk.recs.byName[nm])
+	}
+	for _, epoch := range slices.Sorted(maps.Keys(mb.bk.received)) {
+		refs := slices.SortedFunc(maps.Keys(mb.bk.received[epoch]), compareRefs)
+		fmt.Fprint(&buf, epoch, refs, mb.bk.sent[epoch])
+	}
+	mb.line = buf.String()
+}
+
+// note writes down what tells this asker's state from others.
+func (sr *search) note() {
+	var buf bytes.Buffer
+	ak := sr.ak
+	fmt.Fprint(&buf, sr.doubted, sr.now, ak.phase, ak.round, ak.claim, ak.number, ak.supers, ak.super.GetClaim(), ak.group, len(sr.verdicts))
+	for _, sa := range ak.asks {
+		fmt.Fprint(&buf, sa.number, sa.failed, sa.reply.GetVerdict(), sa.reply.GetClaim(), sa.reply.GetState())
+	}
+	sr.line = buf.String()
+}
+
+// digest names the state. Messages on the way are a set without an order.
+func (wd *world) digest() [2]uint64 {
+	buf := []byte{byte(wd.runs), byte(wd.timeouts), byte(wd.crashes), byte(wd.doubts)}
+	for _, mb := range wd.members {
+		buf = append(buf, '|', byte(mb.read), boolByte(mb.dead))
+		buf = append(buf, mb.line...)
+	}
+	for _, sr := range wd.searches {
+		buf = append(buf, '|')
+		buf = append(buf, sr.line...)
+	}
+	lines := make([]string, len(wd.packets))
+	for ix, pk := range wd.packets {
+		lines[ix] = pk.line
+	}
+	slices.Sort(lines)
+	buf = append(buf, strings.Join(lines, "\n")...)
+	return [2]uint64{xxhash.Sum64(buf), xxhash.Sum64(append(buf, '#'))}
+}
+
+func boolByte(is bool) byte {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+func writeRecord(buf *bytes.Buffer, rc *record) {
+	for ; rc != nil; rc = rc.was {
+		fmt.Fprint(buf, "/", rc.claim, rc.state, rc.attempt, rc.runner)
+	}
+}
+
+func (mv move) String() string { return fmt.Sprintf("%s %d", mv.kind, mv.index) }
