--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -24,7 +24,10 @@
 	if !ok {
 		return errUnknownKey
 	}
-	rn.tr.add(event.Following, runner.ID)
+	if rn.followed != runner {
+		rn.followed = runner
+		rn.tr.add(event.Following, runner.ID)
+	}
 	cn, err := rn.vm.Peers.Open(ctx, vm)
 	if err != nil {
 		return fmt.Errorf("open a stream to %s: %w", runner.ID, err)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,8 +16,13 @@
 	"alderdyke/pkg/refusal"
 )
 
-// claimPatience bounds the search for the VMs that account for a key.
-const claimPatience = 3 * clock.Second
+const (
+	// claimPatience bounds the search for the VMs that account for a key.
+	claimPatience = 3 * clock.Second
+	// followPause is the longest pause before a lost runner is looked for
+	// again; it may still be held alive.
+	followPause = 800 * clock.Millis(1)
+)
 
 var (
 	errAgain = errors.New("the key must be claimed anew")
@@ -40,13 +45,14 @@
 		arrived  clock.Millis
 		deadline clock.Millis
 
-		claimed *claimant    // link to the seats of the key
-		attempt int          // number of the claim that this VM runs under
-		until   clock.Millis // up to when the claim stands unconfirmed
-		late    bool         // came while this VM was leaving; it may only be followed
-		sent    atomic.Bool  // a backend server may have begun
-		runner  atomic.Bool  // this VM runs the request, it does not follow another
-		away    *time.Timer  // ends the run when no caller came back
+		claimed  *claimant    // link to the seats of the key
+		followed board.VMRef  // the runner that was followed last
+		attempt  int          // number of the claim that this VM runs under
+		until    clock.Millis // up to when the claim stands unconfirmed
+		late     bool         // came while this VM was leaving; it may only be followed
+		sent     atomic.Bool  // a backend server may have begun
+		runner   atomic.Bool  // this VM runs the request, it does not follow another
+		away     *time.Timer  // ends the run when no caller came back
 	}
 
 	// failure is the end of one attempt at backend servers.
@@ -123,12 +129,12 @@
 // starts over and follows that VM.
 func (rn *run) execute(ctx context.Context) error {
 	var givenUp board.VMRef
-	for {
+	for pause := reopenPause; ; pause = min(2*pause, followPause) {
 		err := rn.once(ctx, &givenUp)
 		if err == nil || !errors.Is(err, errAgain) {
 			return err
 		}
-		if !sleep(ctx, reopenPause) {
+		if !sleep(ctx, pause) {
 			return context.Cause(ctx)
 		}
 	}
