--- /dev/null
+++ b/internal/integration/callers_test.go
@@ -0,0 +1,193 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"alderdyke/internal/invariant"
+	"alderdyke/pkg/client"
+	"alderdyke/pkg/refusal"
+)
+
+type (
+	// ongoing is a call in progress.
+	ongoing struct {
+		mu   sync.Mutex
+		call invariant.Call
+		err  error
+		done chan struct{}
+		stop context.CancelCauseFunc
+	}
+)
+
+var errLeft = errors.New("the caller leaves")
+
+func attemptOf(name, key string) bool { return strings.HasPrefix(name, customer+"/"+key+"/") }
+
+// begin starts a call and notes its end.
+func (fl *fleet) begin(call invariant.Call, run func(ctx context.Context, og *ongoing) error) *ongoing {
+	ctx, stop := context.WithCancelCause(context.Background())
+	og := &ongoing{call: call, done: make(chan struct{}), stop: stop}
+	og.call.Customer, og.call.Began = customer, time.Now()
+	go func() {
+		defer close(og.done)
+		defer stop(nil)
+		err := run(ctx, og)
+		og.mu.Lock()
+		og.err = err
+		og.call.Ended = time.Now()
+		og.call.Ends = append(og.call.Ends, endOf(ctx, err))
+		ended := og.call
+		og.mu.Unlock()
+		fl.note(func(hs *invariant.History) { hs.Calls = append(hs.Calls, ended) })
+	}()
+	fl.t.Cleanup(func() {
+		stop(errLeft)
+		<-og.done
+	})
+	return og
+}
+
+// endOf is the end of a call in the words of the checker. A call that broke
+// off has a refusal that promises nothing, as pkg/client would make it.
+func endOf(ctx context.Context, err error) invariant.End {
+	var rf refusal.Refusal
+	switch {
+	case err == nil:
+		return invariant.Whole{}
+	case errors.Is(context.Cause(ctx), errLeft):
+		return invariant.Left{}
+	case errors.As(err, &rf):
+		return invariant.Refused{Refusal: rf}
+	default:
+		return invariant.Refused{Refusal: refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.HomeUnreachable, Detail: err.Error()}}
+	}
+}
+
+func (og *ongoing) got(text string) {
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	og.call.Got += text
+}
+
+// received returns what came so far.
+func (og *ongoing) received() int {
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	return len(og.call.Got)
+}
+
+// leave lets the caller go for good, and waits until it is gone.
+func (og *ongoing) leave() {
+	og.stop(errLeft)
+	<-og.done
+}
+
+// end waits for the end of the call.
+func (og *ongoing) end() error {
+	<-og.done
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	return og.err
+}
+
+// refusedAs waits for the end and returns the refusal, or a zero one.
+func (og *ongoing) refusedAs() refusal.Refusal {
+	var rf refusal.Refusal
+	errors.As(og.end(), &rf)
+	return rf
+}
+
+// client is a caller's library that knows all VMs.
+func (fl *fleet) client() *client.Client {
+	cl := &client.Client{APIKey: apiKey}
+	for _, vm := range fl.vms {
+		cl.Bootstrap = append(cl.Bootstrap, vm.set.Caller.Advertise.String())
+	}
+	fl.t.Cleanup(cl.Close)
+	return cl
+}
+
+// promptOf is the prompt that engines get for a note.
+func promptOf(note string) string { return fmt.Sprintf(`[{"role":"user","content":%q}]`, note) }
+
+// chat starts a request to the model with a key of its own.
+func (fl *fleet) chat(cl *client.Client, class, key string, tokens int) *ongoing {
+	note := "Field notes of " + key + ". "
+	if class == "findings" {
+		note = strings.Repeat(note, 50)
+	}
+	call := invariant.Call{Key: key, Idempotent: true, Request: invariant.Chat{Prompt: promptOf(note), Tokens: tokens}}
+	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
+		_, err := cl.Chat(ctx, client.ChatRequest{
+			Model: model, Class: class, Key: key, MaxTokens: tokens, Idempotent: true,
+			Messages: []client.Message{{Role: "user", Content: note}},
+			OnText:   og.got,
+		})
+		return err
+	})
+}
+
+// record starts an idempotent call of the plain service.
+func (fl *fleet) record(cl *client.Client, key string) *ongoing {
+	return fl.plain(cl, http.MethodGet, "/records/"+key, key, true)
+}
+
+// payment starts a call of the plain service that may run at most once.
+func (fl *fleet) payment(cl *client.Client, key string) *ongoing {
+	return fl.plain(cl, http.MethodPost, "/payments/"+key, key, false)
+}
+
+func (fl *fleet) plain(cl *client.Client, method, path, key string, idempotent bool) *ongoing {
+	call := invariant.Call{Key: key, Idempotent: idempotent, Request: invariant.Plain{Method: method, Path: path}}
+	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
+		ans, err := cl.Call(ctx, client.PlainRequest{Service: service, Method: method, Path: path, Key: key, Idempotent: idempotent})
+		og.got(string(ans.Body))
+		return err
+	})
+}
+
+// paymentAt sends a payment to one VM, once, with no library in between.
+func (fl *fleet) paymentAt(vm *vm, key string) *ongoing {
+	path := "/payments/" + key
+	call := invariant.Call{Key: key, Request: invariant.Plain{Method: http.MethodPost, Path: path}}
+	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
+		at := fmt.Sprintf("http://%s/services/%s%s", vm.set.Caller.Advertise, service, path)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, at, bytes.NewReader(nil))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Authorization", "Bearer "+apiKey)
+		req.Header.Set("Idempotency-Key", key)
+		tr := &http.Transport{DisableKeepAlives: true}
+		defer tr.CloseIdleConnections()
+		resp, err := tr.RoundTrip(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err
+		}
+		if resp.Header.Get("Alderdyke-Refusal") != "" {
+			var doc struct {
+				Error refusal.Refusal `json:"error"`
+			}
+			if err := json.Unmarshal(body, &doc); err != nil {
+				return err
+			}
+			return doc.Error
+		}
+		og.got(string(body))
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/integration/fleet_test.go
@@ -0,0 +1,397 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/invariant"
+	"alderdyke/internal/operator"
+	enginesim "alderdyke/internal/standin/engine"
+	servicesim "alderdyke/internal/standin/service"
+
+	"alderdyke/internal/standin/deployment"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+// What a fleet of these tests serves.
+const (
+	customer = "kedelsyn"
+	apiKey   = "kedelsyn-demo-key"
+	model    = "rapportmodel"
+	service  = "feltapp"
+
+	streamWait = 3 * clock.Second // of the model's classes
+	// heldWithin bounds how long engines may hold what no caller waits for:
+	// the wait for the caller, the time to find that a VM is lost, and the
+	// time in which another may take its requests over.
+	heldWithin = 25 * clock.Second
+)
+
+const templateText = `
+Customer = "kedelsyn"
+KeyHashes = ["98ac03f5f882334253948be0df4d84b2c0dcae8996025b4431f43d87f5d5a575"]
+PrefillWeight = 0.5
+[[Classes]]
+Name = "findings"
+Service = "rapportmodel"
+Urgency = "Patient"
+Idempotent = true
+TTFT = "20s"
+TPOT = "100ms"
+Deadline = "2m"
+StreamWait = "3s"
+Share = 0.7
+MaxTokens = 2048
+[[Classes]]
+Name = "fieldnote"
+Service = "rapportmodel"
+Urgency = "Quick"
+Idempotent = true
+TTFT = "1s"
+TPOT = "50ms"
+Deadline = "30s"
+StreamWait = "3s"
+Share = 0.3
+MaxTokens = 256
+[[Classes]]
+Name = "records"
+Service = "feltapp"
+Urgency = "Quick"
+Paths = ["/records"]
+Idempotent = true
+TTFT = "1s"
+Deadline = "15s"
+StreamWait = "2s"
+Share = 0.5
+[[Classes]]
+Name = "payments"
+Service = "feltapp"
+Urgency = "Quick"
+Paths = ["/payments"]
+Idempotent = false
+TTFT = "1s"
+Deadline = "15s"
+StreamWait = "10s"
+Share = 0.5
+`
+
+var (
+	processOctet = byte(32 + os.Getpid()%192)
+	fleets       atomic.Int32
+)
+
+type (
+	// plan is what a fleet is made of.
+	plan struct {
+		vms     int
+		prefill int
+		decode  int
+		plain   int
+		engine  enginesim.Settings
+		service servicesim.Settings
+	}
+
+	// fleet is a running deployment, with faults between its parts.
+	fleet struct {
+		t       *testing.T
+		dp      *deployment.Deployment
+		vms     []*vm
+		net     *peerNet
+		number  int
+		proxies map[deployment.Link]*proxy
+		seeds   []string
+		tpl     template.Template
+
+		mu   sync.Mutex
+		hist invariant.History
+	}
+)
+
+// usual is a plan whose answers take seconds, so that faults find them in
+// progress.
+func usual() plan {
+	set := enginesim.DefaultSettings()
+	set.PrefillTokensPerSecond = 50000
+	set.LinkBytesPerSecond *= 10
+	set.TPOT = 20
+	return plan{vms: 3, prefill: 2, decode: 2, plain: 2, engine: set, service: servicesim.Settings{Latency: 30, Slots: 8}}
+}
+
+// startFleet starts the deployment and its VMs, publishes the template and
+// waits until every VM serves.
+func startFleet(t *testing.T, pl plan) *fleet {
+	t.Helper()
+	fl := newFleet(t, pl)
+	for _, vm := range fl.vms {
+		vm.start(t)
+	}
+	fl.publish(fl.vms[0], "first", 0, fl.tpl)
+	for _, vm := range fl.vms {
+		fl.awaitServing(vm)
+	}
+	return fl
+}
+
+// newFleet starts the deployment without its VMs.
+func newFleet(t *testing.T, pl plan) *fleet {
+	t.Helper()
+	known(t)
+	tpl, err := template.Parse("template.toml", []byte(templateText))
+	assert.NilError(t, err)
+	fl := &fleet{
+		t: t, net: newPeerNet(), number: int(fleets.Add(1)), tpl: tpl,
+		proxies: make(map[deployment.Link]*proxy),
+	}
+	domains := []string{"aarhus-a", "aarhus-b", "vejle-1", "herning-1"}
+	fl.dp = &deployment.Deployment{
+		Model: model, Prefill: pl.prefill, Decode: pl.decode, PlainService: service, Plain: pl.plain,
+		FailureDomains: domains, Region: "dk-jylland", Engine: pl.engine, Service: pl.service, Front: fl.front,
+	}
+	for ix := range pl.vms {
+		fl.dp.Hosts = append(fl.dp.Hosts, loopback(fl.number, ix+1))
+		fl.seeds = append(fl.seeds, netip.AddrPortFrom(loopback(fl.number, ix+101), 7946).String())
+	}
+	assert.NilError(t, fl.dp.Start())
+	t.Cleanup(func() { assert.Check(t, fl.dp.Close()) })
+	for ix := range pl.vms {
+		set, err := fl.dp.VM(fmt.Sprintf("vm-%d", ix+1), domains[ix%len(domains)])
+		assert.NilError(t, err)
+		fl.vms = append(fl.vms, newVM(t, set, fl.seeds))
+	}
+	fl.dp.Publish()
+	return fl
+}
+
+// front puts a proxy before an address, or a relay if other VMs connect there.
+func (fl *fleet) front(lk deployment.Link, addr netip.AddrPort) (netip.AddrPort, error) {
+	if lk.Kind == deployment.PeerLink {
+		at := netip.MustParseAddrPort(fl.seeds[len(fl.vms)])
+		return at, fl.net.front(fl.t, at, addr)
+	}
+	px, at, err := newProxy(fl.t, fmt.Sprintf("%s of %s", lk.Kind, lk.ID), addr)
+	fl.proxies[lk] = px
+	return at, err
+}
+
+func (fl *fleet) proxy(kind deployment.Kind, id string) *proxy {
+	return fl.proxies[deployment.Link{Kind: kind, ID: id}]
+}
+
+// vm returns a VM by its ID.
+func (fl *fleet) vm(id string) *vm {
+	for _, vm := range fl.vms {
+		if vm.set.ID == id {
+			return vm
+		}
+	}
+	fl.t.Fatalf("no VM %q", id)
+	return nil
+}
+
+// others lists all VMs but some.
+func (fl *fleet) others(but ...*vm) []*vm {
+	return slices.DeleteFunc(slices.Clone(fl.vms), func(vm *vm) bool { return slices.Contains(but, vm) })
+}
+
+// publish publishes a template through a VM until it is decided, and notes
+// that all VMs must get it.
+func (fl *fleet) publish(through *vm, id string, base uint64, tpl template.Template) operator.PublishReply {
+	fl.t.Helper()
+	var reply operator.PublishReply
+	eventually(fl.t, "the publication "+id+" is decided", func() bool {
+		var err error
+		reply, err = through.ops.Publish(fl.t.Context(), operator.Publication{ID: id, Customer: customer, Base: base, Template: tpl})
+		return err == nil
+	})
+	return reply
+}
+
+// awaitServing waits until a VM has the template, knows the fleet and the
+// seats, and has heard of all plain servers.
+func (fl *fleet) awaitServing(vm *vm) {
+	fl.t.Helper()
+	eventually(fl.t, vm.set.ID+" serves", func() bool { return fl.serving(vm) })
+}
+
+func (fl *fleet) serving(vm *vm) bool {
+	st, err := vm.ops.Status(fl.t.Context())
+	if err != nil || st.Seats == 0 || !st.Quorate {
+		return false
+	}
+	alive := 0
+	for _, other := range st.Fleet {
+		if other.Health == "Alive" && !other.Leaving {
+			alive++
+		}
+	}
+	reported := 0
+	for _, srv := range st.Backends {
+		if srv.Role == string(board.Plain) && srv.Reported {
+			reported++
+		}
+	}
+	_, err = vm.ops.Template(fl.t.Context(), customer)
+	return err == nil && alive == fl.running() && reported == len(fl.dp.Services) && st.Seats >= min(len(fl.vms), 3)
+}
+
+// running counts the VMs whose processes run.
+func (fl *fleet) running() int {
+	count := 0
+	for _, vm := range fl.vms {
+		if pr := vm.process(); pr != nil && !pr.over() {
+			count++
+		}
+	}
+	return count
+}
+
+// holdsDead waits until a VM holds another one dead, and returns after how
+// long.
+func (fl *fleet) holdsDead(vm, lost *vm, since time.Time) time.Duration {
+	fl.t.Helper()
+	eventually(fl.t, vm.set.ID+" holds "+lost.set.ID+" dead", func() bool { return fl.health(vm, lost) == "Dead" })
+	return time.Since(since)
+}
+
+// health tells how a VM sees another one.
+func (fl *fleet) health(vm, other *vm) string {
+	st, err := vm.ops.Status(fl.t.Context())
+	if err != nil {
+		return ""
+	}
+	for _, seen := range st.Fleet {
+		if seen.ID == other.set.ID {
+			return seen.Health
+		}
+	}
+	return ""
+}
+
+// watchRevisions notes, until the test ends, which revision each VM has in
+// force.
+func (fl *fleet) watchRevisions() {
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, vm := range fl.vms {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				run := vm.run()
+				reply, err := vm.ops.Template(ctx, customer)
+				if err == nil {
+					fl.note(func(hs *invariant.History) {
+						hs.Sightings = append(hs.Sightings, invariant.Sighting{VM: run, Customer: customer, Revision: reply.Revision, At: time.Now()})
+					})
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	fl.t.Cleanup(func() {
+		stop()
+		wg.Wait()
+	})
+}
+
+// accepted notes that a revision was accepted now and must come in force at
+// the VMs.
+func (fl *fleet) accepted(revision uint64, vms ...*vm) {
+	pb := invariant.Publication{Customer: customer, Revision: revision, Accepted: time.Now()}
+	for _, vm := range vms {
+		pb.VMs = append(pb.VMs, vm.run())
+	}
+	fl.note(func(hs *invariant.History) { hs.Publications = append(hs.Publications, pb) })
+}
+
+// inForce waits until the VMs have a revision in force, and returns after how
+// long the last one had.
+func (fl *fleet) inForce(revision uint64, vms ...*vm) time.Duration {
+	fl.t.Helper()
+	since := time.Now()
+	for _, vm := range vms {
+		eventually(fl.t, fmt.Sprintf("%s has revision %d", vm.set.ID, revision), func() bool {
+			reply, err := vm.ops.Template(fl.t.Context(), customer)
+			return err == nil && reply.Revision >= revision
+		})
+	}
+	return time.Since(since)
+}
+
+func (fl *fleet) note(write func(hs *invariant.History)) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	write(&fl.hist)
+}
+
+// engineRuns lists the runs of a request at engines of a role.
+func (fl *fleet) engineRuns(role board.Role, key string) []*enginesim.Run {
+	var out []*enginesim.Run
+	for _, en := range fl.dp.Engines {
+		for _, rec := range en.History().Runs {
+			if rec.Role == role && attemptOf(rec.Request, key) {
+				out = append(out, rec)
+			}
+		}
+	}
+	return out
+}
+
+// serviceRuns counts the runs of a key at the plain service.
+func (fl *fleet) serviceRuns(key string) int {
+	count := 0
+	for _, sv := range fl.dp.Services {
+		count += len(sv.History().RunsOf(customer + "/" + key))
+	}
+	return count
+}
+
+// awaitFree waits until no engine holds anything, and returns after how long.
+func (fl *fleet) awaitFree() time.Duration {
+	fl.t.Helper()
+	since := time.Now()
+	eventually(fl.t, "all engines are free", func() bool { return fl.unfinished() == 0 })
+	return time.Since(since)
+}
+
+func (fl *fleet) unfinished() int {
+	count := 0
+	for _, en := range fl.dp.Engines {
+		hs := en.History()
+		count += hs.Unfinished + hs.SlotsHeld + hs.KVKept
+	}
+	return count
+}
+
+// check waits until the engines are free and has the rules checked.
+func (fl *fleet) check() {
+	fl.t.Helper()
+	fl.awaitFree()
+	fl.mu.Lock()
+	hs := fl.hist
+	fl.mu.Unlock()
+	hs.HeldWithin = heldWithin
+	for _, en := range fl.dp.Engines {
+		hs.Engines = append(hs.Engines, en.History())
+	}
+	for _, sv := range fl.dp.Services {
+		hs.Services = append(hs.Services, sv.History())
+	}
+	found := invariant.Check(hs)
+	results.checked(len(hs.Calls), len(found))
+	for _, vi := range found {
+		fl.t.Error(vi)
+	}
+}
--- /dev/null
+++ b/internal/integration/once_test.go
@@ -0,0 +1,137 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/standin"
+	"alderdyke/pkg/refusal"
+)
+
+// slowService is a plan whose plain calls last long enough for faults to find
+// them running.
+func slowService() plan {
+	pl := usual()
+	pl.service.Latency = 1500
+	return pl
+}
+
+// One payment is sent through all VMs at once: it runs once, and all that get
+// an answer get the same.
+func TestOneKeyThroughAllVMsAtOnce(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	for round := range 5 {
+		key := fmt.Sprintf("all-%d", round)
+		var calls []*ongoing
+		for _, vm := range fl.vms {
+			calls = append(calls, fl.paymentAt(vm, key))
+		}
+		for _, og := range calls {
+			assert.Check(t, og.end())
+		}
+		assert.Equal(t, fl.serviceRuns(key), 1)
+	}
+	fl.check()
+}
+
+// The VM that runs a payment is killed while the service works at it. The
+// caller asks the others again and again, and it never runs a second time.
+func TestAtMostOnceWhenItsVMIsKilled(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, slowService())
+	first := fl.vms[0]
+	og := fl.paymentAt(first, "killed")
+	eventually(t, "the payment runs", func() bool { return fl.serviceRuns("killed") == 1 })
+	killed := time.Now()
+	first.kill(t)
+	assert.Check(t, og.end() != nil)
+	for _, vm := range fl.others(first) {
+		rf := fl.paymentAt(vm, "killed").refusedAs()
+		assert.Check(t, rf.Ran != refusal.NotRun, "%v", rf)
+	}
+	for _, vm := range fl.others(first) {
+		fl.holdsDead(vm, first, killed)
+		rf := fl.paymentAt(vm, "killed").refusedAs()
+		assert.Check(t, rf.Ran != refusal.NotRun, "%v", rf)
+	}
+	assert.Equal(t, fl.serviceRuns("killed"), 1)
+	fl.check()
+}
+
+// The VM that was asked first is paused until the others hold it dead, the
+// caller asks them, and then it wakes and still believes that it may run the
+// payment.
+func TestAtMostOnceWhenItsVMIsPaused(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, slowService())
+	first := fl.vms[0]
+	og := fl.paymentAt(first, "paused")
+	eventually(t, "the payment runs", func() bool { return fl.serviceRuns("paused") == 1 })
+	paused := time.Now()
+	first.pause(t)
+	for _, vm := range fl.others(first) {
+		results.span("a paused VM is held dead", fl.holdsDead(vm, first, paused))
+	}
+	var calls []*ongoing
+	for _, vm := range fl.others(first) {
+		calls = append(calls, fl.paymentAt(vm, "paused"))
+	}
+	for _, call := range calls {
+		assert.Check(t, call.refusedAs().Ran != refusal.NotRun)
+	}
+	first.resume(t)
+	og.end()
+	fl.awaitServing(first)
+	for _, vm := range fl.vms {
+		fl.paymentAt(vm, "paused").end()
+	}
+	assert.Equal(t, fl.serviceRuns("paused"), 1)
+	fl.check()
+}
+
+// Many payments are asked for while a VM sleeps in the middle of asking:
+// whatever it believes when it wakes, none runs twice.
+func TestAtMostOnceThroughAPausedVM(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	first := fl.vms[0]
+	var calls []*ongoing
+	for ix := range 20 {
+		calls = append(calls, fl.paymentAt(first, fmt.Sprintf("sleep-%d", ix)))
+	}
+	paused := time.Now()
+	first.pause(t)
+	fl.holdsDead(fl.vms[1], first, paused)
+	for ix := range 20 {
+		calls = append(calls, fl.paymentAt(fl.vms[1+ix%2], fmt.Sprintf("sleep-%d", ix)))
+	}
+	for _, og := range calls[20:] {
+		og.end()
+	}
+	first.resume(t)
+	for _, og := range calls[:20] {
+		og.end()
+	}
+	fl.check()
+}
+
+// The service runs a payment and its reply is lost: the caller is told that it
+// may have run, and nobody runs it again.
+func TestReplyLostAfterEffect(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	results.fault("reply lost after the effect")
+	for _, sv := range fl.dp.Services {
+		sv.Control.Set(standin.Faults{Paths: []string{"/payments/lost-reply"}, LoseReply: true})
+	}
+	for _, vm := range fl.vms {
+		rf := fl.paymentAt(vm, "lost-reply").refusedAs()
+		assert.Check(t, rf.Ran == refusal.MayHaveRun, "%v", rf)
+	}
+	assert.Equal(t, fl.serviceRuns("lost-reply"), 1)
+	fl.check()
+}
--- /dev/null
+++ b/internal/integration/process_test.go
@@ -0,0 +1,210 @@
+package integration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"text/template"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/operator"
+	"alderdyke/internal/settings"
+	"alderdyke/internal/standin/deployment"
+)
+
+// settingsText is the settings file of a VM.
+var settingsText = template.Must(template.New("settings").Parse(`
+ID = "{{.Set.ID}}"
+FailureDomain = "{{.Set.FailureDomain}}"
+Region = "{{.Set.Region}}"
+[Caller]
+Listen = "{{.Set.Caller.Listen}}"
+Advertise = "{{.Set.Caller.Advertise}}"
+[Peer]
+Listen = "{{.Set.Peer.Listen}}"
+Advertise = "{{.Set.Peer.Advertise}}"
+Secret = "{{.PeerSecret}}"
+Seeds = [{{range .Seeds}}"{{.}}",{{end}}]
+[Operator]
+Listen = "{{.Set.Operator.Listen}}"
+Token = "{{.OperatorToken}}"
+[Log]
+Address = "{{.Set.Log.Address}}"
+Token = "{{.LogToken}}"
+[VMList]
+Address = "{{.Set.VMList.Address}}"
+Token = "{{.ListToken}}"
+[Backends]
+Token = "{{.BackendToken}}"
+[Addresses]
+KeepFor = "2s"
+[Drain]
+Linger = "1s"
+`))
+
+type (
+	// vm is one entry VM and its processes, one at a time.
+	vm struct {
+		set  settings.Settings
+		file string
+		ops  operator.Client
+
+		mu   sync.Mutex
+		proc *process
+		runs int
+	}
+
+	// process is one run of a VM.
+	process struct {
+		cmd  *exec.Cmd
+		out  output
+		done chan struct{}
+		code int // once done is closed
+	}
+
+	// output keeps what a process wrote.
+	output struct {
+		mu  sync.Mutex
+		buf bytes.Buffer
+	}
+)
+
+// Write implements io.Writer.
+func (ou *output) Write(part []byte) (int, error) {
+	ou.mu.Lock()
+	defer ou.mu.Unlock()
+	return ou.buf.Write(part)
+}
+
+func (ou *output) tail(most int) string {
+	ou.mu.Lock()
+	defer ou.mu.Unlock()
+	text := ou.buf.Bytes()
+	return string(text[max(0, len(text)-most):])
+}
+
+// newVM writes the settings file of a VM.
+func newVM(t *testing.T, set settings.Settings, seeds []string) *vm {
+	t.Helper()
+	var text bytes.Buffer
+	assert.NilError(t, settingsText.Execute(&text, map[string]any{
+		"Set": set, "Seeds": seeds,
+		"PeerSecret": deployment.PeerSecret, "OperatorToken": deployment.OperatorToken,
+		"LogToken": deployment.LogToken, "ListToken": deployment.ListToken, "BackendToken": deployment.BackendToken,
+	}))
+	file := filepath.Join(t.TempDir(), set.ID+".toml")
+	assert.NilError(t, os.WriteFile(file, text.Bytes(), 0o600))
+	return &vm{
+		set:  set,
+		file: file,
+		ops:  operator.Client{Address: set.Operator.Listen.String(), Token: set.Operator.Token},
+	}
+}
+
+// start starts a new process of the VM.
+func (vm *vm) start(t *testing.T) {
+	t.Helper()
+	pr := &process{cmd: exec.Command(program, "run", vm.file), done: make(chan struct{})}
+	pr.cmd.Stdout, pr.cmd.Stderr = &pr.out, &pr.out
+	assert.NilError(t, pr.cmd.Start())
+	go func() {
+		var exit *exec.ExitError
+		if err := pr.cmd.Wait(); errors.As(err, &exit) {
+			pr.code = exit.ExitCode()
+		} else if err != nil {
+			pr.code = -2
+		}
+		close(pr.done)
+	}()
+	vm.mu.Lock()
+	vm.proc = pr
+	vm.runs++
+	vm.mu.Unlock()
+	t.Cleanup(func() {
+		if !pr.over() {
+			pr.cmd.Process.Signal(syscall.SIGCONT)
+			pr.cmd.Process.Kill()
+			<-pr.done
+		}
+		if t.Failed() {
+			t.Logf("the last words of %s:\n%s", vm.set.ID, pr.out.tail(3000))
+		}
+	})
+}
+
+func (vm *vm) process() *process {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return vm.proc
+}
+
+// run names the VM and how often it was started.
+func (vm *vm) run() string {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	return fmt.Sprintf("%s#%d", vm.set.ID, vm.runs)
+}
+
+func (pr *process) over() bool {
+	select {
+	case <-pr.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (vm *vm) signal(t *testing.T, sig syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, vm.process().cmd.Process.Signal(sig))
+}
+
+// kill ends the process at once.
+func (vm *vm) kill(t *testing.T) {
+	t.Helper()
+	results.fault("VM killed (SIGKILL)")
+	vm.signal(t, syscall.SIGKILL)
+	<-vm.process().done
+}
+
+// pause freezes the process until resume.
+func (vm *vm) pause(t *testing.T) {
+	t.Helper()
+	results.fault("VM paused (SIGSTOP, SIGCONT)")
+	vm.signal(t, syscall.SIGSTOP)
+}
+
+func (vm *vm) resume(t *testing.T) {
+	t.Helper()
+	vm.signal(t, syscall.SIGCONT)
+}
+
+// terminate begins a planned stop.
+func (vm *vm) terminate(t *testing.T) {
+	t.Helper()
+	results.fault("planned stop (SIGTERM)")
+	vm.signal(t, syscall.SIGTERM)
+}
+
+// patience bounds every wait for an event. It ends only tests that have
+// failed.
+const patience = 60 * time.Second
+
+// eventually waits for a condition that others bring about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/integration/proxy_test.go
@@ -0,0 +1,104 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+// Directions of a proxy's traffic.
+const (
+	upstream   = "upstream"   // to the server
+	downstream = "downstream" // to the client
+)
+
+// proxy stands before one TCP server.
+type proxy struct {
+	*toxiproxy.Proxy
+	name string
+}
+
+// newProxy starts a proxy at a free port of loopback.
+func newProxy(t *testing.T, name string, to netip.AddrPort) (*proxy, netip.AddrPort, error) {
+	srv := &toxiproxy.ApiServer{Metrics: toxiproxy.NewMetricsContainer(nil)}
+	silent(&srv.Logger)
+	px := &proxy{Proxy: toxiproxy.NewProxy(srv, name, "127.0.0.1:0", to.String()), name: name}
+	if err := px.Start(); err != nil {
+		return nil, netip.AddrPort{}, fmt.Errorf("start the proxy of %s: %w", name, err)
+	}
+	t.Cleanup(px.Stop)
+	addr, err := netip.ParseAddrPort(px.Listen)
+	if err != nil {
+		return nil, addr, fmt.Errorf("address of the proxy of %s: %w", name, err)
+	}
+	return px, addr, nil
+}
+
+// silent sets a logger that writes nothing, which is its zero value.
+func silent[Logger any](lg **Logger) { *lg = new(Logger) }
+
+// add puts one toxic into one direction.
+func (px *proxy) add(t *testing.T, kind, direction string, attributes map[string]any) {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": kind + "_" + direction, "type": kind, "stream": direction, "attributes": attributes,
+	})
+	assert.NilError(t, err)
+	_, err = px.Toxics.AddToxicJson(bytes.NewReader(text))
+	assert.NilError(t, err)
+}
+
+// reset cuts connections as soon as anything moves on them, until heal.
+func (px *proxy) reset(t *testing.T) {
+	t.Helper()
+	results.fault("connection reset")
+	for _, direction := range []string{upstream, downstream} {
+		px.add(t, "reset_peer", direction, map[string]any{"timeout": 0})
+	}
+}
+
+// stall lets nothing through, until heal.
+func (px *proxy) stall(t *testing.T) {
+	t.Helper()
+	results.fault("connection stalled")
+	for _, direction := range []string{upstream, downstream} {
+		px.add(t, "timeout", direction, map[string]any{"timeout": 0})
+	}
+}
+
+// slow delays all that comes back, until heal.
+func (px *proxy) slow(t *testing.T, by clock.Millis) {
+	t.Helper()
+	results.fault("connection slow")
+	px.add(t, "latency", downstream, map[string]any{"latency": int64(by)})
+}
+
+// heal removes all toxics.
+func (px *proxy) heal(t *testing.T) {
+	t.Helper()
+	px.Toxics.ResetToxics(t.Context())
+}
+
+// loopback returns an address of loopback that no other fleet of this process
+// uses.
+func loopback(fleet, host int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, processOctet, byte(fleet), byte(host)})
+}
+
+// freeTCP tells whether the address can be listened at.
+func freeTCP(addr netip.AddrPort) bool {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	ln.Close()
+	return true
+}
--- /dev/null
+++ b/internal/integration/relay_test.go
@@ -0,0 +1,208 @@
+package integration
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type (
+	// peerNet is the network between the VMs of one fleet. Each VM is known
+	// to the others by the address of a relay; it speaks from its own IP
+	// number, so relays can tell who speaks.
+	peerNet struct {
+		mu   sync.Mutex
+		cuts map[[2]netip.Addr]bool
+		next chan struct{} // closed when cuts change
+	}
+
+	// relay stands before one VM's address for peers.
+	relay struct {
+		pn   *peerNet
+		to   netip.AddrPort
+		ln   net.Listener
+		uc   *net.UDPConn
+		wg   sync.WaitGroup
+		done chan struct{}
+
+		mu    sync.Mutex
+		conns map[net.Conn]struct{}
+	}
+)
+
+func newPeerNet() *peerNet {
+	return &peerNet{cuts: make(map[[2]netip.Addr]bool), next: make(chan struct{})}
+}
+
+// cut stops or lets through all that two VMs say to each other. What is on
+// its way is held back and arrives after the end of the cut, as TCP would
+// send it again; datagrams are lost.
+func (pn *peerNet) cut(one, other *vm, off bool) {
+	va, vb := one.set.Peer.Listen.Addr(), other.set.Peer.Listen.Addr()
+	pn.mu.Lock()
+	defer pn.mu.Unlock()
+	pn.cuts[[2]netip.Addr{va, vb}] = off
+	pn.cuts[[2]netip.Addr{vb, va}] = off
+	close(pn.next)
+	pn.next = make(chan struct{})
+}
+
+// partition cuts each VM of one side off from each of the other side, or ends
+// that.
+func (pn *peerNet) partition(side, rest []*vm, off bool) {
+	if off {
+		results.fault("partition between VMs (TCP and UDP)")
+	}
+	for _, one := range side {
+		for _, other := range rest {
+			pn.cut(one, other, off)
+		}
+	}
+}
+
+func (pn *peerNet) state(from, to netip.Addr) (off bool, next <-chan struct{}) {
+	pn.mu.Lock()
+	defer pn.mu.Unlock()
+	return pn.cuts[[2]netip.Addr{from, to}], pn.next
+}
+
+// front starts the relay before one VM's address for peers.
+func (pn *peerNet) front(t *testing.T, at, to netip.AddrPort) error {
+	ln, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return err
+	}
+	uc, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return err
+	}
+	rl := &relay{pn: pn, to: to, ln: ln, uc: uc, done: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	rl.wg.Go(rl.accept)
+	rl.wg.Go(rl.datagrams)
+	t.Cleanup(func() { rl.close(t) })
+	return nil
+}
+
+func (rl *relay) close(t *testing.T) {
+	close(rl.done)
+	assert.Check(t, rl.ln.Close())
+	assert.Check(t, rl.uc.Close())
+	rl.mu.Lock()
+	for cn := range rl.conns {
+		cn.Close()
+	}
+	rl.mu.Unlock()
+	rl.wg.Wait()
+}
+
+func (rl *relay) accept() {
+	for {
+		near, err := rl.ln.Accept()
+		if err != nil {
+			return
+		}
+		rl.wg.Go(func() { rl.carry(near) })
+	}
+}
+
+// carry carries one connection until either end closes it.
+func (rl *relay) carry(near net.Conn) {
+	defer near.Close()
+	from := netip.MustParseAddrPort(near.RemoteAddr().String()).Addr()
+	if !rl.pass(from) {
+		return
+	}
+	far, err := net.Dial("tcp", rl.to.String())
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	if !rl.keep(near, far) {
+		return
+	}
+	defer rl.forget(near, far)
+	var wg sync.WaitGroup
+	wg.Go(func() { rl.pump(far, near, from) })
+	wg.Go(func() { rl.pump(near, far, from) })
+	wg.Wait()
+}
+
+// pump copies one direction, and closes both ends when it is over.
+func (rl *relay) pump(to, from net.Conn, speaker netip.Addr) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		got, err := from.Read(buf)
+		if got > 0 && rl.pass(speaker) {
+			if _, err := to.Write(buf[:got]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				rl.pass(speaker) // the end is held back as well
+			}
+			return
+		}
+	}
+}
+
+// pass waits while the pair is cut. It returns false when the relay ends.
+func (rl *relay) pass(from netip.Addr) bool {
+	for {
+		off, next := rl.pn.state(from, rl.to.Addr())
+		if !off {
+			return true
+		}
+		select {
+		case <-next:
+		case <-rl.done:
+			return false
+		}
+	}
+}
+
+func (rl *relay) keep(conns ...net.Conn) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	select {
+	case <-rl.done:
+		return false
+	default:
+	}
+	for _, cn := range conns {
+		rl.conns[cn] = struct{}{}
+	}
+	return true
+}
+
+func (rl *relay) forget(conns ...net.Conn) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	for _, cn := range conns {
+		delete(rl.conns, cn)
+	}
+}
+
+func (rl *relay) datagrams() {
+	buf := make([]byte, 64<<10)
+	for {
+		got, from, err := rl.uc.ReadFromUDPAddrPort(buf)
+		select {
+		case <-rl.done:
+			return
+		default:
+		}
+		if err != nil {
+			continue // a VM that is down refuses datagrams
+		}
+		if off, _ := rl.pn.state(from.Addr().Unmap(), rl.to.Addr()); !off {
+			rl.uc.WriteToUDPAddrPort(buf[:got], rl.to)
+		}
+	}
+}
--- /dev/null
+++ b/internal/integration/results_test.go
@@ -0,0 +1,81 @@
+package integration
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// results gathers the figures of all tests of one run.
+var results = &report{faults: make(map[string]int), spans: make(map[string][]time.Duration)}
+
+type report struct {
+	mu         sync.Mutex
+	faults     map[string]int
+	spans      map[string][]time.Duration
+	histories  int
+	calls      int
+	violations int
+}
+
+// fault counts an injected fault.
+func (rp *report) fault(kind string) {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	rp.faults[kind]++
+}
+
+// span notes how long something took.
+func (rp *report) span(what string, took time.Duration) {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	rp.spans[what] = append(rp.spans[what], took)
+}
+
+// checked counts what the checker looked at and found.
+func (rp *report) checked(calls, violations int) {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	rp.histories++
+	rp.calls += calls
+	rp.violations += violations
+}
+
+// write writes the table.
+func (rp *report) write(file string) error {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	var sb strings.Builder
+	sb.WriteString("# Results under faults\n\nMade by `go test ./internal/integration -results docs/RESULTS-faults.md`: entry VMs as\n" +
+		"real processes on one machine, stand-ins for everything around them.\n\n")
+	fmt.Fprintf(&sb, "%d histories with %d calls were checked; %d violations were found.\n\n", rp.histories, rp.calls, rp.violations)
+	sb.WriteString("| Fault | Times injected |\n| --- | --- |\n")
+	for _, kind := range sorted(rp.faults) {
+		fmt.Fprintf(&sb, "| %s | %d |\n", kind, rp.faults[kind])
+	}
+	sb.WriteString("\n| Time | Measured | Median | Longest |\n| --- | --- | --- | --- |\n")
+	for _, what := range sorted(rp.spans) {
+		took := slices.Clone(rp.spans[what])
+		slices.Sort(took)
+		fmt.Fprintf(&sb, "| %s | %d | %s | %s |\n", what, len(took), round(took[len(took)/2]), round(took[len(took)-1]))
+	}
+	if err := os.WriteFile(file, []byte(sb.String()), 0o644); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
+}
+
+func round(took time.Duration) string { return took.Round(10 * time.Millisecond).String() }
+
+func sorted[Value any](by map[string]Value) []string {
+	var out []string
+	for name := range by {
+		out = append(out, name)
+	}
+	slices.SortFunc(out, cmp.Compare[string])
+	return out
+}
