--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -35,6 +35,7 @@
 	"alderdyke/internal/event"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/membership"
+	"alderdyke/internal/metrics"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/register"
@@ -100,7 +101,8 @@
 		restored  *claim.Seats // learned from a peer before the book ran
 		claimSeed atomic.Uint64
 		nextCell  atomic.Uint64
-		loopCtx   context.Context // ends after the last request
+		cells     atomic.Pointer[cellList] // made last
+		loopCtx   context.Context          // ends after the last request
 
 		backendsMu sync.Mutex // orders the writers of the board's backend servers
 
@@ -121,6 +123,7 @@
 	retries struct {
 		mu sync.Mutex
 		*retry.Policy
+		count metrics.Retries
 	}
 )
 
@@ -302,6 +305,7 @@
 	vm.janitor = janitor{cancel: vm.Engines.CancelAttempt, find: vm.server, lg: vm.Log}
 	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
+	vm.retries.count.Scope = vm.Scope
 	vm.initMembers()
 	vm.initFollower()
 	vm.initBook()
