claim: go on searching when a VM that was held dead asks anew

A VM that woke from a long pause asks its seats about all its claims anew. A claim that was still searched for was then confirmed instead: no seat knew it, and the verdict was Lost, without Ran and Reason, which callers got as an empty refusal.

--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -106,12 +106,23 @@
 	case Became:
 		return ak.tell(ev.State, ev.DecodeServer, ev.EngineRequest)
 	case Revalidate:
-		ak.seats, ak.fleet, ak.began, ak.phase, ak.round = ev.Seats, ev.Fleet, now, confirming, 0
-		return ak.begin(now)
+		return ak.revalidate(now, ev)
 	}
 	return nil
 }
 
+// revalidate asks anew whether the claim stands. One that is still searched
+// for has nothing to confirm: the search goes on, with a round of its own.
+func (ak *Asker) revalidate(now clock.Millis, ev Revalidate) []AskerIntent {
+	ak.seats, ak.fleet = ev.Seats, ev.Fleet
+	if ak.phase == asking || ak.phase == backingOff {
+		ak.phase = asking
+		return ak.begin(now)
+	}
+	ak.began, ak.phase, ak.round = now, confirming, 0
+	return ak.begin(now)
+}
+
 // begin starts a round.
 func (ak *Asker) begin(now clock.Millis) []AskerIntent {
 	ak.group = ak.seats.Group(ak.Customer, ak.Key)
