entry: wait for a claim's decision before telling a follower no; never promise NotRun in doubt

Seats tell others of a claim before its own VM has the last grant. A follower that came in between was told that the VM does not know the key, and gave the request up: of 15 payments through three VMs at once, 6 ended as VMLost or KeyInDoubt though they ran once and had an answer.

A refusal of a run that took over from a lost VM, or that ran a given key without its seats' word, said NotRun though the VM before it may have sent the request. It says MayHaveRun. An error without a refusal says so too. A claim that is lost before it ran is asked for again.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -63,15 +63,18 @@
 // for as long as that VM follows it.
 func (vm *VM) serveAttach(ctx context.Context, ask *peerpb.AttachAsk, cn frames) {
 	rn, ok := vm.runs.find(requestID{Customer: ask.GetCustomer(), Key: ask.GetKey()})
-	if !ok || !rn.runner.Load() {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if ok {
+		rn.awaitRole(ctx)
+	}
+	if !ok || !rn.is(running) {
 		cn.Send(doneFrame())
 		return
 	}
 	if ask.GetFind() {
 		cn.Send(&peerpb.Frame{Body: &peerpb.Frame_AttachReply{AttachReply: &peerpb.AttachReply{}}})
 	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	go func() { // the follower sends nothing; the end of its stream is the end of its interest
 		cn.Recv()
 		stop()
@@ -93,6 +96,14 @@
 	}
 }
 
+// awaitRole waits until it is decided whether this VM runs the request. Seats
+// may tell others of its claim before the last grant is here.
+func (rn *run) awaitRole(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, claimPatience.Std())
+	defer stop()
+	rn.settled(ctx)
+}
+
 func eventToWire(ev answer.Event) *peerpb.AnswerEvent {
 	ae := &peerpb.AnswerEvent{ID: int64(ev.ID), Kind: string(ev.Kind), Data: ev.Data}
 	if ev.Kind == answer.Refused {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -19,6 +19,13 @@
 // claimPatience bounds the search for the VMs that account for a key.
 const claimPatience = 3 * clock.Second
 
+// Roles.
+const (
+	searching role = iota // it is not decided yet
+	running
+	following
+)
+
 var (
 	errAgain = errors.New("the key must be claimed anew")
 	errLost  = errors.New("another VM took the request over")
@@ -43,11 +50,15 @@
 		claimed *claimant    // link to the seats of the key
 		attempt int          // number of the claim that this VM runs under
 		until   clock.Millis // up to when the claim stands unconfirmed
-		sent    atomic.Bool  // a backend server may have begun
-		runner  atomic.Bool  // this VM runs the request, it does not follow another
+		sent    atomic.Bool  // a backend server may have begun, here or for another VM
+		role    atomic.Int32 // of type role
+		turned  signal       // the role changed, or the answer has its end
 		away    *time.Timer  // ends the run when no caller came back
 	}
 
+	// role is what this VM does for a request.
+	role int32
+
 	// failure is the end of one attempt at backend servers.
 	failure struct {
 		stage string
@@ -102,6 +113,7 @@
 // live runs the request to its one end.
 func (rn *run) live() {
 	defer rn.vm.ended(rn)
+	defer rn.turned.raise()
 	defer rn.cancel(nil)
 	ctx, stop := context.WithTimeoutCause(rn.ctx, (rn.deadline - rn.vm.Clock.Now()).Std(), refusal.Refusal{
 		Ran:    refusal.MayHaveRun,
@@ -136,6 +148,7 @@
 // once makes one claim and acts on it. It returns errAgain if the request
 // must be claimed anew.
 func (rn *run) once(ctx context.Context, givenUp *board.VMRef) error {
+	rn.become(searching)
 	if rn.vm.seats.Load() == nil {
 		return rn.withoutSeats(ctx)
 	}
@@ -150,20 +163,23 @@
 	switch dec.Verdict {
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
-		rn.runner.Store(true)
+		rn.become(running)
 		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
 			rn.report(err)
 			return err
 		}
-		rn.runner.Store(false)
+		return errAgain
+	case claim.Lost:
 		return errAgain
 	case claim.Follow:
+		rn.become(following)
 		return rn.followOnce(mine, dec.Runner, givenUp)
 	case claim.Unavailable:
 		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
 		}
-		rn.runner.Store(true)
+		rn.become(running)
+		rn.doubtGivenKey()
 		return rn.serve(mine, dec)
 	default:
 		return claimRefusal(dec)
@@ -182,10 +198,42 @@
 		}
 	}
 	rn.claimed = rn.vm.noClaim()
-	rn.runner.Store(true)
+	rn.become(running)
+	rn.doubtGivenKey()
 	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
+// doubtGivenKey notes, for a request that runs without its seats' word, that
+// the same key may have run before: callers send one again.
+func (rn *run) doubtGivenKey() {
+	if rn.req.KeyGiven {
+		rn.sent.Store(true)
+	}
+}
+
+// become sets the role and tells those who wait for it.
+func (rn *run) become(ro role) {
+	rn.role.Store(int32(ro))
+	rn.turned.raise()
+}
+
+func (rn *run) is(ro role) bool { return role(rn.role.Load()) == ro }
+
+// settled waits until the role is decided or the answer has its end.
+func (rn *run) settled(ctx context.Context) {
+	for {
+		turned := rn.turned.wait()
+		if _, final := rn.st.Len(); final || !rn.is(searching) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-turned:
+		}
+	}
+}
+
 func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
 	err := rn.follow(ctx, runner)
 	if err == nil {
@@ -198,6 +246,9 @@
 }
 
 func (rn *run) serve(ctx context.Context, dec claim.Decided) error {
+	if dec.Verdict == claim.TakeOver {
+		rn.sent.Store(true) // the VM before this one may have sent it
+	}
 	if rn.req.Plain != nil {
 		return rn.plain(ctx)
 	}
@@ -208,7 +259,6 @@
 			return nil
 		}
 		if !rn.req.Class.Idempotent {
-			rn.sent.Store(true)
 			return refusal.Refusal{Reason: refusal.VMLost, Detail: "the VM that ran the request is lost"}
 		}
 	}
@@ -240,23 +290,26 @@
 		event.F("Error", err.Error()))
 }
 
+// refusalOf is the truth about an error. What another VM or its seats said
+// stands as it is, unless a backend server may have begun the request.
 func (rn *run) refusalOf(ctx context.Context, err error) refusal.Refusal {
 	var rf refusal.Refusal
 	if cause := context.Cause(ctx); !errors.As(cause, &rf) && !errors.As(err, &rf) {
 		rf = refusal.Refusal{
-			Ran:        refusal.NotRun,
+			Ran:        refusal.MayHaveRun,
 			Reason:     refusal.BackendFailed,
 			RetryAfter: clock.Second,
 			Detail:     "no backend server could finish the request",
 		}
 	}
-	if !rn.runner.Load() {
-		return rf
-	}
-	if rn.sent.Load() {
+	switch {
+	case rn.sent.Load():
 		return rf.WithRan(refusal.MayHaveRun)
+	case rn.is(running):
+		return rf.WithRan(refusal.NotRun)
+	default:
+		return rf
 	}
-	return rf.WithRan(refusal.NotRun)
 }
 
 // claimRefusal is the refusal that a verdict other than to run stands for.
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -67,7 +67,7 @@
 	last, _ := rn.st.Last()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if !knownAnswer(last) || (!rn.runner.Load() && last.Kind == answer.Refused) {
+	if !knownAnswer(last) || (!rn.is(running) && last.Kind == answer.Refused) {
 		rs.remove(rn)
 		return
 	}
