--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -24,6 +24,13 @@
 	followPause = 800 * clock.Millis(1)
 )
 
+// Roles.
+const (
+	searching role = iota // it is not decided yet
+	running
+	following
+)
+
 var (
 	errAgain = errors.New("the key must be claimed anew")
 	errLost  = errors.New("another VM took the request over")
@@ -45,16 +52,19 @@
 		arrived  clock.Millis
 		deadline clock.Millis
 
-		claimed  *claimant    // link to the seats of the key
-		followed board.VMRef  // the runner that was followed last
-		attempt  int          // number of the claim that this VM runs under
-		until    clock.Millis // up to when the claim stands unconfirmed
-		late     bool         // came while this VM was leaving; it may only be followed
-		sent     atomic.Bool  // a backend server may have begun
-		runner   atomic.Bool  // this VM runs the request, it does not follow another
-		away     *time.Timer  // ends the run when no caller came back
+		claimed *claimant    // link to the seats of the key
+		followed board.VMRef // the runner that was followed last
+		attempt int          // number of the claim that this VM runs under
+		until   clock.Millis // up to when the claim stands unconfirmed
+		sent    atomic.Bool  // a backend server may have begun, here or for another VM
+		role    atomic.Int32 // of type role
+		turned  signal       // the role changed, or the answer has its end
+		away    *time.Timer  // ends the run when no caller came back
 	}
 
+	// role is what this VM does for a request.
+	role int32
+
 	// failure is the end of one attempt at backend servers.
 	failure struct {
 		stage string
@@ -109,6 +119,7 @@
 // live runs the request to its one end.
 func (rn *run) live() {
 	defer rn.vm.ended(rn)
+	defer rn.turned.raise()
 	defer rn.cancel(nil)
 	ctx, stop := context.WithTimeoutCause(rn.ctx, (rn.deadline - rn.vm.Clock.Now()).Std(), refusal.Refusal{
 		Ran:    refusal.MayHaveRun,
@@ -143,6 +154,7 @@
 // once makes one claim and acts on it. It returns errAgain if the request
 // must be claimed anew.
 func (rn *run) once(ctx context.Context, givenUp *board.VMRef) error {
+	rn.become(searching)
 	if rn.vm.seats.Load() == nil {
 		return rn.withoutSeats(ctx)
 	}
@@ -157,7 +169,7 @@
 	switch dec.Verdict {
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
-		rn.runner.Store(true)
+		rn.become(running)
 		if dec.Verdict == claim.TakeOver {
 			rn.sent.Store(true) // by the VM before this one
 		}
@@ -165,15 +177,19 @@
 			rn.report(err)
 			return err
 		}
-		rn.runner.Store(false)
+		return errAgain
+	case claim.Lost:
 		return errAgain
 	case claim.Follow:
-		return rn.followOnce(mine, dec.Runner, givenUp)
+		rn.become(following)
+		return rn.followOnce(mine, dec, givenUp)
 	case claim.Unavailable:
 		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
 		}
-		return rn.unclaimed(mine)
+		rn.become(running)
+		rn.doubtGivenKey()
+		return rn.serve(mine, dec)
 	default:
 		return claimRefusal(dec)
 	}
@@ -191,34 +207,60 @@
 		}
 	}
 	rn.claimed = rn.vm.noClaim()
-	return rn.unclaimed(ctx)
+	rn.become(running)
+	rn.doubtGivenKey()
+	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
-// unclaimed runs an idempotent request without the grants of its key's seats.
-// A key of the caller's own may have run elsewhere, so that nothing can be
-// promised about it any more.
-func (rn *run) unclaimed(ctx context.Context) error {
-	rn.runner.Store(true)
+// doubtGivenKey notes, for a request that runs without its seats' word, that
+// the same key may have run before: callers send one again.
+func (rn *run) doubtGivenKey() {
 	if rn.req.KeyGiven {
 		rn.sent.Store(true)
 	}
-	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
-func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
-	err := rn.follow(ctx, runner)
-	if err == nil {
-		return nil
+// become sets the role and tells those who wait for it.
+func (rn *run) become(ro role) {
+	rn.role.Store(int32(ro))
+	rn.turned.raise()
+}
+
+func (rn *run) is(ro role) bool { return role(rn.role.Load()) == ro }
+
+// settled waits until the role is decided or the answer has its end.
+func (rn *run) settled(ctx context.Context) {
+	for {
+		turned := rn.turned.wait()
+		if _, final := rn.st.Len(); final || !rn.is(searching) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-turned:
+		}
 	}
-	if errors.Is(err, errUnknownKey) {
-		*givenUp = runner
+}
+
+// followOnce passes on the answer of the VM that runs the request. If that VM
+// can't be reached, its decode is read on at the engine, which starts nothing.
+func (rn *run) followOnce(ctx context.Context, dec claim.Decided, givenUp *board.VMRef) error {
+	err := rn.follow(ctx, dec.Runner)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errUnknownKey):
+		*givenUp = dec.Runner
+	case rn.readOn(ctx, dec):
+		return nil
 	}
 	return errAgain
 }
 
 func (rn *run) serve(ctx context.Context, dec claim.Decided) error {
-	if rn.late {
-		return drainingRefusal()
+	if dec.Verdict == claim.TakeOver {
+		rn.sent.Store(true) // the VM before this one may have sent it
 	}
 	if rn.req.Plain != nil {
 		return rn.plain(ctx)
@@ -261,23 +303,26 @@
 		event.F("Error", err.Error()))
 }
 
+// refusalOf is the truth about an error. What another VM or its seats said
+// stands as it is, unless a backend server may have begun the request.
 func (rn *run) refusalOf(ctx context.Context, err error) refusal.Refusal {
 	var rf refusal.Refusal
 	if cause := context.Cause(ctx); !errors.As(cause, &rf) && !errors.As(err, &rf) {
 		rf = refusal.Refusal{
-			Ran:        refusal.NotRun,
+			Ran:        refusal.MayHaveRun,
 			Reason:     refusal.BackendFailed,
 			RetryAfter: clock.Second,
 			Detail:     "no backend server could finish the request",
 		}
 	}
-	if !rn.runner.Load() {
-		return rf
-	}
-	if rn.sent.Load() {
+	switch {
+	case rn.sent.Load():
 		return rf.WithRan(refusal.MayHaveRun)
+	case rn.is(running):
+		return rf.WithRan(refusal.NotRun)
+	default:
+		return rf
 	}
-	return rf.WithRan(refusal.NotRun)
 }
 
 // claimRefusal is the refusal that a verdict other than to run stands for.
