entry: list the runs of engines by their number and after a loss

Cause: an accountant asked each engine for the list of its runs every 10 s; a list costs about 212 B a run (RunningPollBytes of internal/slope), so a cell of 2,560 runs cost 54 KB/s at rest. Change: the span grows by 100 ms a run from 10 s up to 2 min; a VM that is lost, replaced or new puts the runs in doubt, and they are listed each second for 10 s. Result: lists at rest cost at most 2.1 KB/s by that slope up to 1,200 runs and then grow to 4.5 KB/s at 2,560; what a lost VM left is seen within a second.

--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -16,8 +17,15 @@
 // Spans of reconciling a cell with what its engines report.
 const (
 	// runningEvery is how often an engine is asked what it runs, and for
-	// whom, when nothing is in doubt.
-	runningEvery = 10 * clock.Second
+	// whom, when nothing is in doubt. A list of many runs is asked for less
+	// often: runningPerRun is added for each run, up to runningMost, so that
+	// what the lists cost at rest does not grow with them.
+	runningEvery  = 10 * clock.Second
+	runningPerRun = 100 * clock.Millis(1)
+	runningMost   = 2 * clock.Minute
+	// lossDoubt is how long everything is in doubt after a VM was lost,
+	// replaced or started.
+	lossDoubt = 10 * clock.Second
 	// runningInDoubt is how often while a VM was lost or a stream broke.
 	runningInDoubt = 1 * clock.Second
 	// orphanHold is how long a request of a lost VM is kept for another VM
@@ -39,6 +47,10 @@
 		leaves map[string]bool
 
 		asked  clock.Millis           // when the engines were last asked what they run
+		runs   int                    // that they listed then
+		epoch  uint64                 // of the fleet that was last looked at
+		lost   uint64                 // digest of its VMs, and of which are gone
+		lostAt clock.Millis           // when it last changed
 		absent map[string]int         // orphan to the polls in a row that did not find it
 		strays map[stray]clock.Millis // since when a lost VM's request is known
 	}
@@ -134,8 +146,14 @@
 // due tells whether it is time to ask the engines what they run.
 func (rc *reconciler) due() bool {
 	now := rc.hc.vm.Clock.Now()
-	every := runningEvery
-	if len(rc.strays) > 0 || len(rc.hc.orphans()) > 0 {
+	if fl := rc.hc.vm.Board.Fleet(); fl.Epoch != rc.epoch {
+		rc.epoch = fl.Epoch
+		if lost := lossDigest(fl); lost != rc.lost {
+			rc.lost, rc.lostAt = lost, now
+		}
+	}
+	every := runningPause(rc.runs)
+	if len(rc.strays) > 0 || now-rc.lostAt < lossDoubt || len(rc.hc.orphans()) > 0 {
 		every = runningInDoubt
 	}
 	if rc.asked != 0 && now-rc.asked < every {
@@ -145,17 +163,35 @@
 	return true
 }
 
+// runningPause is the span between two lists of what the engines run, by how
+// many runs they listed, when nothing is in doubt.
+func runningPause(runs int) clock.Millis {
+	return min(runningMost, max(runningEvery, clock.Millis(runs)*runningPerRun))
+}
+
+// lossDigest changes when a VM is lost, replaced by a newer run, or new; it
+// does not while VMs are only suspected.
+func lossDigest(fl *board.Fleet) uint64 {
+	var sum uint64
+	for _, vm := range fl.VMs {
+		sum += hashID(fmt.Sprintf("%s %d %t", vm.ID, vm.Incarnation, vm.Health == board.Dead || vm.Health == board.Left))
+	}
+	return sum
+}
+
 // compare holds what the engines run against what is accounted for.
 func (rc *reconciler) compare(ctx context.Context) {
 	held := make(map[string]bool) // requests that some engine runs
 	unknown := make(map[string]bool)
 	seen := make(map[stray]bool)
+	rc.runs = 0
 	for _, srv := range rc.hc.servers() {
 		runs, err := rc.running(ctx, srv)
 		if err != nil {
 			unknown[srv.ID] = true
 			continue
 		}
+		rc.runs += len(runs)
 		for _, rn := range runs {
 			held[rn.Request] = true
 			if rc.gone(rn.VM) {
--- a/internal/entry/scale_test.go
+++ b/internal/entry/scale_test.go
@@ -51,3 +51,26 @@
 	assert.Equal(t, len(vm.cellList().cells), 1)
 	assert.DeepEqual(t, vm.cellList().byService, map[string][]string{"svc": {"svc/0"}})
 }
+
+// What the lists of runs cost at rest does not grow with the runs.
+func TestRunsAreListedLessOftenTheMoreThereAre(t *testing.T) {
+	assert.Equal(t, runningPause(0), runningEvery)
+	assert.Equal(t, runningPause(100), runningEvery)
+	assert.Equal(t, runningPause(320), 32*clock.Second)
+	assert.Equal(t, runningPause(10_000), runningMost)
+}
+
+// A lost or replaced VM puts the runs in doubt, a suspected one does not.
+func TestLossDigestHeedsLossAlone(t *testing.T) {
+	fleet := func(health board.Health, incarnation uint64) uint64 {
+		return lossDigest(&board.Fleet{VMs: []board.VM{
+			{VMRef: board.VMRef{ID: "vm-1", Incarnation: 1}},
+			{VMRef: board.VMRef{ID: "vm-2", Incarnation: incarnation}, Health: health},
+		}})
+	}
+	alive := fleet(board.Alive, 1)
+	assert.Equal(t, fleet(board.Suspect, 1), alive)
+	for _, other := range []uint64{fleet(board.Dead, 1), fleet(board.Left, 1), fleet(board.Alive, 2)} {
+		assert.Assert(t, other != alive)
+	}
+}
