--- /dev/null
+++ b/internal/slope/claims.go
@@ -0,0 +1,263 @@
+package slope
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	recordVMs    = 24   // seats of the fleet whose records are weighed
+	claimRate    = 25.5 // new requests a second at one VM
+	claimSpan    = 20   // seconds
+	claimSeed    = 11
+	recordTarget = 31_000 // 9,700/s, two seats each, ten seconds of run and ten minutes kept, over 380 VMs
+)
+
+var (
+	duplicateRates = []int{0, 5, 10, 20, 35, 50}
+	recordCounts   = []int{1000, 5000, 10_000, 20_000, 40_000}
+
+	errNoVerdict = errors.New("a claim came to no verdict")
+	errTwice     = errors.New("a key was given to two runners")
+)
+
+type (
+	// claimFleet is the books of a fleet, asked without a network between.
+	claimFleet struct {
+		now   clock.Millis
+		fleet *board.Fleet
+		books map[string]*claim.Book
+		seats *claim.Seats
+		calls int // between different VMs
+		bytes int // of their frames, asks and replies
+		steps int
+		seed  uint64
+	}
+
+	// claimRun is one request's link to its seats.
+	claimRun struct {
+		ak      *claim.Asker
+		runner  board.VMRef
+		verdict claim.Verdict
+	}
+)
+
+// newClaimFleet starts the books with the first seat table.
+func newClaimFleet(vms int) *claimFleet {
+	cf := &claimFleet{now: clock.Second, fleet: &board.Fleet{Quorate: true, Epoch: 1}, books: make(map[string]*claim.Book)}
+	table := &peerpb.SeatTable{}
+	for ix := range vms {
+		vm := fleetVM(ix)
+		cf.fleet.VMs = append(cf.fleet.VMs, vm)
+		table.Seats = append(table.Seats, &peerpb.ClaimSeat{ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain})
+	}
+	slices.SortFunc(table.Seats, func(sa, sb *peerpb.ClaimSeat) int { return cmp.Compare(sa.GetID(), sb.GetID()) })
+	for _, vm := range cf.fleet.VMs {
+		bk := &claim.Book{Self: vm.VMRef, FromStart: true}
+		fl := *cf.fleet
+		fl.Self = vm.VMRef
+		bk.Step(cf.now, claim.Seated{Epoch: 1, Table: table})
+		bk.Step(cf.now, claim.Fleet{Fleet: &fl})
+		cf.books[vm.ID] = bk
+		cf.seats = bk.Seats()
+	}
+	return cf
+}
+
+// begin searches a key's grants for a request at a VM, to the verdict.
+func (cf *claimFleet) begin(at board.VMRef, key string) (*claimRun, error) {
+	cf.seed++
+	cr := &claimRun{runner: at, ak: &claim.Asker{
+		Self: at, Customer: "kedelsyn", Key: key, Fingerprint: make([]byte, printBytes),
+		Keep: 10 * clock.Minute, Rand: rand.New(rand.NewPCG(claimSeed, cf.seed)),
+	}}
+	cf.carry(cr, cr.ak.Step(cf.now, claim.Begin{Seats: cf.seats, Fleet: cf.fleet}))
+	if cr.verdict == "" {
+		return nil, errNoVerdict
+	}
+	return cr, nil
+}
+
+// became tells the seats what became of the key.
+func (cf *claimFleet) became(cr *claimRun, state claim.State) {
+	cf.carry(cr, cr.ak.Step(cf.now, claim.Became{State: state, DecodeServer: "rapportmodel-decode-41",
+		EngineRequest: "kedelsyn/" + cr.ak.Key + "/1.0"}))
+}
+
+func (cf *claimFleet) carry(cr *claimRun, ins []claim.AskerIntent) {
+	cf.steps++
+	for _, in := range ins {
+		switch in := in.(type) {
+		case claim.SendAsk:
+			reply := cf.ask(cr.runner, in)
+			cf.carry(cr, cr.ak.Step(cf.now, claim.Replied{Number: in.Number, Reply: reply}))
+		case claim.SendUpdate:
+			cf.steps++
+			cf.books[in.To.ID].Step(cf.now, claim.Updated{Update: in.Update})
+			cf.count(cr.runner, in.To, &peerpb.Frame{Body: &peerpb.Frame_ClaimUpdate{ClaimUpdate: in.Update}}, doneFrame())
+		case claim.Decided:
+			cr.verdict = in.Verdict
+		}
+	}
+}
+
+func (cf *claimFleet) ask(from board.VMRef, in claim.SendAsk) *peerpb.ClaimReply {
+	cf.steps++
+	for _, out := range cf.books[in.To.ID].Step(cf.now, claim.Asked{Token: 1, Ask: in.Ask}) {
+		if rp, ok := out.(claim.Reply); ok {
+			cf.count(from, in.To,
+				&peerpb.Frame{Body: &peerpb.Frame_ClaimAsk{ClaimAsk: in.Ask}},
+				&peerpb.Frame{Body: &peerpb.Frame_ClaimReply{ClaimReply: rp.Reply}})
+			return rp.Reply
+		}
+	}
+	return nil
+}
+
+func (cf *claimFleet) count(from, to board.VMRef, ask, reply *peerpb.Frame) {
+	if from != to {
+		cf.calls++
+		cf.bytes += proto.Size(ask) + proto.Size(reply)
+	}
+}
+
+// measureClaims measures request keys at one VM, with duplicates through
+// another, and the memory of the records that seats keep.
+func measureClaims(_ context.Context, rp *Report) error {
+	along := func(name, unit string, kind Kind) *Series {
+		return rp.series(Series{Name: name, Along: "duplicate keys/s", Unit: unit, Kind: kind, Shape: Linear, Target: 50})
+	}
+	calls := along("ClaimCalls", "calls/s that one VM makes", Count)
+	size := along("ClaimFrameBytes", "B/s of frames that one VM sends and gets for them", Count)
+	steps := along("ClaimSteps", "steps/s of asker and books", Count)
+	took := along("ClaimTime", "us/s of asker and books", Time)
+	for _, rate := range duplicateRates {
+		cf := newClaimFleet(fleetTarget)
+		span, err := cf.timed(rate)
+		if err != nil {
+			return fmt.Errorf("at %d duplicates a second: %w", rate, err)
+		}
+		calls.add(rate, float64(cf.calls)/claimSpan)
+		size.add(rate, float64(cf.bytes)/claimSpan)
+		steps.add(rate, float64(cf.steps)/claimSpan)
+		took.add(rate, span)
+	}
+	if err := measureSeats(rp); err != nil {
+		return err
+	}
+	return measureRecords(rp)
+}
+
+// timed runs the load and returns its microseconds of processor time for each
+// second of it.
+func (cf *claimFleet) timed(duplicates int) (float64, error) {
+	began, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	if err := cf.load(duplicates); err != nil {
+		return 0, err
+	}
+	ended, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	return float64((ended - began).Microseconds()) / claimSpan, nil
+}
+
+// measureSeats measures the same load in fleets of several sizes.
+func measureSeats(rp *Report) error {
+	along := func(name, unit string, kind Kind, shape Shape) *Series {
+		return rp.series(Series{Name: name, Along: "VMs with seats", Unit: unit, Kind: kind, Shape: shape, Target: fleetTarget})
+	}
+	calls := along("SeatCalls", "calls/s that one VM makes", Count, Constant)
+	took := along("SeatTime", "us/s of asker and books", Time, Linear)
+	for _, count := range memberCounts[1:] {
+		cf := newClaimFleet(count)
+		span, err := cf.timed(0)
+		if err != nil {
+			return fmt.Errorf("at %d seats: %w", count, err)
+		}
+		calls.add(count, float64(cf.calls)/claimSpan)
+		took.add(count, span)
+	}
+	return nil
+}
+
+// load runs new keys at one VM, each of which decodes and ends, and repeats
+// some of them at another.
+func (cf *claimFleet) load(duplicates int) error {
+	first, second := cf.fleet.VMs[0].VMRef, cf.fleet.VMs[1].VMRef
+	number := 0
+	for sec := range claimSpan {
+		cf.now += clock.Second
+		fresh := int(math.Round(claimRate*float64(sec+1))) - number
+		var runs []*claimRun
+		for range fresh {
+			number++
+			cr, err := cf.begin(first, requestKey(number))
+			if err != nil {
+				return err
+			}
+			if cr.verdict != claim.Run {
+				return errNoVerdict
+			}
+			runs = append(runs, cr)
+			cf.became(cr, claim.Decoding)
+		}
+		for ix := range duplicates {
+			cr, err := cf.begin(second, runs[ix%len(runs)].ak.Key)
+			if err != nil {
+				return err
+			}
+			if cr.verdict != claim.Follow {
+				return errTwice
+			}
+		}
+		for _, cr := range runs {
+			cf.became(cr, claim.Complete)
+		}
+	}
+	return nil
+}
+
+// measureRecords fills the books of a fleet and weighs a record.
+func measureRecords(rp *Report) error {
+	memory := rp.series(Series{Name: "ClaimRecordMemory", Along: "records", Unit: "B", Kind: Memory, Shape: Linear, Target: recordTarget})
+	for _, count := range recordCounts {
+		cf := newClaimFleet(recordVMs)
+		empty := held()
+		records := 0
+		for number := 0; records < count; number++ {
+			cf.now += clock.Millis(1)
+			cr, err := cf.begin(cf.fleet.VMs[number%recordVMs].VMRef, requestKey(number))
+			if err != nil {
+				return err
+			}
+			cf.became(cr, claim.Decoding)
+			cf.became(cr, claim.Complete)
+			records += 2
+		}
+		held := held() - empty
+		total := 0
+		for _, bk := range cf.books {
+			total += bk.Counts().Records
+		}
+		memory.add(total, held)
+		runtime.KeepAlive(cf)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/slope/cost.go
@@ -0,0 +1,111 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"alderdyke/internal/backend"
+)
+
+// settleRounds of collection make finalizers and pools let go.
+const settleRounds = 3
+
+// held returns the bytes of heap and stacks in use after a collection.
+func held() float64 {
+	for range settleRounds {
+		runtime.GC()
+	}
+	debug.FreeOSMemory()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapAlloc + ms.StackInuse)
+}
+
+// allocations returns the number of heap objects made so far.
+func allocations() float64 {
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.Mallocs)
+}
+
+// processor returns the processor time of this process so far.
+func processor() (time.Duration, error) {
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		return 0, fmt.Errorf("read the processor time: %w", err)
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano()), nil
+}
+
+type (
+	// wireCount counts the bytes of connections in both directions, without
+	// the headers of TCP and IP.
+	wireCount struct{ in, out atomic.Int64 }
+
+	countedConn struct {
+		net.Conn
+		wc *wireCount
+	}
+)
+
+// Read counts what came.
+func (cc countedConn) Read(buf []byte) (int, error) {
+	got, err := cc.Conn.Read(buf)
+	cc.wc.in.Add(int64(got))
+	return got, err
+}
+
+// Write counts what was sent.
+func (cc countedConn) Write(buf []byte) (int, error) {
+	sent, err := cc.Conn.Write(buf)
+	cc.wc.out.Add(int64(sent))
+	return sent, err
+}
+
+func (wc *wireCount) total() float64 { return float64(wc.in.Load() + wc.out.Load()) }
+
+// client is the HTTP client of the adapters to backend servers, over counted
+// connections.
+func (wc *wireCount) client() *http.Client {
+	return backend.NewHTTP(backend.Limits{Dial: wc.dial})
+}
+
+// transport is a plain HTTP transport over counted connections.
+func (wc *wireCount) transport() *http.Transport {
+	return &http.Transport{DialContext: wc.dial, MaxIdleConnsPerHost: 1}
+}
+
+func (wc *wireCount) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dr net.Dialer
+	cn, err := dr.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return countedConn{Conn: cn, wc: wc}, nil
+}
+
+// site is a server on loopback.
+type site struct {
+	hs   *http.Server
+	addr string
+}
+
+// serve answers on a free port of loopback until it is closed.
+func serve(handler http.Handler) (*site, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	st := &site{hs: &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, addr: ln.Addr().String()}
+	go st.hs.Serve(ln)
+	return st, nil
+}
+
+func (st *site) close() { st.hs.Close() }
--- /dev/null
+++ b/internal/slope/customers.go
@@ -0,0 +1,177 @@
+package slope
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"runtime"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/logsvc"
+	"alderdyke/internal/register"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+const (
+	customerTarget = 1000
+	changeRounds   = 200
+)
+
+var customerCounts = []int{10, 50, 100, 250, 500, 1000}
+
+// usualTemplate has the size of the samples: two classes at a model service
+// and two at a plain service.
+func usualTemplate(number int) template.Template {
+	tpl := template.Template{
+		Customer:      fmt.Sprintf("customer-%04d", number),
+		PrefillWeight: 0.7,
+		Classes: []template.Class{
+			{Name: "findings", Service: "rapportmodel", Urgency: template.Patient, TTFT: 20 * clock.Second, TPOT: 60,
+				Deadline: 5 * clock.Minute, StreamWait: clock.Minute, Share: 0.001, MaxTokens: 2048},
+			{Name: "summary", Service: "rapportmodel", Urgency: template.Quick, Idempotent: true, TTFT: 410, TPOT: 35,
+				Deadline: clock.Minute, StreamWait: 20 * clock.Second, Share: 0.001, MaxTokens: 256},
+			{Name: "lookup", Service: "feltapp", Urgency: template.Quick, Paths: []string{"/records"}, Idempotent: true,
+				TTFT: 300, Deadline: 5 * clock.Second, StreamWait: 5 * clock.Second, Share: 0.001},
+			{Name: "certify", Service: "feltapp", Urgency: template.Quick, Paths: []string{"/records/certify"},
+				TTFT: 300, Deadline: 5 * clock.Second, StreamWait: 5 * clock.Second, Share: 0.001},
+		},
+	}
+	for range 2 {
+		hash := make([]byte, 32)
+		hash[0], hash[1], hash[2] = byte(number), byte(number>>8), byte(len(tpl.KeyHashes))
+		tpl = tpl.WithKeyHash(hex.EncodeToString(hash))
+	}
+	return tpl
+}
+
+// measureCustomers folds the publications of many customers from the log.
+func measureCustomers(_ context.Context, rp *Report) error {
+	along := func(name, unit string, kind Kind, shape Shape) *Series {
+		return rp.series(Series{Name: name, Along: "customers", Unit: unit, Kind: kind, Shape: shape, Target: customerTarget})
+	}
+	memory := along("RegisterMemory", "B of registers and templates", Memory, Linear)
+	snapshot := along("SnapshotBytes", "B of a snapshot for a peer", Count, Linear)
+	restates := along("RestateBytes", "B to write all that is in force to the log once", Count, Linear)
+	records := along("RestateRecords", "records to write all that is in force once", Count, Logarithmic)
+	took := along("ApplyTime", "us to apply one change", Time, Constant)
+	for _, count := range customerCounts {
+		empty := held()
+		st, bd, err := foldCustomers(count)
+		if err != nil {
+			return fmt.Errorf("%d customers: %w", count, err)
+		}
+		memory.add(count, held()-empty)
+		runtime.KeepAlive(bd)
+		data, err := st.Export()
+		if err != nil {
+			return fmt.Errorf("export: %w", err)
+		}
+		snapshot.add(count, float64(len(data)))
+		written, size, err := restateAll(st)
+		if err != nil {
+			return err
+		}
+		records.add(count, float64(written))
+		restates.add(count, float64(size))
+		span, err := changeSome(st, count)
+		if err != nil {
+			return err
+		}
+		took.add(count, span)
+	}
+	data, err := publication(1, 0)
+	rp.fact("PublicationBytes", Count, float64(len(data)), "B of the record of one usual template")
+	return err
+}
+
+func publication(number int, base uint64) ([]byte, error) {
+	tpl := usualTemplate(number)
+	value, err := json.Marshal(tpl)
+	if err != nil {
+		return nil, fmt.Errorf("write a template: %w", err)
+	}
+	data, err := register.Marshal(register.Publish{ID: requestKey(number), Key: tpl.Customer, Base: base, Value: value})
+	if err != nil {
+		return nil, fmt.Errorf("write a publication: %w", err)
+	}
+	return data, nil
+}
+
+// foldCustomers applies one publication for each customer and makes the
+// snapshot of the board of them.
+func foldCustomers(count int) (*register.State, *board.Templates, error) {
+	st := &register.State{Content: register.Templates}
+	for number := range count {
+		data, err := publication(number, 0)
+		if err != nil {
+			return nil, nil, err
+		}
+		offset := uint64(number)
+		outs, bad := st.Advance(logsvc.Batch{Records: []logsvc.Record{{Offset: offset, Data: data}}, Next: offset + 1})
+		if len(bad) > 0 || len(outs) != 1 || outs[0].Ruling != register.Accepted {
+			return nil, nil, fmt.Errorf("publication %d was not accepted: %v", number, bad)
+		}
+	}
+	bd := &board.Templates{ByCustomer: make(map[string]board.InForce), ByKeyHash: make(map[string]string)}
+	for _, en := range st.Entries() {
+		var tpl template.Template
+		if err := json.Unmarshal(en.Value, &tpl); err != nil {
+			return nil, nil, fmt.Errorf("read a template: %w", err)
+		}
+		bd.ByCustomer[en.Key] = board.InForce{Template: tpl, Revision: en.Revision}
+		for _, hash := range tpl.KeyHashes {
+			bd.ByKeyHash[hash] = en.Key
+		}
+	}
+	return st, bd, nil
+}
+
+// restateAll counts what it takes to write all that is in force again.
+func restateAll(st *register.State) (written, size int, err error) {
+	for bucket := range register.DefaultBuckets {
+		rst, ok := st.Restatement(bucket)
+		if !ok || len(rst.Entries) == 0 {
+			continue
+		}
+		data, err := register.Marshal(rst)
+		if err != nil {
+			return 0, 0, fmt.Errorf("write a restatement: %w", err)
+		}
+		written++
+		size += len(data)
+	}
+	return written, size, nil
+}
+
+// changeSome revises templates and returns the microseconds for each change.
+func changeSome(st *register.State, count int) (float64, error) {
+	var batch []logsvc.Record
+	for round := range changeRounds {
+		number := round % count
+		en, _ := st.Entry(usualTemplate(number).Customer)
+		base := en.Revision
+		if round >= count { // revised by this loop before
+			base = batch[round-count].Offset + 1
+		}
+		data, err := publication(number, base)
+		if err != nil {
+			return 0, err
+		}
+		batch = append(batch, logsvc.Record{Offset: st.Next() + uint64(round), Data: data})
+	}
+	began, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	_, bad := st.Advance(logsvc.Batch{Records: batch, Next: st.Next() + changeRounds})
+	ended, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	if len(bad) > 0 {
+		return 0, fmt.Errorf("changes were not read: %w", bad[0])
+	}
+	return float64((ended - began).Microseconds()) / changeRounds, nil
+}
--- /dev/null
+++ b/internal/slope/engines.go
@@ -0,0 +1,283 @@
+package slope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/sched"
+	"alderdyke/internal/service"
+	"alderdyke/internal/standin"
+	standinservice "alderdyke/internal/standin/service"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	workersTarget = 600
+	cellTarget    = 16 // engines of one cell
+
+	decodeSlots  = 20
+	decodeShare  = 3    // of four engines decode
+	fullness     = 0.8  // of the decode slots in use
+	decodeSpan   = 9700 // ms that a decode holds its slot at the peak
+	prefillSpan  = 300
+	importSpan   = 40
+	cellSpan     = 30 * clock.Second
+	cellWarm     = 15 * clock.Second
+	engineSeed   = 7
+	pollRounds   = 50
+	runningSlots = 160 // requests that a worker of eight accelerators holds
+)
+
+var (
+	engineCounts = []int{12, 24, 48, 96, 190, 380, 600}
+	runCounts    = []int{1, 20, 40, 80, 160}
+
+	errNoGrant = errors.New("the cell granted nothing")
+)
+
+type (
+	// cellLoad drives one real cell with requests at a steady rate.
+	cellLoad struct {
+		dc      *sched.Cell
+		rnd     *rand.Rand
+		now     clock.Millis
+		wake    clock.Millis
+		due     map[clock.Millis][]sched.Event
+		grants  int
+		refused int
+		events  int
+		number  int
+	}
+
+	// cellSeries are what an accountant spends on the requests of one cell.
+	cellSeries struct{ steps, time, memory *Series }
+)
+
+// measureEngines measures decisions at several sizes of a cell, and what the
+// reports of engines and plain services cost.
+func measureEngines(ctx context.Context, rp *Report) error {
+	along := func(name, unit string, kind Kind) *Series {
+		return rp.series(Series{Name: name, Along: "engines", Unit: unit, Kind: kind, Shape: Linear, Target: cellTarget})
+	}
+	cs := cellSeries{
+		steps:  along("CellSteps", "steps for each request", Count),
+		time:   along("CellTime", "us for each request", Time),
+		memory: along("CellMemory", "B for each request held", Memory),
+	}
+	for _, count := range engineCounts {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("at %d engines: %w", count, err)
+		}
+		if err := cs.measure(count); err != nil {
+			return fmt.Errorf("at %d engines: %w", count, err)
+		}
+	}
+	if err := measurePolls(ctx, rp); err != nil {
+		return fmt.Errorf("polls of engines: %w", err)
+	}
+	return measurePlainPoll(ctx, rp)
+}
+
+func engineList(count int) []board.BackendServer {
+	var out []board.BackendServer
+	for ix := range count {
+		role := board.Prefill
+		if ix%4 < decodeShare {
+			role = board.Decode
+		}
+		out = append(out, board.BackendServer{ID: fmt.Sprintf("engine-%03d", ix), Service: "rapportmodel", Role: role})
+	}
+	return out
+}
+
+func (cs cellSeries) measure(count int) error {
+	empty := held()
+	cl := &cellLoad{
+		dc:  &sched.Cell{Name: "rapportmodel/0"},
+		rnd: rand.New(rand.NewPCG(engineSeed, uint64(count))),
+		now: clock.Second,
+		due: make(map[clock.Millis][]sched.Event),
+	}
+	servers := engineList(count)
+	decodes := 0
+	for _, srv := range servers {
+		if srv.Role == board.Decode {
+			decodes++
+		}
+	}
+	cl.tell(sched.Servers{Servers: servers})
+	rate := fullness * float64(decodes*decodeSlots) / decodeSpan
+	cl.run(cellWarm, rate, servers)
+	grants, steps := cl.grants, cl.dc.Steps()
+	began, err := processor()
+	if err != nil {
+		return err
+	}
+	cl.run(cellSpan, rate, servers)
+	ended, err := processor()
+	if err != nil {
+		return err
+	}
+	made := float64(cl.grants - grants)
+	if made == 0 {
+		return errNoGrant
+	}
+	cs.steps.add(count, float64(cl.dc.Steps()-steps)/made)
+	cs.time.add(count, float64((ended-began).Microseconds())/made)
+	inCell := fullness * float64(decodes*decodeSlots)
+	cl.due = nil
+	cs.memory.add(count, (held()-empty)/inCell)
+	runtime.KeepAlive(cl.dc)
+	return nil
+}
+
+// run passes the time in milliseconds and submits requests at a rate a
+// millisecond.
+func (cl *cellLoad) run(span clock.Millis, rate float64, servers []board.BackendServer) {
+	wanted := 0.0
+	for end := cl.now + span; cl.now < end; cl.now++ {
+		evs := cl.due[cl.now]
+		delete(cl.due, cl.now)
+		for _, ev := range evs {
+			cl.tell(ev)
+		}
+		if cl.now%(clock.Second/2) == 0 {
+			cl.report(servers)
+		}
+		for wanted += rate; wanted >= 1; wanted-- {
+			cl.submit()
+		}
+		if cl.wake != 0 && cl.now >= cl.wake {
+			cl.wake = 0
+			cl.tell(sched.Tick{})
+		}
+	}
+}
+
+func (cl *cellLoad) report(servers []board.BackendServer) {
+	for _, srv := range servers {
+		cl.tell(sched.Report{Load: board.LoadReport{Server: srv.ID, At: cl.now, Slots: decodeSlots}})
+	}
+}
+
+func (cl *cellLoad) submit() {
+	cl.number++
+	cl.tell(sched.Submit{Ask: sched.Ask{
+		Request: requestKey(cl.number), Customer: fmt.Sprintf("customer-%d", cl.number%20), Class: "findings",
+		VM: fleetVM(cl.number % fleetTarget).VMRef, Quick: cl.number%4 == 0,
+		PromptTokens: 200 + cl.rnd.IntN(usualPrompt), MaxTokens: usualMaxTokens,
+		TTFT: 2 * clock.Second, TPOT: 35, Deadline: cl.now + clock.Minute, Share: 0.05, PrefillWeight: 0.5,
+	}})
+}
+
+func (cl *cellLoad) tell(ev sched.Event) {
+	cl.events++
+	for _, in := range cl.dc.Step(cl.now, ev) {
+		switch in := in.(type) {
+		case sched.Grant:
+			cl.grants++
+			cl.later(1, sched.Progress{Request: in.Request, Attempt: in.Attempt, Stage: sched.Prefilling})
+			cl.later(prefillSpan, sched.Progress{Request: in.Request, Attempt: in.Attempt, Stage: sched.Prefilled, Took: prefillSpan})
+		case sched.Transfer:
+			cl.later(1, sched.Progress{Request: in.Request, Attempt: in.Attempt, Stage: sched.Transferring})
+			cl.later(importSpan, sched.Progress{Request: in.Request, Attempt: in.Attempt, Stage: sched.Decoding, Took: importSpan})
+			cl.later(importSpan+decodeSpan, sched.Progress{Request: in.Request, Attempt: in.Attempt, Stage: sched.Ended})
+		case sched.Refuse:
+			cl.refused++
+		case sched.Wake:
+			if cl.wake == 0 || in.At < cl.wake {
+				cl.wake = in.At
+			}
+		}
+	}
+}
+
+func (cl *cellLoad) later(span clock.Millis, ev sched.Event) {
+	cl.due[cl.now+span] = append(cl.due[cl.now+span], ev)
+}
+
+// measurePolls measures load reports and lists of runs over HTTP as the real
+// client reads them.
+func measurePolls(ctx context.Context, rp *Report) error {
+	runs := engine.RunningReport{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+engine.LoadPath, func(rw http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(rw, engine.LoadDoc{Running: 128, Slots: runningSlots, Queued: 3, LinkBytes: 1 << 31})
+	})
+	mux.HandleFunc("GET "+engine.RunningPath, func(rw http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(rw, runs)
+	})
+	st, err := serve(mux)
+	if err != nil {
+		return err
+	}
+	defer st.close()
+	var wc wireCount
+	ec := &engine.Client{HTTP: wc.client(), Self: fleetVM(0).VMRef, Token: wireSecret}
+	srv := board.BackendServer{ID: "engine-001", Address: st.addr}
+	load := func() error { _, err := ec.Load(ctx, srv); return err }
+	if err := repeat(rp, "LoadPoll", &wc, load); err != nil {
+		return err
+	}
+	listed := rp.series(Series{Name: "RunningPollBytes", Along: "requests at the engine", Unit: "B of one list of runs",
+		Kind: Count, Shape: Linear, Target: runningSlots})
+	for _, count := range runCounts {
+		for len(runs.Runs) < count {
+			number := len(runs.Runs)
+			runs.Runs = append(runs.Runs, engine.Running{
+				Request: "kedelsyn/" + requestKey(number) + "/1.0", Customer: "kedelsyn", Attempt: 1,
+				VM: fleetVM(number).VMRef, Stage: sched.Decoding, Since: decodeSpan, Slot: true, Tokens: 278,
+			})
+		}
+		before := wc.total()
+		if _, err := ec.Running(ctx, srv); err != nil {
+			return fmt.Errorf("list runs: %w", err)
+		}
+		listed.add(count, wc.total()-before)
+	}
+	return nil
+}
+
+// repeat makes a call many times over a connection that is open already.
+func repeat(rp *Report, name string, wc *wireCount, call func() error) error {
+	if err := call(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	before := wc.total()
+	began, err := processor()
+	if err != nil {
+		return err
+	}
+	for range pollRounds {
+		if err := call(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	ended, err := processor()
+	if err != nil {
+		return err
+	}
+	rp.fact(name+"Bytes", Count, (wc.total()-before)/pollRounds, "B of one poll, request and answer")
+	rp.fact(name+"Time", Time, float64((ended-began).Microseconds())/pollRounds, "us of one poll, both ends together")
+	return nil
+}
+
+// measurePlainPoll measures the load report of a plain service.
+func measurePlainPoll(ctx context.Context, rp *Report) error {
+	sv := &standinservice.Server{ID: "feltapp-1"}
+	st, err := serve(sv.Handler())
+	if err != nil {
+		return err
+	}
+	defer st.close()
+	var wc wireCount
+	sc := &service.Client{HTTP: wc.client(), Self: fleetVM(0).VMRef, Token: wireSecret}
+	srv := board.BackendServer{ID: "feltapp-1", Address: st.addr, Role: board.Plain}
+	return repeat(rp, "PlainPoll", &wc, func() error { _, err := sc.Load(ctx, srv); return err })
+}
--- /dev/null
+++ b/internal/slope/virtual.go
@@ -0,0 +1,277 @@
+package slope
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/membership"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	domains = 8 // failure domains, in three regions
+	regions = 3
+
+	// A datagram carries the headers of IP and UDP and the MAC of
+	// internal/peer besides its message.
+	headerBytes = 28
+	macBytes    = 16
+
+	// usualSequence is a number that a datagram bears after some days.
+	usualSequence = 1 << 20
+
+	startedAt = 1764691200000 // an incarnation
+)
+
+type (
+	// virtualFleet exchanges datagrams between real detectors under virtual
+	// time, with the delays of three regions and without loss.
+	virtualFleet struct {
+		now   clock.Millis
+		rnd   *rand.Rand
+		vms   []*virtualVM
+		byID  map[string]*virtualVM
+		queue arrivals
+		seq   int
+		steps int
+
+		second      clock.Millis // up to when the window of peaks runs
+		window      int          // bytes of the busiest VM in a second, so far
+		windowCount int          // datagrams of the busiest VM in a second
+	}
+
+	virtualVM struct {
+		dt       *membership.Detector
+		self     board.VM
+		up       bool
+		tickAt   clock.Millis
+		fleet    *board.Fleet
+		freshTo  clock.Millis
+		messages int
+		bytes    int
+		inSecond int
+		nSecond  int
+	}
+
+	arrival struct {
+		at  clock.Millis
+		seq int
+		vm  *virtualVM
+		ev  membership.Event
+	}
+
+	arrivals []arrival
+)
+
+func (ar arrivals) Len() int { return len(ar) }
+func (ar arrivals) Less(ia, ib int) bool {
+	if ar[ia].at != ar[ib].at {
+		return ar[ia].at < ar[ib].at
+	}
+	return ar[ia].seq < ar[ib].seq
+}
+func (ar arrivals) Swap(ia, ib int) { ar[ia], ar[ib] = ar[ib], ar[ia] }
+
+// Push implements [heap.Interface].
+func (ar *arrivals) Push(item any) { *ar = append(*ar, item.(arrival)) }
+
+// Pop implements [heap.Interface].
+func (ar *arrivals) Pop() any {
+	old := *ar
+	last := old[len(old)-1]
+	*ar = old[:len(old)-1]
+	return last
+}
+
+// fleetVM describes one VM of a large fleet.
+func fleetVM(ix int) board.VM {
+	domain := ix % domains
+	return board.VM{
+		VMRef:         board.VMRef{ID: fmt.Sprintf("domain-%d-%03d", domain, ix), Incarnation: startedAt},
+		FailureDomain: fmt.Sprintf("domain-%d", domain),
+		Region:        fmt.Sprintf("region-%d", domain%regions),
+		Caller:        fmt.Sprintf("10.%d.0.%d:8443", domain, ix%250),
+		Peer:          fmt.Sprintf("10.%d.0.%d:7400", domain, ix%250),
+		Listed:        true,
+	}
+}
+
+// newVirtualFleet starts all VMs at once with the whole VM list.
+func newVirtualFleet(size int, seed uint64) *virtualFleet {
+	vf := &virtualFleet{rnd: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*virtualVM)}
+	var list []board.VM
+	for ix := range size {
+		vm := &virtualVM{self: fleetVM(ix), up: true}
+		vm.dt = &membership.Detector{Self: vm.self, Rand: rand.New(rand.NewPCG(seed, uint64(ix)+2))}
+		vf.vms = append(vf.vms, vm)
+		vf.byID[vm.self.ID] = vm
+		list = append(list, vm.self)
+	}
+	for _, vm := range vf.vms {
+		vf.step(vm, membership.Listed{VMs: list})
+	}
+	return vf
+}
+
+// run passes the time up to a span from now, or until the condition, which is
+// looked at ten times a second, holds. It tells whether the condition did.
+func (vf *virtualFleet) run(span clock.Millis, until func() bool) bool {
+	end, look := vf.now+span, vf.now
+	for len(vf.queue) > 0 && vf.queue[0].at <= end {
+		ar := heap.Pop(&vf.queue).(arrival)
+		vf.now = max(vf.now, ar.at)
+		vf.closeSecond()
+		if until != nil && vf.now >= look {
+			if until() {
+				return true
+			}
+			look = vf.now + clock.Second/10
+		}
+		vf.take(ar)
+	}
+	vf.now = end
+	return false
+}
+
+func (vf *virtualFleet) take(ar arrival) {
+	if !ar.vm.up {
+		return
+	}
+	switch ev := ar.ev.(type) {
+	case membership.Tick:
+		if ar.at < ar.vm.tickAt {
+			return // replaced by a later wish
+		}
+		ar.vm.tickAt = 0
+	case membership.Received:
+		ar.vm.count(ev.Datagram)
+	}
+	vf.step(ar.vm, ar.ev)
+}
+
+func (vf *virtualFleet) step(vm *virtualVM, ev membership.Event) {
+	vf.steps++
+	for _, in := range vm.dt.Step(vf.now, ev) {
+		switch in := in.(type) {
+		case membership.Send:
+			vf.send(vm, in)
+		case membership.Changed:
+			vm.fleet = in.Fleet
+		case membership.Fresh:
+			vm.freshTo = in.Until
+		case membership.Wake:
+			if vm.tickAt == 0 || in.At < vm.tickAt {
+				vm.tickAt = in.At
+				vf.push(in.At, vm, membership.Tick{})
+			}
+		}
+	}
+}
+
+func (vf *virtualFleet) send(from *virtualVM, in membership.Send) {
+	in.Datagram.Sequence = usualSequence
+	from.count(in.Datagram)
+	to, ok := vf.byID[in.To.ID]
+	if !ok {
+		return
+	}
+	delay := clock.Millis(1 + vf.rnd.Int64N(2))
+	if to.self.Region != from.self.Region {
+		delay += 10
+	}
+	vf.push(vf.now+delay, to, membership.Received{Datagram: in.Datagram})
+}
+
+func (vf *virtualFleet) push(at clock.Millis, vm *virtualVM, ev membership.Event) {
+	vf.seq++
+	heap.Push(&vf.queue, arrival{at: at, seq: vf.seq, vm: vm, ev: ev})
+}
+
+// count adds a datagram that the VM sent or received.
+func (vm *virtualVM) count(dg *peerpb.Datagram) {
+	size := proto.Size(dg) + headerBytes + macBytes
+	vm.messages++
+	vm.bytes += size
+	vm.nSecond++
+	vm.inSecond += size
+}
+
+// closeSecond keeps the busiest second of any VM.
+func (vf *virtualFleet) closeSecond() {
+	if vf.now < vf.second {
+		return
+	}
+	vf.second = vf.now + clock.Second
+	for _, vm := range vf.vms {
+		vf.window = max(vf.window, vm.inSecond)
+		vf.windowCount = max(vf.windowCount, vm.nSecond)
+		vm.inSecond, vm.nSecond = 0, 0
+	}
+}
+
+// begin starts the counts anew.
+func (vf *virtualFleet) begin() {
+	vf.steps, vf.window, vf.windowCount, vf.second = 0, 0, 0, vf.now+clock.Second
+	for _, vm := range vf.vms {
+		vm.messages, vm.bytes, vm.inSecond, vm.nSecond = 0, 0, 0, 0
+	}
+}
+
+// mean returns datagrams and bytes, sent and received, of the mean live VM.
+func (vf *virtualFleet) mean() (messages, bytes float64) {
+	live := 0
+	for _, vm := range vf.vms {
+		if vm.up {
+			live++
+			messages += float64(vm.messages)
+			bytes += float64(vm.bytes)
+		}
+	}
+	return messages / float64(live), bytes / float64(live)
+}
+
+// agree tells whether every live VM sees every VM in the given health if it is
+// up, and Dead if it is not.
+func (vf *virtualFleet) agree() bool {
+	for _, vm := range vf.vms {
+		if !vm.up {
+			continue
+		}
+		if vm.fleet == nil || len(vm.fleet.VMs) != len(vf.vms) {
+			return false
+		}
+		for _, seen := range vm.fleet.VMs {
+			if (seen.Health == board.Dead) == vf.byID[seen.ID].up {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// quorate tells whether every live VM reaches a majority.
+func (vf *virtualFleet) quorate() bool {
+	for _, vm := range vf.vms {
+		if vm.up && vm.freshTo <= vf.now {
+			return false
+		}
+	}
+	return true
+}
+
+// loseDomain kills all VMs of one failure domain.
+func (vf *virtualFleet) loseDomain(domain string) int {
+	lost := 0
+	for _, vm := range vf.vms {
+		if vm.up && vm.self.FailureDomain == domain {
+			vm.up = false
+			lost++
+		}
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/slope/wire.go
@@ -0,0 +1,368 @@
+package slope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	wireSecret = "a-secret-of-the-measurement-on-loopback"
+	wireRounds = 200
+	wireWithin = 30 * clock.Second
+
+	// Counters of internal/peer.
+	bytesInCounter  = "PeerBytesReceived+"
+	bytesOutCounter = "PeerBytesSent+"
+
+	dialsPerRound  = 64
+	sessionTarget  = 2 * (fleetTarget - 1) // a mesh in which each pair dials both ways
+	streamsTarget  = 250                   // decodes of one VM at the peak
+	usualPrompt    = 3000
+	usualMaxTokens = 1024
+)
+
+var (
+	sessionCounts = []int{1, 8, 16, 32, 64, 96}
+	streamCounts  = []int{1, 10, 25, 50, 100}
+
+	errUnheard = errors.New("the other VM was not heard")
+)
+
+type (
+	// wireVM is a real transport on loopback.
+	wireVM struct {
+		tr    *peer.Transport
+		scope tally.TestScope
+		stop  context.CancelFunc
+		done  chan error
+	}
+
+	// echo answers each stream as its first frame wants.
+	echo struct{}
+)
+
+// Serve implements [peer.Handler]: a claim is granted, a reservation gets its
+// place, and any other stream is held until its end.
+func (echo) Serve(_ context.Context, _ board.VMRef, cn *peer.Conn) {
+	fr, err := cn.Recv()
+	if err != nil {
+		return
+	}
+	switch fr.GetBody().(type) {
+	case *peerpb.Frame_ClaimAsk:
+		cn.Send(claimReply())
+	case *peerpb.Frame_ReserveAsk:
+		serveReservation(cn)
+	default:
+		cn.Send(doneFrame())
+		cn.Recv()
+	}
+}
+
+// serveReservation says what an accountant says, at the points of a request's
+// life at which it says it.
+func serveReservation(cn *peer.Conn) {
+	cn.Send(doneFrame())
+	cn.Send(&peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
+		PrefillServer: "rapportmodel-prefill-17", DecodeServer: "rapportmodel-decode-41", Attempt: 1}}})
+	for {
+		fr, err := cn.Recv()
+		if err != nil {
+			return
+		}
+		switch sched.Stage(fr.GetProgress().GetStage()) {
+		case sched.Prefilled:
+			cn.Send(&peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
+				PrefillServer: "rapportmodel-prefill-17", DecodeServer: "rapportmodel-decode-41", Attempt: 1}}})
+		case sched.Ended:
+			return
+		}
+	}
+}
+
+func startWire(ctx context.Context, id string) (*wireVM, error) {
+	ctx, stop := context.WithCancel(ctx)
+	wv := &wireVM{scope: tally.NewTestScope("", nil), stop: stop, done: make(chan error, 1)}
+	wv.tr = &peer.Transport{
+		Self:      board.VMRef{ID: id, Incarnation: startedAt},
+		Listen:    "127.0.0.1:0",
+		Secret:    []byte(wireSecret),
+		Handler:   echo{},
+		Scope:     wv.scope,
+		IdleClose: clock.Hour,
+	}
+	go func() { wv.done <- wv.tr.Run(ctx) }()
+	select {
+	case <-wv.tr.Ready():
+		return wv, nil
+	case err := <-wv.done:
+		stop()
+		return nil, fmt.Errorf("start a transport: %w", err)
+	}
+}
+
+func (wv *wireVM) close() {
+	wv.stop()
+	<-wv.done
+}
+
+func (wv *wireVM) vm() board.VM {
+	return board.VM{VMRef: wv.tr.Self, Peer: wv.tr.Address().String()}
+}
+
+// bytes that went over the VM's TCP connections, TLS and yamux included, the
+// headers of TCP and IP not.
+func (wv *wireVM) bytes() float64 {
+	snap := wv.scope.Snapshot().Counters()
+	total := int64(0)
+	for _, name := range []string{bytesInCounter, bytesOutCounter} {
+		if ct, ok := snap[name]; ok {
+			total += ct.Value()
+		}
+	}
+	return float64(total)
+}
+
+// measureWire measures calls, reservations, sessions and streams of the real
+// transport over loopback.
+func measureWire(ctx context.Context, rp *Report) error {
+	if err := measureCalls(ctx, rp); err != nil {
+		return fmt.Errorf("calls: %w", err)
+	}
+	if err := measureSessions(ctx, rp); err != nil {
+		return fmt.Errorf("sessions: %w", err)
+	}
+	if err := measureHeldStreams(ctx, rp); err != nil {
+		return fmt.Errorf("streams: %w", err)
+	}
+	return nil
+}
+
+func measureCalls(ctx context.Context, rp *Report) error {
+	near, err := startWire(ctx, "domain-0-000")
+	if err != nil {
+		return err
+	}
+	defer near.close()
+	far, err := startWire(ctx, "domain-1-001")
+	if err != nil {
+		return err
+	}
+	defer far.close()
+	ctx, stop := context.WithTimeout(ctx, wireWithin.Std())
+	defer stop()
+	if _, err := near.tr.Call(ctx, far.vm(), claimAsk(0)); err != nil {
+		return fmt.Errorf("first call: %w", err)
+	}
+	rp.fact("SessionSetupBytes", Count, near.bytes(), "B to set up a session and make one call")
+	calls := []struct {
+		name, unit string
+		once       func(round int) error
+	}{
+		{"ClaimCallBytes", "B of one ask to a seat and its reply", func(round int) error {
+			_, err := near.tr.Call(ctx, far.vm(), claimAsk(round))
+			return err
+		}},
+		{"UpdateCallBytes", "B of one update to a seat and its reply", func(round int) error {
+			_, err := near.tr.Call(ctx, far.vm(), claimUpdate(round))
+			return err
+		}},
+		{"ReservationBytes", "B of one reservation over its life, without pings", func(round int) error {
+			return reserve(ctx, near, far, round)
+		}},
+	}
+	for _, cl := range calls {
+		before := near.bytes()
+		began, err := processor()
+		if err != nil {
+			return err
+		}
+		for round := range wireRounds {
+			if err := cl.once(round); err != nil {
+				return fmt.Errorf("%s: %w", cl.name, err)
+			}
+		}
+		ended, err := processor()
+		if err != nil {
+			return err
+		}
+		rp.fact(cl.name, Count, (near.bytes()-before)/wireRounds, cl.unit)
+		rp.fact(cl.name+"Time", Time, float64((ended-began).Microseconds())/wireRounds, "us for both ends together")
+	}
+	return nil
+}
+
+// reserve plays the runner's side of one reservation.
+func reserve(ctx context.Context, near, far *wireVM, round int) error {
+	cn, err := near.tr.Open(ctx, far.vm())
+	if err != nil {
+		return fmt.Errorf("open: %w", err)
+	}
+	defer cn.Close()
+	if err := cn.Send(reserveAsk(round)); err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	for range 2 { // the sign of life and the grant
+		if _, err := cn.Recv(); err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+	}
+	for _, stage := range []sched.Stage{sched.Prefilling, sched.Prefilled} {
+		if err := cn.Send(progress(stage, "rapportmodel-prefill-17")); err != nil {
+			return fmt.Errorf("tell: %w", err)
+		}
+	}
+	if _, err := cn.Recv(); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	for _, stage := range []sched.Stage{sched.Transferring, sched.Decoding, sched.Ended} {
+		if err := cn.Send(progress(stage, "rapportmodel-decode-41")); err != nil {
+			return fmt.Errorf("tell: %w", err)
+		}
+	}
+	_, err = cn.Recv() // the accountant closes its side last
+	if err == nil {
+		return errUnheard
+	}
+	return nil
+}
+
+// measureSessions holds idle sessions from one VM to others.
+func measureSessions(ctx context.Context, rp *Report) error {
+	memory := rp.series(Series{Name: "SessionMemory", Along: "idle sessions", Unit: "B of both ends",
+		Kind: Memory, Shape: Linear, Target: sessionTarget})
+	for _, count := range sessionCounts {
+		if err := holdSessions(ctx, count, memory); err != nil {
+			return fmt.Errorf("%d sessions: %w", count, err)
+		}
+	}
+	return measureDials(ctx, rp)
+}
+
+func holdSessions(ctx context.Context, count int, memory *Series) error {
+	var vms []*wireVM
+	defer func() {
+		for _, wv := range vms {
+			wv.close()
+		}
+	}()
+	for ix := range count + 1 {
+		wv, err := startWire(ctx, fmt.Sprintf("domain-0-%03d", ix))
+		if err != nil {
+			return err
+		}
+		vms = append(vms, wv)
+	}
+	empty := held()
+	within, stop := context.WithTimeout(ctx, wireWithin.Std())
+	defer stop()
+	for _, wv := range vms[1:] {
+		if _, err := vms[0].tr.Call(within, wv.vm(), claimAsk(0)); err != nil {
+			return fmt.Errorf("call: %w", err)
+		}
+	}
+	memory.add(count, held()-empty)
+	return nil
+}
+
+// measureDials measures the processor time of new sessions.
+func measureDials(ctx context.Context, rp *Report) error {
+	far, err := startWire(ctx, "domain-0-000")
+	if err != nil {
+		return err
+	}
+	defer far.close()
+	began, err := processor()
+	if err != nil {
+		return err
+	}
+	for ix := range dialsPerRound {
+		near, err := startWire(ctx, fmt.Sprintf("domain-1-%03d", ix))
+		if err != nil {
+			return err
+		}
+		_, err = near.tr.Call(ctx, far.vm(), claimAsk(0))
+		near.close()
+		if err != nil {
+			return fmt.Errorf("call: %w", err)
+		}
+	}
+	ended, err := processor()
+	if err != nil {
+		return err
+	}
+	rp.fact("SessionSetupTime", Time, float64((ended-began).Microseconds())/dialsPerRound,
+		"us to start a transport, dial, call once and stop, both ends together")
+	return nil
+}
+
+// measureHeldStreams holds streams open on one session.
+func measureHeldStreams(ctx context.Context, rp *Report) error {
+	memory := rp.series(Series{Name: "PeerStreamMemory", Along: "open streams", Unit: "B of both ends",
+		Kind: Memory, Shape: Linear, Target: streamsTarget})
+	near, err := startWire(ctx, "domain-0-000")
+	if err != nil {
+		return err
+	}
+	defer near.close()
+	far, err := startWire(ctx, "domain-1-001")
+	if err != nil {
+		return err
+	}
+	defer far.close()
+	if _, err := near.tr.Call(ctx, far.vm(), claimAsk(0)); err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	empty := held()
+	var conns []*peer.Conn
+	defer func() {
+		for _, cn := range conns {
+			cn.Close()
+		}
+	}()
+	for _, count := range streamCounts {
+		for len(conns) < count {
+			cn, err := holdStream(ctx, near, far)
+			if err != nil {
+				return err
+			}
+			conns = append(conns, cn)
+		}
+		memory.add(count, held()-empty)
+	}
+	measurePings(rp, near)
+	return nil
+}
+
+func holdStream(ctx context.Context, near, far *wireVM) (*peer.Conn, error) {
+	cn, err := near.tr.Open(ctx, far.vm())
+	if err != nil {
+		return nil, fmt.Errorf("open: %w", err)
+	}
+	if err := cn.Send(doneFrame()); err != nil {
+		return cn, fmt.Errorf("send: %w", err)
+	}
+	if _, err := cn.Recv(); err != nil {
+		return cn, fmt.Errorf("read: %w", err)
+	}
+	return cn, nil
+}
+
+// measurePings listens to a session whose streams are silent.
+func measurePings(rp *Report, near *wireVM) {
+	const span = 10 * clock.Second
+	before := near.bytes()
+	time.Sleep(span.Std())
+	rp.fact("SilentSessionBytes", Count, (near.bytes()-before)/seconds(span),
+		"B/s of a session whose streams say nothing")
+}
