--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -80,12 +80,15 @@
 // about the addressee goes first, so that the addressee can refute it.
 func (dt *Detector) attach(to *member, dg *peerpb.Datagram) {
 	room := dt.Settings.MaxDatagram - proto.Size(dg) - sequenceRoom
-	if !to.heard || dt.now-to.since < introduceFor {
+	if !to.heard || dt.now-to.met < introduceFor {
 		room = dt.put(dg, room, dt.aboutSelf())
 	}
 	if to.vm.Health == board.Suspect || (to.vm.Health == board.Dead && to.heard && !to.private) {
 		room = dt.put(dg, room, dt.about(to, dt.self, false))
 	}
+	if to.heard && to.vm.Health != board.Alive {
+		return // it is likely that nobody reads the rest
+	}
 	for _, mb := range dt.owed {
 		room = dt.put(dg, room, dt.about(mb, 0, false))
 	}
@@ -236,6 +239,7 @@
 	if rr.GetIncarnation() != mb.vm.Incarnation {
 		mb.leaving = false
 		mb.since = dt.now
+		mb.met = dt.now
 	}
 	wasProbed := mb.heard && mb.serving()
 	mb.heard = true
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -16,7 +16,7 @@
 	syncTimeout  = 500 * clock.Millis(1) // for one reply
 	sequenceRoom = 10                    // bytes that the transport's Sequence may take
 	maxPages     = 80                    // replies in a row from one VM
-	syncSettle   = 5 * clock.Second      // without a change before tables are compared: gossip first
+	syncSettle   = 2 * clock.Second      // without a change before tables are compared: gossip first
 )
 
 // syncer compares tables with other VMs, to learn the whole fleet at the
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -34,6 +34,7 @@
 		listLeaves bool         // the VM list says that it leaves
 		private    bool         // doubted by this VM alone, from when it was not quorate
 		since      clock.Millis // when its Health began
+		met        clock.Millis // when it became known or came back
 		unlisted   clock.Millis // when the VM list dropped it
 		suspicion  suspicion    // while it is Suspect
 	}
@@ -119,6 +120,9 @@
 	if mb.vm.Health != hl {
 		mb.since = dt.now
 	}
+	if mb.vm.Health == board.Dead && hl == board.Alive {
+		mb.met = dt.now
+	}
 	mb.vm.Health = hl
 	mb.private = false
 	dt.touch()
