entry, caller: let a caller with a part of an answer have the rest anywhere

Cause: after its VM was killed, a caller who sent Last-Event-ID was refused with AnswerExpired at every other VM, although the decode went on. Change: such a request is claimed and followed like any other, but never begins a fresh run; the rule against a second answer moves from the callers' side, which asked Find, to the run itself. The test of the callers' side now holds that the runner is told, and that no new stream is made.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -22,6 +22,11 @@
 		Key      string
 		KeyGiven bool // the caller chose Key; false: it was made here and never used before
 
+		// Resumed says that the caller has a part of the answer. It must get
+		// the rest of that one and never of another run: without it the
+		// Runner refuses with AnswerExpired.
+		Resumed bool
+
 		Chat  *Chat
 		Plain *Plain
 
--- a/internal/caller/rig_test.go
+++ b/internal/caller/rig_test.go
@@ -61,6 +61,9 @@
 	if st, ok := fr.streams[req.Key]; ok {
 		return st, nil
 	}
+	if req.Resumed {
+		return nil, refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.AnswerExpired}
+	}
 	st := answer.NewStream()
 	if fr.moved != nil {
 		st.OnWatchers(func(now int) { fr.moved <- now })
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -314,13 +314,7 @@
 	if after != fromStart && !run.KeyGiven {
 		return nil, badRequest(headerLastID + " needs the " + headerKey + " of the answer")
 	}
-	if after != fromStart {
-		// A caller that has a part of an answer must never get the rest of
-		// another run's.
-		if _, err := srv.lookUp(req.Context(), run.Customer, run.Key); err != nil {
-			return nil, err
-		}
-	}
+	run.Resumed = after != fromStart
 	if !run.KeyGiven {
 		if err := srv.Runner.Accepting(); err != nil {
 			return nil, fmt.Errorf("new request: %w", err)
--- a/internal/caller/stream_test.go
+++ b/internal/caller/stream_test.go
@@ -63,10 +63,12 @@
 	resp = rg.do(t, http.MethodGet, "/v1/answers/none", "")
 	assert.Equal(t, refusalIn(t, resp).Ran, refusal.MayHaveRun)
 
-	runs := len(rg.rn.started)
+	assert.Assert(t, rg.rn.started[len(rg.rn.started)-1].Resumed, "the runner must know that the caller has a part")
+	runs := len(rg.rn.streams)
 	resp = rg.chat(t, headerKey, "forgotten", headerLastID, "2")
 	assert.Equal(t, refusalIn(t, resp).Reason, refusal.AnswerExpired)
-	assert.Equal(t, len(rg.rn.started), runs, "a new run is not the rest of an old one")
+	assert.Assert(t, rg.rn.started[len(rg.rn.started)-1].Resumed)
+	assert.Equal(t, len(rg.rn.streams), runs, "a new run is not the rest of an old one")
 }
 
 func TestRefusalsHaveTheirStatus(t *testing.T) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -124,7 +124,11 @@
 }
 
 // knownAnswer tells whether the end of an answer may be told to those who ask
-// for it again. A refusal that promises NotRun frees the key instead.
+// for it again. A refusal that promises NotRun frees the key instead, and so
+// does one that was meant for a caller with a part of another answer.
 func knownAnswer(ev answer.Event) bool {
-	return ev.Kind != answer.Refused || ev.Refusal.Ran != refusal.NotRun
+	if ev.Kind != answer.Refused {
+		return true
+	}
+	return ev.Refusal.Ran != refusal.NotRun && ev.Refusal.Reason != refusal.AnswerExpired
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -32,6 +32,14 @@
 )
 
 var (
+	// errNotKept ends the request of a caller who has a part of an answer
+	// that nobody has any more. A fresh run could make another answer.
+	errNotKept = refusal.Refusal{
+		Ran:    refusal.MayHaveRun,
+		Reason: refusal.AnswerExpired,
+		Detail: "the answer that the caller has a part of is no longer kept",
+	}
+
 	errAgain = errors.New("the key must be claimed anew")
 	errLost  = errors.New("another VM took the request over")
 )
@@ -87,6 +95,7 @@
 		arrived:  now,
 		deadline: now + req.Deadline,
 	}
+	rn.sent.Store(req.Resumed)
 	rn.tr = vm.traces.of(rn.id)
 	ctx, cancel := context.WithCancelCause(vm.runCtx)
 	rn.ctx, rn.cancel = ctx, cancel
@@ -263,6 +272,9 @@
 	if rn.late {
 		return drainingRefusal()
 	}
+	if rn.req.Resumed && dec.Verdict != claim.TakeOver {
+		return errNotKept
+	}
 	if dec.Verdict == claim.TakeOver {
 		rn.sent.Store(true) // the VM before this one may have sent it
 	}
@@ -275,7 +287,7 @@
 		if rn.resume(ctx, dec) {
 			return nil
 		}
-		if !rn.req.Class.Idempotent {
+		if !rn.req.Class.Idempotent || rn.req.Resumed {
 			return refusal.Refusal{Reason: refusal.VMLost, Detail: "the VM that ran the request is lost"}
 		}
 	}
@@ -287,7 +299,7 @@
 	switch {
 	case err == nil:
 		rn.claimed.became(claim.Complete, "", "")
-	case !rn.sent.Load():
+	case !rn.sent.Load() || errors.Is(err, errNotKept):
 		rn.claimed.became(claim.RefusedNotRun, "", "")
 	}
 }
