balance: choose servers of plain services at each VM

Cause: load reports are late and the same for all VMs; a choice by report sends all of them to one server.

Change: least own requests in flight, reports only against outliers, ejection of at most half, slow start, shares with lending.

--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,325 @@
+// Package balance decides, for plain services, which backend server an entry
+// VM sends a request to, and whether the customer may send it now.
+//
+// Each VM decides by itself. Load reports are the same for all VMs and late,
+// so the least loaded server by report would be chosen by all at once. A
+// [Chooser] takes the server with the fewest of its own requests in flight,
+// which it knows exactly and no other VM shares. Reports only count against
+// a server that stands out: whose load, smoothed over many reports, is above
+// the others' by more than chance explains.
+//
+// A server that fails again and again is ejected for a span that grows, but
+// never more than half of a service's servers are. A server that returns, by
+// any way, gets its part of the requests little by little.
+//
+// A customer's share of a service holds for the whole fleet. Each VM gives
+// out its part of it, one request at least, and lends what is unused.
+//
+// # Usage
+//
+//	ch := &balance.Chooser{Rand: rand.New(rand.NewPCG(1, 2))}
+//	ch.Update(now, board.Backends(), len(fleet.Serving()))
+//	server, err := ch.Pick(now, balance.Ask{Service: "feltapp", Customer: "kedelsyn", Share: 0.5})
+//	... // err is a refusal.Refusal
+//	ch.Done(now, server, balance.Outcome{Customer: "kedelsyn", Result: balance.Success})
+//
+// Every successful Pick is followed by exactly one Done. A Chooser does no
+// I/O and is not safe for concurrent use.
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// Results of a request that was sent to a server.
+const (
+	Success   Result = "Success"   // whole answer, also one that says the caller was wrong
+	Failure   Result = "Failure"   // error of the server, or a broken connection
+	Timeout   Result = "Timeout"   // no answer in time
+	Busy      Result = "Busy"      // the server itself said that it has no room
+	Cancelled Result = "Cancelled" // given up from this side; says nothing of the server
+)
+
+// What the zero value of a field of [Settings] stands for.
+const (
+	DefaultFailures    = 5
+	DefaultEject       = 5 * clock.Second
+	DefaultEjectMost   = 5 * clock.Minute
+	DefaultForgive     = 2 * clock.Minute
+	DefaultSlowStart   = 10 * clock.Second
+	DefaultReportStale = 5 * clock.Second
+	DefaultSlots       = 16
+	DefaultActive      = clock.Second
+	DefaultPartSlack   = 2.0
+	DefaultLendSlack   = 3.0
+	DefaultRetryAfter  = clock.Second
+)
+
+// leastWeight is the part of its requests that a server gets at the begin of
+// its slow start.
+const leastWeight = 0.1
+
+type (
+	// Result of a request.
+	Result string
+
+	// Outcome tells how a request ended.
+	Outcome struct {
+		Customer string // the one of the Ask
+		Result   Result
+	}
+
+	// Settings of a Chooser. A zero field stands for its default.
+	Settings struct {
+		Failures    int          // failures in a row that eject a server
+		Eject       clock.Millis // first ejection; the next ones double
+		EjectMost   clock.Millis // longest ejection
+		Forgive     clock.Millis // time since an ejection's end after which the next is short again
+		SlowStart   clock.Millis // from a server's return to its full part
+		ReportStale clock.Millis // age after which a load report says nothing
+		Slots       int          // room of a server that reports none
+		Active      clock.Millis // how long a customer's unused part is held back after its last request
+		PartSlack   float64      // standard deviations by which a customer may exceed its part at this VM
+		LendSlack   float64      // standard deviations by which all may exceed this VM's part of the room
+		RetryAfter  clock.Millis // told to a customer whose share is used up
+	}
+
+	// Ask is all that a choice needs.
+	Ask struct {
+		Service  string
+		Customer string
+		Share    float64  // part of the service's room in the whole fleet, from 0 to 1
+		Exclude  []string // servers already tried for the request
+	}
+
+	// Chooser chooses for one VM. Set the exported fields before use.
+	Chooser struct {
+		Rand     *rand.Rand // must be set
+		Settings Settings
+
+		vms      int
+		servers  map[string]*server
+		services map[string]*service
+	}
+
+	// service is the servers and the customers of one plain service.
+	service struct {
+		servers   []*server // sorted by ID, leaving ones left out
+		customers map[string]*customer
+		inFlight  int
+		crowded   bool // by the reports there is more work than room
+	}
+)
+
+// Update takes the backend servers, their reports and the number of VMs that
+// serve. Servers of other roles than [board.Plain] are passed over.
+func (ch *Chooser) Update(now clock.Millis, bk *board.Backends, vms int) {
+	ch.prepare()
+	ch.vms = max(vms, 1)
+	first := len(ch.servers) == 0
+	for _, svc := range ch.services {
+		svc.servers = svc.servers[:0]
+		svc.forget(now, ch.Settings.Active)
+	}
+	listed := make(map[string]bool, len(bk.Servers))
+	for _, bs := range bk.Servers {
+		if bs.Role != board.Plain {
+			continue
+		}
+		listed[bs.ID] = true
+		ch.updateServer(now, bs, bk.Reports[bs.ID], first)
+	}
+	for _, svc := range ch.services {
+		svc.compare(now, ch.Settings)
+	}
+	for id, srv := range ch.servers {
+		if !listed[id] {
+			srv.away = true
+			if srv.inFlight == 0 {
+				delete(ch.servers, id)
+			}
+		}
+	}
+}
+
+func (ch *Chooser) updateServer(now clock.Millis, bs board.BackendServer, rep board.LoadReport, first bool) {
+	srv := ch.servers[bs.ID]
+	if srv == nil {
+		srv = &server{id: bs.ID, service: bs.Service, away: !first}
+		ch.servers[bs.ID] = srv
+	}
+	if srv.inFlight == 0 {
+		srv.service = bs.Service
+	}
+	// A server that was given to another service first ends what it has.
+	away := bs.Leaving || rep.Leaving || srv.service != bs.Service
+	if srv.away && !away {
+		srv.since = now // slow start
+		srv.ramps = true
+	}
+	srv.away = away
+	srv.heed(rep, ch.Settings)
+	if !away {
+		svc := ch.service(bs.Service)
+		svc.servers = append(svc.servers, srv)
+	}
+}
+
+// Pick chooses a server and counts the request as in flight on it. The error
+// is a [refusal.Refusal] that says NotRun. A server of Exclude is chosen only
+// if no other is left.
+func (ch *Chooser) Pick(now clock.Millis, ask Ask) (string, error) {
+	ch.prepare()
+	svc := ch.services[ask.Service]
+	if svc == nil || len(svc.servers) == 0 {
+		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.NoBackend,
+			RetryAfter: ch.Settings.RetryAfter, Detail: "no server of the service takes new work"}
+	}
+	cu := svc.customer(ask.Customer)
+	cu.note(now, ask.Share, ch.Settings.Active)
+	if !ch.admits(now, svc, cu) {
+		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded,
+			RetryAfter: ch.Settings.RetryAfter, Detail: "the share of the service is used up and nothing is left to lend"}
+	}
+	srv := ch.choose(now, svc.fit(now, ask.Exclude))
+	srv.inFlight++
+	svc.inFlight++
+	cu.took()
+	return srv.id, nil
+}
+
+// Done ends a request that Pick placed.
+func (ch *Chooser) Done(now clock.Millis, id string, out Outcome) {
+	srv := ch.servers[id]
+	if srv == nil {
+		return
+	}
+	srv.inFlight--
+	svc := ch.services[srv.service]
+	svc.inFlight--
+	if cu := svc.customers[out.Customer]; cu != nil {
+		cu.inFlight--
+	}
+	switch out.Result {
+	case Success:
+		srv.succeeded(now, ch.Settings)
+	case Failure, Timeout:
+		if srv.failed(now, ch.Settings) && svc.mayEject(now) {
+			srv.eject(now, ch.Settings)
+		}
+	case Busy:
+		srv.busyUntil = now + ch.Settings.ReportStale
+	case Cancelled:
+	}
+}
+
+// choose takes the server under the least pressure, one of them at random if
+// there are several. A returning server stands for choice only now and then.
+func (ch *Chooser) choose(now clock.Millis, fit []*server) *server {
+	standing := keep(fit, func(srv *server) bool {
+		weight := srv.weight(now, ch.Settings)
+		return weight == 1 || ch.Rand.Float64() < weight
+	})
+	if len(standing) == 0 {
+		standing = fit
+	}
+	var best *server
+	least, ties := math.Inf(1), 0
+	for _, srv := range standing {
+		switch pr := srv.pressure(now, ch.Settings); {
+		case pr < least:
+			best, least, ties = srv, pr, 1
+		case pr == least:
+			ties++
+			if ch.Rand.IntN(ties) == 0 {
+				best = srv
+			}
+		}
+	}
+	return best
+}
+
+// fit lists the servers to choose from: those not ejected and not tried
+// before, if there are any; else those not tried; else those not ejected;
+// else all.
+func (svc *service) fit(now clock.Millis, exclude []string) []*server {
+	untried := keep(svc.servers, func(srv *server) bool { return !slices.Contains(exclude, srv.id) })
+	for _, some := range [][]*server{untried, svc.servers} {
+		if well := keep(some, func(srv *server) bool { return !srv.ejected(now) }); len(well) > 0 {
+			return well
+		}
+		if len(some) > 0 {
+			return some
+		}
+	}
+	return svc.servers
+}
+
+func keep(from []*server, wanted func(*server) bool) []*server {
+	out := make([]*server, 0, len(from))
+	for _, srv := range from {
+		if wanted(srv) {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
+// mayEject tells whether another server may be ejected: at most half are.
+func (svc *service) mayEject(now clock.Millis) bool {
+	out := 0
+	for _, other := range svc.servers {
+		if other.ejected(now) {
+			out++
+		}
+	}
+	return 2*(out+1) <= len(svc.servers)
+}
+
+func (ch *Chooser) service(name string) *service {
+	svc := ch.services[name]
+	if svc == nil {
+		svc = &service{customers: make(map[string]*customer)}
+		ch.services[name] = svc
+	}
+	return svc
+}
+
+func (ch *Chooser) prepare() {
+	if ch.servers != nil {
+		return
+	}
+	ch.servers = make(map[string]*server)
+	ch.services = make(map[string]*service)
+	ch.vms = max(ch.vms, 1)
+	ch.Settings = ch.Settings.withDefaults()
+}
+
+func (st Settings) withDefaults() Settings {
+	return Settings{
+		Failures:    orDefault(st.Failures, DefaultFailures),
+		Eject:       orDefault(st.Eject, DefaultEject),
+		EjectMost:   orDefault(st.EjectMost, DefaultEjectMost),
+		Forgive:     orDefault(st.Forgive, DefaultForgive),
+		SlowStart:   orDefault(st.SlowStart, DefaultSlowStart),
+		ReportStale: orDefault(st.ReportStale, DefaultReportStale),
+		Slots:       orDefault(st.Slots, DefaultSlots),
+		Active:      orDefault(st.Active, DefaultActive),
+		PartSlack:   orDefault(st.PartSlack, DefaultPartSlack),
+		LendSlack:   orDefault(st.LendSlack, DefaultLendSlack),
+		RetryAfter:  orDefault(st.RetryAfter, DefaultRetryAfter),
+	}
+}
+
+func orDefault[T int | float64 | clock.Millis](val, def T) T {
+	if val <= 0 {
+		return def
+	}
+	return val
+}
