register: fold a log stream into compare-and-swap registers

Cause: customers' templates and leases must come to the same verdict at every VM from the log alone, also for a VM that starts where old records are gone. Change: State folds publications; a Restate holds one whole bucket of keys as of an offset, so that coverage of all buckets proves that nothing was missed, without a count or digest. Result: an explorer walks every interleaving of 3 VMs, 2 operators, 1 crash, 1 lost reply, dropped records and late restatements against a plain fold of the whole log; seven guards are each switched off and then caught. Conclusion: a Restate decides only a bucket that is undecided, and only from the reader's start on; nothing else is needed for it to lose to any change.

--- /dev/null
+++ b/internal/register/explore_test.go
@@ -0,0 +1,399 @@
+package register
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/logsvc"
+)
+
+// The explorer walks every interleaving of a small world: VMs that read one
+// record at a time, operators who race, one crash, one lost reply, a log that
+// drops records, restatements and snapshots that arrive late. After each step
+// it holds the VMs against a plain fold of the whole log.
+
+type (
+	// limits of one world.
+	limits struct {
+		vms, crashes, repeats, restates, trims, snapshots int
+		second                                            int // second publications by so many operators
+		buckets                                           int
+	}
+
+	logged struct {
+		pub *Publish // nil for a restatement
+		raw []byte
+		enc string
+	}
+
+	vmState struct {
+		st  *State
+		enc string
+	}
+
+	// world is immutable; a step makes a new one.
+	world struct {
+		log      []logged
+		logEnc   string
+		trim     int
+		vms      []vmState
+		sent     []int // publications appended by each operator
+		repeated int
+		crashed  int
+		restated int
+		flying   []logged // restatements on their way to the log
+		snapped  int
+		snap     *Snapshot
+		snapEnc  string
+	}
+
+	explorer struct {
+		lim      limits
+		broken   guards
+		seen     map[[2]uint64]struct{}
+		stack    []world
+		fault    string
+		settled  int // buckets that a restatement or snapshot decided
+		released int // held publications that were decided afterwards
+		oracles  map[string][]view
+		buf      []byte
+	}
+
+	// view is what a plain fold says after a number of records.
+	view struct {
+		entries map[string]Entry
+		ruling  Outcome // of the last record
+	}
+)
+
+var testValue = json.RawMessage(`{"Holder":"x","Duration":"1s"}`)
+
+func explore(lim limits, broken guards) *explorer {
+	ex := &explorer{lim: lim, broken: broken, seen: map[[2]uint64]struct{}{}, oracles: map[string][]view{}}
+	wo := world{sent: make([]int, 2)}
+	for range lim.vms {
+		wo.vms = append(wo.vms, ex.fresh())
+	}
+	ex.push(wo)
+	for len(ex.stack) > 0 && ex.fault == "" {
+		last := len(ex.stack) - 1
+		wo := ex.stack[last]
+		ex.stack = ex.stack[:last]
+		ex.operators(wo)
+		ex.service(wo)
+		for ix := range wo.vms {
+			ex.vm(wo, ix)
+		}
+	}
+	return ex
+}
+
+func (ex *explorer) fresh() vmState {
+	return encodeVM(&State{Content: Leases, Buckets: ex.lim.buckets, broken: ex.broken})
+}
+
+func (ex *explorer) push(wo world) {
+	buf := append(ex.buf[:0], wo.logEnc...)
+	buf = append(buf, '|', byte(wo.trim), byte(wo.sent[0]), byte(wo.sent[1]), byte(wo.repeated),
+		byte(wo.crashed), byte(wo.restated), byte(wo.snapped))
+	buf = append(buf, wo.snapEnc...)
+	for _, fl := range wo.flying {
+		buf = append(buf, fl.enc...)
+	}
+	for _, vm := range wo.vms {
+		buf = append(buf, vm.enc...)
+	}
+	ex.buf = append(buf, 'x')
+	key := [2]uint64{xxhash.Sum64(buf), xxhash.Sum64(ex.buf)}
+	if _, ok := ex.seen[key]; !ok {
+		ex.seen[key] = struct{}{}
+		ex.stack = append(ex.stack, wo)
+	}
+}
+
+// operators appends publications: the first of each is based on nothing, so
+// they race; the second on what the operator's VM says is in force.
+func (ex *explorer) operators(wo world) {
+	for op := range wo.sent {
+		if wo.sent[op] == 0 {
+			ex.publish(wo, op, Publish{ID: fmt.Sprint("p", op), Key: "a", Value: testValue})
+		}
+		if wo.sent[op] == 1 && op < ex.lim.second {
+			en, known := wo.vms[op].st.Entry("a")
+			if known && en.Revision > 0 {
+				ex.publish(wo, op, Publish{ID: fmt.Sprint("q", op), Key: "a", Base: en.Revision, Value: testValue})
+			}
+		}
+		// The reply was lost and the operator sends the first again.
+		if wo.sent[op] > 0 && wo.repeated < ex.lim.repeats {
+			again := wo
+			again.repeated++
+			ex.push(again.appended(publication(Publish{ID: fmt.Sprint("p", op), Key: "a", Value: testValue})))
+		}
+	}
+}
+
+func (ex *explorer) publish(wo world, op int, pub Publish) {
+	wo.sent = slices.Clone(wo.sent)
+	wo.sent[op]++
+	ex.push(wo.appended(publication(pub)))
+}
+
+func (ex *explorer) service(wo world) {
+	if wo.trim < ex.lim.trims && wo.trim < len(wo.log) {
+		next := wo
+		next.trim++
+		ex.push(next)
+	}
+	for ix, fl := range wo.flying {
+		next := wo
+		next.flying = slices.Delete(slices.Clone(wo.flying), ix, ix+1)
+		ex.push(next.appended(fl))
+	}
+}
+
+func (ex *explorer) vm(wo world, ix int) {
+	vm := wo.vms[ix]
+	ex.read(wo, ix)
+	if wo.crashed < ex.lim.crashes {
+		next := wo
+		next.crashed++
+		ex.push(next.withVM(ix, ex.fresh()))
+	}
+	if wo.restated < ex.lim.restates {
+		for bucket := range ex.lim.buckets {
+			if rst, ok := vm.st.Restatement(bucket); ok && vm.st.next > 0 {
+				next := wo
+				next.restated++
+				next.flying = appendTo(wo.flying, restatement(rst))
+				ex.push(next)
+			}
+		}
+	}
+	if data, err := vm.st.Export(); err == nil && wo.snapped < ex.lim.snapshots && vm.st.next > 0 {
+		next := wo
+		next.snapped++
+		snap, err := ParseSnapshot(data)
+		if err != nil {
+			ex.fault = err.Error()
+		}
+		next.snap, next.snapEnc = &snap, string(data)
+		ex.push(next)
+	}
+	if wo.snap != nil {
+		st := vm.st.clone()
+		outs, err := st.Import(*wo.snap)
+		if err != nil {
+			ex.fault = err.Error()
+		}
+		ex.arrive(wo, ix, st, outs)
+	}
+}
+
+func (ex *explorer) read(wo world, ix int) {
+	old := wo.vms[ix].st
+	if old.begun && int(old.next) == len(wo.log) {
+		return // nothing to read, nothing dropped before it
+	}
+	st := old.clone()
+	from := max(int(st.next), wo.trim)
+	ba := logsvc.Batch{First: uint64(wo.trim), Next: uint64(from), End: uint64(len(wo.log))}
+	if from < len(wo.log) {
+		ba.Records = []logsvc.Record{{Offset: uint64(from), Data: wo.log[from].raw}}
+		ba.Next++
+	}
+	outs, bad := st.Advance(ba)
+	if len(bad) > 0 {
+		ex.fault = bad[0].Error()
+	}
+	ex.arrive(wo, ix, st, outs)
+}
+
+// arrive takes the state of a VM after a step and checks it.
+func (ex *explorer) arrive(wo world, ix int, st *State, outs []Outcome) {
+	old := wo.vms[ix].st
+	views := ex.views(wo.logEnc, wo.log)
+	for _, out := range outs {
+		want := views[out.Offset+1].ruling
+		if out.Ruling != Passed && (out.Ruling != want.Ruling || out.Revision != want.Revision) {
+			ex.fault = fmt.Sprintf("offset %d was ruled %s %d; the log says %s %d",
+				out.Offset, out.Ruling, out.Revision, want.Ruling, want.Revision)
+		}
+		if out.Offset+1 < st.next {
+			ex.released++
+		}
+	}
+	for sx := range st.slots {
+		if len(old.slots) > 0 && old.begun && st.slots[sx].known && !old.slots[sx].known {
+			ex.settled++
+		}
+		ex.check(old, st, sx, views)
+	}
+	ex.push(wo.withVM(ix, encodeVM(st)))
+}
+
+func (ex *explorer) check(old, st *State, sx int, views []view) {
+	sl := st.slots[sx]
+	if old.begun {
+		for key, en := range old.slots[sx].entries {
+			if sl.entries[key].Revision < en.Revision {
+				ex.fault = fmt.Sprintf("%s reverted from revision %d to %d", key, en.Revision, sl.entries[key].Revision)
+			}
+		}
+	}
+	if !sl.known {
+		return
+	}
+	for key, want := range views[st.next].entries {
+		if st.bucket(key) == sx && (sl.entries[key].Revision != want.Revision || sl.entries[key].ID != want.ID) {
+			ex.fault = fmt.Sprintf("at offset %d %s has revision %d; the log says %d",
+				st.next, key, sl.entries[key].Revision, want.Revision)
+		}
+	}
+}
+
+// views folds the whole log without dropped records, the plain way.
+func (ex *explorer) views(enc string, log []logged) []view {
+	if vs, ok := ex.oracles[enc]; ok {
+		return vs
+	}
+	vs := []view{{entries: map[string]Entry{}}}
+	accepted := map[string]uint64{}
+	winners := map[string]string{}
+	for offset, lo := range log {
+		vi := view{entries: maps.Clone(vs[offset].entries)}
+		if lo.pub != nil {
+			pub := *lo.pub
+			vi.ruling = Outcome{Ruling: Refused}
+			if rev, ok := accepted[pub.ID]; ok {
+				vi.ruling = Outcome{Ruling: Already, Revision: rev}
+			} else if pub.Base == vi.entries[pub.Key].Revision {
+				rev := uint64(offset) + 1
+				accepted[pub.ID] = rev
+				vi.entries[pub.Key] = Entry{Revision: rev, ID: pub.ID}
+				vi.ruling = Outcome{Ruling: Accepted, Revision: rev}
+				race := fmt.Sprint(pub.Key, pub.Base)
+				if winners[race] != "" {
+					ex.fault = "two publications won with one base"
+				}
+				winners[race] = pub.ID
+			}
+		}
+		vs = append(vs, vi)
+	}
+	ex.oracles[enc] = vs
+	return vs
+}
+
+func (wo world) withVM(ix int, vm vmState) world {
+	wo.vms = slices.Clone(wo.vms)
+	wo.vms[ix] = vm
+	return wo
+}
+
+func (wo world) appended(lo logged) world {
+	wo.log = appendTo(wo.log, lo)
+	wo.logEnc += lo.enc
+	return wo
+}
+
+func appendTo(log []logged, lo logged) []logged { return append(slices.Clip(log), lo) }
+
+func publication(pub Publish) logged {
+	raw, err := Marshal(pub)
+	if err != nil {
+		panic(err)
+	}
+	return logged{pub: &pub, raw: raw, enc: fmt.Sprintf("%s/%d ", pub.ID, pub.Base)}
+}
+
+func restatement(rst Restate) logged {
+	raw, err := Marshal(rst)
+	if err != nil {
+		panic(err)
+	}
+	return logged{raw: raw, enc: string(raw)}
+}
+
+func (st *State) clone() *State {
+	cp := *st
+	cp.slots = slices.Clone(st.slots)
+	for ix := range cp.slots {
+		cp.slots[ix].entries = maps.Clone(st.slots[ix].entries)
+		cp.slots[ix].held = slices.Clip(st.slots[ix].held)
+	}
+	return &cp
+}
+
+func encodeVM(st *State) vmState {
+	buf := []byte{'V', byte(len(st.slots)), byte(st.start), byte(st.next)}
+	if st.begun {
+		buf[0] = 'B'
+	}
+	for ix := range st.slots {
+		sl := &st.slots[ix]
+		buf = append(buf, ';')
+		if sl.known {
+			buf = append(buf, 'k')
+		}
+		for _, en := range sl.sorted() {
+			buf = append(append(buf, en.Key...), byte(en.Revision))
+		}
+		for _, he := range sl.held {
+			buf = append(buf, 'h', byte(he.offset))
+		}
+	}
+	return vmState{st: st, enc: string(buf)}
+}
+
+var scenarios = map[string]limits{
+	"race":                {vms: 3, crashes: 1, repeats: 1, restates: 1, trims: 2, buckets: 1},
+	"second publications": {vms: 2, crashes: 1, restates: 1, trims: 3, second: 1, buckets: 1},
+	"snapshots":           {vms: 3, crashes: 1, trims: 2, snapshots: 1, second: 1, buckets: 1},
+	"two buckets":         {vms: 2, crashes: 1, restates: 2, trims: 2, buckets: 2},
+}
+
+func TestExploreEveryInterleaving(tt *testing.T) {
+	for name, lim := range scenarios {
+		tt.Run(name, func(tt *testing.T) {
+			tt.Parallel()
+			ex := explore(lim, guards{})
+			tt.Logf("%d states, %d logs, %d buckets settled, %d held publications decided",
+				len(ex.seen), len(ex.oracles), ex.settled, ex.released)
+			assert.Equal(tt, ex.fault, "")
+			// The walk must have met what it is meant for.
+			assert.Assert(tt, ex.settled > 1000 && ex.released > 1000 && len(ex.seen) > 20_000)
+		})
+	}
+}
+
+// TestEachGuardIsNeeded switches one guard off at a time; the walk must then
+// find a violation.
+func TestEachGuardIsNeeded(tt *testing.T) {
+	cases := []struct {
+		scenario string
+		broken   guards
+	}{
+		{"race", guards{anyBase: true}},
+		{"race", guards{noRepeat: true}},
+		{"second publications", guards{restateWins: true}},
+		{"second publications", guards{oldRestate: true}},
+		{"race", guards{noHold: true}},
+		{"race", guards{gapIgnored: true}},
+		{"snapshots", guards{snapshotWins: true}},
+	}
+	for _, tc := range cases {
+		tt.Run(fmt.Sprintf("%+v", tc.broken), func(tt *testing.T) {
+			tt.Parallel()
+			ex := explore(scenarios[tc.scenario], tc.broken)
+			assert.Assert(tt, ex.fault != "", "not caught in %d states", len(ex.seen))
+			tt.Logf("caught in %q after %d states: %s", tc.scenario, len(ex.seen), ex.fault)
+		})
+	}
+}
--- /dev/null
+++ b/internal/register/record.go
@@ -0,0 +1,208 @@
+package register
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// formatVersion of records and snapshots.
+const formatVersion = 1
+
+type (
+	// Record is what a stream holds: a Publish or a Restate.
+	Record interface{ record() }
+
+	// Publish changes one register, or withdraws it if Value is empty.
+	Publish struct {
+		ID    string // of the publication; a repeat carries the same
+		Key   string
+		Base  uint64          // revision that the operator has seen; 0 if none
+		Value json.RawMessage `json:",omitempty"`
+	}
+
+	// Restate holds the whole content of one bucket after all records below
+	// the offset AsOf.
+	Restate struct {
+		AsOf    uint64
+		Bucket  int
+		Buckets int
+		Entries []Entry `json:",omitempty"` // sorted by key
+	}
+
+	// Entry is one register. A withdrawn one keeps its revision and has no
+	// value.
+	Entry struct {
+		Key      string
+		Revision uint64
+		ID       string
+		Value    json.RawMessage `json:",omitempty"`
+		Earlier  []Earlier       `json:",omitempty"` // accepted before it, oldest first
+	}
+
+	// Earlier is a publication that was accepted and replaced.
+	Earlier struct {
+		ID       string
+		Revision uint64
+	}
+
+	// RecordError tells why a record is passed over.
+	RecordError struct {
+		Offset uint64
+		Detail string
+		Err    error
+	}
+
+	envelope struct {
+		Version int
+		Publish *Publish `json:",omitempty"`
+		Restate *Restate `json:",omitempty"`
+	}
+)
+
+func (Publish) record() {}
+func (Restate) record() {}
+
+// Error names the offset.
+func (re *RecordError) Error() string {
+	if re.Err != nil {
+		return fmt.Sprintf("record at offset %d: %s: %v", re.Offset, re.Detail, re.Err)
+	}
+	return fmt.Sprintf("record at offset %d: %s", re.Offset, re.Detail)
+}
+
+// Unwrap returns the cause, which may be nil.
+func (re *RecordError) Unwrap() error { return re.Err }
+
+// Withdrawn tells whether the register was published and then withdrawn.
+func (en Entry) Withdrawn() bool { return en.Revision > 0 && len(en.Value) == 0 }
+
+// acceptedAs finds the revision that a publication was accepted with.
+func (en Entry) acceptedAs(id string) (uint64, bool) {
+	if en.Revision > 0 && en.ID == id {
+		return en.Revision, true
+	}
+	for _, ea := range en.Earlier {
+		if ea.ID == id {
+			return ea.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// remembers tells whether every publication that was accepted with the given
+// revision or a later one is still known to the register.
+func (en Entry) remembers(revision uint64) bool {
+	return len(en.Earlier) < maxEarlier || en.Earlier[0].Revision <= revision
+}
+
+func (en Entry) size() int {
+	return len(en.Key) + len(en.Value) + (1+len(en.Earlier))*(MaxID+40)
+}
+
+// Marshal writes a record as the log keeps it.
+func Marshal(rec Record) ([]byte, error) {
+	env := envelope{Version: formatVersion}
+	switch rec := rec.(type) {
+	case Publish:
+		env.Publish = &rec
+	case Restate:
+		env.Restate = &rec
+	default:
+		return nil, fmt.Errorf("marshal a record of type %T", rec)
+	}
+	data, err := json.Marshal(env)
+	if err != nil {
+		return nil, fmt.Errorf("marshal a record: %w", err)
+	}
+	return data, nil
+}
+
+// Parse reads a record. Its result depends on nothing but the data, so all
+// VMs pass over the same records; the error is a *RecordError.
+func Parse(offset uint64, data []byte) (Record, error) {
+	var env envelope
+	if err := json.Unmarshal(data, &env); err != nil {
+		return nil, &RecordError{Offset: offset, Detail: "not JSON of a record", Err: err}
+	}
+	bad := func(detail string) error { return &RecordError{Offset: offset, Detail: detail} }
+	switch {
+	case env.Version != formatVersion:
+		return nil, bad(fmt.Sprintf("version %d is not known", env.Version))
+	case (env.Publish == nil) == (env.Restate == nil):
+		return nil, bad("neither one publication nor one restatement")
+	case env.Publish != nil:
+		pub, err := env.Publish.checked()
+		if err != nil {
+			return nil, &RecordError{Offset: offset, Detail: "publication", Err: err}
+		}
+		return pub, nil
+	default:
+		if err := env.Restate.check(offset); err != nil {
+			return nil, &RecordError{Offset: offset, Detail: "restatement", Err: err}
+		}
+		return *env.Restate, nil
+	}
+}
+
+func (pub Publish) checked() (Publish, error) {
+	switch {
+	case pub.ID == "" || len(pub.ID) > MaxID:
+		return pub, fmt.Errorf("ID of %d bytes; write 1 to %d", len(pub.ID), MaxID)
+	case pub.Key == "" || len(pub.Key) > MaxKey:
+		return pub, fmt.Errorf("key of %d bytes; write 1 to %d", len(pub.Key), MaxKey)
+	}
+	value, err := canonical(pub.Value)
+	if len(value) > MaxValue {
+		return pub, fmt.Errorf("value of %d bytes; write up to %d", len(value), MaxValue)
+	}
+	pub.Value = value
+	return pub, err
+}
+
+func (rst Restate) check(offset uint64) error {
+	if rst.AsOf > offset {
+		return fmt.Errorf("as of %d, which lies after it", rst.AsOf)
+	}
+	if rst.Buckets < 1 || rst.Bucket < 0 || rst.Bucket >= rst.Buckets {
+		return fmt.Errorf("bucket %d of %d", rst.Bucket, rst.Buckets)
+	}
+	return checkEntries(rst.Entries, rst.AsOf)
+}
+
+// checkEntries holds for restatements and snapshots: sorted, unique and no
+// newer than they claim to be.
+func checkEntries(ens []Entry, asOf uint64) error {
+	for ix := range ens {
+		en := &ens[ix]
+		switch {
+		case en.Key == "" || ix > 0 && en.Key <= ens[ix-1].Key:
+			return fmt.Errorf("entry %d is out of order", ix)
+		case en.Revision == 0 || en.Revision > asOf:
+			return fmt.Errorf("entry %d has revision %d as of %d", ix, en.Revision, asOf)
+		case len(en.Earlier) > maxEarlier:
+			return fmt.Errorf("entry %d remembers %d publications", ix, len(en.Earlier))
+		}
+		value, err := canonical(en.Value)
+		if err != nil {
+			return fmt.Errorf("entry %d: %w", ix, err)
+		}
+		en.Value = value
+	}
+	return nil
+}
+
+// canonical makes equal values equal bytes, in the form that Marshal writes;
+// null is no value.
+func canonical(value json.RawMessage) (json.RawMessage, error) {
+	if len(value) == 0 || bytes.Equal(value, []byte("null")) {
+		return nil, nil
+	}
+	var short, safe bytes.Buffer
+	if err := json.Compact(&short, value); err != nil {
+		return nil, errors.New("value is not JSON")
+	}
+	json.HTMLEscape(&safe, short.Bytes())
+	return safe.Bytes(), nil
+}
--- /dev/null
+++ b/internal/register/snapshot.go
@@ -0,0 +1,92 @@
+package register
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// ErrNotKnown is returned by Export while some registers are undecided.
+var ErrNotKnown = errors.New("the registers are not all decided yet")
+
+type (
+	// Snapshot is all registers of a stream after the records below AsOf.
+	Snapshot struct {
+		Version int
+		Content Content
+		Buckets int
+		AsOf    uint64
+		Entries []Entry `json:",omitempty"` // sorted by key
+	}
+
+	// SnapshotError tells why a snapshot is refused.
+	SnapshotError struct{ Detail string }
+)
+
+// Error says what is wrong with the snapshot.
+func (se *SnapshotError) Error() string { return "snapshot of registers: " + se.Detail }
+
+// Export writes the state for a peer. It returns ErrNotKnown while not all
+// registers are decided.
+func (st *State) Export() ([]byte, error) {
+	if !st.Known() {
+		return nil, ErrNotKnown
+	}
+	data, err := json.Marshal(Snapshot{
+		Version: formatVersion, Content: st.Content, Buckets: st.Buckets,
+		AsOf: st.next, Entries: st.Entries(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("marshal a snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// ParseSnapshot reads and checks a snapshot.
+func ParseSnapshot(data []byte) (Snapshot, error) {
+	var snap Snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return Snapshot{}, fmt.Errorf("parse a snapshot: %w", err)
+	}
+	if snap.Version != formatVersion {
+		return Snapshot{}, &SnapshotError{Detail: fmt.Sprintf("version %d is not known", snap.Version)}
+	}
+	if err := checkEntries(snap.Entries, snap.AsOf); err != nil {
+		return Snapshot{}, fmt.Errorf("check a snapshot: %w", err)
+	}
+	return snap, nil
+}
+
+// Import merges a peer's snapshot. One that is ahead of the state replaces
+// it; one that is not behind its start decides what is still undecided; any
+// other changes nothing.
+func (st *State) Import(snap Snapshot) ([]Outcome, error) {
+	st.init()
+	if snap.Content != st.Content || snap.Buckets != st.Buckets {
+		return nil, &SnapshotError{Detail: "is of another stream"}
+	}
+	ahead := !st.begun || snap.AsOf > st.next
+	if !ahead && !st.broken.snapshotWins && (snap.AsOf < st.start || st.Known()) {
+		return nil, nil
+	}
+	parts := make([][]Entry, st.Buckets)
+	for _, en := range snap.Entries {
+		ix := st.bucket(en.Key)
+		parts[ix] = append(parts[ix], en)
+	}
+	if ahead {
+		st.begun, st.start, st.next = true, snap.AsOf, snap.AsOf
+	}
+	var outs []Outcome
+	for ix := range st.slots {
+		sl := &st.slots[ix]
+		switch {
+		case st.broken.snapshotWins:
+			sl.entries = map[string]Entry{}
+			outs = append(outs, st.settle(sl, snap.AsOf, parts[ix])...)
+		case ahead || !sl.known:
+			outs = append(outs, st.settle(sl, snap.AsOf, parts[ix])...)
+		}
+	}
+	return outs, nil
+}
--- /dev/null
+++ b/internal/register/state.go
@@ -0,0 +1,321 @@
+package register
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"alderdyke/internal/logsvc"
+)
+
+type (
+	// State is the registers of one stream as far as it was read. It has a
+	// single owner and must not be used from several goroutines. Set Content,
+	// and Buckets if it is not the default, before the first record. The zero
+	// State has read nothing.
+	State struct {
+		Content Content
+		Buckets int // zero means DefaultBuckets
+
+		begun bool
+		start uint64 // every record from here to next was read
+		next  uint64 // offset that comes next
+		slots []slot
+		edits uint64 // grows with every change of an entry
+
+		broken guards
+	}
+
+	// slot is one bucket.
+	slot struct {
+		// known is false while records that count may have been missed;
+		// the entries are then the last ones known.
+		known    bool
+		entries  map[string]Entry
+		bytes    int
+		held     []heldPublish // while not known, in the order of the log
+		restated uint64        // AsOf of the newest Restate read
+	}
+
+	heldPublish struct {
+		offset uint64
+		pub    Publish
+	}
+
+	// guards are switched off by tests, which show that each is needed.
+	guards struct {
+		anyBase      bool // accept a publication whatever it is based on
+		noRepeat     bool // don't recognise a repeated publication
+		restateWins  bool // let a Restate replace what is known
+		oldRestate   bool // trust a Restate from before the start
+		noHold       bool // decide without knowing what was missed
+		gapIgnored   bool // go on after missed records
+		snapshotWins bool // let any snapshot replace what is known
+	}
+
+	// GapError tells that records which the state needs are not there.
+	GapError struct {
+		Next  uint64 // that the state needs
+		First uint64 // that there is
+	}
+)
+
+// Next is the offset that comes next.
+func (st *State) Next() uint64 { return st.next }
+
+// Known tells whether every register is decided up to Next.
+func (st *State) Known() bool {
+	return st.begun && !slices.ContainsFunc(st.slots, func(sl slot) bool { return !sl.known })
+}
+
+// Entry returns a register, the zero Entry if there is none, and whether it
+// is decided up to Next. An entry that is not is the last one known.
+func (st *State) Entry(key string) (en Entry, known bool) {
+	if !st.begun {
+		return Entry{}, false
+	}
+	sl := &st.slots[st.bucket(key)]
+	return sl.entries[key], sl.known
+}
+
+// Entries returns all registers, sorted by key.
+func (st *State) Entries() []Entry {
+	var out []Entry
+	for ix := range st.slots {
+		out = append(out, st.slots[ix].sorted()...)
+	}
+	slices.SortFunc(out, func(ea, eb Entry) int { return cmp.Compare(ea.Key, eb.Key) })
+	return out
+}
+
+// Advance applies a batch that was read from the log. If the log has dropped
+// records that the state needs, what is known becomes the last known, until
+// Restates or a snapshot tell what was missed.
+func (st *State) Advance(ba logsvc.Batch) ([]Outcome, []error) {
+	st.init()
+	if !st.begun || ba.First > st.next {
+		st.restart(ba.First)
+	}
+	return st.apply(ba)
+}
+
+// Follow applies a batch that a peer forwarded. If records are missing it
+// changes nothing and returns a *GapError: the peer may have dropped what
+// the log still holds.
+func (st *State) Follow(ba logsvc.Batch) ([]Outcome, []error, error) {
+	st.init()
+	if !st.begun || ba.First > st.next {
+		return nil, nil, &GapError{Next: st.next, First: ba.First}
+	}
+	outs, bad := st.apply(ba)
+	return outs, bad, nil
+}
+
+func (st *State) init() {
+	if st.slots != nil {
+		return
+	}
+	if st.Buckets == 0 {
+		st.Buckets = DefaultBuckets
+	}
+	st.slots = make([]slot, st.Buckets)
+	for ix := range st.slots {
+		st.slots[ix].entries = map[string]Entry{}
+	}
+}
+
+// restart begins anew at an offset. Nothing was missed only if it is zero.
+func (st *State) restart(first uint64) {
+	if st.begun && st.broken.gapIgnored {
+		st.next = first
+		return
+	}
+	st.start, st.next = first, first
+	for ix := range st.slots {
+		sl := &st.slots[ix]
+		sl.held = nil
+		sl.known = first == 0 || st.broken.noHold
+	}
+	st.begun = true
+}
+
+func (st *State) apply(ba logsvc.Batch) (outs []Outcome, bad []error) {
+	for _, raw := range ba.Records {
+		if raw.Offset < st.next {
+			continue
+		}
+		st.next = raw.Offset + 1
+		rec, err := Parse(raw.Offset, raw.Data)
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		switch rec := rec.(type) {
+		case Publish:
+			outs = append(outs, st.publish(raw.Offset, rec)...)
+		case Restate:
+			out, err := st.restate(raw.Offset, rec)
+			outs = append(outs, out...)
+			if err != nil {
+				bad = append(bad, err)
+			}
+		}
+	}
+	st.next = max(st.next, ba.Next)
+	return outs, bad
+}
+
+func (st *State) publish(offset uint64, pub Publish) []Outcome {
+	sl := &st.slots[st.bucket(pub.Key)]
+	if !sl.known {
+		sl.held = append(sl.held, heldPublish{offset: offset, pub: pub})
+		return nil
+	}
+	return []Outcome{st.decide(sl, offset, pub)}
+}
+
+// decide rules on a publication. Everything that it looks at follows from the
+// records of the key's bucket before it.
+func (st *State) decide(sl *slot, offset uint64, pub Publish) Outcome {
+	cur := sl.entries[pub.Key]
+	out := Outcome{Offset: offset, ID: pub.ID, Key: pub.Key, Ruling: Refused, Current: cur.Revision}
+	if rev, ok := cur.acceptedAs(pub.ID); ok && !st.broken.noRepeat {
+		out.Ruling, out.Revision = Already, rev
+		return out
+	}
+	if pub.Base != cur.Revision && !st.broken.anyBase {
+		out.Reason = BaseMismatch
+		return out
+	}
+	next := Entry{Key: pub.Key, Revision: offset + 1, ID: pub.ID, Value: pub.Value, Earlier: cur.earlier()}
+	if out.Reason = st.refuse(sl, cur, next); out.Reason != "" {
+		return out
+	}
+	st.put(sl, next)
+	out.Ruling, out.Revision, out.Current = Accepted, next.Revision, next.Revision
+	return out
+}
+
+func (st *State) refuse(sl *slot, cur, next Entry) Reason {
+	switch {
+	case len(next.Value) == 0 && cur.Revision == 0:
+		return NothingThere
+	case len(next.Value) > 0 && st.Content.check(next.Key, next.Value) != nil:
+		return BadValue
+	case next.size() > cur.size() && sl.bytes-cur.size()+next.size() > MaxBucket:
+		return BucketFull
+	}
+	return ""
+}
+
+// earlier lists the publications that the next entry remembers.
+func (en Entry) earlier() []Earlier {
+	if en.Revision == 0 {
+		return nil
+	}
+	all := append(slices.Clone(en.Earlier), Earlier{ID: en.ID, Revision: en.Revision})
+	return all[max(0, len(all)-maxEarlier):]
+}
+
+func (st *State) put(sl *slot, en Entry) {
+	if old, ok := sl.entries[en.Key]; ok {
+		sl.bytes -= old.size()
+	}
+	sl.bytes += en.size()
+	sl.entries[en.Key] = en
+	st.edits++
+}
+
+func (st *State) restate(offset uint64, rst Restate) ([]Outcome, error) {
+	if rst.Buckets != st.Buckets {
+		return nil, &RecordError{Offset: offset, Detail: "restatement for another number of buckets"}
+	}
+	for _, en := range rst.Entries {
+		if st.bucket(en.Key) != rst.Bucket {
+			return nil, &RecordError{Offset: offset, Detail: "restatement of a key of another bucket"}
+		}
+	}
+	sl := &st.slots[rst.Bucket]
+	sl.restated = max(sl.restated, rst.AsOf)
+	if sl.known && !st.broken.restateWins {
+		return nil, sl.agrees(offset, rst)
+	}
+	if rst.AsOf < st.start && !st.broken.oldRestate {
+		return nil, nil
+	}
+	return st.settle(sl, rst.AsOf, rst.Entries), nil
+}
+
+// agrees tells whether a Restate says nothing that this VM should have known
+// and doesn't.
+func (sl *slot) agrees(offset uint64, rst Restate) error {
+	for _, en := range rst.Entries {
+		if sl.entries[en.Key].Revision < en.Revision {
+			return &RecordError{Offset: offset, Detail: "restatement contradicts the log before it"}
+		}
+	}
+	return nil
+}
+
+// settle decides a bucket whose content as of an offset, at or after the
+// start, has become known.
+func (st *State) settle(sl *slot, asOf uint64, ens []Entry) []Outcome {
+	for _, en := range ens {
+		if st.broken.restateWins || en.Revision > sl.entries[en.Key].Revision {
+			st.put(sl, en)
+		}
+	}
+	sl.known = true
+	held := sl.held
+	sl.held = nil
+	var outs []Outcome
+	for _, he := range held {
+		if he.offset >= asOf {
+			outs = append(outs, st.decide(sl, he.offset, he.pub))
+		} else {
+			outs = append(outs, sl.recall(he))
+		}
+	}
+	return outs
+}
+
+// recall tells the ruling on a publication that was decided unseen.
+func (sl *slot) recall(he heldPublish) Outcome {
+	cur := sl.entries[he.pub.Key]
+	out := Outcome{Offset: he.offset, ID: he.pub.ID, Key: he.pub.Key, Ruling: Passed, Current: cur.Revision}
+	if rev, ok := cur.acceptedAs(he.pub.ID); ok {
+		out.Ruling, out.Revision = Already, rev
+		if rev == he.offset+1 {
+			out.Ruling = Accepted
+		}
+	} else if cur.remembers(he.offset + 1) {
+		out.Ruling, out.Reason = Refused, BaseMismatch
+	}
+	return out
+}
+
+// Restatement returns the Restate of a bucket as of Next; false while the
+// bucket is not known.
+func (st *State) Restatement(bucket int) (Restate, bool) {
+	if !st.begun || !st.slots[bucket].known {
+		return Restate{}, false
+	}
+	return Restate{AsOf: st.next, Bucket: bucket, Buckets: st.Buckets, Entries: st.slots[bucket].sorted()}, true
+}
+
+func (sl *slot) sorted() []Entry {
+	var out []Entry
+	for _, en := range sl.entries {
+		out = append(out, en)
+	}
+	slices.SortFunc(out, func(ea, eb Entry) int { return cmp.Compare(ea.Key, eb.Key) })
+	return out
+}
+
+func (st *State) bucket(key string) int {
+	return int(xxhash.Sum64String(key) % uint64(st.Buckets))
+}
+
+// Error names both offsets.
+func (ge *GapError) Error() string { return "records are missing before those that were offered" }
