register: follow the log, publish and restate as one VM

Cause: the fold alone reads nothing; a VM must follow the log, help itself at peers, write again what retention would drop and tell operators the truth. Change: Follower (long-poll reads, peers when a read is overdue, publications with one verdict, restatements by rendezvous rank) and Holder for leases. A publication that was asked before is never answered NotPublished: random schedules found that a VM told so about a record that another VM appended before it was replaced. Conclusion: NotPublished speaks only for the question that it answers, and only if that was the first one.

--- /dev/null
+++ b/internal/register/follower_test.go
@@ -0,0 +1,261 @@
+package register
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+const inForceBound = 4 * clock.Second
+
+func change(id string, base uint64) Change {
+	return Change{ID: id, Customer: "kedelsyn", Base: base, Template: sample("kedelsyn", id)}
+}
+
+func result(tt *testing.T, wi *wish) Verdict {
+	tt.Helper()
+	assert.Equal(tt, len(wi.verdicts), 1)
+	return wi.verdicts[0]
+}
+
+// worst returns the longest time from an acceptance until the revision was in
+// force at a VM that is up.
+func worst(tt *testing.T, hn *harness, revision uint64) clock.Millis {
+	tt.Helper()
+	var span clock.Millis
+	for _, vm := range hn.vms {
+		at, ok := vm.since[revision]
+		assert.Assert(tt, ok, "revision %d never came into force at %s", revision, vm.id)
+		span = max(span, at-hn.log[revision-1].at)
+	}
+	return span
+}
+
+func TestPublishAndRevise(tt *testing.T) {
+	hn := newHarness(tt, 1, 7, Settings{})
+	hn.run(clock.Second)
+	first := hn.publish(0, change("p1", 0))
+	hn.run(clock.Second)
+	ve := result(tt, first)
+	assert.Equal(tt, ve.Result, Published)
+	second := hn.publish(3, change("p2", ve.Revision))
+	late := hn.publish(4, change("p3", ve.Revision))
+	hn.run(clock.Second)
+	assert.Equal(tt, result(tt, second).Result, Published)
+	assert.Equal(tt, result(tt, late).Result, Conflict)
+	assert.Equal(tt, result(tt, late).Current, result(tt, second).Revision)
+	assert.Assert(tt, worst(tt, hn, result(tt, second).Revision) <= 10)
+	hn.checkAgree()
+
+	withdraw := hn.publish(1, Change{ID: "w", Customer: "kedelsyn", Base: result(tt, second).Revision})
+	hn.run(clock.Second)
+	assert.Equal(tt, result(tt, withdraw).Result, Published)
+	for _, vm := range hn.vms {
+		assert.Equal(tt, len(vm.inForce.ByCustomer), 0)
+	}
+}
+
+func TestReplyLostAfterAppend(tt *testing.T) {
+	hn := newHarness(tt, 2, 3, Settings{})
+	hn.run(clock.Second)
+	hn.lose = 1
+	wi := hn.publish(0, change("p1", 0))
+	hn.run(10 * clock.Second)
+	assert.Equal(tt, result(tt, wi).Result, Published)
+	again := hn.publish(1, change("p1", 0))
+	hn.run(clock.Second)
+	assert.Equal(tt, len(again.verdicts), 2)
+	assert.Equal(tt, again.verdicts[1].Revision, again.verdicts[0].Revision)
+	assert.Equal(tt, hn.appends, 1)
+	hn.checkVerdicts()
+}
+
+func TestOutageAtPublishIsToldTruthfully(tt *testing.T) {
+	hn := newHarness(tt, 3, 3, Settings{})
+	hn.run(clock.Second)
+	hn.logDown = true
+	never := hn.publish(0, change("p1", 0))
+	hn.run(20 * clock.Second)
+	assert.Equal(tt, result(tt, never).Result, NotPublished)
+	assert.Equal(tt, result(tt, never).Reason, LogUnreachable)
+
+	// The log takes the record, then goes down before anyone has read it.
+	hn.logDown = false
+	hn.run(5 * clock.Second)
+	for _, vm := range hn.vms {
+		vm.cut = true // from reading; the append below goes to the log by hand
+	}
+	hn.run(3 * clock.Second)
+	doubt := hn.publish(0, change("p2", 0))
+	hn.vms[0].cut = false
+	hn.lose = 1
+	hn.run(oneWay + 3)
+	hn.vms[0].cut, hn.logDown = true, true
+	hn.run(20 * clock.Second)
+	assert.Assert(tt, doubt.verdicts[0].Result != NotPublished || len(hn.log) == 0)
+
+	for _, vm := range hn.vms {
+		vm.cut = false
+	}
+	hn.logDown = false
+	hn.run(5 * clock.Second)
+	hn.publish(2, change("p2", 0))
+	hn.run(5 * clock.Second)
+	last := doubt.verdicts[len(doubt.verdicts)-1]
+	assert.Equal(tt, last.Result, Published)
+	hn.checkVerdicts()
+	hn.checkAgree()
+}
+
+// TestCutOffFromTheLog publishes right after some VMs lost the log.
+func TestCutOffFromTheLog(tt *testing.T) {
+	var spans []clock.Millis
+	for seed := range uint64(100) {
+		hn := newHarness(tt, seed, 7, Settings{})
+		hn.run(2*clock.Second + clock.Millis(seed*17))
+		for _, vm := range hn.vms[4:] {
+			vm.cut = true
+		}
+		wi := hn.publish(0, change("p1", 0))
+		hn.run(10 * clock.Second)
+		spans = append(spans, worst(tt, hn, result(tt, wi).Revision))
+	}
+	slices.Sort(spans)
+	tt.Logf("in force at 3 of 7 VMs cut off from the log: median %v, longest %v of 100", spans[50], spans[99])
+	assert.Assert(tt, spans[98] <= inForceBound, "%v", spans)
+}
+
+func TestStartDuringAnOutage(tt *testing.T) {
+	hn := newHarness(tt, 5, 4, Settings{})
+	hn.run(clock.Second)
+	wi := hn.publish(0, change("p1", 0))
+	hn.run(clock.Second)
+	hn.logDown = true
+	hn.run(clock.Minute)
+	hn.vms[2].stop()
+	hn.run(clock.Second)
+	hn.vms[2].start()
+	hn.run(5 * clock.Second)
+	assert.Assert(tt, hn.vms[2].inForce.Ready)
+	assert.Equal(tt, hn.vms[2].inForce.ByCustomer["kedelsyn"].Revision, result(tt, wi).Revision)
+	asks := hn.vms[1].asked["AskPeer"]
+	hn.run(clock.Minute)
+	tt.Logf("questions to peers by one VM in a minute of an outage: %d", hn.vms[1].asked["AskPeer"]-asks)
+	assert.Assert(tt, hn.vms[1].asked["AskPeer"]-asks <= 241)
+}
+
+// TestRetention replaces a VM each quarter of an hour while the log keeps an
+// hour: nobody lives long enough to see its own timer out.
+func TestRetentionUnderRollingReplacement(tt *testing.T) {
+	hn := newHarness(tt, 6, 6, Settings{Retention: clock.Hour})
+	hn.keep = clock.Hour
+	hn.run(clock.Second)
+	wi := hn.publish(0, change("p1", 0))
+	hn.run(clock.Second)
+	revision := result(tt, wi).Revision
+	for round := range 60 {
+		vm := hn.vms[round%len(hn.vms)]
+		vm.stop()
+		hn.run(clock.Minute)
+		vm.start()
+		hn.run(9 * clock.Minute)
+		assert.Assert(tt, vm.inForce.Ready, "round %d", round)
+		assert.Equal(tt, vm.inForce.ByCustomer["kedelsyn"].Revision, revision)
+	}
+	tt.Logf("%d appends in 10 h for %d buckets, %d records dropped", hn.appends, DefaultBuckets, hn.first)
+	assert.Assert(tt, hn.first > DefaultBuckets)
+	hn.checkAgree()
+
+	// A VM that finds no peer learns all from the log's middle.
+	vm := hn.vms[0]
+	vm.stop()
+	vm.alone = true
+	hn.run(clock.Second)
+	vm.start()
+	hn.run(5 * clock.Second)
+	assert.Assert(tt, vm.inForce.Ready)
+	assert.Equal(tt, vm.inForce.ByCustomer["kedelsyn"].Revision, revision)
+}
+
+// TestMissedRecords lets the log drop what a VM that was cut off from
+// everything has not read.
+func TestMissedRecords(tt *testing.T) {
+	hn := newHarness(tt, 7, 3, Settings{Retention: clock.Hour})
+	hn.keep = clock.Hour
+	hn.run(clock.Second)
+	base := uint64(0)
+	for ix := range 40 {
+		if ix == 5 {
+			hn.vms[2].cut, hn.vms[2].alone = true, true
+		}
+		wi := hn.publish(0, change(fmt.Sprint("p", ix), base))
+		hn.run(5 * clock.Minute)
+		base = result(tt, wi).Revision
+	}
+	old := hn.vms[2].inForce.ByCustomer["kedelsyn"].Revision
+	assert.Assert(tt, old < uint64(hn.first))
+	hn.vms[2].cut = false
+	hn.run(30 * clock.Second)
+	assert.Equal(tt, hn.vms[2].notes["LogRecordsMissed"], 1)
+	assert.Equal(tt, hn.vms[2].inForce.ByCustomer["kedelsyn"].Revision, base)
+	hn.checkAgree()
+}
+
+// TestADayOfChanges publishes 1,800 changes, then a burst, while VMs lose and
+// regain the log.
+func TestADayOfChanges(tt *testing.T) {
+	const customers, changes, burst = 50, 1800, 100
+	hn := newHarness(tt, 8, 6, Settings{})
+	hn.run(clock.Second)
+	bases := make([]uint64, customers)
+	var spans []clock.Millis
+	publish := func(ix, vm int) *wish {
+		name := fmt.Sprint("customer", ix%customers)
+		return hn.publish(vm, Change{ID: fmt.Sprint("p", ix), Customer: name, Base: bases[ix%customers],
+			Template: sample(name, "")})
+	}
+	for ix := range changes {
+		cut := hn.vms[hn.rng.IntN(len(hn.vms))]
+		cut.cut = true
+		hn.run(clock.Millis(hn.rng.IntN(3000)))
+		vm := slices.IndexFunc(hn.vms, func(vm *follower) bool { return !vm.cut })
+		wi := publish(ix, vm)
+		hn.run(10 * clock.Second)
+		ve := result(tt, wi)
+		assert.Equal(tt, ve.Result, Published)
+		bases[ix%customers] = ve.Revision
+		spans = append(spans, worst(tt, hn, ve.Revision))
+		cut.cut = false
+		hn.run(36 * clock.Second)
+	}
+	slices.Sort(spans)
+	tt.Logf("%d changes, one VM of 6 cut off each time: 50%% in force everywhere in %v, 99%% in %v, all in %v",
+		changes, spans[changes/2], spans[changes*99/100], spans[changes-1])
+	assert.Assert(tt, spans[changes*99/100] <= inForceBound)
+
+	// Two operators race for each customer, all at once.
+	var wishes []*wish
+	for ix := range burst {
+		wishes = append(wishes, publish(changes+ix, ix%len(hn.vms)))
+	}
+	hn.run(10 * clock.Second)
+	var longest clock.Millis
+	published := 0
+	for _, wi := range wishes {
+		if ve := result(tt, wi); ve.Result == Published {
+			published++
+			longest = max(longest, worst(tt, hn, ve.Revision))
+		} else {
+			assert.Equal(tt, ve.Result, Conflict)
+		}
+	}
+	tt.Logf("burst of %d, two for each customer: %d published, in force everywhere in %v", burst, published, longest)
+	assert.Equal(tt, published, customers)
+	assert.Assert(tt, longest <= inForceBound)
+	hn.checkAgree()
+	hn.checkVerdicts()
+}
--- /dev/null
+++ b/internal/register/harness_test.go
@@ -0,0 +1,394 @@
+package register
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/logsvc"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+// The harness runs Followers under virtual time against a log and peers that
+// answer after a delay, with faults that a test sets.
+
+const oneWay = 2 * clock.Millis(1)
+
+var errCut = errors.New("no connection")
+
+type (
+	harness struct {
+		tt       rapid.TB
+		rng      *rand.Rand
+		now      clock.Millis
+		queue    timers
+		seq      int
+		settings Settings
+
+		log       []record
+		keep      clock.Millis // retention; zero keeps all
+		first     int
+		logDown   bool
+		lose      int // replies to appends still to lose
+		readers   []func()
+		appends   int
+		bytesRead int
+
+		vms     []*follower
+		changes map[string]*wish
+	}
+
+	record struct {
+		at   clock.Millis
+		data []byte
+	}
+
+	follower struct {
+		hn      *harness
+		id      string
+		run     uint64 // grows with every restart; late answers to another are dropped
+		up      bool
+		cut     bool // from the log
+		alone   bool // from peers
+		fo      *Follower
+		wake    clock.Millis
+		inForce *board.Templates
+		since   map[uint64]clock.Millis // when a revision came into force here
+		asked   map[string]int
+		notes   map[string]int
+	}
+
+	// wish is what an operator asked and was told.
+	wish struct {
+		change   Change
+		asks     int
+		again    map[string]bool // VMs that were told that it is not the first time
+		asked    clock.Millis
+		told     clock.Millis
+		verdicts []Verdict
+	}
+
+	timer struct {
+		at  clock.Millis
+		seq int
+		fn  func()
+	}
+
+	timers []timer
+)
+
+func (ti timers) Len() int { return len(ti) }
+func (ti timers) Less(ix, jx int) bool {
+	return ti[ix].at < ti[jx].at || ti[ix].at == ti[jx].at && ti[ix].seq < ti[jx].seq
+}
+func (ti timers) Swap(ix, jx int) { ti[ix], ti[jx] = ti[jx], ti[ix] }
+func (ti *timers) Push(what any)  { *ti = append(*ti, what.(timer)) }
+func (ti *timers) Pop() any {
+	last := (*ti)[len(*ti)-1]
+	*ti = (*ti)[:len(*ti)-1]
+	return last
+}
+
+func newHarness(tt rapid.TB, seed uint64, vms int, se Settings) *harness {
+	se.Content = Templates
+	hn := &harness{tt: tt, rng: rand.New(rand.NewPCG(seed, 1)), settings: se, changes: map[string]*wish{}}
+	for ix := range vms {
+		hn.vms = append(hn.vms, &follower{hn: hn, id: fmt.Sprint("vm", ix)})
+	}
+	for _, vm := range hn.vms {
+		vm.start()
+	}
+	return hn
+}
+
+func (hn *harness) after(span clock.Millis, fn func()) {
+	hn.seq++
+	heap.Push(&hn.queue, timer{at: hn.now + span, seq: hn.seq, fn: fn})
+}
+
+func (hn *harness) run(span clock.Millis) {
+	until := hn.now + span
+	for len(hn.queue) > 0 && hn.queue[0].at <= until {
+		ti := heap.Pop(&hn.queue).(timer)
+		hn.now = ti.at
+		hn.trim()
+		ti.fn()
+	}
+	hn.now = until
+}
+
+func (hn *harness) trim() {
+	for hn.keep > 0 && hn.first < len(hn.log) && hn.now-hn.log[hn.first].at >= hn.keep {
+		hn.first++
+	}
+}
+
+func (hn *harness) fleet() *board.Fleet {
+	fl := &board.Fleet{}
+	for _, vm := range hn.vms {
+		if vm.up {
+			fl.VMs = append(fl.VMs, board.VM{VMRef: board.VMRef{ID: vm.id}, FailureDomain: vm.id})
+		}
+	}
+	return fl
+}
+
+func (hn *harness) tellFleet() {
+	for _, vm := range hn.vms {
+		vm.step(vm.run, Fleet{Fleet: hn.fleet()})
+	}
+}
+
+// publish asks a VM for a change; the same ID may be asked again.
+func (hn *harness) publish(vm int, ch Change) *wish {
+	wi := hn.changes[ch.ID]
+	if wi == nil {
+		wi = &wish{change: ch, asked: hn.now, again: map[string]bool{}}
+		hn.changes[ch.ID] = wi
+	}
+	wi.asks++
+	ch.Again = wi.asks > 1
+	wi.again[hn.vms[vm].id] = ch.Again
+	hn.vms[vm].step(hn.vms[vm].run, ch)
+	return wi
+}
+
+func (vm *follower) start() {
+	vm.run++
+	vm.up = true
+	vm.fo = &Follower{
+		Self:     board.VMRef{ID: vm.id, Incarnation: vm.run},
+		Rand:     rand.New(rand.NewPCG(vm.hn.rng.Uint64(), vm.run)),
+		Settings: vm.hn.settings,
+	}
+	vm.inForce = &board.Templates{}
+	vm.since = map[uint64]clock.Millis{}
+	vm.asked, vm.notes = map[string]int{}, map[string]int{}
+	vm.wake = never
+	run := vm.run
+	vm.hn.after(0, func() { vm.step(run, Tick{}) })
+	vm.hn.after(1, vm.hn.tellFleet)
+}
+
+func (vm *follower) stop() {
+	vm.up = false
+	vm.run++
+	vm.hn.after(1, vm.hn.tellFleet)
+}
+
+func (vm *follower) step(run uint64, ev Event) {
+	if !vm.up || run != vm.run {
+		return
+	}
+	for _, in := range vm.fo.Step(vm.hn.now, ev) {
+		vm.do(in)
+	}
+}
+
+func (vm *follower) do(in Intent) {
+	hn := vm.hn
+	switch in := in.(type) {
+	case ReadLog:
+		vm.asked["ReadLog"]++
+		vm.readLog(in)
+	case Append:
+		vm.asked["Append"]++
+		vm.append(in)
+	case AskPeer:
+		vm.asked["AskPeer"]++
+		vm.ask(in.VM, func(peer *follower) Event {
+			return PeerRecords{VM: in.VM.VMRef, Batch: peer.fo.Records(in.From, in.Max)}
+		}, PeerRecords{Err: errCut})
+	case AskSnapshot:
+		vm.asked["AskSnapshot"]++
+		vm.ask(in.VM, func(peer *follower) Event {
+			data, _, err := peer.fo.Snapshot()
+			return PeerSnapshot{VM: in.VM.VMRef, Data: data, Err: err}
+		}, PeerSnapshot{Err: errCut})
+	case InForce:
+		vm.takeInForce(in.Templates)
+	case Verdict:
+		wi := hn.changes[in.ID]
+		if in.Result == NotPublished && wi.again[vm.id] {
+			hn.tt.Errorf("%s tells %+v although %s was asked before", vm.id, in, in.ID)
+		}
+		wi.verdicts, wi.told = append(wi.verdicts, in), hn.now
+	case Note:
+		vm.notes[in.Event.Name]++
+		if in.Event.Level == event.Error {
+			hn.tt.Errorf("%s notes %s %v", vm.id, in.Event.Name, in.Fields)
+		}
+	case Wake:
+		vm.wake = in.At
+		run := vm.run
+		hn.after(in.At-hn.now, func() {
+			if vm.wake == in.At {
+				vm.step(run, Tick{})
+			}
+		})
+	}
+}
+
+// takeInForce checks that no customer's revision goes back.
+func (vm *follower) takeInForce(tp *board.Templates) {
+	for name, old := range vm.inForce.ByCustomer {
+		now, ok := tp.ByCustomer[name]
+		en, _ := vm.fo.Entry(name)
+		if !ok && !en.Withdrawn() || ok && now.Revision < old.Revision {
+			vm.hn.tt.Errorf("%s: %s reverted from revision %d to %d", vm.id, name, old.Revision, now.Revision)
+		}
+	}
+	vm.inForce = tp
+	for _, inf := range tp.ByCustomer {
+		if _, ok := vm.since[inf.Revision]; !ok {
+			vm.since[inf.Revision] = vm.hn.now
+		}
+	}
+}
+
+func (vm *follower) readLog(in ReadLog) {
+	hn, run := vm.hn, vm.run
+	answer := func(ev Read) { hn.after(oneWay, func() { vm.step(run, ev) }) }
+	until := hn.now + in.Wait
+	var serve func()
+	serve = func() {
+		switch {
+		case vm.cut || hn.logDown:
+			// The connection goes silent; the adapter gives up in its time.
+			hn.after(max(0, until-hn.now)+hn.overdue(), func() { vm.step(run, Read{Err: errCut}) })
+		case len(hn.log) > int(in.From) || hn.first > int(in.From) || hn.now >= until:
+			answer(Read{Batch: hn.batch(in)})
+		default:
+			hn.readers = append(hn.readers, serve)
+		}
+	}
+	hn.after(oneWay, func() {
+		hn.after(until-hn.now, hn.wakeReaders)
+		serve()
+	})
+}
+
+func (hn *harness) overdue() clock.Millis { return hn.settings.withDefaults().Overdue }
+
+func (hn *harness) batch(in ReadLog) logsvc.Batch {
+	ba := logsvc.Batch{First: uint64(hn.first), End: uint64(len(hn.log))}
+	from := max(int(in.From), hn.first)
+	for from < len(hn.log) && len(ba.Records) < in.Max {
+		ba.Records = append(ba.Records, logsvc.Record{Offset: uint64(from), Data: hn.log[from].data})
+		hn.bytesRead += len(hn.log[from].data)
+		from++
+	}
+	ba.Next = uint64(min(from, len(hn.log)))
+	return ba
+}
+
+func (hn *harness) wakeReaders() {
+	waiting := hn.readers
+	hn.readers = nil
+	for _, serve := range waiting {
+		serve()
+	}
+}
+
+func (vm *follower) append(in Append) {
+	hn, run := vm.hn, vm.run
+	fail := func(span clock.Millis, effect logsvc.Effect) {
+		err := &logsvc.AppendError{Effect: effect, Err: errCut}
+		hn.after(span, func() { vm.step(run, Appended{ID: in.ID, Err: err}) })
+	}
+	hn.after(oneWay, func() {
+		if vm.cut || hn.logDown {
+			fail(oneWay, logsvc.NotAppended)
+			return
+		}
+		hn.appends++
+		hn.log = append(hn.log, record{at: hn.now, data: in.Data})
+		offset := uint64(len(hn.log)) - 1
+		hn.wakeReaders()
+		if hn.lose > 0 {
+			hn.lose--
+			fail(clock.Second, logsvc.MayBeAppended)
+			return
+		}
+		hn.after(oneWay, func() { vm.step(run, Appended{ID: in.ID, Offset: offset}) })
+	})
+}
+
+func (vm *follower) ask(to board.VM, answer func(*follower) Event, failed Event) {
+	hn, run := vm.hn, vm.run
+	ix := slices.IndexFunc(hn.vms, func(other *follower) bool { return other.id == to.ID })
+	peer := hn.vms[ix]
+	hn.after(oneWay, func() {
+		if !peer.up || peer.alone || vm.alone {
+			hn.after(300, func() { vm.step(run, failed) })
+			return
+		}
+		ev := answer(peer)
+		hn.after(oneWay, func() { vm.step(run, ev) })
+	})
+}
+
+// oracle folds the whole log, dropped records too, and lists the publications
+// that were accepted.
+func (hn *harness) oracle() (*State, map[string]uint64) {
+	st := &State{Content: Templates, Buckets: hn.settings.Buckets}
+	accepted := map[string]uint64{}
+	for offset, rec := range hn.log {
+		outs, bad := st.Advance(logsvc.Batch{
+			Records: []logsvc.Record{{Offset: uint64(offset), Data: rec.data}},
+			Next:    uint64(offset) + 1, End: uint64(offset) + 1,
+		})
+		assert.Equal(hn.tt, len(bad), 0, "%v", bad)
+		for _, out := range outs {
+			if out.Ruling == Accepted {
+				accepted[out.ID] = out.Revision
+			}
+		}
+	}
+	return st, accepted
+}
+
+// checkAgree holds every VM against the oracle at the end of the log.
+func (hn *harness) checkAgree() {
+	st, _ := hn.oracle()
+	want := st.Entries()
+	for _, vm := range hn.vms {
+		assert.Assert(hn.tt, vm.fo.Ready(), vm.id)
+		assert.DeepEqual(hn.tt, vm.fo.Entries(), want)
+	}
+}
+
+// checkVerdicts holds what operators were told against the oracle.
+func (hn *harness) checkVerdicts() {
+	_, revisions := hn.oracle()
+	for id, wi := range hn.changes {
+		rev, accepted := revisions[id]
+		for _, ve := range wi.verdicts {
+			switch ve.Result {
+			case Published:
+				assert.Assert(hn.tt, accepted && rev == ve.Revision, "%s was told %+v", id, ve)
+			case Conflict:
+				assert.Assert(hn.tt, !accepted, "%s was told %+v", id, ve)
+			case NotPublished:
+				// Asked again, it may have been published then.
+				assert.Assert(hn.tt, !accepted || wi.asks > 1, "%s was told %+v", id, ve)
+			case Unknown:
+			}
+		}
+	}
+}
+
+func sample(customer string, text string) *template.Template {
+	return &template.Template{Customer: customer, KeyHashes: []string{customer + text}, Classes: []template.Class{{
+		Name: "findings", Service: "rapportmodel", Urgency: template.Patient, TTFT: 30 * clock.Second,
+		TPOT: 50, Deadline: 10 * clock.Minute, StreamWait: clock.Minute, Share: 0.5, MaxTokens: 900,
+	}}}
+}
--- /dev/null
+++ b/internal/register/lease.go
@@ -0,0 +1,305 @@
+package register
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"alderdyke/internal/event"
+	"alderdyke/internal/logsvc"
+	"alderdyke/pkg/clock"
+)
+
+// DefaultMargin covers how far two VMs' clocks drift apart within a lease.
+const DefaultMargin = clock.Second
+
+type (
+	// Holder decides for one VM and one resource when to take, renew and
+	// give back the lease, and whether an order may be sent.
+	//
+	// No clocks are compared. The one who holds the lease counts its duration
+	// from before the append; everyone else counts it, and a margin more,
+	// from when they read the record. A lease therefore ends at its holder
+	// before another VM appends. A renewal and a takeover that race name the
+	// same base, so one is accepted. The fencing token is the revision; for a
+	// backend server that doesn't check it, MayOrder is asked right before
+	// the order is sent.
+	//
+	// Set the exported fields before the first Step. It has a single owner.
+	Holder struct {
+		Resource string
+		Self     string // this VM and its incarnation
+		Rand     *rand.Rand
+		Duration clock.Millis // of the lease; default 10 s
+		Margin   clock.Millis // default DefaultMargin; under half of Duration
+
+		want      bool
+		seen      Entry        // last record observed
+		known     bool         // the register is decided
+		freeAt    clock.Millis // when another VM's lease has surely ended
+		until     clock.Millis // when this VM stops to use its own
+		token     uint64       // zero if the lease is not held
+		attempt   *attempt
+		number    int
+		notBefore clock.Millis // earliest point of the next append
+		started   bool
+	}
+
+	// attempt is an append whose fate is not known yet.
+	attempt struct {
+		id      string
+		since   clock.Millis // before the append; the lease counts from here
+		release bool
+		base    uint64
+	}
+
+	// HolderEvent is what a Holder is told: Observed, Want, LeaseAppended or
+	// LeaseTick.
+	HolderEvent interface{ holderEvent() }
+
+	// HolderIntent is what a Holder wants done: LeaseAppend, Held, Lapsed,
+	// Note or Wake.
+	HolderIntent interface{ holderIntent() }
+
+	// Observed tells the resource's register after each step of the
+	// Follower, see [Follower.Entry].
+	Observed struct {
+		Entry Entry
+		Known bool
+	}
+
+	// Want tells whether this VM is to hold the lease. A VM that gives it
+	// back must have stopped its orders.
+	Want struct{ Hold bool }
+
+	// LeaseAppended answers a LeaseAppend.
+	LeaseAppended struct {
+		ID  string
+		Err error
+	}
+
+	// LeaseTick passes the time.
+	LeaseTick struct{}
+
+	// LeaseAppend asks for an append to the stream of leases.
+	LeaseAppend struct {
+		ID   string
+		Data []byte
+	}
+
+	// Held tells that the lease is held with a fencing token.
+	Held struct {
+		Token uint64
+		Until clock.Millis // point on this VM's clock
+	}
+
+	// Lapsed tells that the lease is not held any more.
+	Lapsed struct{ Token uint64 }
+)
+
+func (Observed) holderEvent()      {}
+func (Want) holderEvent()          {}
+func (LeaseAppended) holderEvent() {}
+func (LeaseTick) holderEvent()     {}
+
+func (LeaseAppend) holderIntent() {}
+func (Held) holderIntent()        {}
+func (Lapsed) holderIntent()      {}
+func (Note) holderIntent()        {}
+func (Wake) holderIntent()        {}
+
+// MayOrder tells whether an order may be sent right now, and its fencing
+// token. Ask with a time that was taken after everything else was prepared.
+func (ho *Holder) MayOrder(now clock.Millis) (token uint64, may bool) {
+	if ho.token == 0 || now >= ho.until {
+		return 0, false
+	}
+	return ho.token, true
+}
+
+// Step takes one event and returns what is to be done, in order.
+func (ho *Holder) Step(now clock.Millis, ev HolderEvent) []HolderIntent {
+	if !ho.started {
+		ho.started = true
+		if ho.Duration == 0 {
+			ho.Duration = 10 * clock.Second
+		}
+		if ho.Margin == 0 {
+			ho.Margin = DefaultMargin
+		}
+	}
+	var out []HolderIntent
+	switch ev := ev.(type) {
+	case Observed:
+		out = ho.observed(now, ev)
+	case Want:
+		ho.want = ev.Hold
+	case LeaseAppended:
+		ho.answered(now, ev)
+	case LeaseTick:
+	}
+	out = append(out, ho.lapse(now)...)
+	return append(out, ho.plan(now)...)
+}
+
+func (ho *Holder) observed(now clock.Millis, ev Observed) []HolderIntent {
+	ho.known = ev.Known
+	if !ev.Known || ev.Entry.Revision == ho.seen.Revision {
+		return nil
+	}
+	ho.seen = ev.Entry
+	var le Lease
+	if !ev.Entry.Withdrawn() && json.Unmarshal(ev.Entry.Value, &le) != nil {
+		le.Duration = maxLease // the fold accepts no value that can't be read
+	}
+	ho.freeAt = now + le.Duration + ho.Margin + ho.jitter(ho.Margin)
+	at := ho.attempt
+	mine := at != nil && at.id == ev.Entry.ID
+	if at != nil && (mine || ev.Entry.Revision > at.base) {
+		ho.attempt = nil // accepted, or refused for good
+	}
+	if !mine || at.release {
+		return ho.lose()
+	}
+	ho.token, ho.until = ev.Entry.Revision, at.since+ho.Duration-ho.Margin
+	return []HolderIntent{
+		Held{Token: ho.token, Until: ho.until},
+		Note{Event: event.LeaseTaken, Fields: ho.fields(ho.token)},
+	}
+}
+
+func (ho *Holder) fields(token uint64) []event.Field {
+	return []event.Field{event.F("Resource", ho.Resource), event.F("Token", token)}
+}
+
+func (ho *Holder) lose() []HolderIntent {
+	if ho.token == 0 {
+		return nil
+	}
+	token := ho.token
+	ho.token = 0
+	return []HolderIntent{Lapsed{Token: token}, Note{Event: event.LeaseLapsed, Fields: ho.fields(token)}}
+}
+
+func (ho *Holder) lapse(now clock.Millis) []HolderIntent {
+	if ho.token != 0 && now >= ho.until {
+		return ho.lose()
+	}
+	return nil
+}
+
+// answered notes a failed append. Only one that surely was not appended may
+// be followed by another at once; otherwise reading tells, or time does.
+func (ho *Holder) answered(now clock.Millis, ev LeaseAppended) {
+	if ho.attempt == nil || ho.attempt.id != ev.ID || ev.Err == nil {
+		return
+	}
+	ho.notBefore = now + ho.jitter(ho.Margin)
+	if effectOf(ev.Err) == logsvc.NotAppended {
+		ho.attempt = nil
+	}
+}
+
+// plan takes, renews or gives back the lease when that is due.
+func (ho *Holder) plan(now clock.Millis) []HolderIntent {
+	due, release := ho.due(now)
+	if due == never {
+		return nil
+	}
+	if now < due {
+		if ho.token != 0 {
+			due = min(due, ho.until)
+		}
+		return []HolderIntent{Wake{At: due}}
+	}
+	if at := ho.attempt; at != nil && now-at.since < ho.Duration/3 {
+		// The same record again: if the first was taken, this one changes
+		// nothing, and the lease still counts from the first.
+		return ho.send(now, at)
+	}
+	ho.attempt = nil
+	if release {
+		// Whoever comes next may append at once, so stop first. Without an
+		// answer the others wait for the end of the duration instead.
+		if ho.token == 0 {
+			return nil
+		}
+		out := []HolderIntent{Lapsed{Token: ho.token}}
+		ho.token = 0
+		return append(out, ho.send(now, ho.begin(now, true))...)
+	}
+	if !ho.want {
+		return nil
+	}
+	return ho.send(now, ho.begin(now, false))
+}
+
+func (ho *Holder) begin(now clock.Millis, release bool) *attempt {
+	ho.number++
+	ho.attempt = &attempt{
+		id:    fmt.Sprintf("%s/%d/%08x", ho.Self, ho.number, ho.Rand.Uint32()),
+		since: now, release: release, base: ho.seen.Revision,
+	}
+	return ho.attempt
+}
+
+func (ho *Holder) send(now clock.Millis, at *attempt) []HolderIntent {
+	ho.notBefore = now + ho.Margin + ho.jitter(ho.Margin)
+	wake := ho.notBefore
+	if ho.token != 0 {
+		wake = min(wake, ho.until)
+	}
+	return []HolderIntent{LeaseAppend{ID: at.id, Data: ho.record(at)}, Wake{At: wake}}
+}
+
+func (ho *Holder) record(at *attempt) []byte {
+	pub := Publish{ID: at.id, Key: ho.Resource, Base: at.base}
+	if !at.release {
+		// Two fields of plain types always marshal.
+		pub.Value, _ = json.Marshal(Lease{Holder: ho.Self, Duration: ho.Duration})
+	}
+	data, _ := Marshal(pub)
+	return data
+}
+
+// due tells when the next append is due, and whether it gives the lease back.
+func (ho *Holder) due(now clock.Millis) (at clock.Millis, release bool) {
+	mine := ho.token != 0
+	switch {
+	case !ho.known:
+		return ho.lapseAt(), false
+	case ho.attempt != nil:
+		return ho.notBefore, ho.attempt.release
+	case mine && !ho.want:
+		return max(now, ho.notBefore), true
+	case mine:
+		third := ho.until + ho.Margin - ho.Duration*2/3
+		return max(third, ho.notBefore), false
+	case !ho.want:
+		return never, false
+	case ho.seen.Revision == 0 || ho.seen.Withdrawn():
+		return max(now, ho.notBefore), false
+	default:
+		return max(ho.freeAt, ho.notBefore), false
+	}
+}
+
+func (ho *Holder) lapseAt() clock.Millis {
+	if ho.token != 0 {
+		return ho.until
+	}
+	return never
+}
+
+func (ho *Holder) jitter(span clock.Millis) clock.Millis {
+	return clock.Millis(ho.Rand.Int64N(int64(span) + 1))
+}
+
+func effectOf(err error) logsvc.Effect {
+	var ae *logsvc.AppendError
+	if errors.As(err, &ae) {
+		return ae.Effect
+	}
+	return logsvc.MayBeAppended
+}
--- /dev/null
+++ b/internal/register/schedule_test.go
@@ -0,0 +1,176 @@
+package register
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"alderdyke/pkg/clock"
+)
+
+// TestRandomFaults drives Followers through random faults. The harness checks
+// at each step that nothing reverts; at the end, with the faults gone, all
+// VMs must agree with the log and operators must have been told the truth.
+func TestRandomFaults(tt *testing.T) {
+	rapid.Check(tt, func(rt *rapid.T) {
+		hn := newHarness(rt, rapid.Uint64().Draw(rt, "seed"), 4, Settings{Retention: 10 * clock.Minute, Buckets: 4})
+		hn.keep = 10 * clock.Minute
+		hn.run(2 * clock.Second)
+		rt.Repeat(faults(hn))
+		hn.logDown, hn.lose = false, 0
+		for _, vm := range hn.vms {
+			vm.cut, vm.alone = false, false
+			if !vm.up {
+				vm.start()
+			}
+		}
+		hn.run(30 * clock.Second)
+		hn.checkAgree()
+		hn.checkVerdicts()
+		for id, wi := range hn.changes {
+			// Only a VM that was replaced leaves its operator waiting.
+			replaced := hn.vms[2].run > 1 || hn.vms[3].run > 1
+			assert.Assert(rt, len(wi.verdicts) > 0 || replaced, "%s was never told", id)
+		}
+	})
+}
+
+// faults are the actions of a random schedule.
+func faults(hn *harness) map[string]func(*rapid.T) {
+	draw := func(rt *rapid.T, low int) *follower { return hn.vms[rapid.IntRange(low, 3).Draw(rt, "vm")] }
+	ask := func(rt *rapid.T, number int) {
+		vm := rapid.IntRange(0, 3).Draw(rt, "vm")
+		en, _ := hn.vms[vm].fo.Entry("kedelsyn")
+		ch := change(fmt.Sprint("p", number), en.Revision)
+		if wi := hn.changes[ch.ID]; wi != nil {
+			ch = wi.change
+		}
+		if hn.vms[vm].up {
+			hn.publish(vm, ch)
+		}
+	}
+	return map[string]func(*rapid.T){
+		"publish": func(rt *rapid.T) { ask(rt, len(hn.changes)) },
+		"again":   func(rt *rapid.T) { ask(rt, max(0, len(hn.changes)-1)) },
+		"cut":     func(rt *rapid.T) { toggle(&draw(rt, 0).cut) },
+		"alone":   func(rt *rapid.T) { toggle(&draw(rt, 0).alone) },
+		"down":    func(*rapid.T) { toggle(&hn.logDown) },
+		"lose":    func(*rapid.T) { hn.lose++ },
+		"replace": func(rt *rapid.T) {
+			// Two VMs stay: what no VM and no record holds is lost.
+			vm := draw(rt, 2)
+			if vm.up {
+				vm.stop()
+			} else {
+				vm.start()
+			}
+		},
+		"pass": func(rt *rapid.T) {
+			hn.run(clock.Millis(rapid.SampledFrom([]int{1, 5, 50, 700, 3000, 60_000, 400_000}).Draw(rt, "span")))
+		},
+	}
+}
+
+func toggle(flag *bool) { *flag = !*flag }
+
+type (
+	swapInput  struct{ base uint64 }
+	swapOutput struct {
+		result   Result
+		revision uint64
+	}
+)
+
+// swapModel is a register that changes by compare-and-swap. An operator who
+// was told Unknown gives no output to check; the linearization then tries
+// both that it took place at some point and that it never did.
+var swapModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		now, in, out := state.(uint64), input.(swapInput), output.(swapOutput)
+		switch out.result {
+		case Published:
+			if in.base == now && out.revision > now {
+				return []any{out.revision}
+			}
+			return nil
+		case Conflict:
+			if in.base != now {
+				return []any{now}
+			}
+			return nil
+		case NotPublished:
+			return []any{now}
+		default:
+			if in.base == now && out.revision > 0 {
+				return []any{now, out.revision}
+			}
+			return []any{now}
+		}
+	},
+	Equal: func(sa, sb any) bool { return sa == sb },
+}
+
+// history turns what operators asked and were told into operations. The
+// revision that an Unknown one may have made is taken from the log.
+func (hn *harness) history() []porcupine.Operation {
+	_, revisions := hn.oracle()
+	var ops []porcupine.Operation
+	for id, wi := range hn.changes {
+		out := swapOutput{result: Unknown, revision: revisions[id]}
+		told := int64(hn.now) + 1
+		if len(wi.verdicts) > 0 && wi.verdicts[0].Result != Unknown {
+			out = swapOutput{result: wi.verdicts[0].Result, revision: wi.verdicts[0].Revision}
+			told = int64(wi.told)
+		}
+		ops = append(ops, porcupine.Operation{
+			ClientId: len(ops), Input: swapInput{base: wi.change.Base}, Output: out,
+			Call: int64(wi.asked), Return: told,
+		})
+	}
+	return ops
+}
+
+// TestHistoryIsLinearizable lets operators race through all VMs while replies
+// are lost and the log goes down.
+func TestHistoryIsLinearizable(tt *testing.T) {
+	model := swapModel.ToModel()
+	results := map[Result]int{}
+	for seed := range uint64(40) {
+		hn := newHarness(tt, seed, 3, Settings{})
+		hn.run(2 * clock.Second)
+		for ix := range 30 {
+			vm := hn.rng.IntN(3)
+			en, _ := hn.vms[vm].fo.Entry("kedelsyn")
+			hn.publish(vm, change(fmt.Sprint("p", ix), en.Revision))
+			hn.lose = hn.rng.IntN(2)
+			hn.logDown = hn.rng.IntN(8) == 0
+			hn.run(clock.Millis(hn.rng.IntN(300)))
+			if hn.logDown = hn.logDown || hn.lose > 0 && hn.rng.IntN(6) == 0; hn.logDown && hn.rng.IntN(2) == 0 {
+				hn.run(6 * clock.Second)
+			}
+		}
+		hn.logDown = false
+		hn.run(30 * clock.Second)
+		for _, wi := range hn.changes {
+			results[result(tt, wi).Result]++
+		}
+		assert.Assert(tt, porcupine.CheckOperations(model, hn.history()), "seed %d", seed)
+		hn.checkVerdicts()
+	}
+	tt.Logf("1200 publications: %v", results)
+	assert.Assert(tt, results[Published] > 100 && results[Conflict] > 100)
+	assert.Assert(tt, results[NotPublished] > 10 && results[Unknown] > 10)
+}
+
+// TestModelRejectsTwoWinners shows that the check can fail.
+func TestModelRejectsTwoWinners(tt *testing.T) {
+	twice := []porcupine.Operation{
+		{ClientId: 0, Input: swapInput{}, Output: swapOutput{Published, 1}, Call: 0, Return: 5},
+		{ClientId: 1, Input: swapInput{}, Output: swapOutput{Published, 2}, Call: 1, Return: 6},
+	}
+	assert.Assert(tt, !porcupine.CheckOperations(swapModel.ToModel(), twice))
+}
