--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -157,37 +157,76 @@
 
 // paymentAt sends a payment to one VM, once, with no library in between.
 func (fl *fleet) paymentAt(vm *vm, key string) *ongoing {
-	path := "/payments/" + key
-	call := invariant.Call{Key: key, Request: invariant.Plain{Method: http.MethodPost, Path: path}}
+	return fl.plainAt(vm, http.MethodPost, "/payments/"+key, key, false)
+}
+
+// recordAt asks one VM, once, for a record.
+func (fl *fleet) recordAt(vm *vm, key string) *ongoing {
+	return fl.plainAt(vm, http.MethodGet, "/records/"+key, key, true)
+}
+
+func (fl *fleet) plainAt(vm *vm, method, path, key string, idempotent bool) *ongoing {
+	call := invariant.Call{Key: key, Idempotent: idempotent, Request: invariant.Plain{Method: method, Path: path}}
+	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
+		body, err := askAt(ctx, vm, method, "/services/"+service+path, key, nil)
+		og.got(string(body))
+		return err
+	})
+}
+
+// chatAt asks one VM, once, for an answer that comes as a whole.
+func (fl *fleet) chatAt(vm *vm, key string, tokens int) *ongoing {
+	note := "Field notes of " + key + ". "
+	call := invariant.Call{Key: key, Idempotent: true, Request: invariant.Chat{Prompt: promptOf(note), Tokens: tokens}}
 	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
-		at := fmt.Sprintf("http://%s/services/%s%s", vm.set.Caller.Advertise, service, path)
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, at, bytes.NewReader(nil))
+		ask, err := json.Marshal(map[string]any{
+			"model": model, "max_tokens": tokens, "messages": []client.Message{{Role: "user", Content: note}},
+		})
 		if err != nil {
 			return err
 		}
-		req.Header.Set("Authorization", "Bearer "+apiKey)
-		req.Header.Set("Idempotency-Key", key)
-		tr := &http.Transport{DisableKeepAlives: true}
-		defer tr.CloseIdleConnections()
-		resp, err := tr.RoundTrip(req)
+		body, err := askAt(ctx, vm, http.MethodPost, "/v1/chat/completions", key, ask)
 		if err != nil {
 			return err
 		}
-		defer resp.Body.Close()
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return err
+		var doc struct {
+			Choices []struct{ Message client.Message } `json:"choices"`
 		}
-		if resp.Header.Get("Alderdyke-Refusal") != "" {
-			var doc struct {
-				Error refusal.Refusal `json:"error"`
-			}
-			if err := json.Unmarshal(body, &doc); err != nil {
-				return err
-			}
-			return doc.Error
+		if err := json.Unmarshal(body, &doc); err != nil || len(doc.Choices) != 1 {
+			return fmt.Errorf("read the answer: %d choices: %w", len(doc.Choices), err)
 		}
-		og.got(string(body))
+		og.got(doc.Choices[0].Message.Content)
 		return nil
 	})
 }
+
+// askAt sends one request to one VM. A refusal comes back as the error.
+func askAt(ctx context.Context, vm *vm, method, path, key string, ask []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+vm.set.Caller.Advertise.String()+path, bytes.NewReader(ask))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Idempotency-Key", key)
+	tr := &http.Transport{DisableKeepAlives: true}
+	defer tr.CloseIdleConnections()
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if _, refused := resp.Header["Alderdyke-Refusal"]; !refused {
+		return body, nil
+	}
+	var doc struct {
+		Error refusal.Refusal `json:"error"`
+	}
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return nil, err
+	}
+	return nil, doc.Error
+}
--- /dev/null
+++ b/internal/integration/engine_test.go
@@ -0,0 +1,137 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/standin"
+	"alderdyke/internal/standin/deployment"
+	enginesim "alderdyke/internal/standin/engine"
+)
+
+// decoderOf returns the engine that decodes the key.
+func (fl *fleet) decoderOf(key string) *enginesim.Engine {
+	fl.t.Helper()
+	var out *enginesim.Engine
+	eventually(fl.t, "a decode of "+key+" is under way", func() bool {
+		for _, en := range fl.dp.Engines {
+			for _, rec := range en.History().Runs {
+				if rec.Role == board.Decode && rec.Tokens > 5 && rec.Outcome == "" && attemptOf(rec.Request, key) {
+					out = en
+				}
+			}
+		}
+		return out != nil
+	})
+	return out
+}
+
+// A decode engine dies in the middle of an answer: the request goes on
+// elsewhere, and the caller gets one answer without a seam.
+func TestDecodeEngineDiesMidAnswer(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	og := fl.chat(fl.client(), "findings", "dies", 300)
+	eventually(t, "the answer is under way", func() bool { return og.received() > 10*tokenBytes })
+	results.fault("engine died")
+	died := time.Now()
+	fl.decoderOf("dies").Control.Set(standin.Faults{Dead: true})
+	assert.NilError(t, og.end())
+	results.span("callers of a dead engine have their whole answers", time.Since(died))
+	assert.Equal(t, len(fl.engineRuns(board.Decode, "dies")), 2)
+	fl.check()
+}
+
+// The connection to the decode engine is cut in the middle of an answer: the
+// stream is opened again at the same engine, and no work is lost.
+func TestDecodeStreamIsCut(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	og := fl.chat(fl.client(), "findings", "cut", 300)
+	eventually(t, "the answer is under way", func() bool { return og.received() > 10*tokenBytes })
+	px := fl.proxy(deployment.BackendLink, fl.decoderOf("cut").ID)
+	px.reset(t)
+	before := og.received()
+	px.heal(t)
+	assert.NilError(t, og.end())
+	assert.Assert(t, before < 300*tokenBytes)
+	assert.Equal(t, len(fl.engineRuns(board.Decode, "cut")), 1)
+	fl.check()
+}
+
+// All transfers to one decode engine stand still: requests that were placed
+// there end elsewhere.
+func TestTransfersStall(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	results.fault("transfers stalled")
+	for _, en := range fl.dp.Engines {
+		if en.Role == board.Decode {
+			en.Control.Set(standin.Faults{StallTransfer: true})
+			break
+		}
+	}
+	cl := fl.client()
+	var calls []*ongoing
+	for ix := range 6 {
+		calls = append(calls, fl.chat(cl, "findings", fmt.Sprintf("stall-%d", ix), 20))
+	}
+	for _, og := range calls {
+		assert.Check(t, og.end())
+	}
+	fl.check()
+}
+
+// The first orders to cancel take effect nowhere, or their replies are lost:
+// the engines are free all the same.
+func TestCancelsAreLost(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	og := fl.chat(fl.client(), "findings", "cancel", 2000)
+	other := fl.chat(fl.client(), "findings", "cancel-too", 2000)
+	for _, call := range []*ongoing{og, other} {
+		eventually(t, "the answer is under way", func() bool { return call.received() > 5*tokenBytes })
+	}
+	results.fault("order to cancel lost")
+	for ix, en := range fl.dp.Engines {
+		ft := standin.Faults{Paths: []string{"/cancel"}, Count: 2, Reset: ix%2 == 0, LoseReply: ix%2 == 1}
+		en.Control.Set(ft)
+	}
+	og.leave()
+	other.leave()
+	results.span("engines free though orders to cancel were lost", fl.awaitFree())
+	fl.check()
+}
+
+// Everything at once, and twice: the VM that runs an answer is killed while
+// the engine that decodes it dies, and again with those that took over.
+func TestVMAndEngineDieTwice(t *testing.T) {
+	t.Parallel()
+	pl := usual()
+	pl.vms, pl.decode = 5, 4
+	fl := startFleet(t, pl)
+	og := fl.chat(fl.client(), "findings", "twice", 600)
+	for range 2 {
+		before := og.received()
+		eventually(t, "the answer goes on", func() bool { return og.received() > before+20*tokenBytes })
+		en := fl.decoderOf("twice")
+		var lost *vm
+		for _, rec := range en.History().Runs {
+			if rec.Outcome == "" && attemptOf(rec.Request, "twice") {
+				lost = fl.vm(rec.VM.ID)
+			}
+		}
+		assert.Assert(t, lost != nil)
+		results.fault("engine died")
+		en.Control.Set(standin.Faults{Dead: true})
+		if !lost.process().over() {
+			lost.kill(t)
+		}
+	}
+	assert.Check(t, og.end())
+	fl.check()
+}
--- /dev/null
+++ b/internal/integration/pause_test.go
@@ -0,0 +1,111 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+)
+
+// A VM stands still for so long that others suspect it, and goes on. Its live
+// requests are not cut and nothing is done twice.
+func TestSuspectedVMsRequestsAreNotCut(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	keys := []string{"suspect-1", "suspect-2", "suspect-3"}
+	var calls []*ongoing
+	for _, key := range keys {
+		calls = append(calls, fl.chat(fl.client(), "findings", key, 300))
+	}
+	first := fl.runnerOf(keys[0], 10)
+	paused := time.Now()
+	first.pause(t)
+	eventually(t, "the VM is suspected", func() bool {
+		for _, vm := range fl.others(first) {
+			if fl.health(vm, first) != "Suspect" {
+				return false
+			}
+		}
+		return true
+	})
+	first.resume(t)
+	results.span("pause until every VM suspects a VM", time.Since(paused))
+	for ix, og := range calls {
+		assert.Check(t, og.end())
+		assert.Equal(t, len(fl.engineRuns(board.Decode, keys[ix])), 1)
+	}
+	eventually(t, "the VM is held alive", func() bool { return fl.health(fl.others(first)[0], first) == "Alive" })
+	fl.check()
+}
+
+// A VM stands still until it is held dead, its requests are taken over, and it
+// wakes. Every caller has one whole answer, and the engines are free.
+func TestVMWakesAfterItsRequestsWereTakenOver(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	var calls []*ongoing
+	for ix := range 3 {
+		calls = append(calls, fl.chat(fl.client(), "findings", fmt.Sprintf("wake-%d", ix), 900))
+	}
+	first := fl.runnerOf("wake-0", 10)
+	paused := time.Now()
+	first.pause(t)
+	for _, vm := range fl.others(first) {
+		fl.holdsDead(vm, first, paused)
+	}
+	first.resume(t)
+	for _, og := range calls {
+		assert.Check(t, og.end())
+	}
+	fl.awaitServing(first)
+	fl.check()
+}
+
+// VMs lose each other in two parts. Both serve what is idempotent; what is
+// not runs at most once, whichever parts are asked; afterwards all is one
+// fleet again.
+func TestPartition(t *testing.T) {
+	t.Parallel()
+	pl := usual()
+	pl.vms = 5
+	fl := startFleet(t, pl)
+	few, many := fl.vms[:2], fl.vms[2:]
+	fl.net.partition(few, many, true)
+	var calls []*ongoing
+	for ix := range 4 {
+		key := fmt.Sprintf("parted-early-%d", ix)
+		for _, vm := range fl.vms {
+			calls = append(calls, fl.paymentAt(vm, key))
+		}
+	}
+	for _, one := range few {
+		for _, other := range many {
+			eventually(t, "each part holds the other dead", func() bool {
+				return fl.health(one, other) == "Dead" && fl.health(other, one) == "Dead"
+			})
+		}
+	}
+	for ix := range 4 {
+		key := fmt.Sprintf("parted-late-%d", ix)
+		for _, vm := range fl.vms {
+			calls = append(calls, fl.paymentAt(vm, key))
+		}
+	}
+	for ix, vm := range fl.vms {
+		assert.Check(t, fl.recordAt(vm, fmt.Sprintf("parted-record-%d", ix)).end())
+		assert.Check(t, fl.chatAt(vm, fmt.Sprintf("parted-chat-%d", ix), 10).end())
+	}
+	for _, og := range calls {
+		og.end()
+	}
+	fl.net.partition(few, many, false)
+	healed := time.Now()
+	for _, vm := range fl.vms {
+		fl.awaitServing(vm)
+	}
+	results.span("one fleet again after a partition", time.Since(healed))
+	fl.check()
+}
