--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -408,7 +408,8 @@
 	ak.phase = decided
 	return append(out, Decided{
 		Verdict: Follow, Attempt: ta.best.GetAttempt(),
-		Runner: board.VMRef{ID: ta.best.GetRunnerID(), Incarnation: ta.best.GetRunnerIncarnation()},
+		Runner:       board.VMRef{ID: ta.best.GetRunnerID(), Incarnation: ta.best.GetRunnerIncarnation()},
+		DecodeServer: ta.best.GetDecodeServer(), EngineRequest: ta.best.GetEngineRequest(),
 	})
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,8 +16,13 @@
 	"alderdyke/pkg/refusal"
 )
 
-// claimPatience bounds the search for the VMs that account for a key.
-const claimPatience = 3 * clock.Second
+const (
+	// claimPatience bounds the search for the VMs that account for a key.
+	claimPatience = 3 * clock.Second
+	// followPause is the longest pause before a lost runner is looked for
+	// again; it may still be held alive.
+	followPause = 800 * clock.Millis(1)
+)
 
 // Roles.
 const (
@@ -48,6 +53,7 @@
 		deadline clock.Millis
 
 		claimed *claimant    // link to the seats of the key
+		followed board.VMRef // the runner that was followed last
 		attempt int          // number of the claim that this VM runs under
 		until   clock.Millis // up to when the claim stands unconfirmed
 		sent    atomic.Bool  // a backend server may have begun, here or for another VM
@@ -134,12 +140,12 @@
 // starts over and follows that VM.
 func (rn *run) execute(ctx context.Context) error {
 	var givenUp board.VMRef
-	for {
+	for pause := reopenPause; ; pause = min(2*pause, followPause) {
 		err := rn.once(ctx, &givenUp)
 		if err == nil || !errors.Is(err, errAgain) {
 			return err
 		}
-		if !sleep(ctx, reopenPause) {
+		if !sleep(ctx, pause) {
 			return context.Cause(ctx)
 		}
 	}
@@ -164,6 +170,9 @@
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
 		rn.become(running)
+		if dec.Verdict == claim.TakeOver {
+			rn.sent.Store(true) // by the VM before this one
+		}
 		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
 			rn.report(err)
 			return err
@@ -173,7 +182,7 @@
 		return errAgain
 	case claim.Follow:
 		rn.become(following)
-		return rn.followOnce(mine, dec.Runner, givenUp)
+		return rn.followOnce(mine, dec, givenUp)
 	case claim.Unavailable:
 		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
@@ -234,13 +243,17 @@
 	}
 }
 
-func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
-	err := rn.follow(ctx, runner)
-	if err == nil {
+// followOnce passes on the answer of the VM that runs the request. If that VM
+// can't be reached, its decode is read on at the engine, which starts nothing.
+func (rn *run) followOnce(ctx context.Context, dec claim.Decided, givenUp *board.VMRef) error {
+	err := rn.follow(ctx, dec.Runner)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errUnknownKey):
+		*givenUp = dec.Runner
+	case rn.readOn(ctx, dec):
 		return nil
-	}
-	if errors.Is(err, errUnknownKey) {
-		*givenUp = runner
 	}
 	return errAgain
 }
