membership: answer a death within the incarnation

A VM that was held dead, as after a pause or a partition, went on under an incarnation of its own making. Its sessions with other VMs, its seats, its claims and its requests at engines keep the incarnation of the process, so that nobody could open a stream to it any more (PeerWrongVM without end, 84 s of processor time in 88 s), its seats granted nothing and its live requests counted as those of a lost VM. In internal/integration TestPartition and TestVMWakesAfterItsRequestsWereTakenOver never saw one fleet again within 60 s.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -52,14 +52,15 @@
 		arrived  clock.Millis
 		deadline clock.Millis
 
-		claimed *claimant    // link to the seats of the key
-		followed board.VMRef // the runner that was followed last
-		attempt int          // number of the claim that this VM runs under
-		until   clock.Millis // up to when the claim stands unconfirmed
-		sent    atomic.Bool  // a backend server may have begun, here or for another VM
-		role    atomic.Int32 // of type role
-		turned  signal       // the role changed, or the answer has its end
-		away    *time.Timer  // ends the run when no caller came back
+		claimed  *claimant    // link to the seats of the key
+		followed board.VMRef  // the runner that was followed last
+		attempt  int          // number of the claim that this VM runs under
+		until    clock.Millis // up to when the claim stands unconfirmed
+		late     bool         // came while this VM was leaving; it may only be followed
+		sent     atomic.Bool  // a backend server may have begun, here or for another VM
+		role     atomic.Int32 // of type role
+		turned   signal       // the role changed, or the answer has its end
+		away     *time.Timer  // ends the run when no caller came back
 	}
 
 	// role is what this VM does for a request.
@@ -259,6 +260,9 @@
 }
 
 func (rn *run) serve(ctx context.Context, dec claim.Decided) error {
+	if rn.late {
+		return drainingRefusal()
+	}
 	if dec.Verdict == claim.TakeOver {
 		rn.sent.Store(true) // the VM before this one may have sent it
 	}
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -45,8 +45,8 @@
 	// still sees the snapshot of before.
 	Fresh struct{ Until clock.Millis }
 
-	// Refuted tells that others held this VM dead. It goes on under a new
-	// incarnation, and must check which of its work others took over.
+	// Refuted tells that others held this VM dead. It goes on, as a rule under
+	// the same incarnation, and must check which of its work others took over.
 	Refuted struct{ Incarnation uint64 }
 
 	// Wake asks for a Tick at the given point. A Tick that comes later than
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -128,24 +128,30 @@
 	}
 }
 
-// refute answers a rumour that doubts Self. A doubt is answered within the
-// incarnation; if others already held this VM dead, it needs a new one.
+// refute answers a rumour that doubts Self. A doubt and a death are answered
+// within the incarnation, which names this process to everything that it has
+// in progress elsewhere; what others took over meanwhile is for claims to
+// decide. Only a later incarnation, or word that this one left, needs a new
+// one.
 func (dt *Detector) refute(incarnation uint64, refutation uint32, hl board.Health) {
 	if dt.left || incarnation < dt.Self.Incarnation {
 		return
 	}
-	if hl == board.Suspect && incarnation == dt.Self.Incarnation && refutation < dt.refutation {
+	same := incarnation == dt.Self.Incarnation && (hl == board.Suspect || hl == board.Dead)
+	if same && refutation < dt.refutation {
 		dt.rm.push(dt.Self.ID, 0) // refuted already; who told it missed that
 		return
 	}
 	dt.Counters.Refutations++
 	dt.ail(1)
-	if hl == board.Suspect && incarnation == dt.Self.Incarnation {
+	if same {
 		dt.refutation = refutation + 1
 	} else {
 		dt.Self.Incarnation = incarnation + 1
 		dt.refutation = 0
 		dt.touch()
+	}
+	if hl != board.Suspect {
 		dt.out = append(dt.out, Refuted{Incarnation: dt.Self.Incarnation})
 	}
 	dt.rm.push(dt.Self.ID, 0)
