--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -180,9 +180,6 @@
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
 		rn.become(running)
-		if dec.Verdict == claim.TakeOver {
-			rn.sent.Store(true) // by the VM before this one
-		}
 		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
 			rn.report(err)
 			return err
