--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -89,7 +89,7 @@
 		fn  func()
 	}
 
-	timers []timer
+	timers []*timer
 
 	sim struct {
 		Setup
@@ -127,11 +127,12 @@
 func (ts timers) Swap(ia, ib int) { ts[ia], ts[ib] = ts[ib], ts[ia] }
 
 // Push is that of heap.Interface.
-func (ts *timers) Push(val any) { *ts = append(*ts, val.(timer)) }
+func (ts *timers) Push(val any) { *ts = append(*ts, val.(*timer)) }
 
 // Pop is that of heap.Interface.
 func (ts *timers) Pop() any {
 	last := (*ts)[len(*ts)-1]
+	(*ts)[len(*ts)-1] = nil
 	*ts = (*ts)[:len(*ts)-1]
 	return last
 }
@@ -163,7 +164,7 @@
 	sm.planReports()
 	sm.planFault()
 	for len(sm.queue) > 0 && sm.queue[0].at < sm.span+drainFor {
-		tm := heap.Pop(&sm.queue).(timer)
+		tm := heap.Pop(&sm.queue).(*timer)
 		sm.now = tm.at
 		tm.fn()
 		if sm.now > sm.span && sm.ended == len(sm.requests) {
@@ -229,7 +230,7 @@
 
 func (sm *sim) after(span float64, fn func()) {
 	sm.seq++
-	heap.Push(&sm.queue, timer{at: sm.now + span, seq: sm.seq, fn: fn})
+	heap.Push(&sm.queue, &timer{at: sm.now + span, seq: sm.seq, fn: fn})
 }
 
 // vmDomain is the failure domain of a VM.
