entry: follow the log with the register's decisions, choose plain servers with balance

Cause: the follower of the log and the choice of plain servers were provisional. Change: templates come from register.Follower, from the log or from peers; publications get its verdicts; plain servers are chosen by balance.Chooser.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -2,69 +2,265 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"time"
+	"sync"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/event"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/register"
 	"alderdyke/pkg/clock"
-	"alderdyke/pkg/template"
+	"alderdyke/pkg/refusal"
 )
 
-var tmpOuts = pending[register.Outcome]{}
+// Spans of following the log.
+const (
+	followerTick  = 250 * clock.Millis(1)
+	appendWithin  = 3 * clock.Second
+	publishWithin = 8 * clock.Second // longer than the follower takes for a verdict
+)
+
+// errNotReady tells a peer that this VM has not learned the configuration.
+var errNotReady = errors.New("the peer has not learned the configuration")
+
+type (
+	// follower runs the decisions on one stream of the log. What other
+	// goroutines want to know of them is asked with look, between two steps.
+	follower struct {
+		vm     *VM
+		stream string
+		fo     *register.Follower
+		ac     *actor[register.Event, register.Intent]
+
+		readAt    clock.Millis // of the last read that succeeded
+		reachable bool
+	}
+
+	// verdicts is the operators' calls that wait for what became of their
+	// publications. The zero value is ready to use.
+	verdicts struct {
+		mu      sync.Mutex
+		waiting map[string][]chan register.Verdict
+	}
 
-func (vm *VM) initFollower() {
-	vm.follower = newActor[register.Event, register.Intent](vm.Clock, register.Tick{}, 1000)
-	vm.follower.step = func(clock.Millis, register.Event) []register.Intent { return nil }
-	vm.follower.wakeAt = func(register.Intent) (clock.Millis, bool) { return 0, false }
+	// look is a question that is answered between two steps.
+	look struct {
+		register.Event
+		ask  func(fo *register.Follower)
+		done chan struct{}
+	}
+)
+
+func (vm *VM) newFollower(stream string, content register.Content) *follower {
+	fw := &follower{vm: vm, stream: stream, fo: &register.Follower{
+		Self:     vm.Self,
+		Rand:     vm.rand(hashID(stream)),
+		Settings: register.Settings{Content: content},
+	}}
+	fw.ac = newActor[register.Event, register.Intent](vm.Clock, register.Tick{}, followerTick)
+	fw.ac.step = fw.step
+	fw.ac.do = fw.carryOut
+	fw.ac.wakeAt = func(in register.Intent) (clock.Millis, bool) {
+		wk, ok := in.(register.Wake)
+		return wk.At, ok
+	}
+	return fw
 }
 
-func (vm *VM) tmpRead(ctx context.Context) {
-	st := &register.State{Content: register.Templates}
-	for ctx.Err() == nil {
-		ba, err := vm.Logs.Read(ctx, "alderdyke", st.Next(), 100, 2000)
-		if err != nil {
-			sleep(ctx, 200)
-			continue
-		}
-		outs, _ := st.Advance(ba)
-		tp := &board.Templates{ByCustomer: map[string]board.InForce{}, ByKeyHash: map[string]string{}, Ready: true, Applied: st.Next()}
-		for _, en := range st.Entries() {
-			var tpl template.Template
-			json.Unmarshal(en.Value, &tpl)
-			tp.ByCustomer[en.Key] = board.InForce{Template: tpl, Revision: en.Revision}
-			for _, kh := range tpl.KeyHashes {
-				tp.ByKeyHash[kh] = en.Key
-			}
+func (fw *follower) step(now clock.Millis, ev register.Event) []register.Intent {
+	switch ev := ev.(type) {
+	case look:
+		ev.ask(fw.fo)
+		close(ev.done)
+		return nil
+	case register.Read:
+		fw.reachable = ev.Err == nil
+		if fw.reachable {
+			fw.readAt = now
 		}
-		vm.Board.SetTemplates(tp)
-		_ = outs
+	}
+	return fw.fo.Step(now, ev)
+}
+
+// look has a question answered between two steps. It reports false if the
+// context ended first.
+func (fw *follower) look(ctx context.Context, ask func(fo *register.Follower)) bool {
+	lk := look{ask: ask, done: make(chan struct{})}
+	if !fw.ac.tell(ctx, lk) {
+		return false
+	}
+	select {
+	case <-lk.done:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
+func (fw *follower) carryOut(in register.Intent) {
+	vm := fw.vm
+	switch in := in.(type) {
+	case register.ReadLog:
+		vm.wg.Go(func() { fw.read(in) })
+	case register.Append:
+		vm.wg.Go(func() { fw.append(in) })
+	case register.AskPeer:
+		vm.wg.Go(func() { fw.askPeer(in) })
+	case register.AskSnapshot:
+		vm.wg.Go(func() { fw.askSnapshot(in) })
+	case register.InForce:
+		vm.useTemplates(in.Templates)
+	case register.Verdict:
+		vm.verdicts.answer(in)
+	case register.Note:
+		vm.Log.Log(in.Event, in.Fields...)
+	}
+}
+
+func (fw *follower) read(in register.ReadLog) {
+	ba, err := fw.vm.Logs.Read(fw.vm.loopCtx, fw.stream, in.From, in.Max, in.Wait)
+	fw.ac.tell(fw.vm.loopCtx, register.Read{Batch: ba, Err: err})
+}
+
+func (fw *follower) append(in register.Append) {
+	ctx, stop := context.WithTimeout(fw.vm.loopCtx, appendWithin.Std())
+	defer stop()
+	offset, err := fw.vm.Logs.Append(ctx, fw.stream, in.Data)
+	fw.ac.tell(fw.vm.loopCtx, register.Appended{ID: in.ID, Offset: offset, Err: err})
+}
+
+func (fw *follower) askPeer(in register.AskPeer) {
+	ctx := fw.vm.loopCtx
+	reply, err := fw.vm.callPeer(ctx, in.VM, &peerpb.Frame{Body: &peerpb.Frame_LogAsk{
+		LogAsk: &peerpb.LogAsk{Stream: fw.stream, From: in.From, Max: int32(in.Max)},
+	}})
+	fw.ac.tell(ctx, register.PeerRecords{VM: in.VM.VMRef, Batch: batchFromWire(reply.GetLogRecords()), Err: err})
+}
+
+func (fw *follower) askSnapshot(in register.AskSnapshot) {
+	ctx := fw.vm.loopCtx
+	reply, err := fw.vm.callPeer(ctx, in.VM, &peerpb.Frame{Body: &peerpb.Frame_SnapshotAsk{
+		SnapshotAsk: &peerpb.SnapshotAsk{Stream: fw.stream},
+	}})
+	if err == nil && !reply.GetSnapshot().GetReady() {
+		err = errNotReady
+	}
+	fw.ac.tell(ctx, register.PeerSnapshot{VM: in.VM.VMRef, Data: reply.GetSnapshot().GetData(), Err: err})
+}
+
+// useTemplates puts the configuration in force on this VM.
+func (vm *VM) useTemplates(tp *board.Templates) {
+	first := !vm.Board.Templates().Ready && tp.Ready
+	vm.Board.SetTemplates(tp)
+	if first {
+		vm.Log.Log(event.ConfigurationReady, event.F("Customers", len(tp.ByCustomer)), event.F("Applied", tp.Applied))
+	}
+}
+
+// publish puts an operator's template on the log and waits for the verdict.
 func (vm *VM) publish(ctx context.Context, pub operator.Publication) (operator.Verdict, error) {
-	val, _ := json.Marshal(pub.Template)
-	data, err := register.Marshal(register.Publish{ID: pub.ID, Key: pub.Customer, Base: pub.Base, Value: val})
-	if err != nil {
-		return operator.Verdict{}, err
+	ctx, stop := context.WithTimeout(ctx, publishWithin.Std())
+	defer stop()
+	decided := vm.verdicts.open(pub.ID)
+	tpl := pub.Template
+	vm.follower.ac.tell(ctx, register.Change{ID: pub.ID, Customer: pub.Customer, Base: pub.Base, Template: &tpl})
+	select {
+	case vd := <-decided:
+		return operatorVerdict(vd)
+	case <-ctx.Done():
+		return operator.Verdict{}, fmt.Errorf("publish the template of %s: %w", pub.Customer, context.Cause(ctx))
 	}
-	off, err := vm.Logs.Append(ctx, "alderdyke", data)
-	if err != nil {
-		return operator.Verdict{}, fmt.Errorf("publish: %w", err)
+}
+
+// open returns a channel for the next verdict on a publication, which several
+// operators' calls may wait for.
+func (vs *verdicts) open(id string) <-chan register.Verdict {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	if vs.waiting == nil {
+		vs.waiting = make(map[string][]chan register.Verdict)
 	}
-	for vm.Board.Templates().Applied <= off {
-		time.Sleep(10 * time.Millisecond)
+	ch := make(chan register.Verdict, 1)
+	vs.waiting[id] = append(vs.waiting[id], ch)
+	return ch
+}
+
+func (vs *verdicts) answer(vd register.Verdict) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	for _, ch := range vs.waiting[vd.ID] {
+		ch <- vd
 	}
-	cur := vm.Board.Templates().ByCustomer[pub.Customer].Revision
-	return operator.Verdict{Accepted: cur == off+1, Revision: off + 1, Current: cur}, nil
+	delete(vs.waiting, vd.ID)
 }
 
-func (vm *VM) logStatus(clock.Millis) operator.LogStatus { return operator.LogStatus{} }
+func operatorVerdict(vd register.Verdict) (operator.Verdict, error) {
+	out := operator.Verdict{Revision: vd.Revision, Current: vd.Current, Reason: string(vd.Reason)}
+	switch vd.Result {
+	case register.Published:
+		out.Accepted = true
+		return out, nil
+	case register.Conflict:
+		return out, nil
+	case register.NotPublished:
+		return out, refusal.Refusal{
+			Ran:        refusal.NotRun,
+			Reason:     refusal.Reason(vd.Reason),
+			RetryAfter: clock.Second,
+			Detail:     "the template was not published",
+		}
+	default:
+		return out, fmt.Errorf("the log did not confirm the publication in time: %s", vd.Reason)
+	}
+}
 
-func (vm *VM) answerLog(*peerpb.LogAsk) *peerpb.Frame { return doneFrame() }
+func (vm *VM) logStatus(now clock.Millis) operator.LogStatus {
+	var st operator.LogStatus
+	ctx, stop := context.WithTimeout(vm.loopCtx, callWithin.Std())
+	defer stop()
+	vm.follower.look(ctx, func(fo *register.Follower) {
+		st = operator.LogStatus{
+			Position:  fo.Next(),
+			Ready:     fo.Ready(),
+			Reachable: vm.follower.reachable,
+			ReadAge:   now - vm.follower.readAt,
+		}
+	})
+	return st
+}
+
+// answerLog passes records of the log on to a VM that can't read it.
+func (vm *VM) answerLog(ctx context.Context, ask *peerpb.LogAsk) *peerpb.Frame {
+	var ba logsvc.Batch
+	if fw, ok := vm.followerOf(ask.GetStream()); ok {
+		fw.look(ctx, func(fo *register.Follower) { ba = fo.Records(ask.GetFrom(), int(ask.GetMax())) })
+	}
+	return &peerpb.Frame{Body: &peerpb.Frame_LogRecords{LogRecords: batchToWire(ba)}}
+}
+
+// followerOf finds the follower of a stream of registers.
+func (vm *VM) followerOf(stream string) (*follower, bool) {
+	if stream == vm.follower.stream {
+		return vm.follower, true
+	}
+	return nil, false
+}
+
+func batchToWire(ba logsvc.Batch) *peerpb.LogRecords {
+	out := &peerpb.LogRecords{First: ba.First, Next: ba.Next, End: ba.End}
+	for _, rc := range ba.Records {
+		out.Records = append(out.Records, &peerpb.LogRecord{Offset: rc.Offset, Data: rc.Data})
+	}
+	return out
+}
 
-var _ = logsvc.Batch{}
+func batchFromWire(lr *peerpb.LogRecords) logsvc.Batch {
+	out := logsvc.Batch{First: lr.GetFirst(), Next: lr.GetNext(), End: lr.GetEnd()}
+	for _, rc := range lr.GetRecords() {
+		out.Records = append(out.Records, logsvc.Record{Offset: rc.GetOffset(), Data: rc.GetData()})
+	}
+	return out
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,7 +50,7 @@
 		vm.takeHandoff(ctx, body.ClaimHandoff)
 		return doneFrame(), nil
 	case *peerpb.Frame_LogAsk:
-		return vm.answerLog(body.LogAsk), nil
+		return vm.answerLog(ctx, body.LogAsk), nil
 	case *peerpb.Frame_SnapshotAsk:
 		return vm.answerSnapshot(ctx, body.SnapshotAsk)
 	case *peerpb.Frame_ExplainAsk:
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -56,14 +56,14 @@
 	if err != nil {
 		return "", fmt.Errorf("choose a server: %w", err)
 	}
-	outcome := balance.Failed
+	outcome := balance.Failure
 	defer func() { vm.picked(id, rn.id.Customer, outcome) }()
 	srv, ok := vm.server(id)
 	if !ok {
 		return id, failure{"use the server", errUnknown}
 	}
 	if err := rn.mayDispatch(ctx); err != nil {
-		outcome = balance.Unused
+		outcome = balance.Cancelled
 		return id, err
 	}
 	rn.tr.add(event.Granted, id)
@@ -78,17 +78,19 @@
 	return id, rn.wholePlain(rsp)
 }
 
-func plainOutcome(ctx context.Context, err error) balance.Outcome {
+func plainOutcome(ctx context.Context, err error) balance.Result {
 	var declined backend.DeclinedError
 	switch {
 	case err == nil:
-		return balance.Succeeded
+		return balance.Success
 	case errors.As(err, &declined):
-		return balance.Declined
+		return balance.Busy
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Timeout
 	case ctx.Err() != nil:
-		return balance.Unused
+		return balance.Cancelled
 	default:
-		return balance.Failed
+		return balance.Failure
 	}
 }
 
@@ -128,10 +130,10 @@
 }
 
 // picked tells how a choice went.
-func (vm *VM) picked(server, customer string, out balance.Outcome) {
+func (vm *VM) picked(server, customer string, out balance.Result) {
 	vm.chooser.mu.Lock()
 	defer vm.chooser.mu.Unlock()
-	vm.chooser.Done(vm.Clock.Now(), server, customer, out)
+	vm.chooser.Done(vm.Clock.Now(), server, balance.Outcome{Customer: customer, Result: out})
 }
 
 // watchPlain reads the load of the plain servers that this VM uses.
@@ -179,7 +181,7 @@
 	own := &board.Backends{Servers: servers, Reports: bk.Reports, Epoch: bk.Epoch}
 	vm.chooser.mu.Lock()
 	defer vm.chooser.mu.Unlock()
-	vm.chooser.Update(vm.Clock.Now(), own)
+	vm.chooser.Update(vm.Clock.Now(), own, len(vm.Board.Fleet().Serving()))
 }
 
 // plainServers lists the plain servers that this VM uses: all of a small
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -94,7 +94,7 @@
 		retries    retries
 
 		members  *actor[membership.Event, membership.Intent]
-		follower *actor[register.Event, register.Intent]
+		follower *follower
 		book     *actor[claim.Event, claim.Intent]
 
 		bookState *claim.Book  // owned by the loop of book once it runs
@@ -112,7 +112,7 @@
 		fleetMove signal // the fleet or the seats changed
 		runEnded  signal
 		replies   pending[*claimReply]
-		verdicts  pending[register.Verdict]
+		verdicts  verdicts
 	}
 
 	chooser struct {
@@ -149,7 +149,6 @@
 		return gr.Wait()
 	}
 	vm.loopCtx = core
-	vm.wg.Go(func() { vm.tmpRead(core) })
 	vm.startLoops(core)
 	callCtx, stopCallers := context.WithCancel(core)
 	defer stopCallers()
@@ -307,7 +306,7 @@
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
 	vm.retries.count.Scope = vm.Scope
 	vm.initMembers()
-	vm.initFollower()
+	vm.follower = vm.newFollower(vm.Settings.Log.Stream, register.Templates)
 	vm.initBook()
 }
 
