entry: pass over a doubted VM as accountant at once; log how long answers took

Cause: a cell of a dead VM had no accountant until the VM counted as dead, 11 s after a kill, and its requests were placed by load reports meanwhile. Change: only VMs held alive account for cells; RequestEnded is logged with the time to the first piece and to the end. Measured: the test with a doubted VM fails before and passes after. Conclusion: a refuted doubt moves a cell twice, which costs no promise.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -106,7 +106,7 @@
 		vm := &entry.VM{
 			Settings:    set,
 			Incarnation: uint64(time.Now().UnixMilli()),
-			Log:         event.Logger{Out: &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: os.Stderr}}},
+			Log:         event.Logger{Out: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}},
 		}
 		gr.Go(func() error { return vm.Run(ctx) })
 	}
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -106,11 +106,14 @@
 	return names[prefix%uint64(len(names))]
 }
 
-// accountantOf names the VM that accounts for a cell in this VM's view.
+// accountantOf names the VM that accounts for a cell in this VM's view. A VM
+// in doubt is passed over at once: two VMs that account for a cell for a while
+// cost some refusals of full engines, while a cell without an accountant costs
+// every request its placement.
 func accountantOf(cellName string, fl *board.Fleet) (board.VM, bool) {
 	var fit []board.VM
-	for _, vm := range fl.Serving() {
-		if !vm.Leaving {
+	for _, vm := range fl.VMs {
+		if vm.Health == board.Alive && !vm.Leaving {
 			fit = append(fit, vm)
 		}
 	}
--- a/internal/entry/cells_test.go
+++ b/internal/entry/cells_test.go
@@ -52,15 +52,17 @@
 	assert.Equal(t, len(cells), 0)
 }
 
-func TestAccountantIsNeverALeavingOrDeadVM(t *testing.T) {
+func TestAccountantIsNeverALeavingDoubtedOrDeadVM(t *testing.T) {
 	fleet := &board.Fleet{}
 	for ix := range 7 {
 		vm := board.VM{VMRef: board.VMRef{ID: fmt.Sprintf("vm-%d", ix)}}
-		switch ix % 3 {
+		switch ix % 4 {
 		case 0:
 			vm.Leaving = true
 		case 1:
 			vm.Health = board.Dead
+		case 2:
+			vm.Health = board.Suspect
 		}
 		fleet.VMs = append(fleet.VMs, vm)
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -392,6 +392,9 @@
 			return got, err
 		}
 		if tok.Index >= have+got {
+			if rn.first == 0 {
+				rn.first = rn.vm.Clock.Now()
+			}
 			if err := rn.st.Token([]byte(tok.Text)); err != nil {
 				return got, fmt.Errorf("add a token: %w", err)
 			}
@@ -421,7 +424,6 @@
 	if err := rn.st.End(data); err != nil {
 		return fmt.Errorf("end the answer: %w", err)
 	}
-	rn.tr.add(event.RequestEnded, fmt.Sprintf("%d tokens", tokens))
 	return nil
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -118,7 +118,7 @@
 	if err := rn.st.Whole(data); err != nil {
 		return fmt.Errorf("end the answer: %w", err)
 	}
-	rn.tr.add(event.RequestEnded, "")
+	rn.first = rn.vm.Clock.Now()
 	return nil
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -64,6 +64,7 @@
 		followed board.VMRef  // the runner that was followed last
 		attempt  int          // number of the claim that this VM runs under
 		until    clock.Millis // up to when the claim stands unconfirmed
+		first    clock.Millis // when the first piece of the answer came; zero before it
 		late     bool         // came while this VM was leaving; it may only be followed
 		sent     atomic.Bool  // a backend server may have begun, here or for another VM
 		role     atomic.Int32 // of type role
@@ -141,10 +142,25 @@
 	rn.vm.earnRetry(rn.id.Customer, rn.req.Class.Service)
 	if err := rn.execute(ctx); err != nil {
 		rn.refuse(ctx, err)
+	} else {
+		rn.done()
 	}
 	rn.away.Stop()
 }
 
+// done notes the end of a whole answer, and how long it took.
+func (rn *run) done() {
+	took := rn.vm.Clock.Now() - rn.arrived
+	events, _ := rn.st.Len()
+	rn.tr.add(event.RequestEnded, fmt.Sprintf("%d events", events))
+	rn.vm.Log.Log(event.RequestEnded,
+		event.F("Customer", rn.id.Customer),
+		event.F("Class", rn.req.Class.Name),
+		event.F("Followed", !rn.is(running)),
+		event.F("First", rn.first-rn.arrived),
+		event.F("Took", took))
+}
+
 // execute claims the key and does what the claim says, until the answer has
 // its end. A runner that lost its key to another VM, as after a long pause,
 // starts over and follows that VM.
