sched: predict a patient wait by fair queueing of the work that waits

The wait is now that of a fluid in which each group gets its share until its work is done; decode times are learned from the first answers on.

--- a/internal/sched/bench/bench_test.go
+++ b/internal/sched/bench/bench_test.go
@@ -56,7 +56,8 @@
 		assert.Assert(t, rs.Goodput(QuickWork) >= 0.99, "quick goodput %.4f", rs.Goodput(QuickWork))
 		assert.Assert(t, rs.WastedShare() < 0.01, "wasted prefill %.4f", rs.WastedShare())
 		for _, po := range []Policy{Shares, Optimistic, TwoChoices, LeastLoad, RoundRobin} {
-			other := sum(Setup{Deployment: dp, Load: 1.0, Policy: po, Span: 60 * clock.Second}, seeds[:1])
+			other := sum(Setup{Deployment: dp, Load: 1.0, Policy: po}, seeds)
+			t.Logf("%s: both %.4f, wasted %.4f", po, other.GoodputAll(), other.WastedShare())
 			assert.Assert(t, rs.GoodputAll() > other.GoodputAll(), "%s %.4f", po, other.GoodputAll())
 		}
 	})
--- a/internal/sched/bench/local.go
+++ b/internal/sched/bench/local.go
@@ -14,7 +14,7 @@
 	localEach      = 50.0 // milliseconds between looks at a VM's queue
 	importBackoff  = 50.0 // milliseconds before an import is tried again
 	attemptsMost   = 3
-	patientReserve = 2 // reported free places that Optimistic leaves to quick work
+	patientReserve = 6 // reported free places that Optimistic leaves to quick work
 )
 
 type (
--- a/internal/sched/bench/shares.go
+++ b/internal/sched/bench/shares.go
@@ -100,7 +100,7 @@
 		}
 		need := 1
 		if rq.cls.Work == PatientWork {
-			need = 2
+			need = 6
 		}
 		if vm.total() < need {
 			sp.borrow(vm)
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -13,7 +13,7 @@
 const (
 	defaultSlots       = 20
 	defaultKeep        = 800 * clock.Millis(1)
-	defaultQueueBound  = 512
+	defaultQueueBound  = 1024
 	defaultPrefillRate = 10
 	defaultLinkRate    = 40
 	defaultChunk       = 2048
@@ -31,7 +31,7 @@
 		Name       string
 		Slots      int          // places of a decode engine until it reports; 20
 		Keep       clock.Millis // how long a prefill engine keeps a KV cache; 800 ms
-		QueueBound int          // requests that may wait; 512
+		QueueBound int          // requests that may wait; 1024
 
 		Ways clock.Millis // what the messages of one request take until its first token; 15 ms
 
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -97,24 +97,24 @@
 	return have >= float64(ce.promised[1]+1)
 }
 
-// patientWait is the expected wait of a new request of a group: the work
-// before it over the part of the cell that its group gets while the groups
-// that want theirs take their shares.
+// patientWait is the expected wait of a new request of a group: the time in
+// which the cell does the work that waits before it, when each group gets its
+// share until its own work is done and quick work has its places.
 func (ce *Cell) patientWait(now clock.Millis, gp *group) float64 {
-	quickHeld, shares := 0, gp.share
-	quickFill := 0.0
+	hold, fill, quickFill := gp.backlogHold, gp.backlogFill, 0.0
 	for _, other := range ce.order {
 		ce.steps++
 		switch {
 		case other.quick:
-			quickHeld += other.held
 			quickFill += other.prefill.now(now)
-		case other != gp && other.wants():
-			shares += other.share
+		case other != gp:
+			part := other.share / gp.share
+			hold += min(other.backlogHold, part*gp.backlogHold)
+			fill += min(other.backlogFill, part*gp.backlogFill)
 		}
 	}
-	part := gp.share / shares
-	slots := max(1, float64(ce.slots-quickHeld)) * part
-	fills := max(0.2, float64(ce.prefills.Len())-quickFill) * part
-	return max(gp.backlogHold/slots, gp.backlogFill/fills)
+	mean := ce.look(now).mean
+	slots := max(1, float64(ce.slots)-mean-quickSD*math.Sqrt(mean))
+	fills := max(0.2, float64(ce.prefills.Len())-quickFill)
+	return max(hold/slots, fill/fills)
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -9,6 +9,7 @@
 // How a group's habits are learned.
 const (
 	holdLearnRate  = 0.03             // weight of one request's decode time
+	guessCounts    = 8               // decodes that the first guess counts for
 	arrivalMemory  = 6 * clock.Second // time constant of the rate of arrivals
 	prefillMemory  = 2 * clock.Second // time constant of the use of prefill engines
 	unknownTPOT    = 35 * clock.Millis(1)
@@ -32,6 +33,7 @@
 
 		held        int     // places in decode engines, promised ones included
 		holdMS      float64 // learned time in decode
+		ends        int     // decodes that the learned time was taken from
 		backlogHold float64 // decode milliseconds of those that wait
 		backlogFill float64 // prefill milliseconds of those that wait
 
@@ -128,7 +130,9 @@
 
 // learnHold takes a measured decode into the expected one.
 func (gp *group) learnHold(took clock.Millis) {
-	gp.holdMS += holdLearnRate * (float64(took) - gp.holdMS)
+	gp.ends++
+	part := max(holdLearnRate, 1/float64(gp.ends+guessCounts))
+	gp.holdMS += part * (float64(took) - gp.holdMS)
 	gp.holdMS = max(gp.holdMS, 1)
 }
 
