--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -12,7 +12,7 @@
 	retrySoonest   = 250 * clock.Millis(1)
 	retryLatest    = 60 * clock.Second
 	fewestQueued   = 8    // places in the queue that any group has
-	patientMargin  = 1.0 // part of the target that the expected wait may take
+	patientMargin  = 1.0  // part of the target that the expected wait may take
 	weightedMargin = 0.05 // part less at a weight of 1
 	idleAfter      = 10 * clock.Second
 )
--- a/internal/sched/bench/cell.go
+++ b/internal/sched/bench/cell.go
@@ -104,6 +104,9 @@
 // send brings an event from a VM to the accounting VM.
 func (cp *cellPolicy) send(vm int, ev sched.Event) {
 	term, sm := cp.term, cp.sm
+	if vm != cp.owner {
+		sm.messages++
+	}
 	span := sm.delay(sm.vmDomain(vm), sm.vmDomain(cp.owner))
 	sm.after(span, func() {
 		if term != cp.term {
@@ -175,6 +178,9 @@
 	if rq == nil {
 		return
 	}
+	if rq.vm != cp.owner {
+		sm.messages++
+	}
 	sm.after(sm.delay(sm.vmDomain(cp.owner), sm.vmDomain(rq.vm)), func() {
 		if rq.ends == 0 && cp.runs[rq] != nil {
 			fn(rq)
--- a/internal/sched/bench/result.go
+++ b/internal/sched/bench/result.go
@@ -31,6 +31,8 @@
 		Retried   int     // attempts after the first
 		Steps     int     // counted steps of the decisions
 		Decisions int
+		Arrived   int // requests of the whole run
+		Messages  int // between VMs, to decide and to account
 	}
 
 	// Ratio is a part of a whole.
@@ -63,6 +65,8 @@
 		all.Retried += rs.Retried
 		all.Steps += rs.Steps
 		all.Decisions += rs.Decisions
+		all.Messages += rs.Messages
+		all.Arrived += rs.Arrived
 	}
 	return all
 }
@@ -116,6 +120,7 @@
 	if sm.counted > 0 {
 		rs.Occupancy = sm.occupied / sm.counted
 	}
+	rs.Messages, rs.Arrived = sm.messages, len(sm.requests)
 	if cp, ok := sm.policy.(*cellPolicy); ok {
 		rs.Steps, rs.Decisions = cp.steps, cp.decided
 	}
--- a/internal/sched/bench/shares.go
+++ b/internal/sched/bench/shares.go
@@ -148,6 +148,7 @@
 		return
 	}
 	vm.asking = true
+	sp.sm.messages += 2 // the ask and its answer
 	vm.asks++
 	lender := sp.vms[(vm.ix+vm.asks)%len(sp.vms)]
 	if lender == vm {
--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -103,6 +103,7 @@
 		fills    map[*request]*fill
 		policy   decider
 		requests []*request
+		messages int // between VMs
 		ended    int // requests that have their end
 		lag      float64
 		span     float64
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -9,7 +9,7 @@
 // How a group's habits are learned.
 const (
 	holdLearnRate  = 0.03             // weight of one request's decode time
-	guessCounts    = 8               // decodes that the first guess counts for
+	guessCounts    = 8                // decodes that the first guess counts for
 	arrivalMemory  = 6 * clock.Second // time constant of the rate of arrivals
 	prefillMemory  = 2 * clock.Second // time constant of the use of prefill engines
 	unknownTPOT    = 35 * clock.Millis(1)
