sched: close an engine on which requests are lost one after another

A dead prefill engine looks idle, and drew all work until the list of backend servers showed that it was gone. After two losses in a row it gets nothing for a second, and longer each time. Random events also showed that an orphan whose import was rejected was counted for ever; it is dropped now.

--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -127,7 +127,7 @@
 		listed[srv.ID] = true
 		eng, ok := ce.engines[srv.ID]
 		if !ok || eng.role != srv.Role {
-			eng = &engine{id: srv.ID, role: srv.Role, slots: ce.Slots, listed: now,
+			eng = &engine{id: srv.ID, role: srv.Role, slots: ce.Slots, opens: now + reportGrace,
 				rate: ce.PrefillRate, linkRate: ce.LinkRate}
 			if old := ce.engines[srv.ID]; old != nil {
 				old.gone = true
@@ -169,7 +169,7 @@
 		return
 	}
 	left := eng.leaving
-	eng.reconcile(ld)
+	eng.reconcile(now, ld)
 	eng.mendLink(ce.LinkRate)
 	ce.changed(eng)
 	if eng.leaving && !left {
@@ -223,18 +223,40 @@
 	case Ended:
 		if jb.stage == Decoding {
 			jb.grp.learnHold(now - jb.since)
+			jb.decode.lost = 0
 		}
 		ce.forget(now, jb)
 	case Lost:
 		if jb.stage == Transferring && now >= jb.lapse {
 			jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
 		}
+		ce.blame(now, jb)
 		ce.forget(now, jb)
 	case Cancelled:
 		ce.forget(now, jb)
 	}
 }
 
+// blame closes an engine on which requests are lost one after another, as it
+// looks idle and would be given all that comes until the list of backend
+// servers shows that it is gone. A loss between the two engines has no
+// certain culprit.
+func (ce *Cell) blame(now clock.Millis, jb *job) {
+	var eng *engine
+	switch jb.stage {
+	case Prefilling:
+		eng = jb.prefill
+	case Decoding:
+		eng = jb.decode
+	default:
+		return
+	}
+	if eng.fail(now) {
+		ce.pending = append(ce.pending, eng)
+		ce.changed(eng)
+	}
+}
+
 func (ce *Cell) withdraw(now clock.Millis, request string) {
 	if jb, ok := ce.jobs[request]; ok {
 		ce.forget(now, jb)
--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -290,6 +290,28 @@
 	assert.Assert(t, ok)
 }
 
+func TestFailingEngineIsClosedForAWhile(t *testing.T) {
+	fx := newFixture(2, 1, 20)
+	lose := func(id string) string {
+		fx.do(Submit{Ask: quick(id)})
+		where := fx.grants[id].Prefill
+		fx.progress(id, Lost, 5)
+		return where
+	}
+	assert.Equal(t, lose("q0"), "p0")
+	assert.Equal(t, lose("q1"), "p0", "one loss may be the request's own fault")
+	fx.do(Report{Load: board.LoadReport{Server: "p0"}})
+	for ix := range 4 {
+		id := fmt.Sprint("r", ix)
+		fx.do(Submit{Ask: quick(id)})
+		assert.Equal(t, fx.grants[id].Prefill, "p1", "a lagging report does not open it")
+	}
+	fx.now += closedLeast
+	fx.do(Report{Load: board.LoadReport{Server: "p0"}})
+	fx.do(Submit{Ask: quick("q2")})
+	assert.Equal(t, fx.grants["q2"].Prefill, "p0")
+}
+
 func TestHeldKVCacheIsUsed(t *testing.T) {
 	fx := newFixture(2, 1, 4)
 	ask := patient("ra")
@@ -373,11 +395,12 @@
 		fx := newFixture(rapid.IntRange(1, 4).Draw(rt, "prefills"), rapid.IntRange(1, 4).Draw(rt, "decodes"),
 			rapid.IntRange(1, 5).Draw(rt, "slots"))
 		fx.ce.QueueBound = 16
-		md := &model{fx: fx, state: map[string]Stage{}}
+		md := &model{fx: fx, state: map[string]Stage{}, orphaned: map[string]bool{}}
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit":   md.submit,
 			"progress": md.progress,
 			"withdraw": md.withdraw,
+			"orphan":   md.orphan,
 			"report":   md.report,
 			"servers":  md.servers,
 			"tick":     md.tick,
@@ -389,11 +412,12 @@
 
 // model knows what each request should be doing.
 type model struct {
-	fx    *fixture
-	state map[string]Stage // "" while it waits; absent once it ended
-	order []string
-	seen  int // intents looked at
-	count int
+	fx       *fixture
+	state    map[string]Stage // "" while it waits; absent once it ended
+	orphaned map[string]bool
+	order    []string
+	seen     int // intents looked at
+	count    int
 }
 
 func (md *model) submit(rt *rapid.T) {
@@ -429,7 +453,12 @@
 	switch stage {
 	case Ended, Lost, Cancelled:
 		delete(md.state, id)
-	case Prefilled, Rejected:
+	case Rejected:
+		md.state[id] = Prefilled
+		if md.orphaned[id] {
+			delete(md.state, id)
+		}
+	case Prefilled:
 		md.state[id] = Prefilled
 	default:
 		md.state[id] = stage
@@ -457,6 +486,20 @@
 	}
 }
 
+// orphan loses the VM of a request: one in a decode engine holds its place
+// until progress frees it, all others are dropped.
+func (md *model) orphan(rt *rapid.T) {
+	id := md.pick(rt)
+	if id == "" {
+		return
+	}
+	if st := md.state[id]; st != Transferring && st != Decoding {
+		delete(md.state, id)
+	}
+	md.orphaned[id] = true
+	md.fx.do(Orphan{Request: id})
+}
+
 func (md *model) report(rt *rapid.T) {
 	ids := sortedIDs(md.fx.ce.engines)
 	if len(ids) == 0 {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -14,7 +14,10 @@
 	outstandingMost = 2    // patient prefills sent to one engine and not complete
 	linkPart        = 0.85 // part of the keep that a transfer may take
 	mendRate        = 0.01 // of the way back to the usual rate, each report
-	reportsKept     = 6    // reports back that a lagging one may tell of
+	lostToClose     = 2    // requests lost in a row that close an engine
+	closedLeast     = clock.Second
+	closedMost      = 8 * clock.Second
+	reportsKept     = 6 // reports back that a lagging one may tell of
 )
 
 type (
@@ -25,7 +28,10 @@
 		gone    bool // no longer listed
 		leaving bool
 		known   bool         // a report came, or the time to wait for one passed
-		listed  clock.Millis // when it was first listed
+		opens   clock.Millis // without a report it is taken into use at this point
+		closed  clock.Millis // failed: reports do not open it before this point
+		lost    int          // requests lost on it in a row
+		lostAt  clock.Millis
 
 		// Of a prefill engine.
 		base        clock.Millis // point from which pending counts
@@ -160,8 +166,8 @@
 // reconcile compares a report with the engine's own accounting. A report
 // lags: only what exceeds the most that this cell held during the last few
 // reports is held by others.
-func (eng *engine) reconcile(ld board.LoadReport) {
-	eng.known = true
+func (eng *engine) reconcile(now clock.Millis, ld board.LoadReport) {
+	eng.known = eng.known || now >= eng.closed
 	eng.leaving = eng.leaving || ld.Leaving
 	if ld.Slots > 0 {
 		eng.slots = ld.Slots
@@ -171,6 +177,24 @@
 	eng.heldMax[reportsKept-1] = eng.held
 }
 
+// fail notes that a request was lost on the engine and tells whether it is
+// closed for a while: after the second in a row within a short time, for
+// longer each time.
+func (eng *engine) fail(now clock.Millis) bool {
+	if now-eng.lostAt > closedMost {
+		eng.lost = 0
+	}
+	eng.lost++
+	eng.lostAt = now
+	if eng.lost < lostToClose || !eng.known {
+		return false
+	}
+	eng.known = false
+	eng.closed = now + min(closedMost, closedLeast<<min(eng.lost-lostToClose, 4))
+	eng.opens = eng.closed + reportGrace
+	return true
+}
+
 // hold changes the count of places given out.
 func (eng *engine) hold(by int) {
 	eng.held += by
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -37,7 +37,7 @@
 func (ce *Cell) admitUnreported(now clock.Millis) {
 	ce.pending = slices.DeleteFunc(ce.pending, func(eng *engine) bool {
 		ce.steps++
-		if !eng.known && now-eng.listed >= reportGrace {
+		if !eng.known && now >= eng.opens {
 			eng.known = true
 			ce.changed(eng)
 		}
@@ -271,7 +271,7 @@
 		}
 	}
 	if len(ce.pending) > 0 {
-		sooner(ce.pending[0].listed + reportGrace)
+		sooner(ce.pending[0].opens)
 	}
 	for _, jb := range ce.ready {
 		sooner(jb.lapse - clock.Millis(jb.linkMS))
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -26,6 +26,7 @@
 	}
 	eng := jb.prefill
 	eng.done(now, jb)
+	eng.lost = 0
 	if jb.alone && eng.pending == 0 {
 		eng.learnPrefill(jb.tokens, took)
 	}
@@ -125,6 +126,10 @@
 	if jb.stage != Transferring {
 		return
 	}
+	if jb.orphan {
+		ce.forget(now, jb) // nobody is left to order another import
+		return
+	}
 	dec := jb.decode
 	dec.foreign = max(dec.foreign, dec.slots-dec.held+1)
 	ce.unplace(jb)
@@ -165,7 +170,7 @@
 // link has shown, another would not arrive before the KV cache lapses.
 func (ce *Cell) stalled(now clock.Millis, jb *job) bool {
 	spent := float64(now - jb.since)
-	if jb.moved || spent <= stallFactor*jb.linkMS+float64(stallLeast) {
+	if jb.moved || jb.orphan || spent <= stallFactor*jb.linkMS+float64(stallLeast) {
 		return false
 	}
 	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
@@ -239,7 +244,7 @@
 	if eng, ok := ce.engines[id]; ok {
 		return eng
 	}
-	eng := &engine{id: id, role: role, gone: true, slots: ce.Slots, listed: now,
+	eng := &engine{id: id, role: role, gone: true, slots: ce.Slots, opens: now + reportGrace,
 		rate: ce.PrefillRate, linkRate: ce.LinkRate}
 	ce.engines[id] = eng
 	return eng
