entry: tell the accountant the truth about a failed attempt

Cause: every failed attempt said Cancelled at once, so that the accountant gave the place away before the engine was free, and never learned of lost engines. Change: Lost when an engine did not answer, Cancelled once the cancels are confirmed, withdrawn when nothing was granted; unconfirmed cancels show in status.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -114,17 +114,6 @@
 	return hc, ok
 }
 
-// names lists the cells that this VM accounts for.
-func (ac *accountant) names() []string {
-	ac.mu.Lock()
-	defer ac.mu.Unlock()
-	var out []string
-	for name := range ac.cells {
-		out = append(out, name)
-	}
-	return out
-}
-
 // serve answers one reservation for as long as its stream lives.
 func (ac *accountant) serve(ctx context.Context, from board.VMRef, ask *peerpb.ReserveAsk, cn frames) {
 	defer cn.Close()
--- a/internal/entry/janitor.go
+++ b/internal/entry/janitor.go
@@ -37,39 +37,40 @@
 		lg     event.Logger
 
 		mu   sync.Mutex
-		open map[debt]struct{}
+		open map[debt]chan struct{} // closed once settled
 		wg   sync.WaitGroup
 	}
 )
 
 // free starts to cancel the request for good at the backend server. Asking
-// twice does no harm.
-func (ja *janitor) free(ctx context.Context, server, request string) {
-	ja.freeAttempt(ctx, server, request, engine.AllAttempts)
+// twice does no harm. The channel is closed once the server confirmed, or once
+// nothing more can be done.
+func (ja *janitor) free(ctx context.Context, server, request string) <-chan struct{} {
+	return ja.freeAttempt(ctx, server, request, engine.AllAttempts)
 }
 
 // freeAttempt cancels the attempts up to the given one, so that a later one
 // may use the same backend server.
-func (ja *janitor) freeAttempt(ctx context.Context, server, request string, attempt int) {
-	if server == "" {
-		return
-	}
+func (ja *janitor) freeAttempt(ctx context.Context, server, request string, attempt int) <-chan struct{} {
 	db := debt{Server: server, Request: request, Attempt: attempt}
 	ja.mu.Lock()
 	defer ja.mu.Unlock()
-	if _, ok := ja.open[db]; ok {
-		return
+	if settled, ok := ja.open[db]; ok {
+		return settled
 	}
 	if ja.open == nil {
-		ja.open = make(map[debt]struct{})
+		ja.open = make(map[debt]chan struct{})
 	}
-	ja.open[db] = struct{}{}
+	settled := make(chan struct{})
+	ja.open[db] = settled
 	ja.wg.Go(func() {
 		ja.settle(ctx, db)
 		ja.mu.Lock()
 		delete(ja.open, db)
 		ja.mu.Unlock()
+		close(settled)
 	})
+	return settled
 }
 
 // owed tells how many cancels are not confirmed yet.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
@@ -26,6 +27,9 @@
 	tokenStall = 10 * clock.Second
 	// importStall bounds one transfer of a KV cache.
 	importStall = 8 * clock.Second
+	// confirmWithin bounds the wait for engines to confirm a cancel before
+	// what they hold counts as unknown.
+	confirmWithin = 3 * clock.Second
 	// resumeTries bounds how often a broken token stream is opened again.
 	resumeTries = 3
 )
@@ -74,12 +78,7 @@
 	ma.rs = rn.vm.reserve(ctx, ma.ask(try), rn.tr)
 	defer func() {
 		ma.undo()
-		if err != nil {
-			ma.clear()
-			ma.rs.end(sched.Cancelled)
-			return
-		}
-		ma.rs.end(sched.Ended)
+		ma.leave(ctx, err)
 	}()
 	for {
 		if err = ma.place(ctx); err != nil {
@@ -288,11 +287,41 @@
 	}
 }
 
-// clear frees whatever engines may hold of this attempt.
-func (ma *modelAttempt) clear() {
-	for server := range ma.touched {
-		ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name)
+// leave gives the place back. After a failure it frees whatever engines may
+// hold; the place is given back once they confirmed, or at once if an engine
+// can't be reached, so that the accountant learns of it.
+func (ma *modelAttempt) leave(ctx context.Context, err error) {
+	if err == nil {
+		ma.rs.end(sched.Ended)
+		return
 	}
+	var settled []<-chan struct{}
+	for server := range ma.touched {
+		settled = append(settled, ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name))
+	}
+	if ctx.Err() == nil && unreachable(err) {
+		ma.rs.end(sched.Lost)
+		return
+	}
+	ma.rn.vm.wg.Go(func() {
+		within := time.After(confirmWithin.Std())
+		for _, done := range settled {
+			select {
+			case <-done:
+			case <-within:
+				ma.rs.end(sched.Lost)
+				return
+			}
+		}
+		ma.rs.end(sched.Cancelled)
+	})
+}
+
+// unreachable tells whether an engine did not answer, or not to the end.
+func unreachable(err error) bool {
+	var notSent backend.NotSentError
+	var inDoubt backend.InDoubtError
+	return errors.As(err, &notSent) || errors.As(err, &inDoubt)
 }
 
 // generate starts the decode and follows it to the last token.
--- a/internal/entry/operatorside.go
+++ b/internal/entry/operatorside.go
@@ -54,6 +54,7 @@
 		Quorate:       fl.Quorate,
 		InProgress:    vm.runs.inProgress(),
 		Kept:          vm.runs.kept(),
+		Unconfirmed:   vm.janitor.owed(),
 		Log:           vm.logStatus(now),
 		Cells:         vm.accountant.status(),
 	}
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -197,7 +197,7 @@
 			if rc.gone(rn.VM) {
 				st := stray{Server: srv.ID, Request: rn.Request}
 				seen[st] = true
-				rc.stray(ctx, srv, st, rn)
+				rc.stray(srv, st, rn)
 			}
 		}
 	}
@@ -226,7 +226,7 @@
 }
 
 // stray cancels a lost VM's request once nobody took it over in time.
-func (rc *reconciler) stray(ctx context.Context, srv board.BackendServer, st stray, rn engine.Running) {
+func (rc *reconciler) stray(srv board.BackendServer, st stray, rn engine.Running) {
 	now := rc.hc.vm.Clock.Now()
 	since, ok := rc.strays[st]
 	if !ok {
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -149,6 +149,9 @@
 	cn := rs.cn
 	closed := rs.closed
 	attempt, tokens := rs.attempt, rs.tokens
+	if !rs.granted {
+		stage = withdrawn
+	}
 	rs.closed = true
 	rs.mu.Unlock()
 	if closed {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -14,6 +14,7 @@
 		Quorate       bool // false while the VM reaches only a minority of the fleet
 		Seats         int  // VMs that keep request keys; 0 until this VM knows them
 		InProgress    int  // requests that have no end yet
+		Unconfirmed   int  // cancels that backend servers have not confirmed yet
 		Kept          int  // answers that are kept for callers who come back
 		Log           LogStatus
 		Fleet         []VMStatus     // sorted by ID
