--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,6 +24,7 @@
 	"alderdyke/examples"
 	"alderdyke/internal/entry"
 	"alderdyke/internal/event"
+	"alderdyke/internal/metrics"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/settings"
 	"alderdyke/internal/standin/deployment"
@@ -103,12 +104,18 @@
 
 func (fl *fleet) start(ctx context.Context, gr *errgroup.Group) {
 	for _, set := range fl.sets {
+		mt := metrics.New(set.ID)
 		vm := &entry.VM{
+			Scope:       mt.Scope,
+			Metrics:     mt.Handler(),
 			Settings:    set,
 			Incarnation: uint64(time.Now().UnixMilli()),
-			Log:         event.Logger{Out: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}},
+			Log:         event.Logger{Out: &log.Logger{Level: log.WarnLevel, Writer: &log.IOWriter{Writer: os.Stderr}}},
 		}
-		gr.Go(func() error { return vm.Run(ctx) })
+		gr.Go(func() error {
+			defer mt.Close()
+			return vm.Run(ctx)
+		})
 	}
 }
 
