--- a/internal/register/follower_test.go
+++ b/internal/register/follower_test.go
@@ -259,3 +259,32 @@
 	hn.checkAgree()
 	hn.checkVerdicts()
 }
+
+// TestOutageBeyondRetention drops a record that nobody has read. What it said
+// can't be known any more: the VMs go on with the last known templates and
+// tell operators that nothing is published.
+func TestOutageBeyondRetention(tt *testing.T) {
+	hn := newHarness(tt, 9, 3, Settings{Retention: clock.Hour})
+	hn.keep = clock.Hour
+	hn.run(clock.Second)
+	first := hn.publish(0, change("p1", 0))
+	hn.run(clock.Minute)
+	revision := result(tt, first).Revision
+	hn.logDown = true
+	hn.run(3 * clock.Second)
+	data, err := Marshal(Publish{ID: "unread", Key: "kedelsyn", Base: revision})
+	assert.NilError(tt, err)
+	hn.log = append(hn.log, record{at: hn.now, data: data})
+	hn.run(2 * clock.Hour)
+	hn.logDown = false
+	hn.run(clock.Minute)
+	for _, vm := range hn.vms {
+		assert.Equal(tt, vm.notes["LogRecordsMissed"], 1)
+		assert.Assert(tt, vm.inForce.Ready && !vm.fo.Ready())
+		assert.Equal(tt, vm.inForce.ByCustomer["kedelsyn"].Revision, revision)
+	}
+	next := hn.publish(1, change("p2", revision))
+	hn.run(10 * clock.Second)
+	assert.Equal(tt, result(tt, next).Result, NotPublished)
+	assert.Equal(tt, result(tt, next).Reason, NotReady)
+}
