--- a/internal/register/restate.go
+++ b/internal/register/restate.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/rendezvous"
 	"alderdyke/pkg/clock"
@@ -35,6 +36,8 @@
 	asOf   uint64         // of it
 	next   clock.Millis   // earliest point of the next append
 	number int
+	fleet  *board.Fleet // that the ranks are of
+	ranks  []int        // of this VM for each bucket, plus one; zero if not known yet
 }
 
 func (ro *rounds) begin(now clock.Millis, fo *Follower) {
@@ -98,6 +101,17 @@
 }
 
 func (fo *Follower) rank(ix int) int {
+	ro := &fo.rounds
+	if ro.fleet != fo.fleet {
+		ro.fleet, ro.ranks = fo.fleet, make([]int, len(ro.due))
+	}
+	if ro.ranks[ix] == 0 {
+		ro.ranks[ix] = 1 + fo.rankOf(ix)
+	}
+	return ro.ranks[ix] - 1
+}
+
+func (fo *Follower) rankOf(ix int) int {
 	ranked := rendezvous.Rank(restatePrefix+string(fo.Settings.Content)+"/"+strconv.Itoa(ix), fo.fleet.Serving())
 	for rank, vm := range ranked {
 		if vm.ID == fo.Self.ID {
