--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -10,8 +10,8 @@
 	// Event is what a Detector is told: Received, Listed, Tick or Leave.
 	Event interface{ event() }
 
-	// Intent is what a Detector wants done: Send, Changed, Fresh, Refuted or
-	// Wake.
+	// Intent is what a Detector wants done: Send, Changed, Fresh, Refuted,
+	// Replaced or Wake.
 	Intent interface{ intent() }
 
 	// Received is a datagram that the transport has authenticated. The
@@ -49,6 +49,10 @@
 	// incarnation, and must check which of its work others took over.
 	Refuted struct{ Incarnation uint64 }
 
+	// Replaced tells that a later process runs under the ID of this VM at
+	// another address. This one is silent from now on and must stop.
+	Replaced struct{ Incarnation uint64 }
+
 	// Wake asks for a Tick at the given point. A Tick that comes later than
 	// Settings.PauseLimit is taken for a pause of this process.
 	Wake struct{ At clock.Millis }
@@ -59,8 +63,9 @@
 func (Tick) event()     {}
 func (Leave) event()    {}
 
-func (Send) intent()    {}
-func (Changed) intent() {}
-func (Fresh) intent()   {}
-func (Refuted) intent() {}
-func (Wake) intent()    {}
+func (Send) intent()     {}
+func (Changed) intent()  {}
+func (Fresh) intent()    {}
+func (Refuted) intent()  {}
+func (Replaced) intent() {}
+func (Wake) intent()     {}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -284,7 +284,7 @@
 // receive takes in a datagram.
 func (dt *Detector) receive(dg *peerpb.Datagram) {
 	if dg.GetTo() != dt.Self.ID || dg.GetFrom() == "" || dg.GetFrom() == dt.Self.ID ||
-		dg.GetIncarnation() == 0 || dg.GetBody() == nil {
+		dg.GetIncarnation() == 0 || dg.GetIncarnation() >= maxIncarnation || dg.GetBody() == nil {
 		dt.Counters.Ignored++
 		return
 	}
@@ -311,7 +311,7 @@
 		return
 	}
 	dg := notice()
-	dg.Rumours = append(dg.Rumours, dt.about(from, dt.self, false))
+	dg.Rumours = append(dg.Rumours, dt.about(from, dt.self, true))
 	dt.send(from, dg)
 }
 
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -23,6 +23,15 @@
 	// introduceFor is how long this VM adds its address to what it sends to
 	// a VM that is new or came back, and that may not know it yet.
 	introduceFor = 10 * clock.Second
+	// tellPlacesFor is how long rumours about a new VM hold its address even
+	// if it had to refute a suspicion.
+	tellPlacesFor = clock.Minute
+	// Limits of what a rumour may hold: counters that can still grow, and a
+	// size that fits a datagram beside others.
+	maxIncarnation = 1 << 62
+	maxRefutation  = 1 << 30
+	maxRumour      = 350
+	maxMembers     = 4096
 )
 
 type (
@@ -135,7 +144,8 @@
 	case ru.by != 0 && mb.vm.Health != board.Suspect:
 		return nil
 	}
-	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && mb.refutation == 0)
+	fresh := mb.refutation == 0 || dt.now-mb.met < tellPlacesFor
+	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && fresh)
 }
 
 func (dt *Detector) aboutSelf() *peerpb.Rumour {
@@ -194,14 +204,12 @@
 // hear takes in one rumour. It tells whether the rumour was news.
 func (dt *Detector) hear(rr *peerpb.Rumour) bool {
 	hl := board.Health(rr.GetHealth())
-	if rr.GetVM() == "" || rr.GetIncarnation() == 0 || hl > board.Left {
+	if !wellFormed(rr) {
 		dt.Counters.Ignored++
 		return false
 	}
 	if rr.GetVM() == dt.Self.ID {
-		if hl != board.Alive || rr.GetIncarnation() > dt.Self.Incarnation {
-			dt.refute(rr.GetIncarnation(), rr.GetRefutation(), hl)
-		}
+		dt.hearOfSelf(rr, hl)
 		return false
 	}
 	mb := dt.tb.byID[rr.GetVM()]
@@ -221,10 +229,35 @@
 	}
 }
 
+func wellFormed(rr *peerpb.Rumour) bool {
+	return rr.GetVM() != "" && rr.GetHealth() <= uint32(board.Left) &&
+		rr.GetIncarnation() > 0 && rr.GetIncarnation() < maxIncarnation &&
+		rr.GetRefutation() < maxRefutation && proto.Size(rr) <= maxRumour
+}
+
+// hearOfSelf refutes a doubt, unless another process runs under this ID.
+func (dt *Detector) hearOfSelf(rr *peerpb.Rumour, hl board.Health) {
+	later := rr.GetIncarnation() > dt.Self.Incarnation
+	switch {
+	case dt.left:
+	case later && rr.GetPeer() != "" && rr.GetPeer() != dt.Self.Peer:
+		dt.left = true
+		dt.Self.Health = board.Left
+		dt.touch()
+		dt.out = append(dt.out, Replaced{Incarnation: rr.GetIncarnation()})
+	case later || hl != board.Alive:
+		dt.refute(rr.GetIncarnation(), rr.GetRefutation(), hl)
+	}
+}
+
 // meet takes in a VM that was not known. Without its address there is
 // nothing to be done with it.
 func (dt *Detector) meet(rr *peerpb.Rumour, hl board.Health) bool {
 	gv, gone := dt.tb.gone[rr.GetVM()]
+	if len(dt.tb.members) >= maxMembers {
+		dt.Counters.Ignored++
+		return false
+	}
 	if rr.GetPeer() == "" || hl == board.Left || (gone && rr.GetIncarnation() <= gv.incarnation) {
 		return false
 	}
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -79,10 +79,14 @@
 func (dt *Detector) expireSuspicions() {
 	for _, mb := range slices.Clone(dt.tb.suspects) {
 		su := &mb.suspicion
-		if dt.now >= su.deadline {
+		if dt.now >= su.deadline && len(su.by) > 0 {
 			dt.die(mb)
 			continue
 		}
+		if dt.now >= su.deadline { // left from when this VM was cut off: only a probe with helpers decides
+			su.deadline = dt.now + dt.Settings.DeadHold
+			dt.launch(mb, false)
+		}
 		if su.recheck != 0 && dt.now >= su.recheck {
 			su.recheck = dt.now + recheckEvery
 			if !su.own {
@@ -131,7 +135,7 @@
 // refute answers a rumour that doubts Self. A doubt is answered within the
 // incarnation; if others already held this VM dead, it needs a new one.
 func (dt *Detector) refute(incarnation uint64, refutation uint32, hl board.Health) {
-	if dt.left || incarnation < dt.Self.Incarnation {
+	if incarnation < dt.Self.Incarnation {
 		return
 	}
 	if hl == board.Suspect && incarnation == dt.Self.Incarnation && refutation < dt.refutation {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -173,6 +173,10 @@
 		dt.tb.add(mb)
 		dt.pb.enrol(mb, dt.Rand)
 	}
+	if !mb.heard {
+		mb.vm.Peer, mb.vm.Caller = vm.Peer, vm.Caller
+		mb.vm.FailureDomain, mb.vm.Region = vm.FailureDomain, vm.Region
+	}
 	leaves := mb.leaving || vm.Leaving
 	if mb.vm.Listed && mb.vm.Leaving == leaves {
 		return
