--- /dev/null
+++ b/internal/membership/detector_test.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+)
+
+func vmOf(id, domain string) board.VM {
+	return board.VM{
+		VMRef:         board.VMRef{ID: id, Incarnation: 10},
+		FailureDomain: domain,
+		Peer:          "10.0.0.1:" + id,
+	}
+}
+
+// testDetector knows VMs 1 to 4, which are alive.
+func testDetector() *Detector {
+	dt := &Detector{Self: vmOf("0", "d0"), Rand: rand.New(rand.NewPCG(1, 2))}
+	list := []board.VM{vmOf("0", "d0"), vmOf("1", "d1"), vmOf("2", "d1"), vmOf("3", "d2"), vmOf("4", "d2")}
+	dt.Step(0, Listed{VMs: list})
+	for _, vm := range list[1:] {
+		dt.Step(0, Received{Datagram: from(vm, places(vm))})
+	}
+	return dt
+}
+
+func from(vm board.VM, rr ...*peerpb.Rumour) *peerpb.Datagram {
+	dg := notice()
+	dg.From, dg.Incarnation, dg.To, dg.Rumours = vm.ID, vm.Incarnation, "0", rr
+	return dg
+}
+
+func TestRumourPrecedence(t *testing.T) {
+	const suspect, dead, left = uint32(board.Suspect), uint32(board.Dead), uint32(board.Left)
+	cases := []struct {
+		name    string
+		rumours []*peerpb.Rumour
+		want    board.Health
+	}{
+		{"suspect beats alive", []*peerpb.Rumour{{Incarnation: 10, Health: suspect}}, board.Suspect},
+		{"refutation beats suspect", []*peerpb.Rumour{{Incarnation: 10, Health: suspect}, {Incarnation: 10, Refutation: 1}}, board.Alive},
+		{"old suspicion is ignored", []*peerpb.Rumour{{Incarnation: 10, Refutation: 1}, {Incarnation: 10, Health: suspect}}, board.Alive},
+		{"dead beats suspect", []*peerpb.Rumour{{Incarnation: 10, Health: dead}, {Incarnation: 10, Health: suspect}}, board.Dead},
+		{"alive does not beat dead", []*peerpb.Rumour{{Incarnation: 10, Health: dead}, {Incarnation: 10}}, board.Dead},
+		{"new run beats dead", []*peerpb.Rumour{{Incarnation: 10, Health: dead}, {Incarnation: 11}}, board.Alive},
+		{"old run is ignored", []*peerpb.Rumour{{Incarnation: 9, Health: dead}}, board.Alive},
+		{"left beats dead", []*peerpb.Rumour{{Incarnation: 10, Health: dead}, {Incarnation: 10, Health: left}}, board.Left},
+		{"dead does not beat left", []*peerpb.Rumour{{Incarnation: 10, Health: left}, {Incarnation: 10, Health: dead}}, board.Left},
+		{"no such health", []*peerpb.Rumour{{Incarnation: 10, Health: 9}}, board.Alive},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dt := testDetector()
+			for _, rr := range tc.rumours {
+				rr.VM = "1"
+				dt.Step(1, Received{Datagram: from(vmOf("2", "d1"), rr)})
+			}
+			vm, _ := dt.fleet.VM("1")
+			assert.Equal(t, vm.Health, tc.want)
+		})
+	}
+}
+
+func TestRumoursOfSelf(t *testing.T) {
+	cases := []struct {
+		name string
+		rr   *peerpb.Rumour
+		want Intent // nil is neither Refuted nor Replaced
+	}{
+		{"suspicion is refuted within the incarnation", &peerpb.Rumour{Incarnation: 10, Health: 1}, nil},
+		{"death needs a new incarnation", &peerpb.Rumour{Incarnation: 10, Health: 2}, Refuted{Incarnation: 11}},
+		{"even if told late", &peerpb.Rumour{Incarnation: 12, Health: 2}, Refuted{Incarnation: 13}},
+		{"death of an earlier run", &peerpb.Rumour{Incarnation: 9, Health: 2}, nil},
+		{"a later run elsewhere", &peerpb.Rumour{Incarnation: 11, Peer: "10.9.9.9:1"}, Replaced{Incarnation: 11}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dt := testDetector()
+			tc.rr.VM = "0"
+			var got Intent
+			for _, in := range dt.Step(1, Received{Datagram: from(vmOf("2", "d1"), tc.rr)}) {
+				switch in.(type) {
+				case Refuted, Replaced:
+					got = in
+				}
+			}
+			assert.DeepEqual(t, got, tc.want)
+			assert.Equal(t, dt.refutation > 0, tc.rr.Health == uint32(board.Suspect))
+		})
+	}
+}
+
+func TestQuorumBySamples(t *testing.T) {
+	// Two VMs in d1 and two in d2; with Self the roster is five.
+	cases := []struct {
+		name   string
+		acks   map[string]bool
+		want   bool
+		until  clock.Millis
+		nobody bool
+	}{
+		{"no evidence", nil, false, 0, false},
+		{"one domain is a majority", map[string]bool{"1": true}, true, 1000 + defaultFresh, false},
+		{"half of each domain", map[string]bool{"1": true, "2": false, "3": true, "4": false}, true, 1000 + defaultFresh, false},
+		{"half of one domain", map[string]bool{"1": true, "2": false}, false, 0, false},
+		{"all missed", map[string]bool{"1": false, "3": false}, false, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dt := testDetector()
+			dt.now = 2000
+			for id, ok := range tc.acks {
+				dt.observe(&probe{target: dt.tb.byID[id], sent: 1000}, ok)
+			}
+			dt.measureQuorum()
+			assert.Equal(t, dt.qr.quorate, tc.want)
+			assert.Equal(t, dt.qr.until, tc.until)
+			assert.Equal(t, dt.Quorate(1000+defaultFresh), false, "evidence runs out")
+		})
+	}
+}
+
+func TestSuspicionShrinksWithConfirmations(t *testing.T) {
+	dt := testDetector()
+	assert.Equal(t, dt.suspicionSpan(0), defaultSuspicionMax)
+	assert.Assert(t, dt.suspicionSpan(1) < defaultSuspicionMax)
+	assert.Equal(t, dt.suspicionSpan(confirmations), defaultSuspicionMin)
+}
+
+// FuzzReceived feeds what an authenticated but broken peer may send.
+func FuzzReceived(ff *testing.F) {
+	dt := testDetector()
+	for _, in := range dt.Step(600, Tick{}) {
+		if sd, ok := in.(Send); ok {
+			raw, err := proto.Marshal(sd.Datagram)
+			assert.NilError(ff, err)
+			ff.Add(raw, true)
+		}
+	}
+	ask := &peerpb.Datagram{Body: &peerpb.Datagram_SyncAsk{SyncAsk: &peerpb.SyncAsk{Buckets: make([]uint32, buckets)}}}
+	raw, err := proto.Marshal(ask)
+	assert.NilError(ff, err)
+	ff.Add(raw, true)
+	ff.Add([]byte("garbage"), false)
+	ff.Fuzz(func(t *testing.T, raw []byte, addressed bool) {
+		dg := &peerpb.Datagram{}
+		if proto.Unmarshal(raw, dg) != nil {
+			return
+		}
+		if addressed {
+			dg.From, dg.Incarnation, dg.To = "1", 10, "0"
+		}
+		dt := testDetector()
+		before := dt.Counters.Ignored
+		out := dt.Step(1, Received{Datagram: dg})
+		for at := clock.Millis(500); at < 20*clock.Second; at += 500 {
+			out = append(out, dt.Step(at, Tick{})...)
+		}
+		for _, in := range out {
+			if sd, ok := in.(Send); ok {
+				assert.Assert(t, proto.Size(sd.Datagram) <= 1200)
+			}
+		}
+		if !addressed && dg.GetTo() != "0" {
+			assert.Equal(t, dt.Counters.Ignored, before+1)
+		}
+	})
+}
+
+// Two VMs that know each other from the VM list.
+func ExampleDetector() {
+	list := []board.VM{
+		{VMRef: board.VMRef{ID: "aarhus-a-1", Incarnation: 1}, FailureDomain: "aarhus-a", Peer: "10.0.0.1:7400"},
+		{VMRef: board.VMRef{ID: "vejle-1-1", Incarnation: 1}, FailureDomain: "vejle-1", Peer: "10.0.1.1:7400"},
+	}
+	vms := make(map[string]*Detector)
+	for ix, vm := range list {
+		vms[vm.ID] = &Detector{Self: vm, Rand: rand.New(rand.NewPCG(1, uint64(ix)))}
+	}
+	fleets := make(map[string]*board.Fleet)
+	var carry func(now clock.Millis, id string, ev Event)
+	carry = func(now clock.Millis, id string, ev Event) {
+		for _, in := range vms[id].Step(now, ev) {
+			switch in := in.(type) {
+			case Send:
+				carry(now, in.To.ID, Received{Datagram: in.Datagram})
+			case Changed:
+				fleets[id] = in.Fleet
+			}
+		}
+	}
+	for _, vm := range list {
+		carry(0, vm.ID, Listed{VMs: list})
+	}
+	for now := clock.Millis(100); now <= 2*clock.Second; now += 100 {
+		for _, vm := range list {
+			carry(now, vm.ID, Tick{})
+		}
+	}
+	other, _ := fleets["aarhus-a-1"].VM("vejle-1-1")
+	fmt.Println(other.Health == board.Alive, fleets["aarhus-a-1"].Quorate)
+	// Output: true true
+}
--- /dev/null
+++ b/internal/membership/fault_test.go
@@ -0,0 +1,291 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// badFleet is a settled fleet with 5% loss and pauses of 200 to 800 ms.
+func badFleet(size, domains int, seed uint64, vr variant) *testFleet {
+	tf := newFleet(size, domains, seed, vr)
+	tf.run(30 * clock.Second)
+	tf.loss = 0.05
+	tf.startPauses(10 * clock.Second)
+	tf.run(10 * clock.Second)
+	tf.settle = tf.now
+	tf.falseDeaths = 0
+	return tf
+}
+
+func eachFleet(t *testing.T, test func(t *testing.T, size, domains int, seed uint64)) {
+	for _, fl := range []struct{ size, domains int }{{7, 4}, {24, 8}, {96, 8}} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("size=%d/seed=%d", fl.size, seed), func(t *testing.T) {
+				t.Parallel()
+				test(t, fl.size, fl.domains, seed)
+			})
+		}
+	}
+}
+
+func (tf *testFleet) refutations(vms []*testVM) int {
+	count := 0
+	for _, vm := range vms {
+		count += vm.refuted
+	}
+	return count
+}
+
+// allAlive tells whether all live VMs hold each other alive and are quorate.
+func (tf *testFleet) allAlive() bool {
+	live := len(tf.live())
+	return tf.views(board.Alive) == live*live && tf.quorate() == live
+}
+
+func (tf *testFleet) runUntil(limit clock.Millis, done func() bool) bool {
+	for end := tf.now + limit; tf.now < end; tf.run(250) {
+		if done() {
+			return true
+		}
+	}
+	return done()
+}
+
+func TestTrafficDoesNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+	const span = 40 * clock.Second
+	measured := make(map[int]float64)
+	for _, size := range []int{48, 380} {
+		tf := badFleet(size, 8, 1, variant{})
+		tf.resetTraffic()
+		tf.run(span)
+		bytes, messages, _ := tf.perVM(span)
+		t.Logf("size %d: %.0f B/s and %.1f messages/s a VM, sent and received", size, bytes, messages)
+		measured[size] = bytes
+		assert.Assert(t, bytes <= 1800, "bytes a second")
+		assert.Assert(t, messages <= 18, "messages a second")
+		assert.Assert(t, tf.largest <= 1200, "largest datagram")
+		assert.Equal(t, tf.falseDeaths, 0)
+		assert.Equal(t, tf.quorate(), size)
+	}
+	assert.Assert(t, measured[380] <= 1.8*measured[48])
+}
+
+func TestDeathIsDetected(t *testing.T) {
+	eachFleet(t, func(t *testing.T, size, domains int, seed uint64) {
+		tf := badFleet(size, domains, seed, variant{})
+		victim := tf.vms[3]
+		tf.kill(victim)
+		tf.run(20 * clock.Second)
+		dead := tf.detected[victim.self.ID]
+		assert.Equal(t, len(dead), size-1, "each VM holds it dead, once")
+		assert.Assert(t, quantile(dead, 0) > defaultFresh+defaultSuspicionMin)
+		assert.Assert(t, quantile(dead, 0.99) <= 17*clock.Second)
+		assert.Assert(t, quantile(tf.suspected[victim.self.ID], 0.5) <= 6*clock.Second)
+		assert.Equal(t, tf.falseDeaths, 0)
+	})
+}
+
+func TestFailureDomainLostAndBack(t *testing.T) {
+	eachFleet(t, func(t *testing.T, size, domains int, seed uint64) {
+		tf := badFleet(size, domains, seed, variant{})
+		for _, vm := range tf.vms {
+			if vm.self.FailureDomain == "domain-1" {
+				tf.kill(vm)
+			}
+		}
+		tf.run(25 * clock.Second)
+		for id := range tf.killed {
+			assert.Equal(t, len(tf.detected[id]), len(tf.live()))
+		}
+		assert.Equal(t, tf.falseDeaths, 0)
+		assert.Equal(t, tf.quorate(), len(tf.live()))
+		for _, vm := range tf.vms {
+			if !vm.up {
+				tf.restart(vm, seed)
+			}
+		}
+		assert.Assert(t, tf.runUntil(clock.Minute, tf.allAlive))
+		assert.Equal(t, tf.refutations(tf.vms), 0)
+	})
+}
+
+func TestPartitionFencesMergesAndRefutes(t *testing.T) {
+	eachFleet(t, func(t *testing.T, size, domains int, seed uint64) {
+		tf := badFleet(size, domains, seed, variant{})
+		minority := tf.regionVMs()
+		tf.cut = regionCut
+		assert.Assert(t, tf.runUntil(defaultFresh+250, func() bool { return tf.noneQuorate(minority) }))
+		tf.run(clock.Minute)
+		assert.Equal(t, tf.quorate(), size-len(minority))
+		for _, vm := range tf.vms {
+			for _, other := range vm.fleet.VMs {
+				same := other.Region == vm.self.Region || (other.Region != "region-2" && vm.self.Region != "region-2")
+				assert.Equal(t, other.Health == board.Dead, !same, "%s holds %s %v", vm.self.ID, other.ID, other.Health)
+			}
+		}
+		tf.cut = nil
+		assert.Assert(t, tf.runUntil(clock.Minute, tf.allAlive))
+		assert.Equal(t, tf.unfenced, 0)
+		assert.Equal(t, tf.refutations(minority), len(minority), "each VM of the minority has a new incarnation")
+		assert.Equal(t, tf.refutations(tf.vms), len(minority), "no VM of the majority has")
+	})
+}
+
+// Without DeadHold the check above finds VMs that are not fenced.
+func TestWithoutHoldTheFenceBreaks(t *testing.T) {
+	unfenced := 0
+	for seed := range uint64(4) {
+		tf := badFleet(24, 8, seed, variant{settings: Settings{
+			DeadHold: noHold, SuspicionMin: clock.Second, SuspicionMax: clock.Second,
+		}})
+		tf.cut = regionCut
+		tf.run(20 * clock.Second)
+		unfenced += tf.unfenced
+	}
+	assert.Assert(t, unfenced > 0)
+}
+
+func TestHalfIsNoMajority(t *testing.T) {
+	tf := newFleet(8, 4, 1, variant{})
+	tf.run(30 * clock.Second)
+	tf.cut = func(from, to *testVM) bool {
+		return (from.self.FailureDomain < "domain-2") != (to.self.FailureDomain < "domain-2")
+	}
+	tf.run(clock.Minute)
+	assert.Equal(t, tf.quorate(), 0)
+	assert.Equal(t, tf.views(board.Dead), 32, "each half serves on without the other")
+	tf.cut = nil
+	assert.Assert(t, tf.runUntil(30*clock.Second, tf.allAlive))
+	assert.Equal(t, tf.refutations(tf.vms), 0, "neither half told the other of its death")
+}
+
+func TestPausedVMWakes(t *testing.T) {
+	eachFleet(t, func(t *testing.T, size, domains int, seed uint64) {
+		tf := badFleet(size, domains, seed, variant{})
+		paused := tf.vms[2]
+		pausedAt := tf.now
+		paused.pausedUntil = tf.now + 40*clock.Second
+		tf.run(39 * clock.Second)
+		assert.Assert(t, paused.until <= pausedAt+defaultFresh)
+		tf.run(2 * clock.Second)
+		for _, vm := range paused.fleet.VMs {
+			assert.Assert(t, vm.Health != board.Dead, "the waking VM holds %s dead", vm.ID)
+		}
+		assert.Assert(t, tf.runUntil(clock.Minute, tf.allAlive))
+		assert.Equal(t, paused.refuted, 1)
+		assert.Equal(t, tf.refutations(tf.vms), 1)
+		assert.Equal(t, tf.unfenced, 0)
+	})
+}
+
+func TestNewVMLearnsTheFleet(t *testing.T) {
+	tf := newFleet(380, 8, 1, variant{})
+	tf.run(20 * clock.Second)
+	tf.loss = 0.05
+	self := tf.vms[0].self
+	self.ID, self.Peer = "domain-0-new", "10.0.1.1:7400"
+	joined := tf.addVM(self, 99, variant{})
+	tf.step(joined, Listed{VMs: tf.list()[5:8]})
+	knows := func() bool { return len(joined.fleet.VMs) == 381 && joined.until > tf.now }
+	assert.Assert(t, tf.runUntil(8*clock.Second, knows))
+	assert.Assert(t, tf.runUntil(12*clock.Second, tf.allAlive))
+}
+
+func TestLeave(t *testing.T) {
+	tf := badFleet(7, 4, 1, variant{})
+	leaver := tf.vms[4]
+	others := func(test func(vm board.VM) bool) func() bool {
+		return func() bool {
+			for _, vm := range tf.live() {
+				seen, ok := vm.fleet.VM(leaver.self.ID)
+				if vm != leaver && (!ok || !test(seen)) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	tf.step(leaver, Leave{})
+	assert.Assert(t, tf.runUntil(4*clock.Second, others(func(vm board.VM) bool {
+		return vm.Leaving && vm.Health != board.Dead
+	})))
+	tf.step(leaver, Leave{Final: true})
+	tf.kill(leaver)
+	left := others(func(vm board.VM) bool { return vm.Health == board.Left })
+	assert.Assert(t, tf.runUntil(5*clock.Second, left))
+	tf.run(30 * clock.Second)
+	assert.Assert(t, left())
+	assert.Equal(t, len(tf.detected[leaver.self.ID]), 0)
+	assert.Equal(t, leaver.dt.Quorate(tf.now), false)
+}
+
+// Four of seven are gone; when the VM list agrees, three are a majority.
+func TestRosterShrinks(t *testing.T) {
+	tf := newFleet(7, 4, 1, variant{})
+	tf.run(20 * clock.Second)
+	for _, vm := range tf.vms[:4] {
+		tf.kill(vm)
+	}
+	tf.run(3 * clock.Minute)
+	assert.Equal(t, tf.quorate(), 0)
+	for _, vm := range tf.live() {
+		tf.step(vm, Listed{VMs: tf.list()[4:]})
+	}
+	tf.run(defaultRemoveAfter - clock.Second)
+	assert.Equal(t, tf.quorate(), 0)
+	tf.run(3 * clock.Second)
+	assert.Equal(t, tf.quorate(), 3)
+	assert.Equal(t, len(tf.vms[5].fleet.VMs), 3)
+}
+
+// Whatever happens, no VM is held dead while it may start work, and when it
+// is calm again all views agree with what is.
+func TestRandomFaultsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.IntRange(3, 9).Draw(rt, "size")
+		tf := newFleet(size, 4, rapid.Uint64().Draw(rt, "seed"), variant{})
+		tf.run(15 * clock.Second)
+		one := func(label string) *testVM { return tf.vms[rapid.IntRange(0, size-1).Draw(rt, label)] }
+		for range rapid.IntRange(1, 6).Draw(rt, "faults") {
+			switch rapid.IntRange(0, 4).Draw(rt, "fault") {
+			case 0:
+				if vm := one("kill"); vm.up {
+					tf.kill(vm)
+				}
+			case 1:
+				if vm := one("restart"); !vm.up {
+					tf.restart(vm, uint64(tf.now))
+				}
+			case 2:
+				one("pause").pausedUntil = tf.now + clock.Millis(rapid.IntRange(200, 30000).Draw(rt, "span"))
+			case 3:
+				side := rapid.Uint64().Draw(rt, "side")
+				tf.cut = func(from, to *testVM) bool {
+					return side>>(hashOf(from.self.ID)%64)&1 != side>>(hashOf(to.self.ID)%64)&1
+				}
+			case 4:
+				tf.cut = nil
+			}
+			tf.loss = float64(rapid.IntRange(0, 10).Draw(rt, "loss")) / 100
+			tf.run(clock.Millis(rapid.IntRange(100, 30000).Draw(rt, "wait")))
+		}
+		tf.cut, tf.loss = nil, 0
+		tf.run(2 * clock.Minute)
+		live := len(tf.live())
+		assert.Equal(rt, tf.unfenced, 0)
+		assert.Equal(rt, tf.views(board.Alive), live*live)
+		for _, vm := range tf.live() {
+			assert.Equal(rt, vm.until > tf.now, 2*live > size)
+			for _, other := range vm.fleet.VMs {
+				assert.Equal(rt, tf.byID[other.ID].up, other.Health == board.Alive)
+			}
+		}
+	})
+}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -175,7 +175,7 @@
 		switch {
 		case !ev.vm.up:
 		case ev.ev == nil:
-			ev.vm.pausedUntil = tf.now + tf.pauseSpan(ev.vm)
+			ev.vm.pausedUntil = max(ev.vm.pausedUntil, tf.now+tf.pauseSpan(ev.vm))
 			tf.planPause(ev.vm)
 		case tf.now < ev.vm.pausedUntil:
 			tf.push(ev.vm.pausedUntil, ev.vm, ev.ev)
