membership: wait before a lost majority counts again

A VM that changed sides between two partitions lent its ack to both majorities: one held VMs dead that the other had just made quorate (found by the property test, kept as TestMajoritiesDoNotOverlap, which fails without the wait). Who lost the majority now waits for Fresh, until acks of before have run out everywhere.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -307,6 +307,8 @@
 	at := min(dt.nextHousekeep, dt.pb.next)
 	if dt.qr.until > dt.now {
 		at = min(at, dt.qr.until)
+	} else if dt.qr.reached > 0 {
+		at = min(at, dt.qr.reached+dt.Settings.Fresh)
 	}
 	for _, pr := range dt.pb.open {
 		at = min(at, pr.at)
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -239,7 +239,11 @@
 		case Changed:
 			tf.compare(vm, in.Fleet)
 		case Fresh:
+			began := vm.until <= tf.now && in.Until > tf.now
 			vm.until = in.Until
+			if began {
+				tf.checkFenced(vm)
+			}
 		case Refuted:
 			vm.refuted++
 		case Wake:
@@ -289,6 +293,18 @@
 	}
 }
 
+// checkFenced is checkFence for a VM that becomes quorate.
+func (tf *testFleet) checkFenced(target *testVM) {
+	for _, vm := range tf.live() {
+		if vm.fleet == nil || vm.until <= tf.now {
+			continue
+		}
+		if held, ok := vm.fleet.VM(target.self.ID); ok && held.Health == board.Dead {
+			tf.checkFence(held)
+		}
+	}
+}
+
 // checkFence counts a VM that a quorate one holds dead while it may still
 // start work under the same incarnation.
 func (tf *testFleet) checkFence(held board.VM) {
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -13,6 +13,8 @@
 	quorum struct {
 		samples []sample // sorted by when the probe was sent
 		quorate bool
+		lost    bool         // it was quorate, and then not
+		reached clock.Millis // since when a majority is reached without a break; zero is not
 		until   clock.Millis // when the evidence runs out without new acks
 
 		stale   bool // the counts below need to be made again
@@ -74,7 +76,10 @@
 	for _, sm := range qr.samples {
 		qr.domains[sm.mb.vm.FailureDomain].add(sm.ok, 1)
 	}
-	qr.quorate = dt.listed && !dt.left && qr.majority()
+	if !qr.majority() {
+		qr.reached = 0
+	}
+	qr.quorate = dt.listed && !dt.left && qr.majority() && dt.settled()
 	qr.until = 0
 	if qr.quorate {
 		qr.until = dt.runsOut()
@@ -85,12 +90,23 @@
 	if qr.quorate == before {
 		return
 	}
+	qr.lost = qr.lost || before
 	dt.dirty = true
 	if qr.quorate {
 		dt.regain()
 	}
 }
 
+// settled tells whether the majority is reached for long enough. A VM that
+// lost it waits for Fresh: until then, a VM that it still cannot reach may be
+// quorate by older acks of the same VMs, and may hold this one dead.
+func (dt *Detector) settled() bool {
+	if dt.qr.reached == 0 {
+		dt.qr.reached = dt.now
+	}
+	return !dt.qr.lost || dt.now-dt.qr.reached >= dt.Settings.Fresh
+}
+
 func (ta *tally) add(ok bool, by int) {
 	if ok {
 		ta.acked += by
