--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -50,12 +50,37 @@
 		fl.note(func(hs *invariant.History) { hs.Calls = append(hs.Calls, ended) })
 	}()
 	fl.t.Cleanup(func() {
+		if fl.t.Failed() {
+			og.mu.Lock()
+			fl.t.Logf("%s: %d bytes, ends %v, error %v", call.Key, len(og.call.Got), og.call.Ends, og.err)
+			og.mu.Unlock()
+			fl.explain(call.Key)
+		}
 		stop(errLeft)
 		<-og.done
 	})
 	return og
 }
 
+// explain logs what the VMs know about a request.
+func (fl *fleet) explain(key string) {
+	for _, vm := range fl.vms {
+		pr := vm.process()
+		if pr == nil || pr.over() {
+			fl.t.Logf("%s is down", vm.set.ID)
+			continue
+		}
+		reply, err := vm.ops.Explain(context.Background(), customer, key)
+		if err != nil {
+			continue
+		}
+		for _, line := range reply.Lines {
+			fl.t.Logf("%s: %s %6v %s", key, line.VM, line.Since, line.Text)
+		}
+		return
+	}
+}
+
 // endOf is the end of a call in the words of the checker. A call that broke
 // off has a refusal that promises nothing, as pkg/client would make it.
 func endOf(ctx context.Context, err error) invariant.End {
