--- a/internal/sched/bench/shares.go
+++ b/internal/sched/bench/shares.go
@@ -100,7 +100,7 @@
 		}
 		need := 1
 		if rq.cls.Work == PatientWork {
-			need = 2
+			need = 6
 		}
 		if vm.total() < need {
 			sp.borrow(vm)
@@ -148,6 +148,7 @@
 		return
 	}
 	vm.asking = true
+	sp.sm.messages += 2 // the ask and its answer
 	vm.asks++
 	lender := sp.vms[(vm.ix+vm.asks)%len(sp.vms)]
 	if lender == vm {
