--- a/internal/claim/seats.go
+++ b/internal/claim/seats.go
@@ -128,19 +128,9 @@
 	if st == nil {
 		return nil
 	}
-	ranked := rendezvous.Rank(customer+"\x00"+key, st.VMs)
 	gr := make(Group, 0, groupSize)
-	domains := make([]string, 0, groupSize)
-	for _, vm := range ranked {
-		if len(gr) < groupSize && !slices.Contains(domains, vm.FailureDomain) {
-			gr = append(gr, vm.VMRef)
-			domains = append(domains, vm.FailureDomain)
-		}
-	}
-	for _, vm := range ranked {
-		if len(gr) < groupSize && !slices.Contains(gr, vm.VMRef) {
-			gr = append(gr, vm.VMRef)
-		}
+	for _, vm := range rendezvous.Spread(customer+"\x00"+key, st.VMs, groupSize) {
+		gr = append(gr, vm.VMRef)
 	}
 	return gr
 }
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -108,15 +108,7 @@
 
 // accountantOf names the VM that accounts for a cell in this VM's view.
 func accountantOf(cellName string, fl *board.Fleet) (board.VM, bool) {
-	var fit []board.VM
-	for _, vm := range fl.Serving() {
-		if !vm.Leaving {
-			fit = append(fit, vm)
-		}
-	}
-	ranked := rendezvous.Rank("cell/"+cellName, fit)
-	if len(ranked) == 0 {
-		return board.VM{}, false
-	}
-	return ranked[0], true
+	return rendezvous.First("cell/"+cellName, fl.VMs, func(vm *board.VM) bool {
+		return (vm.Health == board.Alive || vm.Health == board.Suspect) && !vm.Leaving
+	})
 }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -38,6 +38,61 @@
 	return out
 }
 
+// First returns the most preferred of the VMs that fit, without ranking the
+// others; false if none fits.
+func First(key string, vms []board.VM, fit func(vm *board.VM) bool) (board.VM, bool) {
+	best, bestScore := -1, uint64(0)
+	var buf scratch
+	for ix := range vms {
+		if !fit(&vms[ix]) {
+			continue
+		}
+		score := buf.weight(vms[ix].ID, key)
+		if best < 0 || score > bestScore || score == bestScore && vms[ix].ID < vms[best].ID {
+			best, bestScore = ix, score
+		}
+	}
+	if best < 0 {
+		return board.VM{}, false
+	}
+	return vms[best], true
+}
+
+// Spread returns up to count VMs: the most preferred of each failure domain,
+// most preferred first, and where the domains are too few, the most preferred
+// of the others. It looks at each VM a few times and ranks none.
+func Spread(key string, vms []board.VM, count int) []board.VM {
+	scores := make([]uint64, len(vms))
+	var buf scratch
+	for ix := range vms {
+		scores[ix] = buf.weight(vms[ix].ID, key)
+	}
+	out := make([]board.VM, 0, count)
+	used := func(vm *board.VM, domains bool) bool {
+		return slices.ContainsFunc(out, func(other board.VM) bool {
+			return other.ID == vm.ID || domains && other.FailureDomain == vm.FailureDomain
+		})
+	}
+	for _, domains := range []bool{true, false} {
+		for len(out) < count {
+			best := -1
+			for ix := range vms {
+				if best >= 0 && (scores[ix] < scores[best] || scores[ix] == scores[best] && vms[ix].ID > vms[best].ID) {
+					continue
+				}
+				if !used(&vms[ix], domains) {
+					best = ix
+				}
+			}
+			if best < 0 {
+				break
+			}
+			out = append(out, vms[best])
+		}
+	}
+	return out
+}
+
 // Pair returns the home VM of the key and its backup: the most preferred VM
 // of another failure domain than the home's. When one VM or one whole failure
 // domain joins or goes, the pair before and the pair after share a VM. The
@@ -69,4 +124,15 @@
 	return out[:most]
 }
 
-func weight(id, key string) uint64 { return xxhash.Sum64String(id + "\x00" + key) }
+func weight(id, key string) uint64 {
+	var buf scratch
+	return buf.weight(id, key)
+}
+
+// scratch holds what is hashed, so that it is not made anew for each VM.
+type scratch []byte
+
+func (sc *scratch) weight(id, key string) uint64 {
+	*sc = append(append(append((*sc)[:0], id...), 0), key...)
+	return xxhash.Sum64(*sc)
+}
