--- /dev/null
+++ b/internal/slope/fleet.go
@@ -0,0 +1,174 @@
+package slope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/entry"
+	"alderdyke/internal/standin/deployment"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	restSettle = 8 * clock.Second
+	restSpan   = 12 * clock.Second
+	seenWithin = 60 * clock.Second
+	seenPoll   = 100 * clock.Millis(1)
+	lingerFor  = 500 * clock.Millis(1)
+	realTarget = 96 // VMs in one process
+)
+
+var (
+	realCounts = []int{3, 6, 12, 24, 48, 96}
+
+	errUnseen = errors.New("the VMs did not see each other in time")
+)
+
+type (
+	// realFleet is real VMs and the stand-ins around them, in this process.
+	realFleet struct {
+		dp     *deployment.Deployment
+		vms    []*entry.VM
+		scopes []tally.TestScope
+		stop   context.CancelFunc
+		group  *errgroup.Group
+	}
+
+	// restSeries are what one real VM spends at rest.
+	restSeries struct{ time, allocs, memory, datagrams, frames *Series }
+)
+
+// measureFleet runs real VMs at rest. Processor time, objects and memory are
+// those of the whole process, with the stand-ins in it: the slope is what one
+// more VM adds, with the answers to its polls.
+func measureFleet(ctx context.Context, rp *Report) error {
+	along := func(name, unit string, kind Kind, shape Shape) *Series {
+		return rp.series(Series{Name: name, Along: "VMs", Unit: unit, Kind: kind, Shape: shape, Target: realTarget})
+	}
+	rs := restSeries{
+		time:      along("RestTime", "us/s of processor time of the process", Time, Linear),
+		allocs:    along("RestAllocations", "objects/s of the process", Count, Linear),
+		memory:    along("RestMemory", "B of the process", Memory, Linear),
+		datagrams: along("RestDatagramBytes", "B/s of datagrams of a VM, sent and received, without headers", Count, Logarithmic),
+		frames:    along("RestFrameBytes", "B/s over TCP between VMs of a VM, sent and received", Count, Constant),
+	}
+	for _, count := range realCounts {
+		if err := rs.measure(ctx, count); err != nil {
+			return fmt.Errorf("%d VMs: %w", count, err)
+		}
+	}
+	return nil
+}
+
+func (rs restSeries) measure(ctx context.Context, count int) error {
+	empty := held()
+	rf, err := startFleet(ctx, count)
+	if err != nil {
+		return err
+	}
+	err = rs.rest(ctx, rf, empty)
+	return errors.Join(err, rf.close())
+}
+
+func (rs restSeries) rest(ctx context.Context, rf *realFleet, empty float64) error {
+	if err := rf.await(ctx); err != nil {
+		return err
+	}
+	if err := pass(ctx, restSettle); err != nil {
+		return err
+	}
+	count := len(rf.vms)
+	datagrams, frames, objects := rf.sum("PeerDatagramBytes"), rf.sum("PeerBytes"), allocations()
+	began, err := processor()
+	if err != nil {
+		return err
+	}
+	if err := pass(ctx, restSpan); err != nil {
+		return err
+	}
+	ended, err := processor()
+	if err != nil {
+		return err
+	}
+	rs.time.add(count, float64((ended-began).Microseconds())/seconds(restSpan))
+	rs.allocs.add(count, (allocations()-objects)/seconds(restSpan))
+	per := seconds(restSpan) * float64(count)
+	rs.datagrams.add(count, (rf.sum("PeerDatagramBytes")-datagrams)/per)
+	rs.frames.add(count, (rf.sum("PeerBytes")-frames)/per)
+	rs.memory.add(count, held()-empty)
+	return nil
+}
+
+func startFleet(ctx context.Context, count int) (*realFleet, error) {
+	ctx, stop := context.WithCancel(ctx)
+	rf := &realFleet{stop: stop, group: &errgroup.Group{}}
+	rf.dp = &deployment.Deployment{Model: "rapportmodel", Prefill: 4, Decode: 8, PlainService: "feltapp", Plain: 4, Apart: true}
+	if err := rf.dp.Start(); err != nil {
+		stop()
+		return nil, fmt.Errorf("start the stand-ins: %w", err)
+	}
+	for ix := range count {
+		set, err := rf.dp.VM(fleetVM(ix).ID, fleetVM(ix).FailureDomain)
+		if err != nil {
+			return nil, errors.Join(err, rf.close())
+		}
+		set.Addresses.KeepFor, set.Drain.Linger = lingerFor, lingerFor
+		scope := tally.NewTestScope("", nil)
+		rf.scopes = append(rf.scopes, scope)
+		rf.vms = append(rf.vms, &entry.VM{Settings: set, Incarnation: startedAt, Scope: scope, Board: &board.Board{}})
+	}
+	rf.dp.Publish()
+	for _, vm := range rf.vms {
+		rf.group.Go(func() error { return vm.Run(ctx) })
+	}
+	return rf, nil
+}
+
+// await waits until every VM sees all others alive.
+func (rf *realFleet) await(ctx context.Context) error {
+	ctx, stop := context.WithTimeoutCause(ctx, seenWithin.Std(), errUnseen)
+	defer stop()
+	for _, vm := range rf.vms {
+		for len(vm.Board.Fleet().Serving()) < len(rf.vms) {
+			if err := pass(ctx, seenPoll); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// sum adds the counters of the given beginning, sent and received, of all VMs.
+func (rf *realFleet) sum(name string) float64 {
+	total := int64(0)
+	for _, scope := range rf.scopes {
+		snap := scope.Snapshot().Counters()
+		for _, way := range []string{"Sent+", "Received+"} {
+			if ct, ok := snap[name+way]; ok {
+				total += ct.Value()
+			}
+		}
+	}
+	return float64(total)
+}
+
+func (rf *realFleet) close() error {
+	rf.stop()
+	err := rf.group.Wait()
+	return errors.Join(err, rf.dp.Close())
+}
+
+func pass(ctx context.Context, span clock.Millis) error {
+	select {
+	case <-time.After(span.Std()):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait: %w", context.Cause(ctx))
+	}
+}
