--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -76,7 +76,9 @@
 	// server after Decided.Until without a new Revalidate.
 	Run Verdict = "Run"
 	// Follow: the key runs or ran at Runner, which holds the answer. A
-	// runner that does not know the key has given it up: begin again.
+	// runner that does not know the key has given it up: begin again. One
+	// that can't be reached may have a decode that can be read on: it is
+	// EngineRequest at DecodeServer, and must not be cancelled.
 	Follow Verdict = "Follow"
 	// TakeOver: as Run, after a runner that died. A request that is not
 	// idempotent may only resume EngineRequest at DecodeServer.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -336,6 +336,21 @@
 	return true
 }
 
+// readOn follows the decode of a runner that can't be reached. The decode
+// stays the runner's: it is neither cancelled nor claimed.
+func (rn *run) readOn(ctx context.Context, dec claim.Decided) bool {
+	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
+	if !ok || rn.req.Chat == nil {
+		return false
+	}
+	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, rn.tokens())
+	if err != nil {
+		return false
+	}
+	rn.tr.add(event.ReadOn, srv.ID)
+	return rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens()) == nil
+}
+
 // stream passes tokens on until the last one, and opens a broken stream again
 // where it broke. Tokens below have are in the answer already.
 func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, have int) error {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,10 +16,30 @@
 	"alderdyke/pkg/refusal"
 )
 
-// claimPatience bounds the search for the VMs that account for a key.
-const claimPatience = 3 * clock.Second
+const (
+	// claimPatience bounds the search for the VMs that account for a key.
+	claimPatience = 3 * clock.Second
+	// followPause is the longest pause before a lost runner is looked for
+	// again; it may still be held alive.
+	followPause = 800 * clock.Millis(1)
+)
+
+// Roles.
+const (
+	searching role = iota // it is not decided yet
+	running
+	following
+)
 
 var (
+	// errNotKept ends the request of a caller who has a part of an answer
+	// that nobody has any more. A fresh run could make another answer.
+	errNotKept = refusal.Refusal{
+		Ran:    refusal.MayHaveRun,
+		Reason: refusal.AnswerExpired,
+		Detail: "the answer that the caller has a part of is no longer kept",
+	}
+
 	errAgain = errors.New("the key must be claimed anew")
 	errLost  = errors.New("another VM took the request over")
 )
@@ -40,15 +60,20 @@
 		arrived  clock.Millis
 		deadline clock.Millis
 
-		claimed *claimant    // link to the seats of the key
-		attempt int          // number of the claim that this VM runs under
-		until   clock.Millis // up to when the claim stands unconfirmed
-		late    bool         // came while this VM was leaving; it may only be followed
-		sent    atomic.Bool  // a backend server may have begun
-		runner  atomic.Bool  // this VM runs the request, it does not follow another
-		away    *time.Timer  // ends the run when no caller came back
+		claimed  *claimant    // link to the seats of the key
+		followed board.VMRef  // the runner that was followed last
+		attempt  int          // number of the claim that this VM runs under
+		until    clock.Millis // up to when the claim stands unconfirmed
+		late     bool         // came while this VM was leaving; it may only be followed
+		sent     atomic.Bool  // a backend server may have begun, here or for another VM
+		role     atomic.Int32 // of type role
+		turned   signal       // the role changed, or the answer has its end
+		away     *time.Timer  // ends the run when no caller came back
 	}
 
+	// role is what this VM does for a request.
+	role int32
+
 	// failure is the end of one attempt at backend servers.
 	failure struct {
 		stage string
@@ -70,6 +95,7 @@
 		arrived:  now,
 		deadline: now + req.Deadline,
 	}
+	rn.sent.Store(req.Resumed)
 	rn.tr = vm.traces.of(rn.id)
 	ctx, cancel := context.WithCancelCause(vm.runCtx)
 	rn.ctx, rn.cancel = ctx, cancel
@@ -103,6 +129,7 @@
 // live runs the request to its one end.
 func (rn *run) live() {
 	defer rn.vm.ended(rn)
+	defer rn.turned.raise()
 	defer rn.cancel(nil)
 	ctx, stop := context.WithTimeoutCause(rn.ctx, (rn.deadline - rn.vm.Clock.Now()).Std(), refusal.Refusal{
 		Ran:    refusal.MayHaveRun,
@@ -123,12 +150,12 @@
 // starts over and follows that VM.
 func (rn *run) execute(ctx context.Context) error {
 	var givenUp board.VMRef
-	for {
+	for pause := reopenPause; ; pause = min(2*pause, followPause) {
 		err := rn.once(ctx, &givenUp)
 		if err == nil || !errors.Is(err, errAgain) {
 			return err
 		}
-		if !sleep(ctx, reopenPause) {
+		if !sleep(ctx, pause) {
 			return context.Cause(ctx)
 		}
 	}
@@ -137,6 +164,7 @@
 // once makes one claim and acts on it. It returns errAgain if the request
 // must be claimed anew.
 func (rn *run) once(ctx context.Context, givenUp *board.VMRef) error {
+	rn.become(searching)
 	if rn.vm.seats.Load() == nil {
 		return rn.withoutSeats(ctx)
 	}
@@ -151,23 +179,24 @@
 	switch dec.Verdict {
 	case claim.Run, claim.TakeOver:
 		rn.attempt, rn.until = int(dec.Attempt), dec.Until
-		rn.runner.Store(true)
-		if dec.Verdict == claim.TakeOver {
-			rn.sent.Store(true) // by the VM before this one
-		}
+		rn.become(running)
 		if err := rn.serve(mine, dec); !errors.Is(context.Cause(mine), errLost) {
 			rn.report(err)
 			return err
 		}
-		rn.runner.Store(false)
+		return errAgain
+	case claim.Lost:
 		return errAgain
 	case claim.Follow:
-		return rn.followOnce(mine, dec.Runner, givenUp)
+		rn.become(following)
+		return rn.followOnce(mine, dec, givenUp)
 	case claim.Unavailable:
 		if !rn.req.Class.Idempotent {
 			return claimRefusal(dec)
 		}
-		return rn.unclaimed(mine)
+		rn.become(running)
+		rn.doubtGivenKey()
+		return rn.serve(mine, dec)
 	default:
 		return claimRefusal(dec)
 	}
@@ -185,27 +214,53 @@
 		}
 	}
 	rn.claimed = rn.vm.noClaim()
-	return rn.unclaimed(ctx)
+	rn.become(running)
+	rn.doubtGivenKey()
+	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
-// unclaimed runs an idempotent request without the grants of its key's seats.
-// A key of the caller's own may have run elsewhere, so that nothing can be
-// promised about it any more.
-func (rn *run) unclaimed(ctx context.Context) error {
-	rn.runner.Store(true)
+// doubtGivenKey notes, for a request that runs without its seats' word, that
+// the same key may have run before: callers send one again.
+func (rn *run) doubtGivenKey() {
 	if rn.req.KeyGiven {
 		rn.sent.Store(true)
 	}
-	return rn.serve(ctx, claim.Decided{Verdict: claim.Run})
 }
 
-func (rn *run) followOnce(ctx context.Context, runner board.VMRef, givenUp *board.VMRef) error {
-	err := rn.follow(ctx, runner)
-	if err == nil {
-		return nil
+// become sets the role and tells those who wait for it.
+func (rn *run) become(ro role) {
+	rn.role.Store(int32(ro))
+	rn.turned.raise()
+}
+
+func (rn *run) is(ro role) bool { return role(rn.role.Load()) == ro }
+
+// settled waits until the role is decided or the answer has its end.
+func (rn *run) settled(ctx context.Context) {
+	for {
+		turned := rn.turned.wait()
+		if _, final := rn.st.Len(); final || !rn.is(searching) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-turned:
+		}
 	}
-	if errors.Is(err, errUnknownKey) {
-		*givenUp = runner
+}
+
+// followOnce passes on the answer of the VM that runs the request. If that VM
+// can't be reached, its decode is read on at the engine, which starts nothing.
+func (rn *run) followOnce(ctx context.Context, dec claim.Decided, givenUp *board.VMRef) error {
+	err := rn.follow(ctx, dec.Runner)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errUnknownKey):
+		*givenUp = dec.Runner
+	case rn.readOn(ctx, dec):
+		return nil
 	}
 	return errAgain
 }
@@ -214,6 +269,12 @@
 	if rn.late {
 		return drainingRefusal()
 	}
+	if rn.req.Resumed && dec.Verdict != claim.TakeOver {
+		return errNotKept
+	}
+	if dec.Verdict == claim.TakeOver {
+		rn.sent.Store(true) // the VM before this one may have sent it
+	}
 	if rn.req.Plain != nil {
 		return rn.plain(ctx)
 	}
@@ -223,7 +284,7 @@
 		if rn.resume(ctx, dec) {
 			return nil
 		}
-		if !rn.req.Class.Idempotent {
+		if !rn.req.Class.Idempotent || rn.req.Resumed {
 			return refusal.Refusal{Reason: refusal.VMLost, Detail: "the VM that ran the request is lost"}
 		}
 	}
@@ -235,7 +296,7 @@
 	switch {
 	case err == nil:
 		rn.claimed.became(claim.Complete, "", "")
-	case !rn.sent.Load():
+	case !rn.sent.Load() || errors.Is(err, errNotKept):
 		rn.claimed.became(claim.RefusedNotRun, "", "")
 	}
 }
@@ -255,23 +316,26 @@
 		event.F("Error", err.Error()))
 }
 
+// refusalOf is the truth about an error. What another VM or its seats said
+// stands as it is, unless a backend server may have begun the request.
 func (rn *run) refusalOf(ctx context.Context, err error) refusal.Refusal {
 	var rf refusal.Refusal
 	if cause := context.Cause(ctx); !errors.As(cause, &rf) && !errors.As(err, &rf) {
 		rf = refusal.Refusal{
-			Ran:        refusal.NotRun,
+			Ran:        refusal.MayHaveRun,
 			Reason:     refusal.BackendFailed,
 			RetryAfter: clock.Second,
 			Detail:     "no backend server could finish the request",
 		}
 	}
-	if !rn.runner.Load() {
-		return rf
-	}
-	if rn.sent.Load() {
+	switch {
+	case rn.sent.Load():
 		return rf.WithRan(refusal.MayHaveRun)
+	case rn.is(running):
+		return rf.WithRan(refusal.NotRun)
+	default:
+		return rf
 	}
-	return rf.WithRan(refusal.NotRun)
 }
 
 // claimRefusal is the refusal that a verdict other than to run stands for.
--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -89,7 +89,7 @@
 		fn  func()
 	}
 
-	timers []timer
+	timers []*timer
 
 	sim struct {
 		Setup
@@ -103,6 +103,7 @@
 		fills    map[*request]*fill
 		policy   decider
 		requests []*request
+		ended    int // requests that have their end
 		lag      float64
 		span     float64
 		from     float64
@@ -126,11 +127,12 @@
 func (ts timers) Swap(ia, ib int) { ts[ia], ts[ib] = ts[ib], ts[ia] }
 
 // Push is that of heap.Interface.
-func (ts *timers) Push(val any) { *ts = append(*ts, val.(timer)) }
+func (ts *timers) Push(val any) { *ts = append(*ts, val.(*timer)) }
 
 // Pop is that of heap.Interface.
 func (ts *timers) Pop() any {
 	last := (*ts)[len(*ts)-1]
+	(*ts)[len(*ts)-1] = nil
 	*ts = (*ts)[:len(*ts)-1]
 	return last
 }
@@ -162,9 +164,12 @@
 	sm.planReports()
 	sm.planFault()
 	for len(sm.queue) > 0 && sm.queue[0].at < sm.span+drainFor {
-		tm := heap.Pop(&sm.queue).(timer)
+		tm := heap.Pop(&sm.queue).(*timer)
 		sm.now = tm.at
 		tm.fn()
+		if sm.now > sm.span && sm.ended == len(sm.requests) {
+			break
+		}
 	}
 	return sm.result()
 }
@@ -225,7 +230,7 @@
 
 func (sm *sim) after(span float64, fn func()) {
 	sm.seq++
-	heap.Push(&sm.queue, timer{at: sm.now + span, seq: sm.seq, fn: fn})
+	heap.Push(&sm.queue, &timer{at: sm.now + span, seq: sm.seq, fn: fn})
 }
 
 // vmDomain is the failure domain of a VM.
@@ -340,27 +345,33 @@
 	rq.prefill, rq.decode = en, nil
 	att := rq.att
 	sm.after(sm.delay(sm.vmDomain(rq.vm), en.domain), func() {
-		if rq.att != att || rq.ends > 0 {
-			return
+		if rq.att == att && rq.ends == 0 {
+			sm.fills[rq] = en.start(rq, att, func(ok bool) { sm.filled(rq, att, ok) },
+				func() { sm.lapsed(rq, att) })
 		}
-		sm.fills[rq] = en.start(rq, att, func(ok bool) {
-			if rq.att != att {
-				return
-			}
-			if ok {
-				sm.tell(rq, en.domain, func() { sm.policy.prefilled(rq) }, 0)
-			} else {
-				sm.tell(rq, en.domain, func() { sm.policy.lost(rq) }, lossNoticed)
-			}
-		}, func() {
-			if rq.att == att {
-				sm.dropImport(rq)
-			}
-			sm.tell(rq, en.domain, func() { sm.policy.lost(rq) }, 0)
-		})
 	})
 }
 
+// filled tells the VM that a prefill is complete or lost.
+func (sm *sim) filled(rq *request, att int, ok bool) {
+	if rq.att != att {
+		return
+	}
+	if ok {
+		sm.tell(rq, rq.prefill.domain, func() { sm.policy.prefilled(rq) }, 0)
+		return
+	}
+	sm.tell(rq, rq.prefill.domain, func() { sm.policy.lost(rq) }, lossNoticed)
+}
+
+// lapsed drops a KV cache that was not sent in time, and what was sent of it.
+func (sm *sim) lapsed(rq *request, att int) {
+	if rq.att == att {
+		sm.dropImport(rq)
+		sm.tell(rq, rq.prefill.domain, func() { sm.policy.lost(rq) }, 0)
+	}
+}
+
 // cancel gives up the present attempt: its prefill and its KV cache.
 func (sm *sim) cancel(rq *request) {
 	att, fl := rq.att, sm.fills[rq]
@@ -435,6 +446,7 @@
 func (sm *sim) finish(rq *request) {
 	sm.policy.ended(rq)
 	rq.ends++
+	sm.ended++
 	rq.end = sm.now
 	delete(sm.fills, rq)
 }
@@ -446,6 +458,7 @@
 	}
 	sm.cancel(rq)
 	rq.ends++
+	sm.ended++
 	rq.end = sm.now
 	rq.refused = &rf
 	delete(sm.fills, rq)
