--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -111,15 +111,7 @@
 // cost some refusals of full engines, while a cell without an accountant costs
 // every request its placement.
 func accountantOf(cellName string, fl *board.Fleet) (board.VM, bool) {
-	var fit []board.VM
-	for _, vm := range fl.VMs {
-		if vm.Health == board.Alive && !vm.Leaving {
-			fit = append(fit, vm)
-		}
-	}
-	ranked := rendezvous.Rank("cell/"+cellName, fit)
-	if len(ranked) == 0 {
-		return board.VM{}, false
-	}
-	return ranked[0], true
+	return rendezvous.First("cell/"+cellName, fl.VMs, func(vm *board.VM) bool {
+		return vm.Health == board.Alive && !vm.Leaving
+	})
 }
