--- a/internal/sched/bench/sim.go
+++ b/internal/sched/bench/sim.go
@@ -198,7 +198,7 @@
 		sm.decodes = append(sm.decodes, de)
 		sm.byID[de.id] = de
 	}
-	loads := rand.New(rand.NewPCG(su.Seed, 5))
+	loads := rand.New(rand.NewPCG(su.Seed, arrivalStream))
 	if su.Surge > 0 {
 		first := dp.generate(loads, su.Load, sm.span/2, su.Flood)
 		for _, rq := range dp.generate(loads, su.Surge, sm.span/2, su.Flood) {
--- /dev/null
+++ b/internal/standin/deployment/stage.go
@@ -0,0 +1,66 @@
+package deployment
+
+import (
+	_ "embed" // for the template of the settings
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/template"
+
+	"alderdyke/internal/settings"
+)
+
+// Modes of what is written for VMs.
+const (
+	folderMode = 0o755
+	fileMode   = 0o600
+)
+
+//go:embed settings.tmpl
+var settingsText string
+
+var settingsTemplate = template.Must(template.New("settings").Parse(settingsText))
+
+// stagedVM is what the settings file of one VM is made of.
+type stagedVM struct {
+	settings.Settings
+	PeerSecret, OperatorToken, LogToken, ListToken, BackendToken string
+}
+
+// Stage writes the settings of VMs into a folder, each in a file named after
+// its ID, and beside them the operators' token, so that they can be run as
+// processes of their own. It returns the names of the settings files.
+func Stage(dir string, sets []settings.Settings) ([]string, error) {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, fmt.Errorf("make the folder of the settings: %w", err)
+	}
+	token := filepath.Join(dir, "operator.token")
+	if err := os.WriteFile(token, []byte(OperatorToken+"\n"), fileMode); err != nil {
+		return nil, fmt.Errorf("write the operators' token: %w", err)
+	}
+	var names []string
+	for _, set := range sets {
+		name := filepath.Join(dir, set.ID+".toml")
+		if err := stageVM(name, set); err != nil {
+			return nil, fmt.Errorf("write the settings of %s: %w", set.ID, err)
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+func stageVM(name string, set settings.Settings) error {
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return settingsTemplate.Execute(file, stagedVM{
+		Settings:      set,
+		PeerSecret:    PeerSecret,
+		OperatorToken: OperatorToken,
+		LogToken:      LogToken,
+		ListToken:     ListToken,
+		BackendToken:  BackendToken,
+	})
+}
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -50,6 +50,9 @@
 	if en.Settings.VaryLength {
 		want = max(standin.Length(rn.kv.hash, od.MaxTokens), rn.kv.base+1)
 	}
+	if rn.kv.length > 0 {
+		want = max(min(od.MaxTokens, rn.kv.length), rn.kv.base+1)
+	}
 	rn.rec.Decodes++
 	en.enter(rn, sched.Decoding)
 	en.work.Go(func() { en.generate(rn, want) })
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -54,15 +54,18 @@
 		TPOT                   clock.Millis // of a decode that is alone in its batch
 		BatchSlowdown          float64      // added part of TPOT for each other decode; zero adds nothing
 		VaryLength             bool         // answers end early, at standin.Length
-		KeepEnded              clock.Millis // how long a finished answer can be resumed
-		KeepCancelled          clock.Millis // how long a cancelled request's orders are declined
-		CacheBlocks            int          // prefix cache, in blocks of engine.BlockBytes
-		CacheEventLag          clock.Millis // zero is none
-		CacheEventLoss         float64      // part of cache events that never come; zero is none
-		LoadLag                clock.Millis // zero is none
-		LoadTime               clock.Millis // to load a model, adapter or version; zero is none
-		ChecksFencing          bool         // declines an old fencing number
-		Token                  string       // bearer token asked of every call; empty asks for none
+		// Length says how long the answer to a prompt is, up to the bound that
+		// the order states; nil leaves it to VaryLength.
+		Length         func(prompt string, bound int) int
+		KeepEnded      clock.Millis // how long a finished answer can be resumed
+		KeepCancelled  clock.Millis // how long a cancelled request's orders are declined
+		CacheBlocks    int          // prefix cache, in blocks of engine.BlockBytes
+		CacheEventLag  clock.Millis // zero is none
+		CacheEventLoss float64      // part of cache events that never come; zero is none
+		LoadLag        clock.Millis // zero is none
+		LoadTime       clock.Millis // to load a model, adapter or version; zero is none
+		ChecksFencing  bool         // declines an old fencing number
+		Token          string       // bearer token asked of every call; empty asks for none
 	}
 
 	// Engine is one stand-in. Set the exported fields before the first call.
@@ -127,6 +130,7 @@
 		hash   uint64
 		tokens int
 		base   int // output tokens that were answered before
+		length int // of the answer, if Settings.Length says so; zero otherwise
 		bytes  int64
 		until  time.Time
 		pins   int // transfers in progress
--- a/internal/standin/engine/prefill.go
+++ b/internal/standin/engine/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -52,6 +53,9 @@
 		hash: contextHash(od), tokens: od.PromptTokens, base: len(od.Answered),
 		bytes: int64(od.PromptTokens) * en.Settings.KVBytesPerToken,
 	}
+	if en.Settings.Length != nil {
+		rn.kv.length = en.Settings.Length(od.Prompt, math.MaxInt32)
+	}
 	rn.rec.KV, rn.rec.PromptHash, rn.rec.PromptTokens = rn.kv.name, rn.kv.hash, rn.kv.tokens
 	en.enter(rn, wire.Queued)
 	en.work.Go(func() { en.compute(rn, od) })
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -28,6 +28,7 @@
 		Hash   uint64
 		Tokens int
 		Base   int // output tokens that were answered before
+		Length int // of the answer; zero if the prompt does not say
 		Bytes  int64
 	}
 
@@ -76,7 +77,7 @@
 // connection is written to without holding the link.
 func (en *Engine) send(rw http.ResponseWriter, rn, tr *run) {
 	enc, flush := json.NewEncoder(rw), http.NewResponseController(rw)
-	if enc.Encode(kvHead{Hash: rn.kv.hash, Tokens: rn.kv.tokens, Base: rn.kv.base, Bytes: rn.kv.bytes}) != nil {
+	if enc.Encode(kvHead{Hash: rn.kv.hash, Tokens: rn.kv.tokens, Base: rn.kv.base, Length: rn.kv.length, Bytes: rn.kv.bytes}) != nil {
 		return
 	}
 	for part := range en.export(rn, tr) {
@@ -209,7 +210,7 @@
 		en.finish(rn, TransferFailed)
 		return
 	}
-	rn.kv = kvCache{hash: head.Hash, tokens: head.Tokens, base: head.Base, bytes: head.Bytes}
+	rn.kv = kvCache{hash: head.Hash, tokens: head.Tokens, base: head.Base, length: head.Length, bytes: head.Bytes}
 	rn.rec.PromptHash, rn.rec.PromptTokens = head.Hash, head.Tokens
 	en.enter(rn, wire.Imported)
 	close(rn.done)
