--- /dev/null
+++ b/cmd/alderslope/main.go
@@ -0,0 +1,47 @@
+// Command alderslope measures how the cost of one VM's control grows, and
+// writes the points, the fits and a plot of each into a folder, from which
+// docs/CAPACITY.md quotes. See "alderslope --help".
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/integrii/flaggy"
+
+	"alderdyke/internal/slope"
+)
+
+func main() {
+	folder := "docs/capacity"
+	var names []string
+	flaggy.SetName("alderslope")
+	flaggy.SetDescription("Measures the slopes of docs/CAPACITY.md.")
+	flaggy.String(&folder, "o", "out", "folder to write to")
+	flaggy.StringSlice(&names, "s", "study", "only these studies")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := run(ctx, folder, names)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "alderslope:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, folder string, names []string) error {
+	studies, err := slope.Named(names)
+	if err != nil {
+		return fmt.Errorf("choose the studies: %w", err)
+	}
+	rp := &slope.Report{}
+	if err := slope.Run(ctx, studies, rp); err != nil {
+		return fmt.Errorf("measure: %w", err)
+	}
+	if err := rp.Write(folder); err != nil {
+		return fmt.Errorf("write to %s: %w", folder, err)
+	}
+	return nil
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -68,22 +68,15 @@
 		scores[ix] = buf.weight(vms[ix].ID, key)
 	}
 	out := make([]board.VM, 0, count)
-	used := func(vm *board.VM, domains bool) bool {
-		return slices.ContainsFunc(out, func(other board.VM) bool {
-			return other.ID == vm.ID || domains && other.FailureDomain == vm.FailureDomain
-		})
+	apart := func(vm *board.VM) bool {
+		return !slices.ContainsFunc(out, func(other board.VM) bool { return other.FailureDomain == vm.FailureDomain })
 	}
-	for _, domains := range []bool{true, false} {
+	fresh := func(vm *board.VM) bool {
+		return !slices.ContainsFunc(out, func(other board.VM) bool { return other.ID == vm.ID })
+	}
+	for _, fit := range []func(*board.VM) bool{apart, fresh} {
 		for len(out) < count {
-			best := -1
-			for ix := range vms {
-				if best >= 0 && (scores[ix] < scores[best] || scores[ix] == scores[best] && vms[ix].ID > vms[best].ID) {
-					continue
-				}
-				if !used(&vms[ix], domains) {
-					best = ix
-				}
-			}
+			best := bestOf(vms, scores, fit)
 			if best < 0 {
 				break
 			}
@@ -93,6 +86,21 @@
 	return out
 }
 
+// bestOf finds the VM with the highest score among those that fit; -1 if none
+// does. Of equal scores the lower ID wins, as in Rank.
+func bestOf(vms []board.VM, scores []uint64, fit func(vm *board.VM) bool) int {
+	best := -1
+	for ix := range vms {
+		if best >= 0 && (scores[ix] < scores[best] || scores[ix] == scores[best] && vms[ix].ID > vms[best].ID) {
+			continue
+		}
+		if fit(&vms[ix]) {
+			best = ix
+		}
+	}
+	return best
+}
+
 // Pair returns the home VM of the key and its backup: the most preferred VM
 // of another failure domain than the home's. When one VM or one whole failure
 // domain joins or goes, the pair before and the pair after share a VM. The
--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -108,7 +109,7 @@
 func startFleet(ctx context.Context, count int) (*realFleet, error) {
 	ctx, stop := context.WithCancel(ctx)
 	rf := &realFleet{stop: stop, group: &errgroup.Group{}}
-	rf.dp = &deployment.Deployment{Model: "rapportmodel", Prefill: 4, Decode: 8, PlainService: "feltapp", Plain: 4, Apart: true}
+	rf.dp = &deployment.Deployment{Model: "rapportmodel", Prefill: 4, Decode: 8, PlainService: "feltapp", Plain: 4, Hosts: hosts(count)}
 	if err := rf.dp.Start(); err != nil {
 		stop()
 		return nil, fmt.Errorf("start the stand-ins: %w", err)
@@ -130,6 +131,16 @@
 	return rf, nil
 }
 
+// hosts are loopback addresses, one for each VM, so that the ports of many
+// VMs never meet those of connections that others made.
+func hosts(count int) []netip.Addr {
+	var out []netip.Addr
+	for ix := range count {
+		out = append(out, netip.AddrFrom4([4]byte{127, 3, byte(ix / 250), byte(1 + ix%250)}))
+	}
+	return out
+}
+
 // await waits until every VM sees all others alive.
 func (rf *realFleet) await(ctx context.Context) error {
 	ctx, stop := context.WithTimeoutCause(ctx, seenWithin.Std(), errUnseen)
