balance, peer: age comparisons, return an error from Close

Cause: a server that stood out when reports stopped stood out for ever; Conn did not satisfy io.Closer.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -113,7 +113,9 @@
 		servers   []*server // sorted by ID, leaving ones left out
 		customers map[string]*customer
 		inFlight  int
-		crowded   bool // by the reports there is more work than room
+
+		comparedAt clock.Millis
+		crowded    bool // by the reports there is more work than room
 	}
 )
 
@@ -181,6 +183,9 @@
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.NoBackend,
 			RetryAfter: ch.Settings.RetryAfter, Detail: "no server of the service takes new work"}
 	}
+	if now-svc.comparedAt >= compareEvery {
+		svc.compare(now, ch.Settings) // reports may have grown stale
+	}
 	cu := svc.customer(ask.Customer)
 	cu.note(now, ask.Share, ch.Settings.Active)
 	if !ch.admits(now, svc, cu) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -300,6 +300,8 @@
 	}
 	admitted(t, ch, 5, "other", 1, 20)
 	assert.Equal(t, len(admitted(t, ch, 5, "flood", 0.1, 1000)), 4) // a tenth of 20, with slack
+	// Reports that are stale say nothing.
+	assert.Equal(t, len(admitted(t, ch, 5+DefaultReportStale, "flood", 0.1, 1000)), 9) // 33 in all
 }
 
 func TestFloorOfOne(t *testing.T) {
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -19,6 +19,8 @@
 	// standard deviations of a Poisson count, and this many requests.
 	outDeviations = 2
 	outRequests   = 1
+	// compareEvery is how often servers are compared anew without a report.
+	compareEvery = clock.Second
 )
 
 // server is what this VM knows of one backend server.
@@ -73,6 +75,7 @@
 // compare finds the servers that stand out, for each slot that they have, and
 // whether all together have more work than room.
 func (svc *service) compare(now clock.Millis, st Settings) {
+	svc.comparedAt = now
 	var load, recent, slots float64
 	for _, srv := range svc.servers {
 		if srv.fresh(now, st) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -68,11 +68,15 @@
 }
 
 // Close ends the stream in both directions; the peer's Recv returns io.EOF
-// after the frames that were sent. More than one call does no harm.
-func (cn *Conn) Close() {
+// after the frames that were sent. More than one call does no harm. The error
+// tells that the peer could not be told, which it learns by itself in time.
+func (cn *Conn) Close() error {
 	cn.detach()
 	cn.end()
-	_ = cn.st.Close()
+	if err := cn.st.Close(); err != nil {
+		return cn.broken(err)
+	}
+	return nil
 }
 
 // Watch returns a context that ends when the peer closes the stream or is
