entry: keep the stream to the accountant open beyond its opening

Cause: the stream was opened under the context of the dial, which ended at once, so every request was placed by load reports and many quick ones were refused with SchedulerAway. Ruled out: the accountant's view of the fleet (one VM held the cell throughout) and the limit of streams. Change: the stream is bound by the reservation; the transport's own timeouts bound the dial.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,8 +12,15 @@
 	"alderdyke/pkg/clock"
 )
 
-// callWithin bounds one call to another VM.
-const callWithin = 1 * clock.Second
+// Bounds of what is asked of another VM.
+const (
+	callWithin      = 1 * clock.Second
+	dialWithin      = 400 * clock.Millis(1)
+	handshakeWithin = 800 * clock.Millis(1)
+	// peerStreams bounds the streams that one VM may hold open here: mostly
+	// reservations, which live as long as their requests and those that wait.
+	peerStreams = 2048
+)
 
 // peerHandler serves the streams that other VMs open.
 type peerHandler struct{ vm *VM }
@@ -95,9 +102,7 @@
 		vm.wg.Go(func() { vm.serveLocal(far) })
 		return near, nil
 	}
-	dial, stop := context.WithTimeout(ctx, answerWithin.Std())
-	defer stop()
-	cn, err := vm.Peers.Open(dial, to)
+	cn, err := vm.Peers.Open(ctx, to) // the context holds for the stream's whole life
 	if err != nil {
 		return nil, fmt.Errorf("open a stream to the accountant %s: %w", to.ID, err)
 	}
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -189,7 +189,8 @@
 			awaySince = now
 		}
 		if rs.waiting() && now-awaySince >= rs.patience() {
-			rs.tr.add(event.AccountantAway, "")
+			rs.tr.add(event.AccountantAway, fmt.Sprint(err))
+			rs.vm.Log.Log(event.AccountantAway, event.F("Cell", rs.ask.GetCell()), event.F("Error", fmt.Sprint(err)))
 			return
 		}
 		if !sleep(rs.ctx, reopenPause) {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -253,6 +253,10 @@
 		Scope:     vm.Scope,
 		Log:       vm.Log,
 		Clock:     vm.Clock,
+
+		DialTimeout:      dialWithin,
+		HandshakeTimeout: handshakeWithin,
+		Limits:           peer.Limits{MaxStreams: peerStreams},
 	}
 	vm.callers = &caller.Server{
 		Listen: set.Caller.Listen.String(),
