entry: keep the stream to the accountant open beyond its opening

The context that bounds the opening of a stream bounds its whole life, and was cancelled as soon as the stream was open: every request whose cell another VM accounts for lost its accountant at once, waited 2 s for it and then chose its engines by load reports.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/membership"
@@ -95,15 +96,31 @@
 		vm.wg.Go(func() { vm.serveLocal(far) })
 		return near, nil
 	}
-	dial, stop := context.WithTimeout(ctx, answerWithin.Std())
-	defer stop()
-	cn, err := vm.Peers.Open(dial, to)
+	cn, err := vm.openWithin(ctx, answerWithin, to)
 	if err != nil {
 		return nil, fmt.Errorf("open a stream to the accountant %s: %w", to.ID, err)
 	}
 	return cn, nil
 }
 
+// openWithin opens a stream within a span. The stream lives until the context
+// ends, which bounds it for its whole life; the span bounds the opening alone.
+func (vm *VM) openWithin(ctx context.Context, span clock.Millis, to board.VM) (*peer.Conn, error) {
+	life, end := context.WithCancelCause(ctx)
+	late := time.AfterFunc(span.Std(), func() { end(context.DeadlineExceeded) })
+	cn, err := vm.Peers.Open(life, to)
+	inTime := late.Stop()
+	switch {
+	case err != nil:
+		end(err)
+		return nil, fmt.Errorf("open a stream: %w", err)
+	case !inTime:
+		cn.Close()
+		return nil, fmt.Errorf("open a stream: %w", context.DeadlineExceeded)
+	}
+	return cn, nil
+}
+
 func (vm *VM) serveLocal(cn frames) {
 	fr, err := cn.Recv()
 	if err != nil || fr.GetReserveAsk() == nil {
