--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -50,6 +50,13 @@
 
 // Send hands a frame to the other end.
 func (pp *pipe) Send(fr *peerpb.Frame) error {
+	select {
+	case <-pp.theirs.done:
+		return errPipeClosed
+	case <-pp.mine.done:
+		return errPipeClosed
+	default:
+	}
 	select {
 	case pp.out <- fr:
 		return nil
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/event"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+	"alderdyke/pkg/template"
+)
+
+func TestActorWakesAtTheEarliestPointAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ticks []clock.Millis
+		var src clock.Monotonic
+		start := src.Now()
+		ac := newActor[string, clock.Millis](src, "tick", 100)
+		ac.step = func(now clock.Millis, ev string) []clock.Millis {
+			if ev == "tick" {
+				ticks = append(ticks, now-start)
+				return nil
+			}
+			return []clock.Millis{now + 70, now + 30, now + 500}
+		}
+		ac.wakeAt = func(in clock.Millis) (clock.Millis, bool) { return in, true }
+		ctx, stop := context.WithCancel(t.Context())
+		go ac.run(ctx)
+		ac.tell(ctx, "ask")
+		time.Sleep(140 * time.Millisecond)
+		stop()
+		synctest.Wait()
+		assert.DeepEqual(t, ticks, []clock.Millis{30, 130})
+	})
+}
+
+func TestJanitorCancelsUntilTheServerConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		ja := &janitor{
+			find: func(id string) (board.BackendServer, bool) { return board.BackendServer{ID: id}, true },
+			cancel: func(context.Context, board.BackendServer, string, int) error {
+				if tries++; tries < 4 {
+					return errors.New("reply lost")
+				}
+				return nil
+			},
+		}
+		settled := ja.free(t.Context(), "e1", "r1")
+		assert.Equal(t, ja.free(t.Context(), "e1", "r1"), settled, "one debt is settled once")
+		assert.Equal(t, ja.owed(), 1)
+		<-settled
+		assert.Equal(t, tries, 4)
+		assert.Equal(t, ja.owed(), 0)
+	})
+}
+
+func TestJanitorOwesNothingToAServerThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ja := &janitor{find: func(string) (board.BackendServer, bool) { return board.BackendServer{}, false }}
+		<-ja.free(t.Context(), "e1", "r1")
+		assert.Equal(t, ja.owed(), 0)
+	})
+}
+
+func TestPipeDeliversWhatWasSentBeforeTheClose(t *testing.T) {
+	near, far := newPipe()
+	assert.NilError(t, near.Send(doneFrame()))
+	near.Close()
+	fr, err := far.Recv()
+	assert.NilError(t, err)
+	assert.Assert(t, fr.GetDone() != nil)
+	_, err = far.Recv()
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, far.Send(doneFrame()), errPipeClosed)
+}
+
+func TestTraceKeepsTheBeginningAndTheEnd(t *testing.T) {
+	clk := &clock.Manual{}
+	ts := &traces{clk: clk}
+	id := requestID{Customer: "kedelsyn", Key: "k"}
+	for ix := range 3 * traceLines {
+		clk.Advance(1)
+		ts.of(id).add(event.RequestRetried, fmt.Sprint(ix))
+	}
+	lines := ts.find(id)
+	assert.Equal(t, len(lines), traceLines)
+	assert.Equal(t, lines[0].Text, "0")
+	assert.Equal(t, lines[traceLines-1].Text, fmt.Sprint(3*traceLines-1))
+}
+
+func TestTracesForgetTheOldest(t *testing.T) {
+	ts := &traces{clk: &clock.Manual{}}
+	for ix := range traceRequests + 1 {
+		ts.of(requestID{Key: fmt.Sprint(ix)}).add(event.RequestAccepted, "")
+	}
+	assert.Equal(t, len(ts.find(requestID{Key: "0"})), 0)
+	assert.Equal(t, len(ts.find(requestID{Key: "1"})), 1)
+	assert.Equal(t, len(ts.byID), traceRequests)
+}
+
+// endedRun is a run with the given end, entered into the registry.
+func endedRun(t *testing.T, rs *runs, key string, end func(st *answer.Stream) error) *run {
+	t.Helper()
+	rn, added := rs.enter(requestID{Key: key}, func() *run {
+		return &run{id: requestID{Key: key}, st: answer.NewStream()}
+	})
+	assert.Assert(t, added)
+	rn.become(running)
+	assert.NilError(t, end(rn.st))
+	return rn
+}
+
+func TestRunsKeepWholeAnswersAndFreeKeysThatDidNotRun(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(st *answer.Stream) error
+		kept bool
+	}{
+		{"whole", func(st *answer.Stream) error { return st.End(nil) }, true},
+		{"may have run", func(st *answer.Stream) error {
+			return st.Refuse(refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed})
+		}, true},
+		{"not run", func(st *answer.Stream) error {
+			return st.Refuse(refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QueueFull})
+		}, false},
+		{"part of another answer", func(st *answer.Stream) error { return st.Refuse(errNotKept) }, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var rs runs
+			rn := endedRun(t, &rs, "k", tc.end)
+			rs.end(rn, 0)
+			_, kept := rs.find(rn.id)
+			assert.Equal(t, kept, tc.kept)
+			assert.Equal(t, rs.inProgress(), 0)
+		})
+	}
+}
+
+func TestRunsDropAnswersByAgeAndBySize(t *testing.T) {
+	var rs runs
+	whole := func(size int) func(st *answer.Stream) error {
+		return func(st *answer.Stream) error { return st.Whole(make([]byte, size)) }
+	}
+	old := endedRun(t, &rs, "old", whole(1))
+	rs.end(old, 0)
+	large := endedRun(t, &rs, "large", whole(answerBytes))
+	rs.end(large, answerKeep/2)
+	_, kept := rs.find(old.id)
+	assert.Assert(t, !kept, "the bound of bytes drops the oldest first")
+	_, kept = rs.find(large.id)
+	assert.Assert(t, kept)
+	small := endedRun(t, &rs, "small", whole(1))
+	rs.end(small, answerKeep*2)
+	_, kept = rs.find(large.id)
+	assert.Assert(t, !kept, "the bound of age")
+}
+
+func TestSameKeyForAnotherRequestIsRefused(t *testing.T) {
+	rn := &run{st: answer.NewStream(), req: caller.Request{Fingerprint: []byte("a")}}
+	st, err := rn.answerFor(caller.Request{Fingerprint: []byte("a")})
+	assert.NilError(t, err)
+	assert.Equal(t, st, rn.st)
+	_, err = rn.answerFor(caller.Request{Fingerprint: []byte("b")})
+	var rf refusal.Refusal
+	assert.Assert(t, errors.As(err, &rf))
+	assert.Equal(t, rf.Reason, refusal.KeyReused)
+}
+
+func TestRefusalNeverPromisesMoreThanIsKnown(t *testing.T) {
+	notRun := refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QueueFull}
+	mayHave := refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed}
+	tests := []struct {
+		name string
+		sent bool
+		role role
+		err  error
+		want refusal.Ran
+	}{
+		{"never sent", false, running, notRun, refusal.NotRun},
+		{"never sent, unknown error", false, running, errors.New("broken"), refusal.NotRun},
+		{"sent", true, running, notRun, refusal.MayHaveRun},
+		{"follows, told not run", false, following, notRun, refusal.NotRun},
+		{"follows, told may have run", false, following, mayHave, refusal.MayHaveRun},
+		{"follows, unknown error", false, following, errors.New("broken"), refusal.MayHaveRun},
+		{"claim not decided, unknown error", false, searching, errors.New("broken"), refusal.MayHaveRun},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			rn := &run{}
+			rn.sent.Store(tc.sent)
+			rn.become(tc.role)
+			assert.Equal(t, rn.refusalOf(t.Context(), tc.err).Ran, tc.want)
+		})
+	}
+}
+
+func TestRefusalOnTheWireIsNeverBetterThanItWas(t *testing.T) {
+	rf := refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QueueFull, RetryAfter: 1500, Detail: "full"}
+	assert.DeepEqual(t, refusalFromWire(refusalToWire(rf)), rf)
+	assert.Equal(t, refusalFromWire(&peerpb.Refusal{Ran: "Perhaps"}).Ran, refusal.MayHaveRun)
+	assert.Equal(t, refusalFromWire(nil).Ran, refusal.MayHaveRun)
+}
+
+func TestRunEndsWhenNobodyComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vm := &VM{Clock: clock.Monotonic{}, runCtx: t.Context()}
+		vm.traces.clk = vm.Clock
+		rn := vm.newRun(caller.Request{
+			Customer: "kedelsyn", Key: "k",
+			Class: template.Class{StreamWait: 2 * clock.Second},
+		})
+		rd := rn.st.Attach(0)
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, rn.ctx.Err(), "a reader holds the run")
+		rd.Detach()
+		time.Sleep(1900 * time.Millisecond)
+		back := rn.st.Attach(0)
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, rn.ctx.Err(), "a caller who came back holds it")
+		back.Detach()
+		time.Sleep(2100 * time.Millisecond)
+		var rf refusal.Refusal
+		assert.Assert(t, errors.As(context.Cause(rn.ctx), &rf))
+		assert.Equal(t, rf.Reason, refusal.CallerGone)
+	})
+}
