--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -20,11 +20,12 @@
 type (
 	// ongoing is a call in progress.
 	ongoing struct {
-		mu   sync.Mutex
-		call invariant.Call
-		err  error
-		done chan struct{}
-		stop context.CancelCauseFunc
+		mu    sync.Mutex
+		call  invariant.Call
+		err   error
+		story string // what the VMs knew about it at its end, if it was not whole
+		done  chan struct{}
+		stop  context.CancelCauseFunc
 	}
 )
 
@@ -50,13 +51,17 @@
 		defer close(og.done)
 		defer stop(nil)
 		err := run(ctx, og)
+		ended, story := time.Now(), ""
+		if err != nil {
+			story = fl.explain(call.Key)
+		}
 		og.mu.Lock()
-		og.err = err
-		og.call.Ended = time.Now()
+		og.err, og.story = err, story
+		og.call.Ended = ended
 		og.call.Ends = append(og.call.Ends, endOf(ctx, err))
-		ended := og.call
+		done := og.call
 		og.mu.Unlock()
-		fl.note(func(hs *invariant.History) { hs.Calls = append(hs.Calls, ended) })
+		fl.note(func(hs *invariant.History) { hs.Calls = append(hs.Calls, done) })
 	}()
 	fl.t.Cleanup(func() {
 		if fl.t.Failed() {
@@ -75,27 +80,26 @@
 	if len(og.call.Ends) == 1 && og.err == nil {
 		return
 	}
-	fl.t.Logf("%s: %d bytes, ends %v, error %v", og.call.Key, len(og.call.Got), og.call.Ends, og.err)
-	fl.explain(og.call.Key)
+	fl.t.Logf("%s: %d bytes, ends %v at %s, error %v\n%s", og.call.Key, len(og.call.Got), og.call.Ends,
+		og.call.Ended.Format(time.StampMilli), og.err, og.story)
 }
 
-// explain logs what the VMs know about a request.
-func (fl *fleet) explain(key string) {
+// explain tells what the VMs know about a request.
+func (fl *fleet) explain(key string) string {
+	var sb strings.Builder
 	for _, vm := range fl.vms {
-		pr := vm.process()
-		if pr == nil || pr.over() {
-			fl.t.Logf("%s is down", vm.set.ID)
-			continue
-		}
-		reply, err := vm.ops.Explain(context.Background(), customer, key)
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		reply, err := vm.ops.Explain(ctx, customer, key)
+		stop()
 		if err != nil {
 			continue
 		}
 		for _, line := range reply.Lines {
-			fl.t.Logf("%s: %s %6v %s", key, line.VM, line.Since, line.Text)
+			fmt.Fprintf(&sb, "\t%s %6v %s\n", line.VM, line.Since, line.Text)
 		}
-		return
+		return sb.String()
 	}
+	return "\tno VM can be asked\n"
 }
 
 // endOf is the end of a call in the words of the checker. A call that broke
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -84,11 +85,18 @@
 	return ou.buf.Write(part)
 }
 
+// tail returns the end of what was written, without the ends of whole answers.
 func (ou *output) tail(most int) string {
 	ou.mu.Lock()
 	defer ou.mu.Unlock()
-	text := ou.buf.Bytes()
-	return string(text[max(0, len(text)-most):])
+	var sb strings.Builder
+	for line := range strings.Lines(ou.buf.String()) {
+		if !strings.Contains(line, `"RequestEnded"`) {
+			sb.WriteString(line)
+		}
+	}
+	text := sb.String()
+	return text[max(0, len(text)-most):]
 }
 
 // newVM writes the settings file of a VM.
