--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -42,6 +42,7 @@
 		falseSuspicions  int
 		falseDeaths      int
 		unfenced         int // VMs quorate while a quorate VM held them dead
+		resurrected      int // VMs held dead by a quorate one and then alive in the same incarnation
 		largest          int
 		killed           map[string]clock.Millis
 		suspected        map[string][]clock.Millis
@@ -96,8 +97,35 @@
 }
 
 // newFleet makes VMs spread over failure domains in three regions and starts
-// them all with the whole list.
+// them all at once with the whole list.
 func newFleet(size, domains int, seed uint64, vr variant) *testFleet {
+	tf := stoppedFleet(size, domains, seed, vr)
+	for _, vm := range tf.vms {
+		tf.step(vm, Listed{VMs: tf.list()})
+	}
+	return tf
+}
+
+// settledFleet makes a fleet whose VMs know each other for long, which saves
+// the work of a start of all at once.
+func settledFleet(size, domains int, seed uint64, vr variant) *testFleet {
+	tf := stoppedFleet(size, domains, seed, vr)
+	for _, vm := range tf.vms {
+		vm.dt.start(0)
+		vm.dt.startedAt = -joinFor
+		for _, other := range tf.vms {
+			if other != vm {
+				vm.dt.tb.add(&member{vm: other.self, heard: true, met: -introduceFor})
+			}
+		}
+		vm.dt.rm.drop(vm.self.ID)
+		vm.dt.layRing()
+		tf.step(vm, Listed{VMs: tf.list()})
+	}
+	return tf
+}
+
+func stoppedFleet(size, domains int, seed uint64, vr variant) *testFleet {
 	tf := &testFleet{
 		rnd:       rand.New(rand.NewPCG(seed, 1)),
 		byID:      make(map[string]*testVM),
@@ -118,9 +146,6 @@
 			Peer:          fmt.Sprintf("10.%d.0.%d:7400", domain, ix%250),
 		}, seed, vr)
 	}
-	for _, vm := range tf.vms {
-		tf.step(vm, Listed{VMs: tf.list()})
-	}
 	return tf
 }
 
@@ -284,6 +309,9 @@
 			before = healthOf(old.VMs[at])
 		}
 		hl := healthOf(now)
+		if before == board.Dead && hl <= board.Suspect && old.Quorate && now.Incarnation == old.VMs[at].Incarnation {
+			tf.resurrected++
+		}
 		if hl != before {
 			tf.moved(now.ID, before, hl)
 		}
--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -101,7 +101,7 @@
 	if !to.heard || dt.now-to.met < introduceFor {
 		room = dt.put(dg, room, dt.aboutSelf())
 	}
-	if to.vm.Health == board.Suspect || (to.vm.Health == board.Dead && to.heard && !to.private) {
+	if to.vm.Health == board.Suspect || to.final() {
 		room = dt.put(dg, room, dt.about(to, dt.self, false))
 	}
 	if to.heard && to.vm.Health != board.Alive {
@@ -232,6 +232,10 @@
 	if mb == nil {
 		return dt.meet(rr, hl)
 	}
+	if mb.final() && rr.GetIncarnation() == mb.vm.Incarnation && hl <= board.Suspect {
+		dt.tellDeath(mb)
+		return false
+	}
 	switch ord := mb.compareRun(rr.GetIncarnation(), rr.GetRefutation()); {
 	case ord > 0:
 		if hl == board.Suspect || hl == board.Dead {
@@ -266,6 +270,15 @@
 	}
 }
 
+// tellDeath lets a VM know that this one holds it dead. What it ran may have
+// been taken over, so it must go on under a new incarnation, even if it
+// refuted the suspicion elsewhere.
+func (dt *Detector) tellDeath(mb *member) {
+	if len(dt.pb.open) < maxOpen/8 {
+		dt.launch(mb, true)
+	}
+}
+
 // meet takes in a VM that was not known. Without its address there is
 // nothing to be done with it.
 func (dt *Detector) meet(rr *peerpb.Rumour, hl board.Health) bool {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -78,6 +78,12 @@
 	return mb.vm.Health == board.Alive || mb.vm.Health == board.Suspect
 }
 
+// final tells whether the member is dead to others too. No refutation within
+// the same incarnation takes that back.
+func (mb *member) final() bool {
+	return mb.heard && mb.vm.Health == board.Dead && !mb.private
+}
+
 // probed tells whether the member belongs into the round of regular probes.
 func (mb *member) probed() bool {
 	return mb.serving() || (!mb.heard && mb.tries < joinTries)
