--- /dev/null
+++ b/internal/claim/asker_test.go
@@ -0,0 +1,228 @@
+package claim
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+type (
+	// seatScript is what each seat of the group answers, in order; nil means
+	// that it does not.
+	seatScript []*peerpb.ClaimReply
+
+	askerCase struct {
+		name       string
+		idempotent bool
+		fresh      bool
+		script     seatScript
+		want       Verdict
+		ran        refusal.Ran
+		asks       int // SendAsk intents up to the verdict; 0 for any
+	}
+)
+
+func testAsker() *Asker {
+	return &Asker{
+		Self: vmA.VMRef, Customer: testCustomer, Key: "key", Fingerprint: []byte("print"),
+		Keep: clock.Minute, Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func testSeats() *Seats {
+	st, err := (*Seats)(nil).With(1, table(0, vmA, vmB, vmC))
+	if err != nil {
+		panic(err)
+	}
+	return st
+}
+
+// play answers the asker by the script until it decides.
+func play(ak *Asker, begin AskerEvent, script seatScript) (dc Decided, asks, releases int) {
+	now := clock.Millis(0)
+	todo := ak.Step(now, begin)
+	for steps := 0; steps < 10_000; steps++ {
+		if len(todo) == 0 {
+			return dc, asks, releases
+		}
+		in := todo[0]
+		todo = todo[1:]
+		switch in := in.(type) {
+		case SendAsk:
+			asks++
+			rp := script[indexOf(ak.group, in.To)]
+			if rp == nil {
+				todo = append(todo, ak.Step(now, Failed{in.Number})...)
+				continue
+			}
+			todo = append(todo, ak.Step(now, Replied{in.Number, rp})...)
+		case SendUpdate:
+			releases++
+		case Wake:
+			if ak.phase == backingOff {
+				now = max(now, in.At)
+				todo = append(todo, ak.Step(now, Elapsed{})...)
+			}
+		case Decided:
+			dc = in
+		}
+	}
+	panic("asker does not come to an end")
+}
+
+func indexOf(gr Group, ref board.VMRef) int {
+	for ix, at := range gr {
+		if at == ref {
+			return ix
+		}
+	}
+	return -1
+}
+
+func held(by board.VM, state State, claim uint64) *peerpb.ClaimReply {
+	rp := &peerpb.ClaimReply{
+		Verdict: string(Held), RunnerID: by.ID, RunnerIncarnation: by.Incarnation,
+		Attempt: 1, State: string(state), Claim: claim,
+	}
+	if state == Decoding {
+		rp.DecodeServer, rp.EngineRequest = "decode-1", "er-1"
+	}
+	return rp
+}
+
+func says(ans Answer) *peerpb.ClaimReply { return &peerpb.ClaimReply{Verdict: string(ans), Attempt: 1} }
+
+// TestAskerVerdicts knows vmB as alive and vmD as dead.
+func TestAskerVerdicts(t *testing.T) {
+	ok, full, settling := says(Granted), says(Full), says(Settling)
+	tests := []askerCase{
+		{name: "Grants", script: seatScript{ok, ok, nil}, want: Run, asks: 2},
+		{name: "HomeDead", script: seatScript{nil, ok, ok}, want: Run, asks: 3},
+		{name: "OneGrantIsTooFew", script: seatScript{ok, nil, nil}, want: Unavailable, ran: refusal.MayHaveRun},
+		{name: "FreshKeyNotRun", fresh: true, script: seatScript{nil, nil, nil}, want: Unavailable, ran: refusal.NotRun},
+		{name: "FullIsNotRun", script: seatScript{full, full, nil}, want: Unavailable, ran: refusal.NotRun},
+		{name: "Settling", script: seatScript{settling, settling, ok}, want: Unavailable, ran: refusal.MayHaveRun},
+		{name: "Follow", script: seatScript{held(vmB, Claimed, 5), nil, nil}, want: Follow, asks: 1},
+		{name: "FollowComplete", script: seatScript{held(vmB, Complete, 5), nil, nil}, want: Follow, asks: 1},
+		{name: "SplitVoteEndsInFollow", script: seatScript{ok, held(vmB, Claimed, 5), nil}, want: Follow},
+		{name: "StrayClaimOfTheDead", script: seatScript{held(vmD, Claimed, 5), ok, ok}, want: Run, asks: 3},
+		{name: "DeadMayHaveRun", script: seatScript{held(vmD, Claimed, 5), nil, ok}, want: InDoubt, ran: refusal.MayHaveRun},
+		{name: "DeadDispatched", script: seatScript{held(vmD, Dispatched, 5), ok, ok}, want: InDoubt, ran: refusal.MayHaveRun, asks: 1},
+		{name: "DeadComplete", script: seatScript{held(vmD, Complete, 5), ok, ok}, want: Ended, ran: refusal.MayHaveRun, asks: 1},
+		{name: "Doubtful", script: seatScript{held(vmB, Doubtful, 5), nil, nil}, want: InDoubt, ran: refusal.MayHaveRun},
+		{name: "OtherRequest", script: seatScript{ok, says(OtherPrint), nil}, want: Reused, ran: refusal.NotRun, asks: 2},
+		{name: "IdempotentOneGrant", idempotent: true, script: seatScript{ok, nil, nil}, want: Run, asks: 2},
+		{name: "IdempotentNoSeat", idempotent: true, script: seatScript{nil, nil, nil}, want: Run},
+		{name: "IdempotentFollow", idempotent: true, script: seatScript{nil, held(vmB, Claimed, 5), nil}, want: Follow, asks: 2},
+	}
+	fl := &board.Fleet{Quorate: true, VMs: []board.VM{vmA, vmB, vmC}}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			ak := testAsker()
+			ak.Idempotent, ak.Fresh = tc.idempotent, tc.fresh
+			dc, asks, releases := play(ak, Begin{testSeats(), fl}, tc.script)
+			assert.Equal(t, dc.Verdict, tc.want)
+			assert.Equal(t, dc.Ran, tc.ran)
+			if tc.asks > 0 {
+				assert.Equal(t, asks, tc.asks)
+			}
+			if tc.want == Run && !tc.idempotent {
+				assert.Equal(t, releases, 0)
+			}
+		})
+	}
+}
+
+// A runner that was paused goes on only if the seats still have its claim.
+func TestRevalidate(t *testing.T) {
+	fl := &board.Fleet{Quorate: true, VMs: []board.VM{vmA, vmB, vmC}}
+	ok, absent := says(Granted), says(Absent)
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		script     seatScript
+		want       Verdict
+	}{
+		{"Kept", false, seatScript{ok, nil, ok}, Run},
+		{"Forgotten", false, seatScript{absent, ok, absent}, Lost},
+		{"Unreachable", false, seatScript{nil, nil, nil}, Lost},
+		{"Superseded", true, seatScript{held(vmB, Claimed, 9), ok, nil}, Lost},
+		{"IdempotentKept", true, seatScript{ok, nil, nil}, Run},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ak := testAsker()
+			ak.Idempotent = tc.idempotent
+			dc, _, _ := play(ak, Begin{testSeats(), fl}, seatScript{ok, ok, ok})
+			assert.Equal(t, dc.Verdict, Run)
+			before := ak.claim
+			dc, _, _ = play(ak, Revalidate{testSeats(), fl}, tc.script)
+			assert.Equal(t, dc.Verdict, tc.want)
+			assert.Equal(t, ak.claim, before)
+		})
+	}
+}
+
+// Seats of real books: a dead runner's decode goes on at another VM, and the
+// dead runner that wakes is told that it lost the key.
+func TestTakeOver(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		books := map[board.VMRef]*Book{}
+		for _, vm := range []board.VM{vmA, vmB, vmC} {
+			books[vm.VMRef] = seatedBook(vm, Settings{})
+		}
+		alive := &board.Fleet{Quorate: true, VMs: []board.VM{vmA, vmB, vmC}}
+		first := testAsker()
+		first.Idempotent = idempotent
+		dc := playBooks(first, Begin{testSeats(), alive}, books)
+		assert.Equal(t, dc.Verdict, Run)
+		for _, in := range first.Step(0, Became{Decoding, "decode-1", "er-1"}) {
+			up := in.(SendUpdate)
+			books[up.To].Step(0, Updated{up.Update})
+		}
+		deadA := vmA
+		deadA.Health = board.Dead
+		second := testAsker()
+		second.Self, second.Idempotent, second.Rand = vmB.VMRef, idempotent, rand.New(rand.NewPCG(3, 4))
+		dc = playBooks(second, Begin{testSeats(), &board.Fleet{VMs: []board.VM{deadA, vmB, vmC}}}, books)
+		assert.Equal(t, dc.Verdict, TakeOver)
+		assert.Equal(t, dc.Attempt, uint32(2))
+		assert.Equal(t, dc.DecodeServer, "decode-1")
+		assert.Equal(t, dc.EngineRequest, "er-1")
+		assert.Equal(t, playBooks(first, Revalidate{testSeats(), alive}, books).Verdict, Lost)
+	}
+}
+
+func playBooks(ak *Asker, begin AskerEvent, books map[board.VMRef]*Book) Decided {
+	var dc Decided
+	todo := ak.Step(0, begin)
+	for len(todo) > 0 {
+		in := todo[0]
+		todo = todo[1:]
+		switch in := in.(type) {
+		case SendAsk:
+			todo = append(todo, ak.Step(0, Replied{in.Number, reply(books[in.To], 0, in.Ask)})...)
+		case SendUpdate:
+			books[in.To].Step(0, Updated{in.Update})
+		case Decided:
+			dc = in
+		case Wake:
+		}
+	}
+	return dc
+}
+
+// A reply to an ask of an earlier round changes nothing and is counted.
+func TestStrayReply(t *testing.T) {
+	ak := testAsker()
+	fl := &board.Fleet{Quorate: true, VMs: []board.VM{vmA, vmB, vmC}}
+	dc, _, _ := play(ak, Begin{testSeats(), fl}, seatScript{says(Granted), says(Granted), nil})
+	assert.Equal(t, dc.Verdict, Run)
+	assert.Equal(t, len(ak.Step(0, Replied{1, held(vmB, Complete, 5)})), 0)
+	assert.Equal(t, ak.Stray, uint64(1))
+}
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -21,7 +21,8 @@
 type (
 	// Settings of a Book. Each zero field stands for its default.
 	Settings struct {
-		// Cap bounds the number of records; 100,000 by default.
+		// Cap bounds the number of records that asks leave; 100,000 by
+		// default. Records handed over may be as many again.
 		Cap int
 		// Life is how long a claim without an end is kept after it was last
 		// heard of; 30 minutes by default. It must exceed the longest
@@ -177,7 +178,7 @@
 		return Minority
 	case !ask.GetIdempotent() && !bk.covers(now, nm, bk.seats):
 		return Settling
-	case rc == nil && len(bk.recs.byName) >= cmp.Or(bk.Settings.Cap, defaultCap):
+	case rc == nil && len(bk.recs.byName) >= bk.room():
 		return Full
 	}
 	return Granted
@@ -275,7 +276,7 @@
 func (bk *Book) release(now clock.Millis, nm name, rc *record, up *peerpb.ClaimUpdate) {
 	switch {
 	case rc == nil:
-		if len(bk.recs.byName) >= cmp.Or(bk.Settings.Cap, defaultCap) {
+		if len(bk.recs.byName) >= bk.room() {
 			return
 		}
 		bk.recs.put(now, nm, &record{
@@ -291,6 +292,8 @@
 	}
 }
 
+func (bk *Book) room() int { return cmp.Or(bk.Settings.Cap, defaultCap) }
+
 func (bk *Book) life() clock.Millis { return cmp.Or(bk.Settings.Life, defaultLife) }
 
 func (bk *Book) count(ans Answer) {
--- a/internal/claim/handoff.go
+++ b/internal/claim/handoff.go
@@ -230,17 +230,25 @@
 			bk.counts.BadMessages++
 			return
 		}
-		bk.mergeIn(now, nm, rc)
+		if !bk.mergeIn(now, nm, rc) {
+			bk.count(Full)
+			return // the sending never counts as whole
+		}
 	}
 	bk.counts.HandoffsIn++
 	bk.note(ho)
 }
 
-func (bk *Book) mergeIn(now clock.Millis, nm name, rc record) {
+// mergeIn stores a record that another seat holds. Those records have as much
+// room as the grants of this seat.
+func (bk *Book) mergeIn(now clock.Millis, nm name, rc record) bool {
 	old := bk.recs.find(nm, now)
 	if old == nil {
+		if len(bk.recs.byName) >= 2*bk.room() {
+			return false
+		}
 		bk.recs.put(now, nm, &rc)
-		return
+		return true
 	}
 	merged := merge(*old, rc)
 	if bk.without&guardDoubt != 0 && merged.state == Doubtful {
@@ -250,6 +258,7 @@
 		bk.counts.Conflicts++
 	}
 	bk.recs.put(now, nm, &merged)
+	return true
 }
 
 // note marks a sending as complete once all its parts came.
