--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -21,7 +21,7 @@
 type (
 	// Asker is one request's search for the grants of its key's seats, and
 	// afterwards the runner's link to them. Set the exported fields before
-	// the first Step.
+	// the first Step, and pass Changed for as long as the key runs here.
 	Asker struct {
 		Self        board.VMRef
 		Customer    string
@@ -437,6 +437,9 @@
 	if ak.phase != decided || ak.claim == 0 {
 		return nil
 	}
+	if ak.super != nil && !ak.Idempotent && state.over() {
+		return nil // the runner before may have run it
+	}
 	var out []AskerIntent
 	for _, to := range ak.seats.Group(ak.Customer, ak.Key) {
 		up := ak.update(state)
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -218,6 +218,34 @@
 	assert.Equal(t, again.Group("cust", "key").digest(), st.Group("cust", "key").digest())
 }
 
+// The group is the greedy choice of VMs of other failure domains, in the order
+// of preference, whatever the size of the fleet.
+func TestGroupIsSpread(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 7, 48, 380} {
+		st, err := (*Seats)(nil).With(1, table(0, benchVMs(size)...))
+		assert.NilError(t, err)
+		share := map[string]int{}
+		for ix := range 600 {
+			key := fmt.Sprint(ix)
+			gr := st.Group(testCustomer, key)
+			assert.Equal(t, len(gr), min(size, groupSize))
+			assert.DeepEqual(t, gr, st.ranked(testCustomer + "\x00" + key)[:len(gr)])
+			domains := map[string]bool{}
+			for _, ref := range gr {
+				at := slices.IndexFunc(st.VMs, func(vm board.VM) bool { return vm.VMRef == ref })
+				domains[st.VMs[at].FailureDomain] = true
+				share[ref.ID]++
+			}
+			assert.Equal(t, len(domains), min(size, groupSize))
+		}
+		if size == 7 {
+			for id, count := range share {
+				assert.Assert(t, count > 100 && count < 600, "%s has %d of 1800 seats", id, count)
+			}
+		}
+	}
+}
+
 // A book that can't read the log from its start takes no table for the first
 // one, and learns the tables from a peer.
 func TestLateReaderWaitsForHistory(t *testing.T) {
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -16,6 +16,7 @@
 	// lookAgain bounds how long a record outstays an end that was moved
 	// forward.
 	lookAgain = clock.Minute
+	maxWords  = 8192
 )
 
 type (
@@ -43,7 +44,8 @@
 	records struct {
 		byName  map[name]*record
 		buckets map[clock.Millis][]name
-		swept   clock.Millis // buckets below were emptied
+		words   map[string]string // customers and VMs, each kept once
+		swept   clock.Millis      // buckets below were emptied
 	}
 )
 
@@ -62,12 +64,26 @@
 		rs.buckets = map[clock.Millis][]name{}
 	}
 	old := rs.byName[nm]
+	nm.customer, rc.runner.ID = rs.intern(nm.customer), rs.intern(rc.runner.ID)
 	rs.byName[nm] = rc
 	if old == nil {
 		rs.plan(nm, min(rc.expires, now+lookAgain))
 	}
 }
 
+// intern returns one copy of a string that many records hold. It starts anew
+// when it has grown beyond what a fleet and its customers need.
+func (rs *records) intern(word string) string {
+	if one, ok := rs.words[word]; ok {
+		return one
+	}
+	if rs.words == nil || len(rs.words) >= maxWords {
+		rs.words = map[string]string{}
+	}
+	rs.words[word] = word
+	return word
+}
+
 func (rs *records) plan(nm name, at clock.Millis) {
 	bucket := at/expiryBucket + 1
 	rs.buckets[bucket] = append(rs.buckets[bucket], nm)
--- a/internal/claim/seats.go
+++ b/internal/claim/seats.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -9,9 +10,12 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/peer/peerpb"
-	"alderdyke/internal/rendezvous"
 )
 
+// scoreBuffer holds the longest VM ID, customer and key without allocation
+// in the usual case.
+const scoreBuffer = 256
+
 type (
 	// Seats is a seat table with those before it. It is an immutable value;
 	// the nil Seats is the state before the first table.
@@ -20,6 +24,15 @@
 		VMs   []board.VM // ID, incarnation and failure domain; sorted by ID
 		base  uint64
 		prev  *Seats // nil if unknown or of no more use
+
+		domainOf []int // of each VM, a number for its failure domain
+		domains  int
+	}
+
+	// preferred is a VM of a table with its weight for a key.
+	preferred struct {
+		score uint64
+		index int
 	}
 
 	// Group is the seats of one key, most preferred first.
@@ -69,6 +82,7 @@
 			FailureDomain: seat.GetFailureDomain(),
 		})
 	}
+	next.index()
 	return next, nil
 }
 
@@ -123,28 +137,88 @@
 }
 
 // Group returns the key's seats: the most preferred VMs of three failure
-// domains, or three VMs if there are fewer domains.
+// domains, or three VMs if there are fewer domains. Preference is the highest
+// random weight, so a VM that comes or goes moves only its own keys.
 func (st *Seats) Group(customer, key string) Group {
 	if st == nil {
 		return nil
 	}
-	ranked := rendezvous.Rank(customer+"\x00"+key, st.VMs)
-	gr := make(Group, 0, groupSize)
-	domains := make([]string, 0, groupSize)
-	for _, vm := range ranked {
-		if len(gr) < groupSize && !slices.Contains(domains, vm.FailureDomain) {
-			gr = append(gr, vm.VMRef)
-			domains = append(domains, vm.FailureDomain)
+	name := customer + "\x00" + key
+	if st.domains < groupSize {
+		return firstOf(st.ranked(name), groupSize)
+	}
+	best := make([]preferred, st.domains)
+	var buf [scoreBuffer]byte
+	for ix, vm := range st.VMs {
+		at := &best[st.domainOf[ix]]
+		pf := preferred{score(buf[:0], vm.ID, name), ix}
+		if at.score == 0 || pf.before(*at) {
+			*at = pf
 		}
 	}
-	for _, vm := range ranked {
-		if len(gr) < groupSize && !slices.Contains(gr, vm.VMRef) {
-			gr = append(gr, vm.VMRef)
+	slices.SortFunc(best, comparePreferred)
+	return firstOf(st.refs(best), groupSize)
+}
+
+// ranked returns all VMs from most to least preferred, those of a failure
+// domain that has a seat already after those of others.
+func (st *Seats) ranked(name string) Group {
+	all := make([]preferred, len(st.VMs))
+	for ix, vm := range st.VMs {
+		all[ix] = preferred{score(nil, vm.ID, name), ix}
+	}
+	slices.SortFunc(all, comparePreferred)
+	var first, rest []preferred
+	seen := make([]bool, st.domains)
+	for _, pf := range all {
+		if dm := st.domainOf[pf.index]; !seen[dm] {
+			seen[dm] = true
+			first = append(first, pf)
+		} else {
+			rest = append(rest, pf)
 		}
 	}
+	return st.refs(append(first, rest...))
+}
+
+func (st *Seats) refs(all []preferred) Group {
+	gr := make(Group, len(all))
+	for ix, pf := range all {
+		gr[ix] = st.VMs[pf.index].VMRef
+	}
 	return gr
 }
 
+func firstOf(gr Group, count int) Group { return gr[:min(count, len(gr))] }
+
+// score is the weight of a VM for a key; never zero.
+func score(buf []byte, id, name string) uint64 {
+	buf = append(buf, id...)
+	buf = append(buf, 0)
+	buf = append(buf, name...)
+	return xxhash.Sum64(buf) | 1
+}
+
+func (pf preferred) before(other preferred) bool { return comparePreferred(pf, other) < 0 }
+
+func comparePreferred(pa, pb preferred) int {
+	return cmp.Or(cmp.Compare(pb.score, pa.score), cmp.Compare(pa.index, pb.index))
+}
+
+// index numbers the failure domains of the VMs.
+func (st *Seats) index() {
+	known := map[string]int{}
+	for _, vm := range st.VMs {
+		dm, ok := known[vm.FailureDomain]
+		if !ok {
+			dm = len(known)
+			known[vm.FailureDomain] = dm
+		}
+		st.domainOf = append(st.domainOf, dm)
+	}
+	st.domains = len(known)
+}
+
 // Majority is the number of seats of which any two sets have one in common.
 func (gr Group) Majority() int { return len(gr)/2 + 1 }
 
