register: recover when the log dropped what nobody has read

Cause: after an outage beyond the retention with an unread record at its end, every VM saw a gap, none could restate, and the state did not end by itself. Change: a VM that misses records asks by a RestateRequest; those who know restate at once. If no VM has for a minute, a Recover puts the last known content of a bucket in force with a new revision. Whether it counts follows from the log: no Restate of the bucket since the newest request. A reader that can't verify that starts the bucket anew after it.

--- a/internal/event/register.go
+++ b/internal/event/register.go
@@ -21,6 +21,11 @@
 		"a restatement was not appended; it is tried again", "look at the log service if it lasts")
 	KeyHashShared = register(1308, "KeyHashShared", Error,
 		"two customers name the same API key; it speaks for neither", "publish one of them without it")
+	RestatementRequested = register(1311, "RestatementRequested", Warn,
+		"this VM misses records that the log has dropped and asks the VMs that know them", "none")
+	BucketRecovered = register(1312, "BucketRecovered", Warn,
+		"the log dropped records that no VM has read; this VM puts what it last knew in force anew, with a new revision",
+		"compare the templates in force with what was published before the outage")
 	LeaseTaken = register(1309, "LeaseTaken", Info,
 		"this VM holds the lease", "none")
 	LeaseLapsed = register(1310, "LeaseLapsed", Warn,
--- a/internal/register/follower.go
+++ b/internal/register/follower.go
@@ -35,6 +35,8 @@
 		Retry         clock.Millis // after a failed call; doubles up to eight times; default 250 ms
 		PeerEvery     clock.Millis // between two questions to peers; default 500 ms
 		PublishWithin clock.Millis // until an operator gets a verdict; default 5 s
+		RequestAfter  clock.Millis // that a VM misses records, until it asks for restatements; default 10 s
+		RecoverAfter  clock.Millis // that nobody answers, until a VM recovers what it last knew; default 1 min
 		MaxPending    int          // publications that wait at this VM; default 64
 		RestateEvery  clock.Millis // between two restatements of this VM; default 500 ms
 		KeepRecords   int          // newest records kept for peers; default 256
@@ -341,6 +343,8 @@
 	span(&se.PeerEvery, 500)
 	span(&se.PublishWithin, 5*clock.Second)
 	span(&se.RestateEvery, 500)
+	span(&se.RequestAfter, 10*clock.Second)
+	span(&se.RecoverAfter, clock.Minute)
 	count(&se.Buckets, DefaultBuckets)
 	count(&se.MaxRecords, 256)
 	count(&se.MaxPending, 64)
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -69,6 +69,8 @@
 	maxEarlier = 8
 
 	maxLease = 10 * clock.Minute
+
+	recoverPrefix = "recover/" // of the IDs of recovered entries
 )
 
 // Rulings on a publication, the same at every VM.
--- a/internal/register/restate.go
+++ b/internal/register/restate.go
@@ -21,6 +21,11 @@
 	// maxRank bounds how long a VM leaves a due bucket to the VMs before it.
 	maxRank = 4
 
+	// Spans between the VMs that answer a request, and that recover a bucket.
+	requestSpacing = 2 * clock.Second
+	recoverSpacing = 10 * clock.Second
+
+	requestBucket = -1 // stands for a request in the names of appends
 	restatePrefix = "restate/"
 )
 
@@ -36,13 +41,20 @@
 	asOf   uint64         // of it
 	next   clock.Millis   // earliest point of the next append
 	number int
-	fleet  *board.Fleet // that the ranks are of
-	ranks  []int        // of this VM for each bucket, plus one; zero if not known yet
+
+	requested   uint64       // the newest request that was read
+	requestedAt clock.Millis // when this VM read it
+	answered    []uint64     // request that this VM has answered for each bucket
+	doubtAt     clock.Millis // since when buckets are unknown, or the last request of this VM
+
+	fleet *board.Fleet // that the ranks are of
+	ranks []int        // of this VM for each bucket, plus one; zero if not known yet
 }
 
 func (ro *rounds) begin(now clock.Millis, fo *Follower) {
 	ro.due = make([]clock.Millis, fo.state.Buckets)
 	ro.seen = make([]uint64, fo.state.Buckets)
+	ro.answered = make([]uint64, fo.state.Buckets)
 	for ix := range ro.due {
 		ro.due[ix] = now + fo.jitter(min(clock.Minute, fo.Settings.Retention/restateParts))
 	}
@@ -64,15 +76,22 @@
 }
 
 // planRounds appends the restatement of one bucket that is due, and tells
-// when the next is.
+// when the next is. A VM that reads no log, or not all of it yet, waits.
 func (fo *Follower) planRounds(now clock.Millis) clock.Millis {
-	ro := &fo.rounds
-	if ro.open != "" || !fo.Ready() || fo.reading.failures > 0 || !fo.reading.seen {
+	ro, rd := &fo.rounds, &fo.reading
+	if ro.requested != fo.state.requested {
+		ro.requested, ro.requestedAt = fo.state.requested, now
+	}
+	if ro.open != "" || rd.failures > 0 || !rd.seen || fo.state.next < rd.end {
 		return never
 	}
 	if now < ro.next {
 		return ro.next
 	}
+	if !fo.state.Known() {
+		return fo.planRecover(now)
+	}
+	ro.doubtAt = 0
 	next := never
 	for ix := range ro.due {
 		due := fo.bucketDue(ix, now)
@@ -80,8 +99,11 @@
 			next = min(next, due)
 			continue
 		}
-		fo.restate(now, ix)
-		return never
+		if rst, ok := fo.state.Restatement(ix); ok {
+			ro.asOf = rst.AsOf
+			fo.write(now, ix, rst)
+			return never
+		}
 	}
 	return next
 }
@@ -90,6 +112,9 @@
 // hash first, the others one after another in case it doesn't.
 func (fo *Follower) bucketDue(ix int, now clock.Millis) clock.Millis {
 	ro, rd := &fo.rounds, &fo.reading
+	if fo.state.slots[ix].covered < ro.requested && ro.answered[ix] != ro.requested {
+		return ro.requestedAt + clock.Millis(fo.rank(ix))*requestSpacing
+	}
 	due := ro.due[ix]
 	if ro.seen[ix] > 0 && rd.first > 0 && ro.seen[ix] < rd.first+(rd.end-rd.first)/restateParts {
 		due = min(due, now) // among the oldest records that the log keeps
@@ -121,25 +146,67 @@
 	return 0 // alone, as far as this VM knows
 }
 
-func (fo *Follower) restate(now clock.Millis, ix int) {
-	ro := &fo.rounds
-	ro.next = now + fo.jitter(fo.Settings.RestateEvery)
-	rst, ok := fo.state.Restatement(ix)
-	if !ok {
-		return
+// planRecover is for a VM that misses records which the log has dropped. It
+// asks the others to restate; if nobody does, nobody knows better, and what
+// was last known is put in force anew.
+func (fo *Follower) planRecover(now clock.Millis) clock.Millis {
+	ro, se := &fo.rounds, &fo.Settings
+	if ro.doubtAt == 0 {
+		ro.doubtAt = now
+	}
+	stale := ro.requestedAt + 3*se.RecoverAfter
+	if ro.requested == 0 || now >= stale {
+		due := ro.doubtAt + se.RequestAfter + clock.Millis(fo.rank(0))*requestSpacing
+		if due > now {
+			return due
+		}
+		ro.doubtAt = now
+		fo.note(event.RestatementRequested, event.F("Next", fo.state.next))
+		fo.write(now, requestBucket, RestateRequest{VM: fo.Self.ID})
+		return never
+	}
+	next := stale
+	for ix := range fo.state.slots {
+		rc, ok := fo.state.lastKnown(ix)
+		if !ok || ro.answered[ix] == ro.requested {
+			continue
+		}
+		due := ro.requestedAt + se.RecoverAfter + clock.Millis(fo.rank(ix))*recoverSpacing
+		if due > now {
+			next = min(next, due)
+			continue
+		}
+		fo.note(event.BucketRecovered, event.F("Bucket", ix), event.F("AsOf", rc.AsOf))
+		fo.write(now, ix, rc)
+		return never
 	}
-	data, err := Marshal(rst)
+	return next
+}
+
+// write appends a record of this VM's own.
+func (fo *Follower) write(now clock.Millis, ix int, rec Record) {
+	ro := &fo.rounds
+	ro.next = now + fo.pace(ix)
+	data, err := Marshal(rec)
 	if err != nil {
 		fo.note(event.RestatementFailed, event.F("Bucket", ix))
-		ro.due[ix] = now + fo.jitter(clock.Minute)
+		ro.next = now + fo.jitter(clock.Minute)
 		return
 	}
 	ro.number++
 	ro.open = fmt.Sprintf("%s%d/%d", restatePrefix, ix, ro.number)
-	ro.bucket, ro.asOf = ix, rst.AsOf
+	ro.bucket = ix
 	fo.emit(Append{ID: ro.open, Data: data})
 }
 
+// pace is the span to the next append: short while others wait for it.
+func (fo *Follower) pace(ix int) clock.Millis {
+	if ix != requestBucket && fo.state.slots[ix].covered < fo.state.requested {
+		return fo.jitter(max(2, fo.Settings.RestateEvery/10))
+	}
+	return fo.jitter(fo.Settings.RestateEvery)
+}
+
 // appended takes the answer to a restatement's append; false if it is none.
 func (ro *rounds) appended(now clock.Millis, fo *Follower, ev Appended) bool {
 	if !strings.HasPrefix(ev.ID, restatePrefix) {
@@ -149,12 +216,16 @@
 		return true
 	}
 	ro.open = ""
-	ro.next = now + fo.jitter(fo.Settings.RestateEvery)
+	ro.next = now + fo.pace(ro.bucket)
 	if ev.Err != nil {
 		fo.note(event.RestatementFailed, event.F("Bucket", ro.bucket))
 		ro.next = now + fo.jitter(10*fo.Settings.RestateEvery)
 		return true
 	}
+	if ro.bucket == requestBucket {
+		return true
+	}
+	ro.answered[ro.bucket] = ro.requested
 	ro.due[ro.bucket] = now + fo.Settings.Retention/restateParts
 	ro.seen[ro.bucket] = max(ro.seen[ro.bucket], ro.asOf)
 	return true
--- a/internal/register/snapshot.go
+++ b/internal/register/snapshot.go
@@ -17,6 +17,11 @@
 		Buckets int
 		AsOf    uint64
 		Entries []Entry `json:",omitempty"` // sorted by key
+
+		// Requested is the offset of the newest RestateRequest, plus one, and
+		// Covered that of each bucket's newest Restate or Recover.
+		Requested uint64
+		Covered   []uint64
 	}
 
 	// SnapshotError tells why a snapshot is refused.
@@ -32,10 +37,14 @@
 	if !st.Known() {
 		return nil, ErrNotKnown
 	}
-	data, err := json.Marshal(Snapshot{
+	snap := Snapshot{
 		Version: formatVersion, Content: st.Content, Buckets: st.Buckets,
-		AsOf: st.next, Entries: st.Entries(),
-	})
+		AsOf: st.next, Entries: st.Entries(), Requested: st.requested,
+	}
+	for ix := range st.slots {
+		snap.Covered = append(snap.Covered, st.slots[ix].covered)
+	}
+	data, err := json.Marshal(snap)
 	if err != nil {
 		return nil, fmt.Errorf("marshal a snapshot: %w", err)
 	}
@@ -62,7 +71,7 @@
 // other changes nothing.
 func (st *State) Import(snap Snapshot) ([]Outcome, error) {
 	st.init()
-	if snap.Content != st.Content || snap.Buckets != st.Buckets {
+	if snap.Content != st.Content || snap.Buckets != st.Buckets || len(snap.Covered) != st.Buckets {
 		return nil, &SnapshotError{Detail: "is of another stream"}
 	}
 	ahead := !st.begun || snap.AsOf > st.next
@@ -77,14 +86,15 @@
 	if ahead {
 		st.begun, st.start, st.next = true, snap.AsOf, snap.AsOf
 	}
+	st.requested = max(st.requested, snap.Requested)
 	var outs []Outcome
 	for ix := range st.slots {
 		sl := &st.slots[ix]
-		switch {
-		case st.broken.snapshotWins:
-			sl.entries = map[string]Entry{}
-			outs = append(outs, st.settle(sl, snap.AsOf, parts[ix])...)
-		case ahead || !sl.known:
+		if snap.AsOf < sl.lowest {
+			continue
+		}
+		sl.covered = max(sl.covered, snap.Covered[ix])
+		if ahead || !sl.known || st.broken.snapshotWins {
 			outs = append(outs, st.settle(sl, snap.AsOf, parts[ix])...)
 		}
 	}
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,10 @@
 		slots []slot
 		edits uint64 // grows with every change of an entry
 
+		// requested is the offset of the newest RestateRequest, plus one;
+		// zero if there is none or it may have been missed.
+		requested uint64
+
 		broken guards
 	}
 
@@ -36,6 +41,10 @@
 		bytes    int
 		held     []heldPublish // while not known, in the order of the log
 		restated uint64        // AsOf of the newest Restate read
+		covered  uint64        // offset of the newest Restate or Recover in force, plus one
+		lowest   uint64        // a Restate from before this offset tells too little
+		ever     bool          // the bucket was known once
+		knownTo  uint64        // up to where it was, while it is not
 	}
 
 	heldPublish struct {
@@ -52,6 +61,8 @@
 		noHold       bool // decide without knowing what was missed
 		gapIgnored   bool // go on after missed records
 		snapshotWins bool // let any snapshot replace what is known
+		anyRecover   bool // trust a Recover whatever was restated
+		blindRecover bool // pass over a Recover that can't be verified
 	}
 
 	// GapError tells that records which the state needs are not there.
@@ -131,10 +142,14 @@
 		st.next = first
 		return
 	}
-	st.start, st.next = first, first
+	before := st.next
+	st.start, st.next, st.requested = first, first, 0
 	for ix := range st.slots {
 		sl := &st.slots[ix]
-		sl.held = nil
+		if st.begun && sl.known {
+			sl.ever, sl.knownTo = true, before
+		}
+		sl.held, sl.covered, sl.lowest = nil, 0, 0
 		sl.known = first == 0 || st.broken.noHold
 	}
 	st.begun = true
@@ -160,6 +175,14 @@
 			if err != nil {
 				bad = append(bad, err)
 			}
+		case RestateRequest:
+			st.requested = raw.Offset + 1
+		case Recover:
+			out, err := st.recover(raw.Offset, rec)
+			outs = append(outs, out...)
+			if err != nil {
+				bad = append(bad, err)
+			}
 		}
 	}
 	st.next = max(st.next, ba.Next)
@@ -228,25 +251,88 @@
 }
 
 func (st *State) restate(offset uint64, rst Restate) ([]Outcome, error) {
-	if rst.Buckets != st.Buckets {
-		return nil, &RecordError{Offset: offset, Detail: "restatement for another number of buckets"}
-	}
-	for _, en := range rst.Entries {
-		if st.bucket(en.Key) != rst.Bucket {
-			return nil, &RecordError{Offset: offset, Detail: "restatement of a key of another bucket"}
-		}
+	if err := st.fits(offset, rst.Bucket, rst.Buckets, rst.Entries); err != nil {
+		return nil, err
 	}
 	sl := &st.slots[rst.Bucket]
 	sl.restated = max(sl.restated, rst.AsOf)
+	covered := sl.covered
+	sl.covered = offset + 1
 	if sl.known && !st.broken.restateWins {
+		if rst.AsOf < covered {
+			return nil, nil // overtaken on its way, perhaps by a Recover
+		}
 		return nil, sl.agrees(offset, rst)
 	}
-	if rst.AsOf < st.start && !st.broken.oldRestate {
+	if rst.AsOf < max(st.start, sl.lowest) && !st.broken.oldRestate {
 		return nil, nil
 	}
 	return st.settle(sl, rst.AsOf, rst.Entries), nil
 }
 
+func (st *State) fits(offset uint64, bucket, buckets int, ens []Entry) error {
+	if buckets != st.Buckets {
+		return &RecordError{Offset: offset, Detail: "is for another number of buckets"}
+	}
+	for _, en := range ens {
+		if st.bucket(en.Key) != bucket {
+			return &RecordError{Offset: offset, Detail: "holds a key of another bucket"}
+		}
+	}
+	return nil
+}
+
+// recover takes a Recover. Whether it counts follows from the records since
+// the newest request. A reader that may have missed that request, and does
+// not know the bucket, starts the bucket anew after it.
+func (st *State) recover(offset uint64, rc Recover) ([]Outcome, error) {
+	if err := st.fits(offset, rc.Bucket, rc.Buckets, rc.Entries); err != nil {
+		return nil, err
+	}
+	sl := &st.slots[rc.Bucket]
+	if st.requested == 0 && st.start > 0 && !sl.known && !st.broken.blindRecover {
+		sl.lowest = offset + 1
+		return sl.passAll(), nil
+	}
+	counts := rc.Request+1 == st.requested && sl.covered < st.requested
+	if !counts && !st.broken.anyRecover {
+		return nil, nil
+	}
+	outs := sl.passAll()
+	sl.covered, sl.known = offset+1, true
+	sl.entries, sl.bytes = map[string]Entry{}, 0
+	for _, en := range rc.Entries {
+		st.put(sl, Entry{
+			Key: en.Key, Revision: offset + 1, ID: fmt.Sprintf("%s%d", recoverPrefix, offset),
+			Value: en.Value, Earlier: en.earlier(),
+		})
+	}
+	st.edits++
+	return outs, nil
+}
+
+// passAll drops the held publications, whose rulings mean nothing any more.
+func (sl *slot) passAll() []Outcome {
+	var outs []Outcome
+	for _, he := range sl.held {
+		outs = append(outs, Outcome{Offset: he.offset, ID: he.pub.ID, Key: he.pub.Key, Ruling: Passed})
+	}
+	sl.held = nil
+	return outs
+}
+
+// lastKnown returns the Recover of a bucket that is not known but was; false
+// if there is no request that stayed without answer.
+func (st *State) lastKnown(bucket int) (Recover, bool) {
+	sl := &st.slots[bucket]
+	if sl.known || !sl.ever || st.requested == 0 || sl.covered >= st.requested {
+		return Recover{}, false
+	}
+	return Recover{
+		Request: st.requested - 1, AsOf: sl.knownTo, Bucket: bucket, Buckets: st.Buckets, Entries: sl.sorted(),
+	}, true
+}
+
 // agrees tells whether a Restate says nothing that this VM should have known
 // and doesn't.
 func (sl *slot) agrees(offset uint64, rst Restate) error {
@@ -259,13 +345,13 @@
 }
 
 // settle decides a bucket whose content as of an offset, at or after the
-// start, has become known.
+// start, has become known. It replaces the last known content, which is older.
 func (st *State) settle(sl *slot, asOf uint64, ens []Entry) []Outcome {
+	sl.entries, sl.bytes = map[string]Entry{}, 0
 	for _, en := range ens {
-		if st.broken.restateWins || en.Revision > sl.entries[en.Key].Revision {
-			st.put(sl, en)
-		}
+		st.put(sl, en)
 	}
+	st.edits++
 	sl.known = true
 	held := sl.held
 	sl.held = nil
