--- a/internal/register/snapshot.go
+++ b/internal/register/snapshot.go
@@ -66,9 +66,27 @@
 	return snap, nil
 }
 
+// takenBack finds a register whose last known revision is newer than the
+// snapshot's. Only a Recover of its bucket since then explains that.
+func (st *State) takenBack(parts [][]Entry, snap Snapshot) (key string, back bool) {
+	for ix := range st.slots {
+		revisions := map[string]uint64{}
+		for _, en := range parts[ix] {
+			revisions[en.Key] = en.Revision
+		}
+		for key, en := range st.slots[ix].entries {
+			if revisions[key] < en.Revision && snap.Covered[ix] <= en.Revision {
+				return key, true
+			}
+		}
+	}
+	return "", false
+}
+
 // Import merges a peer's snapshot. One that is ahead of the state replaces
 // it; one that is not behind its start decides what is still undecided; any
-// other changes nothing.
+// other changes nothing. One that would take a register back is refused with a
+// *SnapshotError.
 func (st *State) Import(snap Snapshot) ([]Outcome, error) {
 	st.init()
 	if snap.Content != st.Content || snap.Buckets != st.Buckets || len(snap.Covered) != st.Buckets {
@@ -83,6 +101,9 @@
 		ix := st.bucket(en.Key)
 		parts[ix] = append(parts[ix], en)
 	}
+	if key, back := st.takenBack(parts, snap); back && !st.broken.snapshotWins {
+		return nil, &SnapshotError{Detail: fmt.Sprintf("takes %q back", key)}
+	}
 	if ahead {
 		st.begun, st.start, st.next = true, snap.AsOf, snap.AsOf
 	}
