register: become ready again when all was replaced and dropped

Cause: VMs that never knew a bucket could not recover it, so a fleet that was replaced while the log dropped everything would never be ready. Change: after eleven minutes without an answer a majority takes a bucket that nobody knows for empty. Conclusion: what nobody knows stays lost, but operators can publish again.

--- a/internal/register/follower_test.go
+++ b/internal/register/follower_test.go
@@ -334,3 +334,30 @@
 	}
 	hn.checkAgree()
 }
+
+// TestEverythingReplacedAndDropped leaves nobody who knows anything. The VMs
+// become ready after a long wait, so that operators can publish again.
+func TestEverythingReplacedAndDropped(tt *testing.T) {
+	hn := newHarness(tt, 10, 3, Settings{Retention: clock.Hour})
+	hn.keep = clock.Hour
+	hn.run(clock.Second)
+	hn.publish(0, change("p1", 0))
+	hn.run(clock.Minute)
+	for _, vm := range hn.vms {
+		vm.stop()
+	}
+	hn.run(2 * clock.Hour)
+	for _, vm := range hn.vms {
+		vm.start()
+	}
+	hn.run(10 * clock.Minute)
+	assert.Assert(tt, !hn.vms[0].inForce.Ready)
+	hn.run(5 * clock.Minute)
+	for _, vm := range hn.vms {
+		assert.Assert(tt, vm.inForce.Ready)
+	}
+	wi := hn.publish(1, change("p2", 0))
+	hn.run(clock.Second)
+	assert.Equal(tt, result(tt, wi).Result, Published)
+	hn.checkAgree()
+}
--- a/internal/register/restate.go
+++ b/internal/register/restate.go
@@ -25,6 +25,10 @@
 	requestSpacing = 2 * clock.Second
 	recoverSpacing = 10 * clock.Second
 
+	// emptyRecover is how much longer a VM waits that never knew a bucket: if
+	// nobody knows it, all VMs were replaced and the log dropped everything.
+	emptyRecover = 10
+
 	requestBucket = -1 // stands for a request in the names of appends
 	restatePrefix = "restate/"
 )
@@ -154,7 +158,7 @@
 	if ro.doubtAt == 0 {
 		ro.doubtAt = now
 	}
-	stale := ro.requestedAt + 5*se.RecoverAfter
+	stale := ro.requestedAt + 2*emptyRecover*se.RecoverAfter
 	knownTo := fo.state.missedFrom()
 	if ro.requested == 0 || now >= stale || knownTo > fo.state.requestKnown {
 		due := ro.doubtAt + se.RequestAfter + clock.Millis(fo.rank(0))*requestSpacing
@@ -179,6 +183,9 @@
 		if rc.AsOf < fo.state.requestKnown {
 			due += se.RecoverAfter // leave it to the one that knew more
 		}
+		if !fo.state.slots[ix].ever {
+			due += emptyRecover * se.RecoverAfter
+		}
 		if due > now {
 			next = min(next, due)
 			continue
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -334,11 +334,12 @@
 	return from
 }
 
-// lastKnown returns the Recover of a bucket that is not known but was; false
-// if there is no request that stayed without answer.
+// lastKnown returns the Recover of a bucket that is not known; false if there
+// is no request that stayed without answer. That of a bucket which never was
+// known is empty.
 func (st *State) lastKnown(bucket int) (Recover, bool) {
 	sl := &st.slots[bucket]
-	if sl.known || !sl.ever || st.requested == 0 || sl.covered >= st.requested {
+	if sl.known || st.requested == 0 || sl.covered >= st.requested {
 		return Recover{}, false
 	}
 	return Recover{
