--- a/internal/slope/claims.go
+++ b/internal/slope/claims.go
@@ -58,13 +58,10 @@
 // newClaimFleet starts the books with the first seat table.
 func newClaimFleet(vms int) *claimFleet {
 	cf := &claimFleet{now: clock.Second, fleet: &board.Fleet{Quorate: true, Epoch: 1}, books: make(map[string]*claim.Book)}
-	table := &peerpb.SeatTable{}
 	for ix := range vms {
-		vm := fleetVM(ix)
-		cf.fleet.VMs = append(cf.fleet.VMs, vm)
-		table.Seats = append(table.Seats, &peerpb.ClaimSeat{ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain})
+		cf.fleet.VMs = append(cf.fleet.VMs, fleetVM(ix))
 	}
-	slices.SortFunc(table.Seats, func(sa, sb *peerpb.ClaimSeat) int { return cmp.Compare(sa.GetID(), sb.GetID()) })
+	table := cf.table()
 	for _, vm := range cf.fleet.VMs {
 		bk := &claim.Book{Self: vm.VMRef, FromStart: true}
 		fl := *cf.fleet
@@ -77,6 +74,16 @@
 	return cf
 }
 
+// table seats all VMs.
+func (cf *claimFleet) table() *peerpb.SeatTable {
+	out := &peerpb.SeatTable{}
+	for _, vm := range cf.fleet.VMs {
+		out.Seats = append(out.Seats, &peerpb.ClaimSeat{ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain})
+	}
+	slices.SortFunc(out.Seats, func(sa, sb *peerpb.ClaimSeat) int { return cmp.Compare(sa.GetID(), sb.GetID()) })
+	return out
+}
+
 // begin searches a key's grants for a request at a VM, to the verdict.
 func (cf *claimFleet) begin(at board.VMRef, key string) (*claimRun, error) {
 	cf.seed++
@@ -158,9 +165,45 @@
 	if err := measureSeats(rp); err != nil {
 		return err
 	}
+	if err := measureHandoffs(rp); err != nil {
+		return err
+	}
 	return measureRecords(rp)
 }
 
+// measureHandoffs replaces one VM's seat and counts what the others send for
+// it while no records are kept.
+func measureHandoffs(rp *Report) error {
+	along := func(name, unit string) *Series {
+		return rp.series(Series{Name: name, Along: "VMs with seats", Unit: unit, Kind: Count, Shape: Linear, Target: fleetTarget})
+	}
+	calls := along("HandoffCalls", "calls of one VM for each change of the seat table")
+	size := along("HandoffFrameBytes", "B of their frames")
+	table := along("SeatTableBytes", "B of the record of a seat table")
+	for _, count := range memberCounts[1:] {
+		cf := newClaimFleet(count)
+		next := cf.table()
+		next.Base = 1
+		next.Seats[0].Incarnation++
+		table.add(count, float64(proto.Size(next)))
+		parts, bytes := 0, 0
+		for _, bk := range cf.books {
+			for _, in := range bk.Step(cf.now+clock.Second, claim.Seated{Epoch: 2, Table: next}) {
+				if ho, ok := in.(claim.SendHandoff); ok {
+					parts++
+					bytes += proto.Size(&peerpb.Frame{Body: &peerpb.Frame_ClaimHandoff{ClaimHandoff: ho.Handoff}})
+				}
+			}
+		}
+		if parts == 0 {
+			return errNoVerdict
+		}
+		calls.add(count, float64(parts)/float64(count))
+		size.add(count, float64(bytes)/float64(count))
+	}
+	return nil
+}
+
 // timed runs the load and returns its microseconds of processor time for each
 // second of it.
 func (cf *claimFleet) timed(duplicates int) (float64, error) {
--- a/internal/slope/members.go
+++ b/internal/slope/members.go
@@ -13,7 +13,7 @@
 	fleetTarget = 380
 
 	membersSeed   = 20261202
-	membersSettle = 90 * clock.Second
+	membersSettle = 220 * clock.Second // more than a round of probes at 380 VMs
 	membersSpan   = 60 * clock.Second
 	membersWait   = 10 * clock.Minute
 )
