entry: read load reports of many plain servers less often

Cause: a VM read the report of each of up to 8 servers of a plain service each second; one read costs 376 B (PlainPollBytes of internal/slope), so one service of 8 cost 3.0 KB/s of a budget of 2 KB/s. Change: the span grows by 250 ms a server beyond four, up to 3 s. Result: by that figure 1.5 KB/s up to 12 servers; today's four are still read each second (test).

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -18,8 +18,13 @@
 )
 
 const (
-	// plainPoll is the span between two load reports of a server.
-	plainPoll = 1 * clock.Second
+	// plainPoll is the least span between two load reports of a server. It
+	// grows by plainPerServer with the servers that are asked, so that a VM
+	// reads four reports a second, but never beyond plainMost: a server that
+	// leaves has to be known within seconds.
+	plainPoll      = 1 * clock.Second
+	plainPerServer = 250 * clock.Millis(1)
+	plainMost      = 3 * clock.Second
 	// plainSubset bounds how many servers of one plain service this VM uses,
 	// so that what it asks for does not grow with the fleet.
 	plainSubset = 8
@@ -150,12 +155,17 @@
 		}
 		gr.Wait()
 		vm.usePlain(servers, reports)
-		if !sleep(ctx, plainPoll) {
+		if !sleep(ctx, plainPause(len(servers))) {
 			return
 		}
 	}
 }
 
+// plainPause is the span until the servers are asked again.
+func plainPause(servers int) clock.Millis {
+	return min(plainMost, max(plainPoll, clock.Millis(servers)*plainPerServer))
+}
+
 func (vm *VM) plainLoad(ctx context.Context, srv board.BackendServer) *board.LoadReport {
 	ctx, stop := context.WithTimeout(ctx, reportWithin.Std())
 	defer stop()
--- a/internal/entry/scale_test.go
+++ b/internal/entry/scale_test.go
@@ -74,3 +74,12 @@
 		assert.Assert(t, other != alive)
 	}
 }
+
+// A VM reads four load reports of plain servers a second; the four servers of
+// a service of today are read each second, and any within three.
+func TestPlainReportsAreBounded(t *testing.T) {
+	assert.Equal(t, plainPause(0), plainPoll)
+	assert.Equal(t, plainPause(4), plainPoll)
+	assert.Equal(t, plainPause(8), 2*clock.Second)
+	assert.Equal(t, plainPause(40), plainMost)
+}
