answer, entry: keep tokens without an event each, and prompts no longer than runs

Change: tokens lie in one text with their ends; an ended run lets go of its prompt or body; the bound counts what the answer takes and 2 KB for the run. An event of an unknown kind from another VM is an error now. TestRunsDropAnswersByAgeAndBySize held an answer of exactly the bound; the bound now counts the run too, so its answer is shorter by that, at the same edge. entry: Close of frames returns an error as the transport's does now, without which main did not build.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -23,11 +23,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"alderdyke/pkg/refusal"
 )
 
+// endBytes is the size of a token's end in memory.
+const endBytes = 8
+
 // Kinds of events.
 const (
 	Token   Kind = "Token"   // a piece of a model's answer
@@ -49,9 +53,14 @@
 	}
 
 	// Stream is the answer of one request. Make it with NewStream.
+	//
+	// Tokens lie one behind the other in text, and are not kept as events:
+	// an event takes some hundred bytes beside the few that it carries.
 	Stream struct {
 		mu       sync.Mutex
-		events   []Event
+		text     []byte // grows only; what was written is never changed
+		ends     []int  // of each token in text
+		last     Event  // the final event
 		final    bool
 		watchers int
 		changed  chan struct{} // closed and replaced at every change
@@ -104,11 +113,14 @@
 // Add appends an event that another VM made; its ID must be the next one.
 func (st *Stream) Add(ev Event) error {
 	st.mu.Lock()
-	want := len(st.events)
+	want := st.count()
 	st.mu.Unlock()
 	if ev.ID != want {
 		return fmt.Errorf("answer event %d came where %d was due", ev.ID, want)
 	}
+	if ev.Kind != Token && !ev.Kind.Final() {
+		return fmt.Errorf("answer event %d is of the unknown kind %q", ev.ID, ev.Kind)
+	}
 	return st.add(ev)
 }
 
@@ -118,13 +130,35 @@
 	if st.final {
 		return FinishedError{Kind: ev.Kind}
 	}
-	ev.ID = len(st.events)
-	st.events = append(st.events, ev)
-	st.final = ev.Kind.Final()
+	if ev.Kind.Final() {
+		ev.ID = len(st.ends)
+		st.last, st.final = ev, true
+		st.text, st.ends = slices.Clip(st.text), slices.Clip(st.ends)
+	} else {
+		st.text = append(st.text, ev.Data...)
+		st.ends = append(st.ends, len(st.text))
+	}
 	st.wake()
 	return nil
 }
 
+// count is the number of events.
+func (st *Stream) count() int {
+	if st.final {
+		return len(st.ends) + 1
+	}
+	return len(st.ends)
+}
+
+// token returns one token's bytes.
+func (st *Stream) token(ix int) []byte {
+	begin := 0
+	if ix > 0 {
+		begin = st.ends[ix-1]
+	}
+	return st.text[begin:st.ends[ix]:st.ends[ix]]
+}
+
 func (st *Stream) wake() {
 	close(st.changed)
 	st.changed = make(chan struct{})
@@ -134,7 +168,7 @@
 func (st *Stream) Len() (events int, final bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return len(st.events), st.final
+	return st.count(), st.final
 }
 
 // Last returns the final event, if the stream has ended.
@@ -144,7 +178,7 @@
 	if !st.final {
 		return Event{}, false
 	}
-	return st.events[len(st.events)-1], true
+	return st.last, true
 }
 
 // Tokens returns the pieces of a model's answer so far.
@@ -152,23 +186,17 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	var out []string
-	for _, ev := range st.events {
-		if ev.Kind == Token {
-			out = append(out, string(ev.Data))
-		}
+	for ix := range st.ends {
+		out = append(out, string(st.token(ix)))
 	}
 	return out
 }
 
-// Size returns the bytes that the events hold.
+// Size returns about how many bytes of memory the events take.
 func (st *Stream) Size() int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	size := 0
-	for _, ev := range st.events {
-		size += len(ev.Data)
-	}
-	return size
+	return cap(st.text) + cap(st.ends)*endBytes + len(st.last.Data)
 }
 
 // Attach starts to follow the stream at the event with the given ID. Every
@@ -211,8 +239,11 @@
 func (st *Stream) at(ix int) (Event, bool, <-chan struct{}) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if ix < len(st.events) {
-		return st.events[ix], true, nil
+	switch {
+	case ix < len(st.ends):
+		return Event{ID: ix, Kind: Token, Data: st.token(ix)}, true, nil
+	case st.final && ix == len(st.ends):
+		return st.last, true, nil
 	}
 	return Event{}, false, st.changed
 }
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -20,7 +20,7 @@
 	frames interface {
 		Send(fr *peerpb.Frame) error
 		Recv() (*peerpb.Frame, error)
-		Close()
+		Close() error
 	}
 
 	// pipe is one end of a stream within this VM, so that a VM that accounts
@@ -86,8 +86,9 @@
 }
 
 // Close ends the stream for both ends.
-func (pp *pipe) Close() {
+func (pp *pipe) Close() error {
 	pp.mine.once.Do(func() { close(pp.mine.done) })
+	return nil
 }
 
 // recvWithin waits for one frame, and closes the stream if the context ends
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -156,7 +156,7 @@
 	}
 	old := endedRun(t, &rs, "old", whole(1))
 	rs.end(old, 0)
-	large := endedRun(t, &rs, "large", whole(answerBytes))
+	large := endedRun(t, &rs, "large", whole(answerBytes-keptOverhead))
 	rs.end(large, answerKeep/2)
 	_, kept := rs.find(old.id)
 	assert.Assert(t, !kept, "the bound of bytes drops the oldest first")
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -17,6 +17,8 @@
 const (
 	answerKeep  = 2 * clock.Minute
 	answerBytes = 16 << 20
+	// keptOverhead is about what an ended run takes beside its answer.
+	keptOverhead = 2 << 10
 )
 
 type (
@@ -71,7 +73,8 @@
 		rs.remove(rn)
 		return
 	}
-	size := rn.st.Size()
+	rn.req.Chat, rn.req.Plain = nil, nil // only the answer is told again
+	size := rn.st.Size() + keptOverhead
 	rs.ended = append(rs.ended, keptRun{rn: rn, since: now, bytes: size})
 	rs.bytes += size
 	rs.trim(now)
