sched: give up a request whose KV cache lapses three times

A prompt whose KV cache no link carries within the time that it is kept was prefilled again until its deadline. It is refused as MayHaveRun with RetriesExhausted. Adds tests of adoption, late requests and taken-back grants.

--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -237,6 +237,91 @@
 	assert.Equal(t, fx.ends["ra"].Refusal.Ran, refusal.MayHaveRun)
 }
 
+// TestKVCacheThatNeverArrivesIsGivenUp loses the KV cache of one request
+// again and again.
+func TestKVCacheThatNeverArrivesIsGivenUp(t *testing.T) {
+	fx := newFixture(1, 1, 1)
+	fx.do(Submit{Ask: patient("ra")})
+	for range lapsesMost {
+		assert.Equal(t, len(fx.ends), 0)
+		fx.do(Adopt{Ask: quick("qa"), Stage: Decoding, Prefill: "p0", Decode: "d0"})
+		fx.progress("ra", Prefilled, 400)
+		fx.now += fx.ce.Keep
+		fx.do(Tick{})
+		fx.do(Progress{Request: "qa", Stage: Ended})
+	}
+	assert.Equal(t, fx.ends["ra"].Refusal.Reason, refusal.RetriesExhausted)
+	assert.Equal(t, fx.ends["ra"].Refusal.Ran, refusal.MayHaveRun)
+	assert.Equal(t, len(fx.ce.jobs), 0)
+}
+
+func TestGrantNotBegunIsTakenBackFromLeavingEngine(t *testing.T) {
+	fx := newFixture(2, 2, 8)
+	first := patient("r0")
+	first.PrefixHash, first.PrefixTokens = 42, 3900
+	fx.do(Submit{Ask: first})
+	fx.now += 50
+	second := first
+	second.Request = "r1"
+	fx.do(Submit{Ask: second}) // waits behind the first for the cached prefix
+	where := fx.grants["r0"].Prefill
+	assert.Equal(t, fx.grants["r1"].Prefill, where)
+	fx.now += 10
+	list := engines(2, 2)
+	for ix := range list {
+		list[ix].Leaving = list[ix].ID == where
+	}
+	fx.do(Servers{Servers: list})
+	assert.Equal(t, fx.backs["r0"], 0, "its prefill has begun")
+	assert.Equal(t, fx.backs["r1"], 1)
+	assert.Assert(t, fx.grants["r1"].Prefill != where)
+	assert.Equal(t, fx.grants["r1"].Attempt, 1)
+}
+
+func TestLateRequestsAreServedAndEnd(t *testing.T) {
+	fx := newFixture(1, 1, 1)
+	for ix := range 6 {
+		ask := patient(fmt.Sprint("r", ix))
+		ask.TTFT = 30 * clock.Second
+		ask.Deadline = 200 * clock.Second
+		ask.MaxTokens = 10
+		fx.do(Submit{Ask: ask})
+	}
+	fx.run("r0")
+	fx.now += 40 * clock.Second
+	fx.do(Tick{})
+	assert.Equal(t, fx.ce.Waiting(), 5, "late, not refused")
+	fx.progress("r0", Ended, 100)
+	_, ok := fx.grants["r1"]
+	assert.Assert(t, ok)
+	fx.now += 300 * clock.Second
+	fx.do(Tick{})
+	for ix := 2; ix < 6; ix++ {
+		assert.Equal(t, fx.ends[fmt.Sprint("r", ix)].Refusal.Reason, refusal.DeadlinePassed)
+	}
+}
+
+func TestAdopt(t *testing.T) {
+	for _, stage := range []Stage{Prefilling, Prefilled, Transferring, Decoding} {
+		t.Run(string(stage), func(t *testing.T) {
+			fx := newFixture(1, 1, 4)
+			ad := Adopt{Ask: patient("ra"), Stage: stage, Prefill: "p-gone", Decode: "d0"}
+			ad.Ask.Attempt = 3
+			fx.grants["ra"] = Grant{Attempt: 3}
+			fx.do(ad)
+			assert.Equal(t, len(fx.ends), 0)
+			for _, next := range []Stage{Prefilled, Decoding} {
+				fx.progress("ra", next, 10)
+			}
+			assert.Equal(t, fx.ce.jobs["ra"].stage, Decoding)
+			assert.Equal(t, fx.ce.engines["d0"].held, 1)
+			fx.progress("ra", Ended, 10)
+			assert.Equal(t, fx.ce.engines["d0"].held, 0)
+			assert.Equal(t, fx.ce.promised, [2]int{})
+		})
+	}
+}
+
 func TestStalledTransferGoesAnotherWay(t *testing.T) {
 	fx := newFixture(1, 2, 4)
 	ask := patient("ra")
--- a/internal/sched/fallback_test.go
+++ b/internal/sched/fallback_test.go
@@ -45,6 +45,9 @@
 			fb := Fallback{Rand: rand.New(rand.NewPCG(1, 2))}
 			gr, ok := fb.Decide(tc.ask, tc.view)
 			assert.Equal(t, ok, tc.want)
+			if _, again := fb.Redirect(tc.ask, tc.view); again != tc.want {
+				t.Errorf("Redirect tells %v", again)
+			}
 			if ok {
 				assert.Assert(t, gr.Prefill[0] == 'p' && gr.Decode[0] == 'd')
 			}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -5,15 +5,19 @@
 // time accounts for it, chosen by rendezvous hashing, so that all VMs share
 // the engines without racing on lagging load reports. A [Cell] does no I/O:
 // it is given events and the time, and returns intents. Everything that it
-// decides can be replayed from the list of its events.
+// decides can be replayed from the list of its events. A VM that can't reach
+// the accounting VM decides for itself by a [Fallback].
 //
 // # Usage
 //
 //	ce := &sched.Cell{Name: "rapportmodel/0"}
 //	for _, in := range ce.Step(now, sched.Submit{Ask: ask}) {
 //		switch in := in.(type) {
-//		case sched.Grant: ...
+//		case sched.Grant: ... // send the prefill, then tell Progress
+//		case sched.Transfer: ... // import the KV cache and decode
+//		case sched.Preempt: ... // cancel, and wait for another Grant
 //		case sched.Refuse: ...
+//		case sched.Wake: ... // give a Tick by then
 //		}
 //	}
 package sched
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -14,6 +14,7 @@
 	// that grows with time.
 	forecastEach = 25 * clock.Millis(1)
 
+	lapsesMost = 3     // KV caches that one request may lose
 	quickAhead = 200.0 // milliseconds that quick transfers count as sooner
 	lapseAhead = 300.0 // the same for patient ones, at a weight of 1
 	lapseNear  = 100.0 // milliseconds before the lapse of a KV cache that nothing weighs on
@@ -154,7 +155,7 @@
 	for _, jb := range slices.Clone(ce.ready) {
 		ce.steps++
 		if float64(jb.lapse-now) < min(jb.linkMS, lapseCertain*float64(ce.Keep)) {
-			ce.requeue(now, jb, refusal.TargetUnreachable)
+			ce.lapsed(now, jb)
 		}
 	}
 	for _, jb := range slices.Clone(ce.moving) {
@@ -165,6 +166,16 @@
 	}
 }
 
+// lapsed takes a request back whose KV cache is lost. After a few times it is
+// refused: its KV cache may be larger than the links carry.
+func (ce *Cell) lapsed(now clock.Millis, jb *job) {
+	jb.lapses++
+	ce.requeue(now, jb, refusal.TargetUnreachable)
+	if jb.lapses >= lapsesMost {
+		ce.refuse(now, jb, refusal.RetriesExhausted)
+	}
+}
+
 // stalled tells whether a transfer takes so much longer than expected that
 // another decode engine is worth a try. It is not when, at the pace that the
 // link has shown, another would not arrive before the KV cache lapses.
