--- a/internal/sched/bench/local.go
+++ b/internal/sched/bench/local.go
@@ -184,12 +184,16 @@
 
 // alive lists the engines of a role that are listed.
 func (sm *sim) alive(role board.Role) []string {
+	if out, ok := sm.living[role]; ok {
+		return out
+	}
 	var out []string
 	for _, srv := range sm.list() {
 		if srv.Role == role {
 			out = append(out, srv.ID)
 		}
 	}
+	sm.living[role] = out
 	return out
 }
 
