--- a/internal/sched/bench/oracle.go
+++ b/internal/sched/bench/oracle.go
@@ -14,7 +14,7 @@
 const oracleEach = 20.0 // milliseconds between looks without an event
 
 // oracleVariants are what an oracle tries.
-var oracleVariants = []oracleVariant{{6, false}, {12, false}, {18, false}, {6, true}, {12, true}}
+var oracleVariants = []oracleVariant{{0, false}, {6, false}, {12, false}, {18, false}, {6, true}, {12, true}}
 
 type (
 	// oracleVariant is one way in which an oracle orders its work.
