orders: decide on roles and orders of a cell's engines

Nothing gave orders to model engines. The decisions are pure: roles follow the load with a window, a dwell (three to take a change back) and a least count of each role; one order of a cell at a time and only under its lease; an order in doubt is settled by the engine's own report before any other.

--- /dev/null
+++ b/internal/orders/cell_test.go
@@ -0,0 +1,406 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	slots = 20
+	step  = 500 * clock.Millis(1)
+)
+
+// bench drives one cell with engines that do as they are told.
+type bench struct {
+	cell    *Cell
+	now     clock.Millis
+	engines []Engine
+	demand  func(now clock.Millis) (prefill, decode float64) // engines' worth of work
+	runs    map[string]int                                   // that never end by themselves
+	outcome func(sd Send) Outcome                            // nil: carried out
+	noLease bool
+	stuck   bool // an engine that is drained turns out to run something that does not end
+
+	changes []clock.Millis
+	fewest  map[board.Role]int
+	intents []Intent
+	held    bool
+}
+
+func newBench(se Settings, prefill, decode int) *bench {
+	bn := &bench{
+		cell: &Cell{Settings: se}, now: 1000, runs: map[string]int{},
+		fewest: map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
+		demand: func(clock.Millis) (float64, float64) { return 0, 0 },
+	}
+	for ix := range prefill + decode {
+		role := board.Prefill
+		if ix >= prefill {
+			role = board.Decode
+		}
+		bn.engines = append(bn.engines, Engine{ID: fmt.Sprintf("e%02d", ix), Role: role, Fit: true, ChecksFencing: ix%2 == 0, Slots: slots})
+	}
+	return bn
+}
+
+// run passes time, with an observation each step.
+func (bn *bench) run(span clock.Millis) {
+	for end := bn.now + span; bn.now < end; bn.now += step {
+		bn.tell(bn.observe())
+	}
+}
+
+func (bn *bench) observe() Observed {
+	prefill, decode := bn.demand(bn.now)
+	po := poolsOf(bn.engines)
+	busy := min(float64(po.prefill), prefill)
+	full := min(1, decode/float64(max(1, po.decode)))
+	ob := Observed{}
+	for _, eng := range bn.engines {
+		eng.RoleAt, eng.Work = bn.now, bn.runs[eng.ID]
+		switch {
+		case eng.Role == board.Decode:
+			eng.Running = int(full * slots)
+		case busy >= 1:
+			eng.Queued, busy = 1, busy-1
+		}
+		ob.Engines = append(ob.Engines, eng)
+	}
+	if prefill > float64(po.prefill) || decode > float64(po.decode) {
+		ob.Quick = 3
+	}
+	return ob
+}
+
+func (bn *bench) tell(ev Event) {
+	for _, in := range bn.cell.Step(bn.now, ev) {
+		bn.intents = append(bn.intents, in)
+		switch in := in.(type) {
+		case Want:
+			if in.Hold && !bn.noLease {
+				bn.held = true
+				bn.tell(Held{Token: uint64(bn.now)})
+			} else if bn.held {
+				bn.held = false
+				bn.tell(Lapsed{})
+			}
+		case Drain:
+			if bn.stuck && in.Stop {
+				bn.runs[in.Server] = 1
+			}
+			if !in.Stop {
+				delete(bn.runs, in.Server)
+			}
+		case Inspect:
+			eng := bn.engine(in.Server)
+			bn.tell(Inspected{Server: in.Server, Asked: bn.now, Runs: bn.runs[in.Server], Role: eng.Role, RoleAt: bn.now})
+		case Send:
+			bn.tell(Sent{Server: in.Server, Outcome: bn.carryOut(in)})
+		}
+	}
+}
+
+func (bn *bench) carryOut(sd Send) Outcome {
+	if bn.outcome != nil {
+		if oc := bn.outcome(sd); oc.Reason != CarriedOut {
+			return oc
+		}
+	}
+	eng := bn.engine(sd.Server)
+	if sd.Order.Kind == engine.ChangeRole && eng.Role != sd.Order.Role {
+		eng.Role = sd.Order.Role
+		bn.changes = append(bn.changes, bn.now)
+		po := poolsOf(bn.engines)
+		for role, few := range bn.fewest {
+			bn.fewest[role] = min(few, po.of(role))
+		}
+	}
+	return Outcome{Role: eng.Role}
+}
+
+func (bn *bench) engine(id string) *Engine {
+	for ix := range bn.engines {
+		if bn.engines[ix].ID == id {
+			return &bn.engines[ix]
+		}
+	}
+	panic("no engine " + id)
+}
+
+// swing is a load that is all prefill for half a period and all decode for
+// the other half.
+func swing(period clock.Millis, size float64) func(clock.Millis) (float64, float64) {
+	return func(now clock.Millis) (float64, float64) {
+		if now%period < period/2 {
+			return size, 0.2
+		}
+		return 0.2, size
+	}
+}
+
+func TestRolesFollowALastingLoad(t *testing.T) {
+	bn := newBench(Settings{Dwell: 2 * clock.Minute}, 6, 2)
+	bn.demand = func(clock.Millis) (float64, float64) { return 1.5, 4.5 }
+	bn.run(clock.Hour)
+	po := poolsOf(bn.engines)
+	assert.Assert(t, po.decode >= 4 && po.prefill >= 2, "%+v", po)
+	// Once the roles fit the load they stay.
+	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
+}
+
+// hourly runs a swinging load for some hours and returns the most changes in
+// any one hour.
+func hourly(bn *bench, hours int) int {
+	bn.run(clock.Millis(hours) * clock.Hour)
+	most := 0
+	for ix, from := range bn.changes {
+		count := 0
+		for _, at := range bn.changes[ix:] {
+			if at < from+clock.Hour {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+func TestNoThrashUnderASwingingLoad(t *testing.T) {
+	dwell := 2 * clock.Minute
+	// Two changes to the same role stand a dwell apart, and one that takes
+	// the last back three: with four engines of each role no more than three
+	// can follow each other before the first is taken back.
+	bound := 3*int(clock.Hour/(5*dwell)) + 3
+	for _, period := range []clock.Millis{5 * clock.Second, 20 * clock.Second, clock.Minute, 2 * clock.Minute, 4 * clock.Minute, 10 * clock.Minute, clock.Hour} {
+		bn := newBench(Settings{Dwell: dwell}, 4, 4)
+		bn.demand = swing(period, 7)
+		most := hourly(bn, 4)
+		t.Logf("period %v: %d changes in 4 h, at most %d in an hour, fewest %v", period, len(bn.changes), most, bn.fewest)
+		assert.Assert(t, most <= bound, "period %v: %d changes in an hour", period, most)
+		if period <= dwell {
+			assert.Equal(t, len(bn.changes), 0, "period %v", period)
+		}
+		assert.Assert(t, bn.fewest[board.Prefill] >= 1 && bn.fewest[board.Decode] >= 1)
+	}
+}
+
+func TestGuardsAgainstThrashAreNeeded(t *testing.T) {
+	dwell := 2 * clock.Minute
+	for name, broken := range map[string]guards{"NoWindow": {noWindow: true}, "NoDwell": {noDwell: true, noWindow: true}} {
+		bn := newBench(Settings{Dwell: dwell}, 4, 4)
+		bn.cell.broken = broken
+		bn.demand = swing(2*clock.Minute, 7)
+		assert.Assert(t, hourly(bn, 1) > 0, "%s is not caught", name)
+	}
+	few := 0
+	for _, noDwell := range []bool{false, true} {
+		bn := newBench(Settings{Dwell: dwell, Window: 5 * clock.Second}, 8, 8)
+		bn.cell.broken = guards{noDwell: noDwell}
+		bn.demand = swing(2*clock.Minute, 14)
+		most := hourly(bn, 1)
+		if !noDwell {
+			few = most
+			assert.Assert(t, most <= int(clock.Hour/dwell)+1)
+			continue
+		}
+		assert.Assert(t, most > int(clock.Hour/dwell)+1, "without the dwell %d changes, with it %d", most, few)
+	}
+}
+
+// Whatever the load, each role keeps its least, no engine changes while it
+// runs something, and one order of the cell is under way at a time.
+func TestBoundsUnderAnyLoad(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		least := rapid.IntRange(1, 3).Draw(rt, "Least")
+		prefill := rapid.IntRange(least, 8).Draw(rt, "Prefill")
+		decode := rapid.IntRange(least, 8).Draw(rt, "Decode")
+		bn := newBench(Settings{Dwell: 2 * clock.Minute, Least: least}, prefill, decode)
+		load := [2]float64{}
+		bn.demand = func(clock.Millis) (float64, float64) { return load[0], load[1] }
+		bn.outcome = func(sd Send) Outcome {
+			if eng := bn.engine(sd.Server); eng.Role != sd.Order.Role && bn.runs[sd.Server] > 0 {
+				rt.Fatalf("%s changes with %d runs", sd.Server, bn.runs[sd.Server])
+			}
+			return Outcome{}
+		}
+		for range 12 {
+			load = [2]float64{rapid.Float64Range(0, 9).Draw(rt, "PrefillLoad"), rapid.Float64Range(0, 9).Draw(rt, "DecodeLoad")}
+			for _, eng := range bn.engines {
+				bn.runs[eng.ID] = rapid.IntRange(0, 1).Draw(rt, "Runs")
+			}
+			bn.run(clock.Millis(rapid.IntRange(1, 6).Draw(rt, "Minutes")) * clock.Minute)
+		}
+		if bn.fewest[board.Prefill] < least || bn.fewest[board.Decode] < least {
+			rt.Fatalf("fewest %v", bn.fewest)
+		}
+		for ix := 1; ix < len(bn.changes); ix++ {
+			if bn.changes[ix]-bn.changes[ix-1] < 2*clock.Minute {
+				rt.Fatalf("changes at %v", bn.changes)
+			}
+		}
+	})
+}
+
+// shortDecode is a bench whose load calls for decode engines.
+func shortDecode(prefill, decode int) *bench {
+	bn := newBench(Settings{Dwell: 2 * clock.Minute}, prefill, decode)
+	bn.demand = func(clock.Millis) (float64, float64) { return 0, 99 }
+	return bn
+}
+
+func TestLeastIsKept(t *testing.T) {
+	bn := shortDecode(3, 1)
+	bn.run(4 * clock.Hour)
+	assert.Equal(t, bn.fewest[board.Prefill], 1)
+	assert.Equal(t, len(bn.changes), 2)
+
+	bn = shortDecode(1, 1)
+	bn.cell.broken.noLeast = true
+	bn.cell.trend.toward = board.Decode
+	_, ok := bn.cell.pick(board.Decode)
+	assert.Assert(t, !ok)
+	bn.tell(bn.observe())
+	_, ok = bn.cell.pick(board.Decode)
+	assert.Assert(t, ok, "the guard is not what keeps the last engine")
+	bn.cell.broken.noLeast = false
+	_, ok = bn.cell.pick(board.Decode)
+	assert.Assert(t, !ok)
+}
+
+func TestARoleThatLostItsEnginesGetsOne(t *testing.T) {
+	bn := newBench(Settings{Dwell: 2 * clock.Minute}, 3, 1)
+	bn.engine("e03").Fit = false
+	bn.run(30 * clock.Minute)
+	assert.Equal(t, poolsOf(bn.engines).decode, 1)
+	assert.Equal(t, len(bn.changes), 1)
+}
+
+func TestABusyEngineIsNotChanged(t *testing.T) {
+	for _, noDrain := range []bool{false, true} {
+		bn := shortDecode(2, 2)
+		bn.stuck = true
+		bn.cell.broken.noDrain = noDrain
+		bn.run(20 * clock.Minute)
+		assert.Equal(t, len(bn.changes) > 0, noDrain)
+		stops, goes := 0, 0
+		for _, in := range bn.intents {
+			if dr, ok := in.(Drain); ok && dr.Stop {
+				stops++
+			} else if ok {
+				goes++
+			}
+		}
+		assert.Assert(t, stops > 0)
+		assert.Equal(t, stops, goes, "an engine is left without new work")
+	}
+}
+
+func TestOutcomesOfAnOrder(t *testing.T) {
+	change := func(sd Send) bool { return sd.Order.Role == board.Decode && sd.Server == "e00" }
+	for _, tc := range []struct {
+		name    string
+		first   []Outcome
+		effect  bool // of the first, though its reply says otherwise
+		changes int
+		sends   int
+	}{
+		{"CarriedOut", nil, false, 1, 1},
+		{"ReplyLostAfterEffect", []Outcome{{Reason: InDoubt}}, true, 1, 1},
+		{"LostBeforeEffect", []Outcome{{Reason: InDoubt}}, false, 1, 2},
+		{"LostTwice", []Outcome{{Reason: InDoubt}, {Reason: InDoubt}}, false, 1, 3},
+		{"NotSent", []Outcome{{Reason: Declined}}, false, 1, 2},
+		{"Fenced", []Outcome{{Reason: Fenced}}, false, 0, 1},
+		{"DoubtThenFenced", []Outcome{{Reason: InDoubt}, {Reason: Fenced}}, false, 0, 2},
+		{"Withheld", []Outcome{{Reason: LeaseLost}}, false, 0, 1},
+		{"Refused", []Outcome{{Reason: Declined, Decline: "Refused"}}, false, 0, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bn := shortDecode(3, 1)
+			var fences []uint64
+			bn.outcome = func(sd Send) Outcome {
+				if !change(sd) {
+					return Outcome{}
+				}
+				fences = append(fences, sd.Order.Fence)
+				if len(fences) > len(tc.first) {
+					return Outcome{}
+				}
+				if tc.effect {
+					bn.engine(sd.Server).Role = sd.Order.Role
+					bn.changes = append(bn.changes, bn.now)
+				}
+				return tc.first[len(fences)-1]
+			}
+			bn.run(4 * clock.Minute) // one change at most
+			assert.Equal(t, len(bn.changes), tc.changes)
+			assert.Equal(t, len(fences), tc.sends)
+			for _, fence := range fences {
+				assert.Equal(t, fence, fences[0], "a repeat has another token")
+			}
+			assert.Assert(t, !bn.held, "the lease is kept")
+			assert.Assert(t, bn.cell.now == nil)
+		})
+	}
+}
+
+// While it is in doubt what an order did, no other is given.
+func TestNoOtherOrderInDoubt(t *testing.T) {
+	for _, noDoubt := range []bool{false, true} {
+		bn := shortDecode(5, 1)
+		bn.cell.broken.noDoubt = noDoubt
+		doubtful := map[string]bool{}
+		bn.outcome = func(sd Send) Outcome {
+			if sd.Order.Role == board.Decode && bn.engine(sd.Server).Role == board.Prefill {
+				doubtful[sd.Server] = true
+				return Outcome{Reason: InDoubt}
+			}
+			return Outcome{}
+		}
+		for len(doubtful) == 0 {
+			bn.run(step)
+		}
+		// The engine says nothing of itself any more.
+		for id := range doubtful {
+			bn.engine(id).Role, bn.engine(id).Fit = "", false
+		}
+		bn.run(30 * clock.Minute)
+		assert.Equal(t, len(doubtful) > 1, noDoubt)
+	}
+}
+
+func TestWithoutTheLeaseNothingIsOrdered(t *testing.T) {
+	bn := shortDecode(3, 1)
+	bn.noLease = true
+	bn.run(clock.Hour)
+	for _, in := range bn.intents {
+		switch in.(type) {
+		case Send, Drain:
+			t.Fatalf("%#v without the lease", in)
+		}
+	}
+}
+
+func TestOrdersOfOperators(t *testing.T) {
+	bn := newBench(Settings{Off: true}, 1, 1)
+	bn.tell(bn.observe())
+	for ix, kind := range []engine.OrderKind{engine.LoadModel, engine.LoadAdapter, engine.LoadVersion} {
+		bn.tell(Give{ID: fmt.Sprint(ix), Server: "e00", Order: engine.Order{Kind: kind, Name: "m"}})
+	}
+	bn.tell(Give{ID: "none", Server: "e77", Order: engine.Order{Kind: engine.LoadModel, Name: "m"}})
+	bn.run(2 * clock.Minute)
+	got := map[string]Reason{}
+	for _, in := range bn.intents {
+		if an, ok := in.(Answer); ok {
+			got[an.ID] = an.Reason
+		}
+	}
+	assert.DeepEqual(t, got, map[string]Reason{"0": CarriedOut, "1": CarriedOut, "2": CarriedOut, "none": UnknownNow})
+	assert.Assert(t, !bn.held)
+}
--- /dev/null
+++ b/internal/orders/trend.go
@@ -0,0 +1,138 @@
+package orders
+
+import (
+	"math"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+type (
+	// trend is the load of a cell over the last while, and for how long it
+	// has called for a change of role.
+	trend struct {
+		at       clock.Millis // of the last observation; zero before the first
+		busy     float64      // part of the prefill engines that have work
+		occupied float64      // part of the decode engines' memory slots in use
+		quick    float64      // requests that wait
+		patient  float64
+
+		toward board.Role // the role that is short; empty if none is
+		since  clock.Millis
+	}
+
+	// pools counts the engines of a cell that may be counted on.
+	pools struct {
+		prefill, decode int
+	}
+)
+
+func (po pools) of(role board.Role) int {
+	if role == board.Prefill {
+		return po.prefill
+	}
+	return po.decode
+}
+
+func other(role board.Role) board.Role {
+	if role == board.Prefill {
+		return board.Decode
+	}
+	return board.Prefill
+}
+
+// poolsOf counts the fit engines by the role that they report.
+func poolsOf(engines []Engine) pools {
+	var po pools
+	for _, eng := range engines {
+		switch {
+		case !eng.Fit:
+		case eng.Role == board.Prefill:
+			po.prefill++
+		case eng.Role == board.Decode:
+			po.decode++
+		}
+	}
+	return po
+}
+
+// take adds an observation. Averages forget with a time constant of a quarter
+// of the window, so that a load which swings faster calls for nothing.
+func (tr *trend) take(now clock.Millis, se Settings, ob Observed) {
+	busy, occupied := load(ob.Engines)
+	weight := 1.0
+	if tr.at != 0 {
+		weight = 1 - math.Exp(-4*float64(now-tr.at)/float64(max(1, se.Window)))
+	}
+	tr.at = now
+	for _, av := range []struct {
+		field *float64
+		value float64
+	}{
+		{&tr.busy, busy}, {&tr.occupied, occupied},
+		{&tr.quick, float64(ob.Quick)}, {&tr.patient, float64(ob.Patient)},
+	} {
+		*av.field += weight * (av.value - *av.field)
+	}
+	if toward := tr.short(se, poolsOf(ob.Engines)); toward != tr.toward {
+		tr.toward, tr.since = toward, now
+	}
+}
+
+// load is the part of each role in use at this moment.
+func load(engines []Engine) (busy, occupied float64) {
+	var po pools
+	working, running, slots := 0, 0, 0
+	for _, eng := range engines {
+		switch {
+		case !eng.Fit:
+		case eng.Role == board.Prefill:
+			po.prefill++
+			if eng.Work+eng.Running+eng.Queued > 0 {
+				working++
+			}
+		case eng.Role == board.Decode:
+			po.decode++
+			running += max(eng.Running, eng.Work)
+			slots += eng.Slots
+		}
+	}
+	return float64(working) / float64(max(1, po.prefill)), float64(running) / float64(max(1, slots))
+}
+
+// short names the role that needs an engine of the other one, which must be
+// able to spare it: with one engine less it must stay clear of being short
+// itself, or the next change would take this one back.
+func (tr *trend) short(se Settings, po pools) board.Role {
+	for _, role := range []board.Role{board.Prefill, board.Decode} {
+		if po.of(role) < se.Least && po.of(other(role)) > se.Least {
+			return role
+		}
+	}
+	if tr.quick+tr.patient < 0.5 {
+		return ""
+	}
+	spare := func(part float64, engines int) bool {
+		return engines > se.Least && part*float64(engines)/float64(engines-1) <= se.Low
+	}
+	switch {
+	case tr.occupied >= se.High && spare(tr.busy, po.prefill):
+		return board.Decode
+	case tr.busy >= se.High && spare(tr.occupied, po.decode):
+		return board.Prefill
+	}
+	return ""
+}
+
+// calls names the role that has been short for long enough: the window, or
+// twice as long while only requests wait that may.
+func (tr *trend) calls(now clock.Millis, se Settings) board.Role {
+	need := se.Window
+	if tr.quick < 0.5 {
+		need *= 2
+	}
+	if tr.toward == "" || now-tr.since < need {
+		return ""
+	}
+	return tr.toward
+}
