entry, operator, cli: give orders to engines under a lease on the log

The VM that accounts for a cell takes the cell's lease from the stream of leases, only while an order is to be given, looks at it again when the order is ready and the connection stands, and takes roles from what engines report rather than from the VM list. Operators have engines load something with POST /orders or alderdyke order.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -46,6 +46,8 @@
 	ErrTooLarge = errors.New("response is larger than its bound")
 	// ErrBadCall tells that a call can't be sent as it is written.
 	ErrBadCall = errors.New("call can't be sent as it is written")
+	// ErrWithheld tells that May of a call said no.
+	ErrWithheld = errors.New("call may not be sent any more")
 	// ErrBadAnswer tells that what came back can't be read.
 	ErrBadAnswer = errors.New("answer can't be read")
 )
@@ -68,6 +70,10 @@
 		// Once asks for a connection of its own. It is set on every call
 		// that has an effect.
 		Once bool
+		// May is asked as the last thing before the first byte is written,
+		// when the connection stands. If it says no, the call ends in a
+		// NotSentError that unwraps to ErrWithheld. Nil always says yes.
+		May func() bool
 	}
 
 	onceKey struct{}
@@ -93,6 +99,9 @@
 		mu     sync.Mutex
 		marks  map[*gatedConn]uint64 // writes before the call
 		opaque bool                  // a connection that can't be asked
+
+		may      func() bool // nil: always
+		withheld bool
 	}
 
 	// singleBody hides everything of a body but its reading, so that
@@ -188,11 +197,28 @@
 	gc, ok := info.Conn.(*gatedConn)
 	if !ok {
 		cr.opaque = true
+	} else if _, seen := cr.marks[gc]; !seen {
+		cr.marks[gc] = gc.mark()
+	}
+	if cr.may == nil || cr.may() {
 		return
 	}
-	if _, seen := cr.marks[gc]; !seen {
-		cr.marks[gc] = gc.mark()
+	cr.withheld = true
+	if ok {
+		gc.seal(cr.marks[gc])
+		return
+	}
+	_ = info.Conn.Close() // so that nothing can be written to it
+}
+
+// cause is why a call that was not sent failed.
+func (cr *carrier) cause(err error) error {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.withheld {
+		return ErrWithheld
 	}
+	return bare(err, ErrBadCall)
 }
 
 // untouched seals every connection of the call and tells whether none of
@@ -216,7 +242,7 @@
 //
 // Errors are NotSentError, DeclinedError and InDoubtError.
 func Send(ctx context.Context, hc *http.Client, cl Call) (*http.Response, error) {
-	cr := &carrier{marks: map[*gatedConn]uint64{}}
+	cr := &carrier{marks: map[*gatedConn]uint64{}, may: cl.May}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: cr.got})
 	if cl.Once {
 		ctx = context.WithValue(ctx, onceKey{}, true)
@@ -226,7 +252,7 @@
 	rsp, err := own.Do(single(cl.Request.WithContext(ctx)))
 	if err != nil {
 		if cr.untouched() {
-			return nil, NotSentError{Server: cl.Server, Call: cl.Name, Err: bare(err, ErrBadCall)}
+			return nil, NotSentError{Server: cl.Server, Call: cl.Name, Err: cr.cause(err)}
 		}
 		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: bare(err, ErrBadAnswer)}
 	}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -102,6 +102,8 @@
 		Queued    int
 		LinkBytes int64 // bytes still to send on its link
 		Leaving   bool
+		Role      Role         // that a model engine has by its own word; empty if it does not say
+		Age       clock.Millis // how old the report was when it was received
 	}
 
 	// Backends is the backend servers and their last reports.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,7 +1,7 @@
 // Package cli is the command line of alderdyke.
 //
 // The subcommands run, check and demo need no VM; publish, templates, status,
-// explain and drain ask one VM at its address for operators. Problems go to
+// explain, order and drain ask one VM at its address for operators. Problems go to
 // the standard error, results to the standard output, and the exit code tells
 // which it was.
 //
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -58,6 +58,10 @@
 	return vm.lines, vm.fail
 }
 
+func (vm *vmStub) Order(_ context.Context, od operator.Order) (operator.OrderReply, error) {
+	return operator.OrderReply{Order: od, VM: "aarhus-a-1"}, vm.fail
+}
+
 func (vm *vmStub) Drain(context.Context) error {
 	vm.drained = true
 	return vm.fail
@@ -244,3 +248,14 @@
 	assert.Equal(t, tm.run(t, "status", "--token-file", file), cli.Usage)
 	assert.Assert(t, !strings.Contains(tm.err, "two words"), tm.err)
 }
+
+func TestOrder(t *testing.T) {
+	tm := newTerminal(t)
+	assert.Equal(t, tm.run(t, "order", "e-1", "load-model", "m-2"), cli.Done, tm.err)
+	assert.Equal(t, tm.out, "carried out: LoadModel m-2 at e-1, ordered by VM aarhus-a-1\n")
+	for _, args := range [][]string{{"order", "e-1"}, {"order", "e-1", "load-model"}, {"order", "e-1", "change-role", "Decode"}, {"order", "e-1", "load-model", "a", "b"}} {
+		assert.Equal(t, tm.run(t, args...), cli.Usage, "%q", args)
+	}
+	tm.vm.fail = operator.Fault{Reason: operator.InDoubt, Detail: "give it again"}
+	assert.Equal(t, tm.run(t, "order", "e-1", "load-model", "m-2"), cli.InDoubt)
+}
--- a/internal/cli/do.go
+++ b/internal/cli/do.go
@@ -41,6 +41,8 @@
 		return status(ctx, cm, st)
 	case explainCommand:
 		return explain(ctx, cm, st)
+	case orderCommand:
+		return giveOrder(ctx, cm, st)
 	case drainCommand:
 		return drain(ctx, cm, st)
 	default:
@@ -177,6 +179,15 @@
 	return show(st.out, cm.json, rep, showExplain)
 }
 
+func giveOrder(ctx context.Context, cm orderCommand, st streams) error {
+	rep, err := cm.client.Order(ctx, cm.order)
+	if err != nil {
+		return fmt.Errorf("order %s: %w", cm.order.Server, err)
+	}
+	fmt.Fprintf(st.out, "carried out: %s %s at %s, ordered by VM %s\n", rep.Kind, rep.Name, rep.Server, rep.VM)
+	return nil
+}
+
 func drain(ctx context.Context, cm drainCommand, st streams) error {
 	if err := cm.client.Drain(ctx); err != nil {
 		return fmt.Errorf("begin the planned stop: %w", err)
--- a/internal/cli/parse.go
+++ b/internal/cli/parse.go
@@ -9,13 +9,14 @@
 
 	"github.com/integrii/flaggy"
 
+	"alderdyke/internal/engine"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/settings"
 )
 
 type (
 	// command is one parsed command line: help, version, run, check, demo,
-	// publish, templates, status, explain or drain.
+	// publish, templates, status, explain, order or drain.
 	command interface{ command() }
 
 	helpCommand    struct{ text string }
@@ -47,6 +48,10 @@
 		json          bool
 	}
 	drainCommand struct{ client operator.Client }
+	orderCommand struct {
+		client operator.Client
+		order  operator.Order
+	}
 
 	// options are all that flags and positional arguments can set.
 	options struct {
@@ -76,6 +81,7 @@
 func (statusCommand) command()    {}
 func (explainCommand) command()   {}
 func (drainCommand) command()     {}
+func (orderCommand) command()     {}
 
 var subcommands = []subcommand{
 	{name: "run", help: "Run one entry VM until it is told to stop (SIGINT or SIGTERM begins a planned stop).", positional: []string{"SETTINGS"}},
@@ -84,6 +90,7 @@
 	{name: "templates", help: "List the templates in force, or print one of them as TOML.", positional: []string{"[CUSTOMER]"}, flags: readFlags},
 	{name: "status", help: "Show how a VM is and what it sees.", flags: readFlags},
 	{name: "explain", help: "Tell what became of a request, from any VM.", positional: []string{"CUSTOMER", "KEY"}, flags: readFlags},
+	{name: "order", help: "Have a model engine load something: load-model, load-adapter or load-version, and its name. Ask the VM that accounts for the engine; any other one names it.", positional: []string{"SERVER", "KIND"}, more: true, flags: clientFlags},
 	{name: "drain", help: "Begin a planned stop of a VM; no request in progress is cut off.", flags: clientFlags},
 	{name: "demo", help: "Run three entry VMs, stand-ins for all they speak to, and some callers, in this process. With DIR: run only the stand-ins, and write there the settings for three VMs to be run by hand.", positional: []string{"[DIR]"}},
 }
@@ -238,6 +245,8 @@
 		return templatesCommand{client: cl, customer: op.first, json: op.json}, nil
 	case "explain":
 		return explainCommand{client: cl, customer: op.first, key: op.second, json: op.json}, nil
+	case "order":
+		return order(cl, op, more)
 	case "drain":
 		return drainCommand{client: cl}, nil
 	default:
@@ -245,6 +254,24 @@
 	}
 }
 
+// orderKinds are the kinds of orders as the command line writes them.
+var orderKinds = map[string]engine.OrderKind{
+	"load-model":   engine.LoadModel,
+	"load-adapter": engine.LoadAdapter,
+	"load-version": engine.LoadVersion,
+}
+
+func order(cl operator.Client, op *options, more []string) (command, error) {
+	kind, ok := orderKinds[op.second]
+	if !ok {
+		return nil, usageError{fmt.Sprintf("there is no order %.40q; write load-model, load-adapter or load-version", op.second)}
+	}
+	if len(more) != 1 {
+		return nil, usageError{"order needs SERVER, KIND and the name of what to load"}
+	}
+	return orderCommand{client: cl, order: operator.Order{Server: op.first, Kind: kind, Name: more[0]}}, nil
+}
+
 // client makes the client from flags and environment.
 func (pg Program) client(op *options) (operator.Client, error) {
 	address := op.address
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -81,6 +81,7 @@
 		path   string
 		query  url.Values
 		body   any // nil for reads
+		may    func() bool
 	}
 )
 
@@ -160,6 +161,7 @@
 	return board.LoadReport{
 		Server: srv.ID, At: ec.now(), Running: doc.Running, Slots: doc.Slots,
 		Queued: doc.Queued, LinkBytes: doc.LinkBytes, Leaving: doc.Leaving,
+		Role: doc.Role, Age: doc.Age,
 	}, nil
 }
 
@@ -188,8 +190,16 @@
 // Order changes the engine itself. Orders are idempotent, so that one in
 // doubt can be given again with the same fencing number.
 func (ec *Client) Order(ctx context.Context, srv board.BackendServer, od Order) (OrderResult, error) {
+	return ec.OrderIf(ctx, srv, od, nil)
+}
+
+// OrderIf is [Client.Order] for one who must still hold a lease: may is asked
+// as the last thing before the first byte leaves, when the order is ready and
+// the connection stands. If it says no, the error is a NotSentError that
+// unwraps to backend.ErrWithheld.
+func (ec *Client) OrderIf(ctx context.Context, srv board.BackendServer, od Order, may func() bool) (OrderResult, error) {
 	var out OrderResult
-	cl := call{srv: srv, name: "Order", method: http.MethodPost, path: OrderPath, body: od}
+	cl := call{srv: srv, name: "Order", method: http.MethodPost, path: OrderPath, body: od, may: may}
 	if err := ec.document(ctx, cl, documentBytes, &out); err != nil {
 		return OrderResult{}, fmt.Errorf("order %s: %w", od.Kind, err)
 	}
@@ -231,7 +241,7 @@
 		return nil, NotSentError{Server: cl.srv.ID, Call: cl.name, Err: err}
 	}
 	rsp, err := backend.Send(ctx, ec.client(), backend.Call{
-		Server: cl.srv.ID, Name: cl.name, Request: req, Once: cl.body != nil,
+		Server: cl.srv.ID, Name: cl.name, Request: req, Once: cl.body != nil, May: cl.may,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -142,6 +142,7 @@
 
 	// LoadDoc is what an engine reports of itself. It lags.
 	LoadDoc struct {
+		Role      board.Role // at present; empty if the engine does not say
 		Running   int
 		Slots     int
 		Queued    int
--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -37,6 +37,7 @@
 		stop context.CancelFunc
 		ac   *actor[sched.Event, sched.Intent]
 		rec  reconciler
+		ord  *orderer
 
 		mu   sync.Mutex
 		cell cell
@@ -50,7 +51,10 @@
 		done    chan struct{}
 		granted bool
 		orphan  bool
-		attempt int // of the grant
+		quick   bool
+		stage   sched.Stage // as last heard
+		taken   bool        // its grant was taken back; it waits again
+		attempt int         // of the grant
 		prefill string
 		decode  string
 	}
@@ -87,7 +91,8 @@
 func (ac *accountant) take(ctx context.Context, ce cell) *heldCell {
 	ctx, stop := context.WithCancel(ctx)
 	hc := &heldCell{vm: ac.vm, ctx: ctx, stop: stop, held: make(map[string]*heldRequest)}
-	hc.rec = reconciler{hc: hc, misses: make(map[string]int), leaves: make(map[string]bool)}
+	hc.rec = newReconciler(hc)
+	hc.ord = hc.newOrderer(ctx, ce.Name)
 	dc := &sched.Cell{Name: ce.Name}
 	hc.ac = newActor[sched.Event, sched.Intent](ac.vm.Clock, sched.Tick{}, cellTick)
 	hc.ac.step = dc.Step
@@ -98,6 +103,7 @@
 	}
 	ac.vm.wg.Go(func() { hc.ac.run(ctx) })
 	ac.vm.wg.Go(func() { hc.rec.run(ctx) })
+	hc.ord.start()
 	if ac.cells == nil {
 		ac.cells = make(map[string]*heldCell)
 	}
@@ -221,6 +227,8 @@
 		out:     make(chan *peerpb.Frame, outboxDepth),
 		done:    make(chan struct{}),
 		granted: ask.GetStage() != "",
+		stage:   sched.Stage(ask.GetStage()),
+		quick:   ask.GetQuick(),
 		attempt: int(ask.GetAttempt()),
 		prefill: ask.GetPrefillServer(),
 		decode:  ask.GetDecodeServer(),
@@ -265,6 +273,7 @@
 func (hc *heldCell) moved(hr *heldRequest, stage sched.Stage, server string) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
+	hr.stage = stage
 	if stage == sched.Prefilling || stage == sched.Prefilled {
 		hr.prefill = server
 		return
@@ -280,6 +289,7 @@
 			PrefillServer: in.Prefill, DecodeServer: in.Decode, SkipPrefill: in.SkipPrefill, Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) {
 			hr.granted, hr.attempt, hr.prefill, hr.decode = true, in.Attempt, in.Prefill, in.Decode
+			hr.stage, hr.taken = sched.Prefilling, false
 		})
 	case sched.Transfer:
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
@@ -288,7 +298,7 @@
 	case sched.Preempt:
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
 			Reason: string(in.Reason), Attempt: uint32(in.Attempt),
-		}}}, func(*heldRequest) {})
+		}}}, func(hr *heldRequest) { hr.taken = true })
 	case sched.Refuse:
 		hc.tellRunner(in.Request, refusalFrame(in.Refusal), func(*heldRequest) {})
 		hc.mu.Lock()
--- a/internal/entry/alone.go
+++ b/internal/entry/alone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -29,7 +30,7 @@
 	vw := sched.View{Reports: make(map[string]board.LoadReport)}
 	for _, ce := range vm.cellList().cells {
 		if ce.Name == ask.GetCell() {
-			vw.Servers = ce.Servers
+			vw.Servers = slices.Clone(ce.Servers)
 		}
 	}
 	vm.alone.look(ctx, &vw)
@@ -62,7 +63,7 @@
 func (al *alone) look(ctx context.Context, vw *sched.View) {
 	var mu sync.Mutex
 	var gr errgroup.Group
-	for _, srv := range vw.Servers {
+	for ix, srv := range vw.Servers {
 		gr.Go(func() error {
 			within, stop := context.WithTimeout(ctx, aloneWithin.Std())
 			defer stop()
@@ -74,6 +75,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			vw.Reports[srv.ID] = rp
+			if rp.Role != "" {
+				vw.Servers[ix].Role = rp.Role // the VM list may lag
+			}
 			return nil
 		})
 	}
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -106,6 +106,18 @@
 	return names[prefix%uint64(len(names))]
 }
 
+// cellOf names the cell of a model engine.
+func (vm *VM) cellOf(server string) (string, bool) {
+	for _, ce := range vm.cellList().cells {
+		for _, srv := range ce.Servers {
+			if srv.ID == server {
+				return ce.Name, true
+			}
+		}
+	}
+	return "", false
+}
+
 // accountantOf names the VM that accounts for a cell in this VM's view. A VM
 // in doubt is passed over at once: two VMs that account for a cell for a while
 // cost some refusals of full engines, while a cell without an accountant costs
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -34,6 +34,7 @@
 		stream string
 		fo     *register.Follower
 		ac     *actor[register.Event, register.Intent]
+		after  func(fo *register.Follower) // each step; nil: nothing
 
 		readAt    clock.Millis // of the last read that succeeded
 		reachable bool
@@ -82,7 +83,11 @@
 			fw.readAt = now
 		}
 	}
-	return fw.fo.Step(now, ev)
+	out := fw.fo.Step(now, ev)
+	if fw.after != nil {
+		fw.after(fw.fo)
+	}
+	return out
 }
 
 // look has a question answered between two steps. It reports false if the
@@ -243,8 +248,10 @@
 
 // followerOf finds the follower of a stream of registers.
 func (vm *VM) followerOf(stream string) (*follower, bool) {
-	if stream == vm.follower.stream {
-		return vm.follower, true
+	for _, fw := range []*follower{vm.follower, vm.leases} {
+		if stream == fw.stream {
+			return fw, true
+		}
 	}
 	return nil, false
 }
--- /dev/null
+++ b/internal/entry/lease.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"alderdyke/internal/orders"
+	"alderdyke/internal/register"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// leaseDuration is how long another VM waits after the holder of a
+	// cell's lease was last heard of. It is held only while an order is to be
+	// given, and renewed each third of it.
+	leaseDuration = 20 * clock.Second
+	leaseTick     = 250 * clock.Millis(1)
+	leasesWait    = 5 * clock.Second // that a read of the leases waits for a record
+)
+
+// lease is this VM's side of one cell's lease. Its Holder is stepped by one
+// loop and asked, at the last moment, by whoever sends an order.
+type lease struct {
+	vm   *VM
+	ctx  context.Context
+	ac   *actor[register.HolderEvent, register.HolderIntent]
+	tell func(ev orders.Event) // hears of Held and Lapsed
+
+	mu    sync.Mutex
+	ho    *register.Holder
+	since uint64 // first token of the lease as it is held now; zero if it is not
+}
+
+func leasesStream(stream string) string { return stream + "Leases" }
+
+func (vm *VM) newLease(ctx context.Context, cellName string, tell func(ev orders.Event)) *lease {
+	// Each Holder needs IDs of its own: a repeated ID is a repeated record.
+	number := vm.leaseSeed.Add(1)
+	le := &lease{vm: vm, ctx: ctx, tell: tell, ho: &register.Holder{
+		Resource: "cell/" + cellName,
+		Self:     fmt.Sprintf("%.20s.%x.%d", vm.Self.ID, vm.Self.Incarnation, number),
+		Rand:     vm.rand(hashID(cellName) + number),
+		Duration: leaseDuration,
+	}}
+	le.ac = newActor[register.HolderEvent, register.HolderIntent](vm.Clock, register.LeaseTick{}, leaseTick)
+	le.ac.step = le.step
+	le.ac.do = le.carryOut
+	le.ac.wakeAt = func(in register.HolderIntent) (clock.Millis, bool) {
+		wk, ok := in.(register.Wake)
+		return wk.At, ok
+	}
+	return le
+}
+
+func (le *lease) step(now clock.Millis, ev register.HolderEvent) []register.HolderIntent {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	out := le.ho.Step(now, ev)
+	for _, in := range out {
+		switch in := in.(type) {
+		case register.Held:
+			if le.since == 0 {
+				le.since = in.Token
+			}
+		case register.Lapsed:
+			le.since = 0
+		}
+	}
+	return out
+}
+
+// mayOrder tells whether an order that carries a token of this lease may be
+// sent right now, with at least the margin left. It reads the clock itself.
+func (le *lease) mayOrder(token uint64, margin clock.Millis) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	newest, may := le.ho.MayOrder(le.vm.Clock.Now() + margin)
+	return may && le.since != 0 && le.since <= token && token <= newest
+}
+
+func (le *lease) carryOut(in register.HolderIntent) {
+	switch in := in.(type) {
+	case register.LeaseAppend:
+		le.vm.wg.Go(func() { le.append(in) })
+	case register.Held:
+		le.tell(orders.Held{Token: in.Token})
+	case register.Lapsed:
+		le.tell(orders.Lapsed{Token: in.Token})
+	case register.Note:
+		le.vm.Log.Log(in.Event, in.Fields...)
+	}
+}
+
+func (le *lease) append(in register.LeaseAppend) {
+	ctx, stop := context.WithTimeout(le.ctx, appendWithin.Std())
+	defer stop()
+	_, err := le.vm.Logs.Append(ctx, le.vm.leases.stream, in.Data)
+	le.ac.tell(le.ctx, register.LeaseAppended{ID: in.ID, Err: err})
+}
+
+// observeLeases tells the leases of this VM's cells what the log says of
+// them. It is called between two steps of the follower.
+func (vm *VM) observeLeases(fo *register.Follower) {
+	for _, hc := range vm.accountant.all() {
+		le := hc.ord.lease
+		en, known := fo.Entry(le.ho.Resource)
+		le.ac.tell(le.ctx, register.Observed{Entry: en, Known: known && fo.Ready()})
+	}
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -71,7 +71,7 @@
 // startLoops starts the decisions and the loops that feed them.
 func (vm *VM) startLoops(ctx context.Context) {
 	for _, run := range []func(context.Context){
-		vm.members.run, vm.follower.ac.run,
+		vm.members.run, vm.follower.ac.run, vm.leases.ac.run,
 		vm.followFleet, vm.readList, vm.readSeats, vm.watchPlain,
 	} {
 		vm.wg.Go(func() { run(ctx) })
@@ -101,6 +101,7 @@
 		moved := vm.fleetMove.wait()
 		fl := vm.Board.Fleet()
 		vm.follower.ac.tell(ctx, register.Fleet{Fleet: fl})
+		vm.leases.ac.tell(ctx, register.Fleet{Fleet: fl})
 		vm.book.tell(ctx, claim.Fleet{Fleet: fl})
 		vm.accountant.follow(ctx)
 		select {
--- a/internal/entry/operatorside.go
+++ b/internal/entry/operatorside.go
@@ -3,10 +3,15 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 
+	"github.com/google/uuid"
+
 	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
 	"alderdyke/internal/operator"
+	"alderdyke/internal/orders"
 	"alderdyke/pkg/clock"
 )
 
@@ -39,6 +44,35 @@
 	return os.vm.explain(ctx, requestID{Customer: customer, Key: key})
 }
 
+// Order implements operator.Backend: the VM that accounts for an engine's
+// cell gives it orders, whoever holds the lease before.
+func (os operatorSide) Order(ctx context.Context, od operator.Order) (operator.OrderReply, error) {
+	vm := os.vm
+	cellName, ok := vm.cellOf(od.Server)
+	if !ok {
+		return operator.OrderReply{}, operator.Fault{Reason: operator.UnknownServer, Detail: fmt.Sprintf("%.60q is no model engine of the VM list", od.Server)}
+	}
+	hc, ok := vm.accountant.find(cellName)
+	if !ok {
+		at, _ := accountantOf(cellName, vm.Board.Fleet())
+		return operator.OrderReply{}, operator.Fault{Reason: operator.Elsewhere, Detail: fmt.Sprintf("VM %s gives orders to %s; ask that one", at.ID, od.Server)}
+	}
+	an := hc.ord.give(ctx, orders.Give{
+		ID: uuid.NewString(), Server: od.Server, Order: engine.Order{Kind: od.Kind, Name: od.Name},
+	})
+	switch an.Reason {
+	case orders.CarriedOut:
+		return operator.OrderReply{Order: od, VM: vm.Self.ID}, nil
+	case orders.InDoubt:
+		return operator.OrderReply{}, operator.Fault{Reason: operator.InDoubt, Detail: "the engine may have carried the order out; give it again"}
+	default:
+		return operator.OrderReply{}, operator.Fault{
+			Reason: operator.NotOrdered,
+			Detail: fmt.Sprintf("the order was not carried out: %s %s", an.Reason, an.State.Decline),
+		}
+	}
+}
+
 // Status implements operator.Backend.
 func (os operatorSide) Status(context.Context) operator.Status {
 	vm := os.vm
--- /dev/null
+++ b/internal/entry/orders.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
+	"alderdyke/internal/orders"
+	"alderdyke/internal/register"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+)
+
+// Spans of orders to engines.
+const (
+	ordersTick  = 500 * clock.Millis(1)
+	orderWithin = 5 * clock.Second  // for the reply to a change of role
+	loadWithin  = 60 * clock.Second // for the reply to an order to load something
+)
+
+type (
+	// orderer gives orders to the engines of one cell that this VM accounts
+	// for.
+	orderer struct {
+		hc    *heldCell
+		ac    *actor[orders.Event, orders.Intent]
+		lease *lease
+
+		mu      sync.Mutex
+		answers map[string]chan orders.Answer
+	}
+
+	// knownRole is the role that an engine was in by its own word.
+	knownRole struct {
+		role board.Role
+		at   clock.Millis // a point at which that was true
+	}
+)
+
+func (hc *heldCell) newOrderer(ctx context.Context, name string) *orderer {
+	vm := hc.vm
+	or := &orderer{hc: hc, answers: make(map[string]chan orders.Answer)}
+	ce := &orders.Cell{Settings: orders.Settings{Off: !vm.Settings.Roles.Enabled, Dwell: vm.Settings.Roles.Dwell}}
+	or.ac = newActor[orders.Event, orders.Intent](vm.Clock, orders.Tick{}, ordersTick)
+	or.ac.step = ce.Step
+	or.ac.do = or.carryOut
+	or.ac.wakeAt = func(orders.Intent) (clock.Millis, bool) { return 0, false }
+	or.lease = vm.newLease(ctx, name, or.tell)
+	return or
+}
+
+func (or *orderer) start() {
+	or.hc.vm.wg.Go(func() { or.ac.run(or.hc.ctx) })
+	or.hc.vm.wg.Go(func() { or.lease.ac.run(or.hc.ctx) })
+}
+
+func (or *orderer) tell(ev orders.Event) { or.ac.tell(or.hc.ctx, ev) }
+
+func (or *orderer) carryOut(in orders.Intent) {
+	hc := or.hc
+	switch in := in.(type) {
+	case orders.Want:
+		or.lease.ac.tell(hc.ctx, register.Want{Hold: in.Hold})
+	case orders.Drain:
+		hc.rec.drain(hc.ctx, in)
+	case orders.Inspect:
+		hc.vm.wg.Go(func() { or.inspect(in) })
+	case orders.Send:
+		hc.vm.wg.Go(func() { or.send(in) })
+	case orders.Answer:
+		or.answer(in)
+	case orders.Note:
+		hc.vm.Log.Log(in.Event, in.Fields...)
+	}
+}
+
+// inspect asks an engine what it runs and in which role it is.
+func (or *orderer) inspect(in orders.Inspect) {
+	hc := or.hc
+	out := orders.Inspected{Server: in.Server, Asked: hc.vm.Clock.Now(), Failed: true}
+	defer func() { or.tell(out) }()
+	srv, ok := hc.server(in.Server)
+	if !ok {
+		return
+	}
+	runs, err := hc.rec.running(hc.ctx, srv)
+	if err != nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(hc.ctx, reportWithin.Std())
+	defer stop()
+	asked := hc.vm.Clock.Now()
+	rp, err := hc.vm.Engines.Load(ctx, srv)
+	if err != nil {
+		return
+	}
+	out.Failed, out.Runs, out.Role, out.RoleAt = false, len(runs), rp.Role, asked-rp.Age
+}
+
+// send gives an order, unless the lease says no at the last moment.
+func (or *orderer) send(in orders.Send) {
+	hc := or.hc
+	out := orders.Sent{Server: in.Server, Outcome: orders.Outcome{Reason: orders.Declined}}
+	defer func() { or.tell(out) }()
+	srv, ok := hc.server(in.Server)
+	if !ok {
+		return
+	}
+	within := orderWithin
+	if in.Order.Kind != engine.ChangeRole {
+		within = loadWithin
+	}
+	ctx, stop := context.WithTimeout(hc.ctx, within.Std())
+	defer stop()
+	res, err := hc.vm.Engines.OrderIf(ctx, srv, in.Order, func() bool { return or.lease.mayOrder(in.Order.Fence, in.Margin) })
+	out.Outcome = outcomeOf(res, err)
+	if err == nil && res.Role != "" {
+		hc.rec.learnRole(hc.ctx, in.Server, knownRole{role: res.Role, at: hc.vm.Clock.Now()})
+	}
+}
+
+func outcomeOf(res engine.OrderResult, err error) orders.Outcome {
+	oc, why := backend.OutcomeOf(err)
+	switch {
+	case oc == backend.Done:
+		return orders.Outcome{Role: res.Role, Repeated: res.Repeated}
+	case errors.Is(err, backend.ErrWithheld):
+		return orders.Outcome{Reason: orders.LeaseLost}
+	case oc == backend.NotSent:
+		return orders.Outcome{Reason: orders.Declined}
+	case oc == backend.Declined && why == backend.StaleFence:
+		return orders.Outcome{Reason: orders.Fenced, Decline: why}
+	case oc == backend.Declined:
+		return orders.Outcome{Reason: orders.Declined, Decline: why}
+	default:
+		return orders.Outcome{Reason: orders.InDoubt}
+	}
+}
+
+// give has an operator's order carried out and waits for what became of it.
+func (or *orderer) give(ctx context.Context, gv orders.Give) orders.Answer {
+	ch := make(chan orders.Answer, 1)
+	or.mu.Lock()
+	or.answers[gv.ID] = ch
+	or.mu.Unlock()
+	defer func() {
+		or.mu.Lock()
+		defer or.mu.Unlock()
+		delete(or.answers, gv.ID)
+	}()
+	or.ac.tell(ctx, gv)
+	select {
+	case an := <-ch:
+		return an
+	case <-or.hc.ctx.Done():
+		return orders.Answer{ID: gv.ID, Reason: orders.InDoubt}
+	case <-ctx.Done():
+		return orders.Answer{ID: gv.ID, Reason: orders.InDoubt}
+	}
+}
+
+func (or *orderer) answer(an orders.Answer) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	if ch, ok := or.answers[an.ID]; ok {
+		ch <- an
+		delete(or.answers, an.ID)
+	}
+}
+
+// observe tells the decisions on orders what the cell is like.
+func (rc *reconciler) observe() {
+	hc := rc.hc
+	quick, patient, work := hc.demand()
+	ob := orders.Observed{Quick: quick, Patient: patient}
+	rc.mu.Lock()
+	for _, srv := range hc.servers() {
+		rp, ok := rc.reports[srv.ID]
+		kr := rc.roles[srv.ID]
+		ob.Engines = append(ob.Engines, orders.Engine{
+			ID:            srv.ID,
+			Role:          kr.role,
+			RoleAt:        kr.at,
+			ChecksFencing: srv.ChecksFencing,
+			Fit:           ok && rc.misses[srv.ID] < reportMisses && !rc.leaves[srv.ID] && !srv.Leaving,
+			Work:          work[srv.ID],
+			Running:       rp.Running,
+			Slots:         rp.Slots,
+			Queued:        rp.Queued,
+		})
+	}
+	rc.mu.Unlock()
+	hc.ord.tell(ob)
+}
+
+// learnRole notes an engine's own word on its role, unless a later one is
+// known, and makes it count at once.
+func (rc *reconciler) learnRole(ctx context.Context, server string, kr knownRole) {
+	if rc.noteRole(server, kr) {
+		rc.tellServers(ctx)
+	}
+}
+
+// noteRole tells whether the role that counts has changed.
+func (rc *reconciler) noteRole(server string, kr knownRole) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	old := rc.roles[server]
+	if kr.role == "" || kr.at < old.at {
+		return false
+	}
+	rc.roles[server] = kr
+	if old.role == kr.role {
+		return false
+	}
+	if srv, ok := rc.hc.server(server); ok && srv.Role != kr.role {
+		rc.hc.vm.Log.Log(event.RoleDiffers, event.F("Server", server), event.F("Reported", kr.role), event.F("Listed", srv.Role))
+	}
+	return true
+}
+
+// drain stops new work to an engine, or lets it have work again.
+func (rc *reconciler) drain(ctx context.Context, in orders.Drain) {
+	rc.mu.Lock()
+	rc.drained[in.Server] = in.Stop
+	rc.mu.Unlock()
+	rc.tellServers(ctx)
+}
+
+func (rc *reconciler) tellServers(ctx context.Context) {
+	rc.hc.ac.tell(ctx, sched.Servers{Servers: rc.fit(rc.hc.servers())})
+}
+
+// demand counts the requests that wait, by urgency, and those that were
+// granted, by the engines that they use at their stage.
+func (hc *heldCell) demand() (quick, patient int, work map[string]int) {
+	work = make(map[string]int)
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	for _, hr := range hc.held {
+		waits := !hr.granted || hr.taken
+		switch {
+		case waits && hr.quick:
+			quick++
+		case waits:
+			patient++
+		default:
+			work[hr.decode]++
+			if hr.stage != sched.Decoding {
+				work[hr.prefill]++
+			}
+		}
+	}
+	return quick, patient, work
+}
+
+func (hc *heldCell) server(id string) (board.BackendServer, bool) {
+	for _, srv := range hc.servers() {
+		if srv.ID == id {
+			return srv, true
+		}
+	}
+	return board.BackendServer{}, false
+}
+
+// all lists the cells that this VM accounts for.
+func (ac *accountant) all() []*heldCell {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	var out []*heldCell
+	for _, hc := range ac.cells {
+		out = append(out, hc)
+	}
+	return out
+}
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -42,9 +42,12 @@
 	reconciler struct {
 		hc *heldCell
 
-		mu     sync.Mutex
-		misses map[string]int
-		leaves map[string]bool
+		mu      sync.Mutex
+		misses  map[string]int
+		leaves  map[string]bool
+		drained map[string]bool // get no new work, as an order is to change them
+		roles   map[string]knownRole
+		reports map[string]board.LoadReport
 
 		asked  clock.Millis           // when the engines were last asked what they run
 		runs   int                    // that they listed then
@@ -62,11 +65,23 @@
 	}
 )
 
+func newReconciler(hc *heldCell) reconciler {
+	return reconciler{
+		hc:      hc,
+		misses:  make(map[string]int),
+		leaves:  make(map[string]bool),
+		drained: make(map[string]bool),
+		roles:   make(map[string]knownRole),
+		reports: make(map[string]board.LoadReport),
+	}
+}
+
 func (rc *reconciler) run(ctx context.Context) {
 	rc.absent = make(map[string]int)
 	rc.strays = make(map[stray]clock.Millis)
 	for {
 		rc.poll(ctx)
+		rc.observe()
 		if rc.due() {
 			rc.compare(ctx)
 		}
@@ -76,15 +91,19 @@
 	}
 }
 
-// fit marks the engines that take no new work as leaving.
+// fit marks the engines that take no new work as leaving, and gives each the
+// role that it reports: the VM list may lag behind a change of role.
 func (rc *reconciler) fit(servers []board.BackendServer) []board.BackendServer {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	out := make([]board.BackendServer, 0, len(servers))
 	for _, srv := range servers {
-		if rc.misses[srv.ID] >= reportMisses || rc.leaves[srv.ID] {
+		if rc.misses[srv.ID] >= reportMisses || rc.leaves[srv.ID] || rc.drained[srv.ID] {
 			srv.Leaving = true
 		}
+		if kr, ok := rc.roles[srv.ID]; ok {
+			srv.Role = kr.role
+		}
 		out = append(out, srv)
 	}
 	return out
@@ -114,6 +133,7 @@
 func (rc *reconciler) load(ctx context.Context, srv board.BackendServer) bool {
 	within, stop := context.WithTimeout(ctx, reportWithin.Std())
 	defer stop()
+	asked := rc.hc.vm.Clock.Now()
 	rp, err := rc.hc.vm.Engines.Load(within, srv)
 	if ctx.Err() != nil {
 		return false
@@ -124,12 +144,14 @@
 	rp.Server = srv.ID
 	rp.At = rc.hc.vm.Clock.Now()
 	rc.hc.ac.tell(ctx, sched.Report{Load: rp})
+	turned := rc.noteRole(srv.ID, knownRole{role: rp.Role, at: asked - rp.Age})
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	rc.reports[srv.ID] = rp
 	before := rc.misses[srv.ID] >= reportMisses || rc.leaves[srv.ID]
 	rc.misses[srv.ID] = 0
 	rc.leaves[srv.ID] = rp.Leaving
-	return before != rp.Leaving
+	return before != rp.Leaving || turned
 }
 
 func (rc *reconciler) missed(srv board.BackendServer, err error) bool {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -95,11 +95,13 @@
 
 		members  *actor[membership.Event, membership.Intent]
 		follower *follower
+		leases   *follower
 		book     *actor[claim.Event, claim.Intent]
 
 		bookState *claim.Book  // owned by the loop of book once it runs
 		restored  *claim.Seats // learned from a peer before the book ran
 		claimSeed atomic.Uint64
+		leaseSeed atomic.Uint64
 		nextCell  atomic.Uint64
 		cells     atomic.Pointer[cellList] // made last
 		loopCtx   context.Context          // ends after the last request
@@ -307,6 +309,9 @@
 	vm.retries.count.Scope = vm.Scope
 	vm.initMembers()
 	vm.follower = vm.newFollower(vm.Settings.Log.Stream, register.Templates)
+	vm.leases = vm.newFollower(leasesStream(vm.Settings.Log.Stream), register.Leases)
+	vm.leases.fo.Settings.Wait = leasesWait
+	vm.leases.after = vm.observeLeases
 	vm.initBook()
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -82,6 +82,22 @@
 	return out, err
 }
 
+// Order has a model engine load something. After InDoubt it may be given
+// again.
+func (cl Client) Order(ctx context.Context, od Order) (OrderReply, error) {
+	body, err := json.Marshal(od)
+	if err != nil {
+		return OrderReply{}, Fault{Reason: BadRequest, Detail: "write the order as JSON: " + err.Error()}
+	}
+	var out OrderReply
+	err = cl.call(ctx, http.MethodPost, "/orders", body, &out)
+	var fa Fault
+	if errors.As(err, &fa) && fa.Reason == BadReply {
+		return out, Fault{Reason: InDoubt, Detail: "the engine may have carried the order out; give it again: " + fa.Detail}
+	}
+	return out, err
+}
+
 // Drain begins the planned stop of the VM.
 func (cl Client) Drain(ctx context.Context) error {
 	var out DrainReply
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 
+	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
 	"alderdyke/pkg/place"
 	"alderdyke/pkg/refusal"
@@ -28,7 +30,12 @@
 	mediaTOML = "application/toml"
 )
 
-var idForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+const maxOrder = 4 << 10 // bytes of an order
+
+var (
+	idForm    = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	orderName = regexp.MustCompile(`^[!-~]{1,128}$`)
+)
 
 // publish puts a template in force, or tells why not.
 func (srv *Server) publish(ctx iris.Context) {
@@ -198,6 +205,49 @@
 	reply(ctx, iris.StatusOK, ExplainReply{Customer: customer, Key: key, Lines: lines})
 }
 
+// order has a model engine load something.
+func (srv *Server) order(ctx iris.Context) {
+	limit, cancel := context.WithTimeout(ctx.Request().Context(), orderTimeout.Std())
+	defer cancel()
+	od, err := readOrder(ctx.ResponseWriter(), ctx.Request())
+	var rep OrderReply
+	if err == nil {
+		rep, err = srv.Backend.Order(limit, od)
+	}
+	var fa Fault
+	switch {
+	case err == nil:
+		reply(ctx, iris.StatusOK, rep)
+	case errors.As(err, &fa):
+		srv.refuse(ctx, fa)
+	default:
+		srv.refuse(ctx, Fault{Reason: InDoubt, Detail: "the engine may have carried the order out; give it again: " + err.Error()})
+	}
+}
+
+// readOrder reads an order from a request. The error is a Fault.
+func readOrder(wr http.ResponseWriter, req *http.Request) (Order, error) {
+	text, err := io.ReadAll(http.MaxBytesReader(wr, req.Body, maxOrder))
+	if err != nil {
+		return Order{}, bodyFault(err)
+	}
+	var od Order
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&od); err != nil {
+		return Order{}, Fault{Reason: BadRequest, Detail: "send an object with Server, Kind and Name"}
+	}
+	switch od.Kind {
+	case engine.LoadModel, engine.LoadAdapter, engine.LoadVersion:
+	default:
+		return Order{}, Fault{Reason: BadRequest, Detail: fmt.Sprintf("Kind is %.40q; write LoadModel, LoadAdapter or LoadVersion", string(od.Kind))}
+	}
+	if od.Server == "" || !orderName.MatchString(od.Name) {
+		return Order{}, Fault{Reason: BadRequest, Detail: "name the Server, and give a Name of 1 to 128 printed characters"}
+	}
+	return od, nil
+}
+
 // drain begins the planned stop.
 func (srv *Server) drain(ctx iris.Context) {
 	if err := srv.Backend.Drain(ctx.Request().Context()); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 //	GET  /templates/{customer}                           one template in force
 //	GET  /status                                         this VM and what it sees
 //	GET  /explain/{customer}/{key}                       what became of a request
+//	POST /orders                                         have a model engine load something
 //	POST /drain                                          begin a planned stop
 //	GET  /metrics                                        counters, in the Prometheus text format
 //
@@ -29,6 +30,7 @@
 	"strings"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/place"
 	"alderdyke/pkg/template"
@@ -46,6 +48,9 @@
 	UnknownPath     Reason = "UnknownPath"
 	WrongMethod     Reason = "WrongMethod"
 	Unavailable     Reason = "Unavailable" // nothing took effect; try again later
+	UnknownServer   Reason = "UnknownServer"
+	Elsewhere       Reason = "Elsewhere"   // another VM gives orders to the engine; ask that one
+	NotOrdered      Reason = "NotOrdered"  // the engine did not carry the order out
 	InDoubt         Reason = "InDoubt"     // the publication may take effect; repeat it with the same ID
 	Unreachable     Reason = "Unreachable" // made by the client: no request was sent
 	BadReply        Reason = "BadReply"    // made by the client: the reply can't be read
@@ -63,6 +68,9 @@
 	UnknownPath:     http.StatusNotFound,
 	WrongMethod:     http.StatusMethodNotAllowed,
 	Unavailable:     http.StatusServiceUnavailable,
+	UnknownServer:   http.StatusNotFound,
+	Elsewhere:       http.StatusMisdirectedRequest,
+	NotOrdered:      http.StatusServiceUnavailable,
 	InDoubt:         http.StatusServiceUnavailable,
 }
 
@@ -83,6 +91,9 @@
 		// Explain asks all VMs what became of a request. An empty list
 		// means that none of them knows it.
 		Explain(ctx context.Context, customer, key string) ([]ExplainLine, error)
+		// Order has a model engine load something and waits for the outcome.
+		// The error is a Fault.
+		Order(ctx context.Context, od Order) (OrderReply, error)
 		// Drain begins the planned stop and does not wait for its end. A
 		// second call changes nothing.
 		Drain(ctx context.Context) error
@@ -129,6 +140,20 @@
 		Template template.Template
 	}
 
+	// Order is what an operator wants a model engine to load. Given again
+	// it changes nothing.
+	Order struct {
+		Server string
+		Kind   engine.OrderKind // LoadModel, LoadAdapter or LoadVersion
+		Name   string
+	}
+
+	// OrderReply says that an order was carried out.
+	OrderReply struct {
+		Order
+		VM string // that gave it
+	}
+
 	// DrainReply says that a planned stop has begun.
 	DrainReply struct {
 		Draining bool
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/settings"
@@ -38,6 +39,7 @@
 		verdicts map[string]operator.Verdict
 		fail     error
 		drained  int
+		ordered  []operator.Order
 		asked    [2]string
 	}
 
@@ -90,6 +92,11 @@
 	return []operator.ExplainLine{{VM: "aarhus-a-1", Since: 5, Event: event.RequestAccepted.Number, Text: "accepted"}}, vm.fail
 }
 
+func (vm *fakeVM) Order(_ context.Context, od operator.Order) (operator.OrderReply, error) {
+	vm.ordered = append(vm.ordered, od)
+	return operator.OrderReply{Order: od, VM: "aarhus-a-1"}, vm.fail
+}
+
 func (vm *fakeVM) Drain(context.Context) error {
 	vm.drained++
 	return vm.fail
@@ -307,3 +314,30 @@
 	_, err := (&operator.Server{}).Handler()
 	assert.ErrorContains(t, err, "token")
 }
+
+func TestOrders(t *testing.T) {
+	vm, cl, _, _ := started(t)
+	od := operator.Order{Server: "e-1", Kind: engine.LoadAdapter, Name: "boilers"}
+	rep, err := cl.Order(t.Context(), od)
+	assert.NilError(t, err)
+	assert.Equal(t, rep, operator.OrderReply{Order: od, VM: "aarhus-a-1"})
+	assert.DeepEqual(t, vm.ordered, []operator.Order{od})
+
+	for _, bad := range []operator.Order{
+		{Server: "e-1", Kind: engine.ChangeRole, Name: "x"},
+		{Server: "", Kind: engine.LoadModel, Name: "x"},
+		{Server: "e-1", Kind: engine.LoadModel},
+		{Server: "e-1", Kind: engine.LoadModel, Name: "two words"},
+	} {
+		_, err := cl.Order(t.Context(), bad)
+		assert.Equal(t, reasonOf(err), operator.BadRequest, "%+v", bad)
+	}
+	assert.Equal(t, len(vm.ordered), 1)
+
+	vm.fail = operator.Fault{Reason: operator.Elsewhere, Detail: "VM x gives orders to e-1"}
+	_, err = cl.Order(t.Context(), od)
+	assert.Equal(t, reasonOf(err), operator.Elsewhere)
+	vm.fail = errors.New("the connection broke")
+	_, err = cl.Order(t.Context(), od)
+	assert.Equal(t, reasonOf(err), operator.InDoubt)
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -25,6 +25,7 @@
 	writeTimeout   = 90 * clock.Second
 	idleTimeout    = clock.Minute
 	publishTimeout = clock.Minute
+	orderTimeout   = 80 * clock.Second // of which the engine may take a minute
 	askTimeout     = 20 * clock.Second
 	stopTimeout    = 5 * clock.Second
 	maxHeader      = 16 << 10 // bytes
@@ -99,6 +100,7 @@
 	app.Get("/templates/{customer:string}", srv.template)
 	app.Get("/status", srv.status)
 	app.Get("/explain/{customer:string}/{key:path}", srv.explain)
+	app.Post("/orders", srv.order)
 	app.Post("/drain", srv.drain)
 	if srv.Metrics != nil {
 		app.Get("/metrics", iris.FromStd(srv.Metrics))
--- a/internal/orders/explore_test.go
+++ b/internal/orders/explore_test.go
@@ -59,9 +59,7 @@
 		lease  register.Holder
 		state  register.State
 		cell   Cell
-		heldAt clock.Millis
-		since  uint64 // first token of the lease that is held
-		until  clock.Millis
+		since  uint64       // first token of the lease that is held
 		asleep clock.Millis // until then
 		inbox  []func()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,7 @@
 		Addresses Addresses
 		Answers   Answers
 		Drain     Drain
+		Roles     Roles
 		Logging   Logging
 	}
 
@@ -125,6 +126,12 @@
 		WarnEvery clock.Millis // a stop that lasts longer is logged each time; 1m by default
 	}
 
+	// Roles is how the roles of model engines follow the load.
+	Roles struct {
+		Enabled bool         // false: engines keep their roles; operators' orders are still given; true by default
+		Dwell   clock.Millis // least span between two changes in a cell, three times as long to take one back; 5m by default
+	}
+
 	// Logging is what goes to standard error.
 	Logging struct {
 		Level Level // least level that is written; Info by default
@@ -151,6 +158,7 @@
 		Addresses: Addresses{KeepFor: 30 * clock.Second, Count: 3},
 		Answers:   Answers{KeepFor: 10 * clock.Minute},
 		Drain:     Drain{Linger: 5 * clock.Second, WarnEvery: clock.Minute},
+		Roles:     Roles{Enabled: true, Dwell: 5 * clock.Minute},
 		Logging:   Logging{Level: LevelInfo},
 	}
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -87,6 +87,7 @@
 	checkSpan(es, "Answers.KeepFor", set.Answers.KeepFor, clock.Second, clock.Hour)
 	checkSpan(es, "Drain.Linger", set.Drain.Linger, 0, clock.Hour)
 	checkSpan(es, "Drain.WarnEvery", set.Drain.WarnEvery, clock.Second, clock.Hour)
+	checkSpan(es, "Roles.Dwell", set.Roles.Dwell, 2*clock.Minute, 24*clock.Hour)
 }
 
 func checkName(es *place.Errors, key, name string) {
--- a/internal/standin/engine/prefill.go
+++ b/internal/standin/engine/prefill.go
@@ -193,7 +193,7 @@
 
 // report remembers the load of this moment. The mutex is held.
 func (en *Engine) report() {
-	doc := wire.LoadDoc{LinkBytes: en.linkBytes, Leaving: en.Control.Faults().Leaving}
+	doc := wire.LoadDoc{Role: en.role, LinkBytes: en.linkBytes, Leaving: en.Control.Faults().Leaving}
 	if en.role == board.Decode {
 		doc.Slots, doc.Running = en.Settings.Slots, en.slotsHeld()
 	} else {
