--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -23,6 +23,15 @@
 	// introduceFor is how long this VM adds its address to what it sends to
 	// a VM that is new or came back, and that may not know it yet.
 	introduceFor = 10 * clock.Second
+	// tellPlacesFor is how long rumours about a new VM hold its address even
+	// if it had to refute a suspicion.
+	tellPlacesFor = clock.Minute
+	// Limits of what a rumour may hold: counters that can still grow, and a
+	// size that fits a datagram beside others.
+	maxIncarnation = 1 << 62
+	maxRefutation  = 1 << 30
+	maxRumour      = 350
+	maxMembers     = 4096
 )
 
 type (
@@ -48,7 +57,16 @@
 	rm.queue = append(rm.queue, rumour{id: id, by: by})
 }
 
-// pushBrief queues a rumour that others find out by themselves too.
+// shorten tells rumours about a VM fewer times: others find them out too.
+func (rm *rumours) shorten(id string) {
+	for ix := range rm.queue {
+		if rm.queue[ix].id == id {
+			rm.queue[ix].brief = true
+		}
+	}
+}
+
+// pushBrief queues a rumour that others find out too.
 func (rm *rumours) pushBrief(id string, by uint32) {
 	rm.push(id, by)
 	rm.queue[len(rm.queue)-1].brief = true
@@ -87,7 +105,14 @@
 		room = dt.put(dg, room, dt.about(to, dt.self, false))
 	}
 	if to.heard && to.vm.Health != board.Alive {
-		return // it is likely that nobody reads the rest
+		// It is likely that nobody reads the rest. But two VMs may suspect
+		// each other, so a refutation is told.
+		self := dt.aboutSelf()
+		dt.put(dg, room, &peerpb.Rumour{
+			VM: self.GetVM(), Incarnation: self.GetIncarnation(),
+			Refutation: self.GetRefutation(), Leaving: self.GetLeaving(),
+		})
+		return
 	}
 	for _, mb := range dt.owed {
 		room = dt.put(dg, room, dt.about(mb, 0, false))
@@ -135,7 +160,8 @@
 	case ru.by != 0 && mb.vm.Health != board.Suspect:
 		return nil
 	}
-	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && mb.refutation == 0)
+	fresh := mb.refutation == 0 || dt.now-mb.met < tellPlacesFor
+	return dt.about(mb, ru.by, mb.vm.Health == board.Alive && fresh)
 }
 
 func (dt *Detector) aboutSelf() *peerpb.Rumour {
@@ -194,14 +220,12 @@
 // hear takes in one rumour. It tells whether the rumour was news.
 func (dt *Detector) hear(rr *peerpb.Rumour) bool {
 	hl := board.Health(rr.GetHealth())
-	if rr.GetVM() == "" || rr.GetIncarnation() == 0 || hl > board.Left {
+	if !wellFormed(rr) {
 		dt.Counters.Ignored++
 		return false
 	}
 	if rr.GetVM() == dt.Self.ID {
-		if hl != board.Alive || rr.GetIncarnation() > dt.Self.Incarnation {
-			dt.refute(rr.GetIncarnation(), rr.GetRefutation(), hl)
-		}
+		dt.hearOfSelf(rr, hl)
 		return false
 	}
 	mb := dt.tb.byID[rr.GetVM()]
@@ -221,10 +245,35 @@
 	}
 }
 
+func wellFormed(rr *peerpb.Rumour) bool {
+	return rr.GetVM() != "" && rr.GetHealth() <= uint32(board.Left) &&
+		rr.GetIncarnation() > 0 && rr.GetIncarnation() < maxIncarnation &&
+		rr.GetRefutation() < maxRefutation && proto.Size(rr) <= maxRumour
+}
+
+// hearOfSelf refutes a doubt, unless another process runs under this ID.
+func (dt *Detector) hearOfSelf(rr *peerpb.Rumour, hl board.Health) {
+	later := rr.GetIncarnation() > dt.Self.Incarnation
+	switch {
+	case dt.left:
+	case later && rr.GetPeer() != "" && rr.GetPeer() != dt.Self.Peer:
+		dt.left = true
+		dt.Self.Health = board.Left
+		dt.touch()
+		dt.out = append(dt.out, Replaced{Incarnation: rr.GetIncarnation()})
+	case later || hl != board.Alive:
+		dt.refute(rr.GetIncarnation(), rr.GetRefutation(), hl)
+	}
+}
+
 // meet takes in a VM that was not known. Without its address there is
 // nothing to be done with it.
 func (dt *Detector) meet(rr *peerpb.Rumour, hl board.Health) bool {
 	gv, gone := dt.tb.gone[rr.GetVM()]
+	if len(dt.tb.members) >= maxMembers {
+		dt.Counters.Ignored++
+		return false
+	}
 	if rr.GetPeer() == "" || hl == board.Left || (gone && rr.GetIncarnation() <= gv.incarnation) {
 		return false
 	}
@@ -242,6 +291,7 @@
 		mb.met = dt.now
 	}
 	wasProbed := mb.heard && mb.serving()
+	expected := !mb.heard && mb.vm.Listed // the others were told by the list too
 	mb.heard = true
 	mb.vm.Incarnation = rr.GetIncarnation()
 	mb.refutation = rr.GetRefutation()
@@ -255,6 +305,9 @@
 		dt.setHealth(mb, hl)
 		dt.rm.push(mb.vm.ID, 0)
 	}
+	if expected {
+		dt.rm.shorten(mb.vm.ID)
+	}
 	if !wasProbed && mb.serving() {
 		dt.pb.enrol(mb, dt.Rand)
 	}
