entry: wait for the accountant's transfer while the KV cache is kept

Cause: a grant may name no decode engine yet, which counted as an engine that is not in the VM list; and a runner went on by itself after a quarter of the keeping time although its accountant heard it. Change: with a stream to the accountant the runner waits for its Transfer or Preempt until the cache is about to lapse; without one it uses the grant's engine, if there is one; a request placed alone looks for another engine by load when one refuses.

--- a/internal/entry/alone.go
+++ b/internal/entry/alone.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -27,13 +26,7 @@
 
 // chooseAlone places a request without its accountant.
 func (vm *VM) chooseAlone(ctx context.Context, ask *peerpb.ReserveAsk) (*peerpb.Grant, error) {
-	vw := sched.View{Reports: make(map[string]board.LoadReport)}
-	for _, ce := range vm.cellList().cells {
-		if ce.Name == ask.GetCell() {
-			vw.Servers = slices.Clone(ce.Servers)
-		}
-	}
-	vm.alone.look(ctx, &vw)
+	vw := vm.alone.look(ctx, ask.GetCell())
 	vm.alone.mu.Lock()
 	defer vm.alone.mu.Unlock()
 	vw.Own = vm.alone.own
@@ -51,6 +44,17 @@
 	return &peerpb.Grant{PrefillServer: gr.Prefill, DecodeServer: gr.Decode}, nil
 }
 
+// redirectAlone names another decode engine after one refused, or none.
+func (vm *VM) redirectAlone(ctx context.Context, ask *peerpb.ReserveAsk, refused string) string {
+	vw := vm.alone.look(ctx, ask.GetCell())
+	delete(vw.Reports, refused) // an engine without a report is not chosen
+	vm.alone.mu.Lock()
+	defer vm.alone.mu.Unlock()
+	vw.Own = vm.alone.own
+	id, _ := vm.alone.fb.Redirect(askOf(vm.Self, ask, vm.Clock.Now()), vw)
+	return id
+}
+
 // ended takes back a placement of chooseAlone.
 func (al *alone) ended(gr *peerpb.Grant) {
 	al.mu.Lock()
@@ -59,11 +63,17 @@
 	al.own[gr.GetDecodeServer()]--
 }
 
-// look asks the engines of the view for their load.
-func (al *alone) look(ctx context.Context, vw *sched.View) {
+// look asks the engines of a cell for their load.
+func (al *alone) look(ctx context.Context, cellName string) sched.View {
+	vw := sched.View{Reports: make(map[string]board.LoadReport)}
+	for _, ce := range al.vm.cellList().cells {
+		if ce.Name == cellName {
+			vw.Servers = ce.Servers
+		}
+	}
 	var mu sync.Mutex
 	var gr errgroup.Group
-	for ix, srv := range vw.Servers {
+	for _, srv := range vw.Servers {
 		gr.Go(func() error {
 			within, stop := context.WithTimeout(ctx, aloneWithin.Std())
 			defer stop()
@@ -75,13 +85,11 @@
 			mu.Lock()
 			defer mu.Unlock()
 			vw.Reports[srv.ID] = rp
-			if rp.Role != "" {
-				vw.Servers[ix].Role = rp.Role // the VM list may lag
-			}
 			return nil
 		})
 	}
 	gr.Wait()
+	return vw
 }
 
 // aloneWithin bounds the wait for load reports.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,6 +50,7 @@
 		decode  board.BackendServer
 		kv      engine.PrefillResult
 		touched map[string]struct{} // engines that may hold something
+		alone   bool                // placed by this VM, no accountant knows
 		undo    func()              // takes back a placement that no accountant knows
 	}
 )
@@ -131,6 +132,7 @@
 	gr, err := ma.rs.grant(ctx)
 	if errors.Is(err, errAccountantAway) {
 		if gr, err = ma.rn.vm.chooseAlone(ctx, ma.rs.ask); err == nil {
+			ma.alone = true
 			ma.undo = func() { ma.rn.vm.alone.ended(gr) }
 		}
 	}
@@ -139,13 +141,11 @@
 	}
 	ma.number++
 	ma.rn.tr.add(event.Granted, gr.GetPrefillServer()+" to "+gr.GetDecodeServer())
-	bk := ma.rn.vm.Board.Backends()
-	var okPrefill, okDecode bool
-	ma.prefill, okPrefill = bk.Server(gr.GetPrefillServer())
-	ma.decode, okDecode = bk.Server(gr.GetDecodeServer())
-	if !okPrefill || !okDecode {
+	var ok bool
+	if ma.prefill, ok = ma.rn.vm.server(gr.GetPrefillServer()); !ok {
 		return failure{"use the grant", errUnknown}
 	}
+	ma.decode, _ = ma.rn.vm.server(gr.GetDecodeServer()) // none may be free yet
 	return nil
 }
 
@@ -180,100 +180,6 @@
 	return nil
 }
 
-// transfer brings the KV cache to the decode engine that the accountant
-// chooses, and to another one if that one refuses it or the transfer stalls.
-func (ma *modelAttempt) transfer(ctx context.Context) error {
-	decode, preempted, err := ma.rs.transfer(ctx, ma.kv.KeptFor/4)
-	if err != nil {
-		return failure{"wait for the transfer", err}
-	}
-	if preempted {
-		return errPreempted
-	}
-	if err := ma.useDecode(decode); err != nil {
-		return err
-	}
-	for {
-		err := ma.importKV(ctx)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		if !errors.Is(err, errMoved) {
-			ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
-			next, preempted, nextErr := ma.rs.transfer(ctx, ma.kv.KeptFor/2)
-			switch {
-			case nextErr != nil:
-				return failure{"wait for the transfer", nextErr}
-			case preempted:
-				return errPreempted
-			case next == "":
-				return err
-			}
-			decode = next
-			if err := ma.useDecode(decode); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-var errMoved = errors.New("the accountant chose another decode engine")
-
-func (ma *modelAttempt) useDecode(id string) error {
-	if id == "" {
-		return nil
-	}
-	srv, ok := ma.rn.vm.Board.Backends().Server(id)
-	if !ok {
-		return failure{"use the transfer", errUnknown}
-	}
-	ma.decode = srv
-	return nil
-}
-
-// importKV has the decode engine fetch the KV cache, and leaves off when the
-// accountant chooses another engine meanwhile.
-func (ma *modelAttempt) importKV(ctx context.Context) error {
-	ma.rs.progress(sched.Transferring, ma.decode.ID, 0, 0)
-	ma.touched[ma.decode.ID] = struct{}{}
-	ctx, stop := context.WithTimeout(ctx, importStall.Std())
-	defer stop()
-	done := make(chan error, 1)
-	srv := ma.decode
-	go func() {
-		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
-			Request:  ma.name,
-			Customer: ma.rn.id.Customer,
-			Attempt:  ma.number,
-			Quick:    ma.rn.quick(),
-			KV:       ma.kv.KV,
-			From:     ma.prefill.Address,
-		})
-	}()
-	for {
-		select {
-		case err := <-done:
-			if err != nil {
-				ma.letGo(srv.ID)
-				return failure{"import", err}
-			}
-			return nil
-		case fr, ok := <-ma.rs.said:
-			if !ok {
-				ma.rs.said = nil
-				continue
-			}
-			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
-				ma.letGo(srv.ID)
-				if err := ma.useDecode(next.GetDecodeServer()); err != nil {
-					return err
-				}
-				return errMoved
-			}
-		}
-	}
-}
-
 // letGo frees one decode engine of this attempt.
 func (ma *modelAttempt) letGo(server string) {
 	delete(ma.touched, server)
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -98,32 +98,33 @@
 	}
 }
 
-// transfer waits for the binding choice of the decode engine, and goes on
-// with the one of the grant if none comes within the span.
-func (rs *reservation) transfer(ctx context.Context, within clock.Millis) (decode string, preempted bool, err error) {
-	wait, stop := context.WithTimeout(ctx, within.Std())
+// decision waits, up to a point in time, for a Transfer or a Preempt of the
+// newest grant. It returns no frame if none came by then.
+func (rs *reservation) decision(ctx context.Context, until clock.Millis) (*peerpb.Frame, error) {
+	wait, stop := context.WithTimeout(ctx, (until - rs.vm.Clock.Now()).Std())
 	defer stop()
 	for {
 		fr, err := rs.next(wait)
-		if err != nil {
-			if ctx.Err() != nil {
-				return "", false, err
-			}
-			return "", false, nil
-		}
-		switch body := fr.GetBody().(type) {
-		case *peerpb.Frame_Transfer:
-			if body.Transfer.GetAttempt() == rs.attempt {
-				return body.Transfer.GetDecodeServer(), false, nil
-			}
-		case *peerpb.Frame_Preempt:
-			if body.Preempt.GetAttempt() == rs.attempt {
-				return "", true, nil
-			}
+		switch {
+		case ctx.Err() != nil:
+			return nil, err
+		case err != nil:
+			return nil, nil
+		case fr.GetTransfer() != nil && fr.GetTransfer().GetAttempt() == rs.attempt:
+			return fr, nil
+		case fr.GetPreempt() != nil && fr.GetPreempt().GetAttempt() == rs.attempt:
+			return fr, nil
 		}
 	}
 }
 
+// connected tells whether an accountant hears this reservation.
+func (rs *reservation) connected() bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.cn != nil
+}
+
 // progress tells the accountant how far the request is.
 func (rs *reservation) progress(stage sched.Stage, server string, tokens int, took clock.Millis) {
 	rs.mu.Lock()
--- /dev/null
+++ b/internal/entry/transfer.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"alderdyke/internal/engine"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+)
+
+// Parts of the time that a prefill engine keeps a KV cache.
+const (
+	// silencePart is how long a runner without a stream to its accountant
+	// waits for one before it uses the engine that the grant named.
+	silencePart = 0.25
+	// keepPart is how long a transfer may be waited for at all; what is left
+	// is for the order to reach the engine.
+	keepPart = 0.9
+)
+
+var (
+	errMoved  = errors.New("the accountant chose another decode engine")
+	errLapsed = errors.New("no decode engine had a place while the KV cache was kept")
+)
+
+// transfer brings the KV cache to the decode engine that the accountant
+// chooses, and to another one if that one refuses it or the transfer stalls.
+func (ma *modelAttempt) transfer(ctx context.Context) error {
+	kept := float64(ma.kv.KeptFor)
+	now := ma.rn.vm.Clock.Now()
+	lapses := now + clock.Millis(kept*keepPart)
+	if err := ma.choose(ctx, now+clock.Millis(kept*silencePart), lapses); err != nil {
+		return err
+	}
+	for {
+		err := ma.importKV(ctx)
+		switch {
+		case err == nil || ctx.Err() != nil:
+			return err
+		case errors.Is(err, errMoved):
+			continue
+		}
+		ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+		if next := ma.chooseAgain(ctx, lapses); next != nil {
+			return errors.Join(next, err)
+		}
+	}
+}
+
+// choose waits for the binding choice of the decode engine until the KV cache
+// lapses. Without a stream to an accountant it goes on, after a silence, with
+// the engine that the grant named.
+func (ma *modelAttempt) choose(ctx context.Context, silent, lapses clock.Millis) error {
+	if ma.alone {
+		return nil
+	}
+	fr, err := ma.rs.decision(ctx, silent)
+	if err == nil && fr == nil && ma.rs.connected() {
+		fr, err = ma.rs.decision(ctx, lapses)
+	}
+	switch {
+	case err != nil:
+		return failure{"wait for the transfer", err}
+	case fr == nil && ma.rs.connected(), fr == nil && ma.decode.ID == "":
+		return failure{"wait for the transfer", errLapsed}
+	case fr == nil:
+		return nil
+	}
+	return ma.obey(fr)
+}
+
+// chooseAgain finds another decode engine after one refused the KV cache.
+func (ma *modelAttempt) chooseAgain(ctx context.Context, lapses clock.Millis) error {
+	if ma.alone {
+		return ma.useDecode(ma.rn.vm.redirectAlone(ctx, ma.rs.ask, ma.decode.ID))
+	}
+	fr, err := ma.rs.decision(ctx, lapses)
+	switch {
+	case err != nil:
+		return failure{"wait for another transfer", err}
+	case fr == nil:
+		return failure{"wait for another transfer", errLapsed}
+	}
+	return ma.obey(fr)
+}
+
+func (ma *modelAttempt) obey(fr *peerpb.Frame) error {
+	if fr.GetPreempt() != nil {
+		return errPreempted
+	}
+	return ma.useDecode(fr.GetTransfer().GetDecodeServer())
+}
+
+func (ma *modelAttempt) useDecode(id string) error {
+	srv, ok := ma.rn.vm.server(id)
+	if !ok {
+		return failure{"use the transfer", fmt.Errorf("%q: %w", id, errUnknown)}
+	}
+	ma.decode = srv
+	return nil
+}
+
+// importKV has the decode engine fetch the KV cache, and leaves off when the
+// accountant chooses another engine meanwhile.
+func (ma *modelAttempt) importKV(ctx context.Context) error {
+	ma.rs.progress(sched.Transferring, ma.decode.ID, 0, 0)
+	ma.touched[ma.decode.ID] = struct{}{}
+	ctx, stop := context.WithTimeout(ctx, importStall.Std())
+	defer stop()
+	done := make(chan error, 1)
+	srv := ma.decode
+	go func() {
+		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
+			Request:  ma.name,
+			Customer: ma.rn.id.Customer,
+			Attempt:  ma.number,
+			Quick:    ma.rn.quick(),
+			KV:       ma.kv.KV,
+			From:     ma.prefill.Address,
+		})
+	}()
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				ma.letGo(srv.ID)
+				return failure{"import", err}
+			}
+			return nil
+		case fr, ok := <-ma.rs.said:
+			if !ok {
+				ma.rs.said = nil
+				continue
+			}
+			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
+				ma.letGo(srv.ID)
+				if err := ma.useDecode(next.GetDecodeServer()); err != nil {
+					return err
+				}
+				return errMoved
+			}
+		}
+	}
+}
