entry: ask an engine that declined for its role at once

The accountant heard of a role that changed unasked only with the next load report, so that a request could spend its attempts on one engine. Its runner now says which engine declined.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -177,6 +177,10 @@
 			hc.ac.tell(ctx, sched.Withdraw{Request: ask.GetRequest()})
 			return
 		}
+		if stage == wrongRole {
+			hc.rec.askRole(ctx, pg.GetServer())
+			continue
+		}
 		if pg.GetServer() != "" {
 			hc.moved(hr, stage, pg.GetServer())
 		}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -171,6 +171,7 @@
 		rn.sent.Store(true)
 	}
 	if err != nil {
+		ma.heed(err)
 		return failure{"prefill", err}
 	}
 	ma.kv = kv
@@ -254,6 +255,7 @@
 		select {
 		case err := <-done:
 			if err != nil {
+				ma.heed(err)
 				ma.letGo(srv.ID)
 				return failure{"import", err}
 			}
@@ -274,6 +276,16 @@
 	}
 }
 
+// heed tells the accountant of an engine that declined for its role: one that
+// was changed unknown to the accountant, whose next report says so too late
+// for the next attempt.
+func (ma *modelAttempt) heed(err error) {
+	var de backend.DeclinedError
+	if errors.As(err, &de) && de.Reason == backend.WrongRole {
+		ma.rs.tell(wrongRole, de.Server)
+	}
+}
+
 // letGo frees one decode engine of this attempt.
 func (ma *modelAttempt) letGo(server string) {
 	delete(ma.touched, server)
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -22,6 +22,10 @@
 	loadWithin  = 60 * clock.Second // for the reply to an order to load something
 )
 
+// wrongRole is what a runner says, in place of a stage, of an engine that
+// declined for its role.
+const wrongRole sched.Stage = "WrongRole"
+
 type (
 	// orderer gives orders to the engines of one cell that this VM accounts
 	// for.
@@ -223,6 +227,15 @@
 	return true
 }
 
+// askRole asks an engine, which declined an order for its role, for its
+// report at once.
+func (rc *reconciler) askRole(ctx context.Context, server string) {
+	srv, ok := rc.hc.server(server)
+	if ok && rc.load(ctx, srv) {
+		rc.tellServers(ctx)
+	}
+}
+
 // drain stops new work to an engine, or lets it have work again.
 func (rc *reconciler) drain(ctx context.Context, in orders.Drain) {
 	rc.mu.Lock()
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/examples"
+	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/entry"
@@ -306,3 +307,44 @@
 	var fa operator.Fault
 	assert.Assert(t, errors.As(err, &fa) && fa.Reason == operator.UnknownServer, "%v", err)
 }
+
+// Engines that change their roles unasked, as by an order of another holder
+// that arrives late, cost attempts but no answer: first a prefill engine, and
+// once that decodes, the decode engine.
+func TestRolesThatChangeUnasked(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, 1, false, settings.Roles{Dwell: clock.Minute})
+	stop := fl.crowd(3)
+	eventually(t, "the decode engine works", func() bool { return len(fl.dp.Engines[3].History().Runs) > 3 })
+	fl.turn(fl.dp.Engines[0], board.Decode)
+	eventually(t, "the new decode engine decodes", func() bool { return decodes(fl.dp.Engines[0]) })
+	fl.turn(fl.dp.Engines[3], board.Prefill)
+	eventually(t, "the new prefill engine prefills", func() bool {
+		for _, rn := range fl.dp.Engines[3].History().Runs {
+			if rn.Role == board.Prefill && rn.Outcome == enginesim.Complete {
+				return true
+			}
+		}
+		return false
+	})
+	stop()
+	assert.Assert(t, fl.log.has(event.RoleDiffers))
+	declined := 0
+	for _, en := range fl.dp.Engines {
+		declined += en.History().Declined[backend.WrongRole]
+	}
+	t.Logf("%d orders were declined for the engine's role", declined)
+}
+
+// turn orders an engine past the VMs.
+func (fl *fleet) turn(en *enginesim.Engine, role board.Role) {
+	st, err := fl.operator(0).Status(fl.t.Context())
+	assert.NilError(fl.t, err)
+	ec := &engine.Client{Token: deployment.BackendToken}
+	for _, srv := range st.Backends {
+		if srv.ID == en.ID {
+			_, err := ec.Order(fl.t.Context(), board.BackendServer{ID: srv.ID, Address: srv.Address}, engine.Order{Kind: engine.ChangeRole, Role: role})
+			assert.NilError(fl.t, err)
+		}
+	}
+}
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// tell sends the accountant a word that changes nothing of the reservation.
+func (rs *reservation) tell(stage sched.Stage, server string) {
+	rs.mu.Lock()
+	cn, attempt, tokens := rs.cn, rs.attempt, rs.tokens
+	rs.mu.Unlock()
+	if cn != nil {
+		cn.Send(progressFrame(attempt, stage, server, tokens, 0))
+	}
+}
+
 // end gives the place back with the last word on what the engines hold.
 func (rs *reservation) end(stage sched.Stage) {
 	rs.mu.Lock()
