--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -349,3 +349,29 @@
 	}
 	assert.Equal(t, asked.Load(), int64(0))
 }
+
+// A call whose May says no reaches no server, whatever the client is made of;
+// only connections of our own let it say so.
+func TestWithheldCallIsNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		hc   *http.Client
+		want Outcome
+	}{{"own", NewHTTP(Limits{}), NotSent}, {"other", &http.Client{Transport: &http.Transport{}}, InDoubt}} {
+		t.Run(tc.name, func(t *testing.T) {
+			read := make(chan int64, 1)
+			addr := rawServer(t, func(num int, cn net.Conn) {
+				got, _ := io.Copy(io.Discard, cn)
+				if num == 1 {
+					read <- got
+				}
+			})
+			_, err := Send(t.Context(), tc.hc, Call{Server: "e1", Name: "Order", Request: post(t, addr), Once: true, May: func() bool { return false }})
+			got, _ := OutcomeOf(err)
+			assert.Equal(t, got, tc.want)
+			assert.Equal(t, errors.Is(err, ErrWithheld), tc.want == NotSent)
+			tc.hc.CloseIdleConnections()
+			assert.Equal(t, <-read, int64(0))
+		})
+	}
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -30,6 +30,7 @@
 	pre, dec *standinengine.Engine
 	ps, ds   board.BackendServer
 	stop     func(addr string)
+	nw       *standin.Network
 }
 
 func run(t *testing.T, fn func(t *testing.T, bn bench)) {
@@ -39,6 +40,7 @@
 		hc := backend.NewHTTP(backend.Limits{Dial: nw.Dial})
 		set := standinengine.Settings{PrefillTokensPerSecond: 1000, KVBytesPerToken: 1, KeepPrefill: 800, Slots: 2, TPOT: 10, ChecksFencing: true}
 		bn := bench{
+			nw:  nw,
 			ec:  &engine.Client{HTTP: hc, Self: board.VMRef{ID: "vm-1", Incarnation: 7}, Scope: tally.NewTestScope("", nil)},
 			pre: &standinengine.Engine{ID: "p1", Role: board.Prefill, Settings: set, HTTP: hc},
 			dec: &standinengine.Engine{ID: "d1", Role: board.Decode, Settings: set, HTTP: hc},
--- /dev/null
+++ b/internal/entry/lease_test.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/register"
+	"alderdyke/internal/settings"
+	"alderdyke/pkg/clock"
+)
+
+// leaseBench is a lease of one VM, and the log that it is on.
+type leaseBench struct {
+	t     *testing.T
+	clk   *clock.Manual
+	le    *lease
+	entry register.Entry
+	next  uint64
+}
+
+func newLeaseBench(t *testing.T) *leaseBench {
+	lb := &leaseBench{t: t, clk: &clock.Manual{}, next: 41}
+	lb.clk.Advance(clock.Second)
+	vm := &VM{Clock: lb.clk, Self: board.VMRef{ID: strings.Repeat("v", 63), Incarnation: 1_790_000_000_000}, Settings: settings.Default()}
+	lb.le = vm.newLease(t.Context(), "m/0", nil)
+	lb.step(register.Observed{Known: true})
+	return lb
+}
+
+// step tells the lease something; what it appends is on the log at once.
+func (lb *leaseBench) step(ev register.HolderEvent) {
+	lb.t.Helper()
+	for _, in := range lb.le.step(lb.clk.Now(), ev) {
+		if la, ok := in.(register.LeaseAppend); ok {
+			rec, err := register.Parse(lb.next, la.Data)
+			assert.NilError(lb.t, err)
+			pub := rec.(register.Publish)
+			lb.next++
+			lb.taken(pub.ID, pub.Value)
+		}
+	}
+}
+
+func (lb *leaseBench) taken(id string, value json.RawMessage) {
+	lb.entry = register.Entry{Key: lb.le.ho.Resource, Revision: lb.next, ID: id, Value: value}
+	lb.step(register.Observed{Entry: lb.entry, Known: true})
+}
+
+func TestLeaseIsAskedByTheClock(t *testing.T) {
+	const margin = 2 * clock.Second
+	lb := newLeaseBench(t)
+	assert.Assert(t, !lb.le.mayOrder(lb.next, 0), "not wanted yet")
+	lb.step(register.Want{Hold: true})
+	token := lb.entry.Revision
+	assert.Assert(t, token != 0 && lb.le.mayOrder(token, margin))
+	assert.Assert(t, !lb.le.mayOrder(token-1, 0), "a token of before the lease")
+	assert.Assert(t, !lb.le.mayOrder(token+1, 0), "a token that was never given")
+
+	// A paused holder hears nothing, yet its clock goes on.
+	lb.clk.Advance(leaseDuration - register.DefaultMargin - margin)
+	assert.Assert(t, lb.le.mayOrder(token, 0))
+	assert.Assert(t, !lb.le.mayOrder(token, margin), "too little is left for an engine that does not check")
+	lb.clk.Advance(margin)
+	assert.Assert(t, !lb.le.mayOrder(token, 0), "the lease is over")
+}
+
+// A renewal leaves orders of the lease as they are; a lease that lapsed and
+// was taken again doesn't.
+func TestOrdersOutliveRenewalsOnly(t *testing.T) {
+	lb := newLeaseBench(t)
+	lb.step(register.Want{Hold: true})
+	first := lb.entry.Revision
+	lb.clk.Advance(leaseDuration / 2)
+	lb.step(register.LeaseTick{})
+	assert.Assert(t, lb.entry.Revision > first, "it was not renewed")
+	assert.Assert(t, lb.le.mayOrder(first, 0) && lb.le.mayOrder(lb.entry.Revision, 0))
+
+	lb.next++
+	lb.taken("another-vm", json.RawMessage(`{"Holder":"another","Duration":"20s"}`))
+	assert.Assert(t, !lb.le.mayOrder(first, 0))
+	lb.clk.Advance(2 * leaseDuration)
+	lb.step(register.LeaseTick{})
+	assert.Assert(t, lb.le.mayOrder(lb.entry.Revision, 0), "it was not taken again")
+	assert.Assert(t, !lb.le.mayOrder(first, 0), "an order of the lease before")
+}
+
+// A VM that accounts for a cell again starts with a new Holder, whose records
+// must not pass for repeats.
+func TestLeasesHaveIDsOfTheirOwn(t *testing.T) {
+	lb := newLeaseBench(t)
+	other := lb.le.vm.newLease(t.Context(), "m/0", nil)
+	lb.step(register.Want{Hold: true})
+	one := lb.entry.ID
+	other.step(lb.clk.Now(), register.Observed{Known: true})
+	for _, in := range other.step(lb.clk.Now(), register.Want{Hold: true}) {
+		if la, ok := in.(register.LeaseAppend); ok {
+			assert.Assert(t, la.ID != one && len(la.ID) <= register.MaxID, la.ID)
+		}
+	}
+	assert.Assert(t, len(one) <= register.MaxID)
+}
