--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/membership"
@@ -12,8 +13,15 @@
 	"alderdyke/pkg/clock"
 )
 
-// callWithin bounds one call to another VM.
-const callWithin = 1 * clock.Second
+// Bounds of what is asked of another VM.
+const (
+	callWithin      = 1 * clock.Second
+	dialWithin      = 400 * clock.Millis(1)
+	handshakeWithin = 800 * clock.Millis(1)
+	// peerStreams bounds the streams that one VM may hold open here: mostly
+	// reservations, which live as long as their requests and those that wait.
+	peerStreams = 2048
+)
 
 // peerHandler serves the streams that other VMs open.
 type peerHandler struct{ vm *VM }
@@ -95,15 +103,31 @@
 		vm.wg.Go(func() { vm.serveLocal(far) })
 		return near, nil
 	}
-	dial, stop := context.WithTimeout(ctx, answerWithin.Std())
-	defer stop()
-	cn, err := vm.Peers.Open(dial, to)
+	cn, err := vm.openWithin(ctx, answerWithin, to)
 	if err != nil {
 		return nil, fmt.Errorf("open a stream to the accountant %s: %w", to.ID, err)
 	}
 	return cn, nil
 }
 
+// openWithin opens a stream within a span. The stream lives until the context
+// ends, which bounds it for its whole life; the span bounds the opening alone.
+func (vm *VM) openWithin(ctx context.Context, span clock.Millis, to board.VM) (*peer.Conn, error) {
+	life, end := context.WithCancelCause(ctx)
+	late := time.AfterFunc(span.Std(), func() { end(context.DeadlineExceeded) })
+	cn, err := vm.Peers.Open(life, to)
+	inTime := late.Stop()
+	switch {
+	case err != nil:
+		end(err)
+		return nil, fmt.Errorf("open a stream: %w", err)
+	case !inTime:
+		cn.Close()
+		return nil, fmt.Errorf("open a stream: %w", context.DeadlineExceeded)
+	}
+	return cn, nil
+}
+
 func (vm *VM) serveLocal(cn frames) {
 	fr, err := cn.Recv()
 	if err != nil || fr.GetReserveAsk() == nil {
