orders: ask that a role could spare its engine for three dwells

A longer dwell before a change is taken back let a swinging load drift the roles to an extreme: 55 changes in 4 h at a period of 4 min, with one engine left of a role.

--- a/internal/orders/cell.go
+++ b/internal/orders/cell.go
@@ -20,7 +20,6 @@
 		seen    Observed
 		trend   trend
 		changed clock.Millis // when the last change of role ended, or this VM began
-		turned  board.Role   // that the last change was to
 		token   uint64       // of the lease; zero if it is not held
 		heldAt  clock.Millis // when it was first held without a gap
 		waiting []Give
@@ -32,7 +31,7 @@
 
 	// guards that tests remove. The zero value removes none.
 	guards struct {
-		noDwell, noWindow, noLeast, noSettle, noFence, noDrain, noDoubt bool
+		noDwell, noWindow, noMemory, noLeast, noSettle, noFence, noDrain, noDoubt bool
 	}
 )
 
@@ -42,6 +41,9 @@
 	if !ce.started {
 		ce.started = true
 		ce.Settings = ce.Settings.withDefaults()
+		if ce.broken.noMemory {
+			ce.Settings.Memory = 0
+		}
 		ce.changed = now
 	}
 	ce.out = nil
@@ -107,26 +109,13 @@
 	if ce.broken.noWindow {
 		toward = ce.trend.toward
 	}
-	if toward == "" || now-ce.changed < ce.dwell(toward) {
+	if toward == "" || (now-ce.changed < ce.Settings.Dwell && !ce.broken.noDwell) {
 		return
 	}
 	ce.now = &change{order: engine.Order{Kind: engine.ChangeRole, Role: toward}, phase: asking, since: now}
 	ce.emit(Want{Hold: true})
 }
 
-// dwell is the span that must have passed since the last change. A change
-// that takes the last one back waits longer: the load may be swinging.
-func (ce *Cell) dwell(toward board.Role) clock.Millis {
-	switch {
-	case ce.broken.noDwell:
-		return 0
-	case ce.turned != "" && ce.turned != toward:
-		return backDwells * ce.Settings.Dwell
-	default:
-		return ce.Settings.Dwell
-	}
-}
-
 // pick chooses the engine that changes to a role: the fit one of the other
 // role with the least work. It must leave enough behind.
 func (ce *Cell) pick(toward board.Role) (Engine, bool) {
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -330,7 +330,6 @@
 	ce.changed = now
 	ce.trend.since = now
 	if reason == CarriedOut {
-		ce.turned = ch.order.Role
 		ce.take(now, ch.server, oc)
 		ce.note(event.RoleChanged, event.F("Server", ch.server), event.F("To", ch.order.Role), event.F("Token", ch.order.Fence))
 		return
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -62,7 +62,6 @@
 	CarriedOut   Reason = ""           // it was carried out
 	waitingBound        = 16           // orders of operators that may wait
 	sendTries           = 4            // of one order
-	backDwells          = 3            // dwells before a change is taken back
 	inspectEvery        = clock.Second // while draining or in doubt
 )
 
@@ -70,8 +69,9 @@
 	// Settings of a Cell. The zero value of a field means its default.
 	Settings struct {
 		Off         bool         // decides no change of role; operators' orders are still given
-		Dwell       clock.Millis // least span between two changes of role in the cell, three times as long to take one back; 5 min
+		Dwell       clock.Millis // least span between two changes of role in the cell; 5 min
 		Window      clock.Millis // for how long the load must call for a change; half of Dwell
+		Memory      clock.Millis // for how long a role must have been able to spare the engine; three times Dwell
 		DrainWithin clock.Millis // until a change is given up; 1 min
 		LeaseWithin clock.Millis // until the lease must be held, and roles known; 1 min
 		// Flight is how long an order of the lease's holder before this one
@@ -221,6 +221,7 @@
 	}
 	span(&se.Dwell, 5*clock.Minute)
 	span(&se.Window, se.Dwell/2)
+	span(&se.Memory, 3*se.Dwell)
 	span(&se.DrainWithin, clock.Minute)
 	span(&se.LeaseWithin, clock.Minute)
 	span(&se.Flight, 10*clock.Second)
--- a/internal/orders/trend.go
+++ b/internal/orders/trend.go
@@ -17,6 +17,9 @@
 		quick    float64      // requests that wait
 		patient  float64
 
+		// Since when each role could spare an engine; zero if it can't.
+		prefillSpare, decodeSpare clock.Millis
+
 		toward board.Role // the role that is short; empty if none is
 		since  clock.Millis
 	}
@@ -74,7 +77,10 @@
 	} {
 		*av.field += weight * (av.value - *av.field)
 	}
-	if toward := tr.short(se, poolsOf(ob.Engines)); toward != tr.toward {
+	po := poolsOf(ob.Engines)
+	tr.prefillSpare = spareSince(tr.prefillSpare, now, tr.busy, po.prefill, se)
+	tr.decodeSpare = spareSince(tr.decodeSpare, now, tr.occupied, po.decode, se)
+	if toward := tr.short(now, se, po); toward != tr.toward {
 		tr.toward, tr.since = toward, now
 	}
 }
@@ -100,10 +106,23 @@
 	return float64(working) / float64(max(1, po.prefill)), float64(running) / float64(max(1, slots))
 }
 
-// short names the role that needs an engine of the other one, which must be
-// able to spare it: with one engine less it must stay clear of being short
-// itself, or the next change would take this one back.
-func (tr *trend) short(se Settings, po pools) board.Role {
+// spareSince notes since when a role could do with one engine less and stay
+// clear of being short itself.
+func spareSince(since, now clock.Millis, part float64, engines int, se Settings) clock.Millis {
+	switch {
+	case engines <= se.Least || part*float64(engines)/float64(engines-1) > se.Low:
+		return 0
+	case since == 0:
+		return now
+	default:
+		return since
+	}
+}
+
+// short names the role that needs an engine of the other one. That one must
+// have been able to spare it for a long while: a load that swings between the
+// roles is not followed, since each change would soon be taken back.
+func (tr *trend) short(now clock.Millis, se Settings, po pools) board.Role {
 	for _, role := range []board.Role{board.Prefill, board.Decode} {
 		if po.of(role) < se.Least && po.of(other(role)) > se.Least {
 			return role
@@ -112,13 +131,11 @@
 	if tr.quick+tr.patient < 0.5 {
 		return ""
 	}
-	spare := func(part float64, engines int) bool {
-		return engines > se.Least && part*float64(engines)/float64(engines-1) <= se.Low
-	}
+	spares := func(since clock.Millis) bool { return since != 0 && now-since >= se.Memory }
 	switch {
-	case tr.occupied >= se.High && spare(tr.busy, po.prefill):
+	case tr.occupied >= se.High && spares(tr.prefillSpare):
 		return board.Decode
-	case tr.busy >= se.High && spare(tr.occupied, po.decode):
+	case tr.busy >= se.High && spares(tr.decodeSpare):
 		return board.Prefill
 	}
 	return ""
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -129,7 +129,7 @@
 	// Roles is how the roles of model engines follow the load.
 	Roles struct {
 		Enabled bool         // false: engines keep their roles; operators' orders are still given; true by default
-		Dwell   clock.Millis // least span between two changes in a cell, three times as long to take one back; 5m by default
+		Dwell   clock.Millis // least span between two changes in a cell; a role must have had an engine to spare for three times as long; 5m by default
 	}
 
 	// Logging is what goes to standard error.
