--- /dev/null
+++ b/internal/entry/order_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/orders"
+	"alderdyke/internal/register"
+	"alderdyke/internal/sched"
+	enginesim "alderdyke/internal/standin/engine"
+	"alderdyke/pkg/clock"
+)
+
+// A holder that was paused and still believes that it holds the lease gives
+// no order; what an engine did with one is told as it was.
+func TestSendLooksAtTheLease(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		paused clock.Millis
+		fence  uint64 // that the engine has seen
+		want   orders.Reason
+		taken  int // orders that reached the engine
+	}{
+		{"Held", 0, 0, orders.CarriedOut, 1},
+		{"Paused", leaseDuration, 0, orders.LeaseLost, 0},
+		{"TooLittleLeft", leaseDuration - register.DefaultMargin - 1, 0, orders.LeaseLost, 0},
+		{"Fenced", 0, 1 << 40, orders.Fenced, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			en := &enginesim.Engine{ID: "e0", Role: board.Prefill, Settings: enginesim.Settings{ChecksFencing: true}}
+			ts := httptest.NewServer(en.Handler())
+			defer en.Close()
+			defer ts.Close()
+			srv := board.BackendServer{ID: "e0", Role: board.Prefill, Address: strings.TrimPrefix(ts.URL, "http://")}
+			lb := newLeaseBench(t)
+			vm := lb.le.vm
+			vm.Engines = &engine.Client{Clock: lb.clk}
+			hc := &heldCell{vm: vm, ctx: t.Context(), cell: cell{Name: "m/0", Servers: []board.BackendServer{srv}}}
+			hc.ac = newActor[sched.Event, sched.Intent](lb.clk, sched.Tick{}, cellTick)
+			hc.rec = newReconciler(hc)
+			or := hc.newOrderer(t.Context(), "m/0")
+			or.lease = lb.le
+
+			if tc.fence != 0 {
+				_, err := vm.Engines.Order(t.Context(), srv, engine.Order{Kind: engine.LoadModel, Name: "m", Fence: tc.fence})
+				assert.NilError(t, err)
+			}
+			lb.step(register.Want{Hold: true})
+			lb.clk.Advance(tc.paused)
+			or.send(orders.Send{Server: "e0", Margin: 2, Order: engine.Order{Kind: engine.ChangeRole, Role: board.Decode, Fence: lb.entry.Revision}})
+			sent := (<-or.ac.events).(orders.Sent)
+			assert.Equal(t, sent.Outcome.Reason, tc.want)
+			hist := en.History()
+			assert.Equal(t, len(hist.Orders), tc.taken)
+			assert.Equal(t, hist.Role == board.Decode, tc.want == orders.CarriedOut)
+			assert.Equal(t, hc.rec.roles["e0"].role == board.Decode, tc.want == orders.CarriedOut)
+		})
+	}
+}
+
+// The role that counts is the engine's newest word, however the VM list and
+// older reports contradict it.
+func TestNewestWordOnARoleCounts(t *testing.T) {
+	lb := newLeaseBench(t)
+	srv := board.BackendServer{ID: "e0", Role: board.Prefill}
+	hc := &heldCell{vm: lb.le.vm, ctx: t.Context(), cell: cell{Name: "m/0", Servers: []board.BackendServer{srv}}}
+	rc := newReconciler(hc)
+	role := func() board.Role { return rc.fit(hc.servers())[0].Role }
+	assert.Equal(t, role(), board.Prefill, "the list's, as the engine has said nothing")
+	assert.Assert(t, rc.noteRole("e0", knownRole{role: board.Decode, at: 100}))
+	assert.Equal(t, role(), board.Decode)
+	assert.Assert(t, !rc.noteRole("e0", knownRole{role: board.Prefill, at: 99}), "a report from before")
+	assert.Assert(t, !rc.noteRole("e0", knownRole{at: 200}), "a report without a role")
+	assert.Equal(t, role(), board.Decode)
+	assert.Assert(t, rc.noteRole("e0", knownRole{role: board.Prefill, at: 101}))
+	assert.Equal(t, role(), board.Prefill)
+}
+
+func TestDemandCountsWhatUsesAnEngine(t *testing.T) {
+	hc := &heldCell{held: map[string]*heldRequest{
+		"waits":     {quick: true},
+		"patient":   {},
+		"prefills":  {granted: true, stage: sched.Prefilling, prefill: "p", decode: "d"},
+		"decodes":   {granted: true, stage: sched.Decoding, prefill: "p", decode: "d"},
+		"preempted": {granted: true, taken: true, stage: sched.Prefilling, prefill: "p", decode: "d"},
+	}}
+	quick, patient, work := hc.demand()
+	got, err := json.Marshal([]any{quick, patient, work})
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), `[1,2,{"d":2,"p":1}]`)
+}
