--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/examples"
+	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/entry"
@@ -214,7 +215,7 @@
 	}
 }
 
-var quickRoles = settings.Roles{Enabled: true, Dwell: 2 * clock.Second}
+var quickRoles = settings.Roles{Enabled: true, Dwell: clock.Second}
 
 // A load that fills the decode engines makes a prefill engine one, although
 // the VM list says otherwise all the time; no answer is harmed.
@@ -259,6 +260,12 @@
 				}
 			}
 			assert.Assert(t, roles[board.Prefill] >= 1, "%v", roles)
+			size := 0
+			recs := fl.dp.Logs.Records(fl.sets[0].Log.Stream + "Leases")
+			for _, rec := range recs {
+				size += len(rec.Data)
+			}
+			t.Logf("%d answers; %d changes of role; %d records of leases, %d bytes", answers, len(fl.changed()), len(recs), size)
 		})
 	}
 }
@@ -306,3 +313,44 @@
 	var fa operator.Fault
 	assert.Assert(t, errors.As(err, &fa) && fa.Reason == operator.UnknownServer, "%v", err)
 }
+
+// Engines that change their roles unasked, as by an order of another holder
+// that arrives late, cost attempts but no answer: first a prefill engine, and
+// once that decodes, the decode engine.
+func TestRolesThatChangeUnasked(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, 1, false, settings.Roles{Dwell: clock.Minute})
+	stop := fl.crowd(3)
+	eventually(t, "the decode engine works", func() bool { return len(fl.dp.Engines[3].History().Runs) > 3 })
+	fl.turn(fl.dp.Engines[0], board.Decode)
+	eventually(t, "the new decode engine decodes", func() bool { return decodes(fl.dp.Engines[0]) })
+	fl.turn(fl.dp.Engines[3], board.Prefill)
+	eventually(t, "the new prefill engine prefills", func() bool {
+		for _, rn := range fl.dp.Engines[3].History().Runs {
+			if rn.Role == board.Prefill && rn.Outcome == enginesim.Complete {
+				return true
+			}
+		}
+		return false
+	})
+	stop()
+	assert.Assert(t, fl.log.has(event.RoleDiffers))
+	declined := 0
+	for _, en := range fl.dp.Engines {
+		declined += en.History().Declined[backend.WrongRole]
+	}
+	t.Logf("%d orders were declined for the engine's role", declined)
+}
+
+// turn orders an engine past the VMs.
+func (fl *fleet) turn(en *enginesim.Engine, role board.Role) {
+	st, err := fl.operator(0).Status(fl.t.Context())
+	assert.NilError(fl.t, err)
+	ec := &engine.Client{Token: deployment.BackendToken}
+	for _, srv := range st.Backends {
+		if srv.ID == en.ID {
+			_, err := ec.Order(fl.t.Context(), board.BackendServer{ID: srv.ID, Address: srv.Address}, engine.Order{Kind: engine.ChangeRole, Role: role})
+			assert.NilError(fl.t, err)
+		}
+	}
+}
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -111,7 +111,7 @@
 	ctx, stop := context.WithTimeout(ctx, importStall.Std())
 	defer stop()
 	done := make(chan error, 1)
-	srv := ma.decode
+	srv, said := ma.decode, ma.rs.said
 	go func() {
 		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
 			Request:  ma.name,
@@ -126,13 +126,14 @@
 		select {
 		case err := <-done:
 			if err != nil {
+				ma.heed(err)
 				ma.letGo(srv.ID)
 				return failure{"import", err}
 			}
 			return nil
-		case fr, ok := <-ma.rs.said:
+		case fr, ok := <-said:
 			if !ok {
-				ma.rs.said = nil
+				said = nil // no accountant any more
 				continue
 			}
 			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
