--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -171,6 +171,9 @@
 		"TwoAskersFalseDeath": {
 			key: key, start: abc, askers: []string{"a", "c"}, timeouts: 1, doubts: 1, patience: 45,
 		},
+		"Reports": {
+			key: key, start: abc, askers: []string{"a", "b"}, timeouts: 1, reports: true, patience: 10,
+		},
 		"ThreeAskers": {
 			key: key, start: abc, askers: []string{"a", "b", "c"}, timeouts: 1, patience: 10,
 		},
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -101,6 +101,7 @@
 	sc := &scenario{
 		key:        fmt.Sprint("key-", rapid.IntRange(0, 30).Draw(rt, "key")),
 		idempotent: rapid.Bool().Draw(rt, "idempotent"),
+		reports:    rapid.Bool().Draw(rt, "reports"),
 		timeouts:   rapid.IntRange(0, 4).Draw(rt, "timeouts"),
 		crashes:    rapid.IntRange(0, 3).Draw(rt, "crashes"),
 		doubts:     rapid.IntRange(0, 2).Draw(rt, "doubts"),
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -28,6 +28,7 @@
 		tables     []*peerpb.SeatTable // records of the log after the first
 		askers     []string            // IDs of the VMs that ask for the key
 		idempotent bool                // the request
+		reports    bool                // runners tell the seats that they dispatched and completed
 		timeouts   int                 // asks that are given up while their messages are still on the way
 		crashes    int                 // VMs that die
 		doubts     int                 // times that an asker holds a runner dead that may live
@@ -156,12 +157,25 @@
 	sr.verdicts = append(sr.verdicts, dc)
 	if dc.Verdict == Run || (dc.Verdict == TakeOver && wd.sc.idempotent) {
 		wd.runs++
+		wd.report(sr)
 	}
 	if dc.Ran == refusal.NotRun && dc.Verdict != Reused && wd.runs > 0 {
 		wd.lies++
 	}
 }
 
+func (wd *world) report(sr *search) {
+	if !wd.sc.reports {
+		return
+	}
+	for _, state := range []State{Dispatched, Complete} {
+		for _, in := range sr.ak.Step(sr.now, Became{State: state}) {
+			up := in.(SendUpdate)
+			wd.send(packet{to: up.To, body: up.Update})
+		}
+	}
+}
+
 func (wd *world) book(at int, ev Event, from packet) {
 	mb := &wd.members[at]
 	mb.bk = cloneBook(mb.bk)
