--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -286,13 +286,7 @@
 	for _, vm := range fl.vms {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				run := vm.run()
-				reply, err := vm.ops.Template(ctx, customer)
-				if err == nil {
-					fl.note(func(hs *invariant.History) {
-						hs.Sightings = append(hs.Sightings, invariant.Sighting{VM: run, Customer: customer, Revision: reply.Revision, At: time.Now()})
-					})
-				}
+				fl.sight(ctx, vm)
 				select {
 				case <-ctx.Done():
 				case <-time.After(20 * time.Millisecond):
@@ -306,6 +300,24 @@
 	})
 }
 
+// sight asks a VM for the revision in force and notes it. Sightings of one VM
+// are made one after the other.
+func (fl *fleet) sight(ctx context.Context, vm *vm) uint64 {
+	vm.sighting.Lock()
+	defer vm.sighting.Unlock()
+	ctx, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	run := vm.run()
+	reply, err := vm.ops.Template(ctx, customer)
+	if err != nil {
+		return 0
+	}
+	fl.note(func(hs *invariant.History) {
+		hs.Sightings = append(hs.Sightings, invariant.Sighting{VM: run, Customer: customer, Revision: reply.Revision, At: time.Now()})
+	})
+	return reply.Revision
+}
+
 // accepted notes that a revision was accepted now and must come in force at
 // the VMs.
 func (fl *fleet) accepted(revision uint64, vms ...*vm) {
@@ -323,8 +335,7 @@
 	since := time.Now()
 	for _, vm := range vms {
 		eventually(fl.t, fmt.Sprintf("%s has revision %d", vm.set.ID, revision), func() bool {
-			reply, err := vm.ops.Template(fl.t.Context(), customer)
-			return err == nil && reply.Revision >= revision
+			return fl.sight(fl.t.Context(), vm) >= revision
 		})
 	}
 	return time.Since(since)
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -58,6 +58,8 @@
 		file string
 		ops  operator.Client
 
+		sighting sync.Mutex // held while its revision is asked for
+
 		mu   sync.Mutex
 		proc *process
 		runs int
