--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -221,6 +221,13 @@
 // seats, and has heard of all plain servers.
 func (fl *fleet) awaitServing(vm *vm) {
 	fl.t.Helper()
+	defer func() {
+		if fl.t.Failed() {
+			st, err := vm.ops.Status(context.Background())
+			fl.t.Logf("status of %s: seats %d, quorate %v, fleet %+v, servers %+v, error %v",
+				vm.set.ID, st.Seats, st.Quorate, st.Fleet, st.Backends, err)
+		}
+	}()
 	eventually(fl.t, vm.set.ID+" serves", func() bool { return fl.serving(vm) })
 }
 
