membership: count lives within an incarnation, so that a death can be refuted and not be missed

A refutation now counts lives in its upper half: a death ends a life and is final within it, and who is told of it goes on in the next one, under its incarnation.

--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -232,7 +232,7 @@
 	if mb == nil {
 		return dt.meet(rr, hl)
 	}
-	if mb.final() && rr.GetIncarnation() == mb.vm.Incarnation && hl <= board.Suspect {
+	if mb.final() && mb.sameLife(rr) && hl <= board.Suspect {
 		dt.tellDeath(mb)
 		return false
 	}
@@ -270,9 +270,15 @@
 	}
 }
 
+// sameLife tells whether a rumour knows of no refuted death that this VM does
+// not know of.
+func (mb *member) sameLife(rr *peerpb.Rumour) bool {
+	return rr.GetIncarnation() == mb.vm.Incarnation && lifeOf(rr.GetRefutation()) <= lifeOf(mb.refutation)
+}
+
 // tellDeath lets a VM know that this one holds it dead. What it ran may have
-// been taken over, so it must go on under a new incarnation, even if it
-// refuted the suspicion elsewhere.
+// been taken over, so it must go on in a new life, even if it refuted the
+// suspicion elsewhere.
 func (dt *Detector) tellDeath(mb *member) {
 	if len(dt.pb.open) < maxOpen/8 {
 		dt.launch(mb, true)
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -132,31 +132,43 @@
 	}
 }
 
-// refute answers a rumour that doubts Self. A doubt and a death are answered
+// refute answers a rumour that doubts Self. Doubts and deaths are answered
 // within the incarnation, which names this process to everything that it has
 // in progress elsewhere; what others took over meanwhile is for claims to
-// decide. Only a later incarnation, or word that this one left, needs a new
-// one.
+// decide. A death begins a new life. Only a later incarnation, or word that
+// this one left, needs a new incarnation.
 func (dt *Detector) refute(incarnation uint64, refutation uint32, hl board.Health) {
 	if incarnation < dt.Self.Incarnation {
 		return
 	}
 	same := incarnation == dt.Self.Incarnation && (hl == board.Suspect || hl == board.Dead)
-	if same && refutation < dt.refutation {
-		dt.rm.push(dt.Self.ID, 0) // refuted already; who told it missed that
+	if same && dt.refuted(refutation, hl) {
+		dt.rm.push(dt.Self.ID, 0) // who told it missed that
 		return
 	}
 	dt.Counters.Refutations++
 	dt.ail(1)
-	if same {
-		dt.refutation = refutation + 1
-	} else {
+	before := lifeOf(dt.refutation)
+	switch {
+	case !same:
 		dt.Self.Incarnation = incarnation + 1
 		dt.refutation = 0
 		dt.touch()
+	case hl == board.Dead:
+		dt.refutation = (lifeOf(refutation) + 1) << lifeShift
+	default:
+		dt.refutation = refutation + 1
 	}
-	if hl != board.Suspect {
+	if !same || lifeOf(dt.refutation) != before {
 		dt.out = append(dt.out, Refuted{Incarnation: dt.Self.Incarnation})
 	}
 	dt.rm.push(dt.Self.ID, 0)
 }
+
+// refuted tells whether Self has answered the doubt or death already.
+func (dt *Detector) refuted(refutation uint32, hl board.Health) bool {
+	if hl == board.Dead {
+		return lifeOf(refutation) < lifeOf(dt.refutation)
+	}
+	return refutation < dt.refutation
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -78,8 +78,17 @@
 	return mb.vm.Health == board.Alive || mb.vm.Health == board.Suspect
 }
 
+// lifeShift divides a refutation: below are the suspicions that were refuted
+// in one life, above the deaths.
+const lifeShift = 16
+
+// lifeOf counts the deaths that a VM was told of, and refuted, within its
+// incarnation. It tells a VM that knows that it was held dead from one that
+// only refuted the suspicion before.
+func lifeOf(refutation uint32) uint32 { return refutation >> lifeShift }
+
 // final tells whether the member is dead to others too. No refutation within
-// the same incarnation takes that back.
+// the same life takes that back.
 func (mb *member) final() bool {
 	return mb.heard && mb.vm.Health == board.Dead && !mb.private
 }
