--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -14,6 +14,7 @@
 
 	"alderdyke/internal/invariant"
 	"alderdyke/pkg/client"
+	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
@@ -154,7 +155,7 @@
 
 // client is a caller's library that knows all VMs.
 func (fl *fleet) client() *client.Client {
-	cl := &client.Client{APIKey: apiKey}
+	cl := &client.Client{APIKey: apiKey, Idle: 10 * clock.Second}
 	for _, vm := range fl.vms {
 		cl.Bootstrap = append(cl.Bootstrap, vm.set.Caller.Advertise.String())
 	}
--- a/internal/integration/once_test.go
+++ b/internal/integration/once_test.go
@@ -54,7 +54,7 @@
 		assert.Check(t, rf.Ran != refusal.NotRun, "%v", rf)
 	}
 	for _, vm := range fl.others(first) {
-		fl.holdsDead(vm, first, killed)
+		results.span("a dead VM is detected", fl.holdsDead(vm, first, killed))
 		rf := fl.paymentAt(vm, "killed").refusedAs()
 		assert.Check(t, rf.Ran != refusal.NotRun, "%v", rf)
 	}
--- a/internal/integration/results_test.go
+++ b/internal/integration/results_test.go
@@ -51,7 +51,9 @@
 	defer rp.mu.Unlock()
 	var sb strings.Builder
 	sb.WriteString("# Results under faults\n\nMade by `go test ./internal/integration -results docs/RESULTS-faults.md`: entry VMs as\n" +
-		"real processes on one machine, stand-ins for everything around them.\n\n")
+		"real processes on one machine, stand-ins for everything around them. Times run from\n" +
+		"the fault, or from the acceptance of a revision, until the tests saw the end; they\n" +
+		"hold the machine's other load.\n\n")
 	fmt.Fprintf(&sb, "%d histories with %d calls were checked; %d violations were found.\n\n", rp.histories, rp.calls, rp.violations)
 	sb.WriteString("| Fault | Times injected |\n| --- | --- |\n")
 	for _, kind := range sorted(rp.faults) {
--- /dev/null
+++ b/internal/integration/storm_test.go
@@ -0,0 +1,195 @@
+package integration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"alderdyke/internal/standin"
+	"alderdyke/internal/standin/deployment"
+	logsim "alderdyke/internal/standin/logsvc"
+	listsim "alderdyke/internal/standin/vmlist"
+)
+
+const (
+	stormRounds = 5
+	stormCalls  = 40 // that have to end while faults stand
+)
+
+type (
+	// storm puts faults of two kinds at once on a fleet, chosen by a seed.
+	storm struct {
+		fl  *fleet
+		rnd *rand.Rand
+	}
+
+	// trouble begins one fault and returns what ends it.
+	trouble func(t *testing.T) (heal func())
+)
+
+// Faults of VMs and of what is around them come together, again and again,
+// while callers of all kinds come. Every rule holds.
+func TestStorm(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			pl := usual()
+			pl.vms, pl.prefill, pl.decode, pl.plain = 5, 3, 4, 3
+			fl := startFleet(t, pl)
+			fl.watchRevisions()
+			began := time.Now()
+			st := &storm{fl: fl, rnd: rand.New(rand.NewPCG(seed, 1))}
+			ld := fl.startLoad("storm", 2)
+			fl.awaitCalls(stormCalls)
+			base := fl.revision(fl.vms[0])
+			for round := range stormRounds {
+				st.round(t)
+				base = fl.revise(fl.vms[st.rnd.IntN(len(fl.vms))], fmt.Sprintf("storm-%d", round), base, round)
+			}
+			t.Logf("after %v: the last fault is over", time.Since(began))
+			ld.stop() // refusals are allowed; the rules tell whether they are true
+			t.Logf("after %v: the last call has its end", time.Since(began))
+			fl.check()
+		})
+	}
+}
+
+// round begins two faults, lets callers meet them, ends them, and waits until
+// the fleet is whole.
+func (st *storm) round(t *testing.T) {
+	victim := st.fl.vms[st.rnd.IntN(len(st.fl.vms))]
+	inner := []trouble{st.kill(victim), st.pause(victim), st.cutOff(victim), st.callersCut(victim)}
+	outer := []trouble{st.engineDies(), st.engineLoses(), st.backendCut(), st.serviceLoses(), st.platformOut()}
+	one, other := st.rnd.IntN(len(inner)), st.rnd.IntN(len(outer))
+	began := time.Now()
+	first, second := inner[one](t), outer[other](t)
+	st.fl.awaitCalls(stormCalls)
+	defer func() { t.Logf("faults %d and %d at %s took %v", one, other, victim.set.ID, time.Since(began)) }()
+	first()
+	second()
+	for _, vm := range st.fl.vms {
+		st.fl.awaitServing(vm)
+	}
+}
+
+// lasts waits, in half of all cases, until the others hold a VM dead.
+func (st *storm) lasts(victim *vm, long bool, since time.Time) {
+	if long {
+		st.fl.holdsDead(st.fl.others(victim)[0], victim, since)
+	}
+}
+
+func (st *storm) kill(victim *vm) trouble {
+	long := st.rnd.IntN(2) == 0
+	return func(t *testing.T) func() {
+		began := time.Now()
+		victim.kill(t)
+		return func() {
+			st.lasts(victim, long, began)
+			victim.start(t)
+		}
+	}
+}
+
+func (st *storm) pause(victim *vm) trouble {
+	long := st.rnd.IntN(2) == 0
+	return func(t *testing.T) func() {
+		began := time.Now()
+		victim.pause(t)
+		return func() {
+			st.lasts(victim, long, began)
+			victim.resume(t)
+		}
+	}
+}
+
+// cutOff cuts a VM off from the other VMs and from the log service.
+func (st *storm) cutOff(victim *vm) trouble {
+	long := st.rnd.IntN(2) == 0
+	return func(t *testing.T) func() {
+		began := time.Now()
+		px := st.fl.proxy(deployment.LogLink, victim.set.ID)
+		px.stall(t)
+		st.fl.net.partition([]*vm{victim}, st.fl.others(victim), true)
+		return func() {
+			st.lasts(victim, long, began)
+			st.fl.net.partition([]*vm{victim}, st.fl.others(victim), false)
+			px.heal(t)
+		}
+	}
+}
+
+func (st *storm) callersCut(victim *vm) trouble {
+	return func(t *testing.T) func() {
+		px := st.fl.proxy(deployment.CallerLink, victim.set.ID)
+		px.reset(t)
+		return func() { px.heal(t) }
+	}
+}
+
+// engineDies lets an engine die and come back without what it held.
+func (st *storm) engineDies() trouble {
+	en := st.fl.dp.Engines[st.rnd.IntN(len(st.fl.dp.Engines))]
+	return func(*testing.T) func() {
+		results.fault("engine died")
+		en.Control.Set(standin.Faults{Dead: true})
+		return func() { en.Control.Set(standin.Faults{}) }
+	}
+}
+
+// engineLoses lets all engines lose replies to orders that took effect.
+func (st *storm) engineLoses() trouble {
+	return func(*testing.T) func() {
+		results.fault("reply lost after the effect")
+		for _, en := range st.fl.dp.Engines {
+			en.Control.Set(standin.Faults{LoseReply: true, Count: 6})
+		}
+		return func() {
+			for _, en := range st.fl.dp.Engines {
+				en.Control.Set(standin.Faults{})
+			}
+		}
+	}
+}
+
+// backendCut cuts the connections to one backend server.
+func (st *storm) backendCut() trouble {
+	id := st.fl.dp.Engines[st.rnd.IntN(len(st.fl.dp.Engines))].ID
+	if st.rnd.IntN(2) == 0 {
+		id = st.fl.dp.Services[st.rnd.IntN(len(st.fl.dp.Services))].ID
+	}
+	return func(t *testing.T) func() {
+		px := st.fl.proxy(deployment.BackendLink, id)
+		px.reset(t)
+		return func() { px.heal(t) }
+	}
+}
+
+// serviceLoses lets the plain service lose replies to calls that ran.
+func (st *storm) serviceLoses() trouble {
+	return func(*testing.T) func() {
+		results.fault("reply lost after the effect")
+		for _, sv := range st.fl.dp.Services {
+			sv.Control.Set(standin.Faults{LoseReply: true, Count: 6})
+		}
+		return func() {
+			for _, sv := range st.fl.dp.Services {
+				sv.Control.Set(standin.Faults{})
+			}
+		}
+	}
+}
+
+func (st *storm) platformOut() trouble {
+	return func(*testing.T) func() {
+		results.fault("log outage")
+		results.fault("VM list outage")
+		st.fl.dp.Logs.Set(logsim.Faults{Outage: true})
+		st.fl.dp.List.Set(listsim.Faults{Outage: true})
+		return func() {
+			st.fl.dp.Logs.Set(logsim.Faults{})
+			st.fl.dp.List.Set(listsim.Faults{})
+		}
+	}
+}
