--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -293,6 +293,24 @@
 	}
 }
 
+// A cut through all failure domains leaves no domain that is not reached, so
+// the sample alone tells the sides apart too late in a large fleet.
+func TestCutThroughDomainsFences(t *testing.T) {
+	tf := settledFleet(200, 8, 1, variant{})
+	tf.run(10 * clock.Second)
+	tf.loss = 0.05
+	minority := make(map[*testVM]bool)
+	for _, ix := range tf.rnd.Perm(200)[:80] {
+		minority[tf.vms[ix]] = true
+	}
+	tf.cut = func(from, to *testVM) bool { return minority[from] != minority[to] }
+	tf.run(25 * clock.Second)
+	assert.Equal(t, tf.unfenced, 0)
+	for vm := range minority {
+		assert.Assert(t, vm.until <= tf.now, "%s is quorate", vm.self.ID)
+	}
+}
+
 // Whatever happens, no VM is held dead while it may start work, and when it
 // is calm again all views agree with what is.
 func TestRandomFaultsConverge(t *testing.T) {
--- a/internal/membership/quorum.go
+++ b/internal/membership/quorum.go
@@ -8,6 +8,11 @@
 	"alderdyke/pkg/clock"
 )
 
+// sampled is the size of a fleet above which the acks within Fresh are only a
+// sample. A cut through all failure domains then shows in what this side
+// doubts sooner than in the sample.
+const sampled = 16
+
 type (
 	// quorum is the evidence that this VM reaches a majority of the roster.
 	quorum struct {
@@ -19,6 +24,7 @@
 
 		stale   bool // the counts below need to be made again
 		roster  int  // VMs over which a majority is counted, with Self
+		alive   int  // of them, those that nobody is known to doubt, with Self
 		domains map[string]*tally
 	}
 
@@ -126,12 +132,15 @@
 		return
 	}
 	qr.stale = false
-	qr.roster = 1
+	qr.roster, qr.alive = 1, 1
 	qr.domains = make(map[string]*tally)
 	for _, mb := range dt.tb.members {
 		if mb.inRoster() {
 			qr.roster++
 		}
+		if mb.vm.Health == board.Alive {
+			qr.alive++
+		}
 		if !mb.serving() {
 			continue
 		}
@@ -150,6 +159,9 @@
 	// one VM and keeps exactly half from counting as more. It also covers
 	// that maps are walked, and so summed, in any order.
 	const slack = 1e-6
+	if qr.roster > sampled && 2*qr.alive <= qr.roster {
+		return false
+	}
 	reached := 1.0
 	for _, ta := range qr.domains {
 		if ta.acked > 0 {
