--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 
 	"alderdyke/internal/board"
@@ -207,3 +208,23 @@
 	}
 	bb.ReportMetric(float64(bb.Elapsed().Microseconds())/float64(bb.N*380), "µs/VM/s")
 }
+
+// BenchmarkMemory measures the heap that one VM's detector keeps.
+func BenchmarkMemory(bb *testing.B) {
+	for _, size := range []int{48, 380} {
+		bb.Run(fmt.Sprintf("size=%d", size), func(bb *testing.B) {
+			var before, after runtime.MemStats
+			for range bb.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				tf := newFleet(size, 8, 1, variant{})
+				tf.run(20 * clock.Second)
+				tf.queue = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				bb.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size*1024), "KiB/VM")
+				runtime.KeepAlive(tf)
+			}
+		})
+	}
+}
