--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -12,7 +12,10 @@
 // A VM goes through Alive, Suspect and Dead. It counts as Dead only DeadHold
 // after its suspicion ran out. DeadHold is longer than Fresh, the span after
 // which a VM without acks from a majority of the roster stops being quorate:
-// a VM that is cut off has fenced itself before others take over its work.
+// a VM that is cut off has fenced itself before others take over its work. A
+// VM that lost the majority counts as quorate again only after another Fresh.
+// Dead is final for an incarnation: who hears that it was held dead goes on
+// under a new one.
 //
 // A VM that is not quorate still marks VMs as Dead for itself, so that it goes
 // on serving what it can, but it does not tell others: one VM that was cut off
@@ -37,6 +40,7 @@
 //		case membership.Changed: ...
 //		case membership.Fresh: ...
 //		case membership.Refuted: ...
+//		case membership.Replaced: ...
 //		case membership.Wake: ...
 //		}
 //	}
