--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -62,7 +62,11 @@
 	case membership.Refuted:
 		vm.Log.Log(event.HeldDead)
 		vm.refuted.raise()
+	case membership.Replaced:
+		vm.Log.Log(event.Replaced, event.F("Incarnation", in.Incarnation))
+		vm.beginStop()
 	case membership.Changed:
+		vm.logFleet(vm.Board.Fleet(), in.Fleet)
 		vm.Board.SetFleet(in.Fleet)
 		vm.fleetMove.raise()
 	}
--- a/internal/entry/operatorside.go
+++ b/internal/entry/operatorside.go
@@ -30,7 +30,7 @@
 
 // Drain implements operator.Backend.
 func (os operatorSide) Drain(context.Context) error {
-	os.vm.drain.Do(func() { close(os.vm.drainNow) })
+	os.vm.beginStop()
 	return nil
 }
 
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -185,6 +185,11 @@
 	}
 }
 
+// beginStop begins the planned stop. More than one call does no harm.
+func (vm *VM) beginStop() {
+	vm.drain.Do(func() { close(vm.drainNow) })
+}
+
 // stop is the planned stop.
 func (vm *VM) stop(stopCallers context.CancelFunc, callersDone <-chan error) error {
 	vm.Log.Log(event.Stopping, event.F("InProgress", vm.runs.inProgress()))
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -60,6 +60,4 @@
 		"a backend server does not report its load", "look at the backend server")
 	ListUnreachable = register(1154, "ListUnreachable", Warn,
 		"the platform's VM list does not answer; the last one stays in use", "look at the platform")
-	HeldDead = register(1155, "HeldDead", Warn,
-		"other VMs held this one dead; it checks which of its requests were taken over", "look for pauses of the VM or a cut network")
 )
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -20,7 +20,7 @@
 	MajorityReached = register(1211, "MajorityReached", Info,
 		"this VM reaches a majority of the VMs", "none")
 	HeldDead = register(1212, "HeldDead", Warn,
-		"others held this VM dead; it goes on under a new incarnation and checks what they took over",
+		"others held this VM dead; it goes on and checks what they took over",
 		"look for a pause of the process or a partition at that time")
 	Replaced = register(1213, "Replaced", Error,
 		"another process runs under the ID of this VM at another address; this one stops",
