integration: hold a caller who never tries again through each planned stop

A stop that cut everything off was seen by its exit code and by payments alone, since pkg/client goes on elsewhere. A trial that ends the process at once is now caught by the answer that was in progress (EOF).

--- a/internal/integration/leave_test.go
+++ b/internal/integration/leave_test.go
@@ -80,9 +80,14 @@
 	eventually(fl.t, fmt.Sprintf("%d calls", more), func() bool { return fl.calls() >= before+more })
 }
 
-// stopPlanned makes a planned stop of a VM and notes it.
+// stopPlanned makes a planned stop of a VM and notes it. A caller who never
+// tries again is in the middle of an answer of that VM, and must get the rest
+// over its own connection.
 func (fl *fleet) stopPlanned(vm *vm) {
 	fl.t.Helper()
+	key := "once-at-" + vm.set.ID
+	once := fl.chatAt(vm, key, 200)
+	assert.Equal(fl.t, fl.runnerOf(key, 5).set.ID, vm.set.ID)
 	st := invariant.Stop{VM: vm.set.ID, Began: time.Now()}
 	fl.dp.Leave(vm.set.ID)
 	vm.terminate(fl.t)
@@ -92,6 +97,7 @@
 	case <-time.After(patience):
 	}
 	results.span("a planned stop under load", time.Since(st.Began))
+	assert.Check(fl.t, once.end(), "the answer was cut off")
 	fl.note(func(hs *invariant.History) { hs.Stops = append(hs.Stops, st) })
 }
 
