--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -97,7 +97,7 @@
 	assert.Assert(t, bytes[96] <= 1100, "%v B/s", bytes[96])
 }
 
-// A request key costs the same calls in any fleet, and a duplicate one more.
+// A request key costs the same calls in any fleet, and a duplicate two more.
 func TestClaimCallsDoNotGrowWithTheFleet(t *testing.T) {
 	calls := func(vms, duplicates int) float64 {
 		cf := newClaimFleet(vms)
