claim: split the asker and the book by stage

Cause: asker.go (493 lines) held the asks, the count of replies and the decision; book.go (408) held the records and the proposals of seat tables. Some names (Bury, mourned, burial, outOfPatience) were metaphors. Conclusion: behaviour unchanged; each file has one job.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -6,16 +6,15 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/peer/peerpb"
-	"alderdyke/internal/rendezvous"
 	"alderdyke/pkg/clock"
 )
 
 const (
-	defaultCap    = 100_000
-	defaultLife   = 30 * clock.Minute
-	defaultSettle = clock.Second
-	defaultBury   = 30 * clock.Second
-	resendAfter   = clock.Second
+	defaultCap      = 100_000
+	defaultLife     = 30 * clock.Minute
+	defaultSettle   = clock.Second
+	defaultKeepDead = 30 * clock.Second
+	resendAfter     = clock.Second
 )
 
 type (
@@ -31,10 +30,10 @@
 		// Settle is how long the fleet must look the same before a table is
 		// proposed; one second by default.
 		Settle clock.Millis
-		// Bury is how long a VM is held dead before it loses its seat; 30
+		// KeepDead is how long a VM that is held dead keeps its seat; 30
 		// seconds by default. Until then its groups work with the two
 		// others.
-		Bury clock.Millis
+		KeepDead clock.Millis
 	}
 
 	// Counts of what a Book did.
@@ -89,16 +88,6 @@
 		epoch uint64
 		at    clock.Millis
 	}
-
-	// fleetWatch waits until the fleet has looked the same for some time.
-	fleetWatch struct {
-		last     *board.Fleet
-		deadFrom map[board.VMRef]clock.Millis
-		cutFrom  clock.Millis // since when in a minority, if it is
-		wanted   []board.VM
-		since    clock.Millis
-		proposed clock.Millis // when the last table was proposed
-	}
 )
 
 // Seats returns the seat table in force with those before it; nil before the
@@ -315,94 +304,3 @@
 	}
 	return out
 }
-
-// see notes what the fleet looks like.
-func (fw *fleetWatch) see(now clock.Millis, fl *board.Fleet) {
-	if fw.last == nil || fw.last.Quorate {
-		fw.cutFrom = now
-	}
-	fw.last = fl
-	dead := map[board.VMRef]clock.Millis{}
-	for _, vm := range fl.VMs {
-		if vm.Health != board.Dead {
-			continue
-		}
-		dead[vm.VMRef] = now
-		if from, ok := fw.deadFrom[vm.VMRef]; ok {
-			dead[vm.VMRef] = from
-		}
-	}
-	fw.deadFrom = dead
-}
-
-// cutOff tells whether this VM has been in a minority for longer than the
-// span. The majority may by then have stopped to wait for its records.
-func (fw *fleetWatch) cutOff(now, span clock.Millis) bool {
-	return fw.last != nil && !fw.last.Quorate && now-fw.cutFrom > span
-}
-
-// want is the VMs that should have seats: those that serve and do not leave,
-// and those that are held dead but keep their seat for a while yet.
-func (fw *fleetWatch) want(now, bury clock.Millis, st *Seats) []board.VM {
-	var out []board.VM
-	for _, vm := range fw.last.VMs {
-		serving := (vm.Health == board.Alive || vm.Health == board.Suspect) && !vm.Leaving
-		mourned := vm.Health == board.Dead && !vm.Leaving && st.holds(vm.VMRef) && now < fw.deadFrom[vm.VMRef]+bury
-		if (serving || mourned) && vm.FailureDomain != "" {
-			out = append(out, board.VM{VMRef: vm.VMRef, FailureDomain: vm.FailureDomain})
-		}
-	}
-	slices.SortFunc(out, func(va, vb board.VM) int { return cmp.Compare(va.ID, vb.ID) })
-	return out
-}
-
-// propose proposes a table once the fleet has looked different from the one
-// in force for the settle span. VMs do so one after the other, in an order
-// that all know, so that as a rule one of them proposes.
-func (bk *Book) propose(now clock.Millis) []Intent {
-	fw := &bk.fleet
-	if fw.last == nil || !fw.last.Quorate || (bk.seats == nil && !bk.FromStart) {
-		return nil
-	}
-	want := fw.want(now, cmp.Or(bk.Settings.Bury, defaultBury), bk.seats)
-	if len(want) == 0 || (bk.seats != nil && slices.Equal(want, bk.seats.VMs)) {
-		fw.wanted = nil
-		return bk.wakeForBurial(now)
-	}
-	if !slices.Equal(want, fw.wanted) {
-		fw.wanted, fw.since = want, now
-	}
-	settle := cmp.Or(bk.Settings.Settle, defaultSettle)
-	place := slices.IndexFunc(rendezvous.Rank("seats", want), func(vm board.VM) bool { return vm.VMRef == bk.Self })
-	if place < 0 {
-		place = len(want)
-	}
-	due := max(fw.since, fw.proposed) + settle*clock.Millis(1+min(place, 8))
-	if now < due {
-		return []Intent{Wake{due}}
-	}
-	fw.proposed = now
-	tb := &peerpb.SeatTable{Base: bk.seats.epoch()}
-	for _, vm := range want {
-		tb.Seats = append(tb.Seats, &peerpb.ClaimSeat{
-			ID: vm.ID, Incarnation: vm.Incarnation, FailureDomain: vm.FailureDomain,
-		})
-	}
-	return []Intent{Propose{tb}, Wake{now + settle*9}}
-}
-
-// wakeForBurial wakes when the next VM held dead loses its seat.
-func (bk *Book) wakeForBurial(now clock.Millis) []Intent {
-	next := clock.Millis(0)
-	for _, vm := range bk.fleet.last.VMs {
-		from, ok := bk.fleet.deadFrom[vm.VMRef]
-		at := from + cmp.Or(bk.Settings.Bury, defaultBury)
-		if ok && at > now && (next == 0 || at < next) {
-			next = at
-		}
-	}
-	if next == 0 {
-		return nil
-	}
-	return []Intent{Wake{next}}
-}
--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -301,7 +301,7 @@
 		change func(*board.VM)
 		from   clock.Millis // when its seat is given up
 	}{
-		{"Dead", func(vm *board.VM) { vm.Health = board.Dead }, defaultBury},
+		{"Dead", func(vm *board.VM) { vm.Health = board.Dead }, defaultKeepDead},
 		{"Leaving", func(vm *board.VM) { vm.Leaving = true }, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
