standin: name cancelled requests as such

Cause: the engine called the tombstones of cancelled requests buried. Change: cancelled, isCancelled, noteCancel. Measured: go test -race ./internal/standin/... passes. Conclusion: behaviour unchanged.

--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -34,7 +34,7 @@
 	if en.life.Err() != nil {
 		return nil, backend.Refused
 	}
-	if en.isBuried(od.Request, od.Attempt) {
+	if en.isCancelled(od.Request, od.Attempt) {
 		return nil, backend.Cancelled
 	}
 	rn := en.runs[runKey{od.Request, od.Attempt, board.Decode}]
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -89,7 +89,7 @@
 		role      board.Role
 		runs      map[runKey]*run
 		seq       uint64
-		buried    map[string]tombstone
+		cancelled map[string]tombstone
 		cache     prefixCache
 		loads     []stampedLoad
 		linkBytes int64
@@ -199,7 +199,7 @@
 		en.life, en.end = context.WithCancel(context.Background())
 		en.role = en.Role
 		en.runs = map[runKey]*run{}
-		en.buried = map[string]tombstone{}
+		en.cancelled = map[string]tombstone{}
 		en.fences = map[string]uint64{}
 		en.cache = prefixCache{
 			limit: en.Settings.CacheBlocks, lag: en.Settings.CacheEventLag.Std(),
@@ -280,7 +280,7 @@
 		return backend.WrongRole
 	case en.Control.Faults().Leaving:
 		return backend.Leaving
-	case en.isBuried(request, attempt):
+	case en.isCancelled(request, attempt):
 		return backend.Cancelled
 	case en.runs[runKey{request, attempt, role}] != nil:
 		return backend.Duplicate
@@ -360,7 +360,7 @@
 		for _, rn := range en.runs {
 			en.finish(rn, Lost)
 		}
-		clear(en.buried)
+		clear(en.cancelled)
 		clear(en.fences)
 	}
 	en.report()
@@ -384,8 +384,8 @@
 
 func (en *Engine) now() clock.Millis { return clock.Of(time.Since(en.started)) }
 
-func (en *Engine) isBuried(request string, attempt int) bool {
-	tb, ok := en.buried[request]
+func (en *Engine) isCancelled(request string, attempt int) bool {
+	tb, ok := en.cancelled[request]
 	return ok && attempt <= tb.attempt && time.Now().Before(tb.until)
 }
 
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -27,7 +27,7 @@
 func (en *Engine) cancel(od wire.CancelOrder) int {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	en.bury(od)
+	en.noteCancel(od)
 	ended := 0
 	for key, rn := range en.runs {
 		if key.request == od.Request && key.attempt <= od.Attempt {
@@ -38,17 +38,17 @@
 	return ended
 }
 
-func (en *Engine) bury(od wire.CancelOrder) {
+func (en *Engine) noteCancel(od wire.CancelOrder) {
 	now := time.Now()
-	if len(en.buried) >= maxTombstones {
-		for request, tb := range en.buried {
+	if len(en.cancelled) >= maxTombstones {
+		for request, tb := range en.cancelled {
 			if now.After(tb.until) {
-				delete(en.buried, request)
+				delete(en.cancelled, request)
 			}
 		}
 	}
-	en.buried[od.Request] = tombstone{
-		attempt: max(od.Attempt, en.buried[od.Request].attempt),
+	en.cancelled[od.Request] = tombstone{
+		attempt: max(od.Attempt, en.cancelled[od.Request].attempt),
 		until:   now.Add(en.Settings.KeepCancelled.Std()),
 	}
 }
