--- a/internal/sched/bench/local.go
+++ b/internal/sched/bench/local.go
@@ -95,9 +95,8 @@
 func (lp *localPolicy) pump(lv *localVM) {
 	for len(lv.queue) > 0 {
 		rq := lv.queue[0]
-		if rq.hopeless(lp.sm.now) {
+		if lp.sm.refuseLate(rq) {
 			lv.queue = lv.queue[1:]
-			lp.sm.refuse(rq, rq.tooLate())
 			continue
 		}
 		pre, dec := lp.choose(lv, board.Prefill), lp.choose(lv, board.Decode)
@@ -226,8 +225,7 @@
 		return
 	}
 	lv := lp.vms[rq.vm]
-	if rq.hopeless(lp.sm.now) {
-		lp.sm.refuse(rq, rq.tooLate())
+	if lp.sm.refuseLate(rq) {
 		return
 	}
 	lv.queue = append(lv.queue, rq)
--- a/internal/sched/bench/oracle.go
+++ b/internal/sched/bench/oracle.go
@@ -250,8 +250,7 @@
 	op.forget(rq)
 	op.ready = slices.DeleteFunc(op.ready, func(other *request) bool { return other == rq })
 	op.sm.cancel(rq)
-	if rq.hopeless(op.sm.now) {
-		op.sm.refuse(rq, rq.tooLate())
+	if op.sm.refuseLate(rq) {
 		return
 	}
 	op.enqueue(rq)
--- a/internal/sched/bench/shares.go
+++ b/internal/sched/bench/shares.go
@@ -93,9 +93,8 @@
 func (sp *sharesPolicy) pump(vm *shareVM) {
 	for len(vm.queue) > 0 {
 		rq := vm.queue[0]
-		if rq.hopeless(sp.sm.now) {
+		if sp.sm.refuseLate(rq) {
 			vm.queue = vm.queue[1:]
-			sp.sm.refuse(rq, rq.tooLate())
 			continue
 		}
 		need := 1
@@ -221,8 +220,7 @@
 func (sp *sharesPolicy) lost(rq *request) {
 	sp.sm.cancel(rq)
 	sp.giveBack(rq)
-	if rq.hopeless(sp.sm.now) {
-		sp.sm.refuse(rq, rq.tooLate())
+	if sp.sm.refuseLate(rq) {
 		return
 	}
 	vm := sp.vms[rq.vm]
