caller: read both kinds of request on one path

Change: Server.serve with a parser for each kind; handlers.go for what routes call, whole.go for answers that are not streamed; code moved otherwise. Measured: go test -race ./internal/caller passes. Conclusion: behaviour unchanged; a refusal of a chat whose class is known still names it.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -258,3 +258,21 @@
 		return "a message's content is neither text nor a list of text parts"
 	}
 }
+
+// chatRequest is the parser of chat completions.
+func chatRequest(tpl template.Template, req *http.Request, body []byte) (run Request, streamed bool, err error) {
+	cb, err := parseChat(body)
+	if err != nil {
+		return Request{}, false, err
+	}
+	cls, err := chatClass(tpl, cb.Model, req.Header.Get(headerClass))
+	if err != nil {
+		return Request{}, false, err
+	}
+	run = Request{Customer: tpl.Customer, Template: tpl, Class: cls}
+	if run.Chat, err = cb.chat(cls); err != nil {
+		return run, false, err
+	}
+	run.Fingerprint = run.Chat.fingerprint(cls.Name)
+	return run, cb.Stream, nil
+}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -188,3 +188,19 @@
 	}
 	return digest(parts...)
 }
+
+// serviceRequest is the parser of calls of plain services, whose answers are
+// never streamed.
+func serviceRequest(tpl template.Template, req *http.Request, body []byte) (run Request, streamed bool, err error) {
+	pl, path, err := plainRequest(req, body)
+	if err != nil {
+		return Request{}, false, err
+	}
+	cls, err := plainClass(tpl, pl.Service, path, req.Header.Get(headerClass))
+	if err != nil {
+		return Request{}, false, err
+	}
+	return Request{
+		Customer: tpl.Customer, Template: tpl, Class: cls, Plain: pl, Fingerprint: pl.fingerprint(cls.Name),
+	}, false, nil
+}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -274,85 +273,6 @@
 	dl.wr.WriteHeader(http.StatusOK)
 }
 
-// collect waits for the end and sends the whole answer at once.
-func (dl *delivery) collect(st *answer.Stream) {
-	rd := st.Attach(0)
-	defer rd.Detach()
-	for {
-		ev, err := rd.Next(dl.ctx)
-		if err != nil {
-			abort()
-		}
-		if dl.gather(ev); ev.Kind.Final() {
-			return
-		}
-	}
-}
-
-func (dl *delivery) gather(ev answer.Event) {
-	if ev.Kind == answer.Token {
-		dl.tokens++
-		_, _ = dl.text.Write(ev.Data)
-		return
-	}
-	if ev.Kind != answer.End {
-		dl.event(ev)
-		return
-	}
-	end, err := parseEnd(ev.Data)
-	if err != nil {
-		dl.refused(ev.ID, brokenAnswer())
-		return
-	}
-	ca := dl.answer(kindWhole, chatChoice{
-		Message:      &chatDelta{Role: "assistant", Content: strings.ToValidUTF8(dl.text.String(), "\uFFFD")},
-		FinishReason: &end.FinishReason,
-	})
-	ca.Usage = dl.usage(end)
-	body, err := json.Marshal(ca)
-	if err != nil {
-		abort()
-	}
-	hd := dl.wr.Header()
-	hd.Set("Content-Type", "application/json")
-	hd.Set("Cache-Control", "no-store")
-	hd.Set(headerKey, dl.key)
-	dl.srv.writeWhole(dl.wr, http.StatusOK, body)
-	dl.srv.count("AnswersDelivered")
-}
-
-func (dl *delivery) plain(pa PlainAnswer) {
-	hd := dl.wr.Header()
-	for name, values := range forwarded(pa.Header) {
-		hd[name] = values
-	}
-	hd.Set(headerKey, dl.key)
-	dl.srv.writeWhole(dl.wr, pa.Status, pa.Body)
-	dl.srv.count("AnswersDelivered")
-}
-
-// writeWhole writes a response that is complete. Each piece of it has the
-// write timeout.
-func (srv *Server) writeWhole(wr http.ResponseWriter, code int, body []byte) {
-	if len(body) == 0 {
-		wr.WriteHeader(code)
-		return
-	}
-	wr.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	wr.WriteHeader(code)
-	rc := http.NewResponseController(wr)
-	for piece := range slices.Chunk(body, writePiece) {
-		err := srv.write(wr, rc, piece)
-		if errors.Is(err, http.ErrBodyNotAllowed) {
-			return
-		}
-		if err != nil {
-			srv.broken(err, "")
-			abort()
-		}
-	}
-}
-
 // write writes and flushes within the write timeout.
 func (srv *Server) write(wr http.ResponseWriter, rc *http.ResponseController, data []byte) error {
 	if err := rc.SetWriteDeadline(time.Now().Add(srv.limits.WriteTimeout.Std())); err != nil {
