--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -286,12 +286,7 @@
 	return ec.hc
 }
 
-func (ec *Client) now() clock.Millis {
-	if ec.Clock != nil {
-		return ec.Clock.Now()
-	}
-	return clock.Monotonic{}.Now()
-}
+func (ec *Client) now() clock.Millis { return clock.Or(ec.Clock).Now() }
 
 // count counts the outcome of a call by its reason, and logs an order that is
 // in doubt.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -177,9 +177,7 @@
 		if tr.Scope == nil {
 			tr.Scope = tally.NoopScope
 		}
-		if tr.Clock == nil {
-			tr.Clock = clock.Monotonic{}
-		}
+		tr.Clock = clock.Or(tr.Clock)
 		tr.count = newCounters(tr.Scope)
 		tr.setDefaults()
 		tr.seen.max = tr.Limits.MaxWindows
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -238,12 +238,7 @@
 	return sc.hc
 }
 
-func (sc *Client) now() clock.Millis {
-	if sc.Clock != nil {
-		return sc.Clock.Now()
-	}
-	return clock.Monotonic{}.Now()
-}
+func (sc *Client) now() clock.Millis { return clock.Or(sc.Clock).Now() }
 
 func (sc *Client) count(srv board.BackendServer, name string, err error) {
 	oc, rs := backend.OutcomeOf(err)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -254,12 +254,7 @@
 	}
 }
 
-func (cl *Client) now() clock.Millis {
-	if cl.Clock != nil {
-		return cl.Clock.Now()
-	}
-	return clock.Monotonic{}.Now()
-}
+func (cl *Client) now() clock.Millis { return clock.Or(cl.Clock).Now() }
 
 func orPreset[Number ~int | ~int64](value, preset Number) Number {
 	if value <= 0 {
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -50,7 +50,7 @@
 )
 
 // Of converts a standard duration, rounding toward zero.
-func Of(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+func Of(dur time.Duration) Millis { return Millis(dur / time.Millisecond) }
 
 // Std converts to a standard duration.
 func (ms Millis) Std() time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -64,17 +64,26 @@
 // UnmarshalText reads a span such as "250ms" or "1m30s". A span finer than
 // a millisecond is refused rather than rounded.
 func (ms *Millis) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
+	dur, err := time.ParseDuration(string(text))
 	if err != nil {
 		return fmt.Errorf("span %q: write a number with a unit such as 250ms or 2s: %w", text, err)
 	}
-	if d%time.Millisecond != 0 {
+	if dur%time.Millisecond != 0 {
 		return fmt.Errorf("span %q: finer than a millisecond; round it", text)
 	}
-	*ms = Of(d)
+	*ms = Of(dur)
 	return nil
 }
 
+// Or returns the source, or the monotonic clock in place of nil, which is
+// what a Clock field that was not set stands for.
+func Or(src Source) Source {
+	if src == nil {
+		return Monotonic{}
+	}
+	return src
+}
+
 // Now tells the time since the process started.
 func (Monotonic) Now() Millis { return Of(time.Since(start)) }
 
