rendezvous: remove code that nothing calls

Cause: rendezvous.Pair and Backends.OfService had no caller and no test; the token bucket of package retry called its refill a trickle. Change: both are removed; refill is named as such. Measured: go build ./... and go test -race ./internal/rendezvous ./internal/retry pass. Conclusion: behaviour unchanged.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -213,14 +213,3 @@
 	}
 	return BackendServer{}, false
 }
-
-// OfService lists the backend servers of a service that take new work.
-func (bk *Backends) OfService(service string) []BackendServer {
-	var out []BackendServer
-	for _, srv := range bk.Servers {
-		if srv.Service == service && !srv.Leaving {
-			out = append(out, srv)
-		}
-	}
-	return out
-}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -6,7 +6,7 @@
 //
 //	ranked := rendezvous.Rank("cell/rapportmodel/0", fleet.Serving())
 //	owner := ranked[0]
-//	home, backup := rendezvous.Pair(key, fleet.Serving())
+//	some := rendezvous.Spread(key, fleet.Serving(), 3)
 package rendezvous
 
 import (
@@ -101,24 +101,6 @@
 	return best
 }
 
-// Pair returns the home VM of the key and its backup: the most preferred VM
-// of another failure domain than the home's. When one VM or one whole failure
-// domain joins or goes, the pair before and the pair after share a VM. The
-// backup is the zero VM if only one failure domain is left.
-func Pair(key string, vms []board.VM) (home, backup board.VM) {
-	ranked := Rank(key, vms)
-	if len(ranked) == 0 {
-		return board.VM{}, board.VM{}
-	}
-	home = ranked[0]
-	for _, vm := range ranked[1:] {
-		if vm.FailureDomain != home.FailureDomain {
-			return home, vm
-		}
-	}
-	return home, board.VM{}
-}
-
 // Subset picks up to most of the servers for the VM with the given ID, so that
 // VMs spread over all of them and each keeps its own when others come and go.
 func Subset(vmID string, servers []board.BackendServer, most int) []board.BackendServer {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,11 +13,11 @@
 	// bucket holds retries that were earned and not spent.
 	bucket struct {
 		tokens float64
-		at     clock.Millis // up to when the trickle was added
+		at     clock.Millis // up to when it was refilled
 	}
 )
 
-// bucket returns the budget with its trickle up to now. A new one is full.
+// bucket returns the budget refilled up to now. A new one is full.
 func (po *Policy) bucket(now clock.Millis, ac account) *bucket {
 	bk := po.budgets[ac]
 	if bk == nil {
@@ -27,20 +27,21 @@
 		bk = &bucket{tokens: po.Settings.Burst, at: now}
 		po.budgets[ac] = bk
 	}
-	bk.trickle(now, po.Settings)
+	bk.refill(now, po.Settings)
 	return bk
 }
 
 func (po *Policy) dropFull(now clock.Millis) {
 	for ac, bk := range po.budgets {
-		bk.trickle(now, po.Settings)
+		bk.refill(now, po.Settings)
 		if bk.tokens >= po.Settings.Burst {
 			delete(po.budgets, ac)
 		}
 	}
 }
 
-func (bk *bucket) trickle(now clock.Millis, st Settings) {
+// refill adds what the time since the last refill earns.
+func (bk *bucket) refill(now clock.Millis, st Settings) {
 	if now <= bk.at {
 		return
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -2,7 +2,7 @@
 // another, and whether a slow one is hedged.
 //
 // Retries multiply under overload, so each customer has a budget for each
-// service: requests earn a small part of a retry each, and a slow trickle
+// service: requests earn a small part of a retry each, and a slow refill
 // keeps a quiet customer from going without. A hedge is paid from the same
 // budget. Backoff is drawn with full jitter, so that those who failed
 // together don't come back together. Nothing is tried past the request's
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -104,7 +104,7 @@
 	_, again := po.Decide(0, at).(Again)
 	assert.Assert(t, again)
 	at.Service = "svc"
-	_, again = po.Decide(clock.Second*DefaultBurst, at).(Again) // the trickle earned one
+	_, again = po.Decide(clock.Second*DefaultBurst, at).(Again) // the refill earned one
 	assert.Assert(t, again)
 }
 
