backend: keep the default client and the counting of calls in one place

Cause: the clients of engines and of plain services made their HTTP client and counted outcomes by the same lines.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -76,6 +76,13 @@
 		May func() bool
 	}
 
+	// HTTP makes the client of an adapter when it is first needed. The zero
+	// HTTP is ready to use.
+	HTTP struct {
+		once sync.Once
+		hc   *http.Client
+	}
+
 	onceKey struct{}
 
 	// transport sends calls with an effect on fresh connections and all
@@ -127,6 +134,18 @@
 	}
 }
 
+// Or returns the client that was given with the first call, or one with the
+// default limits in place of nil. It always returns the same one.
+func (ht *HTTP) Or(given *http.Client) *http.Client {
+	ht.once.Do(func() {
+		ht.hc = given
+		if ht.hc == nil {
+			ht.hc = NewHTTP(Limits{})
+		}
+	})
+	return ht.hc
+}
+
 func (lm Limits) transport(once bool) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 
+	"github.com/uber-go/tally/v4"
+
 	"alderdyke/pkg/clock"
 )
 
@@ -135,6 +137,17 @@
 	return InDoubt, ie.Reason
 }
 
+// Count counts the outcome of a call by its reason and returns it. A nil
+// scope counts nothing.
+func Count(scope tally.Scope, counter, call string, err error) Outcome {
+	oc, rs := OutcomeOf(err)
+	if scope != nil {
+		tags := map[string]string{"Call": call, "Outcome": string(oc), "Reason": string(rs)}
+		scope.Tagged(tags).Counter(counter).Inc(1)
+	}
+	return oc
+}
+
 // NotRun tells whether an error promises that the call did not run.
 func NotRun(err error) bool {
 	oc, _ := OutcomeOf(err)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,7 +30,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 
 	"github.com/uber-go/tally/v4"
 
@@ -69,8 +68,7 @@
 		Log   event.Logger
 		Clock clock.Source // nil is the monotonic clock
 
-		once sync.Once
-		hc   *http.Client
+		made backend.HTTP
 	}
 
 	// call is one exchange with an engine.
@@ -276,26 +274,14 @@
 	return req, nil
 }
 
-func (ec *Client) client() *http.Client {
-	ec.once.Do(func() {
-		ec.hc = ec.HTTP
-		if ec.hc == nil {
-			ec.hc = backend.NewHTTP(backend.Limits{})
-		}
-	})
-	return ec.hc
-}
+func (ec *Client) client() *http.Client { return ec.made.Or(ec.HTTP) }
 
 func (ec *Client) now() clock.Millis { return clock.Or(ec.Clock).Now() }
 
 // count counts the outcome of a call by its reason, and logs an order that is
 // in doubt.
 func (ec *Client) count(cl call, err error) {
-	oc, rs := backend.OutcomeOf(err)
-	if ec.Scope != nil {
-		tags := map[string]string{"Call": cl.name, "Outcome": string(oc), "Reason": string(rs)}
-		ec.Scope.Tagged(tags).Counter("EngineCalls").Inc(1)
-	}
+	oc := backend.Count(ec.Scope, "EngineCalls", cl.name, err)
 	if oc == backend.InDoubt && cl.body != nil {
 		ec.Log.Log(event.EngineInDoubt, event.F("Server", cl.srv.ID), event.F("Call", cl.name),
 			event.F("Cause", err.Error()))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,7 +23,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/uber-go/tally/v4"
 
@@ -78,8 +77,7 @@
 		Log       event.Logger
 		Clock     clock.Source // nil is the monotonic clock
 
-		once sync.Once
-		hc   *http.Client
+		made backend.HTTP
 	}
 
 	// Request is one call.
@@ -228,24 +226,12 @@
 	return out
 }
 
-func (sc *Client) client() *http.Client {
-	sc.once.Do(func() {
-		sc.hc = sc.HTTP
-		if sc.hc == nil {
-			sc.hc = backend.NewHTTP(backend.Limits{})
-		}
-	})
-	return sc.hc
-}
+func (sc *Client) client() *http.Client { return sc.made.Or(sc.HTTP) }
 
 func (sc *Client) now() clock.Millis { return clock.Or(sc.Clock).Now() }
 
 func (sc *Client) count(srv board.BackendServer, name string, err error) {
-	oc, rs := backend.OutcomeOf(err)
-	if sc.Scope != nil {
-		tags := map[string]string{"Call": name, "Outcome": string(oc), "Reason": string(rs)}
-		sc.Scope.Tagged(tags).Counter("ServiceCalls").Inc(1)
-	}
+	oc := backend.Count(sc.Scope, "ServiceCalls", name, err)
 	if oc == backend.InDoubt && name == "Call" {
 		sc.Log.Log(event.ServiceInDoubt, event.F("Server", srv.ID), event.F("Cause", err.Error()))
 	}
