--- /dev/null
+++ b/internal/standin/service/main_test.go
@@ -0,0 +1,9 @@
+package service_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
