cli, demo, load: name the step in errors

Cause: some returns gave an error without saying what was under way, such as which VM of the demonstration ended; event 1115 stood before 1114. Change: a few words of context at each; the events in their order. Measured: go test -race ./internal/cli ./internal/event passes; demo and load have no tests and build. Conclusion: the outcome is the same, the messages say where.

--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -19,9 +19,12 @@
 	if !asJSON {
 		tw := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
 		if err := plain(tw, rep); err != nil {
-			return err
+			return fmt.Errorf("write the reply: %w", err)
 		}
-		return tw.Flush()
+		if err := tw.Flush(); err != nil {
+			return fmt.Errorf("write the reply: %w", err)
+		}
+		return nil
 	}
 	enc := json.NewEncoder(out)
 	enc.SetIndent("", "  ")
@@ -35,7 +38,7 @@
 func showTemplate(out io.Writer, rep operator.TemplateReply) error {
 	text, err := template.Marshal(rep.Template)
 	if err != nil {
-		return err
+		return fmt.Errorf("show the template in force: %w", err)
 	}
 	_, err = fmt.Fprintf(out, "# Revision %d; publish a revised one with --base %d\n%s", rep.Revision, rep.Revision, text)
 	return err
--- a/internal/demo/callers.go
+++ b/internal/demo/callers.go
@@ -100,7 +100,7 @@
 			OnText:    func(string) { once.Do(first) },
 		})
 		if err != nil {
-			return err
+			return fmt.Errorf("ask for a chat of class %s: %w", class, err)
 		}
 		prompt := fmt.Sprintf(`[{"role":"user","content":%q}]`, note)
 		if want := strings.Join(standin.Answer(prompt, tokens), ""); ans.Text != want {
@@ -114,7 +114,7 @@
 	return visit{class: records, target: clock.Second, call: func(ctx context.Context, first func()) error {
 		ans, err := cl.Call(ctx, client.PlainRequest{Service: Plain, Method: http.MethodGet, Path: path})
 		if err != nil {
-			return err
+			return fmt.Errorf("call the plain service: %w", err)
 		}
 		first()
 		if want := standin.Reply(http.MethodGet, path, nil); string(ans.Body) != want {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -114,7 +114,10 @@
 		}
 		gr.Go(func() error {
 			defer mt.Close()
-			return vm.Run(ctx)
+			if err := vm.Run(ctx); err != nil {
+				return fmt.Errorf("run %s: %w", set.ID, err)
+			}
+			return nil
 		})
 	}
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -42,10 +42,10 @@
 		"an attempt at backend servers failed", "look at the backend server if it goes on")
 	Following = register(1113, "Following", Info,
 		"another VM runs the request; its answer is passed on", "none")
-	ReadOn = register(1115, "ReadOn", Warn,
-		"the VM that runs the request can't be reached; its decode is read on at the engine", "none")
 	AccountantAway = register(1114, "AccountantAway", Warn,
 		"the VM that accounts for the model engines can't be asked; this VM chooses by load reports", "none")
+	ReadOn = register(1115, "ReadOn", Warn,
+		"the VM that runs the request can't be reached; its decode is read on at the engine", "none")
 )
 
 // Events 1150 to 1199: accounting for cells of model engines.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -90,7 +90,7 @@
 		rn.dp.Hosts = append(rn.dp.Hosts, netip.AddrFrom4([4]byte{127, 0, 0, byte(ix + 1)}))
 	}
 	if err := rn.dp.Start(); err != nil {
-		return err
+		return fmt.Errorf("listen on loopback: %w", err)
 	}
 	for ix := range bd.VMs {
 		set, err := rn.dp.VM(fmt.Sprintf("vm-%d", ix+1), bd.Domains[ix%len(bd.Domains)])
