--- a/internal/claim/book_test.go
+++ b/internal/claim/book_test.go
@@ -372,3 +372,36 @@
 		assert.Equal(t, reply(bk, 0, askFor(bk, "unseen", 1, vmB)).GetVerdict(), string(Settling), "one seat is no majority")
 	})
 }
+
+// What is read from a peer's history is whole: written again it is the same,
+// each table comes after the one before it, and its groups name VMs once.
+func FuzzHistory(f *testing.F) {
+	st, err := (*Seats)(nil).With(1, table(0, vmA, vmB, vmC))
+	assert.NilError(f, err)
+	st, err = st.With(2, table(1, vmA, vmB, vmD))
+	assert.NilError(f, err)
+	raw, err := proto.Marshal(st.History())
+	assert.NilError(f, err)
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var hist peerpb.SeatHistory
+		if proto.Unmarshal(raw, &hist) != nil {
+			return
+		}
+		st, err := FromHistory(&hist)
+		if err != nil || st == nil {
+			return
+		}
+		again, err := FromHistory(st.History())
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(again.History(), st.History()))
+		for at := st; at != nil; at = at.prev {
+			assert.Assert(t, at.prev == nil || at.prev.Epoch < at.Epoch)
+			gr := at.Group("customer", "key")
+			assert.Assert(t, len(gr) == min(groupSize, len(at.VMs)), "%d of %d", len(gr), len(at.VMs))
+			for ix, ref := range gr {
+				assert.Assert(t, at.holds(ref) && !slices.Contains(gr[:ix], ref))
+			}
+		}
+	})
+}
--- a/internal/claim/seats.go
+++ b/internal/claim/seats.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -152,14 +153,7 @@
 }
 
 func compareRefs(ra, rb board.VMRef) int {
-	switch {
-	case ra.ID != rb.ID && ra.ID < rb.ID, ra.ID == rb.ID && ra.Incarnation < rb.Incarnation:
-		return -1
-	case ra == rb:
-		return 0
-	default:
-		return 1
-	}
+	return cmp.Or(cmp.Compare(ra.ID, rb.ID), cmp.Compare(ra.Incarnation, rb.Incarnation))
 }
 
 func (st *Seats) holds(ref board.VMRef) bool {
