claim: explore scenarios in parallel with cheaper state names

The walk of all orders spent most of its time in fmt, which named each state, and walked one scenario after another.

Names are appended without fmt, with the same parts kept apart, and each scenario runs in parallel.

--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -213,6 +213,7 @@
 func TestEveryOrderRunsOnce(t *testing.T) {
 	for nm, sc := range scenarios() {
 		t.Run(nm, func(t *testing.T) {
+			t.Parallel()
 			ex, states := explore(sc, *maxStates)
 			assert.Equal(t, ex.found, "")
 			assert.Assert(t, ex.ends > 0)
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -1,12 +1,11 @@
 package claim
 
 import (
-	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -196,7 +195,7 @@
 	if err != nil {
 		panic(err)
 	}
-	pk.line = fmt.Sprint(pk.to, pk.asker, pk.number, string(raw))
+	pk.line = string(append(appendNumbers(appendRef(nil, pk.to), uint64(pk.asker), pk.number), raw...))
 	wd.packets = append(wd.packets, pk)
 }
 
@@ -359,26 +358,35 @@
 
 // note writes down what tells this book's state from others.
 func (mb *member) note() {
-	var buf bytes.Buffer
+	var buf []byte
 	for _, nm := range slices.SortedFunc(maps.Keys(mb.bk.recs.byName), compareNames) {
-		writeRecord(&buf, mb.bk.recs.byName[nm])
+		buf = appendRecord(buf, mb.bk.recs.byName[nm])
 	}
 	for _, epoch := range slices.Sorted(maps.Keys(mb.bk.received)) {
-		refs := slices.SortedFunc(maps.Keys(mb.bk.received[epoch]), compareRefs)
-		fmt.Fprint(&buf, epoch, refs, mb.bk.sent[epoch])
+		buf = appendNumbers(buf, epoch)
+		for _, ref := range slices.SortedFunc(maps.Keys(mb.bk.received[epoch]), compareRefs) {
+			buf = appendRef(buf, ref)
+		}
+		buf = append(buf, '=', boolByte(mb.bk.sent[epoch]))
 	}
-	mb.line = buf.String()
+	mb.line = string(buf)
 }
 
 // note writes down what tells this asker's state from others.
 func (sr *search) note() {
-	var buf bytes.Buffer
 	ak := sr.ak
-	fmt.Fprint(&buf, sr.doubted, sr.now, ak.phase, ak.round, ak.claim, ak.number, ak.supers, ak.super.GetClaim(), ak.group, len(sr.verdicts))
+	buf := []byte{boolByte(sr.doubted)}
+	buf = appendNumbers(buf, uint64(sr.now), uint64(ak.phase), uint64(ak.round), ak.claim, ak.number,
+		uint64(ak.supers), ak.super.GetClaim(), uint64(len(sr.verdicts)))
+	for _, ref := range ak.group {
+		buf = appendRef(buf, ref)
+	}
 	for _, sa := range ak.asks {
-		fmt.Fprint(&buf, sa.number, sa.failed, sa.reply.GetVerdict(), sa.reply.GetClaim(), sa.reply.GetState())
+		buf = append(buf, '/', boolByte(sa.failed))
+		buf = appendNumbers(buf, sa.number, sa.reply.GetClaim())
+		buf = append(append(append(buf, sa.reply.GetVerdict()...), ' '), sa.reply.GetState()...)
 	}
-	sr.line = buf.String()
+	sr.line = string(buf)
 }
 
 // digest names the state. Messages on the way are a set without an order.
@@ -397,7 +405,9 @@
 		lines[ix] = pk.line
 	}
 	slices.Sort(lines)
-	buf = append(buf, strings.Join(lines, "\n")...)
+	for _, line := range lines {
+		buf = append(append(buf, line...), '\n')
+	}
 	return [2]uint64{xxhash.Sum64(buf), xxhash.Sum64(append(buf, '#'))}
 }
 
@@ -408,10 +418,26 @@
 	return 0
 }
 
-func writeRecord(buf *bytes.Buffer, rc *record) {
+func appendRecord(buf []byte, rc *record) []byte {
 	for ; rc != nil; rc = rc.was {
-		fmt.Fprint(buf, "/", rc.claim, rc.state, rc.attempt, rc.runner)
+		buf = append(append(buf, '/'), rc.state...)
+		buf = appendNumbers(buf, rc.claim, uint64(rc.attempt))
+		buf = appendRef(buf, rc.runner)
+	}
+	return buf
+}
+
+func appendRef(buf []byte, ref board.VMRef) []byte {
+	buf = append(append(buf, '{'), ref.ID...)
+	return appendNumbers(buf, ref.Incarnation)
+}
+
+// appendNumbers keeps numbers apart whatever their length.
+func appendNumbers(buf []byte, numbers ...uint64) []byte {
+	for _, num := range numbers {
+		buf = append(strconv.AppendUint(buf, num, 36), ' ')
 	}
+	return buf
 }
 
 func (mv move) String() string { return fmt.Sprintf("%s %d", mv.kind, mv.index) }
