membership, register, sched/bench: run long tests in parallel, share runs

The longest tests of a package ran one after another, and some work was done again for each check: the sizes of a datagram at each end, the same publication's encoding at each state, the same setup of the bench for each bound.

Long tests are parallel; a datagram is sized once; publications are encoded once for each explorer; runs of the bench are shared by their whole setup, whose determinism TestSameFigureAtEveryRun holds.

--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -80,6 +80,7 @@
 // Larger worlds than can be explored whole: 7 VMs in 4 failure domains, up to
 // three tables, deaths, false deaths and asks given up, in random orders.
 func TestRandomSchedules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		sc := drawScenario(rt)
 		wd := newWorld(sc)
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -145,6 +145,7 @@
 
 // Without DeadHold the check above finds VMs that are not fenced.
 func TestWithoutHoldTheFenceBreaks(t *testing.T) {
+	t.Parallel()
 	unfenced := 0
 	for seed := range uint64(4) {
 		tf := badFleet(24, 8, seed, variant{settings: Settings{
@@ -158,6 +159,7 @@
 }
 
 func TestHalfIsNoMajority(t *testing.T) {
+	t.Parallel()
 	tf := newFleet(8, 4, 1, variant{})
 	tf.run(30 * clock.Second)
 	tf.cut = func(from, to *testVM) bool {
@@ -191,6 +193,7 @@
 }
 
 func TestNewVMLearnsTheFleet(t *testing.T) {
+	t.Parallel()
 	tf := settledFleet(380, 8, 1, variant{})
 	tf.run(10 * clock.Second)
 	tf.loss = 0.05
@@ -204,6 +207,7 @@
 }
 
 func TestLeave(t *testing.T) {
+	t.Parallel()
 	tf := badFleet(7, 4, 1, variant{})
 	leaver := tf.vms[4]
 	others := func(test func(vm board.VM) bool) func() bool {
@@ -233,6 +237,7 @@
 
 // Four of seven are gone; when the VM list agrees, three are a majority.
 func TestRosterShrinks(t *testing.T) {
+	t.Parallel()
 	tf := newFleet(7, 4, 1, variant{})
 	tf.run(20 * clock.Second)
 	for _, vm := range tf.vms[:4] {
@@ -252,6 +257,7 @@
 
 // All VMs of a fleet start at once, with nothing but the VM list.
 func TestFleetStarts(t *testing.T) {
+	t.Parallel()
 	tf := newFleet(96, 8, 1, variant{})
 	tf.loss = 0.05
 	assert.Assert(t, tf.runUntil(20*clock.Second, tf.allAlive))
@@ -262,6 +268,7 @@
 // Two VMs and a third that was cut off from them for 2.3 s suspect each
 // other; found by TestRandomFaultsConverge.
 func TestMutualSuspicionIsRefuted(t *testing.T) {
+	t.Parallel()
 	tf := newFleet(3, 4, 0, variant{})
 	tf.run(15 * clock.Second)
 	third := tf.vms[2]
@@ -278,6 +285,7 @@
 // not make a majority there while it makes another one here. Also found by
 // TestRandomFaultsConverge.
 func TestMajoritiesDoNotOverlap(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		tf := newFleet(5, 4, seed, variant{})
 		tf.run(15 * clock.Second)
@@ -296,6 +304,7 @@
 // A cut through all failure domains leaves no domain that is not reached, so
 // the sample alone tells the sides apart too late in a large fleet.
 func TestCutThroughDomainsFences(t *testing.T) {
+	t.Parallel()
 	tf := settledFleet(200, 8, 1, variant{})
 	tf.run(10 * clock.Second)
 	tf.loss = 0.05
@@ -314,6 +323,7 @@
 // Whatever happens, no VM is held dead while it may start work, and when it
 // is calm again all views agree with what is.
 func TestRandomFaultsConverge(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.IntRange(3, 9).Draw(rt, "size")
 		tf := newFleet(size, 4, rapid.Uint64().Draw(rt, "seed"), variant{})
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"alderdyke/internal/board"
-	"alderdyke/internal/peer/peerpb"
 	"alderdyke/pkg/clock"
 )
 
@@ -84,6 +83,8 @@
 		seq int
 		vm  *testVM
 		ev  Event // nil pauses the VM
+		// size is that of the datagram that is received.
+		size int
 	}
 
 	delivery []event
@@ -196,8 +197,13 @@
 }
 
 func (tf *testFleet) push(at clock.Millis, vm *testVM, ev Event) {
+	tf.pushEvent(event{at: at, vm: vm, ev: ev})
+}
+
+func (tf *testFleet) pushEvent(ev event) {
 	tf.seq++
-	heap.Push(&tf.queue, event{at: at, seq: tf.seq, vm: vm, ev: ev})
+	ev.seq = tf.seq
+	heap.Push(&tf.queue, ev)
 }
 
 // run passes the time up to a span from now.
@@ -212,7 +218,8 @@
 			ev.vm.pausedUntil = max(ev.vm.pausedUntil, tf.now+tf.pauseSpan(ev.vm))
 			tf.planPause(ev.vm)
 		case tf.now < ev.vm.pausedUntil:
-			tf.push(ev.vm.pausedUntil, ev.vm, ev.ev)
+			ev.at = ev.vm.pausedUntil
+			tf.pushEvent(ev)
 		default:
 			tf.handle(ev)
 		}
@@ -227,8 +234,8 @@
 		}
 		ev.vm.tickAt = 0
 	}
-	if rc, ok := ev.ev.(Received); ok {
-		ev.vm.got.add(rc.Datagram)
+	if _, ok := ev.ev.(Received); ok {
+		ev.vm.got.add(ev.size)
 	}
 	tf.step(ev.vm, ev.ev)
 }
@@ -257,9 +264,10 @@
 	return 200 + clock.Millis(tf.rnd.Int64N(601))
 }
 
-func (tr *traffic) add(dg *peerpb.Datagram) {
+// add counts one datagram of so many encoded bytes.
+func (tr *traffic) add(size int) {
 	tr.messages++
-	tr.bytes += proto.Size(dg) + headBytes
+	tr.bytes += size + headBytes
 }
 
 func (tf *testFleet) step(vm *testVM, ev Event) {
@@ -267,9 +275,10 @@
 		switch in := in.(type) {
 		case Send:
 			in.Datagram.Sequence = uint64(1000 + vm.sent.messages)
-			tf.largest = max(tf.largest, proto.Size(in.Datagram))
-			vm.sent.add(in.Datagram)
-			tf.transmit(vm, in)
+			size := proto.Size(in.Datagram)
+			tf.largest = max(tf.largest, size)
+			vm.sent.add(size)
+			tf.transmit(vm, in, size)
 		case Changed:
 			tf.compare(vm, in.Fleet)
 		case Fresh:
@@ -289,7 +298,7 @@
 	}
 }
 
-func (tf *testFleet) transmit(from *testVM, in Send) {
+func (tf *testFleet) transmit(from *testVM, in Send, size int) {
 	to := tf.byID[in.To.ID]
 	if to == nil || tf.rnd.Float64() < tf.loss || (tf.cut != nil && tf.cut(from, to)) {
 		return
@@ -298,7 +307,7 @@
 	if from.self.Region != to.self.Region {
 		delay += 15 + clock.Millis(tf.rnd.Int64N(20))
 	}
-	tf.push(tf.now+delay, to, Received{Datagram: in.Datagram})
+	tf.pushEvent(event{at: tf.now + delay, vm: to, ev: Received{Datagram: in.Datagram}, size: size})
 }
 
 // compare counts what a new snapshot changed in the view of one VM.
--- a/internal/register/explore_test.go
+++ b/internal/register/explore_test.go
@@ -66,7 +66,22 @@
 		released int // held publications that were decided afterwards
 		oracles  map[string][]view
 		buf      []byte
-		reads    map[string]vmState
+		reads    map[readKey]vmState
+		pubs     map[pubKey]logged
+	}
+
+	// readKey names a read: a VM's state follows from its encoding and the
+	// log, so equal reads of different worlds are done and checked once.
+	readKey struct {
+		log  string
+		trim int
+		vm   string
+	}
+
+	// pubKey names a publication of an operator.
+	pubKey struct {
+		id   string
+		base uint64
 	}
 
 	// view is what a plain fold says after a number of records.
@@ -78,12 +93,17 @@
 	}
 )
 
-var testValue = json.RawMessage(`{"Holder":"x","Duration":"1s"}`)
+var (
+	testValue = json.RawMessage(`{"Holder":"x","Duration":"1s"}`)
+
+	firstIDs  = []string{"p0", "p1"} // of the operators' first publications
+	secondIDs = []string{"q0", "q1"}
+)
 
 func explore(lim limits, broken guards) *explorer {
 	ex := &explorer{
 		lim: lim, broken: broken, seen: map[[2]uint64]struct{}{},
-		oracles: map[string][]view{}, reads: map[string]vmState{},
+		oracles: map[string][]view{}, reads: map[readKey]vmState{}, pubs: map[pubKey]logged{},
 	}
 	wo := world{sent: make([]int, 2)}
 	for range lim.vms {
@@ -131,27 +151,38 @@
 func (ex *explorer) operators(wo world) {
 	for op := range wo.sent {
 		if wo.sent[op] == 0 {
-			ex.publish(wo, op, Publish{ID: fmt.Sprint("p", op), Key: "a", Value: testValue})
+			ex.publish(wo, op, pubKey{id: firstIDs[op]})
 		}
 		if wo.sent[op] == 1 && op < ex.lim.second {
 			en, known := wo.vms[op].st.Entry("a")
 			if known && en.Revision > 0 {
-				ex.publish(wo, op, Publish{ID: fmt.Sprint("q", op), Key: "a", Base: en.Revision, Value: testValue})
+				ex.publish(wo, op, pubKey{id: secondIDs[op], base: en.Revision})
 			}
 		}
 		// The reply was lost and the operator sends the first again.
 		if wo.sent[op] > 0 && wo.repeated < ex.lim.repeats {
 			again := wo
 			again.repeated++
-			ex.push(again.appended(publication(Publish{ID: fmt.Sprint("p", op), Key: "a", Value: testValue})))
+			ex.push(again.appended(ex.publication(pubKey{id: firstIDs[op]})))
 		}
 	}
 }
 
-func (ex *explorer) publish(wo world, op int, pub Publish) {
+func (ex *explorer) publish(wo world, op int, key pubKey) {
 	wo.sent = slices.Clone(wo.sent)
 	wo.sent[op]++
-	ex.push(wo.appended(publication(pub)))
+	ex.push(wo.appended(ex.publication(key)))
+}
+
+// publication encodes each publication once.
+func (ex *explorer) publication(key pubKey) logged {
+	lo, ok := ex.pubs[key]
+	if !ok {
+		pub := Publish{ID: key.id, Key: "a", Base: key.base, Value: testValue}
+		lo = encodeRecord(pub, fmt.Sprintf("%s/%d ", pub.ID, pub.Base))
+		ex.pubs[key] = lo
+	}
+	return lo
 }
 
 func (ex *explorer) service(wo world) {
@@ -239,9 +270,7 @@
 	if old.begun && int(old.next) == len(wo.log) {
 		return // nothing to read, nothing dropped before it
 	}
-	// A VM's state follows from its encoding and the log, so equal reads of
-	// different worlds are done and checked once.
-	key := wo.logEnc + "|" + string(rune(wo.trim)) + wo.vms[ix].enc
+	key := readKey{log: wo.logEnc, trim: wo.trim, vm: wo.vms[ix].enc}
 	if vm, ok := ex.reads[key]; ok {
 		ex.push(wo.withVM(ix, vm))
 		return
@@ -391,10 +420,6 @@
 
 func appendTo(log []logged, lo logged) []logged { return append(slices.Clip(log), lo) }
 
-func publication(pub Publish) logged {
-	return encodeRecord(pub, fmt.Sprintf("%s/%d ", pub.ID, pub.Base))
-}
-
 func restatement(rst Restate) logged { return encodeRecord(rst, "") }
 
 // encodeRecord names a record in the world's encoding, by its bytes if no
--- a/internal/register/follower_test.go
+++ b/internal/register/follower_test.go
@@ -114,6 +114,7 @@
 
 // TestCutOffFromTheLog publishes right after some VMs lost the log.
 func TestCutOffFromTheLog(tt *testing.T) {
+	tt.Parallel()
 	var spans []clock.Millis
 	for seed := range uint64(100) {
 		hn := newHarness(tt, seed, 7, Settings{})
@@ -152,6 +153,7 @@
 // TestRetention replaces a VM each quarter of an hour while the log keeps an
 // hour: nobody lives long enough to see its own timer out.
 func TestRetentionUnderRollingReplacement(tt *testing.T) {
+	tt.Parallel()
 	hn := newHarness(tt, 6, 6, Settings{Retention: clock.Hour})
 	hn.keep = clock.Hour
 	hn.run(clock.Second)
@@ -185,6 +187,7 @@
 // TestMissedRecords lets the log drop what a VM that was cut off from
 // everything has not read.
 func TestMissedRecords(tt *testing.T) {
+	tt.Parallel()
 	hn := newHarness(tt, 7, 3, Settings{Retention: clock.Hour})
 	hn.keep = clock.Hour
 	hn.run(clock.Second)
@@ -209,6 +212,7 @@
 // TestADayOfChanges publishes 1,800 changes, then a burst, while VMs lose and
 // regain the log.
 func TestADayOfChanges(tt *testing.T) {
+	tt.Parallel()
 	const customers, changes, burst = 50, 1800, 100
 	hn := newHarness(tt, 8, 6, Settings{})
 	hn.run(clock.Second)
@@ -298,6 +302,7 @@
 // on with the last known templates, tell operators that nothing is published,
 // and after nobody answered put what they knew in force anew.
 func TestOutageBeyondRetention(tt *testing.T) {
+	tt.Parallel()
 	hn, revision := beyondRetention(tt)
 	hn.run(30 * clock.Second)
 	for _, vm := range hn.vms {
--- a/internal/register/lease_test.go
+++ b/internal/register/lease_test.go
@@ -193,6 +193,7 @@
 
 // TestLeaseUnderRandomFaults pauses, cuts off and loses replies at random.
 func TestLeaseUnderRandomFaults(tt *testing.T) {
+	tt.Parallel()
 	rapid.Check(tt, func(rt *rapid.T) {
 		lw := newLeaseWorld(rt, 3, rapid.Uint64().Draw(rt, "seed"))
 		lw.tick()
--- a/internal/register/schedule_test.go
+++ b/internal/register/schedule_test.go
@@ -15,6 +15,7 @@
 // at each step that nothing reverts; at the end, with the faults gone, all
 // VMs must agree with the log and operators must have been told the truth.
 func TestRandomFaults(tt *testing.T) {
+	tt.Parallel()
 	rapid.Check(tt, func(rt *rapid.T) {
 		hn := newHarness(rt, rapid.Uint64().Draw(rt, "seed"), 4, Settings{Retention: 10 * clock.Minute, Buckets: 4})
 		hn.keep = 10 * clock.Minute
@@ -151,6 +152,7 @@
 // TestHistoryIsLinearizable lets operators race through all VMs while replies
 // are lost and the log goes down.
 func TestHistoryIsLinearizable(tt *testing.T) {
+	tt.Parallel()
 	model := swapModel.ToModel()
 	results := map[Result]int{}
 	for seed := range uint64(40) {
--- a/internal/sched/bench/bench_test.go
+++ b/internal/sched/bench/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -31,12 +32,23 @@
 
 func deployments() []Deployment { return []Deployment{Kedelsyn(), HoaLua()} }
 
+// played holds the runs that were begun, by their whole setup: the checks of
+// several bounds share a run. TestSameFigureAtEveryRun holds that a second
+// run would give the same.
+var played sync.Map
+
+// playOnce is Run, once for each setup. The result must not be changed.
+func playOnce(su Setup) Result {
+	once, _ := played.LoadOrStore(fmt.Sprintf("%#v", su), sync.OnceValue(func() Result { return Run(su) }))
+	return once.(func() Result)()
+}
+
 // sum runs a setup on all seeds of a set.
 func sum(su Setup, seeds []uint64) Result {
 	var runs []Result
 	for _, seed := range seeds {
 		su.Seed = seed
-		runs = append(runs, Run(su))
+		runs = append(runs, playOnce(su))
 	}
 	return Sum(runs...)
 }
