--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"alderdyke/internal/board"
@@ -98,6 +99,7 @@
 func (bk *Book) Counts() Counts {
 	out := bk.counts
 	out.Records = len(bk.recs.byName)
+	out.Refused = maps.Clone(out.Refused)
 	return out
 }
 
--- a/internal/cli/do.go
+++ b/internal/cli/do.go
@@ -130,10 +130,13 @@
 	if err != nil {
 		return err // its lines name the file already
 	}
-	if cm.id == "" {
+	again := cm.id != "" // an ID is given to repeat a publication in doubt
+	if !again {
 		cm.id = uuid.NewString()
 	}
-	rep, err := cm.client.Publish(ctx, operator.Publication{ID: cm.id, Customer: tpl.Customer, Base: cm.base, Template: tpl})
+	rep, err := cm.client.Publish(ctx, operator.Publication{
+		ID: cm.id, Customer: tpl.Customer, Base: cm.base, Template: tpl, Again: again,
+	})
 	var fa operator.Fault
 	if errors.As(err, &fa) && fa.Reason == operator.InDoubt {
 		return fmt.Errorf("publish %s: %w\nrepeat it so: alderdyke publish %s --base %d --id %s", cm.file, err, cm.file, cm.base, cm.id)
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -59,7 +59,9 @@
 	fmt.Fprintf(out, "VM\t%s, incarnation %d, in %s of %s, up %v\n", rep.VM, rep.Incarnation, rep.FailureDomain, rep.Region, rep.Uptime)
 	fmt.Fprintf(out, "Draining\t%t\n", rep.Draining)
 	fmt.Fprintf(out, "Quorate\t%t\n", rep.Quorate)
+	fmt.Fprintf(out, "VMs that keep request keys\t%d\n", rep.Seats)
 	fmt.Fprintf(out, "Requests in progress\t%d\n", rep.InProgress)
+	fmt.Fprintf(out, "Cancels not confirmed\t%d\n", rep.Unconfirmed)
 	fmt.Fprintf(out, "Answers kept\t%d\n", rep.Kept)
 	fmt.Fprintf(out, "Log\toffset %d, ready %t, reachable %t, read %v ago\n", rep.Log.Position, rep.Log.Ready, rep.Log.Reachable, rep.Log.ReadAge)
 
--- a/internal/deps/deps_test.go
+++ b/internal/deps/deps_test.go
@@ -31,6 +31,10 @@
 	"go.etcd.io",
 }
 
+// processTests are the tests that run VMs as real processes, and start them.
+// No other file may start a process.
+var processTests = filepath.Join(root, "internal", "integration")
+
 // testsOnly are imports that only test files may have.
 var testsOnly = []string{
 	"github.com/Shopify/toxiproxy",
@@ -87,6 +91,9 @@
 	for path, names := range all {
 		test := strings.HasSuffix(path, "_test.go")
 		for _, name := range names {
+			if test && name == "os/exec" && filepath.Dir(path) == processTests {
+				continue
+			}
 			assert.Check(t, !matches(name, refused), "%s imports %s", path, name)
 			assert.Check(t, test || !matches(name, testsOnly), "%s imports %s, which is for tests", path, name)
 		}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -10,6 +10,7 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/claim"
+	"alderdyke/internal/event"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/pkg/clock"
@@ -18,7 +19,6 @@
 
 // The log stream of seat tables and how it is read.
 const (
-	seatsStream   = "Seats"
 	seatsWait     = 10 * clock.Second
 	seatsBatch    = 64
 	seatsRetry    = 500 * clock.Millis(1)
@@ -48,18 +48,14 @@
 	}
 )
 
+// seatsStream is the log stream of seat tables.
+func (vm *VM) seatsStream() string { return vm.Settings.Log.Stream + "Seats" }
+
 func (vm *VM) initBook() {
 	bk := &claim.Book{Self: vm.Self}
 	vm.bookState = bk
 	vm.book = newActor[claim.Event, claim.Intent](vm.Clock, claim.Tick{}, bookTick)
-	vm.book.step = func(now clock.Millis, ev claim.Event) []claim.Intent {
-		out := bk.Step(now, ev)
-		if st := bk.Seats(); st != vm.seats.Load() {
-			vm.seats.Store(st)
-			vm.fleetMove.raise()
-		}
-		return out
-	}
+	vm.book.step = vm.stepBook
 	vm.book.do = vm.carryOutBook
 	vm.book.wakeAt = func(in claim.Intent) (clock.Millis, bool) {
 		wk, ok := in.(claim.Wake)
@@ -67,6 +63,31 @@
 	}
 }
 
+// stepBook takes one step of the book and tells what changed.
+func (vm *VM) stepBook(now clock.Millis, ev claim.Event) []claim.Intent {
+	bk := vm.bookState
+	before := bk.Counts()
+	out := bk.Step(now, ev)
+	after := bk.Counts()
+	st := bk.Seats()
+	_, seated := ev.(claim.Seated)
+	switch {
+	case st != vm.seats.Load():
+		vm.seats.Store(st)
+		vm.fleetMove.raise()
+		vm.Log.Log(event.SeatTableInForce, event.F("Epoch", st.Epoch), event.F("Seats", len(st.VMs)))
+	case seated:
+		vm.Log.Log(event.SeatTableIgnored)
+	}
+	if after.Conflicts > before.Conflicts {
+		vm.Log.Log(event.KeyConflict, event.F("Keys", after.Conflicts-before.Conflicts))
+	}
+	if after.Refused[claim.Full] > before.Refused[claim.Full] {
+		vm.Log.Log(event.BookFull, event.F("Records", after.Records))
+	}
+	return out
+}
+
 func (vm *VM) carryOutBook(in claim.Intent) {
 	switch in := in.(type) {
 	case claim.Reply:
@@ -74,6 +95,7 @@
 	case claim.SendHandoff:
 		vm.wg.Go(func() { vm.sendHandoff(in) })
 	case claim.Propose:
+		vm.Log.Log(event.SeatTableProposed, event.F("Seats", len(in.Table.GetSeats())))
 		vm.wg.Go(func() { vm.proposeSeats(in.Table) })
 	}
 }
@@ -122,7 +144,7 @@
 	}
 	ctx, stop := context.WithTimeout(vm.loopCtx, handoffWithin.Std())
 	defer stop()
-	vm.Logs.Append(ctx, seatsStream, data)
+	vm.Logs.Append(ctx, vm.seatsStream(), data)
 }
 
 // readSeats runs the book: it waits until the seat tables can be known, from
@@ -138,7 +160,7 @@
 		next = st.Epoch
 	}
 	for ctx.Err() == nil {
-		ba, err := vm.Logs.Read(ctx, seatsStream, next, seatsBatch, seatsWait)
+		ba, err := vm.Logs.Read(ctx, vm.seatsStream(), next, seatsBatch, seatsWait)
 		if err != nil {
 			sleep(ctx, seatsRetry)
 			continue
@@ -150,7 +172,7 @@
 // learnSeats finds out where the seat tables can be read from.
 func (vm *VM) learnSeats(ctx context.Context) (next uint64, ok bool) {
 	for ctx.Err() == nil {
-		ba, err := vm.Logs.Read(ctx, seatsStream, 0, 1, 0)
+		ba, err := vm.Logs.Read(ctx, vm.seatsStream(), 0, 1, 0)
 		if err == nil && ba.First == 0 {
 			vm.bookState.FromStart = true
 			return 0, true
@@ -182,7 +204,7 @@
 			continue
 		}
 		reply, err := vm.callPeer(ctx, to, &peerpb.Frame{Body: &peerpb.Frame_SnapshotAsk{
-			SnapshotAsk: &peerpb.SnapshotAsk{Stream: seatsStream},
+			SnapshotAsk: &peerpb.SnapshotAsk{Stream: vm.seatsStream()},
 		}})
 		if err != nil || !reply.GetSnapshot().GetReady() {
 			continue
@@ -267,12 +289,25 @@
 		cm.number++
 		cm.mu.Unlock()
 		cm.changed.raise()
+		cm.vm.logVerdict(in.Verdict)
 		if in.Verdict == claim.Lost {
 			cm.onLost()
 		}
 	}
 }
 
+// logVerdict writes the verdicts that an operator should know of.
+func (vm *VM) logVerdict(vd claim.Verdict) {
+	switch vd {
+	case claim.InDoubt:
+		vm.Log.Log(event.KeyInDoubt)
+	case claim.Unavailable:
+		vm.Log.Log(event.SeatsUnreachable)
+	case claim.Lost:
+		vm.Log.Log(event.KeyLost)
+	}
+}
+
 func (cm *claimant) ask(in claim.SendAsk) {
 	to, ok := cm.vm.Board.Fleet().VM(in.To.ID)
 	if !ok {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -110,6 +110,12 @@
 	assert.Equal(t, len(ts.byID), traceRequests)
 }
 
+// Bounds of the answers that the runs of a test keep.
+const (
+	testKeep  = 2 * clock.Minute
+	testBytes = 16 << 20
+)
+
 // endedRun is a run with the given end, entered into the registry.
 func endedRun(t *testing.T, rs *runs, key string, end func(st *answer.Stream) error) *run {
 	t.Helper()
@@ -139,7 +145,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			var rs runs
+			rs := runs{keep: testKeep, most: testBytes}
 			rn := endedRun(t, &rs, "k", tc.end)
 			rs.end(rn, 0)
 			_, kept := rs.find(rn.id)
@@ -150,20 +156,20 @@
 }
 
 func TestRunsDropAnswersByAgeAndBySize(t *testing.T) {
-	var rs runs
+	rs := runs{keep: testKeep, most: testBytes}
 	whole := func(size int) func(st *answer.Stream) error {
 		return func(st *answer.Stream) error { return st.Whole(make([]byte, size)) }
 	}
 	old := endedRun(t, &rs, "old", whole(1))
 	rs.end(old, 0)
-	large := endedRun(t, &rs, "large", whole(answerBytes-keptOverhead))
-	rs.end(large, answerKeep/2)
+	large := endedRun(t, &rs, "large", whole(testBytes-keptOverhead))
+	rs.end(large, testKeep/2)
 	_, kept := rs.find(old.id)
 	assert.Assert(t, !kept, "the bound of bytes drops the oldest first")
 	_, kept = rs.find(large.id)
 	assert.Assert(t, kept)
 	small := endedRun(t, &rs, "small", whole(1))
-	rs.end(small, answerKeep*2)
+	rs.end(small, testKeep*2)
 	_, kept = rs.find(large.id)
 	assert.Assert(t, !kept, "the bound of age")
 }
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -171,7 +171,7 @@
 	defer stop()
 	decided := vm.verdicts.open(pub.ID)
 	tpl := pub.Template
-	vm.follower.ac.tell(ctx, register.Change{ID: pub.ID, Customer: pub.Customer, Base: pub.Base, Template: &tpl})
+	vm.follower.ac.tell(ctx, register.Change{ID: pub.ID, Customer: pub.Customer, Base: pub.Base, Template: &tpl, Again: pub.Again})
 	select {
 	case vd := <-decided:
 		return operatorVerdict(vd)
@@ -202,6 +202,16 @@
 	delete(vs.waiting, vd.ID)
 }
 
+// final are the reasons that publishing the same template again won't change.
+var final = map[register.Reason]bool{
+	register.BaseMismatch: true,
+	register.BadValue:     true,
+	register.NothingThere: true,
+	register.BucketFull:   true,
+	register.KeyHashTaken: true,
+	register.BadRecord:    true,
+}
+
 func operatorVerdict(vd register.Verdict) (operator.Verdict, error) {
 	out := operator.Verdict{Revision: vd.Revision, Current: vd.Current, Reason: string(vd.Reason)}
 	switch vd.Result {
@@ -211,6 +221,9 @@
 	case register.Conflict:
 		return out, nil
 	case register.NotPublished:
+		if final[vd.Reason] {
+			return out, nil
+		}
 		return out, refusal.Refusal{
 			Ran:        refusal.NotRun,
 			Reason:     refusal.Reason(vd.Reason),
--- a/internal/entry/janitor.go
+++ b/internal/entry/janitor.go
@@ -17,7 +17,6 @@
 	cancelTimeout  = 2 * clock.Second
 	cancelFirstTry = 100 * clock.Millis(1)
 	cancelLongest  = 5 * clock.Second
-	cancelGiveUp   = 10 * clock.Minute
 )
 
 type (
@@ -81,8 +80,6 @@
 }
 
 func (ja *janitor) settle(ctx context.Context, db debt) {
-	ctx, stop := context.WithTimeout(ctx, cancelGiveUp.Std())
-	defer stop()
 	pause := cancelFirstTry
 	for {
 		err := ja.try(ctx, db)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -44,7 +44,14 @@
 		Rand: vm.rand(3),
 	}
 	vm.members = newActor[membership.Event, membership.Intent](vm.Clock, membership.Tick{}, memberTick)
-	vm.members.step = dt.Step
+	vm.members.step = func(now clock.Millis, ev membership.Event) []membership.Intent {
+		pauses := dt.Counters.Pauses
+		out := dt.Step(now, ev)
+		if dt.Counters.Pauses > pauses {
+			vm.Log.Log(event.ProcessPaused)
+		}
+		return out
+	}
 	vm.members.do = vm.moveFleet
 	vm.members.wakeAt = func(in membership.Intent) (clock.Millis, bool) {
 		wk, ok := in.(membership.Wake)
@@ -158,6 +165,13 @@
 	}
 }
 
+// report puts a load report of an engine on the board.
+func (vm *VM) report(rp board.LoadReport) {
+	vm.backendsMu.Lock()
+	defer vm.backendsMu.Unlock()
+	vm.Board.SetBackends(vm.Board.Backends().WithReport(rp))
+}
+
 func sameServers(la, lb []board.BackendServer) bool {
 	if len(la) != len(lb) {
 		return false
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -28,6 +28,9 @@
 	lossDoubt = 10 * clock.Second
 	// runningInDoubt is how often while a VM was lost or a stream broke.
 	runningInDoubt = 1 * clock.Second
+	// knowsFleet after its start a VM with a majority has heard of every VM
+	// that serves: one that it does not know has left the fleet.
+	knowsFleet = 1 * clock.Minute
 	// orphanHold is how long a request of a lost VM is kept for another VM
 	// to take it over, if its customer's template names no longer wait.
 	orphanHold = 10 * clock.Second
@@ -145,6 +148,7 @@
 	rp.At = rc.hc.vm.Clock.Now()
 	rc.hc.ac.tell(ctx, sched.Report{Load: rp})
 	turned := rc.noteRole(srv.ID, knownRole{role: rp.Role, at: asked - rp.Age})
+	rc.hc.vm.report(rp)
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.reports[srv.ID] = rp
@@ -240,9 +244,10 @@
 // gone tells whether a VM is known not to serve any more: held dead, stopped,
 // or replaced by a newer run of the same VM.
 func (rc *reconciler) gone(ref board.VMRef) bool {
-	vm, ok := rc.hc.vm.Board.Fleet().VM(ref.ID)
+	fl := rc.hc.vm.Board.Fleet()
+	vm, ok := fl.VM(ref.ID)
 	if !ok {
-		return false // not known yet, as after the start of this VM
+		return fl.Quorate && rc.hc.vm.Clock.Now()-rc.hc.vm.startedAt > knowsFleet
 	}
 	return vm.Incarnation > ref.Incarnation || vm.Health == board.Dead || vm.Health == board.Left
 }
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -274,6 +274,9 @@
 		return errAccountantAway
 	}
 	rs.cn = cn
+	if !rs.granted {
+		rs.tr.add(event.GrantWaits, "")
+	}
 	return nil
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -69,6 +69,7 @@
 		sent     atomic.Bool  // a backend server may have begun, here or for another VM
 		role     atomic.Int32 // of type role
 		turned   signal       // the role changed, or the answer has its end
+		left     atomic.Bool  // the caller's connection broke
 		away     *time.Timer  // ends the run when no caller came back
 	}
 
@@ -110,11 +111,15 @@
 func (rn *run) watch(watchers int) {
 	if watchers > 0 {
 		rn.away.Stop()
+		if rn.left.Swap(false) {
+			rn.tr.add(event.CallerReturned, "")
+		}
 		return
 	}
 	if _, final := rn.st.Len(); final {
 		return
 	}
+	rn.left.Store(true)
 	rn.tr.add(event.CallerLeft, "")
 	rn.away.Reset(rn.req.Class.StreamWait.Std())
 }
@@ -223,7 +228,7 @@
 func (rn *run) withoutSeats(ctx context.Context) error {
 	if !rn.req.Class.Idempotent {
 		return refusal.Refusal{
-			Ran:        refusal.NotRun,
+			Ran:        unasked(rn.req),
 			Reason:     refusal.Starting,
 			RetryAfter: clock.Second,
 			Detail:     "this VM does not know yet which VMs keep request keys",
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -12,19 +12,17 @@
 	"alderdyke/pkg/refusal"
 )
 
-// What is kept of answers that have their end, so that a caller can come back
-// for them.
-const (
-	answerKeep  = 2 * clock.Minute
-	answerBytes = 16 << 20
-	// keptOverhead is about what an ended run takes beside its answer.
-	keptOverhead = 2 << 10
-)
+// keptOverhead is about what an ended run takes beside its answer, in bytes.
+const keptOverhead = 2 << 10
 
 type (
-	// runs is the requests of this VM, in progress and lately ended. The
-	// zero value is ready to use.
+	// runs is the requests of this VM, in progress and lately ended. Ended
+	// ones are kept so that a caller can come back for the answer; the zero
+	// value keeps none.
 	runs struct {
+		keep clock.Millis // of an answer after its end
+		most int          // bytes of all answers that are kept
+
 		mu    sync.Mutex
 		byID  map[requestID]*run
 		ended []keptRun // oldest first
@@ -84,7 +82,7 @@
 func (rs *runs) trim(now clock.Millis) {
 	for len(rs.ended) > 0 {
 		old := rs.ended[0]
-		if now-old.since < answerKeep && rs.bytes <= answerBytes {
+		if now-old.since < rs.keep && rs.bytes <= rs.most {
 			return
 		}
 		rs.bytes -= old.bytes
@@ -116,6 +114,14 @@
 	if err != nil && !(vm.draining.Load() && req.KeyGiven) {
 		return nil, err
 	}
+	if vm.runs.inProgress() >= vm.Settings.Limits.MaxStreams {
+		return nil, refusal.Refusal{
+			Ran:        unasked(req),
+			Reason:     refusal.TooManyConnections,
+			RetryAfter: clock.Second,
+			Detail:     "this VM makes as many answers as it may",
+		}
+	}
 	rn, added := vm.runs.enter(id, func() *run { return vm.newRun(req) })
 	if !added {
 		return rn.answerFor(req)
@@ -125,6 +131,15 @@
 	return rn.st, nil
 }
 
+// unasked is what can be said of a request before its key was claimed: a key
+// of the caller's own may have run elsewhere.
+func unasked(req caller.Request) refusal.Ran {
+	if req.KeyGiven {
+		return refusal.MayHaveRun
+	}
+	return refusal.NotRun
+}
+
 // answerFor returns the answer of a run to the same request asked again.
 func (rn *run) answerFor(req caller.Request) (*answer.Stream, error) {
 	if !bytes.Equal(rn.req.Fingerprint, req.Fingerprint) {
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -20,7 +20,7 @@
 			data, asOf, err := fo.Snapshot()
 			snap.Data, snap.AsOf, snap.Ready = data, asOf, err == nil
 		})
-	case ask.GetStream() == seatsStream:
+	case ask.GetStream() == vm.seatsStream():
 		if err := vm.seatsSnapshot(snap); err != nil {
 			return nil, err
 		}
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
@@ -210,10 +211,15 @@
 func (vm *VM) awaitRuns() {
 	for {
 		ended := vm.runEnded.wait()
-		if vm.runs.inProgress() == 0 {
+		left := vm.runs.inProgress()
+		if left == 0 {
 			return
 		}
-		<-ended
+		select {
+		case <-ended:
+		case <-time.After(vm.Settings.Drain.WarnEvery.Std()):
+			vm.Log.Log(event.StopLasts, event.F("InProgress", left))
+		}
 	}
 }
 
@@ -238,6 +244,7 @@
 	vm.startedAt = vm.Clock.Now()
 	vm.drainNow = make(chan struct{})
 	vm.traces.clk = vm.Clock
+	vm.runs.keep, vm.runs.most = vm.Settings.Answers.KeepFor, int(vm.Settings.Limits.MaxAnswerMemory)
 	vm.initAdapters()
 	vm.initDecisions()
 	return nil
@@ -295,6 +302,10 @@
 	return nil
 }
 
+// stopWait bounds a planned stop above the longest deadline that a template
+// may set, so that it cuts off no request.
+const stopWait = 25 * clock.Hour
+
 // callerLimits are the limits that the settings hold for callers.
 func callerLimits(set settings.Settings) caller.Limits {
 	return caller.Limits{
@@ -305,6 +316,8 @@
 		Connections:   set.Limits.MaxConnections,
 		Addresses:     set.Addresses.Count,
 		ListLag:       set.Drain.Linger,
+		BodyGrace:     set.Limits.BodyTimeout,
+		StopWait:      stopWait,
 	}
 }
 
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -10,7 +10,7 @@
 		"the address for callers is closed; every open stream had ended", "none")
 	CallersCutOff = register(1903, "CallersCutOff", Error,
 		"streams were still open at the end of the time that a planned stop may take",
-		"raise Limits.StopWait above the longest deadline of the templates")
+		"report it: no template may set a deadline that is that long")
 	ConnectionLimit = register(1904, "ConnectionLimit", Warn,
 		"callers' connections are turned away: a limit of this VM is reached",
 		"look for one address that opens many connections; otherwise add VMs")
--- a/internal/event/claim.go
+++ b/internal/event/claim.go
@@ -17,5 +17,5 @@
 	KeyLost = register(1606, "KeyLost", Warn,
 		"a runner found its key taken over and stopped", "none")
 	BookFull = register(1607, "BookFull", Error,
-		"the memory for request keys is full and new keys are refused", "raise the cap, or shorten how long templates keep keys")
+		"the memory for request keys is full and new keys are refused", "look for a customer who sends far more keys than usual; otherwise add VMs")
 )
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -8,6 +8,8 @@
 		"a planned stop began; requests in progress go on", "none")
 	Stopped = register(1002, "Stopped", Info,
 		"the last request ended and the process exits", "none")
+	StopLasts = register(1004, "StopLasts", Warn,
+		"a planned stop waits for requests in progress", "none; it ends with the last of them, at their deadlines at the latest")
 	ConfigurationReady = register(1003, "ConfigurationReady", Info,
 		"the configuration in force was learned", "none")
 )
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -44,6 +44,9 @@
 		return PublishReply{}, err
 	}
 	query := url.Values{"Base": {strconv.FormatUint(pub.Base, 10)}, "PublicationID": {pub.ID}}
+	if pub.Again {
+		query.Set("Again", "true")
+	}
 	path := "/templates/" + url.PathEscape(pub.Customer) + "?" + query.Encode()
 	var out PublishReply
 	err = cl.call(ctx, http.MethodPost, path, body, &out)
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -88,8 +88,10 @@
 			pub.Base, err = parseBase(values[0])
 		case key == "PublicationID":
 			pub.ID, err = parseID(values[0])
+		case key == "Again":
+			pub.Again, err = parseAgain(values[0])
 		default:
-			err = Fault{Reason: BadRequest, Detail: fmt.Sprintf("remove %.40q; the parameters are Base and PublicationID", key)}
+			err = Fault{Reason: BadRequest, Detail: fmt.Sprintf("remove %.40q; the parameters are Base, PublicationID and Again", key)}
 		}
 		if err != nil {
 			return Publication{}, err
@@ -117,6 +119,14 @@
 	return base, nil
 }
 
+func parseAgain(text string) (bool, error) {
+	again, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, Fault{Reason: BadRequest, Detail: fmt.Sprintf("Again is %.40q; write true if the ID was published before", text)}
+	}
+	return again, nil
+}
+
 func parseID(text string) (string, error) {
 	if !idForm.MatchString(text) {
 		return "", Fault{Reason: BadRequest, Detail: "write the PublicationID as 1 to 64 letters, digits, dots, dashes or underscores"}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,7 +1,7 @@
 // Package operator speaks to operators: over HTTP, on an address of its own
 // and with a token of its own.
 //
-//	POST /templates/{customer}?Base=N&PublicationID=ID   publish a template (TOML or JSON)
+//	POST /templates/{customer}?Base=N&PublicationID=ID&Again=B   publish a template (TOML or JSON)
 //	GET  /templates                                      customers and revisions in force
 //	GET  /templates/{customer}                           one template in force
 //	GET  /status                                         this VM and what it sees
@@ -105,6 +105,9 @@
 		Customer string
 		Base     uint64 // revision that the template was revised from; 0 for a new customer
 		Template template.Template
+		// Again says that the ID was published before without a certain
+		// verdict, here or at another VM.
+		Again bool
 	}
 
 	// Verdict is what became of a publication.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,8 +101,8 @@
 		MaxBody         Bytes        // of one request; 4MiB by default
 		MaxHeader       Bytes        // of one request's headers; 16KiB by default
 		MaxConnections  int          // of callers; 2048 by default
-		MaxStreams      int          // answers that are made or kept at once; 4096 by default
-		MaxAnswerMemory Bytes        // all answers that are made or kept; 64MiB by default
+		MaxStreams      int          // requests in progress at once; 4096 by default
+		MaxAnswerMemory Bytes        // all answers that are kept after their end; 16MiB by default
 		HeaderTimeout   clock.Millis // until a request's headers are whole; 10s by default
 		BodyTimeout     clock.Millis // until a request's body is whole; 1m by default
 		IdleTimeout     clock.Millis // of a connection without a request; 2m by default
@@ -150,7 +150,7 @@
 			MaxHeader:       16 * KiB,
 			MaxConnections:  2048,
 			MaxStreams:      4096,
-			MaxAnswerMemory: 64 * MiB,
+			MaxAnswerMemory: 16 * MiB,
 			HeaderTimeout:   10 * clock.Second,
 			BodyTimeout:     clock.Minute,
 			IdleTimeout:     2 * clock.Minute,
