entry: hedge slow quick calls of plain services; end a lost run as lost

Cause: the retry policy's hedges were decided and measured but never asked for. A revalidation that found the key lost could be refused as NotRun if it was heeded before the run was cancelled. The decision that a key is lost cancels the run before anybody sees it.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -288,11 +288,11 @@
 		cm.last = in
 		cm.number++
 		cm.mu.Unlock()
-		cm.changed.raise()
 		cm.vm.logVerdict(in.Verdict)
 		if in.Verdict == claim.Lost {
-			cm.onLost()
+			cm.onLost() // before anybody acts on the decision
 		}
+		cm.changed.raise()
 	}
 }
 
@@ -382,6 +382,9 @@
 		return err
 	}
 	rn.until = dec.Until
+	if dec.Verdict == claim.Lost {
+		return errLost
+	}
 	if dec.Verdict != claim.Run && dec.Verdict != claim.TakeOver || rn.vm.Clock.Now() >= dec.Until {
 		return refusal.Refusal{
 			Ran:        refusal.NotRun,
--- /dev/null
+++ b/internal/entry/hedge_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
+	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/retry"
+	"alderdyke/internal/service"
+	"alderdyke/internal/standin"
+	servicesim "alderdyke/internal/standin/service"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
+)
+
+const (
+	hedgeUsual = 10 * clock.Millis(1) // of an answer
+	hedgeSlow  = 5 * clock.Second     // of the first server that is asked
+)
+
+// hedgeRig is a VM with two servers of a plain service in memory.
+type hedgeRig struct {
+	vm      *VM
+	servers []*servicesim.Server
+}
+
+func newHedgeRig(t *testing.T) *hedgeRig {
+	t.Helper()
+	nw := &standin.Network{}
+	hc := backend.NewHTTP(backend.Limits{Dial: nw.Dial})
+	rg := &hedgeRig{vm: &VM{Clock: clock.Monotonic{}, Board: &board.Board{}, runCtx: t.Context()}}
+	vm := rg.vm
+	vm.traces.clk = vm.Clock
+	vm.Services = &service.Client{HTTP: hc}
+	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
+	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
+	bk := &board.Backends{}
+	for ix, addr := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+		sv := &servicesim.Server{ID: addr, Settings: servicesim.Settings{Latency: hedgeUsual}}
+		hs := &http.Server{Handler: sv.Handler()}
+		ln := nw.Listen(addr)
+		go func() { _ = hs.Serve(ln) }()
+		t.Cleanup(func() {
+			sv.Control.Set(standin.Faults{})
+			_ = hs.Close()
+			sv.Close()
+		})
+		rg.servers = append(rg.servers, sv)
+		bk.Servers = append(bk.Servers, board.BackendServer{
+			ID: string(rune('a' + ix)), Service: "kiosk-api", Role: board.Plain, Address: addr,
+		})
+	}
+	t.Cleanup(hc.CloseIdleConnections)
+	vm.Board.SetBackends(bk)
+	vm.chooser.Update(vm.Clock.Now(), bk, 1)
+	for range 200 {
+		vm.earnRetry("hoalua", "kiosk-api")
+		vm.tookPlain("kiosk-api", hedgeUsual)
+	}
+	return rg
+}
+
+// slowFirst makes the server that is asked first answer late: the other one
+// has a call in flight already.
+func (rg *hedgeRig) slowFirst(t *testing.T) {
+	t.Helper()
+	id, err := rg.vm.pick(balance.Ask{Service: "kiosk-api", Customer: "other", Share: 1})
+	assert.NilError(t, err)
+	first := 'b' - id[0] // the index of the other one
+	rg.servers[first].Control.Set(standin.Faults{Paths: []string{"/status"}, Slow: hedgeSlow})
+}
+
+func (rg *hedgeRig) runs() int {
+	total := 0
+	for _, sv := range rg.servers {
+		total += len(sv.History().Runs)
+	}
+	return total
+}
+
+func TestSlowQuickCallIsHedgedOnlyIfIdempotent(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+	}{
+		{"idempotent", true},
+		{"not idempotent", false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rg := newHedgeRig(t)
+				rg.vm.fresh.Store(int64(clock.Hour))
+				rn := rg.vm.newRun(caller.Request{
+					Customer: "hoalua", Key: "k", Deadline: clock.Minute,
+					Class: template.Class{Service: "kiosk-api", Urgency: template.Quick, Idempotent: tc.idempotent, Share: 1},
+					Plain: &caller.Plain{Service: "kiosk-api", Method: http.MethodGet, Path: "/status"},
+				})
+				rn.until = rg.vm.Clock.Now() + clock.Hour
+				rg.slowFirst(t)
+				start := rg.vm.Clock.Now()
+				assert.NilError(t, rn.plain(t.Context()))
+				took := rg.vm.Clock.Now() - start
+				last, whole := rn.st.Last()
+				assert.Assert(t, whole && last.Kind == answer.Whole)
+				assert.Equal(t, took < hedgeSlow, tc.idempotent, "took %s", took)
+				time.Sleep(2 * hedgeSlow.Std())
+				if !tc.idempotent {
+					assert.Equal(t, rg.runs(), 1)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -13,8 +15,10 @@
 	"alderdyke/internal/caller"
 	"alderdyke/internal/event"
 	"alderdyke/internal/rendezvous"
+	"alderdyke/internal/retry"
 	"alderdyke/internal/service"
 	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
 )
 
 const (
@@ -30,18 +34,27 @@
 	plainSubset = 8
 )
 
+// plainAttempt is the end of one attempt, or of two beside each other.
+type plainAttempt struct {
+	tried []string // servers
+	rsp   service.Response
+	err   error
+}
+
 // plain runs a request at the servers of a plain service, with retries, to
 // its end.
 func (rn *run) plain(ctx context.Context) error {
 	var tried []string
 	for try := 0; ; try++ {
-		server, err := rn.tryPlain(ctx, tried)
-		if err == nil || ctx.Err() != nil {
-			return err
+		at := rn.hedged(ctx, tried)
+		if at.err == nil {
+			return rn.wholePlain(at.rsp)
 		}
-		if server != "" {
-			tried = append(tried, server)
+		if ctx.Err() != nil {
+			return at.err
 		}
+		tried = append(tried, at.tried...)
+		err := at.err
 		rn.tr.add(event.AttemptFailed, err.Error())
 		if err := rn.again(ctx, try, err); err != nil {
 			return err
@@ -49,9 +62,80 @@
 	}
 }
 
-// tryPlain makes one attempt and names the server that it was made at.
-func (rn *run) tryPlain(ctx context.Context, tried []string) (string, error) {
+// hedged makes one attempt, and a second one beside it at another server if
+// the first is slower than usual and the retry policy pays for it. The first
+// whole answer counts.
+func (rn *run) hedged(ctx context.Context, tried []string) plainAttempt {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan plainAttempt, 2)
+	began := make(chan string, 1)
+	rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, tried, began) })
+	ask := retry.HedgeAsk{
+		Customer:   rn.id.Customer,
+		Service:    rn.req.Class.Service,
+		Idempotent: rn.req.Class.Idempotent,
+		Quick:      rn.quick(),
+		Deadline:   rn.deadline,
+	}
+	var late <-chan time.Time
+	if after, ok := rn.vm.hedgeAfter(ask); ok {
+		late = time.After(after.Std())
+	}
+	all := plainAttempt{}
+	for open := 1; open > 0; {
+		select {
+		case at := <-done:
+			open--
+			all = all.with(at)
+			if all.err == nil {
+				return all
+			}
+		case <-late:
+			late = nil
+			select {
+			case first := <-began:
+				if rn.vm.takeHedge(ask) {
+					open++
+					rn.tr.add(event.RequestRetried, string(retry.Hedged))
+					others := append(slices.Clone(tried), first)
+					rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, others, nil) })
+				}
+			default: // the first attempt has not found a server yet
+			}
+		}
+	}
+	return all
+}
+
+// with joins the ends of attempts made beside each other.
+func (at plainAttempt) with(other plainAttempt) plainAttempt {
+	other.tried = append(at.tried, other.tried...)
+	if other.err != nil {
+		other.err = errors.Join(at.err, other.err)
+	}
+	return other
+}
+
+// tryPlain makes one attempt. It tells on began, if that is not nil, at which
+// server.
+func (rn *run) tryPlain(ctx context.Context, tried []string, began chan<- string) (at plainAttempt) {
+	start := rn.vm.Clock.Now()
+	var id string
+	id, at.rsp, at.err = rn.callPlain(ctx, tried, began)
+	if id != "" {
+		at.tried = []string{id}
+	}
+	if at.err == nil {
+		rn.vm.tookPlain(rn.req.Class.Service, rn.vm.Clock.Now()-start)
+	}
+	return at
+}
+
+// callPlain chooses a server and calls it.
+func (rn *run) callPlain(ctx context.Context, tried []string, began chan<- string) (string, service.Response, error) {
 	vm := rn.vm
+	var none service.Response
 	id, err := vm.pick(balance.Ask{
 		Service:  rn.req.Class.Service,
 		Customer: rn.id.Customer,
@@ -59,17 +143,20 @@
 		Exclude:  tried,
 	})
 	if err != nil {
-		return "", fmt.Errorf("choose a server: %w", err)
+		return "", none, fmt.Errorf("choose a server: %w", err)
 	}
 	outcome := balance.Failure
 	defer func() { vm.picked(id, rn.id.Customer, outcome) }()
 	srv, ok := vm.server(id)
 	if !ok {
-		return id, failure{"use the server", errUnknown}
+		return id, none, failure{"use the server", errUnknown}
 	}
 	if err := rn.mayDispatch(ctx); err != nil {
 		outcome = balance.Cancelled
-		return id, err
+		return id, none, err
+	}
+	if began != nil {
+		began <- id
 	}
 	rn.tr.add(event.Granted, id)
 	rsp, err := vm.Services.Call(ctx, srv, rn.plainCall())
@@ -78,9 +165,33 @@
 	}
 	outcome = plainOutcome(ctx, err)
 	if err != nil {
-		return id, failure{"call", err}
+		return id, none, failure{"call", err}
 	}
-	return id, rn.wholePlain(rsp)
+	return id, rsp, nil
+}
+
+// hedgeAfter asks the retry policy when to hedge a request, if at all.
+func (vm *VM) hedgeAfter(ask retry.HedgeAsk) (clock.Millis, bool) {
+	vm.retries.mu.Lock()
+	defer vm.retries.mu.Unlock()
+	hd, ok := vm.retries.Hedge(vm.Clock.Now(), ask).(retry.Hedge)
+	return hd.After, ok
+}
+
+// takeHedge pays for a hedge and counts what the policy said.
+func (vm *VM) takeHedge(ask retry.HedgeAsk) bool {
+	vm.retries.mu.Lock()
+	reason, ok := vm.retries.TakeHedge(vm.Clock.Now(), ask)
+	vm.retries.mu.Unlock()
+	vm.retries.count.Inc(ask.Service, refusal.Reason(reason))
+	return ok
+}
+
+// tookPlain notes how long a whole answer took.
+func (vm *VM) tookPlain(name string, took clock.Millis) {
+	vm.retries.mu.Lock()
+	defer vm.retries.mu.Unlock()
+	vm.retries.Observe(name, took)
 }
 
 func plainOutcome(ctx context.Context, err error) balance.Result {
