membership, register, claim, sched/bench: let tests with parallel subtests overlap

A test whose subtests are parallel held the package up until the longest of them ended, so a few long subtests ran while cores stood idle.

These tests are parallel too.

--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -211,6 +211,7 @@
 }
 
 func TestEveryOrderRunsOnce(t *testing.T) {
+	t.Parallel()
 	for nm, sc := range scenarios() {
 		t.Run(nm, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -28,6 +28,7 @@
 }
 
 func eachFleet(t *testing.T, test func(t *testing.T, size, domains int, seed uint64)) {
+	t.Parallel()
 	for _, fl := range []struct{ size, domains int }{{7, 4}, {24, 8}, {96, 8}} {
 		for seed := range uint64(max(1, 48/fl.size)) {
 			t.Run(fmt.Sprintf("size=%d/seed=%d", fl.size, seed), func(t *testing.T) {
--- a/internal/register/explore_test.go
+++ b/internal/register/explore_test.go
@@ -480,6 +480,7 @@
 }
 
 func TestExploreEveryInterleaving(tt *testing.T) {
+	tt.Parallel()
 	for name, lim := range scenarios {
 		tt.Run(name, func(tt *testing.T) {
 			tt.Parallel()
@@ -496,6 +497,7 @@
 // TestEachGuardIsNeeded switches one guard off at a time; the walk must then
 // find a violation.
 func TestEachGuardIsNeeded(tt *testing.T) {
+	tt.Parallel()
 	cases := []struct {
 		name     string
 		scenario string
--- a/internal/sched/bench/bench_test.go
+++ b/internal/sched/bench/bench_test.go
@@ -33,8 +33,8 @@
 func deployments() []Deployment { return []Deployment{Kedelsyn(), HoaLua()} }
 
 // played holds the runs that were begun, by their whole setup: the checks of
-// several bounds share a run. TestSameFigureAtEveryRun holds that a second
-// run would give the same.
+// several bounds share a run, under -count too. TestSameFigureAtEveryRun does
+// not, and holds that a second run gives the same.
 var played sync.Map
 
 // playOnce is Run, once for each setup. The result must not be changed.
@@ -56,6 +56,7 @@
 // each runs a check for both deployments on both sets of seeds.
 func each(t *testing.T, check func(t *testing.T, dp Deployment, seeds []uint64)) {
 	t.Helper()
+	t.Parallel()
 	for name, seeds := range seedSets {
 		for _, dp := range deployments() {
 			t.Run(name+"/"+dp.Name, func(t *testing.T) {
@@ -118,6 +119,7 @@
 }
 
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []Fault{LostWorker, SlowLink, LaggingReport, PausedOwner, DeadOwner} {
 		t.Run(string(fault), func(t *testing.T) {
 			each(t, func(t *testing.T, dp Deployment, seeds []uint64) {
@@ -184,6 +186,7 @@
 // TestWeights runs both deployments with each other's weight of wasted
 // prefill: each setting is the better one by its own measure.
 func TestWeights(t *testing.T) {
+	t.Parallel()
 	for name, seeds := range seedSets {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -200,6 +203,7 @@
 }
 
 func TestSameFigureAtEveryRun(t *testing.T) {
+	t.Parallel()
 	for _, po := range []Policy{Cell, Shares, Optimistic, TwoChoices} {
 		su := Setup{Deployment: HoaLua(), Load: 1.2, Policy: po, Fault: DeadOwner, Seed: 3, Span: 65 * clock.Second}
 		first, second := Run(su), Run(su)
