--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -8,6 +8,8 @@
 		"a planned stop began; requests in progress go on", "none")
 	Stopped = register(1002, "Stopped", Info,
 		"the last request ended and the process exits", "none")
+	StopLasts = register(1004, "StopLasts", Warn,
+		"a planned stop waits for requests in progress", "none; it ends with the last of them, at their deadlines at the latest")
 	ConfigurationReady = register(1003, "ConfigurationReady", Info,
 		"the configuration in force was learned", "none")
 )
@@ -42,10 +44,10 @@
 		"an attempt at backend servers failed", "look at the backend server if it goes on")
 	Following = register(1113, "Following", Info,
 		"another VM runs the request; its answer is passed on", "none")
-	ReadOn = register(1115, "ReadOn", Warn,
-		"the VM that runs the request can't be reached; its decode is read on at the engine", "none")
 	AccountantAway = register(1114, "AccountantAway", Warn,
 		"the VM that accounts for the model engines can't be asked; this VM chooses by load reports", "none")
+	ReadOn = register(1115, "ReadOn", Warn,
+		"the VM that runs the request can't be reached; its decode is read on at the engine", "none")
 )
 
 // Events 1150 to 1199: accounting for cells of model engines.
