--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -232,7 +232,7 @@
 	return hr
 }
 
-// streamLost decides what the end of a stream without a last word means: a
+// streamLost decides what the end of a stream without a final frame means: a
 // request that was not granted is taken back; one that was stays as an orphan
 // until its engines are known to be free of it.
 func (hc *heldCell) streamLost(ctx context.Context, request string, hr *heldRequest) {
--- a/internal/entry/again.go
+++ b/internal/entry/again.go
@@ -80,6 +80,6 @@
 	vm.retries.Request(vm.Clock.Now(), customer, service)
 }
 
-// quickPatience is how long a quick request looks for its accountant: a part
+// quickAccountantTimeout is how long a quick request looks for its accountant: a part
 // of the time to its first token.
-func quickPatience(ttft clock.Millis) clock.Millis { return ttft / 4 }
+func quickAccountantTimeout(ttft clock.Millis) clock.Millis { return ttft / 4 }
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -233,7 +233,7 @@
 		Fresh:       !rn.req.KeyGiven,
 		GivenUp:     givenUp,
 		Keep:        claimKeep,
-		Patience:    claimPatience,
+		Patience:    claimTimeout,
 		Rand:        vm.rand(vm.claimSeed.Add(1)),
 	}
 	cm := &claimant{vm: vm, ctx: ctx, stop: stop, onLost: onLost}
@@ -356,7 +356,7 @@
 	}
 }
 
-// end lets the last word leave and then ends the link.
+// end lets the final updates leave and then ends the link.
 func (cm *claimant) end() { time.AfterFunc(claimLinger.Std(), cm.stop) }
 
 // became tells the seats what became of the key.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -102,7 +102,7 @@
 // awaitRole waits until it is decided whether this VM runs the request. Seats
 // may tell others of its claim before the last grant is here.
 func (rn *run) awaitRole(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, claimPatience.Std())
+	ctx, stop := context.WithTimeout(ctx, claimTimeout.Std())
 	defer stop()
 	rn.settled(ctx)
 }
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -19,10 +19,10 @@
 const (
 	// answerWithin bounds the wait for the accountant's first sign of life.
 	answerWithin = 400 * clock.Millis(1)
-	// accountantPatience is how long a request that may wait looks for its
+	// accountantTimeout is how long a request that may wait looks for its
 	// accountant before it chooses by load reports.
-	accountantPatience = 2 * clock.Second
-	reopenPause        = 50 * clock.Millis(1)
+	accountantTimeout = 2 * clock.Second
+	reopenPause       = 50 * clock.Millis(1)
 )
 
 var errAccountantAway = errors.New("the accountant can't be asked")
@@ -154,7 +154,7 @@
 	}
 }
 
-// end gives the place back with the last word on what the engines hold.
+// end gives the place back with a final frame that says what the engines hold.
 func (rs *reservation) end(stage sched.Stage) {
 	rs.mu.Lock()
 	cn := rs.cn
@@ -199,7 +199,7 @@
 		if err == nil || awaySince == 0 {
 			awaySince = now
 		}
-		if rs.waiting() && now-awaySince >= rs.patience() {
+		if rs.waiting() && now-awaySince >= rs.timeout() {
 			rs.tr.add(event.AccountantAway, fmt.Sprint(err))
 			rs.vm.Log.Log(event.AccountantAway, event.F("Cell", rs.ask.GetCell()), event.F("Error", fmt.Sprint(err)))
 			return
@@ -210,11 +210,11 @@
 	}
 }
 
-func (rs *reservation) patience() clock.Millis {
+func (rs *reservation) timeout() clock.Millis {
 	if rs.ask.GetQuick() {
-		return quickPatience(clock.Millis(rs.ask.GetTTFT()))
+		return quickAccountantTimeout(clock.Millis(rs.ask.GetTTFT()))
 	}
-	return accountantPatience
+	return accountantTimeout
 }
 
 func (rs *reservation) waiting() bool {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// claimPatience bounds the search for the VMs that account for a key.
-	claimPatience = 3 * clock.Second
+	// claimTimeout bounds the search for the VMs that account for a key.
+	claimTimeout = 3 * clock.Second
 	// followPause is the longest pause before a lost runner is looked for
 	// again; it may still be held alive.
 	followPause = 800 * clock.Millis(1)
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -7,7 +7,7 @@
 	"alderdyke/pkg/refusal"
 )
 
-// withdrawn is the last word of a runner that no longer wants its place.
+// withdrawn is the final stage of a runner that no longer wants its place.
 const withdrawn sched.Stage = "Withdrawn"
 
 func doneFrame() *peerpb.Frame {
