--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -19,9 +19,12 @@
 	if !asJSON {
 		tw := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
 		if err := plain(tw, rep); err != nil {
-			return err
+			return fmt.Errorf("write the reply: %w", err)
 		}
-		return tw.Flush()
+		if err := tw.Flush(); err != nil {
+			return fmt.Errorf("write the reply: %w", err)
+		}
+		return nil
 	}
 	enc := json.NewEncoder(out)
 	enc.SetIndent("", "  ")
@@ -35,7 +38,7 @@
 func showTemplate(out io.Writer, rep operator.TemplateReply) error {
 	text, err := template.Marshal(rep.Template)
 	if err != nil {
-		return err
+		return fmt.Errorf("show the template in force: %w", err)
 	}
 	_, err = fmt.Fprintf(out, "# Revision %d; publish a revised one with --base %d\n%s", rep.Revision, rep.Revision, text)
 	return err
@@ -56,7 +59,9 @@
 	fmt.Fprintf(out, "VM\t%s, incarnation %d, in %s of %s, up %v\n", rep.VM, rep.Incarnation, rep.FailureDomain, rep.Region, rep.Uptime)
 	fmt.Fprintf(out, "Draining\t%t\n", rep.Draining)
 	fmt.Fprintf(out, "Quorate\t%t\n", rep.Quorate)
+	fmt.Fprintf(out, "VMs that keep request keys\t%d\n", rep.Seats)
 	fmt.Fprintf(out, "Requests in progress\t%d\n", rep.InProgress)
+	fmt.Fprintf(out, "Cancels not confirmed\t%d\n", rep.Unconfirmed)
 	fmt.Fprintf(out, "Answers kept\t%d\n", rep.Kept)
 	fmt.Fprintf(out, "Log\toffset %d, ready %t, reachable %t, read %v ago\n", rep.Log.Position, rep.Log.Ready, rep.Log.Reachable, rep.Log.ReadAge)
 
