engine, entry: read a lost runner's decode without taking it over

A report that an engine missed also forgot since when its lost requests were known. Ruled out: the accountant's view of the dead VM (held dead after 10 s) and its loop (alive in a dump). Change: following a decode leaves for whom it runs; the reader claims the key once the runner counts as dead and goes on with the same decode; what is known of a lost request outlives a missed report. Conclusion: a decode always runs for a VM that would cancel it.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -119,9 +119,20 @@
 }
 
 // Resume opens the stream of a request's newest attempt at the token with
-// the given index. It starts nothing. The context bounds the opening only.
+// the given index. It starts nothing; from then on the decode runs for this
+// VM. The context bounds the opening only.
 func (ec *Client) Resume(ctx context.Context, srv board.BackendServer, request string, from int) (*Stream, error) {
-	qy := url.Values{"Request": {request}, "From": {strconv.Itoa(from)}}
+	return ec.resume(ctx, srv, request, from, true)
+}
+
+// Follow is [Client.Resume] for a VM that only reads: the decode goes on for
+// the VM that it ran for.
+func (ec *Client) Follow(ctx context.Context, srv board.BackendServer, request string, from int) (*Stream, error) {
+	return ec.resume(ctx, srv, request, from, false)
+}
+
+func (ec *Client) resume(ctx context.Context, srv board.BackendServer, request string, from int, take bool) (*Stream, error) {
+	qy := url.Values{"Request": {request}, "From": {strconv.Itoa(from)}, "Take": {strconv.FormatBool(take)}}
 	cl := call{srv: srv, name: "Resume", method: http.MethodGet, path: ResumePath, query: qy}
 	st, err := ec.open(ctx, cl, from)
 	if err != nil {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -40,6 +40,9 @@
 )
 
 type (
+	// openStream opens a decode's stream where it broke.
+	openStream func(ctx context.Context, srv board.BackendServer, request string, from int) (*engine.Stream, error)
+
 	// modelAttempt is one try to prefill and decode a request.
 	modelAttempt struct {
 		rn      *run
@@ -256,7 +259,7 @@
 	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
 	rn.claimed.became(claim.Decoding, ma.decode.ID, ma.name)
 	rn.tr.add(event.DecodeStarted, ma.decode.ID)
-	return rn.stream(ctx, st, ma.decode, ma.name, have)
+	return rn.stream(ctx, st, ma.decode, ma.name, have, rn.vm.Engines.Resume)
 }
 
 // resume goes on with a decode that a lost VM started, if the engine still
@@ -275,7 +278,7 @@
 		return false
 	}
 	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
-	if err := rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens()); err != nil {
+	if err := rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens(), rn.vm.Engines.Resume); err != nil {
 		rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
 		return false
 	}
@@ -289,17 +292,38 @@
 	if !ok || rn.req.Chat == nil {
 		return false
 	}
-	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, rn.tokens())
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	rn.vm.wg.Go(func() { rn.vm.awaitLoss(ctx, dec.Runner, func() { stop(errLost) }) })
+	st, err := rn.vm.Engines.Follow(ctx, srv, dec.EngineRequest, rn.tokens())
 	if err != nil {
 		return false
 	}
 	rn.tr.add(event.ReadOn, srv.ID)
-	return rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens()) == nil
+	return rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens(), rn.vm.Engines.Follow) == nil
+}
+
+// awaitLoss calls lost once a VM is held dead or has left: what it ran may be
+// taken over, and is cancelled if nobody does.
+func (vm *VM) awaitLoss(ctx context.Context, ref board.VMRef, lost func()) {
+	for {
+		moved := vm.fleetMove.wait()
+		other, ok := vm.Board.Fleet().VM(ref.ID)
+		if !ok || other.Incarnation != ref.Incarnation || other.Health == board.Dead || other.Health == board.Left {
+			lost()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-moved:
+		}
+	}
 }
 
 // stream passes tokens on until the last one, and opens a broken stream again
 // where it broke. Tokens below have are in the answer already.
-func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, have int) error {
+func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, have int, reopen openStream) error {
 	for tries := 0; ; {
 		got, err := rn.pass(ctx, st, have)
 		st.Close()
@@ -319,7 +343,7 @@
 		if !sleep(ctx, clock.Millis(tries)*reopenPause) {
 			return context.Cause(ctx)
 		}
-		if st, err = rn.vm.Engines.Resume(ctx, srv, name, have); err != nil {
+		if st, err = reopen(ctx, srv, name, have); err != nil {
 			return failure{"resume", err}
 		}
 	}
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -228,7 +228,7 @@
 		}
 	}
 	for st := range rc.strays {
-		if !seen[st] {
+		if !seen[st] && !unknown[st.Server] {
 			delete(rc.strays, st)
 		}
 	}
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -128,7 +128,9 @@
 		en.decline(rw, backend.Unknown, 0)
 		return
 	}
-	en.handOver(rn, vmOf(req))
+	if qy.Get("Take") == "true" {
+		en.handOver(rn, vmOf(req))
+	}
 	en.stream(rw, req, rn, from)
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -519,3 +519,26 @@
 		})
 	}
 }
+
+func TestDecodeRunsForWhoeverResumesItAndNotForWhoeverFollows(t *testing.T) {
+	run(t, settings(), func(t *testing.T, bn *bench) {
+		bn.place("r1", "notes", 10)
+		bn.decode("r1", 50)
+		other := &wire.Client{HTTP: bn.hc, Self: board.VMRef{ID: "vm-2", Incarnation: 9}}
+		for _, tc := range []struct {
+			open func(ctx context.Context, srv board.BackendServer, request string, from int) (*wire.Stream, error)
+			want board.VMRef
+		}{
+			{other.Follow, bn.ec.Self},
+			{other.Resume, other.Self},
+		} {
+			st, err := tc.open(bn.baseCtx, bn.decSrv, "r1", 0)
+			assert.NilError(t, err)
+			t.Cleanup(st.Close)
+			runs, err := bn.ec.Running(bn.baseCtx, bn.decSrv)
+			assert.NilError(t, err)
+			assert.Equal(t, len(runs), 1)
+			assert.Equal(t, runs[0].VM, tc.want)
+		}
+	})
+}
