entry: let a slower attempt outlive its run; integration: end the load of a failed test

Cause: a hedged attempt read its request from a run that had ended and dropped it, which stopped the VM (TestStorm, panic in plainCall). Change: the call is made before the attempts begin; load ends with its test; waits are bounded.

--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -86,6 +86,26 @@
 	return total
 }
 
+// An attempt that begins when its run has ended and dropped the request once
+// stopped the whole VM.
+func TestSlowerAttemptNeedsNothingOfAnEndedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newHedgeRig(t)
+		rn := rg.vm.newRun(caller.Request{
+			Customer: "hoalua", Key: "k",
+			Class: template.Class{Service: "kiosk-api", Urgency: template.Quick, Idempotent: true, Share: 1, StreamWait: clock.Minute},
+			Plain: &caller.Plain{Service: "kiosk-api", Method: http.MethodGet, Path: "/status"},
+		})
+		call := rn.plainCall()
+		rn.become(running)
+		assert.NilError(t, rn.st.Whole(nil))
+		rg.vm.runs.end(rn, rg.vm.Clock.Now())
+		at := rn.tryPlain(t.Context(), call, nil, nil)
+		assert.NilError(t, at.err)
+		assert.Equal(t, string(at.rsp.Body), standin.Reply(http.MethodGet, "/status", nil))
+	})
+}
+
 func TestSlowQuickCallIsHedgedOnlyIfIdempotent(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -62,15 +62,18 @@
 
 func eventually(t *testing.T, what string, is func() bool) {
 	t.Helper()
-	for !is() {
-		select {
-		case <-t.Context().Done():
+	for end := time.Now().Add(waitMost); !is(); {
+		if time.Now().After(end) {
 			t.Fatalf("not in time: %s", what)
-		case <-time.After(20 * time.Millisecond):
 		}
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// waitMost bounds every wait for an event. It ends only tests that have
+// failed, which would hang otherwise.
+const waitMost = 2 * time.Minute
+
 func startFleet(t *testing.T, vms int, checks bool, roles settings.Roles) *fleet {
 	t.Helper()
 	set := enginesim.DefaultSettings()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -68,9 +68,10 @@
 func (rn *run) hedged(ctx context.Context, tried []string) plainAttempt {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	call := rn.plainCall() // the run drops its request when it ends, maybe before the slower attempt
 	done := make(chan plainAttempt, 2)
 	began := make(chan string, 1)
-	rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, tried, began) })
+	rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, call, tried, began) })
 	ask := retry.HedgeAsk{
 		Customer:   rn.id.Customer,
 		Service:    rn.req.Class.Service,
@@ -99,7 +100,7 @@
 					open++
 					rn.tr.add(event.RequestRetried, string(retry.Hedged))
 					others := append(slices.Clone(tried), first)
-					rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, others, nil) })
+					rn.vm.wg.Go(func() { done <- rn.tryPlain(ctx, call, others, nil) })
 				}
 			default: // the first attempt has not found a server yet
 			}
@@ -119,10 +120,10 @@
 
 // tryPlain makes one attempt. It tells on began, if that is not nil, at which
 // server.
-func (rn *run) tryPlain(ctx context.Context, tried []string, began chan<- string) (at plainAttempt) {
+func (rn *run) tryPlain(ctx context.Context, call service.Request, tried []string, began chan<- string) (at plainAttempt) {
 	start := rn.vm.Clock.Now()
 	var id string
-	id, at.rsp, at.err = rn.callPlain(ctx, tried, began)
+	id, at.rsp, at.err = rn.callPlain(ctx, call, tried, began)
 	if id != "" {
 		at.tried = []string{id}
 	}
@@ -133,7 +134,7 @@
 }
 
 // callPlain chooses a server and calls it.
-func (rn *run) callPlain(ctx context.Context, tried []string, began chan<- string) (string, service.Response, error) {
+func (rn *run) callPlain(ctx context.Context, call service.Request, tried []string, began chan<- string) (string, service.Response, error) {
 	vm := rn.vm
 	var none service.Response
 	id, err := vm.pick(balance.Ask{
@@ -159,7 +160,7 @@
 		began <- id
 	}
 	rn.tr.add(event.Granted, id)
-	rsp, err := vm.Services.Call(ctx, srv, rn.plainCall())
+	rsp, err := vm.Services.Call(ctx, srv, call)
 	if !backend.NotRun(err) {
 		rn.sent.Store(true)
 	}
--- a/internal/integration/leave_test.go
+++ b/internal/integration/leave_test.go
@@ -48,6 +48,8 @@
 			select {
 			case <-ld.quit:
 				return
+			case <-ld.fl.t.Context().Done(): // the test has failed
+				return
 			default:
 			}
 			if err := next(round).end(); err != nil {
