caller: end a delivery at an event that can't be read

A handler went on following the answer after it had refused an event of an unknown kind, and would have written keep-alives behind the refusal. Found by a new test. The bound of a planned stop and an address in use are tested too.

--- a/internal/caller/plain_test.go
+++ b/internal/caller/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -65,3 +66,30 @@
 	assert.Assert(t, one != mark(strings.Replace(chatText, "weld 7", "weld 8", 1)))
 	assert.Assert(t, one != mark(strings.Replace(chatText, "{", `{"max_tokens":2,`, 1)))
 }
+
+func TestUnreadableAnswersMayHaveRun(t *testing.T) {
+	for name, begin := range map[string]func(Request, *answer.Stream) error{
+		"whole":   func(_ Request, st *answer.Stream) error { return st.Whole([]byte(`{"Status":1}`)) },
+		"end":     func(_ Request, st *answer.Stream) error { return st.End([]byte(`{"Tokens":"x"}`)) },
+		"unknown": func(_ Request, st *answer.Stream) error { return st.Add(answer.Event{Kind: "Whole?"}) },
+		"fault":   func(Request, *answer.Stream) error { return io.ErrClosedPipe },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rg := serve(t, func(rg *rig) { rg.rn.begin = begin })
+			assert.Equal(t, refusalIn(t, rg.do(t, http.MethodGet, "/services/feltapp/x", "")).Ran, refusal.MayHaveRun)
+			assert.Equal(t, refusalIn(t, rg.chat(t)).Ran, refusal.MayHaveRun)
+			rg.halt(t) // every handler has returned
+		})
+	}
+}
+
+func TestPlainAnswerOnAStreamThatBegan(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{HeaderWait: 1} })
+	st := answer.NewStream()
+	rg.rn.streams["k"] = st
+	resp := rg.do(t, http.MethodGet, "/v1/answers/k", "", "Accept", "text/event-stream")
+	data, err := PlainAnswer{Status: 200, Body: []byte("x")}.Encode()
+	assert.NilError(t, err)
+	assert.NilError(t, st.Whole(data))
+	assert.Assert(t, strings.Contains(text(t, resp), "event: whole\ndata: "+string(data)+"\n\n"))
+}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -136,3 +138,19 @@
 	got := spread(Candidates(fl), "k", 4)
 	assert.Equal(t, got[0].FailureDomain+got[1].FailureDomain, "bb", "the majority may be beyond the partition")
 }
+
+func TestPlannedStopIsBounded(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = Limits{HeaderWait: 1, StopWait: 1} })
+	open := rg.chat(t)
+	rg.stop()
+	assert.ErrorIs(t, <-rg.done, context.DeadlineExceeded)
+	_, err := io.ReadAll(open.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "what is cut off must not look whole")
+	rg.done <- nil // taken by halt
+}
+
+func TestAddressInUse(t *testing.T) {
+	rg := serve(t, nil)
+	other := &Server{Listen: rg.Addr().String(), Runner: rg.rn, Board: rg.Board}
+	assert.ErrorContains(t, other.Run(t.Context()), "listen for callers")
+}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -108,8 +108,7 @@
 		if err != nil {
 			abort()
 		}
-		dl.event(ev)
-		if ev.Kind.Final() {
+		if dl.event(ev) {
 			return
 		}
 	}
@@ -133,17 +132,14 @@
 	}
 }
 
-func (dl *delivery) event(ev answer.Event) {
+// event sends one event and tells whether it was the caller's last.
+func (dl *delivery) event(ev answer.Event) bool {
 	switch ev.Kind {
 	case answer.Token:
 		dl.token(ev)
+		return false
 	case answer.End:
-		end, err := parseEnd(ev.Data)
-		if err != nil {
-			dl.refused(ev.ID, brokenAnswer())
-			return
-		}
-		dl.end(ev, end)
+		dl.end(ev)
 	case answer.Whole:
 		dl.whole(ev)
 	case answer.Refused:
@@ -151,6 +147,7 @@
 	default:
 		dl.refused(ev.ID, brokenAnswer())
 	}
+	return true
 }
 
 func (dl *delivery) token(ev answer.Event) {
@@ -166,7 +163,12 @@
 	dl.sendEvent(ev.ID, "", dl.chunk(chatChoice{Delta: delta}, nil))
 }
 
-func (dl *delivery) end(ev answer.Event, end ChatEnd) {
+func (dl *delivery) end(ev answer.Event) {
+	end, err := parseEnd(ev.Data)
+	if err != nil {
+		dl.refused(ev.ID, brokenAnswer())
+		return
+	}
 	choice := chatChoice{
 		Delta:        &chatDelta{Content: strings.ToValidUTF8(string(dl.held), "\uFFFD")},
 		FinishReason: &end.FinishReason,
@@ -283,22 +285,28 @@
 		if err != nil {
 			abort()
 		}
-		if dl.gather(ev); ev.Kind.Final() {
+		if dl.gather(ev) {
 			return
 		}
 	}
 }
 
-func (dl *delivery) gather(ev answer.Event) {
-	if ev.Kind == answer.Token {
+// gather takes one event in and tells whether it was the last.
+func (dl *delivery) gather(ev answer.Event) bool {
+	switch ev.Kind {
+	case answer.Token:
 		dl.tokens++
 		_, _ = dl.text.Write(ev.Data)
-		return
-	}
-	if ev.Kind != answer.End {
-		dl.event(ev)
-		return
+		return false
+	case answer.End:
+		dl.gathered(ev)
+		return true
+	default:
+		return dl.event(ev)
 	}
+}
+
+func (dl *delivery) gathered(ev answer.Event) {
 	end, err := parseEnd(ev.Data)
 	if err != nil {
 		dl.refused(ev.ID, brokenAnswer())
