--- a/internal/caller/whole.go
+++ b/internal/caller/whole.go
@@ -20,22 +20,28 @@
 		if err != nil {
 			abort()
 		}
-		if dl.gather(ev); ev.Kind.Final() {
+		if dl.gather(ev) {
 			return
 		}
 	}
 }
 
-func (dl *delivery) gather(ev answer.Event) {
-	if ev.Kind == answer.Token {
+// gather takes one event in and tells whether it was the last.
+func (dl *delivery) gather(ev answer.Event) bool {
+	switch ev.Kind {
+	case answer.Token:
 		dl.tokens++
 		_, _ = dl.text.Write(ev.Data)
-		return
-	}
-	if ev.Kind != answer.End {
-		dl.event(ev)
-		return
+		return false
+	case answer.End:
+		dl.gathered(ev)
+		return true
+	default:
+		return dl.event(ev)
 	}
+}
+
+func (dl *delivery) gathered(ev answer.Event) {
 	end, err := parseEnd(ev.Data)
 	if err != nil {
 		dl.refused(ev.ID, brokenAnswer())
