--- a/cmd/alderbench/main.go
+++ b/cmd/alderbench/main.go
@@ -1,5 +1,5 @@
 // Command alderbench runs the scheduling bench and writes its table and its
-// plots. The figures are the same at every run and on every machine.
+// plots. The figures are the same at every run on machines of one architecture.
 //
 // # Usage
 //
--- a/internal/sched/bench/doc.go
+++ b/internal/sched/bench/doc.go
@@ -2,7 +2,7 @@
 // stand-ins under virtual time and measures what callers would see.
 //
 // Everything is seeded and single-threaded: the same [Setup] gives the same
-// [Result] at every run and on every machine. It is a bench of decisions:
+// [Result] at every run; machines of another architecture may round otherwise. It is a bench of decisions:
 // engines are queues with rates, links are shared rates, and the network is
 // one delay between failure domains.
 //
