entry: don't take a runner's CallerGone for the end of a caller who is here

Change: a follower that is told CallerGone claims the key anew and goes on. Conclusion: kept; the decode that the waking VM cancels is computed again.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -53,6 +53,9 @@
 			return errUnknownKey
 		}
 		ev := eventFromWire(ae)
+		if ev.Kind == answer.Refused && ev.Refusal.Reason == refusal.CallerGone {
+			return errUnknownKey // the runner gave up on a caller who is here
+		}
 		if err := rn.st.Add(ev); err != nil {
 			return fmt.Errorf("follow %s: %w", runner.ID, err)
 		}
