entry: make the wake of each decision loop in one place

Cause: six loops held the same closure that reads when a decision wants a tick. Change: wakeOf makes it from the type of the intent; behaviour is unchanged. Measured: go test -race -count=1 ./internal/entry passes, linters clean.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -97,10 +97,7 @@
 	hc.ac = newActor[sched.Event, sched.Intent](ac.vm.Clock, sched.Tick{}, cellTick)
 	hc.ac.step = dc.Step
 	hc.ac.do = hc.carryOut
-	hc.ac.wakeAt = func(in sched.Intent) (clock.Millis, bool) {
-		wk, ok := in.(sched.Wake)
-		return wk.At, ok
-	}
+	hc.ac.wakeAt = wakeOf[sched.Intent](func(wk sched.Wake) clock.Millis { return wk.At })
 	ac.vm.wg.Go(func() { hc.ac.run(ctx) })
 	ac.vm.wg.Go(func() { hc.rec.run(ctx) })
 	hc.ord.start()
--- a/internal/entry/actor.go
+++ b/internal/entry/actor.go
@@ -75,3 +75,15 @@
 		ac.do(in)
 	}
 }
+
+// wakeOf makes the wakeAt of an actor whose decisions ask for a tick with an
+// intent of the type Wake.
+func wakeOf[Intent, Wake any](at func(wk Wake) clock.Millis) func(in Intent) (clock.Millis, bool) {
+	return func(in Intent) (clock.Millis, bool) {
+		wk, ok := any(in).(Wake)
+		if !ok {
+			return 0, false
+		}
+		return at(wk), true
+	}
+}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -57,10 +57,7 @@
 	vm.book = newActor[claim.Event, claim.Intent](vm.Clock, claim.Tick{}, bookTick)
 	vm.book.step = vm.stepBook
 	vm.book.do = vm.carryOutBook
-	vm.book.wakeAt = func(in claim.Intent) (clock.Millis, bool) {
-		wk, ok := in.(claim.Wake)
-		return wk.At, ok
-	}
+	vm.book.wakeAt = wakeOf[claim.Intent](func(wk claim.Wake) clock.Millis { return wk.At })
 }
 
 // stepBook takes one step of the book and tells what changed.
@@ -240,10 +237,7 @@
 	cm.ac = newActor[claim.AskerEvent, claim.AskerIntent](vm.Clock, claim.Elapsed{}, askerTick)
 	cm.ac.step = ak.Step
 	cm.ac.do = cm.carryOut
-	cm.ac.wakeAt = func(in claim.AskerIntent) (clock.Millis, bool) {
-		wk, ok := in.(claim.Wake)
-		return wk.At, ok
-	}
+	cm.ac.wakeAt = wakeOf[claim.AskerIntent](func(wk claim.Wake) clock.Millis { return wk.At })
 	vm.wg.Go(func() { cm.ac.run(ctx) })
 	vm.wg.Go(cm.watch)
 	cm.ac.tell(ctx, claim.Begin{Seats: vm.seats.Load(), Fleet: vm.Board.Fleet()})
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -64,10 +64,7 @@
 	fw.ac = newActor[register.Event, register.Intent](vm.Clock, register.Tick{}, followerTick)
 	fw.ac.step = fw.step
 	fw.ac.do = fw.carryOut
-	fw.ac.wakeAt = func(in register.Intent) (clock.Millis, bool) {
-		wk, ok := in.(register.Wake)
-		return wk.At, ok
-	}
+	fw.ac.wakeAt = wakeOf[register.Intent](func(wk register.Wake) clock.Millis { return wk.At })
 	return fw
 }
 
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -46,10 +46,7 @@
 	le.ac = newActor[register.HolderEvent, register.HolderIntent](vm.Clock, register.LeaseTick{}, leaseTick)
 	le.ac.step = le.step
 	le.ac.do = le.carryOut
-	le.ac.wakeAt = func(in register.HolderIntent) (clock.Millis, bool) {
-		wk, ok := in.(register.Wake)
-		return wk.At, ok
-	}
+	le.ac.wakeAt = wakeOf[register.HolderIntent](func(wk register.Wake) clock.Millis { return wk.At })
 	return le
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -53,10 +53,7 @@
 		return out
 	}
 	vm.members.do = vm.moveFleet
-	vm.members.wakeAt = func(in membership.Intent) (clock.Millis, bool) {
-		wk, ok := in.(membership.Wake)
-		return wk.At, ok
-	}
+	vm.members.wakeAt = wakeOf[membership.Intent](func(wk membership.Wake) clock.Millis { return wk.At })
 }
 
 // moveFleet carries out what membership intends.
