--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -335,7 +336,7 @@
 func freePorts(count int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
 	for len(out) < count {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", ownHost()+":0")
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
@@ -359,3 +360,10 @@
 	set.TPOT = max(1, clock.Millis(float64(set.TPOT)/factor))
 	return set
 }
+
+// ownHost is a loopback IP number of this process, so that no other process
+// takes a port between its choice and its use.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 64+pid>>8&63, pid&255)
+}
