--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -40,6 +40,18 @@
 // findAt asks one VM. The stream that it returns is fed until the answer has
 // its end or the last reader has left.
 func (vm *VM) findAt(ctx context.Context, to board.VM, id requestID) (*answer.Stream, error) {
+	cn, err := vm.openAnswer(ctx, to, id)
+	if err != nil {
+		return nil, err
+	}
+	fd := &finder{cn: cn, st: answer.NewStream()}
+	fd.st.OnWatchers(fd.watch)
+	vm.wg.Go(fd.feed)
+	return fd.st, nil
+}
+
+// openAnswer opens the answer of a key at a VM that runs or keeps it.
+func (vm *VM) openAnswer(ctx context.Context, to board.VM, id requestID) (frames, error) {
 	ctx, stop := context.WithTimeout(ctx, callWithin.Std())
 	defer stop()
 	cn, err := vm.Peers.Open(context.WithoutCancel(ctx), to)
@@ -56,10 +68,7 @@
 		cn.Close()
 		return nil, errUnknownKey
 	}
-	fd := &finder{cn: cn, st: answer.NewStream()}
-	fd.st.OnWatchers(fd.watch)
-	vm.wg.Go(fd.feed)
-	return fd.st, nil
+	return cn, nil
 }
 
 func (fd *finder) watch(watchers int) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -215,6 +215,10 @@
 		ma.rs.end(sched.Ended)
 		return
 	}
+	if ma.rn.takenOver(ctx) {
+		ma.rs.end(sched.Lost) // the accountant frees the place once no engine holds the run
+		return
+	}
 	var settled []<-chan struct{}
 	for server := range ma.touched {
 		settled = append(settled, ma.rn.vm.janitor.free(ma.rn.vm.runCtx, server, ma.name))
@@ -286,7 +290,8 @@
 }
 
 // readOn follows the decode of a runner that can't be reached. The decode
-// stays the runner's: it is neither cancelled nor claimed.
+// stays the runner's: it is neither cancelled nor claimed. Once the runner
+// answers again, or is lost, the request is looked at anew.
 func (rn *run) readOn(ctx context.Context, dec claim.Decided) bool {
 	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
 	if !ok || rn.req.Chat == nil {
@@ -295,6 +300,7 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	rn.vm.wg.Go(func() { rn.vm.awaitLoss(ctx, dec.Runner, func() { stop(errLost) }) })
+	rn.vm.wg.Go(func() { rn.awaitRunner(ctx, dec.Runner, func() { stop(errAgain) }) })
 	st, err := rn.vm.Engines.Follow(ctx, srv, dec.EngineRequest, rn.tokens())
 	if err != nil {
 		return false
--- a/internal/entry/reconcile.go
+++ b/internal/entry/reconcile.go
@@ -220,7 +220,7 @@
 		rc.runs += len(runs)
 		for _, rn := range runs {
 			held[rn.Request] = true
-			if rc.gone(rn.VM) {
+			if rc.hc.vm.gone(rn.VM) {
 				st := stray{Server: srv.ID, Request: rn.Request}
 				seen[st] = true
 				rc.stray(srv, st, rn)
@@ -243,13 +243,13 @@
 
 // gone tells whether a VM is known not to serve any more: held dead, stopped,
 // or replaced by a newer run of the same VM.
-func (rc *reconciler) gone(ref board.VMRef) bool {
-	fl := rc.hc.vm.Board.Fleet()
-	vm, ok := fl.VM(ref.ID)
+func (vm *VM) gone(ref board.VMRef) bool {
+	fl := vm.Board.Fleet()
+	other, ok := fl.VM(ref.ID)
 	if !ok {
-		return fl.Quorate && rc.hc.vm.Clock.Now()-rc.hc.vm.startedAt > knowsFleet
+		return fl.Quorate && vm.Clock.Now()-vm.startedAt > knowsFleet
 	}
-	return vm.Incarnation > ref.Incarnation || vm.Health == board.Dead || vm.Health == board.Left
+	return other.Incarnation > ref.Incarnation || other.Health == board.Dead || other.Health == board.Left
 }
 
 // stray cancels a lost VM's request once nobody took it over in time.
--- /dev/null
+++ b/internal/entry/rescue.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	// decodesFresh is the age up to which a list of what the engines decode
+	// serves further requests: many callers come back at once when VMs are
+	// lost, and each list asks every decode engine.
+	decodesFresh = clock.Second
+	// listersMost bounds the engines that are asked at a time.
+	listersMost = 16
+)
+
+type (
+	// decodes is what the engines said last of the decodes that they hold. The
+	// zero value knows none.
+	decodes struct {
+		mu     sync.Mutex // held while the engines are asked, so that one ask serves all
+		listed clock.Millis
+		byKey  map[requestID][]heldDecode
+	}
+
+	// heldDecode is a decode that an engine holds.
+	heldDecode struct {
+		server  string
+		request string // its name at the engine
+		runner  board.VMRef
+	}
+)
+
+// of finds the decode of a key. There is none if the engines hold several:
+// which of them made the caller's part can't be told.
+func (ds *decodes) of(ctx context.Context, vm *VM, id requestID) (heldDecode, bool) {
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
+	if now := vm.Clock.Now(); ds.byKey == nil || now-ds.listed >= decodesFresh {
+		ds.byKey, ds.listed = vm.listDecodes(ctx), now
+	}
+	if found := ds.byKey[id]; len(found) == 1 {
+		return found[0], true
+	}
+	return heldDecode{}, false
+}
+
+// listDecodes asks all decode engines what they hold.
+func (vm *VM) listDecodes(ctx context.Context) map[requestID][]heldDecode {
+	ctx, stop := context.WithTimeout(ctx, reportWithin.Std())
+	defer stop()
+	var (
+		mu  sync.Mutex
+		gr  errgroup.Group
+		out = make(map[requestID][]heldDecode)
+	)
+	gr.SetLimit(listersMost)
+	for _, srv := range vm.Board.Backends().Servers {
+		if srv.Role == board.Plain {
+			continue
+		}
+		gr.Go(func() error {
+			runs, err := vm.Engines.Running(ctx, srv)
+			if err != nil {
+				vm.Log.Log(event.BackendUnreachable, event.F("Server", srv.ID), event.F("Error", err.Error()))
+				return nil // the other engines may hold what is looked for
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, run := range runs {
+				if id, ok := keyOf(run); ok && run.Stage == sched.Decoding {
+					out[id] = append(out[id], heldDecode{server: srv.ID, request: run.Request, runner: run.VM})
+				}
+			}
+			return nil
+		})
+	}
+	_ = gr.Wait() // no ask returns an error
+	return out
+}
+
+// keyOf reads the key out of a request's name at an engine, which is
+// customer/key/attempt.
+func keyOf(run engine.Running) (requestID, bool) {
+	rest, ok := strings.CutPrefix(run.Request, run.Customer+"/")
+	end := strings.LastIndexByte(rest, '/')
+	if !ok || end < 0 {
+		return requestID{}, false
+	}
+	return requestID{Customer: run.Customer, Key: rest[:end]}, true
+}
+
+// rescue goes on with the answer that the caller has a part of although the
+// record of its key was lost with the VMs that kept it: the engines know what
+// they decode, and for which VM. It tells whether the answer has its end.
+func (rn *run) rescue(ctx context.Context) bool {
+	if rn.req.Chat == nil || !rn.req.Class.Idempotent {
+		return false
+	}
+	var givenUp board.VMRef
+	for pause := reopenPause; ; pause = min(2*pause, followPause) {
+		held, ok := rn.vm.decodes.of(ctx, rn.vm, rn.id)
+		if !ok || rn.vm.self(held.runner) {
+			return false
+		}
+		dec := claim.Decided{Runner: held.runner, DecodeServer: held.server, EngineRequest: held.request}
+		if rn.vm.gone(held.runner) {
+			rn.tr.add(event.RequestTakenOver, held.server)
+			return rn.resume(ctx, dec)
+		}
+		if rn.followOnce(ctx, dec, &givenUp) == nil {
+			return true
+		}
+		if !clock.Sleep(ctx, pause) {
+			return false
+		}
+	}
+}
+
+// awaitRunner calls back once the VM that runs the request says that it does.
+// A VM that stood still, or was cut off, waits for its caller when it goes on,
+// and gives the request up if nobody reads it there.
+func (rn *run) awaitRunner(ctx context.Context, runner board.VMRef, back func()) {
+	for clock.Sleep(ctx, followPause) {
+		if rn.runs(ctx, runner) {
+			back()
+			return
+		}
+	}
+}
+
+// runs asks a VM whether it runs the request.
+func (rn *run) runs(ctx context.Context, runner board.VMRef) bool {
+	to, ok := rn.vm.Board.Fleet().VM(runner.ID)
+	if !ok || to.Incarnation != runner.Incarnation {
+		return false
+	}
+	cn, err := rn.vm.openAnswer(ctx, to, rn.id)
+	if err != nil {
+		return false
+	}
+	cn.Close()
+	return true
+}
+
+// takenOver tells whether another VM goes on with the request, so that what
+// the engines hold is no longer this VM's to cancel. A VM that stood still may
+// have been overtaken unawares: before it cancels for want of a caller, it
+// asks the seats of the key.
+func (rn *run) takenOver(ctx context.Context) bool {
+	if errors.Is(context.Cause(ctx), errLost) {
+		return true
+	}
+	var rf refusal.Refusal
+	if !errors.As(context.Cause(ctx), &rf) || rf.Reason != refusal.CallerGone || rn.claimed.ctx.Err() != nil {
+		return false
+	}
+	within, stop := context.WithTimeout(rn.vm.runCtx, claimTimeout.Std())
+	defer stop()
+	seen := rn.claimed.decisions()
+	rn.claimed.revalidate()
+	dec, err := rn.claimed.verdict(within, seen)
+	return err == nil && dec.Verdict == claim.Lost
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -291,6 +291,9 @@
 		return drainingRefusal()
 	}
 	if rn.req.Resumed && dec.Verdict != claim.TakeOver {
+		if rn.rescue(ctx) {
+			return nil
+		}
 		return errNotKept
 	}
 	if dec.Verdict == claim.TakeOver {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -90,6 +90,7 @@
 		runs       runs
 		traces     traces
 		janitor    janitor
+		decodes    decodes
 		accountant accountant
 		alone      alone
 		chooser    chooser
--- a/internal/integration/answer_test.go
+++ b/internal/integration/answer_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,28 @@
 	fl.check()
 	fl.note(func(hs *invariant.History) { assert.Equal(t, len(hs.Calls), 1) })
 }
+
+// Two VMs of different failure domains are killed at once, so that the record
+// of some keys is lost with both. Every caller has a part of its answer, the
+// engines go on with it, and each gets the rest without a second run.
+func TestRecordsLostWithTwoVMs(t *testing.T) {
+	t.Parallel()
+	pl := usual()
+	pl.vms, pl.decode = 5, 8
+	fl := startFleet(t, pl)
+	calls := make(map[string]*ongoing)
+	for ix := range 30 {
+		key := fmt.Sprintf("record-%d", ix)
+		calls[key] = fl.chat(fl.client(), "findings", key, 600)
+	}
+	for _, og := range calls {
+		eventually(t, "the answer is under way", func() bool { return og.received() > 5*tokenBytes })
+	}
+	fl.vms[0].kill(t)
+	fl.vms[3].kill(t)
+	for key, og := range calls {
+		assert.Check(t, og.end(), "%s", key)
+		assert.Check(t, len(fl.engineRuns(board.Decode, key)) == 1, "%s", key)
+	}
+	fl.check()
+}
--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -87,22 +87,30 @@
 
 // explain tells what the VMs know about a request.
 func (fl *fleet) explain(key string) string {
-	var sb strings.Builder
 	for _, vm := range fl.vms {
-		ctx, stop := context.WithTimeout(context.Background(), time.Second)
-		reply, err := vm.ops.Explain(ctx, customer, key)
-		stop()
-		if err != nil {
-			continue
-		}
-		for _, line := range reply.Lines {
-			fmt.Fprintf(&sb, "\t%s %6v %s\n", line.VM, line.Since, line.Text)
+		if story := fl.explainAt(vm, key); story != "" {
+			return story
 		}
-		return sb.String()
 	}
 	return "\tno VM can be asked\n"
 }
 
+// explainAt is what one VM and those that it can ask know about a request;
+// empty if the VM can't be asked.
+func (fl *fleet) explainAt(vm *vm, key string) string {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	reply, err := vm.ops.Explain(ctx, customer, key)
+	if err != nil {
+		return ""
+	}
+	var sb strings.Builder
+	for _, line := range reply.Lines {
+		fmt.Fprintf(&sb, "\t%s %6v %s\n", line.VM, line.Since, line.Text)
+	}
+	return sb.String()
+}
+
 // endOf is the end of a call in the words of the checker. A call that broke
 // off has a refusal that promises nothing, as pkg/client would make it.
 func endOf(ctx context.Context, err error) invariant.End {
--- a/internal/integration/pause_test.go
+++ b/internal/integration/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +110,26 @@
 	results.span("one fleet again after a partition", time.Since(healed))
 	fl.check()
 }
+
+// A VM stands still until another VM, which follows its answer, reads that on
+// at the engine, and wakes. It does not take the caller, who reads elsewhere,
+// for gone.
+func TestRunnerWakesWhileItsAnswerIsReadOn(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	runner, follower := fl.vms[0], fl.vms[1]
+	early := fl.chatAt(runner, "read-on", 900)
+	assert.Equal(t, fl.runnerOf("read-on", 10), runner)
+	og := fl.chatAt(follower, "read-on", 900)
+	sees := func(what string) func() bool {
+		return func() bool { return strings.Contains(fl.explainAt(follower, "read-on"), what) }
+	}
+	eventually(t, "the other VM follows", sees("Following"))
+	early.leave()
+	runner.pause(t)
+	eventually(t, "the other VM reads the decode on", sees("ReadOn"))
+	runner.resume(t)
+	assert.Check(t, og.end())
+	assert.Equal(t, len(fl.engineRuns(board.Decode, "read-on")), 1)
+	fl.check()
+}
