--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -151,7 +151,7 @@
 		if err == nil && reply.Accepted {
 			return fl.awaitRevision(ctx, tpl.Customer, reply.Revision)
 		}
-		if !pause(ctx) {
+		if !clock.Sleep(ctx, readyPoll) {
 			return fmt.Errorf("publish the template: %w", errors.Join(context.Cause(ctx), err))
 		}
 	}
@@ -164,7 +164,7 @@
 			if err == nil && reply.Revision >= revision {
 				break
 			}
-			if !pause(ctx) {
+			if !clock.Sleep(ctx, readyPoll) {
 				return fmt.Errorf("wait for the template at %s: %w", fl.sets[ix].ID, context.Cause(ctx))
 			}
 		}
@@ -182,7 +182,7 @@
 			if err == nil && st.Seats == vmCount {
 				break
 			}
-			if !pause(ctx) {
+			if !clock.Sleep(ctx, readyPoll) {
 				return fmt.Errorf("wait for the seats at %s: %w", fl.sets[ix].ID, context.Cause(ctx))
 			}
 		}
@@ -212,15 +212,6 @@
 `, APIKey, caller, APIKey, Model, caller, APIKey, caller, Plain, op, op, deployment.OperatorToken)
 }
 
-func pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(readyPoll.Std()):
-		return true
-	}
-}
-
 // hosts are the VMs' IP numbers, so that each has the usual ports.
 func hosts() []netip.Addr {
 	var out []netip.Addr
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -95,12 +95,7 @@
 func (ne *Neighbours) Prepare() {
 	ne.listed, ne.read = make(map[string]vmEntry), make(chan struct{}, 1)
 	ne.Topic = &topic.Follower{Source: ne.Store, Name: ne.Name, Wait: ownWait, Pause: ownPause, Patience: ownPatience, Log: ne.Log,
-		Change: ne.take, Fresh: ne.noteRead, Reader: ne.Reads, Tell: ne.TellNews,
-		Whole: func(recs []topic.Record) {
-			for _, rec := range recs {
-				ne.take(rec)
-			}
-		}}
+		Whole: topic.Each(ne.take), Change: ne.take, Fresh: ne.noteRead, Reader: ne.Reads, Tell: ne.TellNews}
 }
 
 func (ne *Neighbours) take(rec topic.Record) {
@@ -241,31 +236,29 @@
 
 // View is the fleet as this VM sees it; without a fleet, itself alone.
 func (ne *Neighbours) View() *board.Fleet {
-	ne.mu.Lock()
-	fl := ne.fleet
-	ne.mu.Unlock()
-	if fl == nil {
-		return &board.Fleet{}
+	if fl := ne.joined(); fl != nil {
+		return fl.View()
 	}
-	return fl.View()
+	return &board.Fleet{}
+}
+
+// joined is the fleet; nil before the secret is known.
+func (ne *Neighbours) joined() *Fleet {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	return ne.fleet
 }
 
 // Leave announces a planned stop to the others.
 func (ne *Neighbours) Leave(ctx context.Context) {
-	ne.mu.Lock()
-	fl := ne.fleet
-	ne.mu.Unlock()
-	if fl != nil {
+	if fl := ne.joined(); fl != nil {
 		fl.Leave(ctx)
 	}
 }
 
 // TellNews passes on to the others what was read of a topic.
 func (ne *Neighbours) TellNews(nw topic.News) {
-	ne.mu.Lock()
-	fl := ne.fleet
-	ne.mu.Unlock()
-	if fl != nil {
+	if fl := ne.joined(); fl != nil {
 		fl.TellNews(nw)
 	}
 }
@@ -290,10 +283,7 @@
 
 // TellUsage tells the others what this VM has at the engines.
 func (ne *Neighbours) TellUsage(rp usage.Report) {
-	ne.mu.Lock()
-	fl := ne.fleet
-	ne.mu.Unlock()
-	if fl != nil {
+	if fl := ne.joined(); fl != nil {
 		fl.TellUsage(rp)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,7 +16,7 @@
 //
 //	po := &pool.Pool{Rand: rand.New(rand.NewPCG(1, 2))}
 //	po.Update(servers)
-//	tk := po.Enter(pool.Ask{Tokens: 9000, Returning: true})
+//	tk := po.Enter(pool.Ask{Returning: true})
 //	defer po.Leave(tk)
 //	if po.First(tk, false) {
 //		for _, bs := range po.Decoders(now, 5500, capacity, need) { ... } // reserve; then Take or Full
@@ -50,7 +50,6 @@
 type (
 	// Ask is a generation that needs a place.
 	Ask struct {
-		Tokens    int  // to reserve
 		Returning bool // it was refused before
 	}
 
@@ -151,9 +150,8 @@
 
 // Decoders lists the engines to ask for a place for so many tokens, those
 // first that are expected to need the least memory, by chance among those that
-// need about as much.
-// Need tells what an engine will need with the request; those that will need
-// more than the limit are left out.
+// need about as much. Need tells what an engine will need with the request;
+// those that will need more than the limit are left out.
 func (po *Pool) Decoders(now clock.Millis, tokens, limit int, need func(id string) int) []board.BackendServer {
 	fit := po.well(now)
 	needs := make(map[*engine]int, len(fit))
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -47,9 +47,9 @@
 
 func TestReturningRequestsGoFirst(t *testing.T) {
 	po := newPool(board.Decode)
-	first := po.Enter(pool.Ask{Tokens: 1})
-	second := po.Enter(pool.Ask{Tokens: 1})
-	back := po.Enter(pool.Ask{Tokens: 1, Returning: true})
+	first := po.Enter(pool.Ask{})
+	second := po.Enter(pool.Ask{})
+	back := po.Enter(pool.Ask{Returning: true})
 	var order []*pool.Ticket
 	for _, want := range []*pool.Ticket{back, first, second} {
 		assert.Assert(t, po.First(want, false))
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -46,18 +46,10 @@
 // is left at the engines, and the place is the caller's to leave.
 func (rl *Relay) start(ctx context.Context, ex *exchange, pl place) (*run, error) {
 	hd := rl.prefill(ctx, ex)
-	if ctx.Err() != nil {
+	if err := rl.mayDecode(ctx, pl); err != nil {
 		rl.forget(ex, hd)
 		rl.release(ex, pl)
-		return nil, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: ctx.Err()}
-	}
-	rl.mu.Lock()
-	stays := rl.poolOf(ex.svc.Name).Stays(pl.server.ID)
-	rl.mu.Unlock()
-	if !stays {
-		rl.forget(ex, hd)
-		rl.release(ex, pl)
-		return nil, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: errLeft}
+		return nil, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
 	}
 	rsp, err := rl.decode(ctx, ex, pl, hd, ex.req.After)
 	if err != nil {
@@ -66,6 +58,19 @@
 	return rl.newRun(ex, pl, rsp), nil
 }
 
+// mayDecode tells why a decode at a place is of no use any more; nil if it is.
+func (rl *Relay) mayDecode(ctx context.Context, pl place) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if !rl.poolOf(pl.service).Stays(pl.server.ID) {
+		return errLeft
+	}
+	return nil
+}
+
 // decode begins a decode at a place. If the engine declines a computed prompt
 // it is asked once to compute the prompt itself: the prompt may have lapsed,
 // which says nothing of this engine. After an error nothing is left at the
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -105,7 +105,7 @@
 		defer timer.Stop()
 	}
 	at.rsp, at.err = rl.Servers.Send(within, bs, ex.req, Options{Left: rl.left(ex), After: ex.req.After})
-	if !backend.NotRun(at.err) || at.err == nil {
+	if !backend.NotRun(at.err) {
 		ex.ran++
 	}
 	if at.err == nil && ex.rt.Kind != route.Stream {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,7 +191,12 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.prepare()
-	rl.budget.Settings.Burst = max(leastBurst, rl.Settings.Slack/float64(max(leastVMs, vms)))
+	rl.budget.Settings.Burst = rl.burst(vms)
+}
+
+// burst is the part of the fleet's slack of retries that is this VM's.
+func (rl *Relay) burst(vms int) float64 {
+	return max(leastBurst, rl.Settings.Slack/float64(max(leastVMs, vms)))
 }
 
 // Open is the number of requests in progress.
@@ -295,7 +300,7 @@
 		Failures: rl.Settings.Failures, Eject: rl.Settings.Eject, SlowStart: rl.Settings.SlowStart}}
 	rl.budget = &retry.Policy{Rand: rl.Rand, Settings: rl.Settings.Budget}
 	if rl.Settings.Slack > 0 {
-		rl.budget.Settings.Burst = max(leastBurst, rl.Settings.Slack/leastVMs)
+		rl.budget.Settings.Burst = rl.burst(0)
 	}
 	rl.pools = make(map[string]*pool.Pool)
 	rl.longest = make(map[string]clock.Millis)
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -100,6 +100,15 @@
 	}
 )
 
+// Each takes a listing as if each of its records were a change.
+func Each(change func(rec Record)) func(recs []Record) {
+	return func(recs []Record) {
+		for _, rec := range recs {
+			change(rec)
+		}
+	}
+}
+
 // Kick ends the read that waits, so that the topic is asked anew.
 func (fo *Follower) Kick() {
 	fo.mu.Lock()
