pool, usage, relay: one order of turns for all VMs that wait for a place

From the VMs' logs: 546 placements came within 5 ms of another VM's on the same engine. Each VM hears of the place that becomes free at the same moment, and all that wait choose it. Ruled out: words that are late (VMs heard all, hearsAll held), the fill (the concurrency went to 14 runs where 8 fit on average). Change: VMs tell each other which requests wait, and for how long. Each works out which of them take their places first, takes those out of the room that it sees, and chooses among what is left.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -6,6 +6,7 @@
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/topic"
 	"alderdyke/internal/usage"
+	"alderdyke/pkg/clock"
 )
 
 // newsBytes bounds the keys and values of one message; the rest of a datagram
@@ -90,11 +91,45 @@
 	for engine, tokens := range rp.Prompts {
 		at(engine).Prompts = uint32(tokens)
 	}
+	out.Queues = queuesToWire(rp.Waiting)
+	return out
+}
+
+func queuesToWire(waiting []usage.Ask) []*peerpb.Queue {
+	byService := make(map[string]*peerpb.Queue)
+	var out []*peerpb.Queue
+	for _, ak := range waiting {
+		qu := byService[ak.Service]
+		if qu == nil {
+			qu = &peerpb.Queue{Service: ak.Service}
+			byService[ak.Service] = qu
+			out = append(out, qu)
+		}
+		if ak.Returning {
+			qu.Returning = append(qu.Returning, uint32(ak.Age))
+		} else {
+			qu.New = append(qu.New, uint32(ak.Age))
+		}
+	}
+	return out
+}
+
+func queuesFromWire(queues []*peerpb.Queue) []usage.Ask {
+	var out []usage.Ask
+	for _, qu := range queues {
+		for _, age := range qu.GetReturning() {
+			out = append(out, usage.Ask{Service: qu.GetService(), Returning: true, Age: clock.Millis(age)})
+		}
+		for _, age := range qu.GetNew() {
+			out = append(out, usage.Ask{Service: qu.GetService(), Age: clock.Millis(age)})
+		}
+	}
 	return out
 }
 
 func usageFromWire(us *peerpb.Usage) usage.Report {
-	rp := usage.Report{Prompts: make(map[string]int), Avoided: us.GetAvoided(), Short: us.GetShort()}
+	rp := usage.Report{Prompts: make(map[string]int), Avoided: us.GetAvoided(), Short: us.GetShort(),
+		Waiting: queuesFromWire(us.GetQueues())}
 	for _, en := range us.GetEngines() {
 		if en.GetPrompts() > 0 {
 			rp.Prompts[en.GetEngine()] = int(en.GetPrompts())
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -20,6 +20,10 @@
 		Prompts: map[string]int{"f1": 5200, "e1": 7},
 		Avoided: []string{"e3"},
 		Short:   true,
+		Waiting: []usage.Ask{
+			{Service: "s", Returning: true, Age: 900}, {Service: "s", Age: 120}, {Service: "s", Age: 3},
+			{Service: "t", Age: 40},
+		},
 	}
 	assert.DeepEqual(t, usageFromWire(usageToWire(rp)), rp)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,16 +16,17 @@
 //
 //	po := &pool.Pool{Rand: rand.New(rand.NewPCG(1, 2))}
 //	po.Update(servers)
-//	tk := po.Enter(pool.Ask{Returning: true})
+//	tk := po.Enter(now, pool.Ask{Returning: true})
 //	defer po.Leave(tk)
 //	if po.First(tk, false) {
-//		for _, bs := range po.Decoders(now, 5500, capacity, need) { ... } // reserve; then Take or Full
+//		for _, bs := range po.Decoders(now, pool.Want{Tokens: 5500, Limit: capacity, Need: need}) { ... } // reserve; then Take or Full
 //	}
 //
 // A Pool does no I/O and is not safe for concurrent use.
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -57,6 +58,18 @@
 	Ticket struct {
 		ask    Ask
 		number uint64
+		since  clock.Millis
+		tried  bool // it found no place yet
+	}
+
+	// Want is what a request needs of an engine.
+	Want struct {
+		Tokens int // to reserve
+		Limit  int // that the engine may come to need
+		Before int // requests elsewhere that take their places first
+		// Need is what an engine will need with so many runs like the
+		// request's more than it has.
+		Need func(id string, more int) int
 	}
 
 	// Pool is the engines of one service as one VM uses them. Set the
@@ -105,9 +118,9 @@
 }
 
 // Enter puts a request into the queue.
-func (po *Pool) Enter(ask Ask) *Ticket {
+func (po *Pool) Enter(now clock.Millis, ask Ask) *Ticket {
 	po.number++
-	tk := &Ticket{ask: ask, number: po.number}
+	tk := &Ticket{ask: ask, number: po.number, since: now}
 	at, _ := slices.BinarySearchFunc(po.queue, tk, compare)
 	po.queue = slices.Insert(po.queue, at, tk)
 	return tk
@@ -148,22 +161,53 @@
 // Waiting is the number of requests in the queue.
 func (po *Pool) Waiting() int { return len(po.queue) }
 
-// Decoders lists the engines to ask for a place for so many tokens, those
-// first that are expected to need the least memory, by chance among those that
-// need about as much. Need tells what an engine will need with the request;
-// those that will need more than the limit are left out.
-func (po *Pool) Decoders(now clock.Millis, tokens, limit int, need func(id string) int) []board.BackendServer {
+// Tried notes that a request found no place, and tells whether that is new.
+func (po *Pool) Tried(tk *Ticket) bool {
+	fresh := !tk.tried
+	tk.tried = true
+	return fresh
+}
+
+// Tickets lists the requests that found no place yet, in the order of their
+// turns.
+func (po *Pool) Tickets() []*Ticket {
+	var out []*Ticket
+	for _, tk := range po.queue {
+		if tk.tried {
+			out = append(out, tk)
+		}
+	}
+	return out
+}
+
+// Ask is the generation that the ticket is for.
+func (tk *Ticket) Ask() Ask { return tk.ask }
+
+// Waited is how long the request has been in the queue.
+func (tk *Ticket) Waited(now clock.Millis) clock.Millis { return now - tk.since }
+
+// Decoders lists the engines to ask for a place, those first that are expected
+// to need the least memory. Those that will need more than the limit are left
+// out, and so is the room that requests elsewhere will take first: every VM
+// that waits works out the same choices, and so they don't all choose the
+// engine at which a place became free. If none is before the request, alike
+// engines are taken by chance, for the same reason.
+func (po *Pool) Decoders(now clock.Millis, wt Want) []board.BackendServer {
 	fit := po.well(now)
 	needs := make(map[*engine]int, len(fit))
 	for _, en := range fit {
-		needs[en] = need(en.server.ID)
+		needs[en] = wt.Need(en.server.ID, 1)
+	}
+	fits := func(en *engine) bool {
+		return needs[en] <= wt.Limit && (now >= en.fullUntil || wt.Tokens < en.fullTokens)
+	}
+	fit = slices.DeleteFunc(fit, func(en *engine) bool { return !fits(en) })
+	grain := 1
+	if wt.Before == 0 {
+		grain = max(1, wt.Limit/needGrains)
+	} else if fit = takeFirst(fit, wt, needs); len(fit) == 0 {
+		return nil
 	}
-	fit = slices.DeleteFunc(fit, func(en *engine) bool {
-		return needs[en] > limit || now < en.fullUntil && tokens >= en.fullTokens
-	})
-	// VMs that choose within the time that their words take must not all
-	// choose the same engine: alike ones are chosen by chance.
-	grain := max(1, limit/needGrains)
 	po.order(fit, func(en *engine) int { return needs[en] / grain })
 	out := make([]board.BackendServer, 0, len(fit))
 	for _, en := range fit {
@@ -172,6 +216,26 @@
 	return out
 }
 
+// takeFirst takes the places of the requests that are before this one out of
+// the room at the engines, and returns the engines that have more.
+func takeFirst(fit []*engine, wt Want, needs map[*engine]int) []*engine {
+	taken := make(map[*engine]int)
+	for range wt.Before {
+		if len(fit) == 0 {
+			return nil
+		}
+		least := slices.MinFunc(fit, func(ea, eb *engine) int {
+			return cmp.Or(cmp.Compare(needs[ea], needs[eb]), cmp.Compare(ea.server.ID, eb.server.ID))
+		})
+		taken[least]++
+		needs[least] = wt.Need(least.server.ID, 1+taken[least])
+		if needs[least] > wt.Limit {
+			fit = slices.DeleteFunc(fit, func(en *engine) bool { return en == least })
+		}
+	}
+	return fit
+}
+
 // Prefiller chooses the engine that computes a prompt: the one with the least
 // before it, by chance among equals. Ahead tells how many tokens of prompts an
 // engine has; one with more than the limit is left out, and so is one that
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -37,7 +37,7 @@
 
 // decoders asks without a limit.
 func decoders(po *pool.Pool, now clock.Millis, tokens int) []board.BackendServer {
-	return po.Decoders(now, tokens, 1, func(string) int { return 0 })
+	return po.Decoders(now, pool.Want{Tokens: tokens, Limit: 1, Need: func(string, int) int { return 0 }})
 }
 
 // prefiller asks for engines that have nothing before them.
@@ -47,9 +47,9 @@
 
 func TestReturningRequestsGoFirst(t *testing.T) {
 	po := newPool(board.Decode)
-	first := po.Enter(pool.Ask{})
-	second := po.Enter(pool.Ask{})
-	back := po.Enter(pool.Ask{Returning: true})
+	first := po.Enter(0, pool.Ask{})
+	second := po.Enter(0, pool.Ask{})
+	back := po.Enter(0, pool.Ask{Returning: true})
 	var order []*pool.Ticket
 	for _, want := range []*pool.Ticket{back, first, second} {
 		assert.Assert(t, po.First(want, false))
@@ -62,9 +62,9 @@
 
 func TestNewRequestsGoFirstWherePlacesAreWanting(t *testing.T) {
 	po := newPool(board.Decode)
-	back := po.Enter(pool.Ask{Returning: true})
+	back := po.Enter(0, pool.Ask{Returning: true})
 	assert.Assert(t, !po.First(back, true), "places are kept for new ones")
-	fresh := po.Enter(pool.Ask{})
+	fresh := po.Enter(0, pool.Ask{})
 	assert.Assert(t, po.First(fresh, true))
 	assert.Assert(t, po.First(back, false))
 }
@@ -72,9 +72,28 @@
 func TestDecodersThatNeedLeastComeFirst(t *testing.T) {
 	po := newPool(board.Decode, board.Decode, board.Prefill, board.Decode)
 	needs := map[string]int{"a": 500, "b": 100, "d": 0}
-	need := func(id string) int { return needs[id] }
-	assert.DeepEqual(t, ids(po.Decoders(0, 10, 500, need)), []string{"d", "b", "a"})
-	assert.DeepEqual(t, ids(po.Decoders(0, 10, 499, need)), []string{"d", "b"})
+	need := func(id string, more int) int { return needs[id] + 100*(more-1) }
+	assert.DeepEqual(t, ids(po.Decoders(0, pool.Want{Tokens: 10, Limit: 500, Need: need})), []string{"d", "b", "a"})
+	assert.DeepEqual(t, ids(po.Decoders(0, pool.Want{Tokens: 10, Limit: 499, Need: need})), []string{"d", "b"})
+}
+
+// A request takes no room that others, which wait for longer, take first.
+func TestDecodersLeaveRoomToThoseBefore(t *testing.T) {
+	po := newPool(board.Decode, board.Decode, board.Prefill, board.Decode)
+	needs := map[string]int{"a": 500, "b": 300, "d": 100}
+	need := func(id string, more int) int { return needs[id] + 150*(more-1) }
+	for _, tc := range []struct {
+		before int
+		want   []string
+	}{
+		{0, []string{"d", "b"}},
+		{1, []string{"d", "b"}}, // d has room for two, and needs less than b with one more
+		{2, []string{"b"}},
+		{3, nil},
+		{9, nil},
+	} {
+		assert.DeepEqual(t, ids(po.Decoders(0, pool.Want{Limit: 399, Before: tc.before, Need: need})), tc.want)
+	}
 }
 
 func TestFullEngineIsAskedAgainLaterOrForLess(t *testing.T) {
@@ -149,9 +168,9 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
-				fresh = append(fresh, po.Enter(pool.Ask{}))
+				fresh = append(fresh, po.Enter(0, pool.Ask{}))
 			case 1:
-				back = append(back, po.Enter(pool.Ask{Returning: true}))
+				back = append(back, po.Enter(0, pool.Ask{Returning: true}))
 			default:
 				all := slices.Concat(back, fresh)
 				if len(all) == 0 {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -108,12 +108,13 @@
 	rl.mu.Lock()
 	back := rl.returning(ex)
 	po := rl.poolOf(ex.svc.Name)
-	tk := po.Enter(pool.Ask{Returning: back})
+	tk := po.Enter(rl.now(), pool.Ask{Returning: back})
 	waiting := po.Waiting()
 	rl.mu.Unlock()
 	defer func() {
 		rl.mu.Lock()
 		po.Leave(tk)
+		rl.usageMoved()
 		rl.signal()
 		rl.mu.Unlock()
 	}()
@@ -186,7 +187,11 @@
 	nd := rl.needOf(ex)
 	var list []board.BackendServer
 	if now := rl.now(); po.First(tk, rl.ledger.Short(now)) {
-		list = po.Decoders(now, nd.reserve, nd.limit, rl.peakAt(now, nd.run))
+		list = po.Decoders(now, pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: rl.before(now, ex, tk, nd),
+			Need: rl.peakAt(now, nd.run)})
+	}
+	if len(list) == 0 && po.Tried(tk) {
+		rl.usageMoved()
 	}
 	rl.mu.Unlock()
 	for _, bs := range list {
@@ -210,6 +215,17 @@
 	return place{}, asked, false
 }
 
+// before counts the requests at other VMs that take their places first. One
+// that reserves all that it may come to leaves the choice to the engines. The
+// lock is held.
+func (rl *Relay) before(now clock.Millis, ex *exchange, tk *pool.Ticket, nd need) int {
+	if nd.limit == noLimit {
+		return 0
+	}
+	ask := usage.Ask{Service: ex.svc.Name, Returning: tk.Ask().Returning, Age: tk.Waited(now)}
+	return rl.ledger.Before(now, ask, func(back bool) clock.Millis { return rl.placeWait(ex.rt, back) })
+}
+
 func (rl *Relay) reserve(ctx context.Context, ex *exchange, bs board.BackendServer, tokens int) (string, error) {
 	ctx, stop := context.WithTimeout(ctx, reserveWithin.Std())
 	defer stop()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/pool"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -238,7 +239,7 @@
 	}
 	rl.mu.Lock()
 	now := rl.now()
-	targets := rl.poolOf(from.service).Decoders(now, 0, noLimit, rl.peakAt(now, from.entry.Run()))
+	targets := rl.poolOf(from.service).Decoders(now, pool.Want{Limit: noLimit, Need: rl.peakAt(now, from.entry.Run())})
 	rl.mu.Unlock()
 	mv := movedRun{err: errNoTarget}
 	for _, to := range targets {
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -26,6 +26,9 @@
 	// fresh.
 	tellPerVM = 14 * clock.Millis(1)
 	tellMost  = usage.Stale * 2 / 5
+	// waitingMost bounds the waiting requests that one word names: it keeps
+	// the word within a datagram.
+	waitingMost = 16
 )
 
 // ShareUsage tells what this VM has at the engines until the context ends:
@@ -34,7 +37,7 @@
 	for {
 		rl.mu.Lock()
 		rl.prepare()
-		rp, changed := rl.ledger.Report(rl.now()), rl.usageChanged
+		rp, changed := rl.report(rl.now()), rl.usageChanged
 		rl.mu.Unlock()
 		tell(rp)
 		if !clock.Sleep(ctx, tellSoonest) {
@@ -50,6 +53,19 @@
 	}
 }
 
+// report is what the others are told. The lock is held.
+func (rl *Relay) report(now clock.Millis) usage.Report {
+	rp := rl.ledger.Report(now)
+	for name, po := range rl.pools {
+		for _, tk := range po.Tickets() {
+			if len(rp.Waiting) < waitingMost {
+				rp.Waiting = append(rp.Waiting, usage.Ask{Service: name, Returning: tk.Ask().Returning, Age: tk.Waited(now)})
+			}
+		}
+	}
+	return rp
+}
+
 // tellSpan is how often the others are told without a change.
 func (rl *Relay) tellSpan() clock.Millis {
 	if rl.Others == nil {
@@ -105,14 +121,14 @@
 	}
 }
 
-// peakAt is what an engine will need with one more run; an engine that is
-// avoided has no room. The lock is held.
-func (rl *Relay) peakAt(now clock.Millis, run usage.Run) func(id string) int {
-	return func(id string) int {
+// peakAt is what an engine will need with so many more runs of a size; an
+// engine that is avoided has no room. The lock is held.
+func (rl *Relay) peakAt(now clock.Millis, run usage.Run) func(id string, more int) int {
+	return func(id string, more int) int {
 		if rl.ledger.Avoided(now, id) {
 			return math.MaxInt
 		}
-		return rl.ledger.Peak(now, id, run)
+		return rl.ledger.Peak(now, id, run, more)
 	}
 }
 
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -14,7 +14,7 @@
 //	var le usage.Ledger
 //	en := le.Begin(usage.Run{Engine: "e1", Tokens: 5200, Left: 4400})
 //	le.Grow(now, en, 63)
-//	if le.Peak(now, "e1", usage.Run{Tokens: 5000, Left: 4000}) <= capacity { ... }
+//	if le.Peak(now, "e1", usage.Run{Tokens: 5000, Left: 4000}, 1) <= capacity { ... }
 //	send(le.Report(now))       // to the other VMs
 //	le.Heard(now, "vm-2", report)
 //	le.End(now, en)
@@ -57,6 +57,13 @@
 		Left   int // expected to come
 	}
 
+	// Ask is a request that waits for a place at a service's engines.
+	Ask struct {
+		Service   string
+		Returning bool         // it was refused before
+		Age       clock.Millis // for which it has waited
+	}
+
 	// Report is what one VM has at the engines.
 	Report struct {
 		Runs    []Run          // by engine
@@ -64,6 +71,9 @@
 		// Avoided lists engines that by their own word, or by an order of the
 		// VM, take no new work for now.
 		Avoided []string
+		// Waiting lists requests that found no place yet, the longest waiting
+		// of a kind first.
+		Waiting []Ask
 		// Short tells that the VM lately refused a new request for want of a
 		// place.
 		Short bool
@@ -206,6 +216,39 @@
 	return false
 }
 
+// Before counts the requests of other VMs that take their places ahead of this
+// one: where places are wanting the new ones that have waited for longer, else
+// returning ones too, and ahead of new ones. A word on a request counts for as
+// long as such a request may wait.
+func (le *Ledger) Before(now clock.Millis, ask Ask, mayWait func(returning bool) clock.Millis) int {
+	short, count := le.Short(now), 0
+	for _, wd := range le.others {
+		since := now - wd.at
+		if since >= Stale {
+			continue
+		}
+		for _, other := range wd.report.Waiting {
+			other.Age += since
+			if other.Service == ask.Service && other.Age <= mayWait(other.Returning) && other.before(ask, short) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// before tells whether a request takes its place ahead of another one.
+func (ak Ask) before(other Ask, short bool) bool {
+	switch {
+	case short && ak.Returning:
+		return false
+	case ak.Returning != other.Returning:
+		return ak.Returning
+	default:
+		return ak.Age > other.Age
+	}
+}
+
 // Report is what this VM has at the engines.
 func (le *Ledger) Report(now clock.Millis) Report {
 	rp := Report{Runs: make([]Run, 0, len(le.own)), Prompts: maps.Clone(le.prompts), Short: now < le.shortUntil}
@@ -238,9 +281,9 @@
 }
 
 // Peak is the most memory, in tokens, that the runs of an engine are expected
-// to need at one time, with one more that begins now.
-func (le *Ledger) Peak(now clock.Millis, engine string, more Run) int {
-	list := []Run{more}
+// to need at one time, with so many more of a size that begin now.
+func (le *Ledger) Peak(now clock.Millis, engine string, more Run, count int) int {
+	list := slices.Repeat([]Run{more}, count)
 	for en := range le.own {
 		if en.run.Engine == engine {
 			list = append(list, en.run)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -50,13 +50,13 @@
 	en := le.Begin(Run{Engine: "e1", Tokens: 100, Left: 50})
 	le.Begin(Run{Engine: "e2", Tokens: 7, Left: 0})
 	le.Heard(1000, "vm-2", Report{Runs: []Run{{Engine: "e1", Tokens: 10, Left: 0}, {Engine: "e2", Tokens: 1, Left: 0}}})
-	assert.Equal(t, le.Peak(1000, "e1", Run{}), 150, "the other's run ends before this one's")
+	assert.Equal(t, le.Peak(1000, "e1", Run{}, 1), 150, "the other's run ends before this one's")
 	le.Grow(1000, en, 20)
 	assert.DeepEqual(t, le.Report(0).Runs, []Run{{"e1", 120, 30}, {"e2", 7, 0}})
-	assert.Equal(t, le.Peak(1000, "e1", Run{}), 150, "growth was foreseen")
+	assert.Equal(t, le.Peak(1000, "e1", Run{}, 1), 150, "growth was foreseen")
 	le.End(1010, en)
-	assert.Equal(t, le.Peak(1010, "e1", Run{}), 10)
-	assert.Equal(t, le.Peak(1000+Stale, "e1", Run{}), 0, "an old word counts no more")
+	assert.Equal(t, le.Peak(1010, "e1", Run{}, 1), 10)
+	assert.Equal(t, le.Peak(1000+Stale, "e1", Run{}, 1), 0, "an old word counts no more")
 	assert.Assert(t, !le.Hears(1000+Stale, "vm-2"))
 }
 
@@ -66,7 +66,7 @@
 	le.Heard(0, "vm-2", Report{Runs: []Run{{Engine: "e1", Tokens: 100, Left: 1400}}})
 	var now clock.Millis = 500
 	// 700 tokens on, a new run of 900 meets the rest of the old one.
-	assert.Equal(t, le.Peak(now, "e1", Run{Tokens: 900, Left: 100}), 800+900+2*100)
+	assert.Equal(t, le.Peak(now, "e1", Run{Tokens: 900, Left: 100}, 1), 800+900+2*100)
 }
 
 func TestRunThatOutgrowsItsGuess(t *testing.T) {
@@ -114,3 +114,34 @@
 	assert.Assert(t, !le.Avoided(6001, "e1"))
 	assert.Equal(t, len(le.Report(6001).Avoided), 0)
 }
+
+func TestRequestsThatGoBefore(t *testing.T) {
+	mayWait := func(back bool) clock.Millis {
+		if back {
+			return 3000
+		}
+		return 200
+	}
+	var le Ledger
+	le.Heard(1000, "vm-2", Report{Waiting: []Ask{
+		{Service: "s", Returning: true, Age: 500}, {Service: "s", Age: 100}, {Service: "s", Age: 20}, {Service: "t", Age: 150},
+	}})
+	for _, tc := range []struct {
+		name string
+		now  clock.Millis
+		ask  Ask
+		want int
+	}{
+		{"a new one behind an older one and the returning one", 1010, Ask{Service: "s", Age: 50}, 2},
+		{"the youngest", 1010, Ask{Service: "s"}, 3},
+		{"a returning one that waits for longer", 1010, Ask{Service: "s", Returning: true, Age: 600}, 0},
+		{"a returning one behind another", 1010, Ask{Service: "s", Returning: true, Age: 400}, 1},
+		{"another service", 1010, Ask{Service: "t"}, 1},
+		{"who may not wait any more has gone", 1190, Ask{Service: "s"}, 1},
+		{"an old word counts no more", 1000 + Stale, Ask{Service: "s"}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, le.Before(tc.now, tc.ask, mayWait), tc.want) })
+	}
+	le.Heard(1000, "vm-3", Report{Short: true})
+	assert.Equal(t, le.Before(1010, Ask{Service: "s"}, mayWait), 2, "where places are wanting, returning ones wait")
+}
