relay, roles: a place is told before it is confirmed; a caller with little time is not a returning one; prefill engines by a square root

Everyone with 1.5 s less than the longest counted as returning: 326 "returning" refusals where 270 new ones had been refused; a quarter of all new requests waited behind the others. 3. What overfills an engine is a placement within 50 ms of another VM's (52 of 56 such): the others hear of a place only when the engine has confirmed it.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -18,11 +18,9 @@
 const (
 	// blockTokens is the unit in which engines give out memory.
 	blockTokens = 16
-	// sameTry is how much less time than the longest of its route a caller
-	// may bring and still count as new: it may have asked for addresses and
-	// tried one that did not answer, which takes up to a second. Who was
-	// refused for want of a place comes back after two seconds or more.
-	sameTry = 1500 * clock.Millis(1)
+	// leastBack is the least part of Settings.Back that a refused caller is
+	// told; the most is as much above the whole.
+	leastBack = 0.75
 	// silentPart of the other VMs may be silent: what a twentieth has at the
 	// engines is within the margin that Fill leaves.
 	silentPart = 20
@@ -92,15 +90,16 @@
 }
 
 // returning tells whether the caller was refused before: it brings less time
-// than callers of the route bring at first. No VM needs to remember whom it
-// refused.
+// than callers of the route bring at first, by no less than what it was told to
+// wait. No VM needs to remember whom it refused. Callers that bring up to two
+// seconds less than others at first still count as new.
 func (rl *Relay) returning(ex *exchange) bool {
 	longest := rl.longest[ex.rt.Name]
 	if ex.req.Left > longest {
 		rl.longest[ex.rt.Name] = ex.req.Left
 		return false
 	}
-	return ex.req.Left > 0 && ex.req.Left < longest-sameTry
+	return ex.req.Left > 0 && ex.req.Left < longest-rl.leastBack()
 }
 
 // findPlace waits for a place on a decode engine. The error is a refusal.
@@ -125,7 +124,8 @@
 		asked += tried
 		if ok {
 			rl.Log.Log(event.RelayPlaced, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
-				event.F("Tokens", ex.req.Prompt.Tokens), event.F("Returning", back), event.F("Waited", (rl.now()-ex.req.Came).String()))
+				event.F("Tokens", ex.req.Prompt.Tokens), event.F("Returning", back), event.F("Left", ex.req.Left.String()),
+				event.F("Waited", (rl.now()-ex.req.Came).String()))
 			return pl, nil
 		}
 		if err := rl.awaitPlace(ctx, until); err != nil {
@@ -133,7 +133,7 @@
 				rl.runShort()
 			}
 			rl.Log.Log(event.RelayNoPlace, event.F("Request", ex.req.ID), event.F("Tokens", ex.req.Prompt.Tokens),
-				event.F("Returning", back), event.F("Waiting", waiting), event.F("Asked", asked))
+				event.F("Returning", back), event.F("Left", ex.req.Left.String()), event.F("Waiting", waiting), event.F("Asked", asked))
 			return place{}, rl.noPlace(ctx, ex)
 		}
 	}
@@ -174,9 +174,13 @@
 	}
 }
 
+// leastBack is the least time after which a refused caller is told to come back.
+func (rl *Relay) leastBack() clock.Millis { return clock.Millis(leastBack * float64(rl.Settings.Back)) }
+
 func (rl *Relay) noPlace(ctx context.Context, ex *exchange) error {
 	rl.mu.Lock()
-	back := rl.Settings.Back*3/4 + clock.Millis(rl.Rand.Int64N(int64(rl.Settings.Back/2)+1))
+	least := rl.leastBack()
+	back := least + clock.Millis(rl.Rand.Int64N(int64(2*(rl.Settings.Back-least))+1))
 	rl.mu.Unlock()
 	return rl.endOf(ctx, ex, refuse(refusal.QueueFull, back, "no decode engine has room"))
 }
@@ -199,11 +203,15 @@
 			return place{}, asked, false
 		}
 		asked++
+		// The others are told before the engine has answered: what they hear
+		// only then, 5 to 10 ms later, some of them choose the same engine in.
+		pl := rl.takePlace(place{server: bs, service: ex.svc.Name}, nd.run)
 		id, err := rl.reserve(ctx, ex, bs, nd.reserve)
 		if err == nil {
-			pl := place{server: bs, reservation: id, service: ex.svc.Name}
-			return rl.takePlace(pl, nd.run), asked, true
+			pl.reservation = id
+			return pl, asked, true
 		}
+		rl.leavePlace(pl)
 		if _, why := backend.OutcomeOf(err); why == backend.Full {
 			rl.mu.Lock()
 			po.Full(rl.now(), bs.ID, nd.reserve)
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -12,10 +12,14 @@
 // What the zero value of a field of [Settings] stands for.
 const (
 	// DefaultPrefillPart is the part of a service's engines that compute
-	// prompts. A generation of 5,000 tokens in and 4,400 out keeps a prefill
-	// engine for 90 ms and a twelfth of a decode engine for 3.2 s, which makes
-	// a quarter; the rest is room for chance.
-	DefaultPrefillPart = 0.3
+	// prompts while every decode engine is full. A generation of 5,000 tokens
+	// in and 4,400 out keeps a prefill engine for 90 ms and an eighth of a
+	// decode engine for 3.2 s, which makes a sixth.
+	DefaultPrefillPart = 0.16
+	// DefaultPrefillSpare is the room for chance, in square roots of the
+	// number of engines: prompts come by chance, so what has to be kept free
+	// for those that come together grows with the root of their number.
+	DefaultPrefillSpare = 0.4
 	// DefaultLeast prefill engines are kept, so that one may be lost.
 	DefaultLeast = 2
 	// DefaultDwell is how long a change must be called for. Engines that are
@@ -30,10 +34,11 @@
 type (
 	// Settings of a Plan. A zero field stands for its default.
 	Settings struct {
-		PrefillPart float64      // of the engines of a service
-		Least       int          // prefill engines that are kept
-		Dwell       clock.Millis // for how long a change must be called for
-		Settle      clock.Millis // after a change, until the entry counts again
+		PrefillPart  float64      // of the engines of a service that compute prompts
+		PrefillSpare float64      // engines beyond that, for each square root of their number
+		Least        int          // prefill engines that are kept
+		Dwell        clock.Millis // for how long a change must be called for
+		Settle       clock.Millis // after a change, until the entry counts again
 	}
 
 	// Change is one engine's change of role.
@@ -115,7 +120,8 @@
 			prefill++
 		}
 	}
-	want := max(st.Least, int(math.Round(st.PrefillPart*float64(len(roles)))))
+	engines := float64(len(roles))
+	want := max(st.Least, int(math.Round(st.PrefillPart*engines+st.PrefillSpare*math.Sqrt(engines))))
 	want = min(want, len(roles)/2)
 	switch {
 	case prefill < want:
@@ -150,6 +156,9 @@
 	if st.PrefillPart <= 0 {
 		st.PrefillPart = DefaultPrefillPart
 	}
+	if st.PrefillSpare <= 0 {
+		st.PrefillSpare = DefaultPrefillSpare
+	}
 	if st.Least <= 0 {
 		st.Least = DefaultLeast
 	}
