platform, route, fleet: the operator's limits hold; entries of VMs that are gone leave the topic

Causes: the configuration's limits were not read, so that a larger idle_timeout than the sites' would have had connections closed while callers still use them, and a smaller max_body not held (both open in docs/design/platform.md). Entries of VMs that are gone for good stayed in the project's topic, to be probed, and named to callers, by each VM that starts. A reader removes the entry of a VM that was dead or away for two minutes; a VM that finds its own entry removed writes it anew.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -68,6 +68,8 @@
 		"an order to an engine was not carried out, or may not have been", "none; the roles are looked at again")
 	FleetLost = register(2315, "FleetLost", Error,
 		"the transport between VMs failed; this VM knows no other from now on", "look at Error and restart the process")
+	VMEntryRemoved = register(2316, "VMEntryRemoved", Info,
+		"the entry of a VM that is gone for good was removed from the project's topic", "none; with Error it is tried again")
 	LinesDropped = register(2314, "LinesDropped", Warn,
 		"log lines were dropped, since they were written faster than they are read", "read standard output faster")
 )
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -63,6 +63,7 @@
 		Name  string   // of the topic
 		Store Store
 		Log   event.Logger
+		Clock clock.Source
 
 		Ready func() bool // tells whether this VM takes requests
 		Usage func(vm string, rp usage.Report)
@@ -72,13 +73,15 @@
 		// Topic follows the topic; it is there from Prepare on.
 		Topic *topic.Follower
 
-		mu     sync.Mutex
-		fleet  *Fleet // nil until the secret is known
-		secret []byte
-		listed map[string]vmEntry
-		lease  register.Entry // on orders to engines
-		next   uint64         // offset at which the topic ended when it was read last
-		read   chan struct{}
+		mu      sync.Mutex
+		fleet   *Fleet // nil until the secret is known
+		secret  []byte
+		listed  map[string]vmEntry
+		dropped bool                    // this VM's entry was removed
+		gone    map[string]clock.Millis // VMs with an entry, to since when they are dead or away
+		lease   register.Entry          // on orders to engines
+		next    uint64                  // offset at which the topic ended when it was read last
+		read    chan struct{}
 	}
 
 	// vmEntry is a VM's entry in the topic.
@@ -109,6 +112,7 @@
 		ne.takeLease(rec)
 	case isVM && len(rec.Value) == 0:
 		delete(ne.listed, name)
+		ne.dropped = ne.dropped || name == ne.Self.ID
 	case isVM:
 		var en vmEntry
 		if err := json.Unmarshal(rec.Value, &en); err != nil {
@@ -130,6 +134,7 @@
 // Run joins the fleet and stays in it until the context ends.
 func (ne *Neighbours) Run(ctx context.Context) {
 	go ne.Topic.Run(ctx)
+	go ne.sweep(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -201,27 +206,6 @@
 	return vm
 }
 
-// enlist writes this VM's entry once it takes requests, until it is written.
-// That the store is away is told by the topic's follower.
-func (ne *Neighbours) enlist(ctx context.Context, self board.VM) {
-	value, err := json.Marshal(vmEntry{Incarnation: self.Incarnation, FailureDomain: self.FailureDomain,
-		Region: self.Region, Callers: self.Caller, Peers: self.Peer})
-	if err != nil {
-		ne.Log.Log(event.EntryUnreadable, event.F("Key", prefixVM+self.ID), event.F("Error", err.Error()))
-		return
-	}
-	for {
-		if ne.Ready() {
-			if _, err := ne.Store.Append(ctx, ne.Name, prefixVM+self.ID, value, nil); err == nil {
-				return
-			}
-		}
-		if !clock.Sleep(ctx, joinRetry) {
-			return
-		}
-	}
-}
-
 // vms are the listed VMs.
 func (ne *Neighbours) vms() []board.VM {
 	ne.mu.Lock()
--- a/internal/fleet/neighbours_test.go
+++ b/internal/fleet/neighbours_test.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/topic"
 )
 
 // A VM that sees less than half of the others live may be the one that is cut
@@ -36,3 +39,39 @@
 		})
 	}
 }
+
+// The entry of a VM goes once it has been dead, or away, for long without a
+// break; one that comes back starts anew.
+func TestEntriesOfVMsThatAreGone(t *testing.T) {
+	ne := &Neighbours{Self: board.VM{VMRef: board.VMRef{ID: "me"}}, fleet: &Fleet{},
+		listed: map[string]vmEntry{"me": {}, "dead": {}, "left": {}, "back": {}, "suspect": {}}}
+	see := func(back board.Health) {
+		var view board.Fleet
+		for id, health := range map[string]board.Health{"me": board.Alive, "dead": board.Dead, "left": board.Left,
+			"back": back, "suspect": board.Suspect, "unlisted": board.Dead} {
+			view.VMs = append(view.VMs, board.VM{VMRef: board.VMRef{ID: id, Incarnation: 1}, Health: health})
+		}
+		slices.SortFunc(view.VMs, func(va, vb board.VM) int { return strings.Compare(va.ID, vb.ID) })
+		ne.fleet.view.Store(&view)
+	}
+	see(board.Dead)
+	assert.DeepEqual(t, ne.goneVMs(1000), []string(nil))
+	see(board.Alive)
+	assert.DeepEqual(t, ne.goneVMs(2000), []string(nil))
+	see(board.Dead)
+	assert.DeepEqual(t, ne.goneVMs(3000), []string(nil))
+	assert.DeepEqual(t, ne.goneVMs(1000+goneAfter), []string{"dead", "left"})
+	assert.DeepEqual(t, ne.goneVMs(3000+goneAfter), []string{"back", "dead", "left"})
+}
+
+// A VM whose own entry was removed learns of it once.
+func TestOwnEntryIsRemoved(t *testing.T) {
+	ne := &Neighbours{Self: board.VM{VMRef: board.VMRef{ID: "me"}}, listed: make(map[string]vmEntry)}
+	ne.take(topic.Record{Key: "vm/me", Value: []byte(`{"Incarnation":4}`), Offset: 1})
+	assert.Assert(t, !ne.takeDropped())
+	ne.take(topic.Record{Key: "vm/other", Offset: 2})
+	assert.Assert(t, !ne.takeDropped())
+	ne.take(topic.Record{Key: "vm/me", Offset: 3})
+	assert.Assert(t, ne.takeDropped())
+	assert.Assert(t, !ne.takeDropped())
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	tb, err := route.New(7, routes, services, limits)
+//	tb, err := route.New(7, routes, services)
 //	rt, ok := tb.Match("records.example", "/plants/17")
 //	if ok {
 //		svc := rt.Service(rand.Float64())
@@ -72,9 +72,17 @@
 		Engines *Engines // nil: a plain service
 	}
 
+	// Limits bound what a caller may send and how long its connection may
+	// rest. The zero value of a field sets no bound.
+	Limits struct {
+		Body int          // bytes of a request's body
+		Idle clock.Millis // of a connection between two requests
+	}
+
 	// Table is one version of the configuration.
 	Table struct {
 		version  uint64
+		limits   Limits
 		hosts    map[string][]Route // longest prefix first
 		services map[string]Service
 	}
@@ -134,6 +142,21 @@
 	return tb.version
 }
 
+// WithLimits is the table with other limits.
+func (tb *Table) WithLimits(lim Limits) *Table {
+	out := *tb
+	out.limits = lim
+	return &out
+}
+
+// Limits of callers; those of the nil Table bound nothing.
+func (tb *Table) Limits() Limits {
+	if tb == nil {
+		return Limits{}
+	}
+	return tb.limits
+}
+
 // Match finds the route with the longest prefix of the path.
 func (tb *Table) Match(host, path string) (Route, bool) {
 	if tb == nil {
