pool, usage, peer: turns are drawn, not timed; a word to all VMs is encoded once; a VM tells when it hears nothing

A word to 88 VMs was encoded and signed 88 times, 0.85 ms of real processor time, in which a VM with a fifth of a core does nothing else; since runs are told before the engine is asked, new requests' places took 20 to 27 ms in the median in place of 10 to 12 ms. 3. That a VM reserves in full, since it does not hear the others, was not to be seen in its log. Changes: each request draws a number and the lowest goes first; usage and news are one datagram for all, which names no receiver; UsageUnknown and UsageKnown.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -32,6 +32,11 @@
 		"a reservation or a handle was not given back; it lapses by itself", "none")
 	RelayCallerGone = register(2215, "RelayCallerGone", Info,
 		"the caller left, or its time was over, while its answer was under way", "if Silent is long, look at the backend server")
+	UsageUnknown = register(2216, "UsageUnknown", Warn,
+		"this VM does not hear what the others have at the engines; it reserves what a run may come to",
+		"none while VMs start or are cut off; if it stays, look at UDP between the VMs")
+	UsageKnown = register(2217, "UsageKnown", Info,
+		"this VM hears what the others have at the engines; it reserves little more than the prompt", "none")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had room; the decode engine computes the prompt", "none")
 )
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -18,24 +18,27 @@
 	us := usageToWire(rp)
 	// A message that is too long or lost is as good as none: the others then
 	// reserve what a run may come to.
-	fl.tellAll(func() *peerpb.Datagram { return &peerpb.Datagram{Body: &peerpb.Datagram_Usage{Usage: us}} })
+	fl.tellAll(&peerpb.Datagram{Body: &peerpb.Datagram_Usage{Usage: us}})
 }
 
 // TellNews passes on to all VMs that live what this one read of a topic.
 func (fl *Fleet) TellNews(nw topic.News) {
 	for _, part := range newsToWire(nw) {
 		// Whoever misses a part notices the gap at the next.
-		fl.tellAll(func() *peerpb.Datagram { return &peerpb.Datagram{Body: &peerpb.Datagram_TopicNews{TopicNews: part}} })
+		fl.tellAll(&peerpb.Datagram{Body: &peerpb.Datagram_TopicNews{TopicNews: part}})
 	}
 }
 
-// tellAll sends a datagram of its own to each VM that lives.
-func (fl *Fleet) tellAll(word func() *peerpb.Datagram) {
+// tellAll sends a datagram to each VM that lives.
+func (fl *Fleet) tellAll(word *peerpb.Datagram) {
+	var living []board.VM
 	for _, vm := range fl.View().VMs {
 		if vm.ID != fl.Self.ID && vm.Health == board.Alive && vm.Incarnation != 0 {
-			_ = fl.peers.Datagram(vm, word())
+			living = append(living, vm)
 		}
 	}
+	// Words between VMs may be lost, and are renewed.
+	_ = fl.peers.Broadcast(living, word)
 }
 
 // newsToWire splits news into messages. Records that fit none are left out,
@@ -105,11 +108,7 @@
 			byService[ak.Service] = qu
 			out = append(out, qu)
 		}
-		if ak.Returning {
-			qu.Returning = append(qu.Returning, uint32(ak.Age))
-		} else {
-			qu.New = append(qu.New, uint32(ak.Age))
-		}
+		qu.Waiters = append(qu.Waiters, &peerpb.Waiter{Turn: ak.Turn, Age: uint32(ak.Age), Returning: ak.Returning})
 	}
 	return out
 }
@@ -117,11 +116,8 @@
 func queuesFromWire(queues []*peerpb.Queue) []usage.Ask {
 	var out []usage.Ask
 	for _, qu := range queues {
-		for _, age := range qu.GetReturning() {
-			out = append(out, usage.Ask{Service: qu.GetService(), Returning: true, Age: clock.Millis(age)})
-		}
-		for _, age := range qu.GetNew() {
-			out = append(out, usage.Ask{Service: qu.GetService(), Age: clock.Millis(age)})
+		for _, wt := range qu.GetWaiters() {
+			out = append(out, usage.Ask{Service: qu.GetService(), Returning: wt.GetReturning(), Turn: wt.GetTurn(), Age: clock.Millis(wt.GetAge())})
 		}
 	}
 	return out
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -161,6 +161,45 @@
 	b.ReportMetric(float64(value(scope, "PeerDatagramBytesSent"))/float64(sends), "UDP-B/datagram")
 }
 
+// wordFleet is how many other VMs hear a word in the benchmark of one.
+const wordFleet = 88
+
+// wordOf makes a word of the usual size: six engines with two runs each.
+func wordOf() *peerpb.Datagram {
+	us := &peerpb.Usage{}
+	for ix := range 6 {
+		us.Engines = append(us.Engines, &peerpb.EngineUsage{Engine: fmt.Sprintf("i-7f3a91c%d", ix), Tokens: []uint32{5200, 7400}, Left: []uint32{4300, 900}})
+	}
+	return &peerpb.Datagram{Body: &peerpb.Datagram_Usage{Usage: us}}
+}
+
+// BenchmarkWord reports what it costs to tell a word to all others, each by a
+// datagram of its own and all by the same.
+func BenchmarkWord(b *testing.B) {
+	hub := benchHub(b, nil)
+	tr := benchStart(b, &peer.Transport{Self: ref("spoke", 1)})
+	vms := make([]board.VM, wordFleet)
+	for ix := range vms {
+		vms[ix] = benchVM(hub)
+	}
+	b.Run("EachItsOwn", func(b *testing.B) {
+		for b.Loop() {
+			for _, vm := range vms {
+				if err := tr.Datagram(vm, wordOf()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	})
+	b.Run("Broadcast", func(b *testing.B) {
+		for b.Loop() {
+			if err := tr.Broadcast(vms, wordOf()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
 // A session sends nothing without streams, and one ping for each span of
 // silence with streams, from the side that dialled only.
 func TestBytesAtRest(t *testing.T) {
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -27,20 +27,52 @@
 // is no word of whether it arrives. An encoded message of more than
 // MaxDatagram less 16 bytes is a [SizeError].
 func (tr *Transport) Datagram(vm board.VM, dg *peerpb.Datagram) error {
+	dg.To = vm.ID
+	uc, raw, err := tr.seal(dg)
+	if err != nil {
+		return err
+	}
+	return tr.write(uc, vm, raw)
+}
+
+// Broadcast sends one datagram to each of the VMs, as [Transport.Datagram]
+// does, but encodes and signs it once: a word of 300 bytes to 88 VMs takes
+// 0.29 ms in place of 0.85 ms (BenchmarkWord), in which a small VM does nothing
+// else. The message must be one that is meant for all alike.
+func (tr *Transport) Broadcast(vms []board.VM, dg *peerpb.Datagram) error {
+	dg.To = ""
+	uc, raw, err := tr.seal(dg)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, vm := range vms {
+		errs = append(errs, tr.write(uc, vm, raw))
+	}
+	return errors.Join(errs...)
+}
+
+// seal encodes and signs a message of this VM, and returns the socket to send
+// it by; there is none before Run.
+func (tr *Transport) seal(dg *peerpb.Datagram) (*net.UDPConn, []byte, error) {
 	tr.init()
 	uc := tr.udp.Load()
 	if uc == nil {
-		return NotSentError{VM: vm.ID, Step: StepStart, Err: net.ErrClosed}
-	}
-	to, err := netip.ParseAddrPort(vm.Peer)
-	if err != nil {
-		return NotSentError{VM: vm.ID, Step: StepDial, Err: fmt.Errorf("address of the VM: %w", err)}
+		return nil, nil, NotSentError{VM: dg.To, Step: StepStart, Err: net.ErrClosed}
 	}
-	dg.From, dg.Incarnation, dg.To = tr.Self.ID, tr.Self.Incarnation, vm.ID
+	dg.From, dg.Incarnation = tr.Self.ID, tr.Self.Incarnation
 	dg.Sequence = tr.serial.Add(1)
 	raw, err := seal(tr.id.datagramKey, dg)
 	if err != nil {
-		return NotSentError{VM: vm.ID, Step: StepEncode, Err: err}
+		return nil, nil, NotSentError{VM: dg.To, Step: StepEncode, Err: err}
+	}
+	return uc, raw, nil
+}
+
+func (tr *Transport) write(uc *net.UDPConn, vm board.VM, raw []byte) error {
+	to, err := netip.ParseAddrPort(vm.Peer)
+	if err != nil {
+		return NotSentError{VM: vm.ID, Step: StepDial, Err: fmt.Errorf("address of the VM: %w", err)}
 	}
 	if _, err := uc.WriteToUDPAddrPort(raw, to); err != nil {
 		return NotSentError{VM: vm.ID, Step: StepDial, Err: fmt.Errorf("send datagram: %w", err)}
@@ -86,13 +118,24 @@
 	if vd != accepted {
 		return nil, vd
 	}
-	if dg.GetTo() != tr.Self.ID {
+	if dg.GetTo() != tr.Self.ID && !forAll(dg) {
 		return nil, droppedWrongVM
 	}
 	from := board.VMRef{ID: dg.GetFrom(), Incarnation: dg.GetIncarnation()}
 	return dg, tr.seen.take(from, dg.GetSequence(), tr.Clock.Now())
 }
 
+// forAll tells whether a datagram names no receiver and needs none: what one
+// VM has, or read, is the same whoever hears it.
+func forAll(dg *peerpb.Datagram) bool {
+	switch dg.GetBody().(type) {
+	case *peerpb.Datagram_Usage, *peerpb.Datagram_TopicNews:
+		return dg.GetTo() == ""
+	default:
+		return false
+	}
+}
+
 func seal(key []byte, dg *peerpb.Datagram) ([]byte, error) {
 	if size := proto.Size(dg); size > MaxDatagram-macSize {
 		return nil, SizeError{Size: size, Limit: MaxDatagram - macSize}
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -41,6 +41,16 @@
 	make1 := func(from string, inc uint64, to string, seq uint64) []byte {
 		return sealed(t, tr, &peerpb.Datagram{From: from, Incarnation: inc, To: to, Sequence: seq})
 	}
+	word := func(body any, seq uint64) []byte {
+		dg := &peerpb.Datagram{From: "a", Incarnation: 3, Sequence: seq}
+		switch body := body.(type) {
+		case *peerpb.Datagram_Usage:
+			dg.Body = body
+		case *peerpb.Datagram_Probe:
+			dg.Body = body
+		}
+		return sealed(t, tr, dg)
+	}
 	altered := make1("a", 1, "b", 9)
 	altered[2] ^= 1
 	notProto := append([]byte{0xff, 0xff}, sign(tr.id.datagramKey, []byte{0xff, 0xff})...)
@@ -60,6 +70,9 @@
 		{"run before it", make1("a", 2, "b", 500), droppedStale},
 		{"other VM has its own numbers", make1("c", 1, "b", 5), accepted},
 		{"for another", make1("a", 3, "x", 2), droppedWrongVM},
+		{"a word for all", word(&peerpb.Datagram_Usage{Usage: &peerpb.Usage{Short: true}}, 6), accepted},
+		{"the same word again", word(&peerpb.Datagram_Usage{Usage: &peerpb.Usage{Short: true}}, 6), droppedReplayed},
+		{"a probe for nobody", word(&peerpb.Datagram_Probe{Probe: &peerpb.Probe{Number: 1}}, 7), droppedWrongVM},
 		{"altered", altered, droppedBadMAC},
 		{"other secret", sealed(t, other, &peerpb.Datagram{From: "a", Incarnation: 3, To: "b", Sequence: 3}), droppedBadMAC},
 		{"no sender", make1("", 3, "b", 4), droppedMalformed},
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -56,10 +56,10 @@
 
 	// Ticket is a request's turn in the queue.
 	Ticket struct {
-		ask    Ask
-		number uint64
-		since  clock.Millis
-		tried  bool // it found no place yet
+		ask   Ask
+		turn  uint32
+		since clock.Millis
+		tried bool // it found no place yet
 	}
 
 	// Want is what a request needs of an engine.
@@ -78,8 +78,7 @@
 		Rand *rand.Rand // must be set
 
 		engines map[string]*engine
-		queue   []*Ticket // returning requests first, then by arrival
-		number  uint64
+		queue   []*Ticket // returning requests first, then by their turns
 	}
 
 	engine struct {
@@ -117,10 +116,11 @@
 	}
 }
 
-// Enter puts a request into the queue.
+// Enter puts a request into the queue. Its turn is drawn by chance: all VMs
+// must see one order, and agree on no time. A request waits for so short a time
+// that arrival would be no fairer.
 func (po *Pool) Enter(now clock.Millis, ask Ask) *Ticket {
-	po.number++
-	tk := &Ticket{ask: ask, number: po.number, since: now}
+	tk := &Ticket{ask: ask, turn: po.Rand.Uint32(), since: now}
 	at, _ := slices.BinarySearchFunc(po.queue, tk, compare)
 	po.queue = slices.Insert(po.queue, at, tk)
 	return tk
@@ -133,7 +133,7 @@
 		}
 		return 1
 	}
-	return int(int64(ta.number) - int64(tb.number))
+	return cmp.Compare(ta.turn, tb.turn)
 }
 
 // Leave takes a request out of the queue.
@@ -183,6 +183,9 @@
 // Ask is the generation that the ticket is for.
 func (tk *Ticket) Ask() Ask { return tk.ask }
 
+// Turn is the request's place in the order of all VMs; the lowest goes first.
+func (tk *Ticket) Turn() uint32 { return tk.turn }
+
 // Waited is how long the request has been in the queue.
 func (tk *Ticket) Waited(now clock.Millis) clock.Millis { return now - tk.since }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -77,16 +77,28 @@
 	}
 	now := rl.now()
 	others, whole := rl.Others()
-	if !whole {
-		return false
-	}
 	silent := 0
 	for _, vm := range others {
 		if !rl.ledger.Hears(now, vm) {
 			silent++
 		}
 	}
-	return silent <= len(others)/silentPart
+	hears := whole && silent <= len(others)/silentPart
+	if hears != rl.hears {
+		rl.hears = hears
+		rl.noteHearing(hears, len(others), silent, whole)
+	}
+	return hears
+}
+
+// noteHearing tells that this VM begins, or ceases, to hear what the others
+// have at the engines.
+func (rl *Relay) noteHearing(hears bool, others, silent int, whole bool) {
+	ev := event.UsageUnknown
+	if hears {
+		ev = event.UsageKnown
+	}
+	rl.Log.Log(ev, event.F("Others", others), event.F("Silent", silent), event.F("Whole", whole))
 }
 
 // returning tells whether the caller was refused before: it brings less time
@@ -230,8 +242,7 @@
 	if nd.limit == noLimit {
 		return 0
 	}
-	ask := usage.Ask{Service: ex.svc.Name, Returning: tk.Ask().Returning, Age: tk.Waited(now)}
-	return rl.ledger.Before(now, ask, func(back bool) clock.Millis { return rl.placeWait(ex.rt, back) })
+	return rl.ledger.Before(now, askOf(now, ex.svc.Name, tk), func(back bool) clock.Millis { return rl.placeWait(ex.rt, back) })
 }
 
 func (rl *Relay) reserve(ctx context.Context, ex *exchange, bs board.BackendServer, tokens int) (string, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,6 +142,7 @@
 		longest  map[string]clock.Millis // by route: longest time that a caller brought
 		runs     map[*run]struct{}
 		ledger   usage.Ledger
+		hears    bool          // the others told lately what they have at the engines
 		stopping bool          // a planned stop began
 		stopAt   clock.Millis  // when
 		moved    chan struct{} // closed when a place may have become free
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/pool"
 	"alderdyke/internal/usage"
 	"alderdyke/pkg/clock"
 )
@@ -59,13 +60,18 @@
 	for name, po := range rl.pools {
 		for _, tk := range po.Tickets() {
 			if len(rp.Waiting) < waitingMost {
-				rp.Waiting = append(rp.Waiting, usage.Ask{Service: name, Returning: tk.Ask().Returning, Age: tk.Waited(now)})
+				rp.Waiting = append(rp.Waiting, askOf(now, name, tk))
 			}
 		}
 	}
 	return rp
 }
 
+// askOf is what a ticket is to all VMs.
+func askOf(now clock.Millis, service string, tk *pool.Ticket) usage.Ask {
+	return usage.Ask{Service: service, Returning: tk.Ask().Returning, Turn: tk.Turn(), Age: tk.Waited(now)}
+}
+
 // tellSpan is how often the others are told without a change.
 func (rl *Relay) tellSpan() clock.Millis {
 	if rl.Others == nil {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -61,6 +61,7 @@
 	Ask struct {
 		Service   string
 		Returning bool         // it was refused before
+		Turn      uint32       // drawn by chance; the lowest of all VMs' goes first
 		Age       clock.Millis // for which it has waited
 	}
 
@@ -71,8 +72,7 @@
 		// Avoided lists engines that by their own word, or by an order of the
 		// VM, take no new work for now.
 		Avoided []string
-		// Waiting lists requests that found no place yet, the longest waiting
-		// of a kind first.
+		// Waiting lists requests that found no place yet.
 		Waiting []Ask
 		// Short tells that the VM lately refused a new request for want of a
 		// place.
@@ -217,9 +217,11 @@
 }
 
 // Before counts the requests of other VMs that take their places ahead of this
-// one: where places are wanting the new ones that have waited for longer, else
-// returning ones too, and ahead of new ones. A word on a request counts for as
-// long as such a request may wait.
+// one: where places are wanting the new ones with a lower turn, else returning
+// ones too, and ahead of new ones. A word on a request counts for as long as
+// such a request may wait. Turns are drawn, not counted from the time that a
+// request has waited: what VMs know of that differs by the way of their words,
+// and then two of them would both be first.
 func (le *Ledger) Before(now clock.Millis, ask Ask, mayWait func(returning bool) clock.Millis) int {
 	short, count := le.Short(now), 0
 	for _, wd := range le.others {
@@ -245,7 +247,7 @@
 	case ak.Returning != other.Returning:
 		return ak.Returning
 	default:
-		return ak.Age > other.Age
+		return ak.Turn < other.Turn
 	}
 }
 
