roles, register: the lease on orders lapses when nothing is to be ordered

The keeper told the holder to want the lease and never to want it no more; only the comment said that it lapses. Change: a Holder with Lapses lets the lease run out; the keeper says when it is not wanted.

--- a/internal/register/lease.go
+++ b/internal/register/lease.go
@@ -33,6 +33,10 @@
 		Rand     *rand.Rand
 		Duration clock.Millis // of the lease; default 10 s
 		Margin   clock.Millis // default DefaultMargin; under half of Duration
+		// Lapses lets a lease that is not wanted any more run out, in place of
+		// giving it back: then a duration lies between the last order of one
+		// VM and the first of another.
+		Lapses bool
 
 		want      bool
 		seen      Entry        // last record observed
@@ -271,6 +275,8 @@
 		return ho.lapseAt(), false
 	case ho.attempt != nil:
 		return ho.notBefore, ho.attempt.release
+	case mine && !ho.want && ho.Lapses:
+		return ho.lapseAt(), false
 	case mine && !ho.want:
 		return max(now, ho.notBefore), true
 	case mine:
--- a/internal/roles/keeper.go
+++ b/internal/roles/keeper.go
@@ -93,6 +93,7 @@
 // Run keeps the roles until the context ends.
 func (ke *Keeper) Run(ctx context.Context) {
 	ke.plans = make(map[string]*Plan)
+	ke.Holder.Lapses = true
 	ticker := time.NewTicker(lookEvery.Std())
 	defer ticker.Stop()
 	for {
@@ -118,7 +119,8 @@
 	// waited out from when it was seen.
 	ke.observe(ctx)
 	if now >= ke.want {
-		return // a lease that is still held lapses by itself
+		ke.step(ctx, register.Want{}) // a lease that is still held lapses by itself
+		return
 	}
 	ke.step(ctx, register.Want{Hold: true})
 	for _, ch := range due {
--- a/internal/roles/keeper_test.go
+++ b/internal/roles/keeper_test.go
@@ -33,6 +33,7 @@
 		orders   []given
 		lost     int // replies of orders that are lost from now on
 		storeOut bool
+		swaps    int // writes of the lease
 	}
 
 	given struct {
@@ -67,6 +68,7 @@
 	if vw.ce.storeOut || vw.ce.entry.Revision != base {
 		return &logsvc.AppendError{Effect: logsvc.NotAppended, Err: errMoved}
 	}
+	vw.ce.swaps++
 	vw.ce.entry = register.Entry{Key: vw.ce.entry.Key, Revision: base + 3, ID: id, Value: value}
 	return nil
 }
@@ -151,6 +153,35 @@
 	})
 }
 
+// Once nothing is to be ordered the lease lapses, and the store is left alone;
+// it is neither renewed nor given back. The next order takes it anew.
+func TestLeaseLapsesWhenNothingIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ce := &cell{engines: engines(3, 5)}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go ce.keeper("vm-1", func() bool { return true }).Run(ctx)
+		swaps := func() int {
+			ce.mu.Lock()
+			defer ce.mu.Unlock()
+			return ce.swaps
+		}
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, ce.shape(), 2)
+		before := swaps()
+		time.Sleep(5 * time.Minute)
+		assert.Equal(t, swaps(), before)
+		ce.mu.Lock()
+		withdrawn := ce.entry.Withdrawn()
+		ce.engines = engines(1, 7)
+		ce.mu.Unlock()
+		assert.Assert(t, !withdrawn)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, ce.shape(), 2)
+		assert.Assert(t, swaps() > before)
+	})
+}
+
 func TestNoStoreNoOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ce := &cell{engines: engines(4, 4), storeOut: true}
