--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -33,13 +33,22 @@
 	reserveWithin = 150 * clock.Millis(1)
 )
 
-// place is a confirmed reservation on a decode engine.
-type place struct {
-	server      board.BackendServer
-	reservation string
-	service     string
-	entry       *usage.Entry
-}
+type (
+	// place is a confirmed reservation on a decode engine.
+	place struct {
+		server      board.BackendServer
+		reservation string
+		service     string
+		entry       *usage.Entry
+	}
+
+	// placeTry is one look for a place.
+	placeTry struct {
+		place  place // the zero value: none was found
+		before int   // requests at other VMs that take their places first
+		asked  int   // engines that were asked
+	}
+)
 
 // need is the memory that a generation asks for.
 type need struct {
@@ -132,9 +141,9 @@
 	until := min(rl.now()+rl.placeWait(ex.rt, back), ex.until)
 	asked := 0
 	for {
-		pl, tried, ok := rl.tryPlace(ctx, ex, po, tk, until)
-		asked += tried
-		if ok {
+		tr := rl.tryPlace(ctx, ex, po, tk, until)
+		asked += tr.asked
+		if pl := tr.place; pl.server.ID != "" {
 			rl.Log.Log(event.RelayPlaced, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
 				event.F("Tokens", ex.req.Prompt.Tokens), event.F("Returning", back), event.F("Left", ex.req.Left.String()),
 				event.F("Waited", (rl.now()-ex.req.Came).String()))
@@ -145,7 +154,8 @@
 				rl.runShort()
 			}
 			rl.Log.Log(event.RelayNoPlace, event.F("Request", ex.req.ID), event.F("Tokens", ex.req.Prompt.Tokens),
-				event.F("Returning", back), event.F("Left", ex.req.Left.String()), event.F("Waiting", waiting), event.F("Asked", asked))
+				event.F("Returning", back), event.F("Left", ex.req.Left.String()), event.F("Waiting", waiting),
+				event.F("Before", tr.before), event.F("Asked", asked))
 			return place{}, rl.noPlace(ctx, ex)
 		}
 	}
@@ -198,13 +208,13 @@
 }
 
 // tryPlace asks the engines for a place if it is the request's turn.
-func (rl *Relay) tryPlace(ctx context.Context, ex *exchange, po *pool.Pool, tk *pool.Ticket, until clock.Millis) (pl place, asked int, ok bool) {
+func (rl *Relay) tryPlace(ctx context.Context, ex *exchange, po *pool.Pool, tk *pool.Ticket, until clock.Millis) (tr placeTry) {
 	rl.mu.Lock()
 	nd := rl.needOf(ex)
 	var list []board.BackendServer
 	if now := rl.now(); po.First(tk, rl.ledger.Short(now)) {
-		list = po.Decoders(now, pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: rl.before(now, ex, tk, nd),
-			Need: rl.peakAt(now, nd.run)})
+		tr.before = rl.before(now, ex, tk, nd)
+		list = po.Decoders(now, pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: tr.before, Need: rl.peakAt(now, nd.run)})
 	}
 	if len(list) == 0 && po.Tried(tk) {
 		rl.usageMoved()
@@ -212,16 +222,17 @@
 	rl.mu.Unlock()
 	for _, bs := range list {
 		if ctx.Err() != nil || rl.now() >= until {
-			return place{}, asked, false
+			return tr
 		}
-		asked++
+		tr.asked++
 		// The others are told before the engine has answered: what they hear
 		// only then, 5 to 10 ms later, some of them choose the same engine in.
 		pl := rl.takePlace(place{server: bs, service: ex.svc.Name}, nd.run)
 		id, err := rl.reserve(ctx, ex, bs, nd.reserve)
 		if err == nil {
 			pl.reservation = id
-			return pl, asked, true
+			tr.place = pl
+			return tr
 		}
 		rl.leavePlace(pl)
 		if _, why := backend.OutcomeOf(err); why == backend.Full {
@@ -232,7 +243,7 @@
 		}
 		rl.fault(ctx, ex, bs.ID, err)
 	}
-	return place{}, asked, false
+	return tr
 }
 
 // before counts the requests at other VMs that take their places first. One
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -149,7 +149,7 @@
 	switch text(end, "Reason") {
 	case "QueueFull":
 		if ln, ok := lastOf(lines, event.RelayNoPlace); ok {
-			return fmt.Sprintf("no decode engine had room (%s requests waited here, %s asks were declined)", text(ln, "Waiting"), text(ln, "Asked"))
+			return noRoom(ln)
 		}
 	case "Starting":
 		return "the VM did not know the configuration yet; look for StoreLost of that VM before it"
@@ -172,6 +172,16 @@
 	return strings.TrimSpace(text(end, "Reason") + " " + text(end, "Detail") + " " + text(end, "Error"))
 }
 
+// noRoom tells what stood before a request that found no place. Older logs do
+// not name the requests at other VMs.
+func noRoom(ln Line) string {
+	before := ""
+	if count := text(ln, "Before"); count != "" {
+		before = count + " at other VMs went first, "
+	}
+	return fmt.Sprintf("no decode engine had room (%s requests waited here, %s%s asks were declined)", text(ln, "Waiting"), before, text(ln, "Asked"))
+}
+
 func lastOf(lines []Line, events ...event.Event) (Line, bool) {
 	for _, ln := range slices.Backward(lines) {
 		if slices.ContainsFunc(events, func(ev event.Event) bool { return ev.Number == ln.Number }) {
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -11,10 +11,11 @@
 	"alderdyke/internal/trace"
 )
 
-// The recorded lines are those of three requests of a played day.
+// The recorded lines are those of requests of played days.
 func TestRecordedRequests(t *testing.T) {
 	for _, tc := range []struct{ request, want string }{
 		{"refused", "it was refused after 181ms: no decode engine had room (3 requests waited here, 12 asks were declined)"},
+		{"behind", "it was refused after 183ms: no decode engine had room (1 requests waited here, 6 at other VMs went first, 0 asks were declined)"},
 		{"lost", "its answer was cut off after 2.1s: backend server i-8047a56e40 broke off: the stream broke off\nunexpected EOF"},
 		{"left", "its answer was cut off after 4.1s: its caller left, or its time was over, 3.6s after backend server i-3 was last heard of"},
 		{"late", "it was answered whole after 1.204s"},
