--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,7 +10,9 @@
 //
 // Who was refused before and came back goes first, for a request that is
 // refused twice has cost its caller twice; but not while new requests are
-// refused somewhere in the fleet.
+// refused somewhere in the fleet. Among requests alike the turn decides, a
+// number that each draws: all VMs see one order by it, and the room that
+// requests elsewhere take first is left to them ([Want.Before]).
 //
 // # Usage
 //
@@ -49,19 +51,6 @@
 )
 
 type (
-	// Ask is a generation that needs a place.
-	Ask struct {
-		Returning bool // it was refused before
-	}
-
-	// Ticket is a request's turn in the queue.
-	Ticket struct {
-		ask   Ask
-		turn  uint32
-		since clock.Millis
-		tried bool // it found no place yet
-	}
-
 	// Want is what a request needs of an engine.
 	Want struct {
 		Tokens int // to reserve
@@ -116,79 +105,6 @@
 	}
 }
 
-// Enter puts a request into the queue. Its turn is drawn by chance: all VMs
-// must see one order, and agree on no time. A request waits for so short a time
-// that arrival would be no fairer.
-func (po *Pool) Enter(now clock.Millis, ask Ask) *Ticket {
-	tk := &Ticket{ask: ask, turn: po.Rand.Uint32(), since: now}
-	at, _ := slices.BinarySearchFunc(po.queue, tk, compare)
-	po.queue = slices.Insert(po.queue, at, tk)
-	return tk
-}
-
-func compare(ta, tb *Ticket) int {
-	if ta.ask.Returning != tb.ask.Returning {
-		if ta.ask.Returning {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(ta.turn, tb.turn)
-}
-
-// Leave takes a request out of the queue.
-func (po *Pool) Leave(tk *Ticket) {
-	if at := slices.Index(po.queue, tk); at >= 0 {
-		po.queue = slices.Delete(po.queue, at, at+1)
-	}
-}
-
-// First tells whether it is the request's turn. While places are wanting, new
-// requests go first and returning ones have no turn: who is refused twice is
-// as many either way, and a place is worth more to who is not late yet.
-func (po *Pool) First(tk *Ticket, wanting bool) bool {
-	if !wanting {
-		return len(po.queue) > 0 && po.queue[0] == tk
-	}
-	for _, other := range po.queue {
-		if !other.ask.Returning {
-			return other == tk
-		}
-	}
-	return false
-}
-
-// Waiting is the number of requests in the queue.
-func (po *Pool) Waiting() int { return len(po.queue) }
-
-// Tried notes that a request found no place, and tells whether that is new.
-func (po *Pool) Tried(tk *Ticket) bool {
-	fresh := !tk.tried
-	tk.tried = true
-	return fresh
-}
-
-// Tickets lists the requests that found no place yet, in the order of their
-// turns.
-func (po *Pool) Tickets() []*Ticket {
-	var out []*Ticket
-	for _, tk := range po.queue {
-		if tk.tried {
-			out = append(out, tk)
-		}
-	}
-	return out
-}
-
-// Ask is the generation that the ticket is for.
-func (tk *Ticket) Ask() Ask { return tk.ask }
-
-// Turn is the request's place in the order of all VMs; the lowest goes first.
-func (tk *Ticket) Turn() uint32 { return tk.turn }
-
-// Waited is how long the request has been in the queue.
-func (tk *Ticket) Waited(now clock.Millis) clock.Millis { return now - tk.since }
-
 // Decoders lists the engines to ask for a place, those first that are expected
 // to need the least memory. Those that will need more than the limit are left
 // out, and so is the room that requests elsewhere will take first: every VM
--- /dev/null
+++ b/internal/usage/turns.go
@@ -0,0 +1,46 @@
+package usage
+
+import "alderdyke/pkg/clock"
+
+// Ask is a request that waits for a place at a service's engines.
+type Ask struct {
+	Service   string
+	Returning bool         // it was refused before
+	Turn      uint32       // drawn by chance; the lowest of all VMs' goes first
+	Age       clock.Millis // for which it has waited
+}
+
+// Before counts the requests of other VMs that take their places ahead of this
+// one: where places are wanting the new ones with a lower turn, else returning
+// ones too, and ahead of new ones. A word on a request counts for as long as
+// such a request may wait. Turns are drawn, not counted from the time that a
+// request has waited: what VMs know of that differs by the way of their words,
+// and then two of them would both be first.
+func (le *Ledger) Before(now clock.Millis, ask Ask, mayWait func(returning bool) clock.Millis) int {
+	short, count := le.Short(now), 0
+	for _, wd := range le.others {
+		since := now - wd.at
+		if since >= Stale {
+			continue
+		}
+		for _, other := range wd.report.Waiting {
+			other.Age += since
+			if other.Service == ask.Service && other.Age <= mayWait(other.Returning) && other.before(ask, short) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// before tells whether a request takes its place ahead of another one.
+func (ak Ask) before(other Ask, short bool) bool {
+	switch {
+	case short && ak.Returning:
+		return false
+	case ak.Returning != other.Returning:
+		return ak.Returning
+	default:
+		return ak.Turn < other.Turn
+	}
+}
