--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -22,8 +22,8 @@
 	// serves further requests: many callers come back at once when VMs are
 	// lost, and each list asks every decode engine.
 	decodesFresh = clock.Second
-	// listersMost bounds the engines that are asked at a time.
-	listersMost = 16
+	// decodesAsked bounds the engines that are asked at a time.
+	decodesAsked = 16
 )
 
 type (
@@ -43,13 +43,13 @@
 	}
 )
 
-// of finds the decode of a key. There is none if the engines hold several:
+// of finds the decode of a key. It finds none if the engines hold several:
 // which of them made the caller's part can't be told.
-func (ds *decodes) of(ctx context.Context, vm *VM, id requestID) (heldDecode, bool) {
+func (ds *decodes) of(vm *VM, id requestID) (heldDecode, bool) {
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
 	if now := vm.Clock.Now(); ds.byKey == nil || now-ds.listed >= decodesFresh {
-		ds.byKey, ds.listed = vm.listDecodes(ctx), now
+		ds.byKey, ds.listed = vm.listDecodes(), now
 	}
 	if found := ds.byKey[id]; len(found) == 1 {
 		return found[0], true
@@ -57,16 +57,17 @@
 	return heldDecode{}, false
 }
 
-// listDecodes asks all decode engines what they hold.
-func (vm *VM) listDecodes(ctx context.Context) map[requestID][]heldDecode {
-	ctx, stop := context.WithTimeout(ctx, reportWithin.Std())
+// listDecodes asks all decode engines what they hold. The list serves other
+// requests too, so it does not end with the one that asks for it.
+func (vm *VM) listDecodes() map[requestID][]heldDecode {
+	ctx, stop := context.WithTimeout(vm.runCtx, reportWithin.Std())
 	defer stop()
 	var (
 		mu  sync.Mutex
 		gr  errgroup.Group
 		out = make(map[requestID][]heldDecode)
 	)
-	gr.SetLimit(listersMost)
+	gr.SetLimit(decodesAsked)
 	for _, srv := range vm.Board.Backends().Servers {
 		if srv.Role == board.Plain {
 			continue
@@ -111,7 +112,7 @@
 	}
 	var givenUp board.VMRef
 	for pause := reopenPause; ; pause = min(2*pause, followPause) {
-		held, ok := rn.vm.decodes.of(ctx, rn.vm, rn.id)
+		held, ok := rn.vm.decodes.of(rn.vm, rn.id)
 		if !ok || rn.vm.self(held.runner) {
 			return false
 		}
