deployment: a port is dealt once to the VMs of a process

Ports were chosen by the kernel, given back and used later; a deployment of another test of the same process was given the same one between. Change: ports come from a range of their own, below those that the kernel gives away, each once.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -19,6 +19,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"alderdyke/internal/board"
@@ -102,7 +103,10 @@
 	}
 )
 
-var errNoHost = errors.New("no IP number is left in Hosts")
+var (
+	errNoHost = errors.New("no IP number is left in Hosts")
+	errNoPort = errors.New("no more are free")
+)
 
 // Start opens all stand-ins.
 func (dp *Deployment) Start() error {
@@ -332,23 +336,46 @@
 	return err
 }
 
+const (
+	// firstPort and portCount bound the ports that VMs get: below those that
+	// the kernel gives to whoever asks for any, so that none is given away
+	// between its choice and its use.
+	firstPort = 10000
+	portCount = 20000
+)
+
+// dealt counts the ports that this process has tried, so that no two
+// deployments of it get the same.
+var dealt atomic.Uint32
+
 // freePorts finds loopback ports that are free for TCP and UDP.
 func freePorts(count int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
-	for len(out) < count {
-		ln, err := net.Listen("tcp", ownHost()+":0")
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
+	for range portCount {
+		if len(out) == count {
+			return out, nil
 		}
-		defer ln.Close()
-		uc, err := net.ListenPacket("udp", ln.Addr().String())
-		if err != nil {
-			continue // the port is taken for UDP
+		addr := fmt.Sprintf("%s:%d", ownHost(), firstPort+dealt.Add(1)%portCount)
+		if free(addr) {
+			out = append(out, netip.MustParseAddrPort(addr))
 		}
-		defer uc.Close()
-		out = append(out, netip.MustParseAddrPort(ln.Addr().String()))
 	}
-	return out, nil
+	return nil, fmt.Errorf("%d of %d ports: %w", len(out), count, errNoPort)
+}
+
+// free tells whether nothing listens at an address.
+func free(addr string) bool {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer ln.Close()
+	uc, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	defer uc.Close()
+	return true
 }
 
 // Speed scales the paces of engines, so that a test need not wait for real
--- /dev/null
+++ b/internal/standin/deployment/ports_test.go
@@ -0,0 +1,22 @@
+package deployment
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Ports are chosen long before VMs listen there, and deployments of one
+// process start side by side: no two may get the same.
+func TestPortsAreDealtOnce(t *testing.T) {
+	seen := make(map[netip.AddrPort]bool)
+	for range 400 {
+		ports, err := freePorts(3)
+		assert.NilError(t, err)
+		for _, ap := range ports {
+			assert.Assert(t, !seen[ap], "%s was dealt twice", ap)
+			seen[ap] = true
+		}
+	}
+}
