usage, relay: the margin lies on what an engine's runs may grow by

Cause: on the new deployment a prompt is nine tenths of a run's memory and known exactly; 15 in 100 of all memory was kept free as if it were a guess.

Change: the ledger adds a margin to the growth of an engine's runs alone, smaller for many runs than for one, and learns by route how long answers come out against their callers' guesses, and how much they spread.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -65,7 +65,7 @@
 	most, guess := pr.Most, pr.Most
 	if pr.Hint > 0 {
 		most = min(most, int(rl.Settings.HintFactor*float64(pr.Hint)))
-		guess = min(guess, int(rl.Settings.GuessFactor*float64(pr.Hint)))
+		guess = min(guess, rl.ledger.Expect(ex.rt.Name, pr.Hint))
 	}
 	nd := need{run: usage.Run{Tokens: blocks(pr.Tokens), Left: blocks(guess)}, reserve: blocks(pr.Tokens + most), limit: noLimit}
 	if ex.svc.Engines.Memory > 0 && rl.hearsAll() {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -34,6 +34,7 @@
 		sp    splitter
 		began bool         // the head of the answer went to the caller
 		heard clock.Millis // when the engine was last heard of
+		made  int          // tokens that came
 
 		// Guarded by Relay.mu.
 		moving bool          // a move was begun
@@ -70,6 +71,7 @@
 	for {
 		err := rl.copyEvents(ctx, wr, rn)
 		if err == nil {
+			rl.learn(rn)
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(err, errCaller) {
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -51,9 +51,6 @@
 	// known: twice the hint covers nine in ten generations where the hint's
 	// spread is a half.
 	DefaultHintFactor = 2.0
-	// DefaultGuessFactor is the mean length for a hint of one: the median
-	// times exp(0.5*0.5/2) where the spread is a half.
-	DefaultGuessFactor = 1.13
 	// DefaultReserve is what a reservation holds beyond the prompt: the
 	// tokens of the run's first 200 ms, within which the other VMs' choices
 	// are known.
@@ -63,8 +60,9 @@
 	// decode engine that reads the prompt itself takes 200 ms.
 	DefaultPromptsAhead = 25000
 	// DefaultFill is the part of an engine's memory that its runs may come to
-	// need by the guesses.
-	DefaultFill = 0.85
+	// need. The ledger has a margin on their growth; the rest is for what is
+	// counted late: two prompts at most that VMs placed in the same moment.
+	DefaultFill = 0.97
 	// DefaultMoveAfter is how long after the notice a run stays at an engine
 	// that leaves: two seconds pass until it may go, and most runs end first.
 	DefaultMoveAfter = 500 * clock.Millis(1)
@@ -94,7 +92,6 @@
 	StopBack     clock.Millis // told to who is turned away
 	PlainBack    clock.Millis // told by a plain service without room
 	HintFactor   float64      // of the hint that is reserved while other VMs' runs are not known
-	GuessFactor  float64      // of the hint that a run is expected to come to
 	Reserve      int          // tokens reserved beyond the prompt while they are
 	Fill         float64      // of an engine's memory that its runs may come to need
 	PromptsAhead int          // tokens that may wait at a prefill engine before one more prompt
@@ -119,7 +116,6 @@
 	st.StopBack = orDefault(st.StopBack, DefaultStopBack)
 	st.PlainBack = orDefault(st.PlainBack, DefaultPlainBack)
 	st.HintFactor = orDefault(st.HintFactor, DefaultHintFactor)
-	st.GuessFactor = orDefault(st.GuessFactor, DefaultGuessFactor)
 	st.Reserve = orDefault(st.Reserve, DefaultReserve)
 	st.Fill = orDefault(st.Fill, DefaultFill)
 	st.PromptsAhead = orDefault(st.PromptsAhead, DefaultPromptsAhead)
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -164,5 +164,19 @@
 	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	rl.ledger.Grow(rl.now(), rn.pl.entry, events*rn.ex.svc.Engines.Stride)
+	tokens := events * rn.ex.svc.Engines.Stride
+	rn.made += tokens
+	rl.ledger.Grow(rl.now(), rn.pl.entry, tokens)
+}
+
+// learn notes how long a whole answer came out. One of which the caller had a
+// part already tells nothing of that.
+func (rl *Relay) learn(rn *run) {
+	pr := rn.ex.req.Prompt
+	if pr == nil || rn.ex.req.After != "" {
+		return
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.ledger.Learn(rn.ex.rt.Name, pr.Hint, rn.made)
 }
--- /dev/null
+++ b/internal/usage/lengths_test.go
@@ -0,0 +1,62 @@
+package usage
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// What is expected of an answer follows what answers of its route came to.
+func TestLengthsAreLearnedByRoute(t *testing.T) {
+	var le Ledger
+	assert.Equal(t, le.Expect("short", 1000), 1130, "the prior, before any answer")
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		le.Learn("short", 1000, int(500*math.Exp(0.2*rng.NormFloat64())))
+		le.Learn("long", 1000, int(2000*math.Exp(0.2*rng.NormFloat64())))
+	}
+	assert.Assert(t, math.Abs(float64(le.Expect("short", 1000))-510) < 60, le.Expect("short", 1000))
+	assert.Assert(t, math.Abs(float64(le.Expect("long", 1000))-2040) < 120, le.Expect("long", 1000))
+	assert.Assert(t, le.Expect("unseen", 1000) > le.Expect("short", 1000), "what all routes came to")
+}
+
+func TestSpreadIsLearned(t *testing.T) {
+	var ls lengths
+	assert.Assert(t, math.Abs(ls.spread()-priorSpread) < 0.001)
+	for range 2000 {
+		ls.observe("r", 1000, 1000)
+	}
+	assert.Assert(t, ls.spread() < 0.15, "answers that come out as guessed leave little margin: %.2f", ls.spread())
+	ls.observe("r", 0, 70)
+	ls.observe("r", 70, 0)
+	assert.Assert(t, ls.spread() < 0.15, "what tells nothing counts for nothing")
+}
+
+// A burst fills an engine. Where runs are nine parts prompt, an engine takes
+// more of them than a margin on all its memory would let in; where half of a
+// run is growth it takes no more.
+func TestBurstFillsAnEngineUpToItsGrowth(t *testing.T) {
+	for _, tc := range []struct {
+		name                   string
+		memory, prompt, answer int
+		least, most            int
+	}{
+		{"long prompts, short answers", 57000, 5200, 600, 9, 10}, // 8 with 15 in 100 left free
+		{"answers as long as prompts", 74700, 5200, 4400, 7, 9},  // 8
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var le Ledger
+			count := 0
+			for le.Peak(0, "e", Run{Tokens: tc.prompt, Left: tc.answer}, 1) <= tc.memory {
+				// The runs that are there began one after the other.
+				done := tc.answer * count / 12
+				en := le.Begin(Run{Engine: "e", Tokens: tc.prompt, Left: tc.answer})
+				le.Grow(1, en, done)
+				count++
+			}
+			assert.Assert(t, count >= tc.least && count <= tc.most, "%d runs", count)
+		})
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -26,6 +26,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"alderdyke/pkg/clock"
@@ -87,6 +88,7 @@
 		shortUntil clock.Millis            // until when this VM's last refusal counts
 		others     map[string]word
 		speed      float64 // tokens in a millisecond
+		lengths    lengths // of answers against their guesses
 	}
 
 	// word is what another VM told.
@@ -145,6 +147,15 @@
 	return le.speed
 }
 
+// Learn notes that an answer of a route came to its end with so many tokens,
+// and what its caller had guessed.
+func (le *Ledger) Learn(route string, guess, made int) { le.lengths.observe(route, guess, made) }
+
+// Expect is the tokens that an answer of a route is expected to come to.
+func (le *Ledger) Expect(route string, guess int) int {
+	return int(le.lengths.mean(route) * float64(guess))
+}
+
 // Prompt counts tokens of a prompt as computed at an engine; with a negative
 // count, as done.
 func (le *Ledger) Prompt(engine string, tokens int) {
@@ -239,8 +250,12 @@
 	return ok && now-wd.at < Stale
 }
 
-// Peak is the most memory, in tokens, that the runs of an engine are expected
-// to need at one time, with so many more of a size that begin now.
+// Peak is the most memory, in tokens, that the runs of an engine will need at
+// one time, with so many more of a size that begin now. What they hold is known;
+// what they grow by is a guess, and so the margin is on the growth alone, and
+// smaller for many runs together than for one. An engine whose runs are nine
+// parts prompt then holds a seventh more of them than with a margin of 15 in 100
+// on all its memory, and one whose runs grow by half holds as many.
 func (le *Ledger) Peak(now clock.Millis, engine string, more Run, count int) int {
 	list := slices.Repeat([]Run{more}, count)
 	for en := range le.own {
@@ -260,7 +275,7 @@
 			}
 		}
 	}
-	return peak(list)
+	return peak(list, growthDeviations*le.lengths.spread())
 }
 
 // after is the run when it has generated so many more tokens.
@@ -269,9 +284,11 @@
 	return Run{Engine: ru.Engine, Tokens: ru.Tokens + grown, Left: ru.Left - grown}
 }
 
-// peak is the most that the runs need together. Between two ends the need
-// only grows, so it is looked at just before each end.
-func peak(list []Run) int {
+// peak is the most that the runs need together, if the growth of one may exceed
+// what is expected by the margin, a part of it, and that of many by less, since
+// their lengths differ independently. Between two ends the need only grows, so
+// it is looked at just before each end.
+func peak(list []Run, margin float64) int {
 	slices.SortFunc(list, func(ra, rb Run) int { return cmp.Compare(ra.Left, rb.Left) })
 	held := 0
 	for _, run := range list {
@@ -279,7 +296,9 @@
 	}
 	most := held
 	for ix, run := range list {
-		most = max(most, held+run.Left*(len(list)-ix))
+		growing := len(list) - ix
+		growth := float64(run.Left*growing) * (1 + margin/math.Sqrt(float64(growing)))
+		most = max(most, held+int(growth))
 		held -= run.Tokens
 	}
 	return most
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -21,7 +21,7 @@
 		{"one after the other", []Run{{Tokens: 9, Left: 0}, {Tokens: 5, Left: 4}}, 14},
 		{"the short one is gone when the long one is long", []Run{{Tokens: 10, Left: 1}, {Tokens: 5, Left: 8}}, 17},
 	} {
-		assert.Equal(t, peak(tc.runs), tc.want, tc.name)
+		assert.Equal(t, peak(tc.runs, 0), tc.want, tc.name)
 	}
 }
 
@@ -41,12 +41,19 @@
 			}
 			most = max(most, sum)
 		}
-		assert.Equal(t, peak(append([]Run(nil), runs...)), most)
+		assert.Equal(t, peak(append([]Run(nil), runs...), 0), most)
 	})
 }
 
+// exact is a ledger whose answers came out as guessed, so that it needs no
+// margin.
+func exact() *Ledger {
+	const many = 1e12
+	return &Ledger{lengths: lengths{all: ratios{weight: many, sum: many, squares: many}}}
+}
+
 func TestLedgerJoinsOwnAndOthers(t *testing.T) {
-	var le Ledger
+	le := exact()
 	en := le.Begin(Run{Engine: "e1", Tokens: 100, Left: 50})
 	le.Begin(Run{Engine: "e2", Tokens: 7, Left: 0})
 	le.Heard(1000, "vm-2", Report{Runs: []Run{{Engine: "e1", Tokens: 10, Left: 0}, {Engine: "e2", Tokens: 1, Left: 0}}})
@@ -62,7 +69,7 @@
 
 // What another VM told grows on until its next word.
 func TestOthersGrowMeanwhile(t *testing.T) {
-	var le Ledger
+	le := exact()
 	le.Heard(0, "vm-2", Report{Runs: []Run{{Engine: "e1", Tokens: 100, Left: 1400}}})
 	var now clock.Millis = 500
 	// 700 tokens on, a new run of 900 meets the rest of the old one.
