pool, relay: a prompt's engine is chosen by time, near its decode

Ruled out: the move of the memory (10 ms), the decode's begin (40 to 60 ms).

Change: the pool learns how long prompts take at each engine, chooses the one that is done first, in the decode engine's failure domain unless that costs more than the prompt itself, and has the decode engine compute what would be late otherwise; such prompts count at the decode engine, and others begin elsewhere. A prefill whose connection failed goes to the next engine. The speed of decode is read off the events of running answers.

--- /dev/null
+++ b/internal/pool/pace.go
@@ -0,0 +1,49 @@
+package pool
+
+import (
+	"math"
+
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// paceKeep is what earlier observations weigh against a new one: about
+	// twenty count.
+	paceKeep = 0.95
+	// paceSpread is the standard deviation of sizes, over their mean, from which
+	// a constant part can be told from one that grows with the size.
+	paceSpread = 0.2
+)
+
+// pace is how long work takes by its size: a constant part and one that grows
+// with the size, as observed of late. The zero value knows nothing.
+type pace struct{ weight, sizes, times, squares, products float64 }
+
+func (pc *pace) add(size int, took clock.Millis) {
+	sz, tm := float64(size), float64(max(took, 1))
+	for _, term := range []struct {
+		sum *float64
+		val float64
+	}{{&pc.weight, 1}, {&pc.sizes, sz}, {&pc.times, tm}, {&pc.squares, sz * sz}, {&pc.products, sz * tm}} {
+		*term.sum = paceKeep**term.sum + term.val
+	}
+}
+
+// time is how long work of a size takes; zero if none was observed.
+func (pc pace) time(size int) clock.Millis {
+	if pc.weight == 0 {
+		return 0
+	}
+	meanSize, meanTime := pc.sizes/pc.weight, pc.times/pc.weight
+	if meanSize == 0 {
+		return clock.Millis(math.Ceil(meanTime))
+	}
+	variance := pc.squares/pc.weight - meanSize*meanSize
+	growth := meanTime / meanSize
+	if variance > paceSpread*paceSpread*meanSize*meanSize {
+		covariance := pc.products/pc.weight - meanSize*meanTime
+		growth = min(growth, max(0, covariance/variance))
+	}
+	constant := meanTime - growth*meanSize
+	return clock.Millis(math.Ceil(constant + growth*float64(size)))
+}
--- /dev/null
+++ b/internal/pool/pace_test.go
@@ -0,0 +1,49 @@
+package pool
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+func TestPace(t *testing.T) {
+	line := func(size int) clock.Millis { return 40 + clock.Millis(size/50) }
+	for _, tc := range []struct {
+		name  string
+		sizes []int
+		ask   int
+		want  clock.Millis
+	}{
+		{"nothing observed", nil, 5000, 0},
+		{"one", []int{5000}, 5000, 140},
+		{"alike ones, in proportion", []int{5000, 5000, 5000}, 10000, 280},
+		{"the constant part is told apart", []int{2000, 5000, 9000, 4000}, 20000, 440},
+		{"for nothing it is all", []int{2000, 5000, 9000, 4000}, 0, 40},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var pc pace
+			for _, size := range tc.sizes {
+				pc.add(size, line(size))
+			}
+			got := pc.time(tc.ask)
+			assert.Assert(t, got >= tc.want-1 && got <= tc.want+1, "%s", got)
+		})
+	}
+	var pc pace
+	pc.add(0, 30)
+	pc.add(0, 50)
+	assert.Assert(t, pc.time(0) >= 40 && pc.time(0) <= 42, "a mean where nothing has a size")
+}
+
+func TestPaceFollows(t *testing.T) {
+	var pc pace
+	for range 50 {
+		pc.add(1000, 100)
+	}
+	for range 200 {
+		pc.add(1000, 200)
+	}
+	assert.Assert(t, pc.time(1000) >= 199, "%s", pc.time(1000))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,6 +29,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -59,6 +60,9 @@
 		// Need is what an engine will need with so many runs like the
 		// request's more than it has.
 		Need func(id string, more int) int
+		// Reads tells whether an engine computes a prompt itself, which holds up
+		// what begins there; nil: none does.
+		Reads func(id string) bool
 	}
 
 	// Pool is the engines of one service as one VM uses them. Set the
@@ -68,6 +72,10 @@
 
 		engines map[string]*engine
 		queue   []*Ticket // returning requests first, then by their turns
+
+		reading   pace // of prompts, at all prefill engines
+		itself    pace // of prompts that decode engines compute beside their runs
+		beginning pace // of decodes, from their order to the first event
 	}
 
 	engine struct {
@@ -79,6 +87,7 @@
 		fullTokens  int // smallest reservation that was declined lately
 		failures    int
 		failedUntil clock.Millis
+		reading     pace // of prompts
 	}
 )
 
@@ -127,7 +136,12 @@
 	} else if fit = takeFirst(fit, wt, needs); len(fit) == 0 {
 		return nil
 	}
-	po.order(fit, func(en *engine) int { return needs[en] / grain })
+	po.order(fit, func(en *engine) int {
+		if wt.Reads != nil && wt.Reads(en.server.ID) {
+			return math.MaxInt
+		}
+		return needs[en] / grain
+	})
 	out := make([]board.BackendServer, 0, len(fit))
 	for _, en := range fit {
 		out = append(out, en.server)
@@ -155,26 +169,6 @@
 	return fit
 }
 
-// Prefiller chooses the engine that computes a prompt: the one with the least
-// before it, by chance among equals. Ahead tells how many tokens of prompts an
-// engine has; one with more than the limit is left out, and so is one that
-// failed just now. There may be none.
-func (po *Pool) Prefiller(now clock.Millis, limit int, ahead func(id string) int) (board.BackendServer, bool) {
-	var fit []*engine
-	loads := make(map[*engine]int)
-	for _, en := range po.staying(board.Prefill) {
-		loads[en] = ahead(en.server.ID)
-		if now >= en.failedUntil && loads[en] <= limit {
-			fit = append(fit, en)
-		}
-	}
-	if len(fit) == 0 {
-		return board.BackendServer{}, false
-	}
-	po.order(fit, func(en *engine) int { return loads[en] })
-	return fit[0].server, true
-}
-
 // well lists the decode engines that stay and did not fail just now, or all
 // that stay if each of them failed.
 func (po *Pool) well(now clock.Millis) []*engine {
@@ -226,7 +220,7 @@
 		return 1
 	})
 	po.Rand.Shuffle(len(list), func(ia, ib int) { list[ia], list[ib] = list[ib], list[ia] })
-	slices.SortStableFunc(list, func(ea, eb *engine) int { return load(ea) - load(eb) })
+	slices.SortStableFunc(list, func(ea, eb *engine) int { return cmp.Compare(load(ea), load(eb)) })
 }
 
 // Stays tells whether an engine takes new work.
--- /dev/null
+++ b/internal/pool/prefill.go
@@ -0,0 +1,136 @@
+package pool
+
+import (
+	"cmp"
+	"math"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// farLater is how many times as long as the decode engine the prefill engine
+	// takes where it is better to hold up the decode engine's runs although the
+	// request is late either way.
+	farLater = 2
+	// itselfPrior is how many times as long as a prefill engine a decode engine
+	// takes for a prompt, until one was observed: it reads at half the speed and
+	// between the tokens of its runs.
+	itselfPrior = 3
+)
+
+type (
+	// Prompt is a prompt that is to be computed.
+	Prompt struct {
+		Tokens int
+		Domain string // failure domain of the decode engine; the memory moves there
+		// Ahead is the tokens of prompts that an engine has before this one.
+		Ahead func(id string) int
+	}
+
+	// Prefill is where a prompt is computed.
+	Prefill struct {
+		Server board.BackendServer
+		Ahead  int          // tokens of prompts before it
+		Takes  clock.Millis // expected, with those before it; zero if no speed was observed yet
+	}
+
+	// Start is what of a generation's time to its first event is spent already.
+	Start struct {
+		Spent     clock.Millis // since the request came
+		Objective clock.Millis // for the first event; zero: none
+	}
+)
+
+// Prefiller chooses the engine that is expected to be done first with a prompt,
+// by chance among equals. One in another failure domain than the decode
+// engine counts as having the prompt itself before it once more: the move
+// between domains takes twice as long and is paid for, and that is worth a wait
+// as long as the prompt takes. An engine that failed just now is left out.
+// There may be none.
+func (po *Pool) Prefiller(now clock.Millis, pr Prompt) (Prefill, bool) {
+	var fit []*engine
+	costs := make(map[*engine]int)
+	ahead := make(map[*engine]int)
+	for _, en := range po.staying(board.Prefill) {
+		ahead[en] = pr.Ahead(en.server.ID)
+		if now < en.failedUntil || ahead[en] == math.MaxInt {
+			continue
+		}
+		fit = append(fit, en)
+		tokens := ahead[en] + pr.Tokens
+		if en.server.FailureDomain != pr.Domain {
+			tokens += pr.Tokens
+		}
+		// Without a pace of one, all read alike.
+		costs[en] = int(cmp.Or(float64(po.readTime(en, tokens)), float64(tokens)))
+	}
+	if len(fit) == 0 {
+		return Prefill{}, false
+	}
+	po.order(fit, func(en *engine) int { return costs[en] })
+	best := fit[0]
+	return Prefill{Server: best.server, Ahead: ahead[best], Takes: po.readTime(best, ahead[best]+pr.Tokens)}, true
+}
+
+// readTime is how long an engine takes for so many tokens of prompts; zero if
+// no engine was observed.
+func (po *Pool) readTime(en *engine, tokens int) clock.Millis {
+	pc := en.reading
+	if pc.weight == 0 {
+		pc = po.reading
+	}
+	return pc.time(tokens)
+}
+
+// Read notes how long a prefill took. What was before it at the engine may have
+// been partly done, so that only a prefill with nothing before it shows the
+// pace.
+func (po *Pool) Read(pf Prefill, tokens int, took clock.Millis) {
+	en := po.engines[pf.Server.ID]
+	if en == nil || pf.Ahead > 0 {
+		return
+	}
+	en.reading.add(tokens, took)
+	po.reading.add(tokens, took)
+}
+
+// Itself tells whether the decode engine should compute a prompt itself, with so
+// many tokens of other prompts before it there. That holds up its other runs, a
+// tenth of an engine's work for each of them, so it is for a burst of prompts in
+// which the prefill engine would be done too late for the request's objective and
+// the decode engine in time, or where both are late and the prefill engine by
+// far.
+func (po *Pool) Itself(pf Prefill, tokens, ahead int, st Start) bool {
+	if st.Objective == 0 || pf.Takes == 0 {
+		return false
+	}
+	left := st.Objective - st.Spent - po.beginning.time(0)
+	itself := po.itselfTime(ahead + tokens)
+	switch {
+	case pf.Takes <= left:
+		return false
+	case itself <= left:
+		return true
+	default:
+		return farLater*itself < pf.Takes
+	}
+}
+
+// itselfTime is how long a decode engine takes for prompts beside its runs.
+func (po *Pool) itselfTime(tokens int) clock.Millis {
+	if took := po.itself.time(tokens); took > 0 {
+		return took
+	}
+	return itselfPrior * po.reading.time(tokens)
+}
+
+// Began notes the time from a decode's order to its first event, of a prompt
+// that was computed elsewhere.
+func (po *Pool) Began(took clock.Millis) { po.beginning.add(0, took) }
+
+// BeganItself notes the same where the decode engine computed the prompt, with
+// nothing before it.
+func (po *Pool) BeganItself(tokens int, took clock.Millis) {
+	po.itself.add(tokens, max(1, took-po.beginning.time(0)))
+}
--- /dev/null
+++ b/internal/pool/prefill_test.go
@@ -0,0 +1,156 @@
+package pool_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/pool"
+	"alderdyke/pkg/clock"
+)
+
+// near and far are two prefill engines in failure domains of their own.
+func near(loads map[string]int) (*pool.Pool, pool.Prompt) {
+	po := newPool(board.Prefill, board.Prefill)
+	list := engines(board.Prefill, board.Prefill)
+	list[0].FailureDomain, list[1].FailureDomain = "x", "y"
+	po.Update(list)
+	return po, pool.Prompt{Tokens: 5000, Domain: "x", Ahead: func(id string) int { return loads[id] }}
+}
+
+func TestPrefillerThatIsDoneFirst(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		ahead  map[string]int
+		domain string
+		want   string
+	}{
+		{"the least before it", map[string]int{"a": 9000, "b": 100}, "z", "b"},
+		{"in the decode engine's domain", map[string]int{"a": 4900}, "x", "a"},
+		{"the other, by more than the prompt itself", map[string]int{"a": 5100}, "x", "b"},
+		{"avoided", map[string]int{"a": math.MaxInt, "b": 9000}, "x", "b"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			po, pr := near(tc.ahead)
+			pr.Domain = tc.domain
+			pf, ok := po.Prefiller(0, pr)
+			assert.Assert(t, ok)
+			assert.Equal(t, pf.Server.ID, tc.want)
+			assert.Equal(t, pf.Ahead, tc.ahead[tc.want])
+			assert.Equal(t, pf.Takes, clock.Millis(0), "no pace was seen yet")
+		})
+	}
+	po, pr := near(map[string]int{"a": math.MaxInt, "b": math.MaxInt})
+	_, ok := po.Prefiller(0, pr)
+	assert.Assert(t, !ok, "all are avoided")
+}
+
+// An engine that reads more slowly gets a prompt when the faster one has more
+// before it than that makes up for.
+func TestPrefillerByTheSpeedThatItShows(t *testing.T) {
+	ahead := map[string]int{}
+	po, pr := near(ahead)
+	pr.Domain = "z"
+	for _, id := range []string{"a", "b"} {
+		for _, tokens := range []int{2000, 5000, 9000, 3000} {
+			perMilli := 50
+			if id == "b" {
+				perMilli = 25
+			}
+			po.Read(pool.Prefill{Server: board.BackendServer{ID: id}}, tokens, clock.Millis(20+tokens/perMilli))
+			po.Read(pool.Prefill{Server: board.BackendServer{ID: id}, Ahead: 1000}, tokens, 1) // tells nothing
+		}
+	}
+	ahead["a"] = 4000
+	pf, _ := po.Prefiller(0, pr)
+	assert.Equal(t, pf.Server.ID, "a")
+	assert.Assert(t, pf.Takes >= 195 && pf.Takes <= 205, "20 ms and 9,000 tokens at 50 in a millisecond: %s", pf.Takes)
+	ahead["a"] = 12000
+	pf, _ = po.Prefiller(0, pr)
+	assert.Equal(t, pf.Server.ID, "b")
+}
+
+func TestPromptThatTheDecodeEngineComputes(t *testing.T) {
+	po, _ := near(nil)
+	for _, tokens := range []int{2000, 5000, 9000, 3000} {
+		po.Read(pool.Prefill{Server: board.BackendServer{ID: "a"}}, tokens, clock.Millis(tokens/50))
+		po.Began(60)
+	}
+	const tokens = 5000 // 100 ms at a prefill engine, 300 at a decode engine
+	for _, tc := range []struct {
+		name  string
+		takes clock.Millis
+		ahead int
+		start pool.Start
+		want  bool
+	}{
+		{"in time either way", 700, 0, pool.Start{Spent: 100, Objective: 900}, false},
+		{"too late at the prefill engine", 800, 0, pool.Start{Spent: 100, Objective: 900}, true},
+		{"that has a prompt already", 800, 9000, pool.Start{Spent: 100, Objective: 900}, false},
+		{"late either way", 500, 0, pool.Start{Spent: 800, Objective: 900}, false},
+		{"late either way, by far", 700, 0, pool.Start{Spent: 800, Objective: 900}, true},
+		{"no objective", 5000, 0, pool.Start{}, false},
+		{"no speed is known", 0, 0, pool.Start{Spent: 800, Objective: 900}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, po.Itself(pool.Prefill{Takes: tc.takes}, tokens, tc.ahead, tc.start), tc.want)
+		})
+	}
+}
+
+// A burst of prompts at 1.6 times what two prefill engines read: each begins
+// within its objective, since decode engines compute some. At 0.6 times they
+// compute none.
+func TestBurstOfPromptsBeginsInTime(t *testing.T) {
+	const (
+		tokens    = 5200
+		objective = 900 * clock.Millis(1)
+		length    = 4 * clock.Second
+	)
+	for _, tc := range []struct {
+		name   string
+		every  clock.Millis
+		itself bool
+	}{
+		{"a burst", 40, true},
+		{"a steady load", 110, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			free := make(map[string]clock.Millis) // when an engine is done
+			po := newPool(board.Prefill, board.Prefill)
+			for _, size := range []int{2000, 5000, 9000, 3000} {
+				po.Read(pool.Prefill{Server: board.BackendServer{ID: "a"}}, size, clock.Millis(size/40))
+				po.Began(60)
+			}
+			// read has an engine compute a prompt behind those before it.
+			read := func(now clock.Millis, id string, perMilli int) clock.Millis {
+				free[id] = max(now, free[id]) + clock.Millis(tokens/perMilli)
+				return free[id]
+			}
+			ahead := func(now clock.Millis, perMilli int) func(id string) int {
+				return func(id string) int { return int(max(0, free[id]-now)) * perMilli }
+			}
+			var late, itself int
+			decoders := []string{"d1", "d2", "d3", "d4", "d5", "d6"}
+			for now, nth := clock.Millis(0), 0; now < length; now, nth = now+tc.every, nth+1 {
+				pf, ok := po.Prefiller(now, pool.Prompt{Tokens: tokens, Ahead: ahead(now, 40)})
+				assert.Assert(t, ok)
+				decoder := decoders[nth%len(decoders)]
+				var done clock.Millis
+				if po.Itself(pf, tokens, ahead(now, 14)(decoder), pool.Start{Objective: objective}) {
+					itself++
+					done = read(now, decoder, 14)
+				} else {
+					done = read(now, pf.Server.ID, 40)
+				}
+				if done+60 > now+objective {
+					late++
+				}
+			}
+			assert.Equal(t, late, 0)
+			assert.Equal(t, itself > 0, tc.itself, "%d prompts", itself)
+		})
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -7,6 +7,7 @@
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/event"
+	"alderdyke/internal/pool"
 	"alderdyke/pkg/clock"
 )
 
@@ -23,6 +24,26 @@
 	generateNeed = 300 * clock.Millis(1)
 )
 
+// decoding is a decode that an engine was ordered.
+type decoding struct {
+	rsp     *http.Response
+	ordered clock.Millis // when
+	itself  bool         // the engine computes the prompt too
+	ahead   int          // tokens of prompts that it had to compute before
+	begun   func()       // is called when the first event came, or the decode failed
+}
+
+func (rl *Relay) newDecoding(ex *exchange, pl place, itself bool) decoding {
+	dec := decoding{ordered: rl.now(), itself: itself, begun: func() {}}
+	if itself {
+		rl.mu.Lock()
+		dec.ahead = rl.ledger.Prompts(dec.ordered, pl.server.ID)
+		rl.mu.Unlock()
+		dec.begun = rl.readsItself(pl, ex.req.Prompt.Tokens)
+	}
+	return dec
+}
+
 // generate carries a generation: a place first, so that the prompt is not
 // computed for nothing; then the prefill; then the decode.
 func (rl *Relay) generate(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
@@ -45,17 +66,17 @@
 // start has the prompt computed and the decode begun. After an error nothing
 // is left at the engines, and the place is the caller's to leave.
 func (rl *Relay) start(ctx context.Context, ex *exchange, pl place) (*run, error) {
-	hd := rl.prefill(ctx, ex)
+	hd := rl.prefill(ctx, ex, pl)
 	if err := rl.mayDecode(ctx, pl); err != nil {
 		rl.forget(ex, hd)
 		rl.release(ex, pl)
 		return nil, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
 	}
-	rsp, err := rl.decode(ctx, ex, pl, hd, ex.req.After)
+	dec, err := rl.decode(ctx, ex, pl, hd, ex.req.After)
 	if err != nil {
 		return nil, err
 	}
-	return rl.newRun(ex, pl, rsp), nil
+	return rl.newRun(ex, pl, dec), nil
 }
 
 // mayDecode tells why a decode at a place is of no use any more; nil if it is.
@@ -75,25 +96,29 @@
 // it is asked once to compute the prompt itself: the prompt may have lapsed,
 // which says nothing of this engine. After an error nothing is left at the
 // engines.
-func (rl *Relay) decode(ctx context.Context, ex *exchange, pl place, hd Handle, after string) (*http.Response, error) {
+func (rl *Relay) decode(ctx context.Context, ex *exchange, pl place, hd Handle, after string) (decoding, error) {
 	op := Options{Left: rl.left(ex), Source: hd, Reservation: pl.reservation, After: after}
+	dec := rl.newDecoding(ex, pl, hd.ID == "")
 	rsp, err := rl.sendDecode(ctx, ex, pl, op)
 	if _, why := backend.OutcomeOf(err); hd.ID != "" && why == backend.Full && rl.again(ctx, ex, 1, 1, err, generateNeed) == nil {
 		op.Source, op.Left = Handle{}, rl.left(ex)
+		dec = rl.newDecoding(ex, pl, true)
 		if rsp, err = rl.sendDecode(ctx, ex, pl, op); err == nil {
 			rl.declined(hd.Server.ID)
 			rl.forget(ex, hd)
 		}
 	}
 	if err != nil {
+		dec.begun()
 		rl.afterDecode(ctx, ex, pl, hd, err)
-		return nil, err
+		return decoding{}, err
 	}
 	ex.ran++
 	rl.mu.Lock()
 	rl.poolOf(ex.svc.Name).Worked(pl.server.ID)
 	rl.mu.Unlock()
-	return rsp, nil
+	dec.rsp = rsp
+	return dec, nil
 }
 
 func (rl *Relay) sendDecode(ctx context.Context, ex *exchange, pl place, op Options) (*http.Response, error) {
@@ -135,41 +160,65 @@
 	po.Failed(rl.now(), server)
 }
 
-// prefill has the prompt computed, if an engine for that has room. Without a
-// handle the decode engine computes it, at half the speed and beside its runs:
-// a prompt that waits for long, or is computed twice, costs more.
-func (rl *Relay) prefill(ctx context.Context, ex *exchange) Handle {
+// prefill has the prompt computed for a decode at a place. Without a handle the
+// decode engine computes it.
+func (rl *Relay) prefill(ctx context.Context, ex *exchange, pl place) Handle {
+	for {
+		pf, ok := rl.choosePrefill(ex, pl)
+		if !ok {
+			return Handle{}
+		}
+		hd, err := rl.prefillAt(ctx, ex, pf)
+		if err == nil {
+			return hd
+		}
+		if _, unsent := errors.AsType[backend.NotSentError](err); !unsent || ctx.Err() != nil {
+			return Handle{}
+		}
+		// Nothing reached the engine, which is passed over from now on.
+	}
+}
+
+// choosePrefill chooses the engine that computes a prompt and counts it there;
+// none if the decode engine is to do it.
+func (rl *Relay) choosePrefill(ex *exchange, pl place) (pool.Prefill, bool) {
 	rl.mu.Lock()
-	po := rl.poolOf(ex.svc.Name)
+	defer rl.mu.Unlock()
 	now, tokens := rl.now(), ex.req.Prompt.Tokens
-	bs, ok := po.Prefiller(now, rl.Settings.PromptsAhead, rl.promptsAt(now))
-	if ok {
-		rl.ledger.Prompt(bs.ID, tokens)
-		rl.usageMoved()
-	}
-	rl.mu.Unlock()
-	if !ok {
-		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID))
-		return Handle{}
-	}
+	po := rl.poolOf(ex.svc.Name)
+	pf, ok := po.Prefiller(now, pool.Prompt{Tokens: tokens, Domain: pl.server.FailureDomain, Ahead: rl.promptsAt(now)})
+	st := pool.Start{Spent: now - ex.req.Came, Objective: ex.rt.Objective}
+	if !ok || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
+		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
+			event.F("Best", pf.Server.ID), event.F("Ahead", pf.Ahead), event.F("Would", pf.Takes.String()), event.F("Spent", st.Spent.String()))
+		return pool.Prefill{}, false
+	}
+	rl.ledger.Prompt(pf.Server.ID, tokens)
+	rl.usageMoved()
+	return pf, true
+}
+
+// prefillAt has the prompt computed at an engine.
+func (rl *Relay) prefillAt(ctx context.Context, ex *exchange, pf pool.Prefill) (Handle, error) {
 	began := rl.now()
 	within, stop := context.WithTimeout(ctx, prefillWithin.Std())
 	defer stop()
-	hd, err := rl.Servers.Prefill(within, bs, ex.req, rl.left(ex))
+	tokens := ex.req.Prompt.Tokens
+	hd, err := rl.Servers.Prefill(within, pf.Server, ex.req, rl.left(ex))
+	took := rl.now() - began
 	rl.mu.Lock()
-	rl.ledger.Prompt(bs.ID, -tokens)
+	rl.ledger.Prompt(pf.Server.ID, -tokens)
 	rl.usageMoved()
 	if err == nil {
-		po.Worked(bs.ID)
+		po := rl.poolOf(ex.svc.Name)
+		po.Worked(pf.Server.ID)
+		po.Read(pf, tokens, took)
 	}
 	rl.mu.Unlock()
 	if err != nil {
-		rl.fault(ctx, ex, bs.ID, err)
-	}
-	rl.Log.Log(event.RelayPrefill, event.F("Request", ex.req.ID), event.F("Server", bs.ID),
-		event.F("Took", (rl.now()-began).String()), event.F("Error", text(err)))
-	if err != nil {
-		return Handle{}
+		rl.fault(ctx, ex, pf.Server.ID, err)
 	}
-	return hd
+	rl.Log.Log(event.RelayPrefill, event.F("Request", ex.req.ID), event.F("Server", pf.Server.ID), event.F("Ahead", pf.Ahead),
+		event.F("Expected", pf.Takes.String()), event.F("Took", took.String()), event.F("Error", text(err)))
+	return hd, err
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"alderdyke/internal/backend"
@@ -214,7 +215,8 @@
 	var list []board.BackendServer
 	if now := rl.now(); po.First(tk, rl.ledger.Short(now)) {
 		tr.before = rl.before(now, ex, tk, nd)
-		list = po.Decoders(now, pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: tr.before, Need: rl.peakAt(now, nd.run)})
+		list = po.Decoders(now, pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: tr.before, Need: rl.peakAt(now, nd.run),
+			Reads: func(id string) bool { return rl.ledger.Prompts(now, id) > 0 }})
 	}
 	if len(list) == 0 && po.Tried(tk) {
 		rl.usageMoved()
@@ -278,11 +280,26 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.poolOf(pl.service).Free(pl.server.ID)
-	rl.ledger.End(rl.now(), pl.entry)
+	rl.ledger.End(pl.entry)
 	rl.usageMoved()
 	rl.signal()
 }
 
+// readsItself counts a prompt on the engine of a place that computes it, until
+// the function that it returns is called.
+func (rl *Relay) readsItself(pl place, tokens int) (done func()) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.ledger.Prompt(pl.server.ID, tokens)
+	rl.usageMoved()
+	return sync.OnceFunc(func() {
+		rl.mu.Lock()
+		defer rl.mu.Unlock()
+		rl.ledger.Prompt(pl.server.ID, -tokens)
+		rl.usageMoved()
+	})
+}
+
 // release gives a reservation back that was not used. The request's own
 // context may have ended, so the call has one of its own.
 func (rl *Relay) release(ex *exchange, pl place) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -68,7 +68,7 @@
 func (rl *Relay) passPlain(ctx context.Context, wr http.ResponseWriter, ex *exchange, at attempt) error {
 	defer at.close()
 	if ex.rt.Kind == route.Stream {
-		rn := rl.newRun(ex, place{service: ex.svc.Name}, at.rsp)
+		rn := rl.newRun(ex, place{service: ex.svc.Name}, decoding{rsp: at.rsp, begun: func() {}})
 		return rl.pass(ctx, wr, ex, rn)
 	}
 	return writeWhole(wr, at.wh, at.rest)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,9 +28,9 @@
 type (
 	// run is a generation at its decode engine.
 	run struct {
-		ex    *exchange
-		pl    place
-		rsp   *http.Response
+		ex *exchange
+		pl place
+		decoding
 		sp    splitter
 		began bool         // the head of the answer went to the caller
 		heard clock.Millis // when the engine was last heard of
@@ -49,8 +49,8 @@
 	}
 )
 
-func (rl *Relay) newRun(ex *exchange, pl place, rsp *http.Response) *run {
-	rn := &run{ex: ex, pl: pl, rsp: rsp, heard: rl.now(), moved: make(chan movedRun, 1)}
+func (rl *Relay) newRun(ex *exchange, pl place, dec decoding) *run {
+	rn := &run{ex: ex, pl: pl, decoding: dec, heard: rl.now(), moved: make(chan movedRun, 1)}
 	rn.sp.last = ex.req.After
 	rl.mu.Lock()
 	rl.runs[rn] = struct{}{}
@@ -63,6 +63,7 @@
 func (rl *Relay) pass(ctx context.Context, wr http.ResponseWriter, ex *exchange, rn *run) error {
 	defer func() {
 		_ = rn.rsp.Body.Close()
+		rn.begun()
 		rl.mu.Lock()
 		delete(rl.runs, rn)
 		rl.mu.Unlock()
@@ -102,6 +103,12 @@
 		if errors.Is(err, io.EOF) {
 			out = append(out, rn.sp.rest()...)
 		}
+		if len(out) > 0 {
+			rn.begun()
+		}
+		if len(out) > 0 && !rn.began {
+			rl.learnBegin(rn)
+		}
 		if len(out) > 0 || errors.Is(err, io.EOF) {
 			if errWrite := rn.write(wr, flusher, out); errWrite != nil {
 				return errors.Join(errCaller, errWrite)
@@ -170,7 +177,7 @@
 	}
 	// The copy has its room already, so this place needed no reservation.
 	pl := place{server: mv.at, service: rn.pl.service}
-	rl.swap(rn, rl.takePlace(pl, rn.pl.entry.Run()), rsp)
+	rl.swap(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, begun: func() {}})
 	return nil
 }
 
@@ -180,25 +187,26 @@
 	if err != nil {
 		return err
 	}
-	hd := rl.prefill(ctx, rn.ex)
-	rsp, err := rl.decode(ctx, rn.ex, pl, hd, rn.sp.last)
+	hd := rl.prefill(ctx, rn.ex, pl)
+	dec, err := rl.decode(ctx, rn.ex, pl, hd, rn.sp.last)
 	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID),
 		event.F("Last", rn.sp.last), event.F("Error", text(err)))
 	if err != nil {
 		rl.leavePlace(pl)
 		return err
 	}
-	rl.swap(rn, pl, rsp)
+	rl.swap(rn, pl, dec)
 	return nil
 }
 
 // swap lets the run be at another place from now on.
-func (rl *Relay) swap(rn *run, pl place, rsp *http.Response) {
+func (rl *Relay) swap(rn *run, pl place, dec decoding) {
+	rn.begun()
 	rl.leavePlace(rn.pl)
 	_ = rn.rsp.Body.Close() // it broke
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	rn.pl, rn.rsp, rn.moving = pl, rsp, false
+	rn.pl, rn.decoding, rn.moving = pl, dec, false
 	rn.moved = make(chan movedRun, 1)
 }
 
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -55,10 +55,6 @@
 	// tokens of the run's first 200 ms, within which the other VMs' choices
 	// are known.
 	DefaultReserve = 300
-	// DefaultPromptsAhead is how many tokens of other prompts may wait at a
-	// prefill engine before one more: it reads 55 in a millisecond, and a
-	// decode engine that reads the prompt itself takes 200 ms.
-	DefaultPromptsAhead = 25000
 	// DefaultFill is the part of an engine's memory that its runs may come to
 	// need. The ledger has a margin on their growth; the rest is for what is
 	// counted late: two prompts at most that VMs placed in the same moment.
@@ -94,7 +90,6 @@
 	HintFactor   float64      // of the hint that is reserved while other VMs' runs are not known
 	Reserve      int          // tokens reserved beyond the prompt while they are
 	Fill         float64      // of an engine's memory that its runs may come to need
-	PromptsAhead int          // tokens that may wait at a prefill engine before one more prompt
 	MoveAfter    clock.Millis // from an engine's notice to the move of its runs
 	Failures     int          // in a row that eject a backend server
 	Eject        clock.Millis // first ejection
@@ -118,7 +113,6 @@
 	st.HintFactor = orDefault(st.HintFactor, DefaultHintFactor)
 	st.Reserve = orDefault(st.Reserve, DefaultReserve)
 	st.Fill = orDefault(st.Fill, DefaultFill)
-	st.PromptsAhead = orDefault(st.PromptsAhead, DefaultPromptsAhead)
 	st.MoveAfter = orDefault(st.MoveAfter, DefaultMoveAfter)
 	st.Failures = orDefault(st.Failures, DefaultFailures)
 	st.Eject = orDefault(st.Eject, DefaultEject)
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -180,3 +180,19 @@
 	defer rl.mu.Unlock()
 	rl.ledger.Learn(rn.ex.rt.Name, pr.Hint, rn.made)
 }
+
+// learnBegin notes how long a decode took to its first event.
+func (rl *Relay) learnBegin(rn *run) {
+	if rn.ex.svc.Engines == nil || rn.ex.req.Prompt == nil {
+		return
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	po, took := rl.poolOf(rn.ex.svc.Name), rl.now()-rn.ordered
+	switch {
+	case !rn.itself:
+		po.Began(took)
+	case rn.ahead == 0:
+		po.BeganItself(rn.ex.req.Prompt.Tokens, took)
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -17,7 +17,7 @@
 //	if le.Peak(now, "e1", usage.Run{Tokens: 5000, Left: 4000}, 1) <= capacity { ... }
 //	send(le.Report(now))       // to the other VMs
 //	le.Heard(now, "vm-2", report)
-//	le.End(now, en)
+//	le.End(en)
 //
 // The length of an answer is a guess; whoever admits leaves a margin. A Ledger
 // does no I/O and is not safe for concurrent use. The zero value is ready.
@@ -33,11 +33,9 @@
 )
 
 const (
-	// firstSpeed is the tokens that a run generates in a millisecond until
-	// some run of this VM has ended: engines take 0.6 to 0.8 ms for one.
-	firstSpeed = 1.4
-	// speedGain is the weight of a run that ended in the speed.
-	speedGain = 0.1
+	// speedGain is the weight of an event in the speed: a run of 70 events
+	// counts as much as all before it.
+	speedGain = 0.02
 	// shortFor is how long a refusal for want of a place counts: a tenth of
 	// a burst.
 	shortFor = 500 * clock.Millis(1)
@@ -77,7 +75,7 @@
 		run   Run
 		made  int
 		guess int
-		began clock.Millis // of its first token; zero before
+		last  clock.Millis // when it grew last; zero: it has not begun
 	}
 
 	// Ledger is the runs of all VMs as one VM knows them.
@@ -87,7 +85,7 @@
 		avoided    map[string]clock.Millis // by engine, until when
 		shortUntil clock.Millis            // until when this VM's last refusal counts
 		others     map[string]word
-		speed      float64 // tokens in a millisecond
+		speed      float64 // tokens in a millisecond; zero: no run of this VM has grown
 		lengths    lengths // of answers against their guesses
 	}
 
@@ -121,32 +119,33 @@
 	if en == nil || tokens == 0 {
 		return
 	}
-	if en.began == 0 {
-		en.began = now
+	if en.last > 0 && now > en.last {
+		le.grewAt(float64(tokens) / float64(now-en.last))
 	}
+	en.last = now
 	en.made += tokens
 	en.run.Tokens += tokens
 	en.run.Left = max(en.guess-en.made, int(residual*float64(en.guess)))
 }
 
-// End takes a run of this VM out.
-func (le *Ledger) End(now clock.Millis, en *Entry) {
-	if en == nil {
-		return
-	}
-	delete(le.own, en)
-	if took := now - en.began; en.began > 0 && took > 0 {
-		le.speed = le.pace() + speedGain*(float64(en.made)/float64(took)-le.pace())
+func (le *Ledger) grewAt(speed float64) {
+	if le.speed == 0 {
+		le.speed = speed
 	}
+	le.speed += speedGain * (speed - le.speed)
 }
 
-func (le *Ledger) pace() float64 {
-	if le.speed == 0 {
-		return firstSpeed
+// End takes a run of this VM out.
+func (le *Ledger) End(en *Entry) {
+	if en != nil {
+		delete(le.own, en)
 	}
-	return le.speed
 }
 
+// Speed is the tokens that a run of this VM generates in a millisecond; zero if
+// none has grown yet.
+func (le *Ledger) Speed() float64 { return le.speed }
+
 // Learn notes that an answer of a route came to its end with so many tokens,
 // and what its caller had guessed.
 func (le *Ledger) Learn(route string, guess, made int) { le.lengths.observe(route, guess, made) }
@@ -268,7 +267,7 @@
 			delete(le.others, vm)
 			continue
 		}
-		grown := int(float64(now-wd.at) * le.pace())
+		grown := int(float64(now-wd.at) * le.speed)
 		for _, run := range wd.report.Runs {
 			if run.Engine == engine {
 				list = append(list, run.after(grown))
