roles, pool, usage: prefill engines by the time that generations keep engines busy

Change: each VM observes what a generation takes of both roles, tells it to the others every 2 s, and the plan divides the engines as that time is, with a quarter of a root to spare. Until then the division that was found and the default count alike; one that the fleet itself chose stays.

--- a/internal/pool/pace.go
+++ b/internal/pool/pace.go
@@ -34,16 +34,23 @@
 	if pc.weight == 0 {
 		return 0
 	}
-	meanSize, meanTime := pc.sizes/pc.weight, pc.times/pc.weight
-	if meanSize == 0 {
-		return clock.Millis(math.Ceil(meanTime))
+	growth := pc.slope()
+	constant := (pc.times - growth*pc.sizes) / pc.weight
+	return clock.Millis(math.Ceil(constant + growth*float64(size)))
+}
+
+// slope is by how many milliseconds work takes longer for each unit of its
+// size; zero if that was not observed.
+func (pc pace) slope() float64 {
+	if pc.sizes == 0 {
+		return 0
 	}
+	meanSize, meanTime := pc.sizes/pc.weight, pc.times/pc.weight
 	variance := pc.squares/pc.weight - meanSize*meanSize
 	growth := meanTime / meanSize
 	if variance > paceSpread*paceSpread*meanSize*meanSize {
 		covariance := pc.products/pc.weight - meanSize*meanTime
 		growth = min(growth, max(0, covariance/variance))
 	}
-	constant := meanTime - growth*meanSize
-	return clock.Millis(math.Ceil(constant + growth*float64(size)))
+	return growth
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -76,6 +76,7 @@
 		reading   pace // of prompts, at all prefill engines
 		itself    pace // of prompts that decode engines compute beside their runs
 		beginning pace // of decodes, from their order to the first event
+		asked     demand
 	}
 
 	engine struct {
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -27,6 +27,9 @@
 	// fresh.
 	tellPerVM = 14 * clock.Millis(1)
 	tellMost  = usage.Stale * 2 / 5
+	// tellDemandEvery is how often a word tells the demand too: it changes with
+	// the kinds of requests that come, and costs 30 bytes to each VM.
+	tellDemandEvery = 2 * clock.Second
 	// waitingMost bounds the waiting requests that one word names: it keeps
 	// the word within a datagram.
 	waitingMost = 16
@@ -64,6 +67,15 @@
 			}
 		}
 	}
+	if now-rl.demandTold >= tellDemandEvery {
+		rl.demandTold = now
+		rp.Demands = make(map[string]usage.Demand)
+		for name, po := range rl.pools {
+			if dm := po.Demand(); dm.Seen > 0 {
+				rp.Demands[name] = dm
+			}
+		}
+	}
 	return rp
 }
 
@@ -196,3 +208,24 @@
 		po.BeganItself(rn.ex.req.Prompt.Tokens, took)
 	}
 }
+
+// noteDemand notes how long a generation that found its place is expected to
+// keep a decode engine's memory: all that it will come to, from now to its end.
+func (rl *Relay) noteDemand(ex *exchange, pl place) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	run, speed := pl.entry.Run(), rl.ledger.Speed()
+	if memory := ex.svc.Engines.Memory; memory > 0 && speed > 0 {
+		part := float64(run.Tokens+run.Left) / (rl.Settings.Fill * float64(memory))
+		rl.poolOf(ex.svc.Name).Asked(ex.req.Prompt.Tokens, part*float64(run.Left)/speed)
+	}
+}
+
+// Demand is how long a generation of a service keeps its engines busy, in the
+// mean of those that came to all VMs; the zero value if it is not known.
+func (rl *Relay) Demand(service string) usage.Demand {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.prepare()
+	return rl.ledger.Demand(rl.now(), service, rl.poolOf(service).Demand())
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -65,6 +65,9 @@
 		Avoided []string
 		// Waiting lists requests that found no place yet.
 		Waiting []Ask
+		// Demands is what the VM observed, by service; words without it take
+		// nothing back.
+		Demands map[string]Demand
 		// Short tells that the VM lately refused a new request for want of a
 		// place.
 		Short bool
@@ -85,8 +88,9 @@
 		avoided    map[string]clock.Millis // by engine, until when
 		shortUntil clock.Millis            // until when this VM's last refusal counts
 		others     map[string]word
-		speed      float64 // tokens in a millisecond; zero: no run of this VM has grown
-		lengths    lengths // of answers against their guesses
+		demands    map[string]demandWord // by VM
+		speed      float64               // tokens in a millisecond; zero: no run of this VM has grown
+		lengths    lengths               // of answers against their guesses
 	}
 
 	// word is what another VM told.
@@ -241,6 +245,7 @@
 		le.others = make(map[string]word)
 	}
 	le.others[vm] = word{at: now, report: rp}
+	le.heardDemand(now, vm, rp.Demands)
 }
 
 // Hears tells whether the VM's word is fresh.
