--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -215,6 +215,13 @@
 	return rec, rl.Serve(ctx, rec, req)
 }
 
+// newGeneration is a request with a prompt of a size, whose caller brings so
+// much time.
+func newGeneration(rl *relay.Relay, left clock.Millis, tokens int) (*httptest.ResponseRecorder, *relay.Request) {
+	return httptest.NewRecorder(), &relay.Request{ID: "r-generation", Method: http.MethodPost, Host: "h", URI: "/draft/x", Path: "/draft/x",
+		Header: http.Header{}, Came: rl.Clock.Now(), Left: left, Prompt: &relay.Prompt{Tokens: tokens, Most: 800, Hint: 100}}
+}
+
 func refusalOf(t *testing.T, err error) refusal.Refusal {
 	t.Helper()
 	var rf refusal.Refusal
