trace, cli, relay: losses tells from log files where a load loses its generations

Each answer's line names the time to its first event and the route's objective; alderdyke losses counts what became of the generations of any number of log files: in time, late after a refusal, for its place, its prompt or its begin, refused, refused again, lost; and in which two seconds. The trace package reads a line in one place.

--- a/internal/cli/do.go
+++ b/internal/cli/do.go
@@ -44,6 +44,8 @@
 		return explain(ctx, cm, st)
 	case traceCommand:
 		return traceRequest(cm, st)
+	case lossesCommand:
+		return losses(cm, st)
 	case orderCommand:
 		return giveOrder(ctx, cm, st)
 	case drainCommand:
@@ -180,10 +182,8 @@
 // traceRequest reads log files and tells what became of a request.
 func traceRequest(cm traceCommand, st streams) error {
 	tr := trace.Trace{Request: cm.request}
-	for _, file := range cm.files {
-		if err := readLog(&tr, file); err != nil {
-			return err
-		}
+	if err := readLogs(&tr, cm.files); err != nil {
+		return err
 	}
 	verdict, err := tr.Verdict()
 	if err != nil {
@@ -193,19 +193,42 @@
 		fmt.Fprintln(st.out, ln)
 	}
 	fmt.Fprintf(st.out, "%s: %s\n", cm.request, verdict)
-	if tr.Passed > 0 {
-		fmt.Fprintf(st.err, "%d lines are no log lines of a VM, or are cut off, and were passed over\n", tr.Passed)
+	notePassed(tr.Passed, st)
+	return nil
+}
+
+// losses reads log files and tells what became of the generations.
+func losses(cm lossesCommand, st streams) error {
+	var ls trace.Losses
+	if err := readLogs(&ls, cm.files); err != nil {
+		return err
 	}
+	for _, lo := range ls.Table() {
+		fmt.Fprintln(st.out, lo)
+	}
+	notePassed(ls.Passed, st)
 	return nil
 }
 
-func readLog(tr *trace.Trace, name string) error {
-	file, err := os.Open(name)
-	if err != nil {
-		return fmt.Errorf("open a log: %w", err)
+func notePassed(lines int, st streams) {
+	if lines > 0 {
+		fmt.Fprintf(st.err, "%d lines are no log lines of a VM, or are cut off, and were passed over\n", lines)
 	}
-	defer file.Close()
-	return tr.Read(file)
+}
+
+func readLogs(to interface{ Read(rd io.Reader) error }, names []string) error {
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open a log: %w", err)
+		}
+		err = to.Read(file)
+		file.Close()
+		if err != nil {
+			return fmt.Errorf("read %s: %w", name, err)
+		}
+	}
+	return nil
 }
 
 func explain(ctx context.Context, cm explainCommand, st streams) error {
--- a/internal/cli/parse.go
+++ b/internal/cli/parse.go
@@ -16,7 +16,7 @@
 
 type (
 	// command is one parsed command line: help, version, run, check, demo,
-	// publish, templates, status, explain, trace, order or drain.
+	// publish, templates, status, explain, trace, losses, order or drain.
 	command interface{ command() }
 
 	helpCommand    struct{ text string }
@@ -51,8 +51,9 @@
 		request string
 		files   []string
 	}
-	drainCommand struct{ client operator.Client }
-	orderCommand struct {
+	lossesCommand struct{ files []string }
+	drainCommand  struct{ client operator.Client }
+	orderCommand  struct {
 		client operator.Client
 		order  operator.Order
 	}
@@ -85,6 +86,7 @@
 func (statusCommand) command()    {}
 func (explainCommand) command()   {}
 func (traceCommand) command()     {}
+func (lossesCommand) command()    {}
 func (drainCommand) command()     {}
 func (orderCommand) command()     {}
 
@@ -96,6 +98,7 @@
 	{name: "status", help: "Show how a VM is and what it sees.", flags: readFlags},
 	{name: "explain", help: "Tell what became of a request, from any VM.", positional: []string{"CUSTOMER", "KEY"}, flags: readFlags},
 	{name: "trace", help: "Tell what became of a request from log files of VMs, without asking any.", positional: []string{"REQUEST", "FILE"}, more: true},
+	{name: "losses", help: "Count from log files of VMs what became of the generations: in time, late and why, refused, lost; and when.", positional: []string{"FILE"}, more: true},
 	{name: "order", help: "Have a model engine load something: load-model, load-adapter or load-version, and its name. Ask the VM that accounts for the engine; any other one names it.", positional: []string{"SERVER", "KIND"}, more: true, flags: clientFlags},
 	{name: "drain", help: "Begin a planned stop of a VM; no request in progress is cut off.", flags: clientFlags},
 	{name: "demo", help: "Run three entry VMs, stand-ins for all they speak to, and some callers, in this process. With DIR: run only the stand-ins, and write there the settings for three VMs to be run by hand.", positional: []string{"[DIR]"}},
@@ -239,6 +242,8 @@
 			more = append([]string{op.second}, more...)
 		}
 		return checkCommand{file: op.first, templates: more}, nil
+	case "losses":
+		return lossesCommand{files: append([]string{op.first}, more...)}, nil
 	case "trace":
 		return traceCommand{request: op.first, files: append([]string{op.second}, more...)}, nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,6 +161,7 @@
 		until clock.Millis // point at which the request ends, whatever happens
 		ran   int          // backend servers that may have run it
 		tried []string     // backend servers that were tried
+		first clock.Millis // from the request to its answer's first event; zero: none came
 	}
 )
 
@@ -332,6 +333,9 @@
 	took := rl.now() - ex.req.Came
 	fields := []event.Field{event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name),
 		event.F("Configuration", ex.table), event.F("Took", took.String())}
+	if ex.first > 0 {
+		fields = append(fields, event.F("First", ex.first.String()), event.F("Objective", ex.rt.Objective.String()))
+	}
 	outcome := "Answered"
 	if rf, ok := errors.AsType[refusal.Refusal](err); ok && !errors.Is(err, ErrCut) {
 		outcome = string(rf.Reason)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -107,6 +107,7 @@
 			rn.begun()
 		}
 		if len(out) > 0 && !rn.began {
+			rn.ex.first = max(1, rl.now()-rn.ex.req.Came)
 			rl.learnBegin(rn)
 		}
 		if len(out) > 0 || errors.Is(err, io.EOF) {
--- /dev/null
+++ b/internal/trace/losses_test.go
@@ -0,0 +1,56 @@
+package trace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/trace"
+)
+
+// Each case is the log of one generation, of which the lines are shortened to
+// what counts.
+func TestLosses(t *testing.T) {
+	const (
+		placed   = `{"time":"2026-05-01T10:00:00.5Z","VM":"v","Event":2205,"Name":"RelayPlaced","Request":"r","Tokens":5000,"Returning":%t,"Waited":"%s"}`
+		noPlace  = `{"time":"2026-05-01T10:00:00.5Z","VM":"v","Event":2206,"Name":"RelayNoPlace","Request":"r","Tokens":5000,"Returning":%t}`
+		prefill  = `{"time":"2026-05-01T10:00:01Z","VM":"v","Event":2207,"Name":"RelayPrefill","Request":"r","Took":"%s"}`
+		answered = `{"time":"2026-05-01T10:00:05Z","VM":"v","Event":2200,"Name":"RelayAnswered","Request":"r","First":"%s","Objective":"900ms"}`
+		refused  = `{"time":"2026-05-01T10:00:01Z","VM":"v","Event":2201,"Name":"RelayRefused","Request":"r","Reason":"%s"}`
+		cut      = `{"time":"2026-05-01T10:00:05Z","VM":"v","Event":2202,"Name":"RelayCut","Request":"r"}`
+		gone     = `{"time":"2026-05-01T10:00:04Z","VM":"v","Event":2215,"Name":"RelayCallerGone","Request":"r"}`
+	)
+	in := fmt.Sprintf
+	for _, tc := range []struct {
+		want  trace.Fate
+		lines []string
+	}{
+		{trace.InTime, []string{in(placed, false, "5ms"), in(prefill, "120ms"), in(answered, "200ms")}},
+		{trace.LatePlace, []string{in(placed, false, "700ms"), in(prefill, "120ms"), in(answered, "950ms")}},
+		{trace.LatePrompt, []string{in(placed, false, "20ms"), in(prefill, "800ms"), in(answered, "950ms")}},
+		{trace.LateBegin, []string{in(placed, false, "20ms"), in(prefill, "100ms"), in(answered, "950ms")}},
+		{trace.LateReturned, []string{in(placed, true, "20ms"), in(prefill, "100ms"), in(answered, "200ms")}},
+		{trace.Refused, []string{in(noPlace, false), in(refused, "QueueFull")}},
+		{trace.RefusedAgain, []string{in(noPlace, true), in(refused, "QueueFull")}},
+		{trace.Left, []string{in(placed, false, "5ms"), gone, cut}},
+		{trace.Broken, []string{in(placed, false, "5ms"), cut}},
+		{trace.NoEnd, []string{in(placed, false, "5ms"), "another process's line"}},
+	} {
+		t.Run(string(tc.want), func(t *testing.T) {
+			var ls trace.Losses
+			assert.NilError(t, ls.Read(strings.NewReader(strings.Join(tc.lines, "\n"))))
+			table := ls.Table()
+			assert.Equal(t, len(table), 1)
+			assert.Equal(t, table[0].Fate, tc.want)
+			assert.Equal(t, table[0].Tokens, 5000)
+			assert.Equal(t, strings.HasSuffix(table[0].String(), "most at 10:00:00 (1)"), true, table[0].String())
+		})
+	}
+	var ls trace.Losses
+	plain := `{"time":"2026-05-01T10:00:05Z","VM":"v","Event":2200,"Name":"RelayAnswered","Request":"p"}`
+	assert.NilError(t, ls.Read(strings.NewReader(plain+"\nno line\n")))
+	assert.Equal(t, len(ls.Table()), 0, "a plain request is no generation")
+	assert.Equal(t, ls.Passed, 1)
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -32,6 +32,9 @@
 // ErrUnknown tells that no line names the request.
 var ErrUnknown = errors.New("no line of these files names the request; check the ID, and whether the files of all VMs are there")
 
+// errNoLine tells that a text is no line of a VM's log.
+var errNoLine = errors.New("not a log line of a VM")
+
 type (
 	// Line is one line about the request.
 	Line struct {
@@ -62,11 +65,14 @@
 )
 
 // Read takes the lines of one file.
-func (tr *Trace) Read(rd io.Reader) error {
+func (tr *Trace) Read(rd io.Reader) error { return each(rd, tr.take) }
+
+// each hands on the lines of a file.
+func each(rd io.Reader, take func(text string)) error {
 	sc := bufio.NewScanner(rd)
 	sc.Buffer(nil, lineBytes)
 	for sc.Scan() {
-		tr.take(sc.Text())
+		take(sc.Text())
 	}
 	if err := sc.Err(); err != nil {
 		return fmt.Errorf("read a log: %w", err)
@@ -75,28 +81,36 @@
 }
 
 func (tr *Trace) take(text string) {
+	request, ln, err := parse(text)
+	switch {
+	case err != nil:
+		tr.Passed++
+	case request == tr.Request && request != "":
+		tr.lines = append(tr.lines, ln)
+	}
+}
+
+// parse reads one line of a log and the request that it names, if any.
+func parse(text string) (request string, ln Line, err error) {
 	at := strings.IndexByte(text, '{') // what a collector wrote before it is dropped
 	if at < 0 {
-		tr.Passed++
-		return
+		return "", Line{}, errNoLine
 	}
 	var fx fixed
-	if err := json.Unmarshal([]byte(text[at:]), &fx); err != nil || fx.Name == "" {
-		tr.Passed++
-		return
+	if err := json.Unmarshal([]byte(text[at:]), &fx); err != nil {
+		return "", Line{}, fmt.Errorf("read a line: %w", err)
 	}
-	if fx.Request != tr.Request || tr.Request == "" {
-		return
+	if fx.Name == "" {
+		return "", Line{}, errNoLine
 	}
 	var all map[string]any
 	if err := json.Unmarshal([]byte(text[at:]), &all); err != nil {
-		tr.Passed++
-		return
+		return "", Line{}, fmt.Errorf("read a line's fields: %w", err)
 	}
 	for _, name := range []string{"time", "level", "message", "VM", "Event", "Name", "Request"} {
 		delete(all, name)
 	}
-	tr.lines = append(tr.lines, Line{Time: fx.Time, VM: fx.VM, Number: fx.Event, Name: fx.Name, Fields: all})
+	return fx.Request, Line{Time: fx.Time, VM: fx.VM, Number: fx.Event, Name: fx.Name, Fields: all}, nil
 }
 
 // Lines returns the lines in the order of their times, which different VMs
