--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/event"
@@ -202,7 +203,9 @@
 	pf, ok := po.Prefiller(now, pool.Prompt{Tokens: tokens, Domain: pl.server.FailureDomain, Ahead: rl.promptsAt(now),
 		Last: func(id string) bool { return rl.ledger.Failing(now, id) }})
 	st := pool.Start{Spent: now - ex.req.Came, Objective: ex.rt.Objective}
-	if !ok || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
+	itself := !ok || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st)
+	rl.count("Prompts", map[string]string{"Itself": strconv.FormatBool(itself)})
+	if itself {
 		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
 			event.F("Best", pf.Server.ID), event.F("Ahead", pf.Ahead), event.F("Would", pf.Takes.String()), event.F("Spent", st.Spent.String()))
 		return pool.Prefill{}, false
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -172,6 +173,7 @@
 	now, nd := rl.now(), rl.needOf(ex)
 	least, engines := po.Least(now, pool.Want{Need: rl.peakAt(now, nd.run)})
 	rl.mu.Unlock()
+	rl.count("NoPlace", map[string]string{"Room": strconv.FormatBool(least <= nd.limit)})
 	rl.Log.Log(event.RelayNoPlace, append(fields, event.F("Request", ex.req.ID), event.F("Tokens", ex.req.Prompt.Tokens),
 		event.F("Left", ex.req.Left.String()), event.F("Engines", engines), event.F("Least", least), event.F("Limit", nd.limit))...)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -188,9 +188,7 @@
 	}
 	rl.Log.Log(event.RelayRetried, event.F("Request", ex.req.ID), event.F("Reason", ag.Reason),
 		event.F("Attempt", number+1), event.F("After", ag.After.String()))
-	if rl.Scope != nil {
-		rl.Scope.Tagged(map[string]string{"Reason": string(ag.Reason)}).Counter("Retries").Inc(1)
-	}
+	rl.count("Retries", map[string]string{"Reason": string(ag.Reason)})
 	select {
 	case <-time.After(ag.After.Std()):
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -355,5 +355,12 @@
 	}
 }
 
+// count counts a decision by what decided it.
+func (rl *Relay) count(name string, tags map[string]string) {
+	if rl.Scope != nil {
+		rl.Scope.Tagged(tags).Counter(name).Inc(1)
+	}
+}
+
 // cut wraps the cause of an answer that broke off.
 func cut(err error) error { return fmt.Errorf("%w: %w", ErrCut, err) }
