entry: an engine that does not answer may hold the decode that is looked for

Cause (by reading, for the known red test): when two VMs are lost, a VM asks all engines what they decode. One that did not answer within its second counted as one that holds nothing, and the list was kept for a second: a caller with a part of its answer was told that it is no longer kept, and began anew, which is the second run that the test saw beside load. Ruled out by reading: a takeover, which refuses a caller with a part when it can't resume.

Change: such a list is not kept, and the engine is asked up to three times.

--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -24,6 +24,11 @@
 	decodesFresh = clock.Second
 	// decodesAsked bounds the engines that are asked at a time.
 	decodesAsked = 16
+	// decodesTries is how often an engine that does not answer in time is asked
+	// before it counts as gone, with all that it held. Each ask takes a second
+	// at most; a VM that takes over from two others is busy for about that
+	// long.
+	decodesTries = 3
 )
 
 type (
@@ -32,6 +37,7 @@
 	decodes struct {
 		mu     sync.Mutex // held while the engines are asked, so that one ask serves all
 		listed clock.Millis
+		whole  bool // every engine answered
 		byKey  map[requestID][]heldDecode
 	}
 
@@ -44,28 +50,33 @@
 )
 
 // of finds the decode of a key. It finds none if the engines hold several:
-// which of them made the caller's part can't be told.
-func (ds *decodes) of(vm *VM, id requestID) (heldDecode, bool) {
+// which of them made the caller's part can't be told. Sure tells whether one that
+// was not found is held nowhere: an engine that did not answer may hold it, and
+// is asked anew the next time.
+func (ds *decodes) of(vm *VM, id requestID) (held heldDecode, found, sure bool) {
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
-	if now := vm.Clock.Now(); ds.byKey == nil || now-ds.listed >= decodesFresh {
-		ds.byKey, ds.listed = vm.listDecodes(), now
+	if now := vm.Clock.Now(); ds.byKey == nil || !ds.whole || now-ds.listed >= decodesFresh {
+		ds.byKey, ds.whole = vm.listDecodes()
+		ds.listed = now
 	}
-	if found := ds.byKey[id]; len(found) == 1 {
-		return found[0], true
+	if list := ds.byKey[id]; len(list) == 1 {
+		return list[0], true, true
 	}
-	return heldDecode{}, false
+	return heldDecode{}, false, ds.whole
 }
 
-// listDecodes asks all decode engines what they hold. The list serves other
-// requests too, so it does not end with the one that asks for it.
-func (vm *VM) listDecodes() map[requestID][]heldDecode {
+// listDecodes asks all decode engines what they hold, and tells whether each
+// answered. The list serves other requests too, so it does not end with the one
+// that asks for it.
+func (vm *VM) listDecodes() (byKey map[requestID][]heldDecode, whole bool) {
 	ctx, stop := context.WithTimeout(vm.runCtx, reportWithin.Std())
 	defer stop()
 	var (
 		mu  sync.Mutex
 		gr  errgroup.Group
 		out = make(map[requestID][]heldDecode)
+		all = true
 	)
 	gr.SetLimit(decodesAsked)
 	for _, srv := range vm.Board.Backends().Servers {
@@ -76,6 +87,9 @@
 			runs, err := vm.Engines.Running(ctx, srv)
 			if err != nil {
 				vm.Log.Log(event.BackendUnreachable, event.F("Server", srv.ID), event.F("Error", err.Error()))
+				mu.Lock()
+				defer mu.Unlock()
+				all = false
 				return nil // the other engines may hold what is looked for
 			}
 			mu.Lock()
@@ -89,7 +103,7 @@
 		})
 	}
 	_ = gr.Wait() // no ask returns an error
-	return out
+	return out, all
 }
 
 // keyOf reads the key out of a request's name at an engine, which is
@@ -111,9 +125,13 @@
 		return false
 	}
 	var givenUp board.VMRef
+	tries := 0
 	for pause := reopenPause; ; pause = min(2*pause, followPause) {
-		held, ok := rn.vm.decodes.of(rn.vm, rn.id)
-		if !ok || rn.vm.self(held.runner) {
+		held, found, sure := rn.vm.decodes.of(rn.vm, rn.id)
+		if tries++; !found && !sure && tries < decodesTries && clock.Sleep(ctx, pause) {
+			continue
+		}
+		if !found || rn.vm.self(held.runner) {
 			return false
 		}
 		dec := claim.Decided{Runner: held.runner, DecodeServer: held.server, EngineRequest: held.request}
