--- /dev/null
+++ b/internal/relay/need.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"math"
+
+	"alderdyke/internal/event"
+	"alderdyke/internal/usage"
+)
+
+const (
+	// blockTokens is the unit in which engines give out memory.
+	blockTokens = 16
+	// silentPart of the other VMs may be silent: what a twentieth has at the
+	// engines is within the margin that Fill leaves.
+	silentPart = 20
+	// noLimit leaves out no engine but those that have no room at all.
+	noLimit = math.MaxInt - 1
+)
+
+// need is the memory that a generation asks for.
+type need struct {
+	run     usage.Run // without its engine
+	reserve int       // to reserve at the engine
+	limit   int       // what all runs of the engine may come to need
+}
+
+// needOf sizes a generation. As long as this VM hears from the others what
+// they have at the engines, it foretells what each will need, and reserves
+// little more than the prompt. Otherwise it reserves what the run may come to.
+func (rl *Relay) needOf(ex *exchange) need {
+	pr := ex.req.Prompt
+	most, guess := pr.Most, pr.Most
+	if pr.Hint > 0 {
+		most = min(most, int(rl.Settings.HintFactor*float64(pr.Hint)))
+		guess = min(guess, rl.ledger.Expect(ex.rt.Name, pr.Hint))
+	}
+	nd := need{run: usage.Run{Tokens: blocks(pr.Tokens), Left: blocks(guess)}, reserve: blocks(pr.Tokens + most), limit: noLimit}
+	if ex.svc.Engines.Memory > 0 && rl.hearsAll() {
+		nd.reserve = min(nd.reserve, blocks(pr.Tokens+rl.Settings.Reserve))
+		nd.limit = int(rl.Settings.Fill * float64(ex.svc.Engines.Memory))
+	}
+	return nd
+}
+
+// blocks rounds up to what engines give out.
+func blocks(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
+
+// hearsAll tells whether the VMs that live told lately what they have at the
+// engines; of a large fleet a few may be silent. The lock is held.
+func (rl *Relay) hearsAll() bool {
+	if rl.Others == nil {
+		return false
+	}
+	now := rl.now()
+	others, whole := rl.Others()
+	silent := 0
+	for _, vm := range others {
+		if !rl.ledger.Hears(now, vm) {
+			silent++
+		}
+	}
+	hears := whole && silent <= len(others)/silentPart
+	if hears != rl.hears {
+		rl.hears = hears
+		rl.noteHearing(hears, len(others), silent, whole)
+	}
+	return hears
+}
+
+// noteHearing tells that this VM begins, or ceases, to hear what the others
+// have at the engines.
+func (rl *Relay) noteHearing(hears bool, others, silent int, whole bool) {
+	ev := event.UsageUnknown
+	if hears {
+		ev = event.UsageKnown
+	}
+	rl.Log.Log(ev, event.F("Others", others), event.F("Silent", silent), event.F("Whole", whole))
+}
