--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,11 @@
 // number that each draws: all VMs see one order by it, and the room that
 // requests elsewhere take first is left to them ([Want.Before]).
 //
+// A prompt is computed where it is expected to be done first ([Pool.Prefiller]),
+// by how long engines were seen to take, or by the decode engine itself
+// ([Pool.Itself]) where it would be too late elsewhere. The pool also observes
+// how long generations keep engines of either role busy ([Pool.Demand]).
+//
 // # Usage
 //
 //	po := &pool.Pool{Rand: rand.New(rand.NewPCG(1, 2))}
@@ -23,6 +28,8 @@
 //	if po.First(tk, false) {
 //		for _, bs := range po.Decoders(now, pool.Want{Tokens: 5500, Limit: capacity, Need: need}) { ... } // reserve; then Take or Full
 //	}
+//	pf, ok := po.Prefiller(now, pool.Prompt{Tokens: 5200, Domain: bs.FailureDomain, Ahead: ahead})
+//	po.Read(pf, 5200, took)
 //
 // A Pool does no I/O and is not safe for concurrent use.
 package pool
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -19,8 +19,11 @@
 //	le.Heard(now, "vm-2", report)
 //	le.End(en)
 //
-// The length of an answer is a guess; whoever admits leaves a margin. A Ledger
-// does no I/O and is not safe for concurrent use. The zero value is ready.
+// The length of an answer is a guess. The ledger learns by route how answers come
+// out against their callers' guesses, and leaves a margin on the growth of the runs
+// at an engine. What VMs tell each other of failing engines, of requests that
+// wait and of the demand for each role is kept here too. A Ledger does no I/O and
+// is not safe for concurrent use. The zero value is ready.
 package usage
 
 import (
