--- a/internal/pool/prefill.go
+++ b/internal/pool/prefill.go
@@ -66,7 +66,7 @@
 			tokens += pr.Tokens
 		}
 		// Without a pace of one, all read alike.
-		costs[en] = int(cmp.Or(float64(po.readTime(en, tokens)), float64(tokens)))
+		costs[en] = int(cmp.Or(po.readTime(en, tokens), clock.Millis(tokens)))
 	}
 	if len(fit) == 0 {
 		return Prefill{}, false
