roles: the number of prefill engines is a part and a square root again

Change: the plan of before, whole; what told the demand goes, with its tests.

An observation that slow engines don't spoil is left to do.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -94,10 +94,6 @@
 	for engine, tokens := range rp.Prompts {
 		at(engine).Prompts = uint32(tokens)
 	}
-	for service, dm := range rp.Demands {
-		out.Demands = append(out.Demands, &peerpb.Demand{Service: service,
-			Prefill: float32(dm.Prefill), Decode: float32(dm.Decode), Seen: float32(dm.Seen)})
-	}
 	out.Queues = queuesToWire(rp.Waiting)
 	return out
 }
@@ -130,12 +126,6 @@
 func usageFromWire(us *peerpb.Usage) usage.Report {
 	rp := usage.Report{Prompts: make(map[string]int), Avoided: us.GetAvoided(), Failing: us.GetFailing(), Short: us.GetShort(),
 		Waiting: queuesFromWire(us.GetQueues())}
-	for _, dm := range us.GetDemands() {
-		if rp.Demands == nil {
-			rp.Demands = make(map[string]usage.Demand)
-		}
-		rp.Demands[dm.GetService()] = usage.Demand{Prefill: float64(dm.GetPrefill()), Decode: float64(dm.GetDecode()), Seen: float64(dm.GetSeen())}
-	}
 	for _, en := range us.GetEngines() {
 		if en.GetPrompts() > 0 {
 			rp.Prompts[en.GetEngine()] = int(en.GetPrompts())
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -21,7 +21,6 @@
 		Avoided: []string{"e3"},
 		Failing: []string{"e4", "e5"},
 		Short:   true,
-		Demands: map[string]usage.Demand{"s": {Prefill: 94.5, Decode: 380, Seen: 12.25}, "t": {Prefill: 1, Decode: 2, Seen: 3}},
 		Waiting: []usage.Ask{
 			{Service: "s", Returning: true, Turn: 1 << 31, Age: 900}, {Service: "s", Turn: 7, Age: 120}, {Service: "s", Age: 3},
 			{Service: "t", Age: 40},
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,8 +16,7 @@
 //
 // A prompt is computed where it is expected to be done first ([Pool.Prefiller]),
 // by how long engines were seen to take, or by the decode engine itself
-// ([Pool.Itself]) where it would be too late elsewhere. The pool also observes
-// how long generations keep engines of either role busy ([Pool.Demand]).
+// ([Pool.Itself]) where it would be too late elsewhere.
 //
 // # Usage
 //
@@ -84,7 +83,6 @@
 		reading   pace // of prompts, at all prefill engines
 		itself    pace // of prompts that decode engines compute beside their runs
 		beginning pace // of decodes, from their order to the first event
-		asked     demand
 	}
 
 	engine struct {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -82,7 +82,6 @@
 		tr := rl.tryPlace(ctx, ex, po, tk, until)
 		asked += tr.asked
 		if pl := tr.place; pl.server.ID != "" {
-			rl.noteDemand(ex, pl)
 			rl.Log.Log(event.RelayPlaced, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
 				event.F("Tokens", ex.req.Prompt.Tokens), event.F("Returning", back), event.F("Left", ex.req.Left.String()),
 				event.F("Waited", (rl.now()-ex.req.Came).String()))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,8 +147,6 @@
 		stopAt   clock.Millis  // when
 		moved    chan struct{} // closed when a place may have become free
 
-		demandTold clock.Millis // when the other VMs were told the demand
-
 		usageChanged chan struct{} // holds a word when runs came or went
 	}
 
--- a/internal/relay/usage.go
+++ b/internal/relay/usage.go
@@ -27,9 +27,6 @@
 	// fresh.
 	tellPerVM = 14 * clock.Millis(1)
 	tellMost  = usage.Stale * 2 / 5
-	// tellDemandEvery is how often a word tells the demand too: it changes with
-	// the kinds of requests that come, and costs 30 bytes to each VM.
-	tellDemandEvery = 2 * clock.Second
 	// waitingMost bounds the waiting requests that one word names: it keeps
 	// the word within a datagram.
 	waitingMost = 16
@@ -67,15 +64,6 @@
 			}
 		}
 	}
-	if now-rl.demandTold >= tellDemandEvery {
-		rl.demandTold = now
-		rp.Demands = make(map[string]usage.Demand)
-		for name, po := range rl.pools {
-			if dm := po.Demand(); dm.Seen > 0 {
-				rp.Demands[name] = dm
-			}
-		}
-	}
 	return rp
 }
 
--- a/internal/roles/keeper.go
+++ b/internal/roles/keeper.go
@@ -28,7 +28,6 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/register"
-	"alderdyke/internal/usage"
 	"alderdyke/pkg/clock"
 )
 
@@ -49,7 +48,6 @@
 	Service struct {
 		Engines []board.BackendServer
 		Switch  clock.Millis // time that a change of role takes
-		Demand  usage.Demand // of the service's generations
 	}
 
 	// Register is a register that changes by compare-and-swap and outlives
@@ -139,7 +137,7 @@
 			ke.plans[name] = pl
 		}
 		pl.Switch = svc.Switch
-		if ch, ok := pl.Next(now, svc.Engines, svc.Demand); ok {
+		if ch, ok := pl.Next(now, svc.Engines); ok {
 			out = append(out, ch)
 		}
 	}
@@ -195,9 +193,7 @@
 		return may && held == token
 	})
 	fields := []event.Field{event.F("Server", ch.Server.ID), event.F("Service", ch.Server.Service),
-		event.F("To", ch.To), event.F("Token", token),
-		event.F("Have", ch.Have), event.F("Want", fmt.Sprintf("%.2f", ch.Want)),
-		event.F("Prefill", fmt.Sprintf("%.0fms", ch.Demand.Prefill)), event.F("Decode", fmt.Sprintf("%.0fms", ch.Demand.Decode))}
+		event.F("To", ch.To), event.F("Token", token)}
 	now := ke.now()
 	if err == nil {
 		ke.ordered(now, ch)
--- a/internal/roles/keeper_test.go
+++ b/internal/roles/keeper_test.go
@@ -103,7 +103,7 @@
 		Services: func() map[string]roles.Service {
 			ce.mu.Lock()
 			defer ce.mu.Unlock()
-			return map[string]roles.Service{"s": {Engines: append([]board.BackendServer(nil), ce.engines...), Switch: 6 * clock.Second, Demand: sixth}}
+			return map[string]roles.Service{"s": {Engines: append([]board.BackendServer(nil), ce.engines...), Switch: 6 * clock.Second}}
 		}}
 }
 
--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -6,29 +6,20 @@
 	"slices"
 
 	"alderdyke/internal/board"
-	"alderdyke/internal/usage"
 	"alderdyke/pkg/clock"
 )
 
 // What the zero value of a field of [Settings] stands for.
 const (
 	// DefaultPrefillPart is the part of a service's engines that compute
-	// prompts until the load has shown what it asks for. A generation of 5,000
-	// tokens in and 4,400 out keeps a prefill engine for 90 ms and an eighth of
-	// a decode engine for 3.2 s, which makes a fifth.
-	DefaultPrefillPart = 0.2
+	// prompts while every decode engine is full. A generation of 5,000 tokens
+	// in and 4,400 out keeps a prefill engine for 90 ms and an eighth of a
+	// decode engine for 3.2 s, which makes a sixth.
+	DefaultPrefillPart = 0.16
 	// DefaultPrefillSpare is the room for chance, in square roots of the
 	// number of engines: prompts come by chance, so what has to be kept free
 	// for those that come together grows with the root of their number.
-	DefaultPrefillSpare = 0.25
-	// DefaultBand is by how many engines the number of prefill engines may
-	// differ from what the load asks for before one changes: a change takes an
-	// engine away for longer than a burst lasts, so it must be worth more than
-	// half of an engine.
-	DefaultBand = 0.6
-	// DefaultTrust is the generations after which what was observed counts as
-	// much as what was supposed before.
-	DefaultTrust = 10
+	DefaultPrefillSpare = 0.4
 	// DefaultLeast prefill engines are kept, so that one may be lost.
 	DefaultLeast = 2
 	// DefaultDwell is how long a change must be called for. Engines that are
@@ -43,25 +34,17 @@
 type (
 	// Settings of a Plan. A zero field stands for its default.
 	Settings struct {
-		PrefillPart  float64 // of the engines that compute prompts until the load is known
-		PrefillSpare float64 // engines beyond the load's part, for each square root of their number
-		Band         float64 // engines by which their number may be off
-		Trust        float64 // generations that what is supposed counts for
-		// Divided tells that VMs of this fleet chose the engines' roles before,
-		// so that they stay until this VM knows the load.
-		Divided bool
-		Least   int          // prefill engines that are kept
-		Dwell   clock.Millis // for how long a change must be called for
-		Settle  clock.Millis // after a change, until the entry counts again
+		PrefillPart  float64      // of the engines of a service that compute prompts
+		PrefillSpare float64      // engines beyond that, for each square root of their number
+		Least        int          // prefill engines that are kept
+		Dwell        clock.Millis // for how long a change must be called for
+		Settle       clock.Millis // after a change, until the entry counts again
 	}
 
-	// Change is one engine's change of role, and what calls for it.
+	// Change is one engine's change of role.
 	Change struct {
 		Server board.BackendServer
 		To     board.Role
-		Have   int     // prefill engines
-		Want   float64 // the same, by the load
-		Demand usage.Demand
 	}
 
 	// Plan decides for one service which engines change their role. Set the
@@ -70,7 +53,6 @@
 		Settings Settings
 		Switch   clock.Millis // time that a change takes at an engine
 
-		found   float64 // part of the engines that computed prompts before the first order
 		ordered map[string]order
 		since   clock.Millis // since when a change is called for; zero: it is not
 		calls   board.Role
@@ -84,20 +66,10 @@
 )
 
 // Next returns the change that is due, if one is.
-func (pl *Plan) Next(now clock.Millis, engines []board.BackendServer, dm usage.Demand) (Change, bool) {
+func (pl *Plan) Next(now clock.Millis, engines []board.BackendServer) (Change, bool) {
 	st := pl.Settings.withDefaults()
 	roles := pl.roles(now, engines)
-	have := 0
-	for _, role := range roles {
-		if role == board.Prefill {
-			have++
-		}
-	}
-	if pl.ordered == nil && len(roles) > 0 {
-		pl.found = float64(have) / float64(len(roles))
-	}
-	want := pl.want(st, len(roles), dm)
-	toward := st.short(len(roles), have, want)
+	toward := short(st, roles)
 	if toward != pl.calls || toward == "" {
 		pl.calls, pl.since = toward, now
 	}
@@ -105,40 +77,7 @@
 		return Change{}, false
 	}
 	bs, ok := spare(engines, roles, toward)
-	return Change{Server: bs, To: toward, Have: have, Want: want, Demand: dm}, ok
-}
-
-// want is how many prefill engines the load asks for. Both roles are full at the
-// same load if the engines are divided as a generation's time is: with 130 ms of
-// a prefill engine and 380 of a decode engine, a quarter. One engine more or less
-// costs 0.01 to 0.05 of the worth of four deployments' days. Until the load is
-// known, the division that was found counts as much as the default, since
-// whoever chose it had a reason; one that the fleet itself chose counts alone.
-func (pl *Plan) want(st Settings, count int, dm usage.Demand) float64 {
-	engines := float64(count)
-	want := engines * pl.found
-	if !st.Divided {
-		want = (want + engines*st.PrefillPart) / 2
-	}
-	if dm.Prefill > 0 && dm.Decode > 0 {
-		seen := dm.Prefill/(dm.Prefill+dm.Decode)*engines + st.PrefillSpare*math.Sqrt(engines)
-		want = (dm.Seen*seen + st.Trust*want) / (dm.Seen + st.Trust)
-	}
-	most := count / 2
-	return min(max(want, float64(min(st.Least, most))), float64(most))
-}
-
-// short tells which role has too few engines; empty if none has.
-func (st Settings) short(count, have int, want float64) board.Role {
-	most := count / 2
-	switch {
-	case have < min(st.Least, most), want-float64(have) > st.Band:
-		return board.Prefill
-	case have > most, float64(have)-want > st.Band:
-		return board.Decode
-	default:
-		return ""
-	}
+	return Change{Server: bs, To: toward}, ok
 }
 
 // Ordered notes that a change was ordered, or may have been, and returns until
@@ -173,6 +112,27 @@
 	return out
 }
 
+// short tells which role has too few engines; empty if none has.
+func short(st Settings, roles map[string]board.Role) board.Role {
+	prefill := 0
+	for _, role := range roles {
+		if role == board.Prefill {
+			prefill++
+		}
+	}
+	engines := float64(len(roles))
+	want := max(st.Least, int(math.Round(st.PrefillPart*engines+st.PrefillSpare*math.Sqrt(engines))))
+	want = min(want, len(roles)/2)
+	switch {
+	case prefill < want:
+		return board.Prefill
+	case prefill > want:
+		return board.Decode
+	default:
+		return ""
+	}
+}
+
 // spare chooses the engine that changes: of the failure domain that has most
 // engines of its role, so that a domain's loss takes fewest of either.
 func spare(engines []board.BackendServer, roles map[string]board.Role, toward board.Role) (board.BackendServer, bool) {
@@ -193,17 +153,11 @@
 }
 
 func (st Settings) withDefaults() Settings {
-	if st.PrefillSpare <= 0 {
-		st.PrefillSpare = DefaultPrefillSpare
-	}
 	if st.PrefillPart <= 0 {
 		st.PrefillPart = DefaultPrefillPart
 	}
-	if st.Trust <= 0 {
-		st.Trust = DefaultTrust
-	}
-	if st.Band <= 0 {
-		st.Band = DefaultBand
+	if st.PrefillSpare <= 0 {
+		st.PrefillSpare = DefaultPrefillSpare
 	}
 	if st.Least <= 0 {
 		st.Least = DefaultLeast
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -21,8 +21,8 @@
 //
 // The length of an answer is a guess. The ledger learns by route how answers come
 // out against their callers' guesses, and leaves a margin on the growth of the runs
-// at an engine. What VMs tell each other of failing engines, of requests that
-// wait and of the demand for each role is kept here too. A Ledger does no I/O and
+// at an engine. What VMs tell each other of failing engines and of requests that
+// wait is kept here too. A Ledger does no I/O and
 // is not safe for concurrent use. The zero value is ready.
 package usage
 
@@ -70,9 +70,6 @@
 		Failing []string
 		// Waiting lists requests that found no place yet.
 		Waiting []Ask
-		// Demands is what the VM observed, by service; words without it take
-		// nothing back.
-		Demands map[string]Demand
 		// Short tells that the VM lately refused a new request for want of a
 		// place.
 		Short bool
@@ -94,9 +91,8 @@
 		failing    map[string]clock.Millis // the same
 		shortUntil clock.Millis            // until when this VM's last refusal counts
 		others     map[string]word
-		demands    map[string]demandWord // by VM
-		speed      float64               // tokens in a millisecond; zero: no run of this VM has grown
-		lengths    lengths               // of answers against their guesses
+		speed      float64 // tokens in a millisecond; zero: no run of this VM has grown
+		lengths    lengths // of answers against their guesses
 	}
 
 	// word is what another VM told.
@@ -277,7 +273,6 @@
 		le.others = make(map[string]word)
 	}
 	le.others[vm] = word{at: now, report: rp}
-	le.heardDemand(now, vm, rp.Demands)
 }
 
 // Hears tells whether the VM's word is fresh.
