--- a/internal/entry/rescue_test.go
+++ b/internal/entry/rescue_test.go
@@ -23,7 +23,7 @@
 // run would begin.
 func TestEngineThatDoesNotAnswerMayHoldTheDecode(t *testing.T) {
 	var asked atomic.Int64
-	holds := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+	holds := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
 		if asked.Add(1) == 1 {
 			http.Error(wr, "busy", http.StatusGatewayTimeout)
 			return
@@ -32,7 +32,7 @@
 		assert.Check(t, json.NewEncoder(wr).Encode(engine.RunningReport{Runs: runs}))
 	}))
 	defer holds.Close()
-	empty := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+	empty := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
 		assert.Check(t, json.NewEncoder(wr).Encode(engine.RunningReport{}))
 	}))
 	defer empty.Close()
