--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -16,7 +16,9 @@
 package board
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync/atomic"
 
 	"alderdyke/pkg/clock"
@@ -82,9 +84,13 @@
 		Quorate bool
 	}
 
-	// BackendServer is a model engine or a server of a plain service.
+	// BackendServer is one life of a model engine or of a server of a plain
+	// service. A server that starts again knows nothing of before, so that it is
+	// another BackendServer with another ID.
 	BackendServer struct {
-		ID            string
+		ID            string // of this life
+		Name          string // by which the server calls itself in all of its lives; empty: its ID
+		Incarnation   uint64 // higher in each life; zero if the server does not tell it
 		Service       string
 		Role          Role
 		Address       string // "IP:port"
@@ -204,6 +210,17 @@
 	return out
 }
 
+// Key is what all lives of the server have in common.
+func (bs BackendServer) Key() string { return cmp.Or(bs.Name, bs.ID) }
+
+// Reborn tells whether another life of the server is listed in place of this
+// one.
+func (bk *Backends) Reborn(bs BackendServer) bool {
+	return slices.ContainsFunc(bk.Servers, func(other BackendServer) bool {
+		return other.Key() == bs.Key() && other.ID != bs.ID
+	})
+}
+
 // Server finds a backend server by its ID.
 func (bk *Backends) Server(id string) (BackendServer, bool) {
 	for _, srv := range bk.Servers {
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -37,6 +37,8 @@
 		"none while VMs start or are cut off; if it stays, look at UDP between the VMs")
 	UsageKnown = register(2217, "UsageKnown", Info,
 		"this VM hears what the others have at the engines; it reserves little more than the prompt", "none")
+	RelayServerReborn = register(2218, "RelayServerReborn", Warn,
+		"a backend server started again; the calls of before at it are over", "look at the backend server if it goes on")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had room; the decode engine computes the prompt", "none")
 )
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,14 +5,15 @@
 // While the store is away they can't renew them, so an entry that lapsed then
 // says nothing of its server until the store has been back for a while. A
 // server that is said to leave is believed at once and for as long as its
-// entry lives.
+// entry lives. A server that starts again goes on under its entry; what is
+// written late of a life before changes nothing.
 //
 // # Usage
 //
 //	var rg registry.Registry
 //	rg.Replace(now, servers)        // a whole listing
 //	rg.Set(server)                  // one entry
-//	rg.Remove(now, id)              // one entry lapsed or was withdrawn
+//	rg.Remove(now, key)             // one entry lapsed or was withdrawn
 //	rg.Missed(now)                  // the store did not answer
 //	list, moved := rg.Servers(now)
 //
@@ -38,9 +39,9 @@
 	Registry struct {
 		Return clock.Millis // zero: DefaultReturn
 
-		servers map[string]entry
-		missed  clock.Millis // last point at which the store did not answer
-		away    bool         // missed was ever set
+		servers map[string]entry // by BackendServer.Key
+		missed  clock.Millis     // last point at which the store did not answer
+		away    bool             // missed was ever set
 		moved   bool
 	}
 
@@ -58,28 +59,35 @@
 	if rg.Knows(bs) {
 		return
 	}
-	rg.servers[bs.ID] = entry{server: bs}
+	rg.servers[bs.Key()] = entry{server: bs}
 	rg.moved = true
 }
 
-// Knows tells whether an entry says nothing new, as one that was only renewed.
+// Knows tells whether an entry says nothing new, as one that was only renewed
+// or one of an earlier life of its server.
 func (rg *Registry) Knows(bs board.BackendServer) bool {
-	en, ok := rg.servers[bs.ID]
-	return ok && en.server == bs && !en.lapsed
+	en, ok := rg.servers[bs.Key()]
+	return ok && (en.server == bs && !en.lapsed || bs.Incarnation < en.server.Incarnation)
+}
+
+// Lists tells whether there is a server with the key.
+func (rg *Registry) Lists(key string) bool {
+	_, ok := rg.servers[key]
+	return ok
 }
 
 // Remove takes the end of one entry.
-func (rg *Registry) Remove(now clock.Millis, id string) {
-	en, ok := rg.servers[id]
+func (rg *Registry) Remove(now clock.Millis, key string) {
+	en, ok := rg.servers[key]
 	if !ok {
 		return
 	}
 	if rg.doubtful(now) {
 		en.lapsed = true
-		rg.servers[id] = en
+		rg.servers[key] = en
 		return
 	}
-	delete(rg.servers, id)
+	delete(rg.servers, key)
 	rg.moved = true
 }
 
@@ -87,12 +95,12 @@
 func (rg *Registry) Replace(now clock.Millis, list []board.BackendServer) {
 	listed := make(map[string]bool, len(list))
 	for _, bs := range list {
-		listed[bs.ID] = true
+		listed[bs.Key()] = true
 		rg.Set(bs)
 	}
-	for id := range rg.servers {
-		if !listed[id] {
-			rg.Remove(now, id)
+	for key := range rg.servers {
+		if !listed[key] {
+			rg.Remove(now, key)
 		}
 	}
 }
@@ -115,9 +123,9 @@
 }
 
 func (rg *Registry) dropLapsed() {
-	for id, en := range rg.servers {
+	for key, en := range rg.servers {
 		if en.lapsed {
-			delete(rg.servers, id)
+			delete(rg.servers, key)
 			rg.moved = true
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -71,3 +72,29 @@
 		})
 	}
 }
+
+// A server that starts again goes on under its entry. What is written late of
+// its earlier life is no news, and its end ends the server whatever its life.
+func TestServerStartsAgain(t *testing.T) {
+	life := func(incarnation uint64) board.BackendServer {
+		return board.BackendServer{ID: fmt.Sprintf("a.%d", incarnation), Name: "a", Incarnation: incarnation, Address: "a:1"}
+	}
+	var rg registry.Registry
+	rg.Set(life(5))
+	list, moved := rg.Servers(0)
+	assert.Assert(t, moved)
+	assert.DeepEqual(t, ids(list), []string{"a.5"})
+	rg.Set(life(7))
+	list, moved = rg.Servers(0)
+	assert.Assert(t, moved)
+	assert.DeepEqual(t, ids(list), []string{"a.7"})
+	assert.Assert(t, rg.Knows(life(5)))
+	rg.Set(life(5))
+	list, moved = rg.Servers(0)
+	assert.Assert(t, !moved)
+	assert.DeepEqual(t, ids(list), []string{"a.7"})
+	rg.Remove(0, "a")
+	list, _ = rg.Servers(0)
+	assert.Equal(t, len(list), 0)
+	assert.Assert(t, !rg.Lists("a"))
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -32,10 +32,18 @@
 	itself  bool         // the engine computes the prompt too
 	ahead   int          // tokens of prompts that it had to compute before
 	begun   func()       // is called when the first event came, or the decode failed
+	end     func()       // ends the call at the engine
+}
+
+// close ends what is left of the decode.
+func (dec decoding) close() {
+	_ = dec.rsp.Body.Close() // it was read, broke, or is given up
+	dec.begun()
+	dec.end()
 }
 
 func (rl *Relay) newDecoding(ex *exchange, pl place, itself bool) decoding {
-	dec := decoding{ordered: rl.now(), itself: itself, begun: func() {}}
+	dec := decoding{ordered: rl.now(), itself: itself, begun: func() {}, end: func() {}}
 	if itself {
 		rl.mu.Lock()
 		dec.ahead = rl.ledger.Prompts(dec.ordered, pl.server.ID)
@@ -68,6 +76,9 @@
 // is left at the engines, and the place is the caller's to leave.
 func (rl *Relay) start(ctx context.Context, ex *exchange, pl place) (*run, error) {
 	hd := rl.prefill(ctx, ex, pl)
+	if rl.Backends().Reborn(hd.Server) {
+		hd = Handle{} // another life of the engine may have given the same ID to another prompt
+	}
 	if err := rl.mayDecode(ctx, pl); err != nil {
 		rl.forget(ex, hd)
 		rl.release(ex, pl)
@@ -99,18 +110,15 @@
 // engines.
 func (rl *Relay) decode(ctx context.Context, ex *exchange, pl place, hd Handle, after string) (decoding, error) {
 	op := Options{Left: rl.left(ex), Source: hd, Reservation: pl.reservation, After: after}
-	dec := rl.newDecoding(ex, pl, hd.ID == "")
-	rsp, err := rl.sendDecode(ctx, ex, pl, op)
+	dec, err := rl.sendDecode(ctx, ex, pl, op)
 	if _, why := backend.OutcomeOf(err); hd.ID != "" && why == backend.Full && rl.again(ctx, ex, 1, 1, err, generateNeed) == nil {
 		op.Source, op.Left = Handle{}, rl.left(ex)
-		dec = rl.newDecoding(ex, pl, true)
-		if rsp, err = rl.sendDecode(ctx, ex, pl, op); err == nil {
+		if dec, err = rl.sendDecode(ctx, ex, pl, op); err == nil {
 			rl.declined(hd.Server.ID)
 			rl.forget(ex, hd)
 		}
 	}
 	if err != nil {
-		dec.begun()
 		rl.afterDecode(ctx, ex, pl, hd, err)
 		return decoding{}, err
 	}
@@ -118,15 +126,23 @@
 	rl.mu.Lock()
 	rl.worked(rl.poolOf(ex.svc.Name), pl.server.ID)
 	rl.mu.Unlock()
-	dec.rsp = rsp
 	return dec, nil
 }
 
-func (rl *Relay) sendDecode(ctx context.Context, ex *exchange, pl place, op Options) (*http.Response, error) {
-	rsp, err := rl.Servers.Send(ctx, pl.server, ex.req, op)
+// sendDecode orders a decode. After an error there is none to be closed.
+func (rl *Relay) sendDecode(ctx context.Context, ex *exchange, pl place, op Options) (decoding, error) {
+	dec := rl.newDecoding(ex, pl, op.Source.ID == "")
+	ctx, dec.end = rl.callTo(ctx, pl.server)
+	var err error
+	dec.rsp, err = rl.Servers.Send(ctx, pl.server, ex.req, op)
 	rl.Log.Log(event.RelayDecode, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID), event.F("After", op.After),
 		event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Came).String()), event.F("Error", text(err)))
-	return rsp, err
+	if err != nil {
+		dec.begun()
+		dec.end()
+		return decoding{}, err
+	}
+	return dec, nil
 }
 
 var errLeft = errors.New("the engine has begun to leave")
@@ -218,7 +234,9 @@
 // prefillAt has the prompt computed at an engine.
 func (rl *Relay) prefillAt(ctx context.Context, ex *exchange, pf pool.Prefill) (Handle, error) {
 	began := rl.now()
-	within, stop := context.WithTimeout(ctx, prefillWithin.Std())
+	within, end := rl.callTo(ctx, pf.Server)
+	defer end()
+	within, stop := context.WithTimeout(within, prefillWithin.Std())
 	defer stop()
 	tokens := ex.req.Prompt.Tokens
 	hd, err := rl.Servers.Prefill(within, pf.Server, ex.req, rl.left(ex))
--- /dev/null
+++ b/internal/relay/lives.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+)
+
+// errReborn ends the calls at a server that has started again since.
+var errReborn = errors.New("the server has started again and knows nothing of the call")
+
+// call is one call at a backend server that may last: a run, an attempt at a
+// plain service, a prefill.
+type call struct {
+	server board.BackendServer
+	cancel context.CancelCauseFunc
+}
+
+// callTo makes a context for a call at a server, which ends when another life
+// of the server is listed: the server then works on nothing of before, and its
+// connection may stay silent for good. The function ends the call.
+func (rl *Relay) callTo(ctx context.Context, bs board.BackendServer) (context.Context, context.CancelFunc) {
+	within, cancel := context.WithCancelCause(ctx)
+	cl := &call{server: bs, cancel: cancel}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.calls[cl] = struct{}{}
+	return within, func() {
+		rl.mu.Lock()
+		delete(rl.calls, cl)
+		rl.mu.Unlock()
+		cancel(context.Canceled)
+	}
+}
+
+// endReborn ends the calls at servers that started again. The lock is held.
+func (rl *Relay) endReborn(bk *board.Backends) {
+	ended := make(map[string]int)
+	for cl := range rl.calls {
+		if bk.Reborn(cl.server) {
+			cl.cancel(errReborn)
+			ended[cl.server.ID]++
+		}
+	}
+	for server, calls := range ended {
+		rl.count("Reborn", nil)
+		rl.Log.Log(event.RelayServerReborn, event.F("Server", server), event.F("Calls", calls))
+	}
+}
--- /dev/null
+++ b/internal/relay/lives_test.go
@@ -0,0 +1,149 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/relay"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// silent is a body that brings its text and then nothing until its call ends,
+// as a connection does whose server lost its power.
+type silent struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (si *silent) Read(data []byte) (int, error) {
+	if size, err := si.Reader.Read(data); err == nil {
+		return size, nil
+	}
+	<-si.ctx.Done()
+	return 0, si.ctx.Err()
+}
+
+func (si *silent) Close() error { return nil }
+
+// reborn is the list in which the servers started again under their names.
+func reborn(names ...string) []board.BackendServer {
+	out := slices.Clone(list)
+	for ix, bs := range out {
+		out[ix].Name = bs.ID
+		if slices.Contains(names, bs.ID) {
+			out[ix].ID, out[ix].Incarnation = bs.ID+".2", 2
+		}
+	}
+	return out
+}
+
+// A server that starts again works on nothing of before, and its connections
+// may stay silent for good: what was asked of its earlier life ends at once.
+func TestCallsAtAServerThatStartsAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		route string
+		wants func(t *testing.T, body string, err error)
+	}{
+		{"a stream that may be resumed goes on elsewhere", "resumable", func(t *testing.T, body string, err error) {
+			assert.NilError(t, err)
+			assert.Equal(t, body, eventOne+eventTwo)
+		}},
+		{"one that may not is cut", "draft", func(t *testing.T, body string, err error) {
+			assert.ErrorIs(t, err, relay.ErrCut)
+			assert.Equal(t, body, eventOne)
+		}},
+		{"a request that runs once may have run", "once", func(t *testing.T, _ string, err error) {
+			assert.Equal(t, refusalOf(t, err).Ran, refusal.MayHaveRun)
+		}},
+		{"one that may be repeated is", "again", func(t *testing.T, _ string, err error) { assert.NilError(t, err) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				rl.SetBackends(rl.Clock.Now(), reborn())
+				sv.onSend = func(ctx context.Context, nth int, _ sent) (*http.Response, error) {
+					switch {
+					case nth > 1:
+						return answer(http.StatusOK, eventTwo, nil), nil
+					case tc.route == "draft" || tc.route == "resumable":
+						return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: &silent{strings.NewReader(eventOne), ctx}}, nil
+					default:
+						<-ctx.Done()
+						return nil, errReset
+					}
+				}
+				time.AfterFunc(50*time.Millisecond, func() {
+					rl.SetBackends(rl.Clock.Now(), reborn(sv.sentTo()[0]))
+				})
+				began := time.Now()
+				rec, err := serve(t.Context(), rl, tc.route)
+				tc.wants(t, rec.Body.String(), err)
+				assert.Assert(t, time.Since(began) < 300*time.Millisecond, "%v", time.Since(began))
+			})
+		})
+	}
+}
+
+// A prompt that was computed by an earlier life is not decoded from: the new
+// one may give the same handle to another prompt, and must not be told to free
+// it either.
+func TestHandlesOfAnEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		rl.SetBackends(rl.Clock.Now(), reborn())
+		sv.onPrefill = func(int, board.BackendServer) error {
+			go rl.SetBackends(rl.Clock.Now(), reborn("f1", "f2"))
+			return nil
+		}
+		slow := &slowPrefill{servers: sv}
+		rl.Servers = slow
+		_, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, sv.sent[0].op.Source.ID, "")
+		synctest.Wait()
+		assert.Equal(t, sv.left(), 1, "the handle of the earlier life is no longer ours to free")
+	})
+}
+
+// slowPrefill answers a prefill a moment after it is done.
+type slowPrefill struct{ *servers }
+
+func (sp *slowPrefill) Prefill(ctx context.Context, bs board.BackendServer, req *relay.Request, left clock.Millis) (relay.Handle, error) {
+	hd, err := sp.servers.Prefill(ctx, bs, req, left)
+	time.Sleep(10 * time.Millisecond)
+	return hd, err
+}
+
+// What other VMs, and this one, told of an earlier life does not count for the
+// new one: it is empty and has failed nobody.
+func TestANewLifeBeginsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		rl.SetBackends(rl.Clock.Now(), reborn())
+		failed := ""
+		sv.onReserve = func(bs board.BackendServer, _ int) error {
+			if strings.HasSuffix(bs.ID, ".2") {
+				return nil
+			}
+			failed = bs.ID
+			return errReset
+		}
+		_, err := serve(t.Context(), rl, "draft")
+		refusalOf(t, err)
+		assert.Assert(t, failed != "")
+		rl.SetBackends(rl.Clock.Now(), reborn("d1", "d2"))
+		_, err = serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+	})
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -271,7 +271,7 @@
 // release gives a reservation back that was not used. The request's own
 // context may have ended, so the call has one of its own.
 func (rl *Relay) release(ex *exchange, pl place) {
-	go rl.tidy(ex, "Release", func(ctx context.Context) error {
+	go rl.tidy(ex, pl.server, "Release", func(ctx context.Context) error {
 		return rl.Servers.Release(ctx, pl.server, pl.reservation)
 	})
 }
@@ -281,10 +281,15 @@
 	if hd.ID == "" {
 		return
 	}
-	go rl.tidy(ex, "Forget", func(ctx context.Context) error { return rl.Servers.Forget(ctx, hd) })
+	go rl.tidy(ex, hd.Server, "Forget", func(ctx context.Context) error { return rl.Servers.Forget(ctx, hd) })
 }
 
-func (rl *Relay) tidy(ex *exchange, what string, call func(ctx context.Context) error) {
+// tidy gives something back to a server. A server that started again holds
+// nothing of before, and may have given the same ID to something else.
+func (rl *Relay) tidy(ex *exchange, bs board.BackendServer, what string, call func(ctx context.Context) error) {
+	if rl.Backends().Reborn(bs) {
+		return
+	}
 	ctx, stop := context.WithTimeout(context.Background(), tidyWithin.Std())
 	defer stop()
 	if err := call(ctx); err != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -68,7 +68,7 @@
 func (rl *Relay) passPlain(ctx context.Context, wr http.ResponseWriter, ex *exchange, at attempt) error {
 	defer at.close()
 	if ex.rt.Kind == route.Stream {
-		rn := rl.newRun(ex, place{service: ex.svc.Name}, decoding{rsp: at.rsp, begun: func() {}})
+		rn := rl.newRun(ex, place{service: ex.svc.Name}, decoding{rsp: at.rsp, begun: func() {}, end: func() {}})
 		return rl.pass(ctx, wr, ex, rn)
 	}
 	return writeWhole(wr, at.wh, at.rest)
@@ -97,7 +97,7 @@
 func (rl *Relay) try(ctx context.Context, ex *exchange, bs board.BackendServer) (at attempt) {
 	began := rl.now()
 	ex.tried = append(ex.tried, bs.ID)
-	within, end := context.WithCancel(ctx)
+	within, end := rl.callTo(ctx, bs)
 	at.end = end
 	if span := rl.attemptSpan(ex); span > 0 {
 		// What is left of a large answer may take longer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,6 +141,7 @@
 		pools    map[string]*pool.Pool
 		longest  map[string]clock.Millis // by route: longest time that a caller brought
 		runs     map[*run]struct{}
+		calls    map[*call]struct{}
 		ledger   usage.Ledger
 		hears    bool          // the others told lately what they have at the engines
 		stopping bool          // a planned stop began
@@ -229,7 +230,8 @@
 		}
 	}
 	rl.signal()
-	rl.leaveEngines(list)
+	rl.endReborn(bk)
+	rl.leaveEngines(bk)
 }
 
 // Serve carries a request to its end. A [refusal.Refusal] means that nothing
@@ -307,6 +309,7 @@
 	rl.pools = make(map[string]*pool.Pool)
 	rl.longest = make(map[string]clock.Millis)
 	rl.runs = make(map[*run]struct{})
+	rl.calls = make(map[*call]struct{})
 	rl.moved = make(chan struct{})
 	rl.usageChanged = make(chan struct{}, 1)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -62,8 +62,7 @@
 // with it elsewhere when its engine breaks off or leaves.
 func (rl *Relay) pass(ctx context.Context, wr http.ResponseWriter, ex *exchange, rn *run) error {
 	defer func() {
-		_ = rn.rsp.Body.Close()
-		rn.begun()
+		rn.close()
 		rl.mu.Lock()
 		delete(rl.runs, rn)
 		rl.mu.Unlock()
@@ -169,16 +168,18 @@
 
 // continueAt reads a moved run on at its new engine.
 func (rl *Relay) continueAt(ctx context.Context, rn *run, mv movedRun) error {
-	rsp, err := rl.Servers.Send(ctx, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
+	within, end := rl.callTo(ctx, mv.at)
+	rsp, err := rl.Servers.Send(within, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
 	rl.Log.Log(event.RelayMoved, event.F("Request", rn.ex.req.ID), event.F("From", rn.pl.server.ID),
 		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Error", text(err)))
 	if err != nil {
+		end()
 		rl.forget(rn.ex, mv.src)
 		return err
 	}
 	// The copy has its room already, so this place needed no reservation.
 	pl := place{server: mv.at, service: rn.pl.service}
-	rl.swap(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, begun: func() {}})
+	rl.swap(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, begun: func() {}, end: end})
 	return nil
 }
 
@@ -202,9 +203,8 @@
 
 // swap lets the run be at another place from now on.
 func (rl *Relay) swap(rn *run, pl place, dec decoding) {
-	rn.begun()
+	rn.close()
 	rl.leavePlace(rn.pl)
-	_ = rn.rsp.Body.Close() // it broke
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rn.pl, rn.decoding, rn.moving = pl, dec, false
@@ -225,13 +225,11 @@
 
 // leaveEngines moves the runs of this VM away from engines that leave. The
 // lock is held.
-func (rl *Relay) leaveEngines(list []board.BackendServer) {
-	stays := make(map[string]bool, len(list))
-	for _, bs := range list {
-		stays[bs.ID] = !bs.Leaving
-	}
+func (rl *Relay) leaveEngines(bk *board.Backends) {
 	for rn := range rl.runs {
-		if rn.moving || stays[rn.pl.server.ID] || rn.ex.svc.Engines == nil || !rn.ex.svc.Engines.Moves {
+		at, listed := bk.Server(rn.pl.server.ID)
+		stays := listed && !at.Leaving || bk.Reborn(rn.pl.server) // of an earlier life there is nothing to move
+		if rn.moving || stays || rn.ex.svc.Engines == nil || !rn.ex.svc.Engines.Moves {
 			continue
 		}
 		rn.moving = true
