--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -273,8 +273,8 @@
 	}
 }
 
-// unranked is the place of a VM that knows no other that lives: behind all, for
-// it may hear of them at any moment.
+// unranked is the place of a VM that leaves, or that knows no other that lives:
+// behind all, for it may hear of them at any moment.
 const unranked = math.MaxInt
 
 // Rank is this VM's place among those that read the store for the others: 0 is
@@ -285,7 +285,11 @@
 		return unranked
 	}
 	ranked := rendezvous.Rank(ne.Name, living)
-	return slices.IndexFunc(ranked, func(vm board.VM) bool { return vm.ID == ne.Self.ID })
+	rank := slices.IndexFunc(ranked, func(vm board.VM) bool { return vm.ID == ne.Self.ID })
+	if rank < 0 {
+		return unranked // it leaves
+	}
+	return rank
 }
 
 // rankHere is the same for the project's own topic, which is where a VM that
--- a/internal/fleet/neighbours_test.go
+++ b/internal/fleet/neighbours_test.go
@@ -75,3 +75,22 @@
 	assert.Assert(t, ne.takeDropped())
 	assert.Assert(t, !ne.takeDropped())
 }
+
+// A VM that leaves, or that knows no other, is behind all that read for others.
+func TestRank(t *testing.T) {
+	vm := func(id string, health board.Health, leaving bool) board.VM {
+		return board.VM{VMRef: board.VMRef{ID: id, Incarnation: 1}, Health: health, Leaving: leaving}
+	}
+	rankOf := func(self string, vms ...board.VM) int {
+		ne := &Neighbours{Self: board.VM{VMRef: board.VMRef{ID: self}}, Name: "t", fleet: &Fleet{}}
+		ne.fleet.view.Store(&board.Fleet{VMs: vms})
+		return ne.Rank()
+	}
+	all := []board.VM{vm("a", board.Alive, false), vm("b", board.Alive, false), vm("c", board.Alive, false)}
+	ranks := []int{rankOf("a", all...), rankOf("b", all...), rankOf("c", all...)}
+	slices.Sort(ranks)
+	assert.DeepEqual(t, ranks, []int{0, 1, 2})
+	assert.Equal(t, rankOf("a", vm("a", board.Alive, false)), unranked)
+	assert.Equal(t, rankOf("a", vm("a", board.Alive, false), vm("b", board.Dead, false)), unranked)
+	assert.Equal(t, rankOf("a", vm("a", board.Alive, true), all[1], all[2]), unranked)
+}
