--- a/internal/fleet/accounts.go
+++ b/internal/fleet/accounts.go
@@ -15,8 +15,8 @@
 	// answer. They are ranked without regard to failure domains, so that the next
 	// in line is always one that was told before.
 	accountants = 3
-	// accountsKey ranks them.
-	accountsKey = "accounts"
+	// rankAccounts ranks them.
+	rankAccounts = "accounts"
 )
 
 // accounts is the VMs that account for the engines, in the order in which they
@@ -29,29 +29,29 @@
 // accountsOf chooses by a view of the fleet. The fleet's size counts also the
 // VMs that are dead for now, so that it does not change with each fault.
 func accountsOf(view *board.Fleet) *accounts {
-	var fit []board.VM
 	size := 0
-	for _, vm := range view.VMs {
-		here := vm.ID == view.Self.ID
-		if vm.Incarnation == 0 && !here || vm.Health == board.Left {
-			continue
-		}
-		size++
-		if vm.Health == board.Alive && !vm.Leaving {
-			fit = append(fit, vm)
+	for ix := range view.VMs {
+		if vm := &view.VMs[ix]; isKnown(view, vm) && vm.Health != board.Left {
+			size++
 		}
 	}
 	if size <= mostDirect+1 {
 		return &accounts{}
 	}
-	ranked := rendezvous.Rank(accountsKey, fit)
-	ac := &accounts{vms: ranked[:min(accountants, len(ranked))]}
+	ac := &accounts{vms: rendezvous.Top(rankAccounts, view.VMs, accountants, func(vm *board.VM) bool {
+		return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving
+	})}
 	for _, vm := range ac.vms {
 		ac.key += vm.ID + " "
 	}
 	return ac
 }
 
+// isKnown tells whether a VM was heard of, and is not only listed.
+func isKnown(view *board.Fleet, vm *board.VM) bool {
+	return vm.Incarnation != 0 || vm.ID == view.Self.ID
+}
+
 // Accounts is the VMs that account for the engines.
 func (fl *Fleet) Accounts() []board.VM {
 	if ac := fl.accounts.Load(); ac != nil {
@@ -60,6 +60,14 @@
 	return nil
 }
 
+// accountsKey names them.
+func (fl *Fleet) accountsKey() string {
+	if ac := fl.accounts.Load(); ac != nil {
+		return ac.key
+	}
+	return ""
+}
+
 // Before lists the VMs that are asked for a place before this one chooses by
 // itself, and tells whether it may: it accounts for the engines too, or all VMs
 // tell all.
--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+)
+
+// BenchmarkView is what a VM of 295 does with a new view of the fleet, in which
+// one other VM has changed.
+func BenchmarkView(bb *testing.B) {
+	vms := large(295, 6)
+	slices.SortFunc(vms, func(va, vb board.VM) int { return strings.Compare(va.ID, vb.ID) })
+	old := &board.Fleet{Self: vms[0].VMRef, VMs: vms}
+	now := &board.Fleet{Self: vms[0].VMRef, VMs: slices.Clone(vms)}
+	now.VMs[100].Leaving = true
+	bb.Run("log", func(bb *testing.B) {
+		for bb.Loop() {
+			LogChanges(event.Logger{}, old, now)
+		}
+	})
+	bb.Run("accounts", func(bb *testing.B) {
+		for bb.Loop() {
+			accountsOf(now)
+		}
+	})
+	bb.Run("rank", func(bb *testing.B) {
+		ne := &Neighbours{Self: vms[0], Name: "t"}
+		for bb.Loop() {
+			ne.rankIn(now)
+		}
+	})
+}
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -15,8 +15,12 @@
 // LogChanges writes what changed between two views of the fleet. A VM that is
 // only listed and was never heard of is no news.
 func LogChanges(lg event.Logger, old, now *board.Fleet) {
+	// Both views are sorted by ID. Looking each of 295 VMs up in the other view
+	// took 0.67 ms, and one walk takes 0.013 ms (BenchmarkView); while all VMs
+	// restart in turn each sees 30 changes a second.
+	walk := vmWalk{vms: old.VMs}
 	for _, after := range now.VMs {
-		before, known := old.VM(after.ID)
+		before, known := walk.to(after.ID)
 		news := !known || before.Health != after.Health || before.Incarnation != after.Incarnation
 		if news && after.Incarnation != 0 && after.ID != now.Self.ID {
 			logVM(lg, healthEvents[after.Health], after)
@@ -25,8 +29,9 @@
 			logVM(lg, event.VMLeaving, after)
 		}
 	}
+	walk = vmWalk{vms: now.VMs}
 	for _, before := range old.VMs {
-		if _, known := now.VM(before.ID); !known {
+		if _, known := walk.to(before.ID); !known {
 			logVM(lg, event.VMRemoved, before)
 		}
 	}
@@ -38,6 +43,20 @@
 	}
 }
 
+// vmWalk finds VMs in a list that is sorted by ID, when they are asked for in
+// that order too.
+type vmWalk struct{ vms []board.VM }
+
+func (vw *vmWalk) to(id string) (board.VM, bool) {
+	for len(vw.vms) > 0 && vw.vms[0].ID < id {
+		vw.vms = vw.vms[1:]
+	}
+	if len(vw.vms) == 0 || vw.vms[0].ID != id {
+		return board.VM{}, false
+	}
+	return vw.vms[0], true
+}
+
 func logVM(lg event.Logger, ev event.Event, other board.VM) {
 	lg.Log(ev,
 		event.F("Other", other.ID),
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -89,6 +89,8 @@
 		lease    register.Entry          // on orders to engines
 		next     uint64                  // offset at which the topic ended when it was read last
 		read     chan struct{}
+		ranked   *board.Fleet // the view that rank was worked out for
+		rank     int
 		accounts string // names of the VMs that account for the engines
 	}
 
@@ -281,16 +283,29 @@
 const unranked = math.MaxInt
 
 // Rank is this VM's place among those that read the store for the others: 0 is
-// the first of those that live.
+// the first of those that live. It is asked for several times a second and worked
+// out once for each view of the fleet.
 func (ne *Neighbours) Rank() int {
-	living := ne.living()
-	if len(living) <= 1 {
+	view := ne.View()
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	if ne.ranked != view {
+		ne.ranked, ne.rank = view, ne.rankIn(view)
+	}
+	return ne.rank
+}
+
+// rankIn is the place in a view. Those that are not among the first are alike.
+func (ne *Neighbours) rankIn(view *board.Fleet) int {
+	first := rendezvous.Top(ne.Name, view.VMs, topic.InLine, func(vm *board.VM) bool {
+		return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving
+	})
+	if len(first) <= 1 {
 		return unranked
 	}
-	ranked := rendezvous.Rank(ne.Name, living)
-	rank := slices.IndexFunc(ranked, func(vm board.VM) bool { return vm.ID == ne.Self.ID })
+	rank := slices.IndexFunc(first, func(vm board.VM) bool { return vm.ID == ne.Self.ID })
 	if rank < 0 {
-		return unranked // it leaves
+		return unranked // it is behind all that read, or leaves
 	}
 	return rank
 }
@@ -298,21 +313,10 @@
 // rankHere is the same for the project's own topic, which is where a VM that
 // knows no other learns of them.
 func (ne *Neighbours) rankHere() int {
-	if rank := ne.Rank(); rank != unranked {
-		return rank
-	}
-	return 0
-}
-
-// living lists the VMs that live and stay, this one included.
-func (ne *Neighbours) living() []board.VM {
-	var out []board.VM
-	for _, vm := range ne.View().VMs {
-		if vm.Health == board.Alive && !vm.Leaving && (vm.Incarnation != 0 || vm.ID == ne.Self.ID) {
-			out = append(out, vm)
-		}
+	if others, _ := ne.Others(); len(others) == 0 {
+		return 0
 	}
-	return out
+	return ne.Rank()
 }
 
 // TellUsage tells the others what this VM has at the engines.
@@ -326,7 +330,10 @@
 // are told at once what this one has there.
 func (ne *Neighbours) changed(view *board.Fleet) {
 	ne.Size(len(view.Serving()))
-	key := accountsOf(view).key
+	key := ""
+	if fl := ne.joined(); fl != nil {
+		key = fl.accountsKey()
+	}
 	ne.mu.Lock()
 	moved := key != ne.accounts
 	ne.accounts = key
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -58,6 +58,37 @@
 	return vms[best], true
 }
 
+// Top returns up to count of the VMs that fit, the most preferred first, as Rank
+// does, but ranks none of the others.
+func Top(key string, vms []board.VM, count int, fit func(vm *board.VM) bool) []board.VM {
+	type scored struct {
+		at    int
+		score uint64
+	}
+	before := func(sa, sb scored) int {
+		return cmp.Or(cmp.Compare(sb.score, sa.score), cmp.Compare(vms[sa.at].ID, vms[sb.at].ID))
+	}
+	top := make([]scored, 0, count+1)
+	var buf scratch
+	for ix := range vms {
+		if !fit(&vms[ix]) {
+			continue
+		}
+		sc := scored{ix, buf.weight(vms[ix].ID, key)}
+		if len(top) == count && (count == 0 || before(sc, top[count-1]) > 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, sc, before)
+		top = slices.Insert(top, at, sc)
+		top = top[:min(count, len(top))]
+	}
+	out := make([]board.VM, 0, len(top))
+	for _, sc := range top {
+		out = append(out, vms[sc.at])
+	}
+	return out
+}
+
 // Spread returns up to count VMs: the most preferred of each failure domain,
 // most preferred first, and where the domains are too few, the most preferred
 // of the others. It looks at each VM a few times and ranks none.
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"alderdyke/internal/board"
 )
@@ -68,3 +69,18 @@
 	first := testing.AllocsPerRun(10, func() { First("cell/model/0", vms, func(*board.VM) bool { return true }) })
 	assert.Assert(t, spread <= 8 && first <= 8, "%v objects for Spread, %v for First", spread, first)
 }
+
+// Top is the beginning of Rank, however many are asked for.
+func TestTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var vms []board.VM
+		for ix := range rapid.IntRange(0, 40).Draw(t, "vms") {
+			vms = append(vms, board.VM{VMRef: board.VMRef{ID: fmt.Sprint(ix)}})
+		}
+		key := rapid.String().Draw(t, "key")
+		count := rapid.IntRange(0, 8).Draw(t, "count")
+		fit := func(vm *board.VM) bool { return len(vm.ID) == 1 }
+		want := slices.DeleteFunc(Rank(key, vms), func(vm board.VM) bool { return !fit(&vm) })
+		assert.DeepEqual(t, Top(key, vms, count, fit), want[:min(count, len(want))])
+	})
+}
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -39,12 +39,12 @@
 	// 295 VMs ask 1,800 times, in place of 5,300 with the pauses above.
 	asideFirst = 2 * clock.Second
 	asideMost  = 4 * clock.Second
-	// inLine is how many VMs read for the others when those before them don't.
-	// Where the store turns a third of the VMs away, one time in 240 it turns
-	// away all five.
-	inLine = 5
 )
 
+// InLine is how many VMs read for the others when those before them don't. Where
+// the store turns a third of the VMs away, one time in 240 it turns away all five.
+const InLine = 5
+
 // ErrDropped tells that the records after an offset are not kept any more.
 var ErrDropped = errors.New("the records were dropped")
 
@@ -248,7 +248,7 @@
 	switch {
 	case rank == 0 || fo.leads:
 		return 0
-	case rank >= inLine:
+	case rank >= InLine:
 		return fo.Patience
 	}
 	// Each in line leaves half of the span that is left to those behind it.
@@ -266,7 +266,7 @@
 
 // tells tells whether this VM passes on what it read.
 func (fo *Follower) tells() bool {
-	return fo.Tell != nil && fo.Rank != nil && fo.Rank() < inLine
+	return fo.Tell != nil && fo.Rank != nil && fo.Rank() < InLine
 }
 
 // pauseAfter is the pause after a call that failed, and so many before it.
@@ -274,7 +274,7 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	first, most := retryFirst, retryMost
-	if fo.listed && fo.rank() >= inLine {
+	if fo.listed && fo.rank() >= InLine {
 		first, most = asideFirst, asideMost
 	}
 	return min(most, first<<min(failures, 10))
@@ -314,7 +314,7 @@
 	fo.mu.Lock()
 	listed, from, wait, heard, gap := fo.listed, fo.next, fo.Wait, fo.heard, fo.gap
 	rank := fo.rank()
-	standby := rank > 0 && rank < inLine && fo.now()-heard >= fo.silence()
+	standby := rank > 0 && rank < InLine && fo.now()-heard >= fo.silence()
 	if standby && !fo.leads {
 		wait = 0 // the others have waited too, and would ask by themselves
 	}
