--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,9 +165,19 @@
 		ran   int          // backend servers that may have run it
 		tried []string     // backend servers that were tried
 		first clock.Millis // from the request to its answer's first event; zero: none came
+		event clock.Millis // when the last event came
+		pause clock.Millis // longest between two events
 	}
 )
 
+// notePause notes that an event came.
+func (ex *exchange) notePause(now clock.Millis) {
+	if ex.event > 0 {
+		ex.pause = max(ex.pause, now-ex.event)
+	}
+	ex.event = now
+}
+
 // Configure puts a configuration in force unless a newer one is, and tells
 // whether it did.
 func (rl *Relay) Configure(tb *route.Table) bool {
@@ -339,7 +349,8 @@
 	fields := []event.Field{event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name),
 		event.F("Configuration", ex.table), event.F("Took", took.String())}
 	if ex.first > 0 {
-		fields = append(fields, event.F("First", ex.first.String()), event.F("Objective", ex.rt.Objective.String()))
+		fields = append(fields, event.F("First", ex.first.String()), event.F("Objective", ex.rt.Objective.String()),
+			event.F("Pause", ex.pause.String()))
 	}
 	outcome := "Answered"
 	if rf, ok := errors.AsType[refusal.Refusal](err); ok && !errors.Is(err, ErrCut) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -97,6 +97,9 @@
 			rn.heard = rl.now()
 		}
 		out := rn.sp.add(buf[:size])
+		if len(out) > 0 {
+			rn.ex.notePause(rl.now())
+		}
 		rl.grew(rn, bytes.Count(out, []byte("\n\n")))
 		if errors.Is(err, io.EOF) {
 			out = append(out, rn.sp.rest()...)
