--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -95,10 +95,10 @@
 
 func answerToWire(number uint64, ans usage.PlaceAnswer) *peerpb.PlaceAnswer {
 	return &peerpb.PlaceAnswer{Number: number, Known: ans.Known, Engines: ans.Engines, Before: uint32(ans.Before), Short: ans.Short,
-		Prefill: ans.Prefill, Ahead: uint32(ans.Ahead)}
+		Prefill: ans.Prefill, Ahead: uint32(ans.Ahead), Doubtful: ans.Doubtful}
 }
 
 func answerFromWire(pa *peerpb.PlaceAnswer) usage.PlaceAnswer {
 	return usage.PlaceAnswer{Known: pa.GetKnown(), Engines: pa.GetEngines(), Before: int(pa.GetBefore()), Short: pa.GetShort(),
-		Prefill: pa.GetPrefill(), Ahead: int(pa.GetAhead())}
+		Prefill: pa.GetPrefill(), Ahead: int(pa.GetAhead()), Doubtful: pa.GetDoubtful()}
 }
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -139,6 +139,6 @@
 	ask := usage.PlaceAsk{Ask: usage.Ask{Service: "s", Returning: true, Turn: 1 << 31, Age: 90}, Run: usage.Run{Tokens: 5200, Left: 2000},
 		Reserve: 5500, MayWait: 180, MayWaitBack: 2800, Skip: []string{"e1", "e2"}, Prompt: true}
 	assert.DeepEqual(t, askFromWire(askToWire(7, ask)), ask)
-	ans := usage.PlaceAnswer{Known: true, Engines: []string{"e3", "e4"}, Before: 3, Short: true, Prefill: "f1", Ahead: 5200}
+	ans := usage.PlaceAnswer{Known: true, Engines: []string{"e3", "e4"}, Before: 3, Short: true, Prefill: "f1", Ahead: 5200, Doubtful: true}
 	assert.DeepEqual(t, answerFromWire(answerToWire(7, ans)), ans)
 }
--- a/internal/relay/account.go
+++ b/internal/relay/account.go
@@ -49,6 +49,7 @@
 		before  int                   // requests at other VMs that take their places first
 		short   bool                  // places are wanting somewhere in the fleet
 		prefill *pool.Prefill         // with the first of the list; nil: not chosen yet
+		doubt   bool                  // the first of the list may be gone
 	}
 )
 
@@ -101,6 +102,7 @@
 	}
 	ch.list = po.Decoders(now, pool.Want{Tokens: ch.need.reserve, Limit: ch.need.limit, Before: ch.before, Need: rl.peakAt(now, ch.need.run),
 		Spare: spare(tk.Ask().Returning, ch.short), Last: rl.lastAt(now)})
+	ch.doubt = len(ch.list) > 0 && rl.ledger.Doubtful(now, ch.list[0].ID)
 	return ch
 }
 
@@ -163,7 +165,7 @@
 	if ans.Short {
 		rl.ledger.HeardShort(now)
 	}
-	ch := choice{need: rl.needOf(ex, true), before: ans.Before, short: ans.Short, list: rl.stayingOf(po, ans.Engines)}
+	ch := choice{need: rl.needOf(ex, true), before: ans.Before, short: ans.Short, doubt: ans.Doubtful, list: rl.stayingOf(po, ans.Engines)}
 	if pf, ok := po.PrefillAt(ans.Prefill, ans.Ahead, ex.req.Prompt.Tokens); ok {
 		ch.prefill = &pf
 	}
@@ -219,7 +221,8 @@
 // promise counts a place, and the prompt at an engine near it, as taken by the
 // VM that asked. The lock is held.
 func (rl *Relay) promise(now clock.Millis, vm string, po *pool.Pool, ask usage.PlaceAsk, at board.BackendServer, ans *usage.PlaceAnswer) {
-	if ask.Prompt {
+	ans.Doubtful = rl.ledger.Doubtful(now, at.ID)
+	if ask.Prompt && !ans.Doubtful {
 		pf, ok := rl.prefillFor(now, po, ask.Run.Tokens, at)
 		if ok {
 			ans.Prefill, ans.Ahead = pf.Server.ID, pf.Ahead
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -130,3 +130,30 @@
 		assert.Equal(t, len(told.Load().Failing), 0)
 	})
 }
+
+// An engine that failed another VM and looks empty may be gone: it is asked to
+// compute the prompt itself, so that none is computed elsewhere in vain. One that
+// has runs is sound.
+func TestEngineThatMayBeGone(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		runs     int // that the other VM has there
+		prefills int
+	}{{"empty", 0, 0}, {"busy", 3, 1}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				others(rl)
+				rl.SetBackends(rl.Clock.Now(), []board.BackendServer{list[0], list[2]})
+				rp := usage.Report{Failing: []string{"d1"}}
+				for range tc.runs {
+					rp.Runs = append(rp.Runs, usage.Run{Engine: "d1", Tokens: 100})
+				}
+				rl.HeardUsage("vm-2", rp)
+				_, err := send(t, rl, 14*clock.Second, 2000)
+				assert.NilError(t, err)
+				assert.Equal(t, len(sv.prefills), tc.prefills)
+			})
+		})
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -234,7 +234,9 @@
 		pf, ok = *pl.prefill, true
 	}
 	st := pool.Start{Spent: now - ex.req.Came, Objective: ex.rt.Objective}
-	itself := !ok || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st)
+	// An engine that may be gone first shows that it is there: reservations are
+	// taken also when another one answers in its place.
+	itself := !ok || pl.doubt || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st)
 	rl.count("Prompts", map[string]string{"Itself": strconv.FormatBool(itself)})
 	if itself {
 		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -37,6 +37,7 @@
 		reservation string
 		service     string
 		prefill     *pool.Prefill // chosen with the place; nil: none was
+		doubt       bool          // the engine may be gone
 		entry       *usage.Entry
 	}
 
@@ -175,7 +176,7 @@
 		tr.asked++
 		if pl, ok := rl.placeAt(ctx, ex, bs, ch.need); ok {
 			if ix == 0 {
-				pl.prefill = ch.prefill
+				pl.prefill, pl.doubt = ch.prefill, ch.doubt
 			}
 			tr.place = pl
 			return tr
--- a/internal/usage/ask.go
+++ b/internal/usage/ask.go
@@ -25,5 +25,7 @@
 		Short   bool     // places are wanting somewhere in the fleet
 		Prefill string   // engine for the prompt; empty: none is sound
 		Ahead   int      // tokens of prompts before it there
+		// Doubtful tells that the first of Engines may be gone.
+		Doubtful bool
 	}
 )
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -46,6 +46,10 @@
 	// it is thought to have left. It is the mean of what is left where the
 	// lengths spread by a half around their guess.
 	residual = 0.3
+	// doubtfulRuns is how many runs an engine may have that is in doubt: those
+	// that were placed within the tenth of a second in which the first of them
+	// shows whether the engine is there.
+	doubtfulRuns = 2
 	// Stale is the age from which another VM's word counts no more. It is
 	// renewed at least twice in that span.
 	Stale = 2500 * clock.Millis(1)
@@ -214,6 +218,13 @@
 	return le.others.failing(now, engine)
 }
 
+// Doubtful tells whether an engine failed another VM just now and next to nothing
+// runs there: it may be dead, or another one may answer in its place and take
+// reservations for it.
+func (le *Ledger) Doubtful(now clock.Millis, engine string) bool {
+	return le.Failing(now, engine) && len(le.at(now, engine)) <= doubtfulRuns
+}
+
 // RunShort notes that this VM refused a new request for want of a place.
 func (le *Ledger) RunShort(now clock.Millis) { le.shortUntil = now + shortFor }
 
