--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -39,8 +39,8 @@
 		"this VM hears what the others have at the engines; it reserves little more than the prompt", "none")
 	RelayServerReborn = register(2218, "RelayServerReborn", Warn,
 		"a backend server started again; the calls of before at it are over", "look at the backend server if it goes on")
-	AccountSilent = register(2219, "AccountSilent", Warn,
-		"a VM that accounts for the engines did not answer, or does not hear the others; the next one is asked",
+	SchedulerSilent = register(2219, "SchedulerSilent", Warn,
+		"a VM that chooses engines for all did not answer, or does not hear the others; the next one is asked",
 		"none if it is dead or starts; else look at UDP between the VMs")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had room; the decode engine computes the prompt", "none")
@@ -80,8 +80,8 @@
 		"the transport between VMs failed; this VM knows no other from now on", "look at Error and restart the process")
 	VMEntryRemoved = register(2316, "VMEntryRemoved", Info,
 		"the entry of a VM that is gone for good was removed from the project's topic", "none; with Error it is tried again")
-	AccountsMoved = register(2319, "AccountsMoved", Info,
-		"other VMs account for the engines now; without a name all VMs tell all", "none")
+	SchedulersChanged = register(2319, "SchedulersChanged", Info,
+		"other VMs choose engines for all now; without a name each VM does by itself", "none")
 	NewsNotTold = register(2317, "NewsNotTold", Error,
 		"what this VM read of the store could not be passed on; the others read for themselves", "look at Error; this is a fault of the program")
 	NewsUnreadable = register(2318, "NewsUnreadable", Warn,
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -13,8 +13,8 @@
 	"alderdyke/pkg/clock"
 )
 
-// errNoAccount tells that the asked VM accounts for the engines no more.
-var errNoAccount = errors.New("the VM does not account for the engines")
+// errNotScheduler tells that the asked VM is no scheduler any more.
+var errNotScheduler = errors.New("the VM is no scheduler")
 
 // asks are the asks of this VM that wait for their answers. The zero value has
 // none.
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -22,9 +22,9 @@
 			LogChanges(event.Logger{}, old, now)
 		}
 	})
-	bb.Run("accounts", func(bb *testing.B) {
+	bb.Run("schedulers", func(bb *testing.B) {
 		for bb.Loop() {
-			accountsOf(now)
+			schedulersOf(now)
 		}
 	})
 	bb.Run("rank", func(bb *testing.B) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,13 +52,13 @@
 	// News hears what another VM read of a topic; nil drops it.
 	News func(nw topic.News)
 
-	view     atomic.Pointer[board.Fleet]
-	accounts atomic.Pointer[accounts]
-	asks     asks
-	latest   map[string]wordOrder // by VM: the newest word on usage that was heard
-	large    map[string]*pieces   // by topic
-	members  *actor.Actor[membership.Event, membership.Intent]
-	peers    *peer.Transport
+	view       atomic.Pointer[board.Fleet]
+	schedulers atomic.Pointer[schedulers]
+	asks       asks
+	latest     map[string]wordOrder // by VM: the newest word on usage that was heard
+	large      map[string]*pieces   // by topic
+	members    *actor.Actor[membership.Event, membership.Intent]
+	peers      *peer.Transport
 }
 
 // View is the VMs as this one sees them; never nil.
@@ -175,7 +175,7 @@
 	case membership.Changed:
 		LogChanges(fl.Log, fl.View(), in.Fleet)
 		fl.view.Store(in.Fleet)
-		fl.accounts.Store(accountsOf(in.Fleet))
+		fl.schedulers.Store(schedulersOf(in.Fleet))
 		if fl.Changed != nil {
 			fl.Changed(in.Fleet)
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -91,9 +91,9 @@
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(20*time.Millisecond))
 }
 
-// A VM that accounts for the engines is asked over the wire, also by one that it
-// does not know; who is silent is not waited for.
-func TestAskOfAnAccountant(t *testing.T) {
+// A scheduler is asked over the wire, also by a VM that it does not know; who is
+// silent is not waited for.
+func TestAskOfAScheduler(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	const count = 36
@@ -118,7 +118,7 @@
 		}
 		return nil, nil
 	}
-	until(t, "a large fleet has three that account", func() bool { ne, _ := asker(); return ne != nil })
+	until(t, "a large fleet has three schedulers", func() bool { ne, _ := asker(); return ne != nil })
 	ne, vms := asker()
 	until(t, "one answers", func() bool {
 		within, end := context.WithTimeout(ctx, time.Second)
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -72,25 +72,25 @@
 		Ready func() bool // tells whether this VM takes requests
 		Usage func(vm string, rp usage.Report)
 		Place func(vm string, ask usage.PlaceAsk) usage.PlaceAnswer // chooses engines for a request of another VM
-		Moved func()                                                // hears that other VMs account for the engines now
+		Moved func()                                                // hears that other VMs are the schedulers now
 		News  func(nw topic.News)                                   // hears what others read of any topic
 		Size  func(vms int)                                         // hears how many VMs there are
 
 		// Topic follows the topic; it is there from Prepare on.
 		Topic *topic.Follower
 
-		mu       sync.Mutex
-		fleet    *Fleet // nil until the secret is known
-		secret   []byte
-		listed   map[string]vmEntry
-		dropped  bool                    // this VM's entry was removed
-		gone     map[string]clock.Millis // VMs with an entry, to since when they are dead or away
-		lease    register.Entry          // on orders to engines
-		next     uint64                  // offset at which the topic ended when it was read last
-		read     chan struct{}
-		ranked   *board.Fleet // the view that rank was worked out for
-		rank     int
-		accounts string // names of the VMs that account for the engines
+		mu         sync.Mutex
+		fleet      *Fleet // nil until the secret is known
+		secret     []byte
+		listed     map[string]vmEntry
+		dropped    bool                    // this VM's entry was removed
+		gone       map[string]clock.Millis // VMs with an entry, to since when they are dead or away
+		lease      register.Entry          // on orders to engines
+		next       uint64                  // offset at which the topic ended when it was read last
+		read       chan struct{}
+		ranked     *board.Fleet // the view that rank was worked out for
+		rank       int
+		schedulers string // names of the VMs that are
 	}
 
 	// vmEntry is a VM's entry in the topic.
@@ -321,20 +321,20 @@
 	}
 }
 
-// changed takes a new view of the fleet. VMs that begin to account for the engines
-// are told at once what this one has there.
+// changed takes a new view of the fleet. VMs that become schedulers are told at
+// once what this one has at the engines.
 func (ne *Neighbours) changed(view *board.Fleet) {
 	ne.Size(len(view.Serving()))
 	key := ""
 	if fl := ne.joined(); fl != nil {
-		key = fl.accountsKey()
+		key = fl.schedulersKey()
 	}
 	ne.mu.Lock()
-	moved := key != ne.accounts
-	ne.accounts = key
+	moved := key != ne.schedulers
+	ne.schedulers = key
 	ne.mu.Unlock()
 	if moved {
-		ne.Log.Log(event.AccountsMoved, event.F("VMs", key))
+		ne.Log.Log(event.SchedulersChanged, event.F("VMs", key))
 		ne.Moved()
 	}
 }
--- a/internal/fleet/accounts.go
+++ b/internal/fleet/schedulers.go
@@ -10,25 +10,25 @@
 )
 
 const (
-	// accountants is how many VMs of a large fleet account for the engines: one
+	// schedulerCount is how many VMs of a large fleet choose engines for all: one
 	// that all ask, and two that know the same and are asked when it does not
 	// answer. They are ranked without regard to failure domains, so that the next
 	// in line is always one that was told before.
-	accountants = 3
-	// rankAccounts ranks them.
-	rankAccounts = "accounts"
+	schedulerCount = 3
+	// rankSchedulers ranks them.
+	rankSchedulers = "schedulers"
 )
 
-// accounts is the VMs that account for the engines, in the order in which they
+// schedulers is the VMs that choose engines for all, in the order in which they
 // are asked; none in a fleet that is small enough for all to tell all.
-type accounts struct {
+type schedulers struct {
 	vms []board.VM
 	key string // of the VMs' names, to tell whether they changed
 }
 
-// accountsOf chooses by a view of the fleet. The fleet's size counts also the
+// schedulersOf chooses by a view of the fleet. The fleet's size counts also the
 // VMs that are dead for now, so that it does not change with each fault.
-func accountsOf(view *board.Fleet) *accounts {
+func schedulersOf(view *board.Fleet) *schedulers {
 	size := 0
 	for ix := range view.VMs {
 		if vm := &view.VMs[ix]; isKnown(view, vm) && vm.Health != board.Left {
@@ -36,15 +36,15 @@
 		}
 	}
 	if size <= mostDirect+1 {
-		return &accounts{}
+		return &schedulers{}
 	}
-	ac := &accounts{vms: rendezvous.Top(rankAccounts, view.VMs, accountants, func(vm *board.VM) bool {
+	sc := &schedulers{vms: rendezvous.Top(rankSchedulers, view.VMs, schedulerCount, func(vm *board.VM) bool {
 		return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving
 	})}
-	for _, vm := range ac.vms {
-		ac.key += vm.ID + " "
+	for _, vm := range sc.vms {
+		sc.key += vm.ID + " "
 	}
-	return ac
+	return sc
 }
 
 // isKnown tells whether a VM was heard of, and is not only listed.
@@ -52,31 +52,30 @@
 	return vm.Incarnation != 0 || vm.ID == view.Self.ID
 }
 
-// Accounts is the VMs that account for the engines.
-func (fl *Fleet) Accounts() []board.VM {
-	if ac := fl.accounts.Load(); ac != nil {
-		return ac.vms
+// Schedulers is the VMs that choose engines for all; none in a small fleet.
+func (fl *Fleet) Schedulers() []board.VM {
+	if sc := fl.schedulers.Load(); sc != nil {
+		return sc.vms
 	}
 	return nil
 }
 
-// accountsKey names them.
-func (fl *Fleet) accountsKey() string {
-	if ac := fl.accounts.Load(); ac != nil {
-		return ac.key
+// schedulersKey names them.
+func (fl *Fleet) schedulersKey() string {
+	if sc := fl.schedulers.Load(); sc != nil {
+		return sc.key
 	}
 	return ""
 }
 
 // Before lists the VMs that are asked for a place before this one chooses by
-// itself, and tells whether it may: it accounts for the engines too, or all VMs
-// tell all.
+// itself, and tells whether it may: it is a scheduler too, or all VMs tell all.
 func (ne *Neighbours) Before() (vms []string, here bool) {
 	fl := ne.joined()
 	if fl == nil {
 		return nil, true
 	}
-	list := fl.Accounts()
+	list := fl.Schedulers()
 	for _, vm := range list {
 		if vm.ID == ne.Self.ID {
 			return vms, true
@@ -86,16 +85,16 @@
 	return vms, len(list) == 0
 }
 
-// Ask asks a VM that accounts for the engines for a place.
+// Ask asks a scheduler for a place.
 func (ne *Neighbours) Ask(ctx context.Context, vm string, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
 	fl := ne.joined()
 	if fl == nil {
 		return usage.PlaceAnswer{}, errNotJoined
 	}
-	list := fl.Accounts()
+	list := fl.Schedulers()
 	at := slices.IndexFunc(list, func(other board.VM) bool { return other.ID == vm })
 	if at < 0 {
-		return usage.PlaceAnswer{}, errNoAccount
+		return usage.PlaceAnswer{}, errNotScheduler
 	}
 	return fl.ask(ctx, list[at], ask)
 }
--- a/internal/fleet/accounts_test.go
+++ b/internal/fleet/schedulers_test.go
@@ -8,39 +8,39 @@
 	"alderdyke/internal/board"
 )
 
-func names(ac *accounts) []string {
+func names(sc *schedulers) []string {
 	var out []string
-	for _, vm := range ac.vms {
+	for _, vm := range sc.vms {
 		out = append(out, vm.ID)
 	}
 	return out
 }
 
-// In a small fleet all tell all; in a large one three VMs account for the
-// engines, and all VMs name the same.
-func TestAccountsOfAFleet(t *testing.T) {
+// In a small fleet each VM chooses engines by itself; in a large one three VMs
+// do for all, and all VMs name the same.
+func TestSchedulersOfAFleet(t *testing.T) {
 	for _, tc := range []struct{ vms, want int }{{1, 0}, {7, 0}, {mostDirect + 1, 0}, {mostDirect + 2, 3}, {295, 3}, {1000, 3}} {
 		vms := large(tc.vms, 6)
-		ac := accountsOf(&board.Fleet{Self: vms[0].VMRef, VMs: vms})
-		assert.Equal(t, len(ac.vms), tc.want, "%d VMs", tc.vms)
-		other := accountsOf(&board.Fleet{Self: vms[len(vms)-1].VMRef, VMs: vms})
-		assert.DeepEqual(t, names(other), names(ac))
+		sc := schedulersOf(&board.Fleet{Self: vms[0].VMRef, VMs: vms})
+		assert.Equal(t, len(sc.vms), tc.want, "%d VMs", tc.vms)
+		other := schedulersOf(&board.Fleet{Self: vms[len(vms)-1].VMRef, VMs: vms})
+		assert.DeepEqual(t, names(other), names(sc))
 	}
 }
 
 // When the first is dead or leaves, those behind it move up and one more that
 // was told nothing yet comes last. Others that die change nothing, and a fleet
 // of which many died is still a large one.
-func TestAccountsMoveUp(t *testing.T) {
+func TestSchedulersMoveUp(t *testing.T) {
 	vms := large(60, 6)
 	view := &board.Fleet{Self: vms[0].VMRef, VMs: vms}
-	before := names(accountsOf(view))
+	before := names(schedulersOf(view))
 	for ix := range vms {
 		if vms[ix].ID == before[0] {
 			vms[ix].Leaving = true
 		}
 	}
-	after := names(accountsOf(view))
+	after := names(schedulersOf(view))
 	assert.DeepEqual(t, after[:2], before[1:])
 	dead := 0
 	for ix := range vms {
@@ -50,21 +50,22 @@
 			dead++
 		}
 	}
-	assert.DeepEqual(t, names(accountsOf(view)), after)
+	assert.DeepEqual(t, names(schedulersOf(view)), after)
 }
 
-// Who accounts asks those before it and then itself; all others ask in order.
+// A scheduler asks those before it and then chooses by itself; all others ask in
+// order.
 func TestWhomToAsk(t *testing.T) {
 	vms := large(60, 6)
 	view := &board.Fleet{Self: vms[0].VMRef, VMs: vms}
-	order := names(accountsOf(view))
+	order := names(schedulersOf(view))
 	for _, tc := range []struct {
 		self string
 		vms  []string
 		here bool
 	}{{order[0], nil, true}, {order[1], order[:1], true}, {order[2], order[:2], true}, {"stranger", order, false}} {
 		ne := &Neighbours{Self: board.VM{VMRef: board.VMRef{ID: tc.self}}, fleet: &Fleet{}}
-		ne.fleet.accounts.Store(accountsOf(view))
+		ne.fleet.schedulers.Store(schedulersOf(view))
 		asked, here := ne.Before()
 		assert.DeepEqual(t, asked, tc.vms)
 		assert.Equal(t, here, tc.here)
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -16,10 +16,10 @@
 // is left for the names and numbers around them.
 const newsBytes = peer.MaxDatagram - 300
 
-// TellUsage tells what this VM has at model engines to those that account for
-// them; in a small fleet, to all.
+// TellUsage tells the schedulers what this VM has at model engines; in a small
+// fleet, all VMs.
 func (fl *Fleet) TellUsage(rp usage.Report) {
-	to := fl.Accounts()
+	to := fl.Schedulers()
 	if len(to) == 0 {
 		to = fl.living(func(board.VM) bool { return true })
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,9 +129,9 @@
 		// VMs that did not tell their usage lately make the relay reserve
 		// more.
 		Others func() (ids []string, whole bool)
-		// Accounts asks the VMs that account for the engines of a large fleet;
-		// nil: each VM accounts for itself.
-		Accounts Accounts
+		// Schedulers asks the VMs that choose engines for all of a large fleet;
+		// nil: each VM chooses by itself.
+		Schedulers Schedulers
 
 		table    atomic.Pointer[route.Table]
 		backends atomic.Pointer[board.Backends]
@@ -147,7 +147,7 @@
 		calls    map[*call]struct{}
 		ledger   usage.Ledger
 		hears    bool                    // what the others have at the engines is known
-		silent   map[string]clock.Millis // VMs that account for the engines and did not answer, until when they are not asked
+		silent   map[string]clock.Millis // schedulers that did not answer, until when they are not asked
 		stopping bool                    // a planned stop began
 		stopAt   clock.Millis            // when
 		moved    chan struct{}           // closed when a place may have become free
--- a/internal/relay/account.go
+++ b/internal/relay/schedule.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// askWithin bounds one ask of a VM that accounts for the engines: it answers
+	// askWithin bounds one ask of a scheduler: it answers
 	// in two crossings between failure domains, 2 ms, and in 10 ms where it is
 	// five times slower. Two asks and a choice without an answer fit into a third
 	// of the time that a new request waits.
@@ -29,13 +29,13 @@
 )
 
 type (
-	// Accounts is the other VMs that account for the engines. In a fleet of
-	// hundreds each VM places a request every few seconds; telling all others of
-	// each would be 99 in 100 of what VMs do. A few account for all instead, and
-	// the others ask them. No promise rests on that: an engine confirms each place
-	// itself, and who gets no answer reserves what a run may come to.
-	Accounts interface {
-		// Before lists the VMs that are asked before this one accounts by
+	// Schedulers is the other VMs that choose engines for all. In a fleet of
+	// hundreds each VM places a request every few seconds, and hearing of all
+	// others' was most of what VMs did. A few hear of all instead, and the others
+	// ask them. Nothing that callers are promised rests on that: an engine confirms
+	// each place itself, and who gets no answer reserves what a run may come to.
+	Schedulers interface {
+		// Before lists the VMs that are asked before this one chooses by
 		// itself, and tells whether it may.
 		Before() (vms []string, here bool)
 		// Ask asks one of them.
@@ -55,7 +55,7 @@
 
 // choose chooses engines for a request, if it is its turn among those of this VM.
 func (rl *Relay) choose(ctx context.Context, ex *exchange, po *pool.Pool, tk *pool.Ticket) choice {
-	vms, here := rl.accounts()
+	vms, here := rl.schedulers()
 	rl.mu.Lock()
 	now := rl.now()
 	short := rl.ledger.Short(now)
@@ -82,12 +82,12 @@
 	}
 }
 
-// accounts lists the VMs to ask, without those that did not answer just now.
-func (rl *Relay) accounts() (vms []string, here bool) {
-	if rl.Accounts == nil {
+// schedulers lists the VMs to ask, without those that did not answer just now.
+func (rl *Relay) schedulers() (vms []string, here bool) {
+	if rl.Schedulers == nil {
 		return nil, true
 	}
-	vms, here = rl.Accounts.Before()
+	vms, here = rl.Schedulers.Before()
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	now := rl.now()
@@ -114,8 +114,7 @@
 	return ch
 }
 
-// placeAsk is what the VM that accounts for the engines is asked. The lock is
-// held.
+// placeAsk is what the scheduler is asked. The lock is held.
 func (rl *Relay) placeAsk(now clock.Millis, ex *exchange, po *pool.Pool, tk *pool.Ticket) usage.PlaceAsk {
 	nd := rl.needOf(ex, true)
 	skip := po.Passed(now)
@@ -127,7 +126,7 @@
 func (rl *Relay) askPlace(ctx context.Context, vms []string, ask usage.PlaceAsk) (usage.PlaceAnswer, bool) {
 	for _, vm := range vms {
 		within, stop := context.WithTimeout(ctx, askWithin.Std())
-		ans, err := rl.Accounts.Ask(within, vm, ask)
+		ans, err := rl.Schedulers.Ask(within, vm, ask)
 		stop()
 		if ctx.Err() != nil {
 			return usage.PlaceAnswer{}, false
@@ -149,7 +148,7 @@
 		outcome = "Silent"
 	}
 	rl.count("Asks", map[string]string{"Outcome": outcome})
-	rl.Log.Log(event.AccountSilent, event.F("Other", vm), event.F("Outcome", outcome), event.F("Error", text(err)))
+	rl.Log.Log(event.SchedulerSilent, event.F("Other", vm), event.F("Outcome", outcome), event.F("Error", text(err)))
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	if rl.silent == nil {
@@ -213,14 +212,14 @@
 		ans.Engines = append(ans.Engines, bs.ID)
 	}
 	if len(list) > 0 {
-		rl.promise(now, vm, po, ask, list[0], &ans)
+		rl.assume(now, vm, po, ask, list[0], &ans)
 	}
 	return ans
 }
 
-// promise counts a place, and the prompt at an engine near it, as taken by the
+// assume counts a place, and the prompt at an engine near it, as taken by the
 // VM that asked. The lock is held.
-func (rl *Relay) promise(now clock.Millis, vm string, po *pool.Pool, ask usage.PlaceAsk, at board.BackendServer, ans *usage.PlaceAnswer) {
+func (rl *Relay) assume(now clock.Millis, vm string, po *pool.Pool, ask usage.PlaceAsk, at board.BackendServer, ans *usage.PlaceAnswer) {
 	ans.Doubtful = rl.ledger.Doubtful(now, at.ID)
 	if ask.Prompt && !ans.Doubtful {
 		pf, ok := rl.prefillFor(now, po, ask.Run.Tokens, at)
@@ -230,12 +229,12 @@
 	}
 	run := ask.Run
 	run.Engine = at.ID
-	rl.ledger.Promise(now, vm, run, ans.Prefill)
+	rl.ledger.Assume(now, vm, run, ans.Prefill)
 }
 
 // moveTargets lists the engines that a run may move to.
 func (rl *Relay) moveTargets(rn *run, from place) []board.BackendServer {
-	vms, here := rl.accounts()
+	vms, here := rl.schedulers()
 	run, po := from.entry.Run(), rl.lockedPool(from.service)
 	if !here || len(vms) > 0 {
 		ctx, stop := context.WithTimeout(context.Background(), 2*askWithin.Std())
@@ -262,7 +261,7 @@
 // awaitTurn is how long a request that found no place waits before it asks
 // again, if nothing is known to have become free.
 func (rl *Relay) awaitTurn(back bool) time.Duration {
-	_, here := rl.accounts()
+	_, here := rl.schedulers()
 	switch {
 	case here:
 		return rl.Settings.Poll.Std()
--- a/internal/relay/account_test.go
+++ b/internal/relay/schedule_test.go
@@ -18,8 +18,8 @@
 	"alderdyke/pkg/clock"
 )
 
-// accounts are the VMs that account for the engines as a test has them.
-type accounts struct {
+// schedulers are the VMs that choose for all as a test has them.
+type schedulers struct {
 	mu     sync.Mutex
 	vms    []string
 	here   bool
@@ -27,13 +27,13 @@
 	answer func(ctx context.Context, vm string, ask usage.PlaceAsk) (usage.PlaceAnswer, error)
 }
 
-func (ac *accounts) Before() ([]string, bool) { return append([]string(nil), ac.vms...), ac.here }
+func (sc *schedulers) Before() ([]string, bool) { return append([]string(nil), sc.vms...), sc.here }
 
-func (ac *accounts) Ask(ctx context.Context, vm string, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
-	ac.mu.Lock()
-	ac.asked = append(ac.asked, vm)
-	ac.mu.Unlock()
-	return ac.answer(ctx, vm, ask)
+func (sc *schedulers) Ask(ctx context.Context, vm string, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
+	sc.mu.Lock()
+	sc.asked = append(sc.asked, vm)
+	sc.mu.Unlock()
+	return sc.answer(ctx, vm, ask)
 }
 
 // hang is a VM that does not answer.
@@ -44,7 +44,7 @@
 
 // A VM of a large fleet takes the place, and the prefill, that the first VM
 // that knows names; it reserves as one that knows what all have.
-func TestPlaceByAnAccountant(t *testing.T) {
+func TestPlaceByAScheduler(t *testing.T) {
 	known := usage.PlaceAnswer{Known: true, Engines: []string{"gone", "d2"}, Prefill: "f2", Ahead: 5}
 	for _, tc := range []struct {
 		name    string
@@ -60,13 +60,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rl, sv := newRig(t)
-				ac := &accounts{vms: []string{"a", "b"}, answer: func(ctx context.Context, vm string, _ usage.PlaceAsk) (usage.PlaceAnswer, error) {
+				sc := &schedulers{vms: []string{"a", "b"}, answer: func(ctx context.Context, vm string, _ usage.PlaceAsk) (usage.PlaceAnswer, error) {
 					if ans, ok := tc.answers[vm]; ok {
 						return ans, nil
 					}
 					return hang(ctx)
 				}}
-				rl.Accounts = ac
+				rl.Schedulers = sc
 				reserved := 0
 				sv.onReserve = func(_ board.BackendServer, tokens int) error {
 					reserved = tokens
@@ -78,7 +78,7 @@
 					assert.NilError(t, err)
 				}
 				assert.Assert(t, time.Since(began) < 100*time.Millisecond, "%v", time.Since(began))
-				assert.DeepEqual(t, ac.asked, tc.asked)
+				assert.DeepEqual(t, sc.asked, tc.asked)
 				assert.Assert(t, reserved >= tc.reserve && reserved < tc.reserve+16, "%d", reserved)
 				if tc.answers != nil {
 					assert.DeepEqual(t, sv.sentTo(), []string{"d2", "d2"})
@@ -90,26 +90,26 @@
 	}
 }
 
-// A silent VM is asked again after a while, and one that accounts itself goes on
-// without the one before it.
-func TestSilentAccountant(t *testing.T) {
+// A silent VM is asked again after a while, and a scheduler goes on without the
+// one before it.
+func TestSilentScheduler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rl, _ := newRig(t)
-		ac := &accounts{vms: []string{"a"}, here: true, answer: func(ctx context.Context, _ string, _ usage.PlaceAsk) (usage.PlaceAnswer, error) {
+		sc := &schedulers{vms: []string{"a"}, here: true, answer: func(ctx context.Context, _ string, _ usage.PlaceAsk) (usage.PlaceAnswer, error) {
 			return hang(ctx)
 		}}
-		rl.Accounts = ac
+		rl.Schedulers = sc
 		for _, pause := range []time.Duration{0, 400 * time.Millisecond, 400 * time.Millisecond} {
 			time.Sleep(pause)
 			_, err := serve(t.Context(), rl, "draft")
 			assert.NilError(t, err)
 		}
-		assert.Equal(t, len(ac.asked), 2)
+		assert.Equal(t, len(sc.asked), 2)
 	})
 }
 
 // Who does not hear the others, or knows no configuration, says so.
-func TestAccountantThatDoesNotKnow(t *testing.T) {
+func TestSchedulerThatDoesNotKnow(t *testing.T) {
 	ask := usage.PlaceAsk{Ask: usage.Ask{Service: "model"}, Run: usage.Run{Tokens: 100}, Reserve: 100, Prompt: true}
 	synctest.Test(t, func(t *testing.T) {
 		rl, _ := newRig(t)
@@ -127,7 +127,7 @@
 // The worst load: all VMs of a large fleet get a request within a few
 // milliseconds, more than the engines have room for. No engine is promised more
 // than it holds, all room is used, and who finds none is told within its wait.
-func TestBurstAtAnAccountant(t *testing.T) {
+func TestBurstAtAScheduler(t *testing.T) {
 	const vms, each, fits = 60, 2500, 3 // an engine of 10,000 holds three of 2,500 and what they grow by
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
@@ -141,7 +141,7 @@
 			others = append(others, name)
 			rl, sv := newRigOf(t, uint64(ix)+1)
 			sv.onSend = runs.hold
-			rl.Accounts = &accounts{vms: []string{"first"}, answer: func(_ context.Context, _ string, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
+			rl.Schedulers = &schedulers{vms: []string{"first"}, answer: func(_ context.Context, _ string, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
 				time.Sleep(time.Millisecond)
 				ans := first.AnswerPlace(name, ask)
 				time.Sleep(time.Millisecond)
--- a/internal/usage/ask.go
+++ b/internal/usage/ask.go
@@ -3,8 +3,7 @@
 import "alderdyke/pkg/clock"
 
 type (
-	// PlaceAsk asks the VM that accounts for the engines of a large fleet where
-	// a generation is to go.
+	// PlaceAsk asks the scheduler of a large fleet where a generation is to go.
 	PlaceAsk struct {
 		Ask     Ask
 		Run     Run // without its engine
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -94,9 +94,9 @@
 		avoided    map[string]clock.Millis // by engine, until when
 		failing    map[string]clock.Millis // the same
 		shortUntil clock.Millis            // until when this VM's last refusal counts
-		shortHeard clock.Millis            // the same of what the VM that accounts for the engines told
-		others     words
-		promised   promises
+		shortHeard clock.Millis            // the same of what a scheduler told
+		others     reports
+		assumed    assumptions
 		speed      float64 // tokens in a millisecond; zero: no run of this VM has grown
 		lengths    lengths // of answers against their guesses
 	}
@@ -174,7 +174,7 @@
 
 // Prompts is how many tokens of prompts are computed at an engine for all VMs.
 func (le *Ledger) Prompts(now clock.Millis, engine string) int {
-	return le.prompts[engine] + le.others.prompts(now, engine) + le.promised.prompts(now, engine)
+	return le.prompts[engine] + le.others.prompts(now, engine) + le.assumed.prompts(now, engine)
 }
 
 // Avoid notes that an engine takes no new work until then: it was ordered to
@@ -233,8 +233,7 @@
 	return now < le.shortUntil || now < le.shortHeard || le.others.short(now)
 }
 
-// HeardShort notes that the VM that accounts for the engines knows of such
-// refusals.
+// HeardShort notes that a scheduler knows of such refusals.
 func (le *Ledger) HeardShort(now clock.Millis) { le.shortHeard = now + shortFor }
 
 // Report is what this VM has at the engines.
@@ -252,10 +251,10 @@
 }
 
 // Heard takes another VM's report in place of its last one, and of what it was
-// promised.
+// assumed.
 func (le *Ledger) Heard(now clock.Millis, vm string, rp Report) {
 	le.others.take(now, vm, rp)
-	le.promised.settle(vm)
+	le.assumed.settle(vm)
 }
 
 // Hears tells whether the VM's word is fresh.
@@ -280,7 +279,7 @@
 			list = append(list, en.run)
 		}
 	}
-	list = append(list, le.promised.at(now, engine)...)
+	list = append(list, le.assumed.at(now, engine)...)
 	for vm, runs := range le.others.runs[engine] {
 		since, fresh := le.others.since(now, vm)
 		if !fresh {
