--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -225,6 +225,19 @@
 // choosePrefill chooses the engine that computes a prompt and counts it there;
 // none if the decode engine is to do it.
 func (rl *Relay) choosePrefill(ex *exchange, pl place) (pool.Prefill, bool) {
+	st := pool.Start{Spent: rl.now() - ex.req.Came, Objective: ex.rt.Objective}
+	pf, itself := rl.takePrefill(ex, pl, st)
+	rl.count("Prompts", map[string]string{"Itself": strconv.FormatBool(itself)})
+	if itself {
+		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID), event.F("Doubt", pl.doubt),
+			event.F("Best", pf.Server.ID), event.F("Ahead", pf.Ahead), event.F("Would", pf.Takes.String()), event.F("Spent", st.Spent.String()))
+	}
+	return pf, !itself
+}
+
+// takePrefill chooses the engine and counts the prompt there, or tells that the
+// decode engine computes it itself.
+func (rl *Relay) takePrefill(ex *exchange, pl place, st pool.Start) (pf pool.Prefill, itself bool) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	now, tokens := rl.now(), ex.req.Prompt.Tokens
@@ -233,19 +246,14 @@
 	if pl.prefill != nil && po.Computes(now, pl.prefill.Server.ID) {
 		pf, ok = *pl.prefill, true
 	}
-	st := pool.Start{Spent: now - ex.req.Came, Objective: ex.rt.Objective}
 	// An engine that may be gone first shows that it is there: reservations are
 	// taken also when another one answers in its place.
-	itself := !ok || pl.doubt || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st)
-	rl.count("Prompts", map[string]string{"Itself": strconv.FormatBool(itself)})
-	if itself {
-		rl.Log.Log(event.RelayNoPrefill, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
-			event.F("Best", pf.Server.ID), event.F("Ahead", pf.Ahead), event.F("Would", pf.Takes.String()), event.F("Spent", st.Spent.String()))
-		return pool.Prefill{}, false
+	if !ok || pl.doubt || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
+		return pf, true
 	}
 	rl.ledger.Prompt(pf.Server.ID, tokens)
 	rl.usageMoved()
-	return pf, true
+	return pf, false
 }
 
 // prefillFor chooses the engine that computes a prompt for a decode. The lock is
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -21,7 +21,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync"
 	"time"
 
@@ -29,27 +28,6 @@
 	"alderdyke/pkg/clock"
 )
 
-const (
-	// retryFirst and retryMost bound the pause after a call that the store
-	// did not answer. The longest leaves half of the two seconds in which a
-	// change must be followed.
-	retryFirst = 200 * clock.Millis(1)
-	retryMost  = clock.Second
-	// asideFirst and asideMost are the same for a VM that does not read for
-	// others: those that do tell it when the store is back. In an outage of 8 s it
-	// asks two or three times a topic, in place of ten with the pauses above.
-	asideFirst = 2 * clock.Second
-	asideMost  = 4 * clock.Second
-)
-
-// InLine is how many VMs read for the others when those before them don't. Where
-// the store turns a third of the VMs away, one time in 240 it turns away all five.
-const InLine = 5
-
-// Alone is the place of a VM that knows no other that lives: nobody reads for it,
-// and it may hear of others at any moment.
-const Alone = math.MaxInt
-
 // ErrDropped tells that the records after an offset are not kept any more.
 var ErrDropped = errors.New("the records were dropped")
 
@@ -246,45 +224,6 @@
 	return !fo.listed || fo.gap || fo.now()-fo.heard >= fo.silence()
 }
 
-// silence is how long this VM goes without news before it reads. The lock is
-// held.
-func (fo *Follower) silence() clock.Millis {
-	rank := fo.rank()
-	switch {
-	case rank == 0 || fo.leads:
-		return 0
-	case rank >= InLine:
-		return fo.Patience
-	}
-	// Each in line leaves half of the span that is left to those behind it.
-	left := (fo.Patience - fo.Standby) >> (rank - 1)
-	return fo.Patience - left
-}
-
-// rank is this VM's place; 0 if each VM reads for itself. The lock is held.
-func (fo *Follower) rank() int {
-	if fo.Rank == nil {
-		return 0
-	}
-	return fo.Rank()
-}
-
-// tells tells whether this VM passes on what it read.
-func (fo *Follower) tells() bool {
-	return fo.Tell != nil && fo.Rank != nil && fo.Rank() < InLine
-}
-
-// pauseAfter is the pause after a call that failed, and so many before it.
-func (fo *Follower) pauseAfter(failures int) clock.Millis {
-	fo.mu.Lock()
-	defer fo.mu.Unlock()
-	first, most := retryFirst, retryMost
-	if rank := fo.rank(); fo.listed && rank >= InLine && rank != Alone {
-		first, most = asideFirst, asideMost
-	}
-	return min(most, first<<min(failures, 10))
-}
-
 // await waits until a read may be due.
 func (fo *Follower) await(ctx context.Context) {
 	fo.mu.Lock()
