--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -19,6 +19,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 
 	"alderdyke/pkg/clock"
@@ -223,10 +224,9 @@
 
 // Server finds a backend server by its ID.
 func (bk *Backends) Server(id string) (BackendServer, bool) {
-	for _, srv := range bk.Servers {
-		if srv.ID == id {
-			return srv, true
-		}
+	at, ok := slices.BinarySearchFunc(bk.Servers, id, func(srv BackendServer, id string) int { return strings.Compare(srv.ID, id) })
+	if !ok {
+		return BackendServer{}, false
 	}
-	return BackendServer{}, false
+	return bk.Servers[at], true
 }
