--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -249,7 +249,7 @@
 		return
 	}
 	mv := movedRun{err: errNoTarget}
-	for _, to := range rl.moveTargets(rn, from) {
+	for _, to := range rl.moveTargets(from) {
 		mv = rl.moveTo(ctx, rn, from.server, to)
 		if !backend.NotRun(mv.err) {
 			break // it was moved, or may have been stopped
--- a/internal/relay/schedule.go
+++ b/internal/relay/schedule.go
@@ -286,7 +286,7 @@
 }
 
 // moveTargets lists the engines that a run may move to.
-func (rl *Relay) moveTargets(rn *run, from place) []board.BackendServer {
+func (rl *Relay) moveTargets(from place) []board.BackendServer {
 	vms, here := rl.schedulers()
 	run, po := from.entry.Run(), rl.lockedPool(from.service)
 	if !here || len(vms) > 0 {
