--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -44,7 +44,7 @@
 // goes in pieces; one that is too large for that is left out, so that the others
 // see a gap and read for themselves.
 func newsToWire(nw topic.News) ([]*peerpb.Datagram, error) {
-	sp := newsSplitter{topic: nw.Topic}
+	sp := newsSplitter{topic: nw.Topic, missed: uint32(nw.Missed)}
 	sp.begin(nw.From)
 	for _, rec := range nw.Records {
 		size := len(rec.Key) + len(rec.Value)
@@ -66,14 +66,15 @@
 
 // newsSplitter makes the messages of one piece of news, in order.
 type newsSplitter struct {
-	topic string
-	part  *peerpb.TopicNews
-	size  int // of the part's keys and values
-	out   []*peerpb.Datagram
+	topic  string
+	missed uint32
+	part   *peerpb.TopicNews
+	size   int // of the part's keys and values
+	out    []*peerpb.Datagram
 }
 
 func (sp *newsSplitter) begin(from uint64) {
-	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from}, 0
+	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from, Missed: sp.missed}, 0
 }
 
 func (sp *newsSplitter) add(rec topic.Record, size int) {
@@ -97,7 +98,7 @@
 }
 
 func newsFromWire(tn *peerpb.TopicNews) topic.News {
-	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext()}
+	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), Missed: clock.Millis(tn.GetMissed())}
 	for _, rec := range tn.GetRecords() {
 		nw.Records = append(nw.Records, topic.Record{Key: rec.GetKey(), Value: rec.GetValue(), Offset: rec.GetOffset()})
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// Missed notes that the store did not answer.
-func (rg *Registry) Missed(now clock.Millis) { rg.missed, rg.away = now, true }
+// Missed notes that the store did not answer at a point.
+func (rg *Registry) Missed(at clock.Millis) { rg.missed, rg.away = max(rg.missed, at), true }
 
 // Servers lists the servers by ID, and tells whether the list has changed
 // since it was asked for last.
--- a/internal/relay/schedule.go
+++ b/internal/relay/schedule.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	// askWithin bounds one ask of a scheduler: it answers
-	// in two crossings between failure domains, 2 ms, and in 10 ms where it is
-	// five times slower. Two asks and a choice without an answer fit into a third
-	// of the time that a new request waits.
+	// askWithin bounds one ask of a scheduler: it answers in two crossings between
+	// failure domains, 2 ms, and in 10 ms where it is five times slower. Two asks
+	// without an answer take a third of the time that a new request waits.
 	askWithin = 30 * clock.Millis(1)
 	// silentFor is how long a VM that did not answer is not asked again. One
 	// that is dead is known to be after a second.
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -59,6 +59,9 @@
 		From    uint64
 		Next    uint64
 		Records []Record
+		// Missed is how long ago the store last did not answer who tells this;
+		// zero: not lately.
+		Missed clock.Millis
 	}
 
 	// Follower follows one topic. Set the exported fields before Run.
@@ -71,11 +74,11 @@
 		Clock  clock.Source
 		Log    event.Logger
 
-		Whole  func(recs []Record) // takes a listing
-		Change func(rec Record)    // takes one change
-		Fresh  func()              // hears that all is known up to now, after the changes; may be nil
-		Missed func()              // hears that the store did not answer; may be nil
-		Back   func()              // hears that it answers again; may be nil
+		Whole  func(recs []Record)   // takes a listing
+		Change func(rec Record)      // takes one change
+		Fresh  func()                // hears that all is known up to now, after the changes; may be nil
+		Missed func(at clock.Millis) // hears when the store did not answer this VM, or the one that reads for it; may be nil
+		Back   func()                // hears that it answers again; may be nil
 
 		// Rank tells this VM's place among those that read for others: the
 		// first, 0, reads all the time, the next, 1, when it heard nothing for
@@ -100,6 +103,7 @@
 		kick   context.CancelFunc // ends the read in progress
 		wake   chan struct{}      // holds a word when a read may be due
 		lost   bool
+		missed clock.Millis // when the store did not answer last; zero: never
 	}
 )
 
@@ -167,6 +171,10 @@
 		fo.nudge()
 		return
 	}
+	if nw.Missed > 0 && fo.Missed != nil {
+		// What lapsed meanwhile may be back, whatever this VM saw of the store.
+		fo.Missed(fo.now() - nw.Missed)
+	}
 	for _, rec := range nw.Records {
 		if rec.Offset >= fo.next {
 			fo.Change(rec)
@@ -290,7 +298,7 @@
 	if !fo.tells() {
 		return nil
 	}
-	nw := News{Topic: fo.Name, From: from, Next: next, Records: news}
+	nw := News{Topic: fo.Name, From: from, Next: next, Records: news, Missed: fo.missedAgo()}
 	if !listed {
 		nw.From = next // a listing does not tell what changed
 	}
@@ -323,12 +331,33 @@
 	return news
 }
 
+// noteMissed notes that the store did not answer.
+func (fo *Follower) noteMissed() {
+	now := fo.now()
+	fo.mu.Lock()
+	fo.missed = now
+	fo.mu.Unlock()
+	if fo.Missed != nil {
+		fo.Missed(now)
+	}
+}
+
+// missedAgo is how long ago the store last did not answer; zero: not lately. The
+// lock is held.
+func (fo *Follower) missedAgo() clock.Millis {
+	ago := fo.now() - fo.missed
+	if fo.missed == 0 || ago >= missedFor {
+		return 0
+	}
+	return max(1, ago)
+}
+
 func (fo *Follower) note(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if err != nil && fo.Missed != nil {
-		fo.Missed()
+	if err != nil {
+		fo.noteMissed()
 	}
 	switch {
 	case err != nil && !fo.lost:
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -38,13 +38,14 @@
 	}
 
 	member struct {
-		fo     *topic.Follower
-		mu     sync.Mutex
-		values map[string]string
-		rank   atomic.Int64
-		cut    atomic.Bool // from the store
-		missed atomic.Int64
-		told   atomic.Int64 // records that were passed on
+		fo       *topic.Follower
+		mu       sync.Mutex
+		values   map[string]string
+		rank     atomic.Int64
+		cut      atomic.Bool // from the store
+		missed   atomic.Int64
+		missedAt atomic.Int64 // when the store last did not answer, as far as is known
+		told     atomic.Int64 // records that were passed on
 	}
 
 	bubbleClock struct{ start time.Time }
@@ -142,7 +143,7 @@
 				}
 			},
 			Rank:   func() int { return int(mb.rank.Load()) },
-			Missed: func() { mb.missed.Add(1) },
+			Missed: func(at clock.Millis) { mb.missed.Add(1); mb.missedAt.Store(int64(at)) },
 			IsNews: func(rec topic.Record) bool { return mb.get(rec.Key) != string(rec.Value) },
 			Tell: func(nw topic.News) {
 				mb.told.Add(int64(len(nw.Records)))
@@ -403,3 +404,29 @@
 		assert.NilError(t, fl.all("a", "1"))
 	})
 }
+
+// VMs that ask an absent store seldom still know, when it is back, until when it
+// was away: what lapsed meanwhile is not gone yet.
+func TestAllKnowUntilWhenTheStoreWasAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		fl := newFleet(40, 5)
+		fl.run(ctx)
+		time.Sleep(3 * time.Second)
+		began := bubbleClock{time.Now().Add(-3 * time.Second)}
+		fl.st.mu.Lock()
+		fl.st.down = true
+		fl.st.mu.Unlock()
+		time.Sleep(9 * time.Second)
+		fl.st.put("a", "")
+		fl.st.mu.Lock()
+		fl.st.down = false
+		fl.st.mu.Unlock()
+		back := began.Now()
+		time.Sleep(1500 * time.Millisecond)
+		for ix, mb := range fl.members {
+			assert.Assert(t, clock.Millis(mb.missedAt.Load()) > back-1200, "member %d: %d, back at %d", ix, mb.missedAt.Load(), back)
+		}
+	})
+}
--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -27,6 +27,9 @@
 	// asks two or three times a topic, in place of ten with the pauses above.
 	asideFirst = 2 * clock.Second
 	asideMost  = 4 * clock.Second
+	// missedFor is how long it is told that the store did not answer: longer than
+	// anybody takes to come back after that.
+	missedFor = 5 * clock.Second
 )
 
 // silence is how long this VM goes without news before it reads. The lock is
