--- a/internal/fleet/readers.go
+++ b/internal/fleet/readers.go
@@ -23,9 +23,7 @@
 
 // rankIn is the place in a view. Those that are not among the first are alike.
 func (ne *Neighbours) rankIn(view *board.Fleet) int {
-	first := rendezvous.Top(ne.Name, view.VMs, topic.InLine, func(vm *board.VM) bool {
-		return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving
-	})
+	first := rendezvous.Top(ne.Name, view.VMs, topic.InLine, mayServeAll(view))
 	if len(first) <= 1 {
 		return topic.Alone
 	}
--- a/internal/fleet/schedulers.go
+++ b/internal/fleet/schedulers.go
@@ -38,9 +38,7 @@
 	if size <= mostDirect+1 {
 		return &schedulers{}
 	}
-	sc := &schedulers{vms: rendezvous.Top(rankSchedulers, view.VMs, schedulerCount, func(vm *board.VM) bool {
-		return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving
-	})}
+	sc := &schedulers{vms: rendezvous.Top(rankSchedulers, view.VMs, schedulerCount, mayServeAll(view))}
 	for _, vm := range sc.vms {
 		sc.key += vm.ID + " "
 	}
@@ -52,6 +50,12 @@
 	return vm.Incarnation != 0 || vm.ID == view.Self.ID
 }
 
+// mayServeAll tells of a VM whether it may do for all what one or a few do: it
+// lives and stays.
+func mayServeAll(view *board.Fleet) func(vm *board.VM) bool {
+	return func(vm *board.VM) bool { return isKnown(view, vm) && vm.Health == board.Alive && !vm.Leaving }
+}
+
 // Schedulers is the VMs that choose engines for all; none in a small fleet.
 func (fl *Fleet) Schedulers() []board.VM {
 	if sc := fl.schedulers.Load(); sc != nil {
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// sweepEvery is how often the VM that reads for all looks for entries of VMs that are gone,
+	// sweepEvery is how often the VM that reads for all looks for entries of VMs
+	// that are gone,
 	// and each VM whether its own entry went.
 	sweepEvery = 10 * clock.Second
 	// goneAfter is how long a VM must be dead, or have left, before its entry
--- a/internal/usage/reports.go
+++ b/internal/usage/reports.go
@@ -8,7 +8,7 @@
 )
 
 type (
-	// words are the newest words of the other VMs, indexed by engine: of a large
+	// reports are the newest words of the other VMs, indexed by engine: of a large
 	// fleet hundreds of VMs have something, and a dozen of them at one engine.
 	// The zero value has none.
 	reports struct {
@@ -22,7 +22,7 @@
 		pruned  clock.Millis        // when words of VMs that are gone were dropped last
 	}
 
-	// word is what another VM told.
+	// received is what another VM told.
 	received struct {
 		at     clock.Millis
 		report Report
