relay: the log tells with which status an engine goes on, and up to which event an answer went

RelayDecode, RelayResumed and RelayMoved now tell Status, RelayAnswered and RelayCut the Events that the caller was sent and the Last one.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -28,6 +28,14 @@
 	body   []byte
 }
 
+// statusOf is the status of a response for a log line; zero if none came.
+func statusOf(rsp *http.Response) int {
+	if rsp == nil {
+		return 0
+	}
+	return rsp.StatusCode
+}
+
 // EndToEnd copies a header without the fields that concern one connection.
 func EndToEnd(hd http.Header) http.Header {
 	out := maps.Clone(hd)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -143,7 +143,8 @@
 	var err error
 	dec.rsp, err = rl.Servers.Send(ctx, pl.server, ex.req, op)
 	rl.Log.Log(event.RelayDecode, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID), event.F("After", op.After),
-		event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Came).String()), event.F("Error", text(err)))
+		event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Came).String()), event.F("Status", statusOf(dec.rsp)),
+		event.F("Error", text(err)))
 	if err != nil {
 		dec.begun()
 		dec.end()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,11 +169,15 @@
 		first clock.Millis // from the request to its answer's first event; zero: none came
 		event clock.Millis // when the last event came
 		pause clock.Millis // longest between two events
+		last  string       // ID of the last event that the caller was sent
+		made  int          // events that the caller was sent
 	}
 )
 
-// notePause notes that an event came.
-func (ex *exchange) notePause(now clock.Millis) {
+// noteEvents notes that events came, up to the one with the ID.
+func (ex *exchange) noteEvents(now clock.Millis, events int, last string) {
+	ex.made += events
+	ex.last = last
 	if ex.event > 0 {
 		ex.pause = max(ex.pause, now-ex.event)
 	}
@@ -352,7 +356,8 @@
 		event.F("Configuration", ex.table), event.F("Took", took.String())}
 	if ex.first > 0 {
 		fields = append(fields, event.F("First", ex.first.String()), event.F("Objective", ex.rt.Objective.String()),
-			event.F("Pause", ex.pause.String()))
+			event.F("Pause", ex.pause.String()),
+			event.F("Events", ex.made), event.F("Last", ex.last))
 	}
 	outcome := "Answered"
 	if rf, ok := errors.AsType[refusal.Refusal](err); ok && !errors.Is(err, ErrCut) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -97,10 +97,11 @@
 			rn.heard = rl.now()
 		}
 		out := rn.sp.add(buf[:size])
+		events := bytes.Count(out, []byte("\n\n"))
 		if len(out) > 0 {
-			rn.ex.notePause(rl.now())
+			rn.ex.noteEvents(rl.now(), events, rn.sp.last)
 		}
-		rl.grew(rn, bytes.Count(out, []byte("\n\n")))
+		rl.grew(rn, events)
 		if errors.Is(err, io.EOF) {
 			out = append(out, rn.sp.rest()...)
 		}
@@ -173,7 +174,7 @@
 	within, end := rl.callTo(ctx, mv.at)
 	rsp, err := rl.Servers.Send(within, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
 	rl.Log.Log(event.RelayMoved, event.F("Request", rn.ex.req.ID), event.F("From", rn.pl.server.ID),
-		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Error", text(err)))
+		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Status", statusOf(rsp)), event.F("Error", text(err)))
 	if err != nil {
 		end()
 		rl.forget(rn.ex, mv.src)
@@ -194,7 +195,7 @@
 	hd := rl.prefill(ctx, rn.ex, pl)
 	dec, err := rl.decode(ctx, rn.ex, pl, hd, rn.sp.last)
 	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID),
-		event.F("Last", rn.sp.last), event.F("Error", text(err)))
+		event.F("Last", rn.sp.last), event.F("Status", statusOf(dec.rsp)), event.F("Error", text(err)))
 	if err != nil {
 		rl.leavePlace(pl)
 		return err
