relay: tests that fail, of answers that go on with what is not theirs

Each of the 16 cases ends as a whole answer (nil error). A second test stops a run whose answer ends with its connection: the half counts as whole.

--- /dev/null
+++ b/internal/relay/continue_test.go
@@ -0,0 +1,129 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/relay"
+)
+
+// Model engines crashed while some of those that were left failed half of what
+// they were asked. A VM went on with the streams elsewhere, and the next engine
+// answered with a failure of its own: a status of 500 and an empty body. The
+// call had ended without an error, so the VM took the response for the rest of
+// the stream. Its orderly end became the end of the answer: the caller got a
+// status of 200 and half an answer, with a last chunk that said that it was
+// whole. A run that was moved away from a leaving engine ended in the same way.
+// These lines settled it, by Status, and by Events and Last, which stayed where
+// the first engine had broken off:
+//
+//	RelayDecode After=61 Status=500 Error=
+//	RelayResumed Last=61 Status=500 Error=
+//	RelayAnswered Events=61 Last=61
+//
+//	RelayMoved Last=57 Status=500 Error=
+//	RelayAnswered Events=57 Last=57
+
+// foreign are responses that do not go on with an answer of which the caller has
+// the first event.
+var foreign = []struct {
+	name   string
+	status int
+	body   string
+}{
+	{"a failure without a body", http.StatusInternalServerError, ""},
+	{"a failure with a body", http.StatusInternalServerError, "out of memory\n"},
+	{"a failure that reads like events", http.StatusInternalServerError, eventTwo + eventThree},
+	{"another success", http.StatusNoContent, ""},
+	{"the stream from its start", http.StatusOK, eventOne + eventTwo + eventThree},
+	{"a stream without the next event", http.StatusOK, eventThree},
+	{"events without numbers", http.StatusOK, "data: b\n\n"},
+	{"text", http.StatusOK, "out of memory\n"},
+}
+
+// moving has the run of a request moved away once its first event is out. Its
+// stream ends with the error when the run is stopped; nil is an orderly end.
+func moving(rl *relay.Relay, sv *servers, end error, next func() *http.Response) {
+	stopped := make(chan struct{})
+	sv.onMove = func(_ int, _ board.BackendServer, stop bool) error {
+		if stop {
+			close(stopped)
+		}
+		return nil
+	}
+	sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+		if nth > 1 {
+			return next(), nil
+		}
+		rd, wr := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(wr, eventOne)
+			<-stopped
+			_ = wr.CloseWithError(end)
+		}()
+		rsp := answer(http.StatusOK, "", nil)
+		rsp.Body, rsp.ContentLength = rd, -1
+		return rsp, nil
+	}
+	time.AfterFunc(200*time.Millisecond, func() {
+		leaving := slices.Clone(list)
+		for ix := range leaving {
+			leaving[ix].Leaving = leaving[ix].ID == sv.sentTo()[0]
+		}
+		rl.SetBackends(rl.Clock.Now(), leaving)
+	})
+}
+
+// An answer goes on only with events of its own. What else an engine answers is
+// neither joined to it nor taken for its end.
+func TestAnswerGoesOnWithItsOwnEventsOnly(t *testing.T) {
+	for _, tc := range foreign {
+		t.Run("resumed, "+tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+					if nth == 1 {
+						return answer(http.StatusOK, eventOne+"id: 2\nda", io.ErrUnexpectedEOF), nil
+					}
+					return answer(tc.status, tc.body, nil), nil
+				}
+				rec, err := serve(t.Context(), rl, "resumable")
+				assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+				assert.Equal(t, rec.Body.String(), eventOne)
+				synctest.Wait()
+				assert.Equal(t, sv.left(), 0)
+			})
+		})
+		t.Run("moved, "+tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				moving(rl, sv, io.ErrUnexpectedEOF, func() *http.Response { return answer(tc.status, tc.body, nil) })
+				rec, err := serve(t.Context(), rl, "draft")
+				assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+				assert.Equal(t, rec.Body.String(), eventOne)
+			})
+		})
+	}
+}
+
+// An answer that ends with its connection ends in order also where this VM had
+// its run stopped to move it. Then it is not whole: the rest is read where the
+// run went.
+func TestStoppedRunIsNotAWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		moving(rl, sv, nil, func() *http.Response { return answer(http.StatusOK, eventTwo+eventThree, nil) })
+		rec, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, rec.Body.String(), eventOne+eventTwo+eventThree)
+	})
+}
