relay: an answer goes on only with events of its own

Cause: goOn, by resume and by continueAt, took any call that ended without an error for the rest of an answer. An error only speaks of the call: another engine's 500, another success or a stream that does not follow came through, its orderly end ended the answer, and the caller got a whole 200 that was short. Class: a continuation that is accepted by its framing alone. Ruled out by Status, Events and Last in the log: a short success of the next engine, and a crash that passes for an orderly end.

Change: restOf holds a response against the status that went out, and the splitter holds the first event behind a joint against the last one that the caller has, also where the caller itself came back with a part. What does not fit ends that engine's try as a failure; the next one follows within the route's attempts and the budget (before, a declined resume lost the run). A run that was stopped to be moved is not whole where its answer ends with its connection. A broken run is not moved any more, so no copy is left behind. A failure of an engine is not learned from as an answer of no length.

Beside it: a stream of a plain service that broke on a resumable route ended in a nil dereference with the relay's lock held; it is cut.

--- /dev/null
+++ b/internal/relay/continue.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/event"
+	"alderdyke/pkg/refusal"
+)
+
+// errNotRest tells that an engine answered with something else than the rest of
+// an answer, such as a failure of its own.
+var errNotRest = errors.New("the response does not go on with the answer")
+
+// succeeded tells whether a response is an answer to its request, and not the
+// server's word that it failed.
+func succeeded(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// restOf tells whether a response may go on with the answer of a run. A call
+// that ended without an error says only that some response came: joined to the
+// events before, another engine's failure would end the answer as a whole one.
+func (rn *run) restOf(server string, rsp *http.Response) error {
+	if !rn.began || rsp.StatusCode == rn.status {
+		return nil // where nothing went out, the response is an answer of its own
+	}
+	return backend.InDoubtError{Server: server, Call: "Send", Status: rsp.StatusCode, Err: errNotRest}
+}
+
+// resumable tells whether a new run may go on with what the caller has.
+func (rn *run) resumable() bool {
+	ex := rn.ex
+	if !ex.rt.Resumable || ex.ran >= ex.rt.Attempts || ex.svc.Engines == nil || ex.req.Prompt == nil {
+		return false
+	}
+	numbered := rn.sp.last != "" && !rn.sp.unnumbered
+	return !rn.began || succeeded(rn.status) && numbered
+}
+
+// goOn continues a run whose stream broke: from its memory if that was moved,
+// or by a new run where the route allows one.
+func (rl *Relay) goOn(ctx context.Context, rn *run, broke error) error {
+	rl.mu.Lock()
+	rn.broken = true
+	moving := rn.moving
+	if !moving {
+		rl.failed(rl.poolOf(rn.ex.svc.Name), rn.pl.server.ID)
+	}
+	rl.mu.Unlock()
+	if moving {
+		mv, err := rn.awaitMove(ctx)
+		if err != nil {
+			return err
+		}
+		broke = mv.err
+		if mv.err == nil {
+			broke = rl.continueAt(ctx, rn, mv)
+		}
+		if broke == nil {
+			return nil
+		}
+	}
+	return rl.resume(ctx, rn, broke)
+}
+
+// continueAt reads a moved run on at its new engine.
+func (rl *Relay) continueAt(ctx context.Context, rn *run, mv movedRun) error {
+	within, end := rl.callTo(ctx, mv.at)
+	rsp, err := rl.Servers.Send(within, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
+	status := statusOf(rsp)
+	if err == nil {
+		if err = rn.restOf(mv.at.ID, rsp); err != nil {
+			_ = rsp.Body.Close() // nothing of it is used
+			rl.fault(ctx, rn.ex, mv.at.ID, err)
+		}
+	}
+	rl.Log.Log(event.RelayMoved, event.F("Request", rn.ex.req.ID), event.F("From", rn.pl.server.ID),
+		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Status", status), event.F("Error", text(err)))
+	if err != nil {
+		end()
+		rl.forget(rn.ex, mv.src)
+		return err
+	}
+	// The copy has its room already, so this place needed no reservation.
+	pl := place{server: mv.at, service: rn.pl.service}
+	rl.swap(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, begun: func() {}, end: end})
+	return nil
+}
+
+// resume goes on behind the last event that the caller has with a new run, and
+// with another one where that fails, for as long as the route and the budget
+// allow.
+func (rl *Relay) resume(ctx context.Context, rn *run, broke error) error {
+	for number := 1; rn.resumable(); number++ {
+		if broke = rl.resumeOnce(ctx, rn); broke == nil {
+			return nil
+		}
+		if _, refused := errors.AsType[refusal.Refusal](broke); refused {
+			return broke
+		}
+		if err := rl.again(ctx, rn.ex, number, generateCost, broke, generateNeed); err != nil {
+			return errors.Join(err, broke)
+		}
+	}
+	return errors.Join(errNoEvents, broke)
+}
+
+// resumeOnce begins one new run. The error is a refusal if no engine has room.
+func (rl *Relay) resumeOnce(ctx context.Context, rn *run) error {
+	pl, err := rl.findPlace(ctx, rn.ex)
+	if err != nil {
+		return err
+	}
+	hd := rl.prefill(ctx, rn.ex, pl)
+	dec, err := rl.decode(ctx, rn.ex, pl, hd, rn.sp.last)
+	status := statusOf(dec.rsp)
+	if err == nil {
+		if err = rn.restOf(pl.server.ID, dec.rsp); err != nil {
+			dec.close()
+			rl.forget(rn.ex, hd)
+			rl.fault(ctx, rn.ex, pl.server.ID, err)
+		}
+	}
+	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID),
+		event.F("Last", rn.sp.last), event.F("Status", status), event.F("Error", text(err)))
+	if err != nil {
+		rl.leavePlace(pl)
+		return err
+	}
+	rl.swap(rn, pl, dec)
+	return nil
+}
+
+// swap lets the run be at another place from now on.
+func (rl *Relay) swap(rn *run, pl place, dec decoding) {
+	rn.close()
+	rl.leavePlace(rn.pl)
+	rn.sp.join()
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rn.pl, rn.decoding, rn.moving, rn.broken = pl, dec, false, false
+	rn.moved = make(chan movedRun, 1)
+}
--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -14,6 +14,8 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/relay"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
 )
 
 // Model engines crashed while some of those that were left failed half of what
@@ -127,3 +129,92 @@
 		assert.Equal(t, rec.Body.String(), eventOne+eventTwo+eventThree)
 	})
 }
+
+// A caller who comes back with the last event that it has gets what follows it,
+// or nothing of this engine's.
+func TestCallerThatComesBackGetsWhatFollows(t *testing.T) {
+	for _, tc := range []struct {
+		name, body string
+		want       string // empty: it is refused
+	}{
+		{"the next event", eventTwo + eventThree, eventTwo + eventThree},
+		{"nothing is left", "", ""},
+		{"the stream from its start", eventOne + eventTwo, "refused"},
+		{"text", "out of memory\n", "refused"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+					return answer(http.StatusOK, tc.body, nil), nil
+				}
+				rec, req := newGeneration(rl, 14*clock.Second, 5000)
+				req.After = "1"
+				err := rl.Serve(t.Context(), rec, req)
+				if tc.want == "refused" {
+					assert.Equal(t, refusalOf(t, err).Ran, refusal.MayHaveRun)
+					assert.Equal(t, rec.Body.Len(), 0)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, rec.Body.String(), tc.want)
+			})
+		})
+	}
+}
+
+// An engine that fails, or declines, what it was to go on with is passed over:
+// the next one goes on, for as long as the route allows.
+func TestNextEngineGoesOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		second func() (*http.Response, error)
+	}{
+		{"failed", func() (*http.Response, error) { return answer(http.StatusInternalServerError, "", nil), nil }},
+		{"declined", func() (*http.Response, error) { return nil, errFull }},
+		{"not its rest", func() (*http.Response, error) { return answer(http.StatusOK, eventOne, nil), nil }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				more := slices.Clone(list)
+				for _, id := range []string{"d3", "d4"} {
+					more = append(more, board.BackendServer{ID: id, Service: "model", Role: board.Decode})
+				}
+				rl.SetBackends(rl.Clock.Now(), more)
+				second := ""
+				sv.onSend = func(_ context.Context, nth int, se sent) (*http.Response, error) {
+					switch {
+					case nth == 1:
+						return answer(http.StatusOK, eventOne+"id: 2\nda", io.ErrUnexpectedEOF), nil
+					case second == "":
+						second = se.server
+					}
+					if se.server == second {
+						return tc.second()
+					}
+					return answer(http.StatusOK, eventTwo+eventThree, nil), nil
+				}
+				rec, err := serve(t.Context(), rl, "thrice")
+				assert.NilError(t, err)
+				assert.Equal(t, rec.Body.String(), eventOne+eventTwo+eventThree)
+				synctest.Wait()
+				assert.Equal(t, sv.left(), 0)
+			})
+		})
+	}
+}
+
+// A stream of a plain service has no place that a new run could take: it is cut
+// where it breaks off.
+func TestStreamWithoutAPlaceIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return answer(http.StatusOK, eventOne+"id: 2\nda", io.ErrUnexpectedEOF), nil
+		}
+		rec, err := serve(t.Context(), rl, "told")
+		assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+		assert.Equal(t, rec.Body.String(), eventOne)
+	})
+}
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -8,13 +8,26 @@
 	"pgregory.net/rapid"
 )
 
+// added adds bytes to a splitter that is at no joint.
+func added(t assert.TestingT, sp *splitter, data string) string {
+	out, err := sp.add([]byte(data))
+	assert.NilError(t, err)
+	return string(out)
+}
+
+func restOf(t assert.TestingT, sp *splitter) string {
+	out, err := sp.rest()
+	assert.NilError(t, err)
+	return string(out)
+}
+
 func TestSplitterHoldsBackPartOfAnEvent(t *testing.T) {
 	var sp splitter
-	assert.Equal(t, string(sp.add([]byte("id: 7\nda"))), "")
-	assert.Equal(t, string(sp.add([]byte("ta: x\n\nid: 8\n"))), "id: 7\ndata: x\n\n")
+	assert.Equal(t, added(t, &sp, "id: 7\nda"), "")
+	assert.Equal(t, added(t, &sp, "ta: x\n\nid: 8\n"), "id: 7\ndata: x\n\n")
 	assert.Equal(t, sp.last, "7")
 	sp.drop()
-	assert.Equal(t, string(sp.rest()), "")
+	assert.Equal(t, restOf(t, &sp), "")
 	assert.Equal(t, sp.last, "7")
 }
 
@@ -27,10 +40,10 @@
 		var out strings.Builder
 		for left := stream; left != ""; {
 			size := rapid.IntRange(1, len(left)).Draw(t, "read")
-			out.Write(sp.add([]byte(left[:size])))
+			out.WriteString(added(t, &sp, left[:size]))
 			left = left[size:]
 		}
-		out.Write(sp.rest())
+		out.WriteString(restOf(t, &sp))
 		assert.Equal(t, out.String(), stream)
 	})
 }
@@ -40,7 +53,40 @@
 	f.Fuzz(func(t *testing.T, data []byte, cutAt int) {
 		cutAt = max(0, min(cutAt, len(data)))
 		var sp splitter
-		out := string(sp.add(data[:cutAt])) + string(sp.add(data[cutAt:])) + string(sp.rest())
+		out := added(t, &sp, string(data[:cutAt])) + added(t, &sp, string(data[cutAt:])) + restOf(t, &sp)
 		assert.Equal(t, out, string(data))
 	})
 }
+
+// What another engine adds has to follow what went out before.
+func TestSplitterAtAJoint(t *testing.T) {
+	for _, tc := range []struct {
+		name, before, after string
+		fits                bool
+	}{
+		{"the next of all numbers", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", true},
+		{"one is missing", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 4\ndata: d\n\n", false},
+		{"one comes again", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 2\ndata: b\n\n", false},
+		{"growing numbers", "id: 10\ndata: a\n\nid: 30\ndata: b\n\n", "id: 45\ndata: c\n\n", true},
+		{"falling numbers", "id: 10\ndata: a\n\nid: 30\ndata: b\n\n", "id: 20\ndata: c\n\n", false},
+		{"other names", "id: a\ndata: a\n\n", "id: b\ndata: b\n\n", true},
+		{"the same name", "id: a\ndata: a\n\n", "id: a\ndata: b\n\n", false},
+		{"no number", "id: 1\ndata: a\n\n", "data: b\n\n", false},
+		{"a comment before the next", "id: 1\ndata: a\n\n", ": here\n\nid: 2\ndata: b\n\n", true},
+		{"another first line", "id: 1\ndata: a\n\n", "version: 4\nid: 2\ndata: b\n\n", true},
+		{"lines that end in CR LF", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n", true},
+		{"nothing", "id: 1\ndata: a\n\n", "", true},
+		{"part of a line", "id: 1\ndata: a\n\n", "out of memory", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var sp splitter
+			assert.Equal(t, added(t, &sp, tc.before), tc.before)
+			sp.join()
+			_, err := sp.add([]byte(tc.after))
+			if err == nil {
+				_, err = sp.rest()
+			}
+			assert.Equal(t, err == nil, tc.fits, "%v", err)
+		})
+	}
+}
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -4,7 +4,7 @@
 // part already tells nothing of that.
 func (rl *Relay) learn(rn *run) {
 	pr := rn.ex.req.Prompt
-	if pr == nil || rn.ex.req.After != "" {
+	if pr == nil || rn.ex.req.After != "" || !succeeded(rn.status) {
 		return
 	}
 	rl.mu.Lock()
@@ -14,7 +14,7 @@
 
 // learnBegin notes how long a decode took to its first event.
 func (rl *Relay) learnBegin(rn *run) {
-	if rn.ex.svc.Engines == nil || rn.ex.req.Prompt == nil {
+	if rn.ex.svc.Engines == nil || rn.ex.req.Prompt == nil || !succeeded(rn.rsp.StatusCode) {
 		return
 	}
 	rl.mu.Lock()
--- /dev/null
+++ b/internal/relay/move.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"context"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/pkg/clock"
+)
+
+// leaveEngines moves the runs of this VM away from engines that leave. The
+// lock is held.
+func (rl *Relay) leaveEngines(bk *board.Backends) {
+	for rn := range rl.runs {
+		at, listed := bk.Server(rn.pl.server.ID)
+		stays := listed && !at.Leaving || bk.Reborn(rn.pl.server) // of an earlier life there is nothing to move
+		if rn.moving || rn.broken || stays || rn.ex.svc.Engines == nil || !rn.ex.svc.Engines.Moves {
+			continue
+		}
+		rn.moving = true
+		go rl.move(rn, rn.pl, rn.moved)
+	}
+}
+
+// move takes a run away from an engine that leaves. The copy is made while
+// the run goes on; only what is new since then is copied after it stopped.
+func (rl *Relay) move(rn *run, from place, result chan<- movedRun) {
+	ctx, stop := context.WithTimeout(context.Background(), moveWithin.Std())
+	defer stop()
+	if !clock.Sleep(ctx, rl.Settings.MoveAfter) || rl.ended(rn) {
+		result <- movedRun{err: errNoEvents}
+		return
+	}
+	mv := movedRun{err: errNoTarget}
+	for _, to := range rl.moveTargets(from) {
+		mv = rl.moveTo(ctx, rn, from.server, to)
+		if _, why := backend.OutcomeOf(mv.err); !backend.NotRun(mv.err) || why == backend.Unknown {
+			break // it was moved, may have been stopped, or is over
+		}
+	}
+	if mv.err != nil {
+		rl.Log.Log(event.RelayNotMoved, event.F("Request", rn.ex.req.ID), event.F("From", from.server.ID), event.F("Error", text(mv.err)))
+	}
+	if mv.err == nil && rl.ended(rn) {
+		rl.forget(rn.ex, mv.src) // it ended while the last part was copied
+	}
+	result <- mv
+}
+
+// moveTo copies a run to another engine while it goes on, and stops it to copy
+// the rest. What was copied for nothing is freed.
+func (rl *Relay) moveTo(ctx context.Context, rn *run, from, to board.BackendServer) movedRun {
+	first, err := rl.Servers.Move(ctx, from, to, rn.ex.req.ID, false)
+	if err != nil {
+		return movedRun{err: err}
+	}
+	last, err := rl.Servers.Move(ctx, from, to, rn.ex.req.ID, true)
+	if err != nil {
+		rl.forget(rn.ex, first)
+		return movedRun{stopped: mayHaveStopped(err), err: backend.InDoubtError{Server: from.ID, Call: "Move", Err: err}}
+	}
+	return movedRun{at: to, src: last}
+}
+
+// mayHaveStopped tells whether a run may have been stopped by a call to stop and
+// copy it that failed. An engine stops a run first, and then may find no room for
+// the copy; one that does not know the run has ended it.
+func mayHaveStopped(err error) bool {
+	oc, why := backend.OutcomeOf(err)
+	return oc != backend.NotSent && why != backend.Unknown
+}
+
+// awaitMove waits for what the move of a run came to.
+func (rn *run) awaitMove(ctx context.Context) (movedRun, error) {
+	select {
+	case mv := <-rn.moved:
+		return mv, nil
+	case <-ctx.Done():
+		return movedRun{}, ctx.Err()
+	}
+}
+
+// wasStopped tells whether an answer that ended in order may have ended because
+// its run was stopped to be moved. Where the answer has a length, or comes in
+// chunks, its end is the engine's word that it is whole; one that ends with its
+// connection ends alike in both cases.
+func (rl *Relay) wasStopped(ctx context.Context, rn *run) bool {
+	if rn.rsp.ContentLength >= 0 || len(rn.rsp.TransferEncoding) > 0 {
+		return false
+	}
+	rl.mu.Lock()
+	moving := rn.moving
+	rl.mu.Unlock()
+	if !moving {
+		return false
+	}
+	mv, err := rn.awaitMove(ctx)
+	if err != nil {
+		return true
+	}
+	rn.moved <- mv // for goOn
+	return mv.err == nil || mv.stopped
+}
+
+func (rl *Relay) ended(rn *run) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	_, there := rl.runs[rn]
+	return !there
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -176,9 +176,10 @@
 	if backend.NotRun(failed) {
 		ran = refusal.NotRun
 	}
+	mayRepeat := ex.rt.MayRepeat() || ex.rt.Resumable
 	rl.mu.Lock()
 	verdict := rl.budget.Decide(rl.now(), retry.Attempt{
-		Service: ex.svc.Name, Idempotent: ex.rt.MayRepeat(), Number: number,
+		Service: ex.svc.Name, Idempotent: mayRepeat, Number: number,
 		Last:              refusal.Refusal{Ran: ran, Reason: refusal.BackendFailed, Detail: failed.Error()},
 		EarlierMayHaveRun: ex.ran > 0, Deadline: ex.until, Need: need, Cost: cost,
 	})
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -193,6 +193,9 @@
 		{Name: "draft", Host: "h", Prefix: "/draft/", Kind: route.Stream, Shares: one("model"), Timeout: 14 * clock.Second, Attempts: 1},
 		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: route.Stream, Shares: one("model"), Timeout: 14 * clock.Second,
 			Attempts: 2, Resumable: true},
+		{Name: "thrice", Host: "h", Prefix: "/thrice/", Kind: route.Stream, Shares: one("model"), Timeout: 14 * clock.Second,
+			Attempts: 3, Resumable: true},
+		{Name: "told", Host: "h", Prefix: "/told/", Kind: route.Stream, Shares: one("plain"), Timeout: clock.Second, Attempts: 2, Resumable: true},
 	}, []route.Service{{Name: "plain"}, {Name: "model", Engines: engines}})
 	assert.NilError(t, err)
 	assert.Assert(t, rl.Configure(tb))
@@ -209,7 +212,7 @@
 	rec := httptest.NewRecorder()
 	req := &relay.Request{ID: "r-" + name, Method: http.MethodPost, Host: "h", URI: "/" + name + "/x", Path: "/" + name + "/x",
 		Header: http.Header{}, Came: rl.Clock.Now(), Left: left}
-	if name == "draft" || name == "resumable" {
+	if name == "draft" || name == "resumable" || name == "thrice" {
 		req.Prompt = &relay.Prompt{Tokens: 5000, Most: 8000, Hint: 1000}
 	}
 	return rec, rl.Serve(ctx, rec, req)
