relay: an engine that fails what it is given is passed over, and a resumable stream begins anew elsewhere

Cause: decode took any response for work well done, so that an engine's own 500 cleared its failures. One that fails at once looks empty, and more went there; a stream that may be resumed, and so may run again, ended with the first engine's failure.

Change: a response that is no success counts as the engine's failure, also for the other VMs, and a resumable generation that its engine failed is begun once more within the route's attempts and the budget. Others end with the engine's own status, as before.

--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -218,3 +218,35 @@
 		assert.Equal(t, rec.Body.String(), eventOne)
 	})
 }
+
+// An engine that fails what it is given does so at once and then looks empty. A
+// stream that may be resumed is begun anew at another engine, and the one that
+// failed it is passed over; any other one ends with the engine's own failure.
+func TestEngineThatFailsAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		route  string
+		status int
+		runs   int
+	}{{"resumable", http.StatusOK, 2}, {"draft", http.StatusInternalServerError, 1}} {
+		t.Run(tc.route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+					if nth == 1 {
+						return answer(http.StatusInternalServerError, "", nil), nil
+					}
+					return answer(http.StatusOK, eventOne, nil), nil
+				}
+				rec, err := serve(t.Context(), rl, tc.route)
+				assert.NilError(t, err)
+				assert.Equal(t, rec.Code, tc.status)
+				assert.Equal(t, len(sv.sentTo()), tc.runs)
+				_, err = serve(t.Context(), rl, "draft")
+				assert.NilError(t, err)
+				assert.Assert(t, !slices.Contains(sv.sentTo()[1:], sv.sentTo()[0]))
+				synctest.Wait()
+				assert.Equal(t, sv.left(), 0)
+			})
+		})
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -69,9 +69,13 @@
 			return err
 		}
 		rn, err := rl.start(ctx, ex, pl)
-		if err == nil {
+		if err == nil && !rl.runAgain(ctx, ex, number, rn) {
 			return rl.pass(ctx, wr, ex, rn)
 		}
+		if err == nil {
+			rl.endRun(rn)
+			continue
+		}
 		rl.leavePlace(pl)
 		if err := rl.again(ctx, ex, number, generateCost, err, generateNeed); err != nil {
 			return err
@@ -79,6 +83,16 @@
 	}
 }
 
+// runAgain tells whether a generation that its engine failed by its own word is
+// begun once more: one that may be resumed may also run again.
+func (rl *Relay) runAgain(ctx context.Context, ex *exchange, number int, rn *run) bool {
+	if rn.rsp.StatusCode < http.StatusInternalServerError || !ex.rt.Resumable {
+		return false
+	}
+	failed := backend.InDoubtError{Server: rn.pl.server.ID, Call: "Send", Status: rn.rsp.StatusCode}
+	return rl.again(ctx, ex, number, generateCost, failed, generateNeed) == nil
+}
+
 // start has the prompt computed and the decode begun. After an error nothing
 // is left at the engines, and the place is the caller's to leave.
 func (rl *Relay) start(ctx context.Context, ex *exchange, pl place) (*run, error) {
@@ -131,8 +145,13 @@
 	}
 	ex.ran++
 	rl.mu.Lock()
-	rl.worked(rl.poolOf(ex.svc.Name), pl.server.ID)
-	rl.mu.Unlock()
+	defer rl.mu.Unlock()
+	if po := rl.poolOf(ex.svc.Name); succeeded(dec.rsp.StatusCode) {
+		rl.worked(po, pl.server.ID)
+	} else {
+		// One that fails at once looks empty, so that more would go there.
+		rl.failed(po, pl.server.ID)
+	}
 	return dec, nil
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -62,16 +62,19 @@
 	return rn
 }
 
+// endRun ends what is left of a run.
+func (rl *Relay) endRun(rn *run) {
+	rn.close()
+	rl.mu.Lock()
+	delete(rl.runs, rn)
+	rl.mu.Unlock()
+	rl.leavePlace(rn.pl)
+}
+
 // pass sends the answer of a run to the caller, event by event, and goes on
 // with it elsewhere when its engine breaks off or leaves.
 func (rl *Relay) pass(ctx context.Context, wr http.ResponseWriter, ex *exchange, rn *run) error {
-	defer func() {
-		rn.close()
-		rl.mu.Lock()
-		delete(rl.runs, rn)
-		rl.mu.Unlock()
-		rl.leavePlace(rn.pl)
-	}()
+	defer rl.endRun(rn)
 	for {
 		err := rl.copyEvents(ctx, wr, rn)
 		if err == nil {
