--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -30,10 +30,16 @@
 	return backend.InDoubtError{Server: server, Call: "Send", Status: rsp.StatusCode, Err: errNotRest}
 }
 
+// join begins to read a response. Where the caller has a part of the answer, the
+// first event must follow the last one of that part.
+func (rn *run) join(rsp *http.Response) {
+	rn.sp.joint = (rn.began || rn.ex.req.After != "") && succeeded(statusOf(rsp))
+}
+
 // resumable tells whether a new run may go on with what the caller has.
 func (rn *run) resumable() bool {
 	ex := rn.ex
-	if !ex.rt.Resumable || ex.ran >= ex.rt.Attempts || ex.svc.Engines == nil || ex.req.Prompt == nil {
+	if !ex.rt.Resumable || ex.ran >= ex.rt.Attempts {
 		return false
 	}
 	numbered := rn.sp.last != "" && !rn.sp.unnumbered
@@ -43,6 +49,12 @@
 // goOn continues a run whose stream broke: from its memory if that was moved,
 // or by a new run where the route allows one.
 func (rl *Relay) goOn(ctx context.Context, rn *run, broke error) error {
+	switch {
+	case rn.pl.server.ID == "":
+		return errors.Join(errNoEvents, broke) // a plain service's, which has no place
+	case errors.Is(broke, errNotNext) && !rn.began:
+		return broke // it is the caller's word that does not fit, not this engine's
+	}
 	rl.mu.Lock()
 	rn.broken = true
 	moving := rn.moving
@@ -51,34 +63,33 @@
 	}
 	rl.mu.Unlock()
 	if moving {
-		mv, err := rn.awaitMove(ctx)
-		if err != nil {
-			return err
-		}
-		broke = mv.err
-		if mv.err == nil {
-			broke = rl.continueAt(ctx, rn, mv)
-		}
-		if broke == nil {
+		if broke = rl.goOnMoved(ctx, rn); broke == nil {
 			return nil
 		}
 	}
 	return rl.resume(ctx, rn, broke)
 }
 
+// goOnMoved goes on where a run was moved to.
+func (rl *Relay) goOnMoved(ctx context.Context, rn *run) error {
+	mv, err := rn.awaitMove(ctx)
+	if err != nil {
+		return err
+	}
+	rl.mu.Lock()
+	rn.moving, rn.settled = false, nil
+	rl.mu.Unlock()
+	if mv.err != nil {
+		return mv.err
+	}
+	return rl.continueAt(ctx, rn, mv)
+}
+
 // continueAt reads a moved run on at its new engine.
 func (rl *Relay) continueAt(ctx context.Context, rn *run, mv movedRun) error {
-	within, end := rl.callTo(ctx, mv.at)
-	rsp, err := rl.Servers.Send(within, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
-	status := statusOf(rsp)
-	if err == nil {
-		if err = rn.restOf(mv.at.ID, rsp); err != nil {
-			_ = rsp.Body.Close() // nothing of it is used
-			rl.fault(ctx, rn.ex, mv.at.ID, err)
-		}
-	}
+	rsp, end, err := rl.readMoved(ctx, rn, mv)
 	rl.Log.Log(event.RelayMoved, event.F("Request", rn.ex.req.ID), event.F("From", rn.pl.server.ID),
-		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Status", status), event.F("Error", text(err)))
+		event.F("To", mv.at.ID), event.F("Last", rn.sp.last), event.F("Status", statusOf(rsp)), event.F("Error", text(err)))
 	if err != nil {
 		end()
 		rl.forget(rn.ex, mv.src)
@@ -90,20 +101,41 @@
 	return nil
 }
 
+// readMoved asks the new engine of a moved run for the rest of its answer. After
+// an error there is nothing to be read; the call is to be ended in any case.
+func (rl *Relay) readMoved(ctx context.Context, rn *run, mv movedRun) (rsp *http.Response, end func(), err error) {
+	within, end := rl.callTo(ctx, mv.at)
+	if bk := rl.Backends(); bk.Reborn(mv.at) || bk.Reborn(mv.src.Server) {
+		return nil, end, backend.NotSentError{Server: mv.at.ID, Call: "Send", Err: errReborn}
+	}
+	rsp, err = rl.Servers.Send(within, mv.at, rn.ex.req, Options{Left: rl.left(rn.ex), Source: mv.src, After: rn.sp.last})
+	if err != nil {
+		return nil, end, err
+	}
+	if err = rn.restOf(mv.at.ID, rsp); err != nil {
+		_ = rsp.Body.Close() // nothing of it is used
+		rl.fault(ctx, rn.ex, mv.at.ID, err)
+	}
+	return rsp, end, err
+}
+
 // resume goes on behind the last event that the caller has with a new run, and
-// with another one where that fails, for as long as the route and the budget
-// allow.
+// with another one where that fails, for as long as the route allows. All but
+// the first are paid from the budget.
 func (rl *Relay) resume(ctx context.Context, rn *run, broke error) error {
-	for number := 1; rn.resumable(); number++ {
+	for rn.resumable() {
+		if rn.tries > 0 {
+			if err := rl.again(ctx, rn.ex, rn.tries, generateCost, broke, generateNeed); err != nil {
+				return errors.Join(err, broke)
+			}
+		}
+		rn.tries++
 		if broke = rl.resumeOnce(ctx, rn); broke == nil {
 			return nil
 		}
 		if _, refused := errors.AsType[refusal.Refusal](broke); refused {
 			return broke
 		}
-		if err := rl.again(ctx, rn.ex, number, generateCost, broke, generateNeed); err != nil {
-			return errors.Join(err, broke)
-		}
 	}
 	return errors.Join(errNoEvents, broke)
 }
@@ -114,9 +146,7 @@
 	if err != nil {
 		return err
 	}
-	hd := rl.prefill(ctx, rn.ex, pl)
-	dec, err := rl.decode(ctx, rn.ex, pl, hd, rn.sp.last)
-	status := statusOf(dec.rsp)
+	hd, dec, err := rl.startDecode(ctx, rn.ex, pl, rn.sp.last)
 	if err == nil {
 		if err = rn.restOf(pl.server.ID, dec.rsp); err != nil {
 			dec.close()
@@ -125,7 +155,7 @@
 		}
 	}
 	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID),
-		event.F("Last", rn.sp.last), event.F("Status", status), event.F("Error", text(err)))
+		event.F("Last", rn.sp.last), event.F("Status", statusOf(dec.rsp)), event.F("Error", text(err)))
 	if err != nil {
 		rl.leavePlace(pl)
 		return err
@@ -138,9 +168,10 @@
 func (rl *Relay) swap(rn *run, pl place, dec decoding) {
 	rn.close()
 	rl.leavePlace(rn.pl)
-	rn.sp.join()
+	rn.join(dec.rsp)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	rn.pl, rn.decoding, rn.moving, rn.broken = pl, dec, false, false
+	rn.pl, rn.decoding = pl, dec
+	rn.broken, rn.moving, rn.stopping = false, false, false
 	rn.moved = make(chan movedRun, 1)
 }
--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -76,8 +76,13 @@
 		rsp.Body, rsp.ContentLength = rd, -1
 		return rsp, nil
 	}
-	time.AfterFunc(200*time.Millisecond, func() {
-		leaving := slices.Clone(list)
+	leaveAfter(rl, sv, list, 200*time.Millisecond)
+}
+
+// leaveAfter has the first engine that was sent a run leave after a span.
+func leaveAfter(rl *relay.Relay, sv *servers, all []board.BackendServer, span time.Duration) {
+	time.AfterFunc(span, func() {
+		leaving := slices.Clone(all)
 		for ix := range leaving {
 			leaving[ix].Leaving = leaving[ix].ID == sv.sentTo()[0]
 		}
@@ -85,6 +90,16 @@
 	})
 }
 
+// withDecoders adds decode engines to those of the rig.
+func withDecoders(rl *relay.Relay, ids ...string) []board.BackendServer {
+	more := slices.Clone(list)
+	for _, id := range ids {
+		more = append(more, board.BackendServer{ID: id, Service: "model", Role: board.Decode})
+	}
+	rl.SetBackends(rl.Clock.Now(), more)
+	return more
+}
+
 // An answer goes on only with events of its own. What else an engine answers is
 // neither joined to it nor taken for its end.
 func TestAnswerGoesOnWithItsOwnEventsOnly(t *testing.T) {
@@ -177,11 +192,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rl, sv := newRig(t)
-				more := slices.Clone(list)
-				for _, id := range []string{"d3", "d4"} {
-					more = append(more, board.BackendServer{ID: id, Service: "model", Role: board.Decode})
-				}
-				rl.SetBackends(rl.Clock.Now(), more)
+				withDecoders(rl, "d3", "d4")
 				second := ""
 				sv.onSend = func(_ context.Context, nth int, se sent) (*http.Response, error) {
 					switch {
@@ -250,3 +261,108 @@
 		})
 	}
 }
+
+// Where nothing went out yet, the next engine's response is an answer of its own,
+// whatever it is.
+func TestNextEngineBeginsTheAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name, body string
+		status     int
+	}{
+		{"its own failure", "out of memory\n", http.StatusInternalServerError},
+		{"what it can not read", "bad prompt\n", http.StatusBadRequest},
+		{"events without numbers", "data: a\n\n", http.StatusOK},
+		{"a document", `{"text":"a"}`, http.StatusOK},
+	} {
+		t.Run("resumed, "+tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+					if nth == 1 {
+						return answer(http.StatusOK, "id: 1\nda", io.ErrUnexpectedEOF), nil
+					}
+					return answer(tc.status, tc.body, nil), nil
+				}
+				rec, err := serve(t.Context(), rl, "resumable")
+				assert.NilError(t, err)
+				assert.Equal(t, rec.Code, tc.status)
+				assert.Equal(t, rec.Body.String(), tc.body)
+			})
+		})
+	}
+}
+
+// All new runs but the first are paid from the budget of retries, also where each
+// engine answers with events that do not follow.
+func TestFurtherRunsArePaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, paid = 12, 3 // the rig's budget pays for one further run of each two calls
+		rl, sv := newRig(t)
+		withDecoders(rl, "d3", "d4", "d5", "d6")
+		for range requests {
+			runs := 0
+			sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+				if runs++; runs == 1 {
+					return answer(http.StatusOK, eventOne+"id: 2\nda", io.ErrUnexpectedEOF), nil
+				}
+				return answer(http.StatusOK, eventOne, nil), nil
+			}
+			_, err := serve(t.Context(), rl, "thrice")
+			assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+			time.Sleep(5 * time.Second)
+		}
+		assert.Assert(t, len(sv.sentTo()) <= 2*requests+paid, "%d runs", len(sv.sentTo()))
+	})
+}
+
+// A prompt that was computed by an engine that has started again since is not
+// gone on from: its ID may name another prompt there.
+func TestResumeLeavesAPromptOfAnEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		lives := func(again bool) []board.BackendServer {
+			out := slices.Clone(list)
+			for ix := range out {
+				out[ix].Name = out[ix].ID
+				if again && out[ix].Role == board.Prefill {
+					out[ix].ID += ".2"
+				}
+			}
+			return out
+		}
+		rl.SetBackends(rl.Clock.Now(), lives(false))
+		sv.onPrefill = func(nth int, _ board.BackendServer) error {
+			if nth == 2 {
+				go rl.SetBackends(rl.Clock.Now(), lives(true))
+				synctestPause()
+			}
+			return nil
+		}
+		sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+			if nth == 1 {
+				return answer(http.StatusOK, eventOne+"id: 2\nda", io.ErrUnexpectedEOF), nil
+			}
+			return answer(http.StatusOK, eventTwo, nil), nil
+		}
+		rec, err := serve(t.Context(), rl, "resumable")
+		assert.NilError(t, err)
+		assert.Equal(t, rec.Body.String(), eventOne+eventTwo)
+		assert.Equal(t, sv.sent[1].op.Source.ID, "")
+	})
+}
+
+// A caller that names an event which its answer never had is refused, and no
+// engine is passed over for that.
+func TestEventThatNeverWas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return answer(http.StatusOK, eventOne+eventTwo, nil), nil
+		}
+		rec, req := newGeneration(rl, 14*clock.Second, 5000)
+		req.After, req.URI, req.Path = "900", "/thrice/x", "/thrice/x"
+		err := rl.Serve(t.Context(), rec, req)
+		assert.Equal(t, refusalOf(t, err).Ran, refusal.MayHaveRun)
+		assert.Equal(t, len(sv.sentTo()), 1)
+	})
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -49,12 +49,6 @@
 // drop forgets the event that was broken off.
 func (sp *splitter) drop() { sp.held = nil }
 
-// join begins the events of another engine.
-func (sp *splitter) join() {
-	sp.drop()
-	sp.joint = true
-}
-
 // lastEnd is the offset after the last blank line.
 func lastEnd(data []byte) int {
 	end := 0
@@ -77,7 +71,7 @@
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id, numbered = bytes.TrimSpace(value), true
-		} else if len(line) > 0 && line[0] != ':' {
+		} else if len(line) > 0 && !isAside(line) {
 			filled = true
 		}
 		if len(line) > 0 && len(events) > 0 {
@@ -91,8 +85,14 @@
 	return nil
 }
 
-// noteEvent notes one event. One that is neither numbered nor filled is a
-// comment, which belongs to no answer.
+// isAside tells whether a line is no part of an answer: a comment, or a word to
+// the reader of the stream.
+func isAside(line []byte) bool {
+	return line[0] == ':' || bytes.HasPrefix(line, []byte("retry:")) || bytes.HasPrefix(line, []byte("event:"))
+}
+
+// noteEvent notes one event. One that is neither numbered nor filled holds no
+// part of an answer.
 func (sp *splitter) noteEvent(id string, numbered, filled bool) error {
 	if !numbered && !filled {
 		return nil
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -73,6 +73,7 @@
 		{"the same name", "id: a\ndata: a\n\n", "id: a\ndata: b\n\n", false},
 		{"no number", "id: 1\ndata: a\n\n", "data: b\n\n", false},
 		{"a comment before the next", "id: 1\ndata: a\n\n", ": here\n\nid: 2\ndata: b\n\n", true},
+		{"a line for the reader before the next", "retry: 100\n\nid: 1\ndata: a\n\n", "retry: 100\n\nid: 2\ndata: b\n\n", true},
 		{"another first line", "id: 1\ndata: a\n\n", "version: 4\nid: 2\ndata: b\n\n", true},
 		{"lines that end in CR LF", "id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n", true},
 		{"nothing", "id: 1\ndata: a\n\n", "", true},
@@ -81,7 +82,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var sp splitter
 			assert.Equal(t, added(t, &sp, tc.before), tc.before)
-			sp.join()
+			sp.joint = true
 			_, err := sp.add([]byte(tc.after))
 			if err == nil {
 				_, err = sp.rest()
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -96,6 +96,16 @@
 // start has the prompt computed and the decode begun. After an error nothing
 // is left at the engines, and the place is the caller's to leave.
 func (rl *Relay) start(ctx context.Context, ex *exchange, pl place) (*run, error) {
+	_, dec, err := rl.startDecode(ctx, ex, pl, ex.req.After)
+	if err != nil {
+		return nil, err
+	}
+	return rl.newRun(ex, pl, dec), nil
+}
+
+// startDecode has the prompt computed and the decode begun behind an event. After
+// an error nothing is left at the engines.
+func (rl *Relay) startDecode(ctx context.Context, ex *exchange, pl place, after string) (Handle, decoding, error) {
 	hd := rl.prefill(ctx, ex, pl)
 	if rl.Backends().Reborn(hd.Server) {
 		hd = Handle{} // another life of the engine may have given the same ID to another prompt
@@ -103,13 +113,10 @@
 	if err := rl.mayDecode(ctx, pl); err != nil {
 		rl.forget(ex, hd)
 		rl.release(ex, pl)
-		return nil, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
-	}
-	dec, err := rl.decode(ctx, ex, pl, hd, ex.req.After)
-	if err != nil {
-		return nil, err
+		return Handle{}, decoding{}, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
 	}
-	return rl.newRun(ex, pl, dec), nil
+	dec, err := rl.decode(ctx, ex, pl, hd, after)
+	return hd, dec, err
 }
 
 // mayDecode tells why a decode at a place is of no use any more; nil if it is.
@@ -146,11 +153,11 @@
 	ex.ran++
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	if po := rl.poolOf(ex.svc.Name); succeeded(dec.rsp.StatusCode) {
-		rl.worked(po, pl.server.ID)
-	} else {
+	if po := rl.poolOf(ex.svc.Name); dec.rsp.StatusCode >= http.StatusInternalServerError {
 		// One that fails at once looks empty, so that more would go there.
 		rl.failed(po, pl.server.ID)
+	} else {
+		rl.worked(po, pl.server.ID)
 	}
 	return dec, nil
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -35,15 +35,13 @@
 	mv := movedRun{err: errNoTarget}
 	for _, to := range rl.moveTargets(from) {
 		mv = rl.moveTo(ctx, rn, from.server, to)
-		if _, why := backend.OutcomeOf(mv.err); !backend.NotRun(mv.err) || why == backend.Unknown {
+		if _, why := backend.OutcomeOf(mv.err); mv.stopped || !backend.NotRun(mv.err) || why == backend.Unknown {
 			break // it was moved, may have been stopped, or is over
 		}
 	}
 	if mv.err != nil {
-		rl.Log.Log(event.RelayNotMoved, event.F("Request", rn.ex.req.ID), event.F("From", from.server.ID), event.F("Error", text(mv.err)))
-	}
-	if mv.err == nil && rl.ended(rn) {
-		rl.forget(rn.ex, mv.src) // it ended while the last part was copied
+		rl.Log.Log(event.RelayNotMoved, event.F("Request", rn.ex.req.ID), event.F("From", from.server.ID),
+			event.F("Stopped", mv.stopped), event.F("Error", text(mv.err)))
 	}
 	result <- mv
 }
@@ -55,14 +53,39 @@
 	if err != nil {
 		return movedRun{err: err}
 	}
+	if !rl.beginStop(rn) {
+		rl.forget(rn.ex, first)
+		return movedRun{err: errNoEvents}
+	}
 	last, err := rl.Servers.Move(ctx, from, to, rn.ex.req.ID, true)
 	if err != nil {
 		rl.forget(rn.ex, first)
-		return movedRun{stopped: mayHaveStopped(err), err: backend.InDoubtError{Server: from.ID, Call: "Move", Err: err}}
+		return movedRun{stopped: mayHaveStopped(err), err: err}
 	}
 	return movedRun{at: to, src: last}
 }
 
+// beginStop notes that a run is about to be stopped, unless it has ended.
+func (rl *Relay) beginStop(rn *run) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	_, there := rl.runs[rn]
+	rn.stopping = there
+	return there
+}
+
+// forgetMove frees the copy of a run that ended before the copy was used.
+func (rl *Relay) forgetMove(rn *run) {
+	mv := rn.settled
+	if mv == nil {
+		got := <-rn.moved // a move always comes to something, within moveWithin
+		mv = &got
+	}
+	if mv.err == nil {
+		rl.forget(rn.ex, mv.src)
+	}
+}
+
 // mayHaveStopped tells whether a run may have been stopped by a call to stop and
 // copy it that failed. An engine stops a run first, and then may find no room for
 // the copy; one that does not know the run has ended it.
@@ -73,8 +96,12 @@
 
 // awaitMove waits for what the move of a run came to.
 func (rn *run) awaitMove(ctx context.Context) (movedRun, error) {
+	if rn.settled != nil {
+		return *rn.settled, nil
+	}
 	select {
 	case mv := <-rn.moved:
+		rn.settled = &mv
 		return mv, nil
 	case <-ctx.Done():
 		return movedRun{}, ctx.Err()
@@ -90,17 +117,13 @@
 		return false
 	}
 	rl.mu.Lock()
-	moving := rn.moving
+	stopping := rn.stopping
 	rl.mu.Unlock()
-	if !moving {
+	if !stopping {
 		return false
 	}
 	mv, err := rn.awaitMove(ctx)
-	if err != nil {
-		return true
-	}
-	rn.moved <- mv // for goOn
-	return mv.err == nil || mv.stopped
+	return err != nil || mv.err == nil || mv.stopped
 }
 
 func (rl *Relay) ended(rn *run) bool {
--- /dev/null
+++ b/internal/relay/move_test.go
@@ -0,0 +1,133 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/relay"
+)
+
+var errOver = backend.DeclinedError{Server: "x", Call: "Move", Reason: backend.Unknown}
+
+// untilEnd is a response whose body ends with its connection, and holds the text
+// and then what follows once the channel is closed.
+func untilEnd(text string, end <-chan struct{}, rest string) *http.Response {
+	rd, wr := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(wr, text)
+		<-end
+		_, _ = io.WriteString(wr, rest)
+		_ = wr.Close()
+	}()
+	rsp := answer(http.StatusOK, "", nil)
+	rsp.Body, rsp.ContentLength = rd, -1
+	return rsp
+}
+
+// An engine stops a run before it finds that there is no room for the copy. No
+// further engine is asked then, whose word that the run is over would make the
+// stopped answer a whole one.
+func TestRunThatStoppedWithoutRoomIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		all := withDecoders(rl, "d3", "d4")
+		stopped := make(chan struct{})
+		var once sync.Once
+		sv.onMove = func(nth int, _ board.BackendServer, stop bool) error {
+			switch {
+			case stop:
+				once.Do(func() { close(stopped) })
+				return errFull
+			case nth > 1:
+				return errOver
+			}
+			return nil
+		}
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return untilEnd(eventOne, stopped, ""), nil
+		}
+		leaveAfter(rl, sv, all, 200*time.Millisecond)
+		rec, err := serve(t.Context(), rl, "draft")
+		assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+		assert.Equal(t, rec.Body.String(), eventOne)
+		assert.Equal(t, sv.moves, 2)
+	})
+}
+
+// A run that is moved before its first event begins its answer at the new engine,
+// be it a stream of events or not.
+func TestRunMovesBeforeItsFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		stopped := make(chan struct{})
+		sv.onMove = func(_ int, _ board.BackendServer, stop bool) error {
+			if stop {
+				close(stopped)
+			}
+			return nil
+		}
+		sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+			if nth == 1 {
+				return untilEnd("", stopped, ""), nil
+			}
+			return answer(http.StatusOK, `{"text":"a"}`, nil), nil
+		}
+		leaveAfter(rl, sv, list, 200*time.Millisecond)
+		rec, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, rec.Body.String(), `{"text":"a"}`)
+	})
+}
+
+// An answer that ends while its move has stopped nothing yet ends at once.
+func TestMoveDoesNotHoldUpTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		ended := make(chan struct{})
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return untilEnd(eventOne, ended, eventTwo), nil
+		}
+		leaveAfter(rl, sv, list, 200*time.Millisecond)
+		time.AfterFunc(210*time.Millisecond, func() { close(ended) })
+		began := time.Now()
+		rec, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, rec.Body.String(), eventOne+eventTwo)
+		assert.Equal(t, time.Since(began), 210*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, sv.moves, 0)
+	})
+}
+
+// The copy of a run whose caller left before it was read on is freed.
+func TestCopyIsFreedWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		ctx, leave := context.WithCancel(t.Context())
+		sv.onMove = func(_ int, _ board.BackendServer, stop bool) error {
+			if stop {
+				sv.handles["copy"] = true
+				time.AfterFunc(time.Millisecond, leave)
+			}
+			return nil
+		}
+		sv.onSend = func(ctx context.Context, _ int, _ sent) (*http.Response, error) {
+			return untilEnd(eventOne, ctx.Done(), ""), nil
+		}
+		leaveAfter(rl, sv, list, 200*time.Millisecond)
+		_, err := serve(ctx, rl, "draft")
+		assert.Assert(t, errors.Is(err, relay.ErrCut), "%v", err)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, sv.left(), 0)
+	})
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -172,6 +172,9 @@
 	if ctx.Err() != nil {
 		return rl.endOf(ctx, ex, failed)
 	}
+	if ex.ran >= max(1, ex.rt.Attempts) || number >= declineTries {
+		return rl.endOf(ctx, ex, failed) // before the budget is asked, which pays at its word
+	}
 	ran := refusal.MayHaveRun
 	if backend.NotRun(failed) {
 		ran = refusal.NotRun
@@ -184,9 +187,8 @@
 		EarlierMayHaveRun: ex.ran > 0, Deadline: ex.until, Need: need, Cost: cost,
 	})
 	rl.mu.Unlock()
-	spent := ex.ran >= max(1, ex.rt.Attempts) || number >= declineTries
 	ag, ok := verdict.(retry.Again)
-	if !ok || spent {
+	if !ok {
 		return rl.endOf(ctx, ex, failed)
 	}
 	rl.Log.Log(event.RelayRetried, event.F("Request", ex.req.ID), event.F("Reason", ag.Reason),
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -30,16 +30,19 @@
 		ex *exchange
 		pl place
 		decoding
-		sp     splitter
-		began  bool         // the head of the answer went to the caller
-		status int          // of that head
-		heard  clock.Millis // when the engine was last heard of
-		made   int          // tokens that came
+		sp      splitter
+		tries   int          // new runs that were to go on with it
+		settled *movedRun    // what the move came to, if that was asked for
+		began   bool         // the head of the answer went to the caller
+		status  int          // of that head
+		heard   clock.Millis // when the engine was last heard of
+		made    int          // tokens that came
 
 		// Guarded by Relay.mu.
-		broken bool          // its stream broke off; it is not moved any more
-		moving bool          // a move was begun
-		moved  chan movedRun // holds what a move came to, if moving
+		broken   bool          // its stream broke off; it is not moved any more
+		moving   bool          // a move was begun, and what it came to was not used
+		stopping bool          // the move may have stopped it
+		moved    chan movedRun // holds what a move came to, if moving
 	}
 
 	// movedRun is where a run can be gone on with.
@@ -54,8 +57,7 @@
 func (rl *Relay) newRun(ex *exchange, pl place, dec decoding) *run {
 	rn := &run{ex: ex, pl: pl, decoding: dec, heard: rl.now(), moved: make(chan movedRun, 1)}
 	rn.sp.last = ex.req.After
-	// The caller has a part: what begins here goes on with that part.
-	rn.sp.joint = ex.req.After != "" && succeeded(statusOf(dec.rsp))
+	rn.join(dec.rsp)
 	rl.mu.Lock()
 	rl.runs[rn] = struct{}{}
 	rl.mu.Unlock()
@@ -67,8 +69,12 @@
 	rn.close()
 	rl.mu.Lock()
 	delete(rl.runs, rn)
+	moving := rn.moving
 	rl.mu.Unlock()
 	rl.leavePlace(rn.pl)
+	if moving {
+		go rl.forgetMove(rn)
+	}
 }
 
 // pass sends the answer of a run to the caller, event by event, and goes on
@@ -86,6 +92,7 @@
 				event.F("Last", rn.sp.last), event.F("Silent", (rl.now()-rn.heard).String()))
 			return rl.endOfRun(ctx, rn.began, err)
 		}
+		rn.sp.drop()
 		if errNext := rl.goOn(ctx, rn, err); errNext != nil {
 			rl.Log.Log(event.RelayRunLost, event.F("Request", ex.req.ID), event.F("Server", rn.pl.server.ID),
 				event.F("Last", rn.sp.last), event.F("Error", errNext.Error()))
@@ -97,48 +104,23 @@
 // copyEvents passes events on until the stream ends. Only whole events go
 // out, and the head goes out with the first of them.
 func (rl *Relay) copyEvents(ctx context.Context, wr http.ResponseWriter, rn *run) error {
-	flusher := http.NewResponseController(wr)
 	buf := make([]byte, copyBytes)
 	for {
 		size, err := rn.rsp.Body.Read(buf)
 		if size > 0 {
 			rn.heard = rl.now()
 		}
-		if errors.Is(err, io.EOF) && rl.wasStopped(ctx, rn) {
-			err = errStopped
-		}
 		out, errJoint := rn.sp.add(buf[:size])
-		if errors.Is(err, io.EOF) && errJoint == nil {
-			var rest []byte
-			rest, errJoint = rn.sp.rest()
-			out = append(out, rest...)
-		}
 		if errJoint != nil {
-			rn.sp.drop()
 			return errJoint
 		}
-		events := bytes.Count(out, []byte("\n\n"))
-		if len(out) > 0 {
-			rn.ex.noteEvents(rl.now(), events, rn.sp.last)
-		}
-		rl.grew(rn, events)
-		if len(out) > 0 {
-			rn.begun()
-		}
-		if len(out) > 0 && !rn.began {
-			rn.ex.first = max(1, rl.now()-rn.ex.req.Came)
-			rl.learnBegin(rn)
-		}
-		if len(out) > 0 || errors.Is(err, io.EOF) {
-			if errWrite := rn.write(wr, flusher, out); errWrite != nil {
-				return errors.Join(errCaller, errWrite)
-			}
+		if errSend := rl.sendEvents(wr, rn, out); errSend != nil {
+			return errSend
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return nil
+			return rl.endEvents(ctx, wr, rn)
 		case err != nil:
-			rn.sp.drop()
 			return err
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -146,7 +128,39 @@
 	}
 }
 
-func (rn *run) write(wr http.ResponseWriter, flusher *http.ResponseController, out []byte) error {
+// sendEvents sends what came, if anything did.
+func (rl *Relay) sendEvents(wr http.ResponseWriter, rn *run, out []byte) error {
+	if len(out) == 0 {
+		return nil
+	}
+	events := bytes.Count(out, []byte("\n\n"))
+	rn.ex.noteEvents(rl.now(), events, rn.sp.last)
+	rl.grew(rn, events)
+	rn.begun()
+	if !rn.began {
+		rn.ex.first = max(1, rl.now()-rn.ex.req.Came)
+		rl.learnBegin(rn)
+	}
+	return rn.write(wr, out)
+}
+
+// endEvents ends an answer whose stream ended in order.
+func (rl *Relay) endEvents(ctx context.Context, wr http.ResponseWriter, rn *run) error {
+	if rl.wasStopped(ctx, rn) {
+		return errStopped
+	}
+	out, err := rn.sp.rest()
+	if err != nil {
+		return err
+	}
+	if err := rl.sendEvents(wr, rn, out); err != nil || rn.began {
+		return err
+	}
+	return rn.write(wr, nil) // an answer without a body
+}
+
+// write sends bytes to the caller, behind the head if that did not go out.
+func (rn *run) write(wr http.ResponseWriter, out []byte) error {
 	if !rn.began {
 		rn.began, rn.status = true, rn.rsp.StatusCode
 		header := rn.rsp.Header.Clone()
@@ -154,9 +168,12 @@
 		writeHead(wr, rn.rsp.StatusCode, header)
 	}
 	if _, err := wr.Write(out); err != nil {
-		return err
+		return errors.Join(errCaller, err)
+	}
+	if err := http.NewResponseController(wr).Flush(); err != nil {
+		return errors.Join(errCaller, err)
 	}
-	return flusher.Flush()
+	return nil
 }
 
 // endOfRun is the end of a generation whose answer broke off.
