--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -269,10 +269,7 @@
 	defer rl.mu.Unlock()
 	now, tokens := rl.now(), ex.req.Prompt.Tokens
 	po := rl.poolOf(ex.svc.Name)
-	pf, ok := rl.prefillFor(now, po, tokens, pl.server)
-	if pl.prefill != nil && po.Computes(now, pl.prefill.Server.ID) {
-		pf, ok = *pl.prefill, true
-	}
+	pf, ok := rl.prefillOf(now, po, pl, tokens)
 	// An engine that may be gone first shows that it is there: reservations are
 	// taken also when another one answers in its place.
 	if !ok || pl.doubt || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
@@ -283,6 +280,15 @@
 	return pf, false
 }
 
+// prefillOf is the engine that was chosen with a place, if it still computes
+// prompts, or one that is chosen now. The lock is held.
+func (rl *Relay) prefillOf(now clock.Millis, po *pool.Pool, pl place, tokens int) (pool.Prefill, bool) {
+	if pl.prefill != nil && po.Computes(now, pl.prefill.Server.ID) {
+		return *pl.prefill, true
+	}
+	return rl.prefillFor(now, po, tokens, pl.server)
+}
+
 // prefillFor chooses the engine that computes a prompt for a decode. The lock is
 // held.
 func (rl *Relay) prefillFor(now clock.Millis, po *pool.Pool, tokens int, decode board.BackendServer) (pool.Prefill, bool) {
--- a/internal/relay/lives.go
+++ b/internal/relay/lives.go
@@ -35,8 +35,9 @@
 	}
 }
 
-// endReborn ends the calls at servers that started again. The lock is held.
-func (rl *Relay) endReborn(bk *board.Backends) {
+// endReborn ends the calls at servers that started again, and counts them by
+// server. The lock is held.
+func (rl *Relay) endReborn(bk *board.Backends) map[string]int {
 	ended := make(map[string]int)
 	for cl := range rl.calls {
 		if bk.Reborn(cl.server) {
@@ -44,6 +45,11 @@
 			ended[cl.server.ID]++
 		}
 	}
+	return ended
+}
+
+// noteReborn tells how many calls ended with the lives of their servers.
+func (rl *Relay) noteReborn(ended map[string]int) {
 	for server, calls := range ended {
 		rl.count("Reborn", nil)
 		rl.Log.Log(event.RelayServerReborn, event.F("Server", server), event.F("Calls", calls))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,6 +227,11 @@
 
 // SetBackends takes the list of backend servers, sorted by ID.
 func (rl *Relay) SetBackends(now clock.Millis, list []board.BackendServer) {
+	rl.noteReborn(rl.setBackends(now, list))
+}
+
+// setBackends returns how many calls ended because their servers started again.
+func (rl *Relay) setBackends(now clock.Millis, list []board.BackendServer) (ended map[string]int) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.prepare()
@@ -250,8 +255,9 @@
 		}
 	}
 	rl.signal()
-	rl.endReborn(bk)
+	ended = rl.endReborn(bk)
 	rl.leaveEngines(bk)
+	return ended
 }
 
 // Serve carries a request to its end. A [refusal.Refusal] means that nothing
--- a/internal/relay/schedule.go
+++ b/internal/relay/schedule.go
@@ -120,8 +120,7 @@
 	if ch.need.limit != noLimit {
 		ch.before = rl.ledger.Before(now, askOf(now, ex.svc.Name, tk), func(back bool) clock.Millis { return rl.placeWait(ex.rt, back) })
 	}
-	ch.list = po.Decoders(now, pool.Want{Tokens: ch.need.reserve, Limit: ch.need.limit, Before: ch.before, Need: rl.peakAt(now, ch.need.run),
-		Spare: spare(tk.Ask().Returning, ch.short), Last: rl.lastAt(now)})
+	ch.list = po.Decoders(now, rl.wantOf(now, ch.need, ch.before, spare(tk.Ask().Returning, ch.short)))
 	ch.doubt = len(ch.list) > 0 && rl.ledger.Doubtful(now, ch.list[0].ID)
 	return ch
 }
@@ -130,10 +129,15 @@
 func (rl *Relay) chooseBlindly(now clock.Millis, ex *exchange, po *pool.Pool) choice {
 	rl.noteHearing(false, 0, 0, false)
 	ch := choice{need: rl.needOf(ex, false), short: rl.ledger.Short(now)}
-	ch.list = po.Decoders(now, pool.Want{Tokens: ch.need.reserve, Limit: noLimit, Need: rl.peakAt(now, ch.need.run), Last: rl.lastAt(now)})
+	ch.list = po.Decoders(now, rl.wantOf(now, ch.need, 0, 0))
 	return ch
 }
 
+// wantOf is what a request wants of the decode engines. The lock is held.
+func (rl *Relay) wantOf(now clock.Millis, nd need, before, spare int) pool.Want {
+	return pool.Want{Tokens: nd.reserve, Limit: nd.limit, Before: before, Spare: spare, Need: rl.peakAt(now, nd.run), Last: rl.lastAt(now)}
+}
+
 // placeAsk is what the scheduler is asked. The lock is held.
 func (rl *Relay) placeAsk(now clock.Millis, ex *exchange, po *pool.Pool, tk *pool.Ticket) usage.PlaceAsk {
 	nd := rl.needOf(ex, true)
@@ -228,8 +232,8 @@
 		}
 		return ask.MayWait
 	})
-	list := po.Decoders(now, pool.Want{Tokens: ask.Reserve, Limit: rl.limitOf(svc), Before: ans.Before, Need: rl.peakAt(now, ask.Run),
-		Spare: spare(ask.Ask.Returning, ans.Short), Last: rl.lastAt(now)})
+	nd := need{run: ask.Run, reserve: ask.Reserve, limit: rl.limitOf(svc)}
+	list := po.Decoders(now, rl.wantOf(now, nd, ans.Before, spare(ask.Ask.Returning, ans.Short)))
 	list = slices.DeleteFunc(list, func(bs board.BackendServer) bool { return slices.Contains(ask.Skip, bs.ID) })
 	for _, bs := range list[:min(len(list), mostChoices)] {
 		ans.Engines = append(ans.Engines, bs.ID)
