fleet, usage: the hand-over of places is checked in virtual time; it fails

No test drove several VMs' choices of engines together: those of fleet and relay are of wire forms, of one view, and of one scheduler that is well.

The network's few lines that send take the place of the transport's. All VMs start at once. Played: nothing; the first scheduler frozen, hearing nobody, heard by nobody, unreached by half, slow by 40 ms, killed, killed and started later, started again at once under its name, killed while the second is frozen; all three frozen; two halves that each have a first; half of the VMs lost, and half started again at once; a tenth of the datagrams lost. From 3 s after the fault no engine may be asked for a fourth place, and no request may be refused while a place is unused for over 300 ms; at any time, for over 2.8 s, or refused after more than 280 ms; and all must name the same schedulers. TestHandOverOfPlacesIsChecked breaks two VMs' habits and wants them noticed.

--- /dev/null
+++ b/internal/fleet/handover_test.go
@@ -0,0 +1,494 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/relay"
+	"alderdyke/internal/retry"
+	"alderdyke/internal/route"
+	"alderdyke/internal/usage"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	simEngineCount  = 16
+	simEngineMemory = 10000
+	// simFits is how many runs of simPrompt tokens, and what they grow by, an
+	// engine holds.
+	simFits   = 3
+	simPrompt = 2500
+	// simGap is the mean time between two requests: a fifth more than the engines
+	// bear, so that requests wait for places at all times.
+	simGap = 17 * time.Millisecond
+	// simRunMost is the longest run; the mean is half of it and 100 ms.
+	simRunMost = 1800 * time.Millisecond
+	// handOverSeeds is how many times each fault is played.
+	handOverSeeds = 1
+)
+
+type (
+	// placeSim is a fleet that places requests at engines that hold three each.
+	placeSim struct {
+		*simNet
+		t      *testing.T
+		relays map[*simVM]*relay.Relay
+		alter  func(vm *simVM) // changes a VM before it starts; may be nil
+
+		mu       sync.Mutex
+		engines  map[string]*simEngine
+		number   uint64
+		declines []clock.Millis // by engines that had no room
+		refused  []simRefusal
+	}
+
+	// simEngine is a decode engine.
+	simEngine struct {
+		held  map[string]*time.Timer // reservations, with what lets them lapse, and runs
+		since clock.Millis           // since when it has had room
+	}
+
+	// simRefusal is a request that found no place.
+	simRefusal struct {
+		at     clock.Millis
+		took   clock.Millis
+		unused clock.Millis // for how long an engine had had room by then
+	}
+
+	// simServers is the engines as one VM reaches them.
+	simServers struct {
+		ps *placeSim
+		vm *simVM
+	}
+
+	// simBody is an answer that ends with its run.
+	simBody struct {
+		ctx   context.Context
+		parts []string
+		end   <-chan time.Time
+		close func()
+	}
+)
+
+func newPlaceSim(t *testing.T, seed uint64) *placeSim {
+	ps := &placeSim{simNet: newNet(seed), t: t, relays: make(map[*simVM]*relay.Relay), engines: make(map[string]*simEngine)}
+	for ix := range simEngineCount {
+		ps.engines[fmt.Sprintf("d%02d", ix)] = &simEngine{held: make(map[string]*time.Timer)}
+	}
+	return ps
+}
+
+// startVM starts a further life of a VM.
+func (ps *placeSim) startVM(ctx context.Context, ix int) *simVM {
+	rl := &relay.Relay{Clock: ps.clock, Rand: rand.New(rand.NewPCG(ps.seed, uint64(ix))),
+		Settings: relay.Settings{Budget: retry.Settings{Burst: 3, Floor: 0.001, Ratio: 0.1, Base: 1}}}
+	vm := ps.newVM(ctx, ix, simHears{usage: rl.HeardUsage, place: rl.AnswerPlace, moved: rl.TellAgain})
+	rl.Servers, rl.Others, rl.Schedulers = simServers{ps, vm}, vm.ne.Others, vm
+	ps.configure(rl)
+	ps.mu.Lock()
+	ps.relays[vm] = rl
+	ps.mu.Unlock()
+	if ps.alter != nil {
+		ps.alter(vm)
+	}
+	vm.start()
+	go rl.ShareUsage(vm.ctx, vm.tellUsage)
+	return vm
+}
+
+// configure gives a relay one route to the engines.
+func (ps *placeSim) configure(rl *relay.Relay) {
+	engines := &route.Engines{Memory: simEngineMemory, Hold: 2 * clock.Second}
+	tb, err := route.New(1, []route.Route{{Name: "draft", Host: "h", Prefix: "/draft/", Kind: route.Stream,
+		Shares: []route.Share{{Service: "model", Weight: 1}}, Timeout: 14 * clock.Second, Attempts: 1}},
+		[]route.Service{{Name: "model", Engines: engines}})
+	assert.NilError(ps.t, err)
+	assert.Assert(ps.t, rl.Configure(tb))
+	var list []board.BackendServer
+	for ix := range simEngineCount {
+		list = append(list, board.BackendServer{ID: fmt.Sprintf("d%02d", ix), Service: "model", Role: board.Decode})
+	}
+	list = append(list, board.BackendServer{ID: "f0", Service: "model", Role: board.Prefill}, board.BackendServer{ID: "f1", Service: "model", Role: board.Prefill})
+	rl.SetBackends(rl.Clock.Now(), list)
+}
+
+// offer sends requests to VMs that live and are not frozen, for a span.
+func (ps *placeSim) offer(ctx context.Context, span time.Duration) {
+	until := time.Now().Add(span)
+	for number := uint64(0); time.Now().Before(until) && ctx.Err() == nil; number++ {
+		if !clock.Sleep(ctx, clock.Of(time.Duration(2*ps.chance("gap", number)*float64(simGap)))) {
+			return
+		}
+		list := ps.running()
+		vm := list[int(ps.chance("vm", number)*float64(len(list)))]
+		if !vm.frozenSince(ps.clock.Now()) {
+			go ps.serve(vm, number)
+		}
+	}
+}
+
+// serve carries one request, and notes how it ended if it found no place.
+func (ps *placeSim) serve(vm *simVM, number uint64) {
+	ps.mu.Lock()
+	rl := ps.relays[vm]
+	ps.mu.Unlock()
+	req := &relay.Request{ID: fmt.Sprint("r", number), Method: http.MethodPost, Host: "h", URI: "/draft/x", Path: "/draft/x", Header: http.Header{},
+		Came: ps.clock.Now(), Left: 14 * clock.Second, Prompt: &relay.Prompt{Tokens: simPrompt, Most: 800, Hint: 100}}
+	err := rl.Serve(vm.ctx, httptest.NewRecorder(), req)
+	if rf, ok := errors.AsType[refusal.Refusal](err); ok && rf.Reason == refusal.QueueFull && vm.ctx.Err() == nil {
+		ps.noteRefusal(vm, req.Came)
+	}
+}
+
+// noteRefusal notes a refusal, but for one of a VM that was frozen meanwhile.
+func (ps *placeSim) noteRefusal(vm *simVM, came clock.Millis) {
+	if vm.frozenSince(came) {
+		return
+	}
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	now := ps.clock.Now()
+	rf := simRefusal{at: now, took: now - came}
+	for _, en := range ps.engines {
+		if len(en.held) < simFits {
+			rf.unused = max(rf.unused, now-en.since)
+		}
+	}
+	ps.refused = append(ps.refused, rf)
+}
+
+// take reserves a place at an engine for a span; false if it has none.
+func (ps *placeSim) take(engine string, life clock.Millis) (id string, ok bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	en := ps.engines[engine]
+	if len(en.held) >= simFits {
+		ps.declines = append(ps.declines, ps.clock.Now())
+		return "", false
+	}
+	ps.number++
+	id = fmt.Sprint("p", ps.number)
+	en.held[id] = time.AfterFunc(life.Std(), func() { ps.free(engine, id) })
+	return id, true
+}
+
+// begin makes a run of a reservation.
+func (ps *placeSim) begin(engine, id string) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	lapse := ps.engines[engine].held[id]
+	return lapse != nil && lapse.Stop()
+}
+
+func (ps *placeSim) free(engine, id string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	en := ps.engines[engine]
+	if en.held[id] == nil {
+		return
+	}
+	if len(en.held) == simFits {
+		en.since = ps.clock.Now()
+	}
+	delete(en.held, id)
+}
+
+// cross is one way to an engine; false if the VM died or the call ended.
+func (sv simServers) cross(ctx context.Context) bool {
+	return sv.vm.await() && clock.Sleep(ctx, 1) && sv.vm.await()
+}
+
+func (sv simServers) Reserve(ctx context.Context, bs board.BackendServer, _ int, life clock.Millis) (string, error) {
+	if !sv.cross(ctx) {
+		return "", backend.NotSentError{Server: bs.ID, Call: "Reserve", Err: errors.New("the VM is gone")}
+	}
+	id, ok := sv.ps.take(bs.ID, life)
+	if !ok {
+		return "", backend.DeclinedError{Server: bs.ID, Call: "Reserve", Reason: backend.Full}
+	}
+	if !sv.cross(ctx) {
+		return "", backend.InDoubtError{Server: bs.ID, Call: "Reserve", Err: errors.New("the VM is gone")}
+	}
+	return id, nil
+}
+
+func (sv simServers) Send(ctx context.Context, bs board.BackendServer, req *relay.Request, op relay.Options) (*http.Response, error) {
+	if !sv.cross(ctx) || !sv.ps.begin(bs.ID, op.Reservation) {
+		return nil, backend.NotSentError{Server: bs.ID, Call: "Decode", Err: errors.New("the VM is gone")}
+	}
+	span := 100*time.Millisecond + time.Duration(sv.ps.chance("run "+req.ID, 0)*float64(simRunMost))
+	body := &simBody{ctx: ctx, parts: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, end: time.After(span),
+		close: func() { sv.ps.free(bs.ID, op.Reservation) }}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body}, nil
+}
+
+func (sv simServers) Prefill(ctx context.Context, bs board.BackendServer, req *relay.Request, _ clock.Millis) (relay.Handle, error) {
+	if !sv.cross(ctx) || !clock.Sleep(ctx, 20) || !sv.cross(ctx) {
+		return relay.Handle{}, backend.NotSentError{Server: bs.ID, Call: "Prefill", Err: errors.New("the VM is gone")}
+	}
+	return relay.Handle{Server: bs, ID: req.ID}, nil
+}
+
+func (sv simServers) Release(_ context.Context, bs board.BackendServer, reservation string) error {
+	sv.ps.free(bs.ID, reservation)
+	return nil
+}
+
+func (sv simServers) Forget(context.Context, relay.Handle) error { return nil }
+
+func (sv simServers) Move(context.Context, board.BackendServer, board.BackendServer, string, bool) (relay.Handle, error) {
+	return relay.Handle{}, errors.New("no run is moved here")
+}
+
+// Read gives the first event at once and the last one when the run ends.
+func (sb *simBody) Read(data []byte) (int, error) {
+	if len(sb.parts) == 0 {
+		return 0, io.EOF
+	}
+	if len(sb.parts) == 1 {
+		select {
+		case <-sb.end:
+		case <-sb.ctx.Done():
+			sb.close()
+			return 0, sb.ctx.Err()
+		}
+		sb.close()
+	}
+	size := copy(data, sb.parts[0])
+	sb.parts = sb.parts[1:]
+	return size, nil
+}
+
+func (sb *simBody) Close() error {
+	sb.close()
+	return nil
+}
+
+// restart starts a further life of a VM, whose last one ends here if it lives.
+func (ps *placeSim) restart(ctx context.Context, vm *simVM) {
+	vm.stop()
+	ps.startVM(ctx, slices.Index(allNames(), vm.self.ID))
+}
+
+// violations tells what was not as it must be, if all was well again from a point
+// on: each kind once, with how often and when first.
+func (ps *placeSim) violations(well clock.Millis) []string {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var vi violations
+	for _, at := range ps.declines {
+		vi.note(at >= well, at, "a place was given twice")
+	}
+	waited := false
+	for _, rf := range ps.refused {
+		waited = waited || rf.at >= well
+		vi.note(rf.at >= well && rf.unused > termWell, rf.at, "a request was refused, and a place unused for longer than one that is not taken")
+		vi.note(rf.unused > termFault, rf.at, "a request was refused, and a place lost for longer than its term")
+		vi.note(rf.took > tookMost, rf.at, "a request waited for too long")
+	}
+	vi.note(!waited, well, "no request waited for a place")
+	return vi.list()
+}
+
+const (
+	// termWell is how long a place is unused while requests want one: one that was
+	// given and is not taken counts for so long.
+	termWell = 300 * clock.Millis(1)
+	// termFault is the same whatever failed: what a VM had counts until its word is
+	// stale, and the next ask follows.
+	termFault = usage.Stale + termWell
+	// tookMost is how long a request may wait in vain: its own span, an ask of each
+	// scheduler, and an engine that declines.
+	tookMost = relay.DefaultWait + 100*clock.Millis(1)
+
+	// faultAfter is how long after the start a fault begins, faultFor how long it
+	// lasts, wellAfter when all is well again, and wellFor how long that is watched.
+	faultAfter = 4 * time.Second
+	faultFor   = 3 * time.Second
+	wellAfter  = 3 * time.Second
+	wellFor    = 3 * time.Second
+)
+
+// fault is something that fails, until the function that it returns is called.
+type fault struct {
+	name  string
+	begin func(ctx context.Context, ps *placeSim) (end func())
+}
+
+var faults = []fault{
+	{"none", func(context.Context, *placeSim) func() { return func() {} }},
+	{"the first is frozen", func(_ context.Context, ps *placeSim) func() { return ps.scheduler(0).freeze() }},
+	{"all three are frozen", func(_ context.Context, ps *placeSim) func() {
+		return together(ps.scheduler(0).freeze(), ps.scheduler(1).freeze(), ps.scheduler(2).freeze())
+	}},
+	{"the first hears nobody", func(_ context.Context, ps *placeSim) func() {
+		first := ps.scheduler(0).self.ID
+		return ps.cutOff(others(first), []string{first})
+	}},
+	{"nobody hears the first", func(_ context.Context, ps *placeSim) func() {
+		first := ps.scheduler(0).self.ID
+		return ps.cutOff([]string{first}, others(first))
+	}},
+	{"half do not reach the first", func(_ context.Context, ps *placeSim) func() {
+		first := ps.scheduler(0).self.ID
+		return ps.cutOff(others(first)[:netVMs/2], []string{first})
+	}},
+	{"the first is slow", func(_ context.Context, ps *placeSim) func() {
+		first := ps.scheduler(0).self.ID
+		ps.slowDown(first, 40*time.Millisecond)
+		return func() { ps.slowDown(first, 0) }
+	}},
+	{"the first is killed", func(_ context.Context, ps *placeSim) func() {
+		ps.scheduler(0).stop()
+		return func() {}
+	}},
+	{"the first is killed and starts later", func(ctx context.Context, ps *placeSim) func() {
+		first := ps.scheduler(0)
+		first.stop()
+		return func() { ps.restart(ctx, first) }
+	}},
+	{"the first starts again at once under its name", func(ctx context.Context, ps *placeSim) func() {
+		ps.restart(ctx, ps.scheduler(0))
+		return func() {}
+	}},
+	{"the first is killed while the second is frozen", func(_ context.Context, ps *placeSim) func() {
+		thaw := ps.scheduler(1).freeze()
+		ps.scheduler(0).stop()
+		return thaw
+	}},
+	{"two believe that they are first", func(_ context.Context, ps *placeSim) func() {
+		one, two := ps.halves()
+		return together(ps.cutOff(one, two), ps.cutOff(two, one))
+	}},
+	{"half of the VMs are lost", func(_ context.Context, ps *placeSim) func() {
+		one, _ := ps.halves()
+		for _, name := range one {
+			ps.vm(name).stop()
+		}
+		return func() {}
+	}},
+	{"half of the VMs start again at once", func(ctx context.Context, ps *placeSim) func() {
+		one, _ := ps.halves()
+		for _, name := range one {
+			ps.restart(ctx, ps.vm(name))
+		}
+		return func() {}
+	}},
+	{"a tenth of the datagrams is lost", func(_ context.Context, ps *placeSim) func() {
+		ps.lose(0.1)
+		return func() { ps.lose(0) }
+	}},
+}
+
+// scheduler is one of the VMs that choose for all; 0 is the one that all ask.
+func (sn *simNet) scheduler(rank int) *simVM {
+	return sn.vm(sn.running()[0].fl.Schedulers()[rank].ID)
+}
+
+// halves divides the VMs so that the first two schedulers stand apart.
+func (sn *simNet) halves() (one, two []string) {
+	first, second := sn.scheduler(0).self.ID, sn.scheduler(1).self.ID
+	for ix, name := range others(first, second) {
+		if ix%2 == 0 {
+			one = append(one, name)
+		} else {
+			two = append(two, name)
+		}
+	}
+	return append(one, first), append(two, second)
+}
+
+// others lists the names of all VMs but some.
+func others(but ...string) []string {
+	return slices.DeleteFunc(allNames(), func(name string) bool { return slices.Contains(but, name) })
+}
+
+func together(all ...func()) func() {
+	return func() {
+		for _, do := range all {
+			do()
+		}
+	}
+}
+
+// playPlaces plays a fault in the middle of requests for more places than there
+// are, and tells what was not as it must be. All VMs start at once. Alter changes
+// a VM before it starts; nil changes none.
+func playPlaces(t *testing.T, seed uint64, fa fault, alter func(vm *simVM)) (out []string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		ps := newPlaceSim(t, seed)
+		ps.alter = alter
+		for ix := range netVMs {
+			ps.startVM(ctx, ix)
+		}
+		go ps.offer(ctx, time.Hour)
+		time.Sleep(faultAfter)
+		end := fa.begin(ctx, ps)
+		time.Sleep(faultFor)
+		end()
+		time.Sleep(wellAfter)
+		well := ps.clock.Now()
+		time.Sleep(wellFor)
+		out = append(ps.violations(well), ps.disagreed()...)
+	})
+	return out
+}
+
+// Whatever becomes of those that choose for all, a place is given to one request
+// at a time once the fault is over, no place is lost for longer than its term, and
+// no request waits for longer than it may.
+func TestHandOverOfPlaces(t *testing.T) {
+	for _, fa := range faults {
+		for seed := range uint64(handOverSeeds) {
+			t.Run(fmt.Sprintf("%s/%d", fa.name, seed), func(t *testing.T) {
+				t.Parallel()
+				assert.DeepEqual(t, playPlaces(t, seed, fa, nil), []string(nil))
+			})
+		}
+	}
+}
+
+// The check notices VMs that choose by themselves, and a scheduler that goes on
+// with what it heard first.
+func TestHandOverOfPlacesIsChecked(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		alter func(vm *simVM)
+		want  string
+	}{
+		{"all believe that they are first", func(vm *simVM) { vm.selfish = true }, "a place was given twice"},
+		{"schedulers go on with the first runs that they hear of", func(vm *simVM) {
+			first, hear := make(map[string]usage.Report), vm.fl.Usage
+			vm.fl.Usage = func(other string, rp usage.Report) {
+				if _, heard := first[other]; !heard && len(rp.Runs) > 0 {
+					first[other] = rp
+				}
+				rp.Runs = first[other].Runs
+				hear(other, rp)
+			}
+		}, "a place lost for longer than its term"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := strings.Join(playPlaces(t, 0, faults[0], tc.alter), "\n")
+			assert.Assert(t, strings.Contains(got, tc.want), "%s", got)
+		})
+	}
+}
--- a/internal/usage/reports_test.go
+++ b/internal/usage/reports_test.go
@@ -111,3 +111,23 @@
 		})
 	}
 }
+
+// A word that a VM told before it had its answer says nothing of the place. The
+// place counts until the VM's next words must tell of it, and once a word does, it
+// counts once.
+func TestAssumedAndToldMeanwhile(t *testing.T) {
+	before := Report{Runs: []Run{{Engine: "e", Tokens: 3}, {Engine: "x", Tokens: 1}}}
+	le := exact()
+	le.Heard(0, "vm-2", before)
+	le.Assume(10, "vm-2", Run{Engine: "e", Tokens: 5}, "")
+	le.Heard(12, "vm-2", before)
+	assert.Equal(t, le.Peak(12, "e", Run{}, 0), 8, "it was on its way when the place was given")
+	le.Heard(14, "vm-3", Report{Runs: []Run{{Engine: "e", Tokens: 2}}})
+	assert.Equal(t, le.Peak(14, "e", Run{}, 0), 10, "what another VM tells says nothing of it")
+	le.Heard(16, "vm-2", Report{Runs: []Run{{Engine: "e", Tokens: 3}, {Engine: "e", Tokens: 5}}})
+	assert.Equal(t, le.Peak(16, "e", Run{}, 0), 10, "it is told")
+	le.Assume(20, "vm-2", Run{Engine: "e", Tokens: 7}, "")
+	le.Heard(22, "vm-2", Report{Runs: []Run{{Engine: "e", Tokens: 5}}})
+	assert.Equal(t, le.Peak(22, "e", Run{}, 0), 14)
+	assert.Equal(t, le.Peak(60, "e", Run{}, 0), 7, "the VM did not take it")
+}
