usage: a word from before the answer does not end what was assumed

A scheduler counts a place that it gave as taken until the asker's next word. A word that left the asker before the answer came to it (another of its runs began or ended just then) is heard a moment later, says nothing of the place, and ended it all the same: until the asker's own word on the place, 5 to 10 ms later, the place was given once more, and its engine had to decline one.

A word now settles the places that it tells of: as many as the VM has more runs at that engine than it told before. Any other place counts on until 40 ms after it was given, by when the asker has given up (30 ms) or told of it (4 ms later).

--- a/internal/usage/assumed.go
+++ b/internal/usage/assumed.go
@@ -13,6 +13,10 @@
 	// assumePrompt is the same for a prompt. The VM first reserves the place,
 	// 5 to 10 ms, and its word on that says nothing of the prompt yet.
 	assumePrompt = 40 * clock.Millis(1)
+	// assumeUntold is the same once a further word of that VM came: one that was
+	// told before the VM had its answer says nothing of the place, and the next one
+	// does. It waits for the answer for 30 ms, and tells of the place in 4 ms.
+	assumeUntold = 40 * clock.Millis(1)
 )
 
 type (
@@ -25,6 +29,7 @@
 	assumption struct {
 		vm      string
 		run     Run
+		given   clock.Millis // when
 		runTo   clock.Millis // until when the run counts
 		prefill string       // engine that computes the prompt; empty: none
 		readTo  clock.Millis // until when the prompt counts there
@@ -35,18 +40,27 @@
 // them, so that the next VM that asks is given another one.
 func (le *Ledger) Assume(now clock.Millis, vm string, run Run, prefill string) {
 	le.assumed.expire(now)
-	le.assumed.list = append(le.assumed.list, assumption{vm: vm, run: run, runTo: now + assumeRun, prefill: prefill, readTo: now + assumePrompt})
+	le.assumed.list = append(le.assumed.list, assumption{vm: vm, run: run, given: now, runTo: now + assumeRun, prefill: prefill, readTo: now + assumePrompt})
 }
 
 func (am *assumptions) expire(now clock.Millis) {
 	am.list = slices.DeleteFunc(am.list, func(as assumption) bool { return now >= as.runTo && now >= as.readTo })
 }
 
-// settle drops the places of a VM that has told of its runs since.
-func (am *assumptions) settle(vm string) {
+// settle takes a word of a VM: a place that it tells of counts as told, and any
+// other one only until the next word must have told of it. More is how many more
+// runs the VM has at an engine than it told before.
+func (am *assumptions) settle(vm string, more func(engine string) int) {
+	told := make(map[string]int) // by engine: places that the word tells of
 	for ix := range am.list {
-		if am.list[ix].vm == vm {
-			am.list[ix].runTo = 0
+		as := &am.list[ix]
+		if as.vm != vm || as.runTo == 0 {
+			continue
+		}
+		as.runTo = min(as.runTo, as.given+assumeUntold)
+		if engine := as.run.Engine; told[engine] < more(engine) {
+			told[engine]++
+			as.runTo = 0
 		}
 	}
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -252,10 +252,21 @@
 }
 
 // Heard takes another VM's report in place of its last one, and of what it was
-// assumed.
+// assumed to have as far as the report can tell of that.
 func (le *Ledger) Heard(now clock.Millis, vm string, rp Report) {
+	le.assumed.settle(vm, func(engine string) int { return rp.runsAt(engine) - len(le.others.runs[engine][vm]) })
 	le.others.take(now, vm, rp)
-	le.assumed.settle(vm)
+}
+
+// runsAt is how many runs the VM has at an engine.
+func (rp Report) runsAt(engine string) int {
+	count := 0
+	for _, run := range rp.Runs {
+		if run.Engine == engine {
+			count++
+		}
+	}
+	return count
 }
 
 // Hears tells whether the VM's word is fresh.
