entry: a follower takes only the answer that it has a part of

Cause: a VM that follows a run asked the runner for the tokens behind its own by the key alone. A key can run more than once (its VM and its engine are lost, another VM runs it afresh), so tokens of two runs made one answer that ended as whole. Where the second run was shorter, the reader at the runner waited for an event behind the end, and the follower until its deadline. Class: a continuation that is accepted by its framing alone, here by a key and a number. Ruled out: a hash of the follower's part in the ask; it needs a new field, and VMs that do not know it would still join.

Change: the follower asks for the answer from its start and holds it against its part (answer.Stream.Join); what differs, or is shorter, ends the request with errNotKept. A reader behind the end of an answer is told so (ErrPastEnd), as a follower of an older release still asks from a number.

The part is sent again each time that a follower attaches anew.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -21,7 +21,9 @@
 package answer
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -40,6 +42,10 @@
 	Refused Kind = "Refused" // final: there is no answer
 )
 
+// ErrPastEnd tells that the answer has its end before the event that a reader
+// waits for.
+var ErrPastEnd = errors.New("the answer has its end already")
+
 type (
 	// Kind of an event.
 	Kind string
@@ -79,8 +85,18 @@
 	FinishedError struct {
 		Kind Kind
 	}
+
+	// OtherError tells that an event is of another answer than the stream's.
+	OtherError struct {
+		ID int // of the event
+	}
 )
 
+// Error says where the answers differ.
+func (oe OtherError) Error() string {
+	return fmt.Sprintf("event %d is of another answer", oe.ID)
+}
+
 // Error says what was dropped.
 func (fe FinishedError) Error() string {
 	return fmt.Sprintf("answer already has its end; %s event dropped", fe.Kind)
@@ -124,6 +140,23 @@
 	return st.add(ev)
 }
 
+// Join takes an event from one who tells the answer from its start. An event
+// that the stream has already must be the same, else the error is an
+// OtherError; the next one is added.
+func (st *Stream) Join(ev Event) error {
+	if ev.ID < 0 {
+		return st.Add(ev)
+	}
+	had, ok, _ := st.at(ev.ID)
+	if !ok {
+		return st.Add(ev)
+	}
+	if had.Kind != ev.Kind || !bytes.Equal(had.Data, ev.Data) {
+		return OtherError{ID: ev.ID}
+	}
+	return nil
+}
+
 func (st *Stream) add(ev Event) error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -220,7 +253,7 @@
 func (rd *Reader) Detach() { rd.once.Do(func() { rd.st.watch(-1) }) }
 
 // Next waits for the next event. It returns the context's error if that ends
-// first.
+// first, and ErrPastEnd if the answer has ended without such an event.
 func (rd *Reader) Next(ctx context.Context) (Event, error) {
 	for {
 		ev, ok, changed := rd.st.at(rd.next)
@@ -228,6 +261,9 @@
 			rd.next++
 			return ev, nil
 		}
+		if events, final := rd.st.Len(); final && rd.next >= events {
+			return Event{}, fmt.Errorf("wait for answer event %d: %w", rd.next, ErrPastEnd)
+		}
 		select {
 		case <-ctx.Done():
 			return Event{}, fmt.Errorf("wait for answer event %d: %w", rd.next, ctx.Err())
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -15,7 +15,8 @@
 var errUnknownKey = errors.New("the VM does not know the request")
 
 // follow passes on the answer that another VM makes. It returns nil when the
-// answer has its end.
+// answer has its end, and errNotKept if what this VM has is a part of another
+// answer than that VM's.
 func (rn *run) follow(ctx context.Context, runner board.VMRef) error {
 	if rn.vm.self(runner) {
 		return errUnknownKey // this VM gave the run up; the claim moves on
@@ -35,7 +36,9 @@
 	defer cn.Close()
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
-	ask := &peerpb.AttachAsk{Customer: rn.id.Customer, Key: rn.id.Key, From: int64(rn.tokens())}
+	// A key may have run more than once, so all of the answer is asked for, and
+	// held against the part that is here.
+	ask := &peerpb.AttachAsk{Customer: rn.id.Customer, Key: rn.id.Key}
 	if err := cn.Send(&peerpb.Frame{Body: &peerpb.Frame_AttachAsk{AttachAsk: ask}}); err != nil {
 		return fmt.Errorf("ask %s for the answer: %w", runner.ID, err)
 	}
@@ -56,8 +59,8 @@
 		if ev.Kind == answer.Refused && ev.Refusal.Reason == refusal.CallerGone {
 			return errUnknownKey // the runner gave up on a caller who is here
 		}
-		if err := rn.st.Add(ev); err != nil {
-			return fmt.Errorf("follow %s: %w", runner.ID, err)
+		if err := rn.st.Join(ev); err != nil {
+			return fmt.Errorf("follow %s: %w", runner.ID, notKept(err))
 		}
 		if ev.Kind.Final() {
 			return nil
@@ -65,6 +68,14 @@
 	}
 }
 
+// notKept makes an answer.OtherError an errNotKept too.
+func notKept(err error) error {
+	if _, other := errors.AsType[answer.OtherError](err); other {
+		return errors.Join(errNotKept, err)
+	}
+	return err
+}
+
 // serveAttach sends the answer of a request that this VM runs to another VM,
 // for as long as that VM follows it.
 func (vm *VM) serveAttach(ctx context.Context, ask *peerpb.AttachAsk, cn frames) {
--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -139,8 +139,11 @@
 			rn.tr.add(event.RequestTakenOver, held.server)
 			return rn.resume(ctx, dec)
 		}
-		if rn.followOnce(ctx, dec, &givenUp) == nil {
+		switch err := rn.followOnce(ctx, dec, &givenUp); {
+		case err == nil:
 			return true
+		case errors.Is(err, errNotKept):
+			return false
 		}
 		if !clock.Sleep(ctx, pause) {
 			return false
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -278,6 +278,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, errNotKept):
+		return err
 	case errors.Is(err, errUnknownKey):
 		*givenUp = dec.Runner
 	case rn.readOn(ctx, dec):
