entry, engine: an answer goes on only with its own decode

Cause: a VM that goes on with a decode (taken over, or read on while its runner can't be reached) asked the engine for the tokens behind its part by a name on record. That decode may be of a later run of the key, and its tokens were joined to the part. Two neighbours of it: the attempt that an engine names with its tokens was read and held against nothing, neither with the order to decode nor when a stream was opened again; and a part that lacked only the end could not be ended, so the model was asked for more behind the last token. Ruled out: the index of a token; the engine's stream is checked for gaps already.

Change: a decode is read from its start and held against the part (answer.Stream.Join); one that differs, is shorter or can't be read from its start is not joined. A stream that is opened again must be of the same attempt, and an order to decode is answered by its own attempt only.

TestTornStream gave an order of attempt 0 to a fake that answers for attempt 1, which is another fault than the one it is about; its order is of attempt 1 now, and all that it asserts stands.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -115,6 +115,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("decode request %s: %w", od.Request, err)
 	}
+	if st.Attempt != od.Attempt { // tokens of another run are no answer to this order
+		st.Close()
+		return nil, fmt.Errorf("decode request %s: %w", od.Request, cl.inDoubt(backend.ErrBadAnswer))
+	}
 	return st, nil
 }
 
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -266,7 +266,7 @@
 			}))
 			defer srv.Close()
 			ec := &engine.Client{}
-			st, err := ec.Decode(t.Context(), board.BackendServer{ID: "d1", Address: srv.Listener.Addr().String()}, engine.DecodeOrder{})
+			st, err := ec.Decode(t.Context(), board.BackendServer{ID: "d1", Address: srv.Listener.Addr().String()}, engine.DecodeOrder{Attempt: 1})
 			assert.NilError(t, err)
 			defer st.Close()
 			tok, err := st.Next(t.Context())
@@ -356,3 +356,35 @@
 		}
 	})
 }
+
+// An engine answered an order to decode with the tokens of another attempt of
+// the request. The attempt was read, but held against nothing, so these tokens
+// became the answer.
+func TestDecodeTakesOnlyTokensOfItsAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name, attempt string
+		ok            bool
+	}{
+		{"its own", "2", true},
+		{"an earlier one", "1", false},
+		{"none", "", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			hs := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+				wr.Header().Set(engine.AttemptHeader, tc.attempt)
+				fmt.Fprintln(wr, `{"Index":0,"Text":"a","Last":true}`)
+			}))
+			defer hs.Close()
+			ec := &engine.Client{HTTP: backend.NewHTTP(backend.Limits{})}
+			srv := board.BackendServer{ID: "d1", Address: strings.TrimPrefix(hs.URL, "http://")}
+			st, err := ec.Decode(t.Context(), srv, engine.DecodeOrder{Request: "r1", Attempt: 2, MaxTokens: 1})
+			if tc.ok {
+				assert.NilError(t, err)
+				st.Close()
+				return
+			}
+			var inDoubt engine.InDoubtError
+			assert.Assert(t, errors.As(err, &inDoubt), "%v", err)
+		})
+	}
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"alderdyke/internal/answer"
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/caller"
@@ -37,6 +38,7 @@
 var (
 	errPreempted = errors.New("the accountant took the grant back")
 	errUnknown   = errors.New("the backend server is not in the VM list")
+	errOtherRun  = errors.New("the engine goes on with another attempt")
 )
 
 type (
@@ -267,7 +269,8 @@
 }
 
 // resume goes on with a decode that a lost VM started, if the engine still
-// has it.
+// has it. The decode may be of another run of the key than the part that is
+// here, so it is read from its start and held against that part.
 func (rn *run) resume(ctx context.Context, dec claim.Decided) bool {
 	if dec.DecodeServer == "" {
 		return false
@@ -277,21 +280,22 @@
 		return false
 	}
 	rn.sent.Store(true)
-	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, rn.tokens())
+	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, 0)
 	if err != nil {
 		return false
 	}
 	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
-	if err := rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens(), rn.vm.Engines.Resume); err != nil {
+	if err := rn.stream(ctx, st, srv, dec.EngineRequest, 0, rn.vm.Engines.Resume); err != nil {
 		rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
 		return false
 	}
 	return true
 }
 
-// readOn follows the decode of a runner that can't be reached. The decode
-// stays the runner's: it is neither cancelled nor claimed. Once the runner
-// answers again, or is lost, the request is looked at anew.
+// readOn follows the decode of a runner that can't be reached, from its start
+// as in resume. The decode stays the runner's: it is neither cancelled nor
+// claimed. Once the runner answers again, or is lost, the request is looked at
+// anew.
 func (rn *run) readOn(ctx context.Context, dec claim.Decided) bool {
 	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
 	if !ok || rn.req.Chat == nil {
@@ -301,12 +305,12 @@
 	defer stop(nil)
 	rn.vm.wg.Go(func() { rn.vm.awaitLoss(ctx, dec.Runner, func() { stop(errLost) }) })
 	rn.vm.wg.Go(func() { rn.awaitRunner(ctx, dec.Runner, func() { stop(errAgain) }) })
-	st, err := rn.vm.Engines.Follow(ctx, srv, dec.EngineRequest, rn.tokens())
+	st, err := rn.vm.Engines.Follow(ctx, srv, dec.EngineRequest, 0)
 	if err != nil {
 		return false
 	}
 	rn.tr.add(event.ReadOn, srv.ID)
-	return rn.stream(ctx, st, srv, dec.EngineRequest, rn.tokens(), rn.vm.Engines.Follow) == nil
+	return rn.stream(ctx, st, srv, dec.EngineRequest, 0, rn.vm.Engines.Follow) == nil
 }
 
 // awaitLoss calls lost once a VM is held dead or has left: what it ran may be
@@ -328,14 +332,16 @@
 }
 
 // stream passes tokens on until the last one, and opens a broken stream again
-// where it broke. Tokens below have are in the answer already.
-func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, have int, reopen openStream) error {
+// where it broke. From is the index of the first token that comes; those that
+// are in the answer already must be the same.
+func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, from int, reopen openStream) error {
+	attempt := st.Attempt
 	for tries := 0; ; {
-		got, err := rn.pass(ctx, st, have)
+		got, err := rn.pass(ctx, st)
 		st.Close()
-		have += got
+		from += got
 		if err == nil {
-			return rn.whole(have)
+			return rn.whole(from)
 		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
@@ -343,23 +349,27 @@
 		if got > 0 {
 			tries = 0
 		}
-		if tries++; tries > resumeTries || errors.Is(err, engine.ErrEnded) {
+		_, other := errors.AsType[answer.OtherError](err)
+		if tries++; tries > resumeTries || other || errors.Is(err, engine.ErrEnded) {
 			return failure{"stream", err}
 		}
 		if !clock.Sleep(ctx, clock.Millis(tries)*reopenPause) {
 			return context.Cause(ctx)
 		}
-		if st, err = reopen(ctx, srv, name, have); err != nil {
+		if st, err = reopen(ctx, srv, name, from); err != nil {
 			return failure{"resume", err}
 		}
+		if st.Attempt != attempt { // its tokens are not the rest of those before
+			st.Close()
+			return failure{"resume", errOtherRun}
+		}
 	}
 }
 
-// pass copies tokens into the answer and returns how many new ones came. A
-// nil error means that the last one did.
-func (rn *run) pass(ctx context.Context, st *engine.Stream, have int) (int, error) {
-	got := 0
-	for {
+// pass joins tokens to the answer and returns how many came. A nil error means
+// that the last one did, and that the answer has none behind it.
+func (rn *run) pass(ctx context.Context, st *engine.Stream) (int, error) {
+	for got := 0; ; got++ {
 		tok, err := rn.nextToken(ctx, st)
 		if errors.Is(err, io.EOF) {
 			return got, nil
@@ -367,21 +377,30 @@
 		if err != nil {
 			return got, err
 		}
-		if tok.Index >= have+got {
-			if rn.first == 0 {
-				rn.first = rn.vm.Clock.Now()
-			}
-			if err := rn.st.Token([]byte(tok.Text)); err != nil {
-				return got, fmt.Errorf("add a token: %w", err)
-			}
-			got++
+		if err := rn.joinToken(tok); err != nil {
+			return got, err
 		}
 		if tok.Last {
-			return got, nil
+			return got + 1, nil
 		}
 	}
 }
 
+// joinToken adds a token that is new, and holds any other against the answer.
+func (rn *run) joinToken(tok engine.Token) error {
+	ev := answer.Event{ID: tok.Index, Kind: answer.Token, Data: []byte(tok.Text)}
+	if err := rn.st.Join(ev); err != nil {
+		return fmt.Errorf("add a token: %w", err)
+	}
+	if rn.first == 0 {
+		rn.first = rn.vm.Clock.Now()
+	}
+	if tok.Last && tok.Index+1 < rn.tokens() {
+		return fmt.Errorf("end the answer: %w", answer.OtherError{ID: tok.Index + 1})
+	}
+	return nil
+}
+
 func (rn *run) nextToken(ctx context.Context, st *engine.Stream) (engine.Token, error) {
 	ctx, stop := context.WithTimeout(ctx, tokenStall.Std())
 	defer stop()
--- /dev/null
+++ b/internal/entry/model_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/answer"
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
+	"alderdyke/internal/engine"
+)
+
+// toldDecode is an engine that holds one decode.
+type toldDecode struct {
+	tokens  []string
+	base    int // tokens that an attempt before made; it has none of them
+	attempt int // 1 if zero
+	whole   bool
+	cut     bool // each stream breaks off after its first token, and the next one is of a later attempt
+}
+
+func (td *toldDecode) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	from, err := strconv.Atoi(req.URL.Query().Get("From"))
+	if err != nil || from < td.base {
+		wr.Header().Set(backend.DeclinedHeader, string(backend.Unknown))
+		wr.WriteHeader(http.StatusConflict)
+		return
+	}
+	wr.Header().Set(engine.AttemptHeader, strconv.Itoa(max(1, td.attempt)))
+	enc := json.NewEncoder(wr)
+	for ix := from; ix < len(td.tokens); ix++ {
+		_ = enc.Encode(engine.Token{Index: ix, Text: td.tokens[ix], Last: td.whole && ix == len(td.tokens)-1})
+		if td.cut {
+			td.attempt = max(1, td.attempt) + 1
+			return
+		}
+	}
+	if !td.whole {
+		_ = enc.Encode(engine.Token{Ended: string(backend.Cancelled)})
+	}
+}
+
+// newTold is a run of a VM, with a part of an answer, and the decode that it is
+// to go on with.
+func newTold(t *testing.T, td *toldDecode, has []string) (*run, claim.Decided) {
+	t.Helper()
+	hs := httptest.NewServer(td)
+	t.Cleanup(hs.Close)
+	vm := newFollowVM(t, "vm-near")
+	vm.loopCtx = t.Context()
+	vm.Engines = &engine.Client{HTTP: backend.NewHTTP(backend.Limits{})}
+	runner := board.VMRef{ID: "vm-far", Incarnation: 1}
+	vm.Board.SetFleet(&board.Fleet{Self: vm.Self, VMs: []board.VM{{VMRef: runner, Health: board.Suspect}}})
+	vm.Board.SetBackends(&board.Backends{Servers: []board.BackendServer{
+		{ID: "e1", Role: board.Decode, Address: strings.TrimPrefix(hs.URL, "http://")},
+	}})
+	vm.janitor = janitor{
+		find:   func(string) (board.BackendServer, bool) { return board.BackendServer{}, false },
+		cancel: func(context.Context, board.BackendServer, string, int) error { return nil },
+	}
+	rn := newRunWith(t, vm, has)
+	rn.claimed = vm.noClaim()
+	return rn, claim.Decided{Runner: runner, DecodeServer: "e1", EngineRequest: "cu/k/2.0"}
+}
+
+// A VM had a part of an answer when its runner was lost, and went on with a
+// decode that it knew by the name on record. That decode could be of a later run
+// of the key: the engine was asked for the tokens behind the part, and whatever
+// it sent was joined to it. A part that lacked nothing but the end could not be
+// ended at all, since no token follows it, and the model made more tokens
+// behind the last one.
+func TestAnswerGoesOnOnlyWithItsOwnDecode(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		has  []string
+		told toldDecode
+		kept bool // the answer is whole, of the decode's tokens
+	}{
+		{"its own", []string{"a", "b"}, toldDecode{tokens: []string{"a", "b", "c"}, whole: true}, true},
+		{"its own, nothing is left but the end", []string{"a", "b"}, toldDecode{tokens: []string{"a", "b"}, whole: true}, true},
+		{"no part yet", nil, toldDecode{tokens: []string{"x", "y"}, whole: true}, true},
+		{"another", []string{"a", "b"}, toldDecode{tokens: []string{"x", "y", "z"}, whole: true}, false},
+		{"another that differs late", []string{"a", "b"}, toldDecode{tokens: []string{"a", "y", "z"}, whole: true}, false},
+		{"another that is shorter", []string{"a", "b"}, toldDecode{tokens: []string{"a"}, whole: true}, false},
+		{"one that can't be told from another", []string{"a", "b"}, toldDecode{tokens: []string{"", "", "c"}, base: 2, whole: true}, false},
+		{"cancelled", []string{"a"}, toldDecode{tokens: []string{"a", "b"}}, false},
+		{"another attempt after a break", nil, toldDecode{tokens: []string{"a", "b"}, whole: true, cut: true}, false},
+	} {
+		for _, way := range []struct {
+			name string
+			on   func(rn *run, dec claim.Decided) bool
+		}{
+			{"taken over", func(rn *run, dec claim.Decided) bool { return rn.resume(t.Context(), dec) }},
+			{"read on", func(rn *run, dec claim.Decided) bool { return rn.readOn(t.Context(), dec) }},
+		} {
+			t.Run(tc.name+", "+way.name, func(t *testing.T) {
+				told := tc.told
+				rn, dec := newTold(t, &told, tc.has)
+				assert.Equal(t, way.on(rn, dec), tc.kept)
+				last, final := rn.st.Last()
+				assert.Equal(t, final, tc.kept)
+				if tc.kept {
+					assert.Equal(t, last.Kind, answer.End)
+					assert.DeepEqual(t, rn.st.Tokens(), told.tokens)
+				}
+			})
+		}
+	}
+}
