caller, client: the end of a shorter answer is not the end of a longer part

Cause: a caller that comes back with the last event that it has got the final event of the answer that its key has now, also where that answer ends before the caller's part: a run afresh that was shorter ended the part of the run before as whole. The client took such an end too. Class: a continuation that is accepted by its framing alone. Ruled out: an end that the caller has already, which comes again on purpose; its ID is the caller's last one, not less.

Change: an end before the caller's last event is refused as AnswerExpired, and the client takes it for a broken try. Left open: an answer of another run that is as long as the part or longer can't be told by the number that a caller sends.

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -163,6 +163,10 @@
 }
 
 func (dl *delivery) end(ev answer.Event) {
+	if ev.ID < dl.after { // the caller's part is of another, longer answer
+		dl.refused(ev.ID, otherAnswer())
+		return
+	}
 	end, err := parseEnd(ev.Data)
 	if err != nil {
 		dl.refused(ev.ID, brokenAnswer())
@@ -312,6 +316,13 @@
 	return end, nil
 }
 
+func otherAnswer() refusal.Refusal {
+	return refusal.Refusal{
+		Ran: refusal.MayHaveRun, Reason: refusal.AnswerExpired,
+		Detail: "the answer that the caller has a part of is no longer kept",
+	}
+}
+
 func brokenAnswer() refusal.Refusal {
 	return refusal.Refusal{
 		Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed, Detail: "the answer can't be read",
--- a/internal/caller/stream_test.go
+++ b/internal/caller/stream_test.go
@@ -146,3 +146,24 @@
 	}
 	assert.NilError(b, st.End(nil))
 }
+
+// The key of a caller with a part of an answer ran again from its start, and
+// that answer was shorter than the part. Its end came to the caller behind the
+// part as if it were the part's own, so pieces of one run ended with another.
+func TestEndOfAShorterAnswerIsNotTheEndOfThePart(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.rn.begin = tell("a", "b") })
+	text(t, rg.chat(t, headerKey, "k1"))
+	for _, tc := range []struct {
+		last  string
+		whole bool
+	}{{"0", true}, {"1", true}, {"2", true}, {"3", false}, {"17", false}} { // the end is event 2
+		resp := rg.chat(t, headerKey, "k1", headerLastID, tc.last)
+		if tc.whole {
+			assert.Assert(t, strings.HasSuffix(text(t, resp), "data: [DONE]\n\n"), "after %s", tc.last)
+			continue
+		}
+		rf := refusalIn(t, resp)
+		assert.Equal(t, rf.Reason, refusal.AnswerExpired, "after %s", tc.last)
+		assert.Equal(t, rf.Ran, refusal.MayHaveRun)
+	}
+}
--- a/pkg/client/chat.go
+++ b/pkg/client/chat.go
@@ -177,6 +177,9 @@
 		cc.add(ck.Choices[0].Delta.Content)
 	}
 	if end := ck.Choices[0].FinishReason; end != nil {
+		if ev.id < cc.last { // the end of another answer, which is shorter
+			return nil, fmt.Errorf("the answer ends with event %d, and event %d came before", ev.id, cc.last)
+		}
 		cc.ans.FinishReason, cc.ans.Tokens = *end, ck.Usage.CompletionTokens
 		return whole{}, nil
 	}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -309,3 +309,13 @@
 		}
 	})
 }
+
+// A VM sent the end of a shorter answer to a call that has more of another one.
+// It was taken for the end of what the call has.
+func TestEndOfAShorterAnswerIsNotTaken(t *testing.T) {
+	fl := newFleet(t, 2, stream(0, "weld ", "7 ", "has ", "!"), stream(1, "."), stream(3, "pits", "."))
+	ans, err := fl.Chat(t.Context(), ChatRequest{Model: "m"})
+	assert.NilError(t, err)
+	assert.Equal(t, ans.Text, "weld 7 has pits")
+	assert.DeepEqual(t, fl.lasts, []string{"", "2", "2"})
+}
