entry: a decode's name at the engines tells which VM began it

Cause: a request's name at the engines was made of its key, the number of its claim and the try. Two VMs may run an idempotent key under the same number (each with one grant, or without any), so both decodes had one name: a stream that a VM opens again by name, at an engine that holds only the other VM's decode, would go on with that one's tokens, and an order to cancel would end it. Suspected from reading; no run has shown it. Ruled out: the attempt at the engine; it is a number of grants, mostly 1 for both.

Change: the name holds a hash of the VM's ID and incarnation, behind the last slash, where only the number was; a record of a key grows by 17 bytes once a decode is known.

Before -> after: TestDecodesOfTwoVMsHaveTwoNames 2 names of 8 -> 8 of 8.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -77,7 +77,7 @@
 func (rn *run) tryModel(ctx context.Context, try int) (err error) {
 	ma := &modelAttempt{
 		rn:      rn,
-		name:    fmt.Sprintf("%s/%s/%d.%d", rn.id.Customer, rn.id.Key, rn.attempt, try),
+		name:    rn.engineName(try),
 		touched: make(map[string]struct{}),
 		undo:    func() {},
 	}
@@ -105,6 +105,14 @@
 	return ma.generate(ctx, rn.tokens())
 }
 
+// engineName names one try at the engines. It tells the VM too, as two VMs may
+// run an idempotent key under the same number of its claim.
+func (rn *run) engineName(try int) string {
+	self := rn.vm.Self
+	by := hashID(fmt.Sprintf("%s/%d", self.ID, self.Incarnation))
+	return fmt.Sprintf("%s/%s/%d.%d.%016x", rn.id.Customer, rn.id.Key, rn.attempt, try, by)
+}
+
 // tokens counts the tokens that the answer holds already.
 func (rn *run) tokens() int {
 	events, _ := rn.st.Len()
--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -115,3 +115,22 @@
 		}
 	}
 }
+
+// Two VMs ran an idempotent key, each with one grant or without any, so that
+// both ran it under the same number. Their decodes had one name, by which a VM
+// could read, go on with or cancel the other's.
+func TestDecodesOfTwoVMsHaveTwoNames(t *testing.T) {
+	names := make(map[string]bool)
+	for _, self := range []board.VMRef{
+		{ID: "vm-1", Incarnation: 1}, {ID: "vm-1", Incarnation: 2}, {ID: "vm-2", Incarnation: 1}, {ID: "vm-11", Incarnation: 1},
+	} {
+		for try := range 2 {
+			rn := &run{vm: &VM{Self: self}, id: requestID{Customer: "cu", Key: "a/key"}}
+			name := rn.engineName(try)
+			names[name] = true
+			id, ok := keyOf(engine.Running{Customer: "cu", Request: name})
+			assert.Assert(t, ok && id == rn.id, "%s", name)
+		}
+	}
+	assert.Equal(t, len(names), 8)
+}
