entry: a failure is no answer while the other attempt goes on

Cause: of two calls beside each other the first whole answer counted, also where it was the second server's word that it failed (status 500 and above) and the first call went on to success. Ruled out: declines; they are errors, and the other call was waited for already.

Change: a failure counts only once the other call has its end, and only if that is no better. A call that has no other beside it is answered as before.

Before -> after: TestFailureIsNoAnswerWhileAnotherAttemptGoesOn 4 of 8 cases fail -> all pass. A caller may now wait for the slower call to learn of a failure.

--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +143,76 @@
 		})
 	}
 }
+
+// scripted answers each call of a service, in the order of their coming.
+type scripted struct {
+	mu    sync.Mutex
+	calls []scriptedCall // the last one is for all that follow
+}
+
+type scriptedCall struct {
+	after  clock.Millis
+	status int // 0 breaks off
+}
+
+func (sc *scripted) RoundTrip(req *http.Request) (*http.Response, error) {
+	sc.mu.Lock()
+	cl := sc.calls[0]
+	if len(sc.calls) > 1 {
+		sc.calls = sc.calls[1:]
+	}
+	sc.mu.Unlock()
+	if !clock.Sleep(req.Context(), cl.after) {
+		return nil, req.Context().Err()
+	}
+	if cl.status == 0 {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return &http.Response{
+		StatusCode: cl.status, Header: http.Header{}, Request: req,
+		Body: io.NopCloser(strings.NewReader("body")), ContentLength: 4,
+	}, nil
+}
+
+// A slow call was made a second time beside the first. The second server's word
+// that it failed came first and was taken for the answer, while the first one
+// went on to success.
+func TestFailureIsNoAnswerWhileAnotherAttemptGoesOn(t *testing.T) {
+	const slow = 5 * clock.Second
+	for _, tc := range []struct {
+		name   string
+		calls  []scriptedCall
+		want   int
+		atOnce bool // before the slower attempt
+	}{
+		{"the second fails", []scriptedCall{{slow, 200}, {1, 500}}, 200, false},
+		{"the second is unavailable", []scriptedCall{{slow, 200}, {1, 503}}, 200, false},
+		{"the second succeeds", []scriptedCall{{slow, 500}, {1, 200}}, 200, true},
+		{"the second answers with what the caller got wrong", []scriptedCall{{slow, 200}, {1, 404}}, 404, true},
+		{"both fail", []scriptedCall{{slow, 500}, {1, 503}}, 503, false},
+		{"the second fails and the first breaks off", []scriptedCall{{slow, 0}, {1, 500}}, 500, false},
+		{"the first breaks off and the second fails", []scriptedCall{{slow, 0}, {2 * slow, 500}}, 500, false},
+		{"the first fails alone", []scriptedCall{{1, 500}, {1, 200}}, 500, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rg := newHedgeRig(t)
+				rg.vm.fresh.Store(int64(clock.Hour))
+				rg.vm.Services = &service.Client{HTTP: &http.Client{Transport: &scripted{calls: tc.calls}}}
+				rn := rg.vm.newRun(caller.Request{
+					Customer: "hoalua", Key: "k", Deadline: clock.Minute,
+					Class: template.Class{Service: "kiosk-api", Urgency: template.Quick, Idempotent: true, Share: 1},
+					Plain: &caller.Plain{Service: "kiosk-api", Method: http.MethodGet, Path: "/status"},
+				})
+				start := rg.vm.Clock.Now()
+				assert.NilError(t, rn.plain(t.Context()))
+				last, _ := rn.st.Last()
+				pa, err := caller.DecodePlain(last.Data)
+				assert.NilError(t, err)
+				assert.Equal(t, pa.Status, tc.want)
+				assert.Equal(t, rg.vm.Clock.Now()-start < slow, tc.atOnce)
+				time.Sleep(3 * slow.Std())
+			})
+		})
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -64,7 +65,8 @@
 
 // hedged makes one attempt, and a second one beside it at another server if
 // the first is slower than usual and the retry policy pays for it. The first
-// whole answer counts.
+// whole answer counts; a server's word that it failed does only if the other
+// attempt ends no better.
 func (rn *run) hedged(ctx context.Context, tried []string) plainAttempt {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -89,7 +91,7 @@
 		case at := <-done:
 			open--
 			all = all.with(at)
-			if all.err == nil {
+			if all.answered() {
 				return all
 			}
 		case <-late:
@@ -111,13 +113,26 @@
 
 // with joins the ends of attempts made beside each other.
 func (at plainAttempt) with(other plainAttempt) plainAttempt {
-	other.tried = append(at.tried, other.tried...)
-	if other.err != nil {
+	tried := append(at.tried, other.tried...)
+	switch {
+	case other.answered():
+	case at.whole(): // came first, and the other is no better
+		other = at
+	case other.err != nil:
 		other.err = errors.Join(at.err, other.err)
 	}
+	other.tried = tried
 	return other
 }
 
+// whole tells whether a server answered, whatever it said.
+func (at plainAttempt) whole() bool { return at.err == nil && at.rsp.Status != 0 }
+
+// answered tells whether a server answered with anything but its own failure.
+func (at plainAttempt) answered() bool {
+	return at.whole() && at.rsp.Status < http.StatusInternalServerError
+}
+
 // tryPlain makes one attempt. It tells on began, if that is not nil, at which
 // server.
 func (rn *run) tryPlain(ctx context.Context, call service.Request, tried []string, began chan<- string) (at plainAttempt) {
