client: a response that names another request is not taken

Cause: VMs name the request's key in each answer and refusal, and the client did not look at it: what was framed like an answer was the answer, or its rest. Suspected from reading; no run has shown a response that went astray.

Change: a response that names another key is a broken try, after which the call goes on elsewhere with what it has. One that names none is taken as before.

Before -> after: TestResponseToAnotherRequestIsNotTaken fails in all 3 cases of a model's answer and with a plain one -> passes.

--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -319,3 +319,39 @@
 	assert.Equal(t, ans.Text, "weld 7 has pits")
 	assert.DeepEqual(t, fl.lasts, []string{"", "2", "2"})
 }
+
+// A response named another request than the one that was sent, as where a proxy
+// mixes up its connections. It was taken for the answer, or for its rest, since
+// it was framed like one.
+func TestResponseToAnotherRequestIsNotTaken(t *testing.T) {
+	other := func(do step) step {
+		return func(wr http.ResponseWriter, req *http.Request) {
+			wr.Header().Set(headerKey, "other")
+			do(wr, req)
+		}
+	}
+	own := func(do step) step {
+		return func(wr http.ResponseWriter, req *http.Request) {
+			wr.Header().Set(headerKey, req.Header.Get(headerKey))
+			do(wr, req)
+		}
+	}
+	for name, steps := range map[string][]step{
+		"its begin": {other(stream(0, "not ", "this", ".")), own(done)},
+		"its rest":  {own(stream(0, "o", "!")), other(stream(1, "ther", ".")), own(stream(1, "k", "."))},
+		"a refusal": {other(refuse(refusal.NotRun, refusal.BadRequest, 0)), own(done)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fl := newFleet(t, 3, steps...)
+			ans, err := fl.Chat(t.Context(), ChatRequest{Model: "m"})
+			assert.NilError(t, err)
+			assert.Equal(t, ans.Text, "ok")
+		})
+	}
+	fl := newFleet(t, 2, other(func(http.ResponseWriter, *http.Request) {}), own(func(wr http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(wr, "ok")
+	}))
+	ans, err := fl.Call(t.Context(), PlainRequest{Service: "s", Method: http.MethodGet, Path: "/"})
+	assert.NilError(t, err)
+	assert.Equal(t, string(ans.Body), "ok")
+}
--- a/pkg/client/try.go
+++ b/pkg/client/try.go
@@ -23,7 +23,10 @@
 	maxRefusal     = 16 << 10 // bytes of a refusal
 )
 
-var errIdle = errors.New("connection silent for too long")
+var (
+	errIdle     = errors.New("connection silent for too long")
+	errOtherKey = errors.New("the response is to another request")
+)
 
 // watched is a response body that breaks when nothing comes for too long.
 type watched struct {
@@ -63,6 +66,9 @@
 		return broken{sent: sent.Load(), err: cause(ctx, err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if key := resp.Header.Get(headerKey); key != "" && key != req.Header.Get(headerKey) {
+		return broken{sent: true, err: errOtherKey}
+	}
 	resp.Body = watched{ReadCloser: resp.Body, tm: tm, idle: idle}
 	if rf, ok := refusalOf(resp); ok {
 		return refused{rf}
