entry: a decode that ended while its VM was held dead is read to its end

Cause (traced by the test beside load, with all logs kept): a VM that reads a decode on at the engine leaves off when it holds the runner dead, and asks the engines anew who holds the decode. With two VMs of five dead that takes 11.5 s, and the test's answers take 12 s. A decode that made its last token in between was listed as ended, with all its tokens, and could be resumed for 10 s more; listDecodes took only those that go on, so the caller was told AnswerExpired with 597 of 600 tokens: VMDead at 41.372, the engine's end at 41.424, refused at 41.431.

Ruled out by that run's logs: engines that did not answer (no BackendUnreachable), a cancel (the engine's outcome is Complete), a run of its own (one decode), tries used up (the list was whole).

Change: what the engines list as ended counts too. Two runs of one key, of which one ended, count as two: which of them made the caller's part can't be told.

--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -95,7 +95,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, run := range runs {
-				if id, ok := keyOf(run); ok && run.Stage == sched.Decoding {
+				if id, ok := keyOf(run); ok && streams(run) {
 					out[id] = append(out[id], heldDecode{server: srv.ID, request: run.Request, runner: run.VM})
 				}
 			}
@@ -106,6 +106,12 @@
 	return out, all
 }
 
+// streams tells whether the rest of an answer can be read from a run. That of a
+// decode that made its last token can, for as long as the engine lists it.
+func streams(run engine.Running) bool {
+	return run.Stage == sched.Decoding || run.Stage == sched.Ended
+}
+
 // keyOf reads the key out of a request's name at an engine, which is
 // customer/key/attempt.
 func keyOf(run engine.Running) (requestID, bool) {
