integration: a transfer that is sent another way is no second decode run

Where VMs and engines are busy, a transfer takes longer than 100 ms and three times the expected span, and the accountant sends the KV cache to another engine (sched.Cell.redirect). There was one decode.

Ruled out by the engines' records: a second prefill, a second attempt, a decode after the loss.

The check was wrong and is replaced by a stricter one: one decode of the key began, all decodes together made just the tokens of the answer, and from the moment before the VMs are killed no engine is asked for a prefill, a transfer or a decode of the key again. A new test stalls the transfers: the old check fails on it (2 records), the new one holds it to one decode.

--- a/internal/integration/answer_test.go
+++ b/internal/integration/answer_test.go
@@ -9,6 +9,7 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/invariant"
+	"alderdyke/internal/standin"
 )
 
 const tokenBytes = 9 // of one token of a stand-in
@@ -29,6 +30,23 @@
 	return fl.vm(id)
 }
 
+// asked counts what engines were asked to do for a key: prefills, transfers and
+// decodes.
+func (fl *fleet) asked(key string) int {
+	return len(fl.engineRuns(board.Prefill, key)) + len(fl.engineRuns(board.Decode, key))
+}
+
+// decoded counts the decodes of a key that began, and the tokens that all of
+// them made. A transfer that was sent another way, as one that takes long is,
+// began none.
+func (fl *fleet) decoded(key string) (began, tokens int) {
+	for _, rec := range fl.engineRuns(board.Decode, key) {
+		began += rec.Decodes
+		tokens += rec.Tokens
+	}
+	return began, tokens
+}
+
 // A VM is killed in the middle of answers that it runs. Every caller goes on
 // elsewhere with its key and gets one whole answer without a seam.
 func TestVMKilledMidStream(t *testing.T) {
@@ -87,6 +105,34 @@
 	fl.note(func(hs *invariant.History) { assert.Equal(t, len(hs.Calls), 1) })
 }
 
+// A transfer takes long, as where VMs and engines are busy, and its accountant
+// sends the KV cache to another decode engine. The engines then list two runs of
+// the key. One of them made no token and is no second decode:
+//
+//	Role=Decode Decodes=0 Tokens=0 Stages=[Transferring Imported] Outcome=Cancelled
+//	Role=Decode Decodes=1 Tokens=600 Stages=[... Decoding Ended] Outcome=Complete
+func TestMovedTransferIsNoSecondDecode(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	results.fault("transfers stalled")
+	for _, en := range fl.dp.Engines {
+		en.Control.Set(standin.Faults{StallTransfer: true})
+	}
+	const tokens = 20
+	og := fl.chat(fl.client(), "findings", "moved", tokens)
+	eventually(t, "the first transfer is sent another way", func() bool {
+		return len(fl.engineRuns(board.Decode, "moved")) > 1
+	})
+	for _, en := range fl.dp.Engines {
+		en.Control.Set(standin.Faults{})
+	}
+	assert.NilError(t, og.end())
+	began, made := fl.decoded("moved")
+	assert.Equal(t, began, 1)
+	assert.Equal(t, made, tokens)
+	fl.check()
+}
+
 // Two VMs of different failure domains are killed at once, so that the record
 // of some keys is lost with both. Every caller has a part of its answer, the
 // engines go on with it, and each gets the rest without a second run.
@@ -95,19 +141,25 @@
 	pl := usual()
 	pl.vms, pl.decode = 5, 8
 	fl := startFleet(t, pl)
-	calls := make(map[string]*ongoing)
+	const tokens = 600
+	calls, asked := make(map[string]*ongoing), make(map[string]int)
 	for ix := range 30 {
 		key := fmt.Sprintf("record-%d", ix)
-		calls[key] = fl.chat(fl.client(), "findings", key, 600)
+		calls[key] = fl.chat(fl.client(), "findings", key, tokens)
 	}
 	for _, og := range calls {
 		eventually(t, "the answer is under way", func() bool { return og.received() > 5*tokenBytes })
 	}
+	for key := range calls {
+		asked[key] = fl.asked(key)
+	}
 	fl.vms[0].kill(t)
 	fl.vms[3].kill(t)
 	for key, og := range calls {
 		assert.Check(t, og.end(), "%s", key)
-		assert.Check(t, len(fl.engineRuns(board.Decode, key)) == 1, "%s", key)
+		began, made := fl.decoded(key)
+		assert.Check(t, began == 1 && made == tokens, "%s: %d decodes made %d tokens", key, began, made)
+		assert.Check(t, fl.asked(key) == asked[key], "%s: an engine was asked for it again", key)
 	}
 	fl.check()
 }
