entry: an engine that listed the decode before is asked as often as another

Found in reading the code for the known red test, not seen in a log: rescue counted each look at the engines as a try, also those that found the decode. A caller whose runner could neither be followed nor read for a while, and was not held dead yet, was refused as AnswerExpired as soon as one engine did not answer once.

Change: only looks in a row that an engine left open count. The new test, under virtual time, fails on the code before.

--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -131,10 +131,13 @@
 		return false
 	}
 	var givenUp board.VMRef
-	tries := 0
+	tries := 0 // in a row, at an engine that may hold the decode and does not say
 	for pause := reopenPause; ; pause = min(2*pause, followPause) {
 		held, found, sure := rn.vm.decodes.of(rn.vm, rn.id)
-		if tries++; !found && !sure && tries < decodesTries && clock.Sleep(ctx, pause) {
+		if tries++; found || sure {
+			tries = 0
+		}
+		if tries > 0 && tries < decodesTries && clock.Sleep(ctx, pause) {
 			continue
 		}
 		if !found || rn.vm.self(held.runner) {
--- a/internal/entry/rescue_test.go
+++ b/internal/entry/rescue_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -16,6 +17,7 @@
 	"alderdyke/internal/caller"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/sched"
+	"alderdyke/internal/standin"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/template"
 )
@@ -57,6 +59,72 @@
 	assert.Equal(t, asked.Load(), int64(2), "a whole list serves further requests")
 }
 
+// rescueRig is a VM with one engine in memory, whose decode of two tokens ran
+// for a VM that is lost.
+type rescueRig struct {
+	vm    *VM
+	lost  board.VMRef
+	list  func(asked int) []engine.Running // of the engine; nil: it is too busy to say
+	asked int
+}
+
+func newRescueRig(t *testing.T) *rescueRig {
+	t.Helper()
+	nw := &standin.Network{}
+	hc := backend.NewHTTP(backend.Limits{Dial: nw.Dial})
+	rg := &rescueRig{
+		vm:   &VM{Clock: clock.Monotonic{}, Board: &board.Board{}, runCtx: t.Context(), loopCtx: t.Context()},
+		lost: board.VMRef{ID: "vm-2", Incarnation: 7},
+	}
+	rg.vm.traces.clk = rg.vm.Clock
+	rg.vm.Engines = &engine.Client{HTTP: hc, Clock: rg.vm.Clock}
+	var bk board.Backends
+	rg.vm.Board.SetBackends(bk.WithServers([]board.BackendServer{{ID: "e1", Address: "10.0.0.1:80", Role: board.Decode}}))
+	mux := http.NewServeMux()
+	mux.HandleFunc(engine.RunningPath, rg.serveRunning)
+	mux.HandleFunc(engine.ResumePath, rg.serveResume)
+	hs := &http.Server{Handler: mux}
+	ln := nw.Listen("10.0.0.1:80")
+	go func() { _ = hs.Serve(ln) }()
+	t.Cleanup(func() {
+		hc.CloseIdleConnections()
+		_ = hs.Close()
+	})
+	return rg
+}
+
+func (rg *rescueRig) serveRunning(wr http.ResponseWriter, _ *http.Request) {
+	rg.asked++
+	runs := rg.list(rg.asked)
+	if runs == nil {
+		http.Error(wr, "busy", http.StatusGatewayTimeout)
+		return
+	}
+	standin.WriteJSON(wr, engine.RunningReport{Runs: runs})
+}
+
+func (rg *rescueRig) serveResume(wr http.ResponseWriter, _ *http.Request) {
+	wr.Header().Set(engine.AttemptHeader, "1")
+	standin.WriteJSON(wr, engine.Token{Index: 0, Text: "a"})
+	standin.WriteJSON(wr, engine.Token{Index: 1, Text: "b", Last: true})
+}
+
+// decoding lists the decode while it goes on.
+func (rg *rescueRig) decoding() []engine.Running {
+	return []engine.Running{{Request: "cu/key/1.0", Customer: "cu", Stage: sched.Decoding, VM: rg.lost}}
+}
+
+// comesBack is the run of a caller that has a part of the answer.
+func (rg *rescueRig) comesBack() *run {
+	rn := rg.vm.newRun(caller.Request{
+		Customer: "cu", Key: "key", Resumed: true,
+		Class: template.Class{Idempotent: true, StreamWait: clock.Minute},
+		Chat:  &caller.Chat{MaxTokens: 2},
+	})
+	rn.claimed = rg.vm.noClaim()
+	return rn
+}
+
 // A VM reads a decode on at its engine until it holds the runner dead, and then
 // asks the engines who goes on with it. A decode that makes its last token in
 // between is listed as ended and can be resumed, but the VM looked only for
@@ -66,39 +134,42 @@
 //	01:21:41.424 engine: Outcome=Complete Tokens=600 Stages=[... Decoding Ended]
 //	01:21:41.431 RequestRefused VM=vm-3 Reason=AnswerExpired Ran=MayHaveRun
 func TestDecodeThatEndedIsReadToItsEnd(t *testing.T) {
-	lost := board.VMRef{ID: "vm-2", Incarnation: 7}
-	mux := http.NewServeMux()
-	mux.HandleFunc(engine.RunningPath, func(wr http.ResponseWriter, _ *http.Request) {
-		runs := []engine.Running{{Request: "cu/key/1.0", Customer: "cu", Stage: sched.Ended, VM: lost, Tokens: 2}}
-		assert.Check(t, json.NewEncoder(wr).Encode(engine.RunningReport{Runs: runs}))
-	})
-	mux.HandleFunc(engine.ResumePath, func(wr http.ResponseWriter, _ *http.Request) {
-		wr.Header().Set(engine.AttemptHeader, "1")
-		enc := json.NewEncoder(wr)
-		assert.Check(t, enc.Encode(engine.Token{Index: 0, Text: "a"}))
-		assert.Check(t, enc.Encode(engine.Token{Index: 1, Text: "b", Last: true}))
-	})
-	holds := httptest.NewServer(mux)
-	defer holds.Close()
-	vm := &VM{Clock: clock.Monotonic{}, Board: &board.Board{}, runCtx: t.Context(), loopCtx: t.Context()}
-	vm.traces.clk = vm.Clock
-	vm.Engines = &engine.Client{HTTP: backend.NewHTTP(backend.Limits{}), Clock: vm.Clock}
-	var bk board.Backends
-	vm.Board.SetBackends(bk.WithServers([]board.BackendServer{
-		{ID: "e1", Address: strings.TrimPrefix(holds.URL, "http://"), Role: board.Decode},
-	}))
-	vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: lost, Health: board.Dead}}})
-	rn := vm.newRun(caller.Request{
-		Customer: "cu", Key: "key", Resumed: true,
-		Class: template.Class{Idempotent: true, StreamWait: clock.Second},
-		Chat:  &caller.Chat{MaxTokens: 2},
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(int) []engine.Running {
+			return []engine.Running{{Request: "cu/key/1.0", Customer: "cu", Stage: sched.Ended, VM: rg.lost, Tokens: 2}}
+		}
+		rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.Assert(t, rn.rescue(t.Context()))
+		last, _ := rn.st.Last()
+		assert.Equal(t, last.Kind, answer.End)
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
 	})
-	defer rn.cancel(nil)
-	defer rn.away.Stop()
-	rn.claimed = vm.noClaim()
+}
 
-	assert.Assert(t, rn.rescue(rn.ctx))
-	last, _ := rn.st.Last()
-	assert.Equal(t, last.Kind, answer.End)
-	assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+// An engine lists the decode of a runner that can neither be followed nor is
+// held dead yet, and is too busy to answer when it is asked again. What it said
+// before does not use up the tries: it is asked anew, and the answer goes on.
+func TestEngineThatListedTheDecodeIsAskedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(asked int) []engine.Running {
+			if asked == 2 {
+				return nil // no answer in time
+			}
+			if asked == 3 {
+				rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+			}
+			return rg.decoding()
+		}
+		rg.vm.Board.SetFleet(&board.Fleet{})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.Assert(t, rn.rescue(t.Context()))
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+	})
 }
