entry: who has a part of an answer gets the rest although no record names its decode

The caller's next VM followed the dead runner, could read nothing on, and sent nothing for 10 s; the caller left for another VM, which took the request over without a name and refused it as VMLost, while the engine made all 600 tokens in one decode.

Ruled out by the logs: a cancel or a second run (one record, Complete), an engine that did not answer (none was asked), two decodes.

Change: a VM that follows a runner which can't be reached, and one that takes a request over and can't resume what the record names, look the decode up at the engines, as a VM does when the record is lost. As before, only for an idempotent answer that the caller has a part of, and only if the engines hold just one decode of the key.

Two new tests fail on the code before: VMLost, and errAgain without a token.

--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -123,11 +123,29 @@
 	return requestID{Customer: run.Customer, Key: rest[:end]}, true
 }
 
+// rescuable tells whether the engines may be asked for the caller's answer.
+func (rn *run) rescuable() bool {
+	return rn.req.Resumed && rn.req.Chat != nil && rn.req.Class.Idempotent
+}
+
+// named adds the decode that the engines hold for the runner to a claim whose
+// record does not name it: the runner's word of it may have been lost.
+func (rn *run) named(dec claim.Decided) claim.Decided {
+	if dec.DecodeServer != "" || !rn.rescuable() {
+		return dec
+	}
+	held, found, _ := rn.vm.decodes.of(rn.vm, rn.id)
+	if found && held.runner == dec.Runner {
+		dec.DecodeServer, dec.EngineRequest = held.server, held.request
+	}
+	return dec
+}
+
 // rescue goes on with the answer that the caller has a part of although the
-// record of its key was lost with the VMs that kept it: the engines know what
-// they decode, and for which VM. It tells whether the answer has its end.
+// record of its key was lost with the VMs that kept it, or does not name the
+// decode: the engines know what they decode, and for which VM. It tells whether the answer has its end.
 func (rn *run) rescue(ctx context.Context) bool {
-	if rn.req.Chat == nil || !rn.req.Class.Idempotent {
+	if !rn.rescuable() {
 		return false
 	}
 	var givenUp board.VMRef
--- a/internal/entry/rescue_test.go
+++ b/internal/entry/rescue_test.go
@@ -15,7 +15,9 @@
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/caller"
+	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
+	"alderdyke/internal/peer"
 	"alderdyke/internal/sched"
 	"alderdyke/internal/standin"
 	"alderdyke/pkg/clock"
@@ -173,3 +175,43 @@
 		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
 	})
 }
+
+// The record of a key may lack the name of its decode: the word of it that the
+// runner sent to the seats was lost, or came before the claim. Who takes the
+// request over then looks for the decode at the engines, as if the record were
+// lost too. The caller was refused instead while its decode went on:
+//
+//	01:25:53.891 engine: Stages=[... Decoding], ended at 01:26:05.908 with Outcome=Complete Tokens=600
+//	01:26:05.306 RequestTakenOver VM=vm-2 Server=
+//	01:26:05.306 RequestRefused VM=vm-2 Reason=VMLost
+func TestTakenOverWithoutTheNameOfTheDecode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(int) []engine.Running { return rg.decoding() }
+		rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.NilError(t, rn.serve(t.Context(), claim.Decided{Verdict: claim.TakeOver, Runner: rg.lost}))
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+	})
+}
+
+// The same before the runner is held dead: the decode that no record names is
+// read on at the engine. The caller heard nothing for ten seconds, and left:
+//
+//	vm-3    9ms Following: vm-1
+//	vm-3 9.992s CallerLeft
+func TestReadOnWithoutTheNameOfTheDecode(t *testing.T) {
+	rg := newRescueRig(t)
+	rg.list = func(int) []engine.Running { return rg.decoding() }
+	rg.vm.Peers = &peer.Transport{Self: board.VMRef{ID: "vm-3", Incarnation: 1}, Listen: "127.0.0.1:0", Secret: []byte(testSecret)}
+	runTransport(t, rg.vm.Peers)
+	rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Suspect, Peer: "127.0.0.1:1"}}})
+	rn := rg.comesBack()
+	defer rn.cancel(nil)
+	defer rn.away.Stop()
+	var givenUp board.VMRef
+	assert.NilError(t, rn.followOnce(t.Context(), claim.Decided{Verdict: claim.Follow, Runner: rg.lost}, &givenUp))
+	assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -280,7 +280,7 @@
 		return nil
 	case errors.Is(err, errUnknownKey):
 		*givenUp = dec.Runner
-	case rn.readOn(ctx, dec):
+	case rn.readOn(ctx, rn.named(dec)):
 		return nil
 	}
 	return errAgain
@@ -305,7 +305,7 @@
 	if dec.Verdict == claim.TakeOver {
 		rn.vm.Log.Log(event.RequestTakenOver, event.F("Customer", rn.id.Customer), event.F("Attempt", dec.Attempt))
 		rn.tr.add(event.RequestTakenOver, dec.DecodeServer)
-		if rn.resume(ctx, dec) {
+		if rn.resume(ctx, dec) || rn.rescue(ctx) {
 			return nil
 		}
 		if !rn.req.Class.Idempotent || rn.req.Resumed {
