claim: a seat that grants late is told what became of the key

The ask and the word of the decode both waited for the connection to that seat, came to it in the same millisecond, and the word was read first: the book has no record yet and drops it. The record then stayed Claimed without a decode, and with the runner and the first seat lost nobody knew which engine decodes (Granted Claimed at 27.477, update Decoding at 27.477, Held Claimed at 28.153).

Ruled out by the same lines: an update that was not sent or not delivered (the call succeeded).

Change: when a reply grants a claim that runs already, the asker tells that seat its last word again. The reply is the proof that the record is there. No message more where the reply comes before the first word.

The new test plays that order with a real book and fails on the code before (Claimed instead of Decoding).

--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -57,6 +57,7 @@
 		without guard              // only tests take guards away
 		asks    []seatAsk          // of this round
 		told    []board.VMRef      // seats that heard of the claim, in any round
+		became  Became             // what the seats were told last
 	}
 
 	// seatAsk is one ask of a round.
@@ -147,6 +148,9 @@
 
 func (ak *Asker) replied(now clock.Millis, ev Replied) []AskerIntent {
 	sa := ak.find(ev.Number)
+	if sa != nil && sa.reply == nil && ak.phase == decided && ak.claim != 0 {
+		return ak.tellLate(sa.to, ev.Reply)
+	}
 	if sa == nil || sa.reply != nil || (ak.phase != asking && ak.phase != confirming) {
 		ak.Stray++
 		return nil
@@ -224,7 +228,7 @@
 	for _, to := range ak.told {
 		out = append(out, SendUpdate{To: to, Update: ak.update(Released)})
 	}
-	ak.claim, ak.super, ak.told = 0, nil, nil
+	ak.claim, ak.super, ak.told, ak.became = 0, nil, nil, Became{}
 	return out
 }
 
@@ -243,11 +247,26 @@
 	if ak.super != nil && !ak.Idempotent && state.over() {
 		return nil // the runner before may have run it
 	}
+	ak.became = Became{state, server, request}
 	var out []AskerIntent
 	for _, to := range ak.seats.Group(ak.Customer, ak.Key) {
-		up := ak.update(state)
-		up.DecodeServer, up.EngineRequest = server, request
-		out = append(out, SendUpdate{To: to, Update: up})
+		out = append(out, ak.word(to))
 	}
 	return out
 }
+
+// tellLate tells a seat whose reply comes while the claim runs already what
+// became of it meanwhile: word that came before the record had no effect.
+func (ak *Asker) tellLate(to board.VMRef, rp *peerpb.ClaimReply) []AskerIntent {
+	if Answer(rp.GetVerdict()) != Granted || ak.became.State == "" {
+		return nil
+	}
+	return []AskerIntent{ak.word(to)}
+}
+
+// word is what a seat is told of the claim that runs.
+func (ak *Asker) word(to board.VMRef) SendUpdate {
+	up := ak.update(ak.became.State)
+	up.DecodeServer, up.EngineRequest = ak.became.DecodeServer, ak.became.EngineRequest
+	return SendUpdate{To: to, Update: up}
+}
--- a/internal/claim/asker_test.go
+++ b/internal/claim/asker_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/board"
@@ -226,3 +227,42 @@
 	assert.Equal(t, len(ak.Step(0, Replied{1, held(vmB, Complete, 5)})), 0)
 	assert.Equal(t, ak.Stray, uint64(1))
 }
+
+// The second record of an idempotent key is asked for while the request runs
+// already. Where the ask has to wait, as for a connection, the word of the
+// decode comes to the seat together with it, and has no effect if it is read
+// first. The seat is told again once it granted: with the runner and the first
+// seat lost, nobody else knows which engine decodes.
+//
+//	01:28:27.477 vm-2 replies to claim=9623: Granted state=Claimed decode=
+//	01:28:27.477 vm-2 update claim=9623 state=Decoding decode=rapportmodel-decode-1
+//	01:28:28.153 vm-2 replies to claim=8875: Held state=Claimed decode=
+func TestLateRecordNamesTheDecode(t *testing.T) {
+	ak := testAsker()
+	ak.Idempotent = true
+	ak.Step(0, Begin{testSeats(), &board.Fleet{Quorate: true, VMs: []board.VM{vmA, vmB, vmC}}})
+	var second SendAsk
+	for _, in := range ak.Step(0, Replied{1, says(Granted)}) {
+		if ask, ok := in.(SendAsk); ok {
+			second = ask
+		}
+	}
+	bk := seatedBook(board.VM{VMRef: second.To}, Settings{})
+	tell := func(list []AskerIntent) {
+		for _, in := range list {
+			if up, ok := in.(SendUpdate); ok && up.To == second.To {
+				bk.Step(0, Updated{up.Update})
+			}
+		}
+	}
+	tell(ak.Step(0, Became{Decoding, "decode-1", "er-1"}))
+	tell(ak.Step(0, Replied{second.Number, reply(bk, 0, second.Ask)}))
+
+	other := proto.CloneOf(second.Ask)
+	other.Claim++
+	rp := reply(bk, 0, other)
+	assert.Equal(t, Answer(rp.GetVerdict()), Held)
+	assert.Equal(t, State(rp.GetState()), Decoding)
+	assert.Equal(t, rp.GetDecodeServer(), "decode-1")
+	assert.Equal(t, ak.Stray, uint64(0))
+}
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -386,6 +386,7 @@
 		buf = appendNumbers(buf, sa.number, sa.reply.GetClaim())
 		buf = append(append(append(buf, sa.reply.GetVerdict()...), ' '), sa.reply.GetState()...)
 	}
+	buf = append(append(buf, '/'), ak.became.State...)
 	sr.line = string(buf)
 }
 
