integration: a call without an end is explained when its test fails

Found by a run beside load in which one call got no token for 60 s: nothing told what the VMs knew of it, since only calls with an end were explained.

--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -81,6 +81,9 @@
 	if len(og.call.Ends) == 1 && og.err == nil {
 		return
 	}
+	if len(og.call.Ends) == 0 {
+		og.story = fl.explain(og.call.Key)
+	}
 	fl.t.Logf("%s: %d bytes, ends %v at %s, error %v\n%s", og.call.Key, len(og.call.Got), og.call.Ends,
 		og.call.Ended.Format(time.StampMilli), og.err, og.story)
 }
