--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -95,7 +95,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, run := range runs {
-				if id, ok := keyOf(run); ok && run.Stage == sched.Decoding {
+				if id, ok := keyOf(run); ok && streams(run) {
 					out[id] = append(out[id], heldDecode{server: srv.ID, request: run.Request, runner: run.VM})
 				}
 			}
@@ -106,6 +106,12 @@
 	return out, all
 }
 
+// streams tells whether the rest of an answer can be read from a run. That of a
+// decode that made its last token can, for as long as the engine lists it.
+func streams(run engine.Running) bool {
+	return run.Stage == sched.Decoding || run.Stage == sched.Ended
+}
+
 // keyOf reads the key out of a request's name at an engine, which is
 // customer/key/attempt.
 func keyOf(run engine.Running) (requestID, bool) {
@@ -117,18 +123,39 @@
 	return requestID{Customer: run.Customer, Key: rest[:end]}, true
 }
 
+// rescuable tells whether the engines may be asked for the caller's answer.
+func (rn *run) rescuable() bool {
+	return rn.req.Resumed && rn.req.Chat != nil && rn.req.Class.Idempotent
+}
+
+// named adds the decode that the engines hold for the runner to a claim whose
+// record does not name it: the runner's word of it may have been lost.
+func (rn *run) named(dec claim.Decided) claim.Decided {
+	if dec.DecodeServer != "" || !rn.rescuable() {
+		return dec
+	}
+	held, found, _ := rn.vm.decodes.of(rn.vm, rn.id)
+	if found && held.runner == dec.Runner {
+		dec.DecodeServer, dec.EngineRequest = held.server, held.request
+	}
+	return dec
+}
+
 // rescue goes on with the answer that the caller has a part of although the
-// record of its key was lost with the VMs that kept it: the engines know what
-// they decode, and for which VM. It tells whether the answer has its end.
+// record of its key was lost with the VMs that kept it, or does not name the
+// decode: the engines know what they decode, and for which VM. It tells whether the answer has its end.
 func (rn *run) rescue(ctx context.Context) bool {
-	if rn.req.Chat == nil || !rn.req.Class.Idempotent {
+	if !rn.rescuable() {
 		return false
 	}
 	var givenUp board.VMRef
-	tries := 0
+	tries := 0 // in a row, at an engine that may hold the decode and does not say
 	for pause := reopenPause; ; pause = min(2*pause, followPause) {
 		held, found, sure := rn.vm.decodes.of(rn.vm, rn.id)
-		if tries++; !found && !sure && tries < decodesTries && clock.Sleep(ctx, pause) {
+		if tries++; found || sure {
+			tries = 0
+		}
+		if tries > 0 && tries < decodesTries && clock.Sleep(ctx, pause) {
 			continue
 		}
 		if !found || rn.vm.self(held.runner) {
--- a/internal/entry/rescue_test.go
+++ b/internal/entry/rescue_test.go
@@ -7,14 +7,21 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
+	"alderdyke/internal/answer"
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
+	"alderdyke/internal/peer"
 	"alderdyke/internal/sched"
+	"alderdyke/internal/standin"
 	"alderdyke/pkg/clock"
+	"alderdyke/pkg/template"
 )
 
 // An engine is too busy to answer in time when two VMs were lost, and holds the
@@ -53,3 +60,158 @@
 	assert.Assert(t, !found && sure)
 	assert.Equal(t, asked.Load(), int64(2), "a whole list serves further requests")
 }
+
+// rescueRig is a VM with one engine in memory, whose decode of two tokens ran
+// for a VM that is lost.
+type rescueRig struct {
+	vm    *VM
+	lost  board.VMRef
+	list  func(asked int) []engine.Running // of the engine; nil: it is too busy to say
+	asked int
+}
+
+func newRescueRig(t *testing.T) *rescueRig {
+	t.Helper()
+	nw := &standin.Network{}
+	hc := backend.NewHTTP(backend.Limits{Dial: nw.Dial})
+	rg := &rescueRig{
+		vm:   &VM{Clock: clock.Monotonic{}, Board: &board.Board{}, runCtx: t.Context(), loopCtx: t.Context()},
+		lost: board.VMRef{ID: "vm-2", Incarnation: 7},
+	}
+	rg.vm.traces.clk = rg.vm.Clock
+	rg.vm.Engines = &engine.Client{HTTP: hc, Clock: rg.vm.Clock}
+	var bk board.Backends
+	rg.vm.Board.SetBackends(bk.WithServers([]board.BackendServer{{ID: "e1", Address: "10.0.0.1:80", Role: board.Decode}}))
+	mux := http.NewServeMux()
+	mux.HandleFunc(engine.RunningPath, rg.serveRunning)
+	mux.HandleFunc(engine.ResumePath, rg.serveResume)
+	hs := &http.Server{Handler: mux}
+	ln := nw.Listen("10.0.0.1:80")
+	go func() { _ = hs.Serve(ln) }()
+	t.Cleanup(func() {
+		hc.CloseIdleConnections()
+		_ = hs.Close()
+	})
+	return rg
+}
+
+func (rg *rescueRig) serveRunning(wr http.ResponseWriter, _ *http.Request) {
+	rg.asked++
+	runs := rg.list(rg.asked)
+	if runs == nil {
+		http.Error(wr, "busy", http.StatusGatewayTimeout)
+		return
+	}
+	standin.WriteJSON(wr, engine.RunningReport{Runs: runs})
+}
+
+func (rg *rescueRig) serveResume(wr http.ResponseWriter, _ *http.Request) {
+	wr.Header().Set(engine.AttemptHeader, "1")
+	standin.WriteJSON(wr, engine.Token{Index: 0, Text: "a"})
+	standin.WriteJSON(wr, engine.Token{Index: 1, Text: "b", Last: true})
+}
+
+// decoding lists the decode while it goes on.
+func (rg *rescueRig) decoding() []engine.Running {
+	return []engine.Running{{Request: "cu/key/1.0", Customer: "cu", Stage: sched.Decoding, VM: rg.lost}}
+}
+
+// comesBack is the run of a caller that has a part of the answer.
+func (rg *rescueRig) comesBack() *run {
+	rn := rg.vm.newRun(caller.Request{
+		Customer: "cu", Key: "key", Resumed: true,
+		Class: template.Class{Idempotent: true, StreamWait: clock.Minute},
+		Chat:  &caller.Chat{MaxTokens: 2},
+	})
+	rn.claimed = rg.vm.noClaim()
+	return rn
+}
+
+// A VM reads a decode on at its engine until it holds the runner dead, and then
+// asks the engines who goes on with it. A decode that makes its last token in
+// between is listed as ended and can be resumed, but the VM looked only for
+// those that go on: three tokens short of its end the answer was refused.
+//
+//	01:21:41.372 VMDead VM=vm-3 Other=vm-4
+//	01:21:41.424 engine: Outcome=Complete Tokens=600 Stages=[... Decoding Ended]
+//	01:21:41.431 RequestRefused VM=vm-3 Reason=AnswerExpired Ran=MayHaveRun
+func TestDecodeThatEndedIsReadToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(int) []engine.Running {
+			return []engine.Running{{Request: "cu/key/1.0", Customer: "cu", Stage: sched.Ended, VM: rg.lost, Tokens: 2}}
+		}
+		rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.Assert(t, rn.rescue(t.Context()))
+		last, _ := rn.st.Last()
+		assert.Equal(t, last.Kind, answer.End)
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+	})
+}
+
+// An engine lists the decode of a runner that can neither be followed nor is
+// held dead yet, and is too busy to answer when it is asked again. What it said
+// before does not use up the tries: it is asked anew, and the answer goes on.
+func TestEngineThatListedTheDecodeIsAskedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(asked int) []engine.Running {
+			if asked == 2 {
+				return nil // no answer in time
+			}
+			if asked == 3 {
+				rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+			}
+			return rg.decoding()
+		}
+		rg.vm.Board.SetFleet(&board.Fleet{})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.Assert(t, rn.rescue(t.Context()))
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+	})
+}
+
+// The record of a key may lack the name of its decode: the word of it that the
+// runner sent to the seats was lost, or came before the claim. Who takes the
+// request over then looks for the decode at the engines, as if the record were
+// lost too. The caller was refused instead while its decode went on:
+//
+//	01:25:53.891 engine: Stages=[... Decoding], ended at 01:26:05.908 with Outcome=Complete Tokens=600
+//	01:26:05.306 RequestTakenOver VM=vm-2 Server=
+//	01:26:05.306 RequestRefused VM=vm-2 Reason=VMLost
+func TestTakenOverWithoutTheNameOfTheDecode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.list = func(int) []engine.Running { return rg.decoding() }
+		rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Dead}}})
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		assert.NilError(t, rn.serve(t.Context(), claim.Decided{Verdict: claim.TakeOver, Runner: rg.lost}))
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+	})
+}
+
+// The same before the runner is held dead: the decode that no record names is
+// read on at the engine. The caller heard nothing for ten seconds, and left:
+//
+//	vm-3    9ms Following: vm-1
+//	vm-3 9.992s CallerLeft
+func TestReadOnWithoutTheNameOfTheDecode(t *testing.T) {
+	rg := newRescueRig(t)
+	rg.list = func(int) []engine.Running { return rg.decoding() }
+	rg.vm.Peers = &peer.Transport{Self: board.VMRef{ID: "vm-3", Incarnation: 1}, Listen: "127.0.0.1:0", Secret: []byte(testSecret)}
+	runTransport(t, rg.vm.Peers)
+	rg.vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: rg.lost, Health: board.Suspect, Peer: "127.0.0.1:1"}}})
+	rn := rg.comesBack()
+	defer rn.cancel(nil)
+	defer rn.away.Stop()
+	var givenUp board.VMRef
+	assert.NilError(t, rn.followOnce(t.Context(), claim.Decided{Verdict: claim.Follow, Runner: rg.lost}, &givenUp))
+	assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+}
