--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -136,6 +136,9 @@
 			return
 		}
 		list := ps.running()
+		if len(list) == 0 {
+			return // the play is over
+		}
 		vm := list[int(ps.chance("vm", number)*float64(len(list)))]
 		if !vm.frozenSince(ps.clock.Now()) {
 			go ps.serve(vm, number)
@@ -317,6 +320,10 @@
 	// scheduler, and an engine that declines.
 	tookMost = relay.DefaultWait + 100*clock.Millis(1)
 
+	// agreeWithin is how long after that all name the same schedulers: a VM that was
+	// frozen when another one died finds out by a probe of its own, the last in a round.
+	agreeWithin = netVMs*probeVMs + probeDeadline
+
 	// faultAfter is how long after the start a fault begins, faultFor how long it
 	// lasts, wellAfter when all is well again, and wellFor how long that is watched.
 	faultAfter = 4 * time.Second
@@ -437,6 +444,38 @@
 	}
 }
 
+// some is faults that begin one after the other and end together, drawn by the seed
+// from those after which all VMs live again.
+var some = fault{"some at once", func(ctx context.Context, ps *placeSim) func() {
+	var list []fault
+	for _, fa := range faults {
+		if !lastingLoss(fa.name) {
+			list = append(list, fa)
+		}
+	}
+	var ends []func()
+	for _, at := range ps.drawn(someFaults, len(list)) {
+		ends = append(ends, list[at].begin(ctx, ps))
+		time.Sleep(someAfter)
+	}
+	return together(ends...)
+}}
+
+// lastingLoss tells of faults that leave fewer VMs. Of two of them less than half of
+// the fleet lives, and no VM takes what it hears for whole.
+func lastingLoss(name string) bool {
+	return name == "half of the VMs are lost" || name == "the first is killed" || name == "the first is killed while the second is frozen"
+}
+
+const (
+	// someFaults is how many faults are played together, and someAfter the span
+	// from one to the next.
+	someFaults = 3
+	someAfter  = 600 * time.Millisecond
+	// someSeeds is how many times that is played.
+	someSeeds = 4
+)
+
 // playPlaces plays a fault in the middle of requests for more places than there
 // are, and tells what was not as it must be. All VMs start at once. Alter changes
 // a VM before it starts; nil changes none.
@@ -457,6 +496,9 @@
 		time.Sleep(wellAfter)
 		well := ps.clock.Now()
 		time.Sleep(wellFor)
+		for len(ps.disagreed()) > 0 && ps.clock.Now() < well+agreeWithin {
+			time.Sleep(100 * time.Millisecond)
+		}
 		out = append(ps.violations(well), ps.disagreed()...)
 	})
 	return out
@@ -476,6 +518,16 @@
 	}
 }
 
+// The same with several faults at once.
+func TestHandOverOfPlacesInSomeFaults(t *testing.T) {
+	for seed := range uint64(someSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			assert.DeepEqual(t, playPlaces(t, seed, some, nil), []string(nil))
+		})
+	}
+}
+
 // The check notices VMs that choose by themselves, and a scheduler that goes on
 // with what it heard first.
 func TestHandOverOfPlacesIsChecked(t *testing.T) {
--- a/internal/fleet/net_test.go
+++ b/internal/fleet/net_test.go
@@ -368,6 +368,16 @@
 	sn.slow[vm] = span
 }
 
+// drawn is some of the numbers below a count, each once, that follow from the seed.
+func (sn *simNet) drawn(some, count int) (out []int) {
+	for number := uint64(0); len(out) < some; number++ {
+		if at := int(sn.chance("drawn", number) * float64(count)); !slices.Contains(out, at) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
 // lose loses a part of all datagrams, and lets others overtake each other.
 func (sn *simNet) lose(part float64) {
 	sn.mu.Lock()
