standin: stand-ins fail calls with a status of their own

Cause: no stand-in ever answered a decode or a resume with a failure that says nothing of the call, so no test of the product's own protocol held the rest of an answer against one. Ruled out by these tests: the product's own engine protocol takes such a failure for the rest of an answer; its tokens are numbered and the last one is marked.

Change: Faults.Fail answers 500 and has no effect. A resume that fails after a cut stream, and first decodes that fail after an engine died, in internal/integration; the outcome of each call to an engine is InDoubt, and the failure of a plain server is its answer.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -133,6 +133,7 @@
 		{"reset", standin.Faults{Reset: true}, false, backend.InDoubt, 0},
 		{"reply lost", standin.Faults{LoseReply: true}, false, backend.InDoubt, 1},
 		{"refuses", standin.Faults{Refuse: true}, false, backend.Declined, 0},
+		{"fails", standin.Faults{Fail: true}, false, backend.InDoubt, 0},
 		{"slow", standin.Faults{Slow: 5000}, false, backend.InDoubt, 0},
 		{"paused", standin.Faults{Pause: true}, false, backend.InDoubt, 0},
 	}
--- a/internal/integration/engine_test.go
+++ b/internal/integration/engine_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/board"
+	wire "alderdyke/internal/engine"
 	"alderdyke/internal/standin"
 	"alderdyke/internal/standin/deployment"
 	enginesim "alderdyke/internal/standin/engine"
@@ -64,6 +65,48 @@
 	fl.check()
 }
 
+// The connection to the decode engine is cut in the middle of an answer, and the
+// engine fails when the stream is opened again: its failure is not taken for the
+// rest of the answer.
+func TestEngineFailsToGoOn(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	og := fl.chat(fl.client(), "findings", "fails", 300)
+	eventually(t, "the answer is under way", func() bool { return og.received() > 10*tokenBytes })
+	results.fault("engine failed to go on")
+	en := fl.decoderOf("fails")
+	en.Control.Set(standin.Faults{Paths: []string{wire.ResumePath}, Fail: true})
+	px := fl.proxy(deployment.BackendLink, en.ID)
+	px.reset(t)
+	px.heal(t)
+	assert.NilError(t, og.end())
+	fl.check()
+}
+
+// A decode engine dies in the middle of an answer, and the first engine that is
+// to go on fails: another attempt goes on, without a seam, or the caller hears
+// that the answer is not whole.
+func TestNextEngineFails(t *testing.T) {
+	t.Parallel()
+	pl := usual()
+	pl.decode = 3
+	fl := startFleet(t, pl)
+	og := fl.chat(fl.client(), "findings", "next", 300)
+	eventually(t, "the answer is under way", func() bool { return og.received() > 10*tokenBytes })
+	results.fault("engine died while others failed")
+	died := fl.decoderOf("next")
+	for _, en := range fl.dp.Engines {
+		if en.Role == board.Decode && en != died {
+			en.Control.Set(standin.Faults{Paths: []string{wire.DecodePath}, Count: 1, Fail: true})
+		}
+	}
+	died.Control.Set(standin.Faults{Dead: true})
+	if err := og.end(); err != nil {
+		assert.Equal(t, og.refusedAs().Ran, refusal.MayHaveRun)
+	}
+	fl.check()
+}
+
 // All transfers to one decode engine stand still: requests that were placed
 // there end elsewhere.
 func TestTransfersStall(t *testing.T) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,16 +30,17 @@
 	// Faults is what is wrong with a stand-in. The zero value is a healthy
 	// one.
 	Faults struct {
-		// Paths limits Refuse, Reset, LoseReply and Slow to these paths;
+		// Paths limits Refuse, Fail, Reset, LoseReply and Slow to these paths;
 		// empty is all.
 		Paths []string
-		// Count limits Refuse, Reset, LoseReply, Slow and ResetAtToken to
-		// this many calls; zero is all.
+		// Count limits Refuse, Fail, Reset, LoseReply, Slow and ResetAtToken
+		// to this many calls; zero is all.
 		Count int
 
 		Pause         bool         // nothing moves, as if the process were frozen; calls are handled afterwards
 		Dead          bool         // all connections are cut and what was held is lost
 		Refuse        bool         // declines calls, truthfully
+		Fail          bool         // answers 500 without a word of what became of the call, which has no effect
 		Reset         bool         // cuts the connection before the call has an effect
 		LoseReply     bool         // cuts the connection after the call had its effect
 		Slow          clock.Millis // before the call is handled, or until the faults are set again
@@ -178,6 +179,8 @@
 	switch {
 	case ft.Reset:
 		Cut()
+	case ft.Fail:
+		rw.WriteHeader(http.StatusInternalServerError)
 	case ft.Refuse:
 		Decline(rw, http.StatusServiceUnavailable, backend.Refused, 0)
 	case ft.LoseReply:
@@ -206,7 +209,7 @@
 	ct.mu.Lock()
 	defer ct.mu.Unlock()
 	ft := ct.faults
-	some := ft.Refuse || ft.Reset || ft.LoseReply || ft.Slow > 0
+	some := ft.Refuse || ft.Fail || ft.Reset || ft.LoseReply || ft.Slow > 0
 	if !some || !ct.left() || len(ft.Paths) > 0 && !slices.Contains(ft.Paths, path) {
 		return ft, false
 	}
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -40,6 +40,19 @@
 	return wire.Request{Method: http.MethodPost, Path: "/check?loan=3", Body: []byte("b"), Key: key}
 }
 
+// A server's own failure is its answer, and not a doubt.
+func TestOwnFailureIsAnAnswer(t *testing.T) {
+	sv := &service.Server{ID: "k1", Settings: service.Settings{Latency: 5}}
+	run(t, sv, func(t *testing.T, sc *wire.Client, srv board.BackendServer) {
+		sv.Control.Set(standin.Faults{Fail: true})
+		rsp, err := sc.Call(t.Context(), srv, call("k"))
+		assert.NilError(t, err)
+		assert.Equal(t, rsp.Status, http.StatusInternalServerError)
+		assert.Equal(t, len(rsp.Body), 0)
+		assert.Equal(t, len(sv.History().RunsOf("k")), 0)
+	})
+}
+
 // The outcome of a call is held against the server's own record of what ran.
 func TestOutcomesAgainstHistory(t *testing.T) {
 	cases := []struct {
