--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -112,7 +112,8 @@
 		// Forget frees the memory behind a handle.
 		Forget(ctx context.Context, hd Handle) error
 		// Move copies the memory of a run to another engine. With stop, the
-		// run ends at the first one and its stream is cut.
+		// run ends at the first one and its stream is cut, also where no copy
+		// can be made; only backend.Unknown says that the run was over before.
 		Move(ctx context.Context, from, to board.BackendServer, id string, stop bool) (Handle, error)
 	}
 
