entry: the last word of a runner ends its later grant too

Cause: a runner whose KV cache lapsed gives up and says Cancelled once its engines confirmed. Beside load the cell took the lapsed grant back meanwhile, so that Cancelled named an attempt that was over and the cell dropped it, while the accountant forgot whom to tell. The request stayed in the cell for ever: queued before those that live, or granted again as a prefill that nobody sent and that never ends. Two of those close a prefill engine for patient work, which is why second attempts were never Granted.

Ruled out: Lost, whose closed stream already withdraws such a grant; orphans, whose grant can't be taken back; streams announced again.

Change: after Ended or Cancelled the accountant withdraws the request, which does nothing where it is gone. The test failed for Cancelled and Ended at the third request before, and passes.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -93,11 +93,7 @@
 	hc := &heldCell{vm: ac.vm, ctx: ctx, stop: stop, held: make(map[string]*heldRequest)}
 	hc.rec = newReconciler(hc)
 	hc.ord = hc.newOrderer(ctx, ce.Name)
-	dc := &sched.Cell{Name: ce.Name}
-	hc.ac = actor.New[sched.Event, sched.Intent](ac.vm.Clock, sched.Tick{}, cellTick)
-	hc.ac.Step = dc.Step
-	hc.ac.Do = hc.carryOut
-	hc.ac.WakeAt = actor.WakeOf[sched.Intent](func(wk sched.Wake) clock.Millis { return wk.At })
+	hc.ac = hc.newDecider(ce.Name)
 	ac.vm.wg.Go(func() { hc.ac.Run(ctx) })
 	ac.vm.wg.Go(func() { hc.rec.run(ctx) })
 	hc.ord.start()
@@ -109,6 +105,16 @@
 	return hc
 }
 
+// newDecider makes the loop that decides for the cell.
+func (hc *heldCell) newDecider(name string) *actor.Actor[sched.Event, sched.Intent] {
+	dc := &sched.Cell{Name: name}
+	ac := actor.New[sched.Event, sched.Intent](hc.vm.Clock, sched.Tick{}, cellTick)
+	ac.Step = dc.Step
+	ac.Do = hc.carryOut
+	ac.WakeAt = actor.WakeOf[sched.Intent](func(wk sched.Wake) clock.Millis { return wk.At })
+	return ac
+}
+
 // find returns a cell that this VM accounts for.
 func (ac *accountant) find(name string) (*heldCell, bool) {
 	ac.mu.Lock()
@@ -190,6 +196,8 @@
 		})
 		if stage == sched.Ended || stage == sched.Cancelled {
 			hc.forget(ask.GetRequest(), hr)
+			// The runner may have left before it heard of a later grant.
+			hc.ac.Tell(ctx, sched.Withdraw{Request: ask.GetRequest()})
 			return
 		}
 	}
--- /dev/null
+++ b/internal/entry/accountant_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
+)
+
+// cellRig is a cell of one prefill and one decode engine, accounted for by a
+// VM in memory, and the runners that ask it for places.
+type cellRig struct {
+	t  *testing.T
+	hc *heldCell
+}
+
+// rigRunner is the runner's end of a reservation.
+type rigRunner struct {
+	t  *testing.T
+	cn frames
+}
+
+// sinceStart is a clock that starts with the rig, in the time of its bubble.
+type sinceStart struct{ start time.Time }
+
+func (ss sinceStart) Now() clock.Millis { return clock.Of(time.Since(ss.start)) }
+
+func newCellRig(t *testing.T) *cellRig {
+	t.Helper()
+	hc := &heldCell{vm: &VM{Clock: sinceStart{time.Now()}}, ctx: t.Context(), held: make(map[string]*heldRequest)}
+	hc.ac = hc.newDecider("m/0")
+	go hc.ac.Run(t.Context())
+	hc.ac.Tell(t.Context(), sched.Servers{Servers: []board.BackendServer{
+		{ID: "p0", Role: board.Prefill},
+		{ID: "d0", Role: board.Decode},
+	}})
+	hc.ac.Tell(t.Context(), sched.Report{Load: board.LoadReport{Server: "p0"}})
+	hc.ac.Tell(t.Context(), sched.Report{Load: board.LoadReport{Server: "d0", Slots: 20}})
+	return &cellRig{t: t, hc: hc}
+}
+
+// ask opens a reservation for a patient request.
+func (cr *cellRig) ask(request string) *rigRunner {
+	cr.t.Helper()
+	near, far := newPipe()
+	ask := &peerpb.ReserveAsk{
+		Cell: "m/0", Request: request, Customer: "cu", Class: "findings",
+		PromptTokens: 100, MaxTokens: 100, Share: 1,
+		TTFT: int64(clock.Minute), TPOT: 45, Deadline: int64(5 * clock.Minute),
+	}
+	go cr.hc.serve(cr.t.Context(), board.VMRef{ID: "vm-2", Incarnation: 1}, ask, far)
+	rr := &rigRunner{t: cr.t, cn: near}
+	assert.Assert(cr.t, rr.next().GetDone() != nil)
+	return rr
+}
+
+// next is the accountant's next frame, or nil if none comes for a long time.
+func (rr *rigRunner) next() *peerpb.Frame {
+	rr.t.Helper()
+	got := make(chan *peerpb.Frame, 1)
+	go func() {
+		fr, _ := rr.cn.Recv()
+		got <- fr
+	}()
+	select {
+	case fr := <-got:
+		return fr
+	case <-time.After(time.Minute):
+		rr.cn.Close()
+		return nil
+	}
+}
+
+func (rr *rigRunner) tell(attempt uint32, stage sched.Stage, server string) {
+	rr.t.Helper()
+	assert.NilError(rr.t, rr.cn.Send(progressFrame(attempt, stage, server, 0, 0)))
+}
+
+// A runner whose KV cache lapsed gives its request up, and says so once its
+// prefill engine confirmed the cancel. Where that takes a while, the accountant
+// took the lapsed grant back meanwhile and gave another one, so that the last
+// word named a grant that was over, and was dropped. The new grant stayed with
+// nobody, as a prefill that never ends; two of them close a prefill engine for
+// patient work, and the second attempts of all callers waited for ever:
+//
+//	vm-4  863ms AttemptFailed: wait for the transfer: no decode engine had a place while the KV cache was kept
+//	vm-4 1.851s GrantWaits
+//	vm-4 9.999s CallerLeft
+func TestLastWordOfARunnerEndsItsLaterGrantToo(t *testing.T) {
+	for _, last := range []sched.Stage{sched.Cancelled, sched.Ended, sched.Lost} {
+		t.Run(string(last), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cr := newCellRig(t)
+				for _, request := range []string{"r1", "r2", "r3"} {
+					rr := cr.ask(request)
+					fr := rr.next()
+					gr := fr.GetGrant()
+					assert.Assert(t, gr != nil, "%s is granted: %v", request, fr)
+					cr.hc.ac.Tell(t.Context(), sched.Report{Load: board.LoadReport{Server: "d0", Slots: 20, Running: 20}})
+					rr.tell(gr.GetAttempt(), sched.Prefilled, "p0")
+					assert.Assert(t, rr.next().GetPreempt() != nil, "%s lapses", request)
+					cr.hc.ac.Tell(t.Context(), sched.Report{Load: board.LoadReport{Server: "d0", Slots: 20}})
+					assert.Assert(t, rr.next().GetGrant() != nil, "%s is granted again", request)
+					rr.tell(gr.GetAttempt(), last, "")
+					assert.NilError(t, rr.cn.Close())
+					synctest.Wait()
+				}
+			})
+		})
+	}
+}
