entry: a decode that another VM took over is not cancelled by resume

Cause, found by reading: resume cancelled the decode on any error of its stream, also after errLost, when another VM may read the same decode; leave asks takenOver, resume did not.

Change: resume asks too. The new test failed for the lost key before; a failed stream, or a run that ended otherwise, frees the decode as before.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -278,7 +278,8 @@
 
 // resume goes on with a decode that a lost VM started, if the engine still
 // has it. The decode may be of another run of the key than the part that is
-// here, so it is read from its start and held against that part.
+// here, so it is read from its start and held against that part. One that can't
+// be read to its end is cancelled, unless another VM took the request over.
 func (rn *run) resume(ctx context.Context, dec claim.Decided) bool {
 	if dec.DecodeServer == "" {
 		return false
@@ -294,7 +295,9 @@
 	}
 	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
 	if err := rn.stream(ctx, st, srv, dec.EngineRequest, 0, rn.vm.Engines.Resume); err != nil {
-		rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
+		if !rn.takenOver(ctx) {
+			rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
+		}
 		return false
 	}
 	return true
--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -25,6 +25,7 @@
 	attempt int // 1 if zero
 	whole   bool
 	cut     bool // each stream breaks off after its first token, and the next one is of a later attempt
+	stalls  bool // after its tokens nothing comes
 }
 
 func (td *toldDecode) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
@@ -43,6 +44,11 @@
 			return
 		}
 	}
+	if td.stalls {
+		_ = http.NewResponseController(wr).Flush()
+		<-req.Context().Done()
+		return
+	}
 	if !td.whole {
 		_ = enc.Encode(engine.Token{Ended: string(backend.Cancelled)})
 	}
@@ -116,6 +122,48 @@
 	}
 }
 
+// A VM that went on with the decode of a lost one lost the key in turn, as
+// after a pause, and a third VM went on with the same decode. The VM before it
+// then cancelled the decode that the third one read. What it may cancel is a
+// decode that fails while the key is still its own.
+func TestDecodeOfATakenOverKeyIsNotCancelled(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		cause error // that ended the run; nil: only the stream broke
+		freed bool
+	}{
+		{"the key went to another VM", errLost, false},
+		{"the stream failed", nil, true},
+		{"the run ended otherwise", context.Canceled, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rn, dec := newTold(t, &toldDecode{tokens: []string{"a", "b"}, stalls: tc.cause != nil}, nil)
+			freed := make(chan string, 1)
+			rn.vm.janitor.find = func(id string) (board.BackendServer, bool) { return board.BackendServer{ID: id}, true }
+			rn.vm.janitor.cancel = func(_ context.Context, srv board.BackendServer, _ string, _ int) error {
+				freed <- srv.ID
+				return nil
+			}
+			mine, lose := context.WithCancelCause(t.Context())
+			defer lose(nil)
+			if tc.cause != nil {
+				go loseAfterOne(rn, func() { lose(tc.cause) })
+			}
+			assert.Assert(t, !rn.resume(mine, dec))
+			rn.vm.janitor.wg.Wait()
+			assert.Equal(t, len(freed) == 1, tc.freed)
+		})
+	}
+}
+
+// loseAfterOne waits for the answer's first token.
+func loseAfterOne(rn *run, lose func()) {
+	rd := rn.st.Attach(0)
+	defer rd.Detach()
+	_, _ = rd.Next(rn.ctx)
+	lose()
+}
+
 // Two VMs ran an idempotent key, each with one grant or without any, so that
 // both ran it under the same number. Their decodes had one name, by which a VM
 // could read, go on with or cancel the other's.
