claim: an ask that follows an answered one ends in time

Cause: a loop keeps only the earliest Wake. The Elapsed of the first ask came before the second one's time was over, did nothing, and asked for no other: the second ask ended only with its connection, a second after it began. KeyLost came 1.0 s after RequestAccepted in all three payments of a failed TestRollingReplacementUnderLoad (54.656 and 55.659, 55.12 and 56.12, 51.682 and 52.684).

Ruled out: a slow loop. The ask's span is 300 ms, and one, two or three of them make no 1.0 s; callWithin is 1 s.

Change: an Elapsed that finds an ask waiting asks for its Wake.

Before: TestTheSecondAskEndsInTime fails. After: it passes.

--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -199,16 +199,7 @@
 func (ak *Asker) elapsed(now clock.Millis) []AskerIntent {
 	switch ak.phase {
 	case asking, confirming:
-		hit := false
-		for ix := range ak.asks {
-			sa := &ak.asks[ix]
-			if sa.reply == nil && !sa.failed && now >= sa.expires {
-				sa.failed, hit = true, true
-			}
-		}
-		if hit {
-			return ak.weigh(now)
-		}
+		return ak.expire(now)
 	case backingOff:
 		if now < ak.retryAt {
 			return []AskerIntent{Wake{ak.retryAt}}
@@ -220,6 +211,27 @@
 	return nil
 }
 
+// expire gives up the asks whose time is over. It asks for another Elapsed for
+// one that still waits: the Wake that came may have been that of an ask before.
+func (ak *Asker) expire(now clock.Millis) []AskerIntent {
+	hit := false
+	var out []AskerIntent
+	for ix := range ak.asks {
+		sa := &ak.asks[ix]
+		switch {
+		case sa.reply != nil || sa.failed:
+		case now >= sa.expires:
+			sa.failed, hit = true, true
+		default:
+			out = append(out, Wake{sa.expires})
+		}
+	}
+	if hit {
+		out = append(out, ak.weigh(now)...)
+	}
+	return out
+}
+
 // giveBack releases the claim at all seats that heard of it, whatever they
 // answered: one that granted it may have handed it on meanwhile to one that
 // did not. The claim's number is never used again.
--- a/internal/claim/giveback_test.go
+++ b/internal/claim/giveback_test.go
@@ -9,6 +9,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/claim"
 	"alderdyke/internal/peer/peerpb"
+	"alderdyke/pkg/clock"
 )
 
 // search is an Asker on VM a before three seats.
@@ -111,3 +112,44 @@
 	})
 	assert.DeepEqual(t, verdicts(out), []claim.Verdict{claim.Run})
 }
+
+// An ask that follows an answered one ends later than the Wake that the first
+// one asked for. A loop keeps only the earliest Wake, so the Elapsed of the
+// first has to ask for that of the second: nothing else ends it in time, and
+// the search lasted until the connection gave up, a second after it began.
+//
+//	01:29:54.656 vm-1 RequestAccepted: payments
+//	01:29:55.659 vm-1 KeyLost
+func TestTheSecondAskEndsInTime(t *testing.T) {
+	se := newSearch()
+	first := wakes(se.begin())
+	assert.Equal(t, len(first), 1)
+	out := se.ak.Step(50, claim.Replied{Number: 1, Reply: &peerpb.ClaimReply{Verdict: string(claim.Settling)}})
+	second := wakes(out)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0] > first[0])
+	out = se.ak.Step(first[0], claim.Elapsed{})
+	assert.DeepEqual(t, wakes(out), second)
+	assert.Equal(t, len(asks(out)), 0)
+	assert.Equal(t, len(asks(se.ak.Step(second[0], claim.Elapsed{}))), 1, "the third seat is asked")
+}
+
+func wakes(out []claim.AskerIntent) []clock.Millis {
+	var list []clock.Millis
+	for _, in := range out {
+		if wk, ok := in.(claim.Wake); ok {
+			list = append(list, wk.At)
+		}
+	}
+	return list
+}
+
+func asks(out []claim.AskerIntent) []claim.SendAsk {
+	var list []claim.SendAsk
+	for _, in := range out {
+		if ask, ok := in.(claim.SendAsk); ok {
+			list = append(list, ask)
+		}
+	}
+	return list
+}
