--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
@@ -9,6 +10,23 @@
 	"alderdyke/pkg/clock"
 )
 
+// moveWithin bounds a move: an engine is gone about two seconds after notice.
+const moveWithin = 3 * clock.Second
+
+// Causes for which a run does not go on where it is.
+var (
+	errNoTarget = errors.New("no engine has room for the run")
+	errStopped  = errors.New("the run was stopped to be moved")
+)
+
+// movedRun is where a run can be gone on with.
+type movedRun struct {
+	at      board.BackendServer
+	src     Handle
+	stopped bool // the run was stopped, or may have been
+	err     error
+}
+
 // leaveEngines moves the runs of this VM away from engines that leave. The
 // lock is held.
 func (rl *Relay) leaveEngines(bk *board.Backends) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -7,52 +7,36 @@
 	"io"
 	"net/http"
 
-	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
-// moveWithin bounds a move: an engine is gone about two seconds after notice.
-const moveWithin = 3 * clock.Second
-
 // Causes for which the answer of a run breaks off.
 var (
 	errNoEvents = errors.New("the stream broke off")
 	errCaller   = errors.New("the caller does not read on")
-	errNoTarget = errors.New("no engine has room for the run")
-	errStopped  = errors.New("the run was stopped to be moved")
 )
 
-type (
-	// run is a generation at its decode engine.
-	run struct {
-		ex *exchange
-		pl place
-		decoding
-		sp      splitter
-		tries   int          // new runs that were to go on with it
-		settled *movedRun    // what the move came to, if that was asked for
-		began   bool         // the head of the answer went to the caller
-		status  int          // of that head
-		heard   clock.Millis // when the engine was last heard of
-		made    int          // tokens that came
-
-		// Guarded by Relay.mu.
-		broken   bool          // its stream broke off; it is not moved any more
-		moving   bool          // a move was begun, and what it came to was not used
-		stopping bool          // the move may have stopped it
-		moved    chan movedRun // holds what a move came to, if moving
-	}
+// run is a generation at its decode engine.
+type run struct {
+	ex *exchange
+	pl place
+	decoding
+	sp      splitter
+	tries   int          // new runs that were to go on with it
+	settled *movedRun    // what the move came to, if that was asked for
+	began   bool         // the head of the answer went to the caller
+	status  int          // of that head
+	heard   clock.Millis // when the engine was last heard of
+	made    int          // tokens that came
 
-	// movedRun is where a run can be gone on with.
-	movedRun struct {
-		at      board.BackendServer
-		src     Handle
-		stopped bool // the run was stopped, or may have been
-		err     error
-	}
-)
+	// Guarded by Relay.mu.
+	broken   bool          // its stream broke off; it is not moved any more
+	moving   bool          // a move was begun, and what it came to was not used
+	stopping bool          // the move may have stopped it
+	moved    chan movedRun // holds what a move came to, if moving
+}
 
 func (rl *Relay) newRun(ex *exchange, pl place, dec decoding) *run {
 	rn := &run{ex: ex, pl: pl, decoding: dec, heard: rl.now(), moved: make(chan movedRun, 1)}
