relay, entry: tests say once how an engine leaves and how a body without a length ends

Three tests each wrote out what leaveAfter and untilEnd do; their assertions stand. A comment is broken at its width. No change of the product.

--- a/internal/entry/rescue.go
+++ b/internal/entry/rescue.go
@@ -143,7 +143,8 @@
 
 // rescue goes on with the answer that the caller has a part of although the
 // record of its key was lost with the VMs that kept it, or does not name the
-// decode: the engines know what they decode, and for which VM. It tells whether the answer has its end.
+// decode: the engines know what they decode, and for which VM. It tells whether
+// the answer has its end.
 func (rn *run) rescue(ctx context.Context) bool {
 	if !rn.rescuable() {
 		return false
--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -66,15 +66,7 @@
 		if nth > 1 {
 			return next(), nil
 		}
-		rd, wr := io.Pipe()
-		go func() {
-			_, _ = io.WriteString(wr, eventOne)
-			<-stopped
-			_ = wr.CloseWithError(end)
-		}()
-		rsp := answer(http.StatusOK, "", nil)
-		rsp.Body, rsp.ContentLength = rd, -1
-		return rsp, nil
+		return untilEnd(eventOne, stopped, "", end), nil
 	}
 	leaveAfter(rl, sv, list, 200*time.Millisecond)
 }
--- a/internal/relay/generate_test.go
+++ b/internal/relay/generate_test.go
@@ -259,13 +259,7 @@
 			}()
 			return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: rd}, nil
 		}
-		time.AfterFunc(200*time.Millisecond, func() {
-			leaving := slices.Clone(list)
-			for ix := range leaving {
-				leaving[ix].Leaving = leaving[ix].ID == sv.sentTo()[0]
-			}
-			rl.SetBackends(rl.Clock.Now(), leaving)
-		})
+		leaveAfter(rl, sv, list, 200*time.Millisecond)
 		rec, err := serve(t.Context(), rl, "draft")
 		assert.NilError(t, err)
 		assert.Equal(t, rec.Body.String(), eventOne+eventTwo+eventThree)
@@ -305,13 +299,7 @@
 					}()
 					return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: rd}, nil
 				}
-				time.AfterFunc(200*time.Millisecond, func() {
-					leaving := slices.Clone(list)
-					for ix := range leaving {
-						leaving[ix].Leaving = leaving[ix].ID == sv.sentTo()[0]
-					}
-					rl.SetBackends(rl.Clock.Now(), leaving)
-				})
+				leaveAfter(rl, sv, list, 200*time.Millisecond)
 				rec, err := serve(t.Context(), rl, "draft")
 				assert.NilError(t, err)
 				assert.Equal(t, rec.Body.String(), eventOne)
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -19,15 +19,16 @@
 
 var errOver = backend.DeclinedError{Server: "x", Call: "Move", Reason: backend.Unknown}
 
-// untilEnd is a response whose body ends with its connection, and holds the text
-// and then what follows once the channel is closed.
-func untilEnd(text string, end <-chan struct{}, rest string) *http.Response {
+// untilEnd is a response without a length, whose body holds the text and, once the
+// channel is closed, what follows. Then it ends with the error; nil is an orderly
+// end of its connection.
+func untilEnd(text string, until <-chan struct{}, rest string, end error) *http.Response {
 	rd, wr := io.Pipe()
 	go func() {
 		_, _ = io.WriteString(wr, text)
-		<-end
+		<-until
 		_, _ = io.WriteString(wr, rest)
-		_ = wr.Close()
+		_ = wr.CloseWithError(end)
 	}()
 	rsp := answer(http.StatusOK, "", nil)
 	rsp.Body, rsp.ContentLength = rd, -1
@@ -54,7 +55,7 @@
 			return nil
 		}
 		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
-			return untilEnd(eventOne, stopped, ""), nil
+			return untilEnd(eventOne, stopped, "", nil), nil
 		}
 		leaveAfter(rl, sv, all, 200*time.Millisecond)
 		rec, err := serve(t.Context(), rl, "draft")
@@ -78,7 +79,7 @@
 		}
 		sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
 			if nth == 1 {
-				return untilEnd("", stopped, ""), nil
+				return untilEnd("", stopped, "", nil), nil
 			}
 			return answer(http.StatusOK, `{"text":"a"}`, nil), nil
 		}
@@ -95,7 +96,7 @@
 		rl, sv := newRig(t)
 		ended := make(chan struct{})
 		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
-			return untilEnd(eventOne, ended, eventTwo), nil
+			return untilEnd(eventOne, ended, eventTwo, nil), nil
 		}
 		leaveAfter(rl, sv, list, 200*time.Millisecond)
 		time.AfterFunc(210*time.Millisecond, func() { close(ended) })
@@ -122,7 +123,7 @@
 			return nil
 		}
 		sv.onSend = func(ctx context.Context, _ int, _ sent) (*http.Response, error) {
-			return untilEnd(eventOne, ctx.Done(), ""), nil
+			return untilEnd(eventOne, ctx.Done(), "", nil), nil
 		}
 		leaveAfter(rl, sv, list, 200*time.Millisecond)
 		_, err := serve(ctx, rl, "draft")
