signals: listen from package initialization on

Cause: a VM listened for signals from main's first line; its packages are initialized before that, for milliseconds, and SIGTERM or SIGHUP then ended it by the signal (known red: TestSignalBeforeMain). Ruled out: an ELF constructor that blocks the signals before Go's runtime starts; a trial of it lost 50 of 50 processes that were sent SIGTERM right after exec, as without it: no instruction of the program has run by then. That rest is only for who starts the VM to close. Change: package signals, which depends on os/signal alone, listens when it is initialized, and Listen takes over what came. TestSignalWhileInitializing (a test program that is sent signals by an init function): 4 of 4 cases fail before, pass after. TestSignalBeforeMain still fails always and stays as it is, with what the trace showed.

--- /dev/null
+++ b/internal/signals/early_test.go
@@ -0,0 +1,63 @@
+package signals_test
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/signals"
+)
+
+const (
+	// earlyVariable has this test's program be sent signals while its packages
+	// are initialized.
+	earlyVariable = "ALDERDYKE_SIGNALS_EARLY"
+	// earlySpan is for the signals to arrive before the program's first line.
+	earlySpan = 50 * time.Millisecond
+)
+
+func init() {
+	for name := range strings.FieldsSeq(os.Getenv(earlyVariable)) {
+		sig := map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM}[name]
+		_ = syscall.Kill(syscall.Getpid(), sig)
+		time.Sleep(earlySpan)
+	}
+}
+
+// TestMain plays the program that was sent signals early: it tells what it finds.
+func TestMain(m *testing.M) {
+	if os.Getenv(earlyVariable) == "" {
+		os.Exit(m.Run())
+	}
+	sg := signals.Listen()
+	out := ""
+	if ended(sg.Context().Done()) {
+		out += "stop "
+	}
+	if len(sg.Reload()) > 0 {
+		out += "reload "
+	}
+	_, _ = os.Stdout.WriteString(out)
+	os.Exit(0)
+}
+
+// A signal that came before the program's first line, while its packages were
+// initialized, ended it with "signal: terminated" in place of a planned stop.
+func TestSignalWhileInitializing(t *testing.T) {
+	for _, tc := range []struct{ sent, want string }{
+		{"term", "stop "}, {"hup", "reload "}, {"hup term", "stop reload "}, {"term hup term", "stop reload "},
+	} {
+		t.Run(tc.sent, func(t *testing.T) {
+			cmd := exec.Command(os.Args[0], "-test.run", "^$")
+			cmd.Env = append(os.Environ(), earlyVariable+"="+tc.sent)
+			out, err := cmd.CombinedOutput()
+			assert.NilError(t, err)
+			assert.Equal(t, string(out), tc.want)
+		})
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -7,6 +7,11 @@
 // stop, further ones change nothing, and no other signal ends it. SIGQUIT and
 // SIGKILL still do, for those who want no planned stop.
 //
+// Packages take milliseconds to initialize, and on a small VM hundreds of them.
+// So this one, which depends on little and is initialized among the first, listens
+// from then on, and [Listen] takes over what came. What comes while the operating
+// system still loads the program ends it: no instruction of it has run.
+//
 // # Usage
 //
 //	func main() {
@@ -21,9 +26,19 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 )
 
+var (
+	// early holds what came before Listen: an order to stop, and a word that
+	// the settings may have changed. SIGINT is not among them: a person who
+	// ends a test at a terminal sends it to programs that never listen.
+	early = struct{ stop, reload chan os.Signal }{
+		stop: notified(syscall.SIGTERM), reload: notified(syscall.SIGHUP)}
+	takeEarly sync.Once
+)
+
 // Signals is what the program was sent so far. Make it with [Listen].
 type Signals struct {
 	ctx    context.Context
@@ -33,13 +48,15 @@
 // Listen begins to listen, for good.
 func Listen() *Signals {
 	ctx, cancel := context.WithCancel(context.Background())
-	sg := &Signals{ctx: ctx, reload: make(chan os.Signal, 1)}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(sg.reload, syscall.SIGHUP)
+	stop := notified(syscall.SIGTERM, os.Interrupt)
+	sg := &Signals{ctx: ctx, reload: notified(syscall.SIGHUP)}
+	takeEarly.Do(func() {
+		passOn(early.stop, stop)
+		passOn(early.reload, sg.reload)
+	})
 	// SIGPIPE is raised when who reads the log is gone, and the others are sent
 	// to programs that keep their log in files. Nobody reads them here.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2)
+	notified(syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2)
 	go func() {
 		<-stop
 		cancel()
@@ -47,6 +64,27 @@
 	return sg
 }
 
+// notified is a channel that holds a word when one of the signals came.
+func notified(sigs ...os.Signal) chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, sigs...)
+	return ch
+}
+
+// passOn ends listening by one channel, and puts a word that it holds into another
+// one, which listens already.
+func passOn(from, to chan os.Signal) {
+	signal.Stop(from)
+	select {
+	case sig := <-from:
+		select {
+		case to <- sig:
+		default: // it holds a word, and words that nobody took yet are one
+		}
+	default:
+	}
+}
+
 // Context ends with the first order to stop: SIGTERM or SIGINT.
 func (sg *Signals) Context() context.Context { return sg.ctx }
 
