entry: a runner waits for its accountant's word on a KV cache that finds no engine

Cause: a runner gave a KV cache up at nine tenths of its time (720 ms), by its own clock; the accountant counts from when it hears of the cache and sends its Transfer or Preempt at up to 785 ms (760 and 785 ms on a busy machine). The runner then failed the attempt, and after a NoKV asked at once, so that its attempts were used up (RetriesExhausted, TestRecordsLostWithTwoVMs). Ruled out: shortening the accountant's time instead, which takes place for transfers that still arrive. Change: with an accountant a runner waits for its word until 1.25 of the time.

--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -16,9 +16,15 @@
 	// silencePart is how long a runner without a stream to its accountant
 	// waits for one before it uses the engine that the grant named.
 	silencePart = 0.25
-	// keepPart is how long a transfer may be waited for at all; what is left
-	// is for the order to reach the engine.
+	// keepPart is how long a transfer may be waited for without an accountant;
+	// what is left is for the order to reach the engine.
 	keepPart = 0.9
+	// wordPart is how long an accountant's word is waited for. It counts from
+	// when it hears of the KV cache, and takes a request that found no engine
+	// back just before the end, without using up one of its attempts. A runner
+	// that gave up at keepPart, 720 ms, did so before words that came at 760 and
+	// 785 ms on a busy machine.
+	wordPart = 1.25
 )
 
 var (
@@ -29,10 +35,8 @@
 // transfer brings the KV cache to the decode engine that the accountant
 // chooses, and to another one if that one refuses it or the transfer stalls.
 func (ma *modelAttempt) transfer(ctx context.Context) error {
-	kept := float64(ma.kv.KeptFor)
 	now := ma.rn.vm.Clock.Now()
-	lapses := now + clock.Millis(kept*keepPart)
-	if err := ma.choose(ctx, now+clock.Millis(kept*silencePart), lapses); err != nil {
+	if err := ma.choose(ctx, now); err != nil {
 		return err
 	}
 	for {
@@ -44,22 +48,28 @@
 			continue
 		}
 		ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
-		if next := ma.chooseAgain(ctx, lapses); next != nil {
+		if next := ma.chooseAgain(ctx, now); next != nil {
 			return errors.Join(next, err)
 		}
 	}
 }
 
-// choose waits for the binding choice of the decode engine until the KV cache
-// lapses. Without a stream to an accountant it goes on, after a silence, with
-// the engine that the grant named.
-func (ma *modelAttempt) choose(ctx context.Context, silent, lapses clock.Millis) error {
+// keptPart is the point at which a part of the time is over for which the KV
+// cache is kept since a point.
+func (ma *modelAttempt) keptPart(since clock.Millis, part float64) clock.Millis {
+	return since + clock.Millis(part*float64(ma.kv.KeptFor))
+}
+
+// choose waits for the binding choice of the decode engine, or for the word that
+// there was none while the KV cache was kept. Without a stream to an accountant it
+// goes on, after a silence, with the engine that the grant named.
+func (ma *modelAttempt) choose(ctx context.Context, since clock.Millis) error {
 	if ma.alone {
 		return nil
 	}
-	fr, err := ma.rs.decision(ctx, silent)
+	fr, err := ma.rs.decision(ctx, ma.keptPart(since, silencePart))
 	if err == nil && fr == nil && ma.rs.connected() {
-		fr, err = ma.rs.decision(ctx, lapses)
+		fr, err = ma.rs.decision(ctx, ma.keptPart(since, wordPart))
 	}
 	switch {
 	case err != nil:
@@ -72,12 +82,17 @@
 	return ma.obey(fr)
 }
 
-// chooseAgain finds another decode engine after one refused the KV cache.
-func (ma *modelAttempt) chooseAgain(ctx context.Context, lapses clock.Millis) error {
+// chooseAgain finds another decode engine after one refused the KV cache. Where
+// that had lapsed, the accountant takes the request back.
+func (ma *modelAttempt) chooseAgain(ctx context.Context, since clock.Millis) error {
 	if ma.alone {
 		return ma.useDecode(ma.rn.vm.redirectAlone(ctx, ma.rs.ask, ma.decode.ID))
 	}
-	fr, err := ma.rs.decision(ctx, lapses)
+	part := keepPart
+	if ma.rs.connected() {
+		part = wordPart
+	}
+	fr, err := ma.rs.decision(ctx, ma.keptPart(since, part))
 	switch {
 	case err != nil:
 		return failure{"wait for another transfer", err}
