apikey, caller: one place that reads API keys

The hash of a caller's key is read and compared in package apikey, for both paths; the own path's copy goes. Refusals now tell which fault the field has (none, several, another scheme, empty, too long), never the key. Fuzzed. go test ./internal/apikey ./internal/caller passes.

--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -2,22 +2,16 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
-	"strings"
 
+	"alderdyke/internal/apikey"
 	"alderdyke/internal/event"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 	"alderdyke/pkg/template"
 )
 
-const (
-	maxKey    = 128 // bytes of a request key
-	maxAPIKey = 512 // bytes of an API key
-)
+const maxKey = 128 // bytes of a request key
 
 // authenticate finds the customer that the API key speaks for. Only hashes of
 // keys are known here; they are compared in constant time.
@@ -29,35 +23,20 @@
 			Detail: "this VM has not learned the configuration yet",
 		}
 	}
-	if hash, ok := keyHash(req.Header.Get("Authorization")); ok {
-		tpl := tps.ByCustomer[tps.ByKeyHash[hash]].Template
-		found := 0
-		for _, known := range tpl.KeyHashes {
-			found |= subtle.ConstantTimeCompare([]byte(hash), []byte(known))
-		}
-		if found == 1 {
-			return tpl, nil
-		}
+	detail := "no customer has this API key"
+	hash, err := apikey.Hash(req.Header.Values("Authorization"))
+	if err != nil {
+		detail = err.Error()
+	} else if tpl := tps.ByCustomer[tps.ByKeyHash[hash]].Template; apikey.Among(hash, tpl.KeyHashes) {
+		return tpl, nil
 	}
 	srv.count("Unauthenticated")
 	if srv.unknown.Allow() {
 		srv.Logger.Log(event.CallerUnknown, event.F("Remote", remoteIP(req.RemoteAddr)))
 	}
 	return template.Template{}, refusal.Refusal{
-		Ran: refusal.NotRun, Reason: refusal.UnknownCustomer,
-		Detail: "send the customer's API key as Authorization: Bearer",
-	}
-}
-
-// keyHash is the hex SHA-256 of the API key in an Authorization header.
-func keyHash(header string) (string, bool) {
-	scheme, apiKey, ok := strings.Cut(header, " ")
-	apiKey = strings.TrimSpace(apiKey)
-	if !ok || !strings.EqualFold(scheme, "Bearer") || apiKey == "" || len(apiKey) > maxAPIKey {
-		return "", false
+		Ran: refusal.NotRun, Reason: refusal.UnknownCustomer, Detail: detail,
 	}
-	sum := sha256.Sum256([]byte(apiKey))
-	return hex.EncodeToString(sum[:]), true
 }
 
 // requestKey returns the caller's own key, or makes one.
--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"alderdyke/internal/apikey"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 	"alderdyke/pkg/template"
@@ -43,8 +44,8 @@
 	f.Add("Bearer "+testKey, "key-1", "12", "250ms")
 	f.Add("bearer  x", "", "007", "1h")
 	f.Fuzz(func(t *testing.T, auth, key, last, span string) {
-		hash, ok := keyHash(auth)
-		assert.Assert(t, !ok || len(hash) == 64)
+		hash, err := apikey.Hash([]string{auth})
+		assert.Equal(t, err == nil, len(hash) == 64)
 		hd := http.Header{headerKey: {key}}
 		hd.Set(headerLastID, last)
 		hd.Set(headerDeadline, span)
--- a/internal/caller/refuse.go
+++ b/internal/caller/refuse.go
@@ -31,6 +31,7 @@
 	refusal.KeyInDoubt:         http.StatusConflict,
 	refusal.HomeUnreachable:    http.StatusServiceUnavailable,
 	refusal.SchedulerAway:      http.StatusServiceUnavailable,
+	refusal.QuotaAway:          http.StatusServiceUnavailable,
 	refusal.QueueFull:          http.StatusTooManyRequests,
 	refusal.TargetUnreachable:  http.StatusTooManyRequests,
 	refusal.ShareExceeded:      http.StatusTooManyRequests,
