quota: what a customer may ask of the whole fleet, kept whatever becomes of VMs

Decisions without input and output. Each VM owns an N-th part of every limit and lends it, by leases of 1.5 s, to one keeper at a time; a keeper's token buckets fill at as many N-ths of the rate as it holds leases, and begin empty. So the parts add up to the rate with any number of keepers, and no majority, store or agreement is needed.

--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,123 @@
+// Package quota keeps what a customer may ask of the whole fleet within its
+// limit, whichever VMs its requests come to, and whatever becomes of those.
+//
+// # Shares that are lent for a time
+//
+// Of N VMs each owns an N-th part of every customer's rate. A VM may use its own
+// part, or lend it for a short time (a lease, [Lease]) to a keeper, which is one of
+// the VMs. A keeper pools the parts that it was lent: its token buckets fill at as
+// many N-ths of the rate as it holds leases. A part is never in two hands: a VM
+// uses its own, or lends it to another keeper, only after the lease has run out by
+// its own steady clock, and the keeper counts the lease from before the VM did. So
+// the sum over the fleet is the rate at any time, however many keepers there are:
+// in a fleet that is cut in two, each side has a keeper with its part of the rate.
+// No majority is needed, and nothing is asked of the store.
+//
+// A keeper that starts, as one does that takes over, knows nothing of what was
+// given out before: its buckets begin empty and fill from then on.
+//
+// # What is used of the slack
+//
+// Limits have a slack ([Settings]) for what a fleet can't know in time. Some of it
+// is spent on callers: keepers, and VMs that no keeper answers, may go below an
+// empty bucket, and VMs hold credit, tokens that were taken from a keeper ahead of
+// need, by which plain requests need not wait for an answer. The rest is for
+// keepers that follow one another, for VMs that start again while their last life's
+// lease still counts, and for what VMs know late of the fleet's size.
+//
+// # Usage
+//
+//	ke := &quota.Keeper{Settings: st, ID: rand.Uint64()}
+//	ans := ke.Answer(now, vms, "vm-7", ask, limit) // at the keeper
+//
+//	ac := &quota.Account{Settings: st}
+//	if ac.Take(now, vms, customer, limit, tokens) { ... } // by what the VM has here
+//	ask := ac.Ask(now, vms, "vm-2", customer, limit, tokens) // or a keeper is asked
+//	ac.Answered(now, "vm-2", ask, ans)
+//
+// A Keeper and an Account do no I/O and are not safe for concurrent use.
+package quota
+
+import "alderdyke/pkg/clock"
+
+const (
+	// Lease is how long a VM lends its part to a keeper. It is what requests
+	// wait at worst, beside finding out, after a keeper has died; and the most
+	// that a keeper may be silent, frozen or cut off before its VMs leave it.
+	Lease = 1500 * clock.Millis(1)
+	// Renew is how old a VM's lease may get before it is renewed: three words
+	// may be lost.
+	Renew = 400 * clock.Millis(1)
+	// slackPart is what one use of the slack may take of it: a keeper, the VMs'
+	// credit, and VMs alone, which in one window may take theirs twice.
+	slackPart = 0.15
+	// amplePart of a full bucket has to be there for a keeper to give credit:
+	// what is scarce goes to requests that are there.
+	amplePart = 0.25
+)
+
+type (
+	// Limit is a customer's, over the whole fleet.
+	Limit struct {
+		Rate  float64 // tokens a second; zero: there is no limit
+		Burst float64 // tokens beyond it at once
+	}
+
+	// Settings tell by how much the limits may be passed.
+	Settings struct {
+		Window clock.Millis // the span in which they are judged
+		Excess float64      // part of what a limit allows in a window
+		Slack  float64      // tokens beyond that
+	}
+
+	// Ask is what a VM asks of a keeper. Each also renews the lease on the VM's
+	// part.
+	Ask struct {
+		Number   uint64       // of the VM's asks; grows
+		Keeper   uint64       // the keeper's process that holds the VM's lease; zero: none does
+		Heard    clock.Millis // the keeper's own time in its last answer to the VM
+		Customer string       // empty: nothing is asked for
+		Need     float64      // tokens that a request takes, all or none
+		Ahead    float64      // tokens that are wanted as credit beyond
+		Back     float64      // tokens that were taken before and not used
+		Release  bool         // the lease ends here
+	}
+
+	// Answer is the keeper's.
+	Answer struct {
+		Keeper  uint64       // its process
+		Time    clock.Millis // by its own clock
+		Known   bool         // it knows a limit of the customer
+		Granted bool         // the request may run
+		Credit  float64      // tokens beyond it
+		Wait    clock.Millis // after which there will be as many as were needed
+	}
+
+	// bucket is one customer's tokens in one hand.
+	bucket struct {
+		level float64
+		at    float64 // point of the pool's time at which it was filled last
+	}
+)
+
+// Limited tells whether there is a limit.
+func (lim Limit) Limited() bool { return lim.Rate > 0 }
+
+// spare is the tokens beyond the limit that one use of the slack may take, in the
+// whole fleet.
+func (st Settings) spare(lim Limit) float64 {
+	window := float64(st.Window) / float64(clock.Second)
+	return slackPart * (st.Excess*(lim.Rate*window+lim.Burst) + st.Slack)
+}
+
+// credit is the most that a VM holds beyond what its requests took.
+func (st Settings) credit(lim Limit, vms int) float64 { return st.spare(lim) / float64(max(1, vms)) }
+
+// fill adds what came in since the bucket was filled last, at a part of the rate:
+// at is the pool's time, in which a millisecond of the whole fleet's leases is a
+// millisecond.
+func (bu *bucket) fill(at float64, lim Limit, part float64) {
+	bu.level += lim.Rate * (at - bu.at) / float64(clock.Second)
+	bu.level = min(bu.level, lim.Burst*part)
+	bu.at = at
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,225 @@
+package quota_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/quota"
+	"alderdyke/pkg/clock"
+)
+
+// pair is a fleet of two VMs, of which one keeps the quotas.
+type pair struct {
+	ke   *quota.Keeper
+	ac   *quota.Account // of the other one
+	own  *quota.Account // of the keeper's VM
+	lim  quota.Limit
+	keep string
+}
+
+const (
+	vmA  = "a" // the keeper
+	vmB  = "b"
+	both = 2
+)
+
+var (
+	// exact has no slack, so that a test sees the limit itself.
+	exact  = quota.Settings{Window: 8 * clock.Second}
+	tenths = quota.Limit{Rate: 1000, Burst: 500}
+)
+
+func newPair(st quota.Settings) *pair {
+	return &pair{ke: &quota.Keeper{ID: 1, Settings: st}, ac: &quota.Account{Settings: st}, own: &quota.Account{Settings: st}, lim: tenths, keep: vmA}
+}
+
+// renew has both VMs renew their leases.
+func (pa *pair) renew(now clock.Millis) {
+	for vm, ac := range map[string]*quota.Account{vmA: pa.own, vmB: pa.ac} {
+		ask := ac.Word(now, both, pa.keep)
+		ac.Answered(now, now, both, pa.keep, ask, pa.lim, pa.ke.Answer(now, both, vm, 1, ask, &pa.lim))
+	}
+}
+
+// renewUntil renews them regularly.
+func (pa *pair) renewUntil(from, to clock.Millis) {
+	for now := from; now <= to; now += quota.Renew {
+		pa.renew(now)
+	}
+}
+
+// need asks the keeper for tokens.
+func (pa *pair) need(now clock.Millis, tokens float64) quota.Answer {
+	ask := pa.ac.Ask(now, both, pa.keep, customer, pa.lim, tokens)
+	ans := pa.ke.Answer(now, both, vmB, 1, ask, &pa.lim)
+	pa.ac.Answered(now, now, both, pa.keep, ask, pa.lim, ans)
+	return ans
+}
+
+// A keeper that takes over does not know what was given out before it.
+func TestKeeperStartsEmpty(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800) // the first leases count from 400
+	assert.Assert(t, !pa.need(800, 401).Granted)
+	assert.Assert(t, pa.need(800, 400).Granted)
+	pa.renewUntil(1200, 4000)
+	assert.Assert(t, pa.need(4000, 500).Granted)
+	assert.Assert(t, !pa.need(4000, 1).Granted)
+}
+
+func TestWaitIsUntilThereIsRoom(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800)
+	assert.Assert(t, pa.need(800, 400).Granted)
+	ans := pa.need(800, 300)
+	assert.Equal(t, ans.Wait, 300*clock.Millis(1))
+	assert.Assert(t, !pa.need(1099, 300).Granted)
+	assert.Assert(t, pa.need(1100, 300).Granted)
+}
+
+// A keeper that was frozen, or cut off, gives out no more than what it had leases for.
+func TestKeeperWakesWithoutLeases(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 4000)
+	assert.Assert(t, pa.need(4000, 500).Granted)
+	// The leases end at 5500: the rest of the span adds nothing.
+	ask := quota.Ask{Number: 100, Customer: customer, Need: 1}
+	assert.Assert(t, !pa.ke.Answer(60*clock.Second, both, vmB, 1, ask, &pa.lim).Granted)
+	// What it had before it lost its leases may have been given out by others since.
+	pa = newPair(exact)
+	pa.renewUntil(0, 4000)
+	assert.Assert(t, pa.need(4000, 1).Granted)
+	pa.ac, pa.own = &quota.Account{Settings: exact}, &quota.Account{Settings: exact}
+	for _, now := range []clock.Millis{60 * clock.Second, 60*clock.Second + 1} {
+		pa.renew(now)
+	}
+	assert.Assert(t, !pa.ke.Answer(60*clock.Second+1, both, vmB, 1, quota.Ask{Number: 200, Customer: customer, Need: 2}, &pa.lim).Granted)
+}
+
+// A lease counts from when the keeper spoke, not from when the word of it arrived, and
+// the VM counts it from later: its part is never in two hands.
+func TestLeaseEndsAtTheKeeperFirst(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800)
+	late := pa.ac.Word(1000, both, vmA) // echoes what the keeper said at 800
+	assert.Equal(t, late.Heard, 800*clock.Millis(1))
+	pa.need(1000, 1)
+	for now := 2 * clock.Second; now < 10*clock.Second; now += quota.Renew {
+		pa.ke.Answer(now, both, vmB, 1, late, &pa.lim) // it arrives again and again
+	}
+	ans := pa.ke.Answer(10*clock.Second, both, vmB, 1, quota.Ask{Number: 99, Customer: customer, Need: 1e6}, &pa.lim)
+	assert.Equal(t, ans.Wait, quota.Lease, "the keeper holds no leases: %v", ans)
+	assert.Equal(t, pa.ac.LeaseLeft(1000), quota.Lease, "the VM counts from when it last heard the keeper")
+}
+
+// A VM lends its part to one keeper at a time.
+func TestPartIsLentOnce(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800)
+	other := quota.Keeper{ID: 2, Settings: exact}
+	word := func(now clock.Millis) quota.Ask {
+		ask := pa.ac.Word(now, both, "c")
+		pa.ac.Answered(now, now, both, "c", ask, pa.lim, other.Answer(now, both, vmB, 1, ask, &pa.lim))
+		return ask
+	}
+	word(900)
+	assert.Equal(t, pa.ac.Lender(1000), vmA)
+	assert.Equal(t, word(1000).Keeper, uint64(0))
+	word(2400)
+	assert.Equal(t, pa.ac.Lender(2400), "c")
+	assert.Equal(t, word(2500).Keeper, uint64(2))
+	// Its own part comes in while nobody has it.
+	assert.Assert(t, !pa.ac.TakeAlone(2500, both, customer, pa.lim, 100))
+	assert.Assert(t, !pa.ac.TakeAlone(2500+quota.Lease+199, both, customer, pa.lim, 100))
+	assert.Assert(t, pa.ac.TakeAlone(2500+quota.Lease+200, both, customer, pa.lim, 100))
+}
+
+// A lease that is released is free at once, and words from before don't renew it.
+func TestRelease(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800)
+	late := pa.ac.Word(850, both, vmA)
+	ask := pa.ac.Release(900, both)
+	assert.Equal(t, pa.ac.Word(900, both, vmA).Keeper, uint64(0), "a lease that ends is not renewed")
+	ans := pa.ke.Answer(900, both, vmB, 1, ask, &pa.lim)
+	assert.Equal(t, pa.ac.Lender(900), vmA)
+	pa.ac.Answered(901, 900, both, vmA, ask, pa.lim, ans)
+	assert.Equal(t, pa.ac.Lender(901), "")
+	pa.own.Release(900, both)
+	before := pa.ke.Answer(902, both, vmA, 1, quota.Ask{Number: 50, Release: true}, &pa.lim)
+	assert.Assert(t, !before.Known)
+	pa.ke.Answer(903, both, vmB, 1, late, &pa.lim)
+	ans = pa.ke.Answer(903, both, vmB, 1, quota.Ask{Number: 99, Customer: customer, Need: 1e6}, &pa.lim)
+	assert.Equal(t, ans.Wait, quota.Lease, "the keeper holds no leases")
+}
+
+// What was taken and not used comes back once.
+func TestBackOnce(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 4000)
+	assert.Assert(t, pa.need(4000, 400).Granted)
+	ask, tell := pa.ac.GiveBack(4000, both, customer, pa.lim, 300)
+	assert.Assert(t, tell && ask.Back == 300)
+	for range 3 {
+		pa.ke.Answer(4000, both, vmB, 1, ask, &pa.lim)
+	}
+	assert.Assert(t, !pa.need(4000, 401).Granted)
+	assert.Assert(t, pa.need(4000, 400).Granted)
+	// It never fills a bucket beyond its size.
+	pa.renewUntil(4000, 8000)
+	ask, _ = pa.ac.GiveBack(8000, both, customer, pa.lim, 300)
+	pa.ke.Answer(8000, both, vmB, 1, ask, &pa.lim)
+	assert.Assert(t, !pa.need(8000, 501).Granted)
+}
+
+// Credit is taken from the customer when it is given, and is the customer's.
+func TestCredit(t *testing.T) {
+	st := quota.Settings{Window: 8 * clock.Second, Slack: 4000}
+	pa := newPair(st)
+	pa.renewUntil(0, 4000)
+	ans := pa.need(4000, 100)
+	assert.Assert(t, ans.Granted)
+	assert.Equal(t, ans.Credit, 500.0-100-500/4, "a quarter of the burst is for requests that are there")
+	assert.Assert(t, pa.ac.Take(4000, both, customer, pa.lim, 200))
+	assert.Assert(t, !pa.ac.Take(4000, both, customer, pa.lim, 200))
+	assert.Assert(t, !pa.ac.Take(4000, both, "another", pa.lim, 1))
+	assert.Assert(t, pa.ac.Low(both, customer, pa.lim, 100))
+	// What is left at the keeper, below empty by its part of the slack.
+	left := 500 - 100 - ans.Credit + 0.15*4000
+	assert.Assert(t, !pa.need(4000, left+1).Granted)
+	assert.Assert(t, pa.need(4000, left).Granted)
+	// A lower limit takes back what credit is beyond it.
+	assert.Assert(t, !pa.ac.Take(4000, 100*both, customer, pa.lim, 50))
+}
+
+// Where no keeper answers a VM may use a little of the slack, and in each window again.
+func TestAloneWhileLent(t *testing.T) {
+	st := quota.Settings{Window: 8 * clock.Second, Slack: 8000}
+	pa := newPair(st)
+	for now := clock.Millis(0); now <= 40*clock.Second; now += quota.Renew {
+		pa.renew(now)
+	}
+	most := 0.15 * 8000 / both
+	assert.Assert(t, !pa.ac.TakeAlone(40000, both, customer, pa.lim, most+1))
+	assert.Assert(t, pa.ac.TakeAlone(40000, both, customer, pa.lim, most))
+	assert.Assert(t, !pa.ac.TakeAlone(40400, both, customer, pa.lim, most/2))
+	pa.renewUntil(40400, 48000)
+	assert.Assert(t, !pa.ac.TakeAlone(44000, both, customer, pa.lim, 0.6*most))
+	assert.Assert(t, pa.ac.TakeAlone(48000, both, customer, pa.lim, 0.9*most))
+}
+
+// A keeper without a limit of the customer says so; customers that are gone are
+// forgotten.
+func TestUnknownAndForgotten(t *testing.T) {
+	pa := newPair(exact)
+	pa.renewUntil(0, 800)
+	for _, lim := range []*quota.Limit{nil, {}} {
+		assert.Assert(t, !pa.ke.Answer(800, both, vmB, 1, quota.Ask{Number: 90, Customer: customer, Need: 1}, lim).Known)
+	}
+	pa.need(800, 1)
+	pa.renewUntil(800, 4000)
+	pa.ke.Forget(func(string) bool { return false })
+	pa.ac.Forget(func(string) bool { return false })
+	assert.Assert(t, !pa.need(4000, 1).Granted, "the customer begins anew")
+}
--- /dev/null
+++ b/internal/quota/sim_test.go
@@ -0,0 +1,348 @@
+package quota_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/quota"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	simStep    = 10 * clock.Millis(1)
+	simSpan    = 60 * clock.Second
+	simVMs     = 24
+	simDelay   = 3 * clock.Millis(1)   // longest of a message on a sound network
+	simSlow    = 40 * clock.Millis(1)  // the same on one with faults
+	simHeldUp  = 900 * clock.Millis(1) // of one that is
+	simNotice  = 2 * clock.Second      // longest until a VM sees a change of the fleet
+	simPatient = 60 * clock.Millis(1)  // for an answer
+	simBig     = 7000.0
+	simSmall   = 200.0
+	customer   = "c"
+	// simUnserved of the requests find no server and are given back, and simAway
+	// of the times a VM takes its keeper for silent.
+	simUnserved = 0.05
+	simAway     = 0.2
+)
+
+// seeds is how many are played; more are played by hand.
+var seeds = flag.Uint64("seeds", 6, "seeds of the simulated fleet")
+
+type (
+	// simVM is one VM of a simulated fleet, in its present life.
+	simVM struct {
+		name   string
+		life   uint64
+		ke     quota.Keeper
+		ac     quota.Account
+		down   clock.Millis // until when it does not run
+		frozen clock.Millis // until when it runs nothing
+		side   int          // of a cut network
+		silent map[string]clock.Millis
+		view   string // the VM that it takes for the keeper
+		seen   clock.Millis
+		inbox  []message
+	}
+
+	// message is an ask, or the answer to one.
+	message struct {
+		at     clock.Millis // when it arrives
+		from   string       // the VM that sent it
+		asker  string       // the VM that asked, in one of its lives
+		life   uint64       // of the asker
+		ask    quota.Ask
+		asked  clock.Millis  // when
+		tokens float64       // of the request that waits for the answer
+		answer *quota.Answer // nil: it is the ask
+	}
+
+	// sim plays a fleet in virtual time: callers ask all that they can.
+	sim struct {
+		rnd   *rand.Rand
+		now   clock.Millis
+		vms   map[string]*simVM
+		order []string
+		lim   quota.Limit
+		st    quota.Settings
+		ran   []ranAt
+		asked int
+		cuts  clock.Millis // until when the network is cut
+		delay clock.Millis // longest of a message that is not held up
+		lossy bool
+	}
+
+	ranAt struct {
+		at     clock.Millis
+		tokens float64
+	}
+)
+
+func newSim(seed uint64, lim quota.Limit, st quota.Settings) *sim {
+	sm := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), vms: make(map[string]*simVM), lim: lim, st: st}
+	for ix := range simVMs {
+		name := fmt.Sprintf("vm-%02d", ix)
+		sm.order = append(sm.order, name)
+		sm.vms[name] = &simVM{name: name}
+		sm.start(sm.vms[name])
+	}
+	return sm
+}
+
+func (sm *sim) start(vm *simVM) {
+	vm.life++
+	vm.ke = quota.Keeper{Settings: sm.st, ID: sm.rnd.Uint64() | 1}
+	vm.ac = quota.Account{Settings: sm.st}
+	vm.silent, vm.inbox = make(map[string]clock.Millis), nil
+	vm.seen = 0
+}
+
+func (sm *sim) chance(perSecond float64) bool {
+	return sm.rnd.Float64() < perSecond*float64(simStep)/float64(clock.Second)
+}
+
+func (sm *sim) up(vm *simVM) bool { return sm.now >= vm.down && sm.now >= vm.frozen }
+
+// look has a VM see the fleet as it is now: the first that runs on its side.
+func (sm *sim) look(vm *simVM) {
+	if sm.now < vm.seen {
+		return
+	}
+	vm.seen = sm.now + simNotice/2 + clock.Millis(sm.rnd.Int64N(int64(simNotice/2)))
+	for _, name := range sm.order {
+		if other := sm.vms[name]; sm.up(other) && other.side == vm.side {
+			vm.view = name
+			return
+		}
+	}
+}
+
+// send has a message arrive later, or never.
+func (sm *sim) send(from, to *simVM, ms message) {
+	if from.side != to.side || sm.lossy && sm.rnd.Float64() < 0.02 {
+		return
+	}
+	ms.from, ms.at = from.name, sm.now+1+clock.Millis(sm.rnd.Int64N(int64(sm.delay)))
+	if sm.lossy && sm.rnd.Float64() < 0.01 {
+		ms.at += clock.Millis(sm.rnd.Int64N(int64(simHeldUp)))
+	}
+	to.inbox = append(to.inbox, ms)
+}
+
+// faults has things go wrong by chance.
+func (sm *sim) faults() {
+	if sm.now >= sm.cuts {
+		for _, vm := range sm.vms {
+			vm.side = 0
+		}
+	}
+	if sm.now >= sm.cuts+3*clock.Second && sm.chance(0.15) {
+		sm.cuts = sm.now + clock.Second + clock.Millis(sm.rnd.Int64N(int64(8*clock.Second)))
+		part := sm.rnd.Float64()
+		for _, name := range sm.order {
+			if sm.rnd.Float64() < part {
+				sm.vms[name].side = 1 + sm.rnd.IntN(3)*sm.rnd.IntN(2)
+			}
+		}
+	}
+	herd := sm.chance(0.05)
+	part := sm.rnd.Float64()
+	for _, name := range sm.order {
+		vm := sm.vms[name]
+		if sm.now < vm.down {
+			continue
+		}
+		switch {
+		case herd && sm.rnd.Float64() < part, sm.chance(0.02), name == sm.order[0] && sm.chance(0.08):
+			vm.down = sm.now + 300 + clock.Millis(sm.rnd.Int64N(2000))
+			sm.start(vm)
+		case sm.chance(0.02), name == sm.order[0] && sm.chance(0.08):
+			vm.frozen = sm.now + clock.Millis(sm.rnd.Int64N(int64(5*clock.Second)))
+		}
+	}
+}
+
+// serve has a VM take what came, renew its lease, and try to run requests.
+func (sm *sim) serve(vm *simVM, perSecond float64) {
+	keep := vm.inbox[:0]
+	var due []message
+	for _, ms := range vm.inbox {
+		if ms.at <= sm.now {
+			due = append(due, ms)
+		} else {
+			keep = append(keep, ms)
+		}
+	}
+	vm.inbox = keep
+	for _, ms := range due {
+		sm.take(vm, ms)
+	}
+	sm.look(vm)
+	if lender := vm.ac.Lender(sm.now); lender != "" && lender != vm.view && sm.now >= vm.silent[lender] {
+		vm.silent[lender] = sm.now + 100
+		sm.ask(vm, lender, vm.ac.Release(sm.now, simVMs), 0)
+	}
+	if lender := vm.ac.Lender(sm.now); (lender == "" || lender == vm.view) && vm.ac.Due(sm.now, vm.view) && sm.now >= vm.silent[vm.view] {
+		ask := vm.ac.Word(sm.now, simVMs, vm.view)
+		vm.silent[vm.view] = sm.now + 100
+		sm.ask(vm, vm.view, ask, 0)
+	}
+	for sm.rnd.Float64() < perSecond*float64(simStep)/float64(clock.Second) {
+		tokens := simSmall
+		if sm.rnd.Float64() < 0.3 {
+			tokens = simBig
+		}
+		sm.request(vm, tokens)
+	}
+}
+
+// request has a VM try to run a request.
+func (sm *sim) request(vm *simVM, tokens float64) {
+	sm.asked++
+	if vm.ac.Take(sm.now, simVMs, customer, sm.lim, tokens) {
+		sm.runOrGiveBack(vm, tokens)
+		return
+	}
+	to := vm.ac.Lender(sm.now)
+	if to == "" {
+		to = vm.view
+	}
+	if sm.lossy && sm.rnd.Float64() < simAway {
+		if vm.ac.TakeAlone(sm.now, simVMs, customer, sm.lim, tokens) {
+			sm.runOrGiveBack(vm, tokens)
+		}
+		return
+	}
+	sm.ask(vm, to, vm.ac.Ask(sm.now, simVMs, to, customer, sm.lim, tokens), tokens)
+}
+
+// ask sends an ask to a keeper, which may be the VM itself.
+func (sm *sim) ask(vm *simVM, to string, ask quota.Ask, tokens float64) {
+	ms := message{from: vm.name, asker: vm.name, life: vm.life, ask: ask, asked: sm.now, tokens: tokens}
+	if to == vm.name {
+		sm.take(vm, ms)
+		return
+	}
+	sm.send(vm, sm.vms[to], ms)
+}
+
+// take has a VM take a message: an ask as the keeper, or an answer to its own.
+func (sm *sim) take(vm *simVM, ms message) {
+	if ms.answer == nil {
+		ans := vm.ke.Answer(sm.now, simVMs, ms.asker, ms.life, ms.ask, &sm.lim)
+		ms.answer = &ans
+		if ms.asker != vm.name {
+			sm.send(vm, sm.vms[ms.asker], ms)
+			return
+		}
+		ms.from = vm.name
+	}
+	if ms.life != vm.life {
+		return // another life of this VM asked
+	}
+	vm.ac.Answered(sm.now, ms.asked, simVMs, ms.from, ms.ask, sm.lim, *ms.answer)
+	if ms.tokens > 0 && ms.answer.Granted && sm.now-ms.asked <= simPatient {
+		sm.runOrGiveBack(vm, ms.tokens)
+	}
+}
+
+// runOrGiveBack runs a request whose tokens were taken, or finds no server for it.
+func (sm *sim) runOrGiveBack(vm *simVM, tokens float64) {
+	if sm.rnd.Float64() >= simUnserved {
+		sm.ran = append(sm.ran, ranAt{sm.now, tokens})
+		return
+	}
+	if ask, tell := vm.ac.GiveBack(sm.now, simVMs, customer, sm.lim, tokens); tell {
+		sm.ask(vm, vm.ac.Lender(sm.now), ask, 0)
+	}
+}
+
+// play plays so long, with demand and, if wanted, faults.
+func (sm *sim) play(span clock.Millis, perSecond float64, faults bool) {
+	sm.lossy, sm.delay = faults, simDelay
+	if faults {
+		sm.delay = simSlow
+	}
+	for end := sm.now + span; sm.now < end; sm.now += simStep {
+		if faults {
+			sm.faults()
+		}
+		for _, name := range sm.order {
+			if vm := sm.vms[name]; sm.up(vm) {
+				sm.serve(vm, perSecond)
+			}
+		}
+	}
+}
+
+// most is the most that ran in any window.
+func (sm *sim) most(window clock.Millis) float64 {
+	sum, most, first := 0.0, 0.0, 0
+	for _, ra := range sm.ran {
+		sum += ra.tokens
+		for sm.ran[first].at <= ra.at-window {
+			sum -= sm.ran[first].tokens
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (sm *sim) total() float64 {
+	sum := 0.0
+	for _, ra := range sm.ran {
+		sum += ra.tokens
+	}
+	return sum
+}
+
+var (
+	simLimit    = quota.Limit{Rate: 29000, Burst: 29000}
+	simSettings = quota.Settings{Window: 8 * clock.Second, Excess: 0.1, Slack: 120000}
+)
+
+// bound is what may run in a window by the rule.
+func bound(lim quota.Limit, st quota.Settings) float64 {
+	return (lim.Rate*float64(st.Window)/1000+lim.Burst)*(1+st.Excess) + st.Slack
+}
+
+// Whatever becomes of VMs, keepers and the network between them, no window has more
+// than the limit and its slack, while callers ask for many times as much.
+func TestLimitHoldsUnderFaults(t *testing.T) {
+	worst := 0.0
+	for seed := range *seeds {
+		for _, lim := range []quota.Limit{simLimit, {Rate: 163000, Burst: 163000}, {Rate: 26000, Burst: 94000}} {
+			sm := newSim(seed, lim, simSettings)
+			sm.play(simSpan, 40, true)
+			got, may := sm.most(simSettings.Window), bound(lim, simSettings)
+			worst = max(worst, got/may)
+			assert.Assert(t, got <= may, "seed %d, rate %v: %.0f tokens in a window, %.0f may run", seed, lim.Rate, got, may)
+		}
+	}
+	t.Logf("the worst window had %.2f of what may run", worst)
+}
+
+// Without faults a customer far beyond its limit gets the limit, and in no window
+// more than a hundredth beyond what the slack lends.
+func TestLimitIsUsed(t *testing.T) {
+	sm := newSim(1, simLimit, simSettings)
+	sm.play(10*clock.Second, 0, false)
+	sm.play(30*clock.Second, 40, false)
+	window := float64(simSettings.Window) / float64(clock.Second)
+	limit := simLimit.Rate*window + simLimit.Burst
+	assert.Assert(t, sm.total() >= 0.97*(30*simLimit.Rate+simLimit.Burst), "%.0f in all", sm.total())
+	spare := bound(simLimit, simSettings) - limit
+	assert.Assert(t, sm.most(simSettings.Window) <= 1.01*limit+0.6*spare, "%.0f in a window of %.0f", sm.most(simSettings.Window), limit)
+	ran := slices.DeleteFunc(slices.Clone(sm.ran), func(ra ranAt) bool { return ra.at < 20*clock.Second })
+	sum := 0.0
+	for _, ra := range ran {
+		sum += ra.tokens
+	}
+	assert.Assert(t, sum <= 1.01*20*simLimit.Rate, "%.0f in the 20 s after the burst", sum)
+}
