relay, charge, fleet, platform: customers with keys and quotas

Cause: this path knew no customers: the caller's key reached the workers, none was named, keys that nobody had were served, quotas were nobody's. Change: who may call is decided by the configuration in force (route.Customer, hashes of keys alone); the customer is named by the VM whatever the caller sent; an unknown key is refused with 401, after a look for a newer configuration (one in ten seconds at a VM); a request that was let in ends as it would if its key goes meanwhile. Requests are charged before they are placed (package charge): plain ones mostly by credit that is here, generations by one ask of the keeper; 429 with the time at which there is room, 503 where no keeper answers; what did not run is given back. Waiting requests go by the priority of their customer, or else of their route.

--- /dev/null
+++ b/internal/charge/charge_test.go
@@ -0,0 +1,196 @@
+package charge_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/charge"
+	"alderdyke/internal/quota"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+type (
+	// net joins the VMs of a test.
+	net struct {
+		mu     sync.Mutex
+		vms    map[string]*charge.Charger
+		keeper string
+		cut    map[string]bool // VMs that answer nobody
+		asks   int
+		delay  time.Duration
+	}
+
+	// peers is the net as one VM sees it.
+	peers struct {
+		net  *net
+		self string
+	}
+
+	// bubbleClock counts from the start of a synctest bubble.
+	bubbleClock struct{ start time.Time }
+)
+
+var (
+	limit    = quota.Limit{Rate: 10000, Burst: 10000}
+	settings = quota.Settings{Window: 8 * clock.Second, Excess: 0.1, Slack: 120000}
+	errCut   = errors.New("no answer")
+)
+
+func (bc bubbleClock) Now() clock.Millis { return clock.Of(time.Since(bc.start)) }
+
+func (pe peers) Keeper() string {
+	pe.net.mu.Lock()
+	defer pe.net.mu.Unlock()
+	return pe.net.keeper
+}
+
+func (pe peers) VMs() int { return len(pe.net.vms) }
+
+func (pe peers) AskQuota(ctx context.Context, vm string, ask quota.Ask) (quota.Answer, error) {
+	pe.net.mu.Lock()
+	pe.net.asks++
+	cut := pe.net.cut[vm]
+	pe.net.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return quota.Answer{}, errCut
+	}
+	time.Sleep(pe.net.delay)
+	return pe.net.vms[vm].Answer(pe.self, 1, ask), nil
+}
+
+func (pe peers) TellQuota(vm string, ask quota.Ask) { pe.net.vms[vm].Answer(pe.self, 1, ask) }
+
+// newNet makes VMs of which one keeps the quotas, and runs them until the test ends.
+func newNet(t *testing.T, st quota.Settings, names ...string) *net {
+	t.Helper()
+	nt := &net{vms: make(map[string]*charge.Charger), keeper: names[0], cut: make(map[string]bool), delay: 3 * time.Millisecond}
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	for ix, name := range names {
+		nt.vms[name] = &charge.Charger{Self: name, Keeper: quota.Keeper{ID: uint64(ix + 1), Settings: st}, Account: quota.Account{Settings: st},
+			Peers: peers{nt, name}, Limit: func(customer string) (quota.Limit, bool) { return limit, customer == "c" },
+			Clock: bubbleClock{time.Now()}}
+	}
+	for _, ch := range nt.vms {
+		go ch.Run(ctx)
+	}
+	t.Cleanup(func() { stop(); time.Sleep(time.Second) })
+	return nt
+}
+
+func order(tokens float64) charge.Order {
+	return charge.Order{Customer: "c", Limit: limit, Tokens: tokens, Patience: 180}
+}
+
+func refusalOf(t *testing.T, err error) refusal.Refusal {
+	t.Helper()
+	rf, ok := errors.AsType[refusal.Refusal](err)
+	assert.Assert(t, ok, "%v", err)
+	assert.Equal(t, rf.Ran, refusal.NotRun)
+	return rf
+}
+
+// Requests below the limit pass, whichever VM they come to; beyond it they are told
+// when there will be room, and then there is.
+func TestCharge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, quota.Settings{Window: 8 * clock.Second}, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(10000)))
+		rf := refusalOf(t, nt.vms["c"].Charge(t.Context(), order(5000)))
+		assert.Equal(t, rf.Reason, refusal.ShareExceeded)
+		assert.Assert(t, rf.RetryAfter >= 450 && rf.RetryAfter <= 630, "%v", rf.RetryAfter)
+		time.Sleep(rf.RetryAfter.Std())
+		assert.NilError(t, nt.vms["c"].Charge(t.Context(), order(5000)))
+		assert.Equal(t, refusalOf(t, nt.vms["a"].Charge(t.Context(), order(5000))).Reason, refusal.ShareExceeded)
+		// What did not run is there again, at any VM.
+		nt.vms["c"].GiveBack(order(5000))
+		assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(5000)))
+	})
+}
+
+// Credit makes most plain requests pass without waiting for an answer.
+func TestPlainRequestsDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, settings, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		slow := 0
+		for range 200 {
+			began := time.Now()
+			assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(200)))
+			if time.Since(began) > 0 {
+				slow++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, slow <= 2, "%d of 200 waited for an answer", slow)
+	})
+}
+
+// A customer far beyond its limit does not make the keeper answer each request.
+func TestDenialStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, settings, "a", "b")
+		time.Sleep(5 * time.Second)
+		for nt.vms["b"].Charge(t.Context(), order(10000)) == nil {
+		}
+		before := nt.asks
+		for range 1000 {
+			_ = nt.vms["b"].Charge(t.Context(), order(10000)) // one may find room
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, nt.asks-before < 40, "%d asks in a second", nt.asks-before)
+	})
+}
+
+// A keeper that is gone is found out soon; until another one holds the leases a VM
+// goes by its part of the slack, and says when to come back.
+func TestKeeperGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, settings, "a", "b", "c", "d")
+		time.Sleep(5 * time.Second)
+		nt.cut["a"] = true
+		assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(200)))
+		began := time.Now()
+		rf := refusalOf(t, nt.vms["b"].Charge(t.Context(), order(100000)))
+		assert.Equal(t, rf.Reason, refusal.QuotaAway)
+		assert.Assert(t, time.Since(began) <= 250*time.Millisecond)
+		assert.Assert(t, rf.RetryAfter > 0 && rf.RetryAfter <= 2*(quota.Lease+100), "%v", rf.RetryAfter)
+		time.Sleep(time.Second) // until it counts as dead
+		nt.mu.Lock()
+		nt.keeper = "c"
+		nt.mu.Unlock()
+		time.Sleep(2500 * time.Millisecond)
+		assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(6000)))
+	})
+}
+
+// When another VM is to keep the quotas the leases move to it at once.
+func TestKeeperMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, quota.Settings{Window: 8 * clock.Second}, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		nt.mu.Lock()
+		nt.keeper = "b"
+		nt.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		assert.NilError(t, nt.vms["c"].Charge(t.Context(), order(3000)))
+		assert.Equal(t, refusalOf(t, nt.vms["a"].Charge(t.Context(), order(3000))).Reason, refusal.ShareExceeded)
+	})
+}
+
+// Before the fleet's size is known a VM has no part of a limit.
+func TestAloneBeforeTheFleetIsKnown(t *testing.T) {
+	ch := &charge.Charger{Self: "a", Keeper: quota.Keeper{ID: 1}, Peers: peers{&net{}, "a"}}
+	or := order(1)
+	or.Patience = 0
+	assert.Equal(t, refusalOf(t, ch.Charge(t.Context(), or)).Reason, refusal.QuotaAway)
+}
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -50,6 +50,19 @@
 		"a request under suspicion had its whole answer, and is less suspect", "none")
 	RelayReleased = register(2223, "RelayReleased", Info,
 		"a request that was refused since servers ended when they ran it is tried again when it comes", "none")
+	RelayUnknownKey = register(2224, "RelayUnknownKey", Warn,
+		"requests carried no API key in force; written at most once in ten seconds, and Count tells how many there were",
+		"compare the customer's keys in the configuration of this Version with the key that the caller was given")
+	QuotaReached = register(2225, "QuotaReached", Warn,
+		"a customer's quota is used up, or too little of it is there for a request of so many Tokens",
+		"none; if the customer is to have more, raise its rate")
+	QuotaFree = register(2226, "QuotaFree", Info,
+		"none of the customer's requests was refused for its quota for a while", "none")
+	QuotaKeeperChanged = register(2227, "QuotaKeeperChanged", Info,
+		"another VM keeps the quotas for this one; without a name none does for now", "none")
+	QuotaSilent = register(2228, "QuotaSilent", Warn,
+		"the VM that keeps the quotas did not answer; this VM goes by its own part for now",
+		"none if it is dead or starts; else look at UDP between the VMs")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had room; the decode engine computes the prompt", "none")
 )
--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -16,58 +16,67 @@
 // errNotScheduler tells that the asked VM is no scheduler any more.
 var errNotScheduler = errors.New("the VM is no scheduler")
 
-// asks are the asks of this VM that wait for their answers. The zero value has
-// none.
-type asks struct {
+// asks are the asks of one kind of this VM that wait for their answers. The zero
+// value has none.
+type asks[A any] struct {
 	mu     sync.Mutex
 	number uint64
-	open   map[uint64]chan usage.PlaceAnswer
+	open   map[uint64]chan A
 }
 
-func (as *asks) begin() (number uint64, answer <-chan usage.PlaceAnswer) {
+func (as *asks[A]) begin() (number uint64, answer <-chan A) {
 	as.mu.Lock()
 	defer as.mu.Unlock()
 	if as.open == nil {
-		as.open = make(map[uint64]chan usage.PlaceAnswer)
+		as.open = make(map[uint64]chan A)
 	}
 	as.number++
-	ch := make(chan usage.PlaceAnswer, 1)
+	ch := make(chan A, 1)
 	as.open[as.number] = ch
 	return as.number, ch
 }
 
 // end hands an answer to who waits for it. One that comes late, or twice, is
 // dropped.
-func (as *asks) end(pa *peerpb.PlaceAnswer) {
+func (as *asks[A]) end(number uint64, ans A) {
 	as.mu.Lock()
 	defer as.mu.Unlock()
-	if ch := as.open[pa.GetNumber()]; ch != nil {
-		ch <- answerFromWire(pa)
-		delete(as.open, pa.GetNumber())
+	if ch := as.open[number]; ch != nil {
+		ch <- ans
+		delete(as.open, number)
 	}
 }
 
-func (as *asks) forget(number uint64) {
+func (as *asks[A]) forget(number uint64) {
 	as.mu.Lock()
 	defer as.mu.Unlock()
 	delete(as.open, number)
 }
 
-// ask asks a VM for a place, once: who gets no answer asks the next VM.
-func (fl *Fleet) ask(ctx context.Context, vm board.VM, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
-	number, answer := fl.asks.begin()
-	defer fl.asks.forget(number)
-	if err := fl.peers.Datagram(vm, &peerpb.Datagram{Body: &peerpb.Datagram_PlaceAsk{PlaceAsk: askToWire(number, ask)}}); err != nil {
-		return usage.PlaceAnswer{}, fmt.Errorf("ask for a place: %w", err)
+// await sends an ask by its number and waits for its answer, once: who gets none
+// asks another VM.
+func (as *asks[A]) await(ctx context.Context, send func(number uint64) error) (A, error) {
+	var none A
+	number, answer := as.begin()
+	defer as.forget(number)
+	if err := send(number); err != nil {
+		return none, fmt.Errorf("ask: %w", err)
 	}
 	select {
 	case ans := <-answer:
 		return ans, nil
 	case <-ctx.Done():
-		return usage.PlaceAnswer{}, fmt.Errorf("wait for the answer on a place: %w", ctx.Err())
+		return none, fmt.Errorf("wait for the answer: %w", ctx.Err())
 	}
 }
 
+// ask asks a VM for a place.
+func (fl *Fleet) ask(ctx context.Context, vm board.VM, ask usage.PlaceAsk) (usage.PlaceAnswer, error) {
+	return fl.asks.await(ctx, func(number uint64) error {
+		return fl.peers.Datagram(vm, &peerpb.Datagram{Body: &peerpb.Datagram_PlaceAsk{PlaceAsk: askToWire(number, ask)}})
+	})
+}
+
 // heardAsk answers an ask. It goes to where the ask came from: the asker may be
 // too new to be known here.
 func (fl *Fleet) heardAsk(vm string, from netip.AddrPort, pa *peerpb.PlaceAsk) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,6 +26,7 @@
 	"alderdyke/internal/membership"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/quota"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
 	"alderdyke/internal/usage"
@@ -48,6 +49,9 @@
 	Usage func(vm string, rp usage.Report)
 	// Place chooses engines for a request of another VM; nil answers no asks.
 	Place func(vm string, ask usage.PlaceAsk) usage.PlaceAnswer
+	// Quota answers another VM, which is in one of its lives, as the keeper of the
+	// customers' quotas; nil answers no asks.
+	Quota func(vm string, life uint64, ask quota.Ask) quota.Answer
 	// Changed hears of each new view of the fleet; nil drops it.
 	Changed func(view *board.Fleet)
 	// End hears at which server's end a request was there; nil drops it.
@@ -57,9 +61,11 @@
 
 	view       atomic.Pointer[board.Fleet]
 	schedulers atomic.Pointer[schedulers]
-	asks       asks
-	latest     map[string]wordOrder // by VM: the newest word on usage that was heard
-	large      map[string]*pieces   // by topic
+	asks       asks[usage.PlaceAnswer]
+	quotaAsks  asks[quota.Answer]
+	keeper     atomic.Pointer[string] // the VM that keeps the customers' quotas
+	latest     map[string]wordOrder   // by VM: the newest word on usage that was heard
+	large      map[string]*pieces     // by topic
 	members    *actor.Actor[membership.Event, membership.Intent]
 	peers      *peer.Transport
 }
@@ -120,7 +126,11 @@
 	case dg.GetPlaceAsk() != nil:
 		fl.heardAsk(dg.GetFrom(), from, dg.GetPlaceAsk())
 	case dg.GetPlaceAnswer() != nil:
-		fl.asks.end(dg.GetPlaceAnswer())
+		fl.asks.end(dg.GetPlaceAnswer().GetNumber(), answerFromWire(dg.GetPlaceAnswer()))
+	case dg.GetQuotaAsk() != nil:
+		fl.heardQuotaAsk(dg, from)
+	case dg.GetQuotaAnswer() != nil:
+		fl.quotaAsks.end(dg.GetQuotaAnswer().GetNumber(), quotaAnswerFromWire(dg.GetQuotaAnswer()))
 	default:
 		select {
 		case fl.members.Events <- membership.Received{Datagram: dg}:
@@ -187,6 +197,7 @@
 		LogChanges(fl.Log, fl.View(), in.Fleet)
 		fl.view.Store(in.Fleet)
 		fl.schedulers.Store(schedulersOf(in.Fleet))
+		fl.keeper.Store(keeperOf(in.Fleet))
 		if fl.Changed != nil {
 			fl.Changed(in.Fleet)
 		}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -14,6 +14,7 @@
 // Causes for which the lease can't be read or swapped.
 var (
 	errNotJoined = errors.New("this VM has not joined the others yet")
+	errUnknownVM = errors.New("this VM does not see such a VM")
 	errMoved     = errors.New("the lease has moved on")
 )
 
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -12,6 +12,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/membership"
+	"alderdyke/internal/quota"
 	"alderdyke/internal/register"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
@@ -70,11 +71,12 @@
 
 		Ready func() bool // tells whether this VM takes requests
 		Usage func(vm string, rp usage.Report)
-		Place func(vm string, ask usage.PlaceAsk) usage.PlaceAnswer // chooses engines for a request of another VM
-		End   func(en suspect.End)                                  // hears at which server's end a request was there
-		Moved func()                                                // hears that other VMs are the schedulers now
-		News  func(nw topic.News)                                   // hears what others read of any topic
-		Size  func(vms int)                                         // hears how many VMs there are
+		Place func(vm string, ask usage.PlaceAsk) usage.PlaceAnswer    // chooses engines for a request of another VM
+		Quota func(vm string, life uint64, ask quota.Ask) quota.Answer // answers as the keeper of the customers' quotas
+		End   func(en suspect.End)                                     // hears at which server's end a request was there
+		Moved func()                                                   // hears that other VMs are the schedulers now
+		News  func(nw topic.News)                                      // hears what others read of any topic
+		Size  func(vms int)                                            // hears how many VMs there are
 
 		// Topic follows the topic; it is there from Prepare on.
 		Topic *topic.Follower
@@ -90,6 +92,8 @@
 		read       chan struct{}
 		ranked     *board.Fleet // the view that rank was worked out for
 		rank       int
+		sized      *board.Fleet // the view that size was worked out for
+		size       int
 		schedulers string // names of the VMs that are
 	}
 
@@ -129,6 +133,7 @@
 		ne.takeLease(rec)
 	case isVM && len(rec.Value) == 0:
 		delete(ne.listed, name)
+		ne.sized = nil
 		ne.dropped = ne.dropped || name == ne.Self.ID
 	case isVM:
 		var en vmEntry
@@ -137,6 +142,7 @@
 			return
 		}
 		ne.listed[name] = en
+		ne.sized = nil
 	}
 }
 
@@ -182,7 +188,7 @@
 		ne.propose(ctx)
 		return nil
 	}
-	fl = &Fleet{Self: ne.self(), Secret: secret, Log: ne.Log, Usage: ne.Usage, Place: ne.Place, News: ne.News, End: ne.End, Changed: ne.changed,
+	fl = &Fleet{Self: ne.self(), Secret: secret, Log: ne.Log, Usage: ne.Usage, Place: ne.Place, News: ne.News, End: ne.End, Quota: ne.Quota, Changed: ne.changed,
 		Settings: membership.Settings{ProbeEvery: probeVMs, ProbeTimeout: probeVMs, ProbeDeadline: probeDeadline},
 		Rand:     mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	fl.Prepare()
--- /dev/null
+++ b/internal/fleet/quota.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/quota"
+	"alderdyke/internal/rendezvous"
+	"alderdyke/pkg/clock"
+)
+
+// rankKeeper ranks the VMs for keeping the customers' quotas.
+const rankKeeper = "quotas"
+
+// keeperOf is the VM that keeps the customers' quotas, by a view of the fleet. VMs
+// whose views differ may choose different ones: what those give out is the parts
+// that they were lent.
+func keeperOf(view *board.Fleet) *string {
+	vm, _ := rendezvous.First(rankKeeper, view.VMs, mayServeAll(view))
+	return &vm.ID
+}
+
+// Keeper is the VM that keeps the customers' quotas; empty before this VM has
+// joined the others.
+func (ne *Neighbours) Keeper() string {
+	fl := ne.joined()
+	if fl == nil {
+		return ""
+	}
+	if vm := fl.keeper.Load(); vm != nil {
+		return *vm
+	}
+	return ""
+}
+
+// VMs is how many VMs there are that have not left as planned, also those that are
+// dead for now: their parts of the customers' limits are nobody else's. It is 0
+// before this VM has joined the others, and is asked for with each request.
+func (ne *Neighbours) VMs() int {
+	view := ne.View()
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	if ne.fleet == nil {
+		return 0
+	}
+	if ne.sized != view {
+		ne.sized, ne.size = view, ne.sizeIn(view)
+	}
+	return ne.size
+}
+
+// sizeIn counts the VMs of a view, and those that are listed and not in it yet. The
+// lock is held.
+func (ne *Neighbours) sizeIn(view *board.Fleet) int {
+	count := 0
+	for _, vm := range view.VMs {
+		if vm.Health != board.Left {
+			count++
+		}
+	}
+	for name := range ne.listed {
+		if _, seen := view.VM(name); !seen {
+			count++
+		}
+	}
+	return count
+}
+
+// AskQuota asks a VM as the keeper of the customers' quotas.
+func (ne *Neighbours) AskQuota(ctx context.Context, vm string, ask quota.Ask) (quota.Answer, error) {
+	fl, to, err := ne.peer(vm)
+	if err != nil {
+		return quota.Answer{}, err
+	}
+	return fl.quotaAsks.await(ctx, func(number uint64) error {
+		return fl.peers.Datagram(to, quotaAskToWire(number, ask))
+	})
+}
+
+// TellQuota tells it what needs no answer.
+func (ne *Neighbours) TellQuota(vm string, ask quota.Ask) {
+	if fl, to, err := ne.peer(vm); err == nil {
+		_ = fl.peers.Datagram(to, quotaAskToWire(0, ask)) // what is lost was the customer's, and comes in anew
+	}
+}
+
+// peer finds a VM that this one sees.
+func (ne *Neighbours) peer(vm string) (*Fleet, board.VM, error) {
+	fl := ne.joined()
+	if fl == nil {
+		return nil, board.VM{}, errNotJoined
+	}
+	to, ok := fl.View().VM(vm)
+	if !ok {
+		return nil, board.VM{}, errUnknownVM
+	}
+	return fl, to, nil
+}
+
+// heardQuotaAsk answers an ask, to where it came from.
+func (fl *Fleet) heardQuotaAsk(dg *peerpb.Datagram, from netip.AddrPort) {
+	if fl.Quota == nil {
+		return
+	}
+	qa := dg.GetQuotaAsk()
+	ans := fl.Quota(dg.GetFrom(), dg.GetIncarnation(), quotaAskFromWire(qa))
+	if qa.GetNumber() == 0 {
+		return
+	}
+	to := board.VM{VMRef: board.VMRef{ID: dg.GetFrom()}, Peer: from.String()}
+	_ = fl.peers.Datagram(to, quotaAnswerToWire(qa.GetNumber(), ans)) // the asker goes on without it
+}
+
+func quotaAskToWire(number uint64, ask quota.Ask) *peerpb.Datagram {
+	return &peerpb.Datagram{Body: &peerpb.Datagram_QuotaAsk{QuotaAsk: &peerpb.QuotaAsk{
+		Number: number, Serial: ask.Number, Keeper: ask.Keeper, Heard: uint64(max(0, ask.Heard)),
+		Customer: ask.Customer, Need: ask.Need, Ahead: ask.Ahead, Back: ask.Back, Release: ask.Release}}}
+}
+
+// quotaAskFromWire reads an ask. What is no number of tokens is none.
+func quotaAskFromWire(qa *peerpb.QuotaAsk) quota.Ask {
+	return quota.Ask{Number: qa.GetSerial(), Keeper: qa.GetKeeper(), Heard: clock.Millis(qa.GetHeard()), Customer: qa.GetCustomer(),
+		Need: tokensOf(qa.GetNeed()), Ahead: tokensOf(qa.GetAhead()), Back: tokensOf(qa.GetBack()),
+		Release: qa.GetRelease()}
+}
+
+func quotaAnswerToWire(number uint64, ans quota.Answer) *peerpb.Datagram {
+	return &peerpb.Datagram{Body: &peerpb.Datagram_QuotaAnswer{QuotaAnswer: &peerpb.QuotaAnswer{
+		Number: number, Keeper: ans.Keeper, Time: uint64(max(0, ans.Time)), Known: ans.Known, Granted: ans.Granted,
+		Credit: ans.Credit, Wait: uint32(max(0, ans.Wait))}}}
+}
+
+func quotaAnswerFromWire(qa *peerpb.QuotaAnswer) quota.Answer {
+	return quota.Answer{Keeper: qa.GetKeeper(), Time: clock.Millis(qa.GetTime()), Known: qa.GetKnown(), Granted: qa.GetGranted(),
+		Credit: tokensOf(qa.GetCredit()), Wait: clock.Millis(qa.GetWait())}
+}
+
+// tokensOf reads a number of tokens.
+func tokensOf(val float64) float64 {
+	if val >= 0 { // neither below zero nor not a number
+		return val
+	}
+	return 0
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -207,3 +207,20 @@
 		}
 	})
 }
+
+// The highest priority goes first, and within it the order is as among equals.
+func TestQueueByPriority(t *testing.T) {
+	po := &pool.Pool{Rand: rand.New(rand.NewPCG(1, 2))}
+	low := po.Enter(0, pool.Ask{Returning: true, Priority: 2})
+	newLow := po.Enter(0, pool.Ask{Priority: 2})
+	back := po.Enter(0, pool.Ask{Returning: true, Priority: 1})
+	fresh := po.Enter(0, pool.Ask{Priority: 1})
+	queue := []*pool.Ticket{back, fresh, low, newLow}
+	for _, tk := range queue {
+		assert.Equal(t, po.First(tk, false), tk == back)
+		assert.Equal(t, po.First(tk, true), tk == fresh)
+	}
+	po.Leave(back)
+	po.Leave(fresh)
+	assert.Assert(t, po.First(low, false) && po.First(newLow, true))
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"alderdyke/internal/usage"
 	"alderdyke/pkg/clock"
 )
 
@@ -11,12 +12,13 @@
 	// Ask is a generation that needs a place.
 	Ask struct {
 		Returning bool // it was refused before
+		Priority  int  // the lowest number goes first
 	}
 
 	// Ticket is a request's turn in the queue.
 	Ticket struct {
 		ask   Ask
-		turn  uint32
+		turn  usage.Turn
 		since clock.Millis
 		tried bool // it found no place yet
 	}
@@ -26,13 +28,16 @@
 // must see one order, and agree on no time. A request waits for so short a time
 // that arrival would be no fairer.
 func (po *Pool) Enter(now clock.Millis, ask Ask) *Ticket {
-	tk := &Ticket{ask: ask, turn: po.Rand.Uint32(), since: now}
+	tk := &Ticket{ask: ask, turn: usage.NewTurn(ask.Priority, po.Rand.Uint32()), since: now}
 	at, _ := slices.BinarySearchFunc(po.queue, tk, compare)
 	po.queue = slices.Insert(po.queue, at, tk)
 	return tk
 }
 
 func compare(ta, tb *Ticket) int {
+	if byPriority := cmp.Compare(usage.PriorityOf(ta.turn), usage.PriorityOf(tb.turn)); byPriority != 0 {
+		return byPriority
+	}
 	if ta.ask.Returning != tb.ask.Returning {
 		if ta.ask.Returning {
 			return -1
@@ -50,17 +55,22 @@
 }
 
 // First tells whether it is the request's turn. While places are wanting, new
-// requests go before returning ones: who is refused twice is as many either way,
-// and a place is worth more to who is not late yet.
+// requests go before returning ones of their priority: who is refused twice is as
+// many either way, and a place is worth more to who is not late yet.
 func (po *Pool) First(tk *Ticket, wanting bool) bool {
-	if wanting {
-		for _, other := range po.queue {
-			if !other.ask.Returning {
-				return other == tk
-			}
+	if len(po.queue) == 0 {
+		return false
+	}
+	first := po.queue[0]
+	for _, other := range po.queue {
+		if !wanting || usage.PriorityOf(other.turn) != usage.PriorityOf(first.turn) {
+			break
+		}
+		if !other.ask.Returning {
+			return other == tk
 		}
 	}
-	return len(po.queue) > 0 && po.queue[0] == tk
+	return first == tk
 }
 
 // Waiting is the number of requests in the queue.
@@ -89,7 +99,7 @@
 func (tk *Ticket) Ask() Ask { return tk.ask }
 
 // Turn is the request's place in the order of all VMs; the lowest goes first.
-func (tk *Ticket) Turn() uint32 { return tk.turn }
+func (tk *Ticket) Turn() usage.Turn { return tk.turn }
 
 // Waited is how long the request has been in the queue.
 func (tk *Ticket) Waited(now clock.Millis) clock.Millis { return now - tk.since }
--- /dev/null
+++ b/internal/relay/customer.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"alderdyke/internal/charge"
+	"alderdyke/internal/event"
+	"alderdyke/internal/route"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// unknownEvery is the least span between two log lines on unknown keys.
+const unknownEvery = 10 * clock.Second
+
+type (
+	// Charger charges requests to their customers' quotas.
+	Charger interface {
+		// Charge takes a request's tokens. The error is a refusal.Refusal.
+		Charge(ctx context.Context, or charge.Order) error
+		// GiveBack gives back what was taken for a request that did not run.
+		GiveBack(or charge.Order)
+	}
+
+	// unknownKeys counts requests with unknown keys between two log lines.
+	unknownKeys struct {
+		count int
+		told  clock.Millis
+	}
+)
+
+// authenticate finds the customer of a request: whom its key speaks for by the
+// configuration that applies to it. A request that was let in goes on if the key is
+// taken away then. A public route needs no key, and heeds one that it gets.
+func (rl *Relay) authenticate(tb *route.Table, ex *exchange, rt route.Route) error {
+	ex.req.Keyed = tb.Keyed()
+	if !ex.req.Keyed {
+		return nil
+	}
+	cu, ok := tb.CustomerOf(ex.req.KeyHash)
+	switch {
+	case ok:
+		ex.req.Customer = cu.Name
+		if cu.Priority >= 0 {
+			ex.priority = cu.Priority
+		}
+		ex.order = rl.orderOf(ex.req, rt, cu)
+		return nil
+	case rt.Public:
+		return nil
+	}
+	rl.noteUnknown(tb.Version())
+	detail := "no customer has this API key"
+	if ex.req.KeyFault != nil {
+		detail = ex.req.KeyFault.Error()
+	}
+	return refuse(refusal.UnknownCustomer, 0, detail)
+}
+
+// orderOf is what a request takes of its customer's quota; nil: there is no limit.
+// Where no keeper of quotas answers, it waits for as long as for a place.
+func (rl *Relay) orderOf(req *Request, rt route.Route, cu route.Customer) *charge.Order {
+	if !cu.Limit.Limited() {
+		return nil
+	}
+	tokens := 0
+	if req.Prompt != nil {
+		tokens = req.Prompt.Tokens + req.Prompt.Most
+	}
+	return &charge.Order{Customer: cu.Name, Limit: cu.Limit, Tokens: cu.Cost(tokens), Patience: rl.placeWait(rt, false)}
+}
+
+// charge takes a request's tokens from its customer's quota.
+func (rl *Relay) charge(ctx context.Context, ex *exchange) error {
+	if ex.order == nil || rl.Charger == nil {
+		return nil
+	}
+	return rl.Charger.Charge(ctx, *ex.order)
+}
+
+// settle gives back what was taken for a request that did not run.
+func (rl *Relay) settle(ex *exchange, err error) {
+	rf, ok := errors.AsType[refusal.Refusal](err)
+	if ex.order == nil || rl.Charger == nil || !ok || rf.Ran != refusal.NotRun || errors.Is(err, ErrCut) {
+		return
+	}
+	rl.Charger.GiveBack(*ex.order)
+}
+
+// noteUnknown tells of requests with unknown keys, now and then: whoever sends them
+// may send many.
+func (rl *Relay) noteUnknown(version uint64) {
+	rl.count("UnknownKeys", nil)
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := rl.now()
+	rl.unknown.count++
+	if rl.unknown.told > 0 && now-rl.unknown.told < unknownEvery {
+		return
+	}
+	rl.Log.Log(event.RelayUnknownKey, event.F("Version", version), event.F("Count", rl.unknown.count))
+	rl.unknown = unknownKeys{told: max(1, now)}
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -68,7 +68,7 @@
 	rl.mu.Lock()
 	back := rl.returning(ex)
 	po := rl.poolOf(ex.svc.Name)
-	tk := po.Enter(rl.now(), pool.Ask{Returning: back})
+	tk := po.Enter(rl.now(), pool.Ask{Returning: back, Priority: ex.priority})
 	waiting := po.Waiting()
 	rl.mu.Unlock()
 	defer func() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,7 @@
 
 	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
+	"alderdyke/internal/charge"
 	"alderdyke/internal/event"
 	"alderdyke/internal/pool"
 	"alderdyke/internal/retry"
@@ -76,6 +77,14 @@
 		Came    clock.Millis // point
 		After   string       // ID of the last event that the caller has of a stream
 		Prompt  *Prompt      // nil if the request does not describe a generation
+		// KeyHash is the hash of the caller's API key; empty: there is none, for
+		// which KeyFault is the reason.
+		KeyHash  string
+		KeyFault error
+		// Keyed and Customer are told by the relay: whether callers have keys, which
+		// are not passed on, and whose key this one is; empty: nobody's.
+		Keyed    bool
+		Customer string
 	}
 
 	// Prompt is the size of a generation.
@@ -145,6 +154,12 @@
 		// Key is what all VMs of the fleet know requests by again; nil, or empty:
 		// a key of this VM's own, so that it knows them for itself alone.
 		Key func() []byte
+		// Charger charges requests to their customers' quotas; nil: they have none.
+		Charger Charger
+		// Newer waits a little for a configuration that is newer than a version, and
+		// tells whether there is one; nil: there is none. It is asked on behalf of
+		// callers whose keys are unknown, which may be many.
+		Newer func(ctx context.Context, version uint64) bool
 		// TellEnd tells the other VMs at which server's end a request was there;
 		// nil: they are not told.
 		TellEnd func(en suspect.End)
@@ -164,8 +179,9 @@
 		runs       map[*run]struct{}
 		calls      map[*call]struct{}
 		ledger     usage.Ledger
-		hears      bool                    // what the others have at the engines is known
-		hearsUntil clock.Millis            // until when a scheduler goes by hears
+		hears      bool         // what the others have at the engines is known
+		hearsUntil clock.Millis // until when a scheduler goes by hears
+		unknown    unknownKeys
 		noRoom     map[roomKey]noRoom      // sizes that found no room just now
 		silent     map[string]clock.Millis // schedulers that did not answer, until when they are not asked
 		stopping   bool                    // a planned stop began
@@ -180,16 +196,19 @@
 		req   *Request
 		rt    route.Route
 		svc   route.Service
-		table uint64        // version of the configuration that applies
-		until clock.Millis  // point at which the request ends, whatever happens
-		ran   int           // backend servers that may have run it
-		tried []string      // backend servers that were tried
-		mark  *suspect.Mark // nil until it is needed
-		first clock.Millis  // from the request to its answer's first event; zero: none came
-		event clock.Millis  // when the last event came
-		pause clock.Millis  // longest between two events
-		last  string        // ID of the last event that the caller was sent
-		made  int           // events that the caller was sent
+		order *charge.Order // what the request takes of its customer's quota; nil: nothing
+		// priority of the customer, or else of the route; the lowest goes first
+		priority int
+		table    uint64        // version of the configuration that applies
+		until    clock.Millis  // point at which the request ends, whatever happens
+		ran      int           // backend servers that may have run it
+		tried    []string      // backend servers that were tried
+		mark     *suspect.Mark // nil until it is needed
+		first    clock.Millis  // from the request to its answer's first event; zero: none came
+		event    clock.Millis  // when the last event came
+		pause    clock.Millis  // longest between two events
+		last     string        // ID of the last event that the caller was sent
+		made     int           // events that the caller was sent
 	}
 )
 
@@ -284,14 +303,23 @@
 func (rl *Relay) Serve(ctx context.Context, wr http.ResponseWriter, req *Request) error {
 	rl.open.Add(1)
 	defer rl.open.Add(-1)
-	ex, err := rl.begin(req)
-	if err != nil {
-		rl.note(ex, err)
-		return err
+	ex, err := rl.begin(ctx, req)
+	if err == nil {
+		err = rl.carry(ctx, wr, ex)
 	}
+	rl.note(ex, err)
+	return err
+}
+
+// carry charges a request to its customer and carries it to its end.
+func (rl *Relay) carry(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	ctx, stop := context.WithDeadline(ctx, time.Now().Add((ex.until - rl.now()).Std()))
 	defer stop()
-	if ex.svc.Engines != nil && req.Prompt != nil {
+	if err := rl.charge(ctx, ex); err != nil {
+		return err
+	}
+	var err error
+	if ex.svc.Engines != nil && ex.req.Prompt != nil {
 		err = rl.generate(ctx, wr, ex)
 	} else {
 		err = rl.plain(ctx, wr, ex)
@@ -299,12 +327,12 @@
 	if err == nil {
 		rl.noteWhole(ex)
 	}
-	rl.note(ex, err)
+	rl.settle(ex, err)
 	return err
 }
 
-// begin finds the route of a request, its service and its end.
-func (rl *Relay) begin(req *Request) (*exchange, error) {
+// begin finds the route of a request, its customer, its service and its end.
+func (rl *Relay) begin(ctx context.Context, req *Request) (*exchange, error) {
 	tb := rl.table.Load()
 	ex := &exchange{req: req, table: tb.Version()}
 	if err := rl.admit(); err != nil {
@@ -320,6 +348,13 @@
 	if err := rl.admitLong(req, rt); err != nil {
 		return ex, err
 	}
+	ex.priority = rt.Priority
+	if err := rl.authenticate(tb, ex, rt); err != nil {
+		if req.KeyHash != "" && rl.Newer != nil && rl.Newer(ctx, tb.Version()) {
+			return rl.begin(ctx, req) // is not asked again for long
+		}
+		return ex, err
+	}
 	rl.mu.Lock()
 	rl.prepare()
 	ex.rt = rt
@@ -384,7 +419,7 @@
 // note writes the end of a request to the log and the counters.
 func (rl *Relay) note(ex *exchange, err error) {
 	took := rl.now() - ex.req.Came
-	fields := []event.Field{event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name),
+	fields := []event.Field{event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name), event.F("Customer", ex.req.Customer),
 		event.F("Configuration", ex.table), event.F("Took", took.String())}
 	if ex.first > 0 {
 		fields = append(fields, event.F("First", ex.first.String()), event.F("Objective", ex.rt.Objective.String()),
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 
+	"alderdyke/internal/quota"
 	"alderdyke/pkg/clock"
 )
 
@@ -53,6 +54,8 @@
 		Pause     clock.Millis // longest time between two events of a stream
 		Attempts  int          // most backend servers that may run one request
 		Resumable bool         // a stream may go on at another backend server
+		Public    bool         // it needs no customer's key
+		Priority  int          // the lowest goes first
 	}
 
 	// Engines is what the model engines of a service have in common.
@@ -72,6 +75,18 @@
 		Engines *Engines // nil: a plain service
 	}
 
+	// Customer is who may call.
+	Customer struct {
+		Name      string
+		KeyHashes []string // hex SHA-256 of its API keys
+		Priority  int      // goes before that of a route; below zero: it has none
+		Limit     quota.Limit
+		// ByRequest tells that each request counts as one towards the limit;
+		// else its tokens count, and one that names none counts as PlainTokens.
+		ByRequest   bool
+		PlainTokens int
+	}
+
 	// Limits bound what a caller may send and how long its connection may
 	// rest. The zero value of a field sets no bound.
 	Limits struct {
@@ -85,6 +100,10 @@
 		limits   Limits
 		hosts    map[string][]Route // longest prefix first
 		services map[string]Service
+
+		keyed     bool // callers need a customer's key
+		customers map[string]Customer
+		byKey     map[string]string // names of customers, by the hashes of their keys
 	}
 
 	// Error tells what of a configuration can't be used.
--- a/internal/usage/turns.go
+++ b/internal/usage/turns.go
@@ -11,9 +11,9 @@
 }
 
 // Before counts the requests of other VMs that take their places ahead of this
-// one: those with a lower turn among requests of its kind, and those of the kind
-// that goes first, which are the new ones where places are wanting and else the
-// returning ones. A word on a request counts for as long as
+// one: those of a higher priority, and among those of its own the ones with a lower
+// turn of its kind, and those of the kind that goes first, which are the new ones
+// where places are wanting and else the returning ones. A word on a request counts for as long as
 // such a request may wait. Turns are drawn, not counted from the time that a
 // request has waited: what VMs know of that differs by the way of their words,
 // and then two of them would both be first.
@@ -30,6 +30,8 @@
 // before tells whether a request takes its place ahead of another one.
 func (ak Ask) before(other Ask, short bool) bool {
 	switch {
+	case PriorityOf(ak.Turn) != PriorityOf(other.Turn):
+		return ak.Turn < other.Turn
 	case ak.Returning != other.Returning:
 		return ak.Returning != short
 	default:
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -39,7 +39,8 @@
 	SchedulerAway      Reason = "SchedulerAway"      // the VM that accounts for the backend servers can't be asked
 	QueueFull          Reason = "QueueFull"          // bound of the wait queue reached
 	TargetUnreachable  Reason = "TargetUnreachable"  // the latency target can't be met any more
-	ShareExceeded      Reason = "ShareExceeded"      // the customer's share is used up
+	ShareExceeded      Reason = "ShareExceeded"      // the customer's share, or its quota, is used up
+	QuotaAway          Reason = "QuotaAway"          // the VM that keeps the customers' quotas can't be asked
 	NoBackend          Reason = "NoBackend"          // no backend server is fit for the request
 	DeadlinePassed     Reason = "DeadlinePassed"     // the request's own deadline
 	Draining           Reason = "Draining"           // this VM is leaving
