balance, relay: plain requests are refused while the line before the servers is too long

Cause: in bursts plain services are asked for more than all their places can do; each VM chose by its own requests in flight, nearly always none, and sent all. Servers queue 24 behind 6 places, so that all waited 240 ms and were late, and one in seven that failed was sent once more, a seventh more work.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -74,6 +74,8 @@
 	Outcome struct {
 		Customer string // the one of the Ask
 		Result   Result
+		Took     clock.Millis
+		Load     *Load // what the server told of itself; nil: nothing
 	}
 
 	// Settings of a Chooser. A zero field stands for its default.
@@ -97,6 +99,9 @@
 		Customer string
 		Share    float64  // part of the service's room in the whole fleet, from 0 to 1
 		Exclude  []string // servers already tried for the request
+		// Objective is the time within which the answer is of most use; zero: the
+		// request waits at servers for as long as it has to.
+		Objective clock.Millis
 	}
 
 	// Chooser chooses for one VM. Set the exported fields before use.
@@ -114,6 +119,7 @@
 		servers   []*server // sorted by ID, leaving ones left out
 		customers map[string]*customer
 		inFlight  int
+		crowd     crowd
 
 		comparedAt clock.Millis
 		crowded    bool // by the reports there is more work than room
@@ -196,6 +202,10 @@
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded,
 			RetryAfter: ch.Settings.RetryAfter, Detail: "the share of the service is used up and nothing is left to lend"}
 	}
+	if len(ask.Exclude) == 0 && ch.Rand.Float64() < svc.crowd.refuses(now, ask.Objective) {
+		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.TargetUnreachable,
+			RetryAfter: ch.Settings.RetryAfter, Detail: "the line before the servers is too long"}
+	}
 	srv := ch.choose(now, svc.fit(now, ask.Exclude))
 	srv.inFlight++
 	svc.inFlight++
@@ -215,6 +225,9 @@
 	if cu := svc.customers[out.Customer]; cu != nil {
 		cu.inFlight--
 	}
+	if out.Load != nil {
+		svc.crowd.hear(now, *out.Load, out.Took)
+	}
 	switch out.Result {
 	case Success:
 		srv.succeeded(now, ch.Settings)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -220,7 +220,7 @@
 					rt.Fatalf("no server: %v", err)
 				}
 			} else if len(flights) > 0 {
-				ch.Done(now, flights[0].id, Outcome{flights[0].customer, rapid.SampledFrom(results).Draw(rt, "result")})
+				ch.Done(now, flights[0].id, Outcome{Customer: flights[0].customer, Result: rapid.SampledFrom(results).Draw(rt, "result")})
 				flights = flights[1:]
 			}
 			checkCounts(rt, ch, now, len(flights))
--- /dev/null
+++ b/internal/balance/crowd_test.go
@@ -0,0 +1,239 @@
+package balance
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// The load of the test: a fleet before a plain service that is asked for more than it
+// can do.
+const (
+	loadVMs       = 69
+	loadServers   = 5
+	loadSlots     = 6
+	loadQueue     = 24
+	loadWork      = 60 // ms in the mean, evenly from a third to five thirds of it
+	loadObjective = 300 * clock.Millis(1)
+	loadBack      = 50 * clock.Millis(1) // when a refused caller comes back, once
+	loadFails     = 1.0 / 7              // of requests fail at a server
+	loadCrossing  = 3 * clock.Millis(1)
+	loadRate      = 211.0 // requests a second, of which a burst is so many times as many
+	loadBurst     = 2.8
+	loadBurstFrom = 4 * clock.Second
+	loadBurstTo   = 9 * clock.Second
+	loadEnd       = 14 * clock.Second
+)
+
+type (
+	// loadSim is the fleet and the servers in virtual time.
+	loadSim struct {
+		rnd     *rand.Rand
+		vms     []*Chooser
+		servers map[string]*loadServer
+		events  []loadEvent
+		heed    bool // the choosers hear what servers tell, and of the objective
+
+		asked, inTime, late, refused, failed int
+	}
+
+	loadServer struct {
+		id      string
+		speed   float64
+		running int
+		queue   []*loadRequest
+	}
+
+	loadRequest struct {
+		vm     int
+		began  clock.Millis
+		sent   clock.Millis
+		back   bool // its caller was refused before
+		tried  []string
+		fails  bool // always
+		server string
+	}
+
+	loadEvent struct {
+		at clock.Millis
+		do func(now clock.Millis)
+	}
+)
+
+func (ls *loadSim) after(at clock.Millis, do func(now clock.Millis)) {
+	ix, _ := slices.BinarySearchFunc(ls.events, at, func(ev loadEvent, at clock.Millis) int { return cmp.Or(cmp.Compare(ev.at, at), -1) })
+	ls.events = slices.Insert(ls.events, ix, loadEvent{at, do})
+}
+
+func newLoadSim(seed uint64, heed bool) *loadSim {
+	ls := &loadSim{rnd: rand.New(rand.NewPCG(seed, 5)), servers: make(map[string]*loadServer), heed: heed}
+	var list []board.BackendServer
+	for ix := range loadServers {
+		id := string(rune('a' + ix))
+		ls.servers[id] = &loadServer{id: id, speed: 1}
+		list = append(list, board.BackendServer{ID: id, Service: "s", Role: board.Plain, Address: id})
+	}
+	ls.servers["a"].speed = 0.7 // one is slow
+	for ix := range loadVMs {
+		ch := &Chooser{Rand: rand.New(rand.NewPCG(seed, uint64(ix)))}
+		ch.Update(0, (&board.Backends{}).WithServers(list), 1)
+		ls.vms = append(ls.vms, ch)
+	}
+	return ls
+}
+
+// play has callers come, and returns the part of them that were answered in time while
+// there were more than the servers can do.
+func (ls *loadSim) play() float64 {
+	for at := 0.0; at < float64(loadEnd); {
+		rate := loadRate
+		if at >= float64(loadBurstFrom) && at < float64(loadBurstTo) {
+			rate *= loadBurst
+		}
+		at += ls.rnd.ExpFloat64() * 1000 / rate
+		rq := &loadRequest{vm: ls.rnd.IntN(loadVMs), began: clock.Millis(at), fails: ls.rnd.Float64() < loadFails/2}
+		ls.after(rq.began, func(now clock.Millis) { ls.send(now, rq) })
+	}
+	for len(ls.events) > 0 {
+		ev := ls.events[0]
+		ls.events = ls.events[1:]
+		ev.do(ev.at)
+	}
+	return float64(ls.inTime) / float64(ls.asked)
+}
+
+// counts tells whether a request came in the burst.
+func (rq *loadRequest) counts() bool { return rq.began >= loadBurstFrom && rq.began < loadBurstTo }
+
+func (ls *loadSim) note(rq *loadRequest, count *int) {
+	if rq.counts() {
+		ls.asked++
+		*count++
+	}
+}
+
+func (ls *loadSim) send(now clock.Millis, rq *loadRequest) {
+	ask := Ask{Service: "s", Share: 1, Exclude: rq.tried}
+	if ls.heed {
+		ask.Objective = loadObjective
+	}
+	id, err := ls.vms[rq.vm].Pick(now, ask)
+	if err != nil {
+		ls.comeBack(now, rq)
+		return
+	}
+	rq.sent, rq.server = now, id
+	rq.tried = append(rq.tried, id)
+	ls.after(now+loadCrossing, func(now clock.Millis) { ls.arrive(now, rq) })
+}
+
+func (ls *loadSim) comeBack(now clock.Millis, rq *loadRequest) {
+	if rq.back {
+		ls.note(rq, &ls.refused)
+		return
+	}
+	rq.back, rq.tried = true, nil
+	rq.vm = ls.rnd.IntN(loadVMs)
+	ls.after(now+loadBack, func(now clock.Millis) { ls.send(now, rq) })
+}
+
+func (ls *loadSim) arrive(now clock.Millis, rq *loadRequest) {
+	srv := ls.servers[rq.server]
+	switch {
+	case srv.running < loadSlots:
+		srv.running++
+		ls.work(now, srv, rq)
+	case len(srv.queue) < loadQueue:
+		srv.queue = append(srv.queue, rq)
+	default:
+		ls.vms[rq.vm].Done(now, rq.server, Outcome{Result: Busy})
+		if len(rq.tried) < 2 {
+			ls.send(now, rq)
+			return
+		}
+		ls.comeBack(now, rq)
+	}
+}
+
+func (ls *loadSim) work(now clock.Millis, srv *loadServer, rq *loadRequest) {
+	span := loadWork * (1 + 4*ls.rnd.Float64()) / 3 / srv.speed
+	ls.after(now+clock.Millis(span), func(now clock.Millis) { ls.done(now, srv, rq) })
+}
+
+func (ls *loadSim) done(now clock.Millis, srv *loadServer, rq *loadRequest) {
+	ld := Load{Running: srv.running, Waiting: len(srv.queue), Slots: loadSlots}
+	srv.running--
+	if len(srv.queue) > 0 {
+		next := srv.queue[0]
+		srv.queue = srv.queue[1:]
+		srv.running++
+		ls.work(now, srv, next)
+	}
+	ls.after(now+loadCrossing, func(now clock.Millis) { ls.answered(now, srv, rq, ld) })
+}
+
+func (ls *loadSim) answered(now clock.Millis, srv *loadServer, rq *loadRequest, ld Load) {
+	ch := ls.vms[rq.vm]
+	out := Outcome{Result: Success, Took: now - rq.sent}
+	if ls.heed {
+		out.Load = &ld
+	}
+	failed := rq.fails || ls.rnd.Float64() < loadFails/2
+	if failed {
+		out.Result = Failure
+	}
+	ch.Done(now, srv.id, out)
+	crowded := ls.heed && ch.Crowded(now, "s", loadObjective)
+	switch {
+	case failed && len(rq.tried) < 2 && !crowded:
+		ls.send(now, rq)
+	case failed && !rq.back:
+		ls.comeBack(now, rq)
+	case failed:
+		ls.note(rq, &ls.failed)
+	case now-rq.began <= loadObjective:
+		ls.note(rq, &ls.inTime)
+	default:
+		ls.note(rq, &ls.late)
+	}
+}
+
+// While more come than the servers can do, as many as they can do are to be answered in
+// time. Of 591 requests a second five servers with 28 places' worth can answer 470; a
+// tenth of the requests fail at both tries. Without heed of the line all wait in it.
+func TestLineIsKeptShort(t *testing.T) {
+	for seed := range uint64(5) {
+		heeding, waiting := newLoadSim(seed, true), newLoadSim(seed, false)
+		with, without := heeding.play(), waiting.play()
+		t.Logf("seed %d: in time %.2f, without heed %.2f; late %d and %d of %d, refused %d and %d", seed, with, without,
+			heeding.late, waiting.late, heeding.asked, heeding.refused, waiting.refused)
+		assert.Assert(t, with >= 0.5, "seed %d: %.2f in time", seed, with)
+		assert.Assert(t, with >= 1.25*without, "seed %d: %.2f in time, %.2f without heed", seed, with, without)
+		assert.Assert(t, heeding.late <= heeding.asked/10, "seed %d: %d late", seed, heeding.late)
+	}
+}
+
+// Where there is room nobody is refused, and a word that is old counts no more.
+func TestNobodyIsRefusedWhereThereIsRoom(t *testing.T) {
+	var cr crowd
+	assert.Equal(t, cr.refuses(0, loadObjective), 0.0)
+	for now := clock.Millis(1); now < 1000; now += 100 {
+		cr.hear(now, Load{Running: 6, Slots: 6}, 60)
+	}
+	assert.Equal(t, cr.refuses(1000, loadObjective), 0.0)
+	for now := clock.Millis(1000); now < 2000; now += 100 {
+		cr.hear(now, Load{Running: 6, Waiting: 24, Slots: 6}, 300)
+	}
+	assert.Equal(t, cr.refuses(2000, loadObjective), refuseMost)
+	assert.Equal(t, cr.refuses(2000, 0), 0.0, "without an objective nobody is late")
+	assert.Equal(t, cr.refuses(2000, 50), 0.0, "the objective can't be met anyway")
+	assert.Equal(t, cr.refuses(2000+6*waitHalf, loadObjective), 0.0)
+	cr.hear(2000, Load{}, 60)
+	assert.Equal(t, cr.refuses(2000, loadObjective), refuseMost, "a word without places says nothing")
+}
--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
 	"alderdyke/internal/relay"
 	"alderdyke/internal/retry"
@@ -255,6 +256,8 @@
 
 func (sv simServers) Forget(context.Context, relay.Handle) error { return nil }
 
+func (simServers) Load(*http.Response) (balance.Load, bool) { return balance.Load{}, false }
+
 func (sv simServers) Ended(context.Context, board.BackendServer) bool { return false }
 
 func (sv simServers) Move(context.Context, board.BackendServer, board.BackendServer, string, bool) (relay.Handle, error) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -82,7 +82,8 @@
 func (rl *Relay) pick(ex *exchange) (board.BackendServer, error) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	id, err := rl.chooser.Pick(rl.now(), balance.Ask{Service: ex.svc.Name, Share: 1, Exclude: ex.tried})
+	id, err := rl.chooser.Pick(rl.now(), balance.Ask{Service: ex.svc.Name, Share: 1, Exclude: ex.tried,
+		Objective: ex.rt.Objective})
 	if err != nil {
 		if rf, ok := errors.AsType[refusal.Refusal](err); ok {
 			return board.BackendServer{}, rf.WithRetryAfter(rl.Settings.PlainBack)
@@ -122,7 +123,7 @@
 		rl.noteBreak(ctx, ex, bs, suspect.End{Beside: unknownBeside})
 	}
 	rl.mu.Lock()
-	rl.chooser.Done(rl.now(), bs.ID, balance.Outcome{Result: resultOf(ctx, at)})
+	rl.chooser.Done(rl.now(), bs.ID, balance.Outcome{Result: resultOf(ctx, at), Took: took, Load: rl.loadOf(at.rsp)})
 	if at.err == nil {
 		rl.budget.Observe(ex.svc.Name, took)
 	}
@@ -133,6 +134,18 @@
 	return at
 }
 
+// loadOf is what a server told of itself with an answer; nil: nothing.
+func (rl *Relay) loadOf(rsp *http.Response) *balance.Load {
+	if rsp == nil {
+		return nil
+	}
+	ld, ok := rl.Servers.Load(rsp)
+	if !ok {
+		return nil
+	}
+	return &ld
+}
+
 // attemptSpan bounds one attempt, so that a server that hangs leaves time for
 // another; zero bounds it by the request's end alone.
 func (rl *Relay) attemptSpan(ex *exchange) clock.Millis {
@@ -166,13 +179,21 @@
 // another tells whether an idempotent request that the server failed by its
 // own word is sent once more.
 func (rl *Relay) another(ctx context.Context, ex *exchange, number int, at attempt) bool {
-	if at.wh.status < http.StatusInternalServerError || !ex.rt.MayRepeat() {
+	if at.wh.status < http.StatusInternalServerError || !ex.rt.MayRepeat() || rl.crowded(ex) {
 		return false
 	}
 	failed := backend.InDoubtError{Call: "Send", Status: at.wh.status}
 	return rl.again(ctx, ex, number, plainCost, failed, plainNeed) == nil
 }
 
+// crowded tells whether requests of the route are being refused for the line before
+// the servers.
+func (rl *Relay) crowded(ex *exchange) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.chooser.Crowded(rl.now(), ex.svc.Name, ex.rt.Objective)
+}
+
 // again decides what follows a failed attempt: nil is another attempt, whose
 // backoff has passed, and an error the end of the request.
 func (rl *Relay) again(ctx context.Context, ex *exchange, number int, cost float64, failed error, need clock.Millis) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,6 +130,8 @@
 		// A handle beside such an error names the memory that the first engine
 		// keeps, with which the run can go on there.
 		Move(ctx context.Context, from, to board.BackendServer, id string, stop bool) (Handle, error)
+		// Load reads what a server told of itself with an answer.
+		Load(rsp *http.Response) (balance.Load, bool)
 		// Ended tells whether nobody listens at the server's address any more.
 		// What does not answer in time may be there.
 		Ended(ctx context.Context, bs board.BackendServer) bool
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
 	"alderdyke/internal/relay"
 	"alderdyke/internal/retry"
@@ -145,6 +146,13 @@
 	return nil
 }
 
+// Load reads what a test's answer tells.
+func (sv *servers) Load(rsp *http.Response) (balance.Load, bool) {
+	var ld balance.Load
+	_, err := fmt.Sscanf(rsp.Header.Get("X-Load"), "%d,%d,%d", &ld.Running, &ld.Waiting, &ld.Slots)
+	return ld, err == nil
+}
+
 // Ended tells whether nobody answers at a server's address.
 func (sv *servers) Ended(_ context.Context, bs board.BackendServer) bool {
 	sv.mu.Lock()
