--- a/internal/trace/losses.go
+++ b/internal/trace/losses.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"alderdyke/internal/event"
+	"alderdyke/pkg/refusal"
 )
 
 // What became of a generation, from best to worst.
@@ -21,13 +22,14 @@
 	LateBegin    Fate = "LateBegin"    // late; the decode began late after that
 	Refused      Fate = "Refused"
 	RefusedAgain Fate = "RefusedAgain" // it had been refused before
+	OverQuota    Fate = "OverQuota"    // its customer's quota was used up, or could not be asked; plain requests count too
 	Left         Fate = "Left"         // its caller left, or its time was over
 	Broken       Fate = "Broken"       // its answer broke off
 	NoEnd        Fate = "NoEnd"        // its VM stopped first, or the log does
 )
 
 // fates is the order in which they are listed.
-var fates = []Fate{InTime, LateReturned, LatePlace, LatePrompt, LateBegin, Refused, RefusedAgain, Left, Broken, NoEnd}
+var fates = []Fate{InTime, LateReturned, LatePlace, LatePrompt, LateBegin, Refused, RefusedAgain, OverQuota, Left, Broken, NoEnd}
 
 type (
 	// Fate is what became of a generation.
@@ -77,10 +79,13 @@
 	for _, lines := range ls.lines {
 		slices.SortStableFunc(lines, func(la, lb Line) int { return strings.Compare(la.Time, lb.Time) })
 		placed, ok := lastOf(lines, event.RelayPlaced, event.RelayNoPlace)
+		ft := fateOf(lines, placed)
 		if !ok {
-			continue // no generation
+			if !overQuota(lines) {
+				continue // no generation
+			}
+			ft = OverQuota
 		}
-		ft := fateOf(lines, placed)
 		lo := byFate[ft]
 		if lo == nil {
 			lo = &Loss{Fate: ft, Spans: make(map[time.Time]int)}
@@ -101,6 +106,14 @@
 	return out
 }
 
+// overQuota tells whether a request was refused before it was to be placed, since its
+// customer's quota was used up or could not be asked.
+func overQuota(lines []Line) bool {
+	end, ok := lastOf(lines, event.RelayRefused)
+	why := text(end, "Reason")
+	return ok && (why == string(refusal.ShareExceeded) || why == string(refusal.QuotaAway))
+}
+
 // fateOf tells what became of a generation, whose last word on a place is given.
 func fateOf(lines []Line, placed Line) Fate {
 	returned := text(placed, "Returning") == "true"
@@ -142,7 +155,11 @@
 // String writes a loss as a person reads it: the spans with most of it first.
 func (lo Loss) String() string {
 	var sb strings.Builder
-	fmt.Fprintf(&sb, "%-13s %6d generations, %6.0f tokens of prompt in the mean; most at", lo.Fate, lo.Count, float64(lo.Tokens)/float64(max(1, lo.Count)))
+	if lo.Fate == OverQuota {
+		fmt.Fprintf(&sb, "%-13s %6d requests, plain ones among them; most at", lo.Fate, lo.Count)
+	} else {
+		fmt.Fprintf(&sb, "%-13s %6d generations, %6.0f tokens of prompt in the mean; most at", lo.Fate, lo.Count, float64(lo.Tokens)/float64(max(1, lo.Count)))
+	}
 	spans := slices.SortedFunc(maps.Keys(lo.Spans), func(ta, tb time.Time) int {
 		return cmp.Or(cmp.Compare(lo.Spans[tb], lo.Spans[ta]), ta.Compare(tb))
 	})
--- a/internal/trace/losses_test.go
+++ b/internal/trace/losses_test.go
@@ -48,6 +48,12 @@
 			assert.Equal(t, strings.HasSuffix(table[0].String(), "most at 10:00:00 (1)"), true, table[0].String())
 		})
 	}
+	for _, why := range []string{"ShareExceeded", "QuotaAway"} {
+		var ls trace.Losses
+		assert.NilError(t, ls.Read(strings.NewReader(in(refused, why))))
+		assert.Equal(t, len(ls.Table()), 1)
+		assert.Equal(t, ls.Table()[0].Fate, trace.OverQuota)
+	}
 	var ls trace.Losses
 	plain := `{"time":"2026-05-01T10:00:05Z","VM":"v","Event":2200,"Name":"RelayAnswered","Request":"p"}`
 	assert.NilError(t, ls.Read(strings.NewReader(plain+"\nno line\n")))
