charge, quota: one try in two steps; a lease has a holder

Read as a newcomer: Charger.try did four things under two locks; what is decided here and what is asked for are apart now. No change of what is decided.

--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -100,10 +100,17 @@
 		silent  map[string]clock.Millis // keepers that did not answer, until when they are not asked
 		denied  map[string]denial       // by customer
 		asking  map[string]bool         // customers for whom credit is being asked
-		lender  string                  // VM that held the lease when that was looked at last
+		holder  string                  // VM that held the lease when that was looked at last
 		reached map[string]clock.Millis // customers whose quota is used up, and when it last was
 	}
 
+	// try is what became of one try to charge a request.
+	try struct {
+		granted  bool
+		answered bool         // by the keeper, now or just before; else it is not asked or silent
+		wait     clock.Millis // until there is room, if it answered that there is none
+	}
+
 	// denial is a keeper's word that there is no room.
 	denial struct {
 		tokens float64 // that were asked for
@@ -116,14 +123,14 @@
 func (ch *Charger) Charge(ctx context.Context, or Order) error {
 	until := ch.now() + or.Patience
 	for {
-		granted, wait, answered := ch.try(ctx, or)
+		tr := ch.try(ctx, or)
 		switch {
-		case granted:
-			ch.note(or, true, 0)
+		case tr.granted:
+			ch.note(or, tr)
 			return nil
-		case answered:
-			ch.note(or, false, wait)
-			return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded, RetryAfter: backAfter(wait),
+		case tr.answered:
+			ch.note(or, tr)
+			return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded, RetryAfter: backAfter(tr.wait),
 				Detail: "the customer's quota is used up"}
 		case ctx.Err() != nil || ch.now()+awaitKeeper >= until:
 			ch.count("Charges", "Away")
@@ -148,42 +155,52 @@
 }
 
 // try takes the tokens from what is here, or asks for them once.
-func (ch *Charger) try(ctx context.Context, or Order) (granted bool, wait clock.Millis, answered bool) {
-	vms := ch.Peers.VMs()
-	vm := ch.keeper()
-	ch.mu.Lock()
-	now := ch.now()
-	if ch.Account.Take(now, vms, or.Customer, or.Limit, or.Tokens) {
-		ask := vm != "" && ch.mayAskCredit(now, vms, vm, or)
-		ch.mu.Unlock()
-		if ask {
-			go ch.askCredit(vm, vms, or)
-		}
-		return true, 0, true
-	}
-	if de := ch.denied[or.Customer]; now < de.until && or.Tokens >= de.tokens {
-		ch.mu.Unlock()
-		return false, de.room - now, true
-	}
-	if vm == "" || now < ch.silent[vm] {
-		defer ch.mu.Unlock()
-		return ch.takeAlone(now, vms, or), 0, false
+func (ch *Charger) try(ctx context.Context, or Order) try {
+	vms, vm := ch.Peers.VMs(), ch.keeper()
+	if tr, decided := ch.tryHere(vms, vm, or); decided {
+		return tr
 	}
-	ch.mu.Unlock()
 	ans, err := ch.ask(ctx, vm, vms, or)
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	now = ch.now()
+	now := ch.now()
 	if err != nil || !ans.Known {
-		return ch.takeAlone(now, vms, or), 0, false
+		return try{granted: ch.takeAlone(now, vms, or)}
 	}
 	if !ans.Granted {
-		if ch.denied == nil {
-			ch.denied = make(map[string]denial)
+		ch.noteDenied(now, or, ans.Wait)
+	}
+	return try{granted: ans.Granted, answered: true, wait: ans.Wait}
+}
+
+// tryHere decides by what is known here, if that is enough.
+func (ch *Charger) tryHere(vms int, vm string, or Order) (tr try, decided bool) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	now := ch.now()
+	de := ch.denied[or.Customer]
+	switch {
+	case ch.Account.Take(now, vms, or.Customer, or.Limit, or.Tokens):
+		if ch.mayAskCredit(now, vms, vm, or) {
+			go ch.askCredit(vm, vms, or)
 		}
-		ch.denied[or.Customer] = denial{tokens: or.Tokens, until: now + min(ans.Wait, deniedFor), room: now + ans.Wait}
+		return try{granted: true, answered: true}, true
+	case now < de.until && or.Tokens >= de.tokens:
+		return try{answered: true, wait: de.room - now}, true
+	case vm == "" || now < ch.silent[vm]:
+		return try{granted: ch.takeAlone(now, vms, or)}, true
+	default:
+		return tr, false
+	}
+}
+
+// noteDenied has a keeper's word that there is no room stand for a while. The lock is
+// held.
+func (ch *Charger) noteDenied(now clock.Millis, or Order, wait clock.Millis) {
+	if ch.denied == nil {
+		ch.denied = make(map[string]denial)
 	}
-	return ans.Granted, ans.Wait, true
+	ch.denied[or.Customer] = denial{tokens: or.Tokens, until: now + min(wait, deniedFor), room: now + wait}
 }
 
 // takeAlone takes the tokens from this VM's own part, whose size is not known
@@ -196,7 +213,7 @@
 // the one that keeps the quotas as this VM sees the fleet.
 func (ch *Charger) keeper() string {
 	ch.mu.Lock()
-	vm := ch.Account.Lender(ch.now())
+	vm := ch.Account.Holder(ch.now())
 	ch.mu.Unlock()
 	if vm != "" {
 		return vm
@@ -234,7 +251,7 @@
 		return ans, err
 	}
 	ch.Account.Answered(now, asked, vms, vm, ask, lim, ans)
-	ch.noteLender(now)
+	ch.noteHolder(now)
 	return ans, nil
 }
 
@@ -254,7 +271,7 @@
 
 // mayAskCredit tells whether credit is to be asked for now. The lock is held.
 func (ch *Charger) mayAskCredit(now clock.Millis, vms int, vm string, or Order) bool {
-	if ch.asking[or.Customer] || now < ch.silent[vm] || now < ch.denied[or.Customer].until ||
+	if vm == "" || ch.asking[or.Customer] || now < ch.silent[vm] || now < ch.denied[or.Customer].until ||
 		!ch.Account.Low(vms, or.Customer, or.Limit, or.Tokens) {
 		return false
 	}
@@ -280,7 +297,7 @@
 	ch.mu.Lock()
 	now := ch.now()
 	ask, tell := ch.Account.GiveBack(now, vms, or.Customer, or.Limit, or.Tokens)
-	vm := ch.Account.Lender(now)
+	vm := ch.Account.Holder(now)
 	ch.mu.Unlock()
 	switch {
 	case !tell:
@@ -307,8 +324,8 @@
 // one that should keep the quotas ends.
 func (ch *Charger) renew(ctx context.Context) {
 	vm, vms := ch.Peers.Keeper(), ch.Peers.VMs()
-	if ask, lender, ends := ch.release(vm, vms); ends {
-		_, _ = ch.exchange(ctx, lender, vms, ask, quota.Limit{}) // or it runs out
+	if ask, holder, ends := ch.release(vm, vms); ends {
+		_, _ = ch.exchange(ctx, holder, vms, ask, quota.Limit{}) // or it runs out
 	}
 	for range 2 { // a lease that begins is told at once
 		ask, due := ch.renewal(vm, vms)
@@ -326,24 +343,24 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	now := ch.now()
-	ch.noteLender(now)
-	lender := ch.Account.Lender(now)
-	if vm == "" || lender != "" && lender != vm || now < ch.silent[vm] || !ch.Account.Due(now, vm) {
+	ch.noteHolder(now)
+	holder := ch.Account.Holder(now)
+	if vm == "" || holder != "" && holder != vm || now < ch.silent[vm] || !ch.Account.Due(now, vm) {
 		return ask, false
 	}
 	return ch.Account.Word(now, vms, vm), true
 }
 
 // release ends the lease of a VM that should not hold it.
-func (ch *Charger) release(vm string, vms int) (ask quota.Ask, lender string, ends bool) {
+func (ch *Charger) release(vm string, vms int) (ask quota.Ask, holder string, ends bool) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	now := ch.now()
-	lender = ch.Account.Lender(now)
-	if vm == "" || lender == "" || lender == vm {
+	holder = ch.Account.Holder(now)
+	if vm == "" || holder == "" || holder == vm {
 		return ask, "", false
 	}
-	return ch.Account.Release(now, vms), lender, now >= ch.silent[lender]
+	return ch.Account.Release(now, vms), holder, now >= ch.silent[holder]
 }
 
 // forget drops what is kept of customers that have no limit any more.
@@ -375,18 +392,18 @@
 	ch.Log.Log(event.QuotaSilent, event.F("Other", vm), event.F("LeaseLeft", ch.Account.LeaseLeft(now).String()), event.F("Error", err.Error()))
 }
 
-// noteLender tells that another VM keeps the quotas for this one. The lock is held.
-func (ch *Charger) noteLender(now clock.Millis) {
-	if vm := ch.Account.Lender(now); vm != ch.lender {
-		ch.Log.Log(event.QuotaKeeperChanged, event.F("Other", vm), event.F("Before", ch.lender))
-		ch.lender = vm
+// noteHolder tells that another VM keeps the quotas for this one. The lock is held.
+func (ch *Charger) noteHolder(now clock.Millis) {
+	if vm := ch.Account.Holder(now); vm != ch.holder {
+		ch.Log.Log(event.QuotaKeeperChanged, event.F("Other", vm), event.F("Before", ch.holder))
+		ch.holder = vm
 	}
 }
 
 // note counts a request, and tells when a customer's quota is used up, and when it
 // has been free again for a while.
-func (ch *Charger) note(or Order, granted bool, wait clock.Millis) {
-	if granted {
+func (ch *Charger) note(or Order, tr try) {
+	if tr.granted {
 		ch.count("Charges", "Granted")
 	} else {
 		ch.count("Charges", "Exceeded")
@@ -396,11 +413,11 @@
 	now := ch.now()
 	last, reached := ch.reached[or.Customer]
 	switch {
-	case granted && (!reached || now-last < freeAfter):
+	case tr.granted && (!reached || now-last < freeAfter):
 		return
-	case granted:
+	case tr.granted:
 		delete(ch.reached, or.Customer)
-		ch.Log.Log(event.QuotaFree, event.F("Customer", or.Customer), event.F("Keeper", ch.lender))
+		ch.Log.Log(event.QuotaFree, event.F("Customer", or.Customer), event.F("Keeper", ch.holder))
 		return
 	case ch.reached == nil:
 		ch.reached = make(map[string]clock.Millis)
@@ -408,7 +425,7 @@
 	ch.reached[or.Customer] = now
 	if !reached {
 		ch.Log.Log(event.QuotaReached, event.F("Customer", or.Customer), event.F("Tokens", or.Tokens), event.F("Rate", or.Limit.Rate),
-			event.F("Burst", or.Limit.Burst), event.F("Wait", wait.String()), event.F("Keeper", ch.lender))
+			event.F("Burst", or.Limit.Burst), event.F("Wait", tr.wait.String()), event.F("Keeper", ch.holder))
 	}
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -22,7 +22,7 @@
 		now clock.Millis // when what was taken of the slack was looked at last
 	}
 
-	// loan is to whom this VM lends its part.
+	// loan is the lease on this VM's part, as the VM that lends it sees it.
 	loan struct {
 		vm    string
 		id    uint64       // of the keeper's process
@@ -107,8 +107,8 @@
 	return most >= tokens && ac.creditOf(customer, lim, vms) < min(most, 2*tokens)
 }
 
-// Lender is the VM that holds a lease on this VM's part; empty: none does.
-func (ac *Account) Lender(now clock.Millis) string {
+// Holder is the VM that holds a lease on this VM's part; empty: none does.
+func (ac *Account) Holder(now clock.Millis) string {
 	if now < ac.lent.until {
 		return ac.lent.vm
 	}
@@ -123,8 +123,8 @@
 	return ac.lent.vm != vm || !ac.lent.told || now-ac.lent.since >= Renew
 }
 
-// Ask is what a keeper is asked: for a request's tokens, less what credit there is,
-// and for credit. It is to be the keeper that holds the lease, if one does.
+// Ask is what a keeper is asked: for a request's tokens, and for as much credit as is
+// wanting. It is to be the keeper that holds the lease, if one does.
 func (ac *Account) Ask(now clock.Millis, vms int, vm, customer string, lim Limit, tokens float64) Ask {
 	ask := ac.Word(now, vms, vm)
 	ask.Customer, ask.Need = customer, tokens
@@ -160,7 +160,7 @@
 	credit := ac.creditOf(customer, lim, vms)
 	kept := max(0, min(tokens, ac.Settings.credit(lim, vms)-credit))
 	ac.credits[customer] = credit + kept
-	if tokens -= kept; tokens <= 0 || ac.Lender(now) == "" {
+	if tokens -= kept; tokens <= 0 || ac.Holder(now) == "" {
 		return Ask{}, false
 	}
 	ask := ac.Word(now, vms, ac.lent.vm)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -124,10 +124,10 @@
 		return ask
 	}
 	word(900)
-	assert.Equal(t, pa.ac.Lender(1000), vmA)
+	assert.Equal(t, pa.ac.Holder(1000), vmA)
 	assert.Equal(t, word(1000).Keeper, uint64(0))
 	word(2400)
-	assert.Equal(t, pa.ac.Lender(2400), "c")
+	assert.Equal(t, pa.ac.Holder(2400), "c")
 	assert.Equal(t, word(2500).Keeper, uint64(2))
 	// Its own part comes in while nobody has it.
 	assert.Assert(t, !pa.ac.TakeAlone(2500, both, customer, pa.lim, 100))
@@ -143,9 +143,9 @@
 	ask := pa.ac.Release(900, both)
 	assert.Equal(t, pa.ac.Word(900, both, vmA).Keeper, uint64(0), "a lease that ends is not renewed")
 	ans := pa.ke.Answer(900, both, vmB, 1, ask, &pa.lim)
-	assert.Equal(t, pa.ac.Lender(900), vmA)
+	assert.Equal(t, pa.ac.Holder(900), vmA)
 	pa.ac.Answered(901, 900, both, vmA, ask, pa.lim, ans)
-	assert.Equal(t, pa.ac.Lender(901), "")
+	assert.Equal(t, pa.ac.Holder(901), "")
 	pa.own.Release(900, both)
 	before := pa.ke.Answer(902, both, vmA, 1, quota.Ask{Number: 50, Release: true}, &pa.lim)
 	assert.Assert(t, !before.Known)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -183,11 +183,11 @@
 		sm.take(vm, ms)
 	}
 	sm.look(vm)
-	if lender := vm.ac.Lender(sm.now); lender != "" && lender != vm.view && sm.now >= vm.silent[lender] {
-		vm.silent[lender] = sm.now + 100
-		sm.ask(vm, lender, vm.ac.Release(sm.now, simVMs), 0)
+	if holder := vm.ac.Holder(sm.now); holder != "" && holder != vm.view && sm.now >= vm.silent[holder] {
+		vm.silent[holder] = sm.now + 100
+		sm.ask(vm, holder, vm.ac.Release(sm.now, simVMs), 0)
 	}
-	if lender := vm.ac.Lender(sm.now); (lender == "" || lender == vm.view) && vm.ac.Due(sm.now, vm.view) && sm.now >= vm.silent[vm.view] {
+	if holder := vm.ac.Holder(sm.now); (holder == "" || holder == vm.view) && vm.ac.Due(sm.now, vm.view) && sm.now >= vm.silent[vm.view] {
 		ask := vm.ac.Word(sm.now, simVMs, vm.view)
 		vm.silent[vm.view] = sm.now + 100
 		sm.ask(vm, vm.view, ask, 0)
@@ -208,7 +208,7 @@
 		sm.runOrGiveBack(vm, tokens)
 		return
 	}
-	to := vm.ac.Lender(sm.now)
+	to := vm.ac.Holder(sm.now)
 	if to == "" {
 		to = vm.view
 	}
@@ -258,7 +258,7 @@
 		return
 	}
 	if ask, tell := vm.ac.GiveBack(sm.now, simVMs, customer, sm.lim, tokens); tell {
-		sm.ask(vm, vm.ac.Lender(sm.now), ask, 0)
+		sm.ask(vm, vm.ac.Holder(sm.now), ask, 0)
 	}
 }
 
