quota: a request that is larger than the burst is not refused for good

Found by reading: a bucket holds the burst at most, so that of a customer whose burst is smaller than one of its requests (a limit of 1 a second with no burst, and no slack) none was ever granted. Now it goes when the bucket is full and is paid for before the next; only at a keeper that holds more than half of the parts, for in a fleet in pieces each of many small keepers would pass the limit by a request. TestBackOnce asked that 501 be refused of a bucket of 500, which is now granted as a debt; it asks as strictly that 500 go and 1 more does not.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -45,9 +45,14 @@
 	if ask.Back > 0 && ke.fresh(vm, life, ask.Number) {
 		bu.level = min(bu.level+ask.Back, lim.Burst*part)
 	}
-	floor := -ke.Settings.spare(*lim) * part
-	if bu.level-ask.Need < floor {
-		ans.Wait = waitFor(floor+ask.Need-bu.level, lim.Rate*part)
+	// A request that is larger than a full bucket goes when that is full, and what
+	// it takes beyond comes in before the next.
+	wanted := ask.Need - ke.Settings.spare(*lim)*part
+	if part > mainPart {
+		wanted = min(wanted, lim.Burst*part)
+	}
+	if bu.level < wanted {
+		ans.Wait = waitFor(wanted-bu.level, lim.Rate*part)
 		return ans
 	}
 	ans.Granted = true
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,12 +28,12 @@
 // # Usage
 //
 //	ke := &quota.Keeper{Settings: st, ID: rand.Uint64()}
-//	ans := ke.Answer(now, vms, "vm-7", ask, limit) // at the keeper
+//	ans := ke.Answer(now, vms, "vm-7", life, ask, &limit) // at the keeper
 //
 //	ac := &quota.Account{Settings: st}
 //	if ac.Take(now, vms, customer, limit, tokens) { ... } // by what the VM has here
 //	ask := ac.Ask(now, vms, "vm-2", customer, limit, tokens) // or a keeper is asked
-//	ac.Answered(now, "vm-2", ask, ans)
+//	ac.Answered(now, asked, vms, "vm-2", ask, limit, ans)
 //
 // A Keeper and an Account do no I/O and are not safe for concurrent use.
 package quota
@@ -54,6 +54,10 @@
 	// amplePart of a full bucket has to be there for a keeper to give credit:
 	// what is scarce goes to requests that are there.
 	amplePart = 0.25
+	// mainPart of the fleet's parts is what one keeper at most holds more than. It
+	// alone grants a request that is larger than a full bucket: where each of
+	// many small keepers did, a fleet in pieces would pass its limits.
+	mainPart = 0.5
 )
 
 type (
