--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -92,7 +92,10 @@
 		// Limit is a customer's limit by the configuration in force; false: it
 		// has none, or there is no such customer.
 		Limit func(customer string) (quota.Limit, bool)
-		Clock clock.Source
+		// Limited tells whether any customer has one; without, no leases are kept:
+		// at 300 VMs the keeper would hear 500 words a second for nothing.
+		Limited func() bool
+		Clock   clock.Source
 		Log   event.Logger
 		Scope tally.Scope
 
@@ -312,7 +315,9 @@
 func (ch *Charger) Run(ctx context.Context) {
 	forgot := ch.now()
 	for clock.Sleep(ctx, lookEvery) {
-		ch.renew(ctx)
+		if ch.Limited() {
+			ch.renew(ctx)
+		}
 		if now := ch.now(); now-forgot >= forgetEvery {
 			forgot = now
 			ch.forget()
--- a/internal/charge/charge_test.go
+++ b/internal/charge/charge_test.go
@@ -25,6 +25,8 @@
 		cut    map[string]bool // VMs that answer nobody
 		asks   int
 		delay  time.Duration
+
+		unlimited bool // no customer has a limit
 	}
 
 	// peers is the net as one VM sees it.
@@ -77,6 +79,7 @@
 	for ix, name := range names {
 		nt.vms[name] = &charge.Charger{Self: name, Keeper: quota.Keeper{ID: uint64(ix + 1), Settings: st}, Account: quota.Account{Settings: st},
 			Peers: peers{nt, name}, Limit: func(customer string) (quota.Limit, bool) { return limit, customer == "c" },
+			Limited: func() bool { return !nt.unlimited },
 			Clock: bubbleClock{time.Now()}}
 	}
 	for _, ch := range nt.vms {
@@ -187,6 +190,16 @@
 	})
 }
 
+// Where no customer has a limit VMs say nothing to each other.
+func TestNoLeasesWithoutLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, settings, "a", "b", "c")
+		nt.unlimited = true
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, nt.asks, 0)
+	})
+}
+
 // Before the fleet's size is known a VM has no part of a limit.
 func TestAloneBeforeTheFleetIsKnown(t *testing.T) {
 	ch := &charge.Charger{Self: "a", Keeper: quota.Keeper{ID: 1}, Peers: peers{&net{}, "a"}}
--- a/internal/route/customer.go
+++ b/internal/route/customer.go
@@ -6,10 +6,12 @@
 // that two customers have is nobody's.
 func (tb *Table) WithCustomers(list []Customer) *Table {
 	out := *tb
+	out.limited = false
 	out.keyed, out.customers, out.byKey = true, make(map[string]Customer, len(list)), make(map[string]string)
 	shared := make(map[string]bool)
 	for _, cu := range list {
 		out.customers[cu.Name] = cu
+		out.limited = out.limited || cu.Limit.Limited()
 		for _, hash := range cu.KeyHashes {
 			if other, taken := out.byKey[hash]; taken && other != cu.Name {
 				shared[hash] = true
@@ -26,6 +28,9 @@
 // Keyed tells whether callers need a customer's key.
 func (tb *Table) Keyed() bool { return tb != nil && tb.keyed }
 
+// Limited tells whether any customer has a limit.
+func (tb *Table) Limited() bool { return tb != nil && tb.limited }
+
 // Customer finds a customer by its name.
 func (tb *Table) Customer(name string) (Customer, bool) {
 	if tb == nil {
--- a/internal/route/customer_test.go
+++ b/internal/route/customer_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/apikey"
+	"alderdyke/internal/quota"
 	"alderdyke/internal/route"
 )
 
@@ -32,7 +33,8 @@
 	_, ok := tb.CustomerOf("")
 	assert.Assert(t, !ok)
 	_, ok = tb.Customer("none")
-	assert.Assert(t, ok && tb.Keyed())
+	assert.Assert(t, ok && tb.Keyed() && !tb.Limited())
+	assert.Assert(t, keyed(t, route.Customer{Limit: quota.Limit{Rate: 1}}, route.Customer{}).Limited())
 	// A table of nobody asks for keys that nobody has; one that names no customers
 	// asks for none.
 	assert.Assert(t, keyed(t).Keyed())
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -102,6 +102,7 @@
 		services map[string]Service
 
 		keyed     bool // callers need a customer's key
+		limited   bool // some customer has a limit
 		customers map[string]Customer
 		byKey     map[string]string // names of customers, by the hashes of their keys
 	}
