--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -96,8 +96,8 @@
 		// at 300 VMs the keeper would hear 500 words a second for nothing.
 		Limited func() bool
 		Clock   clock.Source
-		Log   event.Logger
-		Scope tally.Scope
+		Log     event.Logger
+		Scope   tally.Scope
 
 		mu      sync.Mutex              // guards all below, Keeper and Account
 		silent  map[string]clock.Millis // keepers that did not answer, until when they are not asked
--- a/internal/charge/charge_test.go
+++ b/internal/charge/charge_test.go
@@ -70,6 +70,12 @@
 
 func (pe peers) TellQuota(vm string, ask quota.Ask) { pe.net.vms[vm].Answer(pe.self, 1, ask) }
 
+func (nt *net) limited() bool {
+	nt.mu.Lock()
+	defer nt.mu.Unlock()
+	return !nt.unlimited
+}
+
 // newNet makes VMs of which one keeps the quotas, and runs them until the test ends.
 func newNet(t *testing.T, st quota.Settings, names ...string) *net {
 	t.Helper()
@@ -79,8 +85,8 @@
 	for ix, name := range names {
 		nt.vms[name] = &charge.Charger{Self: name, Keeper: quota.Keeper{ID: uint64(ix + 1), Settings: st}, Account: quota.Account{Settings: st},
 			Peers: peers{nt, name}, Limit: func(customer string) (quota.Limit, bool) { return limit, customer == "c" },
-			Limited: func() bool { return !nt.unlimited },
-			Clock: bubbleClock{time.Now()}}
+			Limited: nt.limited,
+			Clock:   bubbleClock{time.Now()}}
 	}
 	for _, ch := range nt.vms {
 		go ch.Run(ctx)
@@ -194,7 +200,9 @@
 func TestNoLeasesWithoutLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nt := newNet(t, settings, "a", "b", "c")
+		nt.mu.Lock()
 		nt.unlimited = true
+		nt.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, nt.asks, 0)
 	})
