--- a/internal/charge/charge_test.go
+++ b/internal/charge/charge_test.go
@@ -70,6 +70,12 @@
 
 func (pe peers) TellQuota(vm string, ask quota.Ask) { pe.net.vms[vm].Answer(pe.self, 1, ask) }
 
+func (nt *net) asked() int {
+	nt.mu.Lock()
+	defer nt.mu.Unlock()
+	return nt.asks
+}
+
 func (nt *net) limited() bool {
 	nt.mu.Lock()
 	defer nt.mu.Unlock()
@@ -151,12 +157,12 @@
 		time.Sleep(5 * time.Second)
 		for nt.vms["b"].Charge(t.Context(), order(10000)) == nil {
 		}
-		before := nt.asks
+		before := nt.asked()
 		for range 1000 {
 			_ = nt.vms["b"].Charge(t.Context(), order(10000)) // one may find room
 			time.Sleep(time.Millisecond)
 		}
-		assert.Assert(t, nt.asks-before < 40, "%d asks in a second", nt.asks-before)
+		assert.Assert(t, nt.asked()-before < 40, "%d asks in a second", nt.asked()-before)
 	})
 }
 
@@ -166,7 +172,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		nt := newNet(t, settings, "a", "b", "c", "d")
 		time.Sleep(5 * time.Second)
+		nt.mu.Lock()
 		nt.cut["a"] = true
+		nt.mu.Unlock()
 		assert.NilError(t, nt.vms["b"].Charge(t.Context(), order(200)))
 		began := time.Now()
 		rf := refusalOf(t, nt.vms["b"].Charge(t.Context(), order(100000)))
@@ -204,7 +212,7 @@
 		nt.unlimited = true
 		nt.mu.Unlock()
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, nt.asks, 0)
+		assert.Equal(t, nt.asked(), 0)
 	})
 }
 
