quota: a keeper that has just begun does not say that there is no room

Ruled out: a bucket that begins full, which passes the limit at each change of the keeper. Change: for the first 500 ms a keeper that can't grant says that it does not know; the request waits a little and asks again, or is told 503 and to come back when the keeper has settled. TestKeeperSettles, TestKeeperBegins fail before, pass after.

--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -138,7 +138,7 @@
 		case ctx.Err() != nil || ch.now()+awaitKeeper >= until:
 			ch.count("Charges", "Away")
 			return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QuotaAway, RetryAfter: ch.backLater(),
-				Detail: "the VM that keeps the customers' quotas does not answer"}
+				Detail: "the VM that keeps the customers' quotas does not answer, or has just begun"}
 		}
 		clock.Sleep(ctx, awaitKeeper)
 	}
@@ -150,11 +150,16 @@
 	return wait + clock.Millis(spreadBack*rand.Float64()*float64(wait))
 }
 
-// backLater is when the quota can be asked for again where the keeper is gone.
+// backLater is when the quota can be asked for again: when a keeper that has begun
+// has settled, or when the lease of one that is gone has run out.
 func (ch *Charger) backLater() clock.Millis {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	return backAfter(ch.Account.LeaseLeft(ch.now()) + lookEvery)
+	now := ch.now()
+	if vm := ch.Account.Holder(now); vm != "" && now >= ch.silent[vm] {
+		return backAfter(quota.Settle)
+	}
+	return backAfter(ch.Account.LeaseLeft(now) + lookEvery)
 }
 
 // try takes the tokens from what is here, or asks for them once.
--- a/internal/charge/charge_test.go
+++ b/internal/charge/charge_test.go
@@ -190,6 +190,21 @@
 	})
 }
 
+// A request that comes before the keeper has any leases is not told that its customer's
+// quota is used up.
+func TestKeeperBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nt := newNet(t, quota.Settings{Window: 8 * clock.Second}, "a", "b", "c")
+		or := order(100)
+		or.Patience = 60
+		rf := refusalOf(t, nt.vms["b"].Charge(t.Context(), or))
+		assert.Equal(t, rf.Reason, refusal.QuotaAway)
+		assert.Assert(t, rf.RetryAfter <= 2*quota.Settle, "%v", rf.RetryAfter)
+		time.Sleep(rf.RetryAfter.Std())
+		assert.NilError(t, nt.vms["b"].Charge(t.Context(), or))
+	})
+}
+
 // When another VM is to keep the quotas the leases move to it at once.
 func TestKeeperMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -16,8 +16,9 @@
 		leases  map[string]lease
 		buckets map[string]*bucket
 		now     clock.Millis
-		pooled  float64 // span for which the whole fleet's parts would have been held, in ms
-		began   float64 // what that was when there was no lease last: buckets fill since then
+		pooled  float64      // span for which the whole fleet's parts would have been held, in ms
+		since   clock.Millis // when there was no lease last
+		began   float64      // what pooled was then: buckets fill since
 	}
 
 	// lease is the part of one VM, in one of its lives.
@@ -52,6 +53,7 @@
 		wanted = min(wanted, lim.Burst*part)
 	}
 	if bu.level < wanted {
+		ans.Known = now-ke.since >= Settle
 		ans.Wait = waitFor(wanted-bu.level, lim.Rate*part)
 		return ans
 	}
@@ -73,7 +75,8 @@
 // advance counts how long the parts of VMs were held since the last time.
 func (ke *Keeper) advance(now clock.Millis, vms int) {
 	if ke.leases == nil {
-		ke.leases, ke.buckets, ke.now = make(map[string]lease), make(map[string]*bucket), now
+		ke.leases, ke.buckets = make(map[string]lease), make(map[string]*bucket)
+		ke.now, ke.since = now, now
 	}
 	if now <= ke.now {
 		return
@@ -93,7 +96,7 @@
 // empty takes what is in the buckets: others give out tokens now, and what came
 // in here before may not be given out beside theirs.
 func (ke *Keeper) empty() {
-	ke.began = ke.pooled
+	ke.since, ke.began = ke.now, ke.pooled
 	for _, bu := range ke.buckets {
 		bu.level, bu.at = min(bu.level, 0), ke.pooled
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,6 +49,11 @@
 	// lost are said again after a fifth of a second, and three may be. The keeper
 	// of 300 VMs hears 500 words a second.
 	Renew = 600 * clock.Millis(1)
+	// Settle is how long a keeper that held no leases does not say that there is no
+	// room: the VMs lend it their parts within two looks at their leases, and its
+	// buckets begin empty. Without it a fleet whose VMs had all been killed turned
+	// customers away who were far below their limits.
+	Settle = 500 * clock.Millis(1)
 	// slackPart is what one use of the slack may take of it: a keeper, the VMs'
 	// credit, and VMs alone, which in one window may take theirs twice.
 	slackPart = 0.15
@@ -92,7 +97,7 @@
 	Answer struct {
 		Keeper  uint64       // its process
 		Time    clock.Millis // by its own clock
-		Known   bool         // it knows a limit of the customer
+		Known   bool         // it knows a limit of the customer and what there is of it; else the rest says nothing
 		Granted bool         // the request may run
 		Credit  float64      // tokens beyond it
 		Wait    clock.Millis // after which there will be as many as were needed
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -256,3 +256,18 @@
 	assert.Assert(t, few.Answer(9000, 2*both, vmB, 1, quota.Ask{Number: 99, Customer: customer, Need: 100}, &tenths).Granted)
 	assert.Assert(t, !few.Answer(9000, 2*both, vmB, 1, quota.Ask{Number: 99, Customer: customer, Need: 600}, &tenths).Granted)
 }
+
+// A keeper that has just got its first leases does not say that there is no room, for
+// it knows only that it has nothing yet.
+func TestKeeperSettles(t *testing.T) {
+	pa := newPair(exact)
+	ans := pa.ke.Answer(0, both, vmB, 1, quota.Ask{Number: 1, Customer: customer, Need: 1}, &pa.lim)
+	assert.Assert(t, !ans.Known && !ans.Granted)
+	pa.renewUntil(0, 800)
+	ans = pa.ke.Answer(800, both, vmB, 1, quota.Ask{Number: 90, Customer: customer, Need: 450}, &pa.lim)
+	assert.Assert(t, !ans.Known && !ans.Granted)
+	ans = pa.ke.Answer(800, both, vmB, 1, quota.Ask{Number: 91, Customer: customer, Need: 300}, &pa.lim)
+	assert.Assert(t, ans.Known && ans.Granted, "what there is may be given out")
+	ans = pa.ke.Answer(1000, both, vmB, 1, quota.Ask{Number: 92, Customer: customer, Need: 450}, &pa.lim)
+	assert.Assert(t, ans.Known && !ans.Granted)
+}
