--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,29 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+
+	"alderdyke/internal/quota"
+	"alderdyke/pkg/clock"
+)
+
+// BenchmarkAnswer is what one ask costs a keeper to which so many VMs lend their parts.
+func BenchmarkAnswer(b *testing.B) {
+	for _, vms := range []int{7, 69, 300} {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			ke := quota.Keeper{ID: 1, Settings: simSettings}
+			names := make([]string, vms)
+			for ix := range names {
+				names[ix] = fmt.Sprintf("vm-%d", ix)
+			}
+			now := clock.Millis(0)
+			for ix := 0; b.Loop(); ix++ {
+				if ix%4 == 0 {
+					now++
+				}
+				ke.Answer(now, vms, names[ix%vms], 1, quota.Ask{Number: uint64(ix), Keeper: 1, Heard: max(0, now-5), Customer: customer, Need: simSmall}, &simLimit)
+			}
+		})
+	}
+}
