quota, charge, trace: one name for a VM's part of the slack; no fate worked out for nothing

From reading the whole change once more; no behaviour changes. TakeAlone worked out again what Settings.credit is (now spareOf, for both uses); Charger.count had a name that was always the same; forgetAfter stands at its file's head; Losses worked out a generation's fate for plain requests too, and dropped it. Tests of the four packages pass with the race detector, linters clean.

--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -136,7 +136,7 @@
 			return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded, RetryAfter: backAfter(tr.wait),
 				Detail: "the customer's quota is used up"}
 		case ctx.Err() != nil || ch.now()+awaitKeeper >= until:
-			ch.count("Charges", "Away")
+			ch.count("Away")
 			return refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.QuotaAway, RetryAfter: ch.backLater(),
 				Detail: "the VM that keeps the customers' quotas does not answer, or has just begun"}
 		}
@@ -414,9 +414,9 @@
 // has been free again for a while.
 func (ch *Charger) note(or Order, tr try) {
 	if tr.granted {
-		ch.count("Charges", "Granted")
+		ch.count("Granted")
 	} else {
-		ch.count("Charges", "Exceeded")
+		ch.count("Exceeded")
 	}
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
@@ -439,8 +439,9 @@
 	}
 }
 
-func (ch *Charger) count(name, outcome string) {
+// count counts a request by what became of it.
+func (ch *Charger) count(outcome string) {
 	if ch.Scope != nil {
-		ch.Scope.Tagged(map[string]string{"Outcome": outcome}).Counter(name).Inc(1)
+		ch.Scope.Tagged(map[string]string{"Outcome": outcome}).Counter("Charges").Inc(1)
 	}
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -52,7 +52,7 @@
 func (ac *Account) TakeAlone(now clock.Millis, vms int, customer string, lim Limit, tokens float64) bool {
 	ac.advance(now, vms)
 	part := 1 / float64(max(1, vms))
-	spare := ac.Settings.spare(lim) * part
+	spare := ac.Settings.spareOf(lim, vms)
 	bu := ac.ownOf(customer)
 	bu.fill(ac.alone, lim, part)
 	bu.recover(now, spare, ac.Settings.Window)
@@ -97,13 +97,13 @@
 }
 
 func (ac *Account) creditOf(customer string, lim Limit, vms int) float64 {
-	return min(ac.credits[customer], ac.Settings.credit(lim, vms))
+	return min(ac.credits[customer], ac.Settings.spareOf(lim, vms))
 }
 
 // Low tells whether credit is to be asked for: there is less than two requests of
 // a size take, and room for it.
 func (ac *Account) Low(vms int, customer string, lim Limit, tokens float64) bool {
-	most := ac.Settings.credit(lim, vms)
+	most := ac.Settings.spareOf(lim, vms)
 	return most >= tokens && ac.creditOf(customer, lim, vms) < min(most, 2*tokens)
 }
 
@@ -128,7 +128,7 @@
 func (ac *Account) Ask(now clock.Millis, vms int, vm, customer string, lim Limit, tokens float64) Ask {
 	ask := ac.Word(now, vms, vm)
 	ask.Customer, ask.Need = customer, tokens
-	ask.Ahead = max(0, ac.Settings.credit(lim, vms)-ac.creditOf(customer, lim, vms))
+	ask.Ahead = max(0, ac.Settings.spareOf(lim, vms)-ac.creditOf(customer, lim, vms))
 	return ask
 }
 
@@ -158,7 +158,7 @@
 func (ac *Account) GiveBack(now clock.Millis, vms int, customer string, lim Limit, tokens float64) (Ask, bool) {
 	ac.advance(now, vms)
 	credit := ac.creditOf(customer, lim, vms)
-	kept := max(0, min(tokens, ac.Settings.credit(lim, vms)-credit))
+	kept := max(0, min(tokens, ac.Settings.spareOf(lim, vms)-credit))
 	ac.credits[customer] = credit + kept
 	if tokens -= kept; tokens <= 0 || ac.Holder(now) == "" {
 		return Ask{}, false
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -6,6 +6,9 @@
 	"alderdyke/pkg/clock"
 )
 
+// forgetAfter is how long what a VM gave back last is kept: no ask is that late.
+const forgetAfter = clock.Minute
+
 type (
 	// Keeper gives out the tokens of the parts that it was lent. Set the exported
 	// fields before use.
@@ -167,6 +170,3 @@
 		}
 	}
 }
-
-// forgetAfter is how long what a VM gave back last is kept: no ask is that late.
-const forgetAfter = clock.Minute
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -120,8 +120,9 @@
 	return slackPart * (st.Excess*(lim.Rate*window+lim.Burst) + st.Slack)
 }
 
-// credit is the most that a VM holds beyond what its requests took.
-func (st Settings) credit(lim Limit, vms int) float64 { return st.spare(lim) / float64(max(1, vms)) }
+// spareOf is one VM's part of that: the most that it holds as credit, and that it may
+// take alone.
+func (st Settings) spareOf(lim Limit, vms int) float64 { return st.spare(lim) / float64(max(1, vms)) }
 
 // fill adds what came in since the bucket was filled last, at a part of the rate:
 // at is the pool's time, in which a millisecond of the whole fleet's leases is a
--- a/internal/trace/losses.go
+++ b/internal/trace/losses.go
@@ -79,12 +79,14 @@
 	for _, lines := range ls.lines {
 		slices.SortStableFunc(lines, func(la, lb Line) int { return strings.Compare(la.Time, lb.Time) })
 		placed, ok := lastOf(lines, event.RelayPlaced, event.RelayNoPlace)
-		ft := fateOf(lines, placed)
-		if !ok {
-			if !overQuota(lines) {
-				continue // no generation
-			}
+		var ft Fate
+		switch {
+		case ok:
+			ft = fateOf(lines, placed)
+		case overQuota(lines):
 			ft = OverQuota
+		default:
+			continue // no generation
 		}
 		lo := byFate[ft]
 		if lo == nil {
