engine, integration: an order in doubt names its request

EngineInDoubt has Request; a test of a fleet that fails writes what the engines did for each key, and what the VMs know of it.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -73,13 +73,14 @@
 
 	// call is one exchange with an engine.
 	call struct {
-		srv    board.BackendServer
-		name   string
-		method string
-		path   string
-		query  url.Values
-		body   any // nil for reads
-		may    func() bool
+		srv     board.BackendServer
+		name    string
+		request string // that it is about; empty: none
+		method  string
+		path    string
+		query   url.Values
+		body    any // nil for reads
+		may     func() bool
 	}
 )
 
@@ -87,7 +88,7 @@
 // first, the engine goes on until it is cancelled.
 func (ec *Client) Prefill(ctx context.Context, srv board.BackendServer, od PrefillOrder) (PrefillResult, error) {
 	var out PrefillResult
-	cl := call{srv: srv, name: "Prefill", method: http.MethodPost, path: PrefillPath, body: od}
+	cl := call{srv: srv, name: "Prefill", request: od.Request, method: http.MethodPost, path: PrefillPath, body: od}
 	if err := ec.document(ctx, cl, documentBytes, &out); err != nil {
 		return PrefillResult{}, fmt.Errorf("prefill request %s: %w", od.Request, err)
 	}
@@ -98,7 +99,7 @@
 // When the context ends first, the engine goes on, and holds the memory slot
 // until it is cancelled. After a DeclinedError it holds nothing.
 func (ec *Client) Import(ctx context.Context, srv board.BackendServer, od ImportOrder) error {
-	cl := call{srv: srv, name: "Import", method: http.MethodPost, path: ImportPath, body: od}
+	cl := call{srv: srv, name: "Import", request: od.Request, method: http.MethodPost, path: ImportPath, body: od}
 	if err := ec.document(ctx, cl, documentBytes, nil); err != nil {
 		return fmt.Errorf("import KV cache of request %s: %w", od.Request, err)
 	}
@@ -110,7 +111,7 @@
 // end the decode: it goes on, and can be resumed, until it is complete or
 // cancelled.
 func (ec *Client) Decode(ctx context.Context, srv board.BackendServer, od DecodeOrder) (*Stream, error) {
-	cl := call{srv: srv, name: "Decode", method: http.MethodPost, path: DecodePath, body: od}
+	cl := call{srv: srv, name: "Decode", request: od.Request, method: http.MethodPost, path: DecodePath, body: od}
 	st, err := ec.open(ctx, cl, od.From)
 	if err != nil {
 		return nil, fmt.Errorf("decode request %s: %w", od.Request, err)
@@ -156,7 +157,7 @@
 // that a later attempt can still use the engine.
 func (ec *Client) CancelAttempt(ctx context.Context, srv board.BackendServer, request string, attempt int) error {
 	od := CancelOrder{Request: request, Attempt: attempt}
-	cl := call{srv: srv, name: "Cancel", method: http.MethodPost, path: CancelPath, body: od}
+	cl := call{srv: srv, name: "Cancel", request: od.Request, method: http.MethodPost, path: CancelPath, body: od}
 	var out CancelResult
 	if err := ec.document(ctx, cl, documentBytes, &out); err != nil {
 		return fmt.Errorf("cancel request %s: %w", request, err)
@@ -299,7 +300,7 @@
 	oc := backend.Count(ec.Scope, "EngineCalls", cl.name, err)
 	if oc == backend.InDoubt && cl.body != nil {
 		ec.Log.Log(event.EngineInDoubt, event.F("Server", cl.srv.ID), event.F("Call", cl.name),
-			event.F("Cause", err.Error()))
+			event.F("Request", cl.request), event.F("Cause", err.Error()))
 	}
 }
 
--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -67,6 +67,7 @@
 	fl.t.Cleanup(func() {
 		if fl.t.Failed() {
 			fl.tell(og)
+			fl.tellRuns(call.Key)
 		}
 		stop(errLeft)
 		<-og.done
@@ -88,6 +89,19 @@
 		og.call.Ended.Format(time.StampMilli), og.err, og.story)
 }
 
+// tellRuns logs what the engines and the VMs know of a key.
+func (fl *fleet) tellRuns(key string) {
+	fl.t.Logf("%s:\n%s", key, fl.explain(key))
+	for _, en := range fl.dp.Engines {
+		for _, rec := range en.History().Runs {
+			if attemptOf(rec.Request, key) {
+				fl.t.Logf("%s at %s, %s: attempt %d for %s, %d decodes began, %d tokens, %q, %v",
+					rec.Request, en.ID, rec.Role, rec.Attempt, rec.VM.ID, rec.Decodes, rec.Tokens, rec.Outcome, rec.Stages)
+			}
+		}
+	}
+}
+
 // explain tells what the VMs know about a request.
 func (fl *fleet) explain(key string) string {
 	for _, vm := range fl.vms {
