quota: a VM lends its part of the slack to one keeper in a window

What would be seen: a customer far beyond its limit gets more than the limit and its slack allow, where keepers change often.

Cause: each keeper may go below an empty bucket by its part of the slack, and the next one begins at zero, whatever the one before owed. Keepers that follow one another each spend the slack anew; the part that was set aside for that is used up after three of them.

Change: the part of the slack is lent with the lease, to one keeper in a window. A keeper says as a lease ends whether it owes tokens that have not come in yet; if it does not, the next one has the part at once, for what was spent came in since. TestSlackIsLentOnceInAWindow fails on the commit before ("the first one owes": granted).

--- a/internal/fleet/quota.go
+++ b/internal/fleet/quota.go
@@ -150,25 +150,25 @@
 func quotaAskToWire(number uint64, ask quota.Ask) *peerpb.Datagram {
 	return &peerpb.Datagram{Body: &peerpb.Datagram_QuotaAsk{QuotaAsk: &peerpb.QuotaAsk{
 		Number: number, Shard: uint32(ask.Shard), Serial: ask.Number, Keeper: ask.Keeper, Heard: uint64(max(0, ask.Heard)),
-		Customer: ask.Customer, Need: ask.Need, Ahead: ask.Ahead, Back: ask.Back, Release: ask.Release}}}
+		Customer: ask.Customer, Need: ask.Need, Ahead: ask.Ahead, Back: ask.Back, Release: ask.Release, Slack: ask.Slack}}}
 }
 
 // quotaAskFromWire reads an ask. What is no number of tokens is none.
 func quotaAskFromWire(qa *peerpb.QuotaAsk) quota.Ask {
 	return quota.Ask{Shard: int(qa.GetShard()), Number: qa.GetSerial(), Keeper: qa.GetKeeper(), Heard: clock.Millis(qa.GetHeard()), Customer: qa.GetCustomer(),
 		Need: tokensOf(qa.GetNeed()), Ahead: tokensOf(qa.GetAhead()), Back: tokensOf(qa.GetBack()),
-		Release: qa.GetRelease()}
+		Release: qa.GetRelease(), Slack: qa.GetSlack()}
 }
 
 func quotaAnswerToWire(number uint64, ans quota.Answer) *peerpb.Datagram {
 	return &peerpb.Datagram{Body: &peerpb.Datagram_QuotaAnswer{QuotaAnswer: &peerpb.QuotaAnswer{
 		Number: number, Keeper: ans.Keeper, Time: uint64(max(0, ans.Time)), Known: ans.Known, Granted: ans.Granted,
-		Credit: ans.Credit, Wait: uint32(max(0, ans.Wait))}}}
+		Credit: ans.Credit, Wait: uint32(max(0, ans.Wait)), Owes: ans.Owes}}}
 }
 
 func quotaAnswerFromWire(qa *peerpb.QuotaAnswer) quota.Answer {
 	return quota.Answer{Keeper: qa.GetKeeper(), Time: clock.Millis(qa.GetTime()), Known: qa.GetKnown(), Granted: qa.GetGranted(),
-		Credit: tokensOf(qa.GetCredit()), Wait: clock.Millis(qa.GetWait())}
+		Credit: tokensOf(qa.GetCredit()), Wait: clock.Millis(qa.GetWait()), Owes: qa.GetOwes()}
 }
 
 // tokensOf reads a number of tokens.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -10,6 +10,7 @@
 		Shard    int // whose keepers it asks
 
 		lent    loan
+		slack   slackLoan
 		number  uint64
 		own     map[string]*ownBucket
 		credits map[string]float64
@@ -23,6 +24,12 @@
 		now clock.Millis // when what was taken of the slack was looked at last
 	}
 
+	// slackLoan is the part of the slack that this VM lends.
+	slackLoan struct {
+		keeper uint64       // the process that it was lent to last; zero: none
+		until  clock.Millis // when the last lease with it runs out, by this VM's clock
+	}
+
 	// loan is the lease on this VM's part, as the VM that lends it sees it.
 	loan struct {
 		vm    string
@@ -149,10 +156,33 @@
 	ask := Ask{Shard: ac.Shard, Number: ac.number}
 	if ac.lent.vm == vm && now < ac.lent.until && !ac.lent.ends {
 		ask.Keeper, ask.Heard, ac.lent.told = ac.lent.id, ac.lent.heard, true
+		ask.Slack = ac.lendSlack(now)
 	}
 	return ask
 }
 
+// lendSlack lends the part of the slack to the keeper that holds the lease, unless
+// another one may have spent it within the window.
+func (ac *Account) lendSlack(now clock.Millis) bool {
+	other := ac.slack.keeper != 0 && ac.slack.keeper != ac.lent.id
+	if other && now < ac.slack.until+ac.Settings.Window {
+		return false
+	}
+	ac.slack = slackLoan{keeper: ac.lent.id, until: ac.lent.until}
+	return true
+}
+
+// endSlack notes that a keeper has released its lease.
+func (ac *Account) endSlack(now clock.Millis, ans Answer) {
+	switch {
+	case ac.slack.keeper != ans.Keeper:
+	case ans.Owes:
+		ac.slack.until = min(ac.slack.until, now)
+	default:
+		ac.slack = slackLoan{}
+	}
+}
+
 // Release is the word by which a lease ends before it has run out. From then on it
 // is not renewed; the keeper is asked still, until another one is.
 func (ac *Account) Release(now clock.Millis, vms int) Ask {
@@ -190,6 +220,7 @@
 	switch {
 	case same && ask.Release:
 		ac.lent.until = min(ac.lent.until, now)
+		ac.endSlack(now, ans)
 		return
 	case !same && now < ac.lent.until, same && ac.lent.ends && now < ac.lent.until:
 		return
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -30,6 +30,8 @@
 		life     uint64
 		back     uint64 // number of the last ask that gave something back
 		released uint64 // number of the last ask that ended the lease
+		slack    bool   // it is on the VM's part of the slack too
+		told     uint64 // number of the ask that said so
 	}
 )
 
@@ -38,12 +40,12 @@
 func (ke *Keeper) Answer(now clock.Millis, vms int, vm string, life uint64, ask Ask, lim *Limit) Answer {
 	ke.advance(now, vms)
 	ke.lend(now, vm, life, ask)
-	ans := Answer{Keeper: ke.ID, Time: now}
+	ans := Answer{Keeper: ke.ID, Time: now, Owes: ask.Release && ke.owes()}
 	if ask.Customer == "" || lim == nil || !lim.Limited() {
 		return ans
 	}
 	ans.Known = true
-	part := ke.part(vms)
+	part, slack := ke.part(vms)
 	bu := ke.bucketOf(ask.Customer)
 	bu.fill(ke.pooled, *lim, part)
 	if ask.Back > 0 && ke.fresh(vm, life, ask.Number) {
@@ -51,7 +53,7 @@
 	}
 	// A request that is larger than a full bucket goes when that is full, and what
 	// it takes beyond comes in before the next.
-	wanted := ask.Need - ke.Settings.spare(*lim)*part
+	wanted := ask.Need - ke.Settings.spare(*lim)*slack
 	if part > mainPart {
 		wanted = min(wanted, lim.Burst*part)
 	}
@@ -118,19 +120,38 @@
 		le.until, le.released = min(le.until, now), ask.Number
 	case ask.Keeper == ke.ID && ask.Heard <= now:
 		le.until = max(le.until, ask.Heard+Lease)
+		if ask.Number > le.told {
+			le.slack, le.told = ask.Slack, ask.Number
+		}
 	}
 	ke.leases[vm] = le
 }
 
-// part is the part of the fleet that lends its parts now.
-func (ke *Keeper) part(vms int) float64 {
-	held := 0
+// part is the part of the fleet that lends its parts now, and the part that lends its
+// slack.
+func (ke *Keeper) part(vms int) (part, slack float64) {
+	held, lent := 0, 0
 	for _, le := range ke.leases {
-		if le.until > ke.now {
-			held++
+		if le.until <= ke.now {
+			continue
+		}
+		held++
+		if le.slack {
+			lent++
+		}
+	}
+	all := float64(max(1, vms))
+	return min(1, float64(held)/all), min(1, float64(lent)/all)
+}
+
+// owes tells whether any customer was given tokens that have not come in yet.
+func (ke *Keeper) owes() bool {
+	for _, bu := range ke.buckets {
+		if bu.owes(ke.pooled) {
+			return true
 		}
 	}
-	return min(1, float64(held)/float64(max(1, vms)))
+	return false
 }
 
 // fresh tells whether what an ask gives back was not given back before.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -29,9 +29,14 @@
 // Limits have a slack ([Settings]) for what a fleet can't know in time. Some of it
 // is spent on callers: keepers, and VMs that no keeper answers, may go below an
 // empty bucket, and VMs hold credit, tokens that were taken from a keeper ahead of
-// need, by which plain requests need not wait for an answer. The rest is for
-// keepers that follow one another, for VMs that start again while their last life's
-// lease still counts, and for what VMs know late of the fleet's size.
+// need, by which plain requests need not wait for an answer. The rest is for VMs that
+// start again while their last life's lease still counts, and for what VMs know late
+// of the fleet's size.
+//
+// A VM lends its part of the slack with its part of the rate, but to one keeper in a
+// window: the next one has it when the window is over, or at once if the one before
+// said, as the lease ended, that it owes nothing. So keepers that follow one another
+// do not each spend it.
 //
 // # Usage
 //
@@ -103,6 +108,7 @@
 		Ahead    float64      // tokens that are wanted as credit beyond
 		Back     float64      // tokens that were taken before and not used
 		Release  bool         // the lease ends here
+		Slack    bool         // the lease is on the VM's part of the slack too
 	}
 
 	// Answer is the keeper's.
@@ -113,12 +119,14 @@
 		Granted bool         // the request may run
 		Credit  float64      // tokens beyond it
 		Wait    clock.Millis // after which there will be as many as were needed
+		Owes    bool         // it has given out tokens that have not come in yet
 	}
 
 	// bucket is one customer's tokens in one hand.
 	bucket struct {
 		level float64
 		at    float64 // point of the pool's time at which it was filled last
+		rate  float64 // of the limit then
 	}
 )
 
@@ -153,5 +161,11 @@
 func (bu *bucket) fill(at float64, lim Limit, part float64) {
 	bu.level += lim.Rate * (at - bu.at) / float64(clock.Second)
 	bu.level = min(bu.level, lim.Burst*part)
-	bu.at = at
+	bu.at, bu.rate = at, lim.Rate
+}
+
+// owes tells whether tokens were taken that have not come in by a point of the pool's
+// time.
+func (bu *bucket) owes(at float64) bool {
+	return bu.level+bu.rate*(at-bu.at)/float64(clock.Second) < 0
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -271,3 +271,38 @@
 	ans = pa.ke.Answer(1000, both, vmB, 1, quota.Ask{Number: 92, Customer: customer, Need: 450}, &pa.lim)
 	assert.Assert(t, ans.Known && !ans.Granted)
 }
+
+// Keepers that follow one another do not each spend the VMs' parts of the slack, which
+// had a fleet whose keepers change often pass its limits: a VM lends its part to the
+// next one when a window is over, or at once if the one before owed nothing.
+func TestSlackIsLentOnceInAWindow(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		owes bool
+		wait clock.Millis // until the next keeper is asked
+		want bool
+	}{
+		{"the first one owes", true, clock.Second, false},
+		{"the first one owed, a window ago", true, 9 * clock.Second, true},
+		{"the first one owes nothing", false, clock.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := quota.Settings{Window: 8 * clock.Second, Slack: 4000}
+			pa := newPair(st)
+			pa.renewUntil(0, 4000)
+			if tc.owes {
+				assert.Assert(t, pa.need(4000, 700).Granted, "below empty")
+			}
+			for _, ac := range []*quota.Account{pa.own, pa.ac} {
+				ask := ac.Release(4000, both)
+				vm := map[bool]string{true: vmA, false: vmB}[ac == pa.own]
+				ac.Answered(4000, 4000, both, pa.keep, ask, pa.lim, pa.ke.Answer(4000, both, vm, 1, ask, &pa.lim))
+			}
+			pa.ke, pa.keep = &quota.Keeper{ID: 2, Settings: st}, vmB
+			now := 4000 + tc.wait
+			pa.renew(now)
+			pa.renew(now)
+			assert.Equal(t, pa.need(now, 500).Granted, tc.want, "the next keeper's buckets are empty")
+		})
+	}
+}
