entry: an engine that does not answer is asked for its decode anew

What callers would see: who takes a request over from a lost VM asks the engine for the decode once. Where the engine is too busy to answer, the request is run anew, its tokens are made a second time, and the first decode goes on for nobody; its caller waits for a place and a prompt. The same where a broken stream is opened again.

Cause: an error of any kind counted as "the engine has none". Found by reading, as the same fault as a VM that takes silence for a caller who is gone; brought about in TestEngineThatDoesNotAnswerIsAskedForItsDecodeAnew, which failed before (rn.resume is false at the first answer of 504).

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -289,7 +289,7 @@
 		return false
 	}
 	rn.sent.Store(true)
-	st, err := rn.vm.Engines.Resume(ctx, srv, dec.EngineRequest, 0)
+	st, err := openAgain(ctx, rn.vm.Engines.Resume, srv, dec.EngineRequest, 0)
 	if err != nil {
 		return false
 	}
@@ -316,7 +316,7 @@
 	defer stop(nil)
 	rn.vm.wg.Go(func() { rn.vm.awaitLoss(ctx, dec.Runner, func() { stop(errLost) }) })
 	rn.vm.wg.Go(func() { rn.awaitRunner(ctx, dec.Runner, func() { stop(errAgain) }) })
-	st, err := rn.vm.Engines.Follow(ctx, srv, dec.EngineRequest, 0)
+	st, err := openAgain(ctx, rn.vm.Engines.Follow, srv, dec.EngineRequest, 0)
 	if err != nil {
 		return false
 	}
@@ -367,7 +367,7 @@
 		if !clock.Sleep(ctx, clock.Millis(tries)*reopenPause) {
 			return context.Cause(ctx)
 		}
-		if st, err = reopen(ctx, srv, name, from); err != nil {
+		if st, err = openAgain(ctx, reopen, srv, name, from); err != nil {
 			return failure{"resume", err}
 		}
 		if st.Attempt != attempt { // its tokens are not the rest of those before
@@ -377,6 +377,23 @@
 	}
 }
 
+// openAgain opens a decode's stream, more than once if the engine does not say whether
+// it has the decode.
+func openAgain(ctx context.Context, open openStream, srv board.BackendServer, name string, from int) (*engine.Stream, error) {
+	for tries := 1; ; tries++ {
+		st, err := open(ctx, srv, name, from)
+		if err == nil {
+			return st, nil
+		}
+		if _, doubt := errors.AsType[backend.InDoubtError](err); !doubt || tries == resumeTries {
+			return nil, fmt.Errorf("open the stream of a decode: %w", err)
+		}
+		if !clock.Sleep(ctx, clock.Millis(tries)*reopenPause) {
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
 // pass joins tokens to the answer and returns how many came. A nil error means
 // that the last one did, and that the answer has none behind it.
 func (rn *run) pass(ctx context.Context, st *engine.Stream) (int, error) {
--- a/internal/entry/rescue_test.go
+++ b/internal/entry/rescue_test.go
@@ -64,10 +64,12 @@
 // rescueRig is a VM with one engine in memory, whose decode of two tokens ran
 // for a VM that is lost.
 type rescueRig struct {
-	vm    *VM
-	lost  board.VMRef
-	list  func(asked int) []engine.Running // of the engine; nil: it is too busy to say
-	asked int
+	vm      *VM
+	lost    board.VMRef
+	list    func(asked int) []engine.Running // of the engine; nil: it is too busy to say
+	asked   int
+	busy    int // asks for the decode that are not answered
+	resumed int // asks for the decode
 }
 
 func newRescueRig(t *testing.T) *rescueRig {
@@ -106,6 +108,10 @@
 }
 
 func (rg *rescueRig) serveResume(wr http.ResponseWriter, _ *http.Request) {
+	if rg.resumed++; rg.resumed <= rg.busy {
+		http.Error(wr, "busy", http.StatusGatewayTimeout)
+		return
+	}
 	wr.Header().Set(engine.AttemptHeader, "1")
 	standin.WriteJSON(wr, engine.Token{Index: 0, Text: "a"})
 	standin.WriteJSON(wr, engine.Token{Index: 1, Text: "b", Last: true})
@@ -215,3 +221,20 @@
 	assert.NilError(t, rn.followOnce(t.Context(), claim.Decided{Verdict: claim.Follow, Runner: rg.lost}, &givenUp))
 	assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
 }
+
+// Who takes a request over asks the engine for its decode, and the engine is too busy to
+// say. It may go on with the decode: it is asked anew before another one begins, whose
+// tokens an engine would make a second time.
+func TestEngineThatDoesNotAnswerIsAskedForItsDecodeAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRescueRig(t)
+		rg.busy = resumeTries - 1
+		rn := rg.comesBack()
+		defer rn.cancel(nil)
+		defer rn.away.Stop()
+		dec := claim.Decided{Verdict: claim.TakeOver, Runner: rg.lost, DecodeServer: "e1", EngineRequest: "cu/key/1.0"}
+		assert.Assert(t, rn.resume(t.Context(), dec))
+		assert.DeepEqual(t, rn.st.Tokens(), []string{"a", "b"})
+		assert.Equal(t, rg.resumed, resumeTries)
+	})
+}
