relay: a computed prompt outlives a decode that was declined

What callers saw: a generation whose decode engine is gone, or has changed its role, between the prompt and the decode had its prompt computed again, by an engine that still had the first one.

Cause: what was left at the prefill engine was given back with the failed decode, whatever the failure said of it.

Change: a decode that was not sent, or was declined by another life or another role of its engine, has taken nothing of the prompt: it is kept for the request's next decode, for a second at most, and given back if there is none. Where the engine says that it is full the prompt may have lapsed; nothing changes there.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -65,6 +65,7 @@
 // generate carries a generation: a place first, so that the prompt is not
 // computed for nothing; then the prefill; then the decode.
 func (rl *Relay) generate(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
+	defer rl.dropPrompt(ex)
 	for number := 1; ; number++ {
 		if err := rl.mayRun(ctx, ex); err != nil {
 			return err
@@ -111,17 +112,21 @@
 // startDecode has the prompt computed and the decode begun behind an event. After
 // an error nothing is left at the engines.
 func (rl *Relay) startDecode(ctx context.Context, ex *exchange, pl place, after string) (Handle, decoding, error) {
-	hd := rl.prefill(ctx, ex, pl)
-	if rl.Backends().Reborn(hd.Server) {
-		hd = Handle{} // another life of the engine may have given the same ID to another prompt
+	pr, kept := rl.takePrompt(ex)
+	if !kept {
+		pr = computed{handle: rl.prefill(ctx, ex, pl), at: rl.now()}
+	}
+	if rl.Backends().Reborn(pr.handle.Server) {
+		pr = computed{} // another life of the engine may have given the same ID to another prompt
 	}
 	if err := rl.mayDecode(ctx, ex, pl); err != nil {
-		rl.forget(ex, hd)
+		err = backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
+		rl.keepPrompt(ex, pr, err)
 		rl.release(ex, pl)
-		return Handle{}, decoding{}, backend.NotSentError{Server: pl.server.ID, Call: "Decode", Err: err}
+		return Handle{}, decoding{}, err
 	}
-	dec, err := rl.decode(ctx, ex, pl, hd, after)
-	return hd, dec, err
+	dec, err := rl.decode(ctx, ex, pl, pr, after)
+	return pr.handle, dec, err
 }
 
 // mayDecode tells why a decode at a place is of no use any more; nil if it is.
@@ -144,7 +149,8 @@
 // it is asked once to compute the prompt itself: the prompt may have lapsed,
 // which says nothing of this engine. After an error nothing is left at the
 // engines.
-func (rl *Relay) decode(ctx context.Context, ex *exchange, pl place, hd Handle, after string) (decoding, error) {
+func (rl *Relay) decode(ctx context.Context, ex *exchange, pl place, pr computed, after string) (decoding, error) {
+	hd := pr.handle
 	op := Options{Left: rl.left(ex), Source: hd, Reservation: pl.reservation, After: after}
 	dec, err := rl.sendDecode(ctx, ex, pl, op)
 	if _, why := backend.OutcomeOf(err); hd.ID != "" && why == backend.Full && rl.again(ctx, ex, 1, 1, err, generateNeed) == nil {
@@ -155,7 +161,7 @@
 		}
 	}
 	if err != nil {
-		rl.afterDecode(ctx, ex, pl, hd, err)
+		rl.afterDecode(ctx, ex, pl, pr, err)
 		return decoding{}, err
 	}
 	ex.ran++
@@ -195,11 +201,11 @@
 var errLeft = errors.New("the engine has begun to leave, or rests")
 
 // afterDecode cleans up after a decode that did not begin.
-func (rl *Relay) afterDecode(ctx context.Context, ex *exchange, pl place, hd Handle, err error) {
+func (rl *Relay) afterDecode(ctx context.Context, ex *exchange, pl place, pr computed, err error) {
 	if !backend.NotRun(err) {
 		ex.ran++
 	}
-	rl.forget(ex, hd)
+	rl.keepPrompt(ex, pr, err)
 	rl.release(ex, pl)
 	if _, why := backend.OutcomeOf(err); why == backend.Full {
 		rl.declined(pl.server.ID)
--- a/internal/relay/generate_test.go
+++ b/internal/relay/generate_test.go
@@ -198,6 +198,45 @@
 	})
 }
 
+// A decode engine that is gone, or has another role by now, has taken nothing of a
+// computed prompt: the decode at the next place goes on from it, and no engine computes
+// it again, which the budget would pay for.
+func TestPromptOutlivesADecodeThatWasDeclined(t *testing.T) {
+	for _, err := range []error{errUnknownRun, errWrongRole, errRefused} {
+		t.Run(err.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newRig(t)
+				sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+					if nth == 1 {
+						return nil, err
+					}
+					return answer(http.StatusOK, eventOne, nil), nil
+				}
+				_, err := serve(t.Context(), rl, "resumable")
+				assert.NilError(t, err)
+				assert.Equal(t, len(sv.prefills), 1)
+				assert.Equal(t, len(sv.sent), 2)
+				assert.Equal(t, sv.sent[1].op.Source, sv.sent[0].op.Source)
+				assert.Assert(t, sv.sent[1].server != sv.sent[0].server)
+				synctest.Wait()
+				assert.Equal(t, sv.left(), 0)
+			})
+		})
+	}
+}
+
+// Where no decode follows, the computed prompt is given back.
+func TestPromptOfARefusedRequestIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newRig(t)
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) { return nil, errUnknownRun }
+		_, err := serve(t.Context(), rl, "resumable")
+		assert.Equal(t, refusalOf(t, err).Ran, refusal.NotRun)
+		synctest.Wait()
+		assert.Equal(t, sv.left(), 0)
+	})
+}
+
 // A stream that breaks and may not be resumed is cut; it must not be told as
 // a refusal, which would frame the part that went out as a whole answer.
 func TestBrokenStreamIsCut(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -205,6 +205,7 @@
 		until    clock.Millis  // point at which the request ends, whatever happens
 		ran      int           // backend servers that may have run it
 		arrivals arrivals      // at backend servers, and what was paid for them
+		prompt   computed      // that an engine keeps for the next decode
 		tried    []string      // backend servers that were tried
 		mark     *suspect.Mark // nil until it is needed
 		first    clock.Millis  // from the request to its answer's first event; zero: none came
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -269,6 +269,10 @@
 var (
 	errReset = backend.InDoubtError{Server: "x", Call: "Send", Err: io.ErrUnexpectedEOF}
 	errFull  = backend.DeclinedError{Server: "x", Call: "Send", Reason: backend.Full}
+
+	errUnknownRun = backend.DeclinedError{Server: "x", Call: "Send", Reason: backend.Unknown}
+	errWrongRole  = backend.DeclinedError{Server: "x", Call: "Send", Reason: backend.WrongRole}
+	errRefused    = backend.NotSentError{Server: "x", Call: "Send", Err: io.ErrClosedPipe}
 )
 
 func distinct(names []string) int {
