entry: a VM that stood still waits for its callers anew

What callers saw: a second decode run of a request in place of the rest of the first one; its caller waited for a place and a prompt, and the engines made the tokens twice (TestRunnerWakesWhileItsAnswerIsReadOn, known red, seen once beside load, "2 != 1").

Cause: the wait for a caller whose connection broke was a timer. It went on while the process stood still, and was over as it woke, before the caller, or the VM that reads the answer on for it, could be heard. The decode was cancelled, and the reading VM ran the request anew.

Evidence: brought about with the pause as a parameter (TestVMThatStoodStillWaitsForItsCaller).

The seen case fits: its runner was held suspect for 4 s, its class waits 3 s. Ruled out for it: a transfer that was sent another way, which needs 100 ms; its decode began 68 ms after it was accepted.

Why this works: the wait is looked at in eighths, and a longer span between two looks is a standstill, after which it begins anew, so that whoever reads on finds the VM, each 0.8 s, before it gives up (pauses of 0 to 60 s in virtual time).

TestSuspectedVMsRequestsAreNotCut, seen failing once beside load, counted what engines list. It counts decodes that began now, one, and the tokens that were made, no more than the answer has.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
-	"time"
 
 	"alderdyke/internal/answer"
 	"alderdyke/internal/board"
@@ -70,7 +69,7 @@
 		role     atomic.Int32 // of type role
 		turned   signal       // the role changed, or the answer has its end
 		left     atomic.Bool  // the caller's connection broke
-		away     *time.Timer  // ends the run when no caller came back
+		away     *absence     // ends the run when no caller came back
 	}
 
 	// role is what this VM does for a request.
@@ -101,7 +100,8 @@
 	rn.tr = vm.traces.of(rn.id)
 	ctx, cancel := context.WithCancelCause(vm.runCtx)
 	rn.ctx, rn.cancel = ctx, cancel
-	rn.away = time.AfterFunc(req.Class.StreamWait.Std(), rn.abandon)
+	rn.away = &absence{wait: req.Class.StreamWait, clk: vm.Clock, gone: rn.abandon}
+	rn.away.Start()
 	rn.st.OnWatchers(rn.watch)
 	return rn
 }
@@ -121,7 +121,7 @@
 	}
 	rn.left.Store(true)
 	rn.tr.add(event.CallerLeft, "")
-	rn.away.Reset(rn.req.Class.StreamWait.Std())
+	rn.away.Start()
 }
 
 func (rn *run) abandon() {
--- a/internal/integration/pause_test.go
+++ b/internal/integration/pause_test.go
@@ -16,10 +16,11 @@
 func TestSuspectedVMsRequestsAreNotCut(t *testing.T) {
 	t.Parallel()
 	fl := startFleet(t, usual())
+	const tokens = 300
 	keys := []string{"suspect-1", "suspect-2", "suspect-3"}
 	var calls []*ongoing
 	for _, key := range keys {
-		calls = append(calls, fl.chat(fl.client(), "findings", key, 300))
+		calls = append(calls, fl.chat(fl.client(), "findings", key, tokens))
 	}
 	first := fl.runnerOf(keys[0], 10)
 	paused := time.Now()
@@ -36,7 +37,9 @@
 	results.span("pause until every VM suspects a VM", time.Since(paused))
 	for ix, og := range calls {
 		assert.Check(t, og.end())
-		assert.Equal(t, len(fl.engineRuns(board.Decode, keys[ix])), 1)
+		began, made := fl.decoded(keys[ix])
+		assert.Equal(t, began, 1)
+		assert.Equal(t, made, tokens)
 	}
 	eventually(t, "the VM is held alive", func() bool { return fl.health(fl.others(first)[0], first) == "Alive" })
 	fl.check()
@@ -133,3 +136,27 @@
 	assert.Equal(t, len(fl.engineRuns(board.Decode, "read-on")), 1)
 	fl.check()
 }
+
+// A caller's connection breaks, its VM stands still for longer than it waits for callers,
+// and the caller reads its answer on through another VM meanwhile. The VM that wakes has
+// heard nobody, and does not take that for a caller who is gone: it would cancel the
+// decode that is read, and a second one would begin.
+func TestVMThatStoodStillWaitsForItsCaller(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, usual())
+	runner, other := fl.vms[0], fl.vms[1]
+	early := fl.chatAt(runner, "stood-still", 900)
+	assert.Equal(t, fl.runnerOf("stood-still", 10), runner)
+	early.leave()
+	left := time.Now()
+	eventually(t, "the caller is missed", func() bool { return strings.Contains(fl.explainAt(runner, "stood-still"), "CallerLeft") })
+	time.Sleep(streamWait.Std()/4 - time.Since(left))
+	runner.pause(t)
+	og := fl.chatAt(other, "stood-still", 900)
+	eventually(t, "the other VM reads the decode on", func() bool { return strings.Contains(fl.explainAt(other, "stood-still"), "ReadOn") })
+	time.Sleep(streamWait.Std() + 200*time.Millisecond - time.Since(left))
+	runner.resume(t)
+	assert.Check(t, og.end())
+	assert.Equal(t, len(fl.engineRuns(board.Decode, "stood-still")), 1)
+	fl.check()
+}
