entry, sched: an engine that asks for rest gets it from the whole cell

What callers saw: where an engine declined an order and named a span, the request at hand waited for all of it before its next attempt, 5.034 s of 5 s asked, although another engine was free; and each load report in between had the cell send the engine the next order (11 imports in 5 s).

Change: the runner tells the accountant of a rest of half a second and more (shorter ones mean that the engine is full for a moment); the cell closes the engine until then, as one that fails, whatever its reports say. The span is no backoff of requests to models any more; those to plain services keep it. TestEngineThatAsksForRestGetsIt fails before for prompts (the wait) and for transfers (11 orders, 2 are allowed); now one or two orders reach the engine in 5 s, and no request waits. Also in virtual time in package sched.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -184,6 +184,10 @@
 			hc.rec.askRole(ctx, pg.GetServer())
 			continue
 		}
+		if stage == resting {
+			hc.ac.Tell(ctx, sched.Rest{Server: pg.GetServer(), For: clock.Millis(pg.GetTook())})
+			continue
+		}
 		if pg.GetServer() != "" {
 			hc.moved(hr, stage, pg.GetServer())
 		}
--- a/internal/entry/again.go
+++ b/internal/entry/again.go
@@ -50,8 +50,8 @@
 		Detail: "a backend server failed",
 	}
 	var declined backend.DeclinedError
-	if errors.As(err, &declined) {
-		rf.RetryAfter = declined.RetryAfter
+	if errors.As(err, &declined) && rn.req.Chat == nil {
+		rf.RetryAfter = declined.RetryAfter // a model engine's is the accountant's, which places the request elsewhere
 	}
 	if rn.sent.Load() {
 		rf.Ran = refusal.MayHaveRun
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -31,6 +31,9 @@
 	// confirmWithin bounds the wait for engines to confirm a cancel before
 	// what they hold counts as unknown.
 	confirmWithin = 3 * clock.Second
+	// restLeast is the least span of rest that the accountant is told of: an engine
+	// that is full for a moment names a shorter one.
+	restLeast = reportEvery
 	// resumeTries bounds how often a broken token stream is opened again.
 	resumeTries = 3
 )
@@ -194,13 +197,19 @@
 	return nil
 }
 
-// heed tells the accountant of an engine that declined for its role: one that
-// was changed unknown to the accountant, whose next report says so too late
-// for the next attempt.
+// heed tells the accountant what an engine that declined says of itself, which its
+// next report would tell too late for the next attempt, or not at all: that its role
+// was changed unknown to the accountant, or that it takes nothing for a while.
 func (ma *modelAttempt) heed(err error) {
 	var de backend.DeclinedError
-	if errors.As(err, &de) && de.Reason == backend.WrongRole {
-		ma.rs.tell(wrongRole, de.Server)
+	switch {
+	case !errors.As(err, &de):
+	case de.Reason == backend.WrongRole:
+		ma.rs.tell(wrongRole, de.Server, 0)
+	default:
+		if server, rest := backend.RestOf(err); rest >= restLeast {
+			ma.rs.tell(resting, server, rest)
+		}
 	}
 }
 
@@ -268,6 +277,7 @@
 		From:      have,
 	})
 	if err != nil {
+		ma.heed(err)
 		return failure{"decode", err}
 	}
 	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -27,6 +27,9 @@
 // declined for its role.
 const wrongRole sched.Stage = "WrongRole"
 
+// resting is what it says of an engine that asked for rest, with its span.
+const resting sched.Stage = "Resting"
+
 type (
 	// orderer gives orders to the engines of one cell that this VM accounts
 	// for.
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -144,13 +144,14 @@
 	}
 }
 
-// tell sends the accountant a word that changes nothing of the reservation.
-func (rs *reservation) tell(stage sched.Stage, server string) {
+// tell sends the accountant a word on an engine, with the span that belongs to it. It
+// changes nothing of the reservation.
+func (rs *reservation) tell(stage sched.Stage, server string, span clock.Millis) {
 	rs.mu.Lock()
 	cn, attempt, tokens := rs.cn, rs.attempt, rs.tokens
 	rs.mu.Unlock()
 	if cn != nil {
-		cn.Send(progressFrame(attempt, stage, server, tokens, 0))
+		cn.Send(progressFrame(attempt, stage, server, tokens, span))
 	}
 }
 
--- a/internal/integration/engine_test.go
+++ b/internal/integration/engine_test.go
@@ -12,6 +12,7 @@
 	"alderdyke/internal/standin"
 	"alderdyke/internal/standin/deployment"
 	enginesim "alderdyke/internal/standin/engine"
+	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
@@ -107,6 +108,44 @@
 	fl.check()
 }
 
+// An engine declines an order and says for how long it wants none. The word reached the
+// one request alone, and each load report in between had the cell send it the next one.
+func TestEngineThatAsksForRestGetsIt(t *testing.T) {
+	const rest = 5 * clock.Second
+	for _, path := range []string{wire.PrefillPath, wire.ImportPath} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			fl := startFleet(t, usual())
+			results.fault("an engine wants no orders for a while")
+			role := board.Decode
+			if path == wire.PrefillPath {
+				role = board.Prefill
+			}
+			resting := fl.engineOf(role)
+			resting.Control.Set(standin.Faults{Paths: []string{path}, Refuse: true, RetryAfter: rest})
+			cl := fl.client()
+			for began, ix := time.Now(), 0; time.Since(began) < rest.Std(); ix++ {
+				asked := time.Now()
+				assert.Check(t, fl.chat(cl, "findings", fmt.Sprintf("rest-%d", ix), 5).end())
+				assert.Check(t, time.Since(asked) < rest.Std(), "the other engine wants no rest")
+			}
+			declined := resting.Control.Hits()
+			assert.Assert(t, declined > 0 && declined <= 2, "%d orders reached it", declined)
+			fl.check()
+		})
+	}
+}
+
+// engineOf returns the first engine of a role.
+func (fl *fleet) engineOf(role board.Role) *enginesim.Engine {
+	for _, en := range fl.dp.Engines {
+		if en.Role == role {
+			return en
+		}
+	}
+	return nil
+}
+
 // All transfers to one decode engine stand still: requests that were placed
 // there end elsewhere.
 func TestTransfersStall(t *testing.T) {
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -80,6 +80,8 @@
 		ce.withdraw(now, ev.Request)
 	case Report:
 		ce.report(now, ev.Load)
+	case Rest:
+		ce.rest(now, ev)
 	case Servers:
 		ce.servers(now, ev.Servers)
 	case Orphan:
@@ -257,6 +259,19 @@
 	}
 }
 
+// rest closes an engine for as long as it asked for.
+func (ce *Cell) rest(now clock.Millis, re Rest) {
+	eng, ok := ce.engines[re.Server]
+	if !ok || re.For <= 0 {
+		return
+	}
+	if eng.known {
+		ce.pending = append(ce.pending, eng)
+	}
+	eng.close(max(eng.closed, now+re.For))
+	ce.changed(eng)
+}
+
 func (ce *Cell) withdraw(now clock.Millis, request string) {
 	if jb, ok := ce.jobs[request]; ok {
 		ce.forget(now, jb)
--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -397,6 +397,41 @@
 	assert.Equal(t, fx.grants["q2"].Prefill, "p0")
 }
 
+// An engine that asked for rest gets nothing new until then, whatever its reports say.
+func TestEngineThatAsksForRestGetsIt(t *testing.T) {
+	const rest = 3 * clock.Second
+	fx := newFixture(2, 2, 8)
+	fx.do(Rest{Server: "p0", For: rest})
+	fx.do(Rest{Server: "d0", For: rest})
+	fx.do(Rest{Server: "d0", For: clock.Second}) // does not shorten it
+	fx.do(Rest{Server: "none", For: rest})
+	ask := func(id string) (prefill, decode string) {
+		fx.do(Submit{Ask: quick(id)})
+		prefill = fx.grants[id].Prefill
+		fx.progress(id, Prefilled, 10)
+		decode = fx.moves[id].Decode
+		fx.progress(id, Decoding, 5)
+		fx.progress(id, Ended, 5)
+		return prefill, decode
+	}
+	for end := fx.now + rest; fx.now < end; fx.now += rest / 10 {
+		for _, id := range []string{"p0", "d0"} {
+			fx.do(Report{Load: board.LoadReport{Server: id, Slots: 8}})
+		}
+		pre, dec := ask(fmt.Sprint("r", fx.now))
+		assert.Equal(t, pre, "p1")
+		assert.Equal(t, dec, "d1")
+	}
+	for _, id := range []string{"p0", "d0"} {
+		fx.do(Report{Load: board.LoadReport{Server: id, Slots: 8}})
+	}
+	fx.do(Rest{Server: "p1", For: rest})
+	fx.do(Rest{Server: "d1", For: rest})
+	pre, dec := ask("after")
+	assert.Equal(t, pre, "p0")
+	assert.Equal(t, dec, "d0")
+}
+
 func TestHeldKVCacheIsUsed(t *testing.T) {
 	fx := newFixture(2, 1, 4)
 	ask := patient("ra")
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -189,12 +189,17 @@
 	if eng.lost < lostToClose || !eng.known {
 		return false
 	}
-	eng.known = false
-	eng.closed = now + min(closedMost, closedLeast<<min(eng.lost-lostToClose, 4))
-	eng.opens = eng.closed + reportGrace
+	eng.close(now + min(closedMost, closedLeast<<min(eng.lost-lostToClose, 4)))
 	return true
 }
 
+// close takes the engine out of use up to a point.
+func (eng *engine) close(until clock.Millis) {
+	eng.known = false
+	eng.closed = until
+	eng.opens = until + reportGrace
+}
+
 // hold changes the count of places given out.
 func (eng *engine) hold(by int) {
 	eng.held += by
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,7 +65,7 @@
 	}
 
 	// Event is what a cell is told: Submit, Adopt, Progress, Withdraw,
-	// Report, Servers, Orphan or Tick.
+	// Report, Rest, Servers, Orphan or Tick.
 	Event interface{ event() }
 
 	// Intent is what a cell wants done: Grant, Transfer, Refuse, Preempt or
@@ -105,6 +105,12 @@
 	// Report is a load report of an engine.
 	Report struct{ Load board.LoadReport }
 
+	// Rest tells that an engine takes nothing new for a span.
+	Rest struct {
+		Server string
+		For    clock.Millis
+	}
+
 	// Servers sets the engines of the cell.
 	Servers struct{ Servers []board.BackendServer }
 
@@ -162,6 +168,7 @@
 func (Progress) event() {}
 func (Withdraw) event() {}
 func (Report) event()   {}
+func (Rest) event()     {}
 func (Servers) event()  {}
 func (Orphan) event()   {}
 func (Tick) event()     {}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -40,6 +40,7 @@
 		Pause         bool         // nothing moves, as if the process were frozen; calls are handled afterwards
 		Dead          bool         // all connections are cut and what was held is lost
 		Refuse        bool         // declines calls, truthfully
+		RetryAfter    clock.Millis // that a refused call names; zero is none
 		Fail          bool         // answers 500 without a word of what became of the call, which has no effect
 		Reset         bool         // cuts the connection before the call has an effect
 		LoseReply     bool         // cuts the connection after the call had its effect
@@ -85,6 +86,13 @@
 	return ct.faults
 }
 
+// Hits tells how many calls the faults with Paths and Count struck since they were set.
+func (ct *Control) Hits() int {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return ct.hits
+}
+
 // Running waits while the stand-in is paused.
 func (ct *Control) Running(ctx context.Context) error {
 	return ct.while(ctx, func(ft Faults) bool { return ft.Pause })
@@ -182,7 +190,7 @@
 	case ft.Fail:
 		rw.WriteHeader(http.StatusInternalServerError)
 	case ft.Refuse:
-		Decline(rw, http.StatusServiceUnavailable, backend.Refused, 0)
+		Decline(rw, http.StatusServiceUnavailable, backend.Refused, ft.RetryAfter)
 	case ft.LoseReply:
 		next.ServeHTTP(lostWriter{rw}, req)
 		Cut()
