--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -197,6 +197,11 @@
 	if class == "findings" {
 		note = strings.Repeat(note, 50)
 	}
+	return fl.chatOf(cl, class, key, note, tokens)
+}
+
+// chatOf starts a call of a model with a note of the caller's.
+func (fl *fleet) chatOf(cl *client.Client, class, key, note string, tokens int) *ongoing {
 	call := invariant.Call{Key: key, Idempotent: true, Request: invariant.Chat{Prompt: promptOf(note), Tokens: tokens}}
 	return fl.begin(call, func(ctx context.Context, og *ongoing) error {
 		_, err := cl.Chat(ctx, client.ChatRequest{
--- a/internal/integration/engine_test.go
+++ b/internal/integration/engine_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -258,3 +261,66 @@
 	})
 	return at, by
 }
+
+// A request ends each engine that begins to decode it, as an input that breaks engines
+// does. Its caller sends it again under new keys. Once five engines have ended under it
+// no further one gets it.
+func TestRequestThatEndsItsEnginesIsFound(t *testing.T) {
+	const (
+		most  = 5
+		tries = 5
+		note  = "the field notes that break engines"
+		back  = 300 * time.Millisecond // until an engine starts again
+	)
+	pl := usual()
+	pl.decode = 4
+	fl := startFleet(t, pl)
+	ended := fl.endUnder(t, "deadly-", back)
+	cl := fl.client()
+	for ix := range tries {
+		fl.chatOf(cl, "findings", fmt.Sprintf("deadly-%d", ix), note, 50).end()
+	}
+	assert.Assert(t, ended() <= most, "%d engines ended under it", ended())
+}
+
+// endUnder has engines die as they decode a request whose key begins so, and start again
+// after a while. It returns how many have.
+func (fl *fleet) endUnder(t *testing.T, prefix string, back time.Duration) (ended func() int) {
+	t.Helper()
+	var count atomic.Int64
+	stop := make(chan struct{})
+	var watch sync.WaitGroup
+	for _, en := range fl.dp.Engines {
+		if en.Role != board.Decode {
+			continue
+		}
+		watch.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(2 * time.Millisecond):
+				}
+				if !decodes(en, prefix) {
+					continue
+				}
+				count.Add(1)
+				en.Control.Set(standin.Faults{Dead: true})
+				time.Sleep(back)
+				en.Control.Set(standin.Faults{})
+			}
+		})
+	}
+	t.Cleanup(func() { close(stop); watch.Wait() })
+	return func() int { return int(count.Load()) }
+}
+
+// decodes tells whether an engine decodes a request whose key begins so.
+func decodes(en *enginesim.Engine, prefix string) bool {
+	for _, rec := range en.History().Runs {
+		if rec.Decodes > 0 && rec.Outcome == "" && strings.HasPrefix(rec.Request, customer+"/"+prefix) {
+			return true
+		}
+	}
+	return false
+}
