all: names and comments as the field has them

Renamed, nothing else: RestOf RetryAfterOf, restMost maxRetryAfter, restUntil backoffUntil, rests isBackingOff, well healthy, stays isStaying, ServerLeaves MarkDraining, withLeavers withDraining, leaverKept drainingTTL, askWithin askTimeout, silentFor unresponsiveFor, leastBack minRetryAfter, hearsAll inSync, noteHearing setInSync, goOn resumeStream, goOnMoved followMove, endReborn dropPreviousInstances, prepay reserveArrival, affords allowsTwo, lookEvery leaseCheckInterval. Eight comments that told how a value was found have its purpose, or nothing. No log line, metric or setting changes.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -389,7 +389,7 @@
 		{fmt.Errorf("call: %w", DeclinedError{Server: "a", RetryAfter: 1500}), "a", 1500},
 		{DeclinedError{Server: "a", RetryAfter: 1 << 50}, "a", 5 * clock.Minute},
 	} {
-		server, span := RestOf(tc.err)
+		server, span := RetryAfterOf(tc.err)
 		assert.Equal(t, server, tc.server)
 		assert.Equal(t, span, tc.span)
 	}
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -49,9 +49,9 @@
 	InDoubt  Outcome = "InDoubt"  // whether the call had its effect can't be known
 )
 
-// restMost bounds the rest that a server is given: a word that was garbled must not
+// maxRetryAfter bounds the rest that a server is given: a word that was garbled must not
 // take it out for good.
-const restMost = 5 * clock.Minute
+const maxRetryAfter = 5 * clock.Minute
 
 var reasons = map[Reason]bool{
 	Full: true, Leaving: true, StaleFence: true, NoKV: true, TransferFailed: true,
@@ -158,11 +158,11 @@
 	return oc == NotSent || oc == Declined
 }
 
-// RestOf is the server that declined a call and how long it wants to get nothing more
+// RetryAfterOf is the server that declined a call and how long it wants to get nothing more
 // from this VM; zero: it asked for no rest.
-func RestOf(err error) (server string, span clock.Millis) {
+func RetryAfterOf(err error) (server string, span clock.Millis) {
 	de, _ := errors.AsType[DeclinedError](err)
-	return de.Server, min(de.RetryAfter, restMost)
+	return de.Server, min(de.RetryAfter, maxRetryAfter)
 }
 
 // DeclinedBy reads whether a response declines the call. It returns nil if
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -265,7 +265,7 @@
 // there another one or not.
 func (ch *Chooser) Rest(now clock.Millis, id string, span clock.Millis) {
 	if srv := ch.servers[id]; srv != nil {
-		srv.restUntil = max(srv.restUntil, now+span)
+		srv.backoffUntil = max(srv.backoffUntil, now+span)
 	}
 }
 
@@ -273,11 +273,11 @@
 // some server does not rest, or there is none.
 func (ch *Chooser) Rests(now clock.Millis, service string) clock.Millis {
 	svc := ch.services[service]
-	if svc == nil || len(svc.servers) == 0 || slices.ContainsFunc(svc.servers, func(srv *server) bool { return !srv.rests(now) }) {
+	if svc == nil || len(svc.servers) == 0 || slices.ContainsFunc(svc.servers, func(srv *server) bool { return !srv.isBackingOff(now) }) {
 		return 0
 	}
-	first := slices.MinFunc(svc.servers, func(sa, sb *server) int { return cmp.Compare(sa.restUntil, sb.restUntil) })
-	return first.restUntil - now
+	first := slices.MinFunc(svc.servers, func(sa, sb *server) int { return cmp.Compare(sa.backoffUntil, sb.backoffUntil) })
+	return first.backoffUntil - now
 }
 
 // choose takes the server under the least pressure, one of them at random if
@@ -310,7 +310,7 @@
 // or gone and not tried before, if there are any; else those not tried; else those not
 // ejected; else all.
 func (svc *service) fit(now clock.Millis, exclude []string) []*server {
-	awake := keep(svc.servers, func(srv *server) bool { return !srv.rests(now) })
+	awake := keep(svc.servers, func(srv *server) bool { return !srv.isBackingOff(now) })
 	untried := keep(awake, func(srv *server) bool { return !slices.Contains(exclude, srv.id) })
 	for _, some := range [][]*server{untried, awake} {
 		if well := keep(some, func(srv *server) bool { return !srv.ejected(now) && !srv.gone }); len(well) > 0 {
--- a/internal/balance/fair.go
+++ b/internal/balance/fair.go
@@ -34,7 +34,7 @@
 	return md.count * math.Exp2(-float64(now-md.at)/float64(senderHalf))
 }
 
-// note counts a request, unless it is nobody's.
+// note counts a request of a known sender.
 func (se *senders) note(now clock.Millis, name string) {
 	if name == "" {
 		return
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -31,13 +31,13 @@
 	away        bool // leaving, or no longer listed
 	inFlight    int  // requests of this VM
 
-	slots      int
-	reportedAt clock.Millis
-	load       float64 // by the reports, smoothed over many
-	recent     float64 // by the reports, smoothed over a few
-	excess     float64 // of load over what others have and chance explains
-	busyUntil  clock.Millis
-	restUntil  clock.Millis // it asked for rest until then; zero: it did not
+	slots        int
+	reportedAt   clock.Millis
+	load         float64 // by the reports, smoothed over many
+	recent       float64 // by the reports, smoothed over a few
+	excess       float64 // of load over what others have and chance explains
+	busyUntil    clock.Millis
+	backoffUntil clock.Millis // it asked for rest until then; zero: it did not
 
 	// At the last report.
 	inFlightThen, freeThen int
@@ -122,7 +122,9 @@
 	return min(max(part, leastWeight), 1)
 }
 
-func (srv *server) rests(now clock.Millis) bool { return srv.restUntil != 0 && now < srv.restUntil }
+func (srv *server) isBackingOff(now clock.Millis) bool {
+	return srv.backoffUntil != 0 && now < srv.backoffUntil
+}
 
 func (srv *server) ejected(now clock.Millis) bool { return now < srv.ejectedUntil }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -207,7 +207,7 @@
 	case de.Reason == backend.WrongRole:
 		ma.rs.tell(wrongRole, de.Server, 0)
 	default:
-		if server, rest := backend.RestOf(err); rest >= restLeast {
+		if server, rest := backend.RetryAfterOf(err); rest >= restLeast {
 			ma.rs.tell(resting, server, rest)
 		}
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -189,7 +189,7 @@
 
 // heedRest gives a server the rest that it asked for when it declined a call.
 func (vm *VM) heedRest(err error) {
-	if server, span := backend.RestOf(err); span > 0 {
+	if server, span := backend.RetryAfterOf(err); span > 0 {
 		vm.chooser.mu.Lock()
 		defer vm.chooser.mu.Unlock()
 		vm.chooser.Rest(vm.Clock.Now(), server, span)
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -21,9 +21,7 @@
 	keepPart = 0.9
 	// wordPart is how long an accountant's word is waited for. It counts from
 	// when it hears of the KV cache, and takes a request that found no engine
-	// back just before the end, without using up one of its attempts. A runner
-	// that gave up at keepPart, 720 ms, did so before words that came at 760 and
-	// 785 ms on a busy machine.
+	// back just before the end, without using up one of its attempts.
 	wordPart = 1.25
 )
 
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -15,9 +15,7 @@
 // LogChanges writes what changed between two views of the fleet. A VM that is
 // only listed and was never heard of is no news.
 func LogChanges(lg event.Logger, old, now *board.Fleet) {
-	// Both views are sorted by ID. Looking each of 295 VMs up in the other view
-	// took 0.67 ms, and one walk takes 0.013 ms (BenchmarkView); while all VMs
-	// restart in turn each sees 30 changes a second.
+	// Both views are sorted by ID, so that one walk finds all (BenchmarkView).
 	walk := vmWalk{vms: old.VMs}
 	for _, after := range now.VMs {
 		before, known := walk.to(after.ID)
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -10,10 +10,9 @@
 	"alderdyke/internal/peer/peerpb"
 )
 
-// mostDirect is how many VMs this one tells a word by itself. Telling 294 takes
-// a small VM 1 ms for each word (BenchmarkWord) and sends five in six of them to
-// other failure domains, where bytes cost most; by one VM of each of 18 groups it
-// takes a sixteenth of that and crosses between domains 15 times.
+// mostDirect is how many VMs this one tells a word by itself. In a larger fleet one
+// VM of each group passes it on, which takes less time (BenchmarkWord) and fewer
+// crossings between failure domains, where bytes cost most.
 const mostDirect = 32
 
 // tellAll sends words, in their order, to each VM that lives. In a large fleet
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -86,16 +86,16 @@
 	}
 
 	engine struct {
-		server      board.BackendServer
-		gone        bool
-		denied      board.BackendServer // the entry that the engine's own word contradicts
-		runs        int                 // of this VM
-		fullUntil   clock.Millis
-		fullTokens  int // smallest reservation that was declined lately
-		failures    int
-		failedUntil clock.Millis
-		restUntil   clock.Millis // it asked for rest until then; zero: it did not
-		reading     pace         // of prompts
+		server       board.BackendServer
+		gone         bool
+		denied       board.BackendServer // the entry that the engine's own word contradicts
+		runs         int                 // of this VM
+		fullUntil    clock.Millis
+		fullTokens   int // smallest reservation that was declined lately
+		failures     int
+		failedUntil  clock.Millis
+		backoffUntil clock.Millis // it asked for rest until then; zero: it did not
+		reading      pace         // of prompts
 	}
 )
 
@@ -129,7 +129,7 @@
 // engine at which a place became free. If none is before the request, alike
 // engines are taken by chance, for the same reason.
 func (po *Pool) Decoders(now clock.Millis, wt Want) []board.BackendServer {
-	fit := po.well(now)
+	fit := po.healthy(now)
 	needs := make(map[*engine]int, len(fit))
 	for _, en := range fit {
 		needs[en] = wt.Need(en.server.ID, 1)
@@ -163,7 +163,7 @@
 // Room tells whether some decode engine has room for the request, and to spare,
 // whoever goes first.
 func (po *Pool) Room(now clock.Millis, wt Want) bool {
-	for _, en := range po.well(now) {
+	for _, en := range po.healthy(now) {
 		if wt.Need(en.server.ID, 1+wt.Spare) <= wt.Limit {
 			return true
 		}
@@ -174,7 +174,7 @@
 // Least is the least that any decode engine would need with one more request,
 // of how many; zero of none.
 func (po *Pool) Least(now clock.Millis, wt Want) (need, engines int) {
-	for _, en := range po.well(now) {
+	for _, en := range po.healthy(now) {
 		if nd := wt.Need(en.server.ID, 1); engines == 0 || nd < need {
 			need = nd
 		}
@@ -205,7 +205,7 @@
 
 // well lists the decode engines that stay and did not fail just now, or all
 // that stay if each of them failed.
-func (po *Pool) well(now clock.Millis) []*engine {
+func (po *Pool) healthy(now clock.Millis) []*engine {
 	all := po.staying(now, board.Decode)
 	var out []*engine
 	for _, en := range all {
@@ -231,13 +231,15 @@
 }
 
 // takes tells whether the engine takes new work now.
-func (en *engine) takes(now clock.Millis) bool { return en.stays() && !en.rests(now) }
+func (en *engine) takes(now clock.Millis) bool { return en.isStaying() && !en.isBackingOff(now) }
 
-func (en *engine) rests(now clock.Millis) bool { return en.restUntil != 0 && now < en.restUntil }
+func (en *engine) isBackingOff(now clock.Millis) bool {
+	return en.backoffUntil != 0 && now < en.backoffUntil
+}
 
 // stays tells whether the engine goes on taking new work. One that said itself that it
 // is not what its entry says does again when its entry changes.
-func (en *engine) stays() bool {
+func (en *engine) isStaying() bool {
 	return !en.gone && !en.server.Leaving && en.server != en.denied
 }
 
@@ -276,7 +278,7 @@
 // then, be there another one or not.
 func (po *Pool) Rest(now clock.Millis, id string, span clock.Millis) {
 	if en := po.engines[id]; en != nil {
-		en.restUntil = max(en.restUntil, now+span)
+		en.backoffUntil = max(en.backoffUntil, now+span)
 	}
 }
 
@@ -286,11 +288,11 @@
 	var first clock.Millis
 	for _, en := range po.engines {
 		switch {
-		case !en.stays() || en.server.Role != board.Decode:
-		case !en.rests(now):
+		case !en.isStaying() || en.server.Role != board.Decode:
+		case !en.isBackingOff(now):
 			return 0
-		case first == 0 || en.restUntil-now < first:
-			first = en.restUntil - now
+		case first == 0 || en.backoffUntil-now < first:
+			first = en.backoffUntil - now
 		}
 	}
 	return first
@@ -312,7 +314,7 @@
 func (po *Pool) Passed(now clock.Millis) []string {
 	var out []string
 	for id, en := range po.engines {
-		if now < en.fullUntil || now < en.failedUntil || en.rests(now) || en.server == en.denied {
+		if now < en.fullUntil || now < en.failedUntil || en.isBackingOff(now) || en.server == en.denied {
 			out = append(out, id)
 		}
 	}
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -103,9 +103,9 @@
 	return price, rl.budget.Take(rl.now(), "", ex.svc.Name, price)
 }
 
-// prepay pays for one more arrival before the run that it follows is stopped: a run
+// reserveArrival pays for one more arrival before the run that it follows is stopped: a run
 // that could not go on elsewhere would be cut for nothing.
-func (rl *Relay) prepay(rn *run) bool {
+func (rl *Relay) reserveArrival(rn *run) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	ex := rn.ex
@@ -116,9 +116,9 @@
 	return true
 }
 
-// affords tells whether a prefill apart and the decode behind it could both be
+// allowsTwo tells whether a prefill apart and the decode behind it could both be
 // paid for. The lock is held.
-func (rl *Relay) affords(ex *exchange) bool {
+func (rl *Relay) allowsTwo(ex *exchange) bool {
 	ar := &ex.arrivals
 	price := ar.price(callPrefill) + ar.price(callDecode)
 	return ar.credit+rl.budget.Left(rl.now(), "", ex.svc.Name) >= price
--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -46,9 +46,9 @@
 	return !rn.began || succeeded(rn.status) && numbered
 }
 
-// goOn continues a run whose stream broke: from its memory if that was moved,
+// resumeStream continues a run whose stream broke: from its memory if that was moved,
 // or by a new run where the route allows one.
-func (rl *Relay) goOn(ctx context.Context, rn *run, broke error) error {
+func (rl *Relay) resumeStream(ctx context.Context, rn *run, broke error) error {
 	switch {
 	case rn.pl.server.ID == "":
 		return errors.Join(errNoEvents, broke) // a plain service's, which has no place
@@ -63,15 +63,15 @@
 	}
 	rl.mu.Unlock()
 	if moving {
-		if broke = rl.goOnMoved(ctx, rn); broke == nil {
+		if broke = rl.followMove(ctx, rn); broke == nil {
 			return nil
 		}
 	}
 	return rl.resume(ctx, rn, broke)
 }
 
-// goOnMoved goes on where a run was moved to.
-func (rl *Relay) goOnMoved(ctx context.Context, rn *run) error {
+// followMove goes on where a run was moved to.
+func (rl *Relay) followMove(ctx context.Context, rn *run) error {
 	mv, err := rn.awaitMove(ctx)
 	if err != nil {
 		return err
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -15,15 +15,12 @@
 )
 
 const (
-	// prefillWithin bounds one prefill: the largest prompts take 200 ms, and
-	// half a second of others may be before one. A prefill that is given up is
-	// paid for in vain, so the bound is for engines that are gone.
+	// prefillWithin bounds one prefill. One that is given up is paid for in vain,
+	// so the bound is for engines that are gone.
 	prefillWithin = 1200 * clock.Millis(1)
-	// goneFor is how long all VMs avoid an engine in whose place another one
-	// answered: its entry lapses after three heartbeats, 3.6 s. It takes
-	// reservations for the earlier one, so that each VM that finds out by itself
-	// pays for a prefill: 29 of 1,450 on a day on which ten of 38 engines start
-	// again at their addresses.
+	// goneFor outlasts the registry entry of an engine whose address was reused.
+	// The engine there takes reservations for the earlier one, so that each VM
+	// that finds out by itself pays for a prefill.
 	goneFor = 4 * clock.Second
 	// generateCost is what another attempt at a generation costs the budget at least:
 	// one more decode arrives. A prefill before it is paid for when it is sent.
@@ -292,7 +289,7 @@
 	// An engine that may be gone first shows that it is there: reservations are
 	// taken also when another one answers in its place. Where the budget pays for
 	// one more arrival only, that is the decode's.
-	if !ok || pl.doubt || !rl.affords(ex) || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
+	if !ok || pl.doubt || !rl.allowsTwo(ex) || po.Itself(pf, tokens, rl.ledger.Prompts(now, pl.server.ID), st) {
 		return pf, true
 	}
 	rl.ledger.Prompt(pf.Server.ID, tokens)
--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -9,41 +9,41 @@
 	"alderdyke/pkg/clock"
 )
 
-// leaverKept is how long a server's own word that it leaves counts while its entry
+// drainingTTL is how long a server's own word that it leaves counts while its entry
 // does not say so: it is gone within a minute, and its entry may stand for as long as
 // the store is away.
-const leaverKept = 10 * clock.Minute
+const drainingTTL = 10 * clock.Minute
 
-// ServerLeaves notes that a server said with one of its answers that it leaves. From
+// MarkDraining notes that a server said with one of its answers that it leaves. From
 // now on nothing new goes there, whatever its entry says: the store may be away when
 // servers go, and would tell of it too late.
-func (rl *Relay) ServerLeaves(id string) {
+func (rl *Relay) MarkDraining(id string) {
 	if at, listed := rl.Backends().Server(id); !listed || at.Leaving {
 		return
 	}
 	rl.Log.Log(event.ServerSaysLeaving, event.F("Server", id))
 	rl.count("Leavers", nil)
 	rl.mu.Lock()
-	if rl.leavers == nil {
-		rl.leavers = make(map[string]clock.Millis)
+	if rl.draining == nil {
+		rl.draining = make(map[string]clock.Millis)
 	}
 	now := rl.now()
-	rl.leavers[id] = now
+	rl.draining[id] = now
 	ended := rl.takeBackends(now, rl.Backends().Servers)
 	rl.mu.Unlock()
 	rl.noteReborn(ended)
 }
 
-// withLeavers returns the list with the servers marked that said themselves that they
+// withDraining returns the list with the servers marked that said themselves that they
 // leave. The lock is held.
-func (rl *Relay) withLeavers(now clock.Millis, list []board.BackendServer) []board.BackendServer {
-	maps.DeleteFunc(rl.leavers, func(_ string, said clock.Millis) bool { return now >= said+leaverKept })
-	if len(rl.leavers) == 0 {
+func (rl *Relay) withDraining(now clock.Millis, list []board.BackendServer) []board.BackendServer {
+	maps.DeleteFunc(rl.draining, func(_ string, said clock.Millis) bool { return now >= said+drainingTTL })
+	if len(rl.draining) == 0 {
 		return list
 	}
 	out := slices.Clone(list)
 	for ix := range out {
-		if _, leaves := rl.leavers[out[ix].ID]; leaves {
+		if _, leaves := rl.draining[out[ix].ID]; leaves {
 			out[ix].Leaving = true
 		}
 	}
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rl, sv := newRig(t)
 		movesOnce(sv, eventOne, eventTwo)
-		time.AfterFunc(200*time.Millisecond, func() { rl.ServerLeaves(sv.sentTo()[0]) })
+		time.AfterFunc(200*time.Millisecond, func() { rl.MarkDraining(sv.sentTo()[0]) })
 		rec, err := serve(t.Context(), rl, "draft")
 		assert.NilError(t, err)
 		assert.Equal(t, rec.Body.String(), eventOne+eventTwo)
@@ -42,8 +42,8 @@
 			assert.Assert(t, ok, id)
 			return bs.Leaving
 		}
-		rl.ServerLeaves("p1")
-		rl.ServerLeaves("nobody")
+		rl.MarkDraining("p1")
+		rl.MarkDraining("nobody")
 		assert.Assert(t, leaves("p1") && !leaves("p2"))
 		rl.SetBackends(rl.Clock.Now(), reborn("p1"))
 		assert.Assert(t, !leaves("p1.2"))
--- a/internal/relay/lives.go
+++ b/internal/relay/lives.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// endReborn ends the calls at servers that started again, and counts them by
+// dropPreviousInstances ends the calls at servers that started again, and counts them by
 // server. The lock is held.
-func (rl *Relay) endReborn(bk *board.Backends) map[string]int {
+func (rl *Relay) dropPreviousInstances(bk *board.Backends) map[string]int {
 	ended := make(map[string]int)
 	for cl := range rl.calls {
 		if bk.Reborn(cl.server) {
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -57,7 +57,7 @@
 		return
 	}
 	mv := movedRun{err: errBudget}
-	if rl.prepay(rn) {
+	if rl.reserveArrival(rn) {
 		mv = rl.moveAway(ctx, rn, from, stays)
 	}
 	if mv.err != nil {
--- a/internal/relay/need.go
+++ b/internal/relay/need.go
@@ -51,9 +51,9 @@
 // blocks rounds up to what engines give out.
 func blocks(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
-// hearsAll tells whether the VMs that live told lately what they have at the
+// inSync tells whether the VMs that live told lately what they have at the
 // engines; of a large fleet a few may be silent. The lock is held.
-func (rl *Relay) hearsAll() bool {
+func (rl *Relay) inSync() bool {
 	if rl.Others == nil {
 		return false
 	}
@@ -66,13 +66,13 @@
 		}
 	}
 	hears := whole && silent <= len(others)/silentPart
-	rl.noteHearing(hears, len(others), silent, whole)
+	rl.setInSync(hears, len(others), silent, whole)
 	return hears
 }
 
-// noteHearing tells that this VM begins, or ceases, to know what the others have
+// setInSync tells that this VM begins, or ceases, to know what the others have
 // at the engines. The lock is held.
-func (rl *Relay) noteHearing(hears bool, others, silent int, whole bool) {
+func (rl *Relay) setInSync(hears bool, others, silent int, whole bool) {
 	if hears == rl.hears {
 		return
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// leastBack is the least part of Settings.Back that a refused caller is
+	// minRetryAfterPart is the least part of Settings.Back that a refused caller is
 	// told; the most is as much above the whole.
-	leastBack = 0.75
+	minRetryAfterPart = 0.75
 	// spareWhileShort is the further requests that an engine must have room for
 	// when it takes one that came back while places are wanting.
 	spareWhileShort = 1
@@ -61,7 +61,7 @@
 		rl.longest[ex.rt.Name] = ex.req.Left
 		return false
 	}
-	return ex.req.Left > 0 && ex.req.Left < longest-rl.leastBack()
+	return ex.req.Left > 0 && ex.req.Left < longest-rl.minRetryAfter()
 }
 
 // findPlace waits for a place on a decode engine. The error is a refusal.
@@ -150,12 +150,14 @@
 	}
 }
 
-// leastBack is the least time after which a refused caller is told to come back.
-func (rl *Relay) leastBack() clock.Millis { return clock.Millis(leastBack * float64(rl.Settings.Back)) }
+// minRetryAfter is the least time after which a refused caller is told to come back.
+func (rl *Relay) minRetryAfter() clock.Millis {
+	return clock.Millis(minRetryAfterPart * float64(rl.Settings.Back))
+}
 
 func (rl *Relay) noPlace(ctx context.Context, ex *exchange) error {
 	rl.mu.Lock()
-	least := rl.leastBack()
+	least := rl.minRetryAfter()
 	back := least + clock.Millis(rl.Rand.Int64N(int64(2*(rl.Settings.Back-least))+1))
 	rl.mu.Unlock()
 	return rl.endOf(ctx, ex, refuse(refusal.QueueFull, back, "no decode engine has room"))
@@ -192,8 +194,8 @@
 
 // placeAt reserves a place at an engine.
 func (rl *Relay) placeAt(ctx context.Context, ex *exchange, bs board.BackendServer, nd need) (place, bool) {
-	// The others are told before the engine has answered: what they hear
-	// only then, 5 to 10 ms later, some of them choose the same engine in.
+	// The others are told before the engine has answered, or some of them would
+	// choose the same engine in between.
 	pl := rl.takePlace(place{server: bs, service: ex.svc.Name}, nd.run)
 	id, err := rl.reserve(ctx, ex, bs, nd.reserve)
 	if err == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -184,7 +184,7 @@
 		unknown    unknownKeys
 		customers  map[string]struct{}     // that are counted by name
 		noRoom     map[roomKey]noRoom      // sizes that found no room just now
-		leavers    map[string]clock.Millis // servers that said themselves that they leave, and when
+		draining   map[string]clock.Millis // servers that said themselves that they leave, and when
 		silent     map[string]clock.Millis // schedulers that did not answer, until when they are not asked
 		stopping   bool                    // a planned stop began
 		stopAt     clock.Millis            // when
@@ -269,7 +269,7 @@
 // takeBackends is setBackends while the lock is held.
 func (rl *Relay) takeBackends(now clock.Millis, list []board.BackendServer) (ended map[string]int) {
 	rl.prepare()
-	list = rl.withLeavers(now, list)
+	list = rl.withDraining(now, list)
 	rl.changed(rl.Backends(), list)
 	bk := rl.Backends().WithServers(list)
 	rl.backends.Store(bk)
@@ -290,7 +290,7 @@
 		}
 	}
 	rl.signal()
-	ended = rl.endReborn(bk)
+	ended = rl.dropPreviousInstances(bk)
 	rl.leaveEngines(bk)
 	return ended
 }
--- a/internal/relay/rest.go
+++ b/internal/relay/rest.go
@@ -14,7 +14,7 @@
 // asked for nothing meanwhile: what it would decline costs the caller an attempt, the
 // fleet a repeat, and the server the time in which it was to recover.
 func (rl *Relay) heedRest(err error) {
-	server, span := backend.RestOf(err)
+	server, span := backend.RetryAfterOf(err)
 	if span <= 0 {
 		return
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -79,7 +79,7 @@
 		}
 		rn.sp.drop()
 		rl.noteRunBroke(ctx, rn, err)
-		if errNext := rl.goOn(ctx, rn, err); errNext != nil {
+		if errNext := rl.resumeStream(ctx, rn, err); errNext != nil {
 			rl.Log.Log(event.RelayRunLost, event.F("Request", ex.req.ID), event.F("Server", rn.pl.server.ID),
 				event.F("Last", rn.sp.last), event.F("Error", errNext.Error()))
 			return rl.endOfRun(ctx, rn.began, errNext)
--- a/internal/relay/schedule.go
+++ b/internal/relay/schedule.go
@@ -14,17 +14,15 @@
 )
 
 const (
-	// askWithin bounds one ask of a scheduler: it answers in two crossings between
-	// failure domains, 2 ms, and in 10 ms where it is five times slower. Two asks
-	// without an answer take a third of the time that a new request waits.
-	askWithin = 30 * clock.Millis(1)
-	// silentFor is how long a VM that did not answer is not asked again. One
+	// askTimeout bounds one request to a scheduler. Two without an answer take a
+	// third of the time that a new request waits.
+	askTimeout = 30 * clock.Millis(1)
+	// unresponsiveFor is how long a VM that did not answer is not asked again. One
 	// that is dead is known to be after a second.
-	silentFor = 500 * clock.Millis(1)
+	unresponsiveFor = 500 * clock.Millis(1)
 	// noRoomFor is how long no engine has room for a request as large as one that
-	// found none: in a fleet of 48 decode engines a run ends each 10 ms. An ask in
-	// vain takes a scheduler 0.0004 ms in place of 0.12 ms (BenchmarkAnswerPlace);
-	// one with a fifth of a core did not answer in time at the end of a burst.
+	// found none, so that a scheduler on a small VM answers in time in a burst
+	// (BenchmarkAnswerPlace).
 	noRoomFor = 15 * clock.Millis(1)
 	// hearsFor is how long a scheduler goes by having heard all others: their words
 	// count for fifty times that.
@@ -117,7 +115,7 @@
 
 // chooseHere chooses by what this VM knows of all. The lock is held.
 func (rl *Relay) chooseHere(now clock.Millis, ex *exchange, po *pool.Pool, tk *pool.Ticket) choice {
-	ch := choice{need: rl.needOf(ex, rl.hearsAll()), short: rl.ledger.Short(now)}
+	ch := choice{need: rl.needOf(ex, rl.inSync()), short: rl.ledger.Short(now)}
 	if ch.need.limit != noLimit {
 		ch.before = rl.ledger.Before(now, askOf(now, ex.svc.Name, tk), func(back bool) clock.Millis { return rl.placeWait(ex.rt, back) })
 	}
@@ -128,7 +126,7 @@
 
 // chooseBlindly chooses by this VM's own runs alone. The lock is held.
 func (rl *Relay) chooseBlindly(now clock.Millis, ex *exchange, po *pool.Pool) choice {
-	rl.noteHearing(false, 0, 0, false)
+	rl.setInSync(false, 0, 0, false)
 	ch := choice{need: rl.needOf(ex, false), short: rl.ledger.Short(now)}
 	ch.list = po.Decoders(now, rl.wantOf(now, ch.need, 0, 0))
 	return ch
@@ -150,7 +148,7 @@
 // askPlace asks the VMs in turn until one knows.
 func (rl *Relay) askPlace(ctx context.Context, vms []string, ask usage.PlaceAsk) (ans usage.PlaceAnswer, by string, ok bool) {
 	for _, vm := range vms {
-		within, stop := context.WithTimeout(ctx, askWithin.Std())
+		within, stop := context.WithTimeout(ctx, askTimeout.Std())
 		ans, err := rl.Schedulers.Ask(within, vm, ask)
 		stop()
 		if ctx.Err() != nil {
@@ -179,13 +177,13 @@
 	if rl.silent == nil {
 		rl.silent = make(map[string]clock.Millis)
 	}
-	rl.silent[vm] = rl.now() + silentFor
+	rl.silent[vm] = rl.now() + unresponsiveFor
 }
 
 // chosen takes another VM's answer. The lock is held.
 func (rl *Relay) chosen(ex *exchange, po *pool.Pool, by string, ans usage.PlaceAnswer) choice {
 	now := rl.now()
-	rl.noteHearing(true, 0, 0, true)
+	rl.setInSync(true, 0, 0, true)
 	if ans.Short {
 		rl.ledger.HeardShort(now)
 	}
@@ -264,14 +262,14 @@
 	return false
 }
 
-// hearsLately is hearsAll of a moment ago, which looks at each VM. The lock is
+// hearsLately is inSync of a moment ago, which looks at each VM. The lock is
 // held.
 func (rl *Relay) hearsLately(now clock.Millis) bool {
 	if rl.hears && now < rl.hearsUntil {
 		return true
 	}
 	rl.hearsUntil = now + hearsFor
-	return rl.hearsAll()
+	return rl.inSync()
 }
 
 // assume counts a place, and the prompt at an engine near it, as taken by the
@@ -294,7 +292,7 @@
 	vms, here := rl.schedulers()
 	run, po := from.entry.Run(), rl.lockedPool(from.service)
 	if !here || len(vms) > 0 {
-		ctx, stop := context.WithTimeout(context.Background(), 2*askWithin.Std())
+		ctx, stop := context.WithTimeout(context.Background(), 2*askTimeout.Std())
 		defer stop()
 		ask := usage.PlaceAsk{Ask: usage.Ask{Service: from.service, Turn: 1}, Run: usage.Run{Tokens: run.Tokens, Left: run.Left}, Reserve: run.Tokens}
 		if ans, _, ok := rl.askPlace(ctx, vms, ask); ok && len(ans.Engines) > 0 {
--- a/internal/roles/keeper.go
+++ b/internal/roles/keeper.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// lookEvery is how often the roles are looked at.
-	lookEvery = 500 * clock.Millis(1)
+	// leaseCheckInterval is how often the roles are looked at.
+	leaseCheckInterval = 500 * clock.Millis(1)
 	// restAfter is how long nothing is ordered after an engine refused the
 	// fencing token: another VM has a newer one.
 	restAfter = 15 * clock.Second
@@ -94,7 +94,7 @@
 func (ke *Keeper) Run(ctx context.Context) {
 	ke.plans = make(map[string]*Plan)
 	ke.Holder.Lapses = true
-	ticker := time.NewTicker(lookEvery.Std())
+	ticker := time.NewTicker(leaseCheckInterval.Std())
 	defer ticker.Stop()
 	for {
 		select {
