--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -31,8 +31,8 @@
 	// confirmWithin bounds the wait for engines to confirm a cancel before
 	// what they hold counts as unknown.
 	confirmWithin = 3 * clock.Second
-	// restLeast is the least span of rest that the accountant is told of: an engine
-	// that is full for a moment names a shorter one.
+	// restLeast is the least span of rest that the accountant is told of: a shorter
+	// one is over before its next report.
 	restLeast = reportEvery
 	// resumeTries bounds how often a broken token stream is opened again.
 	resumeTries = 3
@@ -207,12 +207,22 @@
 	case de.Reason == backend.WrongRole:
 		ma.rs.tell(wrongRole, de.Server, 0)
 	default:
-		if server, rest := backend.RetryAfterOf(err); rest >= restLeast {
+		if server, rest := restOf(err); rest > 0 {
 			ma.rs.tell(resting, server, rest)
 		}
 	}
 }
 
+// restOf is the engine that takes no calls for a span, by its own word; zero: none. A
+// span beside another reason is about the one request, or about a moment.
+func restOf(err error) (server string, rest clock.Millis) {
+	server, rest = backend.RetryAfterOf(err)
+	if _, why := backend.OutcomeOf(err); why != backend.Refused || rest < restLeast {
+		return "", 0
+	}
+	return server, rest
+}
+
 // letGo frees one decode engine of this attempt.
 func (ma *modelAttempt) letGo(server string) {
 	delete(ma.touched, server)
--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -16,6 +16,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
+	"alderdyke/pkg/clock"
 )
 
 // toldDecode is an engine that holds one decode.
@@ -182,3 +183,29 @@
 	}
 	assert.Equal(t, len(names), 8)
 }
+
+// Only an engine that takes no calls at all asks its cell for rest. One that declined a
+// single request, or is full for a moment, names a span too; taken for a rest it closed
+// the last prefill engine of a cell, which then refused all requests:
+//
+//	refused (MayHaveRun): NoBackend: no engine of the cell takes work
+func TestRestIsTheWordOfAnEngineThatTakesNoCalls(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		err  error
+		want clock.Millis
+	}{
+		{"takes no calls", backend.DeclinedError{Server: "e1", Reason: backend.Refused, RetryAfter: 3000}, 3000},
+		{"for a moment", backend.DeclinedError{Server: "e1", Reason: backend.Refused, RetryAfter: 20}, 0},
+		{"is full", backend.DeclinedError{Server: "e1", Reason: backend.Full, RetryAfter: 800}, 0},
+		{"the request was cancelled", backend.DeclinedError{Server: "e1", Reason: backend.Cancelled, RetryAfter: 800}, 0},
+		{"has it already", backend.InDoubtError{Server: "e1", Reason: backend.Duplicate}, 0},
+		{"did not answer", backend.InDoubtError{Server: "e1"}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server, rest := restOf(tc.err)
+			assert.Equal(t, rest, tc.want)
+			assert.Equal(t, server != "", tc.want > 0)
+		})
+	}
+}
