entry: a span that is no rest is waited for as before

Since an engine's rest is told to its cell, no span beside a declined order was waited for, also one of an engine that is full for a moment, which its cell does not know of: the next attempt would come right away. Only an engine that asked for rest is kept away from without a wait.

--- a/internal/entry/again.go
+++ b/internal/entry/again.go
@@ -50,8 +50,8 @@
 		Detail: "a backend server failed",
 	}
 	var declined backend.DeclinedError
-	if errors.As(err, &declined) && rn.req.Chat == nil {
-		rf.RetryAfter = declined.RetryAfter // a model engine's is the accountant's, which places the request elsewhere
+	if errors.As(err, &declined) && !rn.placedElsewhere(err) {
+		rf.RetryAfter = declined.RetryAfter
 	}
 	if rn.sent.Load() {
 		rf.Ran = refusal.MayHaveRun
@@ -59,6 +59,13 @@
 	return rf
 }
 
+// placedElsewhere tells whether the next attempt keeps away from an engine that asked
+// for rest: the accountant, which places it, was told.
+func (rn *run) placedElsewhere(err error) bool {
+	_, rest := restOf(err)
+	return rn.req.Chat != nil && rest > 0
+}
+
 // decideRetry asks the policy and counts its reason.
 func (vm *VM) decideRetry(at retry.Attempt) retry.Verdict {
 	vm.retries.mu.Lock()
