--- a/internal/charge/shard.go
+++ b/internal/charge/shard.go
@@ -41,9 +41,9 @@
 	}
 )
 
-// ask is the VM to ask: the one that holds the lease on this VM's part, or else the
+// askedAt is the VM to ask: the one that holds the lease on this VM's part, or else the
 // shard's keeper as this VM sees the fleet.
-func (sh *shard) ask(now clock.Millis, keeper string) string {
+func (sh *shard) askedAt(now clock.Millis, keeper string) string {
 	if vm := sh.account.Holder(now); vm != "" {
 		return vm
 	}
--- a/internal/charge/take.go
+++ b/internal/charge/take.go
@@ -50,7 +50,7 @@
 	now := ch.now()
 	replies := make([]*reply, len(ch.shards))
 	for ix, sh := range ch.shards {
-		vm := sh.ask(now, keepers[ix])
+		vm := sh.askedAt(now, keepers[ix])
 		replies[ix] = &reply{sh: sh, vm: vm, away: vm == "" || now < sh.silent[vm]}
 	}
 	for open := askable(replies); len(open) > 0; open = askable(replies) {
@@ -125,7 +125,7 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	now, lim := ch.now(), or.Limit.Shard()
-	taken := ch.takeFrom(ch.shards[:], or.Tokens, func(sh *shard) float64 {
+	taken := takeFrom(ch.shards[:], or.Tokens, func(sh *shard) float64 {
 		return sh.account.Credit(now, vms, or.Customer, lim)
 	}, func(sh *shard, tokens float64) {
 		sh.account.Take(now, vms, or.Customer, lim, tokens)
@@ -134,7 +134,7 @@
 		return false
 	}
 	for ix, sh := range ch.shards {
-		if vm := sh.ask(now, keepers[ix]); sh.needsCredit(now, vms, vm, or) {
+		if vm := sh.askedAt(now, keepers[ix]); sh.needsCredit(now, vms, vm, or) {
 			sh.asking[or.Customer] = true
 			go ch.askCredit(sh, vm, vms, or)
 		}
@@ -154,7 +154,7 @@
 			away = append(away, re.sh)
 		}
 	}
-	return vms > 0 && len(away) > 0 && ch.takeFrom(away, or.Tokens, func(sh *shard) float64 {
+	return vms > 0 && len(away) > 0 && takeFrom(away, or.Tokens, func(sh *shard) float64 {
 		return sh.account.Alone(now, vms, or.Customer, lim)
 	}, func(sh *shard, tokens float64) {
 		sh.account.TakeAlone(now, vms, or.Customer, lim, tokens)
@@ -163,7 +163,7 @@
 
 // takeFrom takes tokens from shards that together have them, equal parts where each
 // has its own. The lock is held.
-func (ch *Charger) takeFrom(shards []*shard, tokens float64, has func(*shard) float64, take func(*shard, float64)) bool {
+func takeFrom(shards []*shard, tokens float64, has func(*shard) float64, take func(*shard, float64)) bool {
 	sum := 0.0
 	for _, sh := range shards {
 		sum += has(sh)
