--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -54,6 +54,16 @@
 	return ln.buf.Write(text)
 }
 
+// tell logs what the VMs wrote, and what the engines declined.
+func (fl *fleet) tell() {
+	for _, en := range fl.dp.Engines {
+		fl.t.Logf("%s declined %v", en.ID, en.History().Declined)
+	}
+	fl.log.mu.Lock()
+	defer fl.log.mu.Unlock()
+	fl.t.Logf("the VMs' log:\n%s", fl.log.buf.String())
+}
+
 func (ln *lines) has(ev event.Event) bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
@@ -83,6 +93,11 @@
 	}}
 	assert.NilError(t, fl.dp.Start())
 	t.Cleanup(func() { assert.Check(t, fl.dp.Close()) })
+	t.Cleanup(func() {
+		if t.Failed() {
+			fl.tell()
+		}
+	})
 	for ix := range vms {
 		set, err := fl.dp.VM(fmt.Sprintf("vm-%d", ix+1), fl.dp.FailureDomains[ix])
 		assert.NilError(t, err)
