caller: a test of stalled readers has time for the VM's own timeout

Cause, traced: sent data may stay unacknowledged for twice the write timeout, one second in this test, after which the kernel ends the connection. Where the VM takes longer than the other half of that between two events, that comes before the timeout of the write, and the reader ends as one that left. Brought about with pieces of 256 KiB each 100 to 700 ms (8 of 8: neither StalledReaders nor BrokenConnections; the caller detached), and not with 1 MiB each 300 ms.

The write timeout of the test is 3 s now, so that the machine would have to take 3 s; its checks stand. The settings say how such a connection counts.

--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -30,7 +30,8 @@
 
 		// WriteTimeout is how long one event, or 16 KiB of a whole answer,
 		// may take to reach the caller's connection (20s). Sent data may
-		// stay unacknowledged for twice as long.
+		// stay unacknowledged for twice as long; a connection that ends
+		// for that counts as one that its caller left.
 		WriteTimeout clock.Millis
 
 		// HeaderWait is how long the status of a streamed answer is held
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/answer"
+	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
@@ -140,7 +141,9 @@
 
 func TestGoneAndStalledCallersAreDetached(t *testing.T) {
 	rg := serve(t, func(rg *rig) {
-		rg.Limits = Limits{WriteTimeout: 500}
+		// Data may stay unacknowledged for twice as long, after which the kernel ends the
+		// connection: the test's machine must not take that long between two events.
+		rg.Limits = Limits{WriteTimeout: 3 * clock.Second}
 		rg.rn.moved = make(chan int, 16)
 	})
 	request := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testKey +
