--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// prefillWithin bounds one prefill. One that is given up is paid for in vain,
+	// prefillWithin bounds one prefill. One that is given up is wasted work,
 	// so the bound is for engines that are gone.
 	prefillWithin = 1200 * clock.Millis(1)
 	// goneFor outlasts the registry entry of an engine whose address was reused.
