registry, topic: a VM tells why it still lists a server whose entry went

ServerKept tells how long ago the store was away and whether another VM said so; ServerReadyAgain tells of a word of leaving that an entry takes back. A VM that writes neither, and no ServerGone, never read the change. No decision changes.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -85,6 +85,10 @@
 		"this VM wrote again what the store had lost of the fleet, or others had removed: the secret, or its own entry", "none")
 	ServerGone = register(2303, "ServerGone", Info,
 		"a backend server's entry is gone", "none")
+	ServerKept = register(2325, "ServerKept", Info,
+		"a backend server's entry is gone and the server stays listed, since the store was away so many milliseconds (Outage) ago; with Told another VM says so", "none")
+	ServerReadyAgain = register(2326, "ServerReadyAgain", Warn,
+		"the entry of a backend server no longer says that it leaves", "look at the backend server")
 	StoreLost = register(2304, "StoreLost", Warn,
 		"the platform's store does not answer; what is known stays in use", "look at the platform")
 	StoreBack = register(2305, "StoreBack", Info,
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -70,39 +70,46 @@
 	return ok && (en.server == bs && !en.lapsed || bs.Incarnation < en.server.Incarnation)
 }
 
+// Leaving tells whether the server with the key is said to leave.
+func (rg *Registry) Leaving(key string) bool { return rg.servers[key].server.Leaving }
+
 // Lists tells whether there is a server with the key.
 func (rg *Registry) Lists(key string) bool {
 	_, ok := rg.servers[key]
 	return ok
 }
 
-// Remove takes the end of one entry.
-func (rg *Registry) Remove(now clock.Millis, key string) {
+// Remove takes the end of one entry, and tells whether its server is kept since
+// the store was away lately.
+func (rg *Registry) Remove(now clock.Millis, key string) (kept bool) {
 	en, ok := rg.servers[key]
 	if !ok {
-		return
+		return false
 	}
 	if rg.doubtful(now) {
 		en.lapsed = true
 		rg.servers[key] = en
-		return
+		return true
 	}
 	delete(rg.servers, key)
 	rg.moved = true
+	return false
 }
 
-// Replace takes a whole listing: who is not in it has no entry.
-func (rg *Registry) Replace(now clock.Millis, list []board.BackendServer) {
+// Replace takes a whole listing: who is not in it has no entry. It returns the
+// keys of the servers that are kept all the same.
+func (rg *Registry) Replace(now clock.Millis, list []board.BackendServer) (kept []string) {
 	listed := make(map[string]bool, len(list))
 	for _, bs := range list {
 		listed[bs.Key()] = true
 		rg.Set(bs)
 	}
 	for key := range rg.servers {
-		if !listed[key] {
-			rg.Remove(now, key)
+		if !listed[key] && rg.Remove(now, key) {
+			kept = append(kept, key)
 		}
 	}
+	return kept
 }
 
 // Missed notes that the store did not answer at a point.
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -71,6 +71,12 @@
 		Missed clock.Millis
 	}
 
+	// Outage is a span in which the store did not answer.
+	Outage struct {
+		Until clock.Millis // last point at which it is known not to have answered
+		Told  bool         // another VM said so
+	}
+
 	// Follower follows one topic. Set the exported fields before Run.
 	Follower struct {
 		Source Source
@@ -81,11 +87,11 @@
 		Clock  clock.Source
 		Log    event.Logger
 
-		Whole  func(recs []Record)   // takes a listing
-		Change func(rec Record)      // takes one change
-		Fresh  func()                // hears that all is known up to now, after the changes; may be nil
-		Missed func(at clock.Millis) // hears when the store did not answer this VM, or the one that reads for it; may be nil
-		Back   func()                // hears that it answers again; may be nil
+		Whole  func(recs []Record) // takes a listing
+		Change func(rec Record)    // takes one change
+		Fresh  func()              // hears that all is known up to now, after the changes; may be nil
+		Missed func(ou Outage)     // hears when the store did not answer this VM, or the one that reads for it; may be nil
+		Back   func()              // hears that it answers again; may be nil
 		// Returned hears that the store has come back from an older copy, before the
 		// Whole of what it has now; may be nil.
 		Returned func()
@@ -184,7 +190,7 @@
 	}
 	if nw.Missed > 0 && fo.Missed != nil {
 		// What lapsed meanwhile may be back, whatever this VM saw of the store.
-		fo.Missed(fo.now() - nw.Missed)
+		fo.Missed(Outage{Until: fo.now() - nw.Missed, Told: true})
 	}
 	for _, rec := range nw.Records {
 		if rec.Offset >= fo.next {
@@ -351,7 +357,7 @@
 	}
 	fo.Log.Log(event.StoreReturned, event.F("Topic", fo.Name), event.F("Era", EraOf(next)))
 	if fo.Missed != nil {
-		fo.Missed(fo.now()) // entries of those that live may be missing, as after an outage
+		fo.Missed(Outage{Until: fo.now()}) // entries of those that live may be missing, as after an outage
 	}
 	if fo.Returned != nil {
 		fo.Returned()
@@ -372,7 +378,7 @@
 	fo.missed = now
 	fo.mu.Unlock()
 	if fo.Missed != nil {
-		fo.Missed(now)
+		fo.Missed(Outage{Until: now})
 	}
 }
 
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -143,7 +143,7 @@
 				}
 			},
 			Rank:   func() int { return int(mb.rank.Load()) },
-			Missed: func(at clock.Millis) { mb.missed.Add(1); mb.missedAt.Store(int64(at)) },
+			Missed: func(ou topic.Outage) { mb.missed.Add(1); mb.missedAt.Store(int64(ou.Until)) },
 			IsNews: func(rec topic.Record) bool { return mb.get(rec.Key) != string(rec.Value) },
 			Tell: func(nw topic.News) {
 				mb.told.Add(int64(len(nw.Records)))
