--- /dev/null
+++ b/internal/topic/outage_test.go
@@ -0,0 +1,435 @@
+package topic_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/registry"
+	"alderdyke/internal/topic"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// touchSpan is how long a VM, or the store, has to be without trouble before
+	// the VM counts as in touch.
+	touchSpan = 3 * clock.Second
+	// drainBound is how long after the store's word a server may get requests.
+	drainBound = 2 * clock.Second
+	// beat is a server's heartbeat; its entry lapses after three of silence.
+	beat = 1200 * clock.Millis(1)
+	// callTimeout ends a call that the store does not answer.
+	callTimeout = 900 * clock.Millis(1)
+	lookEvery   = 20 * clock.Millis(1)
+)
+
+// Ways in which a VM does not reach the store.
+const (
+	reached trouble = iota
+	refused
+	silent
+	cut // also from all other VMs
+)
+
+type (
+	trouble int
+
+	// site is a store, servers that register there, and VMs that follow them.
+	site struct {
+		mu      sync.Mutex
+		clk     bubbleClock
+		rnd     *rand.Rand
+		entries map[string]string
+		recs    []topic.Record
+		down    trouble      // for everybody
+		upSince clock.Millis // the store's last return
+		servers map[string]*simServer
+		vms     []*simVM
+		loss    float64 // of news
+		delay   clock.Millis
+		wrong   []string
+	}
+
+	simServer struct {
+		renewed clock.Millis
+		word    bool         // it said that it leaves
+		left    clock.Millis // when the store had that it leaves; zero: it does not
+		stable  bool         // the store was stable then
+		listed  clock.Millis // first entry
+	}
+
+	simVM struct {
+		st      *site
+		name    string
+		fo      *topic.Follower
+		rg      registry.Registry
+		down    trouble
+		upSince clock.Millis
+		known   map[string]bool // servers that were listed once
+		list    map[string]board.BackendServer
+	}
+)
+
+// newSite has so many VMs, all of which may read for the others.
+func newSite(vms int, seed uint64) *site {
+	st := &site{clk: bubbleClock{time.Now().Add(-time.Minute)}, rnd: rand.New(rand.NewPCG(seed, 1)),
+		entries: make(map[string]string), servers: make(map[string]*simServer), delay: 2}
+	for ix := range vms {
+		vm := &simVM{st: st, name: fmt.Sprintf("vm-%d", ix), known: make(map[string]bool), list: make(map[string]board.BackendServer)}
+		vm.fo = &topic.Follower{Source: vm, Name: "servers", Pause: 800, Standby: 950, Patience: 1100, Clock: st.clk,
+			Whole: vm.whole, Change: vm.change, IsNews: vm.isNews, Fresh: vm.apply,
+			Rank:   func() int { return ix },
+			Tell:   vm.tell,
+			Missed: func(ou topic.Outage) { vm.rg.Missed(ou.Until) }}
+		st.vms = append(st.vms, vm)
+	}
+	return st
+}
+
+func (st *site) run(ctx context.Context) {
+	go st.live(ctx)
+	for _, vm := range st.vms {
+		go vm.fo.Run(ctx)
+	}
+}
+
+// live plays the servers and looks at what the VMs believe.
+func (st *site) live(ctx context.Context) {
+	for clock.Sleep(ctx, lookEvery) {
+		st.mu.Lock()
+		now := st.clk.Now()
+		for id, sv := range st.servers {
+			st.play(now, id, sv)
+		}
+		for _, vm := range st.vms {
+			st.check(now, vm)
+		}
+		st.mu.Unlock()
+	}
+}
+
+// play renews and ends a server's entry. The lock is held, as below.
+func (st *site) play(now clock.Millis, id string, sv *simServer) {
+	if st.down == reached && now-sv.renewed >= beat && (sv.left == 0 || sv.word) {
+		sv.renewed = now
+		st.put(id, sv.state())
+	}
+	if now-sv.renewed >= 3*beat {
+		st.put(id, "")
+	}
+}
+
+func (sv *simServer) state() string {
+	if sv.word {
+		return "draining"
+	}
+	return "ready"
+}
+
+// put appends a record if the entry changes.
+func (st *site) put(id, state string) {
+	if st.entries[id] == state {
+		return
+	}
+	st.entries[id] = state
+	st.recs = append(st.recs, topic.Record{Key: id, Value: []byte(state), Offset: uint64(len(st.recs))})
+}
+
+func (st *site) add(id string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	now := st.clk.Now()
+	st.servers[id] = &simServer{renewed: now, listed: now}
+	st.put(id, "ready")
+}
+
+// leave has a server leave, with a word or without one. It needs the store.
+func (st *site) leave(id string, word bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	sv := st.servers[id]
+	if st.down != reached || sv.left > 0 {
+		return
+	}
+	now := st.clk.Now()
+	sv.left, sv.word, sv.stable = now, word, now-st.upSince >= touchSpan
+	if word {
+		st.put(id, "draining")
+	} else {
+		st.put(id, "")
+	}
+}
+
+func (st *site) setStore(down trouble) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.down, st.upSince = down, st.clk.Now()
+}
+
+func (st *site) setVM(ix int, down trouble) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.vms[ix].down, st.vms[ix].upSince = down, st.clk.Now()
+}
+
+// inTouch tells whether a VM, and the store, were without trouble for long enough.
+func (st *site) inTouch(now clock.Millis, vm *simVM) bool {
+	return st.down == reached && vm.down == reached && now-st.upSince >= touchSpan && now-vm.upSince >= touchSpan
+}
+
+// check notes a server that left and is in use at a VM in touch, and one that
+// lives and was dropped.
+func (st *site) check(now clock.Millis, vm *simVM) {
+	for id, sv := range st.servers {
+		bs, listed := vm.list[id]
+		ready := listed && !bs.Leaving
+		switch {
+		case sv.left > 0 && sv.stable && ready && now > sv.left+drainBound+lookEvery && st.inTouch(now, vm):
+			st.wrong = append(st.wrong, fmt.Sprintf("%s: %s uses %s, which left %v ago", now, vm.name, id, now-sv.left))
+		case sv.left == 0 && vm.known[id] && !ready:
+			st.wrong = append(st.wrong, fmt.Sprintf("%s: %s dropped %s, which lives", now, vm.name, id))
+		}
+	}
+}
+
+// faults returns the first few of what was wrong.
+func (st *site) faults() []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.wrong[:min(3, len(st.wrong))]
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// reach is the way of a call to the store.
+func (vm *simVM) reach(ctx context.Context) error {
+	vm.st.mu.Lock()
+	down := max(vm.st.down, vm.down)
+	vm.st.mu.Unlock()
+	span := 4 * clock.Millis(1)
+	if down >= silent {
+		span = callTimeout
+	}
+	if !clock.Sleep(ctx, span) {
+		return ctx.Err()
+	}
+	if down != reached {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func (vm *simVM) Newest(ctx context.Context, _ string) ([]topic.Record, uint64, error) {
+	if err := vm.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	vm.st.mu.Lock()
+	defer vm.st.mu.Unlock()
+	var recs []topic.Record
+	for _, rec := range vm.st.recs {
+		if vm.st.entries[rec.Key] == string(rec.Value) && len(rec.Value) > 0 {
+			recs = append(recs, rec)
+		}
+	}
+	return recs, uint64(len(vm.st.recs)), nil
+}
+
+func (vm *simVM) Read(ctx context.Context, _ string, from uint64, _ clock.Millis) ([]topic.Record, uint64, error) {
+	if err := vm.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	vm.st.mu.Lock()
+	defer vm.st.mu.Unlock()
+	return append([]topic.Record(nil), vm.st.recs[from:]...), uint64(len(vm.st.recs)), nil
+}
+
+// tell sends news to all VMs that are reached, late and with losses.
+func (vm *simVM) tell(nw topic.News) {
+	st := vm.st
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, other := range st.vms {
+		if other == vm || st.rnd.Float64() < st.loss {
+			continue
+		}
+		delay := 1 + clock.Millis(st.rnd.Int64N(int64(st.delay)))
+		time.AfterFunc(delay.Std(), func() {
+			st.mu.Lock()
+			lost := vm.down == cut || other.down == cut
+			st.mu.Unlock()
+			if !lost {
+				other.fo.Hear(nw)
+			}
+		})
+	}
+}
+
+func serverOf(rec topic.Record) board.BackendServer {
+	return board.BackendServer{ID: rec.Key, Name: rec.Key, Address: rec.Key + ":1", Leaving: string(rec.Value) == "draining"}
+}
+
+func (vm *simVM) whole(recs []topic.Record) {
+	var list []board.BackendServer
+	for _, rec := range recs {
+		list = append(list, serverOf(rec))
+	}
+	vm.rg.Replace(vm.st.clk.Now(), list)
+}
+
+func (vm *simVM) change(rec topic.Record) {
+	if len(rec.Value) == 0 {
+		vm.rg.Remove(vm.st.clk.Now(), rec.Key)
+		return
+	}
+	vm.rg.Set(serverOf(rec))
+}
+
+func (vm *simVM) isNews(rec topic.Record) bool {
+	if len(rec.Value) == 0 {
+		return vm.rg.Lists(rec.Key)
+	}
+	return !vm.rg.Knows(serverOf(rec))
+}
+
+func (vm *simVM) apply() {
+	vm.st.mu.Lock()
+	defer vm.st.mu.Unlock()
+	list, _ := vm.rg.Servers(vm.st.clk.Now())
+	clear(vm.list)
+	for _, bs := range list {
+		vm.list[bs.ID] = bs
+		vm.known[bs.ID] = true
+	}
+}
+
+// playSite plays a site of seven VMs and two servers.
+func playSite(t *testing.T, seed uint64, play func(st *site)) (faults []string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		st := newSite(7, seed)
+		st.add("stays")
+		st.add("leaves")
+		st.run(ctx)
+		time.Sleep(5 * time.Second)
+		play(st)
+		time.Sleep(8 * time.Second)
+		faults = st.faults()
+	})
+	return faults
+}
+
+// A server that left was in use for as long as one VM had trouble of its own.
+func TestOwnTroubleIsTakenForAnOutage(t *testing.T) {
+	const s = time.Second
+	for _, tc := range []struct {
+		name string
+		play func(st *site)
+	}{
+		{"the store refuses the first reader", func(st *site) {
+			st.setVM(0, refused)
+			time.Sleep(s)
+			st.leave("leaves", false)
+			time.Sleep(9 * s)
+			st.setVM(0, reached)
+		}},
+		{"VMs are cut off in turn", func(st *site) {
+			for turn := range 6 {
+				st.setVM(turn, cut)
+				time.Sleep(2 * s)
+				st.setVM(turn, reached)
+				st.leave("leaves", false)
+			}
+		}},
+		{"the store is silent to the first reader", func(st *site) {
+			st.setVM(0, silent)
+			time.Sleep(4 * s)
+			st.leave("leaves", false)
+			time.Sleep(5 * s)
+			st.setVM(0, reached)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.DeepEqual(t, playSite(t, 1, tc.play), []string(nil))
+		})
+	}
+}
+
+// A live server stays in use while the store is away for all, whatever else
+// happens beside it.
+func TestOutageDropsNoLiveServer(t *testing.T) {
+	const s = time.Second
+	for _, down := range []trouble{refused, silent} {
+		for _, tc := range []struct {
+			name string
+			play func(st *site)
+		}{
+			{"alone", func(*site) {}},
+			{"a VM cut off meanwhile", func(st *site) { st.setVM(0, cut) }},
+			{"a VM refused meanwhile", func(st *site) { st.setVM(1, refused) }},
+		} {
+			t.Run(fmt.Sprint(tc.name, " ", down), func(t *testing.T) {
+				assert.DeepEqual(t, playSite(t, 2, func(st *site) {
+					tc.play(st)
+					st.setStore(down)
+					time.Sleep(6 * s)
+					st.setStore(reached)
+					time.Sleep(700 * time.Millisecond)
+					for ix := range st.vms {
+						st.setVM(ix, reached)
+					}
+				}), []string(nil))
+			})
+		}
+	}
+}
+
+// explored is how many drawn sites are played.
+const explored = 600
+
+// Drawn troubles of VMs and of the store beside servers that leave.
+func TestServersThatLeaveBesideDrawnTroubles(t *testing.T) {
+	for seed := range uint64(explored) {
+		faults := playSite(t, seed, func(st *site) { playDrawn(st, rand.New(rand.NewPCG(seed, 2))) })
+		assert.Assert(t, len(faults) == 0, "seed %d: %v", seed, faults)
+	}
+}
+
+func playDrawn(st *site, rnd *rand.Rand) {
+	st.mu.Lock()
+	if rnd.IntN(3) == 0 {
+		st.loss, st.delay = 0.1, 200
+	}
+	st.mu.Unlock()
+	for step := range 12 {
+		switch draw := rnd.IntN(10); {
+		case draw < 5:
+			ix := rnd.IntN(len(st.vms))
+			st.setVM(ix, trouble(rnd.IntN(4)))
+		case draw < 6:
+			st.setStore(trouble(rnd.IntN(3)))
+		case draw < 8:
+			for ix := range st.vms {
+				if rnd.IntN(2) == 0 {
+					st.setVM(ix, reached)
+				}
+			}
+			st.setStore(reached)
+		case draw < 9 && step > 2:
+			st.leave("leaves", rnd.IntN(2) == 0)
+		}
+		time.Sleep(time.Duration(100+rnd.IntN(2400)) * time.Millisecond)
+	}
+	st.setStore(reached)
+	for ix := range st.vms {
+		st.setVM(ix, reached)
+	}
+}
