topic, registry: an outage is what no VM was answered in

Callers' requests reached servers up to 12 s after these had left (rule DRAIN), also from VMs that had no trouble.

Cause: what goes while the store may have been away is kept for 2.2 s, and one point in time stood for that: the last call that any VM missed. Own calls that fail moved it on although others passed on what they read, and the news of a VM that had been cut off moved it on at all who heard them. With a VM back every two seconds a server that had left stayed listed for 10 to 15 s.

Change: each VM keeps since when the store is known to have answered anybody, by its own calls and by news, which tell it (Answered). An outage is a span of 1.2 s or more in which calls failed and nobody was answered; entries lapse after three heartbeats, so that a shorter one ends none. Who was answered meanwhile refutes it, and tells a reader that is just back. The grace period begins with the first answer after the outage, which cannot be before the store's return, as the time of the last failed call was; so that it does not end later, reads after a failure do not wait, give up after 0.5 s and are repeated after 0.7 s at the latest, and there is a read as it ends.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 
 	"alderdyke/internal/board"
@@ -63,7 +64,7 @@
 // goes in pieces; one that is too large for that is left out, so that the others
 // see a gap and read for themselves.
 func newsToWire(nw topic.News) ([]*peerpb.Datagram, error) {
-	sp := newsSplitter{topic: nw.Topic, missed: uint32(nw.Missed)}
+	sp := newsSplitter{topic: nw.Topic, missed: uint32(nw.Missed), answered: wireSpan(nw.Answered)}
 	sp.begin(nw.From)
 	for _, rec := range nw.Records {
 		size := len(rec.Key) + len(rec.Value)
@@ -85,15 +86,16 @@
 
 // newsSplitter makes the messages of one piece of news, in order.
 type newsSplitter struct {
-	topic  string
-	missed uint32
-	part   *peerpb.TopicNews
-	size   int // of the part's keys and values
-	out    []*peerpb.Datagram
+	topic    string
+	missed   uint32
+	answered uint32
+	part     *peerpb.TopicNews
+	size     int // of the part's keys and values
+	out      []*peerpb.Datagram
 }
 
 func (sp *newsSplitter) begin(from uint64) {
-	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from, Missed: sp.missed}, 0
+	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from, Missed: sp.missed, Answered: sp.answered}, 0
 }
 
 func (sp *newsSplitter) add(rec topic.Record, size int) {
@@ -116,8 +118,11 @@
 	sp.out = append(sp.out, &peerpb.Datagram{Body: &peerpb.Datagram_TopicNews{TopicNews: sp.part}})
 }
 
+// wireSpan bounds a span by what its field holds, which is 49 days.
+func wireSpan(span clock.Millis) uint32 { return uint32(min(span, math.MaxUint32)) }
+
 func newsFromWire(tn *peerpb.TopicNews) topic.News {
-	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), Missed: clock.Millis(tn.GetMissed())}
+	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), Missed: clock.Millis(tn.GetMissed()), Answered: clock.Millis(tn.GetAnswered())}
 	for _, rec := range tn.GetRecords() {
 		nw.Records = append(nw.Records, topic.Record{Key: rec.GetKey(), Value: rec.GetValue(), Offset: rec.GetOffset()})
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,7 +14,7 @@
 //	rg.Replace(now, servers)        // a whole listing
 //	rg.Set(server)                  // one entry
 //	rg.Remove(now, key)             // one entry lapsed or was withdrawn
-//	rg.Missed(now)                  // the store did not answer
+//	rg.Missed(until)                // the store answered no VM until then
 //	list, moved := rg.Servers(now)
 //
 // A Registry does no I/O and is not safe for concurrent use. The zero value
@@ -40,8 +40,7 @@
 		Return clock.Millis // zero: DefaultReturn
 
 		servers map[string]entry // by BackendServer.Key
-		missed  clock.Millis     // last point at which the store did not answer
-		away    bool             // missed was ever set
+		missed  clock.Millis     // end of the last outage of the store; zero: none is known
 		moved   bool
 	}
 
@@ -86,7 +85,7 @@
 	if !ok {
 		return false
 	}
-	if rg.doubtful(now) {
+	if rg.inGracePeriod(now) {
 		en.lapsed = true
 		rg.servers[key] = en
 		return true
@@ -112,13 +111,14 @@
 	return kept
 }
 
-// Missed notes that the store did not answer at a point.
-func (rg *Registry) Missed(at clock.Millis) { rg.missed, rg.away = max(rg.missed, at), true }
+// Missed notes until when the store was last away for all VMs; zero: it was not, as
+// far as is known now.
+func (rg *Registry) Missed(until clock.Millis) { rg.missed = until }
 
 // Servers lists the servers by ID, and tells whether the list has changed
 // since it was asked for last.
 func (rg *Registry) Servers(now clock.Millis) (list []board.BackendServer, moved bool) {
-	if !rg.doubtful(now) {
+	if !rg.inGracePeriod(now) {
 		rg.dropLapsed()
 	}
 	moved, rg.moved = rg.moved, false
@@ -138,12 +138,12 @@
 	}
 }
 
-// doubtful tells whether the store was away so lately that live servers may
-// not have renewed their entries yet.
-func (rg *Registry) doubtful(now clock.Millis) bool {
+// inGracePeriod tells whether the store was away so lately that entries that expired
+// during the outage may still be renewed.
+func (rg *Registry) inGracePeriod(now clock.Millis) bool {
 	span := rg.Return
 	if span == 0 {
 		span = DefaultReturn
 	}
-	return rg.away && now-rg.missed < span
+	return rg.missed > 0 && now-rg.missed < span
 }
--- /dev/null
+++ b/internal/topic/availability_test.go
@@ -0,0 +1,47 @@
+package topic
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+// A VM that has been answered since 1,000 and last at 10,000.
+func TestOutageIsWhatNobodyWasAnsweredIn(t *testing.T) {
+	const at = 10 * clock.Second
+	fail := func(now clock.Millis) func(*availability) { return func(av *availability) { av.fail(now) } }
+	answer := func(now clock.Millis) func(*availability) { return func(av *availability) { av.answer(now) } }
+	hear := func(now, span clock.Millis, ended bool) func(*availability) {
+		return func(av *availability) { av.hear(now, span, ended) }
+	}
+	for _, tc := range []struct {
+		name  string
+		steps []func(*availability)
+		want  Outage
+		since clock.Millis
+	}{
+		{"one call failed", []func(*availability){fail(at + 900), answer(at + 1100)}, Outage{}, 1000},
+		{"no call was answered", []func(*availability){fail(at + 900), fail(at + 2000), answer(at + 2200)}, Outage{Until: at + 2200}, at + 2200},
+		{"it goes on", []func(*availability){fail(at + 900), fail(at + 2000)}, Outage{Until: at + 2000}, 1000},
+		{"no call was made", []func(*availability){answer(at + 1500)}, Outage{}, 1000},
+		{"no call was made for long", []func(*availability){answer(at + 5000)}, Outage{}, at + 5000},
+		{"others are answered", []func(*availability){fail(at + 900), hear(at+1000, 9000, false), fail(at + 1900), fail(at + 2100)}, Outage{}, 1000},
+		{"others were answered", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 9000, false)}, Outage{}, at - 3100},
+		{"others were not", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 1000, true)},
+			Outage{Until: at + 4900, Told: true}, at + 4900},
+		{"another VM's calls failed", []func(*availability){hear(at+800, 1, true), hear(at+1600, 801, true)}, Outage{}, 1000},
+		{"slept through an outage", []func(*availability){answer(at + 9000), hear(at+9100, 1100, true)}, Outage{Until: at + 8000, Told: true}, at + 8000},
+		{"an older copy", []func(*availability){func(av *availability) { av.restart(at + 100) }, answer(at + 200)}, Outage{Until: at + 100}, at + 100},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			av := availability{since: 1000, last: at}
+			for _, step := range tc.steps {
+				step(&av)
+			}
+			assert.Equal(t, av.outage(), tc.want)
+			assert.Equal(t, av.since, tc.since)
+		})
+	}
+}
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -66,15 +66,12 @@
 		From    uint64
 		Next    uint64
 		Records []Record
-		// Missed is how long ago the store last did not answer who tells this;
-		// zero: not lately.
+		// Missed is how long ago the last outage ended that the reader knows of;
+		// zero: none lately.
 		Missed clock.Millis
-	}
-
-	// Outage is a span in which the store did not answer.
-	Outage struct {
-		Until clock.Millis // last point at which it is known not to have answered
-		Told  bool         // another VM said so
+		// Answered is for how long the store has answered without an outage, as far
+		// as the reader knows; zero: not told.
+		Answered clock.Millis
 	}
 
 	// Follower follows one topic. Set the exported fields before Run.
@@ -83,6 +80,7 @@
 		Name   string
 		Wait   clock.Millis // that a read waits for a change; zero: does not wait
 		Pause  clock.Millis // between two reads
+		Grace  clock.Millis // after an outage, in which entries may be renewed; at its end there is a read
 		Hurry  func() bool  // tells that the pause is left out for now; may be nil
 		Clock  clock.Source
 		Log    event.Logger
@@ -90,7 +88,8 @@
 		Whole  func(recs []Record) // takes a listing
 		Change func(rec Record)    // takes one change
 		Fresh  func()              // hears that all is known up to now, after the changes; may be nil
-		Missed func(ou Outage)     // hears when the store did not answer this VM, or the one that reads for it; may be nil
+		Failed func()              // hears that a call of this VM was not answered; may be nil
+		Missed func(ou Outage)     // hears of the newest outage, which replaces the one before; zero: that was none; may be nil
 		Back   func()              // hears that it answers again; may be nil
 		// Returned hears that the store has come back from an older copy, before the
 		// Whole of what it has now; may be nil.
@@ -120,7 +119,8 @@
 		kick   context.CancelFunc // ends the read in progress
 		wake   chan struct{}      // holds a word when a read may be due
 		lost   bool
-		missed clock.Millis // when the store did not answer last; zero: never
+		avail  availability
+		told   Outage // that Missed heard of last
 	}
 )
 
@@ -180,18 +180,15 @@
 func (fo *Follower) Hear(nw News) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	switch {
-	case !fo.listed:
+	if !fo.listed {
 		return
-	case nw.From > fo.next:
+	}
+	refuted := fo.hearAvailability(nw)
+	if nw.From > fo.next {
 		fo.gap = true
 		fo.nudge()
 		return
 	}
-	if nw.Missed > 0 && fo.Missed != nil {
-		// What lapsed meanwhile may be back, whatever this VM saw of the store.
-		fo.Missed(Outage{Until: fo.now() - nw.Missed, Told: true})
-	}
 	for _, rec := range nw.Records {
 		if rec.Offset >= fo.next {
 			fo.Change(rec)
@@ -201,6 +198,9 @@
 	if nw.Next >= fo.next {
 		fo.heard = fo.now()
 		fo.leads = false
+		refuted = true
+	}
+	if refuted {
 		fo.fresh()
 	}
 }
@@ -237,7 +237,7 @@
 		}
 		failures = 0
 		if fo.Hurry == nil || !fo.Hurry() {
-			clock.Sleep(ctx, fo.Pause)
+			clock.Sleep(ctx, fo.pause())
 		}
 	}
 }
@@ -284,7 +284,7 @@
 	listed, from, wait, heard, gap := fo.listed, fo.next, fo.Wait, fo.heard, fo.gap
 	rank := fo.rank()
 	standby := rank > 0 && rank < InLine && fo.now()-heard >= fo.silence()
-	if standby && !fo.leads {
+	if standby && !fo.leads || fo.lost {
 		wait = 0 // the others have waited too, and would ask by themselves
 	}
 	fo.gap, fo.kick = false, stop
@@ -293,13 +293,17 @@
 	var next uint64
 	var err error
 	if listed {
-		recs, next, err = fo.Source.Read(within, fo.Name, from, wait)
+		recs, next, err = fo.read(within, from, wait)
 	} else {
 		recs, next, err = fo.Source.Newest(within, fo.Name)
 	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.kick = nil
+	if err == nil || errors.Is(err, ErrDropped) {
+		fo.avail.answer(fo.now())
+		fo.announce()
+	}
 	switch {
 	case errors.Is(err, ErrDropped):
 		fo.listed = false
@@ -315,14 +319,24 @@
 	if !fo.tells() {
 		return nil
 	}
-	nw := News{Topic: fo.Name, From: from, Next: next, Records: news, Missed: fo.missedAgo()}
+	nw := News{From: from, Next: next, Records: news}
 	if !listed {
 		nw.From = next // a listing does not tell what changed
 	}
-	fo.Tell(nw)
+	fo.tell(nw)
 	return nil
 }
 
+// read reads changes from an offset on.
+func (fo *Follower) read(ctx context.Context, from uint64, wait clock.Millis) (recs []Record, next uint64, err error) {
+	if fo.lost {
+		within, stop := context.WithTimeout(ctx, retryTimeout.Std())
+		defer stop()
+		ctx = within
+	}
+	return fo.Source.Read(ctx, fo.Name, from, wait)
+}
+
 // take takes what was read, and returns what of it is to be passed on. The
 // lock is held.
 func (fo *Follower) take(listed bool, recs []Record, next uint64) (news []Record) {
@@ -356,9 +370,8 @@
 		return
 	}
 	fo.Log.Log(event.StoreReturned, event.F("Topic", fo.Name), event.F("Era", EraOf(next)))
-	if fo.Missed != nil {
-		fo.Missed(Outage{Until: fo.now()}) // entries of those that live may be missing, as after an outage
-	}
+	fo.avail.restart(fo.now()) // entries of those that live may be missing, as after an outage
+	fo.announce()
 	if fo.Returned != nil {
 		fo.Returned()
 	}
@@ -371,33 +384,12 @@
 	return fo.next
 }
 
-// noteMissed notes that the store did not answer.
-func (fo *Follower) noteMissed() {
-	now := fo.now()
-	fo.mu.Lock()
-	fo.missed = now
-	fo.mu.Unlock()
-	if fo.Missed != nil {
-		fo.Missed(Outage{Until: now})
-	}
-}
-
-// missedAgo is how long ago the store last did not answer; zero: not lately. The
-// lock is held.
-func (fo *Follower) missedAgo() clock.Millis {
-	ago := fo.now() - fo.missed
-	if fo.missed == 0 || ago >= missedFor {
-		return 0
-	}
-	return max(1, ago)
-}
-
 func (fo *Follower) note(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		fo.noteMissed()
+		fo.noteFailed()
 	}
 	switch {
 	case err != nil && !fo.lost:
--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -21,15 +21,15 @@
 	// did not answer. The longest leaves half of the two seconds in which a
 	// change must be followed.
 	retryFirst = 200 * clock.Millis(1)
-	retryMost  = clock.Second
+	retryMost  = 700 * clock.Millis(1)
+	// retryTimeout bounds a read after one that failed, so that a store that is back
+	// is noticed soon though earlier calls hang.
+	retryTimeout = 500 * clock.Millis(1)
 	// asideFirst and asideMost are the same for a VM that does not read for
 	// others: those that do tell it when the store is back. In an outage of 8 s it
 	// asks two or three times a topic, in place of ten with the pauses above.
 	asideFirst = 2 * clock.Second
 	asideMost  = 4 * clock.Second
-	// missedFor is how long it is told that the store did not answer: longer than
-	// anybody takes to come back after that.
-	missedFor = 5 * clock.Second
 )
 
 // silence is how long this VM goes without news before it reads. The lock is
--- /dev/null
+++ b/internal/topic/outage.go
@@ -0,0 +1,78 @@
+package topic
+
+import "alderdyke/pkg/clock"
+
+const (
+	// outageNoticeTTL is how long others are told of an outage: longer than anybody
+	// takes to come back after one.
+	outageNoticeTTL = 5 * clock.Second
+	// graceMargin lets what was written at the end of the grace period be read.
+	graceMargin = 50 * clock.Millis(1)
+)
+
+// tell passes on what is known here of the topic and of the store. The lock is held.
+func (fo *Follower) tell(nw News) {
+	now := fo.now()
+	nw.Topic = fo.Name
+	nw.Answered = max(1, now-fo.avail.since)
+	if ou := fo.avail.outage(); ou != (Outage{}) && now-ou.Until < outageNoticeTTL {
+		nw.Missed = max(1, now-ou.Until)
+	}
+	fo.Tell(nw)
+}
+
+// hearAvailability takes what another VM knows of the store, and tells whether that
+// refuted an outage. The lock is held.
+func (fo *Follower) hearAvailability(nw News) (refuted bool) {
+	if EraOf(nw.Next) != EraOf(fo.next) {
+		return false // what the store had before is no measure
+	}
+	now, span := fo.now(), nw.Answered
+	if span == 0 {
+		span = nw.Missed
+	}
+	if nw.Missed > 0 && fo.avail.refutes(now, span) && fo.tells() {
+		begin := Position(EraOf(fo.next), 0) // no records, so that nobody takes it for a read
+		fo.tell(News{From: begin, Next: begin})
+	}
+	fo.avail.hear(now, span, nw.Missed > 0)
+	return fo.announce()
+}
+
+// noteFailed notes a call that the store did not answer.
+func (fo *Follower) noteFailed() {
+	fo.mu.Lock()
+	fo.avail.fail(fo.now())
+	fo.announce()
+	fo.mu.Unlock()
+	if fo.Failed != nil {
+		fo.Failed()
+	}
+}
+
+// announce passes on the newest outage if it has changed, and tells whether the one
+// before was refuted. The lock is held.
+func (fo *Follower) announce() (refuted bool) {
+	ou := fo.avail.outage()
+	if ou == fo.told {
+		return false
+	}
+	refuted = ou.Until < fo.told.Until
+	fo.told = ou
+	if fo.Missed != nil {
+		fo.Missed(ou)
+	}
+	return refuted
+}
+
+// pause is the pause before the next read, which is shorter where the grace period
+// after an outage ends before.
+func (fo *Follower) pause() clock.Millis {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	left := fo.avail.outage().Until + fo.Grace + graceMargin - fo.now()
+	if fo.Grace == 0 || left <= 0 {
+		return fo.Pause
+	}
+	return min(fo.Pause, left)
+}
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -59,7 +59,8 @@
 	}
 
 	simServer struct {
-		renewed clock.Millis
+		tried   clock.Millis // last heartbeat
+		renewed clock.Millis // last one that the store had
 		word    bool         // it said that it leaves
 		left    clock.Millis // when the store had that it leaves; zero: it does not
 		stable  bool         // the store was stable then
@@ -84,7 +85,7 @@
 		entries: make(map[string]string), servers: make(map[string]*simServer), delay: 2}
 	for ix := range vms {
 		vm := &simVM{st: st, name: fmt.Sprintf("vm-%d", ix), known: make(map[string]bool), list: make(map[string]board.BackendServer)}
-		vm.fo = &topic.Follower{Source: vm, Name: "servers", Pause: 800, Standby: 950, Patience: 1100, Clock: st.clk,
+		vm.fo = &topic.Follower{Source: vm, Name: "servers", Pause: 800, Grace: registry.DefaultReturn, Standby: 950, Patience: 1100, Clock: st.clk,
 			Whole: vm.whole, Change: vm.change, IsNews: vm.isNews, Fresh: vm.apply,
 			Rank:   func() int { return ix },
 			Tell:   vm.tell,
@@ -118,9 +119,12 @@
 
 // play renews and ends a server's entry. The lock is held, as below.
 func (st *site) play(now clock.Millis, id string, sv *simServer) {
-	if st.down == reached && now-sv.renewed >= beat && (sv.left == 0 || sv.word) {
-		sv.renewed = now
-		st.put(id, sv.state())
+	if now-sv.tried >= beat && (sv.left == 0 || sv.word) {
+		sv.tried = now
+		if st.down == reached {
+			sv.renewed = now
+			st.put(id, sv.state())
+		}
 	}
 	if now-sv.renewed >= 3*beat {
 		st.put(id, "")
@@ -147,7 +151,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	now := st.clk.Now()
-	st.servers[id] = &simServer{renewed: now, listed: now}
+	st.servers[id] = &simServer{tried: now, renewed: now, listed: now}
 	st.put(id, "ready")
 }
 
@@ -363,6 +367,33 @@
 	}
 }
 
+// The first reader, back from a cut, is told at once that the store was not away.
+func TestReturningReaderIsToldThatOthersWereAnswered(t *testing.T) {
+	for late := 0 * time.Second; late < 2*time.Second; late += 100 * time.Millisecond {
+		t.Run(late.String(), func(t *testing.T) { playReturningReader(t, late) })
+	}
+}
+
+func playReturningReader(t *testing.T, late time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		st := newSite(7, 1)
+		st.add("leaves")
+		st.run(ctx)
+		time.Sleep(5 * time.Second)
+		st.setVM(0, cut)
+		time.Sleep(6 * time.Second)
+		st.leave("leaves", false)
+		time.Sleep(2*time.Second + late)
+		st.setVM(0, reached)
+		time.Sleep(1300 * time.Millisecond)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		assert.Equal(t, len(st.vms[0].list), 0)
+	})
+}
+
 // A live server stays in use while the store is away for all, whatever else
 // happens beside it.
 func TestOutageDropsNoLiveServer(t *testing.T) {
@@ -403,6 +434,15 @@
 	}
 }
 
+// Drawn sites in which several VMs are in trouble beside two outages, and the grace
+// period is too short (4188) or ends after VMs are in touch again.
+func TestGracePeriodBesideSeriesOfTroubles(t *testing.T) {
+	for _, seed := range []uint64{2205, 4188, 5320} {
+		faults := playSite(t, seed, func(st *site) { playDrawn(st, rand.New(rand.NewPCG(seed, 2))) })
+		assert.Check(t, len(faults) == 0, "seed %d: %v", seed, faults)
+	}
+}
+
 func playDrawn(st *site, rnd *rand.Rand) {
 	st.mu.Lock()
 	if rnd.IntN(3) == 0 {
