topic: an abandoned read is no answer of the store

A read that hangs is abandoned when another topic's call fails; that was taken for an answer, so that the log said the store was back, the next failure began its pauses anew, and what was to be done at the store's return was done. A gap in the news that the abandoned read was to fill was forgotten too; found by reading, not seen.

TestAbandonedReadIsTakenForAnAnswer failed before (Back was called once in 1.5 s of a store that does not answer).

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -35,6 +35,8 @@
 	// ErrOlderCopy is an ErrDropped after which the store has come back from an
 	// older copy: what was read may be gone, and entries too of those that live.
 	ErrOlderCopy = fmt.Errorf("the store came back from an older copy: %w", ErrDropped)
+	// errAbandoned tells that a read was given up for another one.
+	errAbandoned = errors.New("the read was abandoned")
 )
 
 type (
@@ -226,7 +228,7 @@
 		}
 		fo.settle()
 		err := fo.ask(ctx)
-		if errors.Is(err, ErrDropped) {
+		if errors.Is(err, ErrDropped) || errors.Is(err, errAbandoned) {
 			continue
 		}
 		fo.note(ctx, err)
@@ -308,10 +310,11 @@
 	case errors.Is(err, ErrDropped):
 		fo.listed = false
 		return err
-	case err != nil && within.Err() != nil && ctx.Err() == nil:
-		return nil // abandoned: ask again
 	case err != nil:
 		fo.gap = fo.gap || gap
+		if within.Err() != nil && ctx.Err() == nil {
+			return errAbandoned
+		}
 		return err
 	}
 	fo.leads = standby && fo.heard == heard // no: the first was heard meanwhile
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -43,6 +43,7 @@
 		values   map[string]string
 		rank     atomic.Int64
 		cut      atomic.Bool // from the store
+		hangs    atomic.Bool // its calls, until they are given up
 		missed   atomic.Int64
 		missedAt atomic.Int64 // when the store last did not answer, as far as is known
 		told     atomic.Int64 // records that were passed on
@@ -107,6 +108,10 @@
 }
 
 func (ms memberStore) Read(ctx context.Context, name string, from uint64, wait clock.Millis) ([]topic.Record, uint64, error) {
+	if ms.mb.hangs.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	if ms.mb.cut.Load() {
 		return nil, 0, errDown
 	}
@@ -386,6 +391,30 @@
 	})
 }
 
+// A read that was abandoned for another says nothing of the store.
+func TestAbandonedReadIsTakenForAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		fl := newFleet(1, 1)
+		mb := fl.members[0]
+		back := 0
+		mb.fo.Back = func() { back++ }
+		mb.fo.Wait, mb.fo.Pause = 800, 0
+		fl.run(ctx)
+		time.Sleep(time.Second)
+		mb.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		mb.hangs.Store(true)
+		time.Sleep(time.Second)
+		for range 5 {
+			mb.fo.Abandon()
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Equal(t, back, 0)
+	})
+}
+
 // A VM that knows no other asks again soon after a call that failed: nobody tells
 // it what changed.
 func TestVMThatIsAloneAsksSoon(t *testing.T) {
