registry: a late renewal does not undo a word of leaving

No server takes back that it leaves; a further life has a key or a start of its own. So the word stays for that life, and ServerTakesBack tells of the entry. TestLateRenewalUndoesTheWordOfLeaving failed before.

Left: after the entry of such a server is removed, a late renewal lists it until it lapses. It looks like an entry that lapsed in an outage and is back, and those have to be believed.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -87,8 +87,8 @@
 		"a backend server's entry is gone", "none")
 	ServerKept = register(2325, "ServerKept", Info,
 		"a backend server's entry is gone and the server stays listed, since the store was away so many milliseconds (Outage) ago; with Told another VM says so", "none")
-	ServerReadyAgain = register(2326, "ServerReadyAgain", Warn,
-		"the entry of a backend server no longer says that it leaves", "look at the backend server")
+	ServerTakesBack = register(2326, "ServerTakesBack", Warn,
+		"the entry of a backend server no longer says that it leaves, in the same life of it; that is passed over", "none if the store does writes late; else look at the backend server")
 	StoreLost = register(2304, "StoreLost", Warn,
 		"the platform's store does not answer; what is known stays in use", "look at the platform")
 	StoreBack = register(2305, "StoreBack", Info,
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,8 +4,8 @@
 // Servers register themselves and their entries lapse when they fall silent.
 // While the store is away they can't renew them, so an entry that lapsed then
 // says nothing of its server until the store has been back for a while. A
-// server that is said to leave is believed at once and for as long as its
-// entry lives. A server that starts again goes on under its entry; what is
+// server that is said to leave is believed at once, for as long as its entry
+// lives and whatever is written late of it. A server that starts again goes on under its entry; what is
 // written late of a life before changes nothing.
 //
 // # Usage
@@ -58,6 +58,7 @@
 	if rg.Knows(bs) {
 		return
 	}
+	bs.Leaving = bs.Leaving || rg.leavesAs(bs)
 	rg.servers[bs.Key()] = entry{server: bs}
 	rg.moved = true
 }
@@ -66,11 +67,19 @@
 // or one of an earlier life of its server.
 func (rg *Registry) Knows(bs board.BackendServer) bool {
 	en, ok := rg.servers[bs.Key()]
+	bs.Leaving = bs.Leaving || rg.leavesAs(bs)
 	return ok && (en.server == bs && !en.lapsed || bs.Incarnation < en.server.Incarnation)
 }
 
-// Leaving tells whether the server with the key is said to leave.
-func (rg *Registry) Leaving(key string) bool { return rg.servers[key].server.Leaving }
+// TakesBack tells whether an entry says no more that its server leaves, in the same
+// life of it. No server does that: it was written before, and done late.
+func (rg *Registry) TakesBack(bs board.BackendServer) bool { return !bs.Leaving && rg.leavesAs(bs) }
+
+// leavesAs tells whether a server is said to leave in the life that an entry is of.
+func (rg *Registry) leavesAs(bs board.BackendServer) bool {
+	was := rg.servers[bs.Key()].server
+	return was.Leaving && was.Incarnation == bs.Incarnation
+}
 
 // Lists tells whether there is a server with the key.
 func (rg *Registry) Lists(key string) bool {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+// A renewal that is done late does not make a server that leaves ready again; a
+// further life of it is ready.
+func TestLateRenewalUndoesTheWordOfLeaving(t *testing.T) {
+	life := func(incarnation uint64, leaving bool) board.BackendServer {
+		return board.BackendServer{ID: fmt.Sprintf("a.%d", incarnation), Name: "a", Incarnation: incarnation, Leaving: leaving}
+	}
+	var rg registry.Registry
+	rg.Set(life(5, false))
+	rg.Set(life(5, true))
+	rg.Servers(0)
+	assert.Assert(t, rg.Knows(life(5, false)))
+	rg.Set(life(5, false))
+	list, moved := rg.Servers(0)
+	assert.Assert(t, !moved)
+	assert.Assert(t, list[0].Leaving)
+	rg.Set(life(6, false))
+	list, _ = rg.Servers(0)
+	assert.Assert(t, !list[0].Leaving)
+}
+
 // A server that starts again goes on under its entry. What is written late of
 // its earlier life is no news, and its end ends the server whatever its life.
 func TestServerStartsAgain(t *testing.T) {
