topic: what changes while a reader lists is passed on

A listing's pages are not of one moment. What was written between the first and a later one is known to the VM that lists, so that it was no news when that VM then read it as a change, and the others went on past it: a server that said so between two pages was in use at all other VMs until its entry went, and one whose entry went there until it ended.

The first read after a listing is passed on whole. TestChangeWithinAListingIsNotPassedOn failed before in both cases.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -111,18 +111,19 @@
 		Standby  clock.Millis
 		Patience clock.Millis
 
-		mu     sync.Mutex
-		begun  bool // there was a listing
-		listed bool
-		next   uint64
-		heard  clock.Millis       // of the last news that left nothing out
-		gap    bool               // news named records that are not known here
-		leads  bool               // this VM reads in place of the first, of which it heard nothing
-		kick   context.CancelFunc // ends the read in progress
-		wake   chan struct{}      // holds a word when a read may be due
-		lost   bool
-		avail  availability
-		told   Outage // that Missed heard of last
+		mu       sync.Mutex
+		begun    bool // there was a listing
+		listed   bool
+		next     uint64
+		relisted bool               // there was no read after the last listing
+		heard    clock.Millis       // of the last news that left nothing out
+		gap      bool               // news named records that are not known here
+		leads    bool               // this VM reads in place of the first, of which it heard nothing
+		kick     context.CancelFunc // ends the read in progress
+		wake     chan struct{}      // holds a word when a read may be due
+		lost     bool
+		avail    availability
+		told     Outage // that Missed heard of last
 	}
 )
 
@@ -349,11 +350,15 @@
 		fo.listed, fo.next = true, next
 		recs = nil
 	}
+	// The pages of a listing are not of one moment, so that this VM may know already
+	// what is read after it, and the others may not.
+	all := fo.relisted || fo.IsNews == nil
+	fo.relisted = !listed
 	for _, rec := range recs {
 		// Another reader's news may have come while the read was under way.
 		// Whether its records were new to the others is not known.
 		known := rec.Offset < fo.next
-		if known || fo.IsNews == nil || fo.IsNews(rec) {
+		if all || known || fo.IsNews(rec) {
 			news = append(news, rec)
 		}
 		if !known {
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -42,8 +42,9 @@
 		mu       sync.Mutex
 		values   map[string]string
 		rank     atomic.Int64
-		cut      atomic.Bool // from the store
-		hangs    atomic.Bool // its calls, until they are given up
+		cut      atomic.Bool            // from the store
+		hangs    atomic.Bool            // its calls, until they are given up
+		lists    atomic.Pointer[string] // its history was dropped, and a value is written while it lists
 		missed   atomic.Int64
 		missedAt atomic.Int64 // when the store last did not answer, as far as is known
 		told     atomic.Int64 // records that were passed on
@@ -104,10 +105,19 @@
 	if ms.mb.cut.Load() {
 		return nil, 0, errDown
 	}
+	if value := ms.mb.lists.Swap(nil); value != nil {
+		_, end, _ := ms.store.Newest(ctx, name)
+		ms.put("b", *value) // between the first page and the second
+		recs, _, err := ms.store.Newest(ctx, name)
+		return recs, end, err
+	}
 	return ms.store.Newest(ctx, name)
 }
 
 func (ms memberStore) Read(ctx context.Context, name string, from uint64, wait clock.Millis) ([]topic.Record, uint64, error) {
+	if ms.mb.lists.Load() != nil {
+		return nil, 0, topic.ErrDropped
+	}
 	if ms.mb.hangs.Load() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
@@ -264,6 +274,29 @@
 	})
 }
 
+// A listing in pages may know of what was written after its end; the others have yet
+// to hear of that when it is read as a change.
+func TestChangeWithinAListingIsNotPassedOn(t *testing.T) {
+	for _, value := range []string{"2", ""} {
+		t.Run("to "+value, func(t *testing.T) { playChangeWithinListing(t, value) })
+	}
+}
+
+func playChangeWithinListing(t *testing.T, value string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		fl := newFleet(3, 1)
+		fl.st.put("a", "1")
+		fl.st.put("b", "1")
+		fl.run(ctx)
+		time.Sleep(2 * time.Second)
+		fl.members[0].lists.Store(&value)
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, fl.all("b", value))
+	})
+}
+
 // Old news never undo newer ones.
 func TestOldNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
