--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -117,7 +117,7 @@
 	ne.listed, ne.read = make(map[string]vmEntry), make(chan struct{}, 1)
 	ne.Topic = &topic.Follower{Source: ne.Store, Name: ne.Name, Wait: ownWait, Pause: ownPause, Hurry: ne.lacksSecret, Log: ne.Log,
 		Standby: ownStandby, Patience: ownPatience, Rank: ne.rankHere, Tell: ne.TellNews,
-		Whole: ne.takeWhole, Change: ne.take, Fresh: ne.noteRead, Returned: ne.returned}
+		OnSnapshot: ne.takeWhole, OnChange: ne.take, OnCaughtUp: ne.noteRead, OnOlderCopy: ne.returned}
 }
 
 // lacksSecret tells that this VM can't join the others yet.
--- a/internal/fleet/readers_test.go
+++ b/internal/fleet/readers_test.go
@@ -197,7 +197,7 @@
 	sf := &simFollower{rs: rs, began: rs.clock.Now(), known: make(map[string]int)}
 	sf.vm = rs.newVM(ctx, ix, simHears{news: func(nw topic.News) { sf.fo.Hear(nw) }})
 	sf.fo = &topic.Follower{Source: sf, Name: "t", Pause: 700, Standby: 950, Patience: 1100, Clock: rs.clock,
-		Rank: sf.vm.ne.Rank, Tell: sf.vm.tellNews, IsNews: sf.isNews, Whole: topic.Each(sf.told), Change: sf.told}
+		Rank: sf.vm.ne.Rank, Tell: sf.vm.tellNews, IsNews: sf.isNews, OnSnapshot: topic.Each(sf.told), OnChange: sf.told}
 	if rs.mutant != nil {
 		rs.mutant(sf)
 	}
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	fo := &topic.Follower{Source: store, Name: "servers", Pause: 700, Whole: whole, Change: change}
+//	fo := &topic.Follower{Source: store, Name: "servers", Pause: 700, OnSnapshot: whole, OnChange: change}
 //	fo.Rank = func() int { ... } // tells this VM's place among those that read for others
 //	fo.Tell = func(nw topic.News) { ... }
 //	go fo.Run(ctx)
@@ -87,15 +87,15 @@
 		Clock  clock.Source
 		Log    event.Logger
 
-		Whole  func(recs []Record) // takes a listing
-		Change func(rec Record)    // takes one change
-		Fresh  func()              // hears that all is known up to now, after the changes; may be nil
-		Failed func()              // hears that a call of this VM was not answered; may be nil
-		Missed func(ou Outage)     // hears of the newest outage, which replaces the one before; zero: that was none; may be nil
-		Back   func()              // hears that it answers again; may be nil
-		// Returned hears that the store has come back from an older copy, before the
-		// Whole of what it has now; may be nil.
-		Returned func()
+		OnSnapshot  func(recs []Record) // takes a listing
+		OnChange    func(rec Record)    // takes one change
+		OnCaughtUp  func()              // hears that all is known up to now, after the changes; may be nil
+		OnFailure   func()              // hears that a call of this VM was not answered; may be nil
+		OnOutage    func(ou Outage)     // hears of the newest outage, which replaces the one before; zero: that was none; may be nil
+		OnReconnect func()              // hears that the store answers this VM again; may be nil
+		// OnOlderCopy hears that the store has come back from an older copy, before the
+		// snapshot of what it has now; may be nil.
+		OnOlderCopy func()
 
 		// Rank tells this VM's place among those that read for others: the
 		// first, 0, reads all the time, the next, 1, when it heard nothing for
@@ -104,7 +104,7 @@
 		// itself.
 		Rank func() int
 		Tell func(nw News) // passes on what a reader read
-		// IsNews tells, before Change, whether a record that was read says more
+		// IsNews tells, before OnChange, whether a record that was read says more
 		// than is known; one that does not, such as a heartbeat, is not passed
 		// on. Nil: each does.
 		IsNews   func(rec Record) bool
@@ -194,7 +194,7 @@
 	}
 	for _, rec := range nw.Records {
 		if rec.Offset >= fo.next {
-			fo.Change(rec)
+			fo.OnChange(rec)
 		}
 	}
 	fo.next = max(fo.next, nw.Next)
@@ -209,8 +209,8 @@
 }
 
 func (fo *Follower) fresh() {
-	if fo.Fresh != nil {
-		fo.Fresh()
+	if fo.OnCaughtUp != nil {
+		fo.OnCaughtUp()
 	}
 }
 
@@ -346,7 +346,7 @@
 func (fo *Follower) take(listed bool, recs []Record, next uint64) (news []Record) {
 	if !listed {
 		fo.noteEra(next)
-		fo.Whole(recs)
+		fo.OnSnapshot(recs)
 		fo.listed, fo.next = true, next
 		recs = nil
 	}
@@ -362,7 +362,7 @@
 			news = append(news, rec)
 		}
 		if !known {
-			fo.Change(rec)
+			fo.OnChange(rec)
 		}
 	}
 	fo.next = max(fo.next, next)
@@ -380,8 +380,8 @@
 	fo.Log.Log(event.StoreReturned, event.F("Topic", fo.Name), event.F("Era", EraOf(next)))
 	fo.avail.restart(fo.now()) // entries of those that live may be missing, as after an outage
 	fo.announce()
-	if fo.Returned != nil {
-		fo.Returned()
+	if fo.OnOlderCopy != nil {
+		fo.OnOlderCopy()
 	}
 }
 
@@ -404,8 +404,8 @@
 		fo.Log.Log(event.StoreLost, event.F("Topic", fo.Name), event.F("Error", err.Error()))
 	case err == nil && fo.lost:
 		fo.Log.Log(event.StoreBack, event.F("Topic", fo.Name))
-		if fo.Back != nil {
-			fo.Back()
+		if fo.OnReconnect != nil {
+			fo.OnReconnect()
 		}
 	}
 	fo.lost = err != nil
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -151,15 +151,15 @@
 			mb.values[rec.Key] = string(rec.Value)
 		}
 		mb.fo = &topic.Follower{Source: memberStore{fl.st, mb}, Name: "t", Pause: 700, Standby: 900, Patience: 1100, Clock: bubbleClock{time.Now()},
-			Change: change,
-			Whole: func(recs []topic.Record) {
+			OnChange: change,
+			OnSnapshot: func(recs []topic.Record) {
 				for _, rec := range recs {
 					change(rec)
 				}
 			},
-			Rank:   func() int { return int(mb.rank.Load()) },
-			Missed: func(ou topic.Outage) { mb.missed.Add(1); mb.missedAt.Store(int64(ou.Until)) },
-			IsNews: func(rec topic.Record) bool { return mb.get(rec.Key) != string(rec.Value) },
+			Rank:     func() int { return int(mb.rank.Load()) },
+			OnOutage: func(ou topic.Outage) { mb.missed.Add(1); mb.missedAt.Store(int64(ou.Until)) },
+			IsNews:   func(rec topic.Record) bool { return mb.get(rec.Key) != string(rec.Value) },
 			Tell: func(nw topic.News) {
 				mb.told.Add(int64(len(nw.Records)))
 				for _, other := range fl.members {
@@ -432,7 +432,7 @@
 		fl := newFleet(1, 1)
 		mb := fl.members[0]
 		back := 0
-		mb.fo.Back = func() { back++ }
+		mb.fo.OnReconnect = func() { back++ }
 		mb.fo.Wait, mb.fo.Pause = 800, 0
 		fl.run(ctx)
 		time.Sleep(time.Second)
--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -17,19 +17,19 @@
 )
 
 const (
-	// retryFirst and retryMost bound the pause after a call that the store
+	// backoffMin and backoffMax bound the pause after a call that the store
 	// did not answer. The longest leaves half of the two seconds in which a
 	// change must be followed.
-	retryFirst = 200 * clock.Millis(1)
-	retryMost  = 700 * clock.Millis(1)
+	backoffMin = 200 * clock.Millis(1)
+	backoffMax = 700 * clock.Millis(1)
 	// retryTimeout bounds a read after one that failed, so that a store that is back
 	// is noticed soon though earlier calls hang.
 	retryTimeout = 500 * clock.Millis(1)
-	// asideFirst and asideMost are the same for a VM that does not read for
+	// standbyBackoffMin and standbyBackoffMax are the same for a VM that does not read for
 	// others: those that do tell it when the store is back. In an outage of 8 s it
 	// asks two or three times a topic, in place of ten with the pauses above.
-	asideFirst = 2 * clock.Second
-	asideMost  = 4 * clock.Second
+	standbyBackoffMin = 2 * clock.Second
+	standbyBackoffMax = 4 * clock.Second
 )
 
 // silence is how long this VM goes without news before it reads. The lock is
@@ -64,9 +64,9 @@
 func (fo *Follower) pauseAfter(failures int) clock.Millis {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	first, most := retryFirst, retryMost
+	first, most := backoffMin, backoffMax
 	if rank := fo.rank(); fo.listed && rank >= InLine && rank != Alone {
-		first, most = asideFirst, asideMost
+		first, most = standbyBackoffMin, standbyBackoffMax
 	}
 	return min(most, first<<min(failures, 10))
 }
--- a/internal/topic/outage.go
+++ b/internal/topic/outage.go
@@ -45,8 +45,8 @@
 	fo.avail.fail(fo.now())
 	fo.announce()
 	fo.mu.Unlock()
-	if fo.Failed != nil {
-		fo.Failed()
+	if fo.OnFailure != nil {
+		fo.OnFailure()
 	}
 }
 
@@ -59,8 +59,8 @@
 	}
 	refuted = ou.Until < fo.told.Until
 	fo.told = ou
-	if fo.Missed != nil {
-		fo.Missed(ou)
+	if fo.OnOutage != nil {
+		fo.OnOutage(ou)
 	}
 	return refuted
 }
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -86,10 +86,10 @@
 	for ix := range vms {
 		vm := &simVM{st: st, name: fmt.Sprintf("vm-%d", ix), known: make(map[string]bool), list: make(map[string]board.BackendServer)}
 		vm.fo = &topic.Follower{Source: vm, Name: "servers", Pause: 800, Grace: registry.DefaultReturn, Standby: 950, Patience: 1100, Clock: st.clk,
-			Whole: vm.whole, Change: vm.change, IsNews: vm.isNews, Fresh: vm.apply,
-			Rank:   func() int { return ix },
-			Tell:   vm.tell,
-			Missed: func(ou topic.Outage) { vm.rg.Missed(ou.Until) }}
+			OnSnapshot: vm.whole, OnChange: vm.change, IsNews: vm.isNews, OnCaughtUp: vm.apply,
+			Rank:     func() int { return ix },
+			Tell:     vm.tell,
+			OnOutage: func(ou topic.Outage) { vm.rg.Missed(ou.Until) }}
 		st.vms = append(st.vms, vm)
 	}
 	return st
--- a/internal/topic/position_test.go
+++ b/internal/topic/position_test.go
@@ -97,7 +97,7 @@
 					known[ix][rec.Key] = string(rec.Value)
 				}
 				fos[ix] = &topic.Follower{Source: ds, Name: "t", Pause: 50, Clock: bubbleClock{time.Now()}, Standby: 200, Patience: 400,
-					Rank: func() int { return ix * topic.InLine }, Whole: topic.Each(take), Change: take, Returned: func() { returned[ix]++ }}
+					Rank: func() int { return ix * topic.InLine }, OnSnapshot: topic.Each(take), OnChange: take, OnOlderCopy: func() { returned[ix]++ }}
 			}
 			fos[0].Tell = fos[1].Hear
 			fos[1].Tell = func(topic.News) {}
