--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,9 +4,10 @@
 // Servers register themselves and their entries lapse when they fall silent.
 // While the store is away they can't renew them, so an entry that lapsed then
 // says nothing of its server until the store has been back for a while. A
-// server that is said to leave is believed at once, for as long as its entry
-// lives and whatever is written late of it. A server that starts again goes on under its entry; what is
-// written late of a life before changes nothing.
+// server that is said to leave is believed at once, and for as long as its
+// entry lives: what is written late does not take that back. A server that
+// starts again goes on under its entry; what is written late of a life before
+// changes nothing.
 //
 // # Usage
 //
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -9,6 +9,9 @@
 // longer, or that missed something, reads for itself: no VM depends on another for
 // longer than [Follower.Patience].
 //
+// Nor does a VM take its own failed calls for an [Outage] of the store: the news
+// tell for how long it has answered others.
+//
 // # Usage
 //
 //	fo := &topic.Follower{Source: store, Name: "servers", Pause: 700, OnSnapshot: whole, OnChange: change}
@@ -121,9 +124,9 @@
 		leads    bool               // this VM reads in place of the first, of which it heard nothing
 		kick     context.CancelFunc // ends the read in progress
 		wake     chan struct{}      // holds a word when a read may be due
-		lost     bool
+		lost     bool               // the last call was not answered
 		avail    availability
-		told     Outage // that Missed heard of last
+		told     Outage // that OnOutage heard of last
 	}
 )
 
@@ -186,7 +189,7 @@
 	if !fo.listed {
 		return
 	}
-	refuted := fo.hearAvailability(nw)
+	apply := fo.hearAvailability(nw)
 	if nw.From > fo.next {
 		fo.gap = true
 		fo.nudge()
@@ -201,14 +204,14 @@
 	if nw.Next >= fo.next {
 		fo.heard = fo.now()
 		fo.leads = false
-		refuted = true
+		apply = true
 	}
-	if refuted {
-		fo.fresh()
+	if apply {
+		fo.caughtUp()
 	}
 }
 
-func (fo *Follower) fresh() {
+func (fo *Follower) caughtUp() {
 	if fo.OnCaughtUp != nil {
 		fo.OnCaughtUp()
 	}
@@ -367,7 +370,7 @@
 	}
 	fo.next = max(fo.next, next)
 	fo.heard = fo.now()
-	fo.fresh()
+	fo.caughtUp()
 	return news
 }
 
--- a/internal/topic/outage.go
+++ b/internal/topic/outage.go
@@ -32,13 +32,19 @@
 		span = nw.Missed
 	}
 	if nw.Missed > 0 && fo.avail.refutes(now, span) && fo.tells() {
-		begin := Position(EraOf(fo.next), 0) // no records, so that nobody takes it for a read
-		fo.tell(News{From: begin, Next: begin})
+		fo.tellAvailability()
 	}
 	fo.avail.hear(now, span, nw.Missed > 0)
 	return fo.announce()
 }
 
+// tellAvailability tells the others for how long the store has answered. The news end
+// where the topic begins, so that nobody takes them for a read. The lock is held.
+func (fo *Follower) tellAvailability() {
+	begin := Position(EraOf(fo.next), 0)
+	fo.tell(News{From: begin, Next: begin})
+}
+
 // noteFailed notes a call that the store did not answer.
 func (fo *Follower) noteFailed() {
 	fo.mu.Lock()
