poison, relay: the search for requests that end their servers is a package

It is now poison.Guard; internal/suspect decides as before, and the relay keeps what it alone knows: what is the same at each try, and which calls carry a request.

New in it, and unused by the relay: a server that takes connections and answers nothing on them counts as ended until the same instance answers, and its ends are then withdrawn at all VMs; and a call that began after the end of an instance was found does not count as having been there.

The relay behaves as before: it reports Ended or Alive alone, and gives no point at which a call began.

Checked: tests of relay, poison and fleet, unchanged but for the moved names.

--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,228 @@
+// Package poison keeps requests that end their backend servers away from
+// further ones: queries of death, which a caller sends again and again.
+//
+// A [Guard] is asked before each call that carries a request to a backend server,
+// and told how the call ended. Where a call broke off it finds out whether the
+// server has ended, tells the other VMs, and hears them. What that says of the
+// request is decided by package suspect; what a server is asked, and how VMs reach
+// each other, is given to the Guard by whoever uses it.
+//
+// # Usage
+//
+//	gd := &poison.Guard{Log: lg, Probe: probe, Backends: backends, Tell: tell, VMs: count}
+//	mk := gd.Mark(method, path, body)
+//	if after := gd.Check(mk); after > 0 { ... } // refuse; it may be tried again then
+//	...
+//	gd.RecordBrokenCall(ctx, poison.Call{Request: id, Mark: mk, Server: srv, Instance: in, Began: began})
+//	gd.RecordSuccess(id, mk)
+//	go gd.Share(ctx)
+package poison
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/suspect"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// UnknownBeside is said of servers whose other requests this VM does not
+	// know: they were not alone.
+	UnknownBeside = 1
+
+	// keyBytes is the length of a key of this VM's own.
+	keyBytes = 32
+)
+
+// What a probe finds of one instance of a server.
+const (
+	// Alive is said of a server that answered, and of one that can't be told from it:
+	// one that answers late may be alive.
+	Alive Finding = iota
+	// Ended is said of a server that is not there any more: nobody listens at its
+	// address, or another instance does.
+	Ended
+	// Unanswered is said of a server that takes connections and answers nothing on
+	// them. It counts as ended until the same instance answers.
+	Unanswered
+)
+
+type (
+	// Finding is what a probe found.
+	Finding int
+
+	// Guard is one VM's search. Set the exported fields before use; its methods may be
+	// called at the same time.
+	Guard struct {
+		Clock clock.Source
+		Log   event.Logger
+		Scope tally.Scope
+		// Key is what all VMs of the fleet know requests by again; nil, or empty: a key
+		// of this VM's own, so that it knows them for itself alone.
+		Key func() []byte
+		// Probe asks one instance of a server whether it is there; nil: ends are only
+		// heard of.
+		Probe func(ctx context.Context, srv board.BackendServer, instance string) Finding
+		// Backends is the backend servers that are listed.
+		Backends func() *board.Backends
+		// Tell tells the other VMs at which server's end a request was there; nil:
+		// they are not told.
+		Tell func(en suspect.End)
+		// VMs is how many VMs live, this one among them; nil: one.
+		VMs func() int
+
+		once     sync.Once
+		tells    *rate.Limiter
+		ownKey   []byte
+		mu       sync.Mutex // guards all below
+		suspects suspect.Tracker
+		probes   map[string]*probe // by instance
+	}
+
+	// Call is a call at a server that broke off.
+	Call struct {
+		Request  string // for the log
+		Mark     suspect.Mark
+		Server   board.BackendServer
+		Instance string       // of the server, as all VMs name it
+		Began    clock.Millis // point at which the server was sent the request; zero: not known
+		Answered bool         // the server had begun to answer
+		Beside   int          // other requests there
+	}
+)
+
+func (gd *Guard) init() {
+	gd.once.Do(func() {
+		gd.tells = rate.NewLimiter(tellRate, tellBurst)
+		gd.ownKey = make([]byte, keyBytes)
+		_, _ = rand.Read(gd.ownKey) // never fails, as its documentation says
+		gd.probes = make(map[string]*probe)
+	})
+}
+
+func (gd *Guard) now() clock.Millis { return clock.Or(gd.Clock).Now() }
+
+// Any tells whether any request is under suspicion. While none is, no request needs
+// a mark.
+func (gd *Guard) Any() bool {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	return gd.suspects.Any()
+}
+
+// Mark names a request by what is the same at each of its tries.
+func (gd *Guard) Mark(parts ...[]byte) suspect.Mark {
+	gd.init()
+	key := gd.ownKey
+	if gd.Key != nil {
+		if fleet := gd.Key(); len(fleet) > 0 {
+			key = fleet
+		}
+	}
+	return suspect.MarkOf(key, parts...)
+}
+
+// Check tells whether a request may be sent to a server: zero, or the span after which
+// it may be tried once more.
+func (gd *Guard) Check(mk suspect.Mark) clock.Millis {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	_, span := gd.suspects.Look(gd.now(), mk)
+	return span
+}
+
+// RecordSuccess notes that a request had its whole answer.
+func (gd *Guard) RecordSuccess(request string, mk suspect.Mark) {
+	gd.init()
+	gd.mu.Lock()
+	if vd, _ := gd.suspects.Look(gd.now(), mk); vd == suspect.Clear {
+		gd.mu.Unlock()
+		return
+	}
+	ch, en := gd.suspects.Worked(gd.now(), mk)
+	gd.mu.Unlock()
+	gd.log(suspect.End{Mark: mk}, request, ch)
+	gd.tell(en)
+}
+
+// RecordBrokenCall notes that a call at a server broke off, and returns when it is
+// known whether the server has ended, or soon after.
+func (gd *Guard) RecordBrokenCall(ctx context.Context, cl Call) {
+	if gd.Probe == nil {
+		return
+	}
+	gd.init()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if pr := gd.ended(cl.Server, cl.Instance); pr.against(cl) {
+			gd.record(pr, cl)
+		}
+	}()
+	timer := time.NewTimer(probeWait.Std())
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Broke tells whether a call may have ended with its server.
+func Broke(ctx context.Context, err error) bool {
+	oc, _ := backend.OutcomeOf(err)
+	return err != nil && ctx.Err() == nil && oc == backend.InDoubt && !errors.Is(err, context.DeadlineExceeded)
+}
+
+// record takes an end that this VM saw, and tells the others.
+func (gd *Guard) record(pr *probe, cl Call) {
+	en := suspect.End{Mark: cl.Mark, Server: cl.Instance, Answered: cl.Answered, Beside: cl.Beside}
+	gd.mu.Lock()
+	if pr.finding == Unanswered && gd.probes[cl.Instance] != pr {
+		gd.mu.Unlock()
+		return // it answered meanwhile
+	}
+	ch := gd.suspects.Note(gd.now(), en)
+	pr.marks = append(pr.marks, cl.Mark)
+	gd.mu.Unlock()
+	gd.log(en, cl.Request, ch)
+	gd.tell(en)
+}
+
+// Heard takes an end that another VM saw.
+func (gd *Guard) Heard(en suspect.End) {
+	gd.mu.Lock()
+	ch := gd.suspects.Note(gd.now(), en)
+	gd.mu.Unlock()
+	if ch.Before != ch.Now && ch.Now == suspect.Refused {
+		gd.log(en, "", ch)
+	}
+}
+
+// log writes to the log, and counts, what came of an end, or of a whole answer if it
+// names no server. The request is one of this VM, or empty.
+func (gd *Guard) log(en suspect.End, request string, ch suspect.Change) {
+	ev := event.RelaySuspect
+	switch {
+	case ch.Now == suspect.Refused && ch.Before != suspect.Refused:
+		ev = event.RelayEndsServers
+	case en.Server == "" || en.Forgiven:
+		ev = event.RelaySuspectWorked
+	}
+	if gd.Scope != nil {
+		gd.Scope.Tagged(map[string]string{"Outcome": ev.Name}).Counter("Suspects").Inc(1)
+	}
+	gd.Log.Log(ev, event.F("Request", request), event.F("Mark", en.Mark.String()), event.F("Server", en.Server), event.F("Ends", ch.Ends),
+		event.F("Weight", strconv.FormatFloat(ch.Weight, 'f', 2, 64)), event.F("Refused", ch.Now == suspect.Refused))
+}
--- /dev/null
+++ b/internal/poison/guard_test.go
@@ -0,0 +1,196 @@
+package poison_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/poison"
+	"alderdyke/internal/suspect"
+	"alderdyke/pkg/clock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is a Guard whose servers are found as a test says.
+type rig struct {
+	*poison.Guard
+	finding atomic.Int32
+	probes  atomic.Int32
+	told    []suspect.End
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	servers := []board.BackendServer{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}, {ID: "leaves", Leaving: true}}
+	list := (&board.Backends{}).WithServers(servers)
+	rg := &rig{}
+	rg.Guard = &poison.Guard{
+		Clock: clock.Monotonic{},
+		Probe: func(context.Context, board.BackendServer, string) poison.Finding {
+			rg.probes.Add(1)
+			return poison.Finding(rg.finding.Load())
+		},
+		Backends: func() *board.Backends { return list },
+		Tell:     func(en suspect.End) { rg.told = append(rg.told, en) },
+	}
+	rg.set(poison.Ended)
+	return rg
+}
+
+func (rg *rig) set(finding poison.Finding) { rg.finding.Store(int32(finding)) }
+
+// broke has a call of a request break off at each of the servers.
+func (rg *rig) broke(t *testing.T, mk suspect.Mark, servers ...string) {
+	t.Helper()
+	for _, id := range servers {
+		rg.RecordBrokenCall(t.Context(), poison.Call{Mark: mk, Server: board.BackendServer{ID: id}, Instance: id, Beside: poison.UnknownBeside})
+		time.Sleep(100 * time.Millisecond) // to the next server
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		finding poison.Finding
+		servers []string
+		refused bool
+	}{
+		"two ends":             {poison.Ended, []string{"a", "b"}, false},
+		"three ends":           {poison.Ended, []string{"a", "b", "c"}, true},
+		"one end, seen thrice": {poison.Ended, []string{"a", "a", "a"}, false},
+		"broken connections":   {poison.Alive, []string{"a", "b", "c", "d", "e"}, false},
+		"no answers":           {poison.Unanswered, []string{"a", "b", "c"}, true},
+		"servers that leave":   {poison.Ended, []string{"a", "b", "leaves"}, false},
+		"servers not listed":   {poison.Ended, []string{"a", "b", "gone"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rg := newRig(t)
+				mk := rg.Mark([]byte("prompt"))
+				rg.set(tt.finding)
+				rg.broke(t, mk, tt.servers...)
+				assert.Equal(t, rg.Check(mk) > 0, tt.refused)
+				assert.Equal(t, rg.Check(rg.Mark([]byte("other prompt"))), clock.Millis(0))
+			})
+		})
+	}
+}
+
+// What one VM saw is enough for another that heard of it.
+func TestHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seen, hears := newRig(t), newRig(t)
+		key := func() []byte { return []byte("of the fleet") }
+		seen.Key, hears.Key = key, key
+		mk := seen.Mark([]byte("prompt"))
+		seen.broke(t, mk, "a", "b", "c")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(seen.told), 6, "each end is told twice")
+		for _, en := range seen.told {
+			hears.Heard(en)
+		}
+		assert.Assert(t, hears.Check(hears.Mark([]byte("prompt"))) > 0)
+	})
+}
+
+// A server that cut all connections, and is there after all, has not ended: the request
+// that met three such is sent on again, and other VMs are told.
+func TestUnansweredIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg, hears := newRig(t), newRig(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go rg.Share(ctx)
+		mk := rg.Mark([]byte("prompt"))
+		rg.set(poison.Unanswered)
+		rg.broke(t, mk, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, rg.Check(mk) > 0)
+		rg.set(poison.Alive)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, rg.Check(mk), clock.Millis(0))
+		for _, en := range rg.told {
+			hears.Heard(en)
+		}
+		assert.Equal(t, hears.Check(mk), clock.Millis(0))
+	})
+}
+
+// A server that ended, and started again, is not asked any more, and its end counts.
+func TestUnansweredHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go rg.Share(ctx)
+		mk := rg.Mark([]byte("prompt"))
+		rg.set(poison.Unanswered)
+		rg.broke(t, mk, "a", "b", "c")
+		rg.set(poison.Ended)
+		time.Sleep(2 * time.Second)
+		asked := rg.probes.Load()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, rg.probes.Load(), asked)
+		assert.Assert(t, rg.Check(mk) > 0)
+	})
+}
+
+// An instance ends once: what was sent there later is not to blame.
+func TestCallAfterTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t)
+		rg.set(poison.Unanswered)
+		first, later := rg.Mark([]byte("first")), rg.Mark([]byte("later"))
+		rg.broke(t, first, "a", "b", "c")
+		began := clock.Monotonic{}.Now() + 1
+		time.Sleep(time.Second)
+		for _, id := range []string{"a", "b", "c"} {
+			rg.RecordBrokenCall(t.Context(), poison.Call{Mark: later, Server: board.BackendServer{ID: id}, Instance: id, Began: began})
+		}
+		assert.Assert(t, rg.Check(first) > 0)
+		assert.Equal(t, rg.Check(later), clock.Millis(0))
+	})
+}
+
+func TestRecordSuccess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t)
+		mk := rg.Mark([]byte("prompt"))
+		rg.RecordSuccess("r", mk)
+		rg.broke(t, mk, "a", "b")
+		rg.RecordSuccess("r", mk)
+		rg.broke(t, mk, "c")
+		assert.Equal(t, rg.Check(mk), clock.Millis(0), "a whole answer takes the newest end back")
+		rg.broke(t, mk, "d")
+		assert.Assert(t, rg.Check(mk) > 0)
+	})
+}
+
+func TestBroke(t *testing.T) {
+	ended, stop := context.WithCancel(t.Context())
+	stop()
+	for name, tt := range map[string]struct {
+		ctx  context.Context
+		err  error
+		want bool
+	}{
+		"no error":       {t.Context(), nil, false},
+		"in doubt":       {t.Context(), backend.InDoubtError{Err: errors.New("reset")}, true},
+		"late":           {t.Context(), backend.InDoubtError{Err: context.DeadlineExceeded}, false},
+		"not sent":       {t.Context(), backend.NotSentError{}, false},
+		"declined":       {t.Context(), backend.DeclinedError{}, false},
+		"caller is gone": {ended, backend.InDoubtError{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, poison.Broke(tt.ctx, tt.err), tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/poison/probe.go
@@ -0,0 +1,138 @@
+package poison
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/suspect"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// probeWait is how long a request whose answer broke off waits to learn whether its
+	// server has ended: a connection is refused within two crossings of a failure
+	// domain, 3 ms. What is learned later counts all the same.
+	probeWait = 30 * clock.Millis(1)
+	// probeTimeout bounds the question itself.
+	probeTimeout = clock.Second
+	// probeTTL is how long a finding holds for all calls that broke off there.
+	probeTTL = 200 * clock.Millis(1)
+	// unansweredTTL is for how long a server that answers nothing is asked again.
+	unansweredTTL = clock.Minute
+)
+
+// probe is the question whether one instance of a server is there.
+type probe struct {
+	server   board.BackendServer
+	instance string
+	at       clock.Millis
+	done     chan struct{} // closed once it is answered
+	finding  Finding
+	found    clock.Millis   // point at which it was answered
+	marks    []suspect.Mark // requests that it speaks against; guarded by the Guard
+}
+
+// against tells whether a finding speaks against the request of a call: an instance
+// ends once, so that a call which began later was not at its end.
+func (pr *probe) against(cl Call) bool {
+	return pr.finding != Alive && (cl.Began == 0 || cl.Began <= pr.found)
+}
+
+// ended finds out whether a server that was not about to leave has ended. Calls that
+// break off at it in the same moment share one probe.
+func (gd *Guard) ended(srv board.BackendServer, instance string) *probe {
+	bk := gd.Backends()
+	if bk.Reborn(srv) {
+		return &probe{finding: Ended, found: gd.now()}
+	}
+	if at, listed := bk.Server(srv.ID); !listed || at.Leaving {
+		return &probe{}
+	}
+	gd.mu.Lock()
+	pr := gd.probes[instance]
+	if pr == nil || pr.stale(gd.now()) {
+		pr = &probe{server: srv, instance: instance, at: gd.now(), done: make(chan struct{})}
+		gd.probes[instance] = pr
+		go gd.answer(pr)
+	}
+	gd.mu.Unlock()
+	<-pr.done
+	return pr
+}
+
+// stale tells whether a finding has to be made anew. That a server answers nothing is
+// asked by [Guard.Share] until it does.
+func (pr *probe) stale(now clock.Millis) bool {
+	return pr.finding != Unanswered && now >= pr.at+probeTTL
+}
+
+func (gd *Guard) answer(pr *probe) {
+	defer close(pr.done)
+	finding := gd.ask(context.Background(), pr)
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	pr.finding, pr.found = finding, gd.now()
+	if finding != Unanswered {
+		time.AfterFunc(probeTTL.Std(), func() { gd.drop(pr) })
+	}
+}
+
+func (gd *Guard) ask(ctx context.Context, pr *probe) Finding {
+	ctx, stop := context.WithTimeout(ctx, probeTimeout.Std())
+	defer stop()
+	return gd.Probe(ctx, pr.server, pr.instance)
+}
+
+// drop forgets a finding, and returns the requests that it spoke against.
+func (gd *Guard) drop(pr *probe) []suspect.Mark {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	if gd.probes[pr.instance] != pr {
+		return nil
+	}
+	delete(gd.probes, pr.instance)
+	return pr.marks
+}
+
+// reprobe asks the servers that answered nothing once more. Where the same instance
+// answers, it has not ended, and its ends are withdrawn.
+func (gd *Guard) reprobe(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, pr := range gd.unanswered() {
+		asked.Go(func() {
+			finding := gd.ask(ctx, pr)
+			if ctx.Err() != nil || finding == Unanswered && gd.now() < pr.found+unansweredTTL {
+				return
+			}
+			for _, mk := range gd.drop(pr) {
+				if finding == Alive {
+					gd.withdraw(mk, pr)
+				}
+			}
+		})
+	}
+	asked.Wait()
+}
+
+func (gd *Guard) unanswered() []*probe {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	var out []*probe
+	for _, pr := range gd.probes {
+		if pr.finding == Unanswered {
+			out = append(out, pr)
+		}
+	}
+	return out
+}
+
+func (gd *Guard) withdraw(mk suspect.Mark, pr *probe) {
+	en := suspect.End{Mark: mk, Server: pr.instance, Age: gd.now() - pr.found, Forgiven: true}
+	gd.mu.Lock()
+	ch := gd.suspects.Note(gd.now(), en)
+	gd.mu.Unlock()
+	gd.log(en, "", ch)
+	gd.tell(en)
+}
--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -146,7 +146,7 @@
 
 // resumeOnce begins one new run. The error is a refusal if no engine has room.
 func (rl *Relay) resumeOnce(ctx context.Context, rn *run) error {
-	if err := rl.mayRun(ctx, rn.ex); err != nil {
+	if err := rl.checkPoison(ctx, rn.ex); err != nil {
 		return err
 	}
 	pl, err := rl.findPlace(ctx, rn.ex)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -9,8 +9,8 @@
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/poison"
 	"alderdyke/internal/pool"
-	"alderdyke/internal/suspect"
 	"alderdyke/pkg/clock"
 )
 
@@ -64,7 +64,7 @@
 func (rl *Relay) generate(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	defer rl.dropPrompt(ex)
 	for number := 1; ; number++ {
-		if err := rl.mayRun(ctx, ex); err != nil {
+		if err := rl.checkPoison(ctx, ex); err != nil {
 			return err
 		}
 		pl, err := rl.findPlace(ctx, ex)
@@ -131,7 +131,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if err := rl.mayRun(ctx, ex); err != nil {
+	if err := rl.checkPoison(ctx, ex); err != nil {
 		return err
 	}
 	rl.mu.Lock()
@@ -185,8 +185,8 @@
 		event.F("After", op.After), event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Came).String()),
 		event.F("Status", statusOf(dec.rsp)), event.F("Error", text(err)))...)
 	if err != nil {
-		if broke(ctx, err) {
-			rl.noteBreak(ctx, ex, pl.server, suspect.End{Beside: rl.besides(pl.server.ID)})
+		if poison.Broke(ctx, err) {
+			rl.recordBrokenCall(ctx, ex, pl.server, false, rl.besides(pl.server.ID))
 		}
 		dec.begun()
 		dec.end()
@@ -337,8 +337,8 @@
 	}
 	rl.mu.Unlock()
 	if err != nil {
-		if broke(within, err) {
-			rl.noteBreak(ctx, ex, pf.Server, suspect.End{Beside: unknownBeside})
+		if poison.Broke(within, err) {
+			rl.recordBrokenCall(ctx, ex, pf.Server, false, poison.UnknownBeside)
 		}
 		rl.fault(ctx, ex, pf.Server.ID, err)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,9 +11,9 @@
 	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/poison"
 	"alderdyke/internal/retry"
 	"alderdyke/internal/route"
-	"alderdyke/internal/suspect"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -48,7 +48,7 @@
 // plain carries a request to a plain service.
 func (rl *Relay) plain(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	for number := 1; ; number++ {
-		if err := rl.mayRun(ctx, ex); err != nil {
+		if err := rl.checkPoison(ctx, ex); err != nil {
 			return err
 		}
 		bs, err := rl.pick(ex)
@@ -123,8 +123,8 @@
 		at.wh = whole{status: at.rsp.StatusCode}
 	}
 	took := rl.now() - began
-	if broke(within, at.err) {
-		rl.noteBreak(ctx, ex, bs, suspect.End{Beside: unknownBeside})
+	if poison.Broke(within, at.err) {
+		rl.recordBrokenCall(ctx, ex, bs, false, poison.UnknownBeside)
 	}
 	rl.mu.Lock()
 	rl.chooser.Done(rl.now(), bs.ID, balance.Outcome{Result: resultOf(ctx, at), Took: took, Load: rl.loadOf(at.rsp)})
--- /dev/null
+++ b/internal/relay/poison.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/poison"
+	"alderdyke/internal/suspect"
+	"alderdyke/pkg/refusal"
+)
+
+// newGuard is called with the lock held.
+func (rl *Relay) newGuard() *poison.Guard {
+	return &poison.Guard{
+		Clock:    rl.Clock,
+		Log:      rl.Log,
+		Scope:    rl.Scope,
+		Key:      rl.Key,
+		Probe:    rl.probe,
+		Backends: rl.Backends,
+		Tell:     rl.TellEnd,
+		VMs:      rl.livingVMs,
+	}
+}
+
+// guardOf is the search for requests that end their servers.
+func (rl *Relay) guardOf() *poison.Guard {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.prepare()
+	return rl.guard
+}
+
+func (rl *Relay) probe(ctx context.Context, bs board.BackendServer, _ string) poison.Finding {
+	if rl.Servers.Ended(ctx, bs) {
+		return poison.Ended
+	}
+	return poison.Alive
+}
+
+func (rl *Relay) livingVMs() int {
+	if rl.Others == nil {
+		return 1
+	}
+	others, _ := rl.Others()
+	return 1 + len(others)
+}
+
+// markOf names a request by what is the same at each of its tries.
+func (rl *Relay) markOf(ex *exchange) suspect.Mark {
+	if ex.mark == nil {
+		req := ex.req
+		mk := rl.guardOf().Mark([]byte(req.Method), []byte(req.Host), []byte(req.URI), []byte(req.Content), req.Body)
+		ex.mark = &mk
+	}
+	return *ex.mark
+}
+
+// checkPoison refuses a request under which servers ended. While no request is under
+// suspicion it costs nothing, and else a mark, 6 us for 5 KB (BenchmarkMarkOf).
+func (rl *Relay) checkPoison(ctx context.Context, ex *exchange) error {
+	if !rl.guardOf().Any() {
+		return nil
+	}
+	span := rl.guardOf().Check(rl.markOf(ex))
+	if span == 0 {
+		return nil
+	}
+	return rl.endOf(ctx, ex, refuse(refusal.EndsServers, span, "servers ended when they ran this request"))
+}
+
+// recordSuccess notes that a request had its whole answer.
+func (rl *Relay) recordSuccess(ex *exchange) {
+	if rl.guardOf().Any() {
+		rl.guardOf().RecordSuccess(ex.req.ID, rl.markOf(ex))
+	}
+}
+
+// recordBrokenCall notes that a call at a server broke off, and returns when it is known
+// whether the server has ended, or soon after.
+func (rl *Relay) recordBrokenCall(ctx context.Context, ex *exchange, bs board.BackendServer, answered bool, beside int) {
+	rl.guardOf().RecordBrokenCall(ctx, poison.Call{
+		Request: ex.req.ID, Mark: rl.markOf(ex), Server: bs, Instance: bs.ID, Answered: answered, Beside: beside})
+}
+
+// ShareEnds tells the other VMs now and then, until the context ends, what is known of
+// requests at which servers ended.
+func (rl *Relay) ShareEnds(ctx context.Context) { rl.guardOf().Share(ctx) }
+
+// HeardEnd takes an end that another VM saw.
+func (rl *Relay) HeardEnd(en suspect.End) { rl.guardOf().Heard(en) }
+
+// besides is how many other runs an engine has, as far as this VM knows.
+func (rl *Relay) besides(engine string) int {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return max(0, rl.ledger.Runs(rl.now(), engine)-1)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/charge"
 	"alderdyke/internal/event"
+	"alderdyke/internal/poison"
 	"alderdyke/internal/pool"
 	"alderdyke/internal/retry"
 	"alderdyke/internal/route"
@@ -168,9 +169,9 @@
 		open     atomic.Int64
 		tidying  atomic.Int64 // calls under way that give something back to a server
 
-		mu   sync.Mutex // guards all below and Rand
-		once bool
-		endings
+		mu         sync.Mutex // guards all below and Rand
+		once       bool
+		guard      *poison.Guard
 		chooser    *balance.Chooser
 		budget     *retry.Policy
 		fleet      fleetSize
@@ -323,7 +324,7 @@
 		err = rl.plain(ctx, wr, ex)
 	}
 	if err == nil {
-		rl.noteWhole(ex)
+		rl.recordSuccess(ex)
 	}
 	rl.settle(ex, err)
 	return err
@@ -393,7 +394,7 @@
 	rl.runs = make(map[*run]struct{})
 	rl.calls = make(map[*call]struct{})
 	rl.moved = make(chan struct{})
-	rl.prepareEndings()
+	rl.guard = rl.newGuard()
 	rl.usageChanged = make(chan struct{}, 1)
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -8,7 +8,6 @@
 	"net/http"
 
 	"alderdyke/internal/event"
-	"alderdyke/internal/suspect"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -96,7 +95,7 @@
 	if stopping || rn.pl.server.ID == "" || errors.Is(err, errNotNext) || errors.Is(err, errStopped) {
 		return
 	}
-	rl.noteBreak(ctx, rn.ex, rn.pl.server, suspect.End{Answered: rn.events > 0, Beside: rl.besides(rn.pl.server.ID)})
+	rl.recordBrokenCall(ctx, rn.ex, rn.pl.server, rn.events > 0, rl.besides(rn.pl.server.ID))
 }
 
 // copyEvents passes events on until the stream ends. Only whole events go
