fleet: what reaches all VMs by datagrams is a type of its own

Spread is TellAll and PassOn of Fleet, which tells a word by one VM of each group where there are many. The own path has a membership and a transport of its own and no Fleet, and needs the same to pass on at which server's end a request was. No behaviour changes. Two tests name the accessor by its new place.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,9 +111,7 @@
 
 // heard takes a datagram. The transport calls it for one at a time.
 func (fl *Fleet) heard(dg *peerpb.Datagram, from netip.AddrPort) {
-	if dg.GetForward() != nil {
-		fl.passOn(dg)
-	}
+	fl.spread().PassOn(dg)
 	switch {
 	case dg.GetUsage() != nil:
 		fl.heardUsage(dg)
@@ -157,7 +155,7 @@
 }
 
 func (fl *Fleet) heardEnd(re *peerpb.RequestEnd) {
-	if en, ok := endFromWire(re); ok && fl.End != nil {
+	if en, ok := EndFromWire(re); ok && fl.End != nil {
 		fl.End(en)
 	}
 }
--- a/internal/fleet/net_test.go
+++ b/internal/fleet/net_test.go
@@ -304,7 +304,7 @@
 	if gr := dg.GetForward(); gr != nil {
 		dg.Forward = nil
 		from := dg.GetFrom()
-		for _, other := range vm.fl.living(func(other board.VM) bool { return inGroup(gr, other) && other.ID != vm.self.ID && other.ID != from }) {
+		for _, other := range vm.fl.spread().living(func(other board.VM) bool { return inGroup(gr, other) && other.ID != vm.self.ID && other.ID != from }) {
 			vm.send(other.ID, proto.Clone(dg).(*peerpb.Datagram))
 		}
 	}
--- a/internal/fleet/readers_test.go
+++ b/internal/fleet/readers_test.go
@@ -217,7 +217,7 @@
 	vm.mu.Lock()
 	number := vm.number
 	vm.mu.Unlock()
-	for ix, gr := range groupsOf(vm.fl.living(func(other board.VM) bool { return other.ID != vm.self.ID })) {
+	for ix, gr := range groupsOf(vm.fl.spread().living(func(other board.VM) bool { return other.ID != vm.self.ID })) {
 		head := gr.vms[int(vm.net.chance("head "+vm.self.ID+fmt.Sprint(ix), number)*float64(len(gr.vms)))]
 		for _, word := range words {
 			word = proto.Clone(word).(*peerpb.Datagram)
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -7,7 +7,9 @@
 	"slices"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/suspect"
 )
 
 // mostDirect is how many VMs this one tells a word by itself. In a larger fleet one
@@ -15,14 +17,24 @@
 // crossings between failure domains, where bytes cost most.
 const mostDirect = 32
 
-// tellAll sends words, in their order, to each VM that lives. In a large fleet
+// Spread sends words to the VMs of a fleet. Words between VMs may be lost, and are
+// renewed.
+type Spread struct {
+	Self  string // ID of this VM
+	View  func() *board.Fleet
+	Peers *peer.Transport
+}
+
+func (fl *Fleet) spread() Spread { return Spread{Self: fl.Self.ID, View: fl.View, Peers: fl.peers} }
+
+// TellAll sends words, in their order, to each VM that lives. In a large fleet
 // they go to one VM of each group, drawn anew for each call, which passes them
 // on: one that is lost, or dead and not known to be, costs its group these words
 // alone.
-func (fl *Fleet) tellAll(words ...*peerpb.Datagram) {
-	living := fl.living(func(vm board.VM) bool { return vm.ID != fl.Self.ID })
+func (sp Spread) TellAll(words ...*peerpb.Datagram) {
+	living := sp.living(func(vm board.VM) bool { return vm.ID != sp.Self })
 	if len(living) <= mostDirect {
-		fl.broadcast(living, words)
+		sp.send(living, words)
 		return
 	}
 	for _, gr := range groupsOf(living) {
@@ -30,30 +42,35 @@
 		for _, word := range words {
 			word.Forward = gr.wire
 		}
-		fl.broadcast([]board.VM{head}, words)
+		sp.send([]board.VM{head}, words)
 	}
 }
 
-// passOn sends a word to the group that its sender named.
-func (fl *Fleet) passOn(word *peerpb.Datagram) {
+// PassOn sends a word to the group that its sender named, if it named one.
+func (sp Spread) PassOn(word *peerpb.Datagram) {
 	gr, from := word.GetForward(), word.GetFrom()
+	if gr == nil {
+		return
+	}
 	word.Forward = nil
-	fl.broadcast(fl.living(func(vm board.VM) bool {
-		return inGroup(gr, vm) && vm.ID != fl.Self.ID && vm.ID != from
+	sp.send(sp.living(func(vm board.VM) bool {
+		return inGroup(gr, vm) && vm.ID != sp.Self && vm.ID != from
 	}), []*peerpb.Datagram{word})
 }
 
-// broadcast sends words to VMs. Words between VMs may be lost, and are renewed.
-func (fl *Fleet) broadcast(vms []board.VM, words []*peerpb.Datagram) {
+// TellEnd tells all VMs that live at which server's end a request was there.
+func (sp Spread) TellEnd(en suspect.End) { sp.TellAll(endToWire(en)) }
+
+func (sp Spread) send(vms []board.VM, words []*peerpb.Datagram) {
 	for _, word := range words {
-		_ = fl.peers.Broadcast(vms, word)
+		_ = sp.Peers.Broadcast(vms, word)
 	}
 }
 
 // living lists the VMs that live and are wanted.
-func (fl *Fleet) living(want func(vm board.VM) bool) []board.VM {
+func (sp Spread) living(want func(vm board.VM) bool) []board.VM {
 	var out []board.VM
-	for _, vm := range fl.View().VMs {
+	for _, vm := range sp.View().VMs {
 		if vm.Health == board.Alive && vm.Incarnation != 0 && want(vm) {
 			out = append(out, vm)
 		}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -23,12 +23,12 @@
 func (fl *Fleet) TellUsage(rp usage.Report) {
 	to := fl.Schedulers()
 	if len(to) == 0 {
-		to = fl.living(func(board.VM) bool { return true })
+		to = fl.spread().living(func(board.VM) bool { return true })
 	}
 	to = slices.DeleteFunc(slices.Clone(to), func(vm board.VM) bool { return vm.ID == fl.Self.ID })
 	// A message that is too long or lost is as good as none: the others then
 	// reserve what a run may come to.
-	fl.broadcast(to, []*peerpb.Datagram{{Body: &peerpb.Datagram_Usage{Usage: usageToWire(rp)}}})
+	fl.spread().send(to, []*peerpb.Datagram{{Body: &peerpb.Datagram_Usage{Usage: usageToWire(rp)}}})
 }
 
 // TellNews passes on to all VMs that live what this one read of a topic. Whoever
@@ -39,11 +39,11 @@
 		fl.Log.Log(event.NewsNotTold, event.F("Topic", nw.Topic), event.F("From", nw.From), event.F("Error", err.Error()))
 		return
 	}
-	fl.tellAll(words...)
+	fl.spread().TellAll(words...)
 }
 
 // TellEnd tells all VMs that live at which server's end a request was there.
-func (fl *Fleet) TellEnd(en suspect.End) { fl.tellAll(endToWire(en)) }
+func (fl *Fleet) TellEnd(en suspect.End) { fl.spread().TellEnd(en) }
 
 func endToWire(en suspect.End) *peerpb.Datagram {
 	return &peerpb.Datagram{Body: &peerpb.Datagram_RequestEnd{RequestEnd: &peerpb.RequestEnd{
@@ -51,8 +51,8 @@
 		Age: uint32(max(0, en.Age)), Forgiven: en.Forgiven}}}
 }
 
-// endFromWire reads an end; one without a whole mark or a server says nothing.
-func endFromWire(re *peerpb.RequestEnd) (suspect.End, bool) {
+// EndFromWire reads an end; one without a whole mark or a server says nothing.
+func EndFromWire(re *peerpb.RequestEnd) (suspect.End, bool) {
 	if len(re.GetMark()) != len(suspect.Mark{}) || re.GetServer() == "" {
 		return suspect.End{}, false
 	}
