backend, standin: servers tell their incarnation with each response

On the own path a server keeps its ID over all of its lives, and nothing that it says tells them apart. A VM whose call broke off can't know whether the server ended, nor can two VMs tell that they speak of the same end.

A server may now set Alderdyke-Server-Incarnation on its responses. The clients of engines and plain services note it, also where a call is declined; it is taken off before a plain answer goes to a caller. Both clients can Ping a server on a connection of its own. The stand-ins tell theirs, a new one after each death.

Servers that don't tell are served as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -74,6 +74,8 @@
 		// when the connection stands. If it says no, the call ends in a
 		// NotSentError that unwraps to ErrWithheld. Nil always says yes.
 		May func() bool
+		// Incarnations takes note of the server's; nil does not.
+		Incarnations *Incarnations
 	}
 
 	// HTTP makes the client of an adapter when it is first needed. The zero
@@ -275,6 +277,7 @@
 		}
 		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: bare(err, ErrBadAnswer)}
 	}
+	cl.Incarnations.note(cl.Server, rsp.Header)
 	if err := DeclinedBy(cl.Server, cl.Name, rsp); err != nil {
 		_ = rsp.Body.Close() // the headers say all
 		return nil, err
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -67,6 +67,8 @@
 		Scope tally.Scope  // nil counts nothing
 		Log   event.Logger
 		Clock clock.Source // nil is the boot clock
+		// Incarnations takes note of the engines'; nil does not.
+		Incarnations *backend.Incarnations
 
 		made backend.HTTP
 	}
@@ -79,7 +81,8 @@
 		method  string
 		path    string
 		query   url.Values
-		body    any // nil for reads
+		body    any  // nil for reads
+		once    bool // on a connection of its own, as all that is no read
 		may     func() bool
 	}
 )
@@ -179,6 +182,15 @@
 	}, nil
 }
 
+// Ping asks the engine whether it is there, on a connection of its own.
+func (ec *Client) Ping(ctx context.Context, srv board.BackendServer) error {
+	cl := call{srv: srv, name: "Ping", method: http.MethodGet, path: LoadPath, once: true}
+	if err := ec.document(ctx, cl, documentBytes, nil); err != nil {
+		return fmt.Errorf("ping engine: %w", err)
+	}
+	return nil
+}
+
 // Running lists what the engine holds, and for whom.
 func (ec *Client) Running(ctx context.Context, srv board.BackendServer) ([]Running, error) {
 	var doc RunningReport
@@ -255,7 +267,8 @@
 		return nil, NotSentError{Server: cl.srv.ID, Call: cl.name, Err: err}
 	}
 	rsp, err := backend.Send(ctx, ec.client(), backend.Call{
-		Server: cl.srv.ID, Name: cl.name, Request: req, Once: cl.body != nil, May: cl.may,
+		Server: cl.srv.ID, Name: cl.name, Request: req, Once: cl.once || cl.body != nil, May: cl.may,
+		Incarnations: ec.Incarnations,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -76,6 +76,8 @@
 		Scope     tally.Scope
 		Log       event.Logger
 		Clock     clock.Source // nil is the boot clock
+		// Incarnations takes note of the servers'; nil does not.
+		Incarnations *backend.Incarnations
 
 		made backend.HTTP
 	}
@@ -131,6 +133,16 @@
 	}, nil
 }
 
+// Ping asks the server whether it is there, on a connection of its own.
+func (sc *Client) Ping(ctx context.Context, srv board.BackendServer) error {
+	_, err := sc.bounded(ctx, srv, Request{Method: http.MethodGet, Path: LoadPath}, loadBytes)
+	sc.count(srv, "Ping", err)
+	if err != nil {
+		return fmt.Errorf("ping plain server: %w", err)
+	}
+	return nil
+}
+
 func (sc *Client) load(ctx context.Context, srv board.BackendServer) (LoadDoc, error) {
 	rq := Request{Method: http.MethodGet, Path: LoadPath, Idempotent: true}
 	rsp, err := sc.bounded(ctx, srv, rq, loadBytes)
@@ -158,7 +170,7 @@
 		return Response{}, NotSentError{Server: srv.ID, Call: "Call", Err: err}
 	}
 	rsp, err := backend.Send(ctx, sc.client(), backend.Call{
-		Server: srv.ID, Name: "Call", Request: req, Once: !rq.Idempotent,
+		Server: srv.ID, Name: "Call", Request: req, Once: !rq.Idempotent, Incarnations: sc.Incarnations,
 	})
 	if err != nil {
 		return Response{}, err
@@ -168,7 +180,9 @@
 	if err != nil {
 		return Response{}, InDoubtError{Server: srv.ID, Call: "Call", Status: rsp.StatusCode, Err: err}
 	}
-	return Response{Status: rsp.StatusCode, Header: endToEnd(rsp.Header), Body: body}, nil
+	hd := endToEnd(rsp.Header)
+	hd.Del(backend.IncarnationHeader) // meant for this VM
+	return Response{Status: rsp.StatusCode, Header: hd, Body: body}, nil
 }
 
 func (sc *Client) request(ctx context.Context, srv board.BackendServer, rq Request) (*http.Request, error) {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -31,9 +31,11 @@
 		rw.Header().Set("Connection", "X-Hop")
 		rw.Header().Set("X-Hop", "1")
 		rw.Header().Set("X-Kept", string(body))
+		rw.Header().Set(backend.IncarnationHeader, "9")
 		rw.WriteHeader(http.StatusTeapot)
 	})
-	sc := &Client{Self: board.VMRef{ID: "vm-1", Incarnation: 3}, Token: "ours"}
+	in := &backend.Incarnations{}
+	sc := &Client{Self: board.VMRef{ID: "vm-1", Incarnation: 3}, Token: "ours", Incarnations: in}
 	rsp, err := sc.Call(t.Context(), srv, Request{
 		Method: http.MethodPost, Path: "/a%2Fb?q=1", Body: []byte("body"), Key: "k9", Idempotent: true,
 		Header: http.Header{
@@ -45,6 +47,8 @@
 	assert.Equal(t, rsp.Status, http.StatusTeapot) // the service's own answer
 	assert.Equal(t, rsp.Header.Get("X-Kept"), "body")
 	assert.Equal(t, rsp.Header.Get("X-Hop"), "")
+	assert.Equal(t, rsp.Header.Get(backend.IncarnationHeader), "")
+	assert.Equal(t, in.Of(srv.ID), uint64(9))
 	assert.Equal(t, got.RequestURI, "/a%2Fb?q=1")
 	assert.Equal(t, got.Header.Get("X-Plant"), "17")
 	assert.DeepEqual(t, got.Header.Values("Authorization"), []string{"Bearer ours"})
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 // MaxBody bounds the body of one call to a stand-in, in bytes.
 const MaxBody = 16 << 20
 
+// processStart is the incarnation of servers that did not die yet.
+var processStart = uint64(time.Now().UnixMilli())
+
 const maxFaults = 64 << 10 // bytes of a faults document
 
 type (
@@ -61,6 +65,7 @@
 		mu      sync.Mutex
 		faults  Faults
 		hits    int
+		deaths  uint64
 		changed chan struct{}
 	}
 
@@ -71,6 +76,9 @@
 // Set replaces the faults and begins to count anew.
 func (ct *Control) Set(ft Faults) {
 	ct.mu.Lock()
+	if ft.Dead && !ct.faults.Dead {
+		ct.deaths++
+	}
 	ct.faults, ct.hits = ft, 0
 	ct.wake()
 	ct.mu.Unlock()
@@ -179,6 +187,7 @@
 	if ft.Dead {
 		Cut()
 	}
+	rw.Header().Set(backend.IncarnationHeader, ct.incarnation())
 	if !hit {
 		next.ServeHTTP(rw, req)
 		return
@@ -212,6 +221,14 @@
 	}
 }
 
+// incarnation is that of the server which the stand-in plays: it starts with the
+// process, and anew after each death.
+func (ct *Control) incarnation() string {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	return strconv.FormatUint(processStart+ct.deaths, 10)
+}
+
 // hit tells the faults and whether those with Paths and Count strike a call.
 func (ct *Control) hit(path string) (Faults, bool) {
 	ct.mu.Lock()
