client, caller: a request that ends its servers is refused with 503 and not sent again

The reason EndsServers had no status of its own on the own path, which answered it with 500, and the library would wait five minutes for the span that the refusal names and send the request once more. The fault is in the request, not in the moment: the library returns the refusal at once, with the span for whoever mends the request.

TestOneTruthfulEnd has the case; it made six tries before.

--- a/internal/caller/refuse.go
+++ b/internal/caller/refuse.go
@@ -44,6 +44,7 @@
 	refusal.CallerGone:         http.StatusGone,
 	refusal.AnswerExpired:      http.StatusGone,
 	refusal.VMLost:             http.StatusBadGateway,
+	refusal.EndsServers:        http.StatusServiceUnavailable,
 	refusal.TooManyConnections: http.StatusServiceUnavailable,
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -162,10 +162,11 @@
 // again tells whether the call goes on after what a VM said. After "not run"
 // it may: with a fresh key, or in doubt with the same one, which the fleet
 // runs once at most. After "may have run" only an idempotent request starts
-// anew, and not with the application's key, which stands for that end.
+// anew, and not with the application's key, which stands for that end. A request that
+// ends its servers is left to the application: the fault is in the request.
 func (cs *course) again(said refusal.Refusal, cc call) bool {
 	switch {
-	case said.RetryAfter <= 0:
+	case said.RetryAfter <= 0, said.Reason == refusal.EndsServers:
 		return false
 	case said.Ran == refusal.NotRun:
 		return cs.inDoubt || !cc.begun()
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -142,6 +142,7 @@
 		"not run, then answer":           {steps: []step{refuse(no, refusal.QueueFull, 100), done}, tries: 2, waits: 1},
 		"not run, own key":               {steps: []step{refuse(no, refusal.QueueFull, 100), done}, own: true, tries: 2, sameKeys: true, waits: 1},
 		"not run, of no use":             {steps: []step{refuse(no, refusal.BadRequest, 0)}, ran: no, tries: 1, sameKeys: true},
+		"not run, ends servers":          {steps: []step{refuse(no, refusal.EndsServers, 300000)}, ran: no, tries: 1, sameKeys: true},
 		"not run for ever":               {steps: []step{refuse(no, refusal.QueueFull, 100)}, ran: no, tries: 6, waits: 5},
 		"may have run":                   {steps: []step{refuse(may, refusal.VMLost, 100)}, ran: may, tries: 1, sameKeys: true},
 		"may have run, idempotent":       {steps: []step{refuse(may, refusal.VMLost, 100), done}, idem: true, tries: 2, waits: 1},
