entry: a request that ends its servers is refused after five at most

Callers saw engine after engine end, and with each all that ran there cut, under one request whose input breaks engines: 12 in five tries, 24 and more where each try goes to another VM, up to 73 where the engine ends as it fetches the KV cache.

Cause: the search for such requests lived in the relay of the platform's path. internal/entry had nothing that asks whether a server ended, tells the other VMs, hears them, or refuses.

Ruled out: evidence at the accountant of the cell. It knows nothing of plain services, of requests placed without one, and of another cell, and it is lost with its VM.

Change: the own path uses poison.Guard, as the relay does. It is asked before a place is waited for and before each prefill, import, decode and plain call, and told of each call that broke off. Ends go to all VMs by datagrams; two VMs tell one that has started what it missed. A server has ended where its connection is refused, where another incarnation answers, and, until the same one answers, where a new connection is not answered. A VM that takes over asks the engine for the decode that the claim names, since the VM before it may have ended with the engine. A VM that only follows an answer takes nothing back.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -359,10 +359,13 @@
 	cm.ac.Tell(cm.ctx, claim.Became{State: state, DecodeServer: server, EngineRequest: engineRequest})
 }
 
-// mayDispatch tells, at the last moment, whether a request that may run at
-// most once may still be sent to a backend server. A grant that is too old is
-// asked for anew.
+// mayDispatch tells, at the last moment, whether a request may still be sent to a
+// backend server: none that ends its servers, and one that may run at most once with
+// a grant that is not too old; such a grant is asked for anew.
 func (rn *run) mayDispatch(ctx context.Context) error {
+	if err := rn.checkPoison(); err != nil {
+		return err
+	}
 	if rn.req.Class.Idempotent {
 		return nil
 	}
--- /dev/null
+++ b/internal/entry/deadly_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"alderdyke/internal/engine"
+)
+
+// A request whose input ends each server that runs it is sent on by retries, by transfers
+// to one more engine and by its callers' tries at any VM, until no server is left.
+func TestDeadlyRequestEndsFiveServersAtMost(t *testing.T) {
+	var (
+		prompt = deadlyEnd{engine.PrefillPath, 0}
+		fetch  = deadlyEnd{engine.ImportPath, 0}
+		begin  = deadlyEnd{engine.DecodePath, -1}
+		token0 = deadlyEnd{engine.DecodePath, 0}
+		token1 = deadlyEnd{engine.DecodePath, 1}
+		call   = deadlyEnd{deadlyPath, -1}
+	)
+	const back, pause = 300 * time.Millisecond, 200 * time.Millisecond
+	fleets := map[int]*deadlyRig{1: newDeadlyRig(t, 6), 2: newDeadlyRig(t, 10)} // by cells
+	for ix, tc := range []struct {
+		name        string
+		end         deadlyEnd
+		back, pause time.Duration // of a server; between tries
+		vms, cells  int           // that get the tries in turn
+		lose, deaf  bool
+	}{
+		{"prompt, same VM", prompt, back, 0, 1, 1, false, false},
+		{"prompt, other VMs", prompt, back, pause, 5, 1, false, false},
+		{"import, same VM", fetch, back, 0, 1, 1, false, false},
+		{"import, other VMs", fetch, back, pause, 5, 1, false, false},
+		{"decode, same VM", begin, back, 0, 1, 1, false, false},
+		{"decode, other VMs", begin, back, 0, 5, 1, false, false},
+		{"before a token, same VM", token0, back, 0, 1, 1, false, false},
+		{"before a token, other VMs", token0, back, 0, 5, 1, false, false},
+		{"before a token, other VMs after a while", token0, back, pause, 5, 1, false, false},
+		{"after a token, same VM", token1, back, 0, 1, 1, false, false},
+		{"after a token, other VMs", token1, back, 0, 5, 1, false, false},
+		{"up again before anybody asks, same VM", token0, 0, 0, 1, 1, false, false},
+		{"up again before anybody asks, other VMs", token0, 0, pause, 5, 1, false, false},
+		{"first words lost", token0, back, pause, 5, 1, true, false},
+		{"no accountant", token0, back, pause, 5, 1, false, true},
+		{"two cells, same VM", token0, back, 0, 1, 2, false, false},
+		{"two cells, other VMs", token0, back, pause, 5, 2, false, false},
+		{"plain, same VM", call, back, 0, 1, 1, false, false},
+		{"plain, other VMs", call, back, pause, 5, 1, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ask := deadlyAsk{fmt.Sprintf("cu-%d", ix), fmt.Sprintf("%s-%d", deadlyWord, ix), tc.end.path == deadlyPath}
+			rg := fleets[tc.cells]
+			rg.set(tc.end, tc.back, tc.lose)
+			rg.deaf.Store(tc.deaf)
+			defer rg.deaf.Store(false)
+			for try := range deadlyTries {
+				rg.insist(t, rg.asked(try%tc.vms), fmt.Sprintf("%s-%d", ask.content, try), ask)
+				ended, _ := rg.counts()
+				t.Logf("%d servers ended after try %d", ended, try+1)
+				time.Sleep(tc.pause)
+			}
+			rg.check(t, rg.asked(deadlyTries%tc.vms), ask)
+		})
+	}
+}
+
+// The VM that runs a request is lost with its engine and tells nobody. The one that takes
+// the key over sends it to engines as if nothing had happened, and so does the next.
+func TestDeadlyRequestTakenOverEndsFiveServersAtMost(t *testing.T) {
+	rg := newDeadlyRig(t, 6)
+	ask := deadlyAsk{"cu", deadlyWord, false}
+	for round := range 3 {
+		rg.mu.Lock()
+		rg.end, rg.back, rg.onEnd = deadlyEnd{engine.DecodePath, 0}, 300*time.Millisecond, rg.vms[0].kill
+		rg.mu.Unlock()
+		key := fmt.Sprintf("%s-%d", deadlyWord, round)
+		rg.try(t, rg.vms[0], key, ask)
+		rg.vms[0].kill() // one that refused it is not lost yet
+		rg.try(t, rg.vms[1+round], key, ask)
+		ended, _ := rg.counts()
+		t.Logf("%d servers ended after key %d", ended, round+1)
+		rg.start(rg.vms[0])
+		rg.awaitServing(rg.vms[0])
+	}
+	rg.check(t, rg.vms[4], ask)
+}
+
+// A VM that starts after the ends has heard none of them, and gets the next try.
+func TestDeadlyRequestIsRefusedByVMStartedSince(t *testing.T) {
+	rg := newDeadlyRig(t, 6)
+	ask := deadlyAsk{"cu", deadlyWord, false}
+	rg.set(deadlyEnd{engine.DecodePath, 0}, 300*time.Millisecond, false)
+	for try := range 3 {
+		rg.insist(t, rg.vms[try], fmt.Sprintf("%s-%d", deadlyWord, try), ask)
+	}
+	rg.vms[0].kill()
+	rg.start(rg.vms[0])
+	rg.add()
+	for _, vm := range []*deadlyVM{rg.vms[0], rg.vms[5]} {
+		rg.awaitServing(vm)
+		rg.check(t, vm, ask)
+	}
+}
--- /dev/null
+++ b/internal/entry/deadlyrig_test.go
@@ -0,0 +1,372 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/caller"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/peer"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/settings"
+	"alderdyke/internal/standin"
+	"alderdyke/internal/standin/deployment"
+	enginesim "alderdyke/internal/standin/engine"
+	servicesim "alderdyke/internal/standin/service"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+	"alderdyke/pkg/template"
+)
+
+const (
+	// deadlyMost is how many servers may end under one request whose tries come
+	// one after the other, and deadlyTries how many tries there are.
+	deadlyMost  = 5
+	deadlyTries = 8
+	// deadlyWord marks the content of a request that ends its servers, and its keys.
+	deadlyWord = "deadly"
+	deadlyPath = "/records/deadly"
+)
+
+type (
+	// deadlyEnd is the point of a request at which its server ends: at a call to
+	// Path, behind so many writes of the answer; below zero: as the call arrives.
+	deadlyEnd struct {
+		path   string
+		writes int
+	}
+
+	// deadlyAsk is what all tries of a request have in common.
+	deadlyAsk struct {
+		customer, content string
+		plain             bool
+	}
+
+	// deadlyRig is a fleet of whole VMs in this process.
+	deadlyRig struct {
+		t    *testing.T
+		dp   *deployment.Deployment
+		vms  []*deadlyVM
+		deaf atomic.Bool // VMs do not account for others
+
+		mu      sync.Mutex
+		end     deadlyEnd
+		back    time.Duration // until a server that ended is up again; zero: before anybody asks
+		onEnd   func()        // called before the call breaks off
+		lose    bool          // the first word of each end is lost on its way to each VM
+		ended   int           // servers
+		arrived int           // calls of deadly requests at servers
+	}
+
+	deadlyVM struct {
+		*VM
+		set  settings.Settings
+		kill func()
+	}
+
+	// deadlyWriter ends the server behind some writes.
+	deadlyWriter struct {
+		http.ResponseWriter
+		left     int
+		declined bool
+		end      func()
+	}
+
+	// deafHandler hears no requests for places while its rig says so.
+	deafHandler struct {
+		peerHandler
+		deaf *atomic.Bool
+	}
+)
+
+func (dw *deadlyWriter) Unwrap() http.ResponseWriter { return dw.ResponseWriter }
+
+func (dw *deadlyWriter) WriteHeader(status int) {
+	dw.declined = status >= http.StatusMultipleChoices
+	dw.ResponseWriter.WriteHeader(status)
+}
+
+func (dw *deadlyWriter) Write(part []byte) (int, error) {
+	if dw.left--; dw.left < 0 && !dw.declined {
+		dw.end()
+	}
+	return dw.ResponseWriter.Write(part)
+}
+
+// Serve implements peer.Handler.
+func (dh deafHandler) Serve(ctx context.Context, from board.VMRef, cn *peer.Conn) {
+	if !dh.deaf.Load() {
+		dh.peerHandler.Serve(ctx, from, cn)
+		return
+	}
+	fr, err := cn.Recv()
+	if err != nil || fr.GetReserveAsk() != nil {
+		return
+	}
+	if reply, err := dh.vm.answerPeer(ctx, fr); err == nil && reply != nil {
+		cn.Send(reply)
+	}
+}
+
+// newDeadlyRig starts a fleet of five VMs, with so many engines of each role.
+func newDeadlyRig(t *testing.T, engines int) *deadlyRig {
+	t.Helper()
+	rg := &deadlyRig{t: t}
+	set := enginesim.DefaultSettings()
+	set.PrefillTokensPerSecond, set.LinkBytesPerSecond, set.TPOT = 50000, 10*set.LinkBytesPerSecond, 5
+	rg.dp = &deployment.Deployment{
+		Model: "model", Prefill: engines, Decode: engines, PlainService: "records", Plain: 6,
+		FailureDomains: []string{"a", "b", "c"}, Engine: set, Service: servicesim.Settings{Latency: 10, Slots: 8},
+	}
+	rg.dp.Front = rg.front
+	assert.NilError(t, rg.dp.Start())
+	t.Cleanup(func() { assert.Check(t, rg.dp.Close()) })
+	for range 5 {
+		rg.add()
+	}
+	for _, vm := range rg.vms {
+		rg.awaitServing(vm)
+	}
+	return rg
+}
+
+// front has the calls to a backend server pass deadly.
+func (rg *deadlyRig) front(lk deployment.Link, addr netip.AddrPort) (netip.AddrPort, error) {
+	if lk.Kind != deployment.BackendLink {
+		return addr, nil
+	}
+	var ct *standin.Control
+	var next http.Handler
+	if count := len(rg.dp.Services); count > 0 && rg.dp.Services[count-1].ID == lk.ID {
+		ct, next = &rg.dp.Services[count-1].Control, rg.dp.Services[count-1].Handler()
+	} else {
+		en := rg.dp.Engines[len(rg.dp.Engines)-1]
+		ct, next = &en.Control, en.Handler()
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return addr, fmt.Errorf("listen: %w", err)
+	}
+	hs := &http.Server{Handler: http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		rg.deadly(ct, next, wr, req)
+	})}
+	go func() { _ = hs.Serve(ln) }()
+	rg.t.Cleanup(func() { _ = hs.Close() })
+	return netip.MustParseAddrPort(ln.Addr().String()), nil
+}
+
+// deadly handles a call, under which the server ends if it is one of a deadly request.
+func (rg *deadlyRig) deadly(ct *standin.Control, next http.Handler, wr http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	runs := req.URL.Path == engine.PrefillPath || req.URL.Path == engine.ImportPath || req.URL.Path == engine.DecodePath || strings.HasPrefix(req.URL.Path, deadlyPath)
+	if !runs || ct.Faults().Dead || !strings.Contains(req.URL.Path+string(body), deadlyWord) {
+		next.ServeHTTP(wr, req)
+		return
+	}
+	rg.mu.Lock()
+	end := rg.end
+	rg.arrived++
+	rg.mu.Unlock()
+	if !strings.HasPrefix(req.URL.Path, end.path) {
+		next.ServeHTTP(wr, req)
+		return
+	}
+	stop := func() {
+		rg.stop(ct)
+		standin.Cut()
+	}
+	if end.writes < 0 {
+		stop()
+	}
+	dw := &deadlyWriter{ResponseWriter: wr, left: end.writes, end: stop}
+	next.ServeHTTP(dw, req)
+	if !dw.declined {
+		stop()
+	}
+}
+
+// stop ends a server with all that it held, and starts it again after a while.
+func (rg *deadlyRig) stop(ct *standin.Control) {
+	rg.mu.Lock()
+	rg.ended++
+	back, onEnd := rg.back, rg.onEnd
+	rg.mu.Unlock()
+	ct.Set(standin.Faults{Dead: true})
+	if onEnd != nil {
+		onEnd()
+	}
+	if back == 0 {
+		ct.Set(standin.Faults{})
+		return
+	}
+	time.AfterFunc(back, func() { ct.Set(standin.Faults{}) })
+}
+
+// counts tells how many servers have ended, and how many calls came to any.
+func (rg *deadlyRig) counts() (ended, arrived int) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.ended, rg.arrived
+}
+
+// add starts one more VM.
+func (rg *deadlyRig) add() *deadlyVM {
+	set, err := rg.dp.VM(fmt.Sprintf("vm-%d", len(rg.vms)+1), string(rune('a'+len(rg.vms)%3)))
+	assert.NilError(rg.t, err)
+	rg.dp.Publish()
+	vm := &deadlyVM{set: set}
+	rg.vms = append(rg.vms, vm)
+	rg.start(vm)
+	return vm
+}
+
+// start begins a life of a VM as VM.Run does; its kill ends it without a word.
+func (rg *deadlyRig) start(dv *deadlyVM) {
+	vm := &VM{Settings: dv.set, Incarnation: uint64(time.Now().UnixMilli())}
+	assert.NilError(rg.t, vm.init())
+	vm.Peers.Handler = deafHandler{peerHandler{vm}, &rg.deaf}
+	heard, lost := vm.Peers.Datagrams, make(map[string]bool)
+	vm.Peers.Datagrams = func(dg *peerpb.Datagram, from netip.AddrPort) {
+		if re := dg.GetRequestEnd(); re != nil && !lost[re.GetServer()] {
+			rg.mu.Lock()
+			lost[re.GetServer()] = rg.lose
+			rg.mu.Unlock()
+			if lost[re.GetServer()] {
+				return
+			}
+		}
+		heard(dg, from)
+	}
+	core, kill := context.WithCancel(context.Background())
+	vm.runCtx, vm.stopRuns = context.WithCancel(core)
+	vm.loopCtx = core
+	done := make(chan error, 1)
+	dv.VM, dv.kill = vm, sync.OnceFunc(func() {
+		kill()
+		assert.Check(rg.t, <-done)
+	})
+	go func() { done <- vm.Peers.Run(core) }()
+	<-vm.Peers.Ready()
+	vm.startLoops(core)
+	rg.t.Cleanup(dv.kill)
+}
+
+// awaitServing waits until a VM takes requests and knows the fleet and its seats.
+func (rg *deadlyRig) awaitServing(vm *deadlyVM) {
+	rg.t.Helper()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(20 * time.Millisecond) {
+		st, fl := vm.seats.Load(), vm.Board.Fleet()
+		if vm.Accepting() == nil && st != nil && len(st.VMs) >= 3 && len(fl.Serving()) >= len(rg.vms) &&
+			vm.Clock.Now() < clock.Millis(vm.fresh.Load()) && len(vm.Board.Backends().Reports) > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			rg.t.Fatalf("%s never served: %v, %+v", vm.Self.ID, vm.Accepting(), fl)
+		}
+	}
+}
+
+// set prepares the end of the next request's servers.
+func (rg *deadlyRig) set(end deadlyEnd, back time.Duration, lose bool) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.end, rg.back, rg.lose, rg.ended = end, back, lose, 0
+}
+
+// try sends a request to a VM and returns how it was refused, if it was.
+func (rg *deadlyRig) try(t *testing.T, vm *deadlyVM, key string, ask deadlyAsk) refusal.Refusal {
+	t.Helper()
+	cl := template.Class{
+		Name: "class", Service: "model", Urgency: template.Quick, Idempotent: true, Share: 1, MaxTokens: 20,
+		TTFT: clock.Second, TPOT: 50, Deadline: clock.Minute, StreamWait: 3 * clock.Second,
+	}
+	req := caller.Request{Customer: ask.customer, Key: key, KeyGiven: true, Deadline: cl.Deadline, Fingerprint: []byte(ask.content)}
+	if ask.plain {
+		cl.Service = "records"
+		req.Plain = &caller.Plain{Service: cl.Service, Method: http.MethodGet, Path: "/records/" + ask.content}
+	} else {
+		req.Chat = &caller.Chat{Model: cl.Service, Prompt: ask.content, PromptTokens: 100, MaxTokens: 20}
+	}
+	req.Class, req.Template = cl, template.Template{Customer: ask.customer, PrefillWeight: 0.5, Classes: []template.Class{cl}}
+	st, err := vm.Start(t.Context(), req)
+	if rf, ok := errors.AsType[refusal.Refusal](err); ok {
+		return rf
+	}
+	assert.NilError(t, err)
+	rd := st.Attach(0)
+	defer rd.Detach()
+	for {
+		ev, err := rd.Next(t.Context())
+		assert.NilError(t, err)
+		if ev.Kind.Final() {
+			return ev.Refusal
+		}
+	}
+}
+
+// insist tries, as callers do who heed a refusal for want of servers, until the request
+// came to a server or is refused for good.
+func (rg *deadlyRig) insist(t *testing.T, vm *deadlyVM, key string, ask deadlyAsk) {
+	t.Helper()
+	for ix := range 100 {
+		_, before := rg.counts()
+		rf := rg.try(t, vm, fmt.Sprintf("%s-%d", key, ix), ask)
+		_, arrived := rg.counts()
+		if rf.Reason == refusal.EndsServers {
+			sent := arrived > before
+			assert.Check(t, sent == (rf.Ran == refusal.MayHaveRun) && (sent || rf.RetryAfter > 0), "sent %v, refused %+v", sent, rf)
+			return
+		}
+		if arrived > before {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s came to no server", key)
+}
+
+// check holds what a request did to servers against the aim: five end at most, the VM
+// refuses it from then on without sending it anywhere, and answers what is beside it.
+func (rg *deadlyRig) check(t *testing.T, vm *deadlyVM, ask deadlyAsk) {
+	t.Helper()
+	ended, before := rg.counts()
+	assert.Check(t, ended <= deadlyMost, "%d servers ended under it", ended)
+	rf := rg.try(t, vm, fmt.Sprintf("%s-last-%s", ask.content, vm.Self.ID), ask)
+	_, arrived := rg.counts()
+	assert.Check(t, arrived == before, "%d more calls of it came to servers", arrived-before)
+	assert.Check(t, rf.Reason == refusal.EndsServers && rf.Ran == refusal.NotRun && rf.RetryAfter > 0, "%+v", rf)
+	ask.content = "not" + strings.TrimPrefix(ask.content, deadlyWord)
+	for ix := range 100 { // servers that ended may take nothing for a while
+		rf = rg.try(t, vm, fmt.Sprintf("%s-%s-%d", ask.content, vm.Self.ID, ix), ask)
+		assert.Assert(t, rf.Reason != refusal.EndsServers, "a request with other content is refused")
+		if rf.Reason == "" {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("a request with other content has no answer: %+v", rf)
+}
+
+// asked is the VM that gets a try: with the accountant away, none that accounts for itself.
+func (rg *deadlyRig) asked(ix int) *deadlyVM {
+	at, _ := accountantOf("model/0", rg.vms[0].Board.Fleet())
+	if rg.deaf.Load() && rg.vms[ix].Self.ID == at.ID {
+		return rg.vms[(ix+1)%len(rg.vms)]
+	}
+	return rg.vms[ix]
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -72,8 +72,10 @@
 		vm.Log.Log(event.Replaced, event.F("Incarnation", in.Incarnation))
 		vm.beginStop()
 	case membership.Changed:
-		fleet.LogChanges(vm.Log, vm.Board.Fleet(), in.Fleet)
+		old := vm.Board.Fleet()
+		fleet.LogChanges(vm.Log, old, in.Fleet)
 		vm.Board.SetFleet(in.Fleet)
+		vm.tellStarted(old, in.Fleet)
 		vm.fleetMove.raise()
 	}
 }
@@ -82,7 +84,7 @@
 func (vm *VM) startLoops(ctx context.Context) {
 	for _, run := range []func(context.Context){
 		vm.members.Run, vm.follower.ac.Run, vm.leases.ac.Run,
-		vm.followFleet, vm.readList, vm.readSeats, vm.watchPlain,
+		vm.followFleet, vm.readList, vm.readSeats, vm.watchPlain, vm.poison.Share,
 	} {
 		vm.wg.Go(func() { run(ctx) })
 	}
@@ -160,6 +162,7 @@
 	}
 	vm.backendsMu.Unlock()
 	if !same {
+		vm.incarnations.Keep(func(id string) bool { _, listed := vm.Board.Backends().Server(id); return listed })
 		vm.accountant.follow(ctx)
 	}
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -78,6 +78,9 @@
 }
 
 func (rn *run) tryModel(ctx context.Context, try int) (err error) {
+	if err := rn.checkPoison(); err != nil {
+		return err
+	}
 	ma := &modelAttempt{
 		rn:      rn,
 		name:    rn.engineName(try),
@@ -174,6 +177,7 @@
 	ma.rs.progress(sched.Prefilling, ma.prefill.ID, 0, 0)
 	began := rn.vm.Clock.Now()
 	ma.touched[ma.prefill.ID] = struct{}{}
+	rn.vm.learnIncarnation(ma.prefill)
 	kv, err := rn.vm.Engines.Prefill(ctx, ma.prefill, engine.PrefillOrder{
 		Request:      ma.name,
 		Customer:     rn.id.Customer,
@@ -186,6 +190,7 @@
 	if !backend.NotRun(err) {
 		rn.sent.Store(true)
 	}
+	rn.recordCall(ctx, sentCall{server: ma.prefill, began: began}, err)
 	if err != nil {
 		ma.heed(err)
 		return failure{"prefill", err}
@@ -280,12 +285,17 @@
 // generate starts the decode and follows it to the last token.
 func (ma *modelAttempt) generate(ctx context.Context, have int) error {
 	rn := ma.rn
+	if err := rn.checkPoison(); err != nil {
+		return err
+	}
+	sc := sentCall{server: ma.decode, began: rn.vm.Clock.Now()}
 	st, err := rn.vm.Engines.Decode(ctx, ma.decode, engine.DecodeOrder{
 		Request:   ma.name,
 		Attempt:   ma.number,
 		MaxTokens: rn.req.Chat.MaxTokens,
 		From:      have,
 	})
+	rn.recordCall(ctx, sc, err)
 	if err != nil {
 		ma.heed(err)
 		return failure{"decode", err}
@@ -293,7 +303,7 @@
 	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
 	rn.claimed.became(claim.Decoding, ma.decode.ID, ma.name)
 	rn.tr.add(event.DecodeStarted, ma.decode.ID)
-	return rn.stream(ctx, st, ma.decode, ma.name, have, rn.vm.Engines.Resume)
+	return rn.stream(ctx, st, sc, ma.name, have, rn.vm.Engines.Resume)
 }
 
 // resume goes on with a decode that a lost VM started, if the engine still
@@ -304,17 +314,19 @@
 	if dec.DecodeServer == "" {
 		return false
 	}
-	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
+	srv, ok := rn.vm.server(dec.DecodeServer)
 	if !ok {
 		return false
 	}
 	rn.sent.Store(true)
+	sc := sentCall{server: srv, answered: true} // as far as this VM knows
 	st, err := openAgain(ctx, rn.vm.Engines.Resume, srv, dec.EngineRequest, 0)
 	if err != nil {
+		rn.recordLostDecode(ctx, sc, dec.EngineRequest, err)
 		return false
 	}
 	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
-	if err := rn.stream(ctx, st, srv, dec.EngineRequest, 0, rn.vm.Engines.Resume); err != nil {
+	if err := rn.stream(ctx, st, sc, dec.EngineRequest, 0, rn.vm.Engines.Resume); err != nil {
 		if !rn.takenOver(ctx) {
 			rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
 		}
@@ -328,7 +340,7 @@
 // claimed. Once the runner answers again, or is lost, the request is looked at
 // anew.
 func (rn *run) readOn(ctx context.Context, dec claim.Decided) bool {
-	srv, ok := rn.vm.Board.Backends().Server(dec.DecodeServer)
+	srv, ok := rn.vm.server(dec.DecodeServer)
 	if !ok || rn.req.Chat == nil {
 		return false
 	}
@@ -341,7 +353,7 @@
 		return false
 	}
 	rn.tr.add(event.ReadOn, srv.ID)
-	return rn.stream(ctx, st, srv, dec.EngineRequest, 0, rn.vm.Engines.Follow) == nil
+	return rn.stream(ctx, st, sentCall{server: srv}, dec.EngineRequest, 0, rn.vm.Engines.Follow) == nil
 }
 
 // awaitLoss calls lost once a VM is held dead or has left: what it ran may be
@@ -365,15 +377,17 @@
 // stream passes tokens on until the last one, and opens a broken stream again
 // where it broke. From is the index of the first token that comes; those that
 // are in the answer already must be the same.
-func (rn *run) stream(ctx context.Context, st *engine.Stream, srv board.BackendServer, name string, from int, reopen openStream) error {
+func (rn *run) stream(ctx context.Context, st *engine.Stream, sc sentCall, name string, from int, reopen openStream) error {
 	attempt := st.Attempt
 	for tries := 0; ; {
 		got, err := rn.pass(ctx, st)
 		st.Close()
 		from += got
+		sc.answered = sc.answered || got > 0
 		if err == nil {
 			return rn.whole(from)
 		}
+		rn.recordCall(ctx, sc, err)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -387,7 +401,7 @@
 		if !clock.Sleep(ctx, clock.Millis(tries)*reopenPause) {
 			return context.Cause(ctx)
 		}
-		if st, err = openAgain(ctx, reopen, srv, name, from); err != nil {
+		if st, err = openAgain(ctx, reopen, sc.server, name, from); err != nil {
 			return failure{"resume", err}
 		}
 		if st.Attempt != attempt { // its tokens are not the rest of those before
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/fleet"
 	"alderdyke/internal/membership"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
@@ -68,9 +69,16 @@
 	}
 }
 
-// heard passes an authentic datagram to membership. A full backlog drops it,
-// as the network may.
+// heard passes an authentic datagram to who it is for. A full backlog of membership
+// drops it, as the network may.
 func (vm *VM) heard(dg *peerpb.Datagram, _ netip.AddrPort) {
+	vm.spread().PassOn(dg)
+	if re := dg.GetRequestEnd(); re != nil {
+		if en, ok := fleet.EndFromWire(re); ok {
+			vm.poison.Heard(en)
+		}
+		return
+	}
 	select {
 	case vm.members.Events <- membership.Received{Datagram: dg}:
 	default:
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -175,7 +175,9 @@
 		began <- id
 	}
 	rn.tr.add(event.Granted, id)
+	sc := sentCall{server: srv, began: vm.Clock.Now()}
 	rsp, err := vm.Services.Call(ctx, srv, call)
+	rn.recordCall(ctx, sc, err)
 	if !backend.NotRun(err) {
 		rn.sent.Store(true)
 	}
--- /dev/null
+++ b/internal/entry/poison_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+)
+
+// A VM that starts is told what it missed by two others, whichever sees it.
+func TestStartedVMIsToldByTwo(t *testing.T) {
+	for _, size := range []int{2, 3, 7, 69} {
+		fl := &board.Fleet{}
+		for ix := range size {
+			fl.VMs = append(fl.VMs, board.VM{VMRef: board.VMRef{ID: fmt.Sprintf("vm-%d", ix), Incarnation: 1}, Health: board.Alive})
+		}
+		fl.VMs = append(fl.VMs, board.VM{VMRef: board.VMRef{ID: "dead", Incarnation: 1}, Health: board.Dead})
+		started, tellers := fl.VMs[0], 0
+		for _, one := range fl.VMs {
+			vm := &VM{Self: one.VMRef}
+			if vm.tells(fl, started) {
+				assert.Equal(t, one.Health, board.Alive)
+				assert.Assert(t, one.ID != started.ID)
+				tellers++
+			}
+		}
+		assert.Equal(t, tellers, min(startedTellers, size-1))
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -148,6 +148,7 @@
 	if err := rn.execute(ctx); err != nil {
 		rn.refuse(ctx, err)
 	} else {
+		rn.recordSuccess()
 		rn.done()
 	}
 	rn.away.Stop()
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -38,6 +38,9 @@
 		return err
 	}
 	for {
+		if err := ma.rn.checkPoison(); err != nil {
+			return err
+		}
 		err := ma.importKV(ctx)
 		switch {
 		case err == nil || ctx.Err() != nil:
@@ -125,6 +128,7 @@
 	defer stop()
 	done := make(chan error, 1)
 	srv, said := ma.decode, ma.rs.said
+	sc := sentCall{server: srv, began: ma.rn.vm.Clock.Now()}
 	go func() {
 		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
 			Request:  ma.name,
@@ -138,11 +142,13 @@
 	for {
 		select {
 		case err := <-done:
+			ma.rn.recordCall(ctx, sc, err)
 			if err != nil {
 				ma.heed(err)
 				ma.letGo(srv.ID)
 				return failure{"import", err}
 			}
+			ma.decode.Incarnation = ma.rn.vm.incarnations.Of(srv.ID) // which holds the KV cache
 			return nil
 		case fr, ok := <-said:
 			if !ok {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -40,6 +40,7 @@
 	"alderdyke/internal/metrics"
 	"alderdyke/internal/operator"
 	"alderdyke/internal/peer"
+	"alderdyke/internal/poison"
 	"alderdyke/internal/register"
 	"alderdyke/internal/retry"
 	"alderdyke/internal/sched"
@@ -87,14 +88,16 @@
 		drainNow chan struct{}
 		drain    sync.Once
 
-		runs       runs
-		traces     traces
-		janitor    janitor
-		decodes    decodes
-		accountant accountant
-		alone      alone
-		chooser    chooser
-		retries    retries
+		runs         runs
+		traces       traces
+		janitor      janitor
+		decodes      decodes
+		accountant   accountant
+		alone        alone
+		chooser      chooser
+		retries      retries
+		poison       poison.Guard
+		incarnations backend.Incarnations
 
 		members  *actor.Actor[membership.Event, membership.Intent]
 		follower *follower
@@ -256,8 +259,8 @@
 	set := vm.Settings
 	hc := backend.NewHTTP(backend.Limits{})
 	token := set.Backends.Token.Reveal()
-	vm.Engines = &engine.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock}
-	vm.Services = &service.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock}
+	vm.Engines = &engine.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock, Incarnations: &vm.incarnations}
+	vm.Services = &service.Client{HTTP: hc, Self: vm.Self, Token: token, Scope: vm.Scope, Log: vm.Log, Clock: vm.Clock, Incarnations: &vm.incarnations}
 	vm.Logs = &logsvc.Client{URL: "http://" + set.Log.Address.String(), Token: set.Log.Token.Reveal()}
 	vm.List = &vmlist.Client{URL: "http://" + set.VMList.Address.String(), Token: set.VMList.Token.Reveal()}
 	vm.Peers = &peer.Transport{
@@ -331,6 +334,7 @@
 	vm.chooser.Chooser = &balance.Chooser{Rand: vm.rand(1)}
 	vm.retries.Policy = &retry.Policy{Rand: vm.rand(2)}
 	vm.retries.count.Scope = vm.Scope
+	vm.initPoison()
 	vm.initMembers()
 	vm.follower = vm.newFollower(vm.Settings.Log.Stream, register.Templates)
 	vm.leases = vm.newFollower(leasesStream(vm.Settings.Log.Stream), register.Leases)
@@ -344,4 +348,11 @@
 	return rand.New(rand.NewPCG(vm.Self.Incarnation, hashID(vm.Self.ID)+part))
 }
 
-func (vm *VM) server(id string) (board.BackendServer, bool) { return vm.Board.Backends().Server(id) }
+// server finds a backend server, in the incarnation that it told last.
+func (vm *VM) server(id string) (board.BackendServer, bool) {
+	srv, ok := vm.Board.Backends().Server(id)
+	if srv.Incarnation == 0 {
+		srv.Incarnation = vm.incarnations.Of(id)
+	}
+	return srv, ok
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -71,9 +71,9 @@
 		// Key is what all VMs of the fleet know requests by again; nil, or empty: a key
 		// of this VM's own, so that it knows them for itself alone.
 		Key func() []byte
-		// Probe asks one instance of a server whether it is there; nil: ends are only
-		// heard of.
-		Probe func(ctx context.Context, srv board.BackendServer, instance string) Finding
+		// Probe asks a server whether the instance of a call is there; nil: ends are
+		// only heard of.
+		Probe func(ctx context.Context, cl Call) Finding
 		// Backends is the backend servers that are listed.
 		Backends func() *board.Backends
 		// Tell tells the other VMs at which server's end a request was there; nil:
@@ -95,7 +95,7 @@
 		Request  string // for the log
 		Mark     suspect.Mark
 		Server   board.BackendServer
-		Instance string       // of the server, as all VMs name it
+		Instance string       // of the server, as all VMs name it; or what was lost with one
 		Began    clock.Millis // point at which the server was sent the request; zero: not known
 		Answered bool         // the server had begun to answer
 		Beside   int          // other requests there
@@ -166,7 +166,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if pr := gd.ended(cl.Server, cl.Instance); pr.against(cl) {
+		if pr := gd.ended(cl); pr.against(cl) {
 			gd.record(pr, cl)
 		}
 	}()
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -35,7 +35,7 @@
 	rg := &rig{}
 	rg.Guard = &poison.Guard{
 		Clock: clock.Monotonic{},
-		Probe: func(context.Context, board.BackendServer, string) poison.Finding {
+		Probe: func(context.Context, poison.Call) poison.Finding {
 			rg.probes.Add(1)
 			return poison.Finding(rg.finding.Load())
 		},
--- a/internal/poison/probe.go
+++ b/internal/poison/probe.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"alderdyke/internal/board"
 	"alderdyke/internal/suspect"
 	"alderdyke/pkg/clock"
 )
@@ -25,13 +24,12 @@
 
 // probe is the question whether one instance of a server is there.
 type probe struct {
-	server   board.BackendServer
-	instance string
-	at       clock.Millis
-	done     chan struct{} // closed once it is answered
-	finding  Finding
-	found    clock.Millis   // point at which it was answered
-	marks    []suspect.Mark // requests that it speaks against; guarded by the Guard
+	call    Call // the first that broke off
+	at      clock.Millis
+	done    chan struct{} // closed once it is answered
+	finding Finding
+	found   clock.Millis   // point at which it was answered
+	marks   []suspect.Mark // requests that it speaks against; guarded by the Guard
 }
 
 // against tells whether a finding speaks against the request of a call: an instance
@@ -42,19 +40,19 @@
 
 // ended finds out whether a server that was not about to leave has ended. Calls that
 // break off at it in the same moment share one probe.
-func (gd *Guard) ended(srv board.BackendServer, instance string) *probe {
+func (gd *Guard) ended(cl Call) *probe {
 	bk := gd.Backends()
-	if bk.Reborn(srv) {
+	if bk.Reborn(cl.Server) {
 		return &probe{finding: Ended, found: gd.now()}
 	}
-	if at, listed := bk.Server(srv.ID); !listed || at.Leaving {
+	if at, listed := bk.Server(cl.Server.ID); !listed || at.Leaving {
 		return &probe{}
 	}
 	gd.mu.Lock()
-	pr := gd.probes[instance]
+	pr := gd.probes[cl.Instance]
 	if pr == nil || pr.stale(gd.now()) {
-		pr = &probe{server: srv, instance: instance, at: gd.now(), done: make(chan struct{})}
-		gd.probes[instance] = pr
+		pr = &probe{call: cl, at: gd.now(), done: make(chan struct{})}
+		gd.probes[cl.Instance] = pr
 		go gd.answer(pr)
 	}
 	gd.mu.Unlock()
@@ -82,17 +80,17 @@
 func (gd *Guard) ask(ctx context.Context, pr *probe) Finding {
 	ctx, stop := context.WithTimeout(ctx, probeTimeout.Std())
 	defer stop()
-	return gd.Probe(ctx, pr.server, pr.instance)
+	return gd.Probe(ctx, pr.call)
 }
 
 // drop forgets a finding, and returns the requests that it spoke against.
 func (gd *Guard) drop(pr *probe) []suspect.Mark {
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	if gd.probes[pr.instance] != pr {
+	if gd.probes[pr.call.Instance] != pr {
 		return nil
 	}
-	delete(gd.probes, pr.instance)
+	delete(gd.probes, pr.call.Instance)
 	return pr.marks
 }
 
@@ -129,7 +127,7 @@
 }
 
 func (gd *Guard) withdraw(mk suspect.Mark, pr *probe) {
-	en := suspect.End{Mark: mk, Server: pr.instance, Age: gd.now() - pr.found, Forgiven: true}
+	en := suspect.End{Mark: mk, Server: pr.call.Instance, Age: gd.now() - pr.found, Forgiven: true}
 	gd.mu.Lock()
 	ch := gd.suspects.Note(gd.now(), en)
 	gd.mu.Unlock()
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -18,6 +18,8 @@
 	// how many ends at once: four requests that end their servers.
 	shareEvery = 500 * clock.Millis(1)
 	shareMost  = 12
+	// knownMost bounds the ends that a VM is told when it starts.
+	knownMost = 64
 	// tellRate a second, and tellBurst at once, are what one VM tells of ends, so that
 	// the loss of a failure domain does not fill the links between VMs with evidence
 	// of little weight.
@@ -37,9 +39,15 @@
 	})
 }
 
+// Known lists ends for a VM that has just started.
+func (gd *Guard) Known() []suspect.End {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	return gd.suspects.Known(gd.now(), knownMost)
+}
+
 // Share tells the other VMs now and then, until the context ends, what is known of
-// requests at which servers ended: VMs that have started since, or were cut off, do
-// not know it. One VM of the fleet does so in each span, by chance.
+// requests at which servers ended: VMs that were cut off do not know it. One VM of the fleet does so in each span, by chance.
 func (gd *Guard) Share(ctx context.Context) {
 	gd.init()
 	for clock.Sleep(ctx, shareEvery) {
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -31,8 +31,8 @@
 	return rl.guard
 }
 
-func (rl *Relay) probe(ctx context.Context, bs board.BackendServer, _ string) poison.Finding {
-	if rl.Servers.Ended(ctx, bs) {
+func (rl *Relay) probe(ctx context.Context, cl poison.Call) poison.Finding {
+	if rl.Servers.Ended(ctx, cl.Server) {
 		return poison.Ended
 	}
 	return poison.Alive
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -228,12 +228,24 @@
 }
 
 // Retell lists the ends of the requests of which most is known, at most so many:
-// VMs that have started since, or were cut off, do not know them.
+// VMs that were cut off do not know them.
 func (tr *Tracker) Retell(now clock.Millis, most int) []End {
+	return tr.list(now, most, func(mk Mark) bool {
+		return tr.weight(mk) > weightAlone || tr.verdict(mk) == Refused // more than any one end weighs
+	})
+}
+
+// Known is [Tracker.Retell] for a VM that has just started and knows nothing: it lists
+// requests of which little is known too.
+func (tr *Tracker) Known(now clock.Millis, most int) []End {
+	return tr.list(now, most, func(Mark) bool { return true })
+}
+
+func (tr *Tracker) list(now clock.Millis, most int, wanted func(mk Mark) bool) []End {
 	var marks []Mark
 	for mk := range tr.known {
 		tr.forget(now, mk)
-		if tr.weight(mk) > weightAlone || tr.verdict(mk) == Refused { // more than any one end weighs
+		if wanted(mk) {
 			marks = append(marks, mk)
 		}
 	}
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -142,6 +142,25 @@
 	assert.Equal(t, late.Note(clock.Hour, suspect.End{Mark: markOf("b"), Server: "1", Age: suspect.DefaultKeep}).Now, suspect.Clear)
 }
 
+// A VM that has just started learns of requests with one end too.
+func TestKnown(t *testing.T) {
+	tr, started := &suspect.Tracker{}, &suspect.Tracker{}
+	tr.Note(10*clock.Second, end("once", "9"))
+	for ix := range 2 {
+		tr.Note(clock.Millis(ix)*clock.Second, end("a", fmt.Sprint(ix)))
+	}
+	for _, en := range tr.Known(clock.Minute, 12) {
+		started.Note(clock.Hour, en)
+	}
+	for _, name := range []string{"once", "a"} {
+		vd, _ := started.Look(clock.Hour, markOf(name))
+		assert.Equal(t, vd, suspect.Suspected, name)
+	}
+	assert.Equal(t, started.Note(clock.Hour, end("a", "3")).Now, suspect.Refused)
+	assert.Equal(t, len(tr.Known(clock.Minute, 2)), 2)
+	assert.Equal(t, tr.Known(clock.Minute, 2)[0].Mark, markOf("a"), "of which most is known")
+}
+
 // However many requests come under suspicion, those of which most is known stay.
 func TestMemoryIsBounded(t *testing.T) {
 	tr := &suspect.Tracker{Settings: suspect.Settings{Most: 20}}
