topic: readers in line ask an absent store in turn

After a silent outage VMs that had been cut off kept a server that left 6 to 13 s ago up to 0.5 s after they were in touch (rule DRAIN).

Ruled out: a bound that the rule does not have. contact_ms is 3 s, and by the protocol an entry that is missing 2 s after the return is gone; so a first answer may come 0.75 s late, and later ones break the rule.

Change: the second pause is longer by a fifth of the retry cycle for each place in line. The first one is as before: a call that fails once is repeated at once.

Why it works: the cycle of a silent store is 1.2 s, and five readers then leave 0.24 to 0.5 s between two calls in place of 0.9 s.

Evidence: TestReadersAskAnAbsentStoreInTurn fails on the code before at an outage of 6.55 s.

--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -65,8 +65,15 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	first, most := backoffMin, backoffMax
-	if rank := fo.rank(); fo.listed && rank >= InLine && rank != Alone {
+	rank := fo.rank()
+	if fo.listed && rank >= InLine && rank != Alone {
 		first, most = standbyBackoffMin, standbyBackoffMax
 	}
-	return min(most, first<<min(failures, 10))
+	pause := min(most, first<<min(failures, 10))
+	if fo.listed && rank < InLine && failures == 1 {
+		// Readers lose the store together and would retry together, all of them
+		// hanging as it returns.
+		pause += clock.Millis(rank) * (retryTimeout + backoffMax) / InLine
+	}
+	return pause
 }
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -51,6 +51,7 @@
 		recs    []topic.Record
 		down    trouble      // for everybody
 		upSince clock.Millis // the store's last return
+		asked   clock.Millis // start of the last call that it answered
 		servers map[string]*simServer
 		vms     []*simVM
 		loss    float64 // of news
@@ -217,6 +218,9 @@
 func (vm *simVM) reach(ctx context.Context) error {
 	vm.st.mu.Lock()
 	down := max(vm.st.down, vm.down)
+	if down == reached {
+		vm.st.asked = vm.st.clk.Now()
+	}
 	vm.st.mu.Unlock()
 	span := 4 * clock.Millis(1)
 	if down >= silent {
@@ -423,6 +427,27 @@
 	}
 }
 
+// Readers do not all wait for a silent store's timeout as it returns.
+func TestReadersAskAnAbsentStoreInTurn(t *testing.T) {
+	for phase := 0 * time.Millisecond; phase < 1200*time.Millisecond; phase += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			st := newSite(7, 1)
+			st.add("stays")
+			st.run(ctx)
+			time.Sleep(5 * time.Second)
+			st.setStore(silent)
+			time.Sleep(6*time.Second + phase)
+			st.setStore(reached)
+			time.Sleep(500 * time.Millisecond)
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			assert.Assert(t, st.asked >= st.upSince, "nobody asked in the half second after the return (outage of 6 s and %s)", phase)
+		})
+	}
+}
+
 // explored is how many drawn sites are played.
 const explored = 600
 
