topic: a VM that made no call in an outage does not refute it

Cause: refutes looked at when the store began to answer this VM and not at when it last did.

Ruled out: that some VM was answered in the second outage. The trace has no call that was.

Change: an outage is refuted by an answer less than the least outage before its end, and a VM without one takes the word, also where none of its calls failed.

Evidence: TestUnseenOutageIsNotRefuted, two of four cases fail before.

--- a/internal/topic/availability.go
+++ b/internal/topic/availability.go
@@ -63,7 +63,7 @@
 // and with ended an outage came before.
 func (av *availability) hear(now, span clock.Millis, ended bool) {
 	since := now - span
-	gap := since-av.last >= av.gapMax()
+	gap := since-av.last >= av.gapMax() || ended && since-av.last >= outageMin
 	if gap || since < av.since {
 		av.since, av.before = since, Outage{}
 		if ended || gap && av.failed {
@@ -74,9 +74,10 @@
 }
 
 // refutes tells whether this VM knows of answers in an outage that another VM says
-// ended a span ago.
+// ended a span ago. A VM that made no call in it knows of none.
 func (av *availability) refutes(now, span clock.Millis) bool {
-	return av.away == 0 && now-span-av.since >= outageMin
+	until := now - span
+	return av.away == 0 && until-av.since >= outageMin && until-av.last < outageMin
 }
 
 // restart notes that the store came back with older entries, which is an outage
--- a/internal/topic/availability_test.go
+++ b/internal/topic/availability_test.go
@@ -45,3 +45,28 @@
 		})
 	}
 }
+
+// Only a VM that was answered in an outage refutes it. One that made no call takes
+// the word of the VM that did.
+func TestUnseenOutageIsNotRefuted(t *testing.T) {
+	const at = 10 * clock.Second
+	for _, tc := range []struct {
+		name    string
+		until   clock.Millis // end of the outage
+		refutes bool
+		want    Outage
+	}{
+		{"answered at its end", at + 100, true, Outage{}},
+		{"answered in it", at + outageMin - 1, true, Outage{}},
+		{"no call in a short one", at + outageMin, false, Outage{Until: at + outageMin, Told: true}},
+		{"no call in a long one", at + 1866, false, Outage{Until: at + 1866, Told: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			av := availability{since: 1000, last: at}
+			now := tc.until + 1
+			assert.Equal(t, av.refutes(now, 1), tc.refutes)
+			av.hear(now, 1, true)
+			assert.Equal(t, av.outage(), tc.want)
+		})
+	}
+}
