topic: a VM that made no call for long knows of no answer either

Cause: an answer after a gap without a failed call counted as the end of no outage. A VM behind the line rests up to 4 s after a failure.

Ruled out: a refutation; no VM told of answers before the server was dropped.

Change: the answer after such a gap ends an outage, but for the first of all. Others that were answered refute it within milliseconds where this VM tells, and with the reader's next news otherwise.

Test: the case "no call was made for long" of TestOutageIsWhatNobodyWasAnsweredIn held that such a VM knows of no outage. It now holds that there was one, and a further case that another VM's answers refute it, which is as strict.

--- a/internal/topic/availability.go
+++ b/internal/topic/availability.go
@@ -51,8 +51,9 @@
 // answer notes an answer to a call of this VM.
 func (av *availability) answer(now clock.Millis) {
 	if now-av.last >= av.gapMax() {
+		// A VM that made no call in the gap does not know that there was no outage.
 		av.since, av.before = now, Outage{}
-		if av.failed {
+		if av.last > 0 {
 			av.before.Until = now
 		}
 	}
--- a/internal/topic/availability_test.go
+++ b/internal/topic/availability_test.go
@@ -26,7 +26,9 @@
 		{"no call was answered", []func(*availability){fail(at + 900), fail(at + 2000), answer(at + 2200)}, Outage{Until: at + 2200}, at + 2200},
 		{"it goes on", []func(*availability){fail(at + 900), fail(at + 2000)}, Outage{Until: at + 2000}, 1000},
 		{"no call was made", []func(*availability){answer(at + 1500)}, Outage{}, 1000},
-		{"no call was made for long", []func(*availability){answer(at + 5000)}, Outage{}, at + 5000},
+		{"no call was made for long", []func(*availability){answer(at + 5000)}, Outage{Until: at + 5000}, at + 5000},
+		{"no call was made for long, others were answered", []func(*availability){answer(at + 5000), hear(at+5100, 9000, false)},
+			Outage{}, at - 3900},
 		{"others are answered", []func(*availability){fail(at + 900), hear(at+1000, 9000, false), fail(at + 1900), fail(at + 2100)}, Outage{}, 1000},
 		{"others were answered", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 9000, false)}, Outage{}, at - 3100},
 		{"others were not", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 1000, true)},
@@ -70,3 +72,10 @@
 		})
 	}
 }
+
+// The first answer of all says nothing of the time before.
+func TestFirstAnswerEndsNoOutage(t *testing.T) {
+	var av availability
+	av.answer(10 * clock.Second)
+	assert.Equal(t, av.outage(), Outage{})
+}
