topic: the grace period ends at each VM by itself

Cause: servers whose entries expired are dropped at the next read or news, and only the first reader reads as the grace period ends.

Ruled out: a grace period that ends too late.

Change: a VM that has heard nothing since the end of its grace period reads, each in line 40 ms after the one before it, and those behind after all of them. Nobody reads besides where the news arrive.

Evidence: TestGracePeriodEndsWithoutTheReader fails before.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -252,13 +252,24 @@
 func (fo *Follower) due() bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return !fo.listed || fo.gap || fo.now()-fo.heard >= fo.silence()
+	return !fo.listed || fo.gap || fo.now() >= fo.dueAt()
+}
+
+// dueAt is when this VM reads if it hears nothing until then. The lock is held.
+func (fo *Follower) dueAt() clock.Millis {
+	at := fo.heard + fo.silence()
+	if end := fo.graceEnd(); fo.heard < end {
+		// Entries that expired are kept until the next read. The reader may be lost,
+		// and so may its news.
+		at = min(at, end+graceMargin+clock.Millis(min(fo.rank(), InLine))*graceStep)
+	}
+	return at
 }
 
 // await waits until a read may be due.
 func (fo *Follower) await(ctx context.Context) {
 	fo.mu.Lock()
-	left := max(1, fo.heard+fo.silence()-fo.now())
+	left := max(1, fo.dueAt()-fo.now())
 	fo.mu.Unlock()
 	fo.rest(ctx, left)
 }
--- a/internal/topic/outage.go
+++ b/internal/topic/outage.go
@@ -8,6 +8,9 @@
 	outageNoticeTTL = 5 * clock.Second
 	// graceMargin lets what was written at the end of the grace period be read.
 	graceMargin = 50 * clock.Millis(1)
+	// graceStep is how much later each VM in line reads at the end of the grace
+	// period than the one before it.
+	graceStep = 40 * clock.Millis(1)
 )
 
 // tell passes on what is known here of the topic and of the store. The lock is held.
@@ -76,9 +79,19 @@
 func (fo *Follower) pause() clock.Millis {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	left := fo.avail.outage().Until + fo.Grace + graceMargin - fo.now()
-	if fo.Grace == 0 || left <= 0 {
+	left := fo.graceEnd() + graceMargin - fo.now()
+	if left <= 0 {
 		return fo.Pause
 	}
 	return min(fo.Pause, left)
 }
+
+// graceEnd is the end of the grace period after the newest outage; zero: there is
+// none. The lock is held.
+func (fo *Follower) graceEnd() clock.Millis {
+	ou := fo.avail.outage()
+	if fo.Grace == 0 || ou == (Outage{}) {
+		return 0
+	}
+	return ou.Until + fo.Grace
+}
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -448,6 +448,22 @@
 	}
 }
 
+// The reader is lost shortly before the grace period ends.
+func TestGracePeriodEndsWithoutTheReader(t *testing.T) {
+	for late := 1800 * time.Millisecond; late < 2400*time.Millisecond; late += 100 * time.Millisecond {
+		t.Run(late.String(), func(t *testing.T) {
+			assert.DeepEqual(t, playSite(t, 1, func(st *site) {
+				st.leave("leaves", false)
+				st.setStore(refused)
+				time.Sleep(2 * time.Second)
+				st.setStore(reached)
+				time.Sleep(late)
+				st.setVM(0, silent)
+			}), []string(nil))
+		})
+	}
+}
+
 // explored is how many drawn sites are played.
 const explored = 600
 
