--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,8 +63,7 @@
 	if rg.Knows(bs) {
 		return
 	}
-	bs.Leaving = bs.Leaving || rg.leavesAs(bs)
-	rg.servers[bs.Key()] = entry{server: bs}
+	rg.servers[bs.Key()] = entry{server: rg.keepLeaving(bs)}
 	rg.moved = true
 }
 
@@ -72,18 +71,19 @@
 // or one of an earlier life of its server.
 func (rg *Registry) Knows(bs board.BackendServer) bool {
 	en, ok := rg.servers[bs.Key()]
-	bs.Leaving = bs.Leaving || rg.leavesAs(bs)
-	return ok && (en.server == bs && en.lapsed == 0 || bs.Incarnation < en.server.Incarnation)
+	return ok && (en.server == rg.keepLeaving(bs) && en.lapsed == 0 || bs.Incarnation < en.server.Incarnation)
 }
 
 // TakesBack tells whether an entry says no more that its server leaves, in the same
 // life of it. No server does that: it was written before, and done late.
-func (rg *Registry) TakesBack(bs board.BackendServer) bool { return !bs.Leaving && rg.leavesAs(bs) }
+func (rg *Registry) TakesBack(bs board.BackendServer) bool { return rg.keepLeaving(bs) != bs }
 
-// leavesAs tells whether a server is said to leave in the life that an entry is of.
-func (rg *Registry) leavesAs(bs board.BackendServer) bool {
+// keepLeaving is an entry with the word that its server leaves, if that was said in
+// the same life of the server.
+func (rg *Registry) keepLeaving(bs board.BackendServer) board.BackendServer {
 	was := rg.servers[bs.Key()].server
-	return was.Leaving && was.Incarnation == bs.Incarnation
+	bs.Leaving = bs.Leaving || was.Leaving && was.Incarnation == bs.Incarnation
+	return bs
 }
 
 // Lists tells whether there is a server with the key.
