topic, platform: ServerKept names the server, the teller and when the outage began

The line told the key of the entry, how long ago the outage had ended and that some VM had said so. Who looks into a server that is kept needs its ID as other lines have it, the VM that said so, and the span without an answer.

Change: an Outage has the last known answer before it and the VM whose news told of it. In a fleet that tells by groups Teller is the VM that passed the news on, which is what the datagram names. No decision changes.

The cases of the availability test also hold when the outage began and who told of it.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -86,7 +86,7 @@
 	ServerGone = register(2303, "ServerGone", Info,
 		"a backend server's entry is gone", "none")
 	ServerKept = register(2325, "ServerKept", Info,
-		"a backend server's entry is gone and the server stays listed, since the store was away so many milliseconds (Outage) ago; with Told another VM says so", "none")
+		"a backend server's entry is gone and the server stays listed, since the store was away for all VMs; it did not answer from Began to Outage milliseconds ago, and Teller is the VM whose news said so, empty for own calls", "none")
 	ServerTakesBack = register(2326, "ServerTakesBack", Warn,
 		"the entry of a backend server no longer says that it leaves, in the same life of it; that is passed over", "none if the store does writes late; else look at the backend server")
 	StoreLost = register(2304, "StoreLost", Warn,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -118,7 +118,9 @@
 	case dg.GetUsage() != nil:
 		fl.heardUsage(dg)
 	case dg.GetTopicNews() != nil:
-		fl.heardNews(newsFromWire(dg.GetTopicNews()))
+		nw := newsFromWire(dg.GetTopicNews())
+		nw.Teller = dg.GetFrom()
+		fl.heardNews(nw)
 	case dg.GetTopicPiece() != nil:
 		fl.heardPiece(dg.GetTopicPiece())
 	case dg.GetRequestEnd() != nil:
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -92,6 +92,12 @@
 	return ok
 }
 
+// Server returns the server with the key.
+func (rg *Registry) Server(key string) (board.BackendServer, bool) {
+	en, ok := rg.servers[key]
+	return en.server, ok
+}
+
 // Remove takes the end of one entry, and tells whether its server is kept since
 // the store was away lately.
 func (rg *Registry) Remove(now clock.Millis, key string) (kept bool) {
--- a/internal/topic/availability.go
+++ b/internal/topic/availability.go
@@ -1,6 +1,10 @@
 package topic
 
-import "alderdyke/pkg/clock"
+import (
+	"cmp"
+
+	"alderdyke/pkg/clock"
+)
 
 const (
 	// outageMin is the shortest span without an answer that counts as an outage if
@@ -16,8 +20,9 @@
 	// Outage is a span in which the store answered no VM, as far as is known. The
 	// zero value means that none is known.
 	Outage struct {
-		Until clock.Millis // its end, or the last failed call
-		Told  bool         // by another VM
+		Since  clock.Millis // the last known answer before it; Until if none is known
+		Until  clock.Millis // its end, or the last failed call
+		Teller string       // VM whose news told of it; empty: own calls
 	}
 
 	// availability is what a VM knows of when the store answered, from its own calls
@@ -28,14 +33,14 @@
 		last   clock.Millis // last known answer
 		before Outage       // that ended at since; zero: none is known
 		failed bool         // a call failed after last
-		away   clock.Millis // last failed call of an outage that goes on; zero: none does
+		away   clock.Millis // last failed call of an outage that goes on, since last; zero: none does
 	}
 )
 
 // outage is the newest outage.
 func (av *availability) outage() Outage {
 	if av.away > 0 {
-		return Outage{Until: av.away}
+		return Outage{Since: av.last, Until: av.away}
 	}
 	return av.before
 }
@@ -54,21 +59,25 @@
 		// A VM that made no call in the gap does not know that there was no outage.
 		av.since, av.before = now, Outage{}
 		if av.last > 0 {
-			av.before.Until = now
+			av.before = Outage{Since: av.last, Until: now}
 		}
 	}
 	av.answered(now)
 }
 
-// hear takes the word of another VM: the store has answered for a span up to now,
-// and with ended an outage came before.
-func (av *availability) hear(now, span clock.Millis, ended bool) {
+// hear takes the word of another VM, the teller: the store has answered for a span up
+// to now, and with ended an outage came before.
+func (av *availability) hear(now, span clock.Millis, ended bool, teller string) {
 	since := now - span
 	gap := since-av.last >= av.gapMax() || ended && since-av.last >= outageMin
 	if gap || since < av.since {
+		began := cmp.Or(av.before.Since, since)
+		if gap {
+			began = av.last
+		}
 		av.since, av.before = since, Outage{}
 		if ended || gap && av.failed {
-			av.before = Outage{Until: since, Told: true}
+			av.before = Outage{Since: began, Until: since, Teller: teller}
 		}
 	}
 	av.answered(now)
@@ -84,7 +93,7 @@
 // restart notes that the store came back with older entries, which is an outage
 // that no earlier answer refutes.
 func (av *availability) restart(now clock.Millis) {
-	*av = availability{since: now, last: now, before: Outage{Until: now}}
+	*av = availability{since: now, last: now, before: Outage{Since: av.last, Until: now}}
 }
 
 func (av *availability) answered(now clock.Millis) { av.last, av.failed, av.away = now, false, 0 }
--- a/internal/topic/availability_test.go
+++ b/internal/topic/availability_test.go
@@ -14,7 +14,7 @@
 	fail := func(now clock.Millis) func(*availability) { return func(av *availability) { av.fail(now) } }
 	answer := func(now clock.Millis) func(*availability) { return func(av *availability) { av.answer(now) } }
 	hear := func(now, span clock.Millis, ended bool) func(*availability) {
-		return func(av *availability) { av.hear(now, span, ended) }
+		return func(av *availability) { av.hear(now, span, ended, "vm-2") }
 	}
 	for _, tc := range []struct {
 		name  string
@@ -23,19 +23,19 @@
 		since clock.Millis
 	}{
 		{"one call failed", []func(*availability){fail(at + 900), answer(at + 1100)}, Outage{}, 1000},
-		{"no call was answered", []func(*availability){fail(at + 900), fail(at + 2000), answer(at + 2200)}, Outage{Until: at + 2200}, at + 2200},
-		{"it goes on", []func(*availability){fail(at + 900), fail(at + 2000)}, Outage{Until: at + 2000}, 1000},
+		{"no call was answered", []func(*availability){fail(at + 900), fail(at + 2000), answer(at + 2200)}, Outage{Since: at, Until: at + 2200}, at + 2200},
+		{"it goes on", []func(*availability){fail(at + 900), fail(at + 2000)}, Outage{Since: at, Until: at + 2000}, 1000},
 		{"no call was made", []func(*availability){answer(at + 1500)}, Outage{}, 1000},
-		{"no call was made for long", []func(*availability){answer(at + 5000)}, Outage{Until: at + 5000}, at + 5000},
+		{"no call was made for long", []func(*availability){answer(at + 5000)}, Outage{Since: at, Until: at + 5000}, at + 5000},
 		{"no call was made for long, others were answered", []func(*availability){answer(at + 5000), hear(at+5100, 9000, false)},
 			Outage{}, at - 3900},
 		{"others are answered", []func(*availability){fail(at + 900), hear(at+1000, 9000, false), fail(at + 1900), fail(at + 2100)}, Outage{}, 1000},
 		{"others were answered", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 9000, false)}, Outage{}, at - 3100},
 		{"others were not", []func(*availability){fail(at + 5000), answer(at + 5100), hear(at+5900, 1000, true)},
-			Outage{Until: at + 4900, Told: true}, at + 4900},
+			Outage{Since: at, Until: at + 4900, Teller: "vm-2"}, at + 4900},
 		{"another VM's calls failed", []func(*availability){hear(at+800, 1, true), hear(at+1600, 801, true)}, Outage{}, 1000},
-		{"slept through an outage", []func(*availability){answer(at + 9000), hear(at+9100, 1100, true)}, Outage{Until: at + 8000, Told: true}, at + 8000},
-		{"an older copy", []func(*availability){func(av *availability) { av.restart(at + 100) }, answer(at + 200)}, Outage{Until: at + 100}, at + 100},
+		{"slept through an outage", []func(*availability){answer(at + 9000), hear(at+9100, 1100, true)}, Outage{Since: at, Until: at + 8000, Teller: "vm-2"}, at + 8000},
+		{"an older copy", []func(*availability){func(av *availability) { av.restart(at + 100) }, answer(at + 200)}, Outage{Since: at, Until: at + 100}, at + 100},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			av := availability{since: 1000, last: at}
@@ -60,14 +60,14 @@
 	}{
 		{"answered at its end", at + 100, true, Outage{}},
 		{"answered in it", at + outageMin - 1, true, Outage{}},
-		{"no call in a short one", at + outageMin, false, Outage{Until: at + outageMin, Told: true}},
-		{"no call in a long one", at + 1866, false, Outage{Until: at + 1866, Told: true}},
+		{"no call in a short one", at + outageMin, false, Outage{Since: at, Until: at + outageMin, Teller: "vm-2"}},
+		{"no call in a long one", at + 1866, false, Outage{Since: at, Until: at + 1866, Teller: "vm-2"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			av := availability{since: 1000, last: at}
 			now := tc.until + 1
 			assert.Equal(t, av.refutes(now, 1), tc.refutes)
-			av.hear(now, 1, true)
+			av.hear(now, 1, true, "vm-2")
 			assert.Equal(t, av.outage(), tc.want)
 		})
 	}
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -77,6 +77,7 @@
 		// Answered is for how long the store has answered without an outage, as far
 		// as the reader knows; zero: not told.
 		Answered clock.Millis
+		Teller   string // VM from which the news came here
 	}
 
 	// Follower follows one topic. Set the exported fields before Run.
--- a/internal/topic/outage.go
+++ b/internal/topic/outage.go
@@ -37,7 +37,7 @@
 	if nw.Missed > 0 && fo.avail.refutes(now, span) && fo.tells() {
 		fo.tellAvailability()
 	}
-	fo.avail.hear(now, span, nw.Missed > 0)
+	fo.avail.hear(now, span, nw.Missed > 0, nw.Teller)
 	return fo.announce()
 }
 
