topic, registry: an outage goes by one name

OnOutage, News.Missed and Registry.Missed spoke of the same outage of the store. They are OnOutage, News.OutageEnded and Registry.NoteOutage; the field of the wire format keeps its name. No decision changes.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -64,7 +64,7 @@
 // goes in pieces; one that is too large for that is left out, so that the others
 // see a gap and read for themselves.
 func newsToWire(nw topic.News) ([]*peerpb.Datagram, error) {
-	sp := newsSplitter{topic: nw.Topic, missed: uint32(nw.Missed), answered: wireSpan(nw.Answered)}
+	sp := newsSplitter{topic: nw.Topic, outageEnded: uint32(nw.OutageEnded), answered: wireSpan(nw.Answered)}
 	sp.begin(nw.From)
 	for _, rec := range nw.Records {
 		size := len(rec.Key) + len(rec.Value)
@@ -86,16 +86,16 @@
 
 // newsSplitter makes the messages of one piece of news, in order.
 type newsSplitter struct {
-	topic    string
-	missed   uint32
-	answered uint32
-	part     *peerpb.TopicNews
-	size     int // of the part's keys and values
-	out      []*peerpb.Datagram
+	topic       string
+	outageEnded uint32
+	answered    uint32
+	part        *peerpb.TopicNews
+	size        int // of the part's keys and values
+	out         []*peerpb.Datagram
 }
 
 func (sp *newsSplitter) begin(from uint64) {
-	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from, Missed: sp.missed, Answered: sp.answered}, 0
+	sp.part, sp.size = &peerpb.TopicNews{Topic: sp.topic, From: from, Missed: sp.outageEnded, Answered: sp.answered}, 0
 }
 
 func (sp *newsSplitter) add(rec topic.Record, size int) {
@@ -122,7 +122,7 @@
 func wireSpan(span clock.Millis) uint32 { return uint32(min(span, math.MaxUint32)) }
 
 func newsFromWire(tn *peerpb.TopicNews) topic.News {
-	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), Missed: clock.Millis(tn.GetMissed()), Answered: clock.Millis(tn.GetAnswered())}
+	nw := topic.News{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), OutageEnded: clock.Millis(tn.GetMissed()), Answered: clock.Millis(tn.GetAnswered())}
 	for _, rec := range tn.GetRecords() {
 		nw.Records = append(nw.Records, topic.Record{Key: rec.GetKey(), Value: rec.GetValue(), Offset: rec.GetOffset()})
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,7 +15,7 @@
 //	rg.Replace(now, servers)        // a whole listing
 //	rg.Set(server)                  // one entry
 //	rg.Remove(now, key)             // one entry lapsed or was withdrawn
-//	rg.Missed(until)                // the store answered no VM until then
+//	rg.NoteOutage(until)            // the store answered no VM until then
 //	list, moved := rg.Servers(now)
 //
 // A Registry does no I/O and is not safe for concurrent use. The zero value
@@ -44,9 +44,9 @@
 	Registry struct {
 		Return clock.Millis // zero: DefaultReturn
 
-		servers map[string]entry // by BackendServer.Key
-		missed  clock.Millis     // end of the last outage of the store; zero: none is known
-		moved   bool
+		servers   map[string]entry // by BackendServer.Key
+		outageEnd clock.Millis     // end of the last outage of the store; zero: none is known
+		moved     bool
 	}
 
 	entry struct {
@@ -133,9 +133,9 @@
 	return kept
 }
 
-// Missed notes until when the store was last away for all VMs; zero: it was not, as
+// NoteOutage notes until when the store was last away for all VMs; zero: it was not, as
 // far as is known now.
-func (rg *Registry) Missed(until clock.Millis) { rg.missed = until }
+func (rg *Registry) NoteOutage(until clock.Millis) { rg.outageEnd = until }
 
 // Servers lists the servers by ID, and tells whether the list has changed
 // since it was asked for last.
@@ -173,5 +173,5 @@
 	if span == 0 {
 		span = DefaultReturn
 	}
-	return rg.missed > 0 && now-rg.missed < span
+	return rg.outageEnd > 0 && now-rg.outageEnd < span
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -60,7 +60,7 @@
 			var rg registry.Registry
 			rg.Set(server("a"))
 			rg.Set(server("b"))
-			rg.Missed(missed)
+			rg.NoteOutage(missed)
 			rg.Replace(tc.at, []board.BackendServer{server("b")})
 			list, _ := rg.Servers(tc.at)
 			assert.DeepEqual(t, ids(list), tc.want)
@@ -137,11 +137,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var rg registry.Registry
 			rg.Set(server("a"))
-			rg.Missed(missed)
+			rg.NoteOutage(missed)
 			assert.Assert(t, rg.Remove(expired, "a"))
 			rg.Remove(expired+50, "a") // told twice
 			if tc.refuted {
-				rg.Missed(0)
+				rg.NoteOutage(0)
 			}
 			list, _ := rg.Servers(tc.at)
 			assert.DeepEqual(t, ids(list), tc.want)
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -71,9 +71,9 @@
 		From    uint64
 		Next    uint64
 		Records []Record
-		// Missed is how long ago the last outage ended that the reader knows of;
+		// OutageEnded is how long ago the last outage ended that the reader knows of;
 		// zero: none lately.
-		Missed clock.Millis
+		OutageEnded clock.Millis
 		// Answered is for how long the store has answered without an outage, as far
 		// as the reader knows; zero: not told.
 		Answered clock.Millis
--- a/internal/topic/outage.go
+++ b/internal/topic/outage.go
@@ -19,7 +19,7 @@
 	nw.Topic = fo.Name
 	nw.Answered = max(1, now-fo.avail.since)
 	if ou := fo.avail.outage(); ou != (Outage{}) && now-ou.Until < outageNoticeTTL {
-		nw.Missed = max(1, now-ou.Until)
+		nw.OutageEnded = max(1, now-ou.Until)
 	}
 	fo.Tell(nw)
 }
@@ -32,12 +32,12 @@
 	}
 	now, span := fo.now(), nw.Answered
 	if span == 0 {
-		span = nw.Missed
+		span = nw.OutageEnded
 	}
-	if nw.Missed > 0 && fo.avail.refutes(now, span) && fo.tells() {
+	if nw.OutageEnded > 0 && fo.avail.refutes(now, span) && fo.tells() {
 		fo.tellAvailability()
 	}
-	fo.avail.hear(now, span, nw.Missed > 0, nw.Teller)
+	fo.avail.hear(now, span, nw.OutageEnded > 0, nw.Teller)
 	return fo.announce()
 }
 
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -90,7 +90,7 @@
 			OnSnapshot: vm.whole, OnChange: vm.change, IsNews: vm.isNews, OnCaughtUp: vm.apply,
 			Rank:     func() int { return ix },
 			Tell:     vm.tell,
-			OnOutage: func(ou topic.Outage) { vm.rg.Missed(ou.Until) }}
+			OnOutage: func(ou topic.Outage) { vm.rg.NoteOutage(ou.Until) }}
 		st.vms = append(st.vms, vm)
 	}
 	return st
