topic: a refutation waits for the read of what was missed

Change: what counts is whether this VM has read or heard all since the outage that is refuted. If not, it reads at once, and that ends the grace period. The furthest position that was heard of is not kept any more.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -119,7 +119,6 @@
 		begun    bool // there was a listing
 		listed   bool
 		next     uint64
-		seen     uint64             // furthest position that another VM had read up to
 		relisted bool               // there was no read after the last listing
 		heard    clock.Millis       // of the last news that left nothing out
 		gap      bool               // news named records that are not known here
@@ -191,8 +190,13 @@
 	if !fo.listed {
 		return
 	}
+	before := fo.told
 	apply := fo.hearAvailability(nw)
-	fo.seen = max(fo.seen, nw.From)
+	if apply && fo.heard < before.Until {
+		// Renewals may be among what this VM has not read since.
+		apply, fo.gap = false, true
+		fo.nudge()
+	}
 	if nw.From > fo.next {
 		fo.gap = true
 		fo.nudge()
@@ -204,7 +208,6 @@
 		}
 	}
 	fo.next = max(fo.next, nw.Next)
-	apply = apply && fo.next >= fo.seen // else renewals may be among what is not read yet
 	if nw.Next >= fo.next {
 		fo.heard = fo.now()
 		fo.leads = false
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -489,25 +489,32 @@
 // further outage comes before the renewals.
 func TestRefutedOutageDropsNoServerUnread(t *testing.T) {
 	for phase := 0 * time.Millisecond; phase < 1200*time.Millisecond; phase += 50 * time.Millisecond {
-		t.Run(phase.String(), func(t *testing.T) {
-			assert.DeepEqual(t, playSite(t, 1, func(st *site) {
-				// Servers renew at 4.8 and 9.6 s.
-				time.Sleep(500 * time.Millisecond)
-				st.setStore(refused)
-				time.Sleep(3 * time.Second)
-				st.setStore(reached)
-				time.Sleep(800 * time.Millisecond)
-				st.setVM(4, cut)
-				time.Sleep(1500 * time.Millisecond)
-				st.setVM(1, cut)
-				time.Sleep(3*time.Second + phase)
-				st.setVM(1, reached)
-				st.setVM(4, reached)
-			}), []string(nil))
-		})
+		for _, delay := range []clock.Millis{2, 200} {
+			t.Run(fmt.Sprint(phase, " ", delay), func(t *testing.T) {
+				assert.DeepEqual(t, playSite(t, 1, func(st *site) { playCutBesideOutage(st, phase, delay) }), []string(nil))
+			})
+		}
 	}
 }
 
+func playCutBesideOutage(st *site, phase time.Duration, delay clock.Millis) {
+	// Servers renew at 4.8 and 9.6 s.
+	time.Sleep(500 * time.Millisecond)
+	st.setStore(refused)
+	time.Sleep(3 * time.Second)
+	st.setStore(reached)
+	time.Sleep(800 * time.Millisecond)
+	st.setVM(4, cut)
+	time.Sleep(1500 * time.Millisecond)
+	st.setVM(1, cut)
+	time.Sleep(3*time.Second + phase)
+	st.mu.Lock()
+	st.delay = delay
+	st.mu.Unlock()
+	st.setVM(1, reached)
+	st.setVM(4, reached)
+}
+
 // explored is how many drawn sites are played.
 const explored = 600
 
