topic: the second in line retries a step after the first

Cause: the steps between readers in line came on top of those by which they begin to read (Standby), so that nobody asked between 16.47 and 17.29 s while the second in line was cut off.

Change: steps count from the second in line on.

--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -70,10 +70,11 @@
 		first, most = standbyBackoffMin, standbyBackoffMax
 	}
 	pause := min(most, first<<min(failures, 10))
-	if fo.listed && rank < InLine && failures == 1 {
+	if fo.listed && rank > 0 && rank < InLine && failures == 1 {
 		// Readers lose the store together and would retry together, all of them
-		// hanging as it returns.
-		pause += clock.Millis(rank) * (retryTimeout + backoffMax) / InLine
+		// hanging as it returns. The first in line is ahead of the next by about a
+		// step as it is.
+		pause += clock.Millis(rank-1) * (retryTimeout + backoffMax) / InLine
 	}
 	return pause
 }
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -441,10 +441,10 @@
 			st.setStore(silent)
 			time.Sleep(6*time.Second + phase)
 			st.setStore(reached)
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(350 * time.Millisecond)
 			st.mu.Lock()
 			defer st.mu.Unlock()
-			assert.Assert(t, st.asked >= st.upSince, "nobody asked in the half second after the return (outage of 6 s and %s)", phase)
+			assert.Assert(t, st.asked >= st.upSince, "nobody asked in 0.35 s after the return (outage of 6 s and %s)", phase)
 		})
 	}
 }
