topic: a silent store is asked as often as one that refuses

Cause: a reader rested 0.7 s after a call that had hung for 0.5 s. That cycle of 1.2 s is longer than the 0.75 s by which a first answer may be late, so that all depended on readers' turns, and these collapse where an outage changes from refusals to silence: the readers asked last between 19.49 and 19.66 s, the store was back at 19.67 s, and the next call began at 20.55 s.

Change: the time for which a reader's call hung counts as a part of its pause, of which 0.2 s remain. Turns divide 0.7 s.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -239,6 +239,7 @@
 			continue
 		}
 		fo.settle()
+		began := fo.now()
 		err := fo.ask(ctx)
 		if errors.Is(err, ErrDropped) || errors.Is(err, errAbandoned) {
 			continue
@@ -250,7 +251,7 @@
 				failures = 0 // it is another outage
 			}
 			failed = now
-			fo.rest(ctx, fo.pauseAfter(failures))
+			fo.rest(ctx, fo.pauseAfter(failures, now-began))
 			failures++
 			continue
 		}
--- a/internal/topic/line.go
+++ b/internal/topic/line.go
@@ -60,8 +60,10 @@
 	return fo.Tell != nil && fo.Rank != nil && fo.Rank() < InLine
 }
 
-// pauseAfter is the pause after a call that failed, and so many before it.
-func (fo *Follower) pauseAfter(failures int) clock.Millis {
+// pauseAfter is the pause after a call that failed, and so many before it. The span
+// for which a reader's call hung counts as a part of it, so that a silent store is
+// asked as often as one that refuses.
+func (fo *Follower) pauseAfter(failures int, hung clock.Millis) clock.Millis {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	first, most := backoffMin, backoffMax
@@ -70,11 +72,14 @@
 		first, most = standbyBackoffMin, standbyBackoffMax
 	}
 	pause := min(most, first<<min(failures, 10))
+	if fo.listed && rank < InLine {
+		pause = max(backoffMin, pause-hung)
+	}
 	if fo.listed && rank > 0 && rank < InLine && failures == 1 {
 		// Readers lose the store together and would retry together, all of them
 		// hanging as it returns. The first in line is ahead of the next by about a
 		// step as it is.
-		pause += clock.Millis(rank-1) * (retryTimeout + backoffMax) / InLine
+		pause += clock.Millis(rank-1) * backoffMax / InLine
 	}
 	return pause
 }
