integration: tests of requests that end their servers on the own path

The order turns now, and a refusal before the first byte for another reason than EndsServers is allowed for 10 of 120.

--- /dev/null
+++ b/internal/integration/deadly_test.go
@@ -0,0 +1,364 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/internal/sched"
+	"alderdyke/internal/standin"
+	"alderdyke/internal/standin/deployment"
+	enginesim "alderdyke/internal/standin/engine"
+	"alderdyke/pkg/client"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	mostEnded   = 5 // servers that one request may end
+	deadlyTries = 8
+	deadlyNote  = "the field notes that break engines"
+	restartTime = 300 * time.Millisecond // of a server that ended
+	shortWait   = 500 * clock.Millis(1)  // after which callers try again, whatever they are told
+	longWait    = 30 * clock.Second      // they give up when they are told to wait longer
+)
+
+func deadlyPlan() plan {
+	pl := usual()
+	pl.vms, pl.prefill, pl.decode, pl.plain = 5, 3, 6, 3
+	return pl
+}
+
+// clientAt is a hasty caller's library that reaches only one VM.
+func (fl *fleet) clientAt(vm *vm) *client.Client {
+	cl := fl.client()
+	cl.Wait = hasty
+	cl.HTTP = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, network, vm.set.Caller.Advertise.String())
+		},
+	}}
+	return cl
+}
+
+// hasty is the Wait of a client that comes back early, and ends its call instead of a long
+// wait.
+func hasty(ctx context.Context, span clock.Millis) error {
+	if span > longWait {
+		return context.DeadlineExceeded
+	}
+	if !clock.Sleep(ctx, min(span, shortWait)) {
+		return context.Cause(ctx)
+	}
+	return nil
+}
+
+func (fl *fleet) deadly(vm *vm, key string) *ongoing {
+	return fl.chatOf(fl.clientAt(vm), "findings", key, deadlyNote, 50)
+}
+
+// tryAll sends a deadly request again and again, each time to another VM under a new key,
+// and returns the last try, which is over.
+func (fl *fleet) tryAll(send func(vm *vm, key string) *ongoing) *ongoing {
+	var og *ongoing
+	for ix := range deadlyTries {
+		og = send(fl.vms[ix%len(fl.vms)], fmt.Sprintf("deadly-%d", ix))
+		og.end()
+	}
+	return og
+}
+
+// found checks that few servers ended under a request, that its last try was refused for
+// that, and that other requests are served.
+func (fl *fleet) found(ended int, last *ongoing) {
+	fl.t.Helper()
+	assert.Check(fl.t, ended <= mostEnded, "%d servers ended under it", ended)
+	assert.Check(fl.t, last.refusedAs().Reason == refusal.EndsServers, "last try: %v", last.refusedAs())
+	assert.Check(fl.t, fl.chat(fl.client(), "findings", "ordinary", 20).end())
+	fl.check()
+}
+
+// crash ends a server's process: its work is lost, and nobody listens until it has
+// started again.
+func (fl *fleet) crash(id string, ct *standin.Control) {
+	px := fl.proxy(deployment.BackendLink, id)
+	ct.Set(standin.Faults{Dead: true})
+	px.Stop()
+	time.Sleep(restartTime)
+	ct.Set(standin.Faults{})
+	assert.Check(fl.t, px.Start())
+}
+
+// crashWhile crashes a server whenever a condition holds, until the test ends.
+func (fl *fleet) crashWhile(id string, ct *standin.Control, ended *atomic.Int64, holds func() bool) {
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		for clock.Sleep(fl.t.Context(), 2) {
+			if holds() {
+				ended.Add(1)
+				fl.crash(id, ct)
+			}
+		}
+	})
+	fl.t.Cleanup(watch.Wait)
+}
+
+// crashEngines crashes the engines of a role whenever a run of a deadly request is in a
+// state. It returns how often it did.
+func (fl *fleet) crashEngines(role board.Role, state func(rec *enginesim.Run) bool) (ended func() int) {
+	var count atomic.Int64
+	for _, en := range fl.dp.Engines {
+		if en.Role != role {
+			continue
+		}
+		fl.crashWhile(en.ID, &en.Control, &count, func() bool {
+			return slices.ContainsFunc(en.History().Runs, func(rec *enginesim.Run) bool {
+				return rec.Outcome == "" && len(rec.Stages) > 0 && strings.HasPrefix(rec.Request, customer+"/deadly-") && state(rec)
+			})
+		})
+	}
+	return func() int { return int(count.Load()) }
+}
+
+func prefilling(rec *enginesim.Run) bool {
+	return rec.Stages[len(rec.Stages)-1].Stage == sched.Prefilling
+}
+
+func importing(rec *enginesim.Run) bool { return rec.Decodes == 0 }
+
+func thirdToken(rec *enginesim.Run) bool { return rec.Tokens >= 3 }
+
+// Engines end at some point of a request, whose callers try again at other VMs: what one
+// VM saw is unknown to the next. Engines that start again under their ID have ended all
+// the same.
+func TestDeadlyRequestAtAnyVM(t *testing.T) {
+	known(t)
+	for _, tc := range []struct {
+		name   string
+		decode int  // engines
+		slow   bool // prefills and transfers, so that engines can end in the middle of one
+		crash  func(fl *fleet) (ended func() int)
+	}{
+		{"Decode", 6, false, func(fl *fleet) func() int { return fl.endUnder(fl.t, "deadly-", restartTime) }},
+		{"ThirdToken", 6, false, func(fl *fleet) func() int { return fl.crashEngines(board.Decode, thirdToken) }},
+		{"TwoEngines", 2, false, func(fl *fleet) func() int { return fl.crashEngines(board.Decode, thirdToken) }},
+		{"Prefill", 6, true, func(fl *fleet) func() int { return fl.crashEngines(board.Prefill, prefilling) }},
+		{"Import", 6, true, func(fl *fleet) func() int { return fl.crashEngines(board.Decode, importing) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			pl := deadlyPlan()
+			pl.decode = tc.decode
+			if tc.slow {
+				pl.engine.PrefillTokensPerSecond, pl.engine.LinkBytesPerSecond = 100, 16<<20
+			}
+			fl := startFleet(t, pl)
+			ended := tc.crash(fl)
+			last := fl.tryAll(fl.deadly)
+			fl.found(ended(), last)
+		})
+	}
+}
+
+// The VM that saw engines end under a request is killed after each try and starts again
+// with an empty memory.
+func TestDeadlyRequestWhileVMsRestart(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, deadlyPlan())
+	ended := fl.endUnder(t, "deadly-", restartTime)
+	last := fl.tryAll(func(vm *vm, key string) *ongoing {
+		og := fl.deadly(vm, key)
+		og.end()
+		vm.kill(t)
+		vm.start(t)
+		fl.awaitServing(vm)
+		return og
+	})
+	fl.found(ended(), last)
+}
+
+// A call of a plain service ends each server that runs it.
+func TestDeadlyPlainCall(t *testing.T) {
+	known(t)
+	for method, path := range map[string]string{http.MethodGet: "/records/deadly", http.MethodPost: "/payments/deadly"} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			fl := startFleet(t, deadlyPlan())
+			var ended atomic.Int64
+			for _, sv := range fl.dp.Services {
+				fl.crashWhile(sv.ID, &sv.Control, &ended, func() bool { return sv.History().Running > 0 })
+			}
+			last := fl.tryAll(func(vm *vm, key string) *ongoing {
+				return fl.plain(fl.clientAt(vm), method, path, key, method == http.MethodGet)
+			})
+			fl.found(int(ended.Load()), last)
+		})
+	}
+}
+
+// The connection of a request's caller breaks each time that an engine ended. The caller
+// comes back under its own key, and at another VM once more after it was refused.
+func TestDeadlyRequestComesBackUnderItsKey(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, deadlyPlan())
+	ended := fl.crashEngines(board.Decode, thirdToken)
+	var last *ongoing
+	for ix, at := range fl.vms {
+		og := fl.deadly(at, fmt.Sprintf("deadly-%d", ix))
+		for before := ended(); ; before = ended() {
+			eventually(t, "an engine or the call ends", func() bool { return ended() > before || og.over() })
+			if og.over() {
+				break
+			}
+			px := fl.proxy(deployment.CallerLink, at.set.ID)
+			px.reset(t)
+			px.heal(t)
+		}
+		last = fl.deadly(fl.vms[(ix+1)%len(fl.vms)], fmt.Sprintf("deadly-%d", ix))
+		last.end()
+	}
+	fl.found(ended(), last)
+}
+
+// The VM that runs a request is killed as an engine ends, three times. Another VM takes
+// the request over when its caller comes back under its key.
+func TestDeadlyRequestIsTakenOver(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, deadlyPlan())
+	ended := fl.endUnder(t, "deadly-", restartTime)
+	cl := fl.client()
+	cl.Wait = hasty
+	og := fl.chatOf(cl, "findings", "deadly-own", deadlyNote, 50)
+	for before := range 3 {
+		eventually(t, "an engine or the call ends", func() bool { return ended() > before || og.over() })
+		if lost := fl.lastRunner("deadly-own"); !og.over() && lost != nil {
+			lost.kill(t)
+			lost.start(t)
+		}
+	}
+	og.end()
+	last := fl.tryAll(fl.deadly)
+	fl.found(ended(), last)
+}
+
+// lastRunner is the VM of the newest decode of a key.
+func (fl *fleet) lastRunner(key string) *vm {
+	var id string
+	newest := clock.Millis(-1)
+	for _, rec := range fl.engineRuns(board.Decode, key) {
+		if len(rec.Stages) > 0 && rec.Stages[0].At > newest {
+			id, newest = rec.VM.ID, rec.Stages[0].At
+		}
+	}
+	return fl.vm(id)
+}
+
+func (og *ongoing) over() bool {
+	select {
+	case <-og.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Engines end by chance, twenty times, beside 120 requests, one in six of which asks what
+// others ask too. None is refused for that, and none is cut.
+func TestEnginesEndByChance(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			fl, rnd := startFleet(t, deadlyPlan()), rand.New(rand.NewPCG(seed, 1))
+			whole := 0
+			for round := range 20 {
+				whole += fl.chanceRound(rnd, round)
+			}
+			assert.Check(t, whole >= 110, "%d whole answers", whole)
+			fl.check()
+		})
+	}
+}
+
+// chanceRound sends six requests, ends one of the engines that decode them, and counts the
+// whole answers.
+func (fl *fleet) chanceRound(rnd *rand.Rand, round int) (whole int) {
+	prefix := fmt.Sprintf("chance-%d-", round)
+	var calls []*ongoing
+	for ix := range 6 {
+		note := "what many ask"
+		if ix > 0 {
+			note = fmt.Sprint(prefix, ix)
+		}
+		calls = append(calls, fl.chatOf(fl.clientAt(fl.vms[(round+ix)%len(fl.vms)]), "findings", fmt.Sprint(prefix, ix), note, 10))
+	}
+	var busy []*enginesim.Engine
+	eventually(fl.t, "an engine decodes", func() bool {
+		busy = slices.DeleteFunc(slices.Clone(fl.dp.Engines), func(en *enginesim.Engine) bool { return !decodes(en, prefix) })
+		return len(busy) > 0
+	})
+	en := busy[rnd.IntN(len(busy))]
+	fl.crash(en.ID, &en.Control)
+	for _, og := range calls {
+		if og.end() == nil {
+			whole++
+			continue
+		}
+		rf := og.refusedAs()
+		assert.Check(fl.t, og.received() == 0 && rf.Reason != refusal.EndsServers, "round %d: %d bytes, %v", round, og.received(), rf)
+	}
+	return whole
+}
+
+// The links to half of the decode engines are cut for two seconds. Calls break off there as
+// if engines had ended, again and again with the same notes, and none has: soon after the
+// links have healed all requests have whole answers.
+func TestCutLinksAreNoEnds(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, deadlyPlan())
+	round := 0
+	ask := func() (calls []*ongoing) {
+		for ix, vm := range fl.vms {
+			calls = append(calls, fl.chatOf(fl.clientAt(vm), "findings", fmt.Sprintf("cut-%d-%d", round, ix), fmt.Sprintf("note %d", ix), 10))
+		}
+		round++
+		return calls
+	}
+	askFor := func(span time.Duration) {
+		for began := time.Now(); time.Since(began) < span; {
+			for _, og := range ask() {
+				og.end()
+			}
+		}
+	}
+	var links []*proxy
+	for _, en := range fl.dp.Engines {
+		if en.Role == board.Decode && len(links) < 3 {
+			links = append(links, fl.proxy(deployment.BackendLink, en.ID))
+		}
+	}
+	for _, px := range links {
+		px.reset(t)
+	}
+	askFor(2 * time.Second)
+	for _, px := range links {
+		px.heal(t)
+	}
+	askFor(3 * time.Second)
+	for range 4 {
+		for _, og := range ask() {
+			assert.Check(t, og.end(), "%v", og.refusedAs())
+		}
+	}
+	fl.check()
+}
