sched, orders: log which engine is closed, and what an abandoned change rested on

A caller of TestRolesFollowTheLoad was refused since no engine of the cell took work, and no line said which engine was closed, for what and for how long: a cell closes engines silently, after two lost requests in a row or at an engine's word that it rests. EngineClosed (1155) says so now, with the last request that was lost.

RoleChangeAbandoned with the reason NotNeeded did not tell whether the load had fallen, nobody waited any more or the other role could not spare its engine. It has the averages and spans that the choice rests on now: Short, Busy, Occupied, Waiting, PrefillSpareFor, DecodeSpareFor.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -301,6 +301,9 @@
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
 			Reason: string(in.Reason), Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) { hr.taken = true })
+	case sched.Closed:
+		hc.vm.Log.Log(event.EngineClosed, event.F("Server", in.Server), event.F("Role", in.Role), event.F("For", in.For),
+			event.F("Lost", in.Lost), event.F("Request", in.Request))
 	case sched.Refuse:
 		hc.tellRunner(in.Request, refusalFrame(in.Refusal), func(*heldRequest) {})
 		hc.mu.Lock()
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -60,6 +60,9 @@
 		"a model engine held a request of a lost VM; it was cancelled", "none")
 	BackendUnreachable = register(1153, "BackendUnreachable", Warn,
 		"a backend server does not report its load", "look at the backend server")
+	EngineClosed = register(1155, "EngineClosed", Warn,
+		"a model engine gets no new work for a while: requests were lost on it one after another (Lost), or it asked for rest",
+		"look at the engine if it goes on")
 	ListUnreachable = register(1154, "ListUnreachable", Warn,
 		"the platform's VM list does not answer; the last one stays in use", "look at the platform")
 )
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -334,8 +334,10 @@
 		ce.note(event.RoleChanged, event.F("Server", ch.server), event.F("To", ch.order.Role), event.F("Token", ch.order.Fence))
 		return
 	}
-	ce.note(event.RoleChangeAbandoned, event.F("Server", ch.server), event.F("To", ch.order.Role),
-		event.F("Reason", reason), event.F("Decline", declineOf(oc)))
+	ce.note(event.RoleChangeAbandoned, append([]event.Field{
+		event.F("Server", ch.server), event.F("To", ch.order.Role),
+		event.F("Reason", reason), event.F("Decline", declineOf(oc)),
+	}, ce.trend.fields(now)...)...)
 }
 
 func (ce *Cell) endGiven(ch *change, reason Reason, oc Outcome) {
--- a/internal/orders/trend.go
+++ b/internal/orders/trend.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/event"
 	"alderdyke/pkg/clock"
 )
 
@@ -153,3 +154,17 @@
 	}
 	return tr.toward
 }
+
+// fields are what the choice of a role rests on, for a log line.
+func (tr *trend) fields(now clock.Millis) []event.Field {
+	spanSince := func(since clock.Millis) clock.Millis {
+		if since == 0 {
+			return 0
+		}
+		return now - since
+	}
+	return []event.Field{
+		event.F("Short", tr.toward), event.F("Busy", tr.busy), event.F("Occupied", tr.occupied), event.F("Waiting", tr.quick+tr.patient),
+		event.F("PrefillSpareFor", spanSince(tr.prefillSpare)), event.F("DecodeSpareFor", spanSince(tr.decodeSpare)),
+	}
+}
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -256,6 +256,7 @@
 	if eng.fail(now) {
 		ce.pending = append(ce.pending, eng)
 		ce.changed(eng)
+		ce.emit(Closed{Server: eng.id, Role: eng.role, For: eng.closed - now, Lost: eng.lost, Request: jb.ask.Request})
 	}
 }
 
@@ -270,6 +271,7 @@
 	}
 	eng.close(max(eng.closed, now+re.For))
 	ce.changed(eng)
+	ce.emit(Closed{Server: eng.id, Role: eng.role, For: eng.closed - now})
 }
 
 func (ce *Cell) withdraw(now clock.Millis, request string) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -68,8 +68,8 @@
 	// Report, Rest, Servers, Orphan or Tick.
 	Event interface{ event() }
 
-	// Intent is what a cell wants done: Grant, Transfer, Refuse, Preempt or
-	// Wake.
+	// Intent is what a cell wants done: Grant, Transfer, Refuse, Preempt,
+	// Closed or Wake.
 	Intent interface{ intent() }
 
 	// Submit asks for a place for a request. A request that the cell already
@@ -159,6 +159,15 @@
 		Reason  refusal.Reason
 	}
 
+	// Closed tells that an engine gets nothing new for a span. It is for logs.
+	Closed struct {
+		Server  string
+		Role    board.Role
+		For     clock.Millis
+		Lost    int    // requests lost on it in a row; zero if it asked for rest
+		Request string // the last of these
+	}
+
 	// Wake asks for a Tick at the given point, at the latest.
 	Wake struct{ At clock.Millis }
 )
@@ -177,4 +186,5 @@
 func (Transfer) intent() {}
 func (Refuse) intent()   {}
 func (Preempt) intent()  {}
+func (Closed) intent()   {}
 func (Wake) intent()     {}
