sched: let requests wait for the only engine of a role

Callers of a cell with one engine of a role were refused "NoBackend: no engine of the cell takes work" at once, with five seconds to stay away, though the engine was back after half a second and they could wait for twenty: new requests, and those whose last attempt had just failed.

Cause: a cell refuses whatever comes while no place of a decode engine, or no prefill engine, is usable, and does not ask for how long. An engine that is listed, fit and reporting is unusable for a while where two requests were lost on it in a row, where it asked for rest, where it declined an import with nothing else held (the cell then takes it to be full of others' work until its next report), and before its first report to a new accountant.

Evidence: TestRolesFollowTheLoad/ReplyLost, race-built beside a load of 55 to 65 on eight processors, failed with this refusal, and its output has no EngineClosed: the process stood still (1.5 s between two observations in place of 0.5), four requests were granted and none decoded, an import was declined NoKV and told as Rejected, and the request's next attempt was refused 16 ms after that attempt ended. Two more failed plays (10 refusals) have no EngineClosed either, and a declined import before the refusals in the logs that they got to write.

Change: a cell that has no usable engine of a role looks for the point at which one takes work again. A request that can't be served by then within its target is refused at once, with the time until then; any other waits in its queue, which ends it as ever once its target is out of reach. The wait is reckoned with the places that are back by then. A cell none of whose engines will come back (gone, leaving, without reports) refuses as before.

--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -85,11 +85,17 @@
 const waitMost = 2 * time.Minute
 
 func startFleet(t *testing.T, vms int, checks bool, roles settings.Roles) *fleet {
+	t.Helper()
+	return startFleetOf(t, vms, 3, checks, roles)
+}
+
+// startFleetOf starts a fleet with some prefill engines and one decode engine.
+func startFleetOf(t *testing.T, vms, prefill int, checks bool, roles settings.Roles) *fleet {
 	t.Helper()
 	set := enginesim.DefaultSettings()
 	set.Slots, set.TPOT, set.ChecksFencing = 4, 10, checks
 	fl := &fleet{t: t, log: &lines{}, dp: &deployment.Deployment{
-		Model: model, Prefill: 3, Decode: 1, FailureDomains: []string{"a", "b"}, Region: "here", Engine: set,
+		Model: model, Prefill: prefill, Decode: 1, FailureDomains: []string{"a", "b"}, Region: "here", Engine: set,
 	}}
 	assert.NilError(t, fl.dp.Start())
 	t.Cleanup(func() { assert.Check(t, fl.dp.Close()) })
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -80,13 +80,13 @@
 func (ce *Cell) inadmissible(now clock.Millis, jb *job) (refusal.Refusal, bool) {
 	gp := jb.grp
 	switch {
-	case ce.slots == 0 || ce.prefills.Len() == 0:
-		return notRun(refusal.NoBackend, retryLatest/12, "no engine of the cell takes work"), true
 	case gp.queued() >= max(fewestQueued, int(float64(ce.QueueBound)*min(1, gp.share))),
 		ce.queued >= 2*ce.QueueBound:
 		return notRun(refusal.QueueFull, clock.Millis(ce.patientWait(now, gp)/2), "the queue is full"), true
 	case jb.ask.Deadline > 0 && float64(now)+jb.prefillMS+jb.linkMS > float64(jb.ask.Deadline):
 		return notRun(refusal.DeadlinePassed, 0, "too late to begin"), true
+	case ce.isClosed():
+		return ce.closedInadmissible(now, jb)
 	case gp.quick:
 		return ce.quickInadmissible(now, jb)
 	}
@@ -157,7 +157,7 @@
 // run in part, but no engine holds or answers it any more.
 func (ce *Cell) refuse(now clock.Millis, jb *job, why refusal.Reason) {
 	gp := jb.grp
-	if gp.quick && gp.usage(now, ce.slots, ce.prefills.Len()) >= gp.share {
+	if gp.quick && !ce.isClosed() && gp.usage(now, ce.slots, ce.prefills.Len()) >= gp.share {
 		why = refusal.ShareExceeded
 	}
 	after := clock.Millis(ce.patientWait(now, gp))
--- a/internal/sched/forecast.go
+++ b/internal/sched/forecast.go
@@ -90,7 +90,7 @@
 // places before patient ones do.
 func (ce *Cell) quickPlaceInSight(now clock.Millis, jb *job, after float64) bool {
 	slack := min(float64(jb.due-now)-after-jb.linkMS, float64(ce.Keep)/2)
-	if slack < 0 {
+	if slack < 0 || ce.slots == 0 {
 		return false
 	}
 	have := float64(ce.free) + 0.5*(ce.hazard[0]+ce.hazard[1])*(after+slack)
@@ -101,6 +101,12 @@
 // which the cell does the work that waits before it, when each group gets its
 // share until its own work is done and quick work has its places.
 func (ce *Cell) patientWait(now clock.Millis, gp *group) float64 {
+	return ce.patientWaitWith(now, gp, ce.slots, ce.prefills.Len())
+}
+
+// patientWaitWith is patientWait with other numbers of places and of prefill
+// engines than there are.
+func (ce *Cell) patientWaitWith(now clock.Millis, gp *group, places, prefills int) float64 {
 	hold, fill, quickFill := gp.backlogHold, gp.backlogFill, 0.0
 	for _, other := range ce.order {
 		ce.steps++
@@ -114,7 +120,7 @@
 		}
 	}
 	mean := ce.look(now).mean
-	slots := max(1, float64(ce.slots)-mean-quickSD*math.Sqrt(mean))
-	fills := max(0.2, float64(ce.prefills.Len())-quickFill)
+	slots := max(1, float64(places)-mean-quickSD*math.Sqrt(mean))
+	fills := max(0.2, float64(prefills)-quickFill)
 	return max(hold/slots, fill/fills)
 }
--- /dev/null
+++ b/internal/sched/reopening.go
@@ -0,0 +1,79 @@
+package sched
+
+import (
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+// reopening is what a cell expects of engines that take nothing at present.
+type reopening struct {
+	at       clock.Millis // from when on each role has an engine, at the earliest
+	slots    int          // places of decode engines at that point
+	prefills int          // prefill engines at that point
+}
+
+// isClosed tells whether a role has no engine that takes work.
+func (ce *Cell) isClosed() bool { return ce.slots == 0 || ce.prefills.Len() == 0 }
+
+// reopens tells when the engines of a closed cell take work again. It reports
+// false if a role has no engine that will.
+func (ce *Cell) reopens(now clock.Millis) (reopening, bool) {
+	first := make(map[board.Role]clock.Millis, 2)
+	for _, eng := range ce.engines {
+		ce.steps++
+		if at, ok := eng.reopensAt(now); ok {
+			if best, found := first[eng.role]; !found || at < best {
+				first[eng.role] = at
+			}
+		}
+	}
+	if len(first) < 2 {
+		return reopening{}, false
+	}
+	ro := reopening{at: max(first[board.Prefill], first[board.Decode])}
+	for _, eng := range ce.engines {
+		ce.steps++
+		at, ok := eng.reopensAt(now)
+		switch {
+		case !ok || at > ro.at:
+		case eng.role == board.Decode:
+			ro.slots += eng.slots
+		default:
+			ro.prefills++
+		}
+	}
+	return ro, true
+}
+
+// reopensAt is the earliest point at which an engine takes work, and false if
+// that is not in sight.
+func (eng *engine) reopensAt(now clock.Millis) (clock.Millis, bool) {
+	switch {
+	case eng.gone || eng.leaving:
+		return 0, false
+	case eng.known:
+		return now, true
+	case eng.closed > 0:
+		return max(now, eng.closed), true // the next report opens it
+	default:
+		return max(now, eng.opens), true
+	}
+}
+
+// closedInadmissible refuses a request for which no engine of a role takes work
+// again in time for its target.
+func (ce *Cell) closedInadmissible(now clock.Millis, jb *job) (refusal.Refusal, bool) {
+	ro, ok := ce.reopens(now)
+	if !ok {
+		return notRun(refusal.NoBackend, retryLatest/12, "no engine of the cell takes work"), true
+	}
+	wait := float64(ro.at - now)
+	if !jb.ask.Quick {
+		wait += ce.patientWaitWith(now, jb.grp, ro.slots, ro.prefills)
+	}
+	if over := wait + jb.prefillMS + jb.linkMS - float64(jb.due-now); over > 0 {
+		return notRun(refusal.NoBackend, max(ro.at-now, clock.Millis(over)), "no engine of the cell takes work in time"), true
+	}
+	return refusal.Refusal{}, false
+}
