entry: blame no engine for requests that another VM took over

A VM that stands still for some seconds loses its requests to others, which go on with what the engines run. When it wakes, its last word on each to the cell's accountant was Lost. The accountant gave the place away while the engine still decoded in it, and counted a loss against that engine: two in a row close it for a second, a whole VM's load for eight. It was sound, and busy with just these requests. In a cell with one decode engine nobody got a place meanwhile.

Found by reading, while TestRolesFollowTheLoad was traced; that test has one VM and did not fail for it. TestRequestsThatAreTakenOverCloseNoEngine forces the order in virtual time: with two requests that were taken over the next one waited 3 s for its place, now 0.

Such a request's stream is closed without a last word now, which the accountant has a rule for: an orphan's place is kept until the engines hold nothing of it.

--- a/internal/entry/accountant_test.go
+++ b/internal/entry/accountant_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,32 @@
 		})
 	}
 }
+
+// A VM that stood still loses its requests to others, which read on what the
+// engines go on with. Its last word on each was that the engine had lost it:
+// two in a row closed a sound engine for a second, and a VM's whole load for eight.
+func TestRequestsThatAreTakenOverCloseNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newCellRig(t)
+		lost, lose := context.WithCancelCause(t.Context())
+		lose(errLost)
+		for _, request := range []string{"r1", "r2"} {
+			rr := cr.ask(request)
+			gr := rr.next().GetGrant()
+			rr.tell(gr.GetAttempt(), sched.Prefilled, "p0")
+			assert.Assert(t, rr.next().GetTransfer() != nil)
+			rr.tell(gr.GetAttempt(), sched.Decoding, "d0")
+			ma := &modelAttempt{
+				rn: &run{vm: cr.hc.vm},
+				rs: &reservation{vm: cr.hc.vm, cn: rr.cn, granted: true, attempt: gr.GetAttempt(), stop: func() {}},
+			}
+			ma.leave(lost, errLost)
+			synctest.Wait()
+		}
+		assert.Equal(t, len(cr.hc.orphans()), 2, "their places are taken until the engines are free of them")
+		began := time.Now()
+		rr := cr.ask("r3")
+		assert.Assert(t, rr.next().GetGrant() != nil)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -245,7 +245,7 @@
 		return
 	}
 	if ma.rn.takenOver(ctx) {
-		ma.rs.end(sched.Lost) // the accountant frees the place once no engine holds the run
+		ma.rs.abandon() // the accountant frees the place once no engine holds the run
 		return
 	}
 	var settled []<-chan struct{}
