orders: take no KV cache that waits for a prompt to compute

A cell whose decode engines were full kept its prefill engines though they stood idle; its callers went on waiting. A change of role toward decode is made once prefill could have spared an engine for three dwells without a break, and that was reckoned with each request that a prefill engine was granted for until its decode began: also with those whose prompts were computed and whose KV caches waited for a decode engine. The shorter a cell is of decode places, the busier its prefill engines looked, and the need called off its own remedy.

Evidence: TestRolesFollowTheLoad, race-built beside a load of 55 to 65 on eight processors: with the decode engine full, three prefill engines have one or two requests each, and by their own reports neither a prompt that runs nor one that waits; PrefillSpareFor falls back to zero in each such observation, and changes are given up as NotNeeded with Busy at 1.0.

Ruled out: the lease. It was neither lost nor refused (no LeaseLapsed, no NotSettled in any output); LeaseTaken is logged at each renewal, so that six of them are two changes of 10 s of waiting each, not six attempts. The pauses of the process work through the load that follows them: what ended meanwhile is replaced at once, so that all prefill engines have requests at one moment.

Change: an engine is observed with the prompts that it has yet to compute beside all its work, and the load of prefill rests on these. The choice of the engine and its drain rest on all its work as before.

TestRolesFollowALoadWhoseKVCachesWait (virtual time, dwell 2 min): before, no change of role in an hour; after, two decode engines become four. TestDemandCountsWhatUsesAnEngine holds what it held, and the prompts besides.

--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -91,8 +91,20 @@
 		"decodes":   {granted: true, stage: sched.Decoding, prefill: "p", decode: "d"},
 		"preempted": {granted: true, taken: true, stage: sched.Prefilling, prefill: "p", decode: "d"},
 	}}
-	quick, patient, work := hc.demand()
-	got, err := json.Marshal([]any{quick, patient, work})
+	dm := hc.demand()
+	got, err := json.Marshal([]any{dm.quick, dm.patient, dm.work})
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), `[1,2,{"d":2,"p":1}]`)
+	assert.DeepEqual(t, dm.prompts, map[string]int{"p": 1})
+}
+
+// A prefill engine keeps a KV cache until a decode engine has it, and may not
+// change its role before; it computes nothing for it.
+func TestDemandTellsPromptsFromKVCaches(t *testing.T) {
+	for _, stage := range []sched.Stage{sched.Prefilled, sched.Transferring, sched.Rejected} {
+		hc := &heldCell{held: map[string]*heldRequest{"waits": {granted: true, stage: stage, prefill: "p", decode: "d"}}}
+		dm := hc.demand()
+		assert.DeepEqual(t, dm.work, map[string]int{"p": 1, "d": 1})
+		assert.Equal(t, len(dm.prompts), 0, "%s", stage)
+	}
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -42,6 +42,13 @@
 		answers map[string]chan orders.Answer
 	}
 
+	// demand is what the requests of a cell ask of it.
+	demand struct {
+		quick, patient int            // that wait
+		work           map[string]int // that were granted, by each engine that they use
+		prompts        map[string]int // that were granted and whose prompts are not computed yet, by prefill engine
+	}
+
 	// knownRole is the role that an engine was in by its own word.
 	knownRole struct {
 		role board.Role
@@ -183,8 +190,8 @@
 // observe tells the decisions on orders what the cell is like.
 func (rc *reconciler) observe() {
 	hc := rc.hc
-	quick, patient, work := hc.demand()
-	ob := orders.Observed{Quick: quick, Patient: patient}
+	dm := hc.demand()
+	ob := orders.Observed{Quick: dm.quick, Patient: dm.patient}
 	rc.mu.Lock()
 	for _, srv := range hc.servers() {
 		rp, ok := rc.reports[srv.ID]
@@ -195,7 +202,8 @@
 			RoleAt:        kr.at,
 			ChecksFencing: srv.ChecksFencing,
 			Fit:           ok && rc.misses[srv.ID] < reportMisses && !rc.leaves[srv.ID] && !srv.Leaving,
-			Work:          work[srv.ID],
+			Work:          dm.work[srv.ID],
+			Prompts:       dm.prompts[srv.ID],
 			Running:       rp.Running,
 			Slots:         rp.Slots,
 			Queued:        rp.Queued,
@@ -252,27 +260,30 @@
 	rc.hc.ac.Tell(ctx, sched.Servers{Servers: rc.fit(rc.hc.servers())})
 }
 
-// demand counts the requests that wait, by urgency, and those that were
-// granted, by the engines that they use at their stage.
-func (hc *heldCell) demand() (quick, patient int, work map[string]int) {
-	work = make(map[string]int)
+// demand counts the requests that wait, and those that were granted by the
+// engines that they use at their stage.
+func (hc *heldCell) demand() demand {
+	dm := demand{work: make(map[string]int), prompts: make(map[string]int)}
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
 	for _, hr := range hc.held {
 		waits := !hr.granted || hr.taken
 		switch {
 		case waits && hr.quick:
-			quick++
+			dm.quick++
 		case waits:
-			patient++
+			dm.patient++
 		default:
-			work[hr.decode]++
+			dm.work[hr.decode]++
 			if hr.stage != sched.Decoding {
-				work[hr.prefill]++
+				dm.work[hr.prefill]++
+			}
+			if hr.stage == sched.Prefilling {
+				dm.prompts[hr.prefill]++
 			}
 		}
 	}
-	return quick, patient, work
+	return dm
 }
 
 func (hc *heldCell) server(id string) (board.BackendServer, bool) {
--- a/internal/orders/cell_test.go
+++ b/internal/orders/cell_test.go
@@ -27,18 +27,21 @@
 	outcome func(sd Send) Outcome                            // nil: carried out
 	noLease bool
 	stuck   bool // an engine that is drained turns out to run something that does not end
+	caches  int  // KV caches that each prefill engine keeps, unless it is drained
 
 	changes []clock.Millis
 	fewest  map[board.Role]int
 	intents []Intent
 	held    bool
+	drained map[string]bool
 }
 
 func newBench(se Settings, prefill, decode int) *bench {
 	bn := &bench{
 		cell: &Cell{Settings: se}, now: 1000, runs: map[string]int{},
-		fewest: map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
-		demand: func(clock.Millis) (float64, float64) { return 0, 0 },
+		fewest:  map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
+		demand:  func(clock.Millis) (float64, float64) { return 0, 0 },
+		drained: map[string]bool{},
 	}
 	for ix := range prefill + decode {
 		role := board.Prefill
@@ -71,6 +74,9 @@
 		case busy >= 1:
 			eng.Queued, busy = 1, busy-1
 		}
+		if eng.Role == board.Prefill && !bn.drained[eng.ID] {
+			eng.Work += bn.caches
+		}
 		ob.Engines = append(ob.Engines, eng)
 	}
 	if prefill > float64(po.prefill) || decode > float64(po.decode) {
@@ -92,6 +98,7 @@
 				bn.tell(Lapsed{})
 			}
 		case Drain:
+			bn.drained[in.Server] = in.Stop
 			if bn.stuck && in.Stop {
 				bn.runs[in.Server] = 1
 			}
@@ -155,6 +162,18 @@
 	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
 }
 
+// A cell that is short of decode places has KV caches wait at its prefill
+// engines. These are idle all the same, and one of them can be spared.
+func TestRolesFollowALoadWhoseKVCachesWait(t *testing.T) {
+	bn := newBench(Settings{Dwell: 2 * clock.Minute}, 6, 2)
+	bn.demand = func(clock.Millis) (float64, float64) { return 1.5, 4.5 }
+	bn.caches = 2
+	bn.run(clock.Hour)
+	po := poolsOf(bn.engines)
+	assert.Assert(t, po.decode >= 4 && po.prefill >= 2, "%+v", po)
+	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
+}
+
 // hourly runs a swinging load for some hours and returns the most changes in
 // any one hour.
 func hourly(bn *bench, hours int) int {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -94,6 +94,7 @@
 		ChecksFencing bool
 		Fit           bool // reports its load and is not leaving
 		Work          int  // granted requests that the cell counts on it
+		Prompts       int  // of these, the ones whose prompts it has yet to compute
 		Running       int  // by its report
 		Slots         int
 		Queued        int
--- a/internal/orders/trend.go
+++ b/internal/orders/trend.go
@@ -13,7 +13,7 @@
 	// has called for a change of role.
 	trend struct {
 		at       clock.Millis // of the last observation; zero before the first
-		busy     float64      // part of the prefill engines that have work
+		busy     float64      // part of the prefill engines that have prompts to compute
 		occupied float64      // part of the decode engines' memory slots in use
 		quick    float64      // requests that wait
 		patient  float64
@@ -95,7 +95,8 @@
 		case !eng.Fit:
 		case eng.Role == board.Prefill:
 			po.prefill++
-			if eng.Work+eng.Running+eng.Queued > 0 {
+			// A KV cache that waits for a decode engine is no work for this one.
+			if eng.Prompts+eng.Running+eng.Queued > 0 {
 				working++
 			}
 		case eng.Role == board.Decode:
