orders: let a load that dips keep its change of role

A cell that was short of decode engines, whose lease was held and whose engines had been waited for, gave the change up as NotNeeded since the load was below its bound at the one moment at which the engine is chosen; callers waited for another dwell. That moment is ten seconds after the lease was taken where engines ignore fencing tokens.

Change: where the load does not call for the change at that moment, it is waited for, at most ten seconds, with the lease held; roles, numbers of engines and the lease are looked at anew at each step as before.

TestLoadThatDipsKeepsItsChange (virtual time, dwell 2 min): a dip of one second when the engine is chosen; before, the change is given up; after, it is made within 20 s of the wish for the lease. TestLoadThatIsGoneEndsItsChange: one that stays away ends it.

--- a/internal/orders/cell_test.go
+++ b/internal/orders/cell_test.go
@@ -27,6 +27,7 @@
 	outcome func(sd Send) Outcome                            // nil: carried out
 	noLease bool
 	stuck   bool // an engine that is drained turns out to run something that does not end
+	waits   bool // quick requests wait whatever the load is
 	caches  int  // KV caches that each prefill engine keeps, unless it is drained
 
 	changes []clock.Millis
@@ -79,7 +80,7 @@
 		}
 		ob.Engines = append(ob.Engines, eng)
 	}
-	if prefill > float64(po.prefill) || decode > float64(po.decode) {
+	if bn.waits || prefill > float64(po.prefill) || decode > float64(po.decode) {
 		ob.Quick = 3
 	}
 	return ob
@@ -174,6 +175,42 @@
 	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
 }
 
+// dip runs a cell close to the bound until it wants the lease, and takes the
+// load away for a span at the moment at which the engine is chosen.
+func dip(span clock.Millis) (bn *bench, wanted clock.Millis) {
+	bn = newBench(Settings{Dwell: 2 * clock.Minute}, 6, 2)
+	bn.waits = true
+	load := func(clock.Millis) (float64, float64) { return 1.5, 1.9 }
+	bn.demand = load
+	for bn.cell.now == nil {
+		bn.run(step)
+	}
+	wanted = bn.now
+	bn.run(9 * clock.Second)
+	bn.demand = func(clock.Millis) (float64, float64) { return 1.5, 0 }
+	bn.run(span)
+	bn.demand = load
+	return bn, wanted
+}
+
+// A load that is below its bound for a moment, just when the engine is chosen,
+// has the change made a moment later and not given up.
+func TestLoadThatDipsKeepsItsChange(t *testing.T) {
+	bn, wanted := dip(clock.Second)
+	bn.run(20 * clock.Second)
+	assert.Equal(t, len(bn.changes), 1)
+	assert.Assert(t, bn.changes[0]-wanted < 20*clock.Second, "%v", bn.changes[0]-wanted)
+}
+
+// One that stays away ends the change, and gives the lease back.
+func TestLoadThatIsGoneEndsItsChange(t *testing.T) {
+	bn, wanted := dip(21 * clock.Second)
+	assert.Equal(t, len(bn.changes), 0)
+	assert.Assert(t, bn.cell.now == nil && !bn.held)
+	bn.run(wanted + 2*clock.Minute - bn.now)
+	assert.Equal(t, len(bn.changes), 0, "before another dwell is over")
+}
+
 // hourly runs a swinging load for some hours and returns the most changes in
 // any one hour.
 func hourly(bn *bench, hours int) int {
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -12,6 +12,7 @@
 	asking phase = iota
 	settling
 	fencing
+	choosing
 	draining
 	sending
 	doubting
@@ -71,6 +72,8 @@
 	case settling:
 		ce.settle(now)
 	case fencing, sending: // until Sent
+	case choosing:
+		ce.choose(now)
 	case draining:
 		ce.drain(now)
 	case doubting:
@@ -110,7 +113,7 @@
 	}
 	ce.enter(now, fencing)
 	if len(ch.unfenced) == 0 {
-		ce.choose(now)
+		ce.enter(now, choosing)
 	}
 }
 
@@ -126,16 +129,19 @@
 	ce.take(now, ev.Server, ev.Outcome)
 	delete(ch.unfenced, ev.Server)
 	if len(ch.unfenced) == 0 && ce.holds(ch) {
-		ce.choose(now)
+		ce.enter(now, choosing)
 	}
 }
 
 // choose picks the engine with what is known now: the load may have turned,
-// or the holder before may have changed a role already.
+// or the holder before may have changed a role already. A load close to its
+// bound is let come back, since a change that is given up costs a dwell.
 func (ce *Cell) choose(now clock.Millis) {
 	ch := ce.now
 	if ce.trend.toward != ch.order.Role {
-		ce.end(now, NotNeeded, Outcome{})
+		if now-ch.since >= ce.Settings.NeedWithin {
+			ce.end(now, NotNeeded, Outcome{})
+		}
 		return
 	}
 	eng, ok := ce.pick(ch.order.Role)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -10,6 +10,7 @@
 //	          that no order of the holder before can still change it
 //	Fencing   engines that check fencing tokens are told the new one, by an
 //	          order to stay what they are; older orders are refused from then on
+//	Choosing  the load must still call for the change; the engine is chosen
 //	Draining  the engine gets no new work and ends what it runs
 //	Sending   the order is under way with the lease's fencing token
 //	Doubting  its reply was lost; the engine's own report tells what it did
@@ -74,6 +75,7 @@
 		Memory      clock.Millis // for how long a role must have been able to spare the engine; three times Dwell
 		DrainWithin clock.Millis // until a change is given up; 1 min
 		LeaseWithin clock.Millis // until the lease must be held, and roles known; 1 min
+		NeedWithin  clock.Millis // until a load that does not call for the change any more must do so again; 10 s
 		// Flight is how long an order of the lease's holder before this one
 		// may be under way after its lease has ended; 10 s. It is waited out
 		// if an engine of the cell ignores fencing tokens.
@@ -225,6 +227,7 @@
 	span(&se.Memory, 3*se.Dwell)
 	span(&se.DrainWithin, clock.Minute)
 	span(&se.LeaseWithin, clock.Minute)
+	span(&se.NeedWithin, 10*clock.Second)
 	span(&se.Flight, 10*clock.Second)
 	span(&se.Margin, 2*clock.Second)
 	share(&se.High, 0.9)
