--- a/internal/orders/explore_test.go
+++ b/internal/orders/explore_test.go
@@ -27,6 +27,7 @@
 		pauseAt   clock.Millis // of the first VM; nothing happens in it for a span
 		pauseFor  clock.Millis
 		nth       int          // which order that is sent is under way for long
+		every     bool         // all are
 		flight    clock.Millis // for how long, after its lease was checked
 		replyLost bool         // also of that order
 		frozen    bool         // its sender is paused for that long, too
@@ -226,7 +227,7 @@
 	}
 	wo.sends++
 	od := &order{from: ho, sd: sd, arrives: wo.now + beat}
-	if wo.sends == wo.nth {
+	if wo.sends == wo.nth || wo.every {
 		od.arrives, od.lost = wo.now+max(beat, wo.flight), wo.replyLost || wo.flight > replyWithin
 		if wo.frozen {
 			ho.asleep = od.arrives
@@ -332,3 +333,17 @@
 		assert.Check(t, caught, tc.name)
 	}
 }
+
+// The holder stands still after each order that it sends, before it can hear of
+// the reply. With engines that ignore fencing tokens, whose change is one order,
+// the change is made all the same.
+func TestHolderThatStandsStillAfterEachOrder(t *testing.T) {
+	for _, pause := range []clock.Millis{2 * clock.Second, 4 * clock.Second, 6 * clock.Second, 12 * clock.Second} {
+		for _, lost := range []bool{false, true} {
+			wo := newWorld(schedule{every: true, flight: pause, frozen: true, replyLost: lost}, mutation{})
+			wo.run()
+			po := poolsOf(wo.engines)
+			assert.Equal(t, po, pools{prefill: 2, decode: 2}, "pause of %v, reply lost %t", pause, lost)
+		}
+	}
+}
