--- a/internal/orders/cell_test.go
+++ b/internal/orders/cell_test.go
@@ -27,18 +27,22 @@
 	outcome func(sd Send) Outcome                            // nil: carried out
 	noLease bool
 	stuck   bool // an engine that is drained turns out to run something that does not end
+	waits   bool // quick requests wait whatever the load is
+	caches  int  // KV caches that each prefill engine keeps, unless it is drained
 
 	changes []clock.Millis
 	fewest  map[board.Role]int
 	intents []Intent
 	held    bool
+	drained map[string]bool
 }
 
 func newBench(se Settings, prefill, decode int) *bench {
 	bn := &bench{
 		cell: &Cell{Settings: se}, now: 1000, runs: map[string]int{},
-		fewest: map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
-		demand: func(clock.Millis) (float64, float64) { return 0, 0 },
+		fewest:  map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
+		demand:  func(clock.Millis) (float64, float64) { return 0, 0 },
+		drained: map[string]bool{},
 	}
 	for ix := range prefill + decode {
 		role := board.Prefill
@@ -71,9 +75,12 @@
 		case busy >= 1:
 			eng.Queued, busy = 1, busy-1
 		}
+		if eng.Role == board.Prefill && !bn.drained[eng.ID] {
+			eng.Work += bn.caches
+		}
 		ob.Engines = append(ob.Engines, eng)
 	}
-	if prefill > float64(po.prefill) || decode > float64(po.decode) {
+	if bn.waits || prefill > float64(po.prefill) || decode > float64(po.decode) {
 		ob.Quick = 3
 	}
 	return ob
@@ -92,6 +99,7 @@
 				bn.tell(Lapsed{})
 			}
 		case Drain:
+			bn.drained[in.Server] = in.Stop
 			if bn.stuck && in.Stop {
 				bn.runs[in.Server] = 1
 			}
@@ -155,6 +163,54 @@
 	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
 }
 
+// A cell that is short of decode places has KV caches wait at its prefill
+// engines. These are idle all the same, and one of them can be spared.
+func TestRolesFollowALoadWhoseKVCachesWait(t *testing.T) {
+	bn := newBench(Settings{Dwell: 2 * clock.Minute}, 6, 2)
+	bn.demand = func(clock.Millis) (float64, float64) { return 1.5, 4.5 }
+	bn.caches = 2
+	bn.run(clock.Hour)
+	po := poolsOf(bn.engines)
+	assert.Assert(t, po.decode >= 4 && po.prefill >= 2, "%+v", po)
+	assert.Assert(t, len(bn.changes) <= 3, "%d changes", len(bn.changes))
+}
+
+// dip runs a cell close to the bound until it wants the lease, and takes the
+// load away for a span at the moment at which the engine is chosen.
+func dip(span clock.Millis) (bn *bench, wanted clock.Millis) {
+	bn = newBench(Settings{Dwell: 2 * clock.Minute}, 6, 2)
+	bn.waits = true
+	load := func(clock.Millis) (float64, float64) { return 1.5, 1.9 }
+	bn.demand = load
+	for bn.cell.now == nil {
+		bn.run(step)
+	}
+	wanted = bn.now
+	bn.run(9 * clock.Second)
+	bn.demand = func(clock.Millis) (float64, float64) { return 1.5, 0 }
+	bn.run(span)
+	bn.demand = load
+	return bn, wanted
+}
+
+// A load that is below its bound for a moment, just when the engine is chosen,
+// has the change made a moment later and not given up.
+func TestLoadThatDipsKeepsItsChange(t *testing.T) {
+	bn, wanted := dip(clock.Second)
+	bn.run(20 * clock.Second)
+	assert.Equal(t, len(bn.changes), 1)
+	assert.Assert(t, bn.changes[0]-wanted < 20*clock.Second, "%v", bn.changes[0]-wanted)
+}
+
+// One that stays away ends the change, and gives the lease back.
+func TestLoadThatIsGoneEndsItsChange(t *testing.T) {
+	bn, wanted := dip(21 * clock.Second)
+	assert.Equal(t, len(bn.changes), 0)
+	assert.Assert(t, bn.cell.now == nil && !bn.held)
+	bn.run(wanted + 2*clock.Minute - bn.now)
+	assert.Equal(t, len(bn.changes), 0, "before another dwell is over")
+}
+
 // hourly runs a swinging load for some hours and returns the most changes in
 // any one hour.
 func hourly(bn *bench, hours int) int {
--- a/internal/orders/trend.go
+++ b/internal/orders/trend.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/event"
 	"alderdyke/pkg/clock"
 )
 
@@ -12,7 +13,7 @@
 	// has called for a change of role.
 	trend struct {
 		at       clock.Millis // of the last observation; zero before the first
-		busy     float64      // part of the prefill engines that have work
+		busy     float64      // part of the prefill engines that have prompts to compute
 		occupied float64      // part of the decode engines' memory slots in use
 		quick    float64      // requests that wait
 		patient  float64
@@ -94,7 +95,8 @@
 		case !eng.Fit:
 		case eng.Role == board.Prefill:
 			po.prefill++
-			if eng.Work+eng.Running+eng.Queued > 0 {
+			// A KV cache that waits for a decode engine is no work for this one.
+			if eng.Prompts+eng.Running+eng.Queued > 0 {
 				working++
 			}
 		case eng.Role == board.Decode:
@@ -153,3 +155,17 @@
 	}
 	return tr.toward
 }
+
+// fields are what the choice of a role rests on, for a log line.
+func (tr *trend) fields(now clock.Millis) []event.Field {
+	spanSince := func(since clock.Millis) clock.Millis {
+		if since == 0 {
+			return 0
+		}
+		return now - since
+	}
+	return []event.Field{
+		event.F("Short", tr.toward), event.F("Busy", tr.busy), event.F("Occupied", tr.occupied), event.F("Waiting", tr.quick+tr.patient),
+		event.F("PrefillSpareFor", spanSince(tr.prefillSpare)), event.F("DecodeSpareFor", spanSince(tr.decodeSpare)),
+	}
+}
