poison: a probe that takes long keeps its finding

A request under which a server ended was not known for it if the probe took longer than 0.2 s, as beside load, and another call broke off there meanwhile: that one asked anew, and the first one's finding was dropped as if the server had answered. TestUnansweredAfterAWhile fails before.

Besides: an end has the point at which the call broke off and not the one at which the probe was answered, so that servers of one failure domain count as one moment however busy the VM is; that an end is withdrawn is told however many words went out before; and a call tells whether the server confirmed its instance, which the own path needs.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -53,8 +53,8 @@
 	// Ended is said of a server that is not there any more: nobody listens at its
 	// address, or another instance does.
 	Ended
-	// Unanswered is said of a server that takes connections and answers nothing on
-	// them. It counts as ended until the same instance answers.
+	// Unanswered is said of a server that can't be reached or answers nothing, and whose
+	// instances can be told apart. It counts as ended until the same instance answers.
 	Unanswered
 )
 
@@ -95,10 +95,13 @@
 		Request  string // for the log
 		Mark     suspect.Mark
 		Server   board.BackendServer
-		Instance string       // of the server, as all VMs name it; or what was lost with one
-		Began    clock.Millis // point at which the server was sent the request; zero: not known
-		Answered bool         // the server had begun to answer
-		Beside   int          // other requests there
+		Instance string // of the server, as all VMs name it
+		// Confirmed tells that the server named Instance while the call ran, or just
+		// before: another one that answers has taken its place since.
+		Confirmed bool
+		Began     clock.Millis // point at which the server was sent the request; zero: not known
+		Answered  bool         // the server had begun to answer
+		Beside    int          // other requests there
 	}
 )
 
@@ -163,11 +166,12 @@
 		return
 	}
 	gd.init()
+	at := gd.now()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		if pr := gd.ended(cl); pr.against(cl) {
-			gd.record(pr, cl)
+			gd.record(pr, cl, at)
 		}
 	}()
 	timer := time.NewTimer(probeWait.Std())
@@ -185,9 +189,9 @@
 	return err != nil && ctx.Err() == nil && oc == backend.InDoubt && !errors.Is(err, context.DeadlineExceeded)
 }
 
-// record takes an end that this VM saw, and tells the others.
-func (gd *Guard) record(pr *probe, cl Call) {
-	en := suspect.End{Mark: cl.Mark, Server: cl.Instance, Answered: cl.Answered, Beside: cl.Beside}
+// record takes an end that this VM saw at a point in time, and tells the others.
+func (gd *Guard) record(pr *probe, cl Call, at clock.Millis) {
+	en := suspect.End{Mark: cl.Mark, Server: cl.Instance, Answered: cl.Answered, Beside: cl.Beside, Age: gd.now() - at}
 	gd.mu.Lock()
 	if pr.finding == Unanswered && gd.probes[cl.Instance] != pr {
 		gd.mu.Unlock()
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -25,6 +27,7 @@
 	*poison.Guard
 	finding atomic.Int32
 	probes  atomic.Int32
+	mu      sync.Mutex
 	told    []suspect.End
 }
 
@@ -40,12 +43,23 @@
 			return poison.Finding(rg.finding.Load())
 		},
 		Backends: func() *board.Backends { return list },
-		Tell:     func(en suspect.End) { rg.told = append(rg.told, en) },
+		Tell: func(en suspect.End) {
+			rg.mu.Lock()
+			defer rg.mu.Unlock()
+			rg.told = append(rg.told, en)
+		},
 	}
 	rg.set(poison.Ended)
 	return rg
 }
 
+// ends is what was told so far.
+func (rg *rig) ends() []suspect.End {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return slices.Clone(rg.told)
+}
+
 func (rg *rig) set(finding poison.Finding) { rg.finding.Store(int32(finding)) }
 
 // broke has a call of a request break off at each of the servers.
@@ -93,8 +107,8 @@
 		mk := seen.Mark([]byte("prompt"))
 		seen.broke(t, mk, "a", "b", "c")
 		time.Sleep(time.Second)
-		assert.Equal(t, len(seen.told), 6, "each end is told twice")
-		for _, en := range seen.told {
+		assert.Equal(t, len(seen.ends()), 6, "each end is told twice")
+		for _, en := range seen.ends() {
 			hears.Heard(en)
 		}
 		assert.Assert(t, hears.Check(hears.Mark([]byte("prompt"))) > 0)
@@ -117,7 +131,7 @@
 		rg.set(poison.Alive)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, rg.Check(mk), clock.Millis(0))
-		for _, en := range rg.told {
+		for _, en := range rg.ends() {
 			hears.Heard(en)
 		}
 		assert.Equal(t, hears.Check(mk), clock.Millis(0))
@@ -134,7 +148,7 @@
 			return poison.Unanswered
 		}
 		first, beside := rg.Mark([]byte("first")), rg.Mark([]byte("beside"))
-		for _, id := range []string{"a", "b", "c"} {
+		for _, id := range []string{"a", "b", "c", "d", "e"} { // five, for the first is blamed after three
 			call := poison.Call{Mark: first, Server: board.BackendServer{ID: id}, Instance: id, Beside: poison.UnknownBeside}
 			rg.RecordBrokenCall(t.Context(), call)
 			time.Sleep(220 * time.Millisecond)
--- a/internal/poison/probe.go
+++ b/internal/poison/probe.go
@@ -27,6 +27,7 @@
 	call    Call // the first that broke off
 	at      clock.Millis
 	done    chan struct{} // closed once it is answered
+	over    bool          // it is answered; guarded by the Guard
 	finding Finding
 	found   clock.Millis   // point at which it was answered
 	marks   []suspect.Mark // requests that it speaks against; guarded by the Guard
@@ -63,7 +64,7 @@
 // stale tells whether a finding has to be made anew. That a server answers nothing is
 // asked by [Guard.Share] until it does.
 func (pr *probe) stale(now clock.Millis) bool {
-	return pr.finding != Unanswered && now >= pr.at+probeTTL
+	return pr.over && pr.finding != Unanswered && now >= pr.at+probeTTL
 }
 
 func (gd *Guard) answer(pr *probe) {
@@ -71,7 +72,7 @@
 	finding := gd.ask(context.Background(), pr)
 	gd.mu.Lock()
 	defer gd.mu.Unlock()
-	pr.finding, pr.found = finding, gd.now()
+	pr.finding, pr.found, pr.over = finding, gd.now(), true
 	if finding != Unanswered {
 		time.AfterFunc(probeTTL.Std(), func() { gd.drop(pr) })
 	}
@@ -100,7 +101,9 @@
 	var asked sync.WaitGroup
 	for _, pr := range gd.unanswered() {
 		asked.Go(func() {
-			finding := gd.ask(ctx, pr)
+			again := *pr
+			again.call.Confirmed = true // what takes its place now came after the call
+			finding := gd.ask(ctx, &again)
 			if ctx.Err() != nil || finding == Unanswered && gd.now() < pr.found+unansweredTTL {
 				return
 			}
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -27,9 +27,9 @@
 	tellBurst = 64
 )
 
-// tell tells the other VMs of an end, as often as this VM may.
+// tell tells the other VMs of an end, as often as this VM may, and that one is withdrawn.
 func (gd *Guard) tell(en suspect.End) {
-	if gd.Tell == nil || en.Server == "" || !gd.tells.Allow() {
+	if gd.Tell == nil || en.Server == "" || !en.Forgiven && !gd.tells.Allow() {
 		return
 	}
 	gd.Tell(en)
