--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -9,26 +9,15 @@
 	"alderdyke/pkg/refusal"
 )
 
-// newGuard is called with the lock held.
-func (rl *Relay) newGuard() *poison.Guard {
-	return &poison.Guard{
-		Clock:    rl.Clock,
-		Log:      rl.Log,
-		Scope:    rl.Scope,
-		Key:      rl.Key,
-		Probe:    rl.probe,
-		Backends: rl.Backends,
-		Tell:     rl.TellEnd,
-		VMs:      rl.livingVMs,
-	}
-}
-
 // guardOf is the search for requests that end their servers.
 func (rl *Relay) guardOf() *poison.Guard {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.prepare()
-	return rl.guard
+	rl.guardOnce.Do(func() {
+		gd := &rl.guard
+		gd.Clock, gd.Log, gd.Scope = rl.Clock, rl.Log, rl.Scope
+		gd.Key, gd.Tell, gd.VMs = rl.Key, rl.TellEnd, rl.livingVMs
+		gd.Probe, gd.Backends = rl.probe, rl.Backends
+	})
+	return &rl.guard
 }
 
 func (rl *Relay) probe(ctx context.Context, cl poison.Call) poison.Finding {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,6 +164,9 @@
 		// nil: they are not told.
 		TellEnd func(en suspect.End)
 
+		guard     poison.Guard // used through guardOf
+		guardOnce sync.Once
+
 		table    atomic.Pointer[route.Table]
 		backends atomic.Pointer[board.Backends]
 		open     atomic.Int64
@@ -171,7 +174,6 @@
 
 		mu         sync.Mutex // guards all below and Rand
 		once       bool
-		guard      *poison.Guard
 		chooser    *balance.Chooser
 		budget     *retry.Policy
 		fleet      fleetSize
@@ -394,7 +396,6 @@
 	rl.runs = make(map[*run]struct{})
 	rl.calls = make(map[*call]struct{})
 	rl.moved = make(chan struct{})
-	rl.guard = rl.newGuard()
 	rl.usageChanged = make(chan struct{}, 1)
 }
 
