entry, claim: an end is named by the incarnation that a call was sent to

Change: a call has the incarnation that the server told while it ran; one that it told before counts for an end only where the server can't be reached. While any request is under suspicion, and at a first call, the server is asked beside the call. Claims carry the incarnation of the decode's engine (DecodeIncarnation, a new field that older VMs pass over), and the VM that takes over asks whether that one is there. What an engine holds for a request and then declines, or whose connection is refused, is asked about too. Only an answer that is no refusal takes an end back. A request that may run once is checked after its seats confirmed it.

--- a/internal/backend/incarnation_test.go
+++ b/internal/backend/incarnation_test.go
@@ -13,7 +13,7 @@
 func TestIncarnations(t *testing.T) {
 	var told string
 	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
-		rw.Header().Set(IncarnationHeader, told)
+		rw.Header().Set(ServerIncarnationHeader, told)
 		if req.URL.Path == "/declined" {
 			rw.Header().Set(DeclinedHeader, string(Full))
 			rw.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/claim/asker.go
+++ b/internal/claim/asker.go
@@ -97,7 +97,7 @@
 	case Elapsed:
 		return ak.elapsed(now)
 	case Became:
-		return ak.tell(ev.State, ev.DecodeServer, ev.EngineRequest)
+		return ak.tell(ev)
 	case Revalidate:
 		return ak.revalidate(now, ev)
 	}
@@ -259,14 +259,14 @@
 }
 
 // tell sends the seats the state of the claim that runs.
-func (ak *Asker) tell(state State, server, request string) []AskerIntent {
+func (ak *Asker) tell(bc Became) []AskerIntent {
 	if ak.phase != decided || ak.claim == 0 {
 		return nil
 	}
-	if ak.super != nil && !ak.Idempotent && state.over() {
+	if ak.super != nil && !ak.Idempotent && bc.State.over() {
 		return nil // the runner before may have run it
 	}
-	ak.became = Became{state, server, request}
+	ak.became = bc
 	var out []AskerIntent
 	for _, to := range ak.seats.Group(ak.Customer, ak.Key) {
 		out = append(out, ak.word(to))
@@ -286,6 +286,6 @@
 // word is what a seat is told of the claim that runs.
 func (ak *Asker) word(to board.VMRef) SendUpdate {
 	up := ak.update(ak.became.State)
-	up.DecodeServer, up.EngineRequest = ak.became.DecodeServer, ak.became.EngineRequest
+	up.DecodeServer, up.DecodeIncarnation, up.EngineRequest = ak.became.DecodeServer, ak.became.DecodeIncarnation, ak.became.EngineRequest
 	return SendUpdate{To: to, Update: up}
 }
--- a/internal/claim/asker_test.go
+++ b/internal/claim/asker_test.go
@@ -183,7 +183,7 @@
 		first.Idempotent = idempotent
 		dc := playBooks(first, Begin{testSeats(), alive}, books)
 		assert.Equal(t, dc.Verdict, Run)
-		for _, in := range first.Step(0, Became{Decoding, "decode-1", "er-1"}) {
+		for _, in := range first.Step(0, Became{State: Decoding, DecodeServer: "decode-1", EngineRequest: "er-1"}) {
 			up := in.(SendUpdate)
 			books[up.To].Step(0, Updated{up.Update})
 		}
@@ -256,7 +256,7 @@
 			}
 		}
 	}
-	tell(ak.Step(0, Became{Decoding, "decode-1", "er-1"}))
+	tell(ak.Step(0, Became{State: Decoding, DecodeServer: "decode-1", EngineRequest: "er-1"}))
 	tell(ak.Step(0, Replied{second.Number, reply(bk, 0, second.Ask)}))
 
 	other := proto.CloneOf(second.Ask)
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -252,7 +252,7 @@
 		return
 	}
 	rc.state = state
-	if rd := resumableOf(up.GetDecodeServer(), up.GetEngineRequest()); rd != nil {
+	if rd := resumableOf(up); rd != nil {
 		rc.decode = rd
 	}
 	rc.expires = now + bk.life()
@@ -302,7 +302,7 @@
 	out.RunnerID, out.RunnerIncarnation = rc.runner.ID, rc.runner.Incarnation
 	out.Attempt, out.State, out.Claim = rc.attempt, string(rc.state), rc.claim
 	if rc.decode != nil {
-		out.DecodeServer, out.EngineRequest = rc.decode.server, rc.decode.request
+		out.DecodeServer, out.DecodeIncarnation, out.EngineRequest = rc.decode.server, rc.decode.incarnation, rc.decode.request
 	}
 	return out
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -229,9 +229,10 @@
 	// Became tells what became of the key after a Run or a TakeOver, for the
 	// seats to know. It needs no reply and none is waited for.
 	Became struct {
-		State         State // Dispatched, Decoding, RefusedNotRun or Complete
-		DecodeServer  string
-		EngineRequest string
+		State             State // Dispatched, Decoding, RefusedNotRun or Complete
+		DecodeServer      string
+		DecodeIncarnation uint64 // of DecodeServer; zero if it does not tell
+		EngineRequest     string
 	}
 
 	// Revalidate asks anew whether a runner may go on: after a pause, after
@@ -258,14 +259,16 @@
 	// Decided is the verdict. Ran, Reason and RetryAfter are set for the
 	// verdicts that end in a refusal.
 	Decided struct {
-		Verdict       Verdict
-		Runner        board.VMRef
-		Attempt       uint32
-		DecodeServer  string
-		EngineRequest string
-		Until         clock.Millis
-		Ran           refusal.Ran
-		Reason        refusal.Reason
+		Verdict      Verdict
+		Runner       board.VMRef
+		Attempt      uint32
+		DecodeServer string
+		// DecodeIncarnation is of DecodeServer; zero: it did not tell.
+		DecodeIncarnation uint64
+		EngineRequest     string
+		Until             clock.Millis
+		Ran               refusal.Ran
+		Reason            refusal.Reason
 	}
 )
 
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -28,8 +28,8 @@
 		claim       uint64
 		fingerprint uint64
 		runner      board.VMRef
-		decode      *resumable
-		was         *record // what this claim superseded here
+		decode      *resumable // where it may still run; nil if that is not known
+		was         *record    // what this claim superseded here
 		expires     clock.Millis
 		keep        clock.Millis
 		attempt     uint32
@@ -38,7 +38,18 @@
 	}
 
 	// resumable is where a decode may still run.
-	resumable struct{ server, request string }
+	resumable struct {
+		server      string
+		incarnation uint64
+		request     string
+	}
+
+	// decodeMessage is a message that names a decode.
+	decodeMessage interface {
+		GetDecodeServer() string
+		GetDecodeIncarnation() uint64
+		GetEngineRequest() string
+	}
 
 	// records holds a bounded number of records and forgets them in time.
 	records struct {
@@ -172,7 +183,7 @@
 		Left: int64(rc.expires - now), Claim: rc.claim, Keep: int64(rc.keep),
 	}
 	if rc.decode != nil {
-		out.DecodeServer, out.EngineRequest = rc.decode.server, rc.decode.request
+		out.DecodeServer, out.DecodeIncarnation, out.EngineRequest = rc.decode.server, rc.decode.incarnation, rc.decode.request
 	}
 	return out
 }
@@ -187,17 +198,17 @@
 		attempt: cr.GetAttempt(), state: State(cr.GetState()), idempotent: cr.GetIdempotent(),
 		expires: now + min(max(clock.Millis(cr.GetLeft()), 0), 2*life),
 	}
-	rc.decode = resumableOf(cr.GetDecodeServer(), cr.GetEngineRequest())
+	rc.decode = resumableOf(cr)
 	ok := sound(nm, rc.runner.ID) && rc.claim != 0 && rc.state.rank() > 0 &&
 		len(cr.GetDecodeServer()) <= maxNameBytes && len(cr.GetEngineRequest()) <= maxNameBytes
 	return nm, rc, ok
 }
 
-func resumableOf(server, request string) *resumable {
-	if server == "" || request == "" {
+func resumableOf(msg decodeMessage) *resumable {
+	if msg.GetDecodeServer() == "" || msg.GetEngineRequest() == "" {
 		return nil
 	}
-	return &resumable{server, request}
+	return &resumable{msg.GetDecodeServer(), msg.GetDecodeIncarnation(), msg.GetEngineRequest()}
 }
 
 func sound(nm name, runner string) bool {
--- a/internal/claim/verdict.go
+++ b/internal/claim/verdict.go
@@ -135,10 +135,10 @@
 	dc := Decided{Verdict: Run, Runner: ak.Self, Attempt: ak.attempt, Until: ak.roundAt + grantValid}
 	if ak.super != nil {
 		dc.Verdict = TakeOver
-		dc.DecodeServer, dc.EngineRequest = ak.super.GetDecodeServer(), ak.super.GetEngineRequest()
+		dc = dc.withDecode(ak.super)
 	}
 	if ta.resume != nil {
-		dc.DecodeServer, dc.EngineRequest = ta.resume.GetDecodeServer(), ta.resume.GetEngineRequest()
+		dc = dc.withDecode(ta.resume)
 	}
 	out := []AskerIntent{dc}
 	if ak.Idempotent && len(ak.asks) < min(2, len(ak.group)) {
@@ -152,9 +152,8 @@
 	ak.phase = decided
 	return append(out, Decided{
 		Verdict: Follow, Attempt: ta.best.GetAttempt(),
-		Runner:       board.VMRef{ID: ta.best.GetRunnerID(), Incarnation: ta.best.GetRunnerIncarnation()},
-		DecodeServer: ta.best.GetDecodeServer(), EngineRequest: ta.best.GetEngineRequest(),
-	})
+		Runner: board.VMRef{ID: ta.best.GetRunnerID(), Incarnation: ta.best.GetRunnerIncarnation()},
+	}.withDecode(ta.best))
 }
 
 func (ak *Asker) refuse(vd Verdict, ran refusal.Ran, rs refusal.Reason, ta tally) []AskerIntent {
@@ -198,3 +197,9 @@
 	ak.phase = decided
 	return []AskerIntent{Decided{Verdict: Lost, Runner: ak.Self, Attempt: ak.attempt}}
 }
+
+// withDecode returns the verdict with where the decode may run.
+func (dc Decided) withDecode(msg decodeMessage) Decided {
+	dc.DecodeServer, dc.DecodeIncarnation, dc.EngineRequest = msg.GetDecodeServer(), msg.GetDecodeIncarnation(), msg.GetEngineRequest()
+	return dc
+}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -355,23 +355,20 @@
 func (cm *claimant) end() { time.AfterFunc(claimLinger.Std(), cm.stop) }
 
 // became tells the seats what became of the key.
-func (cm *claimant) became(state claim.State, server, engineRequest string) {
-	cm.ac.Tell(cm.ctx, claim.Became{State: state, DecodeServer: server, EngineRequest: engineRequest})
+func (cm *claimant) became(bc claim.Became) {
+	cm.ac.Tell(cm.ctx, bc)
 }
 
 // mayDispatch tells, at the last moment, whether a request may still be sent to a
 // backend server: none that ends its servers, and one that may run at most once with
 // a grant that is not too old; such a grant is asked for anew.
 func (rn *run) mayDispatch(ctx context.Context) error {
-	if err := rn.checkPoison(); err != nil {
-		return err
-	}
 	if rn.req.Class.Idempotent {
-		return nil
+		return rn.checkPoison()
 	}
 	now := rn.vm.Clock.Now()
 	if now < rn.until && int64(now) < rn.vm.fresh.Load() {
-		return nil
+		return rn.checkPoison()
 	}
 	seen := rn.claimed.decisions()
 	rn.claimed.revalidate()
@@ -391,5 +388,5 @@
 			Detail:     "the VMs that account for the key did not confirm it in time",
 		}
 	}
-	return nil
+	return rn.checkPoison()
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -177,7 +177,7 @@
 	ma.rs.progress(sched.Prefilling, ma.prefill.ID, 0, 0)
 	began := rn.vm.Clock.Now()
 	ma.touched[ma.prefill.ID] = struct{}{}
-	rn.vm.learnIncarnation(ma.prefill)
+	sc := rn.vm.send(ma.prefill)
 	kv, err := rn.vm.Engines.Prefill(ctx, ma.prefill, engine.PrefillOrder{
 		Request:      ma.name,
 		Customer:     rn.id.Customer,
@@ -190,12 +190,13 @@
 	if !backend.NotRun(err) {
 		rn.sent.Store(true)
 	}
-	rn.recordCall(ctx, sentCall{server: ma.prefill, began: began}, err)
+	rn.recordCall(ctx, sc, err)
 	if err != nil {
 		ma.heed(err)
 		return failure{"prefill", err}
 	}
 	ma.kv = kv
+	ma.prefill.Incarnation = rn.vm.incarnations.Of(ma.prefill.ID) // which keeps the KV cache
 	took := rn.vm.Clock.Now() - began
 	ma.rs.progress(sched.Prefilled, ma.prefill.ID, 0, took)
 	rn.tr.add(event.PrefillDone, ma.prefill.ID)
@@ -288,20 +289,20 @@
 	if err := rn.checkPoison(); err != nil {
 		return err
 	}
-	sc := sentCall{server: ma.decode, began: rn.vm.Clock.Now()}
+	sc := sentCall{server: ma.decode, held: true, began: rn.vm.Clock.Now()}
 	st, err := rn.vm.Engines.Decode(ctx, ma.decode, engine.DecodeOrder{
 		Request:   ma.name,
 		Attempt:   ma.number,
 		MaxTokens: rn.req.Chat.MaxTokens,
 		From:      have,
 	})
-	rn.recordCall(ctx, sc, err)
 	if err != nil {
+		rn.recordHeld(ctx, sc, err)
 		ma.heed(err)
 		return failure{"decode", err}
 	}
 	ma.rs.progress(sched.Decoding, ma.decode.ID, 0, 0)
-	rn.claimed.became(claim.Decoding, ma.decode.ID, ma.name)
+	rn.claimed.became(decodesAt(ma.decode, ma.name))
 	rn.tr.add(event.DecodeStarted, ma.decode.ID)
 	return rn.stream(ctx, st, sc, ma.name, have, rn.vm.Engines.Resume)
 }
@@ -319,13 +320,19 @@
 		return false
 	}
 	rn.sent.Store(true)
-	sc := sentCall{server: srv, answered: true} // as far as this VM knows
+	sc := sentCall{server: srv, held: true, answered: true} // as far as this VM knows
+	if dec.DecodeIncarnation != 0 {
+		sc.server.Incarnation = dec.DecodeIncarnation
+	}
 	st, err := openAgain(ctx, rn.vm.Engines.Resume, srv, dec.EngineRequest, 0)
 	if err != nil {
-		rn.recordLostDecode(ctx, sc, dec.EngineRequest, err)
+		if dec.DecodeIncarnation != 0 {
+			rn.recordHeld(ctx, sc, err)
+		}
 		return false
 	}
-	rn.claimed.became(claim.Decoding, srv.ID, dec.EngineRequest)
+	sc.server.Incarnation = rn.vm.incarnations.Of(srv.ID) // it has answered just now
+	rn.claimed.became(decodesAt(sc.server, dec.EngineRequest))
 	if err := rn.stream(ctx, st, sc, dec.EngineRequest, 0, rn.vm.Engines.Resume); err != nil {
 		if !rn.takenOver(ctx) {
 			rn.vm.janitor.free(rn.vm.runCtx, srv.ID, dec.EngineRequest)
@@ -353,7 +360,8 @@
 		return false
 	}
 	rn.tr.add(event.ReadOn, srv.ID)
-	return rn.stream(ctx, st, sentCall{server: srv}, dec.EngineRequest, 0, rn.vm.Engines.Follow) == nil
+	srv.Incarnation = rn.vm.incarnations.Of(srv.ID) // it has answered just now
+	return rn.stream(ctx, st, sentCall{server: srv, held: true}, dec.EngineRequest, 0, rn.vm.Engines.Follow) == nil
 }
 
 // awaitLoss calls lost once a VM is held dead or has left: what it ran may be
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -175,7 +175,7 @@
 		began <- id
 	}
 	rn.tr.add(event.Granted, id)
-	sc := sentCall{server: srv, began: vm.Clock.Now()}
+	sc := vm.send(srv)
 	rsp, err := vm.Services.Call(ctx, srv, call)
 	rn.recordCall(ctx, sc, err)
 	if !backend.NotRun(err) {
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -5,11 +5,12 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"syscall"
 
+	"alderdyke/internal/answer"
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
+	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/fleet"
 	"alderdyke/internal/poison"
@@ -29,6 +30,8 @@
 // sentCall is a call that carried a request to a server, or read its answer there.
 type sentCall struct {
 	server   board.BackendServer
+	held     bool         // the server's incarnation is the one that holds the request
+	told     uint64       // how often the server had told its incarnation before the call
 	began    clock.Millis // point at which the server was sent the request; zero: not known
 	answered bool         // tokens came
 }
@@ -48,40 +51,24 @@
 	return fleet.Spread{Self: vm.Self.ID, View: vm.Board.Fleet, Peers: vm.Peers}
 }
 
-// probe asks a server whether it is there in the incarnation that a call was sent to. A
-// decode that a lost VM had started there, in whatever incarnation, must be held still.
+// probe asks a server whether it is there in the incarnation that a call was sent to.
 func (vm *VM) probe(ctx context.Context, cl poison.Call) poison.Finding {
-	if decode, lost := strings.CutPrefix(cl.Instance, lostDecode(cl.Server, "")); lost {
-		return vm.probeDecode(ctx, cl.Server, decode)
-	}
 	var err error
 	for range pingTries {
-		if err = vm.ping(ctx, cl.Server); err == nil || errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
+		if err = vm.ping(ctx, cl.Server); err == nil || ctx.Err() != nil {
 			break
 		}
 	}
-	switch now := vm.incarnations.Of(cl.Server.ID); {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return poison.Ended
-	case cl.Server.Incarnation == 0 || ctx.Err() != nil:
+	refused, now := errors.Is(err, syscall.ECONNREFUSED), vm.incarnations.Of(cl.Server.ID)
+	switch {
+	case ctx.Err() != nil:
 		return poison.Alive
-	case now != cl.Server.Incarnation:
+	case cl.Confirmed && now != cl.Server.Incarnation:
 		return poison.Ended
-	case unanswered(err):
+	case cl.Server.Incarnation != 0 && (refused || unanswered(err)):
 		return poison.Unanswered
-	default:
-		return poison.Alive
-	}
-}
-
-func (vm *VM) probeDecode(ctx context.Context, srv board.BackendServer, decode string) poison.Finding {
-	runs, err := vm.Engines.Running(ctx, srv)
-	held := slices.ContainsFunc(runs, func(run engine.Running) bool { return run.Request == decode })
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED), err == nil && !held:
+	case refused:
 		return poison.Ended
-	case ctx.Err() == nil && unanswered(err):
-		return poison.Unanswered
 	default:
 		return poison.Alive
 	}
@@ -100,10 +87,10 @@
 	return vm.Engines.Ping(ctx, srv)
 }
 
-// learnIncarnation asks a server that this VM never called for its incarnation, so that
-// an end of it is known by the first call.
+// learnIncarnation asks a server for its incarnation beside a call, if it told none yet,
+// or if a request is under suspicion: the one that is known may have ended unnoticed.
 func (vm *VM) learnIncarnation(srv board.BackendServer) {
-	if !vm.incarnations.Missing(srv.ID) {
+	if !vm.incarnations.Missing(srv.ID) && !vm.poison.Any() {
 		return
 	}
 	vm.wg.Go(func() {
@@ -159,51 +146,60 @@
 	}
 }
 
-// recordSuccess notes that a request which this VM ran had its whole answer. That of a
-// request which was followed is noted by the VM that ran it, and may be a refusal.
+// recordSuccess notes that a request which this VM ran had its whole answer. One that
+// was followed ends without an error too, also in a refusal.
 func (rn *run) recordSuccess() {
-	if rn.is(running) && rn.vm.poison.Any() {
+	last, _ := rn.st.Last()
+	if rn.is(running) && last.Kind != answer.Refused && rn.vm.poison.Any() {
 		rn.vm.poison.RecordSuccess(rn.name(), rn.mark())
 	}
 }
 
+// send begins a call that carries the request to a server.
+func (vm *VM) send(srv board.BackendServer) sentCall {
+	sc := sentCall{server: srv, began: vm.Clock.Now(), told: vm.incarnations.Times(srv.ID)}
+	vm.learnIncarnation(srv)
+	return sc
+}
+
 // recordCall notes how a call ended that carried the request to a server, or read its
 // answer there. Where it broke off, it returns when it is known whether the server has
 // ended, or soon after.
 func (rn *run) recordCall(ctx context.Context, sc sentCall, err error) {
 	_, doubt := errors.AsType[backend.InDoubtError](err)
-	if !doubt || !poison.Broke(ctx, err) || errors.Is(err, engine.ErrEnded) {
-		return
+	if doubt && poison.Broke(ctx, err) && !errors.Is(err, engine.ErrEnded) {
+		rn.recordBrokenCall(ctx, sc)
 	}
-	if sc.server.Incarnation == 0 {
-		sc.server.Incarnation = rn.vm.incarnations.Of(sc.server.ID)
-	}
-	rn.recordBrokenCall(ctx, sc, fmt.Sprintf("%s/%d", sc.server.ID, sc.server.Incarnation))
 }
 
-// recordLostDecode notes that a decode which a lost VM had started can't be read. Its
-// server is asked for the decode, for nothing is known of the incarnation that began it.
-func (rn *run) recordLostDecode(ctx context.Context, sc sentCall, decode string, err error) {
-	if _, why := backend.OutcomeOf(err); ctx.Err() == nil && (unreachable(err) || why == backend.Unknown) {
-		rn.recordBrokenCall(ctx, sc, lostDecode(sc.server, decode))
+// recordHeld notes how a call ended that goes on with what a server held for the request:
+// one that can't be reached, or holds nothing, may have ended before the call.
+func (rn *run) recordHeld(ctx context.Context, sc sentCall, err error) {
+	_, why := backend.OutcomeOf(err)
+	if ctx.Err() == nil && (unreachable(err) || why == backend.Unknown || why == backend.NoKV) {
+		rn.recordBrokenCall(ctx, sc)
 	}
 }
 
-// lostDecode names what was lost where the incarnation of the server is not known.
-func lostDecode(srv board.BackendServer, decode string) string {
-	return srv.ID + " decode " + decode
-}
-
-func (rn *run) recordBrokenCall(ctx context.Context, sc sentCall, instance string) {
+func (rn *run) recordBrokenCall(ctx context.Context, sc sentCall) {
+	if !sc.held {
+		sc.server.Incarnation = rn.vm.incarnations.Of(sc.server.ID)
+	}
 	rn.vm.poison.RecordBrokenCall(ctx, poison.Call{
-		Request:  rn.name(),
-		Mark:     rn.mark(),
-		Server:   sc.server,
-		Instance: instance,
-		Began:    sc.began,
-		Answered: sc.answered,
-		Beside:   poison.UnknownBeside,
+		Request:   rn.name(),
+		Mark:      rn.mark(),
+		Server:    sc.server,
+		Instance:  fmt.Sprintf("%s/%d", sc.server.ID, sc.server.Incarnation),
+		Confirmed: sc.server.Incarnation != 0 && (sc.held || rn.vm.incarnations.Times(sc.server.ID) > sc.told),
+		Began:     sc.began,
+		Answered:  sc.answered,
+		Beside:    poison.UnknownBeside,
 	})
 }
 
+// decodesAt is what the seats of a key are told of a decode.
+func decodesAt(srv board.BackendServer, name string) claim.Became {
+	return claim.Became{State: claim.Decoding, DecodeServer: srv.ID, DecodeIncarnation: srv.Incarnation, EngineRequest: name}
+}
+
 func (rn *run) name() string { return rn.id.Customer + "/" + rn.id.Key }
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"alderdyke/internal/backend"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/sched"
@@ -128,7 +129,7 @@
 	defer stop()
 	done := make(chan error, 1)
 	srv, said := ma.decode, ma.rs.said
-	sc := sentCall{server: srv, began: ma.rn.vm.Clock.Now()}
+	sc := ma.rn.vm.send(srv)
 	go func() {
 		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
 			Request:  ma.name,
@@ -143,6 +144,9 @@
 		select {
 		case err := <-done:
 			ma.rn.recordCall(ctx, sc, err)
+			if _, why := backend.OutcomeOf(err); why == backend.TransferFailed && ctx.Err() == nil {
+				ma.rn.recordBrokenCall(ctx, sentCall{server: ma.prefill, held: true})
+			}
 			if err != nil {
 				ma.heed(err)
 				ma.letGo(srv.ID)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -181,7 +181,7 @@
 		return Response{}, InDoubtError{Server: srv.ID, Call: "Call", Status: rsp.StatusCode, Err: err}
 	}
 	hd := endToEnd(rsp.Header)
-	hd.Del(backend.IncarnationHeader) // meant for this VM
+	hd.Del(backend.ServerIncarnationHeader) // meant for this VM
 	return Response{Status: rsp.StatusCode, Header: hd, Body: body}, nil
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -31,7 +31,7 @@
 		rw.Header().Set("Connection", "X-Hop")
 		rw.Header().Set("X-Hop", "1")
 		rw.Header().Set("X-Kept", string(body))
-		rw.Header().Set(backend.IncarnationHeader, "9")
+		rw.Header().Set(backend.ServerIncarnationHeader, "9")
 		rw.WriteHeader(http.StatusTeapot)
 	})
 	in := &backend.Incarnations{}
@@ -47,7 +47,7 @@
 	assert.Equal(t, rsp.Status, http.StatusTeapot) // the service's own answer
 	assert.Equal(t, rsp.Header.Get("X-Kept"), "body")
 	assert.Equal(t, rsp.Header.Get("X-Hop"), "")
-	assert.Equal(t, rsp.Header.Get(backend.IncarnationHeader), "")
+	assert.Equal(t, rsp.Header.Get(backend.ServerIncarnationHeader), "")
 	assert.Equal(t, in.Of(srv.ID), uint64(9))
 	assert.Equal(t, got.RequestURI, "/a%2Fb?q=1")
 	assert.Equal(t, got.Header.Get("X-Plant"), "17")
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -187,7 +187,7 @@
 	if ft.Dead {
 		Cut()
 	}
-	rw.Header().Set(backend.IncarnationHeader, ct.incarnation())
+	rw.Header().Set(backend.ServerIncarnationHeader, ct.incarnation())
 	if !hit {
 		next.ServeHTTP(rw, req)
 		return
