entry: ask no question of the follower whose asker gave up

A data race, found by the race detector in TestRolesFollowTheLoad beside a load of 60: an operator's status call that had waited for its whole time read the state of the log while the follower, busy until then, wrote it. Other questions that are asked in this way write variables of their askers too: the reply to a peer that asks for records, for one.

A question whose time is over is not asked any more, and one that is being asked is waited for. TestQuestionThatWasGivenUpIsNotAsked failed before and passes.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -89,9 +89,25 @@
 }
 
 // look has a question answered between two steps. It reports false if the
-// context ended first.
+// context ended first; the question is not asked after that, as it writes what
+// its asker reads.
 func (fw *follower) look(ctx context.Context, ask func(fo *register.Follower)) bool {
-	lk := look{ask: ask, done: make(chan struct{})}
+	var (
+		mu    sync.Mutex
+		ended bool
+	)
+	defer func() {
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+	}()
+	lk := look{done: make(chan struct{}), ask: func(fo *register.Follower) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			ask(fo)
+		}
+	}}
 	if !fw.ac.Tell(ctx, lk) {
 		return false
 	}
--- /dev/null
+++ b/internal/entry/follower_test.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/register"
+	"alderdyke/pkg/clock"
+)
+
+// A status call whose time was over read the answer while the follower, which
+// had been busy, wrote it.
+func TestQuestionThatWasGivenUpIsNotAsked(t *testing.T) {
+	fw := (&VM{Clock: clock.Monotonic{}}).newFollower("s", register.Templates)
+	ctx, stop := context.WithCancel(t.Context())
+	asked, given := false, make(chan bool)
+	go func() { given <- fw.look(ctx, func(*register.Follower) { asked = true }) }()
+	late := <-fw.ac.Events
+	stop()
+	assert.Assert(t, !<-given)
+	fw.step(0, late)
+	assert.Assert(t, !asked)
+}
