entry, sched: the wait of a KV cache for its transfer is logged

Callers were refused after KV caches lapsed that the engines had kept for 0.8 s (TestRecordsLostWithTwoVMs and three more, beside load). Neither log nor trace told a wait at the accountant from a lost word, a dial, or a VM without a processor.

A Transfer says how long its KV cache waited and for what (Link, Place or Quick), or which stalled transfer it replaces after how long. The accountant logs waits of 400 ms and more as TransferWaited and each replaced transfer as TransferMoved; the trace of the request has TransferChosen when the decision arrives. Decisions are as before.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -19,6 +19,7 @@
 	reportEvery  = 500 * clock.Millis(1)
 	reportWithin = 1 * clock.Second
 	outboxDepth  = 16
+	transferLate = 400 * clock.Millis(1) // wait of a KV cache that is worth a line in the log
 )
 
 type (
@@ -294,6 +295,7 @@
 			hr.stage, hr.taken = sched.Prefilling, false
 		})
 	case sched.Transfer:
+		hc.logTransfer(in)
 		hc.tellRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
 			PrefillServer: in.Prefill, DecodeServer: in.Decode, Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) { hr.decode = in.Decode })
@@ -309,6 +311,18 @@
 	}
 }
 
+// logTransfer logs a transfer that began late, or that replaces a stalled one.
+func (hc *heldCell) logTransfer(in sched.Transfer) {
+	switch {
+	case in.Stalled != "":
+		hc.vm.Log.Log(event.TransferMoved, event.F("Request", in.Request), event.F("From", in.Stalled),
+			event.F("To", in.Decode), event.F("Spent", in.Spent), event.F("Expected", in.Expected))
+	case in.Waited >= transferLate:
+		hc.vm.Log.Log(event.TransferWaited, event.F("Request", in.Request), event.F("Server", in.Prefill),
+			event.F("For", in.For), event.F("Waited", in.Waited))
+	}
+}
+
 func (hc *heldCell) tellRunner(request string, fr *peerpb.Frame, note func(*heldRequest)) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/sched"
 	"alderdyke/pkg/clock"
@@ -112,6 +113,7 @@
 	if !ok {
 		return failure{"use the transfer", fmt.Errorf("%q: %w", id, errUnknown)}
 	}
+	ma.rn.tr.add(event.TransferChosen, id)
 	ma.decode = srv
 	return nil
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -48,6 +48,8 @@
 		"the VM that accounts for the model engines can't be asked; this VM chooses by load reports", "none")
 	ReadOn = register(1115, "ReadOn", Warn,
 		"the VM that runs the request can't be reached; its decode is read on at the engine", "none")
+	TransferChosen = register(1116, "TransferChosen", Info,
+		"the VM that accounts for the model engines chose the decode engine that fetches the KV cache", "none")
 )
 
 // Events 1150 to 1199: accounting for cells of model engines.
@@ -62,4 +64,8 @@
 		"a backend server does not report its load", "look at the backend server")
 	ListUnreachable = register(1154, "ListUnreachable", Warn,
 		"the platform's VM list does not answer; the last one stays in use", "look at the platform")
+	TransferWaited = register(1155, "TransferWaited", Warn,
+		"a KV cache was kept for long before its transfer began", "none; For names what it waited for last; look at the engines if it goes on")
+	TransferMoved = register(1156, "TransferMoved", Warn,
+		"a transfer took far longer than expected and goes to another decode engine", "look at the engines and their links if it goes on")
 )
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -367,7 +367,7 @@
 	ce.emit(Preempt{Request: jb.ask.Request, Attempt: jb.ask.Attempt, Reason: why})
 	jb.ask.HeldPrefill = ""
 	jb.ask.Attempt++
-	jb.moved = false
+	jb.moved, jb.waits = false, ""
 	jb.grp.enqueue(jb)
 	ce.queued++
 }
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -66,6 +66,7 @@
 		alone     bool    // its prefill, or its transfer, had the engine to itself
 		orphan    bool
 		moved     bool // its transfer was sent another way once
+		waits     Wait // what its transfer waited for last
 		lapses    int  // KV caches that lapsed
 		began     bool // it was granted at least once
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,7 +40,17 @@
 	Rejected     Stage = "Rejected"     // the decode engine refused the import as full; the KV cache is still kept
 )
 
+// What a KV cache may wait for.
+const (
+	ForLink  Wait = "Link"  // another transfer has the prefill engine's link
+	ForPlace Wait = "Place" // no decode engine has a free place
+	ForQuick Wait = "Quick" // the free places are left to quick requests
+)
+
 type (
+	// Wait is what a KV cache waits for before its transfer begins.
+	Wait string
+
 	// Stage of a granted request.
 	Stage string
 
@@ -138,10 +148,15 @@
 	// whose place is reserved. A second Transfer for the same request
 	// replaces the first, which stalled or was rejected.
 	Transfer struct {
-		Request string
-		Attempt int
-		Prefill string
-		Decode  string
+		Request  string
+		Attempt  int
+		Prefill  string
+		Decode   string
+		Waited   clock.Millis // span since the KV cache was ready or the transfer before was rejected
+		For      Wait         // what it waited for last; empty if it began at once
+		Stalled  string       // decode engine of the transfer that this one replaces since it stalled
+		Spent    clock.Millis // span since that one began
+		Expected clock.Millis // what that one was expected to take
 	}
 
 	// Refuse ends a waiting request.
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -51,14 +51,18 @@
 	for ix, jb := range ce.ready {
 		dec := ce.decodes.best()
 		if dec == nil {
+			for _, ja := range ce.ready[ix:] {
+				ja.waits = ForPlace
+			}
 			rest = append(rest, ce.ready[ix:]...)
 			break
 		}
-		if !ce.linkFree(now, jb) || ce.leavesToQuick(now, jb) {
+		if wt := ce.waitsFor(now, jb); wt != "" {
+			jb.waits = wt
 			rest = append(rest, jb)
 			continue
 		}
-		ce.startTransfer(now, jb, dec)
+		ce.startTransfer(now, jb, dec, Transfer{Waited: now - jb.since, For: jb.waits})
 	}
 	clear(ce.ready[len(rest):])
 	ce.ready = rest
@@ -74,6 +78,19 @@
 	return float64(jb.lapse) - jb.linkMS - lapseAhead*jb.grp.weight
 }
 
+// waitsFor is what a transfer has to wait for beside a free place; empty if it
+// may begin.
+func (ce *Cell) waitsFor(now clock.Millis, jb *job) Wait {
+	switch {
+	case !ce.linkFree(now, jb):
+		return ForLink
+	case ce.leavesToQuick(now, jb):
+		return ForQuick
+	default:
+		return ""
+	}
+}
+
 // leavesToQuick tells whether a patient transfer leaves the last places to
 // the quick requests whose prefills are under way. It does not once its KV
 // cache is about to lapse.
@@ -92,9 +109,11 @@
 	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)
 }
 
-func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine) {
+// startTransfer takes a place for a transfer and orders it. The order comes with
+// what it waited for or what it replaces.
+func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine, order Transfer) {
 	ce.promised[class(jb)]--
-	jb.stage, jb.since, jb.decode = Transferring, now, dec
+	jb.stage, jb.since, jb.decode, jb.waits = Transferring, now, dec, ""
 	jb.alone = !jb.ask.Quick && jb.prefill.sending == 0
 	if !jb.ask.Quick {
 		jb.prefill.sending++
@@ -102,7 +121,9 @@
 	dec.hold(1)
 	ce.changed(dec)
 	ce.moving = append(ce.moving, jb)
-	ce.emit(Transfer{Request: jb.ask.Request, Attempt: jb.ask.Attempt, Prefill: jb.prefill.id, Decode: dec.id})
+	order.Request, order.Attempt = jb.ask.Request, jb.ask.Attempt
+	order.Prefill, order.Decode = jb.prefill.id, dec.id
+	ce.emit(order)
 }
 
 // decoding notes that the KV cache has arrived.
@@ -198,11 +219,12 @@
 		ce.changed(first)
 		return
 	}
+	order := Transfer{Stalled: first.id, Spent: now - jb.since, Expected: clock.Millis(jb.linkMS)}
 	ce.unplace(jb)
 	first.foreign++
 	ce.changed(first)
 	jb.moved = true
-	ce.startTransfer(now, jb, dec)
+	ce.startTransfer(now, jb, dec, order)
 }
 
 // adopt takes over a grant that the accounting VM before this one made.
