sched: a transfer is stalled by what transfers take, not by the link alone

Cause: a transfer counted as stalled after three times the link's time and 100 ms. A short prompt is on the link for a millisecond; beside load its messages alone take longer. The accountant sent it to another decode engine, and the runner cancelled the import that was about to end.

Ruled out: a lost decision, and a choice by the runner.

The cell now estimates what transfers take beside their links, by mean and deviation as a retransmission timer does (RFC 6298). A transfer that was ordered twice teaches nothing (Karn), and each one that is moved doubles the timeout up to half of the time that a KV cache is kept. No transfer is moved when another order would take too long by the same estimate. That time no longer counts against the link's rate.

TestStallIsFoundBesideSlowMessages holds the other side.

--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -51,6 +51,8 @@
 		ready  []*job   // prefilled, waiting for a link and a place
 		moving []*job   // their transfer goes on
 
+		delay delay // of transfers beside their links
+
 		holders map[uint64][]*engine // prefill engines that lately computed a prefix
 
 		slots    int // places of usable decode engines, less those of others
--- /dev/null
+++ b/internal/sched/delay_test.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+// slowMessages is a cell whose prefills are done at once and whose transfers
+// take a span beside their links.
+type slowMessages struct {
+	fx    *fixture
+	takes clock.Millis
+	seen  int // intents looked at
+	due   map[string]clock.Millis
+	moves []Transfer
+}
+
+func newSlowMessages(takes clock.Millis) *slowMessages {
+	return &slowMessages{fx: newFixture(1, 4, 20), takes: takes, due: make(map[string]clock.Millis)}
+}
+
+// play passes the time. The newest order of a request replaces the one before.
+func (sm *slowMessages) play(span clock.Millis) {
+	for until := sm.fx.now + span; sm.fx.now < until; sm.fx.now += 5 {
+		for _, id := range sm.answered() {
+			delete(sm.due, id)
+			sm.fx.progress(id, Decoding, 0)
+		}
+		sm.fx.do(Tick{})
+		for ; sm.seen < len(sm.fx.all); sm.seen++ {
+			switch in := sm.fx.all[sm.seen].(type) {
+			case Grant:
+				sm.fx.progress(in.Request, Prefilled, 1)
+			case Transfer:
+				sm.due[in.Request] = sm.fx.now + sm.takes
+				sm.moves = append(sm.moves, in)
+			case Preempt:
+				delete(sm.due, in.Request)
+			}
+		}
+	}
+}
+
+func (sm *slowMessages) answered() []string {
+	var ids []string
+	for id, at := range sm.due {
+		if at <= sm.fx.now {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (sm *slowMessages) submit(id string, tokens int) {
+	ask := patient(id)
+	ask.PromptTokens = tokens
+	sm.fx.do(Submit{Ask: ask})
+}
+
+func (sm *slowMessages) stalled() int {
+	count := 0
+	for _, tr := range sm.moves {
+		if tr.Stalled != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// A transfer of a short prompt was held to be stalled after 100 ms, however long
+// transfers took: beside load each of them was thrown away once, on its way.
+func TestSlowMessagesAreNoStall(t *testing.T) {
+	for _, takes := range []clock.Millis{90, 150, 300} {
+		t.Run(takes.String(), func(t *testing.T) {
+			sm := newSlowMessages(takes)
+			for ix := range 20 {
+				sm.submit(fmt.Sprint("r", ix), 100)
+				sm.play(clock.Second)
+			}
+			assert.Assert(t, sm.stalled() <= 2, "%d transfers were held to be stalled", sm.stalled())
+		})
+	}
+}
+
+// A transfer that does stall goes another way in time, also where messages are
+// slow.
+func TestStallIsFoundBesideSlowMessages(t *testing.T) {
+	sm := newSlowMessages(60)
+	for ix := range 10 {
+		sm.submit(fmt.Sprint("r", ix), 100)
+		sm.play(clock.Second)
+	}
+	assert.Equal(t, sm.stalled(), 0)
+	sm.takes = clock.Minute
+	sm.submit("stalls", 100)
+	sm.play(sm.fx.ce.Keep / 2)
+	assert.Equal(t, sm.stalled(), 1)
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -270,7 +270,7 @@
 	}
 	for _, jb := range ce.moving {
 		if !jb.moved && !jb.orphan {
-			al.sooner(jb.since + clock.Millis(stallFactor*jb.linkMS) + stallLeast + 1)
+			al.sooner(ce.stallsAt(jb))
 		}
 	}
 	if len(ce.ready) > 0 {
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -134,6 +134,9 @@
 	if jb.alone && jb.prefill.sending == 1 {
 		jb.prefill.learnLink(jb.ask.PromptTokens, took-ce.Ways/2)
 	}
+	if !jb.moved && !jb.orphan {
+		ce.delay.learn(float64(now-jb.since) - stallFactor*jb.linkMS)
+	}
 	ce.sent(jb)
 	ce.moving = without(ce.moving, jb)
 	jb.stage, jb.since = Decoding, now
@@ -199,14 +202,19 @@
 
 // stalled tells whether a transfer takes so much longer than expected that
 // another decode engine is worth a try. It is not when, at the pace that the
-// link has shown, another would not arrive before the KV cache lapses.
+// link and the messages have shown, another would not arrive before the KV cache
+// lapses.
 func (ce *Cell) stalled(now clock.Millis, jb *job) bool {
-	spent := float64(now - jb.since)
-	if jb.moved || jb.orphan || spent <= stallFactor*jb.linkMS+float64(stallLeast) {
+	if jb.moved || jb.orphan || now < ce.stallsAt(jb) {
 		return false
 	}
-	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
-	return float64(jb.lapse-now) > float64(jb.ask.PromptTokens)/jb.prefill.linkRate
+	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since-clock.Millis(ce.delay.mean))
+	return float64(jb.lapse-now) > float64(jb.ask.PromptTokens)/jb.prefill.linkRate+ce.delay.timeout(ce.Keep/2)
+}
+
+// stallsAt is the point from which a transfer counts as stalled.
+func (ce *Cell) stallsAt(jb *job) clock.Millis {
+	return jb.since + clock.Millis(stallFactor*jb.linkMS+ce.delay.timeout(ce.Keep/2)) + 1
 }
 
 // redirect sends a stalled transfer to another decode engine. The place at
@@ -224,6 +232,7 @@
 	first.foreign++
 	ce.changed(first)
 	jb.moved = true
+	ce.delay.expired()
 	ce.startTransfer(now, jb, dec, order)
 }
 
