sched: transfers of short prompts go side by side

Cause: patient transfers go one at a time on a prefill engine's link, from the order to the first word of the decode. Of a short prompt that is a millisecond on the link and, beside load, 100 ms and more of messages, in which the link is idle. Prompts are computed faster than that, so their KV caches wait. One that is about to lapse goes beside the others, but only 25 ms before the lapse, which is less than its own order takes.

Transfers now go side by side while their work on the link is less than the delay beside it, up to a quarter of the keep. A longer prompt goes alone as before; one that is about to lapse goes earlier by the delay.

TestLongTransfersGoOneAtATime holds the other side.

--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -352,7 +352,7 @@
 // sent takes a transfer off the link of its prefill engine.
 func (ce *Cell) sent(jb *job) {
 	if !jb.ask.Quick && jb.prefill != nil {
-		jb.prefill.sending--
+		jb.prefill.endSend(jb.linkMS)
 	}
 }
 
--- a/internal/sched/delay_test.go
+++ b/internal/sched/delay_test.go
@@ -73,6 +73,35 @@
 	return count
 }
 
+// Transfers of short prompts went one at a time on a link that each of them
+// uses for a millisecond, while their messages took 150 ms. The later ones of
+// thirty KV caches waited for the link until they lapsed.
+func TestShortTransfersDoNotWaitForTheirMessages(t *testing.T) {
+	sm := newSlowMessages(150)
+	for ix := range 30 {
+		sm.submit(fmt.Sprint("r", ix), 20)
+	}
+	sm.play(2 * clock.Second)
+	assert.Equal(t, len(sm.fx.backs), 0, "KV caches that lapsed")
+	for _, tr := range sm.moves {
+		assert.Check(t, tr.Waited < sm.fx.ce.Keep/4, "%s waited %v for %s", tr.Request, tr.Waited, tr.For)
+	}
+	for _, jb := range sm.fx.ce.jobs {
+		assert.Equal(t, jb.stage, Decoding)
+	}
+}
+
+// Long transfers share a link that one of them fills, and go one at a time as
+// before.
+func TestLongTransfersGoOneAtATime(t *testing.T) {
+	sm := newSlowMessages(150)
+	for ix := range 3 {
+		sm.submit(fmt.Sprint("r", ix), 8000)
+	}
+	sm.play(100)
+	assert.Equal(t, len(sm.moves), 1)
+}
+
 // A transfer of a short prompt was held to be stalled after 100 ms, however long
 // transfers took: beside load each of them was thrown away once, on its way.
 func TestSlowMessagesAreNoStall(t *testing.T) {
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -41,6 +41,7 @@
 		rate        float64      // prompt tokens per millisecond, learned
 		linkRate    float64      // KV cache of prompt tokens per millisecond, learned
 		sending     int          // patient transfers on its link
+		linkWork    float64      // milliseconds that these take on it
 		prefixes    []uint64     // recent prefixes, latest last
 
 		// Of a decode engine.
@@ -124,6 +125,21 @@
 	}
 }
 
+// beginSend puts a patient transfer on the link.
+func (eng *engine) beginSend(linkMS float64) {
+	eng.sending++
+	eng.linkWork += linkMS
+}
+
+// endSend takes it off, complete or not.
+func (eng *engine) endSend(linkMS float64) {
+	eng.sending--
+	eng.linkWork -= linkMS
+	if eng.sending == 0 {
+		eng.linkWork = 0
+	}
+}
+
 // carries tells whether the link moves a prompt's KV cache well before it
 // lapses.
 func (eng *engine) carries(tokens int, keep clock.Millis) bool {
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -14,6 +14,7 @@
 	// that grows with time.
 	forecastEach = 25 * clock.Millis(1)
 
+	linkWindow = 0.25  // part of the keep that the transfers on a link may take side by side
 	lapsesMost = 3     // KV caches that one request may lose
 	quickAhead = 200.0 // milliseconds that quick transfers count as sooner
 	lapseAhead = 300.0 // the same for patient ones, at a weight of 1
@@ -101,12 +102,17 @@
 
 // linkFree tells whether a transfer may go on its prefill engine's link.
 // Quick requests always may; patient ones go one after another unless the KV
-// cache would lapse meanwhile.
+// cache would lapse meanwhile. Transfers whose work on the link is less than
+// their delay beside it go side by side, as the link is idle otherwise.
 func (ce *Cell) linkFree(now clock.Millis, jb *job) bool {
 	if jb.ask.Quick || jb.prefill.sending < sendingMost {
 		return true
 	}
-	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)
+	window := min(max(float64(ce.Ways), ce.delay.mean), linkWindow*float64(ce.Keep))
+	if jb.prefill.linkWork+jb.linkMS <= window {
+		return true
+	}
+	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)+ce.delay.mean
 }
 
 // startTransfer takes a place for a transfer and orders it. The order comes with
@@ -116,7 +122,7 @@
 	jb.stage, jb.since, jb.decode, jb.waits = Transferring, now, dec, ""
 	jb.alone = !jb.ask.Quick && jb.prefill.sending == 0
 	if !jb.ask.Quick {
-		jb.prefill.sending++
+		jb.prefill.beginSend(jb.linkMS)
 	}
 	dec.hold(1)
 	ce.changed(dec)
@@ -270,7 +276,7 @@
 	if ad.Stage == Transferring {
 		jb.lapse = now
 		if !jb.ask.Quick {
-			jb.prefill.sending++
+			jb.prefill.beginSend(jb.linkMS)
 		}
 		ce.moving = append(ce.moving, jb)
 		return
