sched, entry: a KV cache that is kept no more does not fill its decode engine

Cause: a decode engine that declines an import NoKV says that the prefill engine dropped the KV cache. The runner told the accountant Rejected, which means that the decode engine is full: it got nothing until its next report, and a cell of one or two such engines had no places at all. The request waited on for its KV cache to lapse, which the runner at times did not live to hear.

That no other cause took the places is not shown.

The runner says Lapsed. The engine's place is free at once, and the accountant takes the grant back, as for any KV cache that lapsed.

TestLostKVCacheDoesNotFillTheDecodeEngine (fails before), TestLostKVCacheIsTakenBackAtOnce; TestInvariants plays the stage too.

--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -59,7 +59,13 @@
 // to go on with.
 func newTold(t *testing.T, td *toldDecode, has []string) (*run, claim.Decided) {
 	t.Helper()
-	hs := httptest.NewServer(td)
+	return newToldBy(t, td, has)
+}
+
+// newToldBy is the same for an engine of any kind.
+func newToldBy(t *testing.T, en http.Handler, has []string) (*run, claim.Decided) {
+	t.Helper()
+	hs := httptest.NewServer(en)
 	t.Cleanup(hs.Close)
 	vm := newFollowVM(t, "vm-near")
 	vm.loopCtx = t.Context()
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"alderdyke/internal/backend"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
 	"alderdyke/internal/peer/peerpb"
@@ -46,7 +47,11 @@
 		case errors.Is(err, errMoved):
 			continue
 		}
-		ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+		if _, reason := backend.OutcomeOf(err); reason == backend.NoKV {
+			ma.rs.tell(sched.Lapsed, ma.decode.ID, 0)
+		} else {
+			ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+		}
 		if next := ma.chooseAgain(ctx, now); next != nil {
 			return errors.Join(next, err)
 		}
--- /dev/null
+++ b/internal/entry/transfer_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/peer/peerpb"
+	"alderdyke/internal/sched"
+)
+
+// transferRig is an attempt whose prompt is computed, its accountant's end of
+// the reservation, and the decode engine e1.
+type transferRig struct {
+	ma *modelAttempt
+	rr *rigRunner // the accountant's end: it receives what the runner tells
+}
+
+func newTransferRig(t *testing.T, decode http.HandlerFunc) *transferRig {
+	t.Helper()
+	rn, _ := newToldBy(t, decode, nil)
+	near, far := newPipe()
+	ma := &modelAttempt{
+		rn:      rn,
+		name:    "cu/k/1.0",
+		number:  1,
+		kv:      engine.PrefillResult{KV: "kv", KeptFor: 800},
+		prefill: board.BackendServer{ID: "p1", Role: board.Prefill, Address: "p1.example:1"},
+		touched: make(map[string]struct{}),
+		rs: &reservation{vm: rn.vm, cn: near, granted: true, attempt: 1, stage: sched.Prefilled,
+			said: make(chan *peerpb.Frame, outboxDepth)},
+	}
+	return &transferRig{ma: ma, rr: &rigRunner{t: t, cn: far}}
+}
+
+// says is a decision of the accountant.
+func (tr *transferRig) says(fr *peerpb.Frame) { tr.ma.rs.said <- fr }
+
+func transferTo(server string) *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{DecodeServer: server, Attempt: 1}}}
+}
+
+func preempted() *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{Attempt: 1}}}
+}
+
+// A KV cache that its prefill engine dropped is no word of the decode engine.
+// The accountant heard that the engine had rejected the import, and took it to
+// be full until its next report.
+func TestLostKVCacheDoesNotFillTheDecodeEngine(t *testing.T) {
+	tr := newTransferRig(t, func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set(backend.DeclinedHeader, string(backend.NoKV))
+		wr.WriteHeader(http.StatusConflict)
+	})
+	tr.says(transferTo("e1"))
+	ended := make(chan error, 1)
+	go func() { ended <- tr.ma.transfer(t.Context()) }()
+	assert.Equal(t, tr.rr.next().GetProgress().GetStage(), string(sched.Transferring))
+	assert.Equal(t, tr.rr.next().GetProgress().GetStage(), string(sched.Lapsed))
+	tr.says(preempted())
+	assert.ErrorIs(t, <-ended, errPreempted)
+}
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -222,6 +222,8 @@
 		ce.prefilled(now, jb, pr.Took)
 	case Rejected:
 		ce.rejected(now, jb)
+	case Lapsed:
+		ce.notKept(now, jb)
 	case Decoding:
 		ce.decoding(now, jb, pr.Took)
 	case Ended:
--- a/internal/sched/delay_test.go
+++ b/internal/sched/delay_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"alderdyke/internal/board"
 	"alderdyke/pkg/clock"
 )
 
@@ -131,3 +132,20 @@
 	sm.play(sm.fx.ce.Keep / 2)
 	assert.Equal(t, sm.stalled(), 1)
 }
+
+// A KV cache that is kept no more says nothing of the decode engine that could
+// not fetch it, and the request is taken back at once.
+func TestLostKVCacheIsTakenBackAtOnce(t *testing.T) {
+	fx := newFixture(1, 1, 4)
+	fx.do(Submit{Ask: quick("q")})
+	fx.progress("q", Prefilled, 10)
+	assert.Equal(t, fx.moves["q"].Decode, "d0")
+	fx.progress("q", Lapsed, 0)
+	assert.Equal(t, fx.backs["q"], 1)
+	assert.Equal(t, fx.ce.engines["d0"].free(), 4)
+	assert.Equal(t, fx.ce.slots, 4)
+	assert.Equal(t, fx.grants["q"].Attempt, 1, "granted again")
+	fx.do(Report{Load: board.LoadReport{Server: "d0", Slots: 4}})
+	fx.run("q")
+	assert.Equal(t, fx.ce.engines["d0"].held, 1)
+}
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -64,7 +64,7 @@
 	}
 	next := map[Stage][]Stage{
 		Prefilling:   {Prefilled, Prefilled, Lost},
-		Transferring: {Decoding, Decoding, Rejected, Lost},
+		Transferring: {Decoding, Decoding, Rejected, Lapsed, Lost},
 		Decoding:     {Ended, Lost, Cancelled},
 	}[md.state[id]]
 	if len(next) == 0 {
@@ -81,6 +81,10 @@
 		}
 	case Prefilled:
 		md.state[id] = Prefilled
+	case Lapsed: // what becomes of it the intents tell
+		if md.orphaned[id] {
+			delete(md.state, id)
+		}
 	default:
 		md.state[id] = stage
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,6 +38,7 @@
 	Cancelled    Stage = "Cancelled"    // cancelled, and the engines confirmed that nothing is held
 	Lost         Stage = "Lost"         // an engine failed; what it held is unknown
 	Rejected     Stage = "Rejected"     // the decode engine refused the import as full; the KV cache is still kept
+	Lapsed       Stage = "Lapsed"       // the import failed since the KV cache is kept no more
 )
 
 // What a KV cache may wait for.
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -168,6 +168,18 @@
 	ce.ready = append(ce.ready, jb)
 }
 
+// notKept takes a request back whose KV cache was lost before its decode engine
+// had fetched it. That engine is as good as it was.
+func (ce *Cell) notKept(now clock.Millis, jb *job) {
+	switch {
+	case jb.stage != Transferring:
+	case jb.orphan:
+		ce.forget(now, jb)
+	default:
+		ce.lapsed(now, jb)
+	}
+}
+
 // unplace gives the place of a transfer back without dropping the request.
 func (ce *Cell) unplace(jb *job) {
 	ce.sent(jb)
