entry: an import ends when the accountant takes its grant back

A runner whose import went on read the accountant's decisions and dropped a Preempt. It could decode without a place that is accounted for, or wait for a decision that had come, and so use up an attempt.

The import is cancelled and the attempt waits for the next grant.

TestImportEndsWithItsGrant: before, the attempt failed after 8 s with "no decode engine had a place while the KV cache was kept".

--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -42,7 +42,7 @@
 	for {
 		err := ma.importKV(ctx)
 		switch {
-		case err == nil || ctx.Err() != nil:
+		case err == nil || ctx.Err() != nil || errors.Is(err, errPreempted):
 			return err
 		case errors.Is(err, errMoved):
 			continue
@@ -124,7 +124,7 @@
 }
 
 // importKV has the decode engine fetch the KV cache, and leaves off when the
-// accountant chooses another engine meanwhile.
+// accountant chooses another engine meanwhile or takes the grant back.
 func (ma *modelAttempt) importKV(ctx context.Context) error {
 	ma.rs.progress(sched.Transferring, ma.decode.ID, 0, 0)
 	ma.touched[ma.decode.ID] = struct{}{}
@@ -156,13 +156,28 @@
 				said = nil // no accountant any more
 				continue
 			}
-			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
-				ma.letGo(srv.ID)
-				if err := ma.useDecode(next.GetDecodeServer()); err != nil {
-					return err
-				}
-				return errMoved
+			if err := ma.replaced(fr, srv.ID); err != nil {
+				return err
 			}
 		}
 	}
 }
+
+// replaced leaves an import off if a decision of the accountant puts another
+// engine or another grant in its place.
+func (ma *modelAttempt) replaced(fr *peerpb.Frame, server string) error {
+	pr, next := fr.GetPreempt(), fr.GetTransfer()
+	switch {
+	case pr != nil && pr.GetAttempt() == ma.rs.attempt:
+		ma.letGo(server)
+		return errPreempted
+	case next != nil && next.GetDecodeServer() != server:
+		ma.letGo(server)
+		if err := ma.useDecode(next.GetDecodeServer()); err != nil {
+			return err
+		}
+		return errMoved
+	default:
+		return nil
+	}
+}
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
@@ -64,3 +65,22 @@
 	tr.says(preempted())
 	assert.ErrorIs(t, <-ended, errPreempted)
 }
+
+// The accountant takes a grant back while the import goes on, as where its
+// answer and a second order crossed. The runner went on with an import that
+// nobody accounted for.
+func TestImportEndsWithItsGrant(t *testing.T) {
+	began := make(chan struct{})
+	tr := newTransferRig(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // or the server does not see that the caller left
+		close(began)
+		<-req.Context().Done()
+	})
+	tr.says(transferTo("e1"))
+	ended := make(chan error, 1)
+	go func() { ended <- tr.ma.transfer(t.Context()) }()
+	<-began
+	tr.says(preempted())
+	assert.ErrorIs(t, <-ended, errPreempted)
+	assert.Equal(t, tr.rr.next().GetProgress().GetStage(), string(sched.Transferring))
+}
