entry: each import is an attempt of its own

Callers were refused TargetUnreachable after a transfer that was sent back to the engine that it had begun at:

vm-3 208ms TransferChosen: rapportmodel-decode-2 vm-3 726ms TransferChosen: rapportmodel-decode-1 vm-3 780ms TransferChosen: rapportmodel-decode-2 vm-3 1.162s AttemptFailed: import: Import was declined by rapportmodel-decode-2: Cancelled

Cause: a runner that leaves an import off cancels that attempt at its engine, which then declines every order of the same attempt. Where the second engine declines as well (here it was leaving), the accountant may choose the first again; the order named the cancelled attempt.

Each import counts as an attempt at the engines.

TestEachImportIsAnAttemptOfItsOwn fails before.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -52,7 +52,7 @@
 	modelAttempt struct {
 		rn      *run
 		name    string // of the request at the engines, new for each attempt
-		number  int    // of the grant in use, which is the attempt at the engines
+		number  int    // of the grant or import in use, which is the attempt at the engines
 		rs      *reservation
 		prefill board.BackendServer
 		decode  board.BackendServer
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -39,7 +39,7 @@
 	if err := ma.choose(ctx, now); err != nil {
 		return err
 	}
-	for {
+	for ; ; ma.number++ { // an engine declines an attempt that it was told to cancel
 		err := ma.importKV(ctx)
 		switch {
 		case err == nil || ctx.Err() != nil || errors.Is(err, errPreempted):
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"testing"
@@ -84,3 +85,45 @@
 	assert.ErrorIs(t, <-ended, errPreempted)
 	assert.Equal(t, tr.rr.next().GetProgress().GetStage(), string(sched.Transferring))
 }
+
+// A transfer that stalled at e1 and was declined by e2 is sent back to e1. The
+// order named the attempt that e1 had been told to cancel, and was declined:
+//
+//	vm-3  208ms TransferChosen: rapportmodel-decode-2
+//	vm-3  726ms TransferChosen: rapportmodel-decode-1
+//	vm-3  780ms TransferChosen: rapportmodel-decode-2
+//	vm-3 1.162s AttemptFailed: import: Import was declined by rapportmodel-decode-2: Cancelled
+func TestEachImportIsAnAttemptOfItsOwn(t *testing.T) {
+	began, attempts := make(chan struct{}, 3), make(chan int, 3)
+	tr := newTransferRig(t, func(wr http.ResponseWriter, req *http.Request) {
+		var od engine.ImportOrder
+		assert.Check(t, json.NewDecoder(req.Body).Decode(&od))
+		_, _ = io.Copy(io.Discard, req.Body)
+		attempts <- od.Attempt
+		began <- struct{}{}
+		switch od.Attempt {
+		case 1:
+			<-req.Context().Done()
+		case 2:
+			wr.Header().Set(backend.DeclinedHeader, string(backend.Full))
+			wr.WriteHeader(http.StatusConflict)
+		default:
+			_, _ = io.WriteString(wr, "{}")
+		}
+	})
+	vm := tr.ma.rn.vm
+	first, _ := vm.server("e1")
+	second := first
+	second.ID = "e2"
+	vm.Board.SetBackends(&board.Backends{Servers: []board.BackendServer{first, second}})
+	tr.says(transferTo("e1"))
+	ended := make(chan error, 1)
+	go func() { ended <- tr.ma.transfer(t.Context()) }()
+	<-began
+	tr.says(transferTo("e2"))
+	<-began
+	tr.says(transferTo("e1"))
+	<-began
+	assert.NilError(t, <-ended)
+	assert.DeepEqual(t, []int{<-attempts, <-attempts, <-attempts}, []int{1, 2, 3})
+}
