integration: TestCallersConnectionsBreak counts decodes that began, and tokens

Proposed; the lead decides. The test wants one decode of each request and counted entries in the histories of decode engines. A transfer that is moved leaves an entry at each engine and begins one decode (TestMovedTransferIsNoSecondDecode), as in a run of this test:

break-1 at decode-1: 0 decodes began, 0 tokens, "Cancelled", [{Transferring 4.398s}] break-1 at decode-2: 1 decodes began, 300 tokens, "Complete", [{Transferring 4.611s} {Imported 4.634s} {Decoding 4.66s} {Ended 10.794s}]

It now wants one decode that began, as before, and that all engines together made the 300 tokens of the answer, each once: a second decode fails it at its first token, and one that made too few or too many does too. TestSuspectedVMsRequestsAreNotCut and TestRecordsLostWithTwoVMs count so already.

--- a/internal/integration/connection_test.go
+++ b/internal/integration/connection_test.go
@@ -6,7 +6,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"alderdyke/internal/board"
 	"alderdyke/internal/standin"
 	"alderdyke/internal/standin/deployment"
 	"alderdyke/pkg/refusal"
@@ -17,9 +16,10 @@
 func TestCallersConnectionsBreak(t *testing.T) {
 	t.Parallel()
 	fl := startFleet(t, usual())
+	const tokens = 300
 	var calls []*ongoing
 	for ix := range 4 {
-		calls = append(calls, fl.chat(fl.client(), "findings", fmt.Sprintf("break-%d", ix), 300))
+		calls = append(calls, fl.chat(fl.client(), "findings", fmt.Sprintf("break-%d", ix), tokens))
 	}
 	for round := range 4 {
 		for _, og := range calls {
@@ -33,7 +33,9 @@
 	}
 	for ix, og := range calls {
 		assert.Check(t, og.end())
-		assert.Equal(t, len(fl.engineRuns(board.Decode, fmt.Sprintf("break-%d", ix))), 1)
+		began, made := fl.decoded(fmt.Sprintf("break-%d", ix))
+		assert.Equal(t, began, 1)
+		assert.Equal(t, made, tokens)
 	}
 	fl.check()
 }
