--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -7,6 +7,7 @@
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/engine"
+	"alderdyke/internal/event"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/sched"
 	"alderdyke/pkg/clock"
@@ -38,18 +39,22 @@
 	if err := ma.choose(ctx, now); err != nil {
 		return err
 	}
-	for {
+	for ; ; ma.number++ { // an engine declines an attempt that it was told to cancel
 		if err := ma.rn.checkPoison(); err != nil {
 			return err
 		}
 		err := ma.importKV(ctx)
 		switch {
-		case err == nil || ctx.Err() != nil:
+		case err == nil || ctx.Err() != nil || errors.Is(err, errPreempted):
 			return err
 		case errors.Is(err, errMoved):
 			continue
 		}
-		ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+		if _, reason := backend.OutcomeOf(err); reason == backend.NoKV {
+			ma.rs.tell(sched.Lapsed, ma.decode.ID, 0)
+		} else {
+			ma.rs.progress(sched.Rejected, ma.decode.ID, 0, 0)
+		}
 		if next := ma.chooseAgain(ctx, now); next != nil {
 			return errors.Join(next, err)
 		}
@@ -116,12 +121,13 @@
 	if !ok {
 		return failure{"use the transfer", fmt.Errorf("%q: %w", id, errUnknown)}
 	}
+	ma.rn.tr.add(event.TransferChosen, id)
 	ma.decode = srv
 	return nil
 }
 
 // importKV has the decode engine fetch the KV cache, and leaves off when the
-// accountant chooses another engine meanwhile.
+// accountant chooses another engine meanwhile or takes the grant back.
 func (ma *modelAttempt) importKV(ctx context.Context) error {
 	ma.rs.progress(sched.Transferring, ma.decode.ID, 0, 0)
 	ma.touched[ma.decode.ID] = struct{}{}
@@ -159,13 +165,28 @@
 				said = nil // no accountant any more
 				continue
 			}
-			if next := fr.GetTransfer(); next != nil && next.GetDecodeServer() != srv.ID {
-				ma.letGo(srv.ID)
-				if err := ma.useDecode(next.GetDecodeServer()); err != nil {
-					return err
-				}
-				return errMoved
+			if err := ma.replaced(fr, srv.ID); err != nil {
+				return err
 			}
 		}
 	}
 }
+
+// replaced leaves an import off if a decision of the accountant puts another
+// engine or another grant in its place.
+func (ma *modelAttempt) replaced(fr *peerpb.Frame, server string) error {
+	pr, next := fr.GetPreempt(), fr.GetTransfer()
+	switch {
+	case pr != nil && pr.GetAttempt() == ma.rs.attempt:
+		ma.letGo(server)
+		return errPreempted
+	case next != nil && next.GetDecodeServer() != server:
+		ma.letGo(server)
+		if err := ma.useDecode(next.GetDecodeServer()); err != nil {
+			return err
+		}
+		return errMoved
+	default:
+		return nil
+	}
+}
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -51,6 +51,8 @@
 		ready  []*job   // prefilled, waiting for a link and a place
 		moving []*job   // their transfer goes on
 
+		delay delay // of transfers beside their links
+
 		holders map[uint64][]*engine // prefill engines that lately computed a prefix
 
 		slots    int // places of usable decode engines, less those of others
@@ -220,6 +222,8 @@
 		ce.prefilled(now, jb, pr.Took)
 	case Rejected:
 		ce.rejected(now, jb)
+	case Lapsed:
+		ce.notKept(now, jb)
 	case Decoding:
 		ce.decoding(now, jb, pr.Took)
 	case Ended:
@@ -352,7 +356,7 @@
 // sent takes a transfer off the link of its prefill engine.
 func (ce *Cell) sent(jb *job) {
 	if !jb.ask.Quick && jb.prefill != nil {
-		jb.prefill.sending--
+		jb.prefill.endSend(jb.linkMS)
 	}
 }
 
@@ -369,7 +373,7 @@
 	ce.emit(Preempt{Request: jb.ask.Request, Attempt: jb.ask.Attempt, Reason: why})
 	jb.ask.HeldPrefill = ""
 	jb.ask.Attempt++
-	jb.moved = false
+	jb.moved, jb.waits = false, ""
 	jb.grp.enqueue(jb)
 	ce.queued++
 }
--- /dev/null
+++ b/internal/sched/delay_test.go
@@ -0,0 +1,151 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/board"
+	"alderdyke/pkg/clock"
+)
+
+// slowMessages is a cell whose prefills are done at once and whose transfers
+// take a span beside their links.
+type slowMessages struct {
+	fx    *fixture
+	takes clock.Millis
+	seen  int // intents looked at
+	due   map[string]clock.Millis
+	moves []Transfer
+}
+
+func newSlowMessages(takes clock.Millis) *slowMessages {
+	return &slowMessages{fx: newFixture(1, 4, 20), takes: takes, due: make(map[string]clock.Millis)}
+}
+
+// play passes the time. The newest order of a request replaces the one before.
+func (sm *slowMessages) play(span clock.Millis) {
+	for until := sm.fx.now + span; sm.fx.now < until; sm.fx.now += 5 {
+		for _, id := range sm.answered() {
+			delete(sm.due, id)
+			sm.fx.progress(id, Decoding, 0)
+		}
+		sm.fx.do(Tick{})
+		for ; sm.seen < len(sm.fx.all); sm.seen++ {
+			switch in := sm.fx.all[sm.seen].(type) {
+			case Grant:
+				sm.fx.progress(in.Request, Prefilled, 1)
+			case Transfer:
+				sm.due[in.Request] = sm.fx.now + sm.takes
+				sm.moves = append(sm.moves, in)
+			case Preempt:
+				delete(sm.due, in.Request)
+			}
+		}
+	}
+}
+
+func (sm *slowMessages) answered() []string {
+	var ids []string
+	for id, at := range sm.due {
+		if at <= sm.fx.now {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (sm *slowMessages) submit(id string, tokens int) {
+	ask := patient(id)
+	ask.PromptTokens = tokens
+	sm.fx.do(Submit{Ask: ask})
+}
+
+func (sm *slowMessages) stalled() int {
+	count := 0
+	for _, tr := range sm.moves {
+		if tr.Stalled != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// Transfers of short prompts went one at a time on a link that each of them
+// uses for a millisecond, while their messages took 150 ms. The later ones of
+// thirty KV caches waited for the link until they lapsed.
+func TestShortTransfersDoNotWaitForTheirMessages(t *testing.T) {
+	sm := newSlowMessages(150)
+	for ix := range 30 {
+		sm.submit(fmt.Sprint("r", ix), 20)
+	}
+	sm.play(2 * clock.Second)
+	assert.Equal(t, len(sm.fx.backs), 0, "KV caches that lapsed")
+	for _, tr := range sm.moves {
+		assert.Check(t, tr.Waited < sm.fx.ce.Keep/4, "%s waited %v for %s", tr.Request, tr.Waited, tr.For)
+	}
+	for _, jb := range sm.fx.ce.jobs {
+		assert.Equal(t, jb.stage, Decoding)
+	}
+}
+
+// Long transfers share a link that one of them fills, and go one at a time as
+// before.
+func TestLongTransfersGoOneAtATime(t *testing.T) {
+	sm := newSlowMessages(150)
+	for ix := range 3 {
+		sm.submit(fmt.Sprint("r", ix), 8000)
+	}
+	sm.play(100)
+	assert.Equal(t, len(sm.moves), 1)
+}
+
+// A transfer of a short prompt was held to be stalled after 100 ms, however long
+// transfers took: beside load each of them was thrown away once, on its way.
+func TestSlowMessagesAreNoStall(t *testing.T) {
+	for _, takes := range []clock.Millis{90, 150, 300} {
+		t.Run(takes.String(), func(t *testing.T) {
+			sm := newSlowMessages(takes)
+			for ix := range 20 {
+				sm.submit(fmt.Sprint("r", ix), 100)
+				sm.play(clock.Second)
+			}
+			assert.Assert(t, sm.stalled() <= 2, "%d transfers were held to be stalled", sm.stalled())
+		})
+	}
+}
+
+// A transfer that does stall goes another way in time, also where messages are
+// slow.
+func TestStallIsFoundBesideSlowMessages(t *testing.T) {
+	sm := newSlowMessages(60)
+	for ix := range 10 {
+		sm.submit(fmt.Sprint("r", ix), 100)
+		sm.play(clock.Second)
+	}
+	assert.Equal(t, sm.stalled(), 0)
+	sm.takes = clock.Minute
+	sm.submit("stalls", 100)
+	sm.play(sm.fx.ce.Keep / 2)
+	assert.Equal(t, sm.stalled(), 1)
+}
+
+// A KV cache that is kept no more says nothing of the decode engine that could
+// not fetch it, and the request is taken back at once.
+func TestLostKVCacheIsTakenBackAtOnce(t *testing.T) {
+	fx := newFixture(1, 1, 4)
+	fx.do(Submit{Ask: quick("q")})
+	fx.progress("q", Prefilled, 10)
+	assert.Equal(t, fx.moves["q"].Decode, "d0")
+	fx.progress("q", Lapsed, 0)
+	assert.Equal(t, fx.backs["q"], 1)
+	assert.Equal(t, fx.ce.engines["d0"].free(), 4)
+	assert.Equal(t, fx.ce.slots, 4)
+	assert.Equal(t, fx.grants["q"].Attempt, 1, "granted again")
+	fx.do(Report{Load: board.LoadReport{Server: "d0", Slots: 4}})
+	fx.run("q")
+	assert.Equal(t, fx.ce.engines["d0"].held, 1)
+}
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -14,6 +14,7 @@
 	// that grows with time.
 	forecastEach = 25 * clock.Millis(1)
 
+	linkWindow = 0.25  // part of the keep that the transfers on a link may take side by side
 	lapsesMost = 3     // KV caches that one request may lose
 	quickAhead = 200.0 // milliseconds that quick transfers count as sooner
 	lapseAhead = 300.0 // the same for patient ones, at a weight of 1
@@ -51,14 +52,18 @@
 	for ix, jb := range ce.ready {
 		dec := ce.decodes.best()
 		if dec == nil {
+			for _, ja := range ce.ready[ix:] {
+				ja.waits = ForPlace
+			}
 			rest = append(rest, ce.ready[ix:]...)
 			break
 		}
-		if !ce.linkFree(now, jb) || ce.leavesToQuick(now, jb) {
+		if wt := ce.waitsFor(now, jb); wt != "" {
+			jb.waits = wt
 			rest = append(rest, jb)
 			continue
 		}
-		ce.startTransfer(now, jb, dec)
+		ce.startTransfer(now, jb, dec, Transfer{Waited: now - jb.since, For: jb.waits})
 	}
 	clear(ce.ready[len(rest):])
 	ce.ready = rest
@@ -74,6 +79,19 @@
 	return float64(jb.lapse) - jb.linkMS - lapseAhead*jb.grp.weight
 }
 
+// waitsFor is what a transfer has to wait for beside a free place; empty if it
+// may begin.
+func (ce *Cell) waitsFor(now clock.Millis, jb *job) Wait {
+	switch {
+	case !ce.linkFree(now, jb):
+		return ForLink
+	case ce.leavesToQuick(now, jb):
+		return ForQuick
+	default:
+		return ""
+	}
+}
+
 // leavesToQuick tells whether a patient transfer leaves the last places to
 // the quick requests whose prefills are under way. It does not once its KV
 // cache is about to lapse.
@@ -84,25 +102,34 @@
 
 // linkFree tells whether a transfer may go on its prefill engine's link.
 // Quick requests always may; patient ones go one after another unless the KV
-// cache would lapse meanwhile.
+// cache would lapse meanwhile. Transfers whose work on the link is less than
+// their delay beside it go side by side, as the link is idle otherwise.
 func (ce *Cell) linkFree(now clock.Millis, jb *job) bool {
 	if jb.ask.Quick || jb.prefill.sending < sendingMost {
 		return true
 	}
-	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)
+	window := min(max(float64(ce.Ways), ce.delay.mean), linkWindow*float64(ce.Keep))
+	if jb.prefill.linkWork+jb.linkMS <= window {
+		return true
+	}
+	return float64(jb.lapse-now) < 2*jb.linkMS+float64(forecastEach)+ce.delay.mean
 }
 
-func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine) {
+// startTransfer takes a place for a transfer and orders it. The order comes with
+// what it waited for or what it replaces.
+func (ce *Cell) startTransfer(now clock.Millis, jb *job, dec *engine, order Transfer) {
 	ce.promised[class(jb)]--
-	jb.stage, jb.since, jb.decode = Transferring, now, dec
+	jb.stage, jb.since, jb.decode, jb.waits = Transferring, now, dec, ""
 	jb.alone = !jb.ask.Quick && jb.prefill.sending == 0
 	if !jb.ask.Quick {
-		jb.prefill.sending++
+		jb.prefill.beginSend(jb.linkMS)
 	}
 	dec.hold(1)
 	ce.changed(dec)
 	ce.moving = append(ce.moving, jb)
-	ce.emit(Transfer{Request: jb.ask.Request, Attempt: jb.ask.Attempt, Prefill: jb.prefill.id, Decode: dec.id})
+	order.Request, order.Attempt = jb.ask.Request, jb.ask.Attempt
+	order.Prefill, order.Decode = jb.prefill.id, dec.id
+	ce.emit(order)
 }
 
 // decoding notes that the KV cache has arrived.
@@ -113,6 +140,9 @@
 	if jb.alone && jb.prefill.sending == 1 {
 		jb.prefill.learnLink(jb.ask.PromptTokens, took-ce.Ways/2)
 	}
+	if !jb.moved && !jb.orphan {
+		ce.delay.learn(float64(now-jb.since) - stallFactor*jb.linkMS)
+	}
 	ce.sent(jb)
 	ce.moving = without(ce.moving, jb)
 	jb.stage, jb.since = Decoding, now
@@ -138,6 +168,18 @@
 	ce.ready = append(ce.ready, jb)
 }
 
+// notKept takes a request back whose KV cache was lost before its decode engine
+// had fetched it. That engine is as good as it was.
+func (ce *Cell) notKept(now clock.Millis, jb *job) {
+	switch {
+	case jb.stage != Transferring:
+	case jb.orphan:
+		ce.forget(now, jb)
+	default:
+		ce.lapsed(now, jb)
+	}
+}
+
 // unplace gives the place of a transfer back without dropping the request.
 func (ce *Cell) unplace(jb *job) {
 	ce.sent(jb)
@@ -178,14 +220,19 @@
 
 // stalled tells whether a transfer takes so much longer than expected that
 // another decode engine is worth a try. It is not when, at the pace that the
-// link has shown, another would not arrive before the KV cache lapses.
+// link and the messages have shown, another would not arrive before the KV cache
+// lapses.
 func (ce *Cell) stalled(now clock.Millis, jb *job) bool {
-	spent := float64(now - jb.since)
-	if jb.moved || jb.orphan || spent <= stallFactor*jb.linkMS+float64(stallLeast) {
+	if jb.moved || jb.orphan || now < ce.stallsAt(jb) {
 		return false
 	}
-	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since)
-	return float64(jb.lapse-now) > float64(jb.ask.PromptTokens)/jb.prefill.linkRate
+	jb.prefill.slowLink(jb.ask.PromptTokens, now-jb.since-clock.Millis(ce.delay.mean))
+	return float64(jb.lapse-now) > float64(jb.ask.PromptTokens)/jb.prefill.linkRate+ce.delay.timeout(ce.Keep/2)
+}
+
+// stallsAt is the point from which a transfer counts as stalled.
+func (ce *Cell) stallsAt(jb *job) clock.Millis {
+	return jb.since + clock.Millis(stallFactor*jb.linkMS+ce.delay.timeout(ce.Keep/2)) + 1
 }
 
 // redirect sends a stalled transfer to another decode engine. The place at
@@ -198,11 +245,13 @@
 		ce.changed(first)
 		return
 	}
+	order := Transfer{Stalled: first.id, Spent: now - jb.since, Expected: clock.Millis(jb.linkMS)}
 	ce.unplace(jb)
 	first.foreign++
 	ce.changed(first)
 	jb.moved = true
-	ce.startTransfer(now, jb, dec)
+	ce.delay.expired()
+	ce.startTransfer(now, jb, dec, order)
 }
 
 // adopt takes over a grant that the accounting VM before this one made.
@@ -239,7 +288,7 @@
 	if ad.Stage == Transferring {
 		jb.lapse = now
 		if !jb.ask.Quick {
-			jb.prefill.sending++
+			jb.prefill.beginSend(jb.linkMS)
 		}
 		ce.moving = append(ce.moving, jb)
 		return
