entry: only a request under suspicion has its servers asked beside its calls

While any request was under suspicion, which is five minutes from an end of any server that was not alone to blame, each call of all requests had the server asked for its incarnation beside it, on a connection of its own: twice the calls in a fleet whose engines end now and then. It is asked now for a request that is under suspicion itself, and at a first call as before.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -177,7 +177,7 @@
 	ma.rs.progress(sched.Prefilling, ma.prefill.ID, 0, 0)
 	began := rn.vm.Clock.Now()
 	ma.touched[ma.prefill.ID] = struct{}{}
-	sc := rn.vm.send(ma.prefill)
+	sc := rn.beginCall(ma.prefill)
 	kv, err := rn.vm.Engines.Prefill(ctx, ma.prefill, engine.PrefillOrder{
 		Request:      ma.name,
 		Customer:     rn.id.Customer,
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -175,7 +175,7 @@
 		began <- id
 	}
 	rn.tr.add(event.Granted, id)
-	sc := vm.send(srv)
+	sc := rn.beginCall(srv)
 	rsp, err := vm.Services.Call(ctx, srv, call)
 	rn.recordCall(ctx, sc, err)
 	if !backend.NotRun(err) {
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -20,12 +20,13 @@
 	"alderdyke/pkg/refusal"
 )
 
-// pingTries is how often a server that cuts the connection is asked: one connection may
-// break on the way.
-const pingTries = 2
-
-// startedTellers is how many VMs tell one that has started what it missed.
-const startedTellers = 2
+const (
+	// pingTries is how often a server that cuts the connection is asked: one connection
+	// may break on the way.
+	pingTries = 2
+	// startedTellers is how many VMs tell one that has started what it missed.
+	startedTellers = 2
+)
 
 // sentCall is a call that carried a request to a server, or read its answer there.
 type sentCall struct {
@@ -87,12 +88,8 @@
 	return vm.Engines.Ping(ctx, srv)
 }
 
-// learnIncarnation asks a server for its incarnation beside a call, if it told none yet,
-// or if a request is under suspicion: the one that is known may have ended unnoticed.
-func (vm *VM) learnIncarnation(srv board.BackendServer) {
-	if !vm.incarnations.Missing(srv.ID) && !vm.poison.Any() {
-		return
-	}
+// askIncarnation asks a server for its incarnation while a call to it is under way.
+func (vm *VM) askIncarnation(srv board.BackendServer) {
 	vm.wg.Go(func() {
 		ctx, stop := context.WithTimeout(vm.runCtx, reportWithin.Std())
 		defer stop()
@@ -109,7 +106,7 @@
 	for _, other := range now.VMs {
 		was, _ := old.VM(other.ID)
 		known := was.Health == board.Alive && was.Incarnation == other.Incarnation
-		if known || other.Health != board.Alive || other.ID == vm.Self.ID || !vm.tells(now, other) {
+		if known || other.Health != board.Alive || other.ID == vm.Self.ID || !vm.tellsStarted(now, other) {
 			continue
 		}
 		for _, en := range vm.poison.Known() {
@@ -118,8 +115,8 @@
 	}
 }
 
-// tells tells whether this VM is one of those that tell another what it missed.
-func (vm *VM) tells(fl *board.Fleet, other board.VM) bool {
+// tellsStarted reports whether this VM is one of those that tell another what it missed.
+func (vm *VM) tellsStarted(fl *board.Fleet, other board.VM) bool {
 	tellers := rendezvous.Top(other.ID, fl.VMs, startedTellers, func(one *board.VM) bool {
 		return one.Health == board.Alive && one.ID != other.ID
 	})
@@ -155,10 +152,15 @@
 	}
 }
 
-// send begins a call that carries the request to a server.
-func (vm *VM) send(srv board.BackendServer) sentCall {
+// beginCall begins a call that carries the request to a server. The server is asked for
+// its incarnation beside it if none is known, or if the request is under suspicion: the
+// one that is known may have ended unnoticed.
+func (rn *run) beginCall(srv board.BackendServer) sentCall {
+	vm := rn.vm
 	sc := sentCall{server: srv, began: vm.Clock.Now(), told: vm.incarnations.Times(srv.ID)}
-	vm.learnIncarnation(srv)
+	if vm.incarnations.Missing(srv.ID) || vm.poison.Any() && vm.poison.Suspected(rn.mark()) {
+		vm.askIncarnation(srv)
+	}
 	return sc
 }
 
--- a/internal/entry/poison_test.go
+++ b/internal/entry/poison_test.go
@@ -20,7 +20,7 @@
 		started, tellers := fl.VMs[0], 0
 		for _, one := range fl.VMs {
 			vm := &VM{Self: one.VMRef}
-			if vm.tells(fl, started) {
+			if vm.tellsStarted(fl, started) {
 				assert.Equal(t, one.Health, board.Alive)
 				assert.Assert(t, one.ID != started.ID)
 				tellers++
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -135,7 +135,7 @@
 	defer stop()
 	done := make(chan error, 1)
 	srv, said := ma.decode, ma.rs.said
-	sc := ma.rn.vm.send(srv)
+	sc := ma.rn.beginCall(srv)
 	go func() {
 		done <- ma.rn.vm.Engines.Import(ctx, srv, engine.ImportOrder{
 			Request:  ma.name,
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -22,9 +22,13 @@
 	rr *rigRunner // the accountant's end: it receives what the runner tells
 }
 
-func newTransferRig(t *testing.T, decode http.HandlerFunc) *transferRig {
+func newTransferRig(t *testing.T, imports http.HandlerFunc) *transferRig {
 	t.Helper()
-	rn, _ := newToldBy(t, decode, nil)
+	rn, _ := newToldBy(t, http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == engine.ImportPath { // and no question whether the engine is there
+			imports(wr, req)
+		}
+	}), nil)
 	near, far := newPipe()
 	ma := &modelAttempt{
 		rn:      rn,
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -145,6 +145,14 @@
 	return span
 }
 
+// Suspected reports whether servers ended while a request was there.
+func (gd *Guard) Suspected(mk suspect.Mark) bool {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	vd, _ := gd.suspects.Look(gd.now(), mk)
+	return vd != suspect.Clear
+}
+
 // RecordSuccess notes that a request had its whole answer.
 func (gd *Guard) RecordSuccess(request string, mk suspect.Mark) {
 	gd.init()
