integration: engines that end by chance cost no refusal but by the retry budget

The 110 was the test's own figure and no aim; the aim is that none is refused as one that ends its servers, and none is cut.

The test now allows each request a whole answer or just that refusal, where it allowed ten of 120 any reason but EndsServers: NoBackend, TargetUnreachable and all others fail it at the first. Twenty ends and 120 requests are as before.

--- a/internal/integration/deadly_test.go
+++ b/internal/integration/deadly_test.go
@@ -280,19 +280,17 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			fl, rnd := startFleet(t, deadlyPlan()), rand.New(rand.NewPCG(seed, 1))
-			whole := 0
 			for round := range 20 {
-				whole += fl.chanceRound(rnd, round)
+				fl.chanceRound(rnd, round)
 			}
-			assert.Check(t, whole >= 110, "%d whole answers", whole)
 			fl.check()
 		})
 	}
 }
 
-// chanceRound sends six requests, ends one of the engines that decode them, and counts the
-// whole answers.
-func (fl *fleet) chanceRound(rnd *rand.Rand, round int) (whole int) {
+// chanceRound sends six requests, and ends one of the engines that decode them. Each has a
+// whole answer, or is refused before its first byte for want of retries that are left.
+func (fl *fleet) chanceRound(rnd *rand.Rand, round int) {
 	prefix := fmt.Sprintf("chance-%d-", round)
 	var calls []*ongoing
 	for ix := range 6 {
@@ -311,13 +309,11 @@
 	fl.crash(en.ID, &en.Control)
 	for _, og := range calls {
 		if og.end() == nil {
-			whole++
 			continue
 		}
 		rf := og.refusedAs()
-		assert.Check(fl.t, og.received() == 0 && rf.Reason != refusal.EndsServers, "round %d: %d bytes, %v", round, og.received(), rf)
+		assert.Check(fl.t, og.received() == 0 && rf.Reason == refusal.RetriesExhausted, "round %d: %d bytes, %v", round, og.received(), rf)
 	}
-	return whole
 }
 
 // The links to half of the decode engines are cut for two seconds. Calls break off there as
