orders: tell the fencing token without setting a role

In virtual time an engine that has changed its role, and may have begun to run requests, is changed back without a drain.

Cause: before a change the new holder of the lease tells its token to all engines that check tokens, spelled as ChangeRole to the role that the engine reported. If an order of the holder before arrives after that report and before the token, the message that was to change nothing undoes the change. End A of TestRolesFollowTheLoad is its visible half: the token of a second hold of the lease reaches an engine that has changed and decodes.

Change: RaiseFence raises an engine's token and changes nothing else.

The checks of TestRolesFollowTheLoad are as they were.

--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -39,6 +39,7 @@
 	LoadAdapter OrderKind = "LoadAdapter"
 	LoadVersion OrderKind = "LoadVersion"
 	ChangeRole  OrderKind = "ChangeRole"
+	RaiseFence  OrderKind = "RaiseFence" // raises the engine's fencing token and changes nothing else
 )
 
 // Kinds of cache events.
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -124,9 +124,9 @@
 	if !ok {
 		return
 	}
-	within := roleOrderTimeout
-	if in.Order.Kind != engine.ChangeRole {
-		within = loadOrderTimeout
+	within := loadOrderTimeout
+	if in.Order.Kind == engine.ChangeRole || in.Order.Kind == engine.RaiseFence {
+		within = roleOrderTimeout
 	}
 	ctx, stop := context.WithTimeout(hc.ctx, within.Std())
 	defer stop()
--- a/internal/orders/cell.go
+++ b/internal/orders/cell.go
@@ -32,6 +32,7 @@
 	// guards are the protections that tests can disable. The zero value disables none.
 	guards struct {
 		noDwell, noWindow, noSpareFor, noMinimum, noSettle, noFence, noDrain, noDoubt bool
+		noKeepWait                                                                    bool
 	}
 )
 
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -18,8 +18,16 @@
 	verifying
 )
 
+// Steps of conveying the token to one engine.
+const (
+	raiseSent   fencingStep = iota // RaiseFence was sent
+	keepPending                    // the engine does not know RaiseFence; the order to keep its role is not sent yet
+	keepSent                       // the order to keep its role was sent
+)
+
 type (
-	phase int
+	phase       int
+	fencingStep int
 
 	// activeOrder is the order in progress.
 	activeOrder struct {
@@ -29,13 +37,13 @@
 		phase  phase
 		since  clock.Millis // when the phase began
 
-		drained    bool            // the engine gets no new work
-		leaseSince clock.Millis    // start of the hold of the lease under which the order is given
-		unfenced   map[string]bool // engines that have not confirmed the token yet
-		idleSince  clock.Millis    // since when the engine has no granted requests; zero if it has some
-		inspectAt  clock.Millis    // of the next Inspect
-		sentAt     clock.Millis    // when the order was last sent
-		tries      int             // number of times that the order was sent
+		drained    bool                   // the engine gets no new work
+		leaseSince clock.Millis           // start of the hold of the lease under which the order is given
+		unfenced   map[string]fencingStep // engines that have not confirmed the token yet
+		idleSince  clock.Millis           // since when the engine has no granted requests; zero if it has some
+		inspectAt  clock.Millis           // of the next Inspect
+		sentAt     clock.Millis           // when the order was last sent
+		tries      int                    // number of times that the order was sent
 	}
 )
 
@@ -72,7 +80,9 @@
 		}
 	case settling:
 		ce.settle(now)
-	case fencing, sending: // wait for Sent
+	case fencing:
+		ce.fence(now)
+	case sending: // wait for Sent
 	case choosing:
 		ce.choose(now)
 	case draining:
@@ -107,34 +117,56 @@
 func (ce *Cell) distributeToken(now clock.Millis) {
 	ao := ce.current
 	ao.order.Fence = ce.token
-	ao.unfenced = make(map[string]bool)
+	ao.unfenced = make(map[string]fencingStep)
 	for _, eng := range ce.observed.Engines {
-		if eng.Usable && eng.ChecksFencing && !ce.disabled.noFence {
-			ao.unfenced[eng.ID] = true
-			ce.emit(Send{Server: eng.ID, Order: engine.Order{Kind: engine.ChangeRole, Role: eng.Role, Fence: ce.token}})
+		switch {
+		case !eng.Usable || !eng.ChecksFencing || ce.disabled.noFence:
+		default:
+			ao.unfenced[eng.ID] = raiseSent
+			ce.emit(Send{Server: eng.ID, Order: engine.Order{Kind: engine.RaiseFence, Fence: ao.order.Fence}})
 		}
 	}
 	ce.enterPhase(now, fencing)
+}
+
+// fence conveys the token to the engines that do not know RaiseFence, by an order to
+// keep their role. Such an order would undo a change that the engine has not reported
+// yet, so it waits until no order of the previous holder can arrive any more.
+func (ce *Cell) fence(now clock.Millis) {
+	ao := ce.current
 	if len(ao.unfenced) == 0 {
 		ce.enterPhase(now, choosing)
+		return
+	}
+	for _, eng := range ce.observed.Engines {
+		st, ok := ao.unfenced[eng.ID]
+		if !ok || st != keepPending || (eng.RoleAt < ce.heldAt+ce.Settings.MaxOrderDelay && !ce.disabled.noKeepWait) {
+			continue
+		}
+		ao.unfenced[eng.ID] = keepSent
+		ce.emit(Send{Server: eng.ID, Order: engine.Order{Kind: engine.ChangeRole, Role: eng.Role, Fence: ao.order.Fence}})
+	}
+	if now-ao.since >= ce.Settings.LeaseTimeout+ce.Settings.MaxOrderDelay {
+		ce.finish(now, NotSettled, Outcome{})
 	}
 }
 
 // handleFenced processes an engine's reply to the new token.
 func (ce *Cell) handleFenced(now clock.Millis, ev Sent) {
 	ao := ce.current
-	if !ao.unfenced[ev.Server] {
+	st, ok := ao.unfenced[ev.Server]
+	switch {
+	case !ok || st == keepPending:
 		return
-	}
-	if ev.Outcome.Reason != CarriedOut {
+	case st == raiseSent && ev.Outcome.Decline == backend.BadOrder:
+		ao.unfenced[ev.Server] = keepPending
+		return
+	case ev.Outcome.Reason != CarriedOut:
 		ce.finish(now, NotSettled, ev.Outcome)
 		return
 	}
 	ce.recordRole(now, ev.Server, ev.Outcome)
 	delete(ao.unfenced, ev.Server)
-	if len(ao.unfenced) == 0 && ce.sameLease(ao) {
-		ce.enterPhase(now, choosing)
-	}
 }
 
 // choose picks the engine by the current state: the load may have changed, or the
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -8,8 +8,8 @@
 //	Settling       the lease is held; every engine must report its role again,
 //	               late enough that no order of the previous holder can still
 //	               change it
-//	Fencing        engines that check fencing tokens get the new token, with an
-//	               order to keep their role; they refuse older orders from then on
+//	Fencing        engines that check fencing tokens get the new token and refuse
+//	               older orders from then on
 //	Choosing       the load must still require the change; the engine is chosen
 //	Draining       the engine gets no new work and completes what it runs
 //	Sending        the order is sent with the lease's fencing token
@@ -77,7 +77,8 @@
 		NeedTimeout   clock.Millis // limit for the load to require the change again after it has stopped doing so; default 10 s
 		// MaxOrderDelay is how long an order of the lease's previous holder may be in
 		// transit after its lease has ended; default 10 s. The Cell waits that long before
-		// its own orders if an engine of the cell ignores fencing tokens.
+		// its own orders if an engine of the cell ignores fencing tokens, or checks them
+		// but does not know the order RaiseFence.
 		MaxOrderDelay clock.Millis
 		// LeaseMargin is the minimum remaining time of the lease when an order is sent
 		// to an engine that ignores fencing tokens; default 2 s.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"alderdyke/internal/backend"
@@ -97,7 +98,9 @@
 		linkBytes  int64             // bytes of current exports that have not passed the egress link yet
 		orderState wire.OrderResult  // role, model, adapters and version that the orders have set
 		fences     map[string]uint64 // highest accepted fencing number, by kind
-		history    History
+
+		noRaiseFence atomic.Bool // set by DeclineRaiseFence
+		history      History
 	}
 
 	runKey struct {
