entry, sched: the end of one stream does not withdraw what was announced on another

What callers saw: a request waits on an open stream until its class's deadline of 300 s while all engines stand idle, and is refused DeadlinePassed.

Cause: a runner that gets no acknowledgment within 400 ms closes its stream and announces its request on another one, so two streams of one request exist without any fault of the network. At the accounting VM the events for the scheduling loop named only the request:

- streamLost removed the entry under the lock and sent Withdraw after it.
An announcement in between had its Submit withdrawn.
- A stream served late, after the next one, replaced the entry of the next one, and withdrew both with its end.
- Refuse, Grant, Preempt and Transfer of the first stream's job went to the entry of the next one, whose Submit the loop had not processed yet.
- Events about the end of a stream were sent under the context of its session.
If that had ended too, the select in Send dropped them at random.

Change: entries change and the loop is informed under one lock, so the loop receives events in the order in which entries change. Streams are numbered, decisions repeat the number, and one for another stream is dropped; the event that takes it back is on its way then. The entry of another stream is replaced only by closing that stream, so that its runner announces the request again.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -40,13 +40,21 @@
 		rec  reconciler
 		ord  *orderer
 
-		mu   sync.Mutex
-		cell cell
-		held map[string]*heldRequest
+		// order is held while a request is added or removed and the scheduling loop is
+		// informed of it, so that the loop receives these events in the order in which
+		// held changed. Intents are carried out without it.
+		order sync.Mutex
+
+		mu      sync.Mutex
+		cell    cell
+		held    map[string]*heldRequest
+		streams uint64 // number of reservation streams so far
 	}
 
 	// heldRequest is a request that is queued or granted.
 	heldRequest struct {
+		stream    uint64 // number of the stream
+		close     func() // closes the stream; may be called more than once
 		runner    board.VMRef
 		outbox    chan *peerpb.Frame // never closed; the writer stops with done
 		done      chan struct{}
@@ -125,7 +133,7 @@
 }
 
 // serve handles one reservation until its stream closes.
-func (ac *scheduler) serve(ctx context.Context, from board.VMRef, ask *peerpb.ReserveAsk, cn frameStream) {
+func (ac *scheduler) serve(from board.VMRef, ask *peerpb.ReserveAsk, cn frameStream) {
 	defer cn.Close()
 	hc, ok := ac.find(ask.GetCell())
 	if !ok {
@@ -137,7 +145,7 @@
 		}))
 		return
 	}
-	hc.serve(ctx, from, ask, cn)
+	hc.serve(from, ask, cn)
 }
 
 // setCell updates the engines of the cell; engines that report that they are
@@ -156,21 +164,22 @@
 }
 
 // serve adds the request to the cell, and passes the runner's frames to the scheduling
-// loop until the stream ends.
-func (hc *heldCell) serve(ctx context.Context, from board.VMRef, ask *peerpb.ReserveAsk, cn frameStream) {
-	hr := hc.addRequest(from, ask)
+// loop until the stream ends. The loop is informed of that end too, so its events are sent
+// under the cell's context and not under that of the stream's session.
+func (hc *heldCell) serve(from board.VMRef, ask *peerpb.ReserveAsk, cn frameStream) {
+	ctx, closeStream := context.WithCancel(hc.ctx)
+	defer closeStream()
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	defer stop()
+	hr := newHeldRequest(from, ask)
+	hr.close = closeStream
 	go hr.write(cn)
 	defer close(hr.done)
-	stop := context.AfterFunc(hc.ctx, func() { cn.Close() })
-	defer stop()
-	hr.send(doneFrame())
-	if !hc.ac.Send(ctx, hc.openingEvent(from, ask)) {
-		return
-	}
+	hc.addRequest(ask, hr)
 	for {
 		fr, err := cn.Recv()
 		if err != nil {
-			hc.streamLost(ctx, ask.GetRequest(), hr)
+			hc.streamLost(ask.GetRequest(), hr)
 			return
 		}
 		pg := fr.GetProgress()
@@ -180,21 +189,20 @@
 		stage := sched.Stage(pg.GetStage())
 		if stage == stageWithdrawn {
 			hc.removeRequest(ask.GetRequest(), hr)
-			hc.ac.Send(ctx, sched.Withdraw{Request: ask.GetRequest()})
 			return
 		}
 		if stage == stageWrongRole {
-			hc.rec.refreshRole(ctx, pg.GetServer())
+			hc.rec.refreshRole(hc.ctx, pg.GetServer())
 			continue
 		}
 		if stage == stageResting {
-			hc.ac.Send(ctx, sched.Rest{Server: pg.GetServer(), For: clock.Millis(pg.GetTook())})
+			hc.ac.Send(hc.ctx, sched.Rest{Server: pg.GetServer(), For: clock.Millis(pg.GetTook())})
 			continue
 		}
 		if pg.GetServer() != "" {
 			hc.recordStage(hr, stage, pg.GetServer())
 		}
-		hc.ac.Send(ctx, sched.Progress{
+		hc.ac.Send(hc.ctx, sched.Progress{
 			Request: ask.GetRequest(),
 			Attempt: int(pg.GetAttempt()),
 			Stage:   stage,
@@ -202,17 +210,17 @@
 			Took:    clock.Millis(pg.GetTook()),
 		})
 		if stage == sched.Ended || stage == sched.Cancelled {
-			hc.removeRequest(ask.GetRequest(), hr)
 			// The runner may have closed the stream before it received a later grant.
-			hc.ac.Send(ctx, sched.Withdraw{Request: ask.GetRequest()})
+			hc.removeRequest(ask.GetRequest(), hr)
 			return
 		}
 	}
 }
 
 // openingEvent returns the scheduling event for the first frame of a reservation.
-func (hc *heldCell) openingEvent(from board.VMRef, ask *peerpb.ReserveAsk) sched.Event {
-	as := askFromWire(from, ask, hc.vm.Clock.Now())
+func (hc *heldCell) openingEvent(ask *peerpb.ReserveAsk, hr *heldRequest) sched.Event {
+	as := askFromWire(hr.runner, ask, hc.vm.Clock.Now())
+	as.Stream = hr.stream
 	if ask.GetStage() == "" {
 		return sched.Submit{Spec: as}
 	}
@@ -226,10 +234,8 @@
 	}
 }
 
-// addRequest adds the request of a reservation. It replaces the entry of an earlier stream
-// of the same request, whose end streamLost then ignores.
-func (hc *heldCell) addRequest(from board.VMRef, ask *peerpb.ReserveAsk) *heldRequest {
-	hr := &heldRequest{
+func newHeldRequest(from board.VMRef, ask *peerpb.ReserveAsk) *heldRequest {
+	return &heldRequest{
 		runner:  from,
 		outbox:  make(chan *peerpb.Frame, outboxDepth),
 		done:    make(chan struct{}),
@@ -240,16 +246,32 @@
 		prefill: ask.GetPrefillServer(),
 		decode:  ask.GetDecodeServer(),
 	}
+}
+
+// addRequest adds the request of a reservation, acknowledges it, and passes it to the
+// scheduling loop. It replaces the entry of another stream of the same request and closes that stream: its
+// runner announces the request again if it still needs it.
+func (hc *heldCell) addRequest(ask *peerpb.ReserveAsk, hr *heldRequest) {
+	hc.order.Lock()
+	defer hc.order.Unlock()
 	hc.mu.Lock()
-	defer hc.mu.Unlock()
+	hc.streams++
+	hr.stream = hc.streams
+	if old, ok := hc.held[ask.GetRequest()]; ok {
+		old.close()
+	}
 	hc.held[ask.GetRequest()] = hr
-	return hr
+	hc.mu.Unlock()
+	hr.send(doneFrame())
+	hc.ac.Send(hc.ctx, hc.openingEvent(ask, hr))
 }
 
 // streamLost handles a stream that closed without a final frame. A request that
 // was not granted is withdrawn; a granted one stays as an orphan until its
 // engines are known to have released it.
-func (hc *heldCell) streamLost(ctx context.Context, request string, hr *heldRequest) {
+func (hc *heldCell) streamLost(request string, hr *heldRequest) {
+	hc.order.Lock()
+	defer hc.order.Unlock()
 	hc.mu.Lock()
 	if hc.held[request] != hr {
 		hc.mu.Unlock()
@@ -263,18 +285,26 @@
 	}
 	hc.mu.Unlock()
 	if granted {
-		hc.ac.Send(ctx, sched.Orphan{Request: request})
+		hc.ac.Send(hc.ctx, sched.Orphan{Request: request})
 		return
 	}
-	hc.ac.Send(ctx, sched.Withdraw{Request: request})
+	hc.ac.Send(hc.ctx, sched.Withdraw{Request: request})
 }
 
+// removeRequest removes a request that its runner has ended, unless it was announced again
+// on another stream.
 func (hc *heldCell) removeRequest(request string, hr *heldRequest) {
+	hc.order.Lock()
+	defer hc.order.Unlock()
 	hc.mu.Lock()
-	defer hc.mu.Unlock()
-	if hc.held[request] == hr {
+	current := hc.held[request] == hr
+	if current {
 		delete(hc.held, request)
 	}
+	hc.mu.Unlock()
+	if current {
+		hc.ac.Send(hc.ctx, sched.Withdraw{Request: request})
+	}
 }
 
 func (hc *heldCell) recordStage(hr *heldRequest, stage sched.Stage, server string) {
@@ -292,7 +322,7 @@
 func (hc *heldCell) handleIntent(in sched.Intent) {
 	switch in := in.(type) {
 	case sched.Grant:
-		hc.sendToRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
+		hc.sendToRunner(in.Request, in.Stream, &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: &peerpb.Grant{
 			PrefillServer: in.Prefill, DecodeServer: in.Decode, SkipPrefill: in.SkipPrefill, Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) {
 			hr.granted, hr.attempt, hr.prefill, hr.decode = true, in.Attempt, in.Prefill, in.Decode
@@ -300,21 +330,18 @@
 		})
 	case sched.Transfer:
 		hc.logTransfer(in)
-		hc.sendToRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
+		hc.sendToRunner(in.Request, in.Stream, &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{
 			PrefillServer: in.Prefill, DecodeServer: in.Decode, Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) { hr.decode = in.Decode })
 	case sched.Preempt:
-		hc.sendToRunner(in.Request, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
+		hc.sendToRunner(in.Request, in.Stream, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
 			Reason: string(in.Reason), Attempt: uint32(in.Attempt),
 		}}}, func(hr *heldRequest) { hr.preempted = true })
 	case sched.Closed:
 		hc.vm.Log.Log(event.EngineClosed, event.F("Server", in.Server), event.F("Role", in.Role), event.F("For", in.For),
 			event.F("Lost", in.Lost), event.F("Request", in.Request))
 	case sched.Refuse:
-		hc.sendToRunner(in.Request, refusalFrame(in.Refusal), func(*heldRequest) {})
-		hc.mu.Lock()
-		delete(hc.held, in.Request)
-		hc.mu.Unlock()
+		hc.sendToRunner(in.Request, in.Stream, refusalFrame(in.Refusal), func(*heldRequest) { delete(hc.held, in.Request) })
 	}
 }
 
@@ -331,12 +358,13 @@
 }
 
 // sendToRunner records a decision with note and queues its frame for the runner. It does
-// nothing if the cell no longer holds the request.
-func (hc *heldCell) sendToRunner(request string, fr *peerpb.Frame, note func(*heldRequest)) {
+// nothing if the request is no longer held for that stream; the event that takes the
+// decision back is then on its way to the scheduling loop.
+func (hc *heldCell) sendToRunner(request string, stream uint64, fr *peerpb.Frame, note func(*heldRequest)) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
 	hr, ok := hc.held[request]
-	if !ok {
+	if !ok || hr.stream != stream {
 		return
 	}
 	note(hr)
@@ -367,14 +395,18 @@
 
 // releaseOrphan reports to the scheduling loop that no engine holds an orphan any more.
 func (hc *heldCell) releaseOrphan(ctx context.Context, request string) {
+	hc.order.Lock()
+	defer hc.order.Unlock()
 	hc.mu.Lock()
 	hr, ok := hc.held[request]
-	delete(hc.held, request)
+	ok = ok && hr.orphan
+	if ok {
+		delete(hc.held, request)
+	}
 	hc.mu.Unlock()
-	if !ok {
-		return
+	if ok {
+		hc.ac.Send(ctx, sched.Progress{Request: request, Attempt: hr.attempt, Stage: sched.Cancelled})
 	}
-	hc.ac.Send(ctx, sched.Progress{Request: request, Attempt: hr.attempt, Stage: sched.Cancelled})
 }
 
 // orphans returns the granted requests whose streams were lost.
--- a/internal/entry/accountant_test.go
+++ b/internal/entry/accountant_test.go
@@ -50,15 +50,18 @@
 func (cr *testCell) reserve(request string) *testRunner {
 	cr.t.Helper()
 	near, far := newPipe()
-	ask := &peerpb.ReserveAsk{
+	go cr.hc.serve(board.VMRef{ID: "vm-2", Incarnation: 1}, testAsk(request), far)
+	rr := &testRunner{t: cr.t, cn: near}
+	assert.Assert(cr.t, rr.receive().GetDone() != nil)
+	return rr
+}
+
+func testAsk(request string) *peerpb.ReserveAsk {
+	return &peerpb.ReserveAsk{
 		Cell: "m/0", Request: request, Customer: "cu", Class: "findings",
 		PromptTokens: 100, MaxTokens: 100, Share: 1,
 		TTFT: int64(clock.Minute), TPOT: 45, Deadline: int64(5 * clock.Minute),
 	}
-	go cr.hc.serve(cr.t.Context(), board.VMRef{ID: "vm-2", Incarnation: 1}, ask, far)
-	rr := &testRunner{t: cr.t, cn: near}
-	assert.Assert(cr.t, rr.receive().GetDone() != nil)
-	return rr
 }
 
 // receive returns the scheduler's next frame, or nil if none arrives within a minute.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -35,7 +35,7 @@
 	}
 	switch body := fr.GetBody().(type) {
 	case *peerpb.Frame_ReserveAsk:
-		ph.vm.scheduler.serve(ctx, from, body.ReserveAsk, cn)
+		ph.vm.scheduler.serve(from, body.ReserveAsk, cn)
 	case *peerpb.Frame_AttachAsk:
 		ph.vm.serveAttach(ctx, body.AttachAsk, cn)
 	default:
@@ -142,5 +142,5 @@
 		cn.Close()
 		return
 	}
-	vm.scheduler.serve(vm.runCtx, vm.Self, fr.GetReserveAsk(), cn)
+	vm.scheduler.serve(vm.Self, fr.GetReserveAsk(), cn)
 }
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -30,7 +30,7 @@
 		if jb.granted {
 			rf = rf.WithRan(refusal.MayHaveRun)
 		}
-		ce.emit(Refuse{Request: spec.Request, Refusal: rf})
+		ce.emit(Refuse{Request: spec.Request, Stream: spec.Stream, Refusal: rf})
 		return
 	}
 	ce.jobs[spec.Request] = jb
@@ -166,6 +166,6 @@
 	if jb.granted {
 		rf = rf.WithRan(refusal.MayHaveRun)
 	}
-	ce.emit(Refuse{Request: jb.spec.Request, Refusal: rf})
+	ce.emit(Refuse{Request: jb.spec.Request, Stream: jb.spec.Stream, Refusal: rf})
 	ce.drop(now, jb)
 }
--- a/internal/sched/cell.go
+++ b/internal/sched/cell.go
@@ -370,7 +370,7 @@
 // requeue puts a granted request back into the queue.
 func (ce *Cell) requeue(now clock.Millis, jb *job, why refusal.Reason) {
 	ce.release(now, jb)
-	ce.emit(Preempt{Request: jb.spec.Request, Attempt: jb.spec.Attempt, Reason: why})
+	ce.emit(Preempt{Request: jb.spec.Request, Stream: jb.spec.Stream, Attempt: jb.spec.Attempt, Reason: why})
 	jb.spec.HeldPrefill = ""
 	jb.spec.Attempt++
 	jb.redirected, jb.waitReason = false, ""
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -196,7 +196,7 @@
 	eng.addPrefill(now, jb)
 	ce.recordPrefix(eng, jb.spec.PrefixHash)
 	ce.updateRankings(eng)
-	ce.emit(Grant{Request: jb.spec.Request, Attempt: jb.spec.Attempt, Prefill: eng.id, Decode: ce.bestDecodeID()})
+	ce.emit(Grant{Request: jb.spec.Request, Stream: jb.spec.Stream, Attempt: jb.spec.Attempt, Prefill: eng.id, Decode: ce.bestDecodeID()})
 }
 
 // bestDecodeID returns the decode engine that would be chosen now, or "".
@@ -238,7 +238,7 @@
 	jb.grp.held++
 	ce.reserved[classIndex(jb)]++
 	ce.readyJobs = append(ce.readyJobs, jb)
-	ce.emit(Grant{Request: jb.spec.Request, Attempt: jb.spec.Attempt, Prefill: eng.id, Decode: ce.bestDecodeID(), SkipPrefill: true})
+	ce.emit(Grant{Request: jb.spec.Request, Stream: jb.spec.Stream, Attempt: jb.spec.Attempt, Prefill: eng.id, Decode: ce.bestDecodeID(), SkipPrefill: true})
 	ce.startTransfers(now)
 	return true
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -57,6 +57,7 @@
 	// RequestSpec describes a request to the scheduler.
 	RequestSpec struct {
 		Request       string
+		Stream        uint64 // identifies the stream on which the runner announced the request; intents repeat it
 		Customer      string
 		Class         string
 		VM            board.VMRef // VM that serves the caller
@@ -137,6 +138,7 @@
 	// means that the retained KV cache is used.
 	Grant struct {
 		Request     string
+		Stream      uint64
 		Attempt     int // starts with that of the RequestSpec and grows by one with each further Grant
 		Prefill     string
 		Decode      string
@@ -148,6 +150,7 @@
 	// stalled or was rejected.
 	Transfer struct {
 		Request   string
+		Stream    uint64
 		Attempt   int
 		Prefill   string
 		Decode    string
@@ -161,6 +164,7 @@
 	// Refuse ends a queued request.
 	Refuse struct {
 		Request string
+		Stream  uint64
 		Refusal refusal.Refusal // MayHaveRun if the request was granted before
 	}
 
@@ -169,6 +173,7 @@
 	// and gets another Grant or a Refuse.
 	Preempt struct {
 		Request string
+		Stream  uint64
 		Attempt int
 		Reason  refusal.Reason
 	}
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -127,7 +127,7 @@
 	dec.addHeld(1)
 	ce.updateRankings(dec)
 	ce.transferring = append(ce.transferring, jb)
-	order.Request, order.Attempt = jb.spec.Request, jb.spec.Attempt
+	order.Request, order.Stream, order.Attempt = jb.spec.Request, jb.spec.Stream, jb.spec.Attempt
 	order.Prefill, order.Decode = jb.prefill.id, dec.id
 	ce.emit(order)
 }
