entry: decisions of an earlier stream are void, and a revoked grant is not announced

What callers saw: a request waits for its next grant until its deadline while engines stand idle, or loses an attempt for a KV cache that the scheduler does not know of.

Cause: a runner that reconnects announces what it believes, and both sides then have to start from that announcement.

- After a Preempt the runner waits for another grant, but was still "granted".
It announced the old stage, the scheduler took it for a grant in use and never granted it again; the runner never gave the scheduler up either, as it did not count as waiting.
- A grant that had arrived and was not read when the stream broke was used although the request had been announced as waiting and queued again.
Its progress did not match.

Change: announcements are numbered at the runner, frames carry the number of theirs, and one of an earlier announcement is dropped: the scheduler decides anew after each. A Preempt makes the reservation wait again, with the next attempt number.

--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -38,11 +38,13 @@
 
 		ctx       context.Context
 		stop      context.CancelFunc
-		decisions chan *peerpb.Frame // in order
+		decisions chan decision // in order
 
 		mu         sync.Mutex
 		cn         frameStream
+		stream     int // number of announcements so far
 		granted    bool
+		revoked    bool   // the newest grant was revoked
 		attempt    uint32 // number of the newest grant
 		stage      sched.Stage
 		prefill    string
@@ -51,6 +53,13 @@
 		stageSince clock.Millis
 		closed     bool
 	}
+
+	// decision is a frame of the scheduler. It is void once the request was announced
+	// on a later stream, because the scheduler then decides anew.
+	decision struct {
+		frame  *peerpb.Frame
+		stream int // number of the announcement that it follows
+	}
 )
 
 // reserve opens a reservation and keeps it open. The runner must end it.
@@ -62,38 +71,41 @@
 		tr:        tr,
 		ctx:       ctx,
 		stop:      stop,
-		decisions: make(chan *peerpb.Frame, outboxDepth),
+		decisions: make(chan decision, outboxDepth),
 	}
 	vm.wg.Go(rs.maintain)
 	return rs
 }
 
 // nextDecision waits for the scheduler's next decision.
-func (rs *reservation) nextDecision(ctx context.Context) (*peerpb.Frame, error) {
+func (rs *reservation) nextDecision(ctx context.Context) (decision, error) {
 	select {
 	case <-ctx.Done():
-		return nil, fmt.Errorf("wait for the scheduler: %w", context.Cause(ctx))
-	case fr, ok := <-rs.decisions:
+		return decision{}, fmt.Errorf("wait for the scheduler: %w", context.Cause(ctx))
+	case dec, ok := <-rs.decisions:
 		if !ok {
-			return nil, errSchedulerAway
+			return decision{}, errSchedulerAway
 		}
-		return fr, nil
+		return dec, nil
 	}
 }
 
 // awaitGrant waits for a slot. A refusal is returned as an error.
 func (rs *reservation) awaitGrant(ctx context.Context) (*peerpb.Grant, error) {
 	for {
-		fr, err := rs.nextDecision(ctx)
+		dec, err := rs.nextDecision(ctx)
 		if err != nil {
 			return nil, err
 		}
-		switch body := fr.GetBody().(type) {
+		switch body := dec.frame.GetBody().(type) {
 		case *peerpb.Frame_Grant:
-			rs.recordGrant(body.Grant)
-			return body.Grant, nil
+			if rs.recordGrant(body.Grant, dec.stream) {
+				return body.Grant, nil
+			}
 		case *peerpb.Frame_Refusal:
-			return nil, refusalFromWire(body.Refusal)
+			if rs.valid(dec) {
+				return nil, refusalFromWire(body.Refusal)
+			}
 		}
 	}
 }
@@ -105,16 +117,16 @@
 	wait, stop := context.WithTimeout(ctx, (until - rs.vm.Clock.Now()).Std())
 	defer stop()
 	for {
-		fr, err := rs.nextDecision(wait)
+		dec, err := rs.nextDecision(wait)
 		switch {
 		case ctx.Err() != nil:
 			return nil, err
 		case err != nil:
 			return nil, nil
-		case fr.GetTransfer() != nil && fr.GetTransfer().GetAttempt() == rs.attempt:
-			return fr, nil
-		case fr.GetPreempt() != nil && fr.GetPreempt().GetAttempt() == rs.attempt:
-			return fr, nil
+		case dec.frame.GetTransfer() != nil && dec.frame.GetTransfer().GetAttempt() == rs.attempt && rs.valid(dec):
+			return dec.frame, nil
+		case dec.frame.GetPreempt() != nil && rs.recordPreempt(dec):
+			return dec.frame, nil
 		}
 	}
 }
@@ -177,13 +189,38 @@
 	rs.stop()
 }
 
-func (rs *reservation) recordGrant(gr *peerpb.Grant) {
+// valid reports whether a decision was received on the stream on which the request was
+// announced last.
+func (rs *reservation) valid(dec decision) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return dec.stream == rs.stream
+}
+
+// recordPreempt records that the scheduler revoked the current grant and queued the request
+// again. It reports false if the decision is void or about another grant.
+func (rs *reservation) recordPreempt(dec decision) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if dec.stream != rs.stream || dec.frame.GetPreempt().GetAttempt() != rs.attempt {
+		return false
+	}
+	rs.granted, rs.revoked = false, true
+	return true
+}
+
+// recordGrant records a grant. It reports false if the grant is void.
+func (rs *reservation) recordGrant(gr *peerpb.Grant, stream int) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.granted = true
+	if stream != rs.stream {
+		return false
+	}
+	rs.granted, rs.revoked = true, false
 	rs.attempt = gr.GetAttempt()
 	rs.stage, rs.prefill, rs.decode = sched.Prefilling, gr.GetPrefillServer(), gr.GetDecodeServer()
 	rs.stageSince = rs.vm.Clock.Now()
+	return true
 }
 
 // maintain keeps a stream to the scheduler open until the reservation ends. It opens
@@ -236,7 +273,8 @@
 	defer cn.Close()
 	stop := context.AfterFunc(rs.ctx, func() { cn.Close() })
 	defer stop()
-	if err := rs.announce(cn); err != nil {
+	stream, err := rs.announce(cn)
+	if err != nil {
 		return err
 	}
 	for {
@@ -250,47 +288,53 @@
 			return errSchedulerAway
 		}
 		select {
-		case rs.decisions <- fr:
+		case rs.decisions <- decision{frame: fr, stream: stream}:
 		case <-rs.ctx.Done():
 			return nil
 		}
 	}
 }
 
-// announce sends the first frame and waits for the scheduler's acknowledgment.
-func (rs *reservation) announce(cn frameStream) error {
-	if err := cn.Send(&peerpb.Frame{Body: &peerpb.Frame_ReserveAsk{ReserveAsk: rs.openingAsk()}}); err != nil {
-		return fmt.Errorf("request a slot: %w", err)
+// announce sends the first frame and waits for the scheduler's acknowledgment. It returns
+// the number of the announcement.
+func (rs *reservation) announce(cn frameStream) (int, error) {
+	ask, stream := rs.openingAsk()
+	if err := cn.Send(&peerpb.Frame{Body: &peerpb.Frame_ReserveAsk{ReserveAsk: ask}}); err != nil {
+		return 0, fmt.Errorf("request a slot: %w", err)
 	}
 	ctx, stop := context.WithTimeout(rs.ctx, schedulerAckTimeout.Std())
 	defer stop()
 	fr, err := recvOrClose(ctx, cn)
 	if err != nil {
-		return fmt.Errorf("request a slot: %w", err)
+		return 0, fmt.Errorf("request a slot: %w", err)
 	}
 	if fr.GetDone() == nil {
-		return errSchedulerAway
+		return 0, errSchedulerAway
 	}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	if rs.closed {
-		return errSchedulerAway
+		return 0, errSchedulerAway
 	}
 	rs.cn = cn
 	if !rs.granted {
 		rs.tr.add(event.GrantWaits, "")
 	}
-	return nil
+	return stream, nil
 }
 
-// openingAsk returns the first frame: a request for a slot, or the announcement of a
-// grant that is in use.
-func (rs *reservation) openingAsk() *peerpb.ReserveAsk {
+// openingAsk returns the first frame and the number of this announcement: a request for a
+// slot, or the announcement of a grant that is in use.
+func (rs *reservation) openingAsk() (*peerpb.ReserveAsk, int) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	rs.stream++
 	ask := proto.CloneOf(rs.ask)
+	if rs.revoked {
+		ask.Attempt = rs.attempt + 1
+	}
 	if !rs.granted {
-		return ask
+		return ask, rs.stream
 	}
 	ask.Attempt = rs.attempt
 	ask.Stage = string(rs.stage)
@@ -298,7 +342,7 @@
 	ask.DecodeServer = rs.decode
 	ask.Tokens = int64(rs.tokens)
 	ask.Since = int64(rs.vm.Clock.Now() - rs.stageSince)
-	return ask
+	return ask, rs.stream
 }
 
 func (rs *reservation) dropStream(cn frameStream) {
--- a/internal/entry/restream_test.go
+++ b/internal/entry/restream_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -12,13 +13,14 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/sched"
+	"alderdyke/pkg/clock"
 )
 
-// setDecodeFull reports the decode engine as full or as empty.
+// setDecodeFull reports the decode engine as full of others' requests, or as empty.
 func (cr *testCell) setDecodeFull(full bool) {
 	running := 0
 	if full {
-		running = 20
+		running = 40
 	}
 	cr.hc.ac.Send(cr.t.Context(), sched.Report{Load: board.LoadReport{Server: "d0", Slots: 20, Running: running}})
 }
@@ -97,3 +99,86 @@
 		})
 	}
 }
+
+// openReservation opens the reservation of a runner on the VM that schedules the cell.
+func (cr *testCell) openReservation(request string) *reservation {
+	cr.t.Helper()
+	vm := cr.hc.vm
+	vm.Self = board.VMRef{ID: "vm-1", Incarnation: 1}
+	vm.Board = &board.Board{}
+	vm.Board.SetFleet(&board.Fleet{VMs: []board.VM{{VMRef: vm.Self}}})
+	vm.scheduler.cells = map[string]*heldCell{"m/0": cr.hc}
+	vm.runCtx = cr.t.Context()
+	rs := vm.reserve(cr.t.Context(), testAsk(request), &trace{clk: vm.Clock})
+	cr.t.Cleanup(rs.stop)
+	return rs
+}
+
+// breakStream closes the stream of a request at the scheduler, and waits until the runner
+// has announced the request again.
+func (cr *testCell) breakStream(request string) {
+	cr.hc.mu.Lock()
+	hr := cr.hc.held[request]
+	cr.hc.mu.Unlock()
+	hr.close()
+	time.Sleep(2 * reopenDelay.Std())
+	synctest.Wait()
+}
+
+// awaitGrantWithin waits for a grant for a limited time.
+func awaitGrantWithin(t *testing.T, rs *reservation, span clock.Millis) (*peerpb.Grant, error) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), span.Std())
+	defer stop()
+	return rs.awaitGrant(ctx)
+}
+
+// A runner whose grant was revoked waits for the next one. If its stream breaks meanwhile, it
+// must announce a waiting request: the scheduler would take the old stage for a grant in use,
+// and never grant the request again.
+func TestRevokedRequestWaitsAgainOnNextStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newTestCell(t)
+		rs := cr.openReservation("r1")
+		gr, err := awaitGrantWithin(t, rs, clock.Minute)
+		assert.NilError(t, err)
+		rs.sendProgress(sched.Prefilling, gr.GetPrefillServer(), 0, 0)
+		rs.sendProgress(sched.Prefilled, gr.GetPrefillServer(), 0, 10)
+		fr, err := rs.awaitDecision(t.Context(), rs.vm.Clock.Now()+clock.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, fr.GetTransfer() != nil)
+		rs.sendProgress(sched.Transferring, "d0", 0, 0)
+		cr.setDecodeFull(true)
+		rs.sendEngineState(sched.Lapsed, "d0", 0)
+		fr, err = rs.awaitDecision(t.Context(), rs.vm.Clock.Now()+clock.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, fr.GetPreempt() != nil)
+		cr.breakStream("r1")
+		cr.setDecodeFull(false)
+		next, err := awaitGrantWithin(t, rs, clock.Minute)
+		assert.NilError(t, err)
+		assert.Assert(t, next.GetAttempt() > gr.GetAttempt())
+	})
+}
+
+// A grant that the runner has not read when it announces its request as waiting on another
+// stream is void: the scheduler has released what it had reserved for it.
+func TestGrantOfEarlierStreamIsVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newTestCell(t)
+		rs := cr.openReservation("r1")
+		synctest.Wait() // the grant has arrived
+		cr.setDecodeFull(true)
+		cr.breakStream("r1")
+		_, err := awaitGrantWithin(t, rs, clock.Second)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		cr.setDecodeFull(false)
+		gr, err := awaitGrantWithin(t, rs, clock.Minute)
+		assert.NilError(t, err)
+		rs.sendProgress(sched.Prefilling, gr.GetPrefillServer(), 0, 0)
+		rs.sendProgress(sched.Prefilled, gr.GetPrefillServer(), 0, 10)
+		fr, err := rs.awaitDecision(t.Context(), rs.vm.Clock.Now()+clock.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, fr.GetTransfer() != nil)
+	})
+}
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -161,12 +161,12 @@
 			}
 			ma.decode.Incarnation = ma.rn.vm.incarnations.Latest(srv.ID) // the one that holds the KV cache
 			return nil
-		case fr, ok := <-decisions:
+		case dec, ok := <-decisions:
 			if !ok {
 				decisions = nil // the reservation has lost its scheduler
 				continue
 			}
-			if err := ma.abortIfReplaced(fr, srv.ID); err != nil {
+			if err := ma.abortIfReplaced(dec, srv.ID); err != nil {
 				return err
 			}
 		}
@@ -175,13 +175,13 @@
 
 // abortIfReplaced aborts an import if a decision of the scheduler replaces its engine or
 // its grant.
-func (ma *modelAttempt) abortIfReplaced(fr *peerpb.Frame, server string) error {
-	pr, next := fr.GetPreempt(), fr.GetTransfer()
+func (ma *modelAttempt) abortIfReplaced(dec decision, server string) error {
+	next := dec.frame.GetTransfer()
 	switch {
-	case pr != nil && pr.GetAttempt() == ma.rs.attempt:
+	case dec.frame.GetPreempt() != nil && ma.rs.recordPreempt(dec):
 		ma.cancelEngine(server)
 		return errPreempted
-	case next != nil && next.GetDecodeServer() != server:
+	case next != nil && next.GetDecodeServer() != server && ma.rs.valid(dec):
 		ma.cancelEngine(server)
 		if err := ma.setDecode(next.GetDecodeServer()); err != nil {
 			return err
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -38,13 +38,13 @@
 		prefill:     board.BackendServer{ID: "p1", Role: board.Prefill, Address: "p1.example:1"},
 		usedEngines: make(map[string]struct{}),
 		rs: &reservation{vm: rn.vm, cn: near, granted: true, attempt: 1, stage: sched.Prefilled,
-			decisions: make(chan *peerpb.Frame, outboxDepth)},
+			decisions: make(chan decision, outboxDepth)},
 	}
 	return &transferRig{ma: ma, rr: &testRunner{t: t, cn: far}}
 }
 
 // decide passes a decision of the scheduler to the attempt.
-func (tr *transferRig) decide(fr *peerpb.Frame) { tr.ma.rs.decisions <- fr }
+func (tr *transferRig) decide(fr *peerpb.Frame) { tr.ma.rs.decisions <- decision{frame: fr} }
 
 func transferFrame(server string) *peerpb.Frame {
 	return &peerpb.Frame{Body: &peerpb.Frame_Transfer{Transfer: &peerpb.Transfer{DecodeServer: server, Attempt: 1}}}
