orders, entry: an engine is idle only by an observation from after its drain

Cause: Drain marks the engine and posts the new server list to the scheduling loop, while the decision on orders goes on at once with the observation it has, from before. A grant that the loop decides on before it reads the list is not in that observation, and the engine does not know of it when it is asked what it runs.

Change: a drain is confirmed by the scheduling loop, behind all that it had decided, and only an observation from after that counts.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -51,6 +51,13 @@
 		streams uint64 // number of reservation streams so far
 	}
 
+	// barrier is an event that only calls run, once the scheduling loop has processed all
+	// events before it and carried out their intents.
+	barrier struct {
+		sched.Event
+		run func(now clock.Millis)
+	}
+
 	// heldRequest is a request that is queued or granted.
 	heldRequest struct {
 		stream    uint64 // number of the stream
@@ -118,7 +125,13 @@
 func (hc *heldCell) newDecisionLoop(name string) *actor.Actor[sched.Event, sched.Intent] {
 	dc := &sched.Cell{Name: name}
 	ac := actor.New[sched.Event, sched.Intent](hc.vm.Clock, sched.Tick{}, cellTick)
-	ac.Step = dc.Step
+	ac.Step = func(now clock.Millis, ev sched.Event) []sched.Intent {
+		if ba, ok := ev.(barrier); ok {
+			ba.run(now)
+			return nil
+		}
+		return dc.Step(now, ev)
+	}
 	ac.Execute = hc.handleIntent
 	ac.WakeTime = actor.WakeTimeFunc[sched.Intent](func(wk sched.Wake) clock.Millis { return wk.At })
 	return ac
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -190,8 +190,9 @@
 // observeCell passes the state of the cell to the loop that decides on orders.
 func (rc *reconciler) observeCell() {
 	hc := rc.hc
+	at := hc.vm.Clock.Now()
 	dm := hc.demand()
-	ob := orders.Observed{Quick: dm.quick, Patient: dm.patient}
+	ob := orders.Observed{At: at, Quick: dm.quick, Patient: dm.patient}
 	rc.mu.Lock()
 	for _, srv := range hc.servers() {
 		rp, ok := rc.reports[srv.ID]
@@ -248,12 +249,21 @@
 	}
 }
 
-// drain stops new work for an engine, or allows it again.
+// drain stops new work for an engine, or allows it again. It confirms a stop when the
+// scheduling loop has heeded it and all grants that it had decided on are in hc.held.
 func (rc *reconciler) drain(ctx context.Context, in orders.Drain) {
 	rc.mu.Lock()
 	rc.drained[in.Server] = in.Stop
 	rc.mu.Unlock()
 	rc.updateServers(ctx)
+	if !in.Stop {
+		return
+	}
+	hc := rc.hc
+	hc.ac.Send(ctx, barrier{run: func(now clock.Millis) {
+		// Neither loop waits for the other.
+		hc.vm.wg.Go(func() { hc.ord.post(orders.Drained{Server: in.Server, At: now}) })
+	}})
 }
 
 func (rc *reconciler) updateServers(ctx context.Context) {
--- a/internal/orders/cell.go
+++ b/internal/orders/cell.go
@@ -32,7 +32,7 @@
 	// guards are the protections that tests can disable. The zero value disables none.
 	guards struct {
 		noDwell, noWindow, noSpareFor, noMinimum, noSettle, noFence, noDrain, noDoubt bool
-		noKeepWait                                                                    bool
+		noKeepWait, noDrained                                                         bool
 	}
 )
 
@@ -59,6 +59,8 @@
 		ce.token = ev.Token
 	case LeaseLapsed:
 		ce.token = 0
+	case Drained:
+		ce.handleDrained(ev)
 	case Inspected:
 		ce.handleInspected(now, ev)
 	case Sent:
--- a/internal/orders/cell_test.go
+++ b/internal/orders/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -26,9 +27,11 @@
 	runs         map[string]int                                   // requests that never complete on their own
 	outcome      func(sd Send) Outcome                            // nil: orders are carried out
 	noLease      bool
-	neverIdle    bool // a drained engine runs a request that never completes
-	alwaysQueued bool // quick requests are queued whatever the load is
-	heldCaches   int  // KV caches that each prefill engine keeps unless it is drained
+	neverIdle    bool           // a drained engine runs a request that never completes
+	alwaysQueued bool           // quick requests are queued whatever the load is
+	holdDrained  bool           // drains are not confirmed
+	grants       map[string]int // granted requests that the engines do not have yet
+	heldCaches   int            // KV caches that each prefill engine keeps unless it is drained
 
 	changes []clock.Millis     // times of the changes of role
 	fewest  map[board.Role]int // smallest number of usable engines of each role so far
@@ -43,6 +46,7 @@
 		fewest:  map[board.Role]int{board.Prefill: prefill, board.Decode: decode},
 		demand:  func(clock.Millis) (float64, float64) { return 0, 0 },
 		drained: map[string]bool{},
+		grants:  map[string]int{},
 	}
 	for ix := range prefill + decode {
 		role := board.Prefill
@@ -66,9 +70,9 @@
 	po := poolsOf(ha.engines)
 	busy := min(float64(po.prefill), prefill)
 	full := min(1, decode/float64(max(1, po.decode)))
-	ob := Observed{}
+	ob := Observed{At: ha.now}
 	for _, eng := range ha.engines {
-		eng.RoleAt, eng.Granted = ha.now, ha.runs[eng.ID]
+		eng.RoleAt, eng.Granted = ha.now, ha.runs[eng.ID]+ha.grants[eng.ID]
 		switch {
 		case eng.Role == board.Decode:
 			eng.Running = int(full * slots)
@@ -105,6 +109,10 @@
 			}
 			if !in.Stop {
 				delete(ha.runs, in.Server)
+				break
+			}
+			if !ha.holdDrained {
+				ha.step(Drained{Server: in.Server, At: ha.now})
 			}
 		case Inspect:
 			eng := ha.engine(in.Server)
@@ -368,6 +376,48 @@
 	}
 }
 
+// A grant that the scheduling loop decided on before it heeded the drain may be in no
+// observation from before, and its runner may not have used it when the engine is asked
+// what it runs.
+func TestDrainIsConfirmedBeforeTheOrder(t *testing.T) {
+	for _, unconfirmed := range []bool{false, true} {
+		testUnconfirmedDrain(t, unconfirmed)
+	}
+}
+
+// testUnconfirmedDrain plays a drain that is confirmed late. If the guard is disabled, the
+// order must go out before that.
+func testUnconfirmedDrain(t *testing.T, unconfirmed bool) {
+	t.Helper()
+	ha := shortDecode(3, 1)
+	ha.cell.disabled = guards{noDrained: unconfirmed}
+	ha.holdDrained = true
+	sent := func() bool {
+		return slices.ContainsFunc(ha.intents, func(in Intent) bool {
+			sd, ok := in.(Send)
+			return ok && sd.Order.Kind == engine.ChangeRole && sd.Order.Role == board.Decode && sd.Server == "e00"
+		})
+	}
+	for !ha.drained["e00"] {
+		ha.run(step)
+	}
+	ha.run(5 * clock.Second)
+	assert.Equal(t, sent(), unconfirmed, "the drain is not confirmed")
+	if unconfirmed {
+		return
+	}
+	ha.step(Drained{Server: "e00", At: ha.now})
+	ha.step(Inspected{Server: "e00", Asked: ha.now, Role: board.Prefill, RoleAt: ha.now})
+	assert.Assert(t, !sent(), "the last observation is older than the drain")
+	ha.grants["e00"] = 1
+	ha.now += step
+	ha.run(5 * clock.Second)
+	assert.Assert(t, !sent(), "a request is granted on the engine")
+	ha.grants["e00"] = 0
+	ha.run(5 * clock.Second)
+	assert.Assert(t, sent())
+}
+
 func TestOutcomesOfAnOrder(t *testing.T) {
 	change := func(sd Send) bool { return sd.Order.Role == board.Decode && sd.Server == "e00" }
 	for _, tc := range []struct {
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -38,6 +38,7 @@
 		since  clock.Millis // when the phase began
 
 		drained    bool                   // the engine gets no new work
+		drainedAt  clock.Millis           // since when it is granted nothing; zero if that is not confirmed
 		leaseSince clock.Millis           // start of the hold of the lease under which the order is given
 		unfenced   map[string]fencingStep // engines that have not confirmed the token yet
 		idleSince  clock.Millis           // since when the engine has no granted requests; zero if it has some
@@ -206,7 +207,7 @@
 		ce.send(now)
 	case now-ao.since >= ce.Settings.DrainTimeout:
 		ce.finish(now, NotDrained, Outcome{})
-	case eng.Granted > 0:
+	case eng.Granted > 0, !ce.drainObserved():
 		ao.idleSince = 0
 	default:
 		if ao.idleSince == 0 {
@@ -216,6 +217,20 @@
 	}
 }
 
+// handleDrained records that the engine is granted nothing more.
+func (ce *Cell) handleDrained(ev Drained) {
+	if ao := ce.current; ao != nil && ao.drained && ao.server == ev.Server {
+		ao.drainedAt = ev.At
+	}
+}
+
+// drainObserved reports whether the latest observation counts all that was granted on the
+// engine. An earlier one may lack a grant that its runner has not used yet.
+func (ce *Cell) drainObserved() bool {
+	ao := ce.current
+	return ce.disabled.noDrained || (ao.drainedAt != 0 && ce.observed.At > ao.drainedAt)
+}
+
 // inspect requests an Inspect of the engine, at most once per interval.
 func (ce *Cell) inspect(now clock.Millis) {
 	if now >= ce.current.inspectAt {
--- a/internal/orders/explore_test.go
+++ b/internal/orders/explore_test.go
@@ -177,7 +177,7 @@
 	ho.state.Advance(logsvc.Batch{Records: wo.log[ho.state.Next():], Next: uint64(len(wo.log)), End: uint64(len(wo.log))})
 	en, known := ho.state.Entry(resource)
 	ho.stepLease(register.LeaseObserved{Entry: en, Known: known})
-	ob := Observed{Quick: 1}
+	ob := Observed{At: wo.now, Quick: 1}
 	for _, eng := range wo.engines {
 		eng.RoleAt = wo.now
 		// Each VM has placed work of its own, so the two choose different engines.
@@ -233,6 +233,9 @@
 			ho.inbox = append(ho.inbox, func() { ho.send(in) })
 		case Drain:
 			ho.drained[in.Server] = in.Stop
+			if at := wo.now; in.Stop {
+				ho.inbox = append(ho.inbox, func() { ho.step(Drained{Server: in.Server, At: at}) })
+			}
 		}
 	}
 }
@@ -263,7 +266,7 @@
 func schedules(play func(sc schedule)) {
 	type pause struct{ at, span clock.Millis }
 	pauses := []pause{{}}
-	for at := 4 * clock.Second; at <= 30*clock.Second; at += 2 * clock.Second {
+	for at := 4 * clock.Second; at <= 30*clock.Second; at += clock.Second {
 		for _, span := range []clock.Millis{5 * clock.Second, 15 * clock.Second, 45 * clock.Second} {
 			pauses = append(pauses, pause{at, span})
 		}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -28,7 +28,7 @@
 //	for _, in := range ce.Step(now, orders.Observed{Engines: engines}) {
 //		switch in := in.(type) {
 //		case orders.WantLease: ...     // acquire or release the lease; reply with LeaseHeld and LeaseLapsed
-//		case orders.Drain: ...         // stop or resume new work for the engine
+//		case orders.Drain: ...         // stop or resume new work for the engine; reply with Drained
 //		case orders.Inspect: ...       // reply with Inspected
 //		case orders.Send: ...          // reply with Sent
 //		case orders.OperatorReply: ... // forward to the operator
@@ -113,8 +113,8 @@
 	// Reason is the reason why an order was not carried out.
 	Reason string
 
-	// Event is an input to a Cell: Observed, LeaseHeld, LeaseLapsed, Inspected, Sent,
-	// OperatorOrder or Tick.
+	// Event is an input to a Cell: Observed, LeaseHeld, LeaseLapsed, Drained, Inspected,
+	// Sent, OperatorOrder or Tick.
 	Event interface{ orderEvent() }
 
 	// Intent is an action that a Cell requests: WantLease, Drain, Inspect, Send,
@@ -123,6 +123,7 @@
 
 	// Observed reports the state of the cell, about twice a second.
 	Observed struct {
+		At      clock.Millis // before the state was read
 		Engines []Engine
 		Quick   int // queued quick requests
 		Patient int // queued patient requests
@@ -134,6 +135,13 @@
 	// LeaseLapsed reports that the lease is no longer held.
 	LeaseLapsed struct{ Token uint64 }
 
+	// Drained is the reply to a Drain that stops new work: the engine is granted nothing
+	// from At on, and an Observed with a later time counts all that it was granted before.
+	Drained struct {
+		Server string
+		At     clock.Millis
+	}
+
 	// Inspected is the reply to an Inspect. Asked is a time on this VM's clock before
 	// the engine was queried.
 	Inspected struct {
@@ -165,7 +173,7 @@
 	// WantLease requests the lease to be acquired and held, or to be released.
 	WantLease struct{ Hold bool }
 
-	// Drain stops new work for an engine, or resumes it.
+	// Drain stops new work for an engine, or resumes it. A stop is confirmed by Drained.
 	Drain struct {
 		Server string
 		Stop   bool
@@ -200,6 +208,7 @@
 func (Observed) orderEvent()      {}
 func (LeaseHeld) orderEvent()     {}
 func (LeaseLapsed) orderEvent()   {}
+func (Drained) orderEvent()       {}
 func (Inspected) orderEvent()     {}
 func (Sent) orderEvent()          {}
 func (OperatorOrder) orderEvent() {}
