entry: a revoked grant counts until its engines are known to hold nothing

Cause: the accounting VM stops counting a request on its engines when it revokes the grant. The runner reads that later, often only when its prompt is computed, and may still be sending the prompt. A drain itself revokes grants that have not begun. An engine could so be taken for idle, and be asked what it runs before the prompt arrived.

Change: a runner that has read a revocation cancels at the engines, as before, and confirms the revocation when they have answered (Progress with the stage Revoked, which earlier builds ignore). Until then the grant counts on its engines; for a runner of an earlier build, until its request ends. The confirmation is repeated on each later stream.

--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"alderdyke/internal/actor"
@@ -73,6 +74,13 @@
 		attempt   int         // number of the grant
 		prefill   string      // ID of the engine
 		decode    string      // ID of the engine
+		revoked   []revokedGrant
+	}
+
+	// revokedGrant is a grant whose revocation the runner has not confirmed.
+	revokedGrant struct {
+		attempt         int
+		prefill, decode string // IDs of the engines
 	}
 )
 
@@ -208,6 +216,10 @@
 			hc.rec.refreshRole(hc.ctx, pg.GetServer())
 			continue
 		}
+		if stage == stageRevoked {
+			hc.confirmRevoked(hr, int(pg.GetAttempt()))
+			continue
+		}
 		if stage == stageResting {
 			hc.ac.Send(hc.ctx, sched.Rest{Server: pg.GetServer(), For: clock.Millis(pg.GetTook())})
 			continue
@@ -272,6 +284,9 @@
 	hr.stream = hc.streams
 	if old, ok := hc.held[ask.GetRequest()]; ok {
 		old.close()
+		hr.revoked = slices.DeleteFunc(old.revoked, func(rv revokedGrant) bool {
+			return hr.granted && rv.attempt == hr.attempt // the runner has not read the revocation and will ignore it
+		})
 	}
 	hc.held[ask.GetRequest()] = hr
 	hc.mu.Unlock()
@@ -320,6 +335,13 @@
 	}
 }
 
+// confirmRevoked records that the engines hold nothing of the revoked grants up to an attempt.
+func (hc *heldCell) confirmRevoked(hr *heldRequest, attempt int) {
+	hc.mu.Lock()
+	defer hc.mu.Unlock()
+	hr.revoked = slices.DeleteFunc(hr.revoked, func(rv revokedGrant) bool { return rv.attempt <= attempt })
+}
+
 func (hc *heldCell) recordStage(hr *heldRequest, stage sched.Stage, server string) {
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
@@ -349,7 +371,10 @@
 	case sched.Preempt:
 		hc.sendToRunner(in.Request, in.Stream, &peerpb.Frame{Body: &peerpb.Frame_Preempt{Preempt: &peerpb.Preempt{
 			Reason: string(in.Reason), Attempt: uint32(in.Attempt),
-		}}}, func(hr *heldRequest) { hr.preempted = true })
+		}}}, func(hr *heldRequest) {
+			hr.preempted = true
+			hr.revoked = append(hr.revoked, revokedGrant{attempt: in.Attempt, prefill: hr.prefill, decode: hr.decode})
+		})
 	case sched.Unknown:
 		hc.closeUnknown(in)
 	case sched.Closed:
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -58,6 +58,7 @@
 		decode           board.BackendServer
 		kv               engine.PrefillResult
 		usedEngines      map[string]struct{} // engines that may hold state of the attempt
+		cancels          []<-chan struct{}   // cancels of the current grant; each is closed when it is complete
 		placedLocally    bool                // placed by this VM without a scheduler
 		releasePlacement func()              // releases a local placement
 	}
@@ -106,7 +107,7 @@
 		if !errors.Is(err, errPreempted) {
 			break
 		}
-		ma.cancelEngines()
+		ma.cancelRevoked()
 	}
 	if err != nil {
 		return err
@@ -237,14 +238,27 @@
 // cancelEngine cancels this attempt at one engine.
 func (ma *modelAttempt) cancelEngine(server string) {
 	delete(ma.usedEngines, server)
-	ma.rn.vm.janitor.cancelAttempts(ma.rn.vm.runCtx, server, ma.name, ma.number)
+	ma.cancels = append(ma.cancels, ma.rn.vm.janitor.cancelAttempts(ma.rn.vm.runCtx, server, ma.name, ma.number))
 }
 
-// cancelEngines cancels at the engines what is left of a revoked grant.
-func (ma *modelAttempt) cancelEngines() {
+// cancelRevoked cancels at the engines what is left of a revoked grant, and confirms it to the
+// scheduler when they have answered.
+func (ma *modelAttempt) cancelRevoked() {
 	for server := range ma.usedEngines {
 		ma.cancelEngine(server)
 	}
+	cancels, rs, attempt := ma.cancels, ma.rs, ma.rs.attempt
+	ma.cancels = nil
+	ma.rn.vm.wg.Go(func() {
+		for _, done := range cancels {
+			select {
+			case <-done:
+			case <-rs.ctx.Done():
+				return
+			}
+		}
+		rs.confirmRevoked(attempt)
+	})
 }
 
 // release gives up the slot. After a failure it first cancels at the engines that may
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -27,6 +27,10 @@
 // declined because of its role.
 const stageWrongRole sched.Stage = "WrongRole"
 
+// stageRevoked is sent in place of a stage. It confirms that the engines hold nothing of the
+// revoked grant with that attempt number, nor of earlier ones.
+const stageRevoked sched.Stage = "Revoked"
+
 // stageResting is sent in place of a stage. It names an engine that requested a pause, with its length.
 const stageResting sched.Stage = "Resting"
 
@@ -44,7 +48,7 @@
 	// demand is the load that the requests of a cell put on it.
 	demand struct {
 		quick, patient int            // queued requests
-		granted        map[string]int // granted requests, by each engine that they use
+		granted        map[string]int // granted requests and unconfirmed revocations, by each engine that they use
 		pendingPrompts map[string]int // granted requests whose prompts are not computed yet, by prefill engine
 	}
 
@@ -271,12 +275,17 @@
 }
 
 // demand counts the queued requests, and the granted ones by the engines that they
-// use at their stage.
+// use at their stage. A runner that has not confirmed the revocation of a grant may still use
+// that grant's engines.
 func (hc *heldCell) demand() demand {
 	dm := demand{granted: make(map[string]int), pendingPrompts: make(map[string]int)}
 	hc.mu.Lock()
 	defer hc.mu.Unlock()
 	for _, hr := range hc.held {
+		for _, rv := range hr.revoked {
+			dm.granted[rv.prefill]++
+			dm.granted[rv.decode]++
+		}
 		waits := !hr.granted || hr.preempted
 		switch {
 		case waits && hr.quick:
--- a/internal/entry/reservation.go
+++ b/internal/entry/reservation.go
@@ -45,8 +45,9 @@
 		cn         frameStream
 		stream     int // number of announcements so far
 		granted    bool
-		revoked    bool   // the newest grant was revoked
-		attempt    uint32 // number of the newest grant
+		revoked    bool    // the newest grant was revoked
+		confirmed  *uint32 // attempt number of the newest revoked grant of which the engines hold nothing; nil if there is none
+		attempt    uint32  // number of the newest grant
 		stage      sched.Stage
 		prefill    string
 		decode     string
@@ -170,6 +171,30 @@
 	}
 }
 
+// confirmRevoked reports that the engines hold nothing of the revoked grants up to an attempt.
+func (rs *reservation) confirmRevoked(attempt uint32) {
+	rs.mu.Lock()
+	if rs.confirmed == nil || *rs.confirmed < attempt {
+		rs.confirmed = &attempt
+	}
+	cn := rs.cn
+	rs.mu.Unlock()
+	if cn != nil {
+		cn.Send(progressFrame(attempt, stageRevoked, "", 0, 0))
+	}
+}
+
+// repeatConfirmation sends the last confirmation on a new stream, because the stream before it
+// may have lost it.
+func (rs *reservation) repeatConfirmation(cn frameStream) {
+	rs.mu.Lock()
+	confirmed := rs.confirmed
+	rs.mu.Unlock()
+	if confirmed != nil {
+		cn.Send(progressFrame(*confirmed, stageRevoked, "", 0, 0))
+	}
+}
+
 // end gives up the slot with a final frame that reports what the engines hold.
 func (rs *reservation) end(stage sched.Stage) {
 	rs.mu.Lock()
@@ -279,6 +304,7 @@
 	if err != nil {
 		return err
 	}
+	rs.repeatConfirmation(cn)
 	for {
 		fr, err := cn.Recv()
 		if err != nil {
--- a/internal/orders/explore_test.go
+++ b/internal/orders/explore_test.go
@@ -232,14 +232,18 @@
 		case Send:
 			ho.inbox = append(ho.inbox, func() { ho.send(in) })
 		case Drain:
-			ho.drained[in.Server] = in.Stop
-			if at := wo.now; in.Stop {
-				ho.inbox = append(ho.inbox, func() { ho.step(Drained{Server: in.Server, At: at}) })
-			}
+			ho.drain(in)
 		}
 	}
 }
 
+func (ho *holder) drain(in Drain) {
+	ho.drained[in.Server] = in.Stop
+	if at := ho.world.now; in.Stop {
+		ho.inbox = append(ho.inbox, func() { ho.step(Drained{Server: in.Server, At: at}) })
+	}
+}
+
 // send checks the lease a last time and then sends the order.
 func (ho *holder) send(sd Send) {
 	wo := ho.world
