entry: listen for the scheduler's revocation as long as it may come

What callers saw: RetriesExhausted four seconds into a deadline of 300 s, after three lost KV caches, while engines took work.

Cause: the runner waited for the scheduler's word until 1.25 times the keep after its prompt was computed. The scheduler counts the keep from when it learns of the KV cache, and takes the grant back then, which costs no attempt. With messages later than 0.2 s, or an import that is declined after that time, the runner did not listen any more: the attempt had failed, and the budget for retries paid.

Change: the runner waits from the end of the keep, or from its own report if that is later, as long as it would look for its scheduler (2 s, for quick requests a quarter of the target).

--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -21,11 +21,6 @@
 	// detachedLimitFraction limits the wait for a transfer without a scheduler; the
 	// rest of the time is needed for the import order to reach the engine.
 	detachedLimitFraction = 0.9
-	// decisionLimitFraction limits the wait for a decision of the scheduler. The
-	// scheduler counts from when it is informed of the KV cache. It revokes the grant
-	// of a request without an engine just before the end, which does not use up one
-	// of the request's attempts.
-	decisionLimitFraction = 1.25
 )
 
 var (
@@ -68,6 +63,14 @@
 	return since + clock.Millis(part*float64(ma.kv.KeptFor))
 }
 
+// decisionDeadline returns until when the runner waits for a decision of the scheduler that it
+// is connected to, given when the KV cache was computed. At the latest, the scheduler revokes
+// the grant when it believes that the KV cache has expired, which does not use up one of the
+// request's attempts. It counts from when it is informed, so there must be time for messages.
+func (ma *modelAttempt) decisionDeadline(since clock.Millis) clock.Millis {
+	return max(ma.retentionPoint(since, 1), ma.rn.vm.Clock.Now()) + ma.rs.timeout()
+}
+
 // awaitDecodeChoice waits for the scheduler's final choice of the decode engine, or for its
 // decision that none was free while the KV cache was kept. Without a stream to a scheduler
 // it continues after a wait with the engine that the grant named.
@@ -77,7 +80,7 @@
 	}
 	fr, err := ma.rs.awaitDecision(ctx, ma.retentionPoint(since, detachedWaitFraction))
 	if err == nil && fr == nil && ma.rs.connected() {
-		fr, err = ma.rs.awaitDecision(ctx, ma.retentionPoint(since, decisionLimitFraction))
+		fr, err = ma.rs.awaitDecision(ctx, ma.decisionDeadline(since))
 	}
 	switch {
 	case err != nil:
@@ -96,11 +99,11 @@
 	if ma.placedLocally {
 		return ma.setDecode(ma.rn.vm.redirectByReports(ctx, ma.rs.ask, ma.decode.ID))
 	}
-	part := detachedLimitFraction
+	until := ma.retentionPoint(since, detachedLimitFraction)
 	if ma.rs.connected() {
-		part = decisionLimitFraction
+		until = ma.decisionDeadline(since)
 	}
-	fr, err := ma.rs.awaitDecision(ctx, ma.retentionPoint(since, part))
+	fr, err := ma.rs.awaitDecision(ctx, until)
 	switch {
 	case err != nil:
 		return failure{"wait for another transfer", err}
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -71,6 +72,30 @@
 	assert.ErrorIs(t, <-ended, errPreempted)
 }
 
+// The scheduler counts the time for which a KV cache is kept from when it is informed of it.
+// Its word may come later than that time after the prefill, and still does not use up one of
+// the request's attempts.
+func TestLateRevocationUsesNoAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		imported bool // the import is declined after the KV cache's time; otherwise none is ordered
+	}{{"Lapsed", true}, {"NoSlot", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tr := newTransferRig(t, func(wr http.ResponseWriter, _ *http.Request) {
+				time.Sleep(1200 * time.Millisecond)
+				wr.Header().Set(backend.DeclinedHeader, string(backend.NoKV))
+				wr.WriteHeader(http.StatusConflict)
+			})
+			if tc.imported {
+				tr.decide(transferFrame("e1"))
+			}
+			time.AfterFunc(1400*time.Millisecond, func() { tr.decide(preemptFrame()) })
+			assert.ErrorIs(t, tr.ma.transferKV(t.Context()), errPreempted)
+		})
+	}
+}
+
 // The scheduler may revoke a grant during the import, for example when its decision and a
 // second import order cross. The runner must then stop the import, which no slot accounts for
 // any more.
