sched: a KV cache lost by a late message is not taken for too large

Cause: three lost caches end a request, as its KV cache may be too large for the links. One that lapsed because one message was late counted the same, however small it was.

Change: a lapsed cache counts only if the transfer, by its link and by the delay that the cell has learned, may be expected to take more than half of the keep. Lapsed transfers are learned from too, so a request whose transfers are all late is refused as before (TestAlwaysLapsedKVCacheIsRefused), and so is one that finds no slot (TestRepeatedlyLostKVCacheIsRefused, unchanged).

--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -292,6 +292,53 @@
 	assert.Equal(t, len(fx.ce.jobs), 0)
 }
 
+// lapse takes a granted request through a transfer that comes too late.
+func (fx *fixture) lapse(id string) {
+	fx.now += 100
+	fx.step(Tick{})
+	fx.progress(id, Prefilled, 10)
+	fx.progress(id, Transferring, 0)
+	fx.now += fx.ce.KVCacheTTL
+	fx.progress(id, Lapsed, 0)
+}
+
+// Single late messages lose KV caches of small prompts. The request is not refused for that
+// while most transfers are fast and its deadline is far.
+func TestLapsedKVCacheIsComputedAgain(t *testing.T) {
+	fx := newFixture(1, 1, 60)
+	spec := patient("ra")
+	spec.PromptTokens = 100
+	fx.step(Submit{Spec: spec})
+	for ix := range 2 * maxExpirations {
+		for iy := range 10 { // other requests, on time
+			id := fmt.Sprintf("r%d-%d", ix, iy)
+			fx.step(Submit{Spec: quick(id)})
+			fx.startDecoding(id)
+			fx.progress(id, Ended, 100)
+		}
+		fx.lapse("ra")
+		assert.Equal(t, len(fx.refusals), 0)
+		assert.Equal(t, fx.preempts["ra"], ix+1)
+	}
+	fx.now += 100
+	fx.step(Tick{})
+	fx.startDecoding("ra")
+	assert.Equal(t, fx.ce.jobs["ra"].stage, Decoding)
+}
+
+// If all transfers come too late, the request is refused instead of being computed until its
+// deadline.
+func TestAlwaysLapsedKVCacheIsRefused(t *testing.T) {
+	fx := newFixture(1, 1, 4)
+	fx.step(Submit{Spec: patient("ra")})
+	for range maxExpirations {
+		assert.Equal(t, len(fx.refusals), 0)
+		fx.lapse("ra")
+	}
+	assert.Equal(t, fx.refusals["ra"].Refusal.Reason, refusal.RetriesExhausted)
+	assert.Equal(t, len(fx.ce.jobs), 0)
+}
+
 func TestGrantNotBegunIsPreemptedAtLeavingEngine(t *testing.T) {
 	fx := newFixture(2, 2, 8)
 	first := patient("r0")
--- a/internal/sched/transfer.go
+++ b/internal/sched/transfer.go
@@ -15,6 +15,7 @@
 	forecastInterval = 25 * clock.Millis(1)
 
 	maxLinkWindowShare = 0.25  // share of the KV cache's TTL that concurrent transfers on a link may take
+	maxTransitShare    = 0.5   // share of the KV cache's TTL that a transfer may be expected to take
 	maxExpirations     = 3     // KV caches that one request may lose
 	quickLeadMS        = 200.0 // milliseconds by which quick transfers are advanced in the order
 	expiryLeadMS       = 300.0 // the same for patient transfers at a weight of 1
@@ -169,14 +170,22 @@
 }
 
 // handleLapsed requeues a request whose KV cache was lost before its decode engine had
-// fetched it. The loss does not count against that decode engine.
+// fetched it. The loss does not count against that decode engine, and against the request
+// only if the next transfer is expected to be late as well.
 func (ce *Cell) handleLapsed(now clock.Millis, jb *job) {
 	switch {
 	case jb.stage != Transferring:
 	case jb.orphan:
 		ce.drop(now, jb)
 	default:
-		ce.requeueExpired(now, jb)
+		if !jb.redirected {
+			ce.transferDelay.observe(float64(now-jb.since) - stallFactor*jb.linkMS)
+		}
+		if jb.linkMS+ce.transferDelay.mean > maxTransitShare*float64(ce.KVCacheTTL) {
+			ce.requeueExpired(now, jb)
+			return
+		}
+		ce.requeue(now, jb, refusal.TargetUnreachable)
 	}
 }
 
