--- a/internal/entry/accountant.go
+++ b/internal/entry/accountant.go
@@ -62,22 +62,22 @@
 	// heldRequest is a request that is queued or granted.
 	heldRequest struct {
 		stream    uint64 // number of the stream
-		close     func() // closes the stream; may be called more than once
+		end       func() // closes the stream; may be called more than once
 		runner    board.VMRef
 		outbox    chan *peerpb.Frame // never closed; the writer stops with done
 		done      chan struct{}
 		granted   bool
 		orphan    bool
 		quick     bool
-		stage     sched.Stage // last reported stage
-		preempted bool        // the grant was revoked; the request is queued again
-		attempt   int         // number of the grant
-		prefill   string      // ID of the engine
-		decode    string      // ID of the engine
-		revoked   []revokedGrant
+		stage     sched.Stage    // last reported stage
+		preempted bool           // the grant was revoked; the request is queued again
+		attempt   int            // number of the grant
+		prefill   string         // ID of the engine
+		decode    string         // ID of the engine
+		revoked   []revokedGrant // that the runner has not confirmed
 	}
 
-	// revokedGrant is a grant whose revocation the runner has not confirmed.
+	// revokedGrant is a grant that the scheduler has revoked.
 	revokedGrant struct {
 		attempt         int
 		prefill, decode string // IDs of the engines
@@ -193,7 +193,7 @@
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
 	hr := newHeldRequest(from, ask)
-	hr.close = closeStream
+	hr.end = closeStream
 	go hr.write(cn)
 	defer close(hr.done)
 	hc.addRequest(ask, hr)
@@ -274,8 +274,8 @@
 }
 
 // addRequest adds the request of a reservation, acknowledges it, and passes it to the
-// scheduling loop. It replaces the entry of another stream of the same request and closes that stream: its
-// runner announces the request again if it still needs it.
+// scheduling loop. It replaces the entry of another stream of the same request and closes
+// that stream: its runner announces the request again if it still needs it.
 func (hc *heldCell) addRequest(ask *peerpb.ReserveAsk, hr *heldRequest) {
 	hc.order.Lock()
 	defer hc.order.Unlock()
@@ -283,7 +283,7 @@
 	hc.streams++
 	hr.stream = hc.streams
 	if old, ok := hc.held[ask.GetRequest()]; ok {
-		old.close()
+		old.end()
 		hr.revoked = slices.DeleteFunc(old.revoked, func(rv revokedGrant) bool {
 			return hr.granted && rv.attempt == hr.attempt // the runner has not read the revocation and will ignore it
 		})
@@ -417,7 +417,7 @@
 	select {
 	case hr.outbox <- fr:
 	default:
-		hr.close()
+		hr.end()
 	}
 }
 
@@ -440,7 +440,7 @@
 	defer hc.mu.Unlock()
 	if hr, ok := hc.held[in.Request]; ok && hr.stream == in.Stream {
 		delete(hc.held, in.Request)
-		hr.close()
+		hr.end()
 	}
 }
 
--- a/internal/entry/restream_test.go
+++ b/internal/entry/restream_test.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return
 	}
-	hr.close()
+	hr.end()
 	time.Sleep(2 * reopenDelay.Std())
 	synctest.Wait()
 }
--- a/internal/orders/change.go
+++ b/internal/orders/change.go
@@ -120,9 +120,7 @@
 	ao.order.Fence = ce.token
 	ao.unfenced = make(map[string]fencingStep)
 	for _, eng := range ce.observed.Engines {
-		switch {
-		case !eng.Usable || !eng.ChecksFencing || ce.disabled.noFence:
-		default:
+		if eng.Usable && eng.ChecksFencing && !ce.disabled.noFence {
 			ao.unfenced[eng.ID] = raiseSent
 			ce.emit(Send{Server: eng.ID, Order: engine.Order{Kind: engine.RaiseFence, Fence: ao.order.Fence}})
 		}
