--- a/internal/entry/fencing_test.go
+++ b/internal/entry/fencing_test.go
@@ -36,7 +36,7 @@
 func TestTokenIsNoChangeOfRole(t *testing.T) {
 	t.Parallel()
 	fl := startFleet(t, 1, true, quickRoles)
-	stop := fl.startCallers(10)
+	stop := fl.startCallers(16) // more than the slots of two decode engines
 	en := fl.awaitChange()
 	changed := acceptedFences(en)
 	eventually(t, "the changed engine is told a new token while it decodes", func() bool {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -265,7 +265,7 @@
 	}
 	hc := rc.hc
 	hc.ac.Send(ctx, barrier{run: func(now clock.Millis) {
-		// Neither loop waits for the other.
+		// The loop must not wait for the loop of orders, which may be waiting for it.
 		hc.vm.wg.Go(func() { hc.ord.post(orders.Drained{Server: in.Server, At: now}) })
 	}})
 }
--- a/internal/orders/explore_test.go
+++ b/internal/orders/explore_test.go
@@ -291,7 +291,7 @@
 
 // tally sums up the results of all histories.
 type tally struct {
-	histories, changed, stale, undrained, tooFewPrefills, unrepaired int
+	histories, changed, stale, tooFewPrefills, unrepaired int
 	// shortestDelay is the shortest delay of an order with which prefill was left with
 	// too few engines.
 	shortestDelay       clock.Millis
@@ -306,7 +306,6 @@
 		wo.run()
 		ta.histories++
 		ta.stale += wo.stale
-		ta.undrained += wo.undrained
 		po := poolsOf(wo.engines)
 		ta.changed += boolToInt(po.prefill == 2 && po.decode == 2)
 		if wo.tooFewPrefills {
@@ -378,8 +377,8 @@
 }
 
 // delays calls play with each history in which a change of role, or an order before it,
-// is in transit while the other VM takes the lease. The steps are finer than those of
-// schedules, because the order must arrive between a report and the order that follows.
+// is in transit while the other VM takes the lease. The delays grow by one tick, because the
+// order must arrive between a report and the order that follows.
 func delays(play func(sc schedule)) {
 	for nth := 1; nth <= 9; nth++ {
 		for delay := 10 * clock.Second; delay <= 30*clock.Second; delay += clock.Second {
