--- a/internal/orders/cell_test.go
+++ b/internal/orders/cell_test.go
@@ -398,7 +398,7 @@
 			return ok && sd.Order.Kind == engine.ChangeRole && sd.Order.Role == board.Decode && sd.Server == "e00"
 		})
 	}
-	for !ha.drained["e00"] {
+	for !ha.drained["e00"] && !sent() {
 		ha.run(step)
 	}
 	ha.run(5 * clock.Second)
