relay: log how a server's stream of events ended

Cause: an answer that breaks off inside an event and one that is whole leave the same lines.

Change: RelayStreamEnded with Framing, Withheld, Last and Error; RelayAttempt has Framing. No change of logic.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -63,6 +63,9 @@
 	QuotaSilent = register(2228, "QuotaSilent", Warn,
 		"the keeper of a shard of the quotas did not respond; the other shard, or this VM's own share, is used for now",
 		"none if it is dead or starting; otherwise check UDP between the VMs")
+	RelayStreamEnded = register(2229, "RelayStreamEnded", Info,
+		"a server's stream of events ended; Framing is what delimits it, and Withheld counts the bytes after the last complete event",
+		"none; with Withheld, or with an Error, check the backend server")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had capacity; the decode engine computes the prompt", "none")
 )
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -17,6 +17,15 @@
 	copyBufferBytes = 16 << 10
 )
 
+// framing is what delimits the body of a response.
+type framing string
+
+const (
+	byLength     framing = "Length"
+	byChunks     framing = "Chunks"
+	byConnection framing = "Connection" // the body ends where its connection is closed
+)
+
 // hopHeaders apply to a single connection (RFC 9110, section 7.6.1).
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
@@ -36,6 +45,17 @@
 	return rsp.StatusCode
 }
 
+func framingOf(rsp *http.Response) framing {
+	switch {
+	case len(rsp.TransferEncoding) > 0:
+		return byChunks
+	case rsp.ContentLength >= 0:
+		return byLength
+	default:
+		return byConnection
+	}
+}
+
 // EndToEnd copies a header without its hop-by-hop fields.
 func EndToEnd(hd http.Header) http.Header {
 	out := maps.Clone(hd)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -152,7 +152,7 @@
 // end means that it is complete; an answer that is delimited by the end of its
 // connection ends in the same way in both cases.
 func (rl *Relay) wasStopped(ctx context.Context, rn *run) bool {
-	if rn.rsp.ContentLength >= 0 || len(rn.rsp.TransferEncoding) > 0 {
+	if framingOf(rn.rsp) != byConnection {
 		return false
 	}
 	rl.mu.Lock()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -134,6 +134,9 @@
 		rl.budget.ObserveLatency(ex.svc.Name, took)
 	}
 	rl.mu.Unlock()
+	if at.rsp != nil {
+		fields = append(fields, event.F("Framing", framingOf(at.rsp)))
+	}
 	rl.Log.Log(event.RelayAttempt, append(fields, event.F("Request", ex.req.ID), event.F("Server", bs.ID),
 		event.F("Service", ex.svc.Name), event.F("Took", took.String()), event.F("Status", at.wh.status),
 		event.F("Error", errorText(at.err)))...)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -98,6 +98,13 @@
 	rl.recordBrokenCall(ctx, rn.ex, rn.pl.server, rn.events > 0, rl.otherRunsAt(rn.pl.server.ID))
 }
 
+// logStreamEnd logs how the stream of a run ended.
+func (rl *Relay) logStreamEnd(rn *run, err error) {
+	rl.Log.Log(event.RelayStreamEnded, event.F("Request", rn.ex.req.ID), event.F("Server", rn.pl.server.ID),
+		event.F("Status", rn.rsp.StatusCode), event.F("Framing", framingOf(rn.rsp)), event.F("Events", rn.events),
+		event.F("Last", rn.sp.last), event.F("Withheld", len(rn.sp.pending)), event.F("Error", errorText(err)))
+}
+
 // copyEvents forwards events until the stream ends. Only whole events are sent, and
 // the header is sent with the first of them.
 func (rl *Relay) copyEvents(ctx context.Context, wr http.ResponseWriter, rn *run) error {
@@ -116,8 +123,10 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			rl.logStreamEnd(rn, nil)
 			return rl.finishEvents(ctx, wr, rn)
 		case err != nil:
+			rl.logStreamEnd(rn, err)
 			return err
 		case ctx.Err() != nil:
 			return ctx.Err()
