relay: a stream that ends inside an event is not complete

Callers got status 200, some events, half of the next one and a regular end.

Cause: copyEvents took the end of the body for the end of the answer, and finishEvents sent what the splitter had withheld. An engine that breaks off an answer without length and chunks closes its connection in order.

Change: a stream of events that ends inside an event is broken off, whatever delimits it; it is continued or cut like any other break. The content type decides what is a stream of events, without one its events do; a failure, a text or a document stays as it came. An event that is too large to withhold is passed on in parts, and nothing continues behind a part.

--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -52,6 +52,8 @@
 	switch {
 	case rn.pl.server.ID == "":
 		return errors.Join(errStreamBroken, broke) // a stream of a plain service, which has no place
+	case rn.sp.partial:
+		return errors.Join(errStreamBroken, broke) // nothing can follow a part of an event
 	case errors.Is(broke, errOutOfSequence) && !rn.headerSent:
 		return broke // the caller's last event ID does not fit; the engine is not at fault
 	}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strconv"
 )
 
@@ -24,6 +25,7 @@
 	sequential    bool   // IDs counted up by one, unless hasGaps
 	hasGaps       bool   // an ID was not one more than the one before
 	unnumbered    bool   // an event without an ID was sent after last
+	partial       bool   // a part of an event was passed on, and its end was not
 }
 
 // add appends bytes and returns the complete events of everything that it holds. The
@@ -31,8 +33,11 @@
 func (sp *splitter) add(data []byte) ([]byte, error) {
 	sp.pending = append(sp.pending, data...)
 	end := lastEventEnd(sp.pending)
-	if end == 0 && len(sp.pending) > maxEventBytes {
-		end = len(sp.pending) // not a stream of events; passed on unchanged
+	switch {
+	case end > 0:
+		sp.partial = false
+	case len(sp.pending) > maxEventBytes:
+		sp.partial, end = true, len(sp.pending) // too large to withhold, or not a stream of events
 	}
 	out := sp.pending[:end]
 	sp.pending = append([]byte(nil), sp.pending[end:]...)
@@ -49,6 +54,29 @@
 // discard drops an incomplete event.
 func (sp *splitter) discard() { sp.pending = nil }
 
+// insideEvent reports whether an event has begun and its end was not received. Comments
+// and reconnection times are no part of an event.
+func (sp *splitter) insideEvent() bool {
+	inside := sp.partial
+	for left := sp.pending; len(left) > 0; {
+		line, rest, ended := bytes.Cut(left, []byte("\n"))
+		line, left = bytes.TrimSuffix(line, []byte("\r")), rest
+		switch {
+		case len(line) == 0 && ended:
+			inside = false
+		case len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")):
+			inside = true
+		}
+	}
+	return inside
+}
+
+// beginsWithField reports whether the withheld bytes begin like an event.
+func (sp *splitter) beginsWithField() bool {
+	name, _, ok := bytes.Cut(sp.pending, []byte(":"))
+	return ok && slices.Contains([]string{"id", "data", "event"}, string(name))
+}
+
 // lastEventEnd returns the offset after the last blank line.
 func lastEventEnd(data []byte) int {
 	end := 0
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -31,6 +31,37 @@
 	assert.Equal(t, sp.last, "7")
 }
 
+func TestSplitterInsideEvent(t *testing.T) {
+	for _, tc := range []struct {
+		text   string
+		inside bool
+	}{
+		{"", false},
+		{"id: 1\ndata: a\n\n", false},
+		{"id: 1\r\ndata: a\r\n\r\n", false},
+		{"id: 1\r\ndata: a\n\r\n", false},
+		{"id: 1\ndata: a\n", true},
+		{"id: 1\r\ndata: a\r\n", true},
+		{"id: 1\ndata: a\n\nversion: 4\n", true},
+		{"id: 1\ndata: a\n\n: here\nid", true},
+		{"id: 1\ndata: a\n\n: here\n", false},
+		{"id: 1\ndata: a\n\nretry: 100\n", false},
+		{strings.Repeat("a", maxEventBytes+1), true},
+		{strings.Repeat("a", maxEventBytes+1) + "\n\n", false},
+	} {
+		for _, size := range []int{1, len(tc.text)} {
+			var sp splitter
+			for left := tc.text; left != ""; left = left[min(size, len(left)):] {
+				mustAdd(t, &sp, left[:min(size, len(left))])
+				if len(tc.text) > maxEventBytes {
+					size = 1 << 10
+				}
+			}
+			assert.Equal(t, sp.insideEvent(), tc.inside, "%.40q in reads of %d", tc.text, size)
+		}
+	}
+}
+
 // However a stream is split into reads, the output is the stream itself.
 func TestSplitterKeepsTheStream(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/relay/incomplete_test.go
+++ b/internal/relay/incomplete_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// Without a content type, the events tell that a body is a stream of events.
+func TestStreamWithoutATypeThatEndsInsideAnEvent(t *testing.T) {
+	for _, tc := range []struct{ whole, tail string }{{eventOne, "id: 2\nda"}, {eventOne, "i"}, {"", "id: 1\nda"}, {"", "data:"}} {
+		t.Run(tc.whole+tc.tail, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				checkIncomplete(t, tc.whole, func() *http.Response { return newFramedResponse("", tc.whole+tc.tail, -1, nil) })
+			})
+		})
+	}
+}
+
 // checkIncomplete serves requests whose first engine gives the broken response, of
 // which the caller may get only the whole events.
 func checkIncomplete(t *testing.T, whole string, broken func() *http.Response) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 
 	"alderdyke/internal/event"
@@ -12,10 +13,14 @@
 	"alderdyke/pkg/refusal"
 )
 
+// eventStreamType is the media type of server-sent events.
+const eventStreamType = "text/event-stream"
+
 // Causes for which the answer of a run breaks.
 var (
 	errStreamBroken = errors.New("the stream broke off")
 	errCallerWrite  = errors.New("writing to the caller failed")
+	errInsideEvent  = errors.New("the stream ended inside an event")
 )
 
 // run is a generation at its decode engine.
@@ -151,11 +156,29 @@
 	return rn.write(wr, out)
 }
 
-// finishEvents ends an answer whose stream ended in order.
+// isEventStream reports whether the response of a run is a stream of events. Without a
+// content type its events tell.
+func (rn *run) isEventStream() bool {
+	if !succeeded(rn.rsp.StatusCode) {
+		return false
+	}
+	contentType := rn.rsp.Header.Get("Content-Type")
+	if contentType == "" {
+		return rn.events > 0 || rn.sp.beginsWithField()
+	}
+	media, _, err := mime.ParseMediaType(contentType)
+	return err == nil && media == eventStreamType
+}
+
+// finishEvents ends an answer whose stream ended in order. That alone does not mean
+// that it is complete: an engine may stop inside an event and close its connection.
 func (rl *Relay) finishEvents(ctx context.Context, wr http.ResponseWriter, rn *run) error {
 	if rl.wasStopped(ctx, rn) {
 		return errStoppedForMove
 	}
+	if rn.isEventStream() && rn.sp.insideEvent() {
+		return errInsideEvent
+	}
 	out, err := rn.sp.flush()
 	if err != nil {
 		return err
