relay: the end of a connection whose server crashed does not end an answer

Cause: a process that crashes closes its connections in order. A body with neither length nor chunks then ends like a whole one; if it ends between two events, or belongs to a plain service, nothing in it tells.

Change: where the connection delimits an answer, the relay asks whether the server still accepts connections before it takes the answer for whole. If it refuses them, is listed and does not leave, the answer broke off. A server that leaves exits after its last answer, which is whole. The cost is one connection for each answer without length and chunks, at its end.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -1,11 +1,16 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
 	"strings"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
 )
 
 const (
@@ -26,6 +31,9 @@
 	byConnection framing = "Connection" // the body ends where its connection is closed
 )
 
+// errServerCrashed reports that a server crashed when its answer ended.
+var errServerCrashed = errors.New("the server crashed when its answer ended")
+
 // hopHeaders apply to a single connection (RFC 9110, section 7.6.1).
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
@@ -56,6 +64,17 @@
 	}
 }
 
+// checkEnd returns an InDoubtError if a body that ended in order may be incomplete: a
+// process that crashes closes its connections too, which delimits a body that has
+// neither a length nor chunks. A server that leaves exits after its last answer.
+func (rl *Relay) checkEnd(ctx context.Context, bs board.BackendServer, rsp *http.Response) error {
+	listed, ok := rl.Backends().Server(bs.ID)
+	if framingOf(rsp) != byConnection || !ok || listed.Leaving || !rl.Servers.Ended(ctx, bs) {
+		return nil
+	}
+	return backend.InDoubtError{Server: bs.ID, Call: "Send", Status: rsp.StatusCode, Err: errServerCrashed}
+}
+
 // EndToEnd copies a header without its hop-by-hop fields.
 func EndToEnd(hd http.Header) http.Header {
 	out := maps.Clone(hd)
--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -104,7 +104,7 @@
 	}
 	// The copy already has its memory, so this place needed no reservation.
 	pl := place{server: mv.target, service: rn.pl.service}
-	rl.switchPlace(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, promptDone: func() {}, end: end})
+	rl.switchPlace(rn, rl.takePlace(pl, rn.pl.entry.Run()), decoding{rsp: rsp, server: mv.target, promptDone: func() {}, end: end})
 	return nil
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -35,12 +35,13 @@
 // decoding is a decode that was sent to an engine.
 type decoding struct {
 	rsp            *http.Response
-	sentAt         clock.Millis // when the decode was sent
-	computesPrompt bool         // the engine computes the prompt too
-	tokensAhead    int          // tokens of prompts queued at the engine before this one
-	events         int          // received from the decode
-	promptDone     func()       // called when the first event came, or the decode failed
-	end            func()       // ends the call at the engine
+	server         board.BackendServer // that sends the response
+	sentAt         clock.Millis        // when the decode was sent
+	computesPrompt bool                // the engine computes the prompt too
+	tokensAhead    int                 // tokens of prompts queued at the engine before this one
+	events         int                 // received from the decode
+	promptDone     func()              // called when the first event came, or the decode failed
+	end            func()              // ends the call at the engine
 }
 
 // close releases what is left of the decode.
@@ -53,7 +54,7 @@
 // newDecoding describes a decode that is about to be sent. If the engine computes the
 // prompt itself, the prompt is counted there.
 func (rl *Relay) newDecoding(ex *exchange, pl place, atDecoder bool) decoding {
-	dec := decoding{sentAt: rl.now(), computesPrompt: atDecoder, promptDone: func() {}, end: func() {}}
+	dec := decoding{server: pl.server, sentAt: rl.now(), computesPrompt: atDecoder, promptDone: func() {}, end: func() {}}
 	if atDecoder {
 		rl.mu.Lock()
 		dec.tokensAhead = rl.ledger.PromptTokens(dec.sentAt, pl.server.ID)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -32,11 +32,12 @@
 
 // attempt is the result of one attempt at a plain service.
 type attempt struct {
-	wh   bufferedAnswer // the part of the answer that was read
-	rest io.Reader      // the part that was not read; nil if there is none
-	rsp  *http.Response // nil if no response came
-	err  error
-	end  context.CancelFunc // releases what the attempt holds
+	server board.BackendServer
+	wh     bufferedAnswer // the part of the answer that was read
+	rest   io.Reader      // the part that was not read; nil if there is none
+	rsp    *http.Response // nil if no response came
+	err    error
+	end    context.CancelFunc // releases what the attempt holds
 }
 
 // close releases what is left of the attempt.
@@ -74,10 +75,16 @@
 func (rl *Relay) sendPlainAnswer(ctx context.Context, wr http.ResponseWriter, ex *exchange, at attempt) error {
 	defer at.close()
 	if ex.rt.Kind == route.Stream {
-		rn := rl.newRun(ex, place{service: ex.svc.Name}, decoding{rsp: at.rsp, promptDone: func() {}, end: func() {}})
+		rn := rl.newRun(ex, place{service: ex.svc.Name}, decoding{rsp: at.rsp, server: at.server, promptDone: func() {}, end: func() {}})
 		return rl.deliver(ctx, wr, ex, rn)
 	}
-	return writeBuffered(wr, at.wh, at.rest)
+	if err := writeBuffered(wr, at.wh, at.rest); err != nil || at.rest == nil {
+		return err
+	}
+	if err := rl.checkEnd(ctx, at.server, at.rsp); err != nil {
+		return wrapCut(err)
+	}
+	return nil
 }
 
 // pick chooses a backend server and counts the request there.
@@ -103,6 +110,7 @@
 // attemptAt makes one attempt and reads its answer.
 func (rl *Relay) attemptAt(ctx context.Context, ex *exchange, bs board.BackendServer) (at attempt) {
 	began := rl.now()
+	at.server = bs
 	ex.tried = append(ex.tried, bs.ID)
 	within, end := rl.beginCall(ctx, bs)
 	at.end = end
@@ -121,6 +129,9 @@
 	}
 	if at.err == nil && ex.rt.Kind != route.Stream {
 		at.wh, at.rest, at.err = bufferAnswer(at.rsp)
+		if at.err == nil && at.rest == nil {
+			at.err = rl.checkEnd(within, bs, at.rsp)
+		}
 	} else if at.err == nil {
 		at.wh = bufferedAnswer{status: at.rsp.StatusCode}
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -105,7 +105,7 @@
 
 // logStreamEnd logs how the stream of a run ended.
 func (rl *Relay) logStreamEnd(rn *run, err error) {
-	rl.Log.Log(event.RelayStreamEnded, event.F("Request", rn.ex.req.ID), event.F("Server", rn.pl.server.ID),
+	rl.Log.Log(event.RelayStreamEnded, event.F("Request", rn.ex.req.ID), event.F("Server", rn.server.ID),
 		event.F("Status", rn.rsp.StatusCode), event.F("Framing", framingOf(rn.rsp)), event.F("Events", rn.events),
 		event.F("Last", rn.sp.last), event.F("Withheld", len(rn.sp.pending)), event.F("Error", errorText(err)))
 }
@@ -179,6 +179,9 @@
 	if rn.isEventStream() && rn.sp.insideEvent() {
 		return errInsideEvent
 	}
+	if err := rl.checkEnd(ctx, rn.server, rn.rsp); err != nil {
+		return err
+	}
 	out, err := rn.sp.flush()
 	if err != nil {
 		return err
