service: the end of a connection whose server crashed does not end a response

The own path's plain services had the same cause as the relay's: a response with neither length nor chunks is whole when its connection ends, also if a crash ended it. The client now asks such a server for its load, and a refused connection makes the call doubtful. Own engines' streams end by their last token, control replies by their JSON, answers between VMs by their frames.

TestResponseOfAServerThatCrashed: the first row fails without the check.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -24,6 +25,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/uber-go/tally/v4"
 
@@ -43,8 +45,13 @@
 	KeyHeader = "Idempotency-Key"
 
 	maxLoadBytes = 64 << 10
+	// crashCheckTimeout bounds how long a response waits until it is known whether its
+	// server crashed; a crashed server refuses a connection at once.
+	crashCheckTimeout = 250 * clock.Millis(1)
 )
 
+var errCrashed = errors.New("the server crashed when its response ended")
+
 // hopByHopHeaders are the headers that apply to a single connection only.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
@@ -183,11 +190,26 @@
 	if err != nil {
 		return Response{}, InDoubtError{Server: srv.ID, Call: "Call", Status: rsp.StatusCode, Err: err}
 	}
+	if sc.crashedAtEnd(ctx, srv, rsp) {
+		return Response{}, InDoubtError{Server: srv.ID, Call: "Call", Status: rsp.StatusCode, Err: errCrashed}
+	}
 	hd := endToEnd(rsp.Header)
 	hd.Del(backend.ServerIncarnationHeader) // intended for this VM, not for the caller
 	return Response{Status: rsp.StatusCode, Header: hd, Body: body}, nil
 }
 
+// crashedAtEnd reports whether a response that only the end of its connection delimits
+// may be incomplete, because its server refuses connections now: a process that crashes
+// closes its connections in order. A server that leaves exits after its last response.
+func (sc *Client) crashedAtEnd(ctx context.Context, srv board.BackendServer, rsp *http.Response) bool {
+	if rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0 || srv.Leaving {
+		return false
+	}
+	ctx, stop := context.WithTimeout(ctx, crashCheckTimeout.Std())
+	defer stop()
+	return errors.Is(sc.Ping(ctx, srv), syscall.ECONNREFUSED)
+}
+
 func (sc *Client) request(ctx context.Context, srv board.BackendServer, rq Request) (*http.Request, error) {
 	dest, err := destination(srv.Address, rq.Path)
 	if err != nil {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,8 +1,10 @@
 package service
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -83,6 +85,53 @@
 	assert.Equal(t, count, int64(2))
 }
 
+// A response that ends with its connection is complete only if its server did not crash
+// right then.
+func TestResponseOfAServerThatCrashed(t *testing.T) {
+	for _, tc := range []struct {
+		name, header     string
+		crashes, leaving bool
+		complete         bool
+	}{
+		{"crashed", "", true, false, false},
+		{"crashed, with a length", "Content-Length: 4\r\n", true, false, true},
+		{"left", "", true, true, true},
+		{"went on", "", false, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				cn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer cn.Close()
+				if tc.crashes {
+					_ = ln.Close()
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(cn))
+				_, _ = io.WriteString(cn, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+tc.header+"\r\nhalf")
+			}()
+			t.Cleanup(func() {
+				<-answered
+				_ = ln.Close()
+			})
+			srv := board.BackendServer{ID: "k1", Address: ln.Addr().String(), Leaving: tc.leaving}
+			rsp, err := (&Client{}).Call(t.Context(), srv, Request{Method: http.MethodGet, Path: "/"})
+			if !tc.complete {
+				assert.ErrorIs(t, err, errCrashed)
+				assert.Assert(t, !backend.NotRun(err))
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(rsp.Body), "half")
+		})
+	}
+}
+
 // Only idempotent calls may reuse a connection, because a call on a connection that
 // the server is closing can be left in doubt.
 func TestOnlyIdempotentCallsReuseConnections(t *testing.T) {
