--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -397,3 +399,22 @@
 		assert.Equal(t, span, tc.span)
 	}
 }
+
+func TestNotReached(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	for _, tc := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"answered", nil, false},
+		{"refused", NotSentError{Err: refused}, true},
+		{"not established in time", fmt.Errorf("call: %w", NotSentError{Err: context.DeadlineExceeded}), true},
+		{"cancelled by its sender", NotSentError{Err: context.Canceled}, false},
+		{"withheld", NotSentError{Err: ErrWithheld}, false},
+		{"declined", DeclinedError{Reason: Full}, false},
+		{"broke off", InDoubtError{Err: refused}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, NotReached(tc.err), tc.want) })
+	}
+}
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -1,8 +1,10 @@
 package backend
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/uber-go/tally/v4"
@@ -125,6 +127,17 @@
 // Unwrap returns the cause, if there is one.
 func (ie InDoubtError) Unwrap() error { return ie.Err }
 
+// NotReached reports whether a call was not sent because no connection to the server
+// was established. A call that its sender cancelled shows nothing about the server.
+func NotReached(err error) bool {
+	ne, ok := errors.AsType[NotSentError](err)
+	if !ok || errors.Is(err, context.Canceled) {
+		return false
+	}
+	_, network := errors.AsType[net.Error](ne.Err)
+	return network
+}
+
 // OutcomeOf returns the outcome and the reason that an error stands for. An error of
 // an unknown kind counts as in doubt.
 func OutcomeOf(err error) (Outcome, Reason) {
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -66,6 +66,7 @@
 	}
 	err := do()
 	rl.applyRetryAfter(err)
+	rl.observePath(ex, err)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	refund := ex.arrivals.record(call, price, err)
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -205,6 +205,7 @@
 	}
 	rl.leavePlace(pl)
 	rl.applyRetryAfter(err)
+	rl.observePath(ex, err)
 	if _, why := backend.OutcomeOf(err); why == backend.Full {
 		rl.mu.Lock()
 		rl.poolOf(ex.svc.Name).MarkFull(rl.now(), bs.ID, nd.reserve)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -210,6 +210,7 @@
 		deadline        clock.Millis   // when the request ends in any case
 		possibleRuns    int            // backend servers that may have run it
 		arrivals        arrivals       // at backend servers, and what was paid for them
+		notReached      int            // calls for which no connection was established
 		prompt          computedPrompt // kept by an engine for the next decode
 		tried           []string       // backend servers that were tried
 		mark            *suspect.Mark  // nil until first used
@@ -435,7 +436,7 @@
 	if rf, ok := errors.AsType[refusal.Refusal](err); ok && !errors.Is(err, ErrCut) {
 		outcome = string(rf.Reason)
 		rl.Log.Log(event.RelayRefused, append(fields, event.F("Reason", rf.Reason), event.F("Ran", rf.Ran),
-			event.F("RetryAfter", rf.RetryAfter.String()), event.F("Detail", rf.Detail))...)
+			event.F("RetryAfter", rf.RetryAfter.String()), event.F("NotReached", ex.notReached), event.F("Detail", rf.Detail))...)
 	} else if err != nil {
 		outcome = outcomeCut
 		rl.Log.Log(event.RelayCut, append(fields, event.F("Error", err.Error()))...)
