relay: a VM that reaches no server passes requests on to another VM

Callers of VMs whose paths to all servers were cut got 503 for nearly every request, while the other VMs served theirs.

Cause: a VM is taken for able to serve because it is reachable itself. It tried its own paths for each request, 250 ms a connection, and refused.

Change: internal/reach decides from the outcomes of calls whether the servers of a service can be reached. A request that reached none and did not run goes to another VM's address for callers, once; behind a known cut at once. The other VM charges, budgets and routes it. A VM that is cut off withdraws what it told of failed engines, reports no shortage for engines it did not reach, and blames no request for servers that refuse it as all others do.

--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -261,6 +261,8 @@
 
 func (sv simServers) Ended(context.Context, board.BackendServer) bool { return false }
 
+func (sv simServers) Reaches(context.Context, board.BackendServer) bool { return true }
+
 func (sv simServers) Move(context.Context, board.BackendServer, board.BackendServer, string, bool) (relay.Handle, error) {
 	return relay.Handle{}, errors.New("runs can't be moved in this simulation")
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -69,7 +69,7 @@
 // neither a length nor chunks. A server that leaves exits after its last answer.
 func (rl *Relay) checkEnd(ctx context.Context, bs board.BackendServer, rsp *http.Response) error {
 	listed, ok := rl.Backends().Server(bs.ID)
-	if framingOf(rsp) != byConnection || !ok || listed.Leaving || !rl.Servers.Ended(ctx, bs) {
+	if framingOf(rsp) != byConnection || !ok || listed.Leaving || !rl.hasCrashed(ctx, bs) {
 		return nil
 	}
 	return backend.InDoubtError{Server: bs.ID, Call: "Send", Status: rsp.StatusCode, Err: errServerCrashed}
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -64,9 +64,10 @@
 	if !ok {
 		return nil, backend.NotSentError{Server: server, Call: call, Err: errBudget}
 	}
+	began := rl.now()
 	err := do()
 	rl.applyRetryAfter(err)
-	rl.observePath(ex, err)
+	rl.observePath(ex, server, began, err)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	refund := ex.arrivals.record(call, price, err)
--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -1,12 +1,281 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+
 	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	// maxPassOnTries limits the VMs that one request is passed on to. A third of a large
+	// fleet may be cut off together, and a VM that is says so within one round trip.
+	maxPassOnTries = 6
+	// passOnAvoidTime is how long a VM that could not take a request is not asked again.
+	passOnAvoidTime = clock.Second
+	// pathProbeInterval is how often the path to a service that is cut off is checked.
+	pathProbeInterval = 250 * clock.Millis(1)
+	// crashWitnesses is how many other servers are tried before a refused connection
+	// counts as a crash of its server.
+	crashWitnesses = 4
 )
 
+// outcomePassedOn is the outcome of a request that another VM served.
+const outcomePassedOn = "PassedOn"
+
+// Peers passes requests on to other VMs.
+type Peers interface {
+	// Addresses lists the callers' addresses of the other VMs that accept requests.
+	Addresses() []string
+	// PassOn sends a request to another VM, which must not pass it on again, and returns
+	// the VM's answer or refusal. The caller must close its body. Errors are those of
+	// package backend; a VM that can't take the request declines it.
+	PassOn(ctx context.Context, address string, req *Request, left clock.Millis) (*http.Response, error)
+}
+
 // observePath records whether a call for a request reached its server.
-func (rl *Relay) observePath(ex *exchange, err error) {
-	if backend.NotReached(err) {
+func (rl *Relay) observePath(ex *exchange, server string, began clock.Millis, err error) {
+	oc, _ := backend.OutcomeOf(err)
+	switch {
+	case backend.NotReached(err):
 		ex.notReached++
+		rl.recordMiss(ex.svc.Name, server)
+	case oc == backend.Done || oc == backend.Declined:
+		ex.reached = true
+		rl.recordReached(ex.svc.Name, began)
+	}
+}
+
+// recordMiss records that no connection to a server was established. A VM that is cut
+// off tells the others nothing bad about the servers.
+func (rl *Relay) recordMiss(service, server string) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	listed := rl.listedServers(service)
+	if !rl.paths.Missed(rl.now(), service, server, len(listed)) {
+		return
+	}
+	rl.Log.Log(event.PathCut, event.F("Service", service), event.F("Servers", len(listed)))
+	rl.count("PathCuts", map[string]string{"Service": service})
+	for _, bs := range listed {
+		rl.ledger.ClearFailed(bs.ID)
+	}
+	rl.notifyUsageChanged()
+	rl.wakeWaiters()
+	select {
+	case rl.pathCut <- struct{}{}:
+	default:
+	}
+}
+
+// recordReached records that a server answered a call that began at a time.
+func (rl *Relay) recordReached(service string, began clock.Millis) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if !rl.paths.Reached(began, service) {
+		return
+	}
+	rl.Log.Log(event.PathRestored, event.F("Service", service))
+	for _, bs := range rl.listedServers(service) {
+		rl.poolOf(service).MarkWorking(bs.ID)
+	}
+	rl.wakeWaiters()
+}
+
+// listedServers returns the servers of a service.
+func (rl *Relay) listedServers(service string) []board.BackendServer {
+	var out []board.BackendServer
+	for _, bs := range rl.Backends().Servers {
+		if bs.Service == service {
+			out = append(out, bs)
+		}
+	}
+	return out
+}
+
+// isCutOff reports whether this VM reaches no server of a service.
+func (rl *Relay) isCutOff(service string) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.paths.CutOff(service)
+}
+
+// WatchPaths checks the paths to services that are cut off until the context ends.
+func (rl *Relay) WatchPaths(ctx context.Context) {
+	rl.mu.Lock()
+	rl.initialize()
+	cut := rl.pathCut
+	rl.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cut:
+		}
+		for rl.probePaths(ctx) {
+			if !clock.Sleep(ctx, pathProbeInterval) {
+				return
+			}
+		}
+	}
+}
+
+// probePaths tries one server of each service that is cut off, and reports whether some
+// service still is.
+func (rl *Relay) probePaths(ctx context.Context) bool {
+	rl.mu.Lock()
+	services := rl.paths.Services()
+	rl.mu.Unlock()
+	cut := false
+	for _, service := range services {
+		began := rl.now()
+		if bs, ok := rl.randomServer(service, ""); ok && rl.Servers.Reaches(ctx, bs) {
+			rl.recordReached(service, began)
+		} else {
+			cut = true
+		}
+	}
+	return cut
+}
+
+// randomServer returns a listed server of a service, except for one.
+func (rl *Relay) randomServer(service, except string) (board.BackendServer, bool) {
+	list := slices.DeleteFunc(rl.listedServers(service), func(bs board.BackendServer) bool { return bs.ID == except })
+	if len(list) == 0 {
+		return board.BackendServer{}, false
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return list[rl.Rand.IntN(len(list))], true
+}
+
+// hasCrashed reports whether a server has crashed: it refuses connections, and another
+// one of its service, if there is one, does not. Where all connections are refused, this
+// VM may be cut off.
+func (rl *Relay) hasCrashed(ctx context.Context, bs board.BackendServer) bool {
+	if !rl.Servers.Ended(ctx, bs) {
+		return false
+	}
+	for range crashWitnesses {
+		other, ok := rl.randomServer(bs.Service, bs.ID)
+		if !ok || rl.Servers.Reaches(ctx, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// serve serves a request with this VM's servers, or passes it on to another VM if this
+// one reaches none of them.
+func (rl *Relay) serve(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
+	if !rl.isCutOff(ex.svc.Name) {
+		err := rl.execute(ctx, wr, ex)
+		if !rl.reachedNone(ex, err) {
+			return err
+		}
+	}
+	if passed, err := rl.passOn(ctx, wr, ex); passed {
+		return err
+	}
+	return refuse(refusal.ServersUnreachable, max(pathProbeInterval, rl.timeLeft(ex)/4), "no path to a server of the service")
+}
+
+// reachedNone reports whether a request was refused because none of its servers was
+// reached, and did not run.
+func (rl *Relay) reachedNone(ex *exchange, err error) bool {
+	rf, ok := errors.AsType[refusal.Refusal](err)
+	if !ok || errors.Is(err, ErrCut) || rf.Ran != refusal.NotRun || ex.possibleRuns > 0 || ex.reached {
+		return false
+	}
+	switch rf.Reason {
+	case refusal.QueueFull, refusal.BackendFailed, refusal.NoBackend:
+		return ex.notReached > 0 || rl.isCutOff(ex.svc.Name)
+	}
+	return false
+}
+
+// passOn passes a request that has not run on to another VM, and sends the VM's answer
+// to the caller. It reports whether a VM took the request.
+func (rl *Relay) passOn(ctx context.Context, wr http.ResponseWriter, ex *exchange) (passed bool, err error) {
+	if rl.Peers == nil || ex.req.PassedOn {
+		return false, nil
+	}
+	ctx, stop := clock.WithDeadline(ctx, clock.OrBoottime(rl.Clock), ex.deadline)
+	defer stop()
+	for _, address := range rl.passOnTargets() {
+		rsp, err := rl.Peers.PassOn(ctx, address, ex.req, rl.timeLeft(ex))
+		rl.Log.Log(event.RelayPassedOn, event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name), event.F("To", address),
+			event.F("Since", (rl.now()-ex.req.Arrived).String()), event.F("Status", statusOf(rsp)), event.F("Error", errorText(err)))
+		if err == nil {
+			ex.passedOn = true
+			return true, copyAnswer(wr, rsp)
+		}
+		if !backend.NotRun(err) {
+			ex.possibleRuns++
+			return true, rl.finalRefusal(ctx, ex, err)
+		}
+		if ctx.Err() != nil {
+			return true, rl.finalRefusal(ctx, ex, err)
+		}
+		rl.avoidPeer(address)
+	}
+	return false, nil
+}
+
+// passOnTargets returns the VMs to ask, in random order, so that no VM gets all requests
+// of another one.
+func (rl *Relay) passOnTargets() []string {
+	list := slices.Clone(rl.Peers.Addresses())
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := rl.now()
+	list = slices.DeleteFunc(list, func(address string) bool { return now < rl.avoidedPeers[address] })
+	rl.Rand.Shuffle(len(list), func(ix, iy int) { list[ix], list[iy] = list[iy], list[ix] })
+	return list[:min(len(list), maxPassOnTries)]
+}
+
+// avoidPeer makes this VM pass no request on to another VM for a while.
+func (rl *Relay) avoidPeer(address string) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := rl.now()
+	for old, until := range rl.avoidedPeers {
+		if now >= until {
+			delete(rl.avoidedPeers, old)
+		}
+	}
+	rl.avoidedPeers[address] = now + passOnAvoidTime
+}
+
+// copyAnswer sends another VM's answer to the caller, a stream event by event.
+func copyAnswer(wr http.ResponseWriter, rsp *http.Response) error {
+	defer rsp.Body.Close()
+	writeHeader(wr, rsp.StatusCode, rsp.Header)
+	media, _, _ := mime.ParseMediaType(rsp.Header.Get("Content-Type")) // an unknown type is no stream
+	buf := make([]byte, copyBufferBytes)
+	for {
+		size, errRead := rsp.Body.Read(buf)
+		if _, err := wr.Write(buf[:size]); err != nil {
+			return wrapCut(err)
+		}
+		if media == eventStreamType && size > 0 {
+			if err := http.NewResponseController(wr).Flush(); err != nil {
+				return wrapCut(err)
+			}
+		}
+		switch {
+		case errors.Is(errRead, io.EOF):
+			return nil
+		case errRead != nil:
+			return wrapCut(errRead)
+		}
 	}
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -94,8 +94,11 @@
 		if err := rl.refuseIfAllBackOff(ctx, ex, po, until); err != nil {
 			return place{}, err
 		}
+		if rl.isCutOff(ex.svc.Name) {
+			return place{}, rl.refuseNoPlace(ctx, ex)
+		}
 		if err := rl.awaitPlace(ctx, until, returning); err != nil {
-			if !returning {
+			if !returning && (ex.reached || ex.notReached == 0) {
 				rl.reportShortage()
 			}
 			rl.logNoPlace(ex, po, event.F("Returning", returning), event.F("Waiting", waiting),
@@ -198,14 +201,15 @@
 	// The other VMs are informed before the engine has answered, otherwise some of
 	// them would choose the same engine in the meantime.
 	pl := rl.takePlace(place{server: bs, service: ex.svc.Name}, nd.run)
+	began := rl.now()
 	id, err := rl.reserve(ctx, ex, bs, nd.reserve)
+	rl.observePath(ex, bs.ID, began, err)
 	if err == nil {
 		pl.reservation = id
 		return pl, true
 	}
 	rl.leavePlace(pl)
 	rl.applyRetryAfter(err)
-	rl.observePath(ex, err)
 	if _, why := backend.OutcomeOf(err); why == backend.Full {
 		rl.mu.Lock()
 		rl.poolOf(ex.svc.Name).MarkFull(rl.now(), bs.ID, nd.reserve)
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -22,7 +22,7 @@
 
 // probe reports whether the server of a broken call has crashed.
 func (rl *Relay) probe(ctx context.Context, cl poison.Call) poison.Finding {
-	if rl.Servers.Ended(ctx, cl.Server) {
+	if rl.hasCrashed(ctx, cl.Server) {
 		return poison.Crashed
 	}
 	return poison.Alive
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,7 @@
 	"alderdyke/internal/event"
 	"alderdyke/internal/poison"
 	"alderdyke/internal/pool"
+	"alderdyke/internal/reach"
 	"alderdyke/internal/retry"
 	"alderdyke/internal/route"
 	"alderdyke/internal/suspect"
@@ -85,6 +86,8 @@
 		// belongs, or empty if it belongs to none.
 		Keyed    bool
 		Customer string
+		// PassedOn reports whether another VM passed the request on.
+		PassedOn bool
 	}
 
 	// Prompt is the size of a generation.
@@ -134,6 +137,8 @@
 		// Ended reports whether nothing listens at the server's address any more. A
 		// server that does not answer in time may still be there.
 		Ended(ctx context.Context, bs board.BackendServer) bool
+		// Reaches reports whether a connection to the server can be established.
+		Reaches(ctx context.Context, bs board.BackendServer) bool
 	}
 
 	// Relay makes the decisions of one VM. Set the exported fields before use.
@@ -151,6 +156,9 @@
 		// Schedulers queries the VMs that choose engines for the whole of a large
 		// fleet; nil: each VM chooses by itself.
 		Schedulers Schedulers
+		// Peers passes requests on while this VM reaches no server of their service; nil:
+		// they are refused.
+		Peers Peers
 		// MarkKey returns the key with which all VMs of the fleet compute the marks
 		// of requests; nil, or an empty key: a key of this VM's own, so that only
 		// this VM recognizes its marks.
@@ -190,6 +198,9 @@
 		customers        map[string]struct{}     // that have counters of their own
 		noRoom           map[roomKey]noRoom      // sizes for which there was no room recently
 		draining         map[string]clock.Millis // servers that announced that they leave, and when
+		paths            reach.Tracker
+		pathCut          chan struct{}           // has an element when a path was cut
+		avoidedPeers     map[string]clock.Millis // VMs that could not take a request, and until when they are not asked
 		silentSchedulers map[string]clock.Millis // schedulers that did not answer, and until when they are skipped
 		stopping         bool                    // a planned stop has begun
 		stopAt           clock.Millis            // when
@@ -211,6 +222,8 @@
 		possibleRuns    int            // backend servers that may have run it
 		arrivals        arrivals       // at backend servers, and what was paid for them
 		notReached      int            // calls for which no connection was established
+		reached         bool           // a server answered or declined a call
+		passedOn        bool           // another VM took the request
 		prompt          computedPrompt // kept by an engine for the next decode
 		tried           []string       // backend servers that were tried
 		mark            *suspect.Mark  // nil until first used
@@ -309,7 +322,7 @@
 	defer rl.openRequests.Add(-1)
 	ex, err := rl.resolve(ctx, req)
 	if err == nil {
-		err = rl.execute(ctx, wr, ex)
+		err = rl.serve(ctx, wr, ex)
 		rl.refundArrivals(ex)
 	}
 	rl.recordEnd(ex, err)
@@ -364,7 +377,9 @@
 	rl.initialize()
 	ex.rt = rt
 	ex.svc = tb.Service(rt.PickService(rl.Rand.Float64()))
-	rl.budget.RecordRequest(rl.now(), "", ex.svc.Name)
+	if !rl.paths.CutOff(ex.svc.Name) {
+		rl.budget.RecordRequest(rl.now(), "", ex.svc.Name) // one that is passed on counts there
+	}
 	rl.mu.Unlock()
 	ex.deadline = req.Arrived + rt.Timeout
 	if req.WaitLimit > 0 && (rt.Timeout == 0 || req.WaitLimit < rt.Timeout) {
@@ -403,6 +418,8 @@
 	rl.calls = make(map[*call]struct{})
 	rl.placeFreed = make(chan struct{})
 	rl.usageChanged = make(chan struct{}, 1)
+	rl.pathCut = make(chan struct{}, 1)
+	rl.avoidedPeers = make(map[string]clock.Millis)
 }
 
 // poolOf returns the engines of a service; an empty pool is created if there is none.
@@ -440,6 +457,8 @@
 	} else if err != nil {
 		outcome = outcomeCut
 		rl.Log.Log(event.RelayCut, append(fields, event.F("Error", err.Error()))...)
+	} else if ex.passedOn {
+		outcome = outcomePassedOn
 	} else {
 		rl.Log.Log(event.RelayAnswered, fields...)
 	}
--- a/internal/relay/rig_test.go
+++ b/internal/relay/rig_test.go
@@ -169,6 +169,11 @@
 	return sv.ended[bs.ID]
 }
 
+// Reaches reports whether something answers at a server's address.
+func (sv *servers) Reaches(ctx context.Context, bs board.BackendServer) bool {
+	return !sv.Ended(ctx, bs)
+}
+
 func (sv *servers) Move(_ context.Context, from, to board.BackendServer, _ string, stop bool) (relay.Handle, error) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
