relay: prefill engines are no path for a generation

Engines that only compute prompts neither show a cut nor end it. PathCut and PathRestored name the server that decided.

--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -41,8 +41,13 @@
 	PassOn(ctx context.Context, address string, req *Request, left clock.Millis) (*http.Response, error)
 }
 
-// observePath records whether a call for a request reached its server.
+// observePath records whether a call for a request reached its server. Calls to engines
+// that only compute prompts do not count: without them a request can still run, and
+// without all others it can't.
 func (rl *Relay) observePath(ex *exchange, server string, began clock.Millis, err error) {
+	if bs, listed := rl.Backends().Server(server); listed && bs.Role == board.Prefill {
+		return
+	}
 	oc, _ := backend.OutcomeOf(err)
 	switch {
 	case backend.NotReached(err):
@@ -50,7 +55,7 @@
 		rl.recordMiss(ex.svc.Name, server)
 	case oc == backend.Done || oc == backend.Declined:
 		ex.reached = true
-		rl.recordReached(ex.svc.Name, began)
+		rl.recordReached(ex.svc.Name, server, began)
 	}
 }
 
@@ -63,7 +68,7 @@
 	if !rl.paths.Missed(rl.now(), service, server, len(listed)) {
 		return
 	}
-	rl.Log.Log(event.PathCut, event.F("Service", service), event.F("Servers", len(listed)))
+	rl.Log.Log(event.PathCut, event.F("Service", service), event.F("Server", server), event.F("Servers", len(listed)))
 	rl.count("PathCuts", map[string]string{"Service": service})
 	for _, bs := range listed {
 		rl.ledger.ClearFailed(bs.ID)
@@ -77,24 +82,24 @@
 }
 
 // recordReached records that a server answered a call that began at a time.
-func (rl *Relay) recordReached(service string, began clock.Millis) {
+func (rl *Relay) recordReached(service, server string, began clock.Millis) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	if !rl.paths.Reached(began, service) {
 		return
 	}
-	rl.Log.Log(event.PathRestored, event.F("Service", service))
+	rl.Log.Log(event.PathRestored, event.F("Service", service), event.F("Server", server))
 	for _, bs := range rl.listedServers(service) {
 		rl.poolOf(service).MarkWorking(bs.ID)
 	}
 	rl.wakeWaiters()
 }
 
-// listedServers returns the servers of a service.
+// listedServers returns the servers of a service that run requests.
 func (rl *Relay) listedServers(service string) []board.BackendServer {
 	var out []board.BackendServer
 	for _, bs := range rl.Backends().Servers {
-		if bs.Service == service {
+		if bs.Service == service && bs.Role != board.Prefill {
 			out = append(out, bs)
 		}
 	}
@@ -138,7 +143,7 @@
 	for _, service := range services {
 		began := rl.now()
 		if bs, ok := rl.randomServer(service, ""); ok && rl.Servers.Reaches(ctx, bs) {
-			rl.recordReached(service, began)
+			rl.recordReached(service, bs.ID, began)
 		} else {
 			cut = true
 		}
--- a/internal/relay/cutoff_test.go
+++ b/internal/relay/cutoff_test.go
@@ -277,6 +277,30 @@
 	})
 }
 
+// A VM that reaches only engines that compute prompts can't run a generation.
+func TestCutFromAllDecodeEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv, ov := newCutRig(t)
+		sv.mu.Lock()
+		delete(sv.ended, "f1")
+		sv.mu.Unlock()
+		ctx, stop := context.WithCancel(t.Context())
+		go rl.WatchPaths(ctx)
+		for range 8 {
+			_, err := serve(t.Context(), rl, "draft")
+			assert.NilError(t, err)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, len(ov.asked), 8)
+		began := time.Now()
+		_, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), time.Duration(0), "the path is still known to be cut")
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Behind a cut, refused connections do not show that servers crashed.
 func TestRefusedConnectionsBehindACutAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
