--- a/internal/relay/cutoff.go
+++ b/internal/relay/cutoff.go
@@ -52,9 +52,10 @@
 	switch {
 	case backend.NotReached(err):
 		ex.notReached++
+		ex.pathLost = true
 		rl.recordMiss(ex.svc.Name, server)
 	case oc == backend.Done || oc == backend.Declined:
-		ex.reached = true
+		ex.pathLost = false
 		rl.recordReached(ex.svc.Name, server, began)
 	}
 }
@@ -183,7 +184,7 @@
 func (rl *Relay) serve(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	if !rl.isCutOff(ex.svc.Name) {
 		err := rl.execute(ctx, wr, ex)
-		if !rl.reachedNone(ex, err) {
+		if !rl.failedForPath(ex, err) {
 			return err
 		}
 	}
@@ -193,16 +194,16 @@
 	return refuse(refusal.ServersUnreachable, max(pathProbeInterval, rl.timeLeft(ex)/4), "no path to a server of the service")
 }
 
-// reachedNone reports whether a request was refused because none of its servers was
-// reached, and did not run.
-func (rl *Relay) reachedNone(ex *exchange, err error) bool {
+// failedForPath reports whether a request was refused because this VM reached no server
+// in the end, and did not run.
+func (rl *Relay) failedForPath(ex *exchange, err error) bool {
 	rf, ok := errors.AsType[refusal.Refusal](err)
-	if !ok || errors.Is(err, ErrCut) || rf.Ran != refusal.NotRun || ex.possibleRuns > 0 || ex.reached {
+	if !ok || errors.Is(err, ErrCut) || rf.Ran != refusal.NotRun || ex.possibleRuns > 0 {
 		return false
 	}
 	switch rf.Reason {
 	case refusal.QueueFull, refusal.BackendFailed, refusal.NoBackend:
-		return ex.notReached > 0 || rl.isCutOff(ex.svc.Name)
+		return ex.pathLost || rl.isCutOff(ex.svc.Name)
 	}
 	return false
 }
--- a/internal/relay/cutoff_test.go
+++ b/internal/relay/cutoff_test.go
@@ -139,6 +139,25 @@
 	}
 }
 
+// A request whose place was reserved before the path was lost is passed on too.
+func TestRequestThatLosesItsPathIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv, ov := newCutRig(t)
+		reserved := false
+		sv.onReserve = func(board.BackendServer, int) error {
+			if reserved {
+				return errNotReached
+			}
+			reserved = true
+			return nil
+		}
+		rec, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		assert.Equal(t, rec.Body.String(), eventOne)
+		assert.Equal(t, len(ov.asked), 1)
+	})
+}
+
 // A request is passed on once: a VM that is cut off too refuses it at once.
 func TestPassedOnRequestIsNotPassedOnAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -98,7 +98,7 @@
 			return place{}, rl.refuseNoPlace(ctx, ex)
 		}
 		if err := rl.awaitPlace(ctx, until, returning); err != nil {
-			if !returning && (ex.reached || ex.notReached == 0) {
+			if !returning && !ex.pathLost {
 				rl.reportShortage()
 			}
 			rl.logNoPlace(ex, po, event.F("Returning", returning), event.F("Waiting", waiting),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,7 +222,7 @@
 		possibleRuns    int            // backend servers that may have run it
 		arrivals        arrivals       // at backend servers, and what was paid for them
 		notReached      int            // calls for which no connection was established
-		reached         bool           // a server answered or declined a call
+		pathLost        bool           // the last call reached no server
 		passedOn        bool           // another VM took the request
 		prompt          computedPrompt // kept by an engine for the next decode
 		tried           []string       // backend servers that were tried
