--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -41,8 +41,8 @@
 )
 
 // Missed records that no connection to a server was established. listed is the number
-// of servers of the service. It reports whether the service counts as cut off from now
-// on.
+// of servers of the service; without any there is no path to be cut. It reports whether
+// the service counts as cut off from now on.
 func (tr *Tracker) Missed(now clock.Millis, service, server string, listed int) bool {
 	pt := tr.path(service)
 	pt.missed[server] = now
@@ -51,7 +51,7 @@
 			delete(pt.missed, id)
 		}
 	}
-	if pt.cutOff || len(pt.missed) < min(minServers, listed) {
+	if pt.cutOff || listed == 0 || len(pt.missed) < min(minServers, listed) {
 		return false
 	}
 	pt.cutOff, pt.cutSince = true, now
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -28,6 +28,7 @@
 		{"three of sixty", 60, []step{{1, "a"}, {2, "b"}, {3, "c"}}, true},
 		{"both of two", 2, []step{{1, "a"}, {2, "b"}}, true},
 		{"the only one", 1, []step{{1, "a"}}, true},
+		{"none is listed any more", 0, []step{{1, "a"}, {2, "b"}, {3, "c"}}, false},
 		{"an answer between", 4, []step{{1, "a"}, {2, "b"}, {3, ""}, {4, "c"}}, false},
 		{"an answer to an earlier call between", 4, []step{{10, "a"}, {11, "b"}, {5, ""}, {12, "c"}}, true},
 		{"misses from long before", 4, []step{{1, "a"}, {2, "b"}, {2 + missTTL, "c"}}, false},
