relay, reach: the field's terms for partitions and forwarding

Renames, old to new: reach: Missed RecordUnreachable, Reached RecordReached, CutOff IsPartitioned, Services Partitions, missTTL unreachableTTL. relay: Peers.PassOn Forward, Request.PassedOn Forwarded, WatchPaths ProbePartitions, isCutOff isPartitioned, recordMiss recordUnreachable, passOnTargets forwardTargets, crashWitnesses maxCrashProbes. Events: RelayPassedOn RelayForwarded, PathCut ServiceUnreachable, PathRestored ServiceReachable; counter PathCuts Partitions.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -66,11 +66,11 @@
 	RelayStreamEnded = register(2229, "RelayStreamEnded", Info,
 		"a server's stream of events ended; Framing is what delimits it, and Withheld counts the bytes after the last complete event",
 		"none; with Withheld, or with an Error, check the backend server")
-	RelayPassedOn = register(2230, "RelayPassedOn", Info,
-		"this VM reaches no server of the request's service and passed the request on to another VM, or tried to", "see PathCut")
-	PathCut = register(2231, "PathCut", Warn,
-		"this VM reaches no server of the service; it passes requests on to other VMs", "check the network between this VM and the servers")
-	PathRestored = register(2232, "PathRestored", Info,
+	RelayForwarded = register(2230, "RelayForwarded", Info,
+		"this VM is partitioned from the request's service and forwarded the request to another VM, or tried to", "see ServiceUnreachable")
+	ServiceUnreachable = register(2231, "ServiceUnreachable", Warn,
+		"this VM is partitioned from the service's servers; it forwards requests to other VMs", "check the network between this VM and the servers")
+	ServiceReachable = register(2232, "ServiceReachable", Info,
 		"this VM reaches servers of the service again", "none")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had capacity; the decode engine computes the prompt", "none")
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,92 +1,92 @@
-// Package reach decides from the outcomes of calls whether this VM has a path to the
-// servers of a service.
+// Package reach decides from the outcomes of calls whether this VM is partitioned from
+// the servers of a service.
 //
 // One server to which no connection is established may have crashed. Several in a row,
-// with none reached since, show a fault of this VM's own path, or of all servers; the
-// two look alike from here, and another VM can tell.
+// with none reached since, show a partition, or that all servers are down; the two look
+// alike from here, and another VM can tell.
 //
 // The package has no clock and makes no calls: its caller reports each outcome, and
-// checks the path of a service that counts as cut off from time to time.
+// probes a service that this VM is partitioned from.
 //
 // # Usage
 //
 //	var tr reach.Tracker
-//	if tr.Missed(now, "summary", "i-1", len(servers)) { ... } // cut off from now on
-//	if tr.CutOff("summary") { ... }                           // pass the request on
-//	if tr.Reached(began, "summary") { ... }                   // no longer cut off
+//	if tr.RecordUnreachable(now, "summary", "i-1", len(servers)) { ... } // partitioned from now on
+//	if tr.IsPartitioned("summary") { ... }                               // forward the request
+//	if tr.RecordReached(began, "summary") { ... }                        // no longer partitioned
 package reach
 
 import "alderdyke/pkg/clock"
 
 const (
-	// minServers is how many servers must be missed in a row before the path counts as
-	// cut; all of them if the service has fewer.
+	// minServers is how many servers must be unreachable in a row for a partition; all
+	// of them if the service has fewer.
 	minServers = 3
-	// missTTL is how long a missed server counts. It bridges the pauses between the
-	// requests of a VM with little work.
-	missTTL = 5 * clock.Second
+	// unreachableTTL is how long an unreachable server counts. It bridges the pauses
+	// between the requests of a VM with little work.
+	unreachableTTL = 5 * clock.Second
 )
 
 type (
-	// Tracker holds the paths of one VM. The zero value is ready to use. It is not safe
-	// for concurrent use.
+	// Tracker holds what one VM knows of its paths to all services. The zero value is
+	// ready to use. It is not safe for concurrent use.
 	Tracker struct{ paths map[string]*path }
 
 	// path is the path to the servers of one service.
 	path struct {
-		missed   map[string]clock.Millis // servers that were not reached, and when
-		cutOff   bool
-		cutSince clock.Millis
+		unreachable map[string]clock.Millis // servers to which no connection was established, and when
+		partitioned bool
+		since       clock.Millis
 	}
 )
 
-// Missed records that no connection to a server was established. listed is the number
-// of servers of the service; without any there is no path to be cut. It reports whether
-// the service counts as cut off from now on.
-func (tr *Tracker) Missed(now clock.Millis, service, server string, listed int) bool {
+// RecordUnreachable records that no connection to a server was established. listed is
+// the number of servers of the service; there is no partition from a service that has
+// none. It reports whether a partition begins.
+func (tr *Tracker) RecordUnreachable(now clock.Millis, service, server string, listed int) bool {
 	pt := tr.path(service)
-	pt.missed[server] = now
-	for id, at := range pt.missed {
-		if now-at >= missTTL {
-			delete(pt.missed, id)
+	pt.unreachable[server] = now
+	for id, at := range pt.unreachable {
+		if now-at >= unreachableTTL {
+			delete(pt.unreachable, id)
 		}
 	}
-	if pt.cutOff || listed == 0 || len(pt.missed) < min(minServers, listed) {
+	if pt.partitioned || listed == 0 || len(pt.unreachable) < min(minServers, listed) {
 		return false
 	}
-	pt.cutOff, pt.cutSince = true, now
+	pt.partitioned, pt.since = true, now
 	return true
 }
 
-// Reached records that a server of a service answered a call that began at a time. It
-// reports whether the service was cut off until now. An answer to a call from before
-// the cut shows nothing about the path since.
-func (tr *Tracker) Reached(began clock.Millis, service string) bool {
+// RecordReached records that a server of a service answered a call that began at a
+// time. It reports whether a partition ends. An answer to a call from before the
+// partition shows nothing about the path since.
+func (tr *Tracker) RecordReached(began clock.Millis, service string) bool {
 	pt, ok := tr.paths[service]
-	if !ok || pt.cutOff && began < pt.cutSince {
+	if !ok || pt.partitioned && began < pt.since {
 		return false
 	}
-	for id, at := range pt.missed {
+	for id, at := range pt.unreachable {
 		if at <= began {
-			delete(pt.missed, id)
+			delete(pt.unreachable, id)
 		}
 	}
-	restored := pt.cutOff
-	pt.cutOff = false
-	return restored
+	ended := pt.partitioned
+	pt.partitioned = false
+	return ended
 }
 
-// CutOff reports whether a service counts as cut off.
-func (tr *Tracker) CutOff(service string) bool {
+// IsPartitioned reports whether this VM is partitioned from a service.
+func (tr *Tracker) IsPartitioned(service string) bool {
 	pt, ok := tr.paths[service]
-	return ok && pt.cutOff
+	return ok && pt.partitioned
 }
 
-// Services returns the services that count as cut off.
-func (tr *Tracker) Services() []string {
+// Partitions returns the services that this VM is partitioned from.
+func (tr *Tracker) Partitions() []string {
 	var out []string
 	for name, pt := range tr.paths {
-		if pt.cutOff {
+		if pt.partitioned {
 			out = append(out, name)
 		}
 	}
@@ -99,7 +99,7 @@
 	}
 	pt := tr.paths[service]
 	if pt == nil {
-		pt = &path{missed: make(map[string]clock.Millis)}
+		pt = &path{unreachable: make(map[string]clock.Millis)}
 		tr.paths[service] = pt
 	}
 	return pt
--- a/internal/relay/passon.go
+++ b/internal/relay/forward.go
@@ -15,39 +15,39 @@
 )
 
 const (
-	// maxPassOnTries limits the VMs that one request is passed on to. A third of a large
-	// fleet may be cut off together, and a VM that is says so within one round trip.
-	maxPassOnTries = 6
-	// passOnAvoidTime is how long a VM that could not take a request is not asked again.
-	passOnAvoidTime = clock.Second
+	// maxForwardTries limits the VMs that one request is forwarded to. A third of a large
+	// fleet may be partitioned together, and such a VM declines within one round trip.
+	maxForwardTries = 6
+	// declinedAvoidPeerTime is how long a VM that could not take a request is not asked again.
+	declinedAvoidPeerTime = clock.Second
 	// unreachableRetryPart is the part of its remaining time after which a request that
-	// no VM could take may come back: a cut lasts seconds.
+	// no VM could take may come back: a partition lasts seconds.
 	unreachableRetryPart = 0.25
 )
 
-// outcomePassedOn is the outcome of a request that another VM served.
-const outcomePassedOn = "PassedOn"
+// outcomeForwarded is the outcome of a request that another VM served.
+const outcomeForwarded = "Forwarded"
 
-// Peers passes requests on to other VMs.
+// Peers forwards requests to other VMs.
 type Peers interface {
 	// Addresses lists the callers' addresses of the other VMs that accept requests.
 	Addresses() []string
-	// PassOn sends a request to another VM, which must not pass it on again, and returns
+	// Forward sends a request to another VM, which must not forward it again, and returns
 	// the VM's answer or refusal. The caller must close its body. Errors are those of
 	// package backend; a VM that can't take the request declines it.
-	PassOn(ctx context.Context, address string, req *Request, left clock.Millis) (*http.Response, error)
+	Forward(ctx context.Context, address string, req *Request, left clock.Millis) (*http.Response, error)
 }
 
-// serve serves a request with this VM's servers, or passes it on to another VM if this
+// serve serves a request with this VM's servers, or forwards it to another VM if this
 // one reaches none of them.
 func (rl *Relay) serve(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
-	if !rl.isCutOff(ex.svc.Name) {
+	if !rl.isPartitioned(ex.svc.Name) {
 		err := rl.execute(ctx, wr, ex)
 		if !rl.failedForPath(ex, err) {
 			return err
 		}
 	}
-	if passed, err := rl.passOn(ctx, wr, ex); passed {
+	if passed, err := rl.forward(ctx, wr, ex); passed {
 		return err
 	}
 	return refuse(refusal.ServersUnreachable, max(pathProbeInterval, clock.Millis(unreachableRetryPart*float64(rl.timeLeft(ex)))), "no path to a server of the service")
@@ -62,25 +62,25 @@
 	}
 	switch rf.Reason {
 	case refusal.QueueFull, refusal.BackendFailed, refusal.NoBackend:
-		return ex.pathLost || rl.isCutOff(ex.svc.Name)
+		return ex.pathLost || rl.isPartitioned(ex.svc.Name)
 	}
 	return false
 }
 
-// passOn passes a request that has not run on to another VM, and sends the VM's answer
-// to the caller. It reports whether a VM took the request.
-func (rl *Relay) passOn(ctx context.Context, wr http.ResponseWriter, ex *exchange) (passed bool, err error) {
-	if rl.Peers == nil || ex.req.PassedOn {
+// forward sends a request that has not run to another VM, and the VM's answer to the
+// caller. It reports whether a VM took the request.
+func (rl *Relay) forward(ctx context.Context, wr http.ResponseWriter, ex *exchange) (passed bool, err error) {
+	if rl.Peers == nil || ex.req.Forwarded {
 		return false, nil
 	}
 	ctx, stop := clock.WithDeadline(ctx, clock.OrBoottime(rl.Clock), ex.deadline)
 	defer stop()
-	for _, address := range rl.passOnTargets() {
-		rsp, err := rl.Peers.PassOn(ctx, address, ex.req, rl.timeLeft(ex))
-		rl.Log.Log(event.RelayPassedOn, event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name), event.F("To", address),
+	for _, address := range rl.forwardTargets() {
+		rsp, err := rl.Peers.Forward(ctx, address, ex.req, rl.timeLeft(ex))
+		rl.Log.Log(event.RelayForwarded, event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name), event.F("To", address),
 			event.F("Since", (rl.now()-ex.req.Arrived).String()), event.F("Status", statusOf(rsp)), event.F("Error", errorText(err)))
 		if err == nil {
-			ex.passedOn = true
+			ex.forwarded = true
 			return true, copyAnswer(wr, rsp)
 		}
 		if !backend.NotRun(err) {
@@ -95,19 +95,19 @@
 	return false, nil
 }
 
-// passOnTargets returns the VMs to ask, in random order, so that no VM gets all requests
-// of another one.
-func (rl *Relay) passOnTargets() []string {
+// forwardTargets returns the VMs to ask, in random order, so that no VM gets all requests
+// of a partitioned one.
+func (rl *Relay) forwardTargets() []string {
 	list := slices.Clone(rl.Peers.Addresses())
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	now := rl.now()
 	list = slices.DeleteFunc(list, func(address string) bool { return now < rl.avoidedPeers[address] })
 	rl.Rand.Shuffle(len(list), func(ix, iy int) { list[ix], list[iy] = list[iy], list[ix] })
-	return list[:min(len(list), maxPassOnTries)]
+	return list[:min(len(list), maxForwardTries)]
 }
 
-// avoidPeer makes this VM pass no request on to another VM for a while.
+// avoidPeer makes this VM forward no request to another VM for a while.
 func (rl *Relay) avoidPeer(address string) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
@@ -117,7 +117,7 @@
 			delete(rl.avoidedPeers, old)
 		}
 	}
-	rl.avoidedPeers[address] = now + passOnAvoidTime
+	rl.avoidedPeers[address] = now + declinedAvoidPeerTime
 }
 
 // copyAnswer sends another VM's answer to the caller, a stream event by event.
--- a/internal/relay/passon_test.go
+++ b/internal/relay/forward_test.go
@@ -40,7 +40,7 @@
 
 func (ov *otherVMs) Addresses() []string { return []string{"vm-2", "vm-3"} }
 
-func (ov *otherVMs) PassOn(_ context.Context, address string, _ *relay.Request, left clock.Millis) (*http.Response, error) {
+func (ov *otherVMs) Forward(_ context.Context, address string, _ *relay.Request, left clock.Millis) (*http.Response, error) {
 	ov.mu.Lock()
 	defer ov.mu.Unlock()
 	ov.asked, ov.left = append(ov.asked, address), append(ov.left, left)
@@ -60,20 +60,20 @@
 
 var (
 	errNotReached = backend.NotSentError{Server: "x", Call: "Send", Err: context.DeadlineExceeded}
-	errVMDeclined = backend.DeclinedError{Server: "vm", Call: "PassOn", Reason: backend.Refused}
+	errVMDeclined = backend.DeclinedError{Server: "vm", Call: "Forward", Reason: backend.Refused}
 )
 
-// newCutRig creates a relay that reaches no server, and the other VMs.
-func newCutRig(t *testing.T) (*relay.Relay, *servers, *otherVMs) {
+// newPartitionedRig creates a relay that reaches no server, and the other VMs.
+func newPartitionedRig(t *testing.T) (*relay.Relay, *servers, *otherVMs) {
 	t.Helper()
 	rl, sv := newRig(t)
 	ov := &otherVMs{}
 	rl.Peers = ov
-	cutPaths(sv)
+	partitionServers(sv)
 	return rl, sv, ov
 }
 
-func cutPaths(sv *servers) {
+func partitionServers(sv *servers) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.ended = make(map[string]bool)
@@ -90,13 +90,13 @@
 	sv.ended, sv.onSend, sv.onReserve = nil, nil, nil
 }
 
-// A VM that reaches no server passes requests on from the first one, and soon without
+// A partitioned VM forwards requests from the first one, and soon without
 // trying its own paths.
-func TestRequestsArePassedOnBehindACut(t *testing.T) {
+func TestPartitionedVMForwardsRequests(t *testing.T) {
 	for _, name := range []string{"once", "again", "draft", "resumable", "plain-stream"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rl, sv, ov := newCutRig(t)
+				rl, sv, ov := newPartitionedRig(t)
 				for range 8 {
 					rec, err := serve(t.Context(), rl, name)
 					assert.NilError(t, err)
@@ -106,7 +106,7 @@
 				tries := len(sv.sentTo())
 				_, err := serve(t.Context(), rl, name)
 				assert.NilError(t, err)
-				assert.Equal(t, len(sv.sentTo()), tries, "its own paths are known to be cut")
+				assert.Equal(t, len(sv.sentTo()), tries, "the partition is known")
 				synctest.Wait()
 				assert.Equal(t, sv.held(), 0)
 				assert.Equal(t, len(rl.PlacesForTest()), 0)
@@ -115,8 +115,8 @@
 	}
 }
 
-// A request that may have run, or that a server declined, is not passed on.
-func TestRequestThatReachedAServerIsNotPassedOn(t *testing.T) {
+// A request that may have run, or that a server declined, is not forwarded.
+func TestRequestThatReachedAServerIsNotForwarded(t *testing.T) {
 	for _, tc := range []struct {
 		name, route string
 		err         error
@@ -128,7 +128,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rl, sv, ov := newCutRig(t)
+				rl, sv, ov := newPartitionedRig(t)
 				sv.onReserve = nil
 				sv.onSend = func(context.Context, int, sent) (*http.Response, error) { return nil, tc.err }
 				_, err := serve(t.Context(), rl, tc.route)
@@ -139,10 +139,10 @@
 	}
 }
 
-// A request whose place was reserved before the path was lost is passed on too.
-func TestRequestThatLosesItsPathIsPassedOn(t *testing.T) {
+// A request whose place was reserved before the path was lost is forwarded too.
+func TestRequestThatLosesItsPathIsForwarded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, sv, ov := newCutRig(t)
+		rl, sv, ov := newPartitionedRig(t)
 		reserved := false
 		sv.onReserve = func(board.BackendServer, int) error {
 			if reserved {
@@ -158,13 +158,13 @@
 	})
 }
 
-// A request is passed on once: a VM that is cut off too refuses it at once.
-func TestPassedOnRequestIsNotPassedOnAgain(t *testing.T) {
+// A request is forwarded once: a VM that is partitioned too refuses it at once.
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, _, ov := newCutRig(t)
+		rl, _, ov := newPartitionedRig(t)
 		for range 8 {
 			rec, req := newGeneration(rl, 14*clock.Second, 5000)
-			req.PassedOn = true
+			req.Forwarded = true
 			rf := refusalOf(t, rl.Serve(t.Context(), rec, req))
 			assert.Equal(t, rf.Reason, refusal.ServersUnreachable)
 			assert.Equal(t, rf.Ran, refusal.NotRun)
@@ -175,7 +175,7 @@
 }
 
 // What became of a request at another VM decides whether a third one is asked.
-func TestOutcomesOfPassingOn(t *testing.T) {
+func TestForwardOutcomes(t *testing.T) {
 	answer := func(status int, body string, end error) func(int) (*http.Response, error) {
 		return func(int) (*http.Response, error) { return newResponse(status, body, end), nil }
 	}
@@ -218,7 +218,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rl, sv, ov := newCutRig(t)
+				rl, sv, ov := newPartitionedRig(t)
 				ov.on = tc.on
 				rec, err := serve(t.Context(), rl, "draft")
 				assert.Equal(t, len(ov.asked), tc.asked)
@@ -234,7 +234,7 @@
 // servers refuses quickly.
 func TestVMsThatDeclineAreAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, _, ov := newCutRig(t)
+		rl, _, ov := newPartitionedRig(t)
 		ov.on = func(int) (*http.Response, error) { return nil, errVMDeclined }
 		for range 5 {
 			_, err := serve(t.Context(), rl, "draft")
@@ -249,11 +249,11 @@
 }
 
 // Once a server can be reached, requests are served here again.
-func TestCutEnds(t *testing.T) {
+func TestPartitionEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, sv, ov := newCutRig(t)
+		rl, sv, ov := newPartitionedRig(t)
 		ctx, stop := context.WithCancel(t.Context())
-		go rl.WatchPaths(ctx)
+		go rl.ProbePartitions(ctx)
 		for range 8 {
 			for _, name := range []string{"once", "draft"} {
 				_, err := serve(t.Context(), rl, name)
@@ -274,10 +274,10 @@
 	})
 }
 
-// A cut of one service leaves the others here.
-func TestCutOfOneService(t *testing.T) {
+// A partition from one service leaves the others here.
+func TestPartitionFromOneService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, sv, ov := newCutRig(t)
+		rl, sv, ov := newPartitionedRig(t)
 		sv.onReserve = nil
 		sv.onSend = func(_ context.Context, _ int, se sent) (*http.Response, error) {
 			if strings.HasPrefix(se.server, "p") {
@@ -297,14 +297,14 @@
 }
 
 // A VM that reaches only engines that compute prompts can't run a generation.
-func TestCutFromAllDecodeEngines(t *testing.T) {
+func TestPartitionFromAllDecodeEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, sv, ov := newCutRig(t)
+		rl, sv, ov := newPartitionedRig(t)
 		sv.mu.Lock()
 		delete(sv.ended, "f1")
 		sv.mu.Unlock()
 		ctx, stop := context.WithCancel(t.Context())
-		go rl.WatchPaths(ctx)
+		go rl.ProbePartitions(ctx)
 		for range 8 {
 			_, err := serve(t.Context(), rl, "draft")
 			assert.NilError(t, err)
@@ -314,16 +314,16 @@
 		began := time.Now()
 		_, err := serve(t.Context(), rl, "draft")
 		assert.NilError(t, err)
-		assert.Equal(t, time.Since(began), time.Duration(0), "the path is still known to be cut")
+		assert.Equal(t, time.Since(began), time.Duration(0), "the partition is still known")
 		stop()
 		synctest.Wait()
 	})
 }
 
-// Behind a cut, refused connections do not show that servers crashed.
-func TestRefusedConnectionsBehindACutAreNoCrashes(t *testing.T) {
+// Refused connections of a partitioned VM do not show that servers crashed.
+func TestRefusedConnectionsOfAPartitionedVMAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, sv, _ := newCutRig(t)
+		rl, sv, _ := newPartitionedRig(t)
 		sv.onReserve = nil
 		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
 			rsp := newResponse(http.StatusOK, eventOne, nil)
@@ -336,11 +336,11 @@
 	})
 }
 
-// A request that is passed on takes nothing of its customer's quota here: the other VM
+// A forwarded request takes nothing of its customer's quota here: the other VM
 // charges it.
-func TestPassedOnRequestIsChargedOnce(t *testing.T) {
+func TestForwardedRequestIsChargedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rl, _, ov := newCutRig(t)
+		rl, _, ov := newPartitionedRig(t)
 		cc := &countingCharger{}
 		rl.Charger = cc
 		tb, err := route.New(5, []route.Route{{Name: "again", Host: "h", Prefix: "/again/", Kind: route.Idempotent,
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// pathProbeInterval is how often the path to a service that is cut off is checked.
+	// pathProbeInterval is how often a service is probed that this VM is partitioned from.
 	pathProbeInterval = 250 * clock.Millis(1)
-	// crashWitnesses is how many other servers are tried before a refused connection
+	// maxCrashProbes is how many other servers are tried before a refused connection
 	// counts as a crash of its server.
-	crashWitnesses = 4
+	maxCrashProbes = 4
 )
 
 // observePath records whether a call for a request reached its server. Calls to engines
@@ -30,31 +30,31 @@
 	case backend.NotReached(err):
 		ex.notReached++
 		ex.pathLost = true
-		rl.recordMiss(ex.svc.Name, server)
+		rl.recordUnreachable(ex.svc.Name, server)
 	case oc == backend.Done || oc == backend.Declined:
 		ex.pathLost = false
 		rl.recordReached(ex.svc.Name, server, began)
 	}
 }
 
-// recordMiss records that no connection to a server was established. A VM that is cut
-// off tells the others nothing bad about the servers.
-func (rl *Relay) recordMiss(service, server string) {
+// recordUnreachable records that no connection to a server was established. A
+// partitioned VM withdraws what it reported to the others about the engines.
+func (rl *Relay) recordUnreachable(service, server string) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	listed := rl.listedServers(service)
-	if !rl.paths.Missed(rl.now(), service, server, len(listed)) {
+	if !rl.paths.RecordUnreachable(rl.now(), service, server, len(listed)) {
 		return
 	}
-	rl.Log.Log(event.PathCut, event.F("Service", service), event.F("Server", server), event.F("Servers", len(listed)))
-	rl.count("PathCuts", map[string]string{"Service": service})
+	rl.Log.Log(event.ServiceUnreachable, event.F("Service", service), event.F("Server", server), event.F("Servers", len(listed)))
+	rl.count("Partitions", map[string]string{"Service": service})
 	for _, bs := range listed {
 		rl.ledger.ClearFailed(bs.ID)
 	}
 	rl.notifyUsageChanged()
 	rl.wakeWaiters()
 	select {
-	case rl.pathCut <- struct{}{}:
+	case rl.partitionBegan <- struct{}{}:
 	default:
 	}
 }
@@ -63,10 +63,10 @@
 func (rl *Relay) recordReached(service, server string, began clock.Millis) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	if !rl.paths.Reached(began, service) {
+	if !rl.paths.RecordReached(began, service) {
 		return
 	}
-	rl.Log.Log(event.PathRestored, event.F("Service", service), event.F("Server", server))
+	rl.Log.Log(event.ServiceReachable, event.F("Service", service), event.F("Server", server))
 	for _, bs := range rl.listedServers(service) {
 		rl.poolOf(service).MarkWorking(bs.ID)
 	}
@@ -84,24 +84,25 @@
 	return out
 }
 
-// isCutOff reports whether this VM reaches no server of a service.
-func (rl *Relay) isCutOff(service string) bool {
+// isPartitioned reports whether this VM is partitioned from a service.
+func (rl *Relay) isPartitioned(service string) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return rl.paths.CutOff(service)
+	return rl.paths.IsPartitioned(service)
 }
 
-// WatchPaths checks the paths to services that are cut off until the context ends.
-func (rl *Relay) WatchPaths(ctx context.Context) {
+// ProbePartitions probes the services that this VM is partitioned from until the context
+// ends.
+func (rl *Relay) ProbePartitions(ctx context.Context) {
 	rl.mu.Lock()
 	rl.initialize()
-	cut := rl.pathCut
+	began := rl.partitionBegan
 	rl.mu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-cut:
+		case <-began:
 		}
 		for rl.probePaths(ctx) {
 			if !clock.Sleep(ctx, pathProbeInterval) {
@@ -111,22 +112,22 @@
 	}
 }
 
-// probePaths tries one server of each service that is cut off, and reports whether some
-// service still is.
+// probePaths tries one server of each service that this VM is partitioned from, and
+// reports whether some partition goes on.
 func (rl *Relay) probePaths(ctx context.Context) bool {
 	rl.mu.Lock()
-	services := rl.paths.Services()
+	services := rl.paths.Partitions()
 	rl.mu.Unlock()
-	cut := false
+	partitioned := false
 	for _, service := range services {
 		began := rl.now()
 		if bs, ok := rl.randomServer(service, ""); ok && rl.Servers.Reaches(ctx, bs) {
 			rl.recordReached(service, bs.ID, began)
 		} else {
-			cut = true
+			partitioned = true
 		}
 	}
-	return cut
+	return partitioned
 }
 
 // randomServer returns a listed server of a service, except for one.
@@ -142,12 +143,12 @@
 
 // hasCrashed reports whether a server has crashed: it refuses connections, and another
 // one of its service, if there is one, does not. Where all connections are refused, this
-// VM may be cut off.
+// VM may be partitioned.
 func (rl *Relay) hasCrashed(ctx context.Context, bs board.BackendServer) bool {
 	if !rl.Servers.Ended(ctx, bs) {
 		return false
 	}
-	for range crashWitnesses {
+	for range maxCrashProbes {
 		other, ok := rl.randomServer(bs.Service, bs.ID)
 		if !ok || rl.Servers.Reaches(ctx, other) {
 			return true
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -94,7 +94,7 @@
 		if err := rl.refuseIfAllBackOff(ctx, ex, po, until); err != nil {
 			return place{}, err
 		}
-		if rl.isCutOff(ex.svc.Name) {
+		if rl.isPartitioned(ex.svc.Name) {
 			return place{}, rl.refuseNoPlace(ctx, ex)
 		}
 		if err := rl.awaitPlace(ctx, until, returning); err != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -222,7 +222,7 @@
 	if ctx.Err() != nil {
 		return rl.finalRefusal(ctx, ex, failed)
 	}
-	if ex.possibleRuns >= max(1, ex.rt.MaxAttempts) || number >= maxDeclinedAttempts || rl.isCutOff(ex.svc.Name) {
+	if ex.possibleRuns >= max(1, ex.rt.MaxAttempts) || number >= maxDeclinedAttempts || rl.isPartitioned(ex.svc.Name) {
 		return rl.finalRefusal(ctx, ex, failed) // checked before the budget, which charges as soon as it permits a retry
 	}
 	ran := refusal.MayHaveRun
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,8 +86,8 @@
 		// belongs, or empty if it belongs to none.
 		Keyed    bool
 		Customer string
-		// PassedOn reports whether another VM passed the request on.
-		PassedOn bool
+		// Forwarded reports whether another VM forwarded the request.
+		Forwarded bool
 	}
 
 	// Prompt is the size of a generation.
@@ -156,7 +156,7 @@
 		// Schedulers queries the VMs that choose engines for the whole of a large
 		// fleet; nil: each VM chooses by itself.
 		Schedulers Schedulers
-		// Peers passes requests on while this VM reaches no server of their service; nil:
+		// Peers forwards requests while this VM is partitioned from their service; nil:
 		// they are refused.
 		Peers Peers
 		// MarkKey returns the key with which all VMs of the fleet compute the marks
@@ -199,7 +199,7 @@
 		noRoom           map[roomKey]noRoom      // sizes for which there was no room recently
 		draining         map[string]clock.Millis // servers that announced that they leave, and when
 		paths            reach.Tracker
-		pathCut          chan struct{}           // has an element when a path was cut
+		partitionBegan   chan struct{}           // has an element when a partition began
 		avoidedPeers     map[string]clock.Millis // VMs that could not take a request, and until when they are not asked
 		silentSchedulers map[string]clock.Millis // schedulers that did not answer, and until when they are skipped
 		stopping         bool                    // a planned stop has begun
@@ -223,7 +223,7 @@
 		arrivals        arrivals       // at backend servers, and what was paid for them
 		notReached      int            // calls for which no connection was established
 		pathLost        bool           // the last call reached no server
-		passedOn        bool           // another VM took the request
+		forwarded       bool           // another VM took the request
 		prompt          computedPrompt // kept by an engine for the next decode
 		tried           []string       // backend servers that were tried
 		mark            *suspect.Mark  // nil until first used
@@ -377,8 +377,8 @@
 	rl.initialize()
 	ex.rt = rt
 	ex.svc = tb.Service(rt.PickService(rl.Rand.Float64()))
-	if !rl.paths.CutOff(ex.svc.Name) {
-		rl.budget.RecordRequest(rl.now(), "", ex.svc.Name) // one that is passed on counts there
+	if !rl.paths.IsPartitioned(ex.svc.Name) {
+		rl.budget.RecordRequest(rl.now(), "", ex.svc.Name) // a forwarded request counts at the other VM
 	}
 	rl.mu.Unlock()
 	ex.deadline = req.Arrived + rt.Timeout
@@ -418,7 +418,7 @@
 	rl.calls = make(map[*call]struct{})
 	rl.placeFreed = make(chan struct{})
 	rl.usageChanged = make(chan struct{}, 1)
-	rl.pathCut = make(chan struct{}, 1)
+	rl.partitionBegan = make(chan struct{}, 1)
 	rl.avoidedPeers = make(map[string]clock.Millis)
 }
 
@@ -457,8 +457,8 @@
 	} else if err != nil {
 		outcome = outcomeCut
 		rl.Log.Log(event.RelayCut, append(fields, event.F("Error", err.Error()))...)
-	} else if ex.passedOn {
-		outcome = outcomePassedOn
+	} else if ex.forwarded {
+		outcome = outcomeForwarded
 	} else {
 		rl.Log.Log(event.RelayAnswered, fields...)
 	}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -145,8 +145,8 @@
 		return "", ErrRequestNotFound
 	}
 	end, ended := lastEvent(lines, event.RelayAnswered, event.RelayRefused, event.RelayCut)
-	if ln, ok := lastEvent(lines, event.RelayPassedOn); !ended && ok && fieldText(ln, "Status") != "0" {
-		return "it was passed on to the VM at " + fieldText(ln, "To") + ", whose log has its end", nil
+	if ln, ok := lastEvent(lines, event.RelayForwarded); !ended && ok && fieldText(ln, "Status") != "0" {
+		return "it was forwarded to the VM at " + fieldText(ln, "To") + ", whose log has its end", nil
 	}
 	if !ended {
 		return "its end is not in these files: VM " + lines[0].VM + " stopped first, or its file is incomplete", nil
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -21,7 +21,7 @@
 		{"late", "it completed with its full answer after 1.204s"},
 		{"starting", "it was refused after 0s: the VM had not loaded the configuration yet; look for an earlier StoreLost event of that VM"},
 		{"deadly", "it was refused after 0s: servers crashed when they ran it; look for an earlier RelayEndsServers event of any VM"},
-		{"passed", "it was passed on to the VM at 10.3.0.41:8207, whose log has its end"},
+		{"forwarded", "it was forwarded to the VM at 10.3.0.41:8207, whose log has its end"},
 		{"open", "its end is not in these files: VM edge-1 stopped first, or its file is incomplete"},
 	} {
 		t.Run(tc.request, func(t *testing.T) {
