platform, integration: the tests listen at addresses of their own

Cause: both packages derive the second octet from the process ID, 32 to 223 and 100 to 199, with the same port; go test runs them side by side in the script too.

--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -90,8 +90,8 @@
 var (
 	// processOctet is the second octet of all loopback addresses of this process.
 	// It depends on the process ID, so that concurrent processes rarely use the
-	// same addresses.
-	processOctet = byte(32 + os.Getpid()%192)
+	// same addresses, and lies below those of the platform's tests.
+	processOctet = byte(32 + os.Getpid()%96)
 	fleetCount   atomic.Int32 // number of fleets that this process has created
 )
 
