relay: the comment of maxCrashProbes says what the code does

It said that a refused connection counts as a crash after so many tries; it counts only if one of these servers can be reached. No change of code.

--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -13,8 +13,8 @@
 const (
 	// pathProbeInterval is how often a service is probed that this VM is partitioned from.
 	pathProbeInterval = 250 * clock.Millis(1)
-	// maxCrashProbes is how many other servers are tried before a refused connection
-	// counts as a crash of its server.
+	// maxCrashProbes is how many other servers are tried: if none can be reached, a
+	// refused connection does not count as a crash of its server.
 	maxCrashProbes = 4
 )
 
