--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -93,6 +93,7 @@
 		Name          string // the server's own name, the same in all of its runs; empty: its ID
 		Incarnation   uint64 // higher in each run; zero if the server does not report it
 		Service       string
+		Version       string // of its software; empty if the server does not report it
 		Role          Role
 		Address       string // "IP:port"
 		FailureDomain string
--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -96,7 +96,7 @@
 		return err
 	})
 	rl.Log.Log(event.RelayMoved, append(fields, event.F("Request", rn.ex.req.ID), event.F("From", rn.pl.server.ID),
-		event.F("To", mv.target.ID), event.F("Last", rn.sp.last), event.F("Status", statusOf(rsp)), event.F("Error", errorText(err)))...)
+		event.F("FromVersion", rn.pl.server.Version), event.F("To", mv.target.ID), event.F("Version", mv.target.Version), event.F("Last", rn.sp.last), event.F("Status", statusOf(rsp)), event.F("Error", errorText(err)))...)
 	if err != nil {
 		end()
 		rl.forget(rn.ex, mv.source)
@@ -163,7 +163,7 @@
 			rl.recordFault(ctx, rn.ex, pl.server.ID, err)
 		}
 	}
-	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID),
+	rl.Log.Log(event.RelayResumed, event.F("Request", rn.ex.req.ID), event.F("Server", pl.server.ID), event.F("Version", pl.server.Version),
 		event.F("Last", rn.sp.last), event.F("Status", statusOf(dec.rsp)), event.F("Error", errorText(err)))
 	if err != nil {
 		rl.leavePlace(pl)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -187,8 +187,8 @@
 		dec.rsp, err = rl.Servers.Send(ctx, pl.server, ex.req, op)
 		return err
 	})
-	rl.Log.Log(event.RelayDecode, append(fields, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID),
-		event.F("After", op.LastEventID), event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Arrived).String()),
+	rl.Log.Log(event.RelayDecode, append(fields, event.F("Request", ex.req.ID), event.F("Server", pl.server.ID), event.F("Version", pl.server.Version),
+		event.F("After", op.LastEventID), event.F("Resumes", ex.req.Resumes), event.F("Prefill", op.Source.Server.ID), event.F("Since", (rl.now()-ex.req.Arrived).String()),
 		event.F("Status", statusOf(dec.rsp)), event.F("Error", errorText(err)))...)
 	if err != nil {
 		if poison.MayHaveCrashed(ctx, err) {
@@ -348,7 +348,7 @@
 		}
 		rl.recordFault(ctx, ex, pf.Server.ID, err)
 	}
-	rl.Log.Log(event.RelayPrefill, append(fields, event.F("Request", ex.req.ID), event.F("Server", pf.Server.ID),
+	rl.Log.Log(event.RelayPrefill, append(fields, event.F("Request", ex.req.ID), event.F("Server", pf.Server.ID), event.F("Version", pf.Server.Version),
 		event.F("Ahead", pf.QueuedTokens), event.F("Expected", pf.ExpectedTime.String()), event.F("Took", took.String()), event.F("Error", errorText(err)))...)
 	return hd, err
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -148,8 +148,8 @@
 	if at.rsp != nil {
 		fields = append(fields, event.F("Framing", framingOf(at.rsp)))
 	}
-	rl.Log.Log(event.RelayAttempt, append(fields, event.F("Request", ex.req.ID), event.F("Server", bs.ID),
-		event.F("Service", ex.svc.Name), event.F("Took", took.String()), event.F("Status", at.wh.status),
+	rl.Log.Log(event.RelayAttempt, append(fields, event.F("Request", ex.req.ID), event.F("Server", bs.ID), event.F("Version", bs.Version),
+		event.F("Service", ex.svc.Name), event.F("After", ex.req.LastEventID), event.F("Resumes", ex.req.Resumes), event.F("Took", took.String()), event.F("Status", at.wh.status),
 		event.F("Error", errorText(at.err)))...)
 	return at
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,7 @@
 		WaitLimit   clock.Millis // how long the caller waits from Arrived; zero if unknown
 		Arrived     clock.Millis // point in time
 		LastEventID string       // ID of the last event of a stream that the caller has
+		Resumes     string       // ID of the attempt that brought the first event of that stream; empty if unknown
 		Prompt      *Prompt      // nil if the request is not a generation
 		// KeyHash is the hash of the caller's API key; empty if there is none, and
 		// then KeyFault is the reason.
