--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -48,6 +48,11 @@
 // moveAfterFirstEvent makes the run of a request move once its first event is out.
 // Its stream ends with the error when the run is stopped; nil is an orderly end.
 func moveAfterFirstEvent(rl *relay.Relay, sv *servers, end error, next func() *http.Response) {
+	moveAfterFirstEventOf(rl, sv, allServers, end, next)
+}
+
+// moveAfterFirstEventOf is moveAfterFirstEvent with other servers than those of the rig.
+func moveAfterFirstEventOf(rl *relay.Relay, sv *servers, all []board.BackendServer, end error, next func() *http.Response) {
 	stopped := make(chan struct{})
 	sv.onMove = func(_ int, _ board.BackendServer, stop bool) error {
 		if stop {
@@ -61,7 +66,7 @@
 		}
 		return streamUntil(eventOne, stopped, "", end), nil
 	}
-	leaveAfter(rl, sv, allServers, 200*time.Millisecond)
+	leaveAfter(rl, sv, all, 200*time.Millisecond)
 }
 
 // leaveAfter makes the first engine that was sent a run leave after a delay.
