relay: an answer continues at the software version that began it

Callers saw events of two versions in one answer. A new run (resumeOnce), a move (moveTargets) and a second try took any engine of the service, since no decision knew a version.

A resumable stream is bound to the version of the first engine that is to run it; its places, further tries and moves are at engines of that version. Schedulers are told the version, and engines of an older scheduler's answer are checked. Prompts are computed at the decode engine's version, or by the decode engine. Without an engine of the version the request is refused at once as VersionGone; an answer that has begun is cut.

--- a/internal/fleet/ask.go
+++ b/internal/fleet/ask.go
@@ -94,14 +94,14 @@
 func placementRequestToWire(number uint64, ask usage.PlacementRequest) *peerpb.PlaceAsk {
 	return &peerpb.PlaceAsk{Number: number, Service: ask.Waiting.Service, Returning: ask.Waiting.Returning, Turn: ask.Waiting.Turn, Age: uint32(ask.Waiting.Age),
 		Tokens: uint32(ask.Run.Tokens), Left: uint32(ask.Run.Left), Reserve: uint32(ask.ReserveTokens),
-		MayWait: uint32(max(0, ask.MaxWait)), MayWaitBack: uint32(max(0, ask.MaxWaitReturning)), Skip: ask.Excluded, Prompt: ask.NeedsPrefill}
+		MayWait: uint32(max(0, ask.MaxWait)), MayWaitBack: uint32(max(0, ask.MaxWaitReturning)), Skip: ask.Excluded, Prompt: ask.NeedsPrefill, Version: ask.Version}
 }
 
 func placementRequestFromWire(pa *peerpb.PlaceAsk) usage.PlacementRequest {
 	return usage.PlacementRequest{
 		Waiting: usage.WaitingRequest{Service: pa.GetService(), Returning: pa.GetReturning(), Turn: pa.GetTurn(), Age: clock.Millis(pa.GetAge())},
 		Run:     usage.Run{Tokens: int(pa.GetTokens()), Left: int(pa.GetLeft())}, ReserveTokens: int(pa.GetReserve()),
-		MaxWait: clock.Millis(pa.GetMayWait()), MaxWaitReturning: clock.Millis(pa.GetMayWaitBack()), Excluded: pa.GetSkip(), NeedsPrefill: pa.GetPrompt()}
+		MaxWait: clock.Millis(pa.GetMayWait()), MaxWaitReturning: clock.Millis(pa.GetMayWaitBack()), Excluded: pa.GetSkip(), NeedsPrefill: pa.GetPrompt(), Version: pa.GetVersion()}
 }
 
 func placementReplyToWire(number uint64, ans usage.PlacementReply) *peerpb.PlaceAnswer {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,10 +62,11 @@
 type (
 	// Requirements is what a request needs of a decode engine.
 	Requirements struct {
-		Tokens   int // to reserve
-		Limit    int // largest permitted projected memory use of an engine, in tokens
-		Ahead    int // requests at other VMs that are placed before this one
-		Headroom int // further requests of this size that must fit beside it
+		Tokens   int    // to reserve
+		Limit    int    // largest permitted projected memory use of an engine, in tokens
+		Ahead    int    // requests at other VMs that are placed before this one
+		Headroom int    // further requests of this size that must fit beside it
+		Version  string // of the engine's software; empty: any
 		// Peak returns the projected memory use of an engine, in tokens, with the
 		// given number of additional runs of the request's size.
 		Peak func(id string, more int) int
@@ -132,7 +133,7 @@
 // the engine at which memory was just freed. If no request is ahead, engines
 // with similar projections are shuffled for the same reason.
 func (po *Pool) DecodeCandidates(now clock.Millis, rq Requirements) []board.BackendServer {
-	fit := po.healthy(now)
+	fit := po.healthy(now, rq.Version)
 	needs := make(map[*engine]int, len(fit))
 	for _, en := range fit {
 		needs[en] = rq.Peak(en.server.ID, 1)
@@ -166,7 +167,7 @@
 // HasRoom reports whether some decode engine has room for the request and the
 // headroom, regardless of the requests ahead.
 func (po *Pool) HasRoom(now clock.Millis, rq Requirements) bool {
-	for _, en := range po.healthy(now) {
+	for _, en := range po.healthy(now, rq.Version) {
 		if rq.Peak(en.server.ID, 1+rq.Headroom) <= rq.Limit {
 			return true
 		}
@@ -178,7 +179,7 @@
 // one more request, and the number of engines considered. Both are zero if
 // there is none.
 func (po *Pool) LowestPeak(now clock.Millis, rq Requirements) (need, engines int) {
-	for _, en := range po.healthy(now) {
+	for _, en := range po.healthy(now, rq.Version) {
 		if nd := rq.Peak(en.server.ID, 1); engines == 0 || nd < need {
 			need = nd
 		}
@@ -208,10 +209,10 @@
 	return fit
 }
 
-// healthy lists the available decode engines that did not fail recently, or all
-// available ones if each of them failed.
-func (po *Pool) healthy(now clock.Millis) []*engine {
-	all := po.available(now, board.Decode)
+// healthy lists the available decode engines of a version that did not fail recently,
+// or all available ones of it if each of them failed.
+func (po *Pool) healthy(now clock.Millis, version string) []*engine {
+	all := po.available(now, board.Decode, version)
 	var out []*engine
 	for _, en := range all {
 		if now >= en.failedUntil {
@@ -224,17 +225,29 @@
 	return out
 }
 
-// available lists the engines of a role that accept new work.
-func (po *Pool) available(now clock.Millis, role board.Role) []*engine {
+// available lists the engines of a role and a version that accept new work; the empty
+// version stands for any.
+func (po *Pool) available(now clock.Millis, role board.Role, version string) []*engine {
 	var out []*engine
 	for _, en := range po.engines {
-		if en.acceptsWork(now) && en.server.Role == role {
+		if en.acceptsWork(now) && en.server.Role == role && (version == "" || en.server.Version == version) {
 			out = append(out, en)
 		}
 	}
 	return out
 }
 
+// HasDecoder reports whether a decode engine of a version is listed and not leaving; the
+// empty version stands for any.
+func (po *Pool) HasDecoder(version string) bool {
+	for _, en := range po.engines {
+		if en.isServing() && en.server.Role == board.Decode && (version == "" || en.server.Version == version) {
+			return true
+		}
+	}
+	return false
+}
+
 // acceptsWork reports whether the engine accepts new work now.
 func (en *engine) acceptsWork(now clock.Millis) bool { return en.isServing() && !en.isBackingOff(now) }
 
--- a/internal/pool/prefill.go
+++ b/internal/pool/prefill.go
@@ -28,8 +28,9 @@
 type (
 	// Prompt describes a prompt that has to be computed.
 	Prompt struct {
-		Tokens int
-		Domain string // failure domain of the decode engine, to which the KV memory moves
+		Tokens  int
+		Domain  string // failure domain of the decode engine, to which the KV memory moves
+		Version string // of the decode engine's software, which must be able to read the KV memory; empty: any
 		// QueuedTokens returns the tokens of prompts that an engine computes before
 		// this one; math.MaxInt excludes the engine.
 		QueuedTokens func(id string) int
@@ -57,13 +58,14 @@
 // random among equals. An engine in another failure domain than the decode
 // engine counts as having the prompt queued twice: a transfer between domains
 // takes twice as long and is charged for, so avoiding it is worth waiting for
-// the duration of the prompt. Engines that failed recently are left out. The
-// second result is false if no engine is left.
+// the duration of the prompt. Engines that failed recently are left out. Only
+// engines of the prompt's version are considered. The second result is false if no engine
+// is left.
 func (po *Pool) ChoosePrefill(now clock.Millis, pr Prompt) (Prefill, bool) {
 	var fit []*engine
 	costs := make(map[*engine]int)
 	ahead := make(map[*engine]int)
-	for _, en := range po.available(now, board.Prefill) {
+	for _, en := range po.available(now, board.Prefill, pr.Version) {
 		ahead[en] = pr.QueuedTokens(en.server.ID)
 		if now < en.failedUntil || ahead[en] == math.MaxInt {
 			continue
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -76,6 +76,7 @@
 		if err != nil {
 			return err
 		}
+		rl.bindVersion(ex, pl.server)
 		rn, err := rl.startRun(ctx, ex, pl)
 		if err == nil && !rl.awaitRerun(ctx, ex, number, rn) {
 			return rl.deliver(ctx, wr, ex, rn)
@@ -306,7 +307,7 @@
 // prefillForPlace returns the engine that was chosen together with a place, if it
 // still computes prompts, or otherwise chooses one. The lock is held.
 func (rl *Relay) prefillForPlace(now clock.Millis, po *pool.Pool, pl place, tokens int) (pool.Prefill, bool) {
-	if pl.prefill != nil && po.CanPrefill(now, pl.prefill.Server.ID) {
+	if pl.prefill != nil && po.CanPrefill(now, pl.prefill.Server.ID) && pl.prefill.Server.Version == pl.server.Version {
 		return *pl.prefill, true
 	}
 	return rl.findPrefiller(now, po, tokens, pl.server)
@@ -315,7 +316,7 @@
 // findPrefiller chooses the engine that computes a prompt for a decode. The lock is
 // held.
 func (rl *Relay) findPrefiller(now clock.Millis, po *pool.Pool, tokens int, decode board.BackendServer) (pool.Prefill, bool) {
-	return po.ChoosePrefill(now, pool.Prompt{Tokens: tokens, Domain: decode.FailureDomain, QueuedTokens: rl.promptsAt(now),
+	return po.ChoosePrefill(now, pool.Prompt{Tokens: tokens, Domain: decode.FailureDomain, Version: decode.Version, QueuedTokens: rl.promptsAt(now),
 		LastResort: func(id string) bool { return rl.ledger.Failing(now, id) }})
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -83,6 +83,9 @@
 	until := min(rl.now()+rl.placeWait(ex.rt, returning), ex.deadline)
 	asked := 0
 	for {
+		if err := rl.refuseIfVersionGone(ctx, ex, po); err != nil {
+			return place{}, err
+		}
 		tr := rl.tryPlace(ctx, ex, po, tk, until)
 		asked += tr.asked
 		if pl := tr.place; pl.server.ID != "" {
@@ -112,7 +115,7 @@
 func (rl *Relay) logNoPlace(ex *exchange, po *pool.Pool, fields ...event.Field) {
 	rl.mu.Lock()
 	now, nd := rl.now(), rl.needOf(ex, rl.synced)
-	least, engines := po.LowestPeak(now, pool.Requirements{Peak: rl.peakAt(now, nd.run)})
+	least, engines := po.LowestPeak(now, pool.Requirements{Version: ex.version, Peak: rl.peakAt(now, nd.run)})
 	rl.mu.Unlock()
 	rl.count("NoPlace", map[string]string{"Room": strconv.FormatBool(least <= nd.limit)})
 	rl.Log.Log(event.RelayNoPlace, append(fields, event.F("Request", ex.req.ID), event.F("Tokens", ex.req.Prompt.Tokens),
@@ -160,11 +163,15 @@
 }
 
 func (rl *Relay) refuseNoPlace(ctx context.Context, ex *exchange) error {
+	return rl.finalRefusal(ctx, ex, refuse(refusal.QueueFull, rl.randomRetryAfter(), "no decode engine has room"))
+}
+
+// randomRetryAfter returns the retry-after of a refused caller.
+func (rl *Relay) randomRetryAfter() clock.Millis {
 	rl.mu.Lock()
+	defer rl.mu.Unlock()
 	least := rl.minRetryAfter()
-	retryAfter := least + clock.Millis(rl.Rand.Int64N(int64(2*(rl.Settings.RetryAfter-least))+1))
-	rl.mu.Unlock()
-	return rl.finalRefusal(ctx, ex, refuse(refusal.QueueFull, retryAfter, "no decode engine has room"))
+	return least + clock.Millis(rl.Rand.Int64N(int64(2*(rl.Settings.RetryAfter-least))+1))
 }
 
 // tryPlace asks the engines for a place if it is the request's turn.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -220,6 +220,7 @@
 		priority        int
 		tableVersion    uint64         // version of the configuration in force for it
 		deadline        clock.Millis   // when the request ends in any case
+		version         string         // of the servers that may run it; empty: any
 		possibleRuns    int            // backend servers that may have run it
 		arrivals        arrivals       // at backend servers, and what was paid for them
 		notReached      int            // calls for which no connection was established
--- a/internal/relay/schedule.go
+++ b/internal/relay/schedule.go
@@ -50,9 +50,11 @@
 		Ask(ctx context.Context, vm string, ask usage.PlacementRequest) (usage.PlacementReply, error)
 	}
 
-	// roomKey is a service and the number of further requests that must have room.
+	// roomKey is a service, a version of its engines, and the number of further requests
+	// that must have room.
 	roomKey struct {
 		service string
+		version string // empty: any
 		spare   int
 	}
 
@@ -94,7 +96,7 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	switch {
-	case ok:
+	case ok && (len(ans.Engines) == 0 || len(rl.enginesOf(po, ans.Engines, ex.version)) > 0):
 		return rl.acceptAnswer(ex, po, by, ans)
 	case here:
 		return rl.chooseHere(rl.now(), ex, po, tk)
@@ -122,7 +124,7 @@
 	if ch.need.limit != noLimit {
 		ch.before = rl.ledger.CountAhead(now, waitingRequestOf(now, ex.svc.Name, tk), func(returning bool) clock.Millis { return rl.placeWait(ex.rt, returning) })
 	}
-	ch.list = po.DecodeCandidates(now, rl.decodeRequirements(now, ch.need, ch.before, spareRequests(tk.Request().Returning, ch.short)))
+	ch.list = po.DecodeCandidates(now, rl.decodeRequirements(now, ch.need, ex.version, ch.before, spareRequests(tk.Request().Returning, ch.short)))
 	ch.doubtful = len(ch.list) > 0 && rl.ledger.Doubtful(now, ch.list[0].ID)
 	return ch
 }
@@ -131,14 +133,14 @@
 func (rl *Relay) chooseByOwnRuns(now clock.Millis, ex *exchange, po *pool.Pool) choice {
 	rl.setInSync(false, 0, 0, false)
 	ch := choice{need: rl.needOf(ex, false), short: rl.ledger.HasShortage(now)}
-	ch.list = po.DecodeCandidates(now, rl.decodeRequirements(now, ch.need, 0, 0))
+	ch.list = po.DecodeCandidates(now, rl.decodeRequirements(now, ch.need, ex.version, 0, 0))
 	return ch
 }
 
 // decodeRequirements returns what a request needs of the decode engines. The lock is
 // held.
-func (rl *Relay) decodeRequirements(now clock.Millis, nd memoryNeed, before, spare int) pool.Requirements {
-	return pool.Requirements{Tokens: nd.reserve, Limit: nd.limit, Ahead: before, Headroom: spare, Peak: rl.peakAt(now, nd.run), LastResort: rl.askedLast(now)}
+func (rl *Relay) decodeRequirements(now clock.Millis, nd memoryNeed, version string, before, spare int) pool.Requirements {
+	return pool.Requirements{Tokens: nd.reserve, Version: version, Limit: nd.limit, Ahead: before, Headroom: spare, Peak: rl.peakAt(now, nd.run), LastResort: rl.askedLast(now)}
 }
 
 // placementRequest returns the request to a scheduler. The lock is held.
@@ -146,7 +148,7 @@
 	nd := rl.needOf(ex, true)
 	skip := po.Unavailable(now)
 	return usage.PlacementRequest{Waiting: waitingRequestOf(now, ex.svc.Name, tk), Run: nd.run, ReserveTokens: nd.reserve, NeedsPrefill: true,
-		MaxWait: rl.placeWait(ex.rt, false), MaxWaitReturning: rl.placeWait(ex.rt, true), Excluded: skip[:min(len(skip), maxExcluded)]}
+		MaxWait: rl.placeWait(ex.rt, false), MaxWaitReturning: rl.placeWait(ex.rt, true), Excluded: skip[:min(len(skip), maxExcluded)], Version: ex.version}
 }
 
 // askSchedulers asks the VMs in turn until one has an answer.
@@ -191,19 +193,21 @@
 	if ans.Shortage {
 		rl.ledger.MarkRemoteShortage(now)
 	}
-	ch := choice{chosenBy: by, need: rl.needOf(ex, true), before: ans.RequestsAhead, short: ans.Shortage, doubtful: ans.Doubtful, list: rl.availableEngines(po, ans.Engines)}
+	ch := choice{chosenBy: by, need: rl.needOf(ex, true), before: ans.RequestsAhead, short: ans.Shortage, doubtful: ans.Doubtful, list: rl.enginesOf(po, ans.Engines, ex.version)}
 	if pf, ok := po.PrefillAt(ans.Prefill, ans.QueuedTokens, ex.req.Prompt.Tokens); ok {
 		ch.prefill = &pf
 	}
 	return ch
 }
 
-// availableEngines returns the engines with the given IDs that accept new work as far
-// as this VM knows. The lock is held.
-func (rl *Relay) availableEngines(po *pool.Pool, ids []string) []board.BackendServer {
+// enginesOf returns the engines with the given IDs that accept new work as far as this VM
+// knows and have a version; the empty version stands for any. A scheduler of an earlier
+// build ignores the version that it is asked for. The lock is held.
+func (rl *Relay) enginesOf(po *pool.Pool, ids []string, version string) []board.BackendServer {
 	var out []board.BackendServer
 	for _, id := range ids {
-		if bs, ok := rl.Backends().Server(id); ok && po.AcceptsWork(rl.now(), id) {
+		bs, ok := rl.Backends().Server(id)
+		if ok && po.AcceptsWork(rl.now(), id) && (version == "" || bs.Version == version) {
 			out = append(out, bs)
 		}
 	}
@@ -236,7 +240,7 @@
 		return ask.MaxWait
 	})
 	nd := memoryNeed{run: ask.Run, reserve: ask.ReserveTokens, limit: rl.memoryLimit(svc)}
-	list := po.DecodeCandidates(now, rl.decodeRequirements(now, nd, ans.RequestsAhead, spareRequests(ask.Waiting.Returning, ans.Shortage)))
+	list := po.DecodeCandidates(now, rl.decodeRequirements(now, nd, ask.Version, ans.RequestsAhead, spareRequests(ask.Waiting.Returning, ans.Shortage)))
 	list = slices.DeleteFunc(list, func(bs board.BackendServer) bool { return slices.Contains(ask.Excluded, bs.ID) })
 	for _, bs := range list[:min(len(list), maxChoices)] {
 		ans.Engines = append(ans.Engines, bs.ID)
@@ -251,12 +255,12 @@
 // hundreds of requests per second find none, so a request is taken to find no room if
 // one of the same or a smaller size just found none. The lock is held.
 func (rl *Relay) hasRoom(now clock.Millis, po *pool.Pool, svc route.Service, ask usage.PlacementRequest) bool {
-	key := roomKey{svc.Name, spareRequests(ask.Waiting.Returning, rl.ledger.HasShortage(now))}
+	key := roomKey{svc.Name, ask.Version, spareRequests(ask.Waiting.Returning, rl.ledger.HasShortage(now))}
 	none := rl.noRoom[key]
 	if now < none.until && ask.Run.Tokens >= none.tokens {
 		return false
 	}
-	if po.HasRoom(now, pool.Requirements{Limit: rl.memoryLimit(svc), Headroom: key.spare, Peak: rl.peakAt(now, ask.Run)}) {
+	if po.HasRoom(now, pool.Requirements{Limit: rl.memoryLimit(svc), Version: ask.Version, Headroom: key.spare, Peak: rl.peakAt(now, ask.Run)}) {
 		return true
 	}
 	if rl.noRoom == nil {
@@ -290,24 +294,24 @@
 	rl.ledger.AssumePlacement(now, vm, run, ans.Prefill)
 }
 
-// moveTargets lists the engines that a run may move to.
+// moveTargets lists the engines that a run may move to: those of its version.
 func (rl *Relay) moveTargets(from place) []board.BackendServer {
 	vms, here := rl.schedulers()
-	run, po := from.entry.Run(), rl.lockedPool(from.service)
+	run, po, version := from.entry.Run(), rl.lockedPool(from.service), from.server.Version
 	if !here || len(vms) > 0 {
 		ctx, stop := context.WithTimeout(context.Background(), 2*askTimeout.Std())
 		defer stop()
-		ask := usage.PlacementRequest{Waiting: usage.WaitingRequest{Service: from.service, Turn: 1}, Run: usage.Run{Tokens: run.Tokens, Left: run.Left}, ReserveTokens: run.Tokens}
+		ask := usage.PlacementRequest{Waiting: usage.WaitingRequest{Service: from.service, Turn: 1}, Run: usage.Run{Tokens: run.Tokens, Left: run.Left}, ReserveTokens: run.Tokens, Version: version}
 		if ans, _, ok := rl.askSchedulers(ctx, vms, ask); ok && len(ans.Engines) > 0 {
 			rl.mu.Lock()
 			defer rl.mu.Unlock()
-			return rl.availableEngines(po, ans.Engines)
+			return rl.enginesOf(po, ans.Engines, version)
 		}
 	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	now := rl.now()
-	return po.DecodeCandidates(now, pool.Requirements{Limit: noLimit, Peak: rl.peakAt(now, run)})
+	return po.DecodeCandidates(now, pool.Requirements{Limit: noLimit, Version: version, Peak: rl.peakAt(now, run)})
 }
 
 // lockedPool is poolOf for callers that do not hold the lock.
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -102,3 +103,36 @@
 		assert.Assert(t, rl.Clock.Now()-began < 50, "waited for %s", rl.Clock.Now()-began)
 	})
 }
+
+// Guards against a KV cache that is read by an engine of another version than the one that
+// computed it. Without a prefill engine of its version, a decode engine computes the prompt.
+func TestPromptIsComputedAtItsVersion(t *testing.T) {
+	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+		rl.SetBackends(rl.Clock.Now(), append(slices.Clone(mixedServers[:5]), mixedServers[6:]...)) // no prefill engine of v2
+		for range versionSeeds {
+			_, err := serve(t.Context(), rl, "draft")
+			assert.NilError(t, err)
+			last := sv.sent[len(sv.sent)-1]
+			assert.Equal(t, last.op.Source.ID != "", versionOf(last.server) == "v1", "%v", last)
+			if last.op.Source.ID != "" {
+				assert.Equal(t, last.op.Source.Server.Version, versionOf(last.server))
+			}
+		}
+	})
+}
+
+// Guards against a second attempt of a stream at another version than the one that other
+// VMs may have been told, though the first attempt brought no event.
+func TestRetryBeforeTheFirstEventKeepsItsVersion(t *testing.T) {
+	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+		sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+			if nth == 1 {
+				return nil, errReset
+			}
+			return newResponse(http.StatusOK, eventOne, nil), nil
+		}
+		_, err := serve(t.Context(), rl, "resumable")
+		assert.NilError(t, err)
+		assert.Equal(t, versionOf(sv.sentTo()[1]), versionOf(sv.sentTo()[0]))
+	})
+}
--- a/internal/usage/ask.go
+++ b/internal/usage/ask.go
@@ -13,6 +13,7 @@
 		MaxWait, MaxWaitReturning clock.Millis
 		Excluded                  []string // engines that recently declined or failed the requesting VM
 		NeedsPrefill              bool     // the prompt is not computed yet
+		Version                   string   // of the engine's software; empty: any
 	}
 
 	// PlacementReply answers a PlacementRequest. The place at the first of Engines
