origin, relay: a resumed stream goes on at the version that began it

Callers who resumed a stream at another VM got events of any version: the VM knew nothing of the stream and took any engine. Resumes was not read.

Before the prompt is computed, the VM that begins a resumable stream sends its service and version to three VMs that depend on the attempt's ID alone, in three failure domains. A VM that resumes a stream asks the first five in that order. An attempt is bound to its version from the record on, so a record never changes; a forwarded request carries it. Without a record the stream goes on only if one version alone was listed for as long as it can have run and the store lists no other; else it is refused at once as VersionUnknown. Plain services that stream are bound in the same way.

Cause by the logs of the failing test: decodes with After at both versions, and no decision with a version.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -101,6 +101,7 @@
 		Customer string
 		Share    float64  // the customer's part of the service's slots in the whole fleet, from 0 to 1
 		Exclude  []string // servers already tried for the request
+		Version  string   // of the server's software; empty: any
 		Sender   string   // under overload, senders with many requests are refused first; empty: unknown
 		// Objective is the time within which the answer is useful. If it is zero, the
 		// request waits at servers without a limit.
@@ -172,6 +173,7 @@
 	if srv.inFlight == 0 {
 		srv.service = bs.Service
 	}
+	srv.version = bs.Version
 	if srv.address != bs.Address {
 		srv.address, srv.replaced = bs.Address, false
 	}
@@ -212,7 +214,7 @@
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.TargetUnreachable,
 			RetryAfter: ch.Settings.RetryAfter, Detail: "the line before the servers is too long"}
 	}
-	fit := svc.candidates(now, req.Exclude)
+	fit := svc.candidates(now, req.Version, req.Exclude)
 	if len(fit) == 0 {
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.NoBackend,
 			RetryAfter: ch.BackoffLeft(now, req.Service), Detail: "all servers of the service asked for rest"}
@@ -310,11 +312,13 @@
 	return best
 }
 
-// candidates lists the servers to choose from, without those that are backing off. It
-// prefers untried servers that are neither ejected nor replaced, then any untried
+// candidates lists the servers of a version to choose from, without those that are backing
+// off; the empty version stands for any. It prefers untried servers that are neither ejected nor replaced, then any untried
 // ones, then tried ones that are neither ejected nor replaced, then all.
-func (svc *service) candidates(now clock.Millis, exclude []string) []*server {
-	available := filter(svc.servers, func(srv *server) bool { return !srv.isBackingOff(now) })
+func (svc *service) candidates(now clock.Millis, version string, exclude []string) []*server {
+	available := filter(svc.servers, func(srv *server) bool {
+		return !srv.isBackingOff(now) && (version == "" || srv.version == version)
+	})
 	untried := filter(available, func(srv *server) bool { return !slices.Contains(exclude, srv.id) })
 	for _, some := range [][]*server{untried, available} {
 		if healthy := filter(some, func(srv *server) bool { return !srv.isEjected(now) && !srv.replaced }); len(healthy) > 0 {
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -26,6 +26,7 @@
 // server is this VM's state for one backend server.
 type server struct {
 	id, service string
+	version     string // of its software
 	address     string
 	replaced    bool // another server answered at the address
 	unavailable bool // leaving, or no longer listed
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -72,6 +72,11 @@
 		"this VM is partitioned from the service's servers; it forwards requests to other VMs", "check the network between this VM and the servers")
 	ServiceReachable = register(2232, "ServiceReachable", Info,
 		"this VM reaches servers of the service again", "none")
+	OriginNotCopied = register(2233, "OriginNotCopied", Warn,
+		"too few VMs confirmed that they keep the software version at which a stream begins", "none while VMs start or are partitioned; if it persists, check UDP between the VMs")
+	RelayOrigin = register(2234, "RelayOrigin", Info,
+		"the software version at which a resumed stream began was looked up; By is the VM that knew it, and Silent counts those that did not respond",
+		"none; without a Version see State and Sole")
 	RelayNoPrefill = register(2214, "RelayNoPrefill", Info,
 		"no prefill engine had capacity; the decode engine computes the prompt", "none")
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/membership"
+	"alderdyke/internal/origin"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/quota"
@@ -53,6 +54,9 @@
 	// OnQuotaRequest answers a request of another VM, which has the given
 	// incarnation, as a keeper of the customers' quotas; nil ignores quota requests.
 	OnQuotaRequest func(vm string, incarnation uint64, ask quota.Request) quota.Response
+	// OnOriginRequest answers a request for the software version at which a stream
+	// began; nil ignores such requests.
+	OnOriginRequest func(rq origin.Request) origin.Reply
 	// OnViewChange receives each new view of the fleet; nil drops it.
 	OnViewChange func(view *board.Fleet)
 	// OnCrash receives reports of a server that ended while it had a request; nil
@@ -65,6 +69,7 @@
 	schedulers        atomic.Pointer[schedulers]
 	placementRequests pendingRequests[usage.PlacementReply]
 	quotaRequests     pendingRequests[quota.Response]
+	originRequests    pendingRequests[origin.Reply]
 	keepers           atomic.Pointer[keepers]
 	latestUsage       map[string]messageOrder // by VM: order of its newest usage report
 	reassemblies      map[string]*reassembly  // by topic
@@ -135,6 +140,10 @@
 		fl.handleQuotaRequest(dg, from)
 	case dg.GetQuotaAnswer() != nil:
 		fl.quotaRequests.deliver(dg.GetQuotaAnswer().GetNumber(), quotaResponseFromWire(dg.GetQuotaAnswer()))
+	case dg.GetOriginAsk() != nil:
+		fl.handleOriginRequest(dg.GetFrom(), from, dg.GetOriginAsk())
+	case dg.GetOriginAnswer() != nil:
+		fl.originRequests.deliver(dg.GetOriginAnswer().GetNumber(), originReplyFromWire(dg.GetOriginAnswer()))
 	default:
 		select {
 		case fl.members.Events <- membership.Received{Datagram: dg}:
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -14,6 +14,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/membership"
+	"alderdyke/internal/origin"
 	"alderdyke/internal/quota"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
@@ -78,6 +79,7 @@
 		OnUsage            func(vm string, rp usage.Report)
 		OnPlacementRequest func(vm string, ask usage.PlacementRequest) usage.PlacementReply      // chooses engines for a request of another VM
 		OnQuotaRequest     func(vm string, incarnation uint64, ask quota.Request) quota.Response // answers as a keeper of the customers' quotas
+		OnOriginRequest    func(rq origin.Request) origin.Reply                                  // answers at which software version a stream began
 		OnCrash            func(en suspect.Crash)                                                // receives reports of a server that ended while it had a request
 		OnSchedulersChange func()                                                                // is called when other VMs have become the schedulers
 		OnTopicUpdate      func(nw topic.Update)                                                 // receives what other VMs read of any topic
@@ -213,7 +215,7 @@
 	default:
 		mb.leaveFleet(fl) // another fleet existed before this one
 	}
-	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnCrash: mb.OnCrash, OnQuotaRequest: mb.OnQuotaRequest, OnViewChange: mb.handleViewChange,
+	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnCrash: mb.OnCrash, OnQuotaRequest: mb.OnQuotaRequest, OnOriginRequest: mb.OnOriginRequest, OnViewChange: mb.handleViewChange,
 		Settings: membership.Settings{ProbeInterval: probeInterval, ProbeTimeout: probeInterval, ProbeDeadline: probeDeadline},
 		Rand:     mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	fl.Prepare()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -10,6 +10,7 @@
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/event"
+	"alderdyke/internal/origin"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -75,6 +76,9 @@
 	}
 	ctx, stop := clock.WithDeadline(ctx, clock.OrBoottime(rl.Clock), ex.deadline)
 	defer stop()
+	if ex.version != "" {
+		ex.req.Bound = origin.Record{Service: ex.svc.Name, Version: ex.version}
+	}
 	for _, address := range rl.forwardTargets() {
 		rsp, err := rl.Peers.Forward(ctx, address, ex.req, rl.timeLeft(ex))
 		rl.Log.Log(event.RelayForwarded, event.F("Request", ex.req.ID), event.F("Route", ex.rt.Name), event.F("To", address),
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -18,6 +18,7 @@
 	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
 	"alderdyke/internal/charge"
+	"alderdyke/internal/origin"
 	"alderdyke/internal/quota"
 	"alderdyke/internal/relay"
 	"alderdyke/internal/route"
@@ -31,6 +32,7 @@
 		mu    sync.Mutex
 		asked []string
 		left  []clock.Millis
+		bound []origin.Record
 		on    func(nth int) (*http.Response, error) // nil: an answer
 	}
 
@@ -40,10 +42,11 @@
 
 func (ov *otherVMs) Addresses() []string { return []string{"vm-2", "vm-3"} }
 
-func (ov *otherVMs) Forward(_ context.Context, address string, _ *relay.Request, left clock.Millis) (*http.Response, error) {
+func (ov *otherVMs) Forward(_ context.Context, address string, req *relay.Request, left clock.Millis) (*http.Response, error) {
 	ov.mu.Lock()
 	defer ov.mu.Unlock()
 	ov.asked, ov.left = append(ov.asked, address), append(ov.left, left)
+	ov.bound = append(ov.bound, req.Bound)
 	if ov.on == nil {
 		return newResponse(http.StatusOK, eventOne, nil), nil
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -58,6 +58,7 @@
 		if err != nil {
 			return rl.finalRefusal(ctx, ex, err)
 		}
+		rl.bindVersion(ex, bs)
 		at := rl.attemptAt(ctx, ex, bs)
 		if at.err == nil && !rl.awaitPlainRetry(ctx, ex, number, at) {
 			return rl.sendPlainAnswer(ctx, wr, ex, at)
@@ -89,9 +90,12 @@
 
 // pick chooses a backend server and counts the request there.
 func (rl *Relay) pick(ex *exchange) (board.BackendServer, error) {
+	if !rl.hasPlainServer(ex) {
+		return board.BackendServer{}, rl.versionGone(ex)
+	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	id, err := rl.chooser.Pick(rl.now(), balance.Request{Service: ex.svc.Name, Share: 1, Exclude: ex.tried,
+	id, err := rl.chooser.Pick(rl.now(), balance.Request{Service: ex.svc.Name, Share: 1, Exclude: ex.tried, Version: ex.version,
 		Sender: ex.configuredCustomer(), Objective: ex.rt.Objective})
 	if err != nil {
 		if rf, ok := errors.AsType[refusal.Refusal](err); ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/charge"
 	"alderdyke/internal/event"
+	"alderdyke/internal/origin"
 	"alderdyke/internal/poison"
 	"alderdyke/internal/pool"
 	"alderdyke/internal/reach"
@@ -89,6 +90,8 @@
 		Customer string
 		// Forwarded reports whether another VM forwarded the request.
 		Forwarded bool
+		// Bound is set if that VM has bound the request to a service and a version.
+		Bound origin.Record
 	}
 
 	// Prompt is the size of a generation.
@@ -160,6 +163,15 @@
 		// Peers forwards requests while this VM is partitioned from their service; nil:
 		// they are refused.
 		Peers Peers
+		// Origins knows the software versions at which streams began; nil: this VM alone
+		// decides by the versions that were listed.
+		Origins Origins
+		// ListVersions reads from the store which software versions the servers of a
+		// service have now; nil: they are those of the list.
+		ListVersions func(ctx context.Context, service string) ([]string, error)
+		// IsListCurrent reports whether the list of servers is so recent that no server
+		// can have come and gone since; nil: it always is.
+		IsListCurrent func() bool
 		// MarkKey returns the key with which all VMs of the fleet compute the marks
 		// of requests; nil, or an empty key: a key of this VM's own, so that only
 		// this VM recognizes its marks.
@@ -197,6 +209,7 @@
 		syncedUntil      clock.Millis // until when a scheduler relies on synced
 		unknown          unknownKeys
 		customers        map[string]struct{}     // that have counters of their own
+		versions         origin.History          // of the servers
 		noRoom           map[roomKey]noRoom      // sizes for which there was no room recently
 		draining         map[string]clock.Millis // servers that announced that they leave, and when
 		paths            reach.Tracker
@@ -221,6 +234,7 @@
 		tableVersion    uint64         // version of the configuration in force for it
 		deadline        clock.Millis   // when the request ends in any case
 		version         string         // of the servers that may run it; empty: any
+		originKept      bool           // the VMs were told the version of its stream
 		possibleRuns    int            // backend servers that may have run it
 		arrivals        arrivals       // at backend servers, and what was paid for them
 		notReached      int            // calls for which no connection was established
@@ -294,6 +308,7 @@
 	rl.readmitChangedRoles(rl.Backends(), list)
 	bk := rl.Backends().WithServers(list)
 	rl.backends.Store(bk)
+	rl.versions = rl.versions.WithServers(now, list)
 	// The chooser uses the fleet size only to divide shares of customers, and there
 	// are none here.
 	rl.chooser.Update(now, bk, 1)
@@ -335,6 +350,9 @@
 func (rl *Relay) execute(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	ctx, stop := clock.WithDeadline(ctx, clock.OrBoottime(rl.Clock), ex.deadline)
 	defer stop()
+	if err := rl.resolveOrigin(ctx, ex); err != nil {
+		return err
+	}
 	if err := rl.charge(ctx, ex); err != nil {
 		return err
 	}
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -2,22 +2,177 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/event"
+	"alderdyke/internal/origin"
 	"alderdyke/internal/pool"
 	"alderdyke/internal/route"
+	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
+const (
+	// unlimitedStreamTime is how long a stream is assumed to last, over all attempts of
+	// its caller, if neither the caller nor the route limits it.
+	unlimitedStreamTime = clock.Minute
+	// originMargin is added to the time for which a record is kept, for callers that
+	// come back at their last moment.
+	originMargin = 2 * clock.Second
+)
+
+// Origins knows the software versions at which streams began. [origin.Registry]
+// implements it.
+type Origins interface {
+	Keep(id origin.ID, rc origin.Record, life clock.Millis)
+	Lookup(ctx context.Context, id origin.ID, service string, span clock.Millis) origin.Answer
+}
+
+// Reasons why the origin of a stream is not known.
+var (
+	errSeveralVersions = errors.New("no VM knows the stream, and several versions served")
+	errAmbiguous       = errors.New("different streams began under the same attempt ID")
+	errListOutdated    = errors.New("the list of servers is not current")
+)
+
+// resolveOrigin binds a request that resumes a stream to the service and the software
+// version at which the stream began. The error is a refusal.
+func (rl *Relay) resolveOrigin(ctx context.Context, ex *exchange) error {
+	switch {
+	case ex.rt.Kind != route.Stream || ex.version != "":
+		return nil
+	case ex.req.Bound.Version != "":
+		return rl.bindOrigin(ex, ex.req.Bound)
+	case ex.req.LastEventID == "":
+		return nil
+	}
+	an := rl.lookUpOrigin(ctx, ex)
+	rc, err := an.Record, error(nil)
+	if an.State != origin.Known {
+		rc, err = rl.inferOrigin(ctx, ex, an)
+	}
+	rl.Log.Log(event.RelayOrigin, event.F("Request", ex.req.ID), event.F("Resumes", ex.req.Resumes), event.F("After", ex.req.LastEventID),
+		event.F("State", an.State.String()), event.F("Service", rc.Service), event.F("Version", rc.Version), event.F("By", an.By),
+		event.F("Age", an.Age.String()), event.F("Sole", an.Sole), event.F("Silent", an.Silent), event.F("Error", errorText(err)))
+	rl.count("Origins", map[string]string{"State": an.State.String()})
+	if err == nil {
+		return rl.bindOrigin(ex, rc)
+	}
+	retryAfter := clock.Millis(0) // the other VMs know no more
+	if an.Silent > 0 || !errors.Is(err, errSeveralVersions) && !errors.Is(err, errAmbiguous) {
+		retryAfter = rl.randomRetryAfter()
+	}
+	return refuse(refusal.VersionUnknown, retryAfter, err.Error())
+}
+
+// lookUpOrigin asks for the record of the stream that a request resumes. If the caller
+// does not name the stream, the other VMs are asked only if this one has not followed the
+// list of servers for long enough.
+func (rl *Relay) lookUpOrigin(ctx context.Context, ex *exchange) origin.Answer {
+	span := rl.streamSpan(ex)
+	sole, known := rl.SoleVersion(ex.svc.Name, span)
+	if rl.Origins == nil || ex.req.Resumes == "" && known {
+		return origin.Answer{Reply: origin.Reply{Sole: sole}}
+	}
+	attempt := ex.req.Resumes
+	if attempt == "" {
+		attempt = ex.req.ID // any ID that selects VMs: there is no record for it
+	}
+	return rl.Origins.Lookup(ctx, origin.IDOf(ex.configuredCustomer(), attempt), ex.svc.Name, span)
+}
+
+// inferOrigin returns the origin of a stream without a record: the only version that was
+// listed for as long as the stream can have run, if the store lists no other now.
+func (rl *Relay) inferOrigin(ctx context.Context, ex *exchange, an origin.Answer) (origin.Record, error) {
+	rc := origin.Record{Service: ex.svc.Name, Version: an.Sole}
+	switch {
+	case an.State == origin.Ambiguous:
+		return origin.Record{}, errAmbiguous
+	case an.Sole == "":
+		if sole, ok := rl.SoleVersion(ex.svc.Name, 0); ok && sole == "" {
+			return rc, nil // the servers of this service do not tell their versions
+		}
+		return origin.Record{}, errSeveralVersions
+	case !rl.isListCurrent():
+		return origin.Record{}, errListOutdated
+	case rl.ListVersions == nil:
+		return rc, nil
+	}
+	versions, err := rl.ListVersions(ctx, ex.svc.Name)
+	if err != nil {
+		return origin.Record{}, err
+	}
+	if slices.ContainsFunc(versions, func(version string) bool { return version != an.Sole }) {
+		return origin.Record{}, errSeveralVersions
+	}
+	return rc, nil
+}
+
+// bindOrigin binds a request to the service and version at which its stream began. If
+// its route does not lead to the service any more, it is refused.
+func (rl *Relay) bindOrigin(ex *exchange, rc origin.Record) error {
+	if !slices.ContainsFunc(ex.rt.Shares, func(sh route.Share) bool { return sh.Service == rc.Service }) {
+		return refuse(refusal.VersionGone, 0, "the route does not lead to the service that began the stream")
+	}
+	if rc.Service != ex.svc.Name {
+		ex.svc = rl.table.Load().Service(rc.Service)
+	}
+	ex.version = rc.Version
+	return nil
+}
+
 // bindVersion binds a stream that may be resumed to the software version of the first
-// server that is to run it: what two versions write does not fit together.
+// server that is to run it, and tells the other VMs: what two versions write does not fit
+// together. The binding is final, because a record can't be withdrawn.
 func (rl *Relay) bindVersion(ex *exchange, bs board.BackendServer) {
-	if ex.version != "" || ex.rt.Kind != route.Stream || !ex.rt.Resumable {
+	if ex.originKept || ex.rt.Kind != route.Stream || !ex.rt.Resumable || bs.Version == "" {
+		return
+	}
+	ex.version, ex.originKept = bs.Version, true
+	attempt := ex.req.ID
+	if ex.req.LastEventID != "" {
+		attempt = ex.req.Resumes // which a caller names again if this attempt breaks too
+	}
+	if rl.Origins == nil || attempt == "" {
 		return
 	}
-	ex.version = bs.Version
+	rl.Origins.Keep(origin.IDOf(ex.configuredCustomer(), attempt), origin.Record{Service: ex.svc.Name, Version: bs.Version},
+		rl.streamSpan(ex)+originMargin)
+}
+
+// streamSpan returns how long a stream can last, over all attempts of its caller.
+func (rl *Relay) streamSpan(ex *exchange) clock.Millis {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	span := max(ex.rt.Timeout, ex.req.WaitLimit, rl.longestWait[ex.rt.Name])
+	if span == 0 {
+		return unlimitedStreamTime
+	}
+	return span
 }
 
+// SoleVersion returns the only software version that the servers of a service had in the
+// last span, if this VM knows that there was no other.
+func (rl *Relay) SoleVersion(service string, span clock.Millis) (version string, ok bool) {
+	if !rl.isListCurrent() {
+		return "", false
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.versions.Sole(rl.now(), span, service)
+}
+
+// RecordListGap records that servers may have come and gone without being listed.
+func (rl *Relay) RecordListGap(now clock.Millis) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.versions = rl.versions.WithGap(now)
+}
+
+func (rl *Relay) isListCurrent() bool { return rl.IsListCurrent == nil || rl.IsListCurrent() }
+
 // refuseIfVersionGone refuses a request immediately if no decode engine of the version
 // that it is bound to is left.
 func (rl *Relay) refuseIfVersionGone(ctx context.Context, ex *exchange, po *pool.Pool) error {
@@ -30,5 +185,17 @@
 	if left {
 		return nil
 	}
-	return rl.finalRefusal(ctx, ex, refuse(refusal.VersionGone, rl.randomRetryAfter(), "no server of version "+ex.version+" is left"))
+	return rl.finalRefusal(ctx, ex, rl.versionGone(ex))
+}
+
+// hasPlainServer reports whether a plain service has a server that takes new work, of the
+// version that a request is bound to.
+func (rl *Relay) hasPlainServer(ex *exchange) bool {
+	return ex.version == "" || slices.ContainsFunc(rl.Backends().Servers, func(bs board.BackendServer) bool {
+		return bs.Service == ex.svc.Name && bs.Version == ex.version && !bs.Leaving
+	})
+}
+
+func (rl *Relay) versionGone(ex *exchange) refusal.Refusal {
+	return refuse(refusal.VersionGone, rl.randomRetryAfter(), "no server of version "+ex.version+" is left")
 }
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -422,6 +422,13 @@
 	}
 }
 
+// IsCurrent reports whether an update or read that left no gap is at most a span old.
+func (fo *Follower) IsCurrent(span clock.Millis) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.listed && !fo.gap && fo.updatedAt > 0 && fo.now()-fo.updatedAt <= span
+}
+
 // Next returns the position from which this VM reads next.
 func (fo *Follower) Next() uint64 {
 	fo.mu.Lock()
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -42,6 +42,7 @@
 	ShareExceeded      Reason = "ShareExceeded"      // the customer's share or quota is used up
 	QuotaAway          Reason = "QuotaAway"          // the VM that keeps the customers' quotas is unreachable
 	NoBackend          Reason = "NoBackend"          // no backend server is suitable for the request
+	VersionUnknown     Reason = "VersionUnknown"     // the software version that began the stream is not known
 	VersionGone        Reason = "VersionGone"        // no server of the software version that began the stream is left
 	ServersUnreachable Reason = "ServersUnreachable" // this VM has no path to the backend servers
 	DeadlinePassed     Reason = "DeadlinePassed"     // the request's own deadline passed
