roles: each software version keeps engines that decode, and its share of prefill engines

A version whose engines all compute prompts can't continue its streams, and prompts are computed at the decode engine's version. Plan divided engines by role alone: it takes the engine with the lowest name, so all prefill engines may be of one version.

The prefill engines are divided between the versions by their numbers of engines (D'Hondt), at most half of each; a version without a decode engine gets one first. With one version nothing changes (TestPlan).

--- a/internal/roles/plan.go
+++ b/internal/roles/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -55,8 +56,14 @@
 		SwitchTime clock.Millis // duration of a change at an engine
 
 		ordered      map[string]order // by engine
-		pendingSince clock.Millis     // when pendingRole was first needed
-		pendingRole  board.Role       // role with too few engines; empty: none
+		pending      need             // zero value: none
+		pendingSince clock.Millis     // when it was first needed
+	}
+
+	// need is a role of which the engines of a software version have too few.
+	need struct {
+		version string
+		role    board.Role // empty: there are enough of both
 	}
 
 	// order is a change that was ordered and may not be listed yet.
@@ -71,15 +78,15 @@
 func (pl *Plan) Next(now clock.Millis, engines []board.BackendServer) (Change, bool) {
 	st := pl.Settings.withDefaults()
 	roles := pl.effectiveRoles(now, engines)
-	toward := missingRole(st, roles)
-	if toward != pl.pendingRole || toward == "" {
-		pl.pendingRole, pl.pendingSince = toward, now
+	nd := missingRole(st, engines, roles)
+	if nd != pl.pending || nd.role == "" {
+		pl.pending, pl.pendingSince = nd, now
 	}
-	if toward == "" || now-pl.pendingSince < st.Dwell {
+	if nd.role == "" || now-pl.pendingSince < st.Dwell {
 		return Change{}, false
 	}
-	bs, ok := engineToChange(engines, roles, toward)
-	return Change{Server: bs, To: toward}, ok
+	bs, ok := engineToChange(engines, roles, nd)
+	return Change{Server: bs, To: nd.role}, ok
 }
 
 // RecordOrder records that a change was ordered, or may have been, and returns until
@@ -114,35 +121,74 @@
 	return out
 }
 
-// missingRole returns the role that has too few engines, or the empty string.
-func missingRole(st Settings, roles map[string]board.Role) board.Role {
-	prefill := 0
-	for _, role := range roles {
+// missingRole returns the version and the role that have too few engines. Prompts are
+// computed and decoded by engines of one version, and a stream continues at its own, so
+// the prefill engines are divided between the versions by their numbers of engines.
+func missingRole(st Settings, engines []board.BackendServer, roles map[string]board.Role) need {
+	all, prefill := make(map[string]int), make(map[string]int)
+	for _, bs := range engines {
+		role, stays := roles[bs.ID]
+		if !stays {
+			continue
+		}
+		all[bs.Version]++
 		if role == board.Prefill {
-			prefill++
+			prefill[bs.Version]++
 		}
 	}
-	engines := float64(len(roles))
-	want := max(st.MinPrefill, int(math.Round(st.PrefillPart*engines+st.PrefillSpare*math.Sqrt(engines))))
-	want = min(want, len(roles)/2)
-	switch {
-	case prefill < want:
-		return board.Prefill
-	case prefill > want:
-		return board.Decode
-	default:
-		return ""
+	want := prefillsByVersion(st, len(roles), all)
+	var nd need
+	most := 0
+	for _, version := range slices.Sorted(maps.Keys(all)) {
+		if prefill[version] == all[version] && want[version] < prefill[version] {
+			return need{version, board.Decode} // its streams can't continue
+		}
 	}
+	// Prefill comes first among equals: until the other change, prompts have one engine
+	// more and not one less.
+	for _, role := range []board.Role{board.Prefill, board.Decode} {
+		for _, version := range slices.Sorted(maps.Keys(all)) {
+			missing := want[version] - prefill[version]
+			if role == board.Decode {
+				missing = -missing
+			}
+			if missing > most {
+				nd, most = need{version, role}, missing
+			}
+		}
+	}
+	return nd
+}
+
+// prefillsByVersion returns how many engines of each version compute prompts. A version
+// keeps at least half of its engines for decoding.
+func prefillsByVersion(st Settings, engines int, all map[string]int) map[string]int {
+	count := float64(engines)
+	left := max(st.MinPrefill, int(math.Round(st.PrefillPart*count+st.PrefillSpare*math.Sqrt(count))))
+	left = min(left, engines/2)
+	out := make(map[string]int, len(all))
+	for ; left > 0; left-- {
+		fit := slices.DeleteFunc(slices.Sorted(maps.Keys(all)), func(version string) bool { return 2*(out[version]+1) > all[version] })
+		if len(fit) == 0 {
+			break
+		}
+		// The D'Hondt method.
+		best := slices.MaxFunc(fit, func(va, vb string) int {
+			return cmp.Compare(all[va]*(out[vb]+1), all[vb]*(out[va]+1))
+		})
+		out[best]++
+	}
+	return out
 }
 
-// engineToChange chooses the engine whose role changes. It takes one from the failure
+// engineToChange chooses the engine of a version whose role changes. It takes one from the failure
 // domain with the most engines of that role, so that the loss of a domain affects as
 // few engines of either role as possible.
-func engineToChange(engines []board.BackendServer, roles map[string]board.Role, toward board.Role) (board.BackendServer, bool) {
+func engineToChange(engines []board.BackendServer, roles map[string]board.Role, nd need) (board.BackendServer, bool) {
 	perDomain := make(map[string]int)
 	var fit []board.BackendServer
 	for _, bs := range engines {
-		if role, stays := roles[bs.ID]; stays && role != toward && role == bs.Role {
+		if role, stays := roles[bs.ID]; stays && role != nd.role && role == bs.Role && bs.Version == nd.version {
 			fit = append(fit, bs)
 			perDomain[bs.FailureDomain]++
 		}
