topic, relay: dropped records are no gap in what versions served

Callers who name no attempt were refused for 14 s after the store had dropped its history, though only one version ever served: each listing counted as a time in which servers may have come and gone unseen. Follower.OnMissed tells how long that time was; up to the time for which a leaving server stays listed, nothing was missed. The refusal says whether several versions served, the list is outdated or this VM has followed it for too short a time; only the first has no time to come back.

--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -52,15 +52,20 @@
 // Sole returns the only version that a service had in the last span. A service of which
 // no server ever told a version has the empty one.
 func (hi History) Sole(now, span clock.Millis, service string) (version string, ok bool) {
-	versions := 0
-	for name, at := range hi.listed[service] {
-		if _, still := hi.now[service][name]; still || now-at < span {
-			version = name
-			versions++
-		}
-	}
-	if versions != 1 || version != "" && hi.since > now-span {
+	versions := hi.Versions(now, span, service)
+	if len(versions) != 1 || versions[0] != "" && hi.since > now-span {
 		return "", false
 	}
-	return version, true
+	return versions[0], true
+}
+
+// Versions returns the known versions that a service had in the last span, in no order.
+func (hi History) Versions(now, span clock.Millis, service string) []string {
+	var out []string
+	for version, at := range hi.listed[service] {
+		if _, still := hi.now[service][version]; still || now-at < span {
+			out = append(out, version)
+		}
+	}
+	return out
 }
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -35,6 +35,7 @@
 	errSeveralVersions = errors.New("no VM knows the stream, and several versions served")
 	errAmbiguous       = errors.New("different streams began under the same attempt ID")
 	errListOutdated    = errors.New("the list of servers is not current")
+	errShortHistory    = errors.New("no VM knows the stream, and this VM has not known the servers for long enough")
 )
 
 // resolveOrigin binds a request that resumes a stream to the service and the software
@@ -91,10 +92,7 @@
 	case an.State == origin.Ambiguous:
 		return origin.Record{}, errAmbiguous
 	case an.Sole == "":
-		if sole, ok := rl.SoleVersion(ex.svc.Name, 0); ok && sole == "" {
-			return rc, nil // the servers of this service do not tell their versions
-		}
-		return origin.Record{}, errSeveralVersions
+		return rc, rl.whySeveral(ex)
 	case !rl.isListCurrent():
 		return origin.Record{}, errListOutdated
 	case rl.ListVersions == nil:
@@ -110,6 +108,25 @@
 	return rc, nil
 }
 
+// whySeveral returns why a stream may have begun at several versions, or nil if the servers
+// of its service do not tell their versions.
+func (rl *Relay) whySeveral(ex *exchange) error {
+	span := rl.streamSpan(ex)
+	rl.mu.Lock()
+	versions := rl.versions.Versions(rl.now(), span, ex.svc.Name)
+	rl.mu.Unlock()
+	switch {
+	case len(versions) > 1:
+		return errSeveralVersions
+	case !rl.isListCurrent():
+		return errListOutdated
+	case len(versions) == 1 && versions[0] == "":
+		return nil
+	default:
+		return errShortHistory
+	}
+}
+
 // bindOrigin binds a request to the service and version at which its stream began. If
 // its route does not lead to the service any more, it is refused.
 func (rl *Relay) bindOrigin(ex *exchange, rc origin.Record) error {
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -92,12 +92,16 @@
 		Clock       clock.Source
 		Log         event.Logger
 
-		OnSnapshot  func(recs []Record) // receives a listing
-		OnChange    func(rec Record)    // receives one change
-		OnCaughtUp  func()              // called after the changes, once everything up to now is applied; may be nil
-		OnFailure   func()              // called when the store did not answer a call of this VM; may be nil
-		OnOutage    func(ou Outage)     // receives the latest outage, which replaces the one before; zero: that one was refuted; may be nil
-		OnReconnect func()              // called when the store answers this VM again; may be nil
+		OnSnapshot func(recs []Record) // receives a listing
+		// OnMissed is called before OnSnapshot with the time since the last update or
+		// read: entries that were written and removed in that time are not known. May be
+		// nil.
+		OnMissed    func(span clock.Millis)
+		OnChange    func(rec Record) // receives one change
+		OnCaughtUp  func()           // called after the changes, once everything up to now is applied; may be nil
+		OnFailure   func()           // called when the store did not answer a call of this VM; may be nil
+		OnOutage    func(ou Outage)  // receives the latest outage, which replaces the one before; zero: that one was refuted; may be nil
+		OnReconnect func()           // called when the store answers this VM again; may be nil
 		// OnStoreRestored is called when the store was restored from an older copy,
 		// before OnSnapshot receives its content; may be nil.
 		OnStoreRestored func()
@@ -382,6 +386,7 @@
 // caller holds the lock.
 func (fo *Follower) applyRead(listed bool, recs []Record, next uint64) (news []Record) {
 	if !listed {
+		fo.reportMissed(next)
 		fo.checkEra(next)
 		fo.OnSnapshot(recs)
 		fo.listed, fo.next = true, next
@@ -408,6 +413,19 @@
 	return news
 }
 
+// reportMissed calls OnMissed for a listing. After a restore of the store, any time may have
+// been missed. The caller holds the lock.
+func (fo *Follower) reportMissed(next uint64) {
+	if fo.OnMissed == nil {
+		return
+	}
+	if span := fo.now() - fo.updatedAt; fo.everListed && EraOf(next) == EraOf(fo.next) {
+		fo.OnMissed(span)
+		return
+	}
+	fo.OnMissed(fo.now())
+}
+
 // checkEra detects a listing of another era than the last one. The caller holds the lock.
 func (fo *Follower) checkEra(next uint64) {
 	if !fo.everListed || EraOf(next) == EraOf(fo.next) {
--- a/internal/topic/follower_test.go
+++ b/internal/topic/follower_test.go
@@ -337,6 +337,41 @@
 	})
 }
 
+// A listing tells how long changes may have gone unseen: seconds after an outage, less than
+// two reads if only the history was dropped, and any time at the first listing.
+func TestMissedTimeBeforeAListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		fl := newFleet(1, 1)
+		var missed []clock.Millis
+		fl.members[0].fo.OnMissed = func(span clock.Millis) { missed = append(missed, span) }
+		time.Sleep(20 * time.Second)
+		fl.run(ctx)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, len(missed) == 1 && missed[0] >= 20*clock.Second, "%v", missed)
+		assert.Assert(t, fl.members[0].fo.IsCurrent(clock.Second))
+		fl.st.put("a", "1")
+		fl.st.mu.Lock()
+		fl.st.first = 1 // the next read finds its records dropped
+		fl.st.recs = append(fl.st.recs, topic.Record{Key: "a", Value: []byte("2"), Offset: 1})
+		fl.st.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, len(missed) == 2 && missed[1] <= 1400, "%v", missed)
+		fl.st.mu.Lock()
+		fl.st.down = true
+		fl.st.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, !fl.members[0].fo.IsCurrent(4*clock.Second))
+		fl.st.put("a", "3")
+		fl.st.mu.Lock()
+		fl.st.down, fl.st.first = false, 3
+		fl.st.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, len(missed) == 3 && missed[2] >= 5*clock.Second, "%v", missed)
+	})
+}
+
 // One VM reads for all. When it loses the store, the standby reader takes over, so that
 // the others neither read for themselves nor apply changes late.
 func TestStandbyReaderTakesOver(t *testing.T) {
