--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -97,7 +97,9 @@
 				rl.ListVersions = func(context.Context, string) ([]string, error) { return tc.listed, tc.storeErr }
 				rl.IsListCurrent = func() bool { return !tc.outdated }
 				rl.SetBackends(rl.Clock.Now(), tc.servers)
-				sv.onSend = func(context.Context, int, sent) (*http.Response, error) { return newResponse(http.StatusOK, eventTwo, nil), nil }
+				sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+					return newResponse(http.StatusOK, eventTwo, nil), nil
+				}
 				req := resumeRequest(rl, "resumable")
 				if tc.nameless {
 					req.Resumes = ""
@@ -153,7 +155,9 @@
 	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
 		or := &origins{answer: origin.Answer{Reply: origin.Reply{State: origin.Known, Record: origin.Record{Service: "plain", Version: "v2"}}}}
 		rl.Origins = or
-		sv.onSend = func(context.Context, int, sent) (*http.Response, error) { return newResponse(http.StatusOK, eventTwo, nil), nil }
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return newResponse(http.StatusOK, eventTwo, nil), nil
+		}
 		assert.NilError(t, rl.Serve(t.Context(), httptest.NewRecorder(), resumeRequest(rl, "plain-stream")))
 		assert.Equal(t, versionOf(sv.sentTo()[0]), "v2")
 		rl.SetBackends(rl.Clock.Now(), mixedServers[:7])
