--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -37,6 +37,7 @@
 		go hc.ord.ac.Run(t.Context())
 		hc.ac.Send(t.Context(), barrier{run: func(clock.Millis) { time.Sleep(time.Second) }}) // the loop is late
 		rr := cr.reserve("r1")
+		synctest.Wait() // the loop has the request before the drain
 		hc.rec.drain(t.Context(), orders.Drain{Server: "p0", Stop: true})
 		synctest.Wait()
 		assert.Equal(t, hc.demand().granted["p0"], 0, "the loop has not decided yet")
