--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -80,3 +81,33 @@
 		assert.Equal(t, len(domains), 3)
 	}
 }
+
+// BenchmarkOriginMessages measures the messages that copy a record, and how long the choice
+// of the VMs takes.
+func BenchmarkOriginMessages(b *testing.B) {
+	for _, vms := range []int{7, 69, 300} {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			view := originFleet(vms, 4, "0")
+			id := origin.IDOf("", "9c41d07be2a35f68")
+			bytes, messages := 0, 0
+			for b.Loop() {
+				bytes, messages = 0, 0
+				for range originVMs(view, id, 5, true)[:3] {
+					for _, dg := range []*peerpb.Datagram{
+						originRequestToWire(7, origin.Request{ID: id, Record: origin.Record{Service: "summary-llm", Version: "v1.2"}, Life: 16 * clock.Second}),
+						originReplyToWire(7, origin.Reply{State: origin.Known, Record: origin.Record{Service: "summary-llm", Version: "v1.2"}}),
+					} {
+						dg.From, dg.To, dg.Incarnation, dg.Sequence = "edge-cantho-a-1", "edge-cantho-b-2", 1<<41, 1<<20
+						bytes += proto.Size(dg) + datagramOverhead
+						messages++
+					}
+				}
+			}
+			b.ReportMetric(float64(bytes), "B/stream")
+			b.ReportMetric(float64(messages), "messages/stream")
+		})
+	}
+}
+
+// datagramOverhead is what the MAC, UDP and IP add to a datagram, in bytes.
+const datagramOverhead = 16 + 28
