relay: a kept KV cache is not read by an engine of another version

Found by reading each place that continues something: a prompt that an engine keeps after a declined decode was used for the next place, which may be at another version on a route whose streams are not bound.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -116,7 +116,7 @@
 // startDecode has the prompt computed and starts the decode after an event. After an
 // error the engines hold nothing for the request.
 func (rl *Relay) startDecode(ctx context.Context, ex *exchange, pl place, after string) (Handle, decoding, error) {
-	pr, kept := rl.takePrompt(ex)
+	pr, kept := rl.takePrompt(ex, pl.server.Version)
 	if !kept {
 		pr = computedPrompt{handle: rl.prefill(ctx, ex, pl), at: rl.now()}
 	}
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -33,14 +33,15 @@
 	return oc == backend.NotSent || oc == backend.Declined && (why == backend.Unknown || why == backend.WrongRole)
 }
 
-// takePrompt returns the computed prompt that was kept, unless it may have expired.
-func (rl *Relay) takePrompt(ex *exchange) (computedPrompt, bool) {
+// takePrompt returns the computed prompt that was kept, unless it may have expired or was
+// computed by another version than the one that is to read it.
+func (rl *Relay) takePrompt(ex *exchange, version string) (computedPrompt, bool) {
 	pr := ex.prompt
 	ex.prompt = computedPrompt{}
 	if pr.handle.ID == "" {
 		return computedPrompt{}, false
 	}
-	if rl.now()-pr.at >= maxPromptAge || rl.Backends().Restarted(pr.handle.Server) {
+	if rl.now()-pr.at >= maxPromptAge || pr.handle.Server.Version != version || rl.Backends().Restarted(pr.handle.Server) {
 		rl.forget(ex, pr.handle)
 		return computedPrompt{}, false
 	}
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -136,3 +136,29 @@
 		assert.Equal(t, versionOf(sv.sentTo()[1]), versionOf(sv.sentTo()[0]))
 	})
 }
+
+// Guards against a KV cache that was kept after a declined decode and is read by an engine
+// of another version.
+func TestKeptPromptIsNotReadAtAnotherVersion(t *testing.T) {
+	other := 0
+	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+		sv.onSend = func(_ context.Context, nth int, _ sent) (*http.Response, error) {
+			if nth == 1 {
+				return nil, errWrongRole
+			}
+			return newResponse(http.StatusOK, eventOne, nil), nil
+		}
+		_, err := serve(t.Context(), rl, "draft")
+		assert.NilError(t, err)
+		last := sv.sent[1]
+		if last.op.Source.ID != "" {
+			assert.Equal(t, last.op.Source.Server.Version, versionOf(last.server))
+		}
+		if versionOf(sv.sent[0].server) != versionOf(last.server) {
+			other++
+		}
+		synctest.Wait()
+		assert.Equal(t, sv.held(), 0)
+	})
+	assert.Assert(t, other > 0, "no second decode was at the other version")
+}
