--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -313,8 +313,9 @@
 }
 
 // candidates lists the servers of a version to choose from, without those that are backing
-// off; the empty version stands for any. It prefers untried servers that are neither ejected nor replaced, then any untried
-// ones, then tried ones that are neither ejected nor replaced, then all.
+// off; the empty version stands for any. It prefers untried servers that are neither
+// ejected nor replaced, then any untried ones, then tried ones that are neither ejected
+// nor replaced, then all.
 func (svc *service) candidates(now clock.Millis, version string, exclude []string) []*server {
 	available := filter(svc.servers, func(srv *server) bool {
 		return !srv.isBackingOff(now) && (version == "" || srv.version == version)
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -92,7 +92,7 @@
 	case an.State == origin.Ambiguous:
 		return origin.Record{}, errAmbiguous
 	case an.Sole == "":
-		return rc, rl.whySeveral(ex)
+		return rc, rl.checkVersionless(ex)
 	case !rl.isListCurrent():
 		return origin.Record{}, errListOutdated
 	case rl.ListVersions == nil:
@@ -108,9 +108,9 @@
 	return rc, nil
 }
 
-// whySeveral returns why a stream may have begun at several versions, or nil if the servers
-// of its service do not tell their versions.
-func (rl *Relay) whySeveral(ex *exchange) error {
+// checkVersionless returns why the version of a stream without a record can't be inferred,
+// or nil if the servers of its service do not tell versions.
+func (rl *Relay) checkVersionless(ex *exchange) error {
 	span := rl.streamSpan(ex)
 	rl.mu.Lock()
 	versions := rl.versions.Versions(rl.now(), span, ex.svc.Name)
