origin: a VM that has just started waits until it knows others to ask

Lookup now waits for up to 200 ms until the VM knows another, and a refusal that a VM's silence caused tells the caller to come back after 0.3 s, to another VM. Records of a VM that has just started are copied as soon as it knows others, every 50 ms. TestYoungVMWaitsForOthers.

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -50,8 +50,12 @@
 	askTries  = 2
 	// keepRounds is how often the VMs are selected again, keepPause apart, until enough
 	// of them keep a record.
-	keepRounds = 10
-	keepPause  = 200 * time.Millisecond
+	keepRounds = 40
+	keepPause  = 50 * time.Millisecond
+	// joinWait bounds the wait of a question until this VM knows any other: a VM that has
+	// just started joins the fleet within a few calls to the store.
+	joinWait = 200 * time.Millisecond
+	joinPoll = 10 * time.Millisecond
 )
 
 // States of an ID.
@@ -98,7 +102,7 @@
 	Answer struct {
 		Reply
 		By     string // VM that sent the record; empty: this one, or none
-		Silent int    // VMs that did not reply
+		Silent int    // VMs that did not reply, or 1 if this VM knows no other
 	}
 
 	// Peers sends requests to other VMs.
@@ -244,10 +248,14 @@
 	if best.State != Unknown {
 		return best
 	}
-	vms := rg.Peers.OriginVMs(id, maxCandidates, false)
-	replies := make(chan Answer, len(vms))
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	vms := rg.awaitVMs(ctx, id)
+	if len(vms) == 0 {
+		best.Silent = 1 // whoever knows the stream
+		return best
+	}
+	replies := make(chan Answer, len(vms))
 	for _, vm := range vms {
 		go func() { replies <- rg.askRepeatedly(ctx, vm, rq) }()
 	}
@@ -264,6 +272,16 @@
 	return best
 }
 
+// awaitVMs returns the VMs to ask, as soon as this VM knows any.
+func (rg *Registry) awaitVMs(ctx context.Context, id ID) []string {
+	for end := time.Now().Add(joinWait); ; {
+		vms := rg.Peers.OriginVMs(id, maxCandidates, false)
+		if len(vms) > 0 || time.Now().After(end) || !clock.Sleep(ctx, clock.Of(joinPoll)) {
+			return vms
+		}
+	}
+}
+
 // askRepeatedly asks a VM until it replies.
 func (rg *Registry) askRepeatedly(ctx context.Context, vm string, rq Request) Answer {
 	for range askTries {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -276,3 +276,23 @@
 	_, ok := from("").Sole(start, span, "m")
 	assert.Assert(t, ok, "servers that tell no version")
 }
+
+// Guards against a VM that has just started and tells a caller for good that its stream is
+// unknown, before it knows any VM to ask.
+func TestYoungVMWaitsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork(7)
+		id := origin.IDOf("", "a1")
+		nw.regs["vm-6"].Keep(id, recordA, clock.Minute)
+		time.Sleep(10 * time.Millisecond)
+		all := nw.setVMs(nil)
+		time.AfterFunc(100*time.Millisecond, func() { nw.setVMs(all) })
+		assert.Equal(t, nw.regs["vm-5"].Lookup(t.Context(), id, "m", clock.Minute).State, origin.Known)
+		nw.setVMs(nil)
+		began := time.Now()
+		an := nw.regs["vm-5"].Lookup(t.Context(), id, "m", clock.Minute)
+		assert.Equal(t, an.State, origin.Unknown)
+		assert.Equal(t, an.Silent, 1)
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond)
+	})
+}
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -21,6 +21,9 @@
 	// originMargin is added to the time for which a record is kept, for callers that
 	// come back at their last moment.
 	originMargin = 2 * clock.Second
+	// originRetryAfter is when a caller may come back whose stream another VM may know: it
+	// then picks another VM, or the VMs that did not respond run again.
+	originRetryAfter = 300 * clock.Millis(1)
 )
 
 // Origins knows the software versions at which streams began. [origin.Registry]
@@ -63,7 +66,7 @@
 	}
 	retryAfter := clock.Millis(0) // the other VMs know no more
 	if an.Silent > 0 || !errors.Is(err, errSeveralVersions) && !errors.Is(err, errAmbiguous) {
-		retryAfter = rl.randomRetryAfter()
+		retryAfter = originRetryAfter
 	}
 	return refuse(refusal.VersionUnknown, retryAfter, err.Error())
 }
