origin: a VM that reaches no other stops sending its records

Since copies are retried every 50 ms, a VM cut off from all others would have sent up to 600 datagrams a stream. Three rounds in which VMs were sent a record are enough, 45 datagrams (TestMessagesOfAnIsolatedVM).

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -49,9 +49,10 @@
 	keepTries = 3
 	askTries  = 2
 	// keepRounds is how often the VMs are selected again, keepPause apart, until enough
-	// of them keep a record.
-	keepRounds = 40
-	keepPause  = 50 * time.Millisecond
+	// of them keep a record, and keepAttempts in how many of these rounds some are sent it.
+	keepRounds   = 40
+	keepAttempts = 3
+	keepPause    = 50 * time.Millisecond
 	// joinWait bounds the wait of a question until this VM knows any other: a VM that has
 	// just started joins the fleet within a few calls to the store.
 	joinWait = 200 * time.Millisecond
@@ -183,11 +184,16 @@
 // only after a while.
 func (rg *Registry) copyToOthers(rq Request) {
 	var done []string
+	attempts := 0
 	for range keepRounds {
 		vms := rg.Peers.OriginVMs(rq.ID, maxCandidates, true)
 		vms = slices.DeleteFunc(vms, func(vm string) bool { return slices.Contains(done, vm) })
-		if done = append(done, rg.copyToSome(vms, copies-len(done), rq)...); len(done) == copies {
-			return
+		if len(vms) > 0 {
+			done = append(done, rg.copyToSome(vms, copies-len(done), rq)...)
+			attempts++
+		}
+		if len(done) == copies || attempts == keepAttempts {
+			break
 		}
 		time.Sleep(keepPause)
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -189,6 +189,18 @@
 	}
 }
 
+// A VM that reaches no other does not go on sending.
+func TestMessagesOfAnIsolatedVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork(7)
+		nw.regs["vm-6"].Peers = withoutHealth{member{nw, "vm-6"}}
+		nw.setLost(nw.vms[:6]...)
+		nw.regs["vm-6"].Keep(origin.IDOf("", "a1"), recordA, clock.Minute)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, nw.takeMessages(), 3*3*5, "tries, rounds and VMs")
+	})
+}
+
 // Guards against a version that is taken from one of two streams with the same ID, and
 // from the stream of another customer.
 func TestAmbiguousAndForeignIDs(t *testing.T) {
