--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -73,7 +73,7 @@
 	ServiceReachable = register(2232, "ServiceReachable", Info,
 		"this VM reaches servers of the service again", "none")
 	OriginNotCopied = register(2233, "OriginNotCopied", Warn,
-		"too few VMs confirmed that they keep the software version at which a stream begins", "none while VMs start or are partitioned; if it persists, check UDP between the VMs")
+		"no other VM confirmed that it keeps the software version at which a stream begins", "none while VMs start or are partitioned; if it persists, check UDP between the VMs")
 	RelayOrigin = register(2234, "RelayOrigin", Info,
 		"the software version at which a resumed stream began was looked up; By is the VM that knew it, and Silent counts those that did not respond",
 		"none; without a Version see State and Sole")
