relay: a broken stream waits for a place as long as its caller waits

New ones have the engines of all versions.

A stream that broke, resumed by its caller or within its answer, waits like a returning request, counted from its last event.

Without a record a stream of a route that leads to several services is refused: it may have begun at another one (TestUnknownStreamOfASplitRoute).

--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -14,6 +14,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/origin"
 	"alderdyke/internal/relay"
+	"alderdyke/internal/route"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -128,6 +129,43 @@
 	}
 }
 
+// Guards against a stream that is refused because the engines of its version are full for a
+// moment, as when a VM that is lost keeps runs there. A new one is refused early enough to
+// be sent elsewhere.
+func TestResumedStreamWaitsForItsVersion(t *testing.T) {
+	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+		rl.Origins = &origins{answer: known("v1")}
+		full := true
+		sv.onReserve = func(bs board.BackendServer, _ int) error {
+			if full && bs.Version == "v1" {
+				return errFull
+			}
+			return nil
+		}
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return newResponse(http.StatusOK, eventTwo, nil), nil
+		}
+		time.AfterFunc(time.Second, func() {
+			sv.mu.Lock()
+			defer sv.mu.Unlock()
+			full = false
+		})
+		assert.NilError(t, rl.Serve(t.Context(), httptest.NewRecorder(), resumeRequest(rl, "resumable")))
+		assert.Equal(t, versionOf(sv.sentTo()[0]), "v1")
+		sv.mu.Lock()
+		sv.onReserve = func(board.BackendServer, int) error { return errFull }
+		sv.mu.Unlock()
+		began := rl.Clock.Now()
+		_, err := serve(t.Context(), rl, "resumable")
+		assert.Equal(t, refusalOf(t, err).Reason, refusal.QueueFull)
+		assert.Assert(t, rl.Clock.Now()-began < 300, "%s", rl.Clock.Now()-began)
+		began = rl.Clock.Now()
+		err = rl.Serve(t.Context(), httptest.NewRecorder(), resumeRequest(rl, "resumable"))
+		assert.Equal(t, refusalOf(t, err).Reason, refusal.QueueFull)
+		assert.Assert(t, rl.Clock.Now()-began < 2*clock.Second, "%s", rl.Clock.Now()-began)
+	})
+}
+
 // The version is told to the other VMs before the prompt is computed, and for as long as
 // the caller may come back.
 func TestVersionIsKeptBeforeTheStreamBegins(t *testing.T) {
@@ -226,3 +264,27 @@
 		assert.Assert(t, !ok)
 	})
 }
+
+// Guards against a stream without a record that goes on at another service of its route.
+func TestUnknownStreamOfASplitRoute(t *testing.T) {
+	forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+		tb, err := route.New(5, []route.Route{{Name: "split", Host: "h", Prefix: "/split/", Kind: route.Stream, Timeout: clock.Second, MaxAttempts: 2,
+			Resumable: true, Shares: []route.Share{{Service: "plain", Weight: 1}, {Service: "other", Weight: 1}}}}, []route.Service{{Name: "plain"}, {Name: "other"}})
+		assert.NilError(t, err)
+		assert.Assert(t, rl.Configure(tb))
+		rl.SetBackends(rl.Clock.Now(), []board.BackendServer{{ID: "o1", Service: "other", Version: "v1", Role: board.Plain}, mixedServers[6]})
+		time.Sleep(time.Minute)
+		req := resumeRequest(rl, "plain-stream")
+		req.URI, req.Path = "/split/x", "/split/x"
+		rf := refusalOf(t, rl.Serve(t.Context(), httptest.NewRecorder(), req))
+		assert.Equal(t, rf.Reason, refusal.VersionUnknown)
+		rl.Origins = &origins{answer: origin.Answer{Reply: origin.Reply{State: origin.Known, Record: origin.Record{Service: "other", Version: "v1"}}}}
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			return newResponse(http.StatusOK, eventTwo, nil), nil
+		}
+		req = resumeRequest(rl, "plain-stream")
+		req.URI, req.Path = "/split/x", "/split/x"
+		assert.NilError(t, rl.Serve(t.Context(), httptest.NewRecorder(), req))
+		assert.DeepEqual(t, sv.sentTo(), []string{"o1"})
+	})
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -80,7 +80,7 @@
 		rl.wakeWaiters()
 		rl.mu.Unlock()
 	}()
-	until := min(rl.now()+rl.placeWait(ex.rt, returning), ex.deadline)
+	until := min(rl.placeDeadline(ex, returning), ex.deadline)
 	asked := 0
 	for {
 		if err := rl.refuseIfVersionGone(ctx, ex, po); err != nil {
@@ -136,6 +136,16 @@
 	}
 }
 
+// placeDeadline returns until when a request waits for a place. A stream that broke has only
+// the engines of its version, and its caller waits for the next event as long as for a first
+// one.
+func (rl *Relay) placeDeadline(ex *exchange, returning bool) clock.Millis {
+	if ex.req.LastEventID == "" && ex.eventsSent == 0 {
+		return rl.now() + rl.placeWait(ex.rt, returning)
+	}
+	return max(ex.req.Arrived, ex.lastEventAt) + rl.placeWait(ex.rt, true)
+}
+
 // awaitPlace waits until a place may have become free, or until the deadline.
 func (rl *Relay) awaitPlace(ctx context.Context, until clock.Millis, returning bool) error {
 	left := until - rl.now()
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -38,6 +38,7 @@
 	errSeveralVersions = errors.New("no VM knows the stream, and several versions served")
 	errAmbiguous       = errors.New("different streams began under the same attempt ID")
 	errListOutdated    = errors.New("the list of servers is not current")
+	errSeveralServices = errors.New("no VM knows the stream, and its route leads to several services")
 	errShortHistory    = errors.New("no VM knows the stream, and this VM has not known the servers for long enough")
 )
 
@@ -65,7 +66,8 @@
 		return rl.bindOrigin(ex, rc)
 	}
 	retryAfter := clock.Millis(0) // the other VMs know no more
-	if an.Silent > 0 || !errors.Is(err, errSeveralVersions) && !errors.Is(err, errAmbiguous) {
+	final := errors.Is(err, errSeveralVersions) || errors.Is(err, errSeveralServices) || errors.Is(err, errAmbiguous)
+	if an.Silent > 0 || !final {
 		retryAfter = originRetryAfter
 	}
 	return refuse(refusal.VersionUnknown, retryAfter, err.Error())
@@ -94,6 +96,8 @@
 	switch {
 	case an.State == origin.Ambiguous:
 		return origin.Record{}, errAmbiguous
+	case len(ex.rt.Shares) > 1:
+		return origin.Record{}, errSeveralServices
 	case an.Sole == "":
 		return rc, rl.checkVersionless(ex)
 	case !rl.isListCurrent():
