entry: a replaced import's late handler does not race with its test

The race is in the test: the scheduler replaces an import order, the transfer ends with the second one, and the test closed the channel on which the handler of the first, still running, was about to send its attempt number.

--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -161,23 +162,23 @@
 // then keep its own attempt number: the next one belongs to the order to the other engine.
 func TestReplacedImportKeepsItsAttemptNumber(t *testing.T) {
 	for range 50 {
-		attempts := make(chan int, 3)
+		var mu sync.Mutex
+		seen := map[int]bool{}
+		// The handler of a replaced import may still run when the transfer has ended.
 		tr := newTransferRig(t, func(wr http.ResponseWriter, req *http.Request) {
 			var od engine.ImportOrder
-			if json.NewDecoder(req.Body).Decode(&od) == nil {
-				attempts <- od.Attempt
-				_, _ = io.WriteString(wr, "{}")
+			if json.NewDecoder(req.Body).Decode(&od) != nil {
+				return
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Check(t, !seen[od.Attempt], "two orders of attempt %d", od.Attempt)
+			seen[od.Attempt] = true
+			_, _ = io.WriteString(wr, "{}")
 		})
 		tr.addEngine("e2")
 		tr.decide(transferFrame("e1"))
 		tr.decide(transferFrame("e2"))
 		assert.NilError(t, tr.ma.transferKV(t.Context()))
-		close(attempts)
-		seen := map[int]bool{}
-		for nr := range attempts {
-			assert.Assert(t, !seen[nr], "two orders of attempt %d", nr)
-			seen[nr] = true
-		}
 	}
 }
