relay: what an answer says of its server is one value; limits are logged

Cause: what a worker says of itself was read in four places, each in its own way, and its limit in none, so that neither logs nor metrics showed whether a VM had seen one.

Change: platform.statementOf reads all of it from every response, and Relay.Observe applies it: leaving, the pause of a rejection, and the limit, which internal/limit tracks. A limit that begins, changes or ends at a VM is logged (ServerLimitChanged) and counted (ServerLimits); one that can't be read is logged (ServerLimitUnreadable). Nothing else acts on limits yet.

An answer without a limit ends an earlier one only if its call was sent after the limit was last named, and only if it answers a request: other responses may leave the limit out.

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -110,6 +110,11 @@
 		"a backend server's entry was removed, and the server stays listed because the store was unavailable to all VMs; the outage lasted from Began to Outage milliseconds ago, and Teller is the VM that reported it, empty for this VM's own calls", "none")
 	ServerTakesBack = register(2326, "ServerTakesBack", Warn,
 		"the entry of a backend server no longer marks it as leaving, although the server did not restart; the change is ignored", "none if the store applies writes late; otherwise check the backend server")
+	ServerLimitChanged = register(2327, "ServerLimitChanged", Info,
+		"a backend server limits the calls that it takes from all VMs together to Limit per second, or no longer does; By is the VM that its answer told, empty for this VM, and Age the time since that answer",
+		"none; if it lasts, check the server's load")
+	ServerLimitUnreadable = register(2328, "ServerLimitUnreadable", Warn,
+		"a backend server names a limit of calls that is no number of requests per second; it is ignored", "check the backend server")
 	StoreLost = register(2304, "StoreLost", Warn,
 		"the platform's store does not respond; the last known state stays in use", "check the platform")
 	StoreBack = register(2305, "StoreBack", Info,
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,140 @@
+package limit
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/pkg/clock"
+)
+
+var server = Server{ID: "s", Incarnation: 3}
+
+func named(rate float64) Word { return Word{Named: true, Rate: rate, Final: true} }
+
+// Each step is an answer at this VM, or a notice of another one, and what it leads to.
+func TestTracker(t *testing.T) {
+	final := Word{Final: true}
+	type step struct {
+		at, sentAt clock.Millis
+		word       Word
+		notice     *Notice // instead of the word
+		tells      bool
+		changes    bool
+		rate       float64 // afterwards; zero: there is no limit
+	}
+	for _, tc := range []struct {
+		name  string
+		steps []step
+	}{
+		{"no limit", []step{{at: 1000, sentAt: 990, word: final}}},
+		{"begins, is repeated, and lapses", []step{
+			{at: 1000, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
+			{at: 1400, sentAt: 1390, word: named(3.5), rate: 3.5},
+			{at: 1500, sentAt: 1490, word: named(3.5), tells: true, rate: 3.5},
+			{at: 3499, sentAt: 1000, word: Word{}, rate: 3.5},
+			{at: 3500, sentAt: 1000, word: Word{}},
+		}},
+		{"changes", []step{
+			{at: 1000, sentAt: 990, word: named(35), tells: true, changes: true, rate: 35},
+			{at: 1001, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
+			{at: 1002, sentAt: 990, word: named(35), tells: true, changes: true, rate: 35},
+		}},
+		{"ends with an answer to a later call", []step{
+			{at: 1000, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
+			{at: 1010, sentAt: 1000, word: final, rate: 3.5},
+			{at: 1020, sentAt: 1001, word: Word{}, rate: 3.5},
+			{at: 1030, sentAt: 1001, word: final, tells: true, changes: true},
+		}},
+		{"zero is tried once in five seconds", []step{
+			{at: 1000, sentAt: 990, word: named(0), tells: true, changes: true, rate: MinRate},
+			{at: 10999, sentAt: 0, word: Word{}, rate: MinRate},
+			{at: 11000, sentAt: 0, word: Word{}},
+		}},
+		{"heard of, and ended elsewhere", []step{
+			{at: 1000, notice: &Notice{Server: server, Rate: 4, Age: 10}, changes: true, rate: 4},
+			{at: 1100, notice: &Notice{Server: server, Rate: 4, Age: 200}, rate: 4},
+			{at: 1200, notice: &Notice{Server: server, Ended: true, Age: 300}, rate: 4},
+			{at: 1300, notice: &Notice{Server: server, Ended: true, Age: 3}, changes: true},
+			{at: 1301, notice: &Notice{Server: server, Rate: 4, Age: 100}},
+			{at: 1400, notice: &Notice{Server: server, Rate: 4, Age: 1}, changes: true, rate: 4},
+		}},
+		{"too old when it is heard of", []step{{at: 5000, notice: &Notice{Server: server, Rate: 4, Age: 2000}}}},
+		{"another VM repeats it", []step{
+			{at: 1000, notice: &Notice{Server: server, Rate: 4}, changes: true, rate: 4},
+			{at: 1499, sentAt: 1300, word: named(4), rate: 4},
+			{at: 1500, sentAt: 1300, word: named(4), tells: true, rate: 4},
+		}},
+		{"an earlier run", []step{
+			{at: 1000, sentAt: 990, word: named(4), tells: true, changes: true, rate: 4},
+			{at: 1100, notice: &Notice{Server: Server{ID: "s", Incarnation: 2}, Rate: 1}, rate: 4},
+			{at: 1200, notice: &Notice{Server: Server{ID: "s", Incarnation: 4}, Rate: 1}, changes: true, rate: 1},
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tr := &Tracker{}
+			for ix, sp := range tc.steps {
+				var nt *Notice
+				var ch *Change
+				if sp.notice != nil {
+					ch = tr.Receive(sp.at, *sp.notice)
+				} else {
+					nt, ch = tr.Observe(sp.at, sp.sentAt, server, sp.word)
+				}
+				assert.Equal(t, nt != nil, sp.tells, "step %d", ix)
+				assert.Equal(t, ch != nil, sp.changes, "step %d", ix)
+				rate, ok := tr.Rate(sp.at, server.ID)
+				assert.Equal(t, rate, sp.rate, "step %d", ix)
+				assert.Equal(t, ok, sp.rate > 0, "step %d", ix)
+			}
+		})
+	}
+}
+
+// While calls are withheld, a server can't repeat its limit.
+func TestWithheldCallsProlongALimit(t *testing.T) {
+	tr := &Tracker{}
+	tr.Observe(0, 0, server, named(2))
+	tr.Deny(1900, server.ID)
+	_, ok := tr.Rate(3899, server.ID)
+	assert.Assert(t, ok)
+	_, ok = tr.Rate(3900, server.ID)
+	assert.Assert(t, !ok)
+	tr.Deny(3900, server.ID)
+	_, ok = tr.Rate(3900, server.ID)
+	assert.Assert(t, !ok)
+}
+
+func TestLapse(t *testing.T) {
+	tr := &Tracker{}
+	all := func(Server) bool { return true }
+	tr.Observe(0, 0, server, named(2))
+	lapsed, active := tr.Lapse(1999, all)
+	assert.Assert(t, len(lapsed) == 0 && active)
+	lapsed, active = tr.Lapse(2000, all)
+	assert.DeepEqual(t, lapsed, []Change{{Server: server, Rate: 2, Ended: true, Before: 2, Known: true, Age: 2000}})
+	assert.Assert(t, !active)
+	tr.Observe(3000, 3000, server, named(2))
+	lapsed, active = tr.Lapse(3001, func(Server) bool { return false })
+	assert.Assert(t, len(lapsed) == 1 && !active)
+}
+
+func TestRecentCalls(t *testing.T) {
+	tr := &Tracker{}
+	assert.Equal(t, tr.RecentCalls(0, "s"), 0)
+	for at := clock.Millis(100000); at < 103000; at += 10 {
+		tr.CountCall(at, "s")
+	}
+	got := tr.RecentCalls(103000, "s")
+	assert.Assert(t, got >= 105 && got <= 120, "%d", got)
+	assert.Equal(t, tr.RecentCalls(104200, "s"), 0)
+	tr.Retain(func(string) bool { return false })
+	assert.Equal(t, len(tr.recent), 0)
+}
+
+func TestTerm(t *testing.T) {
+	for rate, want := range map[float64]clock.Millis{0: 10000, 0.4: 5000, 1: 2000, 300: 2000, math.Inf(1): 2000} {
+		assert.Equal(t, Term(rate), want, "%v", rate)
+	}
+}
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -72,7 +72,6 @@
 	}
 	began := rl.now()
 	err := do()
-	rl.applyRetryAfter(err)
 	rl.observePath(ex, server, began, err)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -229,7 +229,6 @@
 		return pl, true
 	}
 	rl.leavePlace(pl)
-	rl.applyRetryAfter(err)
 	if _, why := backend.OutcomeOf(err); why == backend.Full {
 		rl.mu.Lock()
 		rl.poolOf(ex.svc.Name).MarkFull(rl.now(), bs.ID, nd.reserve)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/charge"
 	"alderdyke/internal/event"
+	"alderdyke/internal/limit"
 	"alderdyke/internal/origin"
 	"alderdyke/internal/poison"
 	"alderdyke/internal/pool"
@@ -192,6 +193,7 @@
 		// crash servers; nil sends nothing.
 		SendReport func(re suspect.Report)
 
+		limits    limit.Tracker
 		guard     poison.Guard // access through poisonGuard
 		guardOnce sync.Once
 
