quota, charge: permits for calls to servers that limit them

A limit that holds for the sum over all VMs needs one place that counts. The keepers of customers' quotas already are that place: VMs lend them their parts, and no part is used twice. They now keep servers' limits too (quota.Request.Server, Charger.TakePermit), without slack, credit or local use. Buckets begin empty; calls that VMs made just before they knew the limit put them in debt for at most three seconds, and are reported again to a new keeper (Charger.ReportCalls). Calls that leave a reserve are granted after those that don't. An unused permit is returned once.

--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -85,8 +85,12 @@
 		// Limit returns a customer's limit in the configuration in force, or false if
 		// the customer has none or does not exist.
 		Limit func(customer string) (quota.Limit, bool)
-		// Limited reports whether any customer has a limit. If none has, no leases are
-		// kept: with 300 VMs, a keeper would receive 500 useless renewals per second.
+		// ServerLimit returns the calls per second that a server takes from the whole
+		// fleet, as this VM knows it, or false if it knows no limit. Nil: it knows none.
+		ServerLimit func(server string) (float64, bool)
+		// Limited reports whether any customer or server has a limit. If none has, no
+		// leases are kept: with 300 VMs, a keeper would receive 500 useless renewals per
+		// second.
 		Limited func() bool
 		Clock   clock.Source
 		Log     event.Logger
@@ -96,6 +100,7 @@
 		mu        sync.Mutex // guards all fields below
 		shards    [quota.Shards]*shard
 		exhausted map[string]clock.Millis // last refusal of each customer whose quota is used up
+		spent     map[string]*spentCalls  // by server
 	}
 
 	// attempt is the result of one attempt to charge a request.
@@ -165,7 +170,7 @@
 		for ix := range ch.shards {
 			ch.shards[ix] = &shard{index: ix, keeper: quota.Keeper{ID: ch.ID, Settings: st},
 				account: quota.Account{Shard: ix, Settings: st}, unresponsiveUntil: make(map[string]clock.Millis),
-				denials: make(map[string]denial), requestingCredit: make(map[string]bool)}
+				denials: make(map[string]denial), permitDenials: make(map[string]denial), requestingCredit: make(map[string]bool)}
 		}
 	})
 }
@@ -202,7 +207,7 @@
 		return ok && lim.Limited()
 	}
 	for _, sh := range ch.shards {
-		sh.evict(limited)
+		sh.evict(ch.now(), limited)
 	}
 }
 
--- a/internal/charge/charge_test.go
+++ b/internal/charge/charge_test.go
@@ -28,6 +28,10 @@
 		unresponsive map[string]bool // unresponsive VMs
 		requests     int
 		delay        time.Duration
+		incarnations map[string]uint64 // by VM; zero counts as one
+		cutOff       map[string]bool   // VMs on the smaller side of a partition
+		minority     string            // keeper of both shards on that side
+		loses        func() bool       // draws whether a message is lost; nil: none is
 
 		unlimited bool // no customer has a limit
 	}
@@ -55,6 +59,9 @@
 	pe.net.mu.Lock()
 	defer pe.net.mu.Unlock()
 	names := pe.net.names
+	if pe.net.cutOff[pe.self] {
+		return [quota.Shards]string{pe.net.minority, pe.net.minority}
+	}
 	if len(names) == 0 || pe.net.second != "" {
 		return [quota.Shards]string{pe.net.keeper, pe.net.second}
 	}
@@ -62,22 +69,44 @@
 	return [quota.Shards]string{pe.net.keeper, names[(at+1)%len(names)]}
 }
 
-func (pe peers) VMs() int { return len(pe.net.vms) }
+func (pe peers) VMs() int {
+	pe.net.mu.Lock()
+	defer pe.net.mu.Unlock()
+	return len(pe.net.vms)
+}
 
 func (pe peers) AskQuota(ctx context.Context, vm string, req quota.Request) (quota.Response, error) {
 	pe.net.mu.Lock()
 	pe.net.requests++
-	unresponsive := pe.net.unresponsive[vm]
+	to, incarnation := pe.net.reach(pe.self, vm)
+	delay := pe.net.delay
 	pe.net.mu.Unlock()
-	if unresponsive {
+	if to == nil {
 		<-ctx.Done()
 		return quota.Response{}, errNoResponse
 	}
-	time.Sleep(pe.net.delay)
-	return pe.net.vms[vm].Handle(pe.self, 1, req), nil
+	time.Sleep(delay)
+	return to.Handle(pe.self, incarnation, req), nil
 }
 
-func (pe peers) TellQuota(vm string, req quota.Request) { pe.net.vms[vm].Handle(pe.self, 1, req) }
+func (pe peers) TellQuota(vm string, req quota.Request) {
+	pe.net.mu.Lock()
+	to, incarnation := pe.net.reach(pe.self, vm)
+	pe.net.mu.Unlock()
+	if to != nil {
+		to.Handle(pe.self, incarnation, req)
+	}
+}
+
+// reach returns the VM that a message of another one gets to, or nil if it is lost. The
+// lock is held.
+func (nt *testNet) reach(from, to string) (*charge.Charger, uint64) {
+	lost := nt.loses != nil && nt.loses()
+	if lost || nt.unresponsive[to] || nt.cutOff[from] != nt.cutOff[to] {
+		return nil, 0
+	}
+	return nt.vms[to], max(1, nt.incarnations[from])
+}
 
 func (nt *testNet) requestCount() int {
 	nt.mu.Lock()
--- /dev/null
+++ b/internal/charge/permit.go
@@ -0,0 +1,169 @@
+package charge
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"alderdyke/internal/quota"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// maxPermitDenialTTL bounds how long a keeper's denial of a permit is reused.
+	maxPermitDenialTTL = 250 * clock.Millis(1)
+	// spentTTL is how long the calls that this VM made before it knew a server's limit
+	// are reported to new keepers.
+	spentTTL = 3 * clock.Second
+)
+
+type (
+	// PermitOrder asks for the permit to call a server that limits its calls.
+	PermitOrder struct {
+		Server  string
+		Rate    float64 // calls per second that the server takes from the whole fleet
+		Reserve float64 // permits to be left for calls that go first
+	}
+
+	// Permit allows one call to a server.
+	Permit struct {
+		PermitOrder
+		Keeper string // VM that granted it
+		shard  int
+	}
+
+	// spentCalls are calls that this VM made before it knew a server's limit.
+	spentCalls struct {
+		calls, rate float64
+		until       clock.Millis         // when they no longer count
+		told        [quota.Shards]uint64 // keeper process that was told of them, by shard
+	}
+)
+
+// TakePermit takes a permit from one of the keepers. If none grants it, it returns the
+// time until there is room.
+func (ch *Charger) TakePermit(ctx context.Context, or PermitOrder) (pm Permit, wait clock.Millis, ok bool) {
+	ch.ensureShards()
+	vms, keepers := ch.Peers.VMs(), ch.Peers.Keepers()
+	answered := false
+	first := rand.IntN(len(ch.shards))
+	for ix := range ch.shards {
+		sh := ch.shards[(first+ix)%len(ch.shards)]
+		re := ch.requestPermit(ctx, sh, keepers[sh.index], vms, or)
+		switch {
+		case re.granted:
+			ch.countPermit("Granted")
+			return Permit{PermitOrder: or, Keeper: re.vm, shard: sh.index}, 0, true
+		case !re.denied:
+		case !answered || re.wait < wait:
+			wait, answered = re.wait, true
+		}
+	}
+	if !answered {
+		ch.countPermit("Away")
+		return Permit{}, ch.retryAfterUnavailable(), false
+	}
+	ch.countPermit("Denied")
+	return Permit{}, wait, false
+}
+
+// requestPermit requests a permit from a shard's keeper, unless it just denied one.
+func (ch *Charger) requestPermit(ctx context.Context, sh *shard, keeper string, vms int, or PermitOrder) reply {
+	ch.mu.Lock()
+	now := ch.now()
+	re := reply{sh: sh, vm: sh.keeperFor(now, keeper)}
+	if de := sh.permitDenials[or.Server]; now < de.until && or.Reserve >= de.tokens {
+		re.denied, re.wait = true, de.roomAt-now
+	}
+	if re.denied || re.vm == "" || now < sh.unresponsiveUntil[re.vm] {
+		ch.mu.Unlock()
+		return re
+	}
+	req := sh.account.ServerRequest(now, vms, re.vm, or.Server, or.Rate/quota.Shards, or.Reserve)
+	ch.mu.Unlock()
+	rsp, err := ch.exchange(ctx, sh, re.vm, vms, req, quota.Limit{})
+	if err != nil || !rsp.Known {
+		return re
+	}
+	re.granted, re.denied, re.wait = rsp.Granted, !rsp.Granted, rsp.Wait
+	if re.denied {
+		ch.mu.Lock()
+		now = ch.now()
+		sh.permitDenials[or.Server] = denial{tokens: or.Reserve, until: now + min(re.wait, maxPermitDenialTTL), roomAt: now + re.wait}
+		ch.mu.Unlock()
+	}
+	return re
+}
+
+// ReturnPermit returns a permit whose call was not sent.
+func (ch *Charger) ReturnPermit(pm Permit) {
+	ch.countPermit("Returned")
+	vms := ch.Peers.VMs()
+	ch.mu.Lock()
+	now, sh := ch.now(), ch.shards[pm.shard]
+	vm := sh.account.Holder(now)
+	if vm != pm.Keeper {
+		ch.mu.Unlock()
+		return // the bucket that granted it is no longer in use
+	}
+	req := sh.account.ReturnServer(now, vms, vm, pm.Server, pm.Rate/quota.Shards)
+	delete(sh.permitDenials, pm.Server)
+	ch.mu.Unlock()
+	ch.tell(vm, req)
+}
+
+// ReportCalls reports the calls that this VM made to a server just before it knew the
+// server's limit.
+func (ch *Charger) ReportCalls(server string, rate float64, calls int) {
+	ch.ensureShards()
+	if calls == 0 {
+		return
+	}
+	ch.mu.Lock()
+	if ch.spent == nil {
+		ch.spent = make(map[string]*spentCalls)
+	}
+	ch.spent[server] = &spentCalls{calls: float64(calls) / quota.Shards, rate: rate / quota.Shards, until: ch.now() + spentTTL}
+	ch.mu.Unlock()
+	for _, sh := range ch.shards {
+		ch.tellSpent(sh)
+	}
+}
+
+// tellSpent reports the calls that were made without permits to the holder of the lease
+// on a shard, if it does not know them. A new keeper does not.
+func (ch *Charger) tellSpent(sh *shard) {
+	vms := ch.Peers.VMs()
+	ch.mu.Lock()
+	now := ch.now()
+	vm, process := sh.account.Holder(now), sh.account.HolderProcess(now)
+	var reports []quota.Request
+	for server, sc := range ch.spent {
+		switch {
+		case now >= sc.until:
+			delete(ch.spent, server)
+		case process != 0 && sc.told[sh.index] != process:
+			sc.told[sh.index] = process
+			reports = append(reports, sh.account.SpentReport(now, vms, vm, server, sc.rate, sc.calls))
+		}
+	}
+	ch.mu.Unlock()
+	for _, req := range reports {
+		ch.tell(vm, req)
+	}
+}
+
+// tell sends a request that needs no response to a keeper, which may be this VM.
+func (ch *Charger) tell(vm string, req quota.Request) {
+	if vm == ch.Self {
+		ch.Handle(vm, 0, req)
+		return
+	}
+	ch.Peers.TellQuota(vm, req)
+}
+
+// countPermit counts a permit by what became of it.
+func (ch *Charger) countPermit(outcome string) {
+	if ch.Scope != nil {
+		ch.Scope.Tagged(map[string]string{"Outcome": outcome}).Counter("Permits").Inc(1)
+	}
+}
--- a/internal/charge/shard.go
+++ b/internal/charge/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"alderdyke/internal/event"
@@ -29,6 +30,7 @@
 		account           quota.Account
 		unresponsiveUntil map[string]clock.Millis // by keeper, until when it gets no requests
 		denials           map[string]denial       // by customer
+		permitDenials     map[string]denial       // by server; their tokens are those to be left
 		requestingCredit  map[string]bool         // customers for whom a request for credit is under way
 		holder            string                  // VM that held the lease at the last check
 	}
@@ -66,10 +68,12 @@
 		sh.account.NeedsCredit(vms, or.Customer, or.Limit.PerShard(), or.Tokens/quota.Shards)
 }
 
-// evict drops the state of all customers for which wanted returns false.
-func (sh *shard) evict(wanted func(customer string) bool) {
+// evict drops the state of all customers for which wanted returns false, and expired
+// denials of permits.
+func (sh *shard) evict(now clock.Millis, wanted func(customer string) bool) {
 	sh.keeper.Evict(wanted)
 	sh.account.Evict(wanted)
+	maps.DeleteFunc(sh.permitDenials, func(_ string, de denial) bool { return now >= de.until })
 	for customer := range sh.denials {
 		if !wanted(customer) {
 			delete(sh.denials, customer)
@@ -108,6 +112,7 @@
 		rsp, err = ch.Peers.AskQuota(within, vm, req)
 		stop()
 	}
+	defer ch.tellSpent(sh)
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	now := ch.now()
@@ -133,6 +138,11 @@
 			lim = &part
 		}
 	}
+	if req.Server != "" && ch.ServerLimit != nil {
+		if rate, ok := ch.ServerLimit(req.Server); ok {
+			req.Rate = rate / quota.Shards
+		}
+	}
 	vms := ch.Peers.VMs()
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
@@ -148,12 +158,8 @@
 	req, send := sh.account.GiveBack(now, vms, customer, lim, tokens)
 	vm := sh.account.Holder(now)
 	ch.mu.Unlock()
-	switch {
-	case !send:
-	case vm == ch.Self:
-		ch.Handle(vm, 0, req)
-	default:
-		ch.Peers.TellQuota(vm, req)
+	if send {
+		ch.tell(vm, req)
 	}
 }
 
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -17,12 +17,13 @@
 		Settings Settings
 		ID       uint64 // of the process; not zero, and different after each start
 
-		leases     map[string]lease   // by VM
-		buckets    map[string]*bucket // by customer
-		now        clock.Millis       // of the last call
-		pooledTime float64            // pool time: span in ms for which all parts of the fleet would have been held
-		unleasedAt clock.Millis       // last time without any lease
-		fillStart  float64            // pool time from which new buckets fill
+		leases     map[string]lease         // by VM
+		buckets    map[string]*bucket       // by customer
+		servers    map[string]*serverBucket // by server
+		now        clock.Millis             // of the last call
+		pooledTime float64                  // pool time: span in ms for which all parts of the fleet would have been held
+		unleasedAt clock.Millis             // last time without any lease
+		fillStart  float64                  // pool time from which new buckets fill
 	}
 
 	// lease is the lease on the part of one VM, in one of its incarnations.
@@ -37,11 +38,15 @@
 )
 
 // Handle handles a VM's request in a fleet of vms VMs. The limit is the customer's
-// limit as this VM knows it, or nil if it knows none.
+// limit as this VM knows it, or nil if it knows none. A request for a server has the
+// server's own limit.
 func (ke *Keeper) Handle(now clock.Millis, vms int, vm string, incarnation uint64, req Request, lim *Limit) Response {
 	ke.advance(now, vms)
 	ke.applyLease(now, vm, incarnation, req)
 	rsp := Response{KeeperID: ke.ID, Time: now, InDebt: req.Release && ke.inDebt()}
+	if req.Server != "" {
+		return ke.handleServer(now, vms, vm, incarnation, req, rsp)
+	}
 	if req.Customer == "" || lim == nil || !lim.Limited() {
 		return rsp
 	}
@@ -81,7 +86,7 @@
 // advance adds the time for which the parts of VMs were held since the last call.
 func (ke *Keeper) advance(now clock.Millis, vms int) {
 	if ke.leases == nil {
-		ke.leases, ke.buckets = make(map[string]lease), make(map[string]*bucket)
+		ke.leases, ke.buckets, ke.servers = make(map[string]lease), make(map[string]*bucket), make(map[string]*serverBucket)
 		ke.now, ke.unleasedAt = now, now
 	}
 	if now <= ke.now {
@@ -107,6 +112,9 @@
 	for _, bu := range ke.buckets {
 		bu.level, bu.at = min(bu.level, 0), ke.pooledTime
 	}
+	for _, sb := range ke.servers {
+		sb.level, sb.at = min(sb.level, 0), ke.pooledTime
+	}
 }
 
 // applyLease renews or ends the lease on a VM's part. The lease is renewed from the
@@ -185,6 +193,7 @@
 // Evict drops the state of all customers for which wanted returns false, and of VMs
 // whose leases expired longer than evictAfter ago.
 func (ke *Keeper) Evict(wanted func(customer string) bool) {
+	ke.evictServers()
 	for customer := range ke.buckets {
 		if !wanted(customer) {
 			delete(ke.buckets, customer)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -43,6 +43,14 @@
 // or at once if the previous one reported at the end of its lease that it is not
 // in debt. So successive keepers do not each spend it.
 //
+// # Limits of servers
+//
+// A backend server may limit the calls that it takes from the whole fleet. The keepers
+// grant permits for them ([Request.Server]) as they grant customers' tokens, with three
+// differences. Permits have no slack: a VM never takes them from its own part or in
+// advance, and a bucket never goes below empty for a grant. One permit comes from one
+// shard, whichever has room. And the limit is not configured: requests name it.
+//
 // # Usage
 //
 //	st, limit = st.PerShard(), limit.PerShard()
@@ -117,6 +125,10 @@
 		Returned   float64      // tokens that were taken before and not used
 		Release    bool         // the lease ends with this request
 		LendsSlack bool         // the lease includes the VM's part of the slack
+		Server     string       // whose permit is requested or returned, instead of a customer's tokens; empty: none
+		Rate       float64      // calls per second that the shard of the server's limit allows, as the VM knows it
+		Reserve    float64      // permits to be left for calls that go first
+		Spent      float64      // calls without permits that the VM made just before it knew the limit
 	}
 
 	// Response is the keeper's response to a Request.
