relay: calls to servers that limit them need permits

What servers saw: each of four had asked for 3 to 4 requests a second from the whole fleet, and got 9 to 11. Nobody read the limit.

Cause: a bound on the sum over all VMs that nothing in the fleet counts. The header was passed on with the answer; and what one VM hears of a server, the others would have heard with their own next answers, up to 2.3 s later.

Each call that carries a request takes a permit from the keepers of quotas in callWithinBudget. Servers are chosen first: without a permit the next one is tried, no place is reserved and no prompt computed, and where no server has room the request is refused at once as ServersLimited, with the time of room. An unsent call's permit goes back. Calls just before the limit are reported to the keepers.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -101,8 +101,11 @@
 		Customer string
 		Share    float64  // the customer's part of the service's slots in the whole fleet, from 0 to 1
 		Exclude  []string // servers already tried for the request
-		Version  string   // of the server's software; empty: any
-		Sender   string   // under overload, senders with many requests are refused first; empty: unknown
+		// Unavailable are servers that may not be called now. With any, an earlier Pick
+		// chose one of them for the request.
+		Unavailable []string
+		Version     string // of the server's software; empty: any
+		Sender      string // under overload, senders with many requests are refused first; empty: unknown
 		// Objective is the time within which the answer is useful. If it is zero, the
 		// request waits at servers without a limit.
 		Objective clock.Millis
@@ -210,11 +213,11 @@
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.ShareExceeded,
 			RetryAfter: ch.Settings.RetryAfter, Detail: "the share of the service is used up and nothing is left to lend"}
 	}
-	if len(req.Exclude) == 0 && ch.rejectsForQueue(now, svc, req) {
+	if len(req.Exclude) == 0 && len(req.Unavailable) == 0 && ch.rejectsForQueue(now, svc, req) {
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.TargetUnreachable,
 			RetryAfter: ch.Settings.RetryAfter, Detail: "the line before the servers is too long"}
 	}
-	fit := svc.candidates(now, req.Version, req.Exclude)
+	fit := svc.candidates(now, req)
 	if len(fit) == 0 {
 		return "", refusal.Refusal{Ran: refusal.NotRun, Reason: refusal.NoBackend,
 			RetryAfter: ch.BackoffLeft(now, req.Service), Detail: "all servers of the service asked for rest"}
@@ -312,15 +315,15 @@
 	return best
 }
 
-// candidates lists the servers of a version to choose from, without those that are backing
-// off; the empty version stands for any. It prefers untried servers that are neither
+// candidates lists the servers of the request's version to choose from, without those that
+// are backing off or unavailable; the empty version stands for any. It prefers untried servers that are neither
 // ejected nor replaced, then any untried ones, then tried ones that are neither ejected
 // nor replaced, then all.
-func (svc *service) candidates(now clock.Millis, version string, exclude []string) []*server {
+func (svc *service) candidates(now clock.Millis, req Request) []*server {
 	available := filter(svc.servers, func(srv *server) bool {
-		return !srv.isBackingOff(now) && (version == "" || srv.version == version)
+		return !srv.isBackingOff(now) && (req.Version == "" || srv.version == req.Version) && !slices.Contains(req.Unavailable, srv.id)
 	})
-	untried := filter(available, func(srv *server) bool { return !slices.Contains(exclude, srv.id) })
+	untried := filter(available, func(srv *server) bool { return !slices.Contains(req.Exclude, srv.id) })
 	for _, some := range [][]*server{untried, available} {
 		if healthy := filter(some, func(srv *server) bool { return !srv.isEjected(now) && !srv.replaced }); len(healthy) > 0 {
 			return healthy
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"alderdyke/internal/actor"
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/limit"
 	"alderdyke/internal/membership"
 	"alderdyke/internal/origin"
 	"alderdyke/internal/peer"
@@ -62,6 +63,8 @@
 	// OnReport receives what other VMs report about requests that crash servers; nil
 	// drops it.
 	OnReport func(re suspect.Report)
+	// OnLimit receives what another VM heard of a server's limit; nil drops it.
+	OnLimit func(vm string, nt limit.Notice)
 	// OnTopicUpdate receives what another VM read of a topic; nil drops it.
 	OnTopicUpdate func(nw topic.Update)
 
@@ -132,6 +135,8 @@
 		fl.handleFragment(dg.GetTopicPiece())
 	case dg.GetRequestEnd() != nil, dg.GetPartsAnswered() != nil:
 		fl.handleReport(dg)
+	case dg.GetServerLimit() != nil:
+		fl.handleLimit(dg)
 	case dg.GetPlaceAsk() != nil:
 		fl.handlePlacementRequest(dg.GetFrom(), from, dg.GetPlaceAsk())
 	case dg.GetPlaceAnswer() != nil:
@@ -175,6 +180,12 @@
 	}
 }
 
+func (fl *Fleet) handleLimit(dg *peerpb.Datagram) {
+	if nt, ok := limitFromWire(dg.GetServerLimit()); ok && fl.OnLimit != nil {
+		fl.OnLimit(dg.GetFrom(), nt)
+	}
+}
+
 func (fl *Fleet) handleTopicUpdate(nw topic.Update) {
 	if fl.OnTopicUpdate != nil {
 		fl.OnTopicUpdate(nw)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/fleet"
+	"alderdyke/internal/limit"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
@@ -46,6 +47,7 @@
 		fl := &fleet.Fleet{Self: self, Secret: []byte("sixteen bytes or more"), Rand: rand.New(rand.NewPCG(uint64(ix), 2)),
 			OnUsage:       func(vm string, rp usage.Report) { received <- fmt.Sprintf("usage of %s: %d", vm, len(rp.Runs)) },
 			OnTopicUpdate: func(nw topic.Update) { received <- fmt.Sprintf("update of %s: %d", nw.Topic, nw.Next) },
+			OnLimit:       func(vm string, nt limit.Notice) { received <- fmt.Sprintf("limit from %s: %v", vm, nt) },
 			OnReport: func(re suspect.Report) {
 				switch re := re.(type) {
 				case suspect.Crash:
@@ -82,11 +84,13 @@
 		fleets[0].BroadcastReport(suspect.Crash{Marks: suspect.Marks{Request: request}, Server: "s", Answered: true, Concurrent: 7})
 		fleets[0].BroadcastReport(suspect.Crash{Marks: suspect.Marks{Parts: []suspect.Mark{part}}, Server: "s"})
 		fleets[0].BroadcastReport(suspect.Answer{Parts: []suspect.Mark{part}, Age: 12})
+		fleets[0].BroadcastLimit(limit.Notice{Server: limit.Server{ID: "s", Incarnation: 4}, Rate: 3.5, Age: 12})
 		for len(received) > 0 {
 			seen[<-received] = true
 		}
 		return seen["usage of vm-0: 1"] && seen["update of t: 3"] && seen["crash of s: 010200000000 [] true 7"] &&
-			seen["crash of s: 000000000000 [030000000000] false 0"] && seen["answer: [030000000000] 12ms"]
+			seen["crash of s: 000000000000 [030000000000] false 0"] && seen["answer: [030000000000] 12ms"] &&
+			seen["limit from vm-0: {{s 4} 3.5 false 12ms}"]
 	})
 	fleets[1].Leave(ctx)
 	eventually(t, "one VM is leaving", func() bool {
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -13,6 +13,7 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/limit"
 	"alderdyke/internal/membership"
 	"alderdyke/internal/origin"
 	"alderdyke/internal/quota"
@@ -80,6 +81,7 @@
 		OnPlacementRequest func(vm string, ask usage.PlacementRequest) usage.PlacementReply      // chooses engines for a request of another VM
 		OnQuotaRequest     func(vm string, incarnation uint64, ask quota.Request) quota.Response // answers as a keeper of the customers' quotas
 		OnOriginRequest    func(rq origin.Request) origin.Reply                                  // answers at which software version a stream began
+		OnLimit            func(vm string, nt limit.Notice)                                      // receives what other VMs heard of the limits of servers
 		OnReport           func(re suspect.Report)                                               // receives what other VMs report about requests that crash servers
 		OnSchedulersChange func()                                                                // is called when other VMs have become the schedulers
 		OnTopicUpdate      func(nw topic.Update)                                                 // receives what other VMs read of any topic
@@ -215,7 +217,7 @@
 	default:
 		mb.leaveFleet(fl) // another fleet existed before this one
 	}
-	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnReport: mb.OnReport, OnQuotaRequest: mb.OnQuotaRequest, OnOriginRequest: mb.OnOriginRequest, OnViewChange: mb.handleViewChange,
+	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnReport: mb.OnReport, OnLimit: mb.OnLimit, OnQuotaRequest: mb.OnQuotaRequest, OnOriginRequest: mb.OnOriginRequest, OnViewChange: mb.handleViewChange,
 		Settings: membership.Settings{ProbeInterval: probeInterval, ProbeTimeout: probeInterval, ProbeDeadline: probeDeadline},
 		Rand:     mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	fl.Prepare()
@@ -332,6 +334,13 @@
 	}
 }
 
+// BroadcastLimit sends the other VMs what this VM heard of a server's limit.
+func (mb *Member) BroadcastLimit(nt limit.Notice) {
+	if fl := mb.currentFleet(); fl != nil {
+		fl.BroadcastLimit(nt)
+	}
+}
+
 // Secret returns the secret that the VMs of the fleet share; empty before it is known.
 func (mb *Member) Secret() []byte {
 	mb.mu.Lock()
--- a/internal/fleet/quota.go
+++ b/internal/fleet/quota.go
@@ -152,14 +152,16 @@
 func quotaRequestToWire(number uint64, ask quota.Request) *peerpb.Datagram {
 	return &peerpb.Datagram{Body: &peerpb.Datagram_QuotaAsk{QuotaAsk: &peerpb.QuotaAsk{
 		Number: number, Shard: uint32(ask.Shard), Serial: ask.Sequence, Keeper: ask.KeeperID, Heard: uint64(max(0, ask.KeeperTime)),
-		Customer: ask.Customer, Need: ask.Need, Ahead: ask.Credit, Back: ask.Returned, Release: ask.Release, Slack: ask.LendsSlack}}}
+		Customer: ask.Customer, Need: ask.Need, Ahead: ask.Credit, Back: ask.Returned, Release: ask.Release, Slack: ask.LendsSlack,
+		Server: ask.Server, Rate: ask.Rate, Reserve: ask.Reserve, Spent: ask.Spent}}}
 }
 
 // quotaRequestFromWire decodes a request. Invalid numbers of tokens become 0.
 func quotaRequestFromWire(qa *peerpb.QuotaAsk) quota.Request {
 	return quota.Request{Shard: int(qa.GetShard()), Sequence: qa.GetSerial(), KeeperID: qa.GetKeeper(), KeeperTime: clock.Millis(qa.GetHeard()), Customer: qa.GetCustomer(),
 		Need: nonNegative(qa.GetNeed()), Credit: nonNegative(qa.GetAhead()), Returned: nonNegative(qa.GetBack()),
-		Release: qa.GetRelease(), LendsSlack: qa.GetSlack()}
+		Release: qa.GetRelease(), LendsSlack: qa.GetSlack(),
+		Server: qa.GetServer(), Rate: nonNegative(qa.GetRate()), Reserve: nonNegative(qa.GetReserve()), Spent: nonNegative(qa.GetSpent())}
 }
 
 func quotaResponseToWire(number uint64, ans quota.Response) *peerpb.Datagram {
--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -65,7 +65,8 @@
 // A request and its response are unchanged by encoding and decoding, and a request for an
 // invalid shard is not processed.
 func TestQuotaOnTheWire(t *testing.T) {
-	ask := quota.Request{Shard: 1, Sequence: 7, KeeperID: 8, KeeperTime: 9, Customer: "c", Need: 10, Credit: 11, Returned: 12, Release: true, LendsSlack: true}
+	ask := quota.Request{Shard: 1, Sequence: 7, KeeperID: 8, KeeperTime: 9, Customer: "c", Need: 10, Credit: 11, Returned: 12, Release: true, LendsSlack: true,
+		Server: "s", Rate: 3.5, Reserve: 0.25, Spent: 13}
 	assert.Equal(t, quotaRequestFromWire(quotaRequestToWire(3, ask).GetQuotaAsk()), ask)
 	ans := quota.Response{KeeperID: 1, Time: 2, Known: true, Granted: true, Credit: 3, Wait: 4, InDebt: true}
 	assert.Equal(t, quotaResponseFromWire(quotaResponseToWire(3, ans).GetQuotaAnswer()), ans)
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/limit"
 	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/topic"
@@ -143,3 +145,23 @@
 	ans := usage.PlacementReply{Informed: true, Engines: []string{"e3", "e4"}, RequestsAhead: 3, Shortage: true, Prefill: "f1", QueuedTokens: 5200, Doubtful: true}
 	assert.DeepEqual(t, placementReplyFromWire(placementReplyToWire(7, ans)), ans)
 }
+
+// A notice is unchanged by encoding and decoding, and one that can't be right is dropped.
+func TestLimitOnTheWire(t *testing.T) {
+	for _, tc := range []struct {
+		nt limit.Notice
+		ok bool
+	}{
+		{limit.Notice{Server: limit.Server{ID: "s", Incarnation: 1 << 40}, Rate: 0.4, Age: 1500}, true},
+		{limit.Notice{Server: limit.Server{ID: "s"}, Ended: true}, true},
+		{limit.Notice{Rate: 1}, false},
+		{limit.Notice{Server: limit.Server{ID: "s"}, Rate: -1}, false},
+		{limit.Notice{Server: limit.Server{ID: "s"}, Rate: math.Inf(1)}, false},
+	} {
+		got, ok := limitFromWire(limitToWire(tc.nt))
+		assert.Equal(t, got, tc.nt)
+		assert.Equal(t, ok, tc.ok, "%v", tc.nt)
+	}
+	_, ok := limitFromWire(&peerpb.ServerLimit{Server: "s", Rate: math.NaN()})
+	assert.Assert(t, !ok)
+}
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -129,7 +129,7 @@
 // none: a report of what one VM uses or has read, which is the same for every receiver.
 func isBroadcast(dg *peerpb.Datagram) bool {
 	switch dg.GetBody().(type) {
-	case *peerpb.Datagram_Usage, *peerpb.Datagram_TopicNews, *peerpb.Datagram_TopicPiece, *peerpb.Datagram_RequestEnd, *peerpb.Datagram_PartsAnswered:
+	case *peerpb.Datagram_Usage, *peerpb.Datagram_TopicNews, *peerpb.Datagram_TopicPiece, *peerpb.Datagram_RequestEnd, *peerpb.Datagram_PartsAnswered, *peerpb.Datagram_ServerLimit:
 		return dg.GetTo() == ""
 	default:
 		return false
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -98,6 +98,7 @@
 		failures      int
 		failedUntil   clock.Millis
 		backoffUntil  clock.Millis // requested by the engine; zero: not requested
+		limitedUntil  clock.Millis // when its limit of calls has room again
 		prefillPace   pace         // of prompts
 	}
 )
@@ -225,12 +226,12 @@
 	return out
 }
 
-// available lists the engines of a role and a version that accept new work; the empty
+// available lists the engines of a role and a version that accept new calls; the empty
 // version stands for any.
 func (po *Pool) available(now clock.Millis, role board.Role, version string) []*engine {
 	var out []*engine
 	for _, en := range po.engines {
-		if en.acceptsWork(now) && en.server.Role == role && (version == "" || en.server.Version == version) {
+		if en.acceptsWork(now) && now >= en.limitedUntil && en.server.Role == role && (version == "" || en.server.Version == version) {
 			out = append(out, en)
 		}
 	}
@@ -318,6 +319,32 @@
 	return first
 }
 
+// Limit records that an engine's limit of calls has no room until a span has passed. Work
+// that is permitted already is still accepted.
+func (po *Pool) Limit(now clock.Millis, id string, span clock.Millis) {
+	if en := po.engines[id]; en != nil {
+		en.limitedUntil = now + span
+	}
+}
+
+// LimitLeft returns the time until the first decode engine of a version may be called
+// again, and that engine; the empty version stands for any. The time is zero if some
+// engine may be called, or if there is none.
+func (po *Pool) LimitLeft(now clock.Millis, version string) (id string, left clock.Millis) {
+	for _, en := range po.engines {
+		if !en.acceptsWork(now) || en.server.Role != board.Decode || version != "" && en.server.Version != version {
+			continue
+		}
+		if now >= en.limitedUntil {
+			return "", 0
+		}
+		if span := en.limitedUntil - now; left == 0 || span < left {
+			id, left = en.server.ID, span
+		}
+	}
+	return id, left
+}
+
 // MarkFull records that an engine declined a reservation of the given number of
 // tokens for lack of memory. For a while only smaller reservations are tried there.
 func (po *Pool) MarkFull(now clock.Millis, id string, tokens int) {
@@ -332,11 +359,12 @@
 }
 
 // Unavailable lists, sorted by ID, the engines that recently declined or failed
-// this VM, are backing off, or contradicted their entries.
+// this VM, may not be called for their limits, are backing off, or contradicted their
+// entries.
 func (po *Pool) Unavailable(now clock.Millis) []string {
 	var out []string
 	for id, en := range po.engines {
-		if now < en.fullUntil || now < en.failedUntil || en.isBackingOff(now) || en.server == en.rejectedEntry {
+		if now < en.fullUntil || now < en.failedUntil || now < en.limitedUntil || en.isBackingOff(now) || en.server == en.rejectedEntry {
 			out = append(out, id)
 		}
 	}
--- a/internal/pool/prefill.go
+++ b/internal/pool/prefill.go
@@ -106,7 +106,7 @@
 // not fail recently.
 func (po *Pool) CanPrefill(now clock.Millis, id string) bool {
 	en := po.engines[id]
-	return en != nil && en.acceptsWork(now) && en.server.Role == board.Prefill && now >= en.failedUntil
+	return en != nil && en.acceptsWork(now) && now >= en.limitedUntil && en.server.Role == board.Prefill && now >= en.failedUntil
 }
 
 // prefillTime returns how long an engine takes for prompts with the given number
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -58,7 +58,8 @@
 }
 
 // callWithinBudget makes a call that carries the request to a server, if the request is
-// not known to crash servers, and its arrival is free or the budget pays for it. Every
+// not known to crash servers, a server that limits its calls permits it, and its arrival
+// is free or the budget pays for it. Every
 // call to a further server must go through here, otherwise the servers would get more
 // retries during a failure than the budget allows. The fields are for the call's log
 // line.
@@ -66,12 +67,17 @@
 	if err := rl.checkPoison(ctx, ex); err != nil {
 		return nil, backend.NotSentError{Server: server, Call: call, Err: err}
 	}
+	if err := rl.claimPermit(ctx, ex, call, server); err != nil {
+		return nil, backend.NotSentError{Server: server, Call: call, Err: err}
+	}
 	price, ok := rl.payForCall(ex, call)
 	if !ok {
 		return nil, backend.NotSentError{Server: server, Call: call, Err: errBudget}
 	}
 	began := rl.now()
+	rl.limits.CountCall(began, server)
 	err := do()
+	permit := rl.usePermit(ex, server, err)
 	rl.observePath(ex, server, began, err)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
@@ -80,7 +86,7 @@
 	if refund < price || price == 0 && !notSent(err) {
 		rl.count("Arrivals", map[string]string{"Service": ex.svc.Name, "Call": call, "Way": arrivalTag(price)})
 	}
-	return []event.Field{event.F("Arrivals", ex.arrivals.counted), event.F("Paid", price-refund)}, err
+	return append(permit, event.F("Arrivals", ex.arrivals.counted), event.F("Paid", price-refund)), err
 }
 
 // isWithheld reports whether this VM did not make a call for a reason that lies in the
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -86,6 +86,9 @@
 			continue
 		}
 		rl.leavePlace(pl)
+		if isLimited(err) && number < maxDeclinedAttempts {
+			continue
+		}
 		if err := rl.awaitRetry(ctx, ex, number, generationRetryCost, err, minGenerationRetryTime); err != nil {
 			return err
 		}
@@ -258,6 +261,10 @@
 		if !ok {
 			return Handle{}
 		}
+		if _, ok := rl.ensurePermit(ctx, ex, pf.Server.ID, ex.reserve()); !ok && ctx.Err() == nil {
+			rl.removePrompt(pf.Server.ID, ex.req.Prompt.Tokens)
+			continue
+		}
 		hd, err := rl.prefillAt(ctx, ex, pf)
 		if err == nil {
 			return hd
@@ -269,6 +276,14 @@
 	}
 }
 
+// removePrompt stops counting a prompt at an engine that does not compute it.
+func (rl *Relay) removePrompt(engine string, tokens int) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.ledger.AddPrompt(engine, -tokens)
+	rl.notifyUsageChanged()
+}
+
 // choosePrefill chooses the engine that computes a prompt and counts the prompt
 // there. It returns false if the decode engine is to compute it.
 func (rl *Relay) choosePrefill(ex *exchange, pl place) (pool.Prefill, bool) {
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -4,24 +4,55 @@
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
 	"alderdyke/internal/limit"
+	"alderdyke/pkg/clock"
 )
 
-// observeLimit records what an answer says of its server's limit.
+func limitedServer(bs board.BackendServer) limit.Server {
+	return limit.Server{ID: bs.ID, Incarnation: bs.Incarnation}
+}
+
+// observeLimit records what an answer says of its server's limit, and tells the other
+// VMs if they may not know it.
 func (rl *Relay) observeLimit(st Statement) {
 	if st.LimitError != nil {
 		rl.Log.Log(event.ServerLimitUnreadable, event.F("Server", st.Server.ID), event.F("Error", st.LimitError.Error()))
 		return
 	}
-	_, ch := rl.limits.Observe(rl.now(), st.SentAt, limitedServer(st.Server), st.Limit)
-	rl.logLimit(ch, "")
+	now := rl.now()
+	nt, ch := rl.limits.Observe(now, st.SentAt, limitedServer(st.Server), st.Limit)
+	if nt != nil && rl.SendLimit != nil {
+		rl.SendLimit(*nt)
+	}
+	rl.applyLimit(now, ch, "")
+}
+
+// ReceiveLimit records what another VM heard of a server's limit.
+func (rl *Relay) ReceiveLimit(vm string, nt limit.Notice) {
+	now := rl.now()
+	rl.applyLimit(now, rl.limits.Receive(now, nt), vm)
 }
 
-// logLimit logs a change of a server's limit that another VM was told of, or this one if
-// by is empty.
-func (rl *Relay) logLimit(ch *limit.Change, by string) {
+// applyLimit logs a change of a server's limit, by the VM that heard of it, and reports
+// the calls that were made before a limit was known. Nil changes nothing.
+func (rl *Relay) applyLimit(now clock.Millis, ch *limit.Change, by string) {
 	if ch == nil {
 		return
 	}
+	rl.logLimit(*ch, by)
+	if rate, ok := rl.limits.Rate(now, ch.Server.ID); ok && !ch.Known && rl.Permits != nil {
+		rl.Permits.ReportCalls(ch.Server.ID, rate, rl.limits.RecentCalls(now, ch.Server.ID))
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.initialize()
+	if bs, listed := rl.Backends().Server(ch.Server.ID); listed && bs.Role != board.Plain {
+		rl.poolOf(bs.Service).Limit(now, bs.ID, 0) // a denial under the earlier limit no longer counts
+		rl.wakeWaiters()
+	}
+}
+
+// logLimit logs a change of a server's limit.
+func (rl *Relay) logLimit(ch limit.Change, by string) {
 	rl.count("ServerLimits", nil)
 	fields := []event.Field{event.F("Server", ch.Server.ID), event.F("Ended", ch.Ended), event.F("By", by), event.F("Age", ch.Age.String())}
 	if !ch.Ended {
@@ -33,6 +64,20 @@
 	rl.Log.Log(event.ServerLimitChanged, fields...)
 }
 
-func limitedServer(bs board.BackendServer) limit.Server {
-	return limit.Server{ID: bs.ID, Incarnation: bs.Incarnation}
+// ServerLimit returns the calls per second that a server takes from all VMs together, or
+// false if it has no limit.
+func (rl *Relay) ServerLimit(server string) (float64, bool) { return rl.limits.Rate(rl.now(), server) }
+
+// HasServerLimits reports whether any server limits its calls. It is called regularly,
+// and drops limits that no longer hold.
+func (rl *Relay) HasServerLimits() bool {
+	bk := rl.Backends()
+	lapsed, active := rl.limits.Lapse(rl.now(), func(server limit.Server) bool {
+		bs, listed := bk.Server(server.ID)
+		return listed && limitedServer(bs) == server
+	})
+	for _, ch := range lapsed {
+		rl.logLimit(ch, "")
+	}
+	return active
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -75,9 +75,16 @@
 func (rl *Relay) moveAway(ctx context.Context, rn *run, from place, stayUntil clock.Millis) movedRun {
 	mv := movedRun{err: errNoTarget}
 	for _, to := range rl.moveTargets(from) {
+		if _, ok := rl.ensurePermit(ctx, rn.ex, to.ID, reserveBound); !ok {
+			continue
+		}
 		mv = rl.moveTo(ctx, rn, from.server, to, stayUntil)
+		if mv.err == nil && mv.target.ID == to.ID {
+			break
+		}
+		rl.returnPermit(rn.ex, to.ID)
 		if _, why := backend.OutcomeOf(mv.err); mv.stopped || !backend.NotRun(mv.err) || why == backend.Unknown {
-			break // it was moved, may have been stopped, or has ended
+			break // it continues where it was, may have been stopped, or has ended
 		}
 	}
 	return mv
--- /dev/null
+++ b/internal/relay/permit.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/balance"
+	"alderdyke/internal/board"
+	"alderdyke/internal/charge"
+	"alderdyke/internal/event"
+	"alderdyke/internal/pool"
+	"alderdyke/pkg/clock"
+	"alderdyke/pkg/refusal"
+)
+
+const (
+	// What a call leaves of a server's permits for calls that go first.
+	reserveBound  = 0.0  // for none: the call can't be sent elsewhere
+	reserveFirst  = 0.25 // for bound calls
+	reserveRepeat = 0.5  // for the first calls of other requests too
+	// maxPermitWait is how long a run that was stopped waits for its permit.
+	maxPermitWait = 1500 * clock.Millis(1)
+	// limitedSpread is the span over which the returns of callers are spread that were
+	// refused for the limits of servers.
+	limitedSpread = clock.Second
+)
+
+// Permits grants calls to servers that limit them, for the whole fleet.
+type Permits interface {
+	// TakePermit takes a permit for one call, or returns the time until there is room.
+	TakePermit(ctx context.Context, or charge.PermitOrder) (pm charge.Permit, wait clock.Millis, ok bool)
+	// ReturnPermit returns a permit that was not used.
+	ReturnPermit(pm charge.Permit)
+	// ReportCalls reports the calls that this VM made to a server just before it knew
+	// the server's limit.
+	ReportCalls(server string, rate float64, calls int)
+}
+
+// ensurePermit takes a permit for a call of the request to a server that limits its
+// calls, unless the request holds one. Without a permit it returns the time until there
+// is room, and an engine counts as unavailable until then.
+func (rl *Relay) ensurePermit(ctx context.Context, ex *exchange, server string, reserve float64) (wait clock.Millis, ok bool) {
+	rate, limited := rl.limits.Rate(rl.now(), server)
+	if !limited || rl.Permits == nil {
+		return 0, true
+	}
+	rl.mu.Lock()
+	_, held := ex.permits[server]
+	rl.mu.Unlock()
+	if held {
+		return 0, true
+	}
+	pm, wait, ok := rl.Permits.TakePermit(ctx, charge.PermitOrder{Server: server, Rate: rate, Reserve: reserve})
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := rl.now()
+	if !ok {
+		rl.limits.Deny(now, server)
+		if bs, listed := rl.Backends().Server(server); listed && bs.Role != board.Plain {
+			rl.poolOf(bs.Service).Limit(now, server, wait)
+		}
+		return wait, false
+	}
+	if ex.permits == nil {
+		ex.permits = make(map[string]charge.Permit)
+	}
+	ex.permits[server] = pm
+	return 0, true
+}
+
+// reserve returns what a call of the request leaves of a server's permits.
+func (ex *exchange) reserve() float64 {
+	if ex.possibleRuns > 0 || len(ex.tried) > 0 {
+		return reserveRepeat
+	}
+	return reserveFirst
+}
+
+// claimPermit makes sure that the request holds a permit for a call that is about to be
+// sent, if one is needed. Only a run that was stopped waits for it.
+func (rl *Relay) claimPermit(ctx context.Context, ex *exchange, call, server string) error {
+	if call != callMoved {
+		if wait, ok := rl.ensurePermit(ctx, ex, server, ex.reserve()); !ok {
+			return rl.limitedRefusal(server, wait)
+		}
+		return nil
+	}
+	for until := rl.now() + maxPermitWait; ; {
+		wait, ok := rl.ensurePermit(ctx, ex, server, reserveBound)
+		switch {
+		case ok:
+			return nil
+		case rl.now()+wait > until, !clock.Sleep(ctx, max(1, wait)):
+			return rl.limitedRefusal(server, wait)
+		}
+	}
+}
+
+// usePermit takes the permit of a call that was made, and returns it if nothing reached
+// the server. The field is for the call's log line; nil: it needed no permit.
+func (rl *Relay) usePermit(ex *exchange, server string, err error) []event.Field {
+	rl.mu.Lock()
+	pm, held := ex.permits[server]
+	delete(ex.permits, server)
+	rl.mu.Unlock()
+	if !held {
+		return nil
+	}
+	if notSent(err) {
+		rl.Permits.ReturnPermit(pm)
+	}
+	return []event.Field{event.F("Permit", pm.Keeper)}
+}
+
+// returnPermit returns the request's permit for a server, if it holds one.
+func (rl *Relay) returnPermit(ex *exchange, server string) {
+	rl.usePermit(ex, server, backend.NotSentError{Server: server})
+}
+
+// returnPermits returns all permits that the request still holds.
+func (rl *Relay) returnPermits(ex *exchange) {
+	rl.mu.Lock()
+	left := ex.permits
+	ex.permits = nil
+	rl.mu.Unlock()
+	for _, pm := range left {
+		rl.Permits.ReturnPermit(pm)
+	}
+}
+
+// isLimited reports whether a call was not made because its server's limit became known
+// after the server was chosen.
+func isLimited(err error) bool {
+	rf, ok := errors.AsType[refusal.Refusal](err)
+	return ok && rf.Reason == refusal.ServersLimited
+}
+
+// limitedRefusal refuses a request because of a server's limit, until there is room.
+func (rl *Relay) limitedRefusal(server string, wait clock.Millis) refusal.Refusal {
+	now := rl.now()
+	rate, _ := rl.limits.Rate(now, server)
+	rl.mu.Lock()
+	after := wait + clock.Millis(rl.Rand.Int64N(int64(limitedSpread)))
+	rl.mu.Unlock()
+	return refuse(refusal.ServersLimited, max(after, rl.Settings.PlainRetryAfter),
+		fmt.Sprintf("server %s takes %.3g calls per second from all VMs, as it said %v ago", server, rate, rl.limits.Age(now, server)))
+}
+
+// pickPermitted chooses a server for which the request holds a permit, or which needs
+// none, and counts the request there.
+func (rl *Relay) pickPermitted(ctx context.Context, ex *exchange) (board.BackendServer, error) {
+	var denied []string
+	var next string // server that has room first
+	var first clock.Millis
+	for {
+		bs, err := rl.pick(ex, denied)
+		if err != nil && len(denied) > 0 {
+			return bs, rl.limitedRefusal(next, first)
+		}
+		if err != nil {
+			return bs, err
+		}
+		wait, ok := rl.ensurePermit(ctx, ex, bs.ID, ex.reserve())
+		if ok {
+			return bs, nil
+		}
+		rl.mu.Lock()
+		rl.chooser.Done(rl.now(), bs.ID, balance.Outcome{Result: balance.Cancelled})
+		rl.mu.Unlock()
+		if len(denied) == 0 || wait < first {
+			next, first = bs.ID, wait
+		}
+		denied = append(denied, bs.ID)
+	}
+}
+
+// refuseIfAllLimited refuses a request immediately if no decode engine may be called
+// until after the request could stop waiting for a place.
+func (rl *Relay) refuseIfAllLimited(ctx context.Context, ex *exchange, po *pool.Pool, until clock.Millis) error {
+	rl.mu.Lock()
+	now := rl.now()
+	server, left := po.LimitLeft(now, ex.version)
+	rl.mu.Unlock()
+	if left == 0 || now+left <= until {
+		return nil
+	}
+	return rl.finalRefusal(ctx, ex, rl.limitedRefusal(server, left))
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -97,6 +97,9 @@
 		if err := rl.refuseIfAllBackOff(ctx, ex, po, until); err != nil {
 			return place{}, err
 		}
+		if err := rl.refuseIfAllLimited(ctx, ex, po, until); err != nil {
+			return place{}, err
+		}
 		if rl.isPartitioned(ex.svc.Name) {
 			return place{}, rl.refuseNoPlace(ctx, ex)
 		}
@@ -203,6 +206,9 @@
 		if ctx.Err() != nil || rl.now() >= until {
 			return tr
 		}
+		if _, ok := rl.ensurePermit(ctx, ex, bs.ID, ex.reserve()); !ok {
+			continue
+		}
 		tr.asked++
 		if pl, ok := rl.reserveAt(ctx, ex, bs, ch.need); ok {
 			pl.chosenBy = ch.chosenBy
@@ -212,6 +218,7 @@
 			tr.place = pl
 			return tr
 		}
+		rl.returnPermit(ex, bs.ID)
 	}
 	return tr
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -54,7 +54,7 @@
 		if err := rl.checkPoison(ctx, ex); err != nil {
 			return err
 		}
-		bs, err := rl.pick(ex)
+		bs, err := rl.pickPermitted(ctx, ex)
 		if err != nil {
 			return rl.finalRefusal(ctx, ex, err)
 		}
@@ -64,6 +64,9 @@
 			return rl.sendPlainAnswer(ctx, wr, ex, at)
 		}
 		at.close()
+		if isLimited(at.err) && number < maxDeclinedAttempts {
+			continue
+		}
 		if at.err != nil {
 			if err := rl.awaitRetry(ctx, ex, number, plainRetryCost, at.err, minPlainRetryTime); err != nil {
 				return err
@@ -88,14 +91,15 @@
 	return nil
 }
 
-// pick chooses a backend server and counts the request there.
-func (rl *Relay) pick(ex *exchange) (board.BackendServer, error) {
+// pick chooses a backend server, which is none of those that denied a permit, and counts
+// the request there.
+func (rl *Relay) pick(ex *exchange, denied []string) (board.BackendServer, error) {
 	if !rl.hasPlainServer(ex) {
 		return board.BackendServer{}, rl.versionGone(ex)
 	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	id, err := rl.chooser.Pick(rl.now(), balance.Request{Service: ex.svc.Name, Share: 1, Exclude: ex.tried, Version: ex.version,
+	id, err := rl.chooser.Pick(rl.now(), balance.Request{Service: ex.svc.Name, Share: 1, Exclude: ex.tried, Unavailable: denied, Version: ex.version,
 		Sender: ex.configuredCustomer(), Objective: ex.rt.Objective})
 	if err != nil {
 		if rf, ok := errors.AsType[refusal.Refusal](err); ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -189,6 +189,12 @@
 		// a version, and reports whether there is one; nil: there is none. It is
 		// called for callers with unknown keys, of which there may be many.
 		AwaitNewerConfig func(ctx context.Context, version uint64) bool
+		// Permits grants calls to servers that limit them; nil: limits of servers are not
+		// kept.
+		Permits Permits
+		// SendLimit sends the other VMs what this one heard of a server's limit; nil
+		// sends nothing.
+		SendLimit func(nt limit.Notice)
 		// SendReport sends the other VMs what this one reports about requests that
 		// crash servers; nil sends nothing.
 		SendReport func(re suspect.Report)
@@ -247,6 +253,7 @@
 		notReached      int                           // calls for which no connection was established
 		pathLost        bool                          // the last call reached no server
 		forwarded       bool                          // another VM took the request
+		permits         map[string]charge.Permit      // by server; not used yet; guarded by the relay's lock
 		prompt          computedPrompt                // kept by an engine for the next decode
 		tried           []string                      // backend servers that were tried
 		marks           atomic.Pointer[suspect.Marks] // nil until first used
@@ -316,6 +323,10 @@
 	bk := rl.Backends().WithServers(list)
 	rl.backends.Store(bk)
 	rl.versions = rl.versions.WithServers(now, list)
+	rl.limits.Retain(func(id string) bool {
+		_, listed := bk.Server(id)
+		return listed
+	})
 	// The chooser uses the fleet size only to divide shares of customers, and there
 	// are none here.
 	rl.chooser.Update(now, bk, 1)
@@ -348,6 +359,7 @@
 	if err == nil {
 		err = rl.serve(ctx, wr, ex)
 		rl.refundArrivals(ex)
+		rl.returnPermits(ex)
 	}
 	rl.recordEnd(ex, err)
 	return err
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -45,6 +45,7 @@
 	VersionUnknown     Reason = "VersionUnknown"     // the software version that began the stream is not known
 	VersionGone        Reason = "VersionGone"        // no server of the software version that began the stream is left
 	ServersUnreachable Reason = "ServersUnreachable" // this VM has no path to the backend servers
+	ServersLimited     Reason = "ServersLimited"     // the servers take no more calls per second from all VMs together
 	DeadlinePassed     Reason = "DeadlinePassed"     // the request's own deadline passed
 	Draining           Reason = "Draining"           // this VM is leaving
 	Starting           Reason = "Starting"           // this VM has not received the configuration yet
