--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -113,6 +113,8 @@
 	en := tr.limits[server.ID]
 	active := en != nil && en.server == server && en.holds(now)
 	switch {
+	case en != nil && server.Incarnation < en.server.Incarnation:
+		return nil, nil // a late answer of an earlier run
 	case !wd.Named && !(active && wd.Final && sentAt > en.at):
 		return nil, nil // an answer to an earlier call may be older than the limit
 	case wd.Named && active && en.rate == wd.Rate:
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"math"
 	"testing"
 
@@ -17,6 +18,7 @@
 func TestTracker(t *testing.T) {
 	final := Word{Final: true}
 	type step struct {
+		run        uint64 // of the server that answers; zero: the usual one
 		at, sentAt clock.Millis
 		word       Word
 		notice     *Notice // instead of the word
@@ -70,6 +72,8 @@
 			{at: 1000, sentAt: 990, word: named(4), tells: true, changes: true, rate: 4},
 			{at: 1100, notice: &Notice{Server: Server{ID: "s", Incarnation: 2}, Rate: 1}, rate: 4},
 			{at: 1200, notice: &Notice{Server: Server{ID: "s", Incarnation: 4}, Rate: 1}, changes: true, rate: 1},
+			{at: 1300, sentAt: 1290, word: named(4), rate: 1},
+			{at: 1400, run: 5, sentAt: 1390, word: named(6), tells: true, changes: true, rate: 6},
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -80,7 +84,7 @@
 				if sp.notice != nil {
 					ch = tr.Receive(sp.at, *sp.notice)
 				} else {
-					nt, ch = tr.Observe(sp.at, sp.sentAt, server, sp.word)
+					nt, ch = tr.Observe(sp.at, sp.sentAt, Server{ID: server.ID, Incarnation: cmp.Or(sp.run, server.Incarnation)}, sp.word)
 				}
 				assert.Equal(t, nt != nil, sp.tells, "step %d", ix)
 				assert.Equal(t, ch != nil, sp.changes, "step %d", ix)
