relay: urgent calls to a limited server go first

Where servers have no room for all calls, they were granted in the order in which they came. A call now leaves a reserve of permits by its priority, so that urgent calls are granted first and second attempts last, as it is for places of engines. A VM without calls before a limit does not look for reports at each exchange with a keeper.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -316,9 +316,9 @@
 }
 
 // candidates lists the servers of the request's version to choose from, without those that
-// are backing off or unavailable; the empty version stands for any. It prefers untried servers that are neither
-// ejected nor replaced, then any untried ones, then tried ones that are neither ejected
-// nor replaced, then all.
+// are backing off or unavailable; the empty version stands for any. It prefers untried
+// servers that are neither ejected nor replaced, then any untried ones, then tried ones
+// that are neither ejected nor replaced, then all.
 func (svc *service) candidates(now clock.Millis, req Request) []*server {
 	available := filter(svc.servers, func(srv *server) bool {
 		return !srv.isBackingOff(now) && (req.Version == "" || srv.version == req.Version) && !slices.Contains(req.Unavailable, srv.id)
--- a/internal/charge/permit.go
+++ b/internal/charge/permit.go
@@ -132,6 +132,9 @@
 // tellSpent reports the calls that were made without permits to the holder of the lease
 // on a shard, if it does not know them. A new keeper does not.
 func (ch *Charger) tellSpent(sh *shard) {
+	if !ch.hasSpent() {
+		return
+	}
 	vms := ch.Peers.VMs()
 	ch.mu.Lock()
 	now := ch.now()
@@ -152,6 +155,12 @@
 	}
 }
 
+func (ch *Charger) hasSpent() bool {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return len(ch.spent) > 0
+}
+
 // tell sends a request that needs no response to a keeper, which may be this VM.
 func (ch *Charger) tell(vm string, req quota.Request) {
 	if vm == ch.Self {
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	// What a call leaves of a server's permits for calls that go first.
-	reserveBound  = 0.0  // for none: the call can't be sent elsewhere
-	reserveFirst  = 0.25 // for bound calls
-	reserveRepeat = 0.5  // for the first calls of other requests too
+	// What a call leaves of a server's permits for calls that go first: nothing if it can't
+	// be sent elsewhere, more for each step of priority, most at further attempts.
+	reserveBound     = 0.0
+	reserveFirst     = 0.25
+	reservePriority  = 0.08
+	reserveRepeat    = 0.32
+	maxPrioritySteps = 3
 	// maxPermitWait is how long a run that was stopped waits for its permit.
 	maxPermitWait = 1500 * clock.Millis(1)
 	// limitedSpread is the span over which the returns of callers are spread that were
@@ -72,10 +75,11 @@
 
 // reserve returns what a call of the request leaves of a server's permits.
 func (ex *exchange) reserve() float64 {
+	out := reserveFirst + reservePriority*float64(min(max(0, ex.priority), maxPrioritySteps))
 	if ex.possibleRuns > 0 || len(ex.tried) > 0 {
-		return reserveRepeat
+		out += reserveRepeat
 	}
-	return reserveFirst
+	return out
 }
 
 // claimPermit makes sure that the request holds a permit for a call that is about to be
--- a/internal/relay/permit_test.go
+++ b/internal/relay/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 	"alderdyke/internal/charge"
 	"alderdyke/internal/limit"
 	"alderdyke/internal/relay"
+	"alderdyke/internal/route"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
@@ -134,6 +136,28 @@
 	})
 }
 
+// Requests of a higher priority leave fewer permits to others.
+func TestPermitsByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, _, pe := newLimitedRig(t, map[string]int{"p1": 5, "p2": 5})
+		one := []route.Share{{Service: "plain", Weight: 1}}
+		var routes []route.Route
+		for priority := range 5 {
+			name := fmt.Sprint("p", priority)
+			routes = append(routes, route.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: route.Once, Shares: one, Timeout: clock.Second, MaxAttempts: 1, Priority: priority})
+		}
+		tb, err := route.New(5, routes, []route.Service{{Name: "plain"}})
+		assert.NilError(t, err)
+		assert.Assert(t, rl.Configure(tb))
+		for priority := range 5 {
+			_, err := serve(t.Context(), rl, fmt.Sprint("p", priority))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, len(pe.reserves), 5)
+		assert.Assert(t, slices.IsSorted(pe.reserves) && pe.reserves[0] < pe.reserves[3], "%v", pe.reserves)
+	})
+}
+
 // No place is reserved at an engine that may not be called, and no prompt is computed
 // where that is not permitted.
 func TestLimitedEngines(t *testing.T) {
--- a/internal/relay/statement.go
+++ b/internal/relay/statement.go
@@ -3,7 +3,6 @@
 import (
 	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
-	"alderdyke/internal/event"
 	"alderdyke/internal/limit"
 	"alderdyke/pkg/clock"
 )
@@ -31,19 +30,3 @@
 	}
 	rl.observeLimit(st)
 }
-
-// backOff stops calls to a server for as long as it asked for. A call that it would
-// decline costs the caller an attempt, the fleet a retry, and the server time to recover.
-func (rl *Relay) backOff(bs board.BackendServer, span clock.Millis) {
-	span = min(span, maxBackOff)
-	rl.mu.Lock()
-	rl.initialize()
-	now := rl.now()
-	rl.chooser.BackOff(now, bs.ID, span)
-	if listed, ok := rl.Backends().Server(bs.ID); ok {
-		rl.poolOf(listed.Service).BackOff(now, bs.ID, span)
-	}
-	rl.mu.Unlock()
-	rl.count("Rests", nil)
-	rl.Log.Log(event.ServerAsksForRest, event.F("Server", bs.ID), event.F("For", span.String()))
-}
