--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -142,3 +143,44 @@
 		assert.Equal(t, Term(rate), want, "%v", rate)
 	}
 }
+
+// Answers reach one VM each; the notices that follow keep all VMs informed, and their
+// number does not grow with the fleet.
+func TestNoticesOfAFleet(t *testing.T) {
+	const span = 20 * clock.Second
+	for _, vms := range []int{7, 69, 300} {
+		rnd := rand.New(rand.NewPCG(uint64(vms), 1))
+		fleet := make([]Tracker, vms)
+		notices, uninformed := 0, 0
+		for now := clock.Millis(0); now < span; now += 285 {
+			if nt, _ := fleet[rnd.IntN(vms)].Observe(now, now-10, server, named(3.5)); nt != nil {
+				notices++
+				for ix := range fleet {
+					if rnd.IntN(20) > 0 { // a message may be lost
+						fleet[ix].Receive(now+2, *nt)
+					}
+				}
+			}
+			for ix := range fleet {
+				if _, ok := fleet[ix].Rate(now+3, server.ID); !ok {
+					uninformed++
+				}
+			}
+		}
+		perSecond := float64(notices) / float64(span/clock.Second)
+		t.Logf("%d VMs: %.2f notices a second, a VM did not know the limit %d times of %d", vms, perSecond, uninformed, 71*vms)
+		assert.Check(t, perSecond <= 2.2)
+		assert.Check(t, uninformed*100 <= 71*vms)
+	}
+}
+
+// The cost of a call to a server without a limit.
+func BenchmarkUnlimitedCall(b *testing.B) {
+	tr := &Tracker{}
+	for range b.N {
+		if _, limited := tr.Rate(1000, "s"); limited {
+			b.Fatal("there is no limit")
+		}
+		tr.CountCall(1000, "s")
+	}
+}
