--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -155,11 +155,7 @@
 		for now := clock.Millis(0); now < span; now += 285 {
 			if nt, _ := fleet[rnd.IntN(vms)].Observe(now, now-10, server, named(3.5)); nt != nil {
 				notices++
-				for ix := range fleet {
-					if rnd.IntN(20) > 0 { // a message may be lost
-						fleet[ix].Receive(now+2, *nt)
-					}
-				}
+				tellFleet(rnd, fleet, now, *nt)
 			}
 			for ix := range fleet {
 				if _, ok := fleet[ix].Rate(now+3, server.ID); !ok {
@@ -174,6 +170,15 @@
 	}
 }
 
+// tellFleet passes a notice to all VMs that do not miss it.
+func tellFleet(rnd *rand.Rand, fleet []Tracker, now clock.Millis, nt Notice) {
+	for ix := range fleet {
+		if rnd.IntN(20) > 0 {
+			fleet[ix].Receive(now+2, nt)
+		}
+	}
+}
+
 // The cost of a call to a server without a limit.
 func BenchmarkUnlimitedCall(b *testing.B) {
 	tr := &Tracker{}
