--- a/internal/charge/permit.go
+++ b/internal/charge/permit.go
@@ -35,7 +35,7 @@
 	spentCalls struct {
 		calls, rate float64
 		until       clock.Millis         // when they no longer count
-		told        [quota.Shards]uint64 // keeper process that was told of them, by shard
+		reportedTo  [quota.Shards]uint64 // keeper process that has the report, by shard
 	}
 )
 
@@ -144,8 +144,8 @@
 		switch {
 		case now >= sc.until:
 			delete(ch.spent, server)
-		case process != 0 && sc.told[sh.index] != process:
-			sc.told[sh.index] = process
+		case process != 0 && sc.reportedTo[sh.index] != process:
+			sc.reportedTo[sh.index] = process
 			reports = append(reports, sh.account.SpentReport(now, vms, vm, server, sc.rate, sc.calls))
 		}
 	}
--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -111,7 +111,7 @@
 	ServerTakesBack = register(2326, "ServerTakesBack", Warn,
 		"the entry of a backend server no longer marks it as leaving, although the server did not restart; the change is ignored", "none if the store applies writes late; otherwise check the backend server")
 	ServerLimitChanged = register(2327, "ServerLimitChanged", Info,
-		"a backend server limits the calls that it takes from all VMs together to Limit per second, or no longer does; By is the VM that its answer told, empty for this VM, and Age the time since that answer",
+		"a backend server limits the calls that it takes from all VMs together to Limit per second, or no longer does; By is the VM that received the answer, empty for this VM, and Age the time since then",
 		"none; if it lasts, check the server's load")
 	ServerLimitUnreadable = register(2328, "ServerLimitUnreadable", Warn,
 		"a backend server names a limit of calls that is no number of requests per second; it is ignored", "check the backend server")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,7 +63,7 @@
 	// OnReport receives what other VMs report about requests that crash servers; nil
 	// drops it.
 	OnReport func(re suspect.Report)
-	// OnLimit receives what another VM heard of a server's limit; nil drops it.
+	// OnLimit receives another VM's notice of a server's limit; nil drops it.
 	OnLimit func(vm string, nt limit.Notice)
 	// OnTopicUpdate receives what another VM read of a topic; nil drops it.
 	OnTopicUpdate func(nw topic.Update)
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -81,7 +81,7 @@
 		OnPlacementRequest func(vm string, ask usage.PlacementRequest) usage.PlacementReply      // chooses engines for a request of another VM
 		OnQuotaRequest     func(vm string, incarnation uint64, ask quota.Request) quota.Response // answers as a keeper of the customers' quotas
 		OnOriginRequest    func(rq origin.Request) origin.Reply                                  // answers at which software version a stream began
-		OnLimit            func(vm string, nt limit.Notice)                                      // receives what other VMs heard of the limits of servers
+		OnLimit            func(vm string, nt limit.Notice)                                      // receives other VMs' notices of servers' limits
 		OnReport           func(re suspect.Report)                                               // receives what other VMs report about requests that crash servers
 		OnSchedulersChange func()                                                                // is called when other VMs have become the schedulers
 		OnTopicUpdate      func(nw topic.Update)                                                 // receives what other VMs read of any topic
@@ -334,7 +334,7 @@
 	}
 }
 
-// BroadcastLimit sends the other VMs what this VM heard of a server's limit.
+// BroadcastLimit sends the other VMs a notice of a server's limit.
 func (mb *Member) BroadcastLimit(nt limit.Notice) {
 	if fl := mb.currentFleet(); fl != nil {
 		fl.BroadcastLimit(nt)
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -48,7 +48,7 @@
 // BroadcastReport sends what this VM reports about requests to all VMs alive.
 func (fl *Fleet) BroadcastReport(re suspect.Report) { fl.broadcaster().BroadcastReport(re) }
 
-// BroadcastLimit sends what this VM heard of a server's limit to all VMs alive.
+// BroadcastLimit sends a notice of a server's limit to all VMs alive.
 func (fl *Fleet) BroadcastLimit(nt limit.Notice) {
 	fl.broadcaster().Broadcast(&peerpb.Datagram{Body: &peerpb.Datagram_ServerLimit{ServerLimit: limitToWire(nt)}})
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,15 +1,15 @@
 // Package limit tracks which backend servers limit the calls that they take from all
 // VMs together.
 //
-// A server names its limit in its answers, each of which reaches one VM. The VMs tell
-// each other what they hear: when a limit begins, changes or ends, and at intervals
-// while it is named. A limit ends when an answer to a later call does not name it, or
-// when nothing was heard of it for a while ([Term]).
+// A server names its limit in its answers, each of which reaches one VM. The VMs notify
+// each other when a limit begins, changes or ends, and at intervals while it is named. A
+// limit ends when an answer to a later call does not name it, or when no answer has named
+// it for a while ([Term]).
 //
 // # Usage
 //
 //	tr := &limit.Tracker{}
-//	nt, ch := tr.Observe(now, sentAt, server, limit.Word{Rate: 3.5, Named: true})
+//	nt, ch := tr.Observe(now, sentAt, server, limit.Observation{Rate: 3.5, Named: true})
 //	... // broadcast nt and log ch, unless they are nil
 //	ch := tr.Receive(now, nt) // at the other VMs
 //	if rate, ok := tr.Rate(now, server); ok { ... } // calls need permits
@@ -27,12 +27,15 @@
 const (
 	// MaxRate is the lowest rate, in calls per second, that counts as no limit.
 	MaxRate = 100000
+	// MinRate is the rate, in calls per second, at which a server with a lower limit is
+	// called, so that it can name another one.
+	MinRate = 0.2
 	// minTerm is how long a limit holds after it was last named.
 	minTerm = 2 * clock.Second
 	// termCalls is how many calls a limit lets pass, at least, until it lapses: a server
 	// that gets no calls can't repeat its limit.
 	termCalls = 2
-	// repeatInterval is how often the other VMs are told of a limit that is still named.
+	// repeatInterval is how often the other VMs are notified of a limit that is still named.
 	repeatInterval = 500 * clock.Millis(1)
 	// recentCells and recentCell divide the time over which calls are counted.
 	recentCells = 8
@@ -46,14 +49,14 @@
 		Incarnation uint64 // higher in each run; zero if it is not known
 	}
 
-	// Word is what an answer says about its server's limit.
-	Word struct {
+	// Observation is what an answer says about its server's limit.
+	Observation struct {
 		Named bool    // the answer names a limit
 		Rate  float64 // calls per second, from 0 to MaxRate
 		Final bool    // an answer without a limit ends an earlier one
 	}
 
-	// Notice is what one VM tells the others about a server's limit.
+	// Notice is what one VM reports to the others about a server's limit.
 	Notice struct {
 		Server Server
 		Rate   float64 // calls per second
@@ -78,14 +81,14 @@
 		recent map[string]*recent // by server ID
 	}
 
-	// entry is the latest word on a server's limit.
+	// entry is the latest observation of a server's limit, by any VM.
 	entry struct {
-		server   Server
-		rate     float64
-		ended    bool
-		at       clock.Millis // of the server's answer
-		deniedAt clock.Millis // when this VM last withheld a call; zero: never
-		toldAt   clock.Millis // when the VMs were last told, by whichever of them
+		server     Server
+		rate       float64
+		ended      bool
+		at         clock.Millis // of the server's answer
+		deniedAt   clock.Millis // when this VM last withheld a call; zero: never
+		notifiedAt clock.Millis // last notice to the VMs, by whichever of them
 	}
 
 	// recent counts this VM's calls to a server.
@@ -100,14 +103,10 @@
 	return max(minTerm, clock.Millis(termCalls/max(rate, MinRate)*float64(clock.Second)))
 }
 
-// MinRate is the rate, in calls per second, at which a server with a lower limit is
-// called, so that it can name another one.
-const MinRate = 0.2
-
 // Observe records what an answer says, which came at now to a call that was sent at
-// sentAt. The notice is for the other VMs; nil: there is nothing to tell. The change is
+// sentAt. The notice is for the other VMs; nil: there is nothing to report. The change is
 // nil if the limit is as before.
-func (tr *Tracker) Observe(now, sentAt clock.Millis, server Server, wd Word) (*Notice, *Change) {
+func (tr *Tracker) Observe(now, sentAt clock.Millis, server Server, ob Observation) (*Notice, *Change) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	en := tr.limits[server.ID]
@@ -115,21 +114,21 @@
 	switch {
 	case en != nil && server.Incarnation < en.server.Incarnation:
 		return nil, nil // a late answer of an earlier run
-	case !wd.Named && !(active && wd.Final && sentAt > en.at):
+	case !ob.Named && !(active && ob.Final && sentAt > en.at):
 		return nil, nil // an answer to an earlier call may be older than the limit
-	case wd.Named && active && en.rate == wd.Rate:
+	case ob.Named && active && en.rate == ob.Rate:
 		en.at = now
-		if now < en.toldAt+repeatInterval {
+		if now < en.notifiedAt+repeatInterval {
 			return nil, nil
 		}
-		en.toldAt = now
-		return &Notice{Server: server, Rate: wd.Rate}, nil
+		en.notifiedAt = now
+		return &Notice{Server: server, Rate: ob.Rate}, nil
 	}
-	ch := tr.set(now, &entry{server: server, rate: wd.Rate, ended: !wd.Named, at: now, toldAt: now})
-	return &Notice{Server: server, Rate: wd.Rate, Ended: !wd.Named}, ch
+	ch := tr.set(now, &entry{server: server, rate: ob.Rate, ended: !ob.Named, at: now, notifiedAt: now})
+	return &Notice{Server: server, Rate: ob.Rate, Ended: !ob.Named}, ch
 }
 
-// Receive records what another VM heard, unless something newer is known. The change is
+// Receive records a notice of another VM, unless something newer is known. The change is
 // nil if the limit is as before.
 func (tr *Tracker) Receive(now clock.Millis, nt Notice) *Change {
 	tr.mu.Lock()
@@ -139,14 +138,14 @@
 	if en != nil && (nt.Server.Incarnation < en.server.Incarnation || nt.Server == en.server && at <= en.at) {
 		return nil
 	}
-	next := &entry{server: nt.Server, rate: nt.Rate, ended: nt.Ended, at: at, toldAt: now}
+	next := &entry{server: nt.Server, rate: nt.Rate, ended: nt.Ended, at: at, notifiedAt: now}
 	if !next.holds(now) && !nt.Ended {
 		return nil
 	}
 	return tr.set(now, next)
 }
 
-// set replaces the word on a server and returns what changed. The lock is held.
+// set replaces the latest observation and returns what changed. The lock is held.
 func (tr *Tracker) set(now clock.Millis, next *entry) *Change {
 	en := tr.limits[next.server.ID]
 	known := en != nil && en.holds(now)
@@ -205,7 +204,7 @@
 }
 
 // Lapse drops limits that no longer hold, and those of runs that no longer exist. It
-// returns those that lapsed because nothing was heard of them, and reports whether any
+// returns those that lapsed because no answer named them, and reports whether any
 // limit is in force.
 func (tr *Tracker) Lapse(now clock.Millis, exists func(server Server) bool) (lapsed []Change, active bool) {
 	tr.mu.Lock()
@@ -218,7 +217,7 @@
 		case !en.ended:
 			lapsed = append(lapsed, Change{Server: en.server, Rate: en.rate, Ended: true, Before: en.rate, Known: true, Age: now - en.at})
 		case now < en.at+minTerm:
-			continue // a late notice of an earlier word would renew the limit
+			continue // a late notice of an earlier answer would renew the limit
 		}
 		delete(tr.limits, id)
 	}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -13,17 +13,17 @@
 
 var server = Server{ID: "s", Incarnation: 3}
 
-func named(rate float64) Word { return Word{Named: true, Rate: rate, Final: true} }
+func named(rate float64) Observation { return Observation{Named: true, Rate: rate, Final: true} }
 
 // Each step is an answer at this VM, or a notice of another one, and what it leads to.
 func TestTracker(t *testing.T) {
-	final := Word{Final: true}
+	final := Observation{Final: true}
 	type step struct {
 		run        uint64 // of the server that answers; zero: the usual one
 		at, sentAt clock.Millis
-		word       Word
-		notice     *Notice // instead of the word
-		tells      bool
+		seen       Observation
+		notice     *Notice // instead of an observation
+		notifies   bool
 		changes    bool
 		rate       float64 // afterwards; zero: there is no limit
 	}
@@ -31,29 +31,29 @@
 		name  string
 		steps []step
 	}{
-		{"no limit", []step{{at: 1000, sentAt: 990, word: final}}},
+		{"no limit", []step{{at: 1000, sentAt: 990, seen: final}}},
 		{"begins, is repeated, and lapses", []step{
-			{at: 1000, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
-			{at: 1400, sentAt: 1390, word: named(3.5), rate: 3.5},
-			{at: 1500, sentAt: 1490, word: named(3.5), tells: true, rate: 3.5},
-			{at: 3499, sentAt: 1000, word: Word{}, rate: 3.5},
-			{at: 3500, sentAt: 1000, word: Word{}},
+			{at: 1000, sentAt: 990, seen: named(3.5), notifies: true, changes: true, rate: 3.5},
+			{at: 1400, sentAt: 1390, seen: named(3.5), rate: 3.5},
+			{at: 1500, sentAt: 1490, seen: named(3.5), notifies: true, rate: 3.5},
+			{at: 3499, sentAt: 1000, seen: Observation{}, rate: 3.5},
+			{at: 3500, sentAt: 1000, seen: Observation{}},
 		}},
 		{"changes", []step{
-			{at: 1000, sentAt: 990, word: named(35), tells: true, changes: true, rate: 35},
-			{at: 1001, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
-			{at: 1002, sentAt: 990, word: named(35), tells: true, changes: true, rate: 35},
+			{at: 1000, sentAt: 990, seen: named(35), notifies: true, changes: true, rate: 35},
+			{at: 1001, sentAt: 990, seen: named(3.5), notifies: true, changes: true, rate: 3.5},
+			{at: 1002, sentAt: 990, seen: named(35), notifies: true, changes: true, rate: 35},
 		}},
 		{"ends with an answer to a later call", []step{
-			{at: 1000, sentAt: 990, word: named(3.5), tells: true, changes: true, rate: 3.5},
-			{at: 1010, sentAt: 1000, word: final, rate: 3.5},
-			{at: 1020, sentAt: 1001, word: Word{}, rate: 3.5},
-			{at: 1030, sentAt: 1001, word: final, tells: true, changes: true},
+			{at: 1000, sentAt: 990, seen: named(3.5), notifies: true, changes: true, rate: 3.5},
+			{at: 1010, sentAt: 1000, seen: final, rate: 3.5},
+			{at: 1020, sentAt: 1001, seen: Observation{}, rate: 3.5},
+			{at: 1030, sentAt: 1001, seen: final, notifies: true, changes: true},
 		}},
 		{"zero is tried once in five seconds", []step{
-			{at: 1000, sentAt: 990, word: named(0), tells: true, changes: true, rate: MinRate},
-			{at: 10999, sentAt: 0, word: Word{}, rate: MinRate},
-			{at: 11000, sentAt: 0, word: Word{}},
+			{at: 1000, sentAt: 990, seen: named(0), notifies: true, changes: true, rate: MinRate},
+			{at: 10999, sentAt: 0, seen: Observation{}, rate: MinRate},
+			{at: 11000, sentAt: 0, seen: Observation{}},
 		}},
 		{"heard of, and ended elsewhere", []step{
 			{at: 1000, notice: &Notice{Server: server, Rate: 4, Age: 10}, changes: true, rate: 4},
@@ -66,15 +66,15 @@
 		{"too old when it is heard of", []step{{at: 5000, notice: &Notice{Server: server, Rate: 4, Age: 2000}}}},
 		{"another VM repeats it", []step{
 			{at: 1000, notice: &Notice{Server: server, Rate: 4}, changes: true, rate: 4},
-			{at: 1499, sentAt: 1300, word: named(4), rate: 4},
-			{at: 1500, sentAt: 1300, word: named(4), tells: true, rate: 4},
+			{at: 1499, sentAt: 1300, seen: named(4), rate: 4},
+			{at: 1500, sentAt: 1300, seen: named(4), notifies: true, rate: 4},
 		}},
 		{"an earlier run", []step{
-			{at: 1000, sentAt: 990, word: named(4), tells: true, changes: true, rate: 4},
+			{at: 1000, sentAt: 990, seen: named(4), notifies: true, changes: true, rate: 4},
 			{at: 1100, notice: &Notice{Server: Server{ID: "s", Incarnation: 2}, Rate: 1}, rate: 4},
 			{at: 1200, notice: &Notice{Server: Server{ID: "s", Incarnation: 4}, Rate: 1}, changes: true, rate: 1},
-			{at: 1300, sentAt: 1290, word: named(4), rate: 1},
-			{at: 1400, run: 5, sentAt: 1390, word: named(6), tells: true, changes: true, rate: 6},
+			{at: 1300, sentAt: 1290, seen: named(4), rate: 1},
+			{at: 1400, run: 5, sentAt: 1390, seen: named(6), notifies: true, changes: true, rate: 6},
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -85,9 +85,9 @@
 				if sp.notice != nil {
 					ch = tr.Receive(sp.at, *sp.notice)
 				} else {
-					nt, ch = tr.Observe(sp.at, sp.sentAt, Server{ID: server.ID, Incarnation: cmp.Or(sp.run, server.Incarnation)}, sp.word)
+					nt, ch = tr.Observe(sp.at, sp.sentAt, Server{ID: server.ID, Incarnation: cmp.Or(sp.run, server.Incarnation)}, sp.seen)
 				}
-				assert.Equal(t, nt != nil, sp.tells, "step %d", ix)
+				assert.Equal(t, nt != nil, sp.notifies, "step %d", ix)
 				assert.Equal(t, ch != nil, sp.changes, "step %d", ix)
 				rate, ok := tr.Rate(sp.at, server.ID)
 				assert.Equal(t, rate, sp.rate, "step %d", ix)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -11,7 +11,7 @@
 	return limit.Server{ID: bs.ID, Incarnation: bs.Incarnation}
 }
 
-// observeLimit records what an answer says of its server's limit, and tells the other
+// observeLimit records what an answer says of its server's limit, and notifies the other
 // VMs if they may not know it.
 func (rl *Relay) observeLimit(st Statement) {
 	if st.LimitError != nil {
@@ -26,13 +26,13 @@
 	rl.applyLimit(now, ch, "")
 }
 
-// ReceiveLimit records what another VM heard of a server's limit.
+// ReceiveLimit records another VM's notice of a server's limit.
 func (rl *Relay) ReceiveLimit(vm string, nt limit.Notice) {
 	now := rl.now()
 	rl.applyLimit(now, rl.limits.Receive(now, nt), vm)
 }
 
-// applyLimit logs a change of a server's limit, by the VM that heard of it, and reports
+// applyLimit logs a change of a server's limit, by the VM that observed it, and reports
 // the calls that were made before a limit was known. Nil changes nothing.
 func (rl *Relay) applyLimit(now clock.Millis, ch *limit.Change, by string) {
 	if ch == nil {
--- a/internal/relay/permit_test.go
+++ b/internal/relay/permit_test.go
@@ -72,7 +72,7 @@
 
 func namedLimit(rl *relay.Relay, server string, rate float64) relay.Statement {
 	bs, _ := rl.Backends().Server(server)
-	return relay.Statement{Server: bs, SentAt: rl.Clock.Now(), Limit: limit.Word{Named: true, Rate: rate, Final: true}}
+	return relay.Statement{Server: bs, SentAt: rl.Clock.Now(), Limit: limit.Observation{Named: true, Rate: rate, Final: true}}
 }
 
 // What a server has no permits for goes to others, and is refused at once, with the time
@@ -241,12 +241,12 @@
 	return size, nil
 }
 
-// The other VMs are told of a limit, and the keepers of the calls before it.
-func TestLimitIsToldAndCallsAreReported(t *testing.T) {
+// The other VMs are notified of a limit, and the calls before it are reported to keepers.
+func TestLimitIsSharedAndCallsAreReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rl, _, pe := newLimitedRig(t, nil)
-		var told []limit.Notice
-		rl.SendLimit = func(nt limit.Notice) { told = append(told, nt) }
+		var notices []limit.Notice
+		rl.SendLimit = func(nt limit.Notice) { notices = append(notices, nt) }
 		for range 20 {
 			_, err := serve(t.Context(), rl, "once")
 			assert.NilError(t, err)
@@ -254,7 +254,7 @@
 		assert.Assert(t, !rl.HasServerLimits())
 		rl.Observe(namedLimit(rl, "p1", 3.5))
 		rl.ReceiveLimit("vm-2", limit.Notice{Server: limit.Server{ID: "p2"}, Rate: 2, Age: 10})
-		assert.DeepEqual(t, told, []limit.Notice{{Server: limit.Server{ID: "p1"}, Rate: 3.5}})
+		assert.DeepEqual(t, notices, []limit.Notice{{Server: limit.Server{ID: "p1"}, Rate: 3.5}})
 		assert.Equal(t, pe.reported["p1"]+pe.reported["p2"], 20)
 		assert.Assert(t, rl.HasServerLimits())
 		_, err := serve(t.Context(), rl, "once")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,8 +192,7 @@
 		// Permits grants calls to servers that limit them; nil: limits of servers are not
 		// kept.
 		Permits Permits
-		// SendLimit sends the other VMs what this one heard of a server's limit; nil
-		// sends nothing.
+		// SendLimit sends the other VMs a notice of a server's limit; nil sends nothing.
 		SendLimit func(nt limit.Notice)
 		// SendReport sends the other VMs what this one reports about requests that
 		// crash servers; nil sends nothing.
--- a/internal/relay/statement.go
+++ b/internal/relay/statement.go
@@ -11,12 +11,12 @@
 // call.
 type Statement struct {
 	Server     board.BackendServer
-	SentAt     clock.Millis  // when the call was sent
-	Leaving    bool          // the server announces that it leaves
-	RetryAfter clock.Millis  // for which the server wants to get no calls; zero: it asks for no pause
-	Load       *balance.Load // nil: not reported
-	Limit      limit.Word    // of the calls that the server takes from all VMs together
-	LimitError error         // why the limit can't be read
+	SentAt     clock.Millis      // when the call was sent
+	Leaving    bool              // the server announces that it leaves
+	RetryAfter clock.Millis      // for which the server wants to get no calls; zero: it asks for no pause
+	Load       *balance.Load     // nil: not reported
+	Limit      limit.Observation // of the calls that the server takes from all VMs together
+	LimitError error             // why the limit can't be read
 }
 
 // Observe applies what an answer says of its server. It is called for every answer,
