relay: a stopping VM refuses what it can't finish before it exits

Callers saw: a request that must not be repeated, sent 3.6 s after SIGTERM, began to run, and its connection ended without a byte when the VM exited. They could not know whether it had run.

Cause: plain requests were accepted for 4.6 s after SIGTERM, however long they last; the process exits after 7.8 s. Streams had the same kind of bound.

Change: a request is accepted if its deadline lies within the stop, or if one and a half times the longest recent duration of its route does. A stream's usual duration has to fit, unless its caller can resume it at another VM. The others are refused at once as not run. internal/duration keeps the durations, open requests included.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,7 @@
 	"alderdyke/internal/balance"
 	"alderdyke/internal/board"
 	"alderdyke/internal/charge"
+	"alderdyke/internal/duration"
 	"alderdyke/internal/event"
 	"alderdyke/internal/inflight"
 	"alderdyke/internal/limit"
@@ -250,6 +251,7 @@
 		silentSchedulers map[string]clock.Millis // schedulers that did not answer, and until when they are skipped
 		stopping         bool                    // a planned stop has begun
 		stopAt           clock.Millis            // when
+		durations        duration.Tracker        // of requests, by route
 		placeFreed       chan struct{}           // closed when a place may have become free
 		plans            map[string]*plan        // by service, at a scheduler
 		rebalancers      map[string]*rebalancer  // by service, at a scheduler
@@ -390,7 +392,9 @@
 	defer rl.openRequests.Add(-1)
 	ex, err := rl.resolve(ctx, req)
 	if err == nil {
+		ended := rl.trackDuration(ex.rt)
 		err = rl.serve(ctx, wr, ex)
+		ended(err)
 		rl.refundArrivals(ex)
 		rl.returnPermits(ex)
 		rl.returnClaims(ex)
@@ -449,7 +453,7 @@
 	if !ok {
 		return route.Route{}, refuse(refusal.UnknownService, 0, "no route matches the host and path")
 	}
-	return rt, rl.admitLongRequest(req, rt)
+	return rt, rl.admitForRest(req, rt)
 }
 
 // resolve finds the route of a request, its customer, its service and its deadline.
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -43,7 +43,8 @@
 	// has 8 s.
 	DefaultStopGenerate = 1500 * clock.Millis(1)
 	// DefaultStopAccept is how long after the start of a planned stop all other
-	// requests are still accepted: callers keep an address for 4.5 s at most.
+	// requests are still accepted if they can end in time: callers keep an address for
+	// 4.5 s at most.
 	DefaultStopAccept = 4600 * clock.Millis(1)
 	// DefaultStopRetryAfter is when a caller that a leaving VM refused may retry:
 	// immediately, because it then picks another VM.
@@ -88,6 +89,7 @@
 	StartRetryAfter clock.Millis // sent while no configuration is known
 	StopGenerate    clock.Millis // from the start of a planned stop until generations are refused
 	StopAccept      clock.Millis // the same for all requests
+	StopTime        clock.Millis // from the start of a planned stop until the process exits; zero: until no request is open
 	StopRetryAfter  clock.Millis // sent to callers that are refused during a planned stop
 	PlainRetryAfter clock.Millis // sent if a plain service has no room
 	HintFactor      float64      // multiple of the hint that is reserved while other VMs' runs are not known
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -1,22 +1,29 @@
 package relay
 
 import (
+	"errors"
+
 	"alderdyke/internal/route"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
+// durationMargin is the multiple of the longest recent duration of a route's requests
+// that a new one may take.
+const durationMargin = 1.5
+
 // BeginStop begins a planned stop. Requests in progress continue. New ones are still
-// served for a while, because callers keep an address for some time: generations as
-// long as they can end within the stop, other requests for longer. After that, new
-// requests are refused immediately, so that callers use another VM.
+// served for a while, because callers keep an address for some time, as long as they
+// can end within the stop. The others are refused immediately, so that callers use
+// another VM.
 func (rl *Relay) BeginStop() {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.initialize()
-	if !rl.stopping {
-		rl.stopping, rl.stopAt = true, rl.now()
+	if rl.stopping {
+		return
 	}
+	rl.stopping, rl.stopAt = true, rl.now()
 }
 
 // MayExit reports whether no caller uses the address any more, no request is in
@@ -48,17 +55,54 @@
 	return nil
 }
 
-// admitLongRequest refuses a new request that takes long, a generation or another
-// stream, if this VM can't finish it before it exits.
-func (rl *Relay) admitLongRequest(req *Request, rt route.Route) error {
+// admitForRest refuses a new request of a route that this VM can't finish before it
+// exits. The exit cuts off an answer whatever its deadline is.
+func (rl *Relay) admitForRest(req *Request, rt route.Route) error {
 	since, stopping := rl.stoppingFor()
+	if !stopping {
+		return nil
+	}
 	long := req.Prompt != nil || rt.Kind == route.Stream
-	if stopping && long && since >= rl.Settings.StopGenerate {
+	if long && since >= rl.Settings.StopGenerate || !rl.fitsIn(rl.Settings.StopTime-since, req, rt, long) {
 		return rl.refuseDraining()
 	}
 	return nil
 }
 
+// fitsIn reports whether a new request is expected to end within the rest of the stop. A
+// plain answer that is cut off is lost, so its request is served only if even a slow one
+// ends in time; what has arrived of a stream is not lost, so the usual duration counts.
+func (rl *Relay) fitsIn(rest clock.Millis, req *Request, rt route.Route, long bool) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := rl.now()
+	if rl.Settings.StopTime == 0 || req.deadline(rt)-now <= rest || long && rt.Resumable {
+		return true
+	}
+	st, known := rl.durations.Recent(now, rt.Name)
+	if long {
+		return !known || st.Mean <= rest
+	}
+	return known && clock.Millis(durationMargin*float64(st.Longest)) <= rest
+}
+
+// trackDuration records the duration of a request until the returned function is called
+// with its result. A request that was refused without running does not count.
+func (rl *Relay) trackDuration(rt route.Route) (end func(err error)) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rq := rl.durations.Begin(rl.now(), rt.Name)
+	return func(err error) {
+		rl.mu.Lock()
+		defer rl.mu.Unlock()
+		if rf, ok := errors.AsType[refusal.Refusal](err); ok && rf.Ran == refusal.NotRun {
+			rl.durations.Discard(rq)
+			return
+		}
+		rl.durations.End(rl.now(), rq)
+	}
+}
+
 func (rl *Relay) refuseDraining() error {
 	return refuse(refusal.Draining, rl.Settings.StopRetryAfter, "this VM is leaving")
 }
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,8 @@
 
 	"alderdyke/internal/backend"
 	"alderdyke/internal/relay"
+	"alderdyke/internal/route"
+	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
 )
 
@@ -95,3 +98,128 @@
 		assert.Assert(t, rl.MayExit())
 	})
 }
+
+// A planned stop serves the requests to plain services that can end before the process
+// exits, and refuses the others. How long a route's requests take is known from its
+// recent ones; the route's timeout alone would refuse all that are short.
+func TestPlannedStopServesWhatItCanFinish(t *testing.T) {
+	const stopTime = 7600 * clock.Millis(1)
+	for _, tc := range []struct {
+		name   string
+		work   clock.Millis
+		limit  clock.Millis // the route's timeout
+		before int          // requests that were served before the stop
+		served [3]bool      // of the requests 0.4, 2.4 and 4.4 s after the start of the stop
+	}{
+		{"short requests", 100, 5 * clock.Second, 1, [3]bool{true, true, true}},
+		{"short requests, none before", 100, 5 * clock.Second, 0, [3]bool{true, true, true}},
+		{"nothing is known", 4400, 9 * clock.Second, 0, [3]bool{}},
+		{"as long as the stop", 6 * clock.Second, 9 * clock.Second, 1, [3]bool{}},
+		{"half as long as the stop", 3 * clock.Second, 9 * clock.Second, 1, [3]bool{true, true, false}},
+		{"deadline before the exit", 3 * clock.Second, 3200, 0, [3]bool{true, true, true}},
+		{"deadline after the exit", 4400, 5 * clock.Second, 0, [3]bool{true, true, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newStoppingRig(t, tc.limit, stopTime)
+				sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+					time.Sleep(tc.work.Std())
+					return newResponse(http.StatusOK, eventOne, nil), nil
+				}
+				for range tc.before {
+					_, err := serve(t.Context(), rl, "slow")
+					assert.NilError(t, err)
+				}
+				rl.BeginStop()
+				var got [3]bool
+				var all sync.WaitGroup
+				for ix, after := range []clock.Millis{400, 2400, 4400} {
+					all.Go(func() {
+						time.Sleep(after.Std())
+						began := rl.Clock.Now()
+						_, err := serve(t.Context(), rl, "slow")
+						if got[ix] = err == nil; !got[ix] {
+							rf := refusalOf(t, err)
+							assert.Equal(t, rf.Reason, refusal.Draining)
+							assert.Equal(t, rf.Ran, refusal.NotRun)
+							assert.Equal(t, rl.Clock.Now(), began, "a request that is refused does not wait")
+						}
+					})
+				}
+				all.Wait()
+				assert.Equal(t, got, tc.served)
+			})
+		})
+	}
+}
+
+// A service that has become slow since its last answer is noticed by its open requests.
+func TestPlannedStopNoticesSlowService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, sv := newStoppingRig(t, 9*clock.Second, 7600)
+		work := 100 * time.Millisecond
+		sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+			time.Sleep(work)
+			return newResponse(http.StatusOK, eventOne, nil), nil
+		}
+		_, err := serve(t.Context(), rl, "slow")
+		assert.NilError(t, err)
+		work = 6 * time.Second
+		done := make(chan error, 1)
+		go func() {
+			_, err := serve(t.Context(), rl, "slow")
+			done <- err
+		}()
+		time.Sleep(4 * time.Second)
+		rl.BeginStop()
+		time.Sleep(1800 * time.Millisecond)
+		_, err = serve(t.Context(), rl, "slow")
+		assert.Equal(t, refusalOf(t, err).Reason, refusal.Draining)
+		assert.NilError(t, <-done)
+	})
+}
+
+// Streams that usually last longer than the rest of the stop are refused, unless their
+// callers can resume them at another VM.
+func TestPlannedStopRefusesLongStreams(t *testing.T) {
+	for _, tc := range []struct {
+		route    string
+		work     time.Duration
+		accepted bool
+	}{{"draft", 4 * time.Second, true}, {"draft", 9 * time.Second, false}, {"resumable", 9 * time.Second, true}} {
+		t.Run(tc.route+"/"+tc.work.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newStoppingRig(t, 9*clock.Second, 7600)
+				sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+					time.Sleep(tc.work)
+					return newResponse(http.StatusOK, eventOne, nil), nil
+				}
+				_, err := serve(t.Context(), rl, tc.route)
+				assert.NilError(t, err)
+				rl.BeginStop()
+				time.Sleep(time.Second)
+				before := len(sv.sentTo())
+				_, err = serve(t.Context(), rl, tc.route)
+				assert.Equal(t, len(sv.sentTo()) > before, tc.accepted)
+				if !tc.accepted {
+					assert.Equal(t, refusalOf(t, err).Ran, refusal.NotRun)
+				}
+			})
+		})
+	}
+}
+
+// newStoppingRig is newRig with the time that a planned stop lasts and a plain route "slow"
+// whose requests must not be repeated.
+func newStoppingRig(t *testing.T, limit, stopTime clock.Millis) (*relay.Relay, *servers) {
+	t.Helper()
+	rl, sv := newRigWith(t, 2, relay.Settings{StopTime: stopTime})
+	tb := rl.Table()
+	draft, _ := tb.Match("h", "/draft/")
+	resumable, _ := tb.Match("h", "/resumable/")
+	slow := route.Route{Name: "slow", Host: "h", Prefix: "/slow/", Kind: route.Once, Shares: []route.Share{{Service: "plain", Weight: 1}}, Timeout: limit, MaxAttempts: 1}
+	next, err := route.New(tb.Version()+1, []route.Route{draft, resumable, slow}, []route.Service{tb.Service("plain"), tb.Service("model")})
+	assert.NilError(t, err)
+	assert.Assert(t, rl.Configure(next))
+	return rl, sv
+}
