relay: requests that are open when the process exits end with a refusal

Callers saw: connections that broke without a word when a stopping VM exited, also those of requests that still waited and had not run.

Cause: nothing ended the requests in progress before the exit.

Answers that have begun are cut as before.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -323,6 +323,11 @@
 	case clock.Overdue(ctx):
 		rf.Reason = refusal.DeadlinePassed
 		rf = rf.WithRetryAfter(0)
+	case errors.Is(context.Cause(ctx), errExiting):
+		rf.Reason = refusal.Draining
+		if rf.Ran == refusal.NotRun {
+			rf = rf.WithRetryAfter(rl.Settings.StopRetryAfter)
+		}
 	case ctx.Err() != nil:
 		rf.Reason = refusal.CallerGone
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -246,18 +246,20 @@
 		draining         map[string]clock.Millis // servers that announced that they leave, and when
 		unreadableLoads  map[string]struct{}     // listed servers whose load could not be read, as logged
 		paths            reach.Tracker
-		partitionBegan   chan struct{}           // has an element when a partition began
-		avoidedPeers     map[string]clock.Millis // VMs that could not take a request, and until when they are not asked
-		silentSchedulers map[string]clock.Millis // schedulers that did not answer, and until when they are skipped
-		stopping         bool                    // a planned stop has begun
-		stopAt           clock.Millis            // when
-		durations        duration.Tracker        // of requests, by route
-		placeFreed       chan struct{}           // closed when a place may have become free
-		plans            map[string]*plan        // by service, at a scheduler
-		rebalancers      map[string]*rebalancer  // by service, at a scheduler
-		askedAt          clock.Millis            // when another VM last asked for a place; zero: never
-		foreseenUntil    clock.Millis            // until when the schedulers are known to make forecasts
-		promises         []promise               // to callers that this VM refused
+		partitionBegan   chan struct{}                      // has an element when a partition began
+		avoidedPeers     map[string]clock.Millis            // VMs that could not take a request, and until when they are not asked
+		silentSchedulers map[string]clock.Millis            // schedulers that did not answer, and until when they are skipped
+		stopping         bool                               // a planned stop has begun
+		stopAt           clock.Millis                       // when
+		open             map[uint64]context.CancelCauseFunc // ends the requests in progress
+		lastOpen         uint64                             // key of the last one in open
+		durations        duration.Tracker                   // of requests, by route
+		placeFreed       chan struct{}                      // closed when a place may have become free
+		plans            map[string]*plan                   // by service, at a scheduler
+		rebalancers      map[string]*rebalancer             // by service, at a scheduler
+		askedAt          clock.Millis                       // when another VM last asked for a place; zero: never
+		foreseenUntil    clock.Millis                       // until when the schedulers are known to make forecasts
+		promises         []promise                          // to callers that this VM refused
 		allocations      allocations
 		bodies           inflight.Tracker // bodies in flight to servers
 
@@ -392,6 +394,9 @@
 	defer rl.openRequests.Add(-1)
 	ex, err := rl.resolve(ctx, req)
 	if err == nil {
+		var end context.CancelFunc
+		ctx, end = rl.untilExit(ctx)
+		defer end()
 		ended := rl.trackDuration(ex.rt)
 		err = rl.serve(ctx, wr, ex)
 		ended(err)
@@ -511,6 +516,7 @@
 	}
 	rl.initialized = true
 	rl.Settings = rl.Settings.withDefaults()
+	rl.open = make(map[uint64]context.CancelCauseFunc)
 	rl.chooser = &balance.Chooser{Rand: rl.Rand, Settings: balance.Settings{
 		Failures: rl.Settings.Failures, BaseEjection: rl.Settings.Eject, SlowStart: rl.Settings.SlowStart}}
 	rl.budget = &retry.Policy{Rand: rl.Rand, Settings: rl.Settings.Budget}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -250,8 +250,11 @@
 		return wrapCut(err)
 	}
 	rf := refusal.Refusal{Ran: refusal.MayHaveRun, Reason: refusal.BackendFailed, Detail: errorText(err)}
-	if clock.Overdue(ctx) {
+	switch {
+	case clock.Overdue(ctx):
 		rf.Reason = refusal.DeadlinePassed
+	case errors.Is(context.Cause(ctx), errExiting):
+		rf.Reason = refusal.Draining
 	}
 	return rf
 }
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"errors"
+	"time"
 
 	"alderdyke/internal/route"
 	"alderdyke/pkg/clock"
@@ -12,6 +14,9 @@
 // that a new one may take.
 const durationMargin = 1.5
 
+// errExiting ends the requests that are still open when the process exits.
+var errExiting = errors.New("the process exits")
+
 // BeginStop begins a planned stop. Requests in progress continue. New ones are still
 // served for a while, because callers keep an address for some time, as long as they
 // can end within the stop. The others are refused immediately, so that callers use
@@ -24,6 +29,36 @@
 		return
 	}
 	rl.stopping, rl.stopAt = true, rl.now()
+	if rl.Settings.StopTime > 0 {
+		time.AfterFunc(rl.Settings.StopTime.Std(), rl.endOpenRequests)
+	}
+}
+
+// untilExit returns a context that ends when the process is about to exit, with the cause
+// errExiting. Its request then ends with a refusal in place of a broken connection, unless
+// its answer has begun.
+func (rl *Relay) untilExit(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.lastOpen++
+	id := rl.lastOpen
+	rl.open[id] = cancel
+	return ctx, func() {
+		rl.mu.Lock()
+		delete(rl.open, id)
+		rl.mu.Unlock()
+		cancel(context.Canceled)
+	}
+}
+
+// endOpenRequests ends the requests that are still open.
+func (rl *Relay) endOpenRequests() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	for _, cancel := range rl.open {
+		cancel(errExiting)
+	}
 }
 
 // MayExit reports whether no caller uses the address any more, no request is in
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -209,6 +210,58 @@
 	}
 }
 
+// Requests that are still open when the process exits end with a refusal that says truly
+// whether they may have run. Guards against connections that break without a word, after
+// which the caller of a request that did not run can't repeat it.
+func TestStopEndsOpenRequests(t *testing.T) {
+	const stopTime = 2 * clock.Second
+	for _, tc := range []struct {
+		name, route string
+		onSend      func(ctx context.Context, nth int, se sent) (*http.Response, error)
+		ran         refusal.Ran
+	}{
+		{name: "an attempt in progress", route: "slow", ran: refusal.MayHaveRun,
+			onSend: func(ctx context.Context, _ int, _ sent) (*http.Response, error) {
+				<-ctx.Done()
+				return nil, backend.InDoubtError{Server: "p1", Call: "Send", Err: ctx.Err()}
+			}},
+		{name: "a call that has not left yet", route: "slow", ran: refusal.NotRun,
+			onSend: func(ctx context.Context, _ int, _ sent) (*http.Response, error) {
+				<-ctx.Done()
+				return nil, backend.NotSentError{Server: "p1", Call: "Send", Err: ctx.Err()}
+			}},
+		{name: "a stream before its first event", route: "draft", ran: refusal.MayHaveRun,
+			onSend: func(ctx context.Context, _ int, _ sent) (*http.Response, error) {
+				rd, wr := io.Pipe()
+				context.AfterFunc(ctx, func() { _ = wr.CloseWithError(ctx.Err()) })
+				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Seal": {"s"}}, Body: rd}, nil
+			}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rl, sv := newStoppingRig(t, 9*clock.Second, stopTime)
+				sv.onSend = tc.onSend
+				done := make(chan error, 1)
+				go func() {
+					_, err := serve(t.Context(), rl, tc.route)
+					done <- err
+				}()
+				time.Sleep(100 * time.Millisecond)
+				began := rl.Clock.Now()
+				rl.BeginStop()
+				rf := refusalOf(t, <-done)
+				assert.Equal(t, rl.Clock.Now()-began, stopTime)
+				assert.Equal(t, rf.Reason, refusal.Draining)
+				assert.Equal(t, rf.Ran, tc.ran)
+				assert.Equal(t, rf.RetryAfter > 0, tc.ran == refusal.NotRun)
+				synctest.Wait()
+				assert.Equal(t, rl.OpenRequests(), 0)
+				assert.Equal(t, sv.held(), 0)
+			})
+		})
+	}
+}
+
 // newStoppingRig is newRig with the time that a planned stop lasts and a plain route "slow"
 // whose requests must not be repeated.
 func newStoppingRig(t *testing.T, limit, stopTime clock.Millis) (*relay.Relay, *servers) {
