relay: versions whose servers came and went between two lists are remembered

Callers could get a stream joined from two versions: a VM that read the store late set its list of servers only after a whole batch of changes. A version whose entries were written and removed within it was in no list, so the VM held the other version to be the only one that served.

Failed before: TestVersionsOfABatchAreRemembered on, "a stream may have begun at v2".

--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+
 	"alderdyke/internal/board"
 	"alderdyke/pkg/clock"
 )
@@ -43,6 +45,20 @@
 	hi.listed[service][version] = at
 }
 
+// WithVersion returns the history after a server of a version may have been listed and
+// removed before the list was set.
+func (hi History) WithVersion(now clock.Millis, service, version string) History {
+	if _, listed := hi.now[service][version]; listed {
+		return hi
+	}
+	out := History{listed: make(map[string]map[string]clock.Millis), now: hi.now, since: hi.since}
+	for known, versions := range hi.listed {
+		out.listed[known] = maps.Clone(versions)
+	}
+	out.record(service, version, now)
+	return out
+}
+
 // WithGap returns the history after servers may have been listed and removed unseen.
 func (hi History) WithGap(now clock.Millis) History {
 	hi.since = now
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -198,6 +198,14 @@
 	return rl.versions.Sole(rl.now(), span, service)
 }
 
+// RecordVersion records that a server of a service had a version, although the server may
+// be gone before the list of servers is set.
+func (rl *Relay) RecordVersion(now clock.Millis, service, version string) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.versions = rl.versions.WithVersion(now, service, version)
+}
+
 // RecordListGap records that servers may have come and gone without being listed.
 func (rl *Relay) RecordListGap(now clock.Millis) {
 	rl.mu.Lock()
