relay: a resumed stream may be older than its caller's remaining time

Callers could get a stream joined from two versions after all VMs were lost: nobody has its record then, and a VM that has listed one version for as long as the stream can have run takes that one. "As long" was the caller's remaining time or the route's timeout, which holds for each attempt alone.

The whole time of callers is now taken from new streams of the route; while none was seen it is one minute. Two seconds are added, in which VMs may still use a server that has left.

--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -288,3 +288,53 @@
 		assert.DeepEqual(t, sv.sentTo(), []string{"o1"})
 	})
 }
+
+// Guards against a stream that is joined from two versions after all VMs were lost: a
+// resumed stream may have begun longer ago than its caller's remaining time or one attempt
+// of its route tells, at a version that this VM has never seen.
+func TestStreamMayHaveBegunBeforeThisVM(t *testing.T) {
+	const (
+		limit = 14 * clock.Second // of the callers, in all
+		left  = 1500 * clock.Millis(1)
+	)
+	for _, tc := range []struct {
+		name   string
+		first  bool         // the VM has seen a new stream of the route
+		after  clock.Millis // from the start of the VM
+		served bool
+	}{
+		{"no caller's time is known", false, 3 * clock.Second, false},
+		{"callers wait for longer", true, 3 * clock.Second, false},
+		{"callers wait for longer, almost over", true, limit, false},
+		{"over", true, limit + 3*clock.Second, true},
+		{"no caller's time is known, for long", false, 63 * clock.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			forEachVersionSeed(t, func(t *testing.T, rl *relay.Relay, sv *servers) {
+				sv.onSend = func(context.Context, int, sent) (*http.Response, error) {
+					return newResponse(http.StatusOK, eventTwo, nil), nil
+				}
+				rl.ListVersions = func(context.Context, string) ([]string, error) { return []string{"v2"}, nil }
+				rl.SetBackends(rl.Clock.Now(), nil)
+				time.Sleep(2 * time.Minute) // in which what the rig listed is forgotten
+				rl.RecordListGap(rl.Clock.Now())
+				rl.SetBackends(rl.Clock.Now(), []board.BackendServer{mixedServers[7]})
+				if tc.first {
+					_, err := serveWithLimit(t.Context(), rl, "plain-stream", limit)
+					assert.NilError(t, err)
+				}
+				time.Sleep(tc.after.Std())
+				before := len(sv.sentTo())
+				req := resumeRequest(rl, "plain-stream")
+				req.WaitLimit = left
+				err := rl.Serve(t.Context(), httptest.NewRecorder(), req)
+				if tc.served {
+					assert.NilError(t, err)
+					return
+				}
+				assert.Equal(t, refusalOf(t, err).Reason, refusal.VersionUnknown)
+				assert.Equal(t, len(sv.sentTo()), before)
+			})
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -232,6 +232,7 @@
 		fleet            fleetSize
 		pools            map[string]*pool.Pool
 		longestWait      map[string]clock.Millis // by route: longest wait limit of a caller
+		firstWait        map[string]clock.Millis // by route: longest wait limit of the caller of a new stream
 		runs             map[*run]struct{}
 		calls            map[*call]struct{}
 		ledger           usage.Ledger
@@ -524,6 +525,7 @@
 	rl.allocations.allocator.Rand, rl.allocations.allocator.SlowStart = rl.Rand, rl.Settings.SlowStart
 	rl.pools = make(map[string]*pool.Pool)
 	rl.longestWait = make(map[string]clock.Millis)
+	rl.firstWait = make(map[string]clock.Millis)
 	rl.runs = make(map[*run]struct{})
 	rl.calls = make(map[*call]struct{})
 	rl.placeFreed = make(chan struct{})
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -16,10 +16,11 @@
 
 const (
 	// unlimitedStreamTime is how long a stream is assumed to last, over all attempts of
-	// its caller, if neither the caller nor the route limits it.
+	// its caller, if it is not known how long the route's callers wait.
 	unlimitedStreamTime = clock.Minute
 	// originMargin is added to the time for which a record is kept, for callers that
-	// come back at their last moment.
+	// come back at their last moment, and to the time in which a stream may have begun,
+	// because VMs may use a server for two seconds after it left.
 	originMargin = 2 * clock.Second
 	// originRetryAfter is when a caller may come back whose stream another VM may know: it
 	// then picks another VM, or the VMs that did not respond run again.
@@ -51,6 +52,7 @@
 	case ex.req.Bound.Version != "":
 		return rl.bindOrigin(ex, ex.req.Bound)
 	case ex.req.LastEventID == "":
+		rl.recordFirstWait(ex)
 		return nil
 	}
 	an, rc, err := rl.findOrigin(ctx, ex, rl.ListVersions)
@@ -87,7 +89,7 @@
 // does not name the stream, the other VMs are asked only if this one has not followed the
 // list of servers for long enough.
 func (rl *Relay) lookUpOrigin(ctx context.Context, ex *exchange) origin.Answer {
-	span := rl.streamSpan(ex)
+	span := rl.originSpan(ex)
 	sole, known := rl.SoleVersion(ex.svc.Name, span)
 	if rl.Origins == nil || ex.req.Resumes == "" && known {
 		return origin.Answer{Reply: origin.Reply{Sole: sole}}
@@ -128,7 +130,7 @@
 // checkVersionless returns why the version of a stream without a record can't be inferred,
 // or nil if the servers of its service do not tell versions.
 func (rl *Relay) checkVersionless(ex *exchange) error {
-	span := rl.streamSpan(ex)
+	span := rl.originSpan(ex)
 	rl.mu.Lock()
 	versions := rl.versions.Versions(rl.now(), span, ex.svc.Name)
 	rl.mu.Unlock()
@@ -187,6 +189,26 @@
 	return span
 }
 
+// recordFirstWait records how long the caller of a new stream waits in all.
+func (rl *Relay) recordFirstWait(ex *exchange) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.firstWait[ex.rt.Name] = max(rl.firstWait[ex.rt.Name], ex.req.WaitLimit)
+}
+
+// originSpan returns how long ago the stream that a request resumes may have begun. The
+// caller tells only how much of its time is left, and the route limits each attempt alone,
+// so the time that callers of new streams have counts.
+func (rl *Relay) originSpan(ex *exchange) clock.Millis {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	span := rl.firstWait[ex.rt.Name]
+	if span == 0 {
+		span = unlimitedStreamTime
+	}
+	return max(span, ex.rt.Timeout, ex.req.WaitLimit) + originMargin
+}
+
 // SoleVersion returns the only software version that the servers of a service had in the
 // last span, if this VM knows that there was no other.
 func (rl *Relay) SoleVersion(service string, span clock.Millis) (version string, ok bool) {
