origin: a VM that missed a version does not decide alone

Callers could get a stream joined from two versions: where no record of a stream is left, the VM that resumes it took any other VM's word for the only version that served, although a VM that was cut off may have missed one, and although others, or the VM itself, knew of several.

VMs now also say that they know of several versions. That, or two VMs that name different ones, goes before the word of a single VM. An earlier build does not say it and counts as before.

Failed before, with the code that takes any VM's word: 4 of 6 rows of TestVMThatMissedAVersionDoesNotDecide.

--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -81,12 +81,12 @@
 func originReplyToWire(number uint64, re origin.Reply) *peerpb.Datagram {
 	return &peerpb.Datagram{Body: &peerpb.Datagram_OriginAnswer{OriginAnswer: &peerpb.OriginAnswer{
 		Number: number, Known: re.State == origin.Known, Ambiguous: re.State == origin.Ambiguous,
-		Service: re.Record.Service, Version: re.Record.Version, Age: millisToWire(max(0, re.Age)), Sole: re.Sole}}}
+		Service: re.Record.Service, Version: re.Record.Version, Age: millisToWire(max(0, re.Age)), Sole: re.Sole, Several: re.Several}}}
 }
 
 // originReplyFromWire decodes a reply. A record without a version counts as unknown.
 func originReplyFromWire(oa *peerpb.OriginAnswer) origin.Reply {
-	re := origin.Reply{Sole: oa.GetSole()}
+	re := origin.Reply{Sole: oa.GetSole(), Several: oa.GetSeveral()}
 	switch {
 	case oa.GetAmbiguous():
 		re.State = origin.Ambiguous
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -27,7 +27,7 @@
 	_, ok := originRequestFromWire(&peerpb.OriginAsk{ID: []byte("short")})
 	assert.Assert(t, !ok)
 	for _, re := range []origin.Reply{
-		{}, {Sole: "v1"}, {State: origin.Ambiguous},
+		{}, {Sole: "v1"}, {Several: true}, {State: origin.Ambiguous},
 		{State: origin.Known, Record: origin.Record{Service: "m", Version: "v1"}, Age: 900, Sole: "v1"},
 	} {
 		assert.Equal(t, originReplyFromWire(originReplyToWire(7, re).GetOriginAnswer()), re)
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -75,6 +75,11 @@
 	return versions[0], true
 }
 
+// Several reports whether a service is known to have had several versions in the last span.
+func (hi History) Several(now, span clock.Millis, service string) bool {
+	return len(hi.Versions(now, span, service)) > 1
+}
+
 // Versions returns the known versions that a service had in the last span, in no order.
 func (hi History) Versions(now, span clock.Millis, service string) []string {
 	var out []string
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -26,6 +26,7 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -97,6 +98,9 @@
 		// Sole is the only version of the service in the span; empty if there were
 		// several, or the VM did not follow the list of servers for that long.
 		Sole string
+		// Several reports whether the VM knows that the service had several versions in the
+		// span.
+		Several bool
 	}
 
 	// Answer is what the VMs know of an ID.
@@ -121,9 +125,12 @@
 		Peers Peers
 		// Sole returns the only version of a service in the last span, as History.Sole
 		// does.
-		Sole  func(service string, span clock.Millis) (version string, ok bool)
-		Clock clock.Source
-		Log   event.Logger
+		Sole func(service string, span clock.Millis) (version string, ok bool)
+		// Several reports whether a service is known to have had several versions in the
+		// last span; nil: it never is.
+		Several func(service string, span clock.Millis) bool
+		Clock   clock.Source
+		Log     event.Logger
 
 		mu      sync.Mutex
 		records table
@@ -159,6 +166,7 @@
 	if rq.Service != "" && rg.Sole != nil {
 		re.Sole, _ = rg.Sole(rq.Service, rq.Span)
 	}
+	re.Several = rq.Service != "" && rg.Several != nil && rg.Several(rq.Service, rq.Span)
 	return re
 }
 
@@ -247,7 +255,9 @@
 }
 
 // Lookup asks this VM and the others for the record of an ID. If there is none, the
-// answer may have the only version that a service had in the last span.
+// answer may have the only version that a service had in the last span. A VM that was cut
+// off may have missed a version, so there is none if any other VM knows of several, or if
+// they disagree.
 func (rg *Registry) Lookup(ctx context.Context, id ID, service string, span clock.Millis) Answer {
 	rq := Request{ID: id, Service: service, Span: span}
 	best := Answer{Reply: rg.Handle(rq)}
@@ -271,9 +281,11 @@
 			return an
 		}
 		best.Silent += an.Silent
-		if best.Sole == "" {
-			best.Sole = an.Sole
-		}
+		best.Several = best.Several || an.Several || best.Sole != "" && an.Sole != "" && best.Sole != an.Sole
+		best.Sole = cmp.Or(best.Sole, an.Sole)
+	}
+	if best.Several {
+		best.Sole = ""
 	}
 	return best
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -292,6 +292,49 @@
 	assert.Assert(t, ok, "servers that tell no version")
 }
 
+// Guards against a stream that goes on at another version because one VM that was cut off
+// missed a version: the VMs that know of several go before it.
+func TestVMThatMissedAVersionDoesNotDecide(t *testing.T) {
+	sole := func(version string) func(string, clock.Millis) (string, bool) {
+		return func(string, clock.Millis) (string, bool) { return version, version != "" }
+	}
+	several := func(string, clock.Millis) bool { return true }
+	for _, tc := range []struct {
+		name    string
+		prepare func(regs map[string]*origin.Registry)
+		want    string
+	}{
+		{"one VM knows", func(regs map[string]*origin.Registry) { regs["vm-1"].Sole = sole("v1") }, "v1"},
+		{"another knows of several", func(regs map[string]*origin.Registry) {
+			regs["vm-1"].Sole, regs["vm-2"].Several = sole("v1"), several
+		}, ""},
+		{"the VM that asks knows of several", func(regs map[string]*origin.Registry) {
+			regs["vm-1"].Sole, regs["vm-0"].Several = sole("v1"), several
+		}, ""},
+		{"the VM that asks missed a version", func(regs map[string]*origin.Registry) {
+			regs["vm-0"].Sole, regs["vm-3"].Several = sole("v1"), several
+		}, ""},
+		{"two VMs missed one each", func(regs map[string]*origin.Registry) {
+			regs["vm-1"].Sole, regs["vm-2"].Sole = sole("v1"), sole("v2")
+		}, ""},
+		{"only the VM that asks knows", func(regs map[string]*origin.Registry) { regs["vm-0"].Sole = sole("v1") }, "v1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork(5)
+				for name := range nw.regs {
+					nw.regs[name].Sole = sole("")
+				}
+				tc.prepare(nw.regs)
+				an := nw.regs["vm-0"].Lookup(t.Context(), origin.IDOf("", "a1"), "m", 10*clock.Second)
+				assert.Equal(t, an.State, origin.Unknown)
+				assert.Equal(t, an.Sole, tc.want)
+				assert.Equal(t, an.Several, tc.want == "")
+			})
+		})
+	}
+}
+
 // Guards against a VM that has just started and tells a caller for good that its stream is
 // unknown, before it knows any VM to ask.
 func TestYoungVMWaitsForOthers(t *testing.T) {
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -86,6 +86,7 @@
 		{name: "ambiguous", answer: origin.Answer{Reply: origin.Reply{State: origin.Ambiguous, Sole: "v1"}}, servers: onlyV1, listed: []string{"v1"}, reason: refusal.VersionUnknown},
 		{name: "unknown, only one version served", answer: sole, servers: onlyV1, listed: []string{"v1", "v1"}, want: "v1"},
 		{name: "unknown, another version has just come", answer: sole, servers: onlyV1, listed: []string{"v1", "v2"}, reason: refusal.VersionUnknown},
+		{name: "unknown, another VM knows of several versions", answer: origin.Answer{Reply: origin.Reply{Several: true}}, servers: onlyV1, listed: []string{"v1"}, reason: refusal.VersionUnknown},
 		{name: "unknown, only one version served, the store is away", answer: sole, servers: onlyV1, storeErr: errStoreAway, reason: refusal.VersionUnknown, after: true},
 		{name: "unknown, only one version served, an old list", answer: sole, servers: onlyV1, listed: []string{"v1"}, outdated: true, reason: refusal.VersionUnknown, after: true},
 		{name: "not named, only one version served", answer: sole, servers: onlyV1, listed: []string{"v1"}, nameless: true, want: "v1"},
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -58,7 +58,7 @@
 	an, rc, err := rl.findOrigin(ctx, ex, rl.ListVersions)
 	rl.Log.Log(event.RelayOrigin, event.F("Request", ex.req.ID), event.F("Resumes", ex.req.Resumes), event.F("After", ex.req.LastEventID),
 		event.F("State", an.State.String()), event.F("Service", rc.Service), event.F("Version", rc.Version), event.F("By", an.By),
-		event.F("Age", an.Age.String()), event.F("Sole", an.Sole), event.F("Silent", an.Silent), event.F("Error", errorText(err)))
+		event.F("Age", an.Age.String()), event.F("Sole", an.Sole), event.F("Several", an.Several), event.F("Silent", an.Silent), event.F("Error", errorText(err)))
 	rl.count("Origins", map[string]string{"State": an.State.String()})
 	if err != nil {
 		return err
@@ -110,6 +110,8 @@
 		return origin.Record{}, errAmbiguous
 	case len(ex.rt.Shares) > 1:
 		return origin.Record{}, errSeveralServices
+	case an.Several:
+		return origin.Record{}, errSeveralVersions
 	case an.Sole == "":
 		return rc, rl.checkVersionless(ex)
 	case !rl.isListCurrent():
@@ -220,6 +222,14 @@
 	return rl.versions.Sole(rl.now(), span, service)
 }
 
+// KnowsSeveralVersions reports whether the servers of a service are known to have had
+// several software versions in the last span.
+func (rl *Relay) KnowsSeveralVersions(service string, span clock.Millis) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.versions.Several(rl.now(), span, service)
+}
+
 // RecordVersion records that a server of a service had a version, although the server may
 // be gone before the list of servers is set.
 func (rl *Relay) RecordVersion(now clock.Millis, service, version string) {
