event: texts in a log line are cut after 1 KB

An error on an entry of the VMs' topic or on a configuration quoted the value, up to the 256 kB of a record.

Failed before: TestLongTextIsCut, a line of over 400,000 bytes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -15,6 +15,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/phuslu/log"
 )
@@ -26,6 +27,10 @@
 	Error
 )
 
+// maxTextBytes bounds a text in a line: errors may quote what callers and other writers of
+// the store sent.
+const maxTextBytes = 1 << 10
+
 var catalogue []Event
 
 type (
@@ -67,6 +72,9 @@
 		en = en.Str("VM", lg.VM)
 	}
 	for _, fd := range fields {
+		if text, ok := fd.Value.(string); ok && len(text) > maxTextBytes {
+			fd.Value = strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+		}
 		en = en.Any(fd.Name, fd.Value)
 	}
 	en.Msg(ev.Meaning)
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -78,3 +78,13 @@
 	}
 	event.Logger{}.Log(event.Started) // the zero Logger discards it
 }
+
+// Guards against lines of any length: an error may quote a value that another writer left in
+// the store.
+func TestLongTextIsCut(t *testing.T) {
+	var out bytes.Buffer
+	lg := event.Logger{Out: &log.Logger{Writer: &log.IOWriter{Writer: &out}}}
+	lg.Log(event.ConfigurationUnusable, event.F("Offset", 7), event.F("Error", strings.Repeat("9", 400_000)))
+	assert.Assert(t, out.Len() < 2000, "a line of %d bytes", out.Len())
+	assert.Assert(t, strings.Contains(out.String(), "999..."), out.String())
+}
