platform: an encoded slash does not end a segment of a route's prefix

A request to /plants/admin%2F7 ran at the service of the route /plants/admin/ instead of /plants/, because routes were matched by the decoded path. The path that selects a route is decoded except for slashes now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,7 +73,7 @@
 		Method string
 		Host   string
 		URI    string // path and query as received
-		Path   string // decoded, to match routes
+		Path   string // decoded but for slashes, to match routes
 		Header http.Header
 		Body   []byte
 		// Memory accounts Body and the answer; nil: there is no limit. If the request has
