--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -122,7 +122,13 @@
 // start starts a new process of the VM.
 func (vm *vm) start(t *testing.T) {
 	t.Helper()
-	pr := &process{cmd: exec.Command(program, "run", vm.file), done: make(chan struct{})}
+	vm.startCommand(t, exec.Command(program, "run", vm.file))
+}
+
+// startCommand starts a new process of the VM with a command.
+func (vm *vm) startCommand(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	pr := &process{cmd: cmd, done: make(chan struct{})}
 	pr.cmd.Stdout, pr.cmd.Stderr = &pr.out, &pr.out
 	assert.NilError(t, pr.cmd.Start())
 	go func() {
