platform: heads are collected, bounded and charged before they are parsed

Callers saw: clients that sent heads of legal size made of very many short lines, or heads over the limit or without end, made the process run out of memory; all requests in progress were lost with it.

Cause: net/http parses a head as it arrives, before any handler; a line takes 300 to 450 bytes once it is parsed, copied for forwarding and copied for the worker. Nothing accounted for that, and the limits were fixed at 36 KB and 5 s, whatever the configuration said.

internal/ingress collects each head as bytes and passes it to net/http when it is whole, within the configuration's limits, and there is memory for its request; what is beyond an ordinary head is charged until the request has ended. A head that is refused is answered 431, 408 or 503 at once, none of which has run. Ordinary heads are never charged, and one large head is always admitted.

--- /dev/null
+++ b/internal/ingress/conn_test.go
@@ -0,0 +1,302 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/ingress"
+	"alderdyke/pkg/clock"
+)
+
+// readTimeout only ends tests that fail.
+const readTimeout = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig serves a handler that answers with the request's target, its body and whether its
+// length is ambiguous.
+type rig struct {
+	*ingress.Listener
+	scope tally.TestScope
+	// enter is received from before each answer to a request of the target /held; nil: they
+	// are answered at once.
+	enter chan struct{}
+	held  chan struct{} // gets one entry for each of them
+}
+
+func serve(t *testing.T, set func(rg *rig)) *rig {
+	t.Helper()
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	rg := &rig{scope: tally.NewTestScope("", nil), held: make(chan struct{}, 64)}
+	rg.Listener = &ingress.Listener{Listener: base, Name: "Test", Scope: rg.scope}
+	set(rg)
+	type connKey struct{}
+	hs := &http.Server{
+		MaxHeaderBytes: ingress.MaxHeaderBytes, ConnState: ingress.TrackState,
+		ConnContext: func(ctx context.Context, cn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, cn)
+		},
+		Handler: http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if rg.enter != nil && req.URL.Path == "/held" {
+				rg.held <- struct{}{}
+				<-rg.enter
+			}
+			_, _ = fmt.Fprintf(wr, "%s %s %v", req.RequestURI, body, req.Context().Value(connKey{}).(*ingress.Conn).HasAmbiguousLength())
+		}),
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = hs.Serve(rg.Listener) // ends when the server is closed
+	}()
+	t.Cleanup(func() {
+		_ = hs.Close()
+		<-done
+	})
+	return rg
+}
+
+// client is a connection whose answers are read one by one.
+type client struct {
+	net.Conn
+	rd *bufio.Reader
+}
+
+func (rg *rig) dial(t *testing.T, text string) *client {
+	t.Helper()
+	cn, err := net.Dial("tcp", rg.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = cn.Close() })
+	assert.NilError(t, cn.SetReadDeadline(time.Now().Add(readTimeout)))
+	cl := &client{Conn: cn, rd: bufio.NewReader(cn)}
+	cl.send(t, text)
+	return cl
+}
+
+func (cl *client) send(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(cl, text)
+	assert.NilError(t, err)
+}
+
+// answer returns the status and the body of the next answer; zero: the connection ended.
+func (cl *client) answer(t *testing.T) (int, string) {
+	t.Helper()
+	rsp, err := http.ReadResponse(cl.rd, nil)
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return 0, ""
+	}
+	assert.NilError(t, err)
+	body, err := io.ReadAll(rsp.Body)
+	assert.NilError(t, err)
+	return rsp.StatusCode, string(body)
+}
+
+// checkAnswer checks the next answer.
+func (cl *client) checkAnswer(t *testing.T, status int, body string) {
+	t.Helper()
+	code, got := cl.answer(t)
+	assert.Equal(t, code, status, got)
+	assert.Equal(t, got, body)
+}
+
+func (rg *rig) refusals(cause string) int64 {
+	for _, cr := range rg.scope.Snapshot().Counters() {
+		if cr.Name() == "Refused" && cr.Tags()["Cause"] == cause {
+			return cr.Value()
+		}
+	}
+	return 0
+}
+
+// charged returns the bytes that are charged for heads now.
+func (rg *rig) charged() float64 {
+	for _, ga := range rg.scope.Snapshot().Gauges() {
+		if ga.Name() == "HeadBytes" {
+			return ga.Value()
+		}
+	}
+	return 0
+}
+
+const request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Requests of one connection are told apart whatever pieces they come in, also when they are
+// sent without waiting for answers.
+func TestRequestsOfOneConnection(t *testing.T) {
+	rg := serve(t, func(*rig) {})
+	texts := []struct{ sent, want string }{
+		{request, "/a  false"},
+		{"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "/b abc false"},
+		{"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=\"y\"\r\nabc\r\nA \r\n0123456789\r\n0\r\n\r\n", "/c abc0123456789 false"},
+		{"POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0;e\r\nA: b\r\nC: d\r\n\r\n", "/d \n false"},
+		{"POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi", "/e hi true"},
+	}
+	for seed := range uint64(60) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		var sent strings.Builder
+		var want []string
+		for range 8 {
+			tx := texts[rnd.IntN(len(texts))]
+			sent.WriteString(tx.sent)
+			want = append(want, tx.want)
+		}
+		cl := rg.dial(t, "")
+		go func() {
+			for text := sent.String(); len(text) > 0; {
+				size := 1 + rnd.IntN(min(len(text), 60))
+				if seed == 0 {
+					size = len(text)
+				}
+				if _, err := io.WriteString(cl, text[:size]); err != nil {
+					return
+				}
+				text = text[size:]
+			}
+		}()
+		for _, body := range want {
+			cl.checkAnswer(t, http.StatusOK, body)
+		}
+		assert.NilError(t, cl.Close())
+	}
+}
+
+// Heads that are no request are refused as net/http does it.
+func TestMalformedHeads(t *testing.T) {
+	rg := serve(t, func(*rig) {})
+	for _, text := range []string{
+		"\r\n\r\n\r\n", "\n\n\n", strings.Repeat("\r\n", 1000), "GET\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\na b\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
+	} {
+		status, _ := rg.dial(t, text).answer(t)
+		assert.Equal(t, status, http.StatusBadRequest, "%q", text)
+	}
+	cl := rg.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n"+request)
+	status, _ := cl.answer(t)
+	assert.Equal(t, status, 0)
+}
+
+// A head that is longer than allowed is refused, and one that is not is served.
+func TestHeadsThatAreTooLarge(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.Limits = func() ingress.Limits { return ingress.Limits{HeadBytes: 2000} } })
+	for _, tc := range []struct {
+		size, status int
+		whole        bool
+	}{{2000, http.StatusOK, true}, {2001, http.StatusRequestHeaderFieldsTooLarge, true}, {9000, http.StatusRequestHeaderFieldsTooLarge, false}} {
+		start := "GET /a HTTP/1.1\r\nHost: h\r\nLong: "
+		text := start + strings.Repeat("v", tc.size-len(start)-4)
+		if tc.whole {
+			text += "\r\n\r\n"
+		}
+		status, _ := rg.dial(t, text).answer(t)
+		assert.Equal(t, status, tc.status)
+	}
+	assert.Equal(t, rg.refusals("TooLarge"), int64(2))
+}
+
+// A head has its time from its first byte on, an idle connection that of the idle timeout,
+// and a request in progress as much as it needs.
+func TestHeadsThatAreTooSlow(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Limits = func() ingress.Limits { return ingress.Limits{HeadTimeout: 100, IdleTimeout: clock.Minute} }
+		rg.enter = make(chan struct{})
+	})
+	cl := rg.dial(t, "GET /a HT")
+	cl.checkAnswer(t, http.StatusRequestTimeout, "refused before it was read: Slow\n")
+	status, _ := rg.dial(t, "").answer(t)
+	assert.Equal(t, status, 0, "a connection that sent nothing")
+
+	kept := rg.dial(t, request)
+	kept.checkAnswer(t, http.StatusOK, "/a  false")
+	time.Sleep(300 * time.Millisecond) // longer than a head may take
+	kept.send(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\nGET")
+	<-rg.held
+	time.Sleep(300 * time.Millisecond)
+	rg.enter <- struct{}{}
+	kept.checkAnswer(t, http.StatusOK, "/held  false")
+	kept.checkAnswer(t, http.StatusRequestTimeout, "refused before it was read: Slow\n")
+	assert.Equal(t, rg.refusals("Slow"), int64(2))
+}
+
+// largeHead is the head of a request that costs more than an ordinary one.
+func largeHead(target string) string {
+	return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 2000) + "\r\n"
+}
+
+// What heads above the ordinary cost is bounded together, until their requests have ended.
+// One is always admitted, and so are ordinary ones.
+func TestLargeHeadsAreBoundedTogether(t *testing.T) {
+	cost := ingress.HeadCost(len(largeHead("/held")), 2002)
+	rg := serve(t, func(rg *rig) {
+		rg.HeadMemory = cost * 5 / 2
+		rg.enter = make(chan struct{})
+	})
+	one := rg.dial(t, largeHead("/held"))
+	<-rg.held
+	two := rg.dial(t, largeHead("/held"))
+	<-rg.held
+	rg.dial(t, largeHead("/a")).checkAnswer(t, http.StatusServiceUnavailable, "refused before it was read: NoMemory\n")
+	rg.dial(t, request).checkAnswer(t, http.StatusOK, "/a  false")
+	rg.enter <- struct{}{}
+	rg.enter <- struct{}{}
+	one.checkAnswer(t, http.StatusOK, "/held  false")
+	two.checkAnswer(t, http.StatusOK, "/held  false")
+	one.send(t, request)
+	one.checkAnswer(t, http.StatusOK, "/a  false")
+	rg.dial(t, largeHead("/a")).checkAnswer(t, http.StatusOK, "/a  false")
+	assert.Equal(t, rg.refusals("NoMemory"), int64(1))
+	assert.NilError(t, one.Close())
+	assert.NilError(t, two.Close())
+
+	tight := serve(t, func(rg *rig) { rg.HeadMemory = 1 })
+	tight.dial(t, largeHead("/a")).checkAnswer(t, http.StatusOK, "/a  false")
+}
+
+// Heads that are not finished are charged with their bytes, which are released with their
+// connections.
+func TestUnfinishedHeadsAreCharged(t *testing.T) {
+	rg := serve(t, func(rg *rig) { rg.HeadMemory = 40 << 10 })
+	part := "GET /a HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("v", 12<<10)
+	var held []*client
+	for range 3 {
+		held = append(held, rg.dial(t, part))
+	}
+	await(t, func() bool { return rg.charged() > 24<<10 })
+	for rg.refusals("NoMemory") == 0 {
+		held = append(held, rg.dial(t, part))
+		assert.Assert(t, len(held) < 100)
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, rg.charged() <= 40<<10)
+	for _, cl := range held {
+		assert.NilError(t, cl.Close())
+	}
+	await(t, func() bool { return rg.charged() == 0 })
+}
+
+func await(t *testing.T, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(readTimeout); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it does not happen")
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -90,7 +90,9 @@
 	// Limits bound what a caller may send and how long its connection may
 	// stay idle. A zero field sets no bound.
 	Limits struct {
+		MaxHeadBytes int          // bytes of a request's head
 		MaxBodyBytes int          // bytes of a request's body
+		MaxHeadTime  clock.Millis // time in which a head must come
 		MaxIdle      clock.Millis // time between two requests on one connection
 	}
 
