platform: callers' connections have places, and yield them to new ones

Callers saw: beside a crowd of silent connections ordinary requests failed, new ones and those on open connections alike.

Cause: no listener bounded its connections, and those that the VM opens to workers, the store and other VMs come from the same descriptors. max_fds was not read.

At that limit the connection that waits longest for a head yields its place, of the client address that has most of them; none whose request is in progress does, and where all are, a new one is refused with 503.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -44,8 +44,11 @@
 		passed int    // bytes of buf that were passed on
 		head   headScanner
 		body   bodyFramer
-		held   int64 // bytes that are charged; guarded by the listener's lock
 		due    time.Time
+
+		// The rest is guarded by the listener's lock.
+		held  int64 // bytes that are charged
+		place place
 	}
 
 	// connKey is the context key of a request's connection.
@@ -120,6 +123,9 @@
 	if !cn.ln.reserve(cn, int64(cap(cn.buf))+HeadCost(cn.head.end, cn.head.lines)-OrdinaryCost) {
 		return cn.refuse(NoMemory)
 	}
+	if !cn.ln.beginRequest(cn) {
+		return errClosed
+	}
 	cn.first = false
 	var ambiguous bool
 	cn.body, ambiguous = framing(cn.buf[:cn.head.end])
@@ -220,7 +226,7 @@
 	if len(cn.buf) > 0 {
 		cn.due = after(lim.HeadTimeout)
 	}
-	cn.ln.reserve(cn, 0) // what is in the buffer is ordinary
+	cn.ln.endRequest(cn)
 	cn.awaitsHead.Store(true)
 }
 
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -300,3 +300,100 @@
 		}
 	}
 }
+
+// dialFrom opens a connection from an IP address.
+func (rg *rig) dialFrom(t *testing.T, ip, text string) *client {
+	t.Helper()
+	cn, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).DialContext(t.Context(), "tcp", rg.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = cn.Close() })
+	assert.NilError(t, cn.SetReadDeadline(time.Now().Add(readTimeout)))
+	cl := &client{Conn: cn, rd: bufio.NewReader(cn)}
+	cl.send(t, text)
+	return cl
+}
+
+// open returns how many connections have places.
+func (rg *rig) open() float64 {
+	for _, ga := range rg.scope.Snapshot().Gauges() {
+		if ga.Name() == "Connections" {
+			return ga.Value()
+		}
+	}
+	return 0
+}
+
+// Where all places are taken, the connection that waits longest yields to a new one, of the
+// address that has most of them. None yields whose request is in progress, and where that is
+// so of all, a new one is refused.
+func TestConnectionsYieldTheirPlaces(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Connections = 3
+		rg.enter = make(chan struct{})
+	})
+	single := rg.dialFrom(t, "127.0.0.2", request)
+	single.checkAnswer(t, http.StatusOK, "/a  false")
+	first := rg.dial(t, request)
+	first.checkAnswer(t, http.StatusOK, "/a  false")
+	second := rg.dial(t, request)
+	second.checkAnswer(t, http.StatusOK, "/a  false")
+	first.send(t, request) // now second waits longest of this address
+	first.checkAnswer(t, http.StatusOK, "/a  false")
+	third := rg.dial(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-rg.held
+	status, _ := second.answer(t)
+	assert.Equal(t, status, 0, "second has yielded its place")
+	single.send(t, request)
+	single.checkAnswer(t, http.StatusOK, "/a  false")
+	first.send(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-rg.held
+	single.send(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-rg.held
+	rg.dial(t, request).checkAnswer(t, http.StatusServiceUnavailable, "refused before it was read: NoPlace\n")
+	for _, cl := range []*client{first, single, third} {
+		rg.enter <- struct{}{}
+		defer cl.checkAnswer(t, http.StatusOK, "/held  false")
+	}
+	await(t, func() bool { return rg.open() == 3 })
+	assert.Equal(t, rg.refusals("Yielded"), int64(1))
+	assert.Equal(t, rg.refusals("NoPlace"), int64(1))
+}
+
+// One address has a limit of its own, within which its connections yield to each other.
+func TestConnectionsOfOneAddress(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Connections, rg.ConnectionsPerIP = 10, 1
+		rg.enter = make(chan struct{})
+	})
+	other := rg.dialFrom(t, "127.0.0.2", "")
+	rg.dial(t, request).checkAnswer(t, http.StatusOK, "/a  false")
+	held := rg.dial(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-rg.held
+	rg.dial(t, request).checkAnswer(t, http.StatusServiceUnavailable, "refused before it was read: NoPlace\n")
+	rg.enter <- struct{}{}
+	held.checkAnswer(t, http.StatusOK, "/held  false")
+	other.send(t, request)
+	other.checkAnswer(t, http.StatusOK, "/a  false")
+	assert.NilError(t, held.Close())
+	assert.NilError(t, other.Close())
+	await(t, func() bool { return rg.open() == 0 })
+}
+
+// A new connection that is refused is read for a while, since closing it with unread data
+// would discard the answer. Only few are refused so at the same time.
+func TestRefusedConnectionsAreDrained(t *testing.T) {
+	rg := serve(t, func(rg *rig) {
+		rg.Connections = 1
+		rg.enter = make(chan struct{})
+	})
+	held := rg.dial(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-rg.held
+	refused := rg.dial(t, strings.Repeat("x", 10<<10))
+	refused.checkAnswer(t, http.StatusServiceUnavailable, "refused before it was read: NoPlace\n")
+	refused.send(t, "late") // fails if the connection was reset
+	status, _ := rg.dial(t, "").answer(t)
+	assert.Equal(t, status, 0, "one more than may be refused at the same time")
+	rg.enter <- struct{}{}
+	held.checkAnswer(t, http.StatusOK, "/held  false")
+	assert.NilError(t, refused.Close())
+}
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	MaxHeaderBytes = 64 << 20
 	// logInterval limits the log lines on refusals.
 	logInterval = 10 * time.Second
+	// maxRejecting new connections are refused with an answer at the same time, and at
+	// most one for each rejectingFraction connections.
+	maxRejecting      = 64
+	rejectingFraction = 16
 )
 
 // Causes of refusals.
@@ -30,6 +35,8 @@
 	TooLarge Cause = "TooLarge" // the head has more bytes than allowed
 	Slow     Cause = "Slow"     // the head was not whole in time
 	NoMemory Cause = "NoMemory" // there is no memory for a head of this cost
+	NoPlace  Cause = "NoPlace"  // requests are in progress on all connections
+	Yielded  Cause = "Yielded"  // the connection waited for a head, and another one needed its place
 )
 
 type (
@@ -49,20 +56,32 @@
 	// fields before Accept.
 	Listener struct {
 		net.Listener
-		Name       string        // of the address, for the log and the metrics
-		HeadMemory int64         // bytes that may be charged for heads; zero: no limit
-		Limits     func() Limits // in force now; nil: the defaults
-		Scope      tally.Scope   // nil: nothing is counted
-		Log        event.Logger
+		Name       string // of the address, for the log and the metrics
+		HeadMemory int64  // bytes that may be charged for heads; zero: no limit
+		// Connections may be open at the same time, and ConnectionsPerIP of one IP address;
+		// zero: no limit.
+		Connections, ConnectionsPerIP int
+		Limits                        func() Limits // in force now; nil: the defaults
+		Scope                         tally.Scope   // nil: nothing is counted
+		Log                           event.Logger
 		// Response returns the whole answer to what is refused; nil: a plain text.
 		Response func(cs Cause) []byte
+		// OnRefused is called for each refusal; it may be nil.
+		OnRefused func(cs Cause)
 
-		once    sync.Once
-		limiter *rate.Limiter
+		once      sync.Once
+		rejecting chan struct{} // holds one entry for each new connection that is being refused
 
 		mu      sync.Mutex // guards everything below
 		charged int64      // sum of what connections hold
-		refused int        // since the last log line
+		places  places
+		notices map[event.Event]*notice
+	}
+
+	// notice is the state of the log lines of one event.
+	notice struct {
+		limiter *rate.Limiter
+		refused int // since the last line
 	}
 
 	// halfCloser is a connection whose two directions can be closed separately, such as
@@ -75,16 +94,65 @@
 	TooLarge: http.StatusRequestHeaderFieldsTooLarge,
 	Slow:     http.StatusRequestTimeout,
 	NoMemory: http.StatusServiceUnavailable,
+	NoPlace:  http.StatusServiceUnavailable,
 }
 
-// Accept returns the next connection, as a *Conn.
+// Accept returns the next connection that has a place, as a *Conn.
 func (ln *Listener) Accept() (net.Conn, error) {
 	ln.prepare()
-	cn, err := ln.Listener.Accept()
+	for {
+		raw, err := ln.Listener.Accept()
+		if err != nil {
+			return nil, err // as it is: net/http tells by its type whether to go on
+		}
+		cn := newConn(raw, ln)
+		yields, ok := ln.enter(cn)
+		if yields != nil {
+			ln.recordRefused(Yielded, yields.Conn)
+			_ = yields.Conn.Close() // nothing is to be done about a connection that is gone
+		}
+		if ok {
+			return cn, nil
+		}
+		ln.recordRefused(NoPlace, raw)
+		ln.reject(raw)
+	}
+}
+
+func (ln *Listener) enter(cn *Conn) (yields *Conn, ok bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	yields, ok = ln.places.enter(cn, addressOf(cn.Conn), ln.Connections, ln.ConnectionsPerIP)
+	if yields != nil {
+		ln.charge(yields, 0)
+	}
+	ln.Scope.Gauge("Connections").Update(float64(ln.places.open))
+	return yields, ok
+}
+
+// reject refuses a new connection. It has no place meanwhile, so there are few of these;
+// further ones are closed without an answer.
+func (ln *Listener) reject(cn net.Conn) {
+	select {
+	case ln.rejecting <- struct{}{}:
+	default:
+		_ = cn.Close() // nothing is to be done about a connection that is gone
+		return
+	}
+	go func() {
+		sendRefusal(cn, ln.response(NoPlace))
+		_ = cn.Close() // as above
+		<-ln.rejecting
+	}()
+}
+
+// addressOf returns the remote IP address, without its port.
+func addressOf(cn net.Conn) netip.Addr {
+	ap, err := netip.ParseAddrPort(cn.RemoteAddr().String())
 	if err != nil {
-		return nil, err
+		return netip.Addr{}
 	}
-	return newConn(cn, ln), nil
+	return ap.Addr().Unmap().WithZone("")
 }
 
 func (ln *Listener) prepare() {
@@ -93,7 +161,12 @@
 			ln.Scope = tally.NoopScope
 		}
 		ln.Scope = ln.Scope.Tagged(map[string]string{"Address": ln.Name})
-		ln.limiter = rate.NewLimiter(rate.Every(logInterval), 1)
+		ln.notices = make(map[event.Event]*notice)
+		rejecting := maxRejecting
+		if ln.Connections > 0 {
+			rejecting = min(rejecting, 1+ln.Connections/rejectingFraction)
+		}
+		ln.rejecting = make(chan struct{}, rejecting)
 	})
 }
 
@@ -108,12 +181,20 @@
 	return lim
 }
 
-// reserve sets what is charged to a connection, and reports false without a change if there is no
-// memory for it.
+// reserve sets what is charged to a connection, and reports false without a change if there
+// is no memory for it.
 func (ln *Listener) reserve(cn *Conn, bytes int64) bool {
-	bytes = max(0, bytes)
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
+	return ln.charge(cn, bytes)
+}
+
+// charge is reserve with the lock held.
+func (ln *Listener) charge(cn *Conn, bytes int64) bool {
+	if cn.place.left {
+		bytes = 0
+	}
+	bytes = max(0, bytes)
 	others := ln.charged - cn.held
 	if bytes > cn.held && ln.HeadMemory > 0 && others > 0 && others+bytes > ln.HeadMemory {
 		return false
@@ -124,26 +205,68 @@
 	return true
 }
 
+// beginRequest records that a request is in progress, and reports false if the connection
+// has yielded its place.
+func (ln *Listener) beginRequest(cn *Conn) bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.places.begin(cn)
+}
+
+// endRequest records that a connection waits for its next head. What is in its buffer is
+// ordinary.
+func (ln *Listener) endRequest(cn *Conn) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.charge(cn, 0)
+	ln.places.wait(cn)
+}
+
 // release releases what a connection holds.
-func (ln *Listener) release(cn *Conn) { ln.reserve(cn, 0) }
+func (ln *Listener) release(cn *Conn) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.charge(cn, 0)
+	ln.places.leave(cn)
+	ln.Scope.Gauge("Connections").Update(float64(ln.places.open))
+}
 
-// recordRefused counts a refusal, and logs the first and then one line in each interval.
+// recordRefused counts a refusal, and logs the first of its event and then one line in each
+// interval.
 func (ln *Listener) recordRefused(cs Cause, cn net.Conn) {
 	ln.Scope.Tagged(map[string]string{"Cause": string(cs)}).Counter("Refused").Inc(1)
-	ln.mu.Lock()
-	ln.refused++
-	refused := ln.refused
-	logged := ln.limiter.Allow()
-	if logged {
-		ln.refused = 0
-	}
-	ln.mu.Unlock()
-	if logged {
-		ln.Log.Log(event.HeadsRefused, event.F("Address", ln.Name), event.F("Cause", string(cs)),
+	if ln.OnRefused != nil {
+		ln.OnRefused(cs)
+	}
+	ev := event.HeadsRefused
+	if cs == NoPlace || cs == Yielded {
+		ev = event.ConnectionLimit
+	}
+	if refused := ln.notice(ev); refused > 0 {
+		ln.Log.Log(ev, event.F("Address", ln.Name), event.F("Cause", string(cs)),
 			event.F("Remote", cn.RemoteAddr().String()), event.F("Refused", refused))
 	}
 }
 
+// notice returns how many refusals the next log line of an event is about; zero: it is not
+// due.
+func (ln *Listener) notice(ev event.Event) int {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	nt := ln.notices[ev]
+	if nt == nil {
+		nt = &notice{limiter: rate.NewLimiter(rate.Every(logInterval), 1)}
+		ln.notices[ev] = nt
+	}
+	nt.refused++
+	if !nt.limiter.Allow() {
+		return 0
+	}
+	refused := nt.refused
+	nt.refused = 0
+	return refused
+}
+
 // response returns the whole answer to what is refused.
 func (ln *Listener) response(cs Cause) []byte {
 	if ln.Response != nil {
--- /dev/null
+++ b/internal/ingress/resources_test.go
@@ -0,0 +1,30 @@
+package ingress_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/ingress"
+)
+
+func TestShares(t *testing.T) {
+	for _, tc := range []struct {
+		rs          ingress.Resources
+		share       float64
+		connections int
+		heads       int64
+	}{
+		{ingress.Resources{Descriptors: 4200, Memory: 1 << 40}, 0.25, 1000, 1 << 40 / 128 * 5},
+		{ingress.Resources{Descriptors: 4200, Memory: 24 << 20}, 0.5, 320, 24 << 20 / 64 * 5},
+		{ingress.Resources{Descriptors: 100, Memory: 24 << 20}, 0.5, 1, 24 << 20 / 64 * 5},
+		{ingress.Resources{Descriptors: 1200}, 0.5, 500, 40 << 20},
+		{ingress.Resources{Memory: 24 << 20}, 0.5, 320, 24 << 20 / 64 * 5},
+	} {
+		assert.Equal(t, tc.rs.Connections(tc.share), tc.connections, "%+v", tc)
+		assert.Equal(t, tc.rs.HeadMemory(tc.share), tc.heads, "%+v", tc)
+	}
+	own, err := ingress.Descriptors()
+	assert.NilError(t, err)
+	assert.Assert(t, own > 0)
+}
