caller, operator: heads and connections are bounded as on the platform

Clients without a key or a token could end a VM of the own path: 400 unfinished heads took 131 to 135 MB of 96 at either address, 2,000 whole ones 636 MB at the operators', before any token was checked; 700 silent connections took 551 to 591 sockets of 400.

Cause: net/http parses heads before any handler. The callers' listener bounded connections without regard to the process's descriptors, and refused the newest; the operators' bounded nothing.

Both addresses are served through internal/ingress, with 40% and 4% of the sockets and of GOMEMLIMIT; the listener of internal/caller is gone.

TestConnectionsAreLimited held an idle connection and required that the next one of its address be refused. An idle connection yields its place now, since silent ones kept ordinary callers out; the test holds a request in progress instead, and requires the whole refusal.

--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -37,6 +37,7 @@
 		MaxBody     int64 // bytes of a request body (8 MiB)
 		BodiesHeld  int64 // bytes of the bodies of all open requests; small bodies are exempt (64 MiB); not used with Server.Memory
 		HeaderBytes int   // bytes of a request's headers (16 KiB)
+		HeadMemory  int64 // bytes that the headers of all requests may take, beyond ordinary ones (32 MiB)
 
 		HeaderTimeout clock.Millis // from the connection to the last header (10s)
 		BodyGrace     clock.Millis // time before BodyRate is enforced (10s)
@@ -92,6 +93,7 @@
 	setDefault(&lm.MaxBody, 8<<20)
 	setDefault(&lm.BodiesHeld, 64<<20)
 	setDefault(&lm.HeaderBytes, 16<<10)
+	setDefault(&lm.HeadMemory, 32<<20)
 	setDefault(&lm.HeaderTimeout, 10*clock.Second)
 	setDefault(&lm.BodyGrace, 10*clock.Second)
 	setDefault(&lm.BodyRate, 1<<10)
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -99,45 +98,20 @@
 
 func TestConnectionsAreLimited(t *testing.T) {
 	rg := serve(t, func(rg *rig) { rg.Limits = Limits{ConnectionsPerIP: 1} })
-	held := dialRaw(t, rg, "GET /v1/addresses HTTP/1.1\r\nHost: a\r\n\r\n")
-	_, err := bufio.NewReader(held).ReadString('\n')
+	held := dialRaw(t, rg, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+testKey+"\r\nIdempotency-Key: k\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n")
+	_, err := bufio.NewReader(held).ReadString('\n') // its request is in progress
 	assert.NilError(t, err)
 	data, err := io.ReadAll(dialRaw(t, rg, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"))
 	assert.NilError(t, err)
-	assert.Assert(t, strings.HasSuffix(string(data), rejectionBody))
+	head, rest, _ := strings.Cut(string(data), "\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(head, "HTTP/1.1 503 ") && strings.Contains(head, "\r\nRetry-After: 1\r\n") &&
+		strings.Contains(head, "\r\nAlderdyke-Refusal: TooManyConnections\r\n"), head)
 	assert.Equal(t, rg.counterSum("ConnectionsTurnedAway", ""), int64(1))
 	var body errorBody
-	assert.NilError(t, json.Unmarshal([]byte(rejectionBody), &body))
+	assert.NilError(t, json.Unmarshal([]byte(rest), &body))
 	assert.Equal(t, body.Error.Reason, refusal.TooManyConnections)
-
-	ln := &listener{maxOpen: 2, maxPerIP: 2}
-	one, two := addrOf(held), netip.Addr{}
-	assert.Assert(t, ln.acquire(one) && ln.acquire(two) && !ln.acquire(one))
-	ln.release(two)
-	assert.Assert(t, ln.acquire(one) && !ln.acquire(two))
-}
-
-// halfPipe is a pipe end that acts as a connection with two directions.
-type halfPipe struct{ net.Conn }
-
-func (halfPipe) CloseWrite() error { return nil }
-
-func TestRejectedConnectionsAreDrained(t *testing.T) {
-	ln := &listener{rejecting: make(chan struct{}, 1)}
-	there, here := net.Pipe()
-	ln.reject(halfPipe{there})
-	got := make([]byte, len(rejectionResponse))
-	_, err := io.ReadFull(here, got)
-	assert.NilError(t, err)
-	_, err = here.Write([]byte("late")) // succeeds only if the server reads it
-	assert.NilError(t, err)
-
-	above, other := net.Pipe()
-	ln.reject(halfPipe{above}) // one more than may be rejected at the same time
-	_, err = other.Read(got)
-	assert.ErrorIs(t, err, io.EOF)
-	assert.NilError(t, here.Close())
-	ln.rejecting <- struct{}{} // the first rejection has ended
+	assert.Equal(t, body.Error.Ran, refusal.NotRun)
+	assert.Equal(t, body.Error.RetryAfter, clock.Second)
 }
 
 // A caller that disconnects, or that does not read, no longer follows its answer.
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -1,161 +1,67 @@
 package caller
 
 import (
-	"io"
+	"context"
+	"encoding/json"
 	"net"
-	"net/netip"
-	"strconv"
-	"sync"
-	"time"
+	"net/http"
 
-	"alderdyke/internal/sockopt"
-	"alderdyke/pkg/clock"
-)
+	"github.com/samber/oops"
 
-// Limits on the refusal of connections above a connection limit.
-const (
-	maxRejecting    = 64          // connections at the same time; further ones are closed without a response
-	rejectTimeout   = time.Second // of one connection
-	rejectReadBytes = 64 << 10    // that are read from one connection and discarded
+	"alderdyke/internal/ingress"
+	"alderdyke/internal/memory"
+	"alderdyke/internal/sockopt"
+	"alderdyke/pkg/refusal"
 )
 
-// rejectionBody is the refusal that a connection above a limit gets.
-const rejectionBody = `{"error":{"Ran":"NotRun","Reason":"TooManyConnections","RetryAfter":"1s",` +
-	`"Detail":"connection limit of this VM"}}`
-
-// rejectionResponse is the complete response to such a connection.
-var rejectionResponse = []byte("HTTP/1.1 503 Service Unavailable\r\n" +
-	"Alderdyke-Refusal: TooManyConnections\r\n" +
-	"Retry-After: 1\r\nConnection: close\r\nContent-Type: application/json\r\n" +
-	"Content-Length: " + strconv.Itoa(len(rejectionBody)) + "\r\n\r\n" + rejectionBody)
-
-type (
-	// listener accepts connections up to its limits, in total and from one IP
-	// address. Connections above a limit get a refusal and are closed. The zero
-	// limits accept nothing.
-	listener struct {
-		net.Listener
-		maxOpen    int
-		maxPerIP   int
-		unacked    clock.Millis // how long sent data may stay unacknowledged
-		onRejected func(remote string)
-		rejecting  chan struct{} // holds one entry for each connection that is being rejected
-		closed     sync.Once
-
-		mu   sync.Mutex
-		open int
-		byIP map[netip.Addr]int
-	}
-
-	// halfCloser is a connection whose two directions can be closed separately, such
-	// as *net.TCPConn.
-	halfCloser interface{ CloseWrite() error }
-
-	// countedConn releases its place in the limits when it is closed.
-	countedConn struct {
-		net.Conn
-		once    sync.Once
-		release func()
-	}
-)
+// headerSlop is what net/http allows beyond Limits.HeaderBytes.
+const headerSlop = 4 << 10
 
-// Accept returns the next connection within the limits.
-func (ln *listener) Accept() (net.Conn, error) {
-	for {
-		conn, err := ln.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		addr := addrOf(conn)
-		if !ln.acquire(addr) {
-			ln.onRejected(addr.String())
-			ln.reject(conn)
-			continue
-		}
-		if err := sockopt.SetUserTimeout(conn, ln.unacked); err != nil {
-			ln.release(addr)
-			_ = conn.Close()
-			continue
-		}
-		return &countedConn{Conn: conn, release: func() { ln.release(addr) }}, nil
-	}
+// refusals are what is told to callers whose requests were refused before they were read.
+var refusals = map[ingress.Cause]refusal.Refusal{
+	ingress.TooLarge: {Ran: refusal.NotRun, Reason: refusal.TooLarge, Detail: "the headers are too large"},
+	ingress.Slow:     {Ran: refusal.NotRun, Reason: refusal.BadRequest, Detail: "the headers came too slowly"},
+	ingress.NoMemory: {Ran: refusal.NotRun, Reason: refusal.QueueFull, RetryAfter: memory.RetryAfter, Detail: "the memory for headers is used up"},
+	ingress.NoPlace:  {Ran: refusal.NotRun, Reason: refusal.TooManyConnections, RetryAfter: memory.RetryAfter, Detail: "connection limit of this VM"},
 }
 
-func (ln *listener) acquire(addr netip.Addr) bool {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	if ln.open >= ln.maxOpen || ln.byIP[addr] >= ln.maxPerIP {
-		return false
-	}
-	if ln.byIP == nil {
-		ln.byIP = make(map[netip.Addr]int)
+// listen opens the callers' address.
+func (srv *Server) listen(ctx context.Context) (*ingress.Listener, error) {
+	cfg := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: srv.limits.KeepAlive.Std(), Interval: srv.limits.KeepAlive.Std() / 2, Count: keepAliveProbes,
+		},
+		Control: sockopt.UserTimeoutControl(2 * srv.limits.WriteTimeout), // connections inherit it
 	}
-	ln.open++
-	ln.byIP[addr]++
-	return true
-}
-
-func (ln *listener) release(addr netip.Addr) {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	ln.open--
-	ln.byIP[addr]--
-	if ln.byIP[addr] == 0 {
-		delete(ln.byIP, addr)
+	base, err := cfg.Listen(ctx, "tcp", srv.Listen)
+	if err != nil {
+		return nil, oops.In("caller").With("Address", srv.Listen).Wrapf(err, "listen for callers")
 	}
+	lim := ingress.Limits{HeadBytes: srv.limits.HeaderBytes + headerSlop, HeadTimeout: srv.limits.HeaderTimeout, IdleTimeout: srv.limits.IdleTimeout}
+	return &ingress.Listener{
+		Listener: base, Name: "Callers", Limits: func() ingress.Limits { return lim }, Scope: srv.scope.SubScope("Ingress"), Log: srv.Logger,
+		HeadMemory: srv.limits.HeadMemory, Connections: srv.limits.Connections, ConnectionsPerIP: srv.limits.ConnectionsPerIP,
+		Response: earlyResponse, OnRefused: srv.countRejected,
+	}, nil
 }
 
-// Close closes the connection and releases its place once.
-func (cc *countedConn) Close() error {
-	err := cc.Conn.Close()
-	cc.once.Do(cc.release)
-	return err
-}
-
-// reject sends the refusal and closes the connection. It reads what the caller sends
-// meanwhile, because closing a connection with unread data would discard the
-// response.
-func (ln *listener) reject(conn net.Conn) {
-	select {
-	case ln.rejecting <- struct{}{}:
-	default:
-		_ = conn.Close()
-		return
+// earlyResponse returns the answer to a request that was refused before it was read.
+func earlyResponse(cs ingress.Cause) []byte {
+	rf := refusals[cs]
+	body, err := json.Marshal(errorBody{rf})
+	if err != nil {
+		body = nil // the status and the header tell enough
 	}
-	go func() {
-		defer func() { <-ln.rejecting }()
-		defer func() { _ = conn.Close() }()
-		_ = conn.SetDeadline(time.Now().Add(rejectTimeout))
-		if _, err := conn.Write(rejectionResponse); err != nil {
-			return
-		}
-		if hc, ok := conn.(halfCloser); ok && hc.CloseWrite() == nil {
-			_, _ = io.CopyN(io.Discard, conn, rejectReadBytes)
-		}
-	}()
+	return ingress.Response(cs, "application/json", http.Header{headerRefusal: {string(rf.Reason)}}, string(body))
 }
 
-// Close closes the listener and waits about a second at most for the connections that
-// are being rejected.
-func (ln *listener) Close() error {
-	err := ln.Listener.Close()
-	ln.closed.Do(func() {
-		for range cap(ln.rejecting) {
-			ln.rejecting <- struct{}{}
-		}
-	})
-	return err
-}
-
-// addrOf returns the remote IP address, without its port.
-func addrOf(conn net.Conn) netip.Addr {
-	ap, err := netip.ParseAddrPort(conn.RemoteAddr().String())
-	if err != nil {
-		return netip.Addr{}
+func (srv *Server) countRejected(cs ingress.Cause) {
+	if cs == ingress.NoPlace {
+		srv.count("ConnectionsTurnedAway")
 	}
-	return ap.Addr().Unmap().WithZone("")
 }
 
+// remoteIP returns the IP address of a caller, without its port.
 func remoteIP(remote string) string {
 	host, _, err := net.SplitHostPort(remote)
 	if err != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -19,6 +19,7 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/event"
+	"alderdyke/internal/ingress"
 	"alderdyke/internal/memory"
 	"alderdyke/pkg/clock"
 	"alderdyke/pkg/refusal"
@@ -53,7 +54,6 @@
 		limits           Limits
 		scope            tally.Scope
 		unknownKeyEvents *rate.Limiter // limits the events about unknown API keys
-		rejectedEvents   *rate.Limiter // limits the events about rejected connections
 
 		bodyBytes atomic.Int64 // bytes of the request bodies in memory
 
@@ -103,7 +103,8 @@
 		Handler:           handler,
 		ReadHeaderTimeout: srv.limits.HeaderTimeout.Std(),
 		IdleTimeout:       srv.limits.IdleTimeout.Std(),
-		MaxHeaderBytes:    srv.limits.HeaderBytes,
+		MaxHeaderBytes:    ingress.MaxHeaderBytes,
+		ConnState:         ingress.TrackState,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 	}
 	served := make(chan error, 1)
@@ -123,21 +124,6 @@
 	}
 }
 
-func (srv *Server) listen(ctx context.Context) (*listener, error) {
-	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: srv.limits.KeepAlive.Std(), Interval: srv.limits.KeepAlive.Std() / 2, Count: keepAliveProbes,
-	}}
-	base, err := cfg.Listen(ctx, "tcp", srv.Listen)
-	if err != nil {
-		return nil, oops.In("caller").With("Address", srv.Listen).Wrapf(err, "listen for callers")
-	}
-	return &listener{
-		Listener: base, maxOpen: srv.limits.Connections, maxPerIP: srv.limits.ConnectionsPerIP,
-		unacked: 2 * srv.limits.WriteTimeout, onRejected: srv.recordRejected,
-		rejecting: make(chan struct{}, maxRejecting),
-	}, nil
-}
-
 // stop performs a planned stop; see Run.
 func (srv *Server) stop(hs *http.Server, served <-chan error) error {
 	hs.SetKeepAlivesEnabled(false)
@@ -174,7 +160,6 @@
 func (srv *Server) handler() (http.Handler, error) {
 	srv.limits = srv.Limits.withDefaults()
 	srv.unknownKeyEvents = rate.NewLimiter(rate.Every(time.Second), 1)
-	srv.rejectedEvents = rate.NewLimiter(rate.Every(time.Second), 1)
 	if srv.scope = srv.Scope; srv.scope == nil {
 		srv.scope = tally.NoopScope
 	}
@@ -199,13 +184,6 @@
 	return app, nil
 }
 
-func (srv *Server) recordRejected(remote string) {
-	srv.count("ConnectionsTurnedAway")
-	if srv.rejectedEvents.Allow() {
-		srv.Logger.Log(event.ConnectionLimit, event.F("Remote", remote))
-	}
-}
-
 func (srv *Server) count(name string) { srv.scope.Counter(name).Inc(1) }
 
 func (srv *Server) countRefusal(rf refusal.Refusal, class string) {
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -8,9 +8,17 @@
 	"runtime/debug"
 
 	"alderdyke/internal/caller"
+	"alderdyke/internal/ingress"
 	"alderdyke/internal/memory"
 )
 
+// Shares of the memory and the descriptors of the process for connections that others open.
+// More than half of the descriptors remain for those that the VM opens itself.
+const (
+	callersShare   = 0.4
+	operatorsShare = 0.04
+)
+
 // requestMemory returns the bytes that the requests of all callers may hold: the setting, or
 // else a part of the process's memory limit (GOMEMLIMIT); zero: there is no limit.
 func requestMemory(setting int64) int64 {
@@ -26,6 +34,19 @@
 	}
 }
 
+// resources returns what the process may take of its machine.
+func resources() ingress.Resources {
+	descriptors, err := ingress.Descriptors()
+	if err != nil {
+		descriptors = 0 // it can't be known
+	}
+	limit := debug.SetMemoryLimit(-1) // only reads it
+	if limit == math.MaxInt64 {
+		limit = 0
+	}
+	return ingress.Resources{Descriptors: descriptors, Memory: limit}
+}
+
 // memoryBudget returns the budget for requests and answers; nil: there is no limit.
 func (vm *VM) memoryBudget() *memory.Budget {
 	if vm.callers == nil {
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -45,6 +45,7 @@
 	"alderdyke/internal/claim"
 	"alderdyke/internal/engine"
 	"alderdyke/internal/event"
+	"alderdyke/internal/ingress"
 	"alderdyke/internal/logsvc"
 	"alderdyke/internal/membership"
 	"alderdyke/internal/memory"
@@ -296,7 +297,7 @@
 		Listen: set.Caller.Listen.String(),
 		Runner: vm,
 		Board:  vm.Board,
-		Limits: callerLimits(set),
+		Limits: callerLimits(set, resources()),
 		Scope:  vm.Scope,
 		Logger: vm.Log,
 
@@ -318,6 +319,9 @@
 		Metrics:  vm.Metrics,
 		Scope:    vm.Scope.SubScope("Operator"),
 		Log:      vm.Log,
+
+		Connections: resources().Connections(operatorsShare),
+		HeadMemory:  resources().HeadMemory(operatorsShare),
 	}
 	if err := srv.Run(ctx); err != nil {
 		return fmt.Errorf("serve operators: %w", err)
@@ -329,14 +333,15 @@
 // may set, so that the stop cuts off no request.
 const maxStopWait = 25 * clock.Hour
 
-// callerLimits returns the limits for callers from the settings.
-func callerLimits(set settings.Settings) caller.Limits {
+// callerLimits returns the limits for callers from the settings and what the machine allows.
+func callerLimits(set settings.Settings, rs ingress.Resources) caller.Limits {
 	return caller.Limits{
 		MaxBody:       int64(set.Limits.MaxBody),
 		HeaderBytes:   int(set.Limits.MaxHeader),
 		HeaderTimeout: set.Limits.HeaderTimeout,
 		IdleTimeout:   set.Limits.IdleTimeout,
-		Connections:   set.Limits.MaxConnections,
+		Connections:   min(set.Limits.MaxConnections, rs.Connections(callersShare)),
+		HeadMemory:    rs.HeadMemory(callersShare),
 		Addresses:     set.Addresses.Count,
 		ListLag:       set.Drain.Linger,
 		BodyGrace:     set.Limits.BodyTimeout,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"alderdyke/internal/event"
+	"alderdyke/internal/ingress"
 	"alderdyke/internal/settings"
 	"alderdyke/pkg/clock"
 )
@@ -28,7 +29,7 @@
 	orderTimeout   = 80 * clock.Second // the engine alone may take a minute
 	queryTimeout   = 20 * clock.Second
 	stopTimeout    = 5 * clock.Second
-	maxHeaderBytes = 16 << 10
+	maxHeaderBytes = 20 << 10
 
 	rejectedLogBurst    = 10           // rejected requests that are logged individually
 	rejectedLogInterval = clock.Second // after these, one line per interval
@@ -43,6 +44,12 @@
 	Scope    tally.Scope  // a separate one, such as a subscope Operator, for the counters Requests and Refusals; nil: not counted
 	Log      event.Logger
 
+	// Connections may be open at the same time, and the headers of all requests may take
+	// HeadMemory bytes, beyond ordinary ones; zero: no limit. They hold before any token
+	// is checked.
+	Connections int
+	HeadMemory  int64
+
 	rejectedLog rate.Sometimes
 }
 
@@ -60,11 +67,19 @@
 		ReadTimeout:       readTimeout.Std(),
 		WriteTimeout:      writeTimeout.Std(),
 		IdleTimeout:       idleTimeout.Std(),
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    ingress.MaxHeaderBytes,
+		ConnState:         ingress.TrackState,
 		ErrorLog:          log.New(io.Discard, "", 0), // net/http's lines are not events of the catalogue
 	}
+	ln := &ingress.Listener{
+		Listener: srv.Listener, Name: "Operators", Scope: srv.Scope.SubScope("Ingress"), Log: srv.Log,
+		Connections: srv.Connections, HeadMemory: srv.HeadMemory,
+		Limits: func() ingress.Limits {
+			return ingress.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		},
+	}
 	served := make(chan error, 1)
-	go func() { served <- hs.Serve(srv.Listener) }()
+	go func() { served <- hs.Serve(ln) }()
 	select {
 	case err := <-served:
 		return place.Wrapf(err, "serve operators")
