--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -93,6 +93,7 @@
 func Studies() []Study {
 	return []Study{
 		{"streams", measureStreams},
+		{"ingress", measureConnections},
 		{"wire", measureWire},
 		{"members", measureMembers},
 		{"engines", measureEngines},
