--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -50,9 +49,6 @@
 		held  int64 // bytes that are charged
 		place place
 	}
-
-	// connKey is the context key of a request's connection.
-	connKey struct{}
 )
 
 // errClosed ends a connection without an answer of net/http.
@@ -279,8 +275,3 @@
 		in.endRequest()
 	}
 }
-
-// WithConn is for http.Server.ConnContext.
-func WithConn(ctx context.Context, cn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, cn)
-}
--- a/internal/integration/crowd_test.go
+++ b/internal/integration/crowd_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/standin/crowd"
+	"alderdyke/internal/standin/deployment"
 )
 
 // The crowd tests check what does not depend on the speed of the machine: that the process
@@ -166,3 +170,23 @@
 // Guards against the same at the operators' address, where a request is parsed before its
 // token is checked.
 func TestCrowdAtOperators(t *testing.T) { checkCrowds(t, "operators", "/status") }
+
+// A single request within the limits is served in calm, also one of very many short lines.
+func TestCrowdOfOne(t *testing.T) {
+	cf := startCrowdFleet(t)
+	for name, text := range map[string][]byte{
+		"callers": crowd.Head{Method: http.MethodGet, Target: "/services/" + service + "/records/one", Host: "h", Size: crowdHeadMax,
+			Lines: "Authorization: Bearer " + apiKey + "\r\nIdempotency-Key: one\r\nConnection: close\r\n"}.ShortLines(),
+		"operators": crowd.Head{Method: http.MethodGet, Target: "/status", Host: "h", Size: crowdHeadMax,
+			Lines: "Authorization: Bearer " + deployment.OperatorToken + "\r\nConnection: close\r\n"}.ShortLines(),
+	} {
+		cn, err := net.Dial("tcp", cf.entrances[name].address)
+		assert.NilError(t, err)
+		_, err = cn.Write(text)
+		assert.NilError(t, err)
+		answer, err := io.ReadAll(cn)
+		assert.NilError(t, err)
+		assert.NilError(t, cn.Close())
+		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 200 OK\r\n"), "%s: %.300s", name, answer)
+	}
+}
