ingress: an empty line behind a body is no head

Some clients send one. It counted as the first bytes of the next head, so that the idle connection was closed with 408 after the time of a head instead of the idle time. The row of TestHeadsThatAreTooSlow fails without the change.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -107,7 +108,7 @@
 			return cn.refuse(NoMemory)
 		}
 		if size == 0 && err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && len(cn.buf) > 0 {
+			if errors.Is(err, os.ErrDeadlineExceeded) && cn.hasBegun() {
 				return cn.refuse(Slow)
 			}
 			return err
@@ -135,7 +136,7 @@
 // keep appends to the buffer, and reports whether there is memory for it. The first bytes of
 // a head begin its time.
 func (cn *Conn) keep(data []byte, lim Limits) bool {
-	if len(cn.buf) == 0 && !cn.first {
+	if !cn.first && !cn.hasBegun() {
 		cn.due = after(lim.HeadTimeout)
 	}
 	if need := len(cn.buf) + len(data); need > cap(cn.buf) {
@@ -149,6 +150,10 @@
 	return true
 }
 
+// hasBegun reports whether a part of a head was received. Empty lines are none: some clients
+// send one behind a body.
+func (cn *Conn) hasBegun() bool { return len(bytes.Trim(cn.buf, "\r\n")) > 0 }
+
 // passHead passes on what is left of the head, which is in the buffer as a whole.
 func (cn *Conn) passHead(data []byte) int {
 	size := copy(data, cn.buf[cn.passed:cn.head.end])
@@ -219,7 +224,7 @@
 	}
 	lim := cn.ln.limits()
 	cn.due = after(lim.IdleTimeout)
-	if len(cn.buf) > 0 {
+	if cn.hasBegun() {
 		cn.due = after(lim.HeadTimeout)
 	}
 	cn.ln.endRequest(cn)
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -82,13 +82,7 @@
 
 func (rg *rig) dial(t *testing.T, text string) *client {
 	t.Helper()
-	cn, err := net.Dial("tcp", rg.Addr().String())
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = cn.Close() })
-	assert.NilError(t, cn.SetReadDeadline(time.Now().Add(readTimeout)))
-	cl := &client{Conn: cn, rd: bufio.NewReader(cn)}
-	cl.send(t, text)
-	return cl
+	return rg.dialFrom(t, "127.0.0.1", text)
 }
 
 func (cl *client) send(t *testing.T, text string) {
@@ -224,8 +218,8 @@
 	status, _ := rg.dial(t, "").answer(t)
 	assert.Equal(t, status, 0, "a connection that sent nothing")
 
-	kept := rg.dial(t, request)
-	kept.checkAnswer(t, http.StatusOK, "/a  false")
+	kept := rg.dial(t, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx\r\n") // an empty line behind the body
+	kept.checkAnswer(t, http.StatusOK, "/a x false")
 	time.Sleep(300 * time.Millisecond) // longer than a head may take
 	kept.send(t, "GET /held HTTP/1.1\r\nHost: h\r\n\r\nGET")
 	<-rg.held
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -15,6 +15,11 @@
 //     not run, and its connection is closed. Nobody else yields to it: what is charged is large
 //     heads, so that they only keep out each other.
 //
+// Connections have places. Where all are taken, the connection that waits longest for a head
+// yields its place to a new one, of the address that has most of them: a client that connects
+// and sends nothing keeps out nobody. A connection whose request is in progress does not yield,
+// and where there is no other, the new one is refused.
+//
 // A Conn follows the framing of bodies to find the next head. Where net/http and it disagree
 // about the end of a body, the connection ends with that request.
 //
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -69,8 +69,11 @@
 		// OnRefused is called for each refusal; it may be nil.
 		OnRefused func(cs Cause)
 
-		once      sync.Once
-		rejecting chan struct{} // holds one entry for each new connection that is being refused
+		once        sync.Once
+		scope       tally.Scope
+		headBytes   tally.Gauge
+		connections tally.Gauge
+		rejecting   chan struct{} // holds one entry for each new connection that is being refused
 
 		mu      sync.Mutex // guards everything below
 		charged int64      // sum of what connections hold
@@ -126,7 +129,7 @@
 	if yields != nil {
 		ln.charge(yields, 0)
 	}
-	ln.Scope.Gauge("Connections").Update(float64(ln.places.open))
+	ln.connections.Update(float64(ln.places.open))
 	return yields, ok
 }
 
@@ -157,10 +160,11 @@
 
 func (ln *Listener) prepare() {
 	ln.once.Do(func() {
-		if ln.Scope == nil {
-			ln.Scope = tally.NoopScope
+		ln.scope = tally.NoopScope
+		if ln.Scope != nil {
+			ln.scope = ln.Scope.Tagged(map[string]string{"Address": ln.Name})
 		}
-		ln.Scope = ln.Scope.Tagged(map[string]string{"Address": ln.Name})
+		ln.headBytes, ln.connections = ln.scope.Gauge("HeadBytes"), ln.scope.Gauge("Connections")
 		ln.notices = make(map[event.Event]*notice)
 		rejecting := maxRejecting
 		if ln.Connections > 0 {
@@ -201,7 +205,7 @@
 	}
 	cn.held = bytes
 	ln.charged = others + bytes
-	ln.Scope.Gauge("HeadBytes").Update(float64(ln.charged))
+	ln.headBytes.Update(float64(ln.charged))
 	return true
 }
 
@@ -228,13 +232,13 @@
 	defer ln.mu.Unlock()
 	ln.charge(cn, 0)
 	ln.places.leave(cn)
-	ln.Scope.Gauge("Connections").Update(float64(ln.places.open))
+	ln.connections.Update(float64(ln.places.open))
 }
 
 // recordRefused counts a refusal, and logs the first of its event and then one line in each
 // interval.
 func (ln *Listener) recordRefused(cs Cause, cn net.Conn) {
-	ln.Scope.Tagged(map[string]string{"Cause": string(cs)}).Counter("Refused").Inc(1)
+	ln.scope.Tagged(map[string]string{"Cause": string(cs)}).Counter("Refused").Inc(1)
 	if ln.OnRefused != nil {
 		ln.OnRefused(cs)
 	}
