--- a/internal/standin/crowd/process.go
+++ b/internal/standin/crowd/process.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -52,13 +53,17 @@
 	return count, nil
 }
 
-// MostSockets samples the sockets of a process until the context ends, and returns the most.
-func MostSockets(ctx context.Context, pid int) int {
+// Watch runs the crowd against a process until the context ends, and returns the most sockets
+// that the process had open meanwhile.
+func (cr Crowd) Watch(ctx context.Context, pid int) int {
+	var running sync.WaitGroup
+	running.Go(func() { cr.Run(ctx) })
 	most := 0
 	for ctx.Err() == nil {
 		count, _ := Sockets(pid) // an error means that the process has ended, which its test sees
 		most = max(most, count)
 		wait(ctx, sampleInterval)
 	}
+	running.Wait()
 	return most
 }
