--- a/internal/ingress/resources.go
+++ b/internal/ingress/resources.go
@@ -10,13 +10,13 @@
 const (
 	// fileDescriptors are kept for files; the rest is for sockets.
 	fileDescriptors = 200
-	// connectionBytes is what a connection takes with an ordinary request, at most: the
-	// buffers of net/http, its goroutines and the request.
+	// connectionBytes is what a connection counts for: the buffers of net/http, its
+	// goroutines and an ordinary request.
 	connectionBytes = 24 << 10
-	// connectionMemory is the part of the memory for the connections of all addresses.
+	// connectionMemory and headMemory are the parts of the memory that an address would
+	// have for its connections and for its heads if its share were the whole.
 	connectionMemory = 5.0 / 8
-	// headMemory is the part of the memory for heads of all addresses.
-	headMemory = 5.0 / 32
+	headMemory       = 5.0 / 32
 	// assumedMemory bounds the heads of a process that has no memory limit.
 	assumedMemory = 512 << 20
 )
