ingress, caller: the checks of refused connections that went with the old listener

The whole body of the refusal, that the place of a refusal is free again once it has ended, and that a place that was given back is taken again had been checked on the listener of internal/caller, and were not all restated when it went.

--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -112,6 +112,7 @@
 	assert.Equal(t, body.Error.Reason, refusal.TooManyConnections)
 	assert.Equal(t, body.Error.Ran, refusal.NotRun)
 	assert.Equal(t, body.Error.RetryAfter, clock.Second)
+	assert.Equal(t, rest, `{"error":{"Ran":"NotRun","Reason":"TooManyConnections","RetryAfter":"1s","Detail":"connection limit of this VM"}}`)
 }
 
 // A caller that disconnects, or that does not read, no longer follows its answer.
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -371,6 +371,7 @@
 	assert.NilError(t, held.Close())
 	assert.NilError(t, other.Close())
 	await(t, func() bool { return rg.open() == 0 })
+	rg.dial(t, request).checkAnswer(t, http.StatusOK, "/a  false") // the place was given back
 }
 
 // A new connection that is refused is read for a while, since closing it with unread data
@@ -387,7 +388,13 @@
 	refused.send(t, "late") // fails if the connection was reset
 	status, _ := rg.dial(t, "").answer(t)
 	assert.Equal(t, status, 0, "one more than may be refused at the same time")
+	assert.NilError(t, refused.Close())
+	await(t, func() bool { // the first refusal has ended, and the next one is answered again
+		cn := rg.dial(t, request)
+		status, _ := cn.answer(t)
+		assert.NilError(t, cn.Close())
+		return status == http.StatusServiceUnavailable
+	})
 	rg.enter <- struct{}{}
 	held.checkAnswer(t, http.StatusOK, "/held  false")
-	assert.NilError(t, refused.Close())
 }
