event: one throttle for lines that clients may cause at will

internal/ingress counted refusals between two lines by itself, with a map and under its lock, as memory.Recorder does. Both call event.Throttle now; the lines are the same.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 
 	"alderdyke/internal/event"
 	"alderdyke/internal/memory"
@@ -75,16 +74,11 @@
 		connections tally.Gauge
 		rejecting   chan struct{} // holds one entry for each new connection that is being refused
 
+		headsRefused, placesRefused *event.Throttle
+
 		mu      sync.Mutex // guards everything below
 		charged int64      // sum of what connections hold
 		places  places
-		notices map[event.Event]*notice
-	}
-
-	// notice is the state of the log lines of one event.
-	notice struct {
-		limiter *rate.Limiter
-		refused int // since the last line
 	}
 
 	// halfCloser is a connection whose two directions can be closed separately, such as
@@ -165,7 +159,7 @@
 			ln.scope = ln.Scope.Tagged(map[string]string{"Address": ln.Name})
 		}
 		ln.headBytes, ln.connections = ln.scope.Gauge("HeadBytes"), ln.scope.Gauge("Connections")
-		ln.notices = make(map[event.Event]*notice)
+		ln.headsRefused, ln.placesRefused = event.NewThrottle(logInterval), event.NewThrottle(logInterval)
 		rejecting := maxRejecting
 		if ln.Connections > 0 {
 			rejecting = min(rejecting, 1+ln.Connections/rejectingFraction)
@@ -242,35 +236,16 @@
 	if ln.OnRefused != nil {
 		ln.OnRefused(cs)
 	}
-	ev := event.HeadsRefused
+	ev, th := event.HeadsRefused, ln.headsRefused
 	if cs == NoPlace || cs == Yielded {
-		ev = event.ConnectionLimit
+		ev, th = event.ConnectionLimit, ln.placesRefused
 	}
-	if refused := ln.notice(ev); refused > 0 {
+	if refused, due := th.Count(); due {
 		ln.Log.Log(ev, event.F("Address", ln.Name), event.F("Cause", string(cs)),
 			event.F("Remote", cn.RemoteAddr().String()), event.F("Refused", refused))
 	}
 }
 
-// notice returns how many refusals the next log line of an event is about; zero: it is not
-// due.
-func (ln *Listener) notice(ev event.Event) int {
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	nt := ln.notices[ev]
-	if nt == nil {
-		nt = &notice{limiter: rate.NewLimiter(rate.Every(logInterval), 1)}
-		ln.notices[ev] = nt
-	}
-	nt.refused++
-	if !nt.limiter.Allow() {
-		return 0
-	}
-	refused := nt.refused
-	nt.refused = 0
-	return refused
-}
-
 // response returns the whole answer to what is refused.
 func (ln *Listener) response(cs Cause) []byte {
 	if ln.Response != nil {
--- a/internal/memory/recorder.go
+++ b/internal/memory/recorder.go
@@ -1,11 +1,9 @@
 package memory
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 
 	"alderdyke/internal/event"
 )
@@ -25,13 +23,12 @@
 	budget  *Budget
 	scope   tally.Scope
 	log     event.Logger
-	limiter *rate.Limiter
-	refused atomic.Int64 // since the last log line
+	refused *event.Throttle
 }
 
 // NewRecorder returns a recorder of a budget, which may be nil.
 func NewRecorder(bg *Budget, lg event.Logger, scope tally.Scope) *Recorder {
-	return &Recorder{budget: bg, scope: scope, log: lg, limiter: rate.NewLimiter(rate.Every(logInterval), 1)}
+	return &Recorder{budget: bg, scope: scope, log: lg, refused: event.NewThrottle(logInterval)}
 }
 
 // Report updates the gauge of the bytes that are held.
@@ -57,9 +54,8 @@
 		return
 	}
 	rc.Count(reason)
-	rc.refused.Add(1)
-	if rc.limiter.Allow() {
+	if refused, due := rc.refused.Count(); due {
 		now, _ := rc.budget.Held()
-		rc.log.Log(event.MemoryShort, event.F("Held", now), event.F("Limit", rc.budget.Limit()), event.F("Refused", rc.refused.Swap(0)))
+		rc.log.Log(event.MemoryShort, event.F("Held", now), event.F("Limit", rc.budget.Limit()), event.F("Refused", refused))
 	}
 }
