caller, operator: timeouts of heads and idle connections stand in one place

http.Server had them as well, where they have had no effect since the listener sets the deadlines between two requests. The shares of the operators' address read the process's limits once.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -100,12 +100,10 @@
 		return err
 	}
 	hs := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: srv.limits.HeaderTimeout.Std(),
-		IdleTimeout:       srv.limits.IdleTimeout.Std(),
-		MaxHeaderBytes:    ingress.MaxHeaderBytes,
-		ConnState:         ingress.TrackState,
-		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		Handler:        handler,
+		MaxHeaderBytes: ingress.MaxHeaderBytes,
+		ConnState:      ingress.TrackState,
+		ErrorLog:       stdlog.New(io.Discard, "", 0),
 	}
 	served := make(chan error, 1)
 	go func() { served <- hs.Serve(ln) }()
--- a/internal/entry/vm.go
+++ b/internal/entry/vm.go
@@ -312,6 +312,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	rs := resources()
 	srv := &operator.Server{
 		Listener: ln,
 		Token:    vm.Settings.Operator.Token,
@@ -320,8 +321,8 @@
 		Scope:    vm.Scope.SubScope("Operator"),
 		Log:      vm.Log,
 
-		Connections: resources().Connections(operatorsShare),
-		HeadMemory:  resources().HeadMemory(operatorsShare),
+		Connections: rs.Connections(operatorsShare),
+		HeadMemory:  rs.HeadMemory(operatorsShare),
 	}
 	if err := srv.Run(ctx); err != nil {
 		return fmt.Errorf("serve operators: %w", err)
