--- a/internal/slope/ingress.go
+++ b/internal/slope/ingress.go
@@ -138,10 +138,11 @@
 			return err
 		}
 		before := memoryInUse()
-		text := string(crowd.Head{Method: http.MethodGet, Target: "/held", Host: "h", Size: size}.ShortLines())
-		if size > 0 {
-			text = string(head(crowd.Head{Method: http.MethodGet, Target: "/held", Host: "h", Size: size}))
+		fill := head
+		if size == 0 {
+			fill = crowd.Head.ShortLines // which has nothing to fill
 		}
+		text := string(fill(crowd.Head{Method: http.MethodGet, Target: "/held", Host: "h", Size: size}))
 		for range headsHeld {
 			if _, err := sv.connect(ctx, text); err != nil {
 				sv.close()
