ingress: heads of more than 500 lines are accepted with Go 1.27, too

README says "Go 1.26 or later". Callers of a program that was built with Go 1.27 got 431 for requests within the configuration's limits: net/http limits the lines of a head to 500 there by default, where a legal head of 16 KB may have over 2,000.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -100,11 +100,10 @@
 		return err
 	}
 	hs := &http.Server{
-		Handler:        handler,
-		MaxHeaderBytes: ingress.MaxHeaderBytes,
-		ConnState:      ingress.TrackState,
-		ErrorLog:       stdlog.New(io.Discard, "", 0),
+		Handler:  handler,
+		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
+	ingress.Prepare(hs)
 	served := make(chan error, 1)
 	go func() { served <- hs.Serve(ln) }()
 	srv.mu.Lock()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -273,10 +272,3 @@
 
 // HasAmbiguousLength reports whether the end of the current request can be read in two ways.
 func (cn *Conn) HasAmbiguousLength() bool { return cn.ambiguous.Load() }
-
-// TrackState is for http.Server.ConnState, or to be called from there.
-func TrackState(cn net.Conn, state http.ConnState) {
-	if in, ok := cn.(*Conn); ok && state == http.StateIdle {
-		in.endRequest()
-	}
-}
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -51,7 +51,7 @@
 	set(rg)
 	type connKey struct{}
 	hs := &http.Server{
-		MaxHeaderBytes: ingress.MaxHeaderBytes, ConnState: rg.trackState,
+		ConnState: rg.countIdle,
 		ConnContext: func(ctx context.Context, cn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, cn)
 		},
@@ -67,6 +67,7 @@
 			_, _ = fmt.Fprintf(wr, "%s %s %v", req.RequestURI, body, req.Context().Value(connKey{}).(*ingress.Conn).HasAmbiguousLength())
 		}),
 	}
+	ingress.Prepare(hs)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -79,8 +80,7 @@
 	return rg
 }
 
-func (rg *rig) trackState(cn net.Conn, state http.ConnState) {
-	ingress.TrackState(cn, state)
+func (rg *rig) countIdle(_ net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
 		rg.idle.Add(1)
 	}
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -26,6 +26,7 @@
 // # Usage
 //
 //	ln := &ingress.Listener{Listener: base, HeadMemory: 8 << 20, Limits: inForce, Scope: scope, Log: log, Name: "Callers"}
-//	hs := &http.Server{Handler: handler, MaxHeaderBytes: ingress.MaxHeaderBytes, ConnState: ingress.TrackState}
+//	hs := &http.Server{Handler: handler}
+//	ingress.Prepare(hs)
 //	err := hs.Serve(ln)
 package ingress
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -19,8 +19,6 @@
 const (
 	// DefaultHeadBytes bounds a head if Limits do not.
 	DefaultHeadBytes = 32 << 10
-	// MaxHeaderBytes is for http.Server, whose own limit must not be met first.
-	MaxHeaderBytes = 64 << 20
 	// logInterval limits the log lines on refusals.
 	logInterval = 10 * time.Second
 	// maxRejecting new connections are refused with an answer at the same time, and at
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -62,13 +62,12 @@
 		return place.Wrapf(err, "prepare to serve operators")
 	}
 	hs := &http.Server{
-		Handler:        handler,
-		ReadTimeout:    readTimeout.Std(), // of a body: the listener has limits for heads and idle connections
-		WriteTimeout:   writeTimeout.Std(),
-		MaxHeaderBytes: ingress.MaxHeaderBytes,
-		ConnState:      ingress.TrackState,
-		ErrorLog:       log.New(io.Discard, "", 0), // net/http's lines are not events of the catalogue
+		Handler:      handler,
+		ReadTimeout:  readTimeout.Std(), // of a body: the listener has limits for heads and idle connections
+		WriteTimeout: writeTimeout.Std(),
+		ErrorLog:     log.New(io.Discard, "", 0), // net/http's lines are not events of the catalogue
 	}
+	ingress.Prepare(hs)
 	ln := &ingress.Listener{
 		Listener: srv.Listener, Name: "Operators", Scope: srv.Scope.SubScope("Ingress"), Log: srv.Log,
 		Connections: srv.Connections, HeadMemory: srv.HeadMemory,
--- a/internal/slope/ingress.go
+++ b/internal/slope/ingress.go
@@ -42,13 +42,14 @@
 		return nil, fmt.Errorf("listen on loopback: %w", err)
 	}
 	sv := &heldServer{address: ln.Addr().String(), came: make(chan struct{}), leave: make(chan struct{})}
-	sv.hs = &http.Server{MaxHeaderBytes: ingress.MaxHeaderBytes, ConnState: ingress.TrackState, ReadHeaderTimeout: time.Minute,
+	sv.hs = &http.Server{ReadHeaderTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 			if req.URL.Path == "/held" {
 				sv.came <- struct{}{}
 				<-sv.leave
 			}
 		})}
+	ingress.Prepare(sv.hs)
 	go sv.hs.Serve(&ingress.Listener{Listener: ln, Limits: func() ingress.Limits { return ingress.Limits{HeadBytes: 2 * headsTarget} }})
 	return sv, nil
 }
