ingress: connections whose bodies do not come yield their places

Callers of a VM were refused beside clients that send a head and never its body: these connections counted as requests in progress, which do not yield, for the 20 s that a part of a body may take.

No VM runs a request before it has the whole body, so such a connection can yield without breaking a promise. Those that wait for a head still yield first; of these the one that has received nothing for longest.

TestUnfinishedBodiesYieldTheirPlaces failed before (503 NoPlace) and passes.

--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -12,7 +12,7 @@
 		"streams were still open when the planned stop timed out",
 		"report it: no template may set a deadline that is that long")
 	ConnectionLimit = register(1904, "ConnectionLimit", Warn,
-		"an address of this VM has as many connections as it may: with the Cause Yielded, those that waited longest for a request were closed to make room; with NoPlace, new ones were refused, as requests are in progress on all",
+		"an address of this VM has as many connections as it may: with the Cause Yielded, those that waited longest for a request, or for the rest of one, were closed to make room; with NoPlace, new ones were refused, as requests are in progress on all",
 		"see Address, Refused since the last line, and Remote, the last of them; look for one client that opens many connections; otherwise add VMs")
 	CallerStalled = register(1905, "CallerStalled", Info,
 		"a caller read too slowly and was detached; it may reconnect for the answer", "none")
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -39,6 +39,7 @@
 		first  bool   // no request was received
 		inHead bool   // what is received next belongs to a head
 		broken bool   // the end of the last request is not known
+		partly bool   // the body of the current request is not complete
 		buf    []byte // received and not passed on; in a head, all of it
 		passed int    // bytes of buf that were passed on
 		head   headScanner
@@ -119,12 +120,14 @@
 	if !cn.ln.reserve(cn, int64(cap(cn.buf))+HeadCost(cn.head.end, cn.head.lines)-OrdinaryCost) {
 		return cn.refuse(NoMemory)
 	}
-	if !cn.ln.beginRequest(cn) {
+	var ambiguous bool
+	cn.body, ambiguous = framing(cn.buf[:cn.head.end])
+	ahead := cn.body
+	ahead.take(cn.buf[cn.head.end:])
+	if cn.partly = !ahead.ended(); !cn.ln.noteReceived(cn, !cn.partly) {
 		return errClosed
 	}
 	cn.first = false
-	var ambiguous bool
-	cn.body, ambiguous = framing(cn.buf[:cn.head.end])
 	cn.ambiguous.Store(ambiguous)
 	cn.awaitsHead.Store(false)
 	_ = cn.Conn.SetReadDeadline(time.Time{}) // an error means that the connection is closed
@@ -207,6 +210,12 @@
 	if own < size {
 		cn.buf = rest(data[own:size])
 	}
+	if cn.partly && own > 0 {
+		cn.partly = !cn.body.ended()
+		if !cn.ln.noteReceived(cn, !cn.partly) {
+			return 0, errClosed
+		}
+	}
 	return own, err
 }
 
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -40,6 +40,9 @@
 	enter chan struct{}
 	held  chan struct{} // gets one entry for each of them
 	idle  atomic.Int64  // how often a request has ended whose connection remains open
+
+	entered chan struct{} // gets one entry for each request before its body is read; may be nil
+	read    atomic.Int64  // bytes of bodies that the handler has read
 }
 
 func serve(t *testing.T, set func(rg *rig)) *rig {
@@ -56,7 +59,10 @@
 			return context.WithValue(ctx, connKey{}, cn)
 		},
 		Handler: http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-			body, err := io.ReadAll(req.Body)
+			if rg.entered != nil {
+				rg.entered <- struct{}{}
+			}
+			body, err := io.ReadAll(countedReader{req.Body, &rg.read})
 			if err != nil {
 				panic(http.ErrAbortHandler)
 			}
@@ -80,6 +86,18 @@
 	return rg
 }
 
+// countedReader counts what is read.
+type countedReader struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+func (cr countedReader) Read(data []byte) (int, error) {
+	size, err := cr.Reader.Read(data)
+	cr.count.Add(int64(size))
+	return size, err
+}
+
 func (rg *rig) countIdle(_ net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
 		rg.idle.Add(1)
@@ -375,6 +393,38 @@
 	assert.Equal(t, rg.refusals("NoPlace"), int64(1))
 }
 
+// A connection whose request is not complete yields its place, too, if none waits for a head:
+// of these the one that has received nothing for longest.
+func TestUnfinishedBodiesYieldTheirPlaces(t *testing.T) {
+	const start = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+	rg := serve(t, func(rg *rig) {
+		rg.Connections = 3
+		rg.enter = make(chan struct{})
+		rg.entered = make(chan struct{}, 64)
+	})
+	first := rg.dial(t, start)
+	<-rg.entered
+	second := rg.dial(t, start+"b")
+	<-rg.entered
+	held := rg.dial(t, "POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+	<-rg.entered
+	<-rg.held
+	first.send(t, "b")
+	await(t, func() bool { return rg.read.Load() == 3 }) // now second waits longest
+	fourth := rg.dial(t, request)
+	fourth.checkAnswer(t, http.StatusOK, "/a  false")
+	status, _ := second.answer(t)
+	assert.Equal(t, status, 0, "second has yielded its place")
+	rg.awaitIdle(t, 1)
+	rg.dial(t, request).checkAnswer(t, http.StatusOK, "/a  false") // fourth has yielded, not first
+	first.send(t, "bb")
+	first.checkAnswer(t, http.StatusOK, "/a bbb false")
+	rg.enter <- struct{}{}
+	held.checkAnswer(t, http.StatusOK, "/held b false")
+	assert.Equal(t, rg.refusals("Yielded"), int64(2))
+	assert.Equal(t, rg.refusals("NoPlace"), int64(0))
+}
+
 // One address has a limit of its own, within which its connections yield to each other.
 func TestConnectionsOfOneAddress(t *testing.T) {
 	rg := serve(t, func(rg *rig) {
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -17,8 +17,10 @@
 //
 // Connections have places. Where all are taken, the connection that waits longest for a head
 // yields its place to a new one, of the address that has most of them: a client that connects
-// and sends nothing keeps out nobody. A connection whose request is in progress does not yield,
-// and where there is no other, the new one is refused.
+// and sends nothing keeps out nobody. Where none waits for a head, one yields that waits for
+// the rest of a body, in the same order: handlers must not run a request before they have read
+// its body. A connection whose request was received does not yield, and where there is no
+// other, the new one is refused.
 //
 // A Conn follows the framing of bodies to find the next head. Where net/http and it disagree
 // about the end of a body, the connection ends with that request.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -33,7 +33,7 @@
 	Slow     Cause = "Slow"     // the head was not whole in time
 	NoMemory Cause = "NoMemory" // there is no memory for a head of this cost
 	NoPlace  Cause = "NoPlace"  // requests are in progress on all connections
-	Yielded  Cause = "Yielded"  // the connection waited for a head, and another one needed its place
+	Yielded  Cause = "Yielded"  // the connection waited for its client, and another one needed its place
 )
 
 type (
@@ -201,12 +201,16 @@
 	return true
 }
 
-// beginRequest records that a request is in progress, and reports false if the connection
-// has yielded its place.
-func (ln *Listener) beginRequest(cn *Conn) bool {
+// noteReceived records that a part of a request was received after its head, or all of it.
+// It reports false if the connection has yielded its place.
+func (ln *Listener) noteReceived(cn *Conn, all bool) bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	return ln.places.begin(cn)
+	pl := &cn.place
+	if all {
+		return pl.move(cn, nil)
+	}
+	return pl.move(cn, &pl.source.receiving)
 }
 
 // endRequest records that a connection waits for its next head. What is in its buffer is
@@ -215,7 +219,7 @@
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.charge(cn, 0)
-	ln.places.wait(cn)
+	cn.place.move(cn, &cn.place.source.waiting)
 }
 
 // release releases what a connection holds.
--- a/internal/ingress/places.go
+++ b/internal/ingress/places.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"container/list"
 	"net/netip"
 )
@@ -12,24 +13,27 @@
 		sources map[netip.Addr]*source
 	}
 
-	// source is a client's IP address.
+	// source is a client's IP address. Of its connections those that may yield are listed,
+	// the one that waits longest first.
 	source struct {
-		address netip.Addr
-		open    int
-		waiting list.List // of its connections that wait for a head, those that wait longest first
+		address   netip.Addr
+		open      int
+		waiting   list.List // for a head
+		receiving list.List // the rest of a body
 	}
 
 	// place is what a connection has of the places.
 	place struct {
 		source  *source
-		waiting *list.Element // nil: its request is in progress
+		list    *list.List // of the source; nil: its request is in progress
+		element *list.Element
 		left    bool
 	}
 )
 
 // enter gives a connection a place. If there is none, a connection that waits for a head
-// yields its own: the one that waits longest, of the address that has most of them. Without
-// one there is no place.
+// yields its own, or else one that waits for the rest of a body: the one that waits longest,
+// of the address that has most of them. Without one there is no place.
 func (ps *places) enter(cn *Conn, address netip.Addr, most, mostOfOne int) (yields *Conn, ok bool) {
 	src := ps.sources[address]
 	if src == nil {
@@ -59,54 +63,58 @@
 	ps.sources[src.address] = src
 	ps.open++
 	src.open++
-	cn.place = place{source: src, waiting: src.waiting.PushBack(cn)}
+	cn.place = place{source: src}
+	cn.place.move(cn, &src.waiting)
 }
 
-// longest returns the connection that waits longest of the address that has most of them.
+// longest returns the connection that is to yield.
 func (ps *places) longest() *Conn {
-	var most *source
+	var waiting, receiving *source // with most of them
 	for _, src := range ps.sources {
-		if most == nil || src.waiting.Len() > most.waiting.Len() {
-			most = src
+		if waiting == nil || src.waiting.Len() > waiting.waiting.Len() {
+			waiting = src
+		}
+		if receiving == nil || src.receiving.Len() > receiving.receiving.Len() {
+			receiving = src
 		}
 	}
-	if most == nil {
+	switch {
+	case waiting == nil:
 		return nil
+	case waiting.waiting.Len() > 0:
+		return waiting.longest()
+	default:
+		return receiving.longest()
 	}
-	return most.longest()
 }
 
+// longest returns the connection of the source that is to yield.
 func (src *source) longest() *Conn {
-	if el := src.waiting.Front(); el != nil {
-		return el.Value.(*Conn)
+	el := cmp.Or(src.waiting.Front(), src.receiving.Front())
+	if el == nil {
+		return nil
 	}
-	return nil
+	return el.Value.(*Conn)
 }
 
-// begin records that a connection's request is in progress, and reports false if it has
-// yielded its place.
-func (ps *places) begin(cn *Conn) bool {
-	pl := &cn.place
+// move puts a connection at the end of a list; nil: of none. It reports false if the
+// connection has yielded its place.
+func (pl *place) move(cn *Conn, to *list.List) bool {
 	if pl.left {
 		return false
 	}
-	if pl.waiting != nil {
-		pl.source.waiting.Remove(pl.waiting)
-		pl.waiting = nil
+	if pl.list != nil {
+		pl.list.Remove(pl.element)
 	}
-	return true
-}
-
-// wait records that a connection waits for its next head.
-func (ps *places) wait(cn *Conn) {
-	if pl := &cn.place; !pl.left && pl.waiting == nil {
-		pl.waiting = pl.source.waiting.PushBack(cn)
+	if pl.list = to; to != nil {
+		pl.element = to.PushBack(cn)
 	}
+	return true
 }
 
 // leave gives the place of a connection back. It may be called more than once.
 func (ps *places) leave(cn *Conn) {
-	if !ps.begin(cn) {
+	if !cn.place.move(cn, nil) {
 		return
 	}
 	src := cn.place.source
