ingress: heads that net/http refuses are counted and logged

Operators could not see clients whose heads are no valid requests: net/http answers 400 by itself, before a handler runs, and neither counter nor log had them. A connection that ends while its request has reached no handler counts as Refused with the Cause Malformed now, and is logged within the bound of the other refusals. TestMalformedHeads requires one for each such head, and none for a request whose body is malformed; before, the counter stayed at zero.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,6 +33,7 @@
 		// the deadlines of net/http and of handlers apply, otherwise those of the Limits.
 		awaitsHead atomic.Bool
 		ambiguous  atomic.Bool // the framing of the current request is ambiguous
+		handled    atomic.Bool // the current request has reached its handler
 
 		// The rest is used by the goroutine that reads, and between two requests by the one
 		// that serves the connection.
@@ -129,6 +130,7 @@
 	}
 	cn.first = false
 	cn.ambiguous.Store(ambiguous)
+	cn.handled.Store(false)
 	cn.awaitsHead.Store(false)
 	_ = cn.Conn.SetReadDeadline(time.Time{}) // an error means that the connection is closed
 	cn.inHead = false
@@ -275,6 +277,9 @@
 
 // Close closes the connection and releases what it holds.
 func (cn *Conn) Close() error {
+	if !cn.awaitsHead.Load() && !cn.handled.Swap(true) {
+		cn.ln.recordRefused(Malformed, cn.Conn)
+	}
 	cn.ln.release(cn)
 	return cn.Conn.Close()
 }
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -219,9 +219,12 @@
 		status, _ := rg.dial(t, text).answer(t)
 		assert.Equal(t, status, http.StatusBadRequest, "%q", text)
 	}
+	await(t, func() bool { return rg.refusals("Malformed") == 7 })
 	cl := rg.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n"+request)
 	status, _ := cl.answer(t)
 	assert.Equal(t, status, 0)
+	rg.dial(t, request).checkAnswer(t, http.StatusOK, "/a  false")
+	assert.Equal(t, rg.refusals("Malformed"), int64(7))
 }
 
 // A head that is longer than allowed is refused, and one that is not is served.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -29,11 +29,12 @@
 
 // Causes of refusals.
 const (
-	TooLarge Cause = "TooLarge" // the head has more bytes than allowed
-	Slow     Cause = "Slow"     // the head was not whole in time
-	NoMemory Cause = "NoMemory" // there is no memory for a head of this cost
-	NoPlace  Cause = "NoPlace"  // requests are in progress on all connections
-	Yielded  Cause = "Yielded"  // the connection waited for its client, and another one needed its place
+	TooLarge  Cause = "TooLarge"  // the head has more bytes than allowed
+	Slow      Cause = "Slow"      // the head was not whole in time
+	NoMemory  Cause = "NoMemory"  // there is no memory for a head of this cost
+	Malformed Cause = "Malformed" // net/http has refused the head, which is no valid request
+	NoPlace   Cause = "NoPlace"   // requests are in progress on all connections
+	Yielded   Cause = "Yielded"   // the connection waited for its client, and another one needed its place
 )
 
 type (
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
@@ -8,18 +9,29 @@
 // maxHeaderBytes is the limit of net/http, which must not be met before those of a Listener.
 const maxHeaderBytes = 64 << 20
 
-// ownConn is a Conn, or a connection that embeds one.
-type ownConn interface{ ingressConn() *Conn }
+type (
+	// ownConn is a Conn, or a connection that embeds one.
+	ownConn interface{ ingressConn() *Conn }
+
+	// connKey is the context key of a request's Conn.
+	connKey struct{}
+)
 
 func (cn *Conn) ingressConn() *Conn { return cn }
 
 // Prepare has a server leave the limits of heads to its Listener, and tell it when requests
-// end. The connections that it accepts may embed those of the Listener.
+// begin and end. The connections that it accepts may embed those of the Listener. The server
+// must have its Handler.
 func Prepare(hs *http.Server) {
 	hs.MaxHeaderBytes = maxHeaderBytes
 	allowHeaderValues(hs)
-	next := hs.ConnState
-	hs.ConnState = func(cn net.Conn, state http.ConnState) {
+	hs.ConnState = trackState(hs.ConnState)
+	hs.ConnContext = withConn(hs.ConnContext)
+	hs.Handler = noteHandled(hs.Handler)
+}
+
+func trackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(cn net.Conn, state http.ConnState) {
 		if in, ok := cn.(ownConn); ok && state == http.StateIdle {
 			in.ingressConn().endRequest()
 		}
@@ -28,3 +40,24 @@
 		}
 	}
 }
+
+func withConn(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, cn net.Conn) context.Context {
+		if in, ok := cn.(ownConn); ok {
+			ctx = context.WithValue(ctx, connKey{}, in.ingressConn())
+		}
+		if next != nil {
+			ctx = next(ctx, cn)
+		}
+		return ctx
+	}
+}
+
+func noteHandled(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		if cn, ok := req.Context().Value(connKey{}).(*Conn); ok {
+			cn.handled.Store(true)
+		}
+		next.ServeHTTP(wr, req)
+	})
+}
