--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -15,12 +15,12 @@
 //     not run, and its connection is closed. Nobody else yields to it: what is charged is large
 //     heads, so that they only keep out each other.
 //
-// Connections have places. Where all are taken, the connection that waits longest for a head
-// yields its place to a new one, of the address that has most of them: a client that connects
-// and sends nothing keeps out nobody. Where none waits for a head, one yields that waits for
-// the rest of a body, in the same order: handlers must not run a request before they have read
-// its body. A connection whose request was received does not yield, and where there is no
-// other, the new one is refused.
+// Connections have places. Where all are taken, the connection that waits longest for its
+// client yields its place to a new one, of the address that has most of them: it is new or idle,
+// its head is not whole, or the next bytes of its body do not come. A client that connects and
+// sends nothing thus keeps out nobody. Handlers must not run a request before they have read its
+// body. A connection whose request was received does not yield, and where there is no other,
+// the new one is refused.
 //
 // A Conn follows the framing of bodies to find the next head. Where net/http and it disagree
 // about the end of a body, the connection ends with that request.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -207,11 +207,10 @@
 func (ln *Listener) noteReceived(cn *Conn, all bool) bool {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	pl := &cn.place
 	if all {
-		return pl.move(cn, nil)
+		return ln.places.begin(cn)
 	}
-	return pl.move(cn, &pl.source.receiving)
+	return ln.places.wait(cn)
 }
 
 // endRequest records that a connection waits for its next head. What is in its buffer is
@@ -220,7 +219,7 @@
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.charge(cn, 0)
-	cn.place.move(cn, &cn.place.source.waiting)
+	ln.places.wait(cn)
 }
 
 // release releases what a connection holds.
--- a/internal/ingress/places.go
+++ b/internal/ingress/places.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"container/list"
 	"net/netip"
 )
@@ -13,27 +12,24 @@
 		sources map[netip.Addr]*source
 	}
 
-	// source is a client's IP address. Of its connections those that may yield are listed,
-	// the one that waits longest first.
+	// source is a client's IP address.
 	source struct {
-		address   netip.Addr
-		open      int
-		waiting   list.List // for a head
-		receiving list.List // the rest of a body
+		address netip.Addr
+		open    int
+		waiting list.List // of its connections that wait for a request, or for more of it; those that wait longest first
 	}
 
 	// place is what a connection has of the places.
 	place struct {
 		source  *source
-		list    *list.List // of the source; nil: its request is in progress
-		element *list.Element
+		waiting *list.Element // nil: its request was received
 		left    bool
 	}
 )
 
-// enter gives a connection a place. If there is none, a connection that waits for a head
-// yields its own, or else one that waits for the rest of a body: the one that waits longest,
-// of the address that has most of them. Without one there is no place.
+// enter gives a connection a place. If there is none, a connection that waits for its client
+// yields its own: the one that waits longest, of the address that has most of them. Without
+// one there is no place.
 func (ps *places) enter(cn *Conn, address netip.Addr, most, mostOfOne int) (yields *Conn, ok bool) {
 	src := ps.sources[address]
 	if src == nil {
@@ -63,58 +59,57 @@
 	ps.sources[src.address] = src
 	ps.open++
 	src.open++
-	cn.place = place{source: src}
-	cn.place.move(cn, &src.waiting)
+	cn.place = place{source: src, waiting: src.waiting.PushBack(cn)}
 }
 
-// longest returns the connection that is to yield.
+// longest returns the connection that waits longest of the address that has most of them.
 func (ps *places) longest() *Conn {
-	var waiting, receiving *source // with most of them
+	var most *source
 	for _, src := range ps.sources {
-		if waiting == nil || src.waiting.Len() > waiting.waiting.Len() {
-			waiting = src
-		}
-		if receiving == nil || src.receiving.Len() > receiving.receiving.Len() {
-			receiving = src
+		if most == nil || src.waiting.Len() > most.waiting.Len() {
+			most = src
 		}
 	}
-	switch {
-	case waiting == nil:
+	if most == nil {
 		return nil
-	case waiting.waiting.Len() > 0:
-		return waiting.longest()
-	default:
-		return receiving.longest()
 	}
+	return most.longest()
 }
 
-// longest returns the connection of the source that is to yield.
 func (src *source) longest() *Conn {
-	el := cmp.Or(src.waiting.Front(), src.receiving.Front())
-	if el == nil {
-		return nil
+	if el := src.waiting.Front(); el != nil {
+		return el.Value.(*Conn)
 	}
-	return el.Value.(*Conn)
+	return nil
 }
 
-// move puts a connection at the end of a list; nil: of none. It reports false if the
-// connection has yielded its place.
-func (pl *place) move(cn *Conn, to *list.List) bool {
+// begin records that a connection's request was received, and reports false if it has
+// yielded its place.
+func (ps *places) begin(cn *Conn) bool {
+	pl := &cn.place
 	if pl.left {
 		return false
 	}
-	if pl.list != nil {
-		pl.list.Remove(pl.element)
+	if pl.waiting != nil {
+		pl.source.waiting.Remove(pl.waiting)
+		pl.waiting = nil
 	}
-	if pl.list = to; to != nil {
-		pl.element = to.PushBack(cn)
+	return true
+}
+
+// wait records that a connection waits from now on, and reports false if it has yielded its
+// place.
+func (ps *places) wait(cn *Conn) bool {
+	if !ps.begin(cn) {
+		return false
 	}
+	cn.place.waiting = cn.place.source.waiting.PushBack(cn)
 	return true
 }
 
 // leave gives the place of a connection back. It may be called more than once.
 func (ps *places) leave(cn *Conn) {
-	if !cn.place.move(cn, nil) {
+	if !ps.begin(cn) {
 		return
 	}
 	src := cn.place.source
