--- a/internal/integration/crowd_test.go
+++ b/internal/integration/crowd_test.go
@@ -132,12 +132,11 @@
 	assert.Check(t, sockets <= crowdSockets, "the descriptors of the machine are exceeded: %d sockets of %d", sockets, crowdSockets)
 }
 
-// checkCrowds plays crowds at an entrance, each at a VM of its own.
-func checkCrowds(t *testing.T, name, target string) {
-	if testing.Short() {
-		t.Skip("not with -short")
-	}
-	skipKnownRed(t)
+// crowdTargets are the targets of a crowd's requests at the entrances.
+var crowdTargets = map[string]string{"callers": "/services/" + service + "/records/x", "operators": "/status"}
+
+// crowdCases are the crowds that an entrance may get.
+func crowdCases(target string) []crowdCase {
 	head := func(size int) crowd.Head {
 		return crowd.Head{Method: http.MethodGet, Target: target, Host: "h", Size: size}
 	}
@@ -147,26 +146,63 @@
 	unfinished := func(size int) func(int) []byte {
 		return func(int) []byte { return []byte(head(size).Unfinished()) }
 	}
-	for _, cc := range []crowdCase{
+	return []crowdCase{
 		{"short lines, whole", crowdHeads, whole(crowdHeadMax)},
 		{"short lines, without the last line", crowdHeads, unfinished(crowdHeadMax)},
 		{"over the limit, whole", crowdHeads, whole(31 << 10)},
 		{"nothing", crowdSilent, nil},
 		{"one request, then nothing", crowdSilent, whole(0)},
-	} {
+	}
+}
+
+// skipShort skips a test with -short, or if it is known to fail.
+func skipShort(t *testing.T) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("not with -short")
+	}
+	skipKnownRed(t)
+}
+
+// checkCrowds plays crowds at an entrance, each at a VM of its own.
+func checkCrowds(t *testing.T, name string) {
+	skipShort(t)
+	for _, cc := range crowdCases(crowdTargets[name]) {
 		t.Run(cc.name, func(t *testing.T) { checkCrowd(t, name, cc) })
 	}
 }
 
 // Guards against a VM that runs out of memory or descriptors because of what callers send
 // before any of it is accounted.
-func TestCrowdAtCallers(t *testing.T) {
-	checkCrowds(t, "callers", "/services/"+service+"/records/x")
-}
+func TestCrowdAtCallers(t *testing.T) { checkCrowds(t, "callers") }
 
 // Guards against the same at the operators' address, where a request is parsed before its
 // token is checked.
-func TestCrowdAtOperators(t *testing.T) { checkCrowds(t, "operators", "/status") }
+func TestCrowdAtOperators(t *testing.T) { checkCrowds(t, "operators") }
+
+// Guards against a VM at which ordinary clients have to wait until a crowd leaves: every
+// entrance answers while it stays.
+func TestCrowdThatStays(t *testing.T) {
+	skipShort(t)
+	for name, target := range crowdTargets {
+		for _, cc := range crowdCases(target) {
+			t.Run(name+", "+cc.name, func(t *testing.T) {
+				cf := startCrowdFleet(t)
+				ctx, leave := context.WithCancel(t.Context())
+				var there sync.WaitGroup
+				there.Go(func() {
+					crowd.Crowd{Address: cf.entrances[name].address, Connections: cc.connections, Once: cc.once}.Run(ctx)
+				})
+				defer there.Wait()
+				defer leave()
+				time.Sleep(crowdSpan / 4)
+				for each := range cf.entrances {
+					cf.checkAnswered(each)
+				}
+			})
+		}
+	}
+}
 
 // A single request within the limits is served in calm, also one of very many short lines.
 func TestCrowdOfOne(t *testing.T) {
