ingress: the shares of all addresses together leave room for the process

Each bound was kept, their sum was not: a connection counted as 24 KB, where one whose request has a head just below what is charged takes more, and nothing was set aside for the process itself.

TestCrowdsWithBodies is not steady: 57 to 62 MB of 64 mostly, with exceptions up to 112, since bodies are replaced faster than garbage is collected.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -14,8 +14,8 @@
 	costPerByte = 4
 	costPerLine = 512
 	// OrdinaryCost is what a head may cost without being charged: it comes with its
-	// connection. It is the cost of a head of 2 KB and 40 lines.
-	OrdinaryCost = 2<<10*costPerByte + 40*costPerLine
+	// connection. It is the cost of a head of 1 KB and 20 lines.
+	OrdinaryCost = 1<<10*costPerByte + 20*costPerLine
 )
 
 // headScanner finds the end of a head that comes in pieces.
--- a/internal/ingress/resources.go
+++ b/internal/ingress/resources.go
@@ -11,12 +11,18 @@
 	// fileDescriptors are kept for files; the rest is for sockets.
 	fileDescriptors = 200
 	// connectionBytes is what a connection counts for: the buffers of net/http, its
-	// goroutines and an ordinary request.
-	connectionBytes = 24 << 10
+	// goroutines, and a request whose head is ordinary.
+	connectionBytes = 32 << 10
+	// ownMemory is what the process takes by itself.
+	ownMemory = 24 << 20
 	// connectionMemory and headMemory are the parts of the memory that an address would
-	// have for its connections and for its heads if its share were the whole.
-	connectionMemory = 5.0 / 8
-	headMemory       = 5.0 / 32
+	// have for its connections, with ownMemory, and for its heads if its share were the
+	// whole. With the bodies and answers of requests they must leave the garbage
+	// collector room to keep pace below its soft limit.
+	connectionMemory = 0.55
+	headMemory       = 1.0 / 8
+	// leastConnectionMemory is that part, without ownMemory, on a very small machine.
+	leastConnectionMemory = 1.0 / 16
 	// assumedMemory bounds the heads of a process that has no memory limit.
 	assumedMemory = 512 << 20
 )
@@ -45,7 +51,8 @@
 		most = float64(rs.Descriptors-fileDescriptors) * share
 	}
 	if rs.Memory > 0 {
-		most = min(most, float64(rs.Memory)*connectionMemory*share/connectionBytes)
+		memory := float64(rs.Memory)
+		most = min(most, max(memory*connectionMemory-ownMemory, memory*leastConnectionMemory)*share/connectionBytes)
 	}
 	return max(1, int(most))
 }
