--- a/internal/slope/ingress.go
+++ b/internal/slope/ingress.go
@@ -16,7 +16,7 @@
 const (
 	// ingressTarget is how many connections of callers a VM may have that has 134 MB
 	// and 4,100 descriptors.
-	ingressTarget = 1429
+	ingressTarget = 636
 	headsTarget   = 16 << 10 // bytes of the largest head that callers may send
 	headsHeld     = 32       // requests in progress at once
 )
