--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -37,15 +37,15 @@
 
 		// The rest is used by the goroutine that reads, and between two requests by the one
 		// that serves the connection.
-		first  bool   // no request was received
-		inHead bool   // what is received next belongs to a head
-		broken bool   // the end of the last request is not known
-		partly bool   // the body of the current request is not complete
-		buf    []byte // received and not passed on; in a head, all of it
-		passed int    // bytes of buf that were passed on
-		head   headScanner
-		body   bodyFramer
-		due    time.Time
+		first      bool   // no request was received
+		inHead     bool   // what is received next belongs to a head
+		broken     bool   // the end of the last request is not known
+		incomplete bool   // the body of the current request is not complete
+		buf        []byte // received and not passed on; in a head, all of it
+		passed     int    // bytes of buf that were passed on
+		head       headScanner
+		body       bodyFramer
+		due        time.Time
 
 		// The rest is guarded by the listener's lock.
 		held  int64 // bytes that are charged
@@ -125,7 +125,7 @@
 	cn.body, ambiguous = framing(cn.buf[:cn.head.end])
 	ahead := cn.body
 	ahead.take(cn.buf[cn.head.end:])
-	if cn.partly = !ahead.ended(); !cn.ln.noteReceived(cn, !cn.partly) {
+	if cn.incomplete = !ahead.ended(); !cn.ln.noteReceived(cn, !cn.incomplete) {
 		return errClosed
 	}
 	cn.first = false
@@ -212,9 +212,9 @@
 	if own < size {
 		cn.buf = rest(data[own:size])
 	}
-	if cn.partly && own > 0 {
-		cn.partly = !cn.body.ended()
-		if !cn.ln.noteReceived(cn, !cn.partly) {
+	if cn.incomplete && own > 0 {
+		cn.incomplete = !cn.body.ended()
+		if !cn.ln.noteReceived(cn, !cn.incomplete) {
 			return 0, errClosed
 		}
 	}
--- a/internal/ingress/places.go
+++ b/internal/ingress/places.go
@@ -16,7 +16,7 @@
 	source struct {
 		address netip.Addr
 		open    int
-		waiting list.List // of its connections that wait for a request, or for more of it; those that wait longest first
+		waiting list.List // its connections that wait for a request, or for more of one; longest first
 	}
 
 	// place is what a connection has of the places.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,8 +10,8 @@
 const maxHeaderBytes = 64 << 20
 
 type (
-	// ownConn is a Conn, or a connection that embeds one.
-	ownConn interface{ ingressConn() *Conn }
+	// carrier is a Conn, or a connection that embeds one.
+	carrier interface{ ingressConn() *Conn }
 
 	// connKey is the context key of a request's Conn.
 	connKey struct{}
@@ -32,7 +32,7 @@
 
 func trackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(cn net.Conn, state http.ConnState) {
-		if in, ok := cn.(ownConn); ok && state == http.StateIdle {
+		if in, ok := cn.(carrier); ok && state == http.StateIdle {
 			in.ingressConn().endRequest()
 		}
 		if next != nil {
@@ -43,7 +43,7 @@
 
 func withConn(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
 	return func(ctx context.Context, cn net.Conn) context.Context {
-		if in, ok := cn.(ownConn); ok {
+		if in, ok := cn.(carrier); ok {
 			ctx = context.WithValue(ctx, connKey{}, in.ingressConn())
 		}
 		if next != nil {
