unread: bodies that are closed early end their connections with Go 1.27, too

Built with Go 1.27, a VM read up to 256 KB more of an answer that it had given up, for up to 50 ms: net/http drains bodies that are closed before their ends, to use the connection again. An endless answer was read beyond its limit (332,855 bytes of 96 KB and the buffers), and a worker whose caller had left went on sending.

Cancelling the call before the close was tried first and is a race: net/http chooses at random if both have come. The connection is closed instead. With Go 1.26 nothing changes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"alderdyke/internal/unread"
 	"alderdyke/pkg/clock"
 )
 
@@ -172,9 +173,9 @@
 // RoundTrip implements [http.RoundTripper].
 func (tr transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if req.Context().Value(freshConnectionKey{}) != nil {
-		return tr.fresh.RoundTrip(req)
+		return unread.Transport{Base: tr.fresh}.RoundTrip(req)
 	}
-	return tr.kept.RoundTrip(req)
+	return unread.Transport{Base: tr.kept}.RoundTrip(req)
 }
 
 // CloseIdleConnections closes connections that carry no call.
--- a/internal/logsvc/client.go
+++ b/internal/logsvc/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/samber/oops"
 
+	"alderdyke/internal/unread"
 	"alderdyke/pkg/clock"
 )
 
@@ -191,7 +192,7 @@
 	cl.once.Do(func() {
 		if cl.HTTP == nil {
 			cl.HTTP = &http.Client{
-				Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHead},
+				Transport: unread.Transport{Base: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHead}},
 				CheckRedirect: func(*http.Request, []*http.Request) error {
 					return http.ErrUseLastResponse
 				},
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -36,6 +36,7 @@
 	"github.com/samber/oops"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/unread"
 	"alderdyke/pkg/clock"
 )
 
@@ -206,7 +207,7 @@
 func (cl *Client) client() *http.Client {
 	cl.once.Do(func() {
 		if cl.HTTP == nil {
-			cl.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}}
+			cl.HTTP = &http.Client{Transport: unread.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}}}
 		}
 	})
 	return cl.HTTP
