--- a/internal/unread/transport_test.go
+++ b/internal/unread/transport_test.go
@@ -55,3 +55,21 @@
 	assert.Equal(t, opened.Load(), int64(2))
 	assert.Equal(t, closed.Load(), int64(1))
 }
+
+// A body that was received already, and is closed unread, leaves no broken connection to the
+// next call, which is not repeated.
+func TestNextCallAfterAnUnreadBody(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(wr, "busy\n")
+	}))
+	defer srv.Close()
+	hc := &http.Client{Transport: unread.Transport{Base: &http.Transport{}}}
+	defer hc.CloseIdleConnections()
+	for range 500 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL, io.MultiReader(strings.NewReader("once")))
+		assert.NilError(t, err)
+		rsp, err := hc.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, rsp.Body.Close())
+	}
+}
