ingress, backend, entry: one place each for what stood in two

A request's connection was in its context twice, for the platform and for ingress; ingress.HasAmbiguousLength reads its own. The memory limit of the process was read and interpreted in two functions of entry. The transports of backend are unread.Transports instead of being wrapped at each call. Behaviour stays as it is; ingress, backend and operator pass with -race.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -92,8 +92,8 @@
 	// transport sends calls with an effect on fresh connections and all other calls
 	// on kept ones.
 	transport struct {
-		fresh *http.Transport
-		kept  *http.Transport
+		fresh unread.Transport
+		kept  unread.Transport
 	}
 
 	// gatedConn counts the writes of a connection and can be sealed against further
@@ -152,8 +152,8 @@
 
 // transport returns a transport that opens a fresh connection for each call, or one
 // that keeps connections.
-func (lm Limits) transport(fresh bool) *http.Transport {
-	return &http.Transport{
+func (lm Limits) transport(fresh bool) unread.Transport {
+	return unread.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			cn, err := lm.Dial(ctx, network, address)
 			if err != nil {
@@ -167,15 +167,15 @@
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout.Std(),
 		MaxResponseHeaderBytes: headerBytes,
-	}
+	}}
 }
 
 // RoundTrip implements [http.RoundTripper].
 func (tr transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if req.Context().Value(freshConnectionKey{}) != nil {
-		return unread.Transport{Base: tr.fresh}.RoundTrip(req)
+		return tr.fresh.RoundTrip(req)
 	}
-	return unread.Transport{Base: tr.kept}.RoundTrip(req)
+	return tr.kept.RoundTrip(req)
 }
 
 // CloseIdleConnections closes connections that carry no call.
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -22,16 +22,20 @@
 // requestMemory returns the bytes that the requests of all callers may hold: the setting, or
 // else a part of the process's memory limit (GOMEMLIMIT); zero: there is no limit.
 func requestMemory(setting int64) int64 {
+	if setting > 0 {
+		return setting
+	}
+	return memory.LimitFor(memoryLimit())
+}
+
+// memoryLimit returns the process's memory limit; zero: there is none.
+func memoryLimit() int64 {
 	// A negative argument only reads the limit; without one it is the maximum.
 	limit := debug.SetMemoryLimit(-1)
-	switch {
-	case setting > 0:
-		return setting
-	case limit == math.MaxInt64:
+	if limit == math.MaxInt64 {
 		return 0
-	default:
-		return memory.LimitFor(limit)
 	}
+	return limit
 }
 
 // resources returns what the process may take of its machine.
@@ -40,11 +44,7 @@
 	if err != nil {
 		descriptors = 0 // it can't be known
 	}
-	limit := debug.SetMemoryLimit(-1) // only reads it
-	if limit == math.MaxInt64 {
-		limit = 0
-	}
-	return ingress.Resources{Descriptors: descriptors, Memory: limit}
+	return ingress.Resources{Descriptors: descriptors, Memory: memoryLimit()}
 }
 
 // memoryBudget returns the budget for requests and answers; nil: there is no limit.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -283,6 +283,3 @@
 	cn.ln.release(cn)
 	return cn.Conn.Close()
 }
-
-// HasAmbiguousLength reports whether the end of the current request can be read in two ways.
-func (cn *Conn) HasAmbiguousLength() bool { return cn.ambiguous.Load() }
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -52,12 +51,8 @@
 	rg := &rig{scope: tally.NewTestScope("", nil), held: make(chan struct{}, 64)}
 	rg.Listener = &ingress.Listener{Listener: base, Name: "Test", Scope: rg.scope}
 	set(rg)
-	type connKey struct{}
 	hs := &http.Server{
 		ConnState: rg.countIdle,
-		ConnContext: func(ctx context.Context, cn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, cn)
-		},
 		Handler: http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 			if rg.entered != nil {
 				rg.entered <- struct{}{}
@@ -70,7 +65,7 @@
 				rg.held <- struct{}{}
 				<-rg.enter
 			}
-			_, _ = fmt.Fprintf(wr, "%s %s %v", req.RequestURI, body, req.Context().Value(connKey{}).(*ingress.Conn).HasAmbiguousLength())
+			_, _ = fmt.Fprintf(wr, "%s %s %v", req.RequestURI, body, ingress.HasAmbiguousLength(req.Context()))
 		}),
 	}
 	ingress.Prepare(hs)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -30,6 +30,14 @@
 	hs.Handler = noteHandled(hs.Handler)
 }
 
+// HasAmbiguousLength reports whether the end of the request with this context can be read in
+// two ways. net/http merges equal Content-Length headers and drops a Content-Length next to
+// Transfer-Encoding, so that a handler can't tell by itself.
+func HasAmbiguousLength(ctx context.Context) bool {
+	cn, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && cn.ambiguous.Load()
+}
+
 func trackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(cn net.Conn, state http.ConnState) {
 		if in, ok := cn.(carrier); ok && state == http.StateIdle {
