deployment: the stand-in's servers accept as many lines as a VM forwards

TestCrowdOfOne failed with Go 1.27 (431 at callers, each time): the answer was the plain server's, whose http.Server limits a head to 500 lines by default. Real servers that are built with Go 1.27 refuse such heads, too.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/ingress"
 	"alderdyke/internal/settings"
 	enginesim "alderdyke/internal/standin/engine"
 	logsim "alderdyke/internal/standin/logsvc"
@@ -203,6 +204,7 @@
 		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
 	}
 	srv := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	ingress.Prepare(srv) // forwarded heads may have as many lines as those of callers
 	dp.servers = append(dp.servers, srv)
 	go srv.Serve(ln)
 	return netip.MustParseAddrPort(ln.Addr().String()), nil
