--- a/internal/integration/crowd_test.go
+++ b/internal/integration/crowd_test.go
@@ -188,13 +188,7 @@
 		for _, cc := range crowdCases(target) {
 			t.Run(name+", "+cc.name, func(t *testing.T) {
 				cf := startCrowdFleet(t)
-				ctx, leave := context.WithCancel(t.Context())
-				var there sync.WaitGroup
-				there.Go(func() {
-					crowd.Crowd{Address: cf.entrances[name].address, Connections: cc.connections, Once: cc.once}.Run(ctx)
-				})
-				defer there.Wait()
-				defer leave()
+				defer crowd.Crowd{Address: cf.entrances[name].address, Connections: cc.connections, Once: cc.once}.Start(t.Context())()
 				time.Sleep(crowdSpan / 4)
 				for each := range cf.entrances {
 					cf.checkAnswered(each)
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -57,6 +57,18 @@
 	all.Wait()
 }
 
+// Start runs the crowd in the background. It leaves when the returned function is called,
+// which waits for that.
+func (cr Crowd) Start(ctx context.Context) (leave func()) {
+	ctx, end := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { cr.Run(ctx) })
+	return func() {
+		end()
+		running.Wait()
+	}
+}
+
 // connect plays one connection, until the server closes it or the context ends. Its errors
 // are the server's right.
 func (cr Crowd) connect(ctx context.Context, number int) {
