--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -21,16 +21,17 @@
 
 // answer is what a client got.
 type answer struct {
-	id, path, via string
-	status        int
-	sealed        bool
-	body          string
-	err           error // the answer does not look complete
+	id, path string
+	status   int
+	sealed   bool
+	body     string
+	err      error // the answer does not look complete
 }
 
-// send sends a request on a new connection and reads the answer to its end.
-func (rg *rig) send(front, path string, wait time.Duration) (out answer) {
-	out = answer{id: fmt.Sprintf("%016x", rand.Uint64()), path: path, via: front}
+// send sends a request on a new connection and reads the answer to its end, if slow is set
+// not faster than slowRate.
+func (rg *rig) send(front, path string, wait time.Duration, slow bool) (out answer) {
+	out = answer{id: fmt.Sprintf("%016x", rand.Uint64()), path: path}
 	ctx, stop := context.WithTimeout(context.Background(), wait)
 	defer stop()
 	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
@@ -52,7 +53,11 @@
 		return out
 	}
 	defer rsp.Body.Close()
-	body, err := io.ReadAll(rsp.Body)
+	var from io.Reader = rsp.Body
+	if slow {
+		from = slowReader{rsp.Body}
+	}
+	body, err := io.ReadAll(from)
 	out.status, out.sealed, out.body, out.err = rsp.StatusCode, rsp.Header.Get("Server-Seal") != "", string(body), err
 	looks := "which looks complete"
 	if err != nil {
@@ -62,20 +67,33 @@
 	return out
 }
 
+// slowRate is how many bytes a slow client reads in a second.
+const slowRate = 3 << 20
+
+// slowReader reads at slowRate.
+type slowReader struct{ io.Reader }
+
+// Read reads a piece and waits for as long as it takes a slow client.
+func (sr slowReader) Read(data []byte) (int, error) {
+	size, err := sr.Reader.Read(data[:min(len(data), 16<<10)])
+	time.Sleep(time.Duration(size) * time.Second / slowRate)
+	return size, err
+}
+
 // errNotWhole reports an answer that looks complete and is not.
 var errNotWhole = errors.New("a success whose body is not the worker's whole body")
 
 // check returns errNotWhole if an answer looks like a whole success and is none.
-func (an answer) check(pieces int) error {
+func (an answer) check(set workerSettings) error {
 	if an.err != nil || an.status < 200 || an.status >= 300 {
 		return nil
 	}
-	want := ""
-	for number := range pieces {
-		want += piece(an.path, an.id, number+1, pieces)
+	var want strings.Builder
+	for number := range set.Pieces {
+		want.WriteString(set.piece(an.path, an.id, number+1))
 	}
-	if an.body != want {
-		return fmt.Errorf("%s: %w: %d of %d bytes", an.id, errNotWhole, len(an.body), len(want))
+	if an.body != want.String() {
+		return fmt.Errorf("%s: %w: %d of %d bytes", an.id, errNotWhole, len(an.body), want.Len())
 	}
 	return nil
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	standin2 run unframed FOLDER
+//	standin2 run restarted FOLDER
 //	standin2 worker (started by run)
 package main
 
@@ -32,7 +33,7 @@
 }
 
 func runCase(name, folder string) int {
-	play, known := map[string]func(rg *rig) (bool, error){"unframed": playUnframed}[name]
+	play, known := map[string]func(rg *rig) (bool, error){"unframed": playUnframed, "restarted": playRestarted}[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return exitFailed
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -50,6 +50,7 @@
 		ID, Service, Address, Zone, Store string
 		Slots                             int
 		Pieces                            int           // of an answer
+		PieceBytes                        int           // least size of one that is not an event
 		Pause                             time.Duration // between two pieces
 		Drain                             time.Duration // for which it serves after it has reported that it leaves
 	}
@@ -257,13 +258,17 @@
 	return errNoStart
 }
 
-// startWorker starts a worker process, whose lines go to the record.
+// startWorker starts a worker process, whose lines go to the record. Without an address it
+// gets a free one.
 func (rg *rig) startWorker(set workerSettings) error {
-	ip, err := freeIP(8080)
-	if err != nil {
-		return err
+	if set.Address == "" {
+		ip, err := freeIP(8080)
+		if err != nil {
+			return err
+		}
+		set.Address = ip + ":8080"
 	}
-	set.Address, set.Store, set.Drain = ip+":8080", rg.storeAt, drainTime
+	set.Store, set.Drain = rg.storeAt, drainTime
 	self, err := os.Executable()
 	if err != nil {
 		return fmt.Errorf("find this program: %w", err)
@@ -289,5 +294,13 @@
 	return json.NewEncoder(in).Encode(set)
 }
 
+// crash ends a worker as a crash does. The store removes its entry after three heartbeats of
+// silence.
+func (rg *rig) crash(wk *worker) {
+	end(wk.process)
+	rg.note("worker %s crashed", wk.set.ID)
+	time.AfterFunc(3*heartbeat, func() { rg.store.add(topicServers, wk.set.ID, nil) })
+}
+
 // leave begins the planned shutdown of a worker.
 func (wk *worker) leave() error { return wk.process.Process.Signal(syscall.SIGTERM) }
--- a/review/standin2/unframed.go
+++ b/review/standin2/unframed.go
@@ -17,24 +17,25 @@
 
 const (
 	unframedWorkers = 4 // of which one leaves: a share of 0.25, as in the site's days
-	unframedPieces  = 40
-	unframedPause   = 100 * time.Millisecond // an answer takes 4 s
 	clientWait      = 14 * time.Second
 )
 
+// unframedWorker answers for 4 s.
+var unframedWorker = workerSettings{Service: "huvo11a", Zone: "aarhus-a", Slots: 64, Pieces: 40, Pause: 100 * time.Millisecond}
+
 var errNothingServed = errors.New("no request was served")
 
 // playUnframed has a worker leave while it is at work on answers without a length. It exits
 // after drain_ms and a little longer, as the pages say, and its connections end with it.
 func playUnframed(rg *rig) (broken bool, err error) {
-	if err := rg.startUnframed(); err != nil {
+	if err := rg.startServices(unframedWorkers, unframedWorker); err != nil {
 		return false, err
 	}
 	var all sync.WaitGroup
 	answers := make(chan answer, 100)
 	for ix := range 12 {
 		for _, path := range []string{pathStream, pathOnce} {
-			all.Go(func() { answers <- rg.send(rg.vms[ix%len(rg.vms)].front, path, clientWait) })
+			all.Go(func() { answers <- rg.send(rg.vms[ix%len(rg.vms)].front, path, clientWait, false) })
 		}
 		if ix == 5 && rg.trouble {
 			rg.note("worker %s gets SIGTERM", rg.workers[0].set.ID)
@@ -46,14 +47,14 @@
 	}
 	all.Wait()
 	close(answers)
-	return rg.judgeUnframed(answers)
+	return rg.judge(answers, unframedWorker)
 }
 
-// startUnframed starts the workers and two VMs.
-func (rg *rig) startUnframed() error {
+// startServices starts some workers and two VMs.
+func (rg *rig) startServices(workers int, set workerSettings) error {
 	rg.store.add(topicOperator, "config", []byte(unframedConfig))
-	for ix := range unframedWorkers {
-		set := workerSettings{ID: fmt.Sprintf("i-%d", ix+1), Service: "huvo11a", Zone: "aarhus-a", Slots: 64, Pieces: unframedPieces, Pause: unframedPause}
+	for ix := range workers {
+		set.ID = fmt.Sprintf("i-%d", ix+1)
 		if err := rg.startWorker(set); err != nil {
 			return err
 		}
@@ -70,11 +71,11 @@
 	return nil
 }
 
-// judgeUnframed compares what clients got as whole successes with what the workers wrote.
-func (rg *rig) judgeUnframed(answers <-chan answer) (broken bool, err error) {
+// judge compares what clients got as whole successes with what the workers wrote.
+func (rg *rig) judge(answers <-chan answer, set workerSettings) (broken bool, err error) {
 	whole := 0
 	for an := range answers {
-		if err := an.check(unframedPieces); err != nil {
+		if err := an.check(set); err != nil {
 			rg.note("%v", err)
 			broken = true
 		} else if an.err == nil && an.status == 200 {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -111,7 +111,7 @@
 		if number > 1 {
 			time.Sleep(set.Pause)
 		}
-		_, err = io.WriteString(cn, piece(req.URL.Path, id, number, set.Pieces))
+		_, err = io.WriteString(cn, set.piece(req.URL.Path, id, number))
 	}
 	if err != nil {
 		fmt.Println("the connection of", id, "broke:", err)
@@ -123,9 +123,10 @@
 func isStream(path string) bool { return strings.HasPrefix(path, pathStream) }
 
 // piece returns a piece of an answer.
-func piece(path, id string, number, of int) string {
+func (set workerSettings) piece(path, id string, number int) string {
 	if isStream(path) {
-		return fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", number, id, number, of)
+		return fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", number, id, number, set.Pieces)
 	}
-	return fmt.Sprintf("%s part %d of %d;", id, number, of)
+	text := fmt.Sprintf("%s part %d of %d;", id, number, set.Pieces)
+	return text + strings.Repeat(".", max(0, set.PieceBytes-len(text)))
 }
