--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -3,9 +3,10 @@
 //
 // # Usage
 //
-//	standin2 run unframed FOLDER
-//	standin2 run restarted FOLDER
-//	standin2 worker (started by run)
+//	standin2 run CASE RECORD FOLDER # plays a case; exits with 0, 1 or 2
+//	standin2 worker FILE            # one worker, a process of its own
+//
+// A case starts no process: it asks play-2.sh for them through the folder.
 package main
 
 import (
@@ -20,40 +21,46 @@
 	exitFailed = 2 // the case could not run
 )
 
+// cases are the cases by name. Each reports whether the rule was broken.
+var cases = map[string]func(rg *rig) (bool, error){
+	"restarted": playRestarted,
+	"late-beat": playLateBeat,
+}
+
 func main() {
 	switch {
-	case len(os.Args) == 2 && os.Args[1] == "worker":
-		os.Exit(runWorker())
-	case len(os.Args) == 4 && os.Args[1] == "run":
-		os.Exit(runCase(os.Args[2], os.Args[3]))
+	case len(os.Args) == 3 && os.Args[1] == "worker":
+		os.Exit(runWorker(os.Args[2]))
+	case len(os.Args) == 5 && os.Args[1] == "run" && cases[os.Args[2]] != nil:
+		os.Exit(runCase(os.Args[2], os.Args[3], os.Args[4]))
 	default:
-		fmt.Fprintln(os.Stderr, "usage: standin2 run CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin2 run CASE RECORD FOLDER")
 		os.Exit(exitFailed)
 	}
 }
 
-func runCase(name, folder string) int {
-	play, known := map[string]func(rg *rig) (bool, error){"unframed": playUnframed, "restarted": playRestarted}[name]
-	if !known {
-		fmt.Fprintln(os.Stderr, "no such case:", name)
-		return exitFailed
-	}
+func runCase(name, file, folder string) int {
 	rg, err := newRig(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	defer rg.close()
-	broken, err := play(rg)
+	rg.note("case %s, with the disruption: %t", name, rg.trouble)
+	broken, err := cases[name](rg)
+	code := exitHeld
 	switch {
 	case err != nil:
 		rg.note("the case could not run: %v", err)
-		return exitFailed
+		code = exitFailed
 	case broken:
 		rg.note("the rule was broken")
-		return exitBroken
+		code = exitBroken
 	default:
 		rg.note("the rule held")
-		return exitHeld
 	}
+	if err := rg.writeRecord(file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return code
 }
--- a/review/standin2/restarted.go
+++ b/review/standin2/restarted.go
@@ -27,7 +27,7 @@
 	var all sync.WaitGroup
 	answers := make(chan answer, restartedClients)
 	for ix := range restartedClients {
-		all.Go(func() { answers <- rg.send(rg.vms[ix%len(rg.vms)].front, pathOnce, clientWait, true) })
+		all.Go(func() { answers <- rg.send(rg.vms[ix%len(rg.vms)].front, true) })
 	}
 	if rg.trouble {
 		time.Sleep(crashAfter)
@@ -43,5 +43,5 @@
 	}
 	all.Wait()
 	close(answers)
-	return rg.judge(answers, restartedWorker)
+	return rg.judgeBodies(answers, restartedWorker)
 }
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,8 +8,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,7 +27,7 @@
 type (
 	// rig runs the system and the stand-ins of one case.
 	rig struct {
-		temp    string
+		folder  string
 		store   *store
 		storeAt string
 		vms     []*vm
@@ -35,44 +35,55 @@
 		trouble bool
 		began   time.Time
 
-		mu     sync.Mutex
-		record *os.File
+		mu    sync.Mutex
+		lines []line
+	}
+
+	// line is a line of the record.
+	line struct {
+		at   time.Time
+		text string
+	}
+
+	// process is one that play-2.sh has started.
+	process struct {
+		rg   *rig
+		name string
+		id   int
 	}
 
 	// vm is a process of the system.
 	vm struct {
-		name, front, ready string
-		process            *exec.Cmd
+		process
+		front, ready string
 	}
 
-	// workerSettings is what a worker process is told on its standard input.
+	// workerSettings are what a worker process reads.
 	workerSettings struct {
 		ID, Service, Address, Zone, Store string
 		Slots                             int
 		Pieces                            int           // of an answer
-		PieceBytes                        int           // least size of one that is not an event
+		PieceBytes                        int           // least size of one
+		Work                              time.Duration // before an answer
 		Pause                             time.Duration // between two pieces
-		Drain                             time.Duration // for which it serves after it has reported that it leaves
+		Stay                              time.Duration // for which it serves after its entry was removed
 	}
 
 	worker struct {
-		set     workerSettings
-		process *exec.Cmd
+		process
+		set workerSettings
 	}
 )
 
-var errNoStart = errors.New("the VMs did not become ready")
+var (
+	errNoStart       = errors.New("the VMs did not become ready")
+	errNoProcess     = errors.New("the process was not started")
+	errNoRemoval     = errors.New("the worker's entry was not removed")
+	errNothingServed = errors.New("no request was served")
+)
 
 func newRig(folder string) (*rig, error) {
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		return nil, fmt.Errorf("create the record: %w", err)
-	}
-	temp, err := os.MkdirTemp("", "review")
-	if err != nil {
-		return nil, fmt.Errorf("create a temporary folder: %w", err)
-	}
-	rg := &rig{temp: temp, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: file}
+	rg := &rig{folder: folder, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
@@ -82,42 +93,85 @@
 	return rg, nil
 }
 
-// note writes a line to the record.
+// note adds a line to the record.
 func (rg *rig) note(format string, args ...any) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	fmt.Fprintf(rg.record, "%8.3f s  %s\n", time.Since(rg.began).Seconds(), fmt.Sprintf(format, args...))
+	rg.lines = append(rg.lines, line{time.Now(), fmt.Sprintf(format, args...)})
 }
 
-// close ends all processes that were started.
-func (rg *rig) close() {
-	for _, wk := range rg.workers {
-		end(wk.process)
+// workerLines returns what a worker has printed so far.
+func (rg *rig) workerLines(wk *worker) (out []line, err error) {
+	data, err := os.ReadFile(filepath.Join(rg.folder, wk.name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("read what a worker printed: %w", err)
 	}
-	for _, vm := range rg.vms {
-		end(vm.process)
+	for text := range strings.Lines(string(data)) {
+		first, rest, _ := strings.Cut(strings.TrimSpace(text), " ")
+		if at, err := strconv.ParseInt(first, 10, 64); err == nil {
+			out = append(out, line{time.UnixMicro(at), rest})
+		}
 	}
-	_ = os.RemoveAll(rg.temp)
-	_ = rg.record.Close()
+	return out, nil
 }
 
-func end(process *exec.Cmd) {
-	_ = process.Process.Kill() // it may have ended
-	_ = process.Wait()
+// writeRecord writes the lines of the case and of its workers.
+func (rg *rig) writeRecord(file string) error {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	all := slices.Clone(rg.lines)
+	for _, wk := range rg.workers {
+		printed, err := rg.workerLines(wk)
+		if err != nil {
+			return err
+		}
+		for _, ln := range printed {
+			all = append(all, line{ln.at, "worker " + wk.set.ID + ": " + ln.text})
+		}
+	}
+	slices.SortStableFunc(all, func(la, lb line) int { return la.at.Compare(lb.at) })
+	var text strings.Builder
+	for _, ln := range all {
+		fmt.Fprintf(&text, "%8.3f s  %s\n", ln.at.Sub(rg.began).Seconds(), ln.text)
+	}
+	if err := os.WriteFile(file, []byte(text.String()), 0o644); err != nil {
+		return fmt.Errorf("write the record: %w", err)
+	}
+	return nil
 }
 
-// deployCommand returns the command of the deploy file that runs a VM.
-func deployCommand() (string, error) {
-	data, err := os.ReadFile("deploy/system.toml")
+// start asks play-2.sh for a process, and waits until it has one.
+func (rg *rig) start(kind, name, file string) (process, error) {
+	ask, err := os.OpenFile(filepath.Join(rg.folder, "ask"), os.O_WRONLY, 0)
 	if err != nil {
-		return "", fmt.Errorf("read the deploy file: %w", err)
+		return process{}, fmt.Errorf("ask for a process: %w", err)
+	}
+	defer ask.Close()
+	if _, err := fmt.Fprintln(ask, kind, name, file); err != nil {
+		return process{}, fmt.Errorf("ask for a process: %w", err)
 	}
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(strings.TrimSpace(line), "run = "); ok {
-			return strings.Trim(value, `"`), nil
+	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		data, err := os.ReadFile(filepath.Join(rg.folder, name+".pid"))
+		if err != nil {
+			continue // it is not there yet
+		}
+		id, err := strconv.Atoi(strings.TrimSpace(string(data)))
+		if err != nil {
+			return process{}, fmt.Errorf("read the ID of a process: %w", err)
+		}
+		return process{rg, name, id}, nil
+	}
+	return process{}, errNoProcess
+}
+
+// kill ends a process and waits for that.
+func (pc process) kill() {
+	_ = syscall.Kill(pc.id, syscall.SIGKILL) // it may have ended
+	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if _, err := os.Stat(filepath.Join(pc.rg.folder, pc.name+".rc")); err == nil {
+			return
 		}
 	}
-	return "", errors.New("the deploy file has no run command")
 }
 
 // freeIP returns a loopback address on which the given ports are free.
@@ -205,33 +259,22 @@
 ttl_min_ms = 1000
 `
 
-// startVM starts a process of the system as the deploy file says.
+// startVM starts a process of the system.
 func (rg *rig) startVM(name, zone string) error {
 	ip, err := freeIP(7660, 8140, 8143, 8144, metricsPort)
 	if err != nil {
 		return err
 	}
-	command, err := deployCommand()
-	if err != nil {
-		return err
-	}
-	file := filepath.Join(rg.temp, name+".toml")
+	file := filepath.Join(rg.folder, name+".toml")
 	text := strings.NewReplacer("NAME", name, "IP", ip, "ZONE", zone, "STORE", rg.storeAt).Replace(settingsText)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write the settings: %w", err)
 	}
-	words := strings.Fields(command)
-	process := exec.Command(words[0], words[1:]...)
-	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + rg.temp, "ALDERDYKE_CONFIG=" + file}
-	log, err := os.Create(filepath.Join(rg.temp, name+".log"))
+	pc, err := rg.start("vm", name, file)
 	if err != nil {
-		return fmt.Errorf("create the log: %w", err)
-	}
-	process.Stdout, process.Stderr = log, log
-	if err := process.Start(); err != nil {
-		return fmt.Errorf("start a VM: %w", err)
+		return err
 	}
-	rg.vms = append(rg.vms, &vm{name: name, front: ip + ":8144", ready: ip + ":8140", process: process})
+	rg.vms = append(rg.vms, &vm{process: pc, front: ip + ":8144", ready: ip + ":8140"})
 	rg.note("VM %s started at %s", name, ip)
 	return nil
 }
@@ -258,8 +301,28 @@
 	return errNoStart
 }
 
-// startWorker starts a worker process, whose lines go to the record. Without an address it
-// gets a free one.
+// startServices starts some workers and two VMs, with a configuration.
+func (rg *rig) startServices(workers int, set workerSettings) error {
+	rg.store.add(topicOperator, "config", []byte(configuration))
+	for ix := range workers {
+		set.ID = fmt.Sprintf("i-%d", ix+1)
+		if err := rg.startWorker(set); err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"edge-aarhus-a-1", "edge-aarhus-a-2"} {
+		if err := rg.startVM(name, "aarhus-a"); err != nil {
+			return err
+		}
+	}
+	if err := rg.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second) // the VMs know each other by then
+	return nil
+}
+
+// startWorker starts a worker process. Without an address it gets a free one.
 func (rg *rig) startWorker(set workerSettings) error {
 	if set.Address == "" {
 		ip, err := freeIP(8080)
@@ -268,39 +331,27 @@
 		}
 		set.Address = ip + ":8080"
 	}
-	set.Store, set.Drain = rg.storeAt, drainTime
-	self, err := os.Executable()
+	set.Store = rg.storeAt
+	data, err := json.Marshal(set)
 	if err != nil {
-		return fmt.Errorf("find this program: %w", err)
+		return fmt.Errorf("encode the settings of a worker: %w", err)
 	}
-	process := exec.Command(self, "worker")
-	in, err := process.StdinPipe()
-	if err != nil {
-		return fmt.Errorf("open the input of a worker: %w", err)
+	file := filepath.Join(rg.folder, set.ID+".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return fmt.Errorf("write the settings of a worker: %w", err)
 	}
-	out, err := process.StdoutPipe()
+	pc, err := rg.start("worker", set.ID, file)
 	if err != nil {
-		return fmt.Errorf("open the output of a worker: %w", err)
-	}
-	if err := process.Start(); err != nil {
-		return fmt.Errorf("start a worker: %w", err)
+		return err
 	}
-	rg.workers = append(rg.workers, &worker{set: set, process: process})
-	go func() {
-		for lines := bufio.NewScanner(out); lines.Scan(); {
-			rg.note("worker %s: %s", set.ID, lines.Text())
-		}
-	}()
-	return json.NewEncoder(in).Encode(set)
+	rg.workers = append(rg.workers, &worker{process: pc, set: set})
+	return nil
 }
 
 // crash ends a worker as a crash does. The store removes its entry after three heartbeats of
 // silence.
 func (rg *rig) crash(wk *worker) {
-	end(wk.process)
+	wk.kill()
 	rg.note("worker %s crashed", wk.set.ID)
 	time.AfterFunc(3*heartbeat, func() { rg.store.add(topicServers, wk.set.ID, nil) })
 }
-
-// leave begins the planned shutdown of a worker.
-func (wk *worker) leave() error { return wk.process.Process.Signal(syscall.SIGTERM) }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -19,6 +19,10 @@
 type (
 	// store is the platform's store, with keyed topics of one partition.
 	store struct {
+		// lateBeat is asked for each entry of a worker; a time above zero means that its write
+		// gets no answer and takes effect that much later. It is set before the first call.
+		lateBeat func(key string) time.Duration
+
 		mu      sync.Mutex
 		topics  map[string][]record
 		changed chan struct{} // closed when a record was added
@@ -142,6 +146,12 @@
 		return
 	}
 	topic, at := req.URL.Query().Get("topic"), req.URL.Query().Get("at")
+	if key := string(body[1:keyEnd]); topic == topicServers && st.lateBeat != nil {
+		if late := st.lateBeat(key); late > 0 {
+			time.AfterFunc(late, func() { st.add(topic, key, body[keyEnd:]) })
+			panic(http.ErrAbortHandler) // the connection ends without an answer
+		}
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if end := len(st.topics[topic]); at != "" && at != strconv.Itoa(end) {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -16,55 +16,68 @@
 	"time"
 )
 
-const (
-	heartbeat = 1200 * time.Millisecond
-	// exitDelay is the "little longer" for which a worker serves after drain_ms.
-	exitDelay = 200 * time.Millisecond
-)
+const heartbeat = 1200 * time.Millisecond
+
+// say prints a line with the time of day, which is the same for all processes of a machine.
+func say(args ...any) {
+	fmt.Println(append([]any{time.Now().UnixMicro()}, args...)...)
+}
 
 // runWorker runs a worker process until it has left. It answers without a length, so that its
-// answers end with their connections.
-func runWorker() int {
+// answers end with their connections. It leaves without a word: its entry is removed, and it
+// serves on for a while.
+func runWorker(file string) int {
 	var set workerSettings
-	if err := json.NewDecoder(os.Stdin).Decode(&set); err != nil {
-		fmt.Println("no settings:", err)
+	data, err := os.ReadFile(file)
+	if err == nil {
+		err = json.Unmarshal(data, &set)
+	}
+	if err != nil {
+		say("no settings:", err)
 		return exitFailed
 	}
 	ln, err := net.Listen("tcp", set.Address)
 	if err != nil {
-		fmt.Println("can't listen:", err)
+		say("can't listen:", err)
 		return exitFailed
 	}
 	go set.serve(ln)
 	leaving := make(chan os.Signal, 1)
 	signal.Notify(leaving, syscall.SIGTERM)
 	for seq := 1; ; seq++ {
-		if err := set.register("ready", seq); err != nil {
-			fmt.Println("can't register:", err)
-			return exitFailed
+		if err := set.register(seq); err != nil {
+			say("got no answer to the renewal", seq, "of its entry")
 		}
 		select {
 		case <-time.After(heartbeat):
 		case <-leaving:
-			if err := set.register("draining", seq+1); err != nil {
-				fmt.Println("can't report that it leaves:", err)
+			if err := set.write(nil); err != nil {
+				say("can't remove its entry:", err)
 				return exitFailed
 			}
-			fmt.Println("reported that it leaves; the store has accepted that")
-			time.Sleep(set.Drain + exitDelay)
-			fmt.Println("exits")
+			say(entryRemoved)
+			time.Sleep(set.Stay)
+			say("exits")
 			return 0
 		}
 	}
 }
 
+// entryRemoved is what a worker says when the store has acknowledged the removal.
+const entryRemoved = "the store has acknowledged the removal of its entry"
+
 // register writes the worker's entry to the store.
-func (set workerSettings) register(state string, seq int) error {
+func (set workerSettings) register(seq int) error {
 	value, err := json.Marshal(map[string]any{"service": set.Service, "address": set.Address, "zone": set.Zone, "version": "v1",
-		"slots": set.Slots, "state": state, "cold_left_ms": 0, "seq": seq})
+		"slots": set.Slots, "state": "ready", "cold_left_ms": 0, "seq": seq})
 	if err != nil {
 		return fmt.Errorf("encode the entry: %w", err)
 	}
+	return set.write(value)
+}
+
+// write appends a record with the worker's key.
+func (set workerSettings) write(value []byte) error {
 	body := binary.BigEndian.AppendUint32(nil, uint32(1+len(set.ID)+len(value)))
 	body = append(body, byte(len(set.ID)))
 	body = append(append(body, set.ID...), value...)
@@ -101,32 +114,24 @@
 		fmt.Fprintf(cn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", set.ID)
 		return
 	}
-	contentType := "application/octet-stream"
-	if isStream(req.URL.Path) {
-		contentType = "text/event-stream"
-	}
-	fmt.Println("runs", id, req.Method, req.URL.Path)
-	_, err = fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, set.ID, id, contentType)
+	say("runs", id, req.Method, req.URL.Path)
+	time.Sleep(set.Work)
+	_, err = fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s.%s\r\nContent-Type: application/octet-stream\r\nConnection: close\r\n\r\n", id, set.ID, id)
 	for number := 1; number <= set.Pieces && err == nil; number++ {
 		if number > 1 {
 			time.Sleep(set.Pause)
 		}
-		_, err = io.WriteString(cn, set.piece(req.URL.Path, id, number))
+		_, err = io.WriteString(cn, set.piece(id, number))
 	}
 	if err != nil {
-		fmt.Println("the connection of", id, "broke:", err)
+		say("the connection of", id, "broke:", err)
 		return
 	}
-	fmt.Println("has answered", id, "with all", set.Pieces, "pieces")
+	say("has answered", id, "with all", set.Pieces, "pieces")
 }
 
-func isStream(path string) bool { return strings.HasPrefix(path, pathStream) }
-
 // piece returns a piece of an answer.
-func (set workerSettings) piece(path, id string, number int) string {
-	if isStream(path) {
-		return fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", number, id, number, set.Pieces)
-	}
+func (set workerSettings) piece(id string, number int) string {
 	text := fmt.Sprintf("%s part %d of %d;", id, number, set.Pieces)
 	return text + strings.Repeat(".", max(0, set.PieceBytes-len(text)))
 }
