--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -28,6 +28,8 @@
 finish() {
 	trap '' TERM INT HUP
 	[ -n "$driver" ] && kill -9 "$driver" 2>/dev/null
+	[ -n "$loop" ] && kill -9 "$loop" 2>/dev/null
+	sleep 0.1 # a process that is being started notes its ID
 	for file in "$dir"/*.pid; do
 		[ -f "$file" ] && [ ! -f "${file%.pid}.rc" ] && kill -9 "$(cat "$file")" 2>/dev/null
 	done
@@ -35,6 +37,7 @@
 	rm -rf "$dir"
 }
 driver=
+loop=
 trap 'finish; exit 2' TERM INT HUP
 
 exec 3<>"$dir/ask" # the pipe stays open, so that no reader meets its end
@@ -52,6 +55,5 @@
 wait "$driver"
 code=$?
 driver=
-kill "$loop" 2>/dev/null
 finish
 exit "$code"
