wellformed: an answer whose status is below 100 is rejected

Callers of a worker that answered with status 000, 001, 099 or +20 saw their connection close without a byte. The operator saw "http: panic serving" and no line with the ID of the request.

Cause: net/http takes any three characters that strconv.Atoi accepts for a status, and its server panics if such a status is to be written. The worker had run the request, so that a status of 502 was due. Control calls read the same status as a refusal: a reservation, a KV move and an append to the store were reported as not carried out, which nothing says.

wellformed.Transport rejects such responses below every client of the VM (workers, engines, plain servers, other VMs, the store, the log service and the VM list), so that no reader has to expect them. The call is in doubt, like that of any other answer that can't be parsed: its server counts as failed, and an idempotent request may be repeated. A status over 599 is passed on as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"alderdyke/internal/unread"
+	"alderdyke/internal/wellformed"
 	"alderdyke/pkg/clock"
 )
 
@@ -49,7 +50,7 @@
 	ErrBadCall = errors.New("call can't be sent as it is written")
 	// ErrWithheld reports that Allowed of a call returned false.
 	ErrWithheld = errors.New("call may not be sent any more")
-	// ErrBadAnswer reports that a response can't be parsed.
+	// ErrBadAnswer reports that a response can't be parsed or breaks HTTP.
 	ErrBadAnswer = errors.New("answer can't be read")
 )
 
@@ -92,8 +93,8 @@
 	// transport sends calls with an effect on fresh connections and all other calls
 	// on kept ones.
 	transport struct {
-		fresh unread.Transport
-		kept  unread.Transport
+		fresh wellformed.Transport
+		kept  wellformed.Transport
 	}
 
 	// gatedConn counts the writes of a connection and can be sealed against further
@@ -152,8 +153,8 @@
 
 // transport returns a transport that opens a fresh connection for each call, or one
 // that keeps connections.
-func (lm Limits) transport(fresh bool) unread.Transport {
-	return unread.Transport{Base: &http.Transport{
+func (lm Limits) transport(fresh bool) wellformed.Transport {
+	return wellformed.Transport{Base: unread.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			cn, err := lm.Dial(ctx, network, address)
 			if err != nil {
@@ -167,7 +168,7 @@
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout.Std(),
 		MaxResponseHeaderBytes: headerBytes,
-	}}
+	}}}
 }
 
 // RoundTrip implements [http.RoundTripper].
@@ -333,7 +334,7 @@
 	if _, ok := errors.AsType[net.Error](err); ok {
 		return err
 	}
-	for _, known := range []error{context.Canceled, context.DeadlineExceeded, io.ErrUnexpectedEOF, io.EOF, net.ErrClosed} {
+	for _, known := range []error{context.Canceled, context.DeadlineExceeded, io.ErrUnexpectedEOF, io.EOF, net.ErrClosed, wellformed.ErrStatus} {
 		if errors.Is(err, known) {
 			return known
 		}
--- /dev/null
+++ b/internal/engine/malformed_test.go
@@ -0,0 +1,33 @@
+package engine_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"alderdyke/internal/backend"
+	"alderdyke/internal/board"
+	"alderdyke/internal/engine"
+	"alderdyke/internal/standin/malformed"
+)
+
+// checkMalformed checks that no call takes an answer that breaks HTTP for one: it may have run.
+func checkMalformed(t *testing.T, list []malformed.Answer) {
+	t.Helper()
+	for name, call := range engineCalls {
+		for _, an := range list {
+			t.Run(name+", "+an.Name, func(t *testing.T) {
+				srv, err := malformed.Start(an)
+				assert.NilError(t, err)
+				defer srv.Stop()
+				hc := backend.NewHTTP(backend.Limits{})
+				defer hc.CloseIdleConnections()
+				err = call(t.Context(), &engine.Client{HTTP: hc}, board.BackendServer{ID: "e1", Address: srv.Address()})
+				oc, _ := backend.OutcomeOf(err)
+				assert.Equal(t, oc, backend.InDoubt, "%v", err)
+			})
+		}
+	}
+}
+
+func TestStatusOutsideHTTP(t *testing.T) { checkMalformed(t, malformed.Statuses(attemptLine, "{}")) }
--- /dev/null
+++ b/internal/standin/malformed/malformed.go
@@ -0,0 +1,136 @@
+// Package malformed is a stand-in for a server whose answers break HTTP, or keep to it in
+// an unusual form.
+//
+// # Usage
+//
+//	for _, an := range malformed.Statuses(header, body) {
+//		srv, err := malformed.Start(an)
+//		... // call srv.Address()
+//		srv.Stop()
+//	}
+package malformed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// statusOK begins the answers whose status is not their fault.
+const statusOK = "HTTP/1.1 200 OK\r\n"
+
+type (
+	// Answer is what a server sends to each request before it closes the connection.
+	Answer struct {
+		Name string
+		Text string
+	}
+
+	// Server answers one request on each connection, once it has read it.
+	Server struct {
+		an  Answer
+		ln  net.Listener
+		all sync.WaitGroup
+
+		mu      sync.Mutex
+		conns   map[net.Conn]struct{}
+		stopped bool
+	}
+)
+
+// Statuses returns answers whose status is none of HTTP. The header lines end with CR LF
+// each.
+func Statuses(header, body string) []Answer {
+	var list []Answer
+	for _, status := range []string{"000", "001", "099", "+20", "-00"} {
+		list = append(list, Answer{"status " + status, "HTTP/1.1 " + status + " No\r\n" + header + withLength(body)})
+	}
+	return list
+}
+
+// Unusual returns sound answers of rare forms.
+func Unusual(header, body string) []Answer {
+	return []Answer{
+		{"no reason", "HTTP/1.1 200\r\n" + header + withLength(body)},
+		{"every byte of a name", statusOK + header + "!#$%&'*+-.^_`|~09azAZ: b\r\n" + withLength(body)},
+		{"names in lower case", statusOK + header + fmt.Sprintf("content-length: %d\r\n\r\n", len(body)) + body},
+		{"an empty value", statusOK + header + "A:\r\n" + withLength(body)},
+		{"blanks around a value", statusOK + header + "A: \t b c \t\r\n" + withLength(body)},
+		{"a value of several lines", statusOK + header + "A: b\r\n c\r\n" + withLength(body)},
+		{"bytes over 127 in a value", statusOK + header + "A: \xe9\r\n" + withLength(body)},
+		{"line feeds alone", strings.ReplaceAll(statusOK+header, "\r\n", "\n") + fmt.Sprintf("Content-Length: %d\n\n", len(body)) + body},
+		{"informational responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + statusOK + header + withLength(body)},
+		{"trailers", statusOK + header + "Trailer: A\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\nA: b\r\nB: c\r\n\r\n"},
+		{"a chunk extension", statusOK + header + "Transfer-Encoding: chunked\r\n\r\n" + strings.Replace(chunk(body), "\r\n", ";a=b\r\n", 1) + "0\r\n\r\n"},
+		{"neither length nor chunks", statusOK + header + "\r\n" + body},
+		{"an earlier version", "HTTP/1.0 200 OK\r\n" + header + withLength(body)},
+		{"an earlier version without a length", "HTTP/1.0 200 OK\r\n" + header + "\r\n" + body},
+	}
+}
+
+// withLength returns the end of a head that states the length of the body, and the body.
+func withLength(body string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func chunk(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
+
+// Start starts a server at a free port of the loopback interface.
+func Start(an Answer) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start a server of malformed answers: %w", err)
+	}
+	srv := &Server{an: an, ln: ln, conns: make(map[net.Conn]struct{})}
+	srv.all.Go(srv.accept)
+	return srv, nil
+}
+
+// Address returns the address of the server.
+func (srv *Server) Address() string { return srv.ln.Addr().String() }
+
+// Stop closes all connections and waits until nothing of the server is left.
+func (srv *Server) Stop() {
+	_ = srv.ln.Close() // nothing can be done about an error
+	srv.mu.Lock()
+	srv.stopped = true
+	for cn := range srv.conns {
+		_ = cn.Close()
+	}
+	srv.mu.Unlock()
+	srv.all.Wait()
+}
+
+func (srv *Server) accept() {
+	for {
+		cn, err := srv.ln.Accept()
+		if err != nil {
+			return
+		}
+		srv.mu.Lock()
+		if srv.stopped {
+			_ = cn.Close()
+		}
+		srv.conns[cn] = struct{}{}
+		srv.mu.Unlock()
+		srv.all.Go(func() { srv.serve(cn) })
+	}
+}
+
+// serve answers one request. It reads the whole request first, so that the connection is not
+// reset.
+func (srv *Server) serve(cn net.Conn) {
+	defer cn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(cn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(cn, srv.an.Text) // the client may have closed the connection in the middle
+}
