wellformed: an answer with a field name that is no token is rejected

Callers of a worker whose answer had a blank in the name of a field got it as a success, without that line; where the line was "Transfer-Encoding : chunked" the sizes of the chunks arrived as the body, under the worker's seal.

Cause: net/http takes a blank for a part of a name, keeps the line under that name and drops it when the head is written. A recipient that ignores the blank reads another answer. Control bytes, tabs and bytes over 127 in names, and control bytes in values, are rejected by net/http itself; their rows hold before and after.

The store, the log service and the VM list leave them to net/http, which drops them whole.

The caller gets 502 if nothing of the answer was passed on, which is so for plain answers up to 256 KB; a stream whose trailer is malformed is cut. The call is in doubt as in any answer that can't be parsed.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -24,8 +24,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"alderdyke/internal/unread"
@@ -97,20 +99,23 @@
 		kept  wellformed.Transport
 	}
 
-	// gatedConn counts the writes of a connection and can be sealed against further
-	// writes.
+	// gatedConn counts the writes and the received bytes of a connection and can be sealed
+	// against further writes.
 	gatedConn struct {
 		net.Conn
-		mu     sync.Mutex
-		writes uint64
-		sealed bool
+		received atomic.Int64
+		mu       sync.Mutex
+		writes   uint64
+		sealed   bool
 	}
 
 	// connTracker records the connections that a call was given.
 	connTracker struct {
-		mu     sync.Mutex
-		marks  map[*gatedConn]uint64 // write counts before the call
-		opaque bool                  // some connection does not support sealing
+		mu            sync.Mutex
+		marks         map[*gatedConn]uint64 // write counts before the call
+		opaque        bool                  // some connection does not support sealing
+		last          *gatedConn            // given last; nil: none, or it is no gatedConn
+		receivedBytes int64                 // on that connection before the call
 
 		allowed  func() bool // nil: always allowed
 		withheld bool
@@ -199,6 +204,13 @@
 	return gc.Conn.Write(data)
 }
 
+// Read reads from the connection.
+func (gc *gatedConn) Read(data []byte) (int, error) {
+	size, err := gc.Conn.Read(data)
+	gc.received.Add(int64(size))
+	return size, err
+}
+
 // mark returns the number of writes so far, for a later call of seal.
 func (gc *gatedConn) mark() uint64 {
 	gc.mu.Lock()
@@ -224,6 +236,9 @@
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	gc, ok := info.Conn.(*gatedConn)
+	if cr.last = gc; ok {
+		cr.receivedBytes = gc.received.Load()
+	}
 	if !ok {
 		cr.opaque = true
 	} else if _, seen := cr.marks[gc]; !seen {
@@ -240,6 +255,17 @@
 	_ = info.Conn.Close() // so that nothing can be written to it
 }
 
+// gotInformational returns an error if an informational response (1xx) is malformed, or too
+// many bytes of them have come: where they are observed, net/http limits each alone.
+func (cr *connTracker) gotInformational(_ int, hd textproto.MIMEHeader) error {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	if cr.last == nil || cr.last.received.Load()-cr.receivedBytes > headerBytes {
+		return ErrTooLarge
+	}
+	return wellformed.CheckFields(hd)
+}
+
 // notSentCause returns why a call that was not sent failed.
 func (cr *connTracker) notSentCause(err error) error {
 	cr.mu.Lock()
@@ -272,7 +298,7 @@
 // Errors are NotSentError, DeclinedError and InDoubtError.
 func Send(ctx context.Context, hc *http.Client, cl Call) (*http.Response, error) {
 	cr := &connTracker{marks: map[*gatedConn]uint64{}, allowed: cl.Allowed}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: cr.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: cr.gotConn, Got1xxResponse: cr.gotInformational})
 	if cl.FreshConnection {
 		ctx = context.WithValue(ctx, freshConnectionKey{}, true)
 	}
@@ -334,7 +360,7 @@
 	if _, ok := errors.AsType[net.Error](err); ok {
 		return err
 	}
-	for _, known := range []error{context.Canceled, context.DeadlineExceeded, io.ErrUnexpectedEOF, io.EOF, net.ErrClosed, wellformed.ErrStatus} {
+	for _, known := range []error{context.Canceled, context.DeadlineExceeded, io.ErrUnexpectedEOF, io.EOF, net.ErrClosed, ErrTooLarge, wellformed.ErrStatus, wellformed.ErrFieldName} {
 		if errors.Is(err, known) {
 			return known
 		}
--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -49,6 +49,11 @@
 	checkMalformed(t, malformed.Statuses(DeclinedHeader+": Full\r\nX: "+secret+"\r\n", answerBody))
 }
 
+func TestFieldNameThatIsNoTokenIsNoAnswer(t *testing.T) {
+	checkMalformed(t, malformed.Names("X: "+secret+"\r\n", answerBody))
+	checkMalformed(t, malformed.Informational("X: "+secret+"\r\n", answerBody))
+}
+
 // Sound answers of rare forms are answers, with the bodies that their servers sent.
 func TestUnusualAnswers(t *testing.T) {
 	for _, an := range malformed.Unusual("X: b\r\n", answerBody) {
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -31,3 +31,8 @@
 }
 
 func TestStatusOutsideHTTP(t *testing.T) { checkMalformed(t, malformed.Statuses(attemptLine, "{}")) }
+
+func TestFieldNameThatIsNoToken(t *testing.T) {
+	checkMalformed(t, malformed.Names(attemptLine, "{}"))
+	checkMalformed(t, malformed.Informational(attemptLine, "{}"))
+}
--- a/internal/logsvc/malformed_test.go
+++ b/internal/logsvc/malformed_test.go
@@ -33,3 +33,5 @@
 const emptyBatch = `{"Stream":"s","Offset":0,"Next":0,"Oldest":0,"Records":[]}`
 
 func TestStatusOutsideHTTP(t *testing.T) { checkMalformed(t, malformed.Statuses("", emptyBatch)) }
+
+func TestFieldNameThatIsNoToken(t *testing.T) { checkMalformed(t, malformed.Names("", emptyBatch)) }
--- a/internal/service/malformed_test.go
+++ b/internal/service/malformed_test.go
@@ -31,3 +31,8 @@
 }
 
 func TestStatusOutsideHTTP(t *testing.T) { checkMalformed(t, malformed.Statuses("", "{}")) }
+
+func TestFieldNameThatIsNoToken(t *testing.T) {
+	checkMalformed(t, malformed.Names("", "{}"))
+	checkMalformed(t, malformed.Informational("", "{}"))
+}
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	for _, an := range malformed.Statuses(header, body) {
+//	for _, an := range malformed.Names(header, body) {
 //		srv, err := malformed.Start(an)
 //		... // call srv.Address()
 //		srv.Stop()
@@ -52,6 +52,34 @@
 	return list
 }
 
+// Names returns answers with names of fields that are no tokens.
+func Names(header, body string) []Answer {
+	return []Answer{
+		{"a blank in a name", statusOK + header + "A b: c\r\n" + withLength(body)},
+		{"a blank before a colon", statusOK + header + "A : b\r\n" + withLength(body)},
+		{"two blanks before a colon", statusOK + header + "A  : b\r\n" + withLength(body)},
+		{"a length with a blank before the colon", statusOK + header + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(body)) + body},
+		{"a coding with a blank before the colon", statusOK + header + "Transfer-Encoding : chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"},
+		{"a blank in a name of a trailer", statusOK + header + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\nA b: c\r\n\r\n"},
+		{"a blank in the name of an announced trailer", statusOK + header + "Trailer: A b\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"},
+		{"a control byte in a name", statusOK + header + "A\x01b: c\r\n" + withLength(body)},
+		{"a tab in a name", statusOK + header + "A\tb: c\r\n" + withLength(body)},
+		{"a byte over 127 in a name", statusOK + header + "A\xe9: c\r\n" + withLength(body)},
+		{"no name", statusOK + header + ": c\r\n" + withLength(body)},
+		{"a control byte in a value", statusOK + header + "A: b\x01c\r\n" + withLength(body)},
+		{"a control byte in a name of a trailer", statusOK + header + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\nA\x01b: c\r\n\r\n"},
+	}
+}
+
+// Informational returns answers after an informational response with a name of a field that
+// is no token.
+func Informational(header, body string) []Answer {
+	return []Answer{
+		{"a blank in a name of an informational response", "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" + statusOK + header + withLength(body)},
+		{"a blank before a colon of an informational response", "HTTP/1.1 100 Continue\r\nContent-Length : 1\r\n\r\n" + statusOK + header + withLength(body)},
+	}
+}
+
 // Unusual returns sound answers of rare forms.
 func Unusual(header, body string) []Answer {
 	return []Answer{
--- a/internal/vmlist/malformed_test.go
+++ b/internal/vmlist/malformed_test.go
@@ -10,7 +10,7 @@
 
 // A list whose answer breaks HTTP is none.
 func TestMalformedLists(t *testing.T) {
-	for _, an := range malformed.Statuses("", "{}") {
+	for _, an := range append(malformed.Statuses("", "{}"), malformed.Names("", "{}")...) {
 		t.Run(an.Name, func(t *testing.T) {
 			srv, err := malformed.Start(an)
 			assert.NilError(t, err)
