backend: an answer whose connection was reset during the upload is no answer

Callers with long uploads got a part of an answer as the whole of it: 200 with the worker's seal, framed as complete. The worker had answered at once, without a length, sent a part and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one of the calls on a socket only. If the write of the upload gets ECONNRESET, the read that follows returns the end of the connection, which delimits an answer that has neither a length nor chunks. TestResetDuringUploadIsNoEnd shows that with real sockets, in an order that its client's connection enforces.

The connection now keeps the error of its first write that failed. When an answer without a length ends, a write in progress is interrupted and awaited: by the time the read returned the end, that write had its error, though it may not have returned.

Such an answer is in doubt: 502 if nothing was passed on, a cut answer or a resumed stream otherwise. It holds for every call of backend.Send: plain answers, streams, prefill and control calls, other VMs, and the own path.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -107,6 +107,9 @@
 		mu       sync.Mutex
 		writes   uint64
 		sealed   bool
+
+		writing    sync.Mutex // held while data is written; locked before mu
+		errWriting error      // of the first write that failed; guarded by writing
 	}
 
 	// connTracker records the connections that a call was given.
@@ -194,6 +197,8 @@
 
 // Write writes to the connection unless it is sealed.
 func (gc *gatedConn) Write(data []byte) (int, error) {
+	gc.writing.Lock()
+	defer gc.writing.Unlock()
 	gc.mu.Lock()
 	if gc.sealed {
 		gc.mu.Unlock()
@@ -201,7 +206,11 @@
 	}
 	gc.writes++
 	gc.mu.Unlock()
-	return gc.Conn.Write(data)
+	size, err := gc.Conn.Write(data)
+	if gc.errWriting == nil {
+		gc.errWriting = err
+	}
+	return size, err
 }
 
 // Read reads from the connection.
@@ -291,6 +300,13 @@
 	return clean
 }
 
+// conn returns the connection that the call was given last, or nil if it is no gatedConn.
+func (cr *connTracker) conn() *gatedConn {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return cr.last
+}
+
 // Send sends the call and returns the response, whose body the caller must close. A
 // response that declines the call is returned as an error. The context bounds the
 // call and the reading of the body.
@@ -322,6 +338,9 @@
 		_ = rsp.Body.Close() // the headers hold everything that is needed
 		return nil, err
 	}
+	if gc := cr.conn(); gc != nil && isUnframed(rsp) {
+		rsp.Body = unframedBody{ReadCloser: rsp.Body, conn: gc}
+	}
 	return rsp, nil
 }
 
