backend: a coded answer of an earlier HTTP version is no answer

Callers of a worker that answered with HTTP/1.0 and "Transfer-Encoding: chunked" got the sizes of the chunks in the body, under the worker's seal.

Cause: net/http removes the field from such a head and does not decode the body. The VM passes the body on without the field, as it does with every field that concerns one connection. RFC 9112, section 6.1, requires to treat the framing as faulty, also beside a length.

Nothing of the field is left in the response, so that a connection records the head of a response that does not begin with HTTP/1.1, and Send looks for the field in it. The call is in doubt. Answers of HTTP/1.0 with a length or without are served as before, and so are those of HTTP/1.1 that have a length beside chunks, whose head loses the length (TestUnusualAnswers, before and after).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -104,6 +104,7 @@
 	gatedConn struct {
 		net.Conn
 		received atomic.Int64
+		response headRecord
 		mu       sync.Mutex
 		writes   uint64
 		sealed   bool
@@ -217,6 +218,7 @@
 func (gc *gatedConn) Read(data []byte) (int, error) {
 	size, err := gc.Conn.Read(data)
 	gc.received.Add(int64(size))
+	gc.response.add(data[:size])
 	return size, err
 }
 
@@ -247,6 +249,7 @@
 	gc, ok := info.Conn.(*gatedConn)
 	if cr.last = gc; ok {
 		cr.receivedBytes = gc.received.Load()
+		gc.response.begin()
 	}
 	if !ok {
 		cr.opaque = true
@@ -327,9 +330,10 @@
 		}
 		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Err: redact(err, ErrBadAnswer)}
 	}
-	if rsp.StatusCode == http.StatusSwitchingProtocols {
-		// No call asks for another protocol, and net/http leaves such a connection to its
-		// user: neither the context nor a limit would end the reading of the body.
+	gc := cr.conn()
+	// No call asks for another protocol, and net/http leaves such a connection to its user:
+	// neither the context nor a limit would end the reading of the body.
+	if rsp.StatusCode == http.StatusSwitchingProtocols || gc != nil && gc.hasFaultyCoding(rsp) {
 		_ = rsp.Body.Close() // closes the connection
 		return nil, InDoubtError{Server: cl.Server, Call: cl.Name, Status: rsp.StatusCode, Err: ErrBadAnswer}
 	}
@@ -338,7 +342,7 @@
 		_ = rsp.Body.Close() // the headers hold everything that is needed
 		return nil, err
 	}
-	if gc := cr.conn(); gc != nil && isUnframed(rsp) {
+	if gc != nil && isUnframed(rsp) {
 		rsp.Body = unframedBody{ReadCloser: rsp.Body, conn: gc}
 	}
 	return rsp, nil
--- /dev/null
+++ b/internal/backend/headrecord.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"sync"
+)
+
+// currentVersion begins the responses whose heads need not be recorded.
+var currentVersion = []byte("HTTP/1.1 ")
+
+// headRecord keeps the head of a response of a version before HTTP/1.1. net/http ignores and
+// removes the Transfer-Encoding of such a head and takes the coded body for the body, where
+// the framing is to be treated as faulty (RFC 9112, section 6.1).
+type headRecord struct {
+	mu   sync.Mutex
+	head []byte
+	done bool
+}
+
+// begin starts the record of a response.
+func (hr *headRecord) begin() {
+	hr.mu.Lock()
+	defer hr.mu.Unlock()
+	hr.head, hr.done = nil, false
+}
+
+// add records what was received, as long as it belongs to the head.
+func (hr *headRecord) add(data []byte) {
+	hr.mu.Lock()
+	defer hr.mu.Unlock()
+	if hr.done {
+		return
+	}
+	if len(hr.head) == 0 && bytes.HasPrefix(data, currentVersion) {
+		hr.done = true // without a copy, which nearly every call would cost
+		return
+	}
+	hr.head = append(hr.head, data...)
+	if bytes.HasPrefix(hr.head, currentVersion) {
+		hr.head, hr.done = nil, true
+		return
+	}
+	hr.done = len(hr.head) > headerBytes || bytes.Contains(hr.head, []byte("\n\r\n")) || bytes.Contains(hr.head, []byte("\n\n"))
+}
+
+// hasCoding reports whether the recorded head has a Transfer-Encoding.
+func (hr *headRecord) hasCoding() bool {
+	hr.mu.Lock()
+	defer hr.mu.Unlock()
+	rd := textproto.NewReader(bufio.NewReader(bytes.NewReader(hr.head)))
+	if _, err := rd.ReadLine(); err != nil {
+		return false // no head was recorded
+	}
+	fields, err := rd.ReadMIMEHeader()
+	return err != nil || len(fields["Transfer-Encoding"]) > 0
+}
+
+// hasFaultyCoding reports whether a response on the connection has a coded body that net/http
+// does not decode.
+func (gc *gatedConn) hasFaultyCoding(rsp *http.Response) bool {
+	return !rsp.ProtoAtLeast(1, 1) && gc.response.hasCoding()
+}
--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -54,6 +54,10 @@
 	checkMalformed(t, malformed.Informational("X: "+secret+"\r\n", answerBody))
 }
 
+func TestCodingOfAnEarlierVersionIsNoAnswer(t *testing.T) {
+	checkMalformed(t, malformed.Codings("X: "+secret+"\r\n", answerBody))
+}
+
 // Sound answers of rare forms are answers, with the bodies that their servers sent.
 func TestUnusualAnswers(t *testing.T) {
 	for _, an := range malformed.Unusual("X: b\r\n", answerBody) {
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// Codings returns answers whose body has a coding that their version of HTTP does not have.
+func Codings(header, body string) []Answer {
+	return []Answer{
+		{"a coding in an earlier version", "HTTP/1.0 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"},
+		{"a coding beside a length in an earlier version", "HTTP/1.0 200 OK\r\n" + header + "transfer-encoding: chunked\r\n" + withLength(chunk(body)+"0\r\n\r\n")},
+		{"an unknown coding in an earlier version", "HTTP/1.0 200 OK\nTransfer-Encoding: x\n" + header + withLength(body)},
+	}
+}
+
 // Unusual returns sound answers of rare forms.
 func Unusual(header, body string) []Answer {
 	return []Answer{
@@ -93,6 +102,7 @@
 		{"line feeds alone", strings.ReplaceAll(statusOK+header, "\r\n", "\n") + fmt.Sprintf("Content-Length: %d\n\n", len(body)) + body},
 		{"informational responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + statusOK + header + withLength(body)},
 		{"trailers", statusOK + header + "Trailer: A\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\nA: b\r\nB: c\r\n\r\n"},
+		{"a length beside a coding", statusOK + header + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"},
 		{"a chunk extension", statusOK + header + "Transfer-Encoding: chunked\r\n\r\n" + strings.Replace(chunk(body), "\r\n", ";a=b\r\n", 1) + "0\r\n\r\n"},
 		{"neither length nor chunks", statusOK + header + "\r\n" + body},
 		{"an earlier version", "HTTP/1.0 200 OK\r\n" + header + withLength(body)},
