backend: a head that comes in small pieces is searched once

The record of a head before HTTP/1.1 searched all of it for its end after each read. TestHeadRecord also shows that the pieces in which a head comes do not matter.

--- a/internal/backend/headrecord.go
+++ b/internal/backend/headrecord.go
@@ -11,6 +11,9 @@
 // currentVersion begins the responses whose heads need not be recorded.
 var currentVersion = []byte("HTTP/1.1 ")
 
+// longestHeadEnd is the length of the longest end of a head, less one byte.
+const longestHeadEnd = len("\n\r\n") - 1
+
 // headRecord keeps the head of a response of a version before HTTP/1.1. net/http ignores and
 // removes the Transfer-Encoding of such a head and takes the coded body for the body, where
 // the framing is to be treated as faulty (RFC 9112, section 6.1).
@@ -38,12 +41,14 @@
 		hr.done = true // without a copy, which nearly every call would cost
 		return
 	}
+	searched := max(0, len(hr.head)-longestHeadEnd)
 	hr.head = append(hr.head, data...)
 	if bytes.HasPrefix(hr.head, currentVersion) {
 		hr.head, hr.done = nil, true
 		return
 	}
-	hr.done = len(hr.head) > headerBytes || bytes.Contains(hr.head, []byte("\n\r\n")) || bytes.Contains(hr.head, []byte("\n\n"))
+	added := hr.head[searched:]
+	hr.done = len(hr.head) > headerBytes || bytes.Contains(added, []byte("\n\r\n")) || bytes.Contains(added, []byte("\n\n"))
 }
 
 // hasCoding reports whether the recorded head has a Transfer-Encoding.
