entry: a server whose answer is malformed has not crashed

Since malformed statuses and names are errors of a call, a server of the own path whose answer to a probe was malformed counted as one that sent no response. The request that it had before stayed suspected of a crash, and such a suspicion may refuse sound requests.

Responses that net/http itself rejects count as none, as they did.

--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"alderdyke/internal/wellformed"
 	"alderdyke/pkg/clock"
 )
 
@@ -127,6 +128,11 @@
 // Unwrap returns the cause, if there is one.
 func (ie InDoubtError) Unwrap() error { return ie.Err }
 
+// Responded reports whether the server sent a response, although it may be malformed.
+func (ie InDoubtError) Responded() bool {
+	return ie.Status != 0 || errors.Is(ie.Err, wellformed.ErrStatus) || errors.Is(ie.Err, wellformed.ErrFieldName)
+}
+
 // NotReached reports whether a call was not sent because no connection to the server
 // was established. A call that its sender cancelled shows nothing about the server.
 func NotReached(err error) bool {
--- a/internal/entry/poison.go
+++ b/internal/entry/poison.go
@@ -82,7 +82,7 @@
 // noResponse reports whether a server accepted a connection but sent no response on it.
 func noResponse(err error) bool {
 	ie, doubt := errors.AsType[backend.InDoubtError](err)
-	return doubt && ie.Status == 0
+	return doubt && !ie.Responded()
 }
 
 func (vm *VM) ping(ctx context.Context, srv board.BackendServer) error {
--- a/internal/entry/poison_test.go
+++ b/internal/entry/poison_test.go
@@ -2,13 +2,38 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"alderdyke/internal/backend"
 	"alderdyke/internal/board"
+	"alderdyke/internal/poison"
+	"alderdyke/internal/service"
+	"alderdyke/internal/standin/malformed"
 )
 
+// acceptedNames is how many of the malformed names net/http accepts; the others end a call
+// without a response.
+const acceptedNames = 7
+
+// A server whose answers break HTTP is alive: the requests that it got did not crash it.
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	for _, an := range slices.Concat(malformed.Statuses("", "{}"), malformed.Names("", "{}")[:acceptedNames], malformed.Informational("", "{}"), malformed.Codings("", "{}")) {
+		t.Run(an.Name, func(t *testing.T) {
+			srv, err := malformed.Start(an)
+			assert.NilError(t, err)
+			defer srv.Stop()
+			hc := backend.NewHTTP(backend.Limits{})
+			defer hc.CloseIdleConnections()
+			vm := &VM{Services: &service.Client{HTTP: hc}}
+			finding := vm.probe(t.Context(), poison.Call{Server: board.BackendServer{ID: "s1", Role: board.Plain, Address: srv.Address()}})
+			assert.Equal(t, finding, poison.Alive)
+		})
+	}
+}
+
 // Two VMs send a started VM the notices that it missed, and all VMs agree on which two.
 func TestStartedVMIsCaughtUpByTwo(t *testing.T) {
 	for _, size := range []int{2, 3, 7, 69} {
