wellformed: the transport ends the connections of unread bodies itself

Four clients built one transport around the other, and a client that needs one needs both. No behavior changes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -28,7 +28,6 @@
 	"sync"
 	"time"
 
-	"alderdyke/internal/unread"
 	"alderdyke/internal/wellformed"
 	"alderdyke/pkg/clock"
 )
@@ -141,7 +140,7 @@
 // transport returns a transport that opens a fresh connection for each call, or one
 // that keeps connections.
 func (lm Limits) transport(fresh bool) wellformed.Transport {
-	return wellformed.Transport{Base: unread.Transport{Base: &http.Transport{
+	return wellformed.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			cn, err := lm.Dial(ctx, network, address)
 			if err != nil {
@@ -155,7 +154,7 @@
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout.Std(),
 		MaxResponseHeaderBytes: headerBytes,
-	}}}
+	}}
 }
 
 // RoundTrip implements [http.RoundTripper].
--- a/internal/logsvc/client.go
+++ b/internal/logsvc/client.go
@@ -17,7 +17,6 @@
 
 	"github.com/samber/oops"
 
-	"alderdyke/internal/unread"
 	"alderdyke/internal/wellformed"
 	"alderdyke/pkg/clock"
 )
@@ -193,8 +192,7 @@
 	cl.once.Do(func() {
 		if cl.HTTP == nil {
 			cl.HTTP = &http.Client{
-				Transport: wellformed.Transport{Base: unread.Transport{Base: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4,
-					MaxResponseHeaderBytes: maxHead}}},
+				Transport: wellformed.Transport{Base: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHead}},
 				CheckRedirect: func(*http.Request, []*http.Request) error {
 					return http.ErrUseLastResponse
 				},
--- a/internal/logsvc/endless_test.go
+++ b/internal/logsvc/endless_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	res, err := endless.Call(t.Context(), rsp, endless.Limit{Within: within}, func(ctx context.Context, mt *endless.Meter, address string) error {
 		cl := &Client{URL: "http://" + address, MaxBatch: bodyBound}
-		cl.client().Transport.(wellformed.Transport).Base.Base.DialContext = mt.Dial
+		cl.client().Transport.(wellformed.Transport).Base.DialContext = mt.Dial
 		return call(ctx, cl)
 	})
 	assert.NilError(t, err)
--- a/internal/vmlist/endless_test.go
+++ b/internal/vmlist/endless_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	res, err := endless.Call(t.Context(), rsp, endless.Limit{Within: within}, func(ctx context.Context, mt *endless.Meter, address string) error {
 		cl := &Client{URL: "http://" + address, MaxBody: bodyBound}
-		cl.client().Transport.(wellformed.Transport).Base.Base.DialContext = mt.Dial
+		cl.client().Transport.(wellformed.Transport).Base.DialContext = mt.Dial
 		_, err := cl.Fetch(ctx)
 		return err
 	})
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -36,7 +36,6 @@
 	"github.com/samber/oops"
 
 	"alderdyke/internal/board"
-	"alderdyke/internal/unread"
 	"alderdyke/internal/wellformed"
 	"alderdyke/pkg/clock"
 )
@@ -208,8 +207,7 @@
 func (cl *Client) client() *http.Client {
 	cl.once.Do(func() {
 		if cl.HTTP == nil {
-			cl.HTTP = &http.Client{Transport: wellformed.Transport{Base: unread.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1,
-				MaxResponseHeaderBytes: maxHead}}}}
+			cl.HTTP = &http.Client{Transport: wellformed.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}}}
 		}
 	})
 	return cl.HTTP
--- a/internal/wellformed/wellformed.go
+++ b/internal/wellformed/wellformed.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	hc := &http.Client{Transport: wellformed.Transport{Base: unread.Transport{Base: &http.Transport{}}}}
+//	hc := &http.Client{Transport: wellformed.Transport{Base: &http.Transport{}}}
 //	rsp, err := hc.Do(req)
 //	if errors.Is(err, wellformed.ErrStatus) || errors.Is(err, wellformed.ErrFieldName) { ... }
 package wellformed
@@ -40,8 +40,9 @@
 
 type (
 	// Transport sends requests by another transport and rejects malformed responses. A
-	// request whose response was rejected may have been carried out.
-	Transport struct{ Base unread.Transport }
+	// request whose response was rejected may have been carried out. Like [unread.Transport]
+	// it ends the connections of bodies that are closed before their ends.
+	Transport struct{ Base *http.Transport }
 
 	// chunkedBody checks the trailer of a response, which net/http reads at the end of the
 	// body.
@@ -54,7 +55,7 @@
 // RoundTrip implements [http.RoundTripper]. Reading the body of the response fails with
 // ErrFieldName if that is the fault of its trailer.
 func (tr Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	rsp, err := tr.Base.RoundTrip(req)
+	rsp, err := unread.Transport{Base: tr.Base}.RoundTrip(req)
 	if err != nil {
 		return nil, err // as it is: callers tell its kinds apart
 	}
--- a/internal/wellformed/wellformed_test.go
+++ b/internal/wellformed/wellformed_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"alderdyke/internal/standin/malformed"
-	"alderdyke/internal/unread"
 	"alderdyke/internal/wellformed"
 )
 
@@ -21,7 +20,7 @@
 	srv, err := malformed.Start(an)
 	assert.NilError(t, err)
 	defer srv.Stop()
-	hc := &http.Client{Transport: wellformed.Transport{Base: unread.Transport{Base: &http.Transport{}}}}
+	hc := &http.Client{Transport: wellformed.Transport{Base: &http.Transport{}}}
 	defer hc.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+srv.Address(), nil)
 	assert.NilError(t, err)
