--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -205,7 +205,7 @@
 		_ = rsp.Body.Close() // the headers hold everything that is needed
 		return nil, err
 	}
-	if gc != nil && isUnframed(rsp) {
+	if gc != nil && IsUnframed(rsp) && rsp.Body != http.NoBody {
 		rsp.Body = unframedBody{ReadCloser: rsp.Body, conn: gc}
 	}
 	return rsp, nil
--- a/internal/backend/unframed.go
+++ b/internal/backend/unframed.go
@@ -13,10 +13,10 @@
 	conn *gatedConn
 }
 
-// isUnframed reports whether a response has a body with neither a length nor chunks, which
-// ends where the connection is closed.
-func isUnframed(rsp *http.Response) bool {
-	return rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0 && rsp.Body != http.NoBody
+// IsUnframed reports whether a response states neither a length nor chunks, so that its body,
+// if it has one, ends where the connection is closed.
+func IsUnframed(rsp *http.Response) bool {
+	return rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0
 }
 
 // Read reads from the body. If the connection broke, its end is not the end of the body.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -202,7 +202,7 @@
 // may be incomplete, because its server refuses connections now: a process that crashes
 // closes its connections in order. A server that leaves exits after its last response.
 func (sc *Client) crashedAtEnd(ctx context.Context, srv board.BackendServer, rsp *http.Response) bool {
-	if rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0 || srv.Leaving {
+	if !backend.IsUnframed(rsp) || srv.Leaving {
 		return false
 	}
 	ctx, stop := context.WithTimeout(ctx, crashCheckTimeout.Std())
