backend: the bytes of a call are counted where its response is recorded

A connection counted all that it ever received, and the tracker of a call kept the count from before the call to subtract it. The record of the response, which begins with each call anyway, counts from there. No behavior changes.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -6,7 +6,6 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,8 +17,7 @@
 	// sealed against further writes.
 	gatedConn struct {
 		net.Conn
-		received atomic.Int64 // bytes
-		response headRecord   // of the call that has the connection
+		response headRecord // to the call that has the connection
 
 		writing    sync.Mutex // held while data is written; locked before mu
 		errWriting error      // of the first write that failed; guarded by writing
@@ -31,11 +29,10 @@
 
 	// connTracker records the connections that a call was given.
 	connTracker struct {
-		mu            sync.Mutex
-		marks         map[*gatedConn]uint64 // write counts before the call
-		opaque        bool                  // some connection does not support sealing
-		last          *gatedConn            // given last; nil: none, or it is no gatedConn
-		receivedBytes int64                 // on that connection before the call
+		mu     sync.Mutex
+		marks  map[*gatedConn]uint64 // write counts before the call
+		opaque bool                  // some connection does not support sealing
+		last   *gatedConn            // given last; nil: none, or it is no gatedConn
 
 		allowed  func() bool // nil: always allowed
 		withheld bool
@@ -63,7 +60,6 @@
 // Read reads from the connection.
 func (gc *gatedConn) Read(data []byte) (int, error) {
 	size, err := gc.Conn.Read(data)
-	gc.received.Add(int64(size))
 	gc.response.add(data[:size])
 	return size, err
 }
@@ -93,14 +89,14 @@
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	gc, ok := info.Conn.(*gatedConn)
-	if cr.last = gc; ok {
-		cr.receivedBytes = gc.received.Load()
-		gc.response.begin()
-	}
+	cr.last = gc
 	if !ok {
 		cr.opaque = true
-	} else if _, seen := cr.marks[gc]; !seen {
-		cr.marks[gc] = gc.mark()
+	} else {
+		gc.response.begin()
+		if _, seen := cr.marks[gc]; !seen {
+			cr.marks[gc] = gc.mark()
+		}
 	}
 	if cr.allowed == nil || cr.allowed() {
 		return
@@ -118,7 +114,7 @@
 func (cr *connTracker) gotInformational(_ int, hd textproto.MIMEHeader) error {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
-	if cr.last == nil || cr.last.received.Load()-cr.receivedBytes > headerBytes {
+	if cr.last == nil || cr.last.response.receivedBytes() > headerBytes {
 		return ErrTooLarge
 	}
 	return wellformed.CheckFields(hd)
--- a/internal/backend/headrecord.go
+++ b/internal/backend/headrecord.go
@@ -14,26 +14,36 @@
 // longestHeadEnd is the length of the longest end of a head, less one byte.
 const longestHeadEnd = len("\n\r\n") - 1
 
-// headRecord keeps the head of a response of a version before HTTP/1.1. net/http ignores and
-// removes the Transfer-Encoding of such a head and takes the coded body for the body, where
-// the framing is to be treated as faulty (RFC 9112, section 6.1).
+// headRecord counts the bytes that a call receives, and keeps the head of a response of a
+// version before HTTP/1.1. net/http ignores and removes the Transfer-Encoding of such a head
+// and takes the coded body for the body, where the framing is to be treated as faulty
+// (RFC 9112, section 6.1).
 type headRecord struct {
-	mu   sync.Mutex
-	head []byte
-	done bool
+	mu       sync.Mutex
+	received int64 // bytes
+	head     []byte
+	done     bool
 }
 
-// begin starts the record of a response.
+// begin starts the record of a call.
 func (hr *headRecord) begin() {
 	hr.mu.Lock()
 	defer hr.mu.Unlock()
-	hr.head, hr.done = nil, false
+	hr.received, hr.head, hr.done = 0, nil, false
 }
 
-// add records what was received, as long as it belongs to the head.
+// receivedBytes returns how many bytes the call has received.
+func (hr *headRecord) receivedBytes() int64 {
+	hr.mu.Lock()
+	defer hr.mu.Unlock()
+	return hr.received
+}
+
+// add counts what was received, and records what belongs to the head.
 func (hr *headRecord) add(data []byte) {
 	hr.mu.Lock()
 	defer hr.mu.Unlock()
+	hr.received += int64(len(data))
 	if hr.done {
 		return
 	}
