--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -16,12 +17,11 @@
 // callMalformed makes a call to a server and reads its answer to the end.
 func callMalformed(t *testing.T, an malformed.Answer, fresh bool) (status int, body []byte, err error) {
 	t.Helper()
-	srv, err := malformed.Start(an)
-	assert.NilError(t, err)
-	defer srv.Stop()
+	srv := httptest.NewServer(an)
+	defer srv.Close()
 	hc := NewHTTP(Limits{})
 	defer hc.CloseIdleConnections()
-	rsp, err := Send(t.Context(), hc, Call{Server: "e1", Name: "Prefill", Request: post(t, srv.Address()), FreshConnection: fresh})
+	rsp, err := Send(t.Context(), hc, Call{Server: "e1", Name: "Prefill", Request: post(t, srv.Listener.Addr().String()), FreshConnection: fresh})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,12 +18,11 @@
 	for name, call := range engineCalls {
 		for _, an := range list {
 			t.Run(name+", "+an.Name, func(t *testing.T) {
-				srv, err := malformed.Start(an)
-				assert.NilError(t, err)
-				defer srv.Stop()
+				srv := httptest.NewServer(an)
+				defer srv.Close()
 				hc := backend.NewHTTP(backend.Limits{})
 				defer hc.CloseIdleConnections()
-				err = call(t.Context(), &engine.Client{HTTP: hc}, board.BackendServer{ID: "e1", Address: srv.Address()})
+				err := call(t.Context(), &engine.Client{HTTP: hc}, board.BackendServer{ID: "e1", Address: srv.Listener.Addr().String()})
 				oc, _ := backend.OutcomeOf(err)
 				assert.Equal(t, oc, backend.InDoubt, "%v", err)
 			})
--- a/internal/entry/poison_test.go
+++ b/internal/entry/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"slices"
 	"testing"
 
@@ -19,13 +20,12 @@
 	answers := slices.Concat(malformed.Statuses("", "{}"), malformed.AcceptedNames("", "{}"), malformed.Informational("", "{}"), malformed.Codings("", "{}"))
 	for _, an := range answers {
 		t.Run(an.Name, func(t *testing.T) {
-			srv, err := malformed.Start(an)
-			assert.NilError(t, err)
-			defer srv.Stop()
+			srv := httptest.NewServer(an)
+			defer srv.Close()
 			hc := backend.NewHTTP(backend.Limits{})
 			defer hc.CloseIdleConnections()
 			vm := &VM{Services: &service.Client{HTTP: hc}}
-			finding := vm.probe(t.Context(), poison.Call{Server: board.BackendServer{ID: "s1", Role: board.Plain, Address: srv.Address()}})
+			finding := vm.probe(t.Context(), poison.Call{Server: board.BackendServer{ID: "s1", Role: board.Plain, Address: srv.Listener.Addr().String()}})
 			assert.Equal(t, finding, poison.Alive)
 		})
 	}
--- a/internal/logsvc/malformed_test.go
+++ b/internal/logsvc/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,13 +16,12 @@
 	t.Helper()
 	for _, an := range list {
 		t.Run(an.Name, func(t *testing.T) {
-			srv, err := malformed.Start(an)
-			assert.NilError(t, err)
-			defer srv.Stop()
-			cl := &Client{URL: "http://" + srv.Address()}
+			srv := httptest.NewServer(an)
+			defer srv.Close()
+			cl := &Client{URL: srv.URL}
 			defer cl.client().CloseIdleConnections()
 			assert.Assert(t, readOne(t.Context(), cl) != nil)
-			err = appendOne(t.Context(), cl)
+			err := appendOne(t.Context(), cl)
 			ae, ok := errors.AsType[*AppendError](err)
 			assert.Assert(t, ok, "%v", err)
 			assert.Equal(t, ae.Effect, MayBeAppended)
--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -4,43 +4,27 @@
 // # Usage
 //
 //	for _, an := range malformed.Names(header, body) {
-//		srv, err := malformed.Start(an)
-//		... // call srv.Address()
-//		srv.Stop()
+//		srv := httptest.NewServer(an)
+//		... // call srv.URL
+//		srv.Close()
 //	}
 package malformed
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 )
 
 // statusOK begins the answers whose status is not their fault.
 const statusOK = "HTTP/1.1 200 OK\r\n"
 
-type (
-	// Answer is what a server sends to each request before it closes the connection.
-	Answer struct {
-		Name string
-		Text string
-	}
-
-	// Server answers one request on each connection, once it has read it.
-	Server struct {
-		an  Answer
-		ln  net.Listener
-		all sync.WaitGroup
-
-		mu      sync.Mutex
-		conns   map[net.Conn]struct{}
-		stopped bool
-	}
-)
+// Answer is what a server sends to each request, byte by byte.
+type Answer struct {
+	Name string
+	Text string
+}
 
 // Statuses returns answers whose status is none of HTTP. The header lines end with CR LF
 // each.
@@ -124,58 +108,17 @@
 
 func chunk(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
 
-// Start starts a server at a free port of the loopback interface.
-func Start(an Answer) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("start a server of malformed answers: %w", err)
-	}
-	srv := &Server{an: an, ln: ln, conns: make(map[net.Conn]struct{})}
-	srv.all.Go(srv.accept)
-	return srv, nil
-}
-
-// Address returns the address of the server.
-func (srv *Server) Address() string { return srv.ln.Addr().String() }
-
-// Stop closes all connections and waits until nothing of the server is left.
-func (srv *Server) Stop() {
-	_ = srv.ln.Close() // nothing can be done about an error
-	srv.mu.Lock()
-	srv.stopped = true
-	for cn := range srv.conns {
-		_ = cn.Close()
-	}
-	srv.mu.Unlock()
-	srv.all.Wait()
-}
-
-func (srv *Server) accept() {
-	for {
-		cn, err := srv.ln.Accept()
-		if err != nil {
-			return
-		}
-		srv.mu.Lock()
-		if srv.stopped {
-			_ = cn.Close()
-		}
-		srv.conns[cn] = struct{}{}
-		srv.mu.Unlock()
-		srv.all.Go(func() { srv.serve(cn) })
-	}
-}
-
-// serve answers one request. It reads the whole request first, so that the connection is not
-// reset.
-func (srv *Server) serve(cn net.Conn) {
-	defer cn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(cn))
-	if err != nil {
-		return
-	}
+// ServeHTTP sends the answer to a request, once it has read it, and closes the connection in
+// order.
+func (an Answer) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	_, _ = io.WriteString(cn, srv.an.Text) // the client may have closed the connection in the middle
+	cn, buf, err := http.NewResponseController(wr).Hijack()
+	if err != nil {
+		return // the connection is gone
+	}
+	defer cn.Close()
+	_, _ = buf.WriteString(an.Text) // the client may have closed the connection in the middle
+	_ = buf.Flush()
 }
--- a/internal/vmlist/malformed_test.go
+++ b/internal/vmlist/malformed_test.go
@@ -1,6 +1,7 @@
 package vmlist
 
 import (
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,12 +13,11 @@
 func TestMalformedLists(t *testing.T) {
 	for _, an := range append(malformed.Statuses("", "{}"), malformed.Names("", "{}")...) {
 		t.Run(an.Name, func(t *testing.T) {
-			srv, err := malformed.Start(an)
-			assert.NilError(t, err)
-			defer srv.Stop()
-			cl := &Client{URL: "http://" + srv.Address()}
+			srv := httptest.NewServer(an)
+			defer srv.Close()
+			cl := &Client{URL: srv.URL}
 			defer cl.client().CloseIdleConnections()
-			_, err = cl.Fetch(t.Context())
+			_, err := cl.Fetch(t.Context())
 			assert.Assert(t, err != nil)
 		})
 	}
--- a/internal/wellformed/wellformed_test.go
+++ b/internal/wellformed/wellformed_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,12 +18,11 @@
 // get reads the answer of a server to its end.
 func get(t *testing.T, an malformed.Answer) (string, error) {
 	t.Helper()
-	srv, err := malformed.Start(an)
-	assert.NilError(t, err)
-	defer srv.Stop()
+	srv := httptest.NewServer(an)
+	defer srv.Close()
 	hc := &http.Client{Transport: wellformed.Transport{Base: &http.Transport{}}}
 	defer hc.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+srv.Address(), nil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, srv.URL, nil)
 	assert.NilError(t, err)
 	rsp, err := hc.Do(req)
 	if err != nil {
