--- a/internal/standin/malformed/early.go
+++ b/internal/standin/malformed/early.go
@@ -38,15 +38,16 @@
 	// so that the client can't close the connection before.
 	earlyConn struct {
 		net.Conn
-		left       int           // bytes of the answer that were not read yet
-		awaited    chan struct{} // closed when the end of the answer is to be read
-		failed     chan struct{} // closed when a write has failed
-		ended      chan struct{} // closed when the end of the answer was read
-		await      sync.Once
-		fail       sync.Once
-		endRead    sync.Once
-		errs       sync.Mutex
-		write, end error
+		left int // bytes of the answer that were not read yet
+		fail sync.Once
+		end  sync.Once
+
+		awaited chan struct{} // closed when the end of the answer is to be read
+		failed  chan struct{} // closed when a write has failed
+		ended   chan struct{} // closed when the end of the answer was read
+
+		errWrite error // of the first write that failed; set before failed is closed
+		errRead  error // of the end of the answer; set before ended is closed
 	}
 )
 
@@ -93,11 +94,10 @@
 }
 
 // Errors returns the errors with which the first write failed, and with which the read after
-// the answer ended.
+// the answer ended, once both have.
 func (es *EarlyServer) Errors() (write, read error) {
-	es.client.errs.Lock()
-	defer es.client.errs.Unlock()
-	return es.client.write, es.client.end
+	<-es.client.ended
+	return es.client.errWrite, es.client.errRead
 }
 
 // Stop waits until nothing of the server is left. The request must have been made.
@@ -127,7 +127,7 @@
 	size, err := ec.Conn.Write(data)
 	if err != nil {
 		ec.fail.Do(func() {
-			ec.setError(&ec.write, err)
+			ec.errWrite = err
 			close(ec.failed)
 		})
 		<-ec.ended
@@ -142,18 +142,11 @@
 		ec.left -= size
 		return size, err
 	}
-	ec.await.Do(func() { close(ec.awaited) })
-	<-ec.failed
-	size, err := ec.Conn.Read(data)
-	ec.endRead.Do(func() {
-		ec.setError(&ec.end, err)
+	ec.end.Do(func() {
+		close(ec.awaited)
+		<-ec.failed
+		_, ec.errRead = ec.Conn.Read(data)
 		close(ec.ended)
 	})
-	return size, err
-}
-
-func (ec *earlyConn) setError(to *error, err error) {
-	ec.errs.Lock()
-	defer ec.errs.Unlock()
-	*to = err
+	return 0, ec.errRead
 }
