fleet: an update of many small records fits into datagrams

The VM that reads the store sends the others what changed. The size of a message counted only keys and values, so that an update of many records without a value, such as the removals of a thousand servers, was encoded to more than a datagram. It was never sent, and each VM noticed a gap at the next update and read the store itself.

The bytes of the offset and the tags of each record now count as well.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// maxUpdateBytes limits the keys and values in one message; 300 bytes of a datagram are
-	// reserved for the names and numbers around them.
+	// maxUpdateBytes limits the records in one message; 300 bytes of a datagram are reserved
+	// for the names and numbers around them.
 	maxUpdateBytes = peer.MaxDatagram - 300
+	// recordOverhead bounds the bytes of a record's offset, and of the tags.
+	recordOverhead = 30
 	// usageOverhead is reserved for the names and numbers around a usage report.
 	usageOverhead = 150
 	// maxPlanned is the longest time that another VM's forecast or reservation may be
@@ -153,7 +155,7 @@
 	sp := updateSplitter{topic: nw.Topic, outageEnded: uint32(nw.OutageEndedAgo), availableFor: millisToWire(nw.AvailableFor)}
 	sp.begin(nw.From)
 	for _, rec := range nw.Records {
-		size := len(rec.Key) + len(rec.Value)
+		size := len(rec.Key) + len(rec.Value) + recordOverhead
 		if size > maxUpdateBytes {
 			if err := sp.addLarge(rec); err != nil {
 				return nil, err
@@ -176,7 +178,7 @@
 	outageEnded  uint32
 	availableFor uint32
 	part         *peerpb.TopicNews
-	size         int // of the part's keys and values, in bytes
+	size         int // of the part's records, in bytes
 	out          []*peerpb.Datagram
 }
 
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -92,6 +92,25 @@
 	})
 }
 
+// Guards against an update of many small records, such as removals, that is larger than a
+// datagram and is never sent, so that each VM reads the store.
+func TestManySmallRecordsOnTheWire(t *testing.T) {
+	nw := topic.Update{Topic: "keyed.servers", From: 1 << 41}
+	for ix := range 1000 {
+		nw.Records = append(nw.Records, topic.Record{Key: fmt.Sprintf("i-%08x", ix), Offset: nw.From + uint64(ix)})
+	}
+	nw.Next = nw.From + 1000
+	msgs, err := updateToWire(nw)
+	assert.NilError(t, err)
+	received := 0
+	fl := &Fleet{OnTopicUpdate: func(got topic.Update) { received += len(got.Records) }}
+	for _, msg := range msgs {
+		assert.Assert(t, proto.Size(msg) < peer.MaxDatagram-100, "%d bytes", proto.Size(msg))
+		fl.handleDatagram(msg, netip.AddrPort{})
+	}
+	assert.Equal(t, received, len(nw.Records))
+}
+
 // A configuration of the usual size, larger than a datagram, is sent in fragments, so that
 // not every VM has to read it, and a VM that can't reach the store gets it too.
 func TestLargeRecordIsFragmented(t *testing.T) {
