registry: a late renewal does not list a server that left

A worker that left without a word got requests again 2.6 s after the store had acknowledged the removal of its entry, and up to 5.9 s after it. Those in progress were cut off when it exited.

The store may carry out a write seconds after it gave no answer. A renewal that takes effect after the removal of its entry looks like an entry of a new server: Registry.Remove forgot the server, and Set took any entry of an unknown key. The number that servers count their entries by was decoded and not used. Moreover, only the VM that reads the store sees renewals, so that the others know the number of an entry that changed something, often the first.

- A registry keeps the number of each entry, and remembers removals with the last revision (incarnation and number) before them for as long as a write may be delayed.
An entry that is not after it is late.
One of a server that expired and is back has a higher number, and a server that starts again has a higher incarnation.
- The reader sends that revision with the removal.
It sends a late entry as a further removal, so that a VM that listed it drops it.
- Where the removal came sooner than three heartbeats after the last renewal, the server withdrew its entry itself, and renewals that it may have written since are late as well.
Records carry the time after which they were written for that, and updates when their read began.
- Late entries are counted and logged (ServerEntryLate).

--- a/internal/event/relay.go
+++ b/internal/event/relay.go
@@ -122,6 +122,8 @@
 		"a backend server's entry was removed, and the server stays listed because the store was unavailable to all VMs; the outage lasted from Began to Outage milliseconds ago, and Teller is the VM that reported it, empty for this VM's own calls", "none")
 	ServerTakesBack = register(2326, "ServerTakesBack", Warn,
 		"the entry of a backend server no longer marks it as leaving, although the server did not restart; the change is ignored", "none if the store applies writes late; otherwise check the backend server")
+	ServerEntryLate = register(2331, "ServerEntryLate", Info,
+		"an entry of a backend server took effect late, after later ones or after its removal, and is ignored; Renewal is its number, and Until that of the last one before", "none")
 	ServerLimitChanged = register(2327, "ServerLimitChanged", Info,
 		"a backend server limits the calls that it takes from all VMs together to Limit per second, or no longer does; By is the VM that received the answer, empty for this VM, and Age the time since then",
 		"none; if it lasts, check the server's load")
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -22,8 +22,8 @@
 	// maxUpdateBytes limits the records in one message; 300 bytes of a datagram are reserved
 	// for the names and numbers around them.
 	maxUpdateBytes = peer.MaxDatagram - 300
-	// recordOverhead bounds the bytes of a record's offset, and of the tags.
-	recordOverhead = 30
+	// recordOverhead bounds the bytes of a record's offset and revision, and of their tags.
+	recordOverhead = 50
 	// usageOverhead is reserved for the names and numbers around a usage report.
 	usageOverhead = 150
 	// maxPlanned is the longest time that another VM's forecast or reservation may be
@@ -168,6 +168,7 @@
 		}
 		sp.add(rec, size)
 	}
+	sp.part.ReadAgo = millisToWire(nw.ReadAgo) // the read did not end where the other messages do
 	sp.end(nw.Next)
 	return sp.out, nil
 }
@@ -188,7 +189,7 @@
 
 func (sp *updateSplitter) add(rec topic.Record, size int) {
 	sp.size += size
-	sp.part.Records = append(sp.part.Records, &peerpb.TopicRecord{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+	sp.part.Records = append(sp.part.Records, &peerpb.TopicRecord{Key: rec.Key, Value: rec.Value, Offset: rec.Offset, Until: revisionToWire(rec.Until)})
 }
 
 func (sp *updateSplitter) addLarge(rec topic.Record) error {
@@ -210,13 +211,25 @@
 func millisToWire(span clock.Millis) uint32 { return uint32(min(span, math.MaxUint32)) }
 
 func updateFromWire(tn *peerpb.TopicNews) topic.Update {
-	nw := topic.Update{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), OutageEndedAgo: clock.Millis(tn.GetMissed()), AvailableFor: clock.Millis(tn.GetAnswered())}
+	nw := topic.Update{Topic: tn.GetTopic(), From: tn.GetFrom(), Next: tn.GetNext(), OutageEndedAgo: clock.Millis(tn.GetMissed()), AvailableFor: clock.Millis(tn.GetAnswered()), ReadAgo: clock.Millis(tn.GetReadAgo())}
 	for _, rec := range tn.GetRecords() {
-		nw.Records = append(nw.Records, topic.Record{Key: rec.GetKey(), Value: rec.GetValue(), Offset: rec.GetOffset()})
+		nw.Records = append(nw.Records, topic.Record{Key: rec.GetKey(), Value: rec.GetValue(), Offset: rec.GetOffset(), Until: revisionFromWire(rec.GetUntil())})
 	}
 	return nw
 }
 
+// revisionToWire encodes a revision; an unknown one is left out.
+func revisionToWire(rv topic.Revision) *peerpb.Revision {
+	if rv == (topic.Revision{}) {
+		return nil
+	}
+	return &peerpb.Revision{Incarnation: rv.Incarnation, Renewal: rv.Renewal}
+}
+
+func revisionFromWire(rv *peerpb.Revision) topic.Revision {
+	return topic.Revision{Incarnation: rv.GetIncarnation(), Renewal: rv.GetRenewal()}
+}
+
 func usageToWire(rp usage.Report) *peerpb.Usage {
 	byEngine := make(map[string]*peerpb.EngineUsage)
 	out := &peerpb.Usage{Avoided: rp.Avoided, Failing: rp.Failing, Short: rp.Shortage, ShortPriority: uint32(rp.ShortPriority), Returns: returnsToWire(rp.Returns), Moves: uint32(rp.Moves)}
--- /dev/null
+++ b/internal/registry/export_test.go
@@ -0,0 +1,4 @@
+package registry
+
+// RemovalsForTest returns how many removals are remembered.
+func (rg *Registry) RemovalsForTest() int { return len(rg.removed) }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,12 +9,19 @@
 // it. A server that restarts reuses its entry under a higher incarnation; a
 // delayed write of an earlier incarnation changes nothing.
 //
+// A write that got no answer may take effect seconds later, also after later writes
+// of its server and after the removal of its entry. Servers number their entries, so
+// such an entry is told from one of a server that is back: it has no higher
+// [topic.Revision] than what is known of the server. The VM that reads the store
+// knows the number of every renewal. It tells the other VMs the last one with each
+// removal, which all remember for as long as a write may be delayed.
+//
 // # Usage
 //
 //	var rg registry.Registry
-//	rg.Replace(now, servers)        // a complete listing
-//	rg.Set(server)                  // one entry
-//	rg.Remove(now, key)             // one entry expired or was withdrawn
+//	rg.Replace(now, entries)        // a complete listing
+//	rg.Set(now, entry)              // one entry
+//	rg.Remove(now, key, until)      // one entry expired or was withdrawn
 //	rg.SetOutageEnd(until)          // no VM could reach the store until then
 //	list, changed := rg.Servers(now)
 //
@@ -27,6 +34,7 @@
 	"strings"
 
 	"alderdyke/internal/board"
+	"alderdyke/internal/topic"
 	"alderdyke/pkg/clock"
 )
 
@@ -40,38 +48,69 @@
 const maxRenewalDelay = 1250 * clock.Millis(1)
 
 type (
+	// Entry is a server's entry as the store has it.
+	Entry struct {
+		Server  board.BackendServer
+		Renewal uint64       // number of the entry in its server's incarnation, from 1; zero: not known
+		After   clock.Millis // the entry was written after this time; zero: not known
+	}
+
 	// Registry holds the backend servers that this VM considers registered.
 	Registry struct {
 		RenewalGrace clock.Millis // zero means DefaultRenewalGrace
+		Heartbeat    clock.Millis // zero means DefaultHeartbeat
 
-		servers   map[string]entry // by BackendServer.Key
-		outageEnd clock.Millis     // end of the last outage of the store; zero if none is known
+		servers   map[string]listing // by BackendServer.Key
+		removed   map[string]removal // by BackendServer.Key: the last removal of the entry, if it is recent
+		outageEnd clock.Millis       // end of the last outage of the store; zero if none is known
 		changed   bool
 	}
 
-	entry struct {
-		server    board.BackendServer
-		expiredAt clock.Millis // when its entry expired within a grace period; zero if it has not expired
+	// listing is a registered server with what is known of its entry.
+	listing struct {
+		server       board.BackendServer
+		renewal      uint64         // highest number of an entry; zero: not known
+		writtenAfter clock.Millis   // its last entry was written after this time; zero: not known
+		expiredAt    clock.Millis   // when its entry expired within a grace period; zero if it has not expired
+		until        topic.Revision // newest revision from before it expired
 	}
 )
 
-// Set adds or updates one entry.
-func (rg *Registry) Set(bs board.BackendServer) {
+func (en Entry) revision() topic.Revision {
+	return topic.Revision{Incarnation: en.Server.Incarnation, Renewal: en.Renewal}
+}
+
+// Set adds or updates one entry, unless it is late.
+func (rg *Registry) Set(now clock.Millis, en Entry) {
+	if rg.isLate(now, en) {
+		return
+	}
 	if rg.servers == nil {
-		rg.servers = make(map[string]entry)
+		rg.servers = make(map[string]listing)
 	}
-	if rg.IsRedundant(bs) {
-		return
+	key, bs := en.Server.Key(), rg.withLeavingKept(en.Server)
+	was, listed := rg.servers[key]
+	if en.Renewal == 0 && was.server.Incarnation == bs.Incarnation {
+		en.Renewal = was.renewal
 	}
-	rg.servers[bs.Key()] = entry{server: rg.withLeavingKept(bs)}
-	rg.changed = true
+	rg.changed = rg.changed || !listed || was.server != bs || was.expiredAt > 0
+	rg.servers[key] = listing{server: bs, renewal: en.Renewal, writtenAfter: en.After}
+	delete(rg.removed, key)
 }
 
-// IsRedundant reports whether an entry holds nothing new: it is a mere renewal, or
-// it belongs to an earlier incarnation of its server.
-func (rg *Registry) IsRedundant(bs board.BackendServer) bool {
-	en, ok := rg.servers[bs.Key()]
-	return ok && (en.server == rg.withLeavingKept(bs) && en.expiredAt == 0 || bs.Incarnation < en.server.Incarnation)
+// IsRedundant reports whether an entry holds nothing new: it is a mere renewal, or it is late.
+func (rg *Registry) IsRedundant(now clock.Millis, en Entry) bool {
+	if rg.isLate(now, en) {
+		return true
+	}
+	ls, listed := rg.servers[en.Server.Key()]
+	return listed && ls.server == rg.withLeavingKept(en.Server) && ls.expiredAt == 0
+}
+
+// IsLate reports whether an entry is late and differs from what is known of its server.
+func (rg *Registry) IsLate(now clock.Millis, en Entry) bool {
+	ls, listed := rg.servers[en.Server.Key()]
+	return rg.isLate(now, en) && (!listed || ls.server != rg.withLeavingKept(en.Server))
 }
 
 // RevokesLeaving reports whether an entry lacks Leaving although an earlier entry of
@@ -95,46 +134,73 @@
 
 // Server returns the server with the key.
 func (rg *Registry) Server(key string) (board.BackendServer, bool) {
-	en, ok := rg.servers[key]
-	return en.server, ok
+	ls, ok := rg.servers[key]
+	return ls.server, ok
 }
 
-// Remove removes the server of an entry that expired or was withdrawn. If an outage
-// of the store ended less than RenewalGrace ago, it keeps the server, which may
+// Remove removes the server of an entry that expired or was withdrawn, and remembers which
+// entries were written before that: up to the given revision, or up to what this VM knows. If
+// an outage of the store ended less than RenewalGrace ago, it keeps the server, which may
 // still renew its entry, and reports true.
-func (rg *Registry) Remove(now clock.Millis, key string) (kept bool) {
-	en, ok := rg.servers[key]
-	if !ok {
-		return false
-	}
-	if rg.inGracePeriod(now) {
-		if en.expiredAt == 0 {
-			en.expiredAt = max(1, now)
+func (rg *Registry) Remove(now clock.Millis, key string, until topic.Revision) (kept bool) {
+	until = until.Max(rg.Until(now, key))
+	ls, listed := rg.servers[key]
+	if listed && rg.inGracePeriod(now) {
+		if ls.expiredAt == 0 {
+			ls.expiredAt = max(1, now)
 		}
-		rg.servers[key] = en
+		ls.until = until
+		rg.servers[key] = ls
 		return true
 	}
-	delete(rg.servers, key)
-	rg.changed = true
+	rg.drop(now, key, until)
 	return false
 }
 
+// RemoveOverwritten is Remove for an entry that another writer replaced. The server did not
+// withdraw it, and renews it if it is alive.
+func (rg *Registry) RemoveOverwritten(now clock.Millis, key string) (kept bool) {
+	if ls, listed := rg.servers[key]; listed {
+		ls.writtenAfter = 0
+		rg.servers[key] = ls
+	}
+	return rg.Remove(now, key, topic.Revision{})
+}
+
+// drop removes a server and remembers the removal of its entry.
+func (rg *Registry) drop(at clock.Millis, key string, until topic.Revision) {
+	if _, listed := rg.servers[key]; listed {
+		delete(rg.servers, key)
+		rg.changed = true
+	}
+	rg.remember(at, key, until)
+}
+
 // Replace applies a complete listing: it sets the listed entries and removes the
 // servers that are not listed. It returns the keys of those that Remove kept.
-func (rg *Registry) Replace(now clock.Millis, list []board.BackendServer) (kept []string) {
+func (rg *Registry) Replace(now clock.Millis, list []Entry) (kept []string) {
 	listed := make(map[string]bool, len(list))
-	for _, bs := range list {
-		listed[bs.Key()] = true
-		rg.Set(bs)
+	for _, en := range list {
+		listed[en.Server.Key()] = true
+		rg.Set(now, en)
 	}
 	for key := range rg.servers {
-		if !listed[key] && rg.Remove(now, key) {
+		if !listed[key] && rg.Remove(now, key, topic.Revision{}) {
 			kept = append(kept, key)
 		}
 	}
 	return kept
 }
 
+// SetStoreRestored tells that the store was restored from an older copy. Entries that are
+// missing there were lost, and not removed by their servers.
+func (rg *Registry) SetStoreRestored() {
+	for key, ls := range rg.servers {
+		ls.writtenAfter = 0
+		rg.servers[key] = ls
+	}
+}
+
 // SetOutageEnd sets the time until which the store was last unavailable to all VMs;
 // zero means that no outage is known.
 func (rg *Registry) SetOutageEnd(until clock.Millis) { rg.outageEnd = until }
@@ -143,9 +209,10 @@
 // since the last call.
 func (rg *Registry) Servers(now clock.Millis) (list []board.BackendServer, changed bool) {
 	rg.evictExpired(now)
+	rg.forgetRemovals(now)
 	changed, rg.changed = rg.changed, false
-	for _, en := range rg.servers {
-		list = append(list, en.server)
+	for _, ls := range rg.servers {
+		list = append(list, ls.server)
 	}
 	slices.SortFunc(list, func(sa, sb board.BackendServer) int { return strings.Compare(sa.ID, sb.ID) })
 	return list, changed
@@ -153,10 +220,9 @@
 
 // evictExpired removes the servers that can no longer renew their expired entries.
 func (rg *Registry) evictExpired(now clock.Millis) {
-	for key, en := range rg.servers {
-		if en.expiredAt > 0 && !rg.mayRenew(now, en) {
-			delete(rg.servers, key)
-			rg.changed = true
+	for key, ls := range rg.servers {
+		if ls.expiredAt > 0 && !rg.mayRenew(now, ls) {
+			rg.drop(now, key, ls.until)
 		}
 	}
 }
@@ -164,8 +230,8 @@
 // mayRenew reports whether a server may still renew its expired entry. If the entry
 // expired within the grace period, its renewal may have failed in a further outage
 // that was too short for any VM to notice; the server retries one heartbeat later.
-func (rg *Registry) mayRenew(now clock.Millis, en entry) bool {
-	return rg.inGracePeriod(now) || rg.inGracePeriod(en.expiredAt) && now-en.expiredAt < maxRenewalDelay
+func (rg *Registry) mayRenew(now clock.Millis, ls listing) bool {
+	return rg.inGracePeriod(now) || rg.inGracePeriod(ls.expiredAt) && now-ls.expiredAt < maxRenewalDelay
 }
 
 // inGracePeriod reports whether an outage of the store ended so recently that entries
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -8,11 +8,14 @@
 
 	"alderdyke/internal/board"
 	"alderdyke/internal/registry"
+	"alderdyke/internal/topic"
 	"alderdyke/pkg/clock"
 )
 
 func server(id string) board.BackendServer { return board.BackendServer{ID: id, Address: id + ":1"} }
 
+func entry(bs board.BackendServer) registry.Entry { return registry.Entry{Server: bs} }
+
 func ids(list []board.BackendServer) []string {
 	out := []string{}
 	for _, bs := range list {
@@ -23,20 +26,20 @@
 
 func TestSetAndRemove(t *testing.T) {
 	var rg registry.Registry
-	rg.Set(server("b"))
-	rg.Set(server("a"))
+	rg.Set(0, entry(server("b")))
+	rg.Set(0, entry(server("a")))
 	list, changed := rg.Servers(0)
 	assert.DeepEqual(t, ids(list), []string{"a", "b"})
 	assert.Assert(t, changed)
-	rg.Set(server("a")) // a renewal, which changes nothing
+	rg.Set(0, entry(server("a"))) // a renewal, which changes nothing
 	_, changed = rg.Servers(0)
 	assert.Assert(t, !changed)
 	leaving := server("a")
 	leaving.Leaving = true
-	rg.Set(leaving)
+	rg.Set(0, entry(leaving))
 	list, changed = rg.Servers(0)
 	assert.Assert(t, changed && list[0].Leaving)
-	rg.Remove(0, "a")
+	rg.Remove(0, "a", topic.Revision{})
 	list, _ = rg.Servers(0)
 	assert.DeepEqual(t, ids(list), []string{"b"})
 }
@@ -58,14 +61,14 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var rg registry.Registry
-			rg.Set(server("a"))
-			rg.Set(server("b"))
+			rg.Set(0, entry(server("a")))
+			rg.Set(0, entry(server("b")))
 			rg.SetOutageEnd(outageEnd)
-			rg.Replace(tc.at, []board.BackendServer{server("b")})
+			rg.Replace(tc.at, []registry.Entry{entry(server("b"))})
 			list, _ := rg.Servers(tc.at)
 			assert.DeepEqual(t, ids(list), tc.want)
 			if tc.renew {
-				rg.Set(server("a"))
+				rg.Set(0, entry(server("a")))
 			}
 			list, _ = rg.Servers(outageEnd + registry.DefaultRenewalGrace)
 			assert.DeepEqual(t, ids(list), tc.wantAfterGrace)
@@ -80,15 +83,15 @@
 		return board.BackendServer{ID: fmt.Sprintf("a.%d", incarnation), Name: "a", Incarnation: incarnation, Leaving: leaving}
 	}
 	var rg registry.Registry
-	rg.Set(newServer(5, false))
-	rg.Set(newServer(5, true))
+	rg.Set(0, entry(newServer(5, false)))
+	rg.Set(0, entry(newServer(5, true)))
 	rg.Servers(0)
-	assert.Assert(t, rg.IsRedundant(newServer(5, false)))
-	rg.Set(newServer(5, false))
+	assert.Assert(t, rg.IsRedundant(0, entry(newServer(5, false))))
+	rg.Set(0, entry(newServer(5, false)))
 	list, changed := rg.Servers(0)
 	assert.Assert(t, !changed)
 	assert.Assert(t, list[0].Leaving)
-	rg.Set(newServer(6, false))
+	rg.Set(0, entry(newServer(6, false)))
 	list, _ = rg.Servers(0)
 	assert.Assert(t, !list[0].Leaving)
 }
@@ -100,20 +103,20 @@
 		return board.BackendServer{ID: fmt.Sprintf("a.%d", incarnation), Name: "a", Incarnation: incarnation, Address: "a:1"}
 	}
 	var rg registry.Registry
-	rg.Set(newServer(5))
+	rg.Set(0, entry(newServer(5)))
 	list, changed := rg.Servers(0)
 	assert.Assert(t, changed)
 	assert.DeepEqual(t, ids(list), []string{"a.5"})
-	rg.Set(newServer(7))
+	rg.Set(0, entry(newServer(7)))
 	list, changed = rg.Servers(0)
 	assert.Assert(t, changed)
 	assert.DeepEqual(t, ids(list), []string{"a.7"})
-	assert.Assert(t, rg.IsRedundant(newServer(5)))
-	rg.Set(newServer(5))
+	assert.Assert(t, rg.IsRedundant(0, entry(newServer(5))))
+	rg.Set(0, entry(newServer(5)))
 	list, changed = rg.Servers(0)
 	assert.Assert(t, !changed)
 	assert.DeepEqual(t, ids(list), []string{"a.7"})
-	rg.Remove(0, "a")
+	rg.Remove(0, "a", topic.Revision{})
 	list, _ = rg.Servers(0)
 	assert.Equal(t, len(list), 0)
 	assert.Assert(t, !rg.Contains("a"))
@@ -137,10 +140,10 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var rg registry.Registry
-			rg.Set(server("a"))
+			rg.Set(0, entry(server("a")))
 			rg.SetOutageEnd(outageEnd)
-			assert.Assert(t, rg.Remove(expired, "a"))
-			rg.Remove(expired+50, "a") // the same expiry reported twice
+			assert.Assert(t, rg.Remove(expired, "a", topic.Revision{}))
+			rg.Remove(expired+50, "a", topic.Revision{}) // the same expiry reported twice
 			if tc.refuted {
 				rg.SetOutageEnd(0)
 			}
--- /dev/null
+++ b/internal/registry/removal.go
@@ -0,0 +1,112 @@
+package registry
+
+import (
+	"cmp"
+	"math"
+
+	"alderdyke/internal/topic"
+	"alderdyke/pkg/clock"
+)
+
+const (
+	// DefaultHeartbeat is the interval at which servers renew their entries.
+	DefaultHeartbeat = 1200 * clock.Millis(1)
+
+	// maxWriteDelay bounds the time from a write that got no answer until the store carries
+	// it out, and so the time for which removals and renewals are remembered.
+	maxWriteDelay = 15 * clock.Second
+)
+
+type (
+	// removal is the removal of a server's entry. Entries up to a revision were written before
+	// it, also those that take effect later.
+	removal struct {
+		until topic.Revision
+		at    clock.Millis
+	}
+)
+
+// revision returns the revision of the server's entry.
+func (ls listing) revision() topic.Revision {
+	return topic.Revision{Incarnation: ls.server.Incarnation, Renewal: ls.renewal}
+}
+
+// lastRevision returns the newest revision that the server may have written before its entry
+// was removed, if the removal is read now.
+//
+// An entry that expired was silent for three heartbeats, and the next renewal shows that the
+// server is alive. After a shorter silence the server itself removed its entry, and writes of
+// that time are from before the removal, although none of them has taken effect yet. A server
+// that was leaving writes nothing new.
+func (ls listing) lastRevision(now, heartbeat clock.Millis) topic.Revision {
+	rv := ls.revision()
+	silence := now - ls.writtenAfter // at most
+	switch {
+	case ls.server.Leaving:
+		rv.Renewal = math.MaxUint64
+	case ls.renewal > 0 && ls.writtenAfter > 0 && silence < 3*heartbeat-heartbeat/32:
+		rv.Renewal += uint64(silence/heartbeat) + 1
+	}
+	return rv
+}
+
+// isLate reports whether an entry was written before what is already known of its server. It
+// took effect late, and does not show that the server is alive.
+func (rg *Registry) isLate(now clock.Millis, en Entry) bool {
+	if ls, listed := rg.servers[en.Server.Key()]; listed {
+		return en.Server.Incarnation < ls.server.Incarnation
+	}
+	return rg.isRemoved(now, en)
+}
+
+// isRemoved reports whether an entry of a server that is not listed was written before its
+// removal.
+func (rg *Registry) isRemoved(now clock.Millis, en Entry) bool {
+	rm, ok := rg.removed[en.Server.Key()]
+	return ok && now-rm.at < maxWriteDelay && !en.revision().IsAfter(rm.until)
+}
+
+// Supersedes reports whether an entry belongs to a server whose entry was removed after it had
+// been written, and returns the last revision before the removal.
+func (rg *Registry) Supersedes(now clock.Millis, en Entry) (until topic.Revision, ok bool) {
+	key := en.Server.Key()
+	if _, listed := rg.servers[key]; listed || !rg.isRemoved(now, en) {
+		return topic.Revision{}, false
+	}
+	return rg.removed[key].until, true
+}
+
+// Until returns the newest revision that the server with the key may have written before the
+// removal of its entry, if that removal is read now or was read lately. It is zero if nothing
+// is known.
+func (rg *Registry) Until(now clock.Millis, key string) topic.Revision {
+	if ls, ok := rg.servers[key]; ok {
+		return ls.until.Max(ls.lastRevision(now, rg.heartbeat()))
+	}
+	return rg.removed[key].until
+}
+
+// remember records the removal of an entry, unless nothing is known of its revision.
+func (rg *Registry) remember(at clock.Millis, key string, until topic.Revision) {
+	before := rg.removed[key]
+	until = until.Max(before.until)
+	if until == (topic.Revision{}) {
+		return
+	}
+	if rg.removed == nil {
+		rg.removed = make(map[string]removal)
+	}
+	rg.removed[key] = removal{until: until, at: max(before.at, at)}
+}
+
+// forgetRemovals drops the removals after which no entry can still take effect late.
+func (rg *Registry) forgetRemovals(now clock.Millis) {
+	for key, rm := range rg.removed {
+		if now-rm.at >= maxWriteDelay {
+			delete(rg.removed, key)
+		}
+	}
+}
+
+// heartbeat returns the interval at which servers renew their entries.
+func (rg *Registry) heartbeat() clock.Millis { return cmp.Or(rg.Heartbeat, DefaultHeartbeat) }
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -50,6 +50,12 @@
 		Key    string
 		Value  []byte
 		Offset uint64 // a Position, like all offsets in this package
+		// Until is set on the removal of a key in an update: values up to this revision
+		// were written before the removal, also those that take effect after it.
+		Until Revision
+		// After is set on a record that this VM read: it was written after this time. Zero
+		// if that is not known.
+		After clock.Millis
 	}
 
 	// Source reads topics from the store.
@@ -78,7 +84,10 @@
 		// AvailableFor is for how long the store has been available without an
 		// outage, to the sender's knowledge; zero if unknown.
 		AvailableFor clock.Millis
-		Sender       string // VM that sent the update to this VM
+		// ReadAgo is the time since the start of the read that ended at Next; zero if
+		// unknown.
+		ReadAgo clock.Millis
+		Sender  string // VM that sent the update to this VM
 	}
 
 	// Follower follows one topic. Set the exported fields before calling Run.
@@ -115,7 +124,10 @@
 		// IsNew reports, before OnChange, whether a record says more than is
 		// known. Others, such as heartbeats, are not broadcast. If IsNew is nil,
 		// every record is.
-		IsNew         func(rec Record) bool
+		IsNew func(rec Record) bool
+		// Complete returns a record as it is broadcast. It is called before OnChange. May
+		// be nil.
+		Complete      func(rec Record) Record
 		StandbyAfter  clock.Millis
 		SelfReadAfter clock.Millis
 
@@ -123,6 +135,7 @@
 		everListed     bool // a listing has succeeded
 		listed         bool // next follows a listing; false again after records were dropped
 		next           uint64
+		ends           topicEnds          // latest known ends of the topic
 		relisted       bool               // no read has followed the last listing
 		updatedAt      clock.Millis       // when the last update or read left no gap
 		gap            bool               // an update skipped records that are not known here
@@ -212,6 +225,9 @@
 		}
 	}
 	fo.next = max(fo.next, nw.Next)
+	if nw.ReadAgo > 0 {
+		fo.ends = fo.ends.with(nw.Next, fo.now()-nw.ReadAgo-maxUpdateDelay)
+	}
 	if nw.Next >= fo.next {
 		fo.updatedAt = fo.now()
 		fo.leading = false
@@ -332,6 +348,7 @@
 		wait = 0 // the others have already waited, and would soon read for themselves
 	}
 	fo.gap, fo.cancelRead = false, stop
+	began := fo.now()
 	fo.mu.Unlock()
 	var recs []Record
 	var next uint64
@@ -361,10 +378,11 @@
 	}
 	fo.leading = standby && fo.updatedAt == updatedAt // false if another reader's update arrived meanwhile
 	news := fo.applyRead(listed, recs, next)
+	fo.ends = fo.ends.with(next, began)
 	if !fo.broadcasts() {
 		return nil
 	}
-	nw := Update{From: from, Next: next, Records: news}
+	nw := Update{From: from, Next: next, Records: news, ReadAgo: max(1, fo.now()-began)}
 	if !listed {
 		nw.From = next // a listing does not say what changed
 	}
@@ -397,11 +415,12 @@
 	all := fo.relisted || fo.IsNew == nil
 	fo.relisted = !listed
 	for _, rec := range recs {
+		rec.After = fo.ends.before(rec.Offset)
 		// Another reader's update may have arrived during the read. It is unknown
 		// whether its records were new to the others.
 		known := rec.Offset < fo.next
 		if all || known || fo.IsNew(rec) {
-			news = append(news, rec)
+			news = append(news, fo.complete(rec))
 		}
 		if !known {
 			fo.OnChange(rec)
@@ -413,6 +432,14 @@
 	return news
 }
 
+// complete returns a record as it is broadcast. The caller holds the lock.
+func (fo *Follower) complete(rec Record) Record {
+	if fo.Complete == nil {
+		return rec
+	}
+	return fo.Complete(rec)
+}
+
 // reportMissed calls OnMissed for a listing. After a restore of the store, any time may have
 // been missed. The caller holds the lock.
 func (fo *Follower) reportMissed(next uint64) {
--- a/internal/topic/outage_test.go
+++ b/internal/topic/outage_test.go
@@ -280,31 +280,31 @@
 	}
 }
 
-func serverOf(rec topic.Record) board.BackendServer {
-	return board.BackendServer{ID: rec.Key, Name: rec.Key, Address: rec.Key + ":1", Leaving: string(rec.Value) == "draining"}
+func entryOf(rec topic.Record) registry.Entry {
+	return registry.Entry{Server: board.BackendServer{ID: rec.Key, Name: rec.Key, Address: rec.Key + ":1", Leaving: string(rec.Value) == "draining"}}
 }
 
 func (vm *simVM) takeSnapshot(recs []topic.Record) {
-	var list []board.BackendServer
+	var list []registry.Entry
 	for _, rec := range recs {
-		list = append(list, serverOf(rec))
+		list = append(list, entryOf(rec))
 	}
 	vm.rg.Replace(vm.st.clk.Now(), list)
 }
 
 func (vm *simVM) change(rec topic.Record) {
 	if len(rec.Value) == 0 {
-		vm.rg.Remove(vm.st.clk.Now(), rec.Key)
+		vm.rg.Remove(vm.st.clk.Now(), rec.Key, rec.Until)
 		return
 	}
-	vm.rg.Set(serverOf(rec))
+	vm.rg.Set(vm.st.clk.Now(), entryOf(rec))
 }
 
 func (vm *simVM) isNew(rec topic.Record) bool {
 	if len(rec.Value) == 0 {
 		return vm.rg.Contains(rec.Key)
 	}
-	return !vm.rg.IsRedundant(serverOf(rec))
+	return !vm.rg.IsRedundant(vm.st.clk.Now(), entryOf(rec))
 }
 
 func (vm *simVM) apply() {
