registry: a late renewal of a listed server changes nothing back

A renewal that takes effect after later ones of its server replaced what they said: its role, address, slots or version, until the next renewal. All VMs were told of both changes.

An entry of the same incarnation with a lower number than the last one is late. It may still be the first to announce that its server leaves. Numbers of other writers could be far ahead, so a lower one counts as late only for as long as a write may be delayed. A VM that listed the store, or read it for itself, may have applied the late entry; so the next renewal is sent to the others although nothing has changed for the reader.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -71,6 +71,8 @@
 		server       board.BackendServer
 		renewal      uint64         // highest number of an entry; zero: not known
 		writtenAfter clock.Millis   // its last entry was written after this time; zero: not known
+		renewedAt    clock.Millis   // when its last entry was read
+		contested    bool           // a late entry differed: other VMs that read it may have applied it
 		expiredAt    clock.Millis   // when its entry expired within a grace period; zero if it has not expired
 		until        topic.Revision // newest revision from before it expired
 	}
@@ -80,9 +82,11 @@
 	return topic.Revision{Incarnation: en.Server.Incarnation, Renewal: en.Renewal}
 }
 
-// Set adds or updates one entry, unless it is late.
+// Set adds or updates one entry, unless it is late. A late entry can still announce that its
+// server is leaving.
 func (rg *Registry) Set(now clock.Millis, en Entry) {
 	if rg.isLate(now, en) {
+		rg.setLate(en)
 		return
 	}
 	if rg.servers == nil {
@@ -94,17 +98,38 @@
 		en.Renewal = was.renewal
 	}
 	rg.changed = rg.changed || !listed || was.server != bs || was.expiredAt > 0
-	rg.servers[key] = listing{server: bs, renewal: en.Renewal, writtenAfter: en.After}
+	rg.servers[key] = listing{server: bs, renewal: en.Renewal, writtenAfter: en.After, renewedAt: now}
 	delete(rg.removed, key)
 }
 
+// setLate applies a late entry to the server that is listed, if any.
+func (rg *Registry) setLate(en Entry) {
+	key := en.Server.Key()
+	ls, listed := rg.servers[key]
+	if !listed {
+		return
+	}
+	if rg.announcesLeaving(en) {
+		ls.server.Leaving, rg.changed = true, true
+	}
+	ls.contested = ls.contested || ls.server != rg.withLeavingKept(en.Server)
+	rg.servers[key] = ls
+}
+
+// announcesLeaving reports whether an entry is the first of its incarnation to mark the server
+// as leaving.
+func (rg *Registry) announcesLeaving(en Entry) bool {
+	ls, listed := rg.servers[en.Server.Key()]
+	return listed && en.Server.Leaving && !ls.server.Leaving && en.Server.Incarnation == ls.server.Incarnation
+}
+
 // IsRedundant reports whether an entry holds nothing new: it is a mere renewal, or it is late.
 func (rg *Registry) IsRedundant(now clock.Millis, en Entry) bool {
 	if rg.isLate(now, en) {
-		return true
+		return !rg.announcesLeaving(en)
 	}
 	ls, listed := rg.servers[en.Server.Key()]
-	return listed && ls.server == rg.withLeavingKept(en.Server) && ls.expiredAt == 0
+	return listed && ls.server == rg.withLeavingKept(en.Server) && ls.expiredAt == 0 && !ls.contested
 }
 
 // IsLate reports whether an entry is late and differs from what is known of its server.
--- a/internal/registry/removal.go
+++ b/internal/registry/removal.go
@@ -53,10 +53,15 @@
 // isLate reports whether an entry was written before what is already known of its server. It
 // took effect late, and does not show that the server is alive.
 func (rg *Registry) isLate(now clock.Millis, en Entry) bool {
-	if ls, listed := rg.servers[en.Server.Key()]; listed {
+	ls, listed := rg.servers[en.Server.Key()]
+	switch {
+	case !listed:
+		return rg.isRemoved(now, en)
+	case en.Server.Incarnation != ls.server.Incarnation:
 		return en.Server.Incarnation < ls.server.Incarnation
+	default:
+		return en.Renewal > 0 && en.Renewal < ls.renewal && now-ls.renewedAt < maxWriteDelay
 	}
-	return rg.isRemoved(now, en)
 }
 
 // isRemoved reports whether an entry of a server that is not listed was written before its
--- a/internal/registry/removal_test.go
+++ b/internal/registry/removal_test.go
@@ -75,6 +75,60 @@
 	}
 }
 
+// Guards against a late renewal that changes back the address or the role of a server that is
+// listed. Other VMs may have read it, so the next renewal is new to them.
+func TestLateRenewalOfListedServer(t *testing.T) {
+	moved := numbered(6, 7)
+	moved.Server.Address = "10.0.0.2:1"
+	var rg registry.Registry
+	rg.Set(0, numbered(6, 5))
+	rg.Set(1000, moved)
+	rg.Servers(1000)
+	assert.Assert(t, rg.IsLate(2000, numbered(6, 6)) && rg.IsRedundant(2000, numbered(6, 6)))
+	rg.Set(2000, numbered(6, 6))
+	list, changed := rg.Servers(2000)
+	assert.Assert(t, !changed)
+	assert.Equal(t, list[0].Address, "10.0.0.2:1")
+	moved.Renewal = 8
+	assert.Assert(t, !rg.IsRedundant(3000, moved), "the other VMs are not told that the change back was none")
+	rg.Set(3000, moved)
+	moved.Renewal = 9
+	assert.Assert(t, rg.IsRedundant(4000, moved))
+	assert.Assert(t, !rg.IsLate(5000, moved), "a repeat without a change")
+}
+
+// A late entry still tells that its server leaves.
+func TestLateEntryAnnouncesLeaving(t *testing.T) {
+	var rg registry.Registry
+	rg.Set(0, numbered(6, 7))
+	rg.Servers(0)
+	assert.Assert(t, !rg.IsRedundant(1000, leavingEntry(numbered(6, 6))))
+	rg.Set(1000, leavingEntry(numbered(6, 6)))
+	list, changed := rg.Servers(1000)
+	assert.Assert(t, changed && list[0].Leaving)
+}
+
+// Guards against an entry of another writer, with a number far ahead, that makes the renewals of
+// the server look late for good; and against numbers that don't grow.
+func TestNumbersOfOtherWriters(t *testing.T) {
+	var rg registry.Registry
+	rg.Set(0, numbered(0, 1<<40))
+	moved := numbered(0, 3)
+	moved.Server.Address = "10.0.0.2:1"
+	rg.Set(1000, moved)
+	assert.Assert(t, rg.IsLate(14*clock.Second, moved))
+	rg.Set(15*clock.Second, moved)
+	list, _ := rg.Servers(15 * clock.Second)
+	assert.Equal(t, list[0].Address, "10.0.0.2:1")
+	moved.Server.Address = "10.0.0.3:1"
+	rg.Set(16*clock.Second, moved)
+	list, _ = rg.Servers(16 * clock.Second)
+	assert.Equal(t, list[0].Address, "10.0.0.3:1", "the same number as before")
+	moved.Renewal, moved.Server.Address = 0, "10.0.0.4:1"
+	rg.Set(17*clock.Second, moved)
+	assert.Assert(t, rg.IsLate(18*clock.Second, numbered(0, 2)), "an entry without a number resets none")
+}
+
 // Guards against live servers that are dropped because a store that was restored from an older
 // copy lacks their entries.
 func TestRestoreWithdrawsNoEntry(t *testing.T) {
