registry: a late renewal does not keep a server that left in the grace period

A server whose entry is removed in the grace period after an outage stays listed, since it may be alive and renew its entry. Any entry counted as that renewal, also one from before the removal, so that a server that had left stayed in use until the entry expired, three heartbeats later.

Only an entry after the last revision before the removal renews it.

TestLateRenewalInGracePeriod failed before.

--- a/internal/registry/removal.go
+++ b/internal/registry/removal.go
@@ -57,6 +57,8 @@
 	switch {
 	case !listed:
 		return rg.isRemoved(now, en)
+	case ls.expiredAt > 0:
+		return !en.revision().IsAfter(ls.until)
 	case en.Server.Incarnation != ls.server.Incarnation:
 		return en.Server.Incarnation < ls.server.Incarnation
 	default:
--- a/internal/registry/removal_test.go
+++ b/internal/registry/removal_test.go
@@ -129,6 +129,26 @@
 	assert.Assert(t, rg.IsLate(18*clock.Second, numbered(0, 2)), "an entry without a number resets none")
 }
 
+// Guards against a late renewal that makes a server which left in the grace period after an
+// outage look alive. A renewal written after the expiry keeps it.
+func TestLateRenewalInGracePeriod(t *testing.T) {
+	const outageEnd = 10 * clock.Second
+	for _, tc := range []struct {
+		renewal uint64
+		want    bool
+	}{{5, false}, {7, false}, {8, true}} {
+		var rg registry.Registry
+		rg.Set(4*clock.Second, numbered(0, 7))
+		rg.SetOutageEnd(outageEnd)
+		assert.Assert(t, rg.Remove(outageEnd+200, "a", topic.Revision{}))
+		rg.Set(outageEnd+400, numbered(0, tc.renewal))
+		assert.Assert(t, isListed(&rg, outageEnd+500))
+		assert.Equal(t, isListed(&rg, outageEnd+4*clock.Second), tc.want, "renewal %d", tc.renewal)
+		rg.Set(outageEnd+5*clock.Second, numbered(0, tc.renewal))
+		assert.Equal(t, isListed(&rg, outageEnd+5*clock.Second), tc.want, "renewal %d", tc.renewal)
+	}
+}
+
 // Guards against live servers that are dropped because a store that was restored from an older
 // copy lacks their entries.
 func TestRestoreWithdrawsNoEntry(t *testing.T) {
