fleet: a VM that starts is told which servers left

A VM that lists the store after a late renewal finds an entry like any other, and used the server until that entry expired. Nothing in a listing tells that the entry had been removed.

Such a VM asks another one with its first probe for the removals that it remembers, as for the limits of servers. They come before the Ack, so that requests, which wait for the limits in force, wait for them as well. They did so only after a server was chosen; now they wait before that. A VM asks again whenever it has listed the store.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,7 @@
 	"alderdyke/internal/peer"
 	"alderdyke/internal/peer/peerpb"
 	"alderdyke/internal/quota"
+	"alderdyke/internal/registry"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
 	"alderdyke/internal/usage"
@@ -86,6 +87,11 @@
 	// OnLimitsKnown is called when another VM has sent the limits in force that it knows, or
 	// there is no other VM; nil: no VM is asked for them.
 	OnLimitsKnown func()
+	// Removals returns the removals of servers' entries that this VM remembers, which are sent
+	// to VMs that have listed the servers; nil sends none.
+	Removals func() []registry.Removal
+	// OnRemovals receives the removals that another VM remembers; nil: no VM is asked for them.
+	OnRemovals func(list []registry.Removal)
 	// OnTopicUpdate receives what another VM read of a topic; nil drops it.
 	OnTopicUpdate func(nw topic.Update)
 	// OnWhereRequest explains where a request would go; nil ignores such asks.
@@ -102,6 +108,8 @@
 	lastMove          atomic.Uint64 // number of this VM's last move request
 	explaining        atomic.Bool   // an ask where a request would go is being answered
 	limitsKnown       atomic.Bool   // OnLimitsKnown was called
+	removalsKnown     atomic.Bool   // another VM has sent its removals since the servers were listed
+	removalsProbe     atomic.Uint64 // number of the last probe that asked for them
 	explained         whereReply    // to the last of these asks; guarded by explaining
 	keepers           atomic.Pointer[keepers]
 	latestUsage       map[string]messageOrder // by VM: order of its newest usage report
@@ -176,6 +184,8 @@
 		fl.handleReport(dg)
 	case dg.GetServerLimit() != nil:
 		fl.handleLimit(dg)
+	case dg.GetServerRemovals() != nil:
+		fl.handleRemovals(dg.GetServerRemovals())
 	case dg.GetPlaceAsk() != nil:
 		fl.handlePlacementRequest(dg, from)
 	case dg.GetPlaceAnswer() != nil:
@@ -193,6 +203,7 @@
 	case dg.GetOriginAnswer() != nil:
 		fl.originRequests.deliver(dg.GetOriginAnswer().GetNumber(), originReplyFromWire(dg.GetOriginAnswer()))
 	default:
+		fl.exchangeRemovals(dg, from)
 		fl.exchangeLimits(dg, from)
 		select {
 		case fl.members.Events <- membership.Received{Datagram: dg}:
@@ -254,7 +265,7 @@
 	switch in := in.(type) {
 	case membership.Send:
 		// Membership tolerates lost datagrams.
-		_ = fl.peers.SendDatagram(in.To, fl.askLimits(in.Datagram))
+		_ = fl.peers.SendDatagram(in.To, fl.askRemovals(fl.askLimits(in.Datagram)))
 	case membership.FleetChanged:
 		LogChanges(fl.Log, fl.View(), in.Fleet)
 		fl.view.Store(in.Fleet)
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -19,6 +19,7 @@
 	"alderdyke/internal/membership"
 	"alderdyke/internal/origin"
 	"alderdyke/internal/quota"
+	"alderdyke/internal/registry"
 	"alderdyke/internal/suspect"
 	"alderdyke/internal/topic"
 	"alderdyke/internal/usage"
@@ -90,6 +91,8 @@
 		OnLimit                func(vm string, nt limit.Notice)                                      // receives other VMs' notices of servers' limits
 		Limits                 func() []limit.Notice                                                 // returns the limits of servers in force, for VMs that start
 		OnLimitsKnown          func()                                                                // is called when another VM has sent them, or there is none; may be called again
+		Removals               func() []registry.Removal                                             // returns the removals of servers' entries that this VM remembers, for VMs that start
+		OnRemovals             func(list []registry.Removal)                                         // receives those that another VM remembers
 		OnReport               func(re suspect.Report)                                               // receives what other VMs report about requests that crash servers
 		OnSchedulersChange     func()                                                                // is called when other VMs have become the schedulers
 		OnTopicUpdate          func(nw topic.Update)                                                 // receives what other VMs read of any topic
@@ -226,7 +229,7 @@
 	default:
 		mb.leaveFleet(fl) // another fleet existed before this one
 	}
-	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnLatePlacementRequest: mb.OnLatePlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnReport: mb.OnReport, OnLimit: mb.OnLimit, Limits: mb.Limits, OnLimitsKnown: mb.OnLimitsKnown, OnQuotaRequest: mb.OnQuotaRequest, OnOriginRequest: mb.OnOriginRequest, OnServerRequest: mb.OnServerRequest, OnServerReport: mb.OnServerReport, OnMoveRequest: mb.OnMoveRequest, OnWhereRequest: mb.OnWhereRequest, OnViewChange: mb.handleViewChange,
+	fl = &Fleet{Self: mb.nextSelf(), Secret: secret, Log: mb.Log, OnUsage: mb.OnUsage, OnPlacementRequest: mb.OnPlacementRequest, OnLatePlacementRequest: mb.OnLatePlacementRequest, OnTopicUpdate: mb.OnTopicUpdate, OnReport: mb.OnReport, OnLimit: mb.OnLimit, Limits: mb.Limits, OnLimitsKnown: mb.OnLimitsKnown, Removals: mb.Removals, OnRemovals: mb.OnRemovals, OnQuotaRequest: mb.OnQuotaRequest, OnOriginRequest: mb.OnOriginRequest, OnServerRequest: mb.OnServerRequest, OnServerReport: mb.OnServerReport, OnMoveRequest: mb.OnMoveRequest, OnWhereRequest: mb.OnWhereRequest, OnViewChange: mb.handleViewChange,
 		Settings: membership.Settings{ProbeInterval: probeInterval, ProbeTimeout: probeInterval, ProbeDeadline: probeDeadline},
 		Rand:     mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	fl.Prepare()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,6 +22,7 @@
 //	rg.Replace(now, entries)        // a complete listing
 //	rg.Set(now, entry)              // one entry
 //	rg.Remove(now, key, until)      // one entry expired or was withdrawn
+//	rg.Merge(now, removals)         // what another VM remembers
 //	rg.SetOutageEnd(until)          // no VM could reach the store until then
 //	list, changed := rg.Servers(now)
 //
--- a/internal/registry/removal.go
+++ b/internal/registry/removal.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 
 	"alderdyke/internal/topic"
 	"alderdyke/pkg/clock"
@@ -18,8 +19,15 @@
 )
 
 type (
-	// removal is the removal of a server's entry. Entries up to a revision were written before
-	// it, also those that take effect later.
+	// Removal reports that the entry of a server was removed. Entries up to a revision were
+	// written before that, also those that take effect later.
+	Removal struct {
+		Key   string // of the server
+		Until topic.Revision
+		Age   clock.Millis // time since the removal
+	}
+
+	// removal is a Removal as a Registry remembers it.
 	removal struct {
 		until topic.Revision
 		at    clock.Millis
@@ -54,15 +62,16 @@
 // took effect late, and does not show that the server is alive.
 func (rg *Registry) isLate(now clock.Millis, en Entry) bool {
 	ls, listed := rg.servers[en.Server.Key()]
+	rv := en.revision()
 	switch {
 	case !listed:
 		return rg.isRemoved(now, en)
 	case ls.expiredAt > 0:
-		return !en.revision().IsAfter(ls.until)
-	case en.Server.Incarnation != ls.server.Incarnation:
-		return en.Server.Incarnation < ls.server.Incarnation
+		return !rv.IsAfter(ls.until)
+	case rv.Incarnation != ls.server.Incarnation:
+		return rv.Incarnation < ls.server.Incarnation
 	default:
-		return en.Renewal > 0 && en.Renewal < ls.renewal && now-ls.renewedAt < maxWriteDelay
+		return rv.Renewal > 0 && rv.Renewal < ls.renewal && now-ls.renewedAt < maxWriteDelay
 	}
 }
 
@@ -93,6 +102,36 @@
 	return rg.removed[key].until
 }
 
+// Removals returns the removals that are remembered, the newest first.
+func (rg *Registry) Removals(now clock.Millis) []Removal {
+	rg.forgetRemovals(now)
+	out := make([]Removal, 0, len(rg.removed))
+	for key, rm := range rg.removed {
+		out = append(out, Removal{Key: key, Until: rm.until, Age: now - rm.at})
+	}
+	slices.SortFunc(out, func(ra, rb Removal) int {
+		return cmp.Or(cmp.Compare(ra.Age, rb.Age), cmp.Compare(ra.Key, rb.Key))
+	})
+	return out
+}
+
+// Merge applies removals that another VM knows of. A server that is listed by an entry from
+// before its removal is removed.
+func (rg *Registry) Merge(now clock.Millis, list []Removal) {
+	for _, rm := range list {
+		if rm.Age < 0 || rm.Age >= maxWriteDelay {
+			continue
+		}
+		ls, listed := rg.servers[rm.Key]
+		switch {
+		case !listed:
+			rg.remember(now-rm.Age, rm.Key, rm.Until)
+		case ls.expiredAt == 0 && !ls.revision().IsAfter(rm.Until):
+			rg.drop(now-rm.Age, rm.Key, rm.Until)
+		}
+	}
+}
+
 // remember records the removal of an entry, unless nothing is known of its revision.
 func (rg *Registry) remember(at clock.Millis, key string, until topic.Revision) {
 	before := rg.removed[key]
--- a/internal/registry/removal_test.go
+++ b/internal/registry/removal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -175,6 +176,40 @@
 	assert.Assert(t, isListed(&rg, 11*clock.Second))
 }
 
+// Guards against a VM that has listed the store after a late renewal, and uses the server that
+// others know to have left.
+func TestMergeRemovals(t *testing.T) {
+	const now = 20 * clock.Second
+	var other registry.Registry
+	other.Set(0, numbered(0, 7))
+	other.Remove(now-2000, "a", topic.Revision{})
+	removals := other.Removals(now)
+	assert.DeepEqual(t, removals, []registry.Removal{{Key: "a", Until: topic.Revision{Renewal: 7}, Age: 2000}})
+	for _, tc := range []struct {
+		name   string
+		listed registry.Entry
+		merged []registry.Removal
+		want   bool
+	}{
+		{"a late renewal", numbered(0, 5), removals, false},
+		{"renewed since", numbered(0, 8), removals, true},
+		{"restarted since", numbered(6, 1), removals, true},
+		{"another server", numbered(0, 5), []registry.Removal{{Key: "b", Until: topic.Revision{Renewal: 7}}}, true},
+		{"too long ago", numbered(0, 5), []registry.Removal{{Key: "a", Until: topic.Revision{Renewal: 7}, Age: math.MaxUint32}}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var rg registry.Registry
+			rg.Replace(now, []registry.Entry{tc.listed})
+			rg.Merge(now, tc.merged)
+			assert.Equal(t, isListed(&rg, now), tc.want)
+			rg = registry.Registry{}
+			rg.Merge(now, tc.merged)
+			rg.Replace(now, []registry.Entry{tc.listed})
+			assert.Equal(t, isListed(&rg, now), tc.want, "told before the listing")
+		})
+	}
+}
+
 // Guards against memory that grows with the number of servers that were ever replaced.
 func TestRemovalsAreForgotten(t *testing.T) {
 	var rg registry.Registry
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -69,10 +69,11 @@
 // LimitsInForce returns notices of the limits that are in force, for a VM that starts.
 func (rl *Relay) LimitsInForce() []limit.Notice { return rl.limits.InForce(rl.now()) }
 
-// awaitLimits waits until this VM has heard of the limits that were in force when it started,
-// or the call ends. Each VM that starts would otherwise call a server with a limit near zero
-// without a permit, and several of them exceed it.
-func (rl *Relay) awaitLimits(ctx context.Context) {
+// awaitOthers waits until this VM has heard from another one what it can't know itself when it
+// starts, or the request ends. Each VM that starts would otherwise call a server with a limit near
+// zero without a permit, and several of them exceed it; or choose a server that left, and whose
+// entry the store lists again.
+func (rl *Relay) awaitOthers(ctx context.Context) {
 	if rl.LimitsKnown == nil {
 		return
 	}
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -47,7 +47,6 @@
 // server by now. Without a permit it returns the time until there is room, and an engine
 // counts as unavailable until then.
 func (rl *Relay) ensurePermit(ctx context.Context, ex *exchange, server string, reserve float64) (wait clock.Millis, ok bool) {
-	rl.awaitLimits(ctx)
 	rate, limited := rl.limits.Rate(rl.now(), server)
 	if !limited || rl.Permits == nil {
 		return 0, true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -209,8 +209,8 @@
 		// SendLimit sends the other VMs a notice of a server's limit; nil sends nothing.
 		SendLimit func(nt limit.Notice)
 		// LimitsKnown is closed when this VM has heard of the limits that were in force when it
-		// started, or need not wait for them any longer. Until then calls wait. Nil: it is
-		// closed.
+		// started, and of the servers that left before, or need not wait for them any longer.
+		// Until then requests wait. Nil: it is closed.
 		LimitsKnown <-chan struct{}
 		// SendReport sends the other VMs what this one reports about requests that
 		// crash servers; nil sends nothing.
@@ -428,6 +428,7 @@
 func (rl *Relay) execute(ctx context.Context, wr http.ResponseWriter, ex *exchange) error {
 	ctx, stop := clock.WithDeadline(ctx, clock.OrBoottime(rl.Clock), ex.deadline)
 	defer stop()
+	rl.awaitOthers(ctx)
 	if err := rl.resolveOrigin(ctx, ex); err != nil {
 		return err
 	}
