topic: a VM that reads a removal knows the renewals before it

Only the VM that reads the store sees renewals. If it is lost between a server's last renewal and the removal of the entry, the VM that reads the removal knows the number of an earlier entry only, and took a late renewal for a newer one. So did VMs that read for themselves.

- A VM that reads a removal, and has not read the records before it by itself, rereads them: two heartbeats of all servers, in one more call, made for a removal only.
- A VM that started between a removal and the update with it learns its revision from the update, although its listing is newer.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -124,6 +124,16 @@
 	return listed && en.Server.Leaving && !ls.server.Leaving && en.Server.Incarnation == ls.server.Incarnation
 }
 
+// Renew records the renewal of an entry that is listed already and has not changed. This VM
+// reads it after other VMs did.
+func (rg *Registry) Renew(en Entry) {
+	ls, listed := rg.servers[en.Server.Key()]
+	if listed && en.Server.Incarnation == ls.server.Incarnation && en.Renewal > ls.renewal {
+		ls.renewal, ls.writtenAfter = en.Renewal, en.After
+		rg.servers[en.Server.Key()] = ls
+	}
+}
+
 // IsRedundant reports whether an entry holds nothing new: it is a mere renewal, or it is late.
 func (rg *Registry) IsRedundant(now clock.Millis, en Entry) bool {
 	if rg.isLate(now, en) {
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -127,7 +127,13 @@
 		IsNew func(rec Record) bool
 		// Complete returns a record as it is broadcast. It is called before OnChange. May
 		// be nil.
-		Complete      func(rec Record) Record
+		Complete func(rec Record) Record
+		// OnReread receives a record from before the position that this VM has reached, of
+		// which it may not know all that others do: a listing lacks removals, and updates
+		// leave out what IsNew rejects. A VM that reads the removal of a key rereads up to
+		// Reread records before it. Both may be nil.
+		OnReread      func(rec Record)
+		Reread        func() uint64
 		StandbyAfter  clock.Millis
 		SelfReadAfter clock.Millis
 
@@ -135,6 +141,8 @@
 		everListed     bool // a listing has succeeded
 		listed         bool // next follows a listing; false again after records were dropped
 		next           uint64
+		readFrom       uint64 // positions between which this VM has read all records by itself
+		readUntil      uint64
 		ends           topicEnds          // latest known ends of the topic
 		relisted       bool               // no read has followed the last listing
 		updatedAt      clock.Millis       // when the last update or read left no gap
@@ -220,8 +228,11 @@
 		return
 	}
 	for _, rec := range nw.Records {
-		if rec.Offset >= fo.next {
+		switch {
+		case rec.Offset >= fo.next:
 			fo.OnChange(rec)
+		case fo.OnReread != nil:
+			fo.OnReread(rec)
 		}
 	}
 	fo.next = max(fo.next, nw.Next)
@@ -355,6 +366,7 @@
 	var err error
 	if listed {
 		recs, next, err = fo.read(within, from, wait)
+		fo.reread(within, from, recs)
 	} else {
 		recs, next, err = fo.Source.Newest(within, fo.Name)
 	}
@@ -378,6 +390,7 @@
 	}
 	fo.leading = standby && fo.updatedAt == updatedAt // false if another reader's update arrived meanwhile
 	news := fo.applyRead(listed, recs, next)
+	fo.recordRange(listed, from, next)
 	fo.ends = fo.ends.with(next, began)
 	if !fo.broadcasts() {
 		return nil
