fleet: a late entry of a VM's earlier process does not replace the current one

A VM writes its entry in the fleet's topic once it accepts requests. If that write gets no answer and the process ends, the store may carry it out after the next process has written its entry. The other VMs then had the incarnation and the addresses of the earlier process in their list, and VMs that start list only that; one whose clock jumped back could choose an incarnation that it had before.

An entry with a lower incarnation is ignored, and the VM whose entry was replaced writes it again.

TestLateEntryOfEarlierProcess failed before.

--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -175,6 +175,12 @@
 			mb.logUnreadable(rec.Key, fmt.Errorf("decode the entry at position %d: %w", rec.Offset, err))
 			return
 		}
+		if en.Incarnation < mb.listed[name].Incarnation {
+			// An earlier process of the VM wrote it, and the store carried that out late. VMs
+			// that list the topic next know no better, unless the VM writes its entry again.
+			mb.entryRemoved = mb.entryRemoved || name == mb.Self.ID
+			return
+		}
 		mb.listed[name] = en
 		mb.countedView = nil
 	}
--- a/internal/fleet/neighbours_test.go
+++ b/internal/fleet/neighbours_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -76,6 +77,26 @@
 	assert.Assert(t, !mb.takeEntryRemoved())
 }
 
+// Guards against a late write of a VM's earlier process that replaces the entry of its current
+// one: the others keep that one, and the VM writes its entry again for VMs that list the topic.
+func TestLateEntryOfEarlierProcess(t *testing.T) {
+	mb := &Member{Self: board.VM{VMRef: board.VMRef{ID: "me"}}, listed: make(map[string]vmEntry)}
+	for ix, name := range []string{"me", "other"} {
+		record := func(incarnation int, offset uint64) topic.Record {
+			return topic.Record{Key: "vm/" + name, Value: fmt.Appendf(nil, `{"Incarnation":%d,"Peers":"10.0.0.%d:1"}`, incarnation, incarnation), Offset: offset}
+		}
+		mb.applyRecord(record(5, uint64(10*ix)))
+		mb.applyRecord(record(4, uint64(10*ix+1)))
+		assert.Equal(t, mb.listed[name].Incarnation, uint64(5))
+		assert.Equal(t, mb.listed[name].Peers, "10.0.0.5:1")
+		assert.Equal(t, mb.takeEntryRemoved(), name == "me")
+		mb.applyRecord(record(5, uint64(10*ix+2)))
+		mb.applyRecord(record(6, uint64(10*ix+3)))
+		assert.Equal(t, mb.listed[name].Incarnation, uint64(6))
+		assert.Assert(t, !mb.takeEntryRemoved())
+	}
+}
+
 // A VM that leaves ranks behind all readers; one that sees no other VM alive has RankAlone.
 func TestRank(t *testing.T) {
 	vm := func(id string, health board.Health, leaving bool) board.VM {
