--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -111,6 +111,28 @@
 	assert.Equal(t, received, len(nw.Records))
 }
 
+// Guards against removals without the revision that tells late renewals from new ones; and
+// against a VM that takes the end of one message for that of the read.
+func TestRemovalsInUpdatesOnTheWire(t *testing.T) {
+	nw := topic.Update{Topic: "keyed.servers", ReadAgo: 7}
+	for ix := range uint64(100) {
+		nw.Records = append(nw.Records, topic.Record{Key: fmt.Sprintf("i-%08x", ix), Offset: ix, Until: topic.Revision{Incarnation: 1 << 52, Renewal: math.MaxUint64 - ix}})
+	}
+	nw.Next = 100
+	msgs, err := updateToWire(nw)
+	assert.NilError(t, err)
+	var got []topic.Record
+	fl := &Fleet{OnTopicUpdate: func(part topic.Update) {
+		got = append(got, part.Records...)
+		assert.Equal(t, part.ReadAgo > 0, part.Next == nw.Next)
+	}}
+	for _, msg := range msgs {
+		assert.Assert(t, proto.Size(msg) < peer.MaxDatagram-100, "%d bytes", proto.Size(msg))
+		fl.handleDatagram(msg, netip.AddrPort{})
+	}
+	assert.DeepEqual(t, got, nw.Records)
+}
+
 // A configuration of the usual size, larger than a datagram, is sent in fragments, so that
 // not every VM has to read it, and a VM that can't reach the store gets it too.
 func TestLargeRecordIsFragmented(t *testing.T) {
