--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -38,6 +38,23 @@
 	return dg
 }
 
+// Guards against an entry of a VM that has stopped, which the store wrote late, and by which
+// callers are sent there: a listed VM is dead until it answers.
+func TestListedVMIsDeadUntilItAnswers(t *testing.T) {
+	dt := testDetector()
+	list := []board.VM{vmOf("0", "d0"), vmOf("9", "d1")}
+	var fleet *board.Fleet
+	for _, in := range dt.Step(1, Listed{VMs: list}) {
+		if changed, ok := in.(FleetChanged); ok {
+			fleet = changed.Fleet
+		}
+	}
+	vm, ok := fleet.VM("9")
+	assert.Assert(t, ok)
+	assert.Equal(t, vm.Health, board.Dead)
+	assert.Equal(t, vm.Incarnation, uint64(0))
+}
+
 func TestRumourPrecedence(t *testing.T) {
 	const suspect, dead, left = uint32(board.Suspect), uint32(board.Dead), uint32(board.Left)
 	cases := []struct {
