registry: after a restore of the store, a server may write its last entry again

A store that is restored from an older copy may lack the last entries of live servers. A server that writes its last one again, without a higher number, looked late, and was dropped at the end of the grace period.

The last number that is known counts as one less then. TestRestoreWithdrawsNoEntry failed before for the last renewal.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -229,10 +229,11 @@
 }
 
 // SetStoreRestored tells that the store was restored from an older copy. Entries that are
-// missing there were lost, and not removed by their servers.
+// missing there were lost, and not removed by their servers, which may write the last ones again.
 func (rg *Registry) SetStoreRestored() {
 	for key, ls := range rg.servers {
 		ls.writtenAfter = 0
+		ls.renewal = max(1, ls.renewal) - 1
 		rg.servers[key] = ls
 	}
 }
--- a/internal/registry/removal_test.go
+++ b/internal/registry/removal_test.go
@@ -151,17 +151,19 @@
 }
 
 // Guards against live servers that are dropped because a store that was restored from an older
-// copy lacks their entries.
+// copy lacks their entries. Servers renew them, or write the last ones again.
 func TestRestoreWithdrawsNoEntry(t *testing.T) {
-	var rg registry.Registry
-	en := numbered(0, 7)
-	en.After = 9 * clock.Second
-	rg.Set(10*clock.Second, en)
-	rg.SetStoreRestored()
-	rg.SetOutageEnd(10 * clock.Second)
-	rg.Replace(10*clock.Second, nil)
-	rg.Set(11*clock.Second, numbered(0, 8))
-	assert.Assert(t, isListed(&rg, 20*clock.Second))
+	for renewal, want := range map[uint64]bool{6: false, 7: true, 8: true} {
+		var rg registry.Registry
+		en := numbered(0, 7)
+		en.After = 9 * clock.Second
+		rg.Set(10*clock.Second, en)
+		rg.SetStoreRestored()
+		rg.SetOutageEnd(10 * clock.Second)
+		rg.Replace(10*clock.Second, nil)
+		rg.Set(11*clock.Second, numbered(0, renewal))
+		assert.Equal(t, isListed(&rg, 20*clock.Second), want, "renewal %d", renewal)
+	}
 }
 
 // Guards against another writer's entry under a server's key that counts as its withdrawal.
