--- a/internal/registry/removal.go
+++ b/internal/registry/removal.go
@@ -16,6 +16,10 @@
 	// maxWriteDelay bounds the time from a write that got no answer until the store carries
 	// it out, and so the time for which removals and renewals are remembered.
 	maxWriteDelay = 15 * clock.Second
+
+	// clockDrift is the fraction of a heartbeat, as a divisor, by which the clocks of the
+	// store and of this VM may differ over three of them.
+	clockDrift = 32
 )
 
 type (
@@ -49,10 +53,11 @@
 func (ls listing) lastRevision(now, heartbeat clock.Millis) topic.Revision {
 	rv := ls.revision()
 	silence := now - ls.writtenAfter // at most
+	expiry := 3*heartbeat - heartbeat/clockDrift
 	switch {
 	case ls.server.Leaving:
 		rv.Renewal = math.MaxUint64
-	case ls.renewal > 0 && ls.writtenAfter > 0 && silence < 3*heartbeat-heartbeat/32:
+	case ls.renewal > 0 && ls.writtenAfter > 0 && silence < expiry:
 		rv.Renewal += uint64(silence/heartbeat) + 1
 	}
 	return rv
